--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,56 @@
+/* chestnuthitch: picks the subcommand. */
+
+#include "cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct command {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *summary;
+};
+
+static const struct command commands[] = {
+    {"node", cli_node, "run the node of this entry host"},
+    {"config", cli_config, "check, show, diff or apply a declaration"},
+    {"status", cli_status, "show nodes, upstreams and what is in force"},
+    {"replay", cli_replay, "run a trace through the decisions"},
+};
+
+/* Writes the list of subcommands. */
+static void
+print_usage(FILE *out)
+{
+    (void)fprintf(out, "Usage: chestnuthitch COMMAND [OPTION...]\n\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        (void)fprintf(out, "  %-8s %s\n", commands[i].name,
+                      commands[i].summary);
+    }
+    (void)fprintf(out, "\n`chestnuthitch COMMAND --help` tells more.\n");
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 2) {
+        print_usage(stderr);
+        return CLI_BAD_INPUT;
+    }
+    if (strcmp(argv[1], "--help") == 0) {
+        print_usage(stdout);
+        return CLI_OK;
+    }
+    if (strcmp(argv[1], "--version") == 0) {
+        (void)printf("chestnuthitch %s\n", CHESTNUTHITCH_VERSION);
+        return CLI_OK;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(argv[1], commands[i].name) == 0) {
+            return commands[i].run(argc - 1, argv + 1);
+        }
+    }
+    (void)fprintf(stderr, "chestnuthitch: no command '%s'\n", argv[1]);
+    print_usage(stderr);
+    return CLI_BAD_INPUT;
+}
--- /dev/null
+++ b/libchestnuthitch/base/address.c
@@ -0,0 +1,29 @@
+/* Addresses of the form "192.0.2.1:80". */
+
+#include "base/base.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/* Checks for an IPv4 number and a port from 0 to 65535 (0: the kernel
+ * chooses).  Names are refused: nodes talk by IP numbers, so that no resolver
+ * can stall or mislead them. */
+bool
+ch_address_check(const char *text, struct ch_error *error)
+{
+    const char *colon = strrchr(text, ':');
+    char host[INET_ADDRSTRLEN] = "";
+    struct in_addr number;
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
+        ch_error_set(error, CH_BAD_VALUE, "'%s' is not ip:port", text);
+        return false;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    guint64 port = 0;
+    if (inet_pton(AF_INET, host, &number) != 1 ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL)) {
+        ch_error_set(error, CH_BAD_VALUE, "'%s' is not ip:port", text);
+        return false;
+    }
+    return true;
+}
--- /dev/null
+++ b/libchestnuthitch/base/base.h
@@ -0,0 +1,294 @@
+#ifndef CH_BASE_H
+#define CH_BASE_H
+
+/*
+ * What every other package stands on: result codes, errors, the client struct,
+ * logs, counters, handle tables, the worker pool, settings and declarations.
+ * Times are microseconds unless a name says otherwise.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* ---- result codes and errors (error.c) ---- */
+
+enum ch_outcome {
+    CH_NOT_RUN,
+    CH_RAN,
+    CH_UNKNOWN,
+};
+
+enum ch_code {
+#define CH_CODE(name, number, http, outcome, meaning) CH_##name = (number),
+#include "codes.def"
+#undef CH_CODE
+};
+
+struct ch_error {
+    enum ch_code code;
+    char message[512];
+};
+
+void ch_error_set(struct ch_error *error, enum ch_code code, const char *form,
+                  ...) G_GNUC_PRINTF(3, 4);
+void ch_error_clear(struct ch_error *error);
+const char *ch_code_name(enum ch_code code);
+const char *ch_code_meaning(enum ch_code code);
+int ch_code_http(enum ch_code code);
+enum ch_outcome ch_code_outcome(enum ch_code code);
+const char *ch_outcome_name(enum ch_outcome outcome);
+
+/* ---- the client struct: handlers in place of globals (client.c) ---- */
+
+struct ch_metrics;
+
+enum ch_level {
+    CH_LOG_ERR = 3,
+    CH_LOG_WARNING = 4,
+    CH_LOG_NOTICE = 5,
+    CH_LOG_INFO = 6,
+    CH_LOG_DEBUG = 7,
+};
+
+struct ch_client {
+    void (*log_write)(void *data, const char *line, size_t length);
+    void *log_data;
+    enum ch_level log_level;
+    int64_t (*now)(void *data); /* monotonic, microseconds */
+    void *now_data;
+    struct ch_metrics *metrics;
+    const char *name; /* put into each log line as "node" */
+};
+
+void ch_client_init(struct ch_client *client, const char *name);
+int64_t ch_client_now(const struct ch_client *client);
+
+/* ---- logs: one JSON object a line (log.c) ---- */
+
+/* A list of fields ended by CH_F_END: CH_F_STR("class", name), ... */
+enum ch_field_kind {
+    CH_FIELD_END,
+    CH_FIELD_STRING,
+    CH_FIELD_INT,
+    CH_FIELD_DOUBLE,
+    CH_FIELD_BOOL,
+};
+#define CH_F_STR(key, value) (int)CH_FIELD_STRING, (key), (const char *)(value)
+#define CH_F_INT(key, value) (int)CH_FIELD_INT, (key), (int64_t)(value)
+#define CH_F_NUM(key, value) (int)CH_FIELD_DOUBLE, (key), (double)(value)
+#define CH_F_BOOL(key, value) (int)CH_FIELD_BOOL, (key), (int)(value)
+#define CH_F_END (int)CH_FIELD_END
+
+void ch_log(const struct ch_client *client, enum ch_level level,
+            const char *event, ...);
+
+/* ---- counters and histograms (metrics.c); lock-free by Concurrency Kit ---
+ */
+
+enum ch_counter {
+#define CH_COUNTER(name, text) CH_COUNT_##name,
+#include "counters.def"
+#undef CH_COUNTER
+    CH_COUNTERS
+};
+
+enum ch_histogram {
+    CH_HIST_FIRST_TOKEN,
+    CH_HIST_BETWEEN_TOKENS,
+    CH_HIST_WHOLE_ANSWER,
+    CH_HIST_QUEUED,
+    CH_HISTOGRAMS
+};
+
+struct ch_metrics *ch_metrics_new(void);
+void ch_metrics_free(struct ch_metrics *metrics);
+void ch_metrics_count(struct ch_metrics *metrics, enum ch_counter counter,
+                      uint64_t by);
+uint64_t ch_metrics_read(const struct ch_metrics *metrics,
+                         enum ch_counter counter);
+void ch_metrics_observe(struct ch_metrics *metrics, enum ch_histogram which,
+                        const char *class_name, const char *tenant,
+                        int64_t microseconds);
+/* Also counts requests by class and outcome. */
+void ch_metrics_outcome(struct ch_metrics *metrics, const char *class_name,
+                        const char *tenant, enum ch_code code, bool met);
+void ch_metrics_render(const struct ch_metrics *metrics, GString *out);
+
+/* ---- handle tables (table.c): slot and generation in 64 bits ---- */
+
+struct ch_table;
+
+struct ch_table *ch_table_new(void);
+void ch_table_free(struct ch_table *table);
+uint64_t ch_table_add(struct ch_table *table, void *item);
+void *ch_table_get(const struct ch_table *table, uint64_t handle);
+void *ch_table_remove(struct ch_table *table, uint64_t handle);
+size_t ch_table_count(const struct ch_table *table);
+/* Calls each(item, handle, data) for every item; the table must not change. */
+void ch_table_each(const struct ch_table *table,
+                   void (*each)(void *item, uint64_t handle, void *data),
+                   void *data);
+
+/* ---- worker pool (pool.c): POSIX threads, a Concurrency Kit ring ---- */
+
+struct ch_pool;
+
+struct ch_pool *ch_pool_new(unsigned workers);
+void ch_pool_submit(struct ch_pool *pool, void (*run)(void *data), void *data);
+/* Runs what is queued, then joins the workers. */
+void ch_pool_free(struct ch_pool *pool);
+
+/* ---- timers (timer.c): one thread, jobs go to the pool ---- */
+
+struct ch_timers;
+
+struct ch_timers *ch_timers_new(struct ch_pool *pool);
+void ch_timers_free(struct ch_timers *timers);
+/* run(data) once after delay; the handle never comes again. */
+uint64_t ch_timers_after(struct ch_timers *timers, int64_t delay,
+                         void (*run)(void *data), void *data);
+/* True if it was stopped before it ran: then run is never called. */
+bool ch_timers_cancel(struct ch_timers *timers, uint64_t handle);
+
+/* ---- hashing (hash.c) ---- */
+
+uint64_t ch_hash(const void *bytes, size_t length);
+uint64_t ch_hash_string(const char *text);
+uint64_t ch_hash_pair(uint64_t a, uint64_t b);
+/* The index with the highest weight for key among names; -1 when none. */
+int ch_rendezvous(uint64_t key, const char *const *names, size_t count);
+
+/* ---- addresses ---- */
+
+/* "192.0.2.1:80": IP numbers only.  Returns false with BAD_VALUE. */
+bool ch_address_check(const char *text, struct ch_error *error);
+
+/* ---- node settings (settings.c) ---- */
+
+struct ch_settings {
+    char *name;                  /* [node] name */
+    char *region;                /* [node] region */
+    char *data_centre;           /* [node] data-centre */
+    unsigned workers;            /* [node] workers */
+    int log_level;               /* [node] log-level: err..debug */
+    char *callers;               /* [listen] callers = ip:port */
+    char *admin;                 /* [listen] admin */
+    char *peers;                 /* [listen] peers */
+    char *kv;                    /* [platform] kv = ip:port */
+    char *hosts;                 /* [platform] hosts = ip:port */
+    bool fencing;                /* [upstreams] fencing = refuse | ignore */
+    unsigned report_ms;          /* [upstreams] report-ms */
+    unsigned list_ms;            /* [platform] list-ms */
+    unsigned kv_timeout_ms;      /* [platform] kv-timeout-ms */
+    unsigned once_slots;         /* [once] slots */
+    unsigned once_gather_ms;     /* [once] gather-ms */
+    unsigned once_keep_s;        /* [once] keep-s */
+    size_t max_body;             /* [limits] body-bytes */
+    size_t max_headers;          /* [limits] header-bytes */
+    unsigned max_queue;          /* [limits] queue, for each upstream */
+    unsigned max_connections;    /* [limits] connections */
+    double retry_share;          /* [limits] retry-share */
+    double loads_per_s;          /* [weight-store] loads-per-s */
+    unsigned loads_parallel;     /* [weight-store] parallel */
+    unsigned adapters_parallel;  /* [weight-store] adapters-parallel */
+    double link_mbit;            /* [link] mbit-per-s */
+    unsigned connect_ms;         /* [timeouts] connect-ms */
+    unsigned first_byte_ms;      /* [timeouts] first-byte-ms */
+    unsigned stall_ms;           /* [timeouts] stall-ms, between tokens */
+    unsigned peer_silent_ms;     /* [timeouts] peer-silent-ms */
+    unsigned idle_connection_ms; /* [timeouts] idle-connection-ms */
+    unsigned drain_ms;           /* [timeouts] drain-ms, listener stays open */
+};
+
+struct ch_settings *ch_settings_load(const char *path, struct ch_error *error);
+struct ch_settings *ch_settings_parse(const char *text, const char *path,
+                                      struct ch_error *error);
+void ch_settings_free(struct ch_settings *settings);
+
+/* ---- the operators' declaration (declaration.c) ---- */
+
+struct ch_class {
+    char *name;
+    int64_t first_token;    /* target; 0: none stated */
+    int64_t between_tokens; /* target; 0: none stated */
+    int64_t whole_answer;   /* target; 0: none stated */
+    bool idempotent;
+    bool every_model; /* models = * */
+    uint8_t *models;  /* by model index: 1 when the class may use it */
+    uint8_t *services;
+};
+
+struct ch_model {
+    char *name;
+    uint32_t memory_mb;
+    uint32_t adapter_memory_mb;
+    char **adapters;
+    size_t adapter_count;
+};
+
+struct ch_service {
+    char *name;
+};
+
+struct ch_caller {
+    char *name;
+    size_t class_index; /* the class when the request names none */
+};
+
+struct ch_declaration {
+    struct ch_class *classes;
+    size_t class_count;
+    struct ch_model *models;
+    size_t model_count;
+    struct ch_service *services;
+    size_t service_count;
+    struct ch_caller *callers;
+    size_t caller_count;
+    char *text; /* canonical INI: the same declaration gives the same bytes */
+};
+
+/*
+ * Groups: [class X] first-token-ms, between-tokens-ms, answer-ms, models,
+ * services, idempotent, callers; [model X] memory-mb, adapters,
+ * adapter-memory-mb; [service X].  Site groups (declared by the platform, read
+ * by replay alone: region, data-centre, upstream, entry, weight-store, link,
+ * engine) may stand in the same file and are left out of the text.
+ */
+struct ch_declaration *ch_declaration_parse(const char *text, const char *path,
+                                            struct ch_error *error);
+struct ch_declaration *ch_declaration_load(const char *path,
+                                           struct ch_error *error);
+void ch_declaration_free(struct ch_declaration *declaration);
+int ch_declaration_class(const struct ch_declaration *declaration,
+                         const char *name);
+int ch_declaration_model(const struct ch_declaration *declaration,
+                         const char *name);
+int ch_declaration_service(const struct ch_declaration *declaration,
+                           const char *name);
+/* An adapter's model and index; -1 when there is none of that name. */
+int ch_declaration_adapter(const struct ch_declaration *declaration,
+                           const char *name, int *adapter);
+int ch_declaration_caller_class(const struct ch_declaration *declaration,
+                                const char *caller);
+/* Line diff of two canonical texts, "-old" and "+new" lines under groups. */
+char *ch_declaration_diff(const char *from, const char *to);
+
+/* ---- a configuration in force: a declaration with its revision ---- */
+
+struct ch_config {
+    int references; /* through ch_config_ref and ch_config_unref alone */
+    uint64_t revision;
+    char *token; /* the writer's own mark: resolves a lost answer */
+    char *author;
+    struct ch_declaration *declaration;
+};
+
+struct ch_config *ch_config_new(uint64_t revision, const char *token,
+                                const char *author,
+                                struct ch_declaration *declaration);
+struct ch_config *ch_config_ref(struct ch_config *config);
+void ch_config_unref(struct ch_config *config);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/base/client.c
@@ -0,0 +1,47 @@
+/* The client struct: log, clock and counters, handed down to every package. */
+
+#include "base/base.h"
+
+#include <time.h>
+#include <unistd.h>
+
+/* Writes a line to standard error in one call, so that lines of several
+ * threads do not mix.  A log that can't be written is dropped: the service
+ * goes on. */
+static void
+write_stderr(void *data, const char *line, size_t length)
+{
+    (void)data;
+    ssize_t written = write(STDERR_FILENO, line, length);
+    (void)written;
+}
+
+/* The monotonic clock in microseconds. */
+static int64_t
+monotonic_now(void *data)
+{
+    (void)data;
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
+/* Sets the usual handlers: standard error, the monotonic clock, no counters.
+ * name must outlive the client. */
+void
+ch_client_init(struct ch_client *client, const char *name)
+{
+    *client = (struct ch_client){
+        .log_write = write_stderr,
+        .log_level = CH_LOG_INFO,
+        .now = monotonic_now,
+        .name = name,
+    };
+}
+
+/* Microseconds on the client's clock; differences alone have a meaning. */
+int64_t
+ch_client_now(const struct ch_client *client)
+{
+    return client->now(client->now_data);
+}
--- /dev/null
+++ b/libchestnuthitch/base/error.c
@@ -0,0 +1,98 @@
+/* Result codes and the error struct that is passed down. */
+
+#include "base/base.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+struct code_row {
+    enum ch_code code;
+    const char *name;
+    int http;
+    enum ch_outcome outcome;
+    const char *meaning;
+};
+
+static const struct code_row rows[] = {
+#define CH_CODE(name, number, http, outcome, meaning)                         \
+    {CH_##name, #name, http, CH_##outcome, meaning},
+#include "codes.def"
+#undef CH_CODE
+};
+
+/* The table's row of a code; that of SYSTEM for a number not in the table,
+ * as a node of a later version may send one. */
+static const struct code_row *
+code_row(enum ch_code code)
+{
+    const struct code_row *fallback = NULL;
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (rows[i].code == code) {
+            return &rows[i];
+        }
+        if (rows[i].code == CH_SYSTEM) {
+            fallback = &rows[i];
+        }
+    }
+    return fallback;
+}
+
+/* Sets *error, unless error is NULL or holds an error already: the first
+ * cause is the one worth telling. */
+void
+ch_error_set(struct ch_error *error, enum ch_code code, const char *form, ...)
+{
+    if (error == NULL || error->code != CH_OK) {
+        return;
+    }
+    va_list arguments;
+    va_start(arguments, form);
+    error->code = code;
+    (void)vsnprintf(error->message, sizeof(error->message), form, arguments);
+    va_end(arguments);
+}
+
+/* Empties an error, so that it can be passed down again. */
+void
+ch_error_clear(struct ch_error *error)
+{
+    error->code = CH_OK;
+    error->message[0] = '\0';
+}
+
+/* The code's name without its prefix, as in docs/RESULT-CODES.md. */
+const char *
+ch_code_name(enum ch_code code)
+{
+    return code_row(code)->name;
+}
+
+/* One clause in English for operators and callers. */
+const char *
+ch_code_meaning(enum ch_code code)
+{
+    return code_row(code)->meaning;
+}
+
+/* The HTTP status that a caller gets with this code. */
+int
+ch_code_http(enum ch_code code)
+{
+    return code_row(code)->http;
+}
+
+/* What is certain about the request when it ends with this code.  A request
+ * whose dispatch tells more (no byte went out) may say NOT_RUN instead. */
+enum ch_outcome
+ch_code_outcome(enum ch_code code)
+{
+    return code_row(code)->outcome;
+}
+
+/* The word in the Chestnuthitch-Outcome header. */
+const char *
+ch_outcome_name(enum ch_outcome outcome)
+{
+    static const char *const names[] = {"not-run", "ran", "unknown"};
+    return names[outcome];
+}
--- /dev/null
+++ b/libchestnuthitch/base/table.c
@@ -0,0 +1,122 @@
+/* Handle tables: a handle is a slot and the slot's generation, so that a late
+ * message about something gone finds nothing rather than its successor. */
+
+#include "base/base.h"
+
+struct slot {
+    void *item;
+    uint32_t generation;
+    uint32_t next_free;
+};
+
+enum {
+    NO_SLOT = UINT32_MAX,
+};
+
+struct ch_table {
+    GArray *slots;
+    uint32_t first_free;
+    size_t count;
+};
+
+/* An empty table.  It has no lock of its own: its owner's lock guards it. */
+struct ch_table *
+ch_table_new(void)
+{
+    struct ch_table *table = g_new0(struct ch_table, 1);
+    table->slots = g_array_new(FALSE, TRUE, sizeof(struct slot));
+    table->first_free = (uint32_t)NO_SLOT;
+    return table;
+}
+
+/* Frees the table, not the items. */
+void
+ch_table_free(struct ch_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    g_array_free(table->slots, TRUE);
+    g_free(table);
+}
+
+/* Puts an item (not NULL) in and returns its handle, never 0. */
+uint64_t
+ch_table_add(struct ch_table *table, void *item)
+{
+    uint32_t index = table->first_free;
+    if (index == (uint32_t)NO_SLOT) {
+        index = table->slots->len;
+        g_array_set_size(table->slots, index + 1);
+        g_array_index(table->slots, struct slot, index).generation = 1;
+    }
+    struct slot *slot = &g_array_index(table->slots, struct slot, index);
+    if (slot->item == NULL && index == table->first_free) {
+        table->first_free = slot->next_free;
+    }
+    slot->item = item;
+    table->count++;
+    return ((uint64_t)slot->generation << 32) | index;
+}
+
+/* The slot of a handle that is in force, or NULL. */
+static struct slot *
+slot_of(const struct ch_table *table, uint64_t handle)
+{
+    uint32_t index = (uint32_t)handle;
+    if (index >= table->slots->len) {
+        return NULL;
+    }
+    struct slot *slot = &g_array_index(table->slots, struct slot, index);
+    if (slot->item == NULL || slot->generation != handle >> 32) {
+        return NULL;
+    }
+    return slot;
+}
+
+/* The item, or NULL when it was removed. */
+void *
+ch_table_get(const struct ch_table *table, uint64_t handle)
+{
+    const struct slot *slot = slot_of(table, handle);
+    return slot == NULL ? NULL : slot->item;
+}
+
+/* Takes the item out and returns it; NULL when it was gone. */
+void *
+ch_table_remove(struct ch_table *table, uint64_t handle)
+{
+    struct slot *slot = slot_of(table, handle);
+    if (slot == NULL) {
+        return NULL;
+    }
+    void *item = slot->item;
+    slot->item = NULL;
+    slot->generation++;
+    slot->next_free = table->first_free;
+    table->first_free = (uint32_t)handle;
+    table->count--;
+    return item;
+}
+
+/* How many items are in. */
+size_t
+ch_table_count(const struct ch_table *table)
+{
+    return table->count;
+}
+
+/* Calls each for every item, in order of slots; the table must not change
+ * meanwhile. */
+void
+ch_table_each(const struct ch_table *table,
+              void (*each)(void *item, uint64_t handle, void *data),
+              void *data)
+{
+    for (uint32_t i = 0; i < table->slots->len; i++) {
+        const struct slot *slot = &g_array_index(table->slots, struct slot, i);
+        if (slot->item != NULL) {
+            each(slot->item, ((uint64_t)slot->generation << 32) | i, data);
+        }
+    }
+}
--- /dev/null
+++ b/libchestnuthitch/node/node.h
@@ -0,0 +1,247 @@
+#ifndef CH_NODE_H
+#define CH_NODE_H
+
+/*
+ * One entry host's process: threads, tables and sockets around the decisions.
+ *
+ * Threads: HTTP to callers (libmicrohttpd's own), HTTP out (ch_http), peers,
+ * timers, and the pool of workers.  The first four take events and hand them
+ * to the pool; decisions run on the pool.
+ *
+ * Lock order, outermost first; a thread that holds one takes only later ones:
+ *   exchange < homes < home < config < once < ledger < peers < pool, timers,
+ *   http < metrics.
+ * No handler of another package is called with a lock held.
+ */
+
+#include "base/base.h"
+#include "decide/ledger.h"
+#include "decide/policy.h"
+#include "net/net.h"
+#include "platform/platform.h"
+#include "upstream/upstream.h"
+#include "wire/wire.h"
+
+struct ch_node {
+    struct ch_client *client;
+    const struct ch_settings *settings;
+    uint64_t incarnation; /* start of the process, wall clock microseconds */
+    struct ch_pool *pool;
+    struct ch_timers *timers;
+    struct ch_http *http;
+    struct ch_kv *kv;
+    struct ch_hosts *hosts;
+    struct ch_peers *peers;
+    struct ch_config_keeper *config;
+    struct ch_once_keeper *once;
+    struct ch_ledger_keeper *ledger;
+    struct ch_homes *homes;
+    struct ch_front *front;
+    struct ch_admin *admin;
+};
+
+/* Starts everything; NULL with an error.  settings outlives the node. */
+struct ch_node *ch_node_start(struct ch_client *client,
+                              const struct ch_settings *settings,
+                              struct ch_error *error);
+/* Graceful: returns when all that was accepted is answered. */
+void ch_node_stop(struct ch_node *node);
+
+/* ---- peers (peers.c): frames to and from other nodes ---- */
+
+struct ch_peers;
+
+struct ch_peers *ch_peers_new(struct ch_node *node, struct ch_error *error);
+void ch_peers_stop(struct ch_peers *peers);
+void ch_peers_free(struct ch_peers *peers);
+/*
+ * Sends frame->body to a node by name (this node's own name works too) and
+ * forgets it.  The peers fill in version, from, id and config_revision.
+ */
+void ch_peers_send(struct ch_peers *peers, const char *to,
+                   Chestnuthitch__Wire__Frame *frame);
+/*
+ * Sends and waits for the reply: done(data, code, reply) exactly once, on a
+ * pool worker.  PEER_LOST: the connection went or fell silent.  limit 0: as
+ * long as the connection lives (heartbeats watch over it).  Returns the id.
+ */
+uint64_t
+ch_peers_request(struct ch_peers *peers, const char *to,
+                 Chestnuthitch__Wire__Frame *frame, int64_t limit,
+                 void (*done)(void *data, enum ch_code code,
+                              const Chestnuthitch__Wire__Frame *reply),
+                 void *data);
+/* Replies to a frame that was handled; `to` and `id` from that frame. */
+void ch_peers_reply(struct ch_peers *peers, const char *to, uint64_t id,
+                    Chestnuthitch__Wire__Frame *frame);
+/* Handles frames of one body case, on a pool worker; before start alone. */
+void ch_peers_handle(struct ch_peers *peers,
+                     Chestnuthitch__Wire__Frame__BodyCase body,
+                     void (*handle)(void *data,
+                                    const Chestnuthitch__Wire__Frame *frame),
+                     void *data);
+/* The live node that is home of a key, in one data centre (NULL: in all).
+   A new string; this node's own name when it is alone. */
+char *ch_peers_home(struct ch_peers *peers, uint64_t key,
+                    const char *data_centre);
+/* Names of the live nodes, this one among them, sorted; g_strfreev. */
+char **ch_peers_live(struct ch_peers *peers);
+
+/* ---- configuration in force (config_keeper.c) ---- */
+
+struct ch_config_keeper;
+
+struct ch_config_keeper *ch_config_keeper_new(struct ch_node *node);
+void ch_config_keeper_start(struct ch_config_keeper *keeper);
+void ch_config_keeper_stop(struct ch_config_keeper *keeper);
+void ch_config_keeper_free(struct ch_config_keeper *keeper);
+/* A reference, or NULL: none known yet. */
+struct ch_config *ch_config_keeper_current(struct ch_config_keeper *keeper);
+/* Some frame bore a higher revision: pull it from that node. */
+void ch_config_keeper_learn(struct ch_config_keeper *keeper, uint64_t revision,
+                            const char *from);
+/* Compare-and-swap against base: OK, KV_CONFLICT (config is the one in force),
+   KV_UNREACHABLE, KV_AMBIGUOUS or what the declaration fails on. */
+void ch_config_keeper_apply(struct ch_config_keeper *keeper, const char *text,
+                            const char *author, uint64_t base,
+                            void (*done)(void *data,
+                                         const struct ch_error *error,
+                                         struct ch_config *config),
+                            void *data);
+
+/* ---- at most once (once_keeper.c) ---- */
+
+enum ch_once_state {
+    CH_ONCE_CREATED,  /* this try alone may be dispatched, once */
+    CH_ONCE_DONE,     /* ran before: answer is given when it was kept */
+    CH_ONCE_RUNNING,  /* another try of it may be running or have run */
+    CH_ONCE_MISMATCH, /* the key came with another body */
+    CH_ONCE_REFUSED,  /* surely not created by this try */
+};
+
+struct ch_once_answer {
+    enum ch_once_state state;
+    uint64_t attempt; /* to be given to finish */
+    bool kept;
+    int status;
+    const char *content_type;
+    const void *body;
+    size_t length;
+};
+
+struct ch_once_keeper;
+
+struct ch_once_keeper *ch_once_keeper_new(struct ch_node *node);
+void ch_once_keeper_stop(struct ch_once_keeper *keeper);
+void ch_once_keeper_free(struct ch_once_keeper *keeper);
+/* done once, on a pool worker.  fingerprint: hash of method, path and body. */
+void ch_once_keeper_begin(struct ch_once_keeper *keeper, const char *caller,
+                          const char *key, uint64_t fingerprint,
+                          void (*done)(void *data,
+                                       const struct ch_once_answer *answer),
+                          void *data);
+/* After CREATED: the whole answer, or not_run when it certainly did not run
+   (the key is then free again).  Without a call it stays RUNNING: unknown.
+   done (may be NULL) after it is kept or could not be. */
+void ch_once_keeper_finish(struct ch_once_keeper *keeper, const char *caller,
+                           const char *key, uint64_t attempt, bool not_run,
+                           int status, const char *content_type,
+                           const void *body, size_t length,
+                           void (*done)(void *data, bool kept), void *data);
+
+/* ---- ledgers of the upstreams that this node is home of ---- */
+
+struct ch_ledger_keeper;
+
+/* changed: the ledger as now known, after every change; failed: an order that
+   will not be done.  Both on a pool worker. */
+struct ch_ledger_handlers {
+    void (*changed)(void *data, GQuark upstream,
+                    const struct ch_ledger *ledger);
+    void (*failed)(void *data, GQuark upstream, GQuark item,
+                   enum ch_action_kind kind, enum ch_code code);
+};
+
+struct ch_ledger_keeper *
+ch_ledger_keeper_new(struct ch_node *node,
+                     const struct ch_ledger_handlers *handlers, void *data);
+void ch_ledger_keeper_stop(struct ch_ledger_keeper *keeper);
+void ch_ledger_keeper_free(struct ch_ledger_keeper *keeper);
+/* This node became or ceased to be home; engine lives until close returns. */
+void ch_ledger_keeper_open(struct ch_ledger_keeper *keeper, GQuark upstream,
+                           struct ch_upstream *engine, uint32_t capacity_mb);
+void ch_ledger_keeper_close(struct ch_ledger_keeper *keeper, GQuark upstream);
+/* Reserves by compare-and-swap, then orders; done shows in `changed`. */
+void ch_ledger_keeper_load(struct ch_ledger_keeper *keeper, GQuark upstream,
+                           GQuark item, uint32_t memory_mb);
+void ch_ledger_keeper_unload(struct ch_ledger_keeper *keeper, GQuark upstream,
+                             GQuark item);
+/* Evidence from the engine. */
+void ch_ledger_keeper_report(struct ch_ledger_keeper *keeper, GQuark upstream,
+                             const struct ch_report *report);
+
+/* ---- homes (homes.c): leave to dispatch, wherever the home is ---- */
+
+struct ch_homes;
+
+struct ch_grant {
+    uint64_t handle; /* the request's, given back by release */
+    GQuark upstream;
+    struct ch_upstream *client; /* valid until release */
+    uint32_t priority;
+    bool other_region;
+};
+
+/* One of the two, once, on a pool worker. */
+struct ch_homes_handlers {
+    void (*granted)(void *data, const struct ch_grant *grant);
+    void (*refused)(void *data, enum ch_code code, int64_t retry_after,
+                    const char *message);
+};
+
+struct ch_homes *ch_homes_new(struct ch_node *node);
+void ch_homes_start(struct ch_homes *homes);
+void ch_homes_stop(struct ch_homes *homes);
+void ch_homes_free(struct ch_homes *homes);
+/* work is copied; excluded: GQuarks of upstreams not to try (may be NULL). */
+uint64_t ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
+                          const GArray *excluded,
+                          const struct ch_homes_handlers *handlers,
+                          void *data);
+/* True: neither handler will run.  False: one has run or is about to; a grant
+   is then to be released as ever. */
+bool ch_homes_withdraw(struct ch_homes *homes, uint64_t handle);
+/* Exactly once for each grant. */
+void ch_homes_release(struct ch_homes *homes, uint64_t handle,
+                      const struct ch_sample *sample);
+/* Upstreams, homes, residents as JSON members of an open object. */
+struct _JsonBuilder;
+void ch_homes_status(struct ch_homes *homes, struct _JsonBuilder *builder);
+void ch_peers_status(struct ch_peers *peers, struct _JsonBuilder *builder);
+
+/* ---- front (front.c: HTTP; exchange.c: one request's course) ---- */
+
+struct ch_front;
+
+struct ch_front *ch_front_new(struct ch_node *node, struct ch_error *error);
+/* Readiness goes false at once; the listener stays for settings->drain_ms,
+   then new requests are refused with STOPPING; returns when none is open. */
+void ch_front_stop(struct ch_front *front);
+void ch_front_free(struct ch_front *front);
+/* True when a configuration is known and the node is not stopping. */
+bool ch_node_ready(struct ch_node *node);
+
+/* ---- admin (admin.c): operators' and platform's listener ---- */
+
+/*
+ * GET /healthz, /readyz, /metrics, /admin/v1/status, /admin/v1/config; POST
+ * /admin/v1/config?base=REVISION&author=NAME.  Not on the callers' listener,
+ * but for the first three.
+ */
+struct ch_admin;
+
+struct ch_admin *ch_admin_new(struct ch_node *node, struct ch_error *error);
+void ch_admin_stop(struct ch_admin *admin);
+void ch_admin_free(struct ch_admin *admin);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/platform/platform.h
@@ -0,0 +1,113 @@
+#ifndef CH_PLATFORM_H
+#define CH_PLATFORM_H
+
+/*
+ * The platform's key-value service and host list.  Each is behind a vtable, so
+ * that a service with another protocol is one new file.
+ */
+
+#include "net/net.h"
+
+/* ---- key-value service (kv.c: the vtable; kv_http.c: over HTTP) ---- */
+
+struct ch_kv_answer {
+    enum ch_code code; /* OK, KV_MISSING, KV_CONFLICT, KV_UNREACHABLE (surely
+                          not written), KV_AMBIGUOUS (a write whose answer was
+                          lost: it may have taken effect) */
+    const void *value; /* valid during the call alone */
+    size_t length;
+    uint64_t revision; /* of the value; of a conflict, the one in force */
+};
+
+struct ch_kv_entry {
+    char *key;
+    char *value;
+    size_t length;
+    uint64_t revision;
+};
+
+struct ch_kv;
+
+struct ch_kv_ops {
+    void (*get)(struct ch_kv *kv, const char *key,
+                void (*done)(void *data, const struct ch_kv_answer *answer),
+                void *data);
+    /* revision 0: only if absent; else only if the value is at revision. */
+    void (*put)(struct ch_kv *kv, const char *key, const void *value,
+                size_t length, uint64_t revision,
+                void (*done)(void *data, const struct ch_kv_answer *answer),
+                void *data);
+    void (*remove)(struct ch_kv *kv, const char *key, uint64_t revision,
+                   void (*done)(void *data, const struct ch_kv_answer *answer),
+                   void *data);
+    /* Answers when the value is above revision, or KV_MISSING after wait. */
+    void (*watch)(struct ch_kv *kv, const char *key, uint64_t revision,
+                  int64_t wait,
+                  void (*done)(void *data, const struct ch_kv_answer *answer),
+                  void *data);
+    /* Every key below prefix in order, with values. */
+    void (*list)(struct ch_kv *kv, const char *prefix,
+                 void (*done)(void *data, enum ch_code code,
+                              const struct ch_kv_entry *entries, size_t count),
+                 void *data);
+    void (*free)(struct ch_kv *kv);
+};
+
+struct ch_kv {
+    const struct ch_kv_ops *ops;
+};
+
+/* Calls are counted in the client's metrics.  done runs exactly once. */
+struct ch_kv *ch_kv_http_new(struct ch_client *client, struct ch_http *http,
+                             const char *address, int64_t call_limit);
+
+/* ---- host list (hosts.c, hosts_http.c) ---- */
+
+enum ch_host_kind {
+    CH_HOST_ENTRY,
+    CH_HOST_ENGINE,
+    CH_HOST_SERVICE,
+};
+
+struct ch_host {
+    char *name;
+    enum ch_host_kind kind;
+    char *address; /* upstream: HTTP; entry: its peers listener */
+    char *region;
+    char *data_centre;
+    char *service; /* of a plain service: its name; else NULL */
+    uint32_t memory_mb;
+    uint32_t accelerators;
+    uint32_t batch; /* most requests at once; 0: not stated */
+    bool leaving;
+};
+
+struct ch_host_list {
+    struct ch_host *hosts;
+    size_t count;
+};
+
+struct ch_host_list *ch_host_list_parse(const char *json, size_t length,
+                                        struct ch_error *error);
+void ch_host_list_free(struct ch_host_list *list);
+
+struct ch_hosts;
+
+struct ch_hosts_ops {
+    /* list is owned by the callee; NULL with a code when there is none. */
+    void (*fetch)(struct ch_hosts *hosts,
+                  void (*done)(void *data, enum ch_code code,
+                               struct ch_host_list *list),
+                  void *data);
+    void (*free)(struct ch_hosts *hosts);
+};
+
+struct ch_hosts {
+    const struct ch_hosts_ops *ops;
+};
+
+struct ch_hosts *ch_hosts_http_new(struct ch_client *client,
+                                   struct ch_http *http, const char *address,
+                                   int64_t call_limit);
+
+#endif
