Decide: queue by deadline, admission by prediction, placement by demand

The simplest policy that is whole: an entry node asks the home of a replica that should meet the target; the home grants in order of deadline up to the batch that its measured token times allow, refuses at once what its exact counts say will be late, and wants models loaded when nobody serves them or when the demand that overflowed to it outdoes what would have to go.

--- /dev/null
+++ b/libchestnuthitch/decide/fleet.c
@@ -0,0 +1,44 @@
+/* Looking things up in what a node sees of the fleet. */
+
+#include "decide/fleet.h"
+
+/* Whether a list of struct ch_item names the item. */
+static bool
+list_has(const GArray *list, GQuark item)
+{
+    if (list == NULL) {
+        return false;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        if (g_array_index(list, struct ch_item, i).name == item) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the item can be used there now, as far as is known. */
+bool
+ch_upstream_view_has(const struct ch_upstream_view *view, GQuark item)
+{
+    return list_has(view->resident, item);
+}
+
+/* Whether the item is on its way into that upstream's memory. */
+bool
+ch_upstream_view_loads(const struct ch_upstream_view *view, GQuark item)
+{
+    return list_has(view->loading, item);
+}
+
+/* The view of one upstream, owned by the fleet; NULL when it has none. */
+struct ch_upstream_view *
+ch_fleet_find(struct ch_fleet *fleet, GQuark name)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (fleet->upstreams[i].name == name) {
+            return &fleet->upstreams[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/libchestnuthitch/decide/place.c
@@ -0,0 +1,426 @@
+/* Placement at a home: which models come into memory, and which go. */
+
+#include "decide/home.h"
+
+enum {
+    /* A model's load at full speed: 1.5 loads a second at 10 at once is a
+     * little under 7 s for the middle size.  Until it has been measured. */
+    LOAD_PER_MB = 480, /* microseconds */
+    /* A model that has just come, or was asked for this lately, does not go
+     * for one that is served elsewhere: two models that take turns would
+     * each be loading most of the time. */
+    SETTLE = 20 * G_USEC_PER_SEC,
+    /* A wish that nothing has renewed lapses. */
+    WISH_LAPSES = 5 * G_USEC_PER_SEC,
+};
+
+/* Slots of steady overflow that a further replica must have to itself: a load
+ * takes about 7 s of the room's use, which half a slot earns back in 15 s.
+ * Below it, a burst that is over before the load is would cost a move. */
+static const double WORTH_A_MOVE = 0.5;
+/* How far the newcomer's demand must outdo what has to go for it. */
+static const double OUTDOES = 1.5;
+
+/* Microseconds that loading the item takes when the weight store is free. */
+int64_t
+ch_place_load_time(const struct ch_held *item)
+{
+    return (int64_t)item->memory_mb * LOAD_PER_MB;
+}
+
+/* Memory in use: resident, reserved, or not yet known to be gone. */
+static uint32_t
+committed(const struct ch_home *home)
+{
+    uint32_t sum = 0;
+    for (guint i = 0; i < home->items->len; i++) {
+        const struct ch_held *item =
+            &g_array_index(home->items, struct ch_held, i);
+        sum += item->state != CH_ITEM_ABSENT ? item->memory_mb : 0;
+    }
+    return sum;
+}
+
+/* Memory that is on its way out. */
+static uint32_t
+outgoing(const struct ch_home *home)
+{
+    uint32_t sum = 0;
+    for (guint i = 0; i < home->items->len; i++) {
+        const struct ch_held *item =
+            &g_array_index(home->items, struct ch_held, i);
+        bool goes = item->state == CH_ITEM_UNLOADING ||
+                    (item->state == CH_ITEM_RESIDENT && item->leaving);
+        sum += goes ? item->memory_mb : 0;
+    }
+    return sum;
+}
+
+/* Whether no other upstream is known to hold the model. */
+static bool
+is_last(const struct ch_home *home, const struct ch_fleet *fleet, GQuark model)
+{
+    for (size_t i = 0; fleet != NULL && i < fleet->count; i++) {
+        const struct ch_upstream_view *view = &fleet->upstreams[i];
+        if (view->name != home->facts.name && !view->down && !view->leaving &&
+            ch_upstream_view_has(view, model)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether queued work asks for the item. */
+static bool
+is_awaited(const struct ch_home *home, GQuark name)
+{
+    for (guint i = 0; i < home->queue.entries->len; i++) {
+        const struct ch_work *work = &ch_queue_at(&home->queue, i)->work;
+        if (work->model == name || work->adapter == name) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* What it would cost to lose the model, in slots: its demand here, more when
+ * it is the last replica.  Among models without demand the one longest unused
+ * goes first. */
+static double
+worth(const struct ch_home *home, const struct ch_fleet *fleet,
+      const struct ch_held *item, int64_t now)
+{
+    double worth = ch_load_level(&item->load, now);
+    double idle = (double)(now - item->used) / G_USEC_PER_SEC;
+    worth += 0.01 / (1.0 + MAX(idle, 0.0));
+    if (home->policy->placing->keep_last && is_last(home, fleet, item->name)) {
+        worth = worth * 2.0 + 0.2;
+    }
+    return worth;
+}
+
+/* Whether the item may be chosen to go.  gentle: not for a model that is
+ * served elsewhere anyway. */
+static bool
+may_go(const struct ch_home *home, const struct ch_held *item, bool gentle,
+       int64_t now)
+{
+    if (item->model != 0 || item->state != CH_ITEM_RESIDENT || item->leaving ||
+        item->wanted || now < item->not_before) {
+        return false;
+    }
+    if (!home->policy->placing->reluctant || !gentle) {
+        return true;
+    }
+    return now - item->changed >= SETTLE;
+}
+
+/* Memory of a model with the adapters that go with it. */
+static uint32_t
+memory_with_adapters(const struct ch_home *home, const struct ch_held *model)
+{
+    uint32_t sum = model->memory_mb;
+    for (guint i = 0; i < home->items->len; i++) {
+        const struct ch_held *item =
+            &g_array_index(home->items, struct ch_held, i);
+        if (item->model == model->name && item->state != CH_ITEM_ABSENT) {
+            sum += item->memory_mb;
+        }
+    }
+    return sum;
+}
+
+/* The model that is worth least, of those that may go and are not yet marked
+ * in `chosen`; NULL when there is none. */
+static struct ch_held *
+least_worth(struct ch_home *home, const struct ch_fleet *fleet,
+            const GArray *chosen, bool gentle, int64_t now)
+{
+    struct ch_held *least = NULL;
+    double least_value = 0;
+    for (guint i = 0; i < home->items->len; i++) {
+        struct ch_held *item = &g_array_index(home->items, struct ch_held, i);
+        bool taken = false;
+        for (guint j = 0; j < chosen->len; j++) {
+            taken = taken || g_array_index(chosen, GQuark, j) == item->name;
+        }
+        if (taken || !may_go(home, item, gentle, now)) {
+            continue;
+        }
+        double value = home->policy->placing->reluctant
+                           ? worth(home, fleet, item, now)
+                           : (double)item->used;
+        if (least == NULL || value < least_value) {
+            least = item;
+            least_value = value;
+        }
+    }
+    return least;
+}
+
+/* Names of the models that have to go so that memory_mb becomes free, their
+ * joint worth in *value; NULL when that is not to be had.  The array is the
+ * caller's to unref. */
+static GArray *
+victims(struct ch_home *home, const struct ch_fleet *fleet, uint32_t memory_mb,
+        bool gentle, int64_t now, double *value)
+{
+    GArray *chosen = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    uint32_t room = home->facts.capacity_mb + outgoing(home);
+    uint32_t used = committed(home);
+    room = room > used ? room - used : 0;
+    *value = 0;
+    while (room < memory_mb) {
+        struct ch_held *least = least_worth(home, fleet, chosen, gentle, now);
+        if (least == NULL) {
+            g_array_unref(chosen);
+            return NULL;
+        }
+        *value += worth(home, fleet, least, now);
+        room += memory_with_adapters(home, least);
+        g_array_append_val(chosen, least->name);
+    }
+    return chosen;
+}
+
+/* Whether some upstream holds the model or is loading it, and can be used. */
+static bool
+is_served(const struct ch_home *home, const struct ch_work *work,
+          const struct ch_fleet *fleet)
+{
+    for (size_t i = 0; fleet != NULL && i < fleet->count; i++) {
+        const struct ch_upstream_view *view = &fleet->upstreams[i];
+        if (view->name == home->facts.name) {
+            continue;
+        }
+        if (ch_view_serves(view, work) ||
+            (!view->down && !view->leaving &&
+             ch_upstream_view_loads(view, work->model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Whether work whose model is not here may bring it in.
+ *
+ * Load: demand that moves from model to model, up to tenfold within minutes.
+ * Harm prevented: loads that chase each burst, each costing seconds of an
+ * accelerator and a share of the weight store.  A model that nobody serves is
+ * brought in at once, whatever it displaces: every model stays reachable.  A
+ * further replica must be worth a move: the demand that overflowed to this
+ * home must fill half a slot and outdo by half what has to go for it.
+ *
+ * The room that brings a last replica back is kept by that same rule: a
+ * further replica can always be displaced by a model that nobody serves.
+ */
+bool
+ch_place_may_load(struct ch_home *home, const struct ch_work *work,
+                  const struct ch_fleet *fleet, int64_t now)
+{
+    if (home->policy->placing->fixed || now < home->blocked_until ||
+        work->model_mb + work->adapter_mb > home->facts.capacity_mb) {
+        return false;
+    }
+    const struct ch_held *model = ch_home_item(home, work->model);
+    if (model->wanted) {
+        return true;
+    }
+    if (!home->policy->placing->reluctant || !is_served(home, work, fleet)) {
+        return true;
+    }
+    double demand = ch_load_level(&model->load, now);
+    if (demand < WORTH_A_MOVE || home->loads_left == 0) {
+        return false;
+    }
+    double value = 0;
+    GArray *chosen = victims(home, fleet, work->model_mb + work->adapter_mb,
+                             true, now, &value);
+    if (chosen == NULL) {
+        return false;
+    }
+    g_array_unref(chosen);
+    return demand >= WORTH_A_MOVE + OUTDOES * value;
+}
+
+/* Appends an order for an item and notes it as begun, so that it is not
+ * ordered twice before the ledger answers. */
+static void
+order(struct ch_held *item, enum ch_action_kind kind, int64_t now,
+      struct ch_actions *out)
+{
+    item->state = kind == CH_ACTION_LOAD ? CH_ITEM_LOADING : CH_ITEM_UNLOADING;
+    item->leaving = false;
+    item->changed = now;
+    if (kind == CH_ACTION_LOAD) {
+        item->wanted = false;
+    }
+    struct ch_action action = {
+        .kind = kind, .item = item->name, .memory_mb = item->memory_mb};
+    g_array_append_val(out->list, action);
+}
+
+/* Unloads a model that is on its way out, with its adapters, once nothing
+ * that was granted uses it. */
+static void
+unload_leaving(struct ch_home *home, int64_t now, struct ch_actions *out)
+{
+    for (guint i = 0; i < home->items->len; i++) {
+        struct ch_held *model = &g_array_index(home->items, struct ch_held, i);
+        if (!model->leaving || model->state != CH_ITEM_RESIDENT ||
+            model->running > 0 || now < model->not_before) {
+            continue;
+        }
+        for (guint j = 0; j < home->items->len; j++) {
+            struct ch_held *item =
+                &g_array_index(home->items, struct ch_held, j);
+            if (item->model == model->name &&
+                item->state == CH_ITEM_RESIDENT) {
+                order(item, CH_ACTION_UNLOAD, now, out);
+            }
+        }
+        order(model, CH_ACTION_UNLOAD, now, out);
+    }
+}
+
+/* Refuses what waits for a model that is on its way out, so that its entry
+ * node asks another replica at once. */
+static void
+refuse_leaving(struct ch_home *home, struct ch_actions *out)
+{
+    for (guint at = home->queue.entries->len; at-- > 0;) {
+        const struct ch_held *model =
+            ch_home_item(home, ch_queue_at(&home->queue, at)->work.model);
+        if (model != NULL && model->leaving) {
+            ch_home_refuse(home, at, CH_NO_UPSTREAM, 0,
+                           "the model is leaving this upstream", out);
+        }
+    }
+}
+
+/* Marks models to go until the item has room.  What runs on them ends first:
+ * no request is cut. */
+static void
+make_room(struct ch_home *home, const struct ch_fleet *fleet,
+          const struct ch_held *item, int64_t now, struct ch_actions *out)
+{
+    double value;
+    GArray *chosen = victims(home, fleet, item->memory_mb, true, now, &value);
+    if (chosen == NULL) {
+        chosen = victims(home, fleet, item->memory_mb, false, now, &value);
+    }
+    if (chosen == NULL) {
+        return;
+    }
+    for (guint i = 0; i < chosen->len; i++) {
+        ch_home_item(home, g_array_index(chosen, GQuark, i))->leaving = true;
+    }
+    g_array_unref(chosen);
+    refuse_leaving(home, out);
+}
+
+/* Makes room for an adapter by unloading the adapter longest unused, of those
+ * that nothing runs on; true when room is there or comes. */
+static void
+make_adapter_room(struct ch_home *home, int64_t now, struct ch_actions *out)
+{
+    struct ch_held *oldest = NULL;
+    for (guint i = 0; i < home->items->len; i++) {
+        struct ch_held *item = &g_array_index(home->items, struct ch_held, i);
+        if (item->state == CH_ITEM_UNLOADING && item->model != 0) {
+            return;
+        }
+        if (item->model == 0 || item->state != CH_ITEM_RESIDENT ||
+            item->running > 0 || is_awaited(home, item->name)) {
+            continue;
+        }
+        if (oldest == NULL || item->used < oldest->used) {
+            oldest = item;
+        }
+    }
+    if (oldest != NULL) {
+        order(oldest, CH_ACTION_UNLOAD, now, out);
+    }
+}
+
+/* Orders the item's load when there is room, or else begins to make room. */
+static void
+bring_in(struct ch_home *home, const struct ch_fleet *fleet,
+         struct ch_held *item, int64_t now, struct ch_actions *out)
+{
+    if (now < item->not_before) {
+        return;
+    }
+    uint32_t used = committed(home);
+    if (used + item->memory_mb <= home->facts.capacity_mb) {
+        /* Load: many models wanted at once after a shift of demand.  Harm
+         * prevented: past its rate the weight store serves all loads slower,
+         * and each model comes later than the first would have.  Adapters
+         * load in milliseconds and have a limit of their own. */
+        if (item->model == 0) {
+            if (home->loads_left == 0) {
+                return;
+            }
+            home->loads_left--;
+        }
+        order(item, CH_ACTION_LOAD, now, out);
+        return;
+    }
+    if (item->model != 0) {
+        make_adapter_room(home, now, out);
+    }
+    else if (fleet != NULL) {
+        make_room(home, fleet, item, now, out);
+    }
+}
+
+/* Whether the item is to be loaded: somebody waits for it, or a wish for it
+ * still stands.  An adapter waits for its model first. */
+static bool
+is_due(struct ch_home *home, struct ch_held *item, int64_t now)
+{
+    if (item->state != CH_ITEM_ABSENT) {
+        return false;
+    }
+    if (item->model != 0) {
+        return is_awaited(home, item->name) && ch_home_has(home, item->model);
+    }
+    if (item->wanted && now - item->used > WISH_LAPSES &&
+        !is_awaited(home, item->name)) {
+        item->wanted = false;
+    }
+    return item->wanted || is_awaited(home, item->name);
+}
+
+/* Keeps what was to go when nothing needs its room any more. */
+static void
+keep_leaving(struct ch_home *home)
+{
+    for (guint i = 0; i < home->items->len; i++) {
+        g_array_index(home->items, struct ch_held, i).leaving = false;
+    }
+}
+
+/* Goes on with all moves: what is due is ordered, what leaves is unloaded.
+ * Without a fleet nothing new is chosen to go; the next tick does. */
+void
+ch_place_pump(struct ch_home *home, const struct ch_fleet *fleet, int64_t now,
+              struct ch_actions *out)
+{
+    if (now < home->blocked_until) {
+        return;
+    }
+    bool model_due = false;
+    for (guint i = 0; i < home->items->len; i++) {
+        struct ch_held *item = &g_array_index(home->items, struct ch_held, i);
+        if (is_due(home, item, now)) {
+            model_due = model_due || item->model == 0;
+            bring_in(home, fleet, item, now, out);
+        }
+    }
+    if (!model_due) {
+        keep_leaving(home);
+    }
+    unload_leaving(home, now, out);
+}
--- /dev/null
+++ b/libchestnuthitch/decide/queue.c
@@ -0,0 +1,62 @@
+/* The one queue of an upstream, in order of rank. */
+
+#include "decide/home.h"
+
+/* An empty queue. */
+void
+ch_queue_init(struct ch_queue *queue)
+{
+    queue->entries = g_array_new(FALSE, FALSE, sizeof(struct ch_entry));
+}
+
+/* Frees the queue's memory; the entries own nothing. */
+void
+ch_queue_clear(struct ch_queue *queue)
+{
+    g_array_unref(queue->entries);
+    queue->entries = NULL;
+}
+
+/* Puts the entry behind all of the same rank. */
+void
+ch_queue_add(struct ch_queue *queue, const struct ch_entry *entry)
+{
+    guint low = 0;
+    guint high = queue->entries->len;
+    while (low < high) {
+        guint middle = low + (high - low) / 2;
+        if (ch_queue_at(queue, middle)->rank <= entry->rank) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    g_array_insert_val(queue->entries, low, *entry);
+}
+
+/* The place of a request in the queue; -1 when it is not there. */
+int
+ch_queue_find(const struct ch_queue *queue, uint64_t work)
+{
+    for (guint i = 0; i < queue->entries->len; i++) {
+        if (ch_queue_at(queue, i)->work.id == work) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* The entry at a place; valid until the queue changes. */
+struct ch_entry *
+ch_queue_at(const struct ch_queue *queue, guint at)
+{
+    return &g_array_index(queue->entries, struct ch_entry, at);
+}
+
+/* Takes the entry at a place out. */
+void
+ch_queue_remove(struct ch_queue *queue, guint at)
+{
+    g_array_remove_index(queue->entries, at);
+}
--- /dev/null
+++ b/libchestnuthitch/decide/retry.c
@@ -0,0 +1,81 @@
+/* Whether a failed dispatch is tried again, and from where. */
+
+#include "decide/policy.h"
+
+enum {
+    /* Three dispatches at most.  For a single host that died one is enough,
+     * for one that died while the second was reached, two; more would only
+     * follow a fault of the request itself from upstream to upstream. */
+    MOST_ATTEMPTS = 2,
+    /* A node that has seen little traffic may still retry this often. */
+    SMALLEST_BUDGET = 3,
+};
+
+/* An empty node's budget: a few retries, so that the first failure after a
+ * start is not passed on to the caller. */
+void
+ch_retry_budget_init(struct ch_retry_budget *budget, double share)
+{
+    *budget = (struct ch_retry_budget){
+        .level = SMALLEST_BUDGET, .share = share, .most = 20};
+}
+
+/* A fresh request came: the budget grows by its share. */
+void
+ch_retry_budget_fresh(struct ch_retry_budget *budget)
+{
+    budget->level = MIN(budget->most, budget->level + budget->share);
+}
+
+/* Failures that another upstream may not show. */
+static bool
+is_of_the_upstream(enum ch_code code)
+{
+    switch (code) {
+    case CH_UPSTREAM_CONNECT:
+    case CH_UPSTREAM_STALLED:
+    case CH_UPSTREAM_CUT:
+    case CH_UPSTREAM_CROSSED:
+    case CH_UPSTREAM_ANSWER:
+    case CH_UPSTREAM_REFUSED:
+    case CH_PEER_LOST:
+    case CH_PEER_TIMEOUT:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/*
+ * Load: an upstream that dies or goes silent under full load fails all that
+ * it ran at once.  Harm prevented: all of that coming again on top of the
+ * fresh work, which makes the next upstream late and its work come again too.
+ * Limit: retries are a share of the fresh requests, so they can never exceed
+ * that share of the load, whatever fails.
+ *
+ * A request that may have run and must not run twice is never repeated.  One
+ * whose target for the whole answer is past is not worth a second run.
+ */
+enum ch_retry
+ch_retry_decide(struct ch_retry_budget *budget, const struct ch_work *work,
+                enum ch_code code, bool may_have_run, bool stream,
+                uint32_t events_given, int64_t now)
+{
+    if (!is_of_the_upstream(code) || work->attempt >= MOST_ATTEMPTS) {
+        return CH_RETRY_NO;
+    }
+    if (may_have_run && !work->idempotent) {
+        return CH_RETRY_NO;
+    }
+    if (work->whole_by > 0 && now >= work->whole_by) {
+        return CH_RETRY_NO;
+    }
+    if (events_given > 0 && !stream) {
+        return CH_RETRY_NO;
+    }
+    if (budget->level < 1.0) {
+        return CH_RETRY_NO;
+    }
+    budget->level -= 1.0;
+    return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
+}
