--- /dev/null
+++ b/libchestnuthitch/platform/hosts.c
@@ -0,0 +1,239 @@
+/* The host list: its JSON into checked structs. */
+
+#include "platform/platform.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+enum {
+    MOST_HOSTS = 100000,
+    MOST_NAME = 128,
+    MOST_COUNT = 100000000,
+};
+
+static const char *const kind_names[] = {"entry", "engine", "service", NULL};
+
+/* A string member that must be there and not be empty; NULL with an error. */
+static const char *
+string_member(JsonObject *object, const char *name, struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+        json_node_get_value_type(node) != G_TYPE_STRING) {
+        ch_error_set(error, CH_BAD_JSON, "host list: '%s' is not a string",
+                     name);
+        return NULL;
+    }
+    const char *text = json_node_get_string(node);
+    if (text[0] == '\0' || strlen(text) > MOST_NAME) {
+        ch_error_set(error, CH_BAD_FIELD,
+                     "host list: '%s' is empty or too long", name);
+        return NULL;
+    }
+    return text;
+}
+
+/* A count member, 0 when it is left out; false with an error. */
+static bool
+count_member(JsonObject *object, const char *name, uint32_t *out,
+             struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    if (node == NULL) {
+        return true;
+    }
+    int64_t value = -1;
+    if (JSON_NODE_HOLDS_VALUE(node) &&
+        json_node_get_value_type(node) == G_TYPE_INT64) {
+        value = json_node_get_int(node);
+    }
+    if (value < 0 || value > MOST_COUNT) {
+        ch_error_set(error, CH_BAD_FIELD, "host list: '%s' is out of range",
+                     name);
+        return false;
+    }
+    *out = (uint32_t)value;
+    return true;
+}
+
+/* A name becomes part of keys and log lines: letters, digits, '.', '_' and
+ * '-' alone. */
+static bool
+check_name(const char *name, struct ch_error *error)
+{
+    for (const char *at = name; *at != '\0'; at++) {
+        if (!g_ascii_isalnum(*at) && strchr("._-", *at) == NULL) {
+            ch_error_set(error, CH_BAD_FIELD,
+                         "host list: name '%s' has other characters than "
+                         "letters, digits, '.', '_', '-'",
+                         name);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The kind by its name; false with an error. */
+static bool
+parse_kind(const char *text, enum ch_host_kind *kind, struct ch_error *error)
+{
+    for (int i = 0; kind_names[i] != NULL; i++) {
+        if (strcmp(text, kind_names[i]) == 0) {
+            *kind = (enum ch_host_kind)i;
+            return true;
+        }
+    }
+    ch_error_set(error, CH_BAD_FIELD, "host list: kind '%s' is unknown", text);
+    return false;
+}
+
+/* The texts of a host; false with an error. */
+static bool
+parse_texts(JsonObject *object, struct ch_host *host, struct ch_error *error)
+{
+    const struct {
+        const char *name;
+        char **out;
+    } members[] = {
+        {"name", &host->name},
+        {"address", &host->address},
+        {"region", &host->region},
+        {"data_centre", &host->data_centre},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        const char *text = string_member(object, members[i].name, error);
+        if (text == NULL) {
+            return false;
+        }
+        *members[i].out = g_strdup(text);
+    }
+    return check_name(host->name, error) &&
+           ch_address_check(host->address, error);
+}
+
+/* The state and the kind of a host; false with an error. */
+static bool
+parse_words(JsonObject *object, struct ch_host *host, struct ch_error *error)
+{
+    const char *kind = string_member(object, "kind", error);
+    const char *state = string_member(object, "state", error);
+    if (kind == NULL || state == NULL ||
+        !parse_kind(kind, &host->kind, error)) {
+        return false;
+    }
+    host->leaving = strcmp(state, "leaving") == 0;
+    if (!host->leaving && strcmp(state, "live") != 0) {
+        ch_error_set(error, CH_BAD_FIELD, "host list: state '%s' is unknown",
+                     state);
+        return false;
+    }
+    if (host->kind != CH_HOST_SERVICE) {
+        return true;
+    }
+    const char *service = string_member(object, "service", error);
+    host->service = g_strdup(service);
+    return service != NULL;
+}
+
+/* Fills in one host; false with an error. */
+static bool
+parse_host(JsonNode *node, struct ch_host *host, struct ch_error *error)
+{
+    if (!JSON_NODE_HOLDS_OBJECT(node)) {
+        ch_error_set(error, CH_BAD_JSON, "host list: a host is no object");
+        return false;
+    }
+    JsonObject *object = json_node_get_object(node);
+    return parse_texts(object, host, error) &&
+           parse_words(object, host, error) &&
+           count_member(object, "memory_mb", &host->memory_mb, error) &&
+           count_member(object, "accelerators", &host->accelerators, error) &&
+           count_member(object, "batch", &host->batch, error);
+}
+
+/* Fills in every host and finds names that stand twice. */
+static bool
+parse_hosts(JsonArray *array, struct ch_host_list *list,
+            struct ch_error *error)
+{
+    guint count = json_array_get_length(array);
+    if (count > MOST_HOSTS) {
+        ch_error_set(error, CH_BAD_FIELD, "host list: %u hosts are too many",
+                     count);
+        return false;
+    }
+    g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+    list->hosts = g_new0(struct ch_host, MAX(count, 1));
+    for (guint i = 0; i < count; i++) {
+        struct ch_host *host = &list->hosts[i];
+        list->count++;
+        if (!parse_host(json_array_get_element(array, i), host, error)) {
+            return false;
+        }
+        if (!g_hash_table_add(names, host->name)) {
+            ch_error_set(error, CH_DUPLICATE,
+                         "host list: '%s' stands there twice", host->name);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The list's hosts array; NULL with an error. */
+static JsonArray *
+hosts_array(JsonParser *parser, struct ch_error *error)
+{
+    JsonNode *root = json_parser_get_root(parser);
+    JsonNode *member = NULL;
+    if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+        member = json_object_get_member(json_node_get_object(root), "hosts");
+    }
+    if (member == NULL || !JSON_NODE_HOLDS_ARRAY(member)) {
+        ch_error_set(error, CH_BAD_JSON, "host list: no array 'hosts'");
+        return NULL;
+    }
+    return json_node_get_array(member);
+}
+
+/* The list in a GET /v1/hosts answer, to be freed by ch_host_list_free.  A
+ * list with one bad host is refused whole (NULL with an error): a host left
+ * out would look like one that has gone. */
+struct ch_host_list *
+ch_host_list_parse(const char *json, size_t length, struct ch_error *error)
+{
+    g_autoptr(JsonParser) parser = json_parser_new();
+    if (length > G_MAXSSIZE ||
+        !json_parser_load_from_data(parser, json, (gssize)length, NULL)) {
+        ch_error_set(error, CH_BAD_JSON, "host list: not JSON");
+        return NULL;
+    }
+    JsonArray *array = hosts_array(parser, error);
+    if (array == NULL) {
+        return NULL;
+    }
+    struct ch_host_list *list = g_new0(struct ch_host_list, 1);
+    if (!parse_hosts(array, list, error)) {
+        ch_host_list_free(list);
+        return NULL;
+    }
+    return list;
+}
+
+/* Frees a list with its hosts; NULL is fine. */
+void
+ch_host_list_free(struct ch_host_list *list)
+{
+    if (list == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < list->count; i++) {
+        struct ch_host *host = &list->hosts[i];
+        g_free(host->name);
+        g_free(host->address);
+        g_free(host->region);
+        g_free(host->data_centre);
+        g_free(host->service);
+    }
+    g_free(list->hosts);
+    g_free(list);
+}
