Read, print and compare declarations; count references to configurations

The canonical text has one order of kinds, names, keys and lists, so that two operators' files with the same meaning are the same bytes. base.h gains the index of adapters and, for the next change, the sums of outcomes by class.

--- /dev/null
+++ b/libchestnuthitch/base/annotate.h
@@ -0,0 +1,23 @@
+#ifndef CH_BASE_ANNOTATE_H
+#define CH_BASE_ANNOTATE_H
+
+/*
+ * ThreadSanitizer does not see the inline assembly of Concurrency Kit.  Where
+ * an atomic there hands memory from one thread to another, the code says so
+ * with these; in any other build they are nothing.
+ */
+
+#if defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#include <sanitizer/tsan_interface.h>
+#define CH_RELEASE(address) __tsan_release((void *)(address))
+#define CH_ACQUIRE(address) __tsan_acquire((void *)(address))
+#endif
+#endif
+
+#ifndef CH_RELEASE
+#define CH_RELEASE(address) ((void)(address))
+#define CH_ACQUIRE(address) ((void)(address))
+#endif
+
+#endif
--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -116,6 +116,17 @@
                         const char *tenant, enum ch_code code, bool met);
 void ch_metrics_render(const struct ch_metrics *metrics, GString *out);
 
+/* Requests of one class that ended, by outcome and by target met. */
+struct ch_class_outcomes {
+    uint64_t counts[CH_UNKNOWN + 1][2];
+};
+
+/* Calls each(data, class name, outcomes) for every class seen so far. */
+void ch_metrics_each_class(const struct ch_metrics *metrics,
+                           void (*each)(void *data, const char *class_name,
+                                        const struct ch_class_outcomes *all),
+                           void *data);
+
 /* ---- handle tables (table.c): slot and generation in 64 bits ---- */
 
 struct ch_table;
@@ -237,6 +248,14 @@
     size_t class_index; /* the class when the request names none */
 };
 
+/* Where an adapter of some name is found. */
+struct ch_adapter {
+    const char *name; /* the model's own string */
+    int model;
+    int index; /* among the model's adapters */
+};
+
+/* Classes, models, services and callers each stand in order of name. */
 struct ch_declaration {
     struct ch_class *classes;
     size_t class_count;
@@ -247,6 +266,8 @@
     struct ch_caller *callers;
     size_t caller_count;
     char *text; /* canonical INI: the same declaration gives the same bytes */
+    struct ch_adapter *adapters; /* of all models, in order of name */
+    size_t adapter_count;
 };
 
 /*
--- /dev/null
+++ b/libchestnuthitch/base/config.c
@@ -0,0 +1,51 @@
+/* A configuration in force: a declaration with its revision, shared by count.
+ */
+
+#include "base/base.h"
+#include "base/annotate.h"
+
+#include <ck_pr.h>
+
+/* A configuration with one reference, which is the caller's.  Takes over the
+ * declaration and copies the texts. */
+struct ch_config *
+ch_config_new(uint64_t revision, const char *token, const char *author,
+              struct ch_declaration *declaration)
+{
+    struct ch_config *config = g_new0(struct ch_config, 1);
+    config->references = 1;
+    config->revision = revision;
+    config->token = g_strdup(token);
+    config->author = g_strdup(author);
+    config->declaration = declaration;
+    return config;
+}
+
+/* One more reference, from any thread that holds one. */
+struct ch_config *
+ch_config_ref(struct ch_config *config)
+{
+    ck_pr_inc_int(&config->references);
+    return config;
+}
+
+/* Gives a reference back; the last one frees the configuration.  NULL is
+ * nothing. */
+void
+ch_config_unref(struct ch_config *config)
+{
+    if (config == NULL) {
+        return;
+    }
+    CH_RELEASE(&config->references);
+    ck_pr_fence_release();
+    if (!ck_pr_dec_int_is_zero(&config->references)) {
+        return;
+    }
+    ck_pr_fence_acquire();
+    CH_ACQUIRE(&config->references);
+    ch_declaration_free(config->declaration);
+    g_free(config->token);
+    g_free(config->author);
+    g_free(config);
+}
