--- /dev/null
+++ b/cli/node.c
@@ -0,0 +1,114 @@
+/* chestnuthitch node: the process of one entry host. */
+
+#include "cli.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Blocks the signals that end the node in this thread and so in every thread
+ * started later: the main thread alone takes them, by sigwait, and no call of
+ * a worker is interrupted. */
+static void
+block_signals(sigset_t *signals)
+{
+    sigemptyset(signals);
+    sigaddset(signals, SIGTERM);
+    sigaddset(signals, SIGINT);
+    (void)pthread_sigmask(SIG_BLOCK, signals, NULL);
+    /* A peer that closes shows as an error of write, not as our death. */
+    (void)signal(SIGPIPE, SIG_IGN);
+}
+
+/* Runs the node until it is asked to stop.  The signals stay blocked during
+ * the stop: a second one does not cut requests that are being answered. */
+static int
+run_node(const struct ch_settings *settings)
+{
+    sigset_t signals;
+    block_signals(&signals);
+    struct ch_client client;
+    ch_client_init(&client, settings->name);
+    client.log_level = (enum ch_level)settings->log_level;
+    client.metrics = ch_metrics_new();
+    struct ch_error error = {0};
+    struct ch_node *node = ch_node_start(&client, settings, &error);
+    if (node == NULL) {
+        ch_log(&client, CH_LOG_ERR, "start_failed",
+               CH_F_STR("code", ch_code_name(error.code)),
+               CH_F_STR("message", error.message), CH_F_END);
+        ch_metrics_free(client.metrics);
+        return CLI_FAILED;
+    }
+    ch_log(&client, CH_LOG_NOTICE, "started",
+           CH_F_STR("version", CHESTNUTHITCH_VERSION), CH_F_END);
+    int signal_number = 0;
+    (void)sigwait(&signals, &signal_number);
+    ch_log(&client, CH_LOG_NOTICE, "stopping",
+           CH_F_STR("signal", strsignal(signal_number)), CH_F_END);
+    ch_node_stop(node);
+    ch_log(&client, CH_LOG_NOTICE, "stopped", CH_F_END);
+    ch_metrics_free(client.metrics);
+    return CLI_OK;
+}
+
+/* Loads the settings and runs, or with check only says that they are good. */
+static int
+load_and_run(const char *path, bool check)
+{
+    struct ch_error error = {0};
+    struct ch_settings *settings = ch_settings_load(path, &error);
+    if (settings == NULL) {
+        (void)fprintf(stderr, "chestnuthitch: %s\n", error.message);
+        return CLI_BAD_INPUT;
+    }
+    int status = CLI_OK;
+    if (check) {
+        (void)printf("%s: settings of node %s are good\n", path,
+                     settings->name);
+    }
+    else {
+        status = run_node(settings);
+    }
+    ch_settings_free(settings);
+    return status;
+}
+
+/* The subcommand; argv[0] is its name. */
+int
+cli_node(int argc, char **argv)
+{
+    char *path = NULL;
+    gboolean check = FALSE;
+    const GOptionEntry entries[] = {
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+         "Settings of this node (INI)", "FILE"},
+        {"check", 'c', 0, G_OPTION_ARG_NONE, &check,
+         "Check the settings and exit", NULL},
+        {0},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    g_option_context_set_summary(context,
+                                 "Runs the node of this entry host until "
+                                 "SIGTERM or SIGINT, then stops gracefully.");
+    g_option_context_set_description(
+        context, "Exit status: 0 stopped as asked, 1 could not start, 2 wrong "
+                 "command line or settings.\n");
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *reason = NULL;
+    int status = CLI_BAD_INPUT;
+    if (!g_option_context_parse(context, &argc, &argv, &reason)) {
+        (void)fprintf(stderr, "chestnuthitch: %s\n", reason->message);
+        g_error_free(reason);
+    }
+    else if (path == NULL || argc > 1) {
+        (void)fprintf(stderr, "chestnuthitch: node takes --settings FILE "
+                              "[--check]\n");
+    }
+    else {
+        status = load_and_run(path, check);
+    }
+    g_option_context_free(context);
+    g_free(path);
+    return status;
+}
