Add replay; let a move earn its price in requests

Replay runs a trace through the decisions in virtual time against a model of engines, weight store and link, and holds the run against stated outcomes.

The least-loaded baseline now prefers replicas in the other region to a load; before, the region with four workers loaded every model in turn.

--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -307,16 +307,14 @@
     if (work->service) {
         return;
     }
-    uint32_t running = home->granted->len + 1;
-    int64_t hold = ch_rates_hold(&home->rates, work, running);
     struct ch_held *model =
         ch_home_item_need(home, work->model, 0, work->model_mb);
-    ch_load_add(&model->load, hold, now);
+    ch_demand_add(&model->demand, now);
     model->used = now;
     if (work->adapter != 0) {
         struct ch_held *adapter = ch_home_item_need(
             home, work->adapter, work->model, work->adapter_mb);
-        ch_load_add(&adapter->load, hold, now);
+        ch_demand_add(&adapter->demand, now);
         adapter->used = now;
     }
 }
@@ -503,7 +501,7 @@
 {
     struct ch_item item = {
         .name = held->name,
-        .rate = (uint32_t)(ch_load_level(&held->load, now) * 1000.0),
+        .rate = (uint32_t)(ch_demand_level(&held->demand, now) * 1000.0),
     };
     if (held->state == CH_ITEM_RESIDENT && !held->leaving) {
         g_array_append_val(out->resident, item);
--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -25,14 +25,14 @@
 uint32_t ch_rates_batch(const struct ch_rates *rates, int64_t between,
                         uint32_t most);
 
-/* A load in slots that fades with time. */
-struct ch_load {
+/* Requests a second, of late: fades with time. */
+struct ch_demand {
     double level;
     int64_t at;
 };
 
-void ch_load_add(struct ch_load *load, int64_t busy, int64_t now);
-double ch_load_level(const struct ch_load *load, int64_t now);
+void ch_demand_add(struct ch_demand *demand, int64_t now);
+double ch_demand_level(const struct ch_demand *demand, int64_t now);
 
 /* ---- one queue (queue.c) ---- */
 
@@ -60,13 +60,14 @@
     GQuark model; /* of an adapter; else 0 */
     enum ch_item_state state;
     uint32_t memory_mb;
-    bool leaving;        /* to be unloaded once nothing runs on it */
-    bool wanted;         /* to be loaded as soon as there is room */
-    uint32_t running;    /* granted requests that use it */
-    struct ch_load load; /* offered, refused requests among it */
-    int64_t used;        /* last offered */
-    int64_t changed;     /* last change of state */
-    int64_t not_before;  /* no order for it until then */
+    bool leaving;            /* to be unloaded once nothing runs on it */
+    bool wanted;             /* to be loaded as soon as there is room */
+    uint32_t running;        /* granted requests that use it */
+    struct ch_demand demand; /* offered, refused requests among it */
+    int64_t used;            /* last offered */
+    int64_t unserved;   /* first refused since it was last here; 0: none */
+    int64_t changed;    /* last change of state */
+    int64_t not_before; /* no order for it until then */
 };
 
 struct ch_granted {
--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -10,16 +10,22 @@
      * for one that is served elsewhere: two models that take turns would
      * each be loading most of the time. */
     SETTLE = 20 * G_USEC_PER_SEC,
+    /* A model that nobody serves comes in after this, whatever has to go. */
+    REACH = 60 * G_USEC_PER_SEC,
     /* A wish that nothing has renewed lapses. */
     WISH_LAPSES = 5 * G_USEC_PER_SEC,
 };
 
-/* Slots of steady overflow that a further replica must have to itself: a load
- * takes about 7 s of the room's use, which half a slot earns back in 15 s.
- * Below it, a burst that is over before the load is would cost a move. */
-static const double WORTH_A_MOVE = 0.5;
-/* How far the newcomer's demand must outdo what has to go for it. */
-static const double OUTDOES = 1.5;
+/* What a move has to earn, in requests that meet their target: its price (the
+ * weight store's share, an engine kept busy), within the time for which the
+ * demand of the last seconds is a fair guess of the next. */
+static const double PRICE = 3.0;
+static const double HORIZON_S = 30.0;
+/* Requests a second below which a model is taken to be idle: losing it costs
+ * less than one miss in twenty seconds. */
+static const double IDLE = 0.05;
+/* Share of its demand that is lost with a replica whose fellows have room. */
+static const double FELLOWS = 0.1;
 
 /* Microseconds that loading the item takes when the weight store is free. */
 int64_t
@@ -56,47 +62,48 @@
     return sum;
 }
 
-/* Whether no other upstream is known to hold the model. */
+/* Whether queued work asks for the item. */
 static bool
-is_last(const struct ch_home *home, const struct ch_fleet *fleet, GQuark model)
+is_awaited(const struct ch_home *home, GQuark name)
 {
-    for (size_t i = 0; fleet != NULL && i < fleet->count; i++) {
-        const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (view->name != home->facts.name && !view->down && !view->leaving &&
-            ch_upstream_view_has(view, model)) {
-            return false;
+    for (guint i = 0; i < home->queue.entries->len; i++) {
+        const struct ch_work *work = &ch_queue_at(&home->queue, i)->work;
+        if (work->model == name || work->adapter == name) {
+            return true;
         }
     }
-    return true;
+    return false;
 }
 
-/* Whether queued work asks for the item. */
+/* Whether another replica has room to take over what this one serves. */
 static bool
-is_awaited(const struct ch_home *home, GQuark name)
+has_fellow(const struct ch_home *home, const struct ch_fleet *fleet,
+           GQuark model)
 {
-    for (guint i = 0; i < home->queue.entries->len; i++) {
-        const struct ch_work *work = &ch_queue_at(&home->queue, i)->work;
-        if (work->model == name || work->adapter == name) {
+    for (size_t i = 0; fleet != NULL && i < fleet->count; i++) {
+        const struct ch_upstream_view *view = &fleet->upstreams[i];
+        if (view->name != home->facts.name && !view->down && !view->leaving &&
+            ch_upstream_view_has(view, model) &&
+            (view->running + view->queued) * 4 < view->batch * 3) {
             return true;
         }
     }
     return false;
 }
 
-/* What it would cost to lose the model, in slots: its demand here, more when
- * it is the last replica.  Among models without demand the one longest unused
- * goes first. */
+/* What it would cost to lose the model: requests a second that would miss.
+ * Among models without demand the one longest unused goes first. */
 static double
 worth(const struct ch_home *home, const struct ch_fleet *fleet,
       const struct ch_held *item, int64_t now)
 {
-    double worth = ch_load_level(&item->load, now);
+    double worth = ch_demand_level(&item->demand, now);
     double idle = (double)(now - item->used) / G_USEC_PER_SEC;
-    worth += 0.01 / (1.0 + MAX(idle, 0.0));
-    if (home->policy->placing->keep_last && is_last(home, fleet, item->name)) {
-        worth = worth * 2.0 + 0.2;
+    if (home->policy->placing->keep_last &&
+        has_fellow(home, fleet, item->name)) {
+        worth *= FELLOWS;
     }
-    return worth;
+    return worth + 0.001 / (1.0 + MAX(idle, 0.0));
 }
 
 /* Whether the item may be chosen to go.  gentle: not for a model that is
@@ -202,46 +209,62 @@
     return false;
 }
 
+/* Requests a second that one replica here could serve of this work's kind. */
+static double
+most_served(const struct ch_home *home, const struct ch_work *work)
+{
+    uint32_t limit = ch_home_limit(home);
+    int64_t hold = MAX(ch_rates_hold(&home->rates, work, limit), 1);
+    return (double)limit * G_USEC_PER_SEC / (double)hold;
+}
+
 /*
  * Whether work whose model is not here may bring it in.
  *
- * Load: demand that moves from model to model, up to tenfold within minutes.
- * Harm prevented: loads that chase each burst, each costing seconds of an
- * accelerator and a share of the weight store.  A model that nobody serves is
- * brought in at once, whatever it displaces: every model stays reachable.  A
- * further replica must be worth a move: the demand that overflowed to this
- * home must fill half a slot and outdo by half what has to go for it.
+ * Load: demand that moves from model to model, up to tenfold within minutes,
+ * over more models than fit.  Harm prevented: loads that chase each request,
+ * so that every model is on its way somewhere and none is served.  A move
+ * must earn its price: the requests that the newcomer would serve, less those
+ * that the models which go would have served, over the next half minute.
  *
- * The room that brings a last replica back is kept by that same rule: a
- * further replica can always be displaced by a model that nobody serves.
+ * Every model stays reachable: one that nobody serves comes in at once where
+ * only idle models have to go for it, and after REACH whatever it displaces.
+ * The room that brings a last replica back is thereby always there.
  */
 bool
 ch_place_may_load(struct ch_home *home, const struct ch_work *work,
                   const struct ch_fleet *fleet, int64_t now)
 {
+    uint32_t memory_mb = work->model_mb + work->adapter_mb;
     if (home->policy->placing->fixed || now < home->blocked_until ||
-        work->model_mb + work->adapter_mb > home->facts.capacity_mb) {
+        memory_mb > home->facts.capacity_mb) {
         return false;
     }
-    const struct ch_held *model = ch_home_item(home, work->model);
-    if (model->wanted) {
-        return true;
-    }
-    if (!home->policy->placing->reluctant || !is_served(home, work, fleet)) {
+    struct ch_held *model = ch_home_item(home, work->model);
+    if (model->wanted || !home->policy->placing->reluctant) {
         return true;
     }
-    double demand = ch_load_level(&model->load, now);
-    if (demand < WORTH_A_MOVE || home->loads_left == 0) {
+    bool absent = !is_served(home, work, fleet);
+    if (!absent && home->loads_left == 0) {
         return false;
     }
+    if (model->unserved == 0) {
+        model->unserved = now;
+    }
+    bool overdue = absent && now - model->unserved > REACH;
     double value = 0;
-    GArray *chosen = victims(home, fleet, work->model_mb + work->adapter_mb,
-                             true, now, &value);
+    GArray *chosen = victims(home, fleet, memory_mb, !overdue, now, &value);
     if (chosen == NULL) {
         return false;
     }
     g_array_unref(chosen);
-    return demand >= WORTH_A_MOVE + OUTDOES * value;
+    if (overdue || (absent && value < IDLE)) {
+        return true;
+    }
+    double gain = ch_demand_level(&model->demand, now);
+    gain = MIN(gain, most_served(home, work));
+    double load_s = (double)ch_place_load_time(model) / G_USEC_PER_SEC;
+    return (gain - value) * HORIZON_S > value * load_s + PRICE;
 }
 
 /* Appends an order for an item and notes it as begun, so that it is not
@@ -255,6 +278,7 @@
     item->changed = now;
     if (kind == CH_ACTION_LOAD) {
         item->wanted = false;
+        item->unserved = 0;
     }
     struct ch_action action = {
         .kind = kind, .item = item->name, .memory_mb = item->memory_mb};
--- a/libchestnuthitch/decide/rates.c
+++ b/libchestnuthitch/decide/rates.c
@@ -11,10 +11,10 @@
     FIRST_ENGINE = 150 * 1000,
     FIRST_SERVICE = 50 * 1000,
     TOKEN = 30 * 1000,
-    /* Load fades by 1/e in this time: short enough that a burst at the start
+    /* Demand fades by 1/e in this time: short enough that a burst at the start
      * of a rehearsal shows within seconds, long enough that one request does
      * not look like demand. */
-    LOAD_FADES = 10 * G_USEC_PER_SEC,
+    DEMAND_FADES = 10 * G_USEC_PER_SEC,
 };
 
 /* Weight of the past at each sample: about the last fifty count, so that an
@@ -117,20 +117,21 @@
     return low;
 }
 
-/* Adds work that keeps one slot busy for so many microseconds. */
+/* Counts one request. */
 void
-ch_load_add(struct ch_load *load, int64_t busy, int64_t now)
+ch_demand_add(struct ch_demand *demand, int64_t now)
 {
-    load->level = ch_load_level(load, now) + (double)busy / LOAD_FADES;
-    load->at = now;
+    demand->level =
+        ch_demand_level(demand, now) + (double)G_USEC_PER_SEC / DEMAND_FADES;
+    demand->at = now;
 }
 
-/* Slots that the work of late would keep busy. */
+/* Requests a second, of late. */
 double
-ch_load_level(const struct ch_load *load, int64_t now)
+ch_demand_level(const struct ch_demand *demand, int64_t now)
 {
-    if (now <= load->at) {
-        return load->level;
+    if (now <= demand->at) {
+        return demand->level;
     }
-    return load->level * exp(-(double)(now - load->at) / LOAD_FADES);
+    return demand->level * exp(-(double)(now - demand->at) / DEMAND_FADES);
 }
--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -213,37 +213,70 @@
     return best;
 }
 
+/* Whether another upstream serves the model, of those a node knows. */
+static bool
+is_elsewhere(const struct ch_fleet *fleet, const struct ch_upstream_view *here,
+             GQuark model)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        const struct ch_upstream_view *view = &fleet->upstreams[i];
+        if (view != here && !view->down && !view->leaving &&
+            ch_upstream_view_has(view, model)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* What would have to go at an upstream for the work's model, in coarse steps,
- * so that nodes whose views differ a little still agree. */
+ * so that nodes whose views differ a little still agree: requests a second of
+ * the models there, of last replicas above all. */
 static unsigned
-cost_step(const struct ch_upstream_view *view, const struct ch_work *work)
+cost_step(const struct ch_fleet *fleet, const struct ch_upstream_view *view,
+          const struct ch_work *work)
 {
     if (view->free_mb >= work->model_mb + work->adapter_mb) {
         return 0;
     }
-    uint32_t load = 0;
+    uint32_t demand = 0;
     for (guint i = 0; i < view->resident->len; i++) {
         const struct ch_item *item =
             &g_array_index(view->resident, struct ch_item, i);
         if (strchr(g_quark_to_string(item->name), '/') == NULL) {
-            load += item->rate;
+            demand += is_elsewhere(fleet, view, item->name) ? item->rate / 4
+                                                            : item->rate;
         }
     }
     unsigned step = 1;
-    while (load > 100) {
-        load /= 2;
+    while (demand > 50) {
+        demand /= 2;
         step++;
     }
     return step;
 }
 
+/* Whether the upstream's memory is changing already. */
+static bool
+is_loading_model(const struct ch_upstream_view *view)
+{
+    for (guint i = 0; i < view->loading->len; i++) {
+        GQuark name = g_array_index(view->loading, struct ch_item, i).name;
+        if (strchr(g_quark_to_string(name), '/') == NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
- * The upstream that is to bring the work's model in; -1 when there is none.
+ * The upstream that is to bring the work's model in; -1 when there is none,
+ * or when it has already said no to this request.
  *
  * Load: a model that nobody holds, or whose replicas are full, asked for by
  * many entry nodes at once.  Harm prevented: each of them having it loaded
  * somewhere else.  All compute the same order from the same hash: least to
- * lose first, in coarse steps, then by rendezvous, own region first.
+ * lose first, in coarse steps, then by rendezvous, own region first.  The
+ * second in that order is not asked: it would count the same demand again.
  */
 static int
 best_place(const struct ch_fleet *fleet, const struct ch_work *work,
@@ -259,12 +292,12 @@
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
         if (view->down || view->leaving || view->service != 0 ||
-            is_excluded(excluded, view->name) ||
             ch_upstream_view_has(view, work->model) ||
+            is_loading_model(view) ||
             view->capacity_mb < work->model_mb + work->adapter_mb) {
             continue;
         }
-        unsigned step = cost_step(view, work) * 2;
+        unsigned step = cost_step(fleet, view, work) * 2;
         step += view->region == fleet->region ? 0 : 3;
         uint64_t weight = preference(key, view);
         if (best < 0 || step < best_step ||
@@ -274,6 +307,9 @@
             best_weight = weight;
         }
     }
+    if (best >= 0 && is_excluded(excluded, fleet->upstreams[best].name)) {
+        return -1;
+    }
     return best;
 }
 
@@ -370,44 +406,56 @@
     return work->service ? view->service == work->model : view->service == 0;
 }
 
-/* Baseline: the least full upstream by lagging reports, own region first.  A
- * replica while one has room in its batch; else any other, which then loads
- * the model; else the least full replica. */
+/* The least full candidate of a region that has the model (or is loading it),
+ * or of those that have not; -1: none. */
+static int
+least_full(const struct ch_policy *policy, const struct ch_fleet *fleet,
+           const struct ch_work *work, const GArray *excluded, bool local,
+           bool replica)
+{
+    int best = -1;
+    for (size_t i = 0; i < fleet->count; i++) {
+        const struct ch_upstream_view *view = &fleet->upstreams[i];
+        if (!is_candidate(fleet, view, work, excluded, local)) {
+            continue;
+        }
+        bool has = work->service || ch_upstream_view_has(view, work->model) ||
+                   ch_upstream_view_loads(view, work->model);
+        if (has == replica &&
+            (best < 0 || fullness(policy, view) <
+                             fullness(policy, &fleet->upstreams[best]))) {
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+/* Baseline: the least full replica by lagging reports, own region first, while
+ * it has room in its batch.  A model that is nowhere is loaded on demand at
+ * the least full upstream here; so is one whose replicas are all full, if that
+ * upstream is less than half full. */
 struct ch_route
 ch_route_least_loaded(const struct ch_policy *policy, struct ch_fleet *fleet,
                       const struct ch_work *work, const GArray *excluded,
                       int64_t now)
 {
     (void)now;
+    int replica = -1;
     for (int local = 1; local >= 0; local--) {
-        int replica = -1;
-        int other = -1;
-        for (size_t i = 0; i < fleet->count; i++) {
-            const struct ch_upstream_view *view = &fleet->upstreams[i];
-            if (!is_candidate(fleet, view, work, excluded, local == 1)) {
-                continue;
-            }
-            bool has = work->service ||
-                       ch_upstream_view_has(view, work->model) ||
-                       ch_upstream_view_loads(view, work->model);
-            int *best = has ? &replica : &other;
-            if (*best < 0 || fullness(policy, view) <
-                                 fullness(policy, &fleet->upstreams[*best])) {
-                *best = (int)i;
-            }
-        }
-        bool full = replica >= 0 &&
-                    fullness(policy, &fleet->upstreams[replica]) >= 1.0;
-        bool other_free =
-            other >= 0 && fullness(policy, &fleet->upstreams[other]) < 1.0;
-        if (replica >= 0 && !(full && other_free)) {
-            return answer(replica);
+        int at = least_full(policy, fleet, work, excluded, local == 1, true);
+        if (at >= 0 && fullness(policy, &fleet->upstreams[at]) < 1.0) {
+            return answer(at);
         }
-        if (other >= 0) {
-            return answer(other);
+        replica = replica < 0 ? at : replica;
+    }
+    for (int local = 1; local >= 0 && !work->service; local--) {
+        int at = least_full(policy, fleet, work, excluded, local == 1, false);
+        if (at >= 0 &&
+            (replica < 0 || fullness(policy, &fleet->upstreams[at]) < 0.5)) {
+            return answer(at);
         }
     }
-    return answer(-1);
+    return answer(replica);
 }
 
 /* Baseline: the replicas in turn, own region first, whatever their load. */
--- /dev/null
+++ b/libchestnuthitch/replay/entry_side.c
@@ -0,0 +1,642 @@
+/* The entry hosts of a run and the course of a request through them. */
+
+#include "replay/sim.h"
+
+#include <string.h>
+
+enum {
+    /* Homes that a request asks before its refusal is final. */
+    MOST_ASKS = 3,
+    /* A cut link is noticed after this: a node's silence limit. */
+    SILENT = G_USEC_PER_SEC,
+    /* A stream that goes silent is given up after this. */
+    STALL = 2 * G_USEC_PER_SEC,
+    KV_TIME = 3 * 1000,
+};
+
+/* The part of the link that data may fill; the rest is for control. */
+static const double LINK_SHARE = 0.8;
+/* Retries for each fresh request, as a node's settings state by default. */
+static const double RETRY_SHARE = 0.1;
+
+/* An entry host that sees all upstreams, and knows nothing of them yet. */
+void
+sim_entry_init(struct sim *sim, size_t entry)
+{
+    const struct ch_site *site = sim->site;
+    struct sim_entry *host = &sim->entries[entry];
+    size_t centre = site->entries[entry].data_centre;
+    host->site = &site->entries[entry];
+    host->region = site->data_centres[centre].region;
+    host->up = true;
+    host->asked = g_new0(uint32_t, site->upstream_count);
+    host->fleet = (struct ch_fleet){
+        .upstreams = g_new0(struct ch_upstream_view, site->upstream_count),
+        .count = site->upstream_count,
+        .region = (uint16_t)host->region,
+        .data_centre = (uint16_t)centre,
+        .region_delay = site->region_delay,
+    };
+    size_t neighbours = 0;
+    for (size_t i = 0; i < site->entry_count; i++) {
+        size_t other = site->entries[i].data_centre;
+        neighbours += site->data_centres[other].region == host->region ? 1 : 0;
+    }
+    double bytes = site->link_mbit * 1e6 / 8.0 * LINK_SHARE;
+    bytes /= (double)neighbours;
+    ch_bucket_init(&host->link, bytes, 2.0 * bytes, 0);
+    ch_bucket_init(&host->loads, site->loads_per_s, 3.0, 0);
+    ch_retry_budget_init(&host->budget, RETRY_SHARE);
+}
+
+/* Frees what an entry host sees. */
+void
+sim_entry_clear(struct sim *sim, struct sim_entry *entry)
+{
+    for (size_t i = 0; i < sim->site->upstream_count; i++) {
+        struct ch_upstream_view *view = &entry->fleet.upstreams[i];
+        if (view->resident != NULL) {
+            g_array_unref(view->resident);
+            g_array_unref(view->loading);
+        }
+    }
+    g_free(entry->fleet.upstreams);
+    g_free(entry->asked);
+}
+
+/* Microseconds one way between two data centres. */
+int64_t
+sim_delay(const struct sim *sim, size_t centre_a, size_t centre_b)
+{
+    const struct ch_site *site = sim->site;
+    if (centre_a == centre_b) {
+        return 200;
+    }
+    if (site->data_centres[centre_a].region ==
+        site->data_centres[centre_b].region) {
+        return site->data_centre_delay;
+    }
+    return site->region_delay;
+}
+
+/* The request whose ask of that number is in force. */
+struct sim_request *
+sim_request_of(struct sim *sim, uint64_t ask)
+{
+    size_t index = g_array_index(sim->asks, struct sim_ask, ask).request;
+    struct sim_request *request = &sim->requests[index];
+    return request->state != SIM_OVER && request->ask == ask ? request : NULL;
+}
+
+/* The region that a caller's requests come in by. */
+static size_t
+region_of(const struct sim *sim, const char *caller)
+{
+    const struct ch_site *site = sim->site;
+    for (size_t i = 0; i < site->region_count; i++) {
+        if (g_strv_contains((const char *const *)site->regions[i].callers,
+                            caller)) {
+            return i;
+        }
+    }
+    return ch_hash_string(caller) % MAX(site->region_count, 1);
+}
+
+/* The live entry host that the platform's balancer picks, in the caller's
+ * region if there is one; SIM_NOBODY when none lives. */
+static int
+pick_entry(const struct sim *sim, const char *caller, uint64_t key)
+{
+    size_t region = region_of(sim, caller);
+    for (int local = 1; local >= 0; local--) {
+        size_t count = 0;
+        for (size_t i = 0; i < sim->site->entry_count; i++) {
+            const struct sim_entry *entry = &sim->entries[i];
+            bool fits = entry->up && (local == 0 || entry->region == region);
+            count += fits ? 1 : 0;
+        }
+        if (count == 0) {
+            continue;
+        }
+        size_t pick = (size_t)(sim_random(sim, key, 3) * (double)count);
+        for (size_t i = 0; i < sim->site->entry_count; i++) {
+            const struct sim_entry *entry = &sim->entries[i];
+            bool fits = entry->up && (local == 0 || entry->region == region);
+            if (fits && pick-- == 0) {
+                return (int)i;
+            }
+        }
+    }
+    return SIM_NOBODY;
+}
+
+/* The text under which a request's key is kept. */
+static char *
+key_text(const struct sim_request *request)
+{
+    return g_strdup_printf("%s/%s", request->event->caller,
+                           request->event->key);
+}
+
+/* Whether the request is one whose key is kept. */
+static bool
+is_keyed(const struct sim_request *request)
+{
+    return !request->work.idempotent && request->event->key != NULL;
+}
+
+/* Sets what became of the request's key. */
+static void
+note_key(struct sim *sim, const struct sim_request *request,
+         enum sim_key state)
+{
+    if (is_keyed(request)) {
+        g_hash_table_replace(sim->keys, key_text(request),
+                             GINT_TO_POINTER((int)state));
+    }
+}
+
+/* The counts of a caller, made when first seen. */
+static struct sim_tenant *
+tenant_of(struct sim *sim, const struct sim_request *request)
+{
+    struct sim_tenant *tenant =
+        g_hash_table_lookup(sim->tenants, request->event->caller);
+    if (tenant == NULL) {
+        tenant = g_new0(struct sim_tenant, 1);
+        g_hash_table_insert(sim->tenants, request->event->caller, tenant);
+    }
+    return tenant;
+}
+
+/* Whether a whole answer met the targets of its class, as the caller saw it:
+ * arrived to first, and to last, in microseconds. */
+static bool
+has_met(const struct sim *sim, const struct sim_request *request,
+        int64_t first, int64_t last)
+{
+    const struct ch_class *class =
+        &sim->declaration->classes[request->event->class_index];
+    if (class->first_token > 0 && first > class->first_token) {
+        return false;
+    }
+    if (class->whole_answer > 0 && last > class->whole_answer) {
+        return false;
+    }
+    uint32_t tokens = request->event->output_tokens;
+    if (class->between_tokens > 0 && tokens > 1) {
+        return (last - first) / (tokens - 1) <= class->between_tokens;
+    }
+    return true;
+}
+
+/* Adds one to the count of a second. */
+static void
+count_second(GArray *seconds, int64_t at)
+{
+    guint second = (guint)(at / G_USEC_PER_SEC);
+    if (second >= seconds->len) {
+        g_array_set_size(seconds, second + 1);
+    }
+    g_array_index(seconds, uint32_t, second)++;
+}
+
+/* Ends a request and counts it, the caller's way back among its time. */
+static void
+finish(struct sim *sim, struct sim_request *request, enum ch_code code)
+{
+    struct ch_result *result = sim->result;
+    struct ch_result_class *class =
+        &result->classes[request->event->class_index];
+    int64_t way =
+        sim->site->regions[sim->entries[request->entry].region].client_delay;
+    int64_t last = sim->now + way - request->arrived;
+    int64_t first =
+        request->first > 0 ? request->first + way - request->arrived : last;
+    struct sim_tenant *tenant = tenant_of(sim, request);
+    request->state = SIM_OVER;
+    sim->open--;
+    g_array_unref(request->excluded);
+    request->excluded = NULL;
+    if (code == CH_OK) {
+        bool met = has_met(sim, request, first, last);
+        g_array_append_val(class->times, last);
+        result->met += met ? 1 : 0;
+        class->met += met ? 1 : 0;
+        tenant->met += met ? 1 : 0;
+        result->run_late += met ? 0 : 1;
+        if (met) {
+            count_second(result->goodput, request->event->at);
+        }
+        if (request->event->model >= 0) {
+            sim->model_run[request->event->model] = 1;
+        }
+        return;
+    }
+    if (!request->ran && ch_code_outcome(code) == CH_NOT_RUN) {
+        result->refused_not_run++;
+        class->refused++;
+        g_array_append_val(result->refusal_times, last);
+    }
+    else if (request->work.idempotent) {
+        result->failed++;
+    }
+    else {
+        result->unknown++;
+    }
+}
+
+/* Asks the home that the entry host's router chooses. */
+static void
+ask(struct sim *sim, struct sim_request *request)
+{
+    struct sim_entry *entry = &sim->entries[request->entry];
+    request->ask = sim->asks->len;
+    request->work.id = request->ask;
+    request->state = SIM_ASKING;
+    entry->fleet.link_bytes = (int64_t)ch_bucket_level(&entry->link, sim->now);
+    struct ch_route route =
+        ch_route_choose(sim->policy, &entry->fleet, &request->work,
+                        request->excluded, sim->now);
+    struct sim_ask record = {
+        .request = (uint64_t)(request - sim->requests),
+        .upstream = route.code == CH_OK ? route.upstream : 0,
+    };
+    g_array_append_val(sim->asks, record);
+    if (route.code != CH_OK) {
+        note_key(sim, request, request->ran ? SIM_KEY_UNKNOWN : 0);
+        finish(sim, request, route.code);
+        return;
+    }
+    request->upstream = (int)route.upstream;
+    request->asks++;
+    entry->asked[route.upstream]++;
+    int host = sim->upstreams[route.upstream].host;
+    if (host == SIM_NOBODY) {
+        sim_schedule(sim, sim->now + 1000, sim_request_answer, request->ask,
+                     CH_PEER_LOST, 0);
+        return;
+    }
+    if (sim->link_down && sim->entries[host].region != entry->region) {
+        sim_schedule(sim, sim->now + SILENT, sim_request_answer, request->ask,
+                     CH_PEER_TIMEOUT, 0);
+        return;
+    }
+    int64_t delay = sim_delay(sim, entry->site->data_centre,
+                              sim->entries[host].site->data_centre);
+    sim_schedule(sim, sim->now + delay, sim_home_ask, request->ask, 0, 0);
+}
+
+/* Fills in what the decisions see of a request. */
+static void
+fill_work(struct sim *sim, struct sim_request *request)
+{
+    const struct ch_trace_event *event = request->event;
+    const struct ch_declaration *declaration = sim->declaration;
+    const struct ch_class *class = &declaration->classes[event->class_index];
+    struct ch_work *work = &request->work;
+    int64_t target =
+        class->first_token > 0 ? class->first_token : class->whole_answer;
+    *work = (struct ch_work){
+        .service =
+            event->model<0, .class_name = g_quark_from_string(class->name),
+                         .tenant = ch_hash_string(event->caller),
+                         .prompt_tokens = event->prompt_tokens,
+                         .output_tokens = event->output_tokens,
+                         .prefix = event->prefix, .arrived = sim->now,
+                         .first_by = target> 0
+                ? sim->now + target
+                : 0,
+        .between = class->between_tokens,
+        .whole_by =
+            class->whole_answer > 0 ? sim->now + class->whole_answer : 0,
+        .idempotent = class->idempotent,
+    };
+    if (work->service) {
+        work->model =
+            g_quark_from_string(declaration->services[event->service].name);
+        return;
+    }
+    const struct ch_model *model = &declaration->models[event->model];
+    work->model = g_quark_from_string(model->name);
+    work->model_mb = model->memory_mb;
+    sim->model_asked[event->model] = 1;
+    if (event->adapter >= 0) {
+        char *name = g_strdup_printf("%s/%s", model->name,
+                                     model->adapters[event->adapter]);
+        work->adapter = g_quark_from_string(name);
+        work->adapter_mb = model->adapter_memory_mb;
+        g_free(name);
+    }
+}
+
+/* Whether an entry host reaches the key-value service. */
+static bool
+kv_reachable(const struct sim *sim, const struct sim_request *request)
+{
+    return !sim->kv_down &&
+           (!sim->link_down || sim->entries[request->entry].region == 0);
+}
+
+/* A request whose record is made asks for leave.  a: the request. */
+static void
+ask_recorded(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = &sim->requests[event->a];
+    if (request->state != SIM_OVER) {
+        ask(sim, request);
+    }
+}
+
+/* A keyed request: its key decides whether it is run at all. */
+static void
+begin_keyed(struct sim *sim, struct sim_request *request)
+{
+    if (!kv_reachable(sim, request)) {
+        finish(sim, request, CH_ONCE_UNAVAILABLE);
+        return;
+    }
+    char *text = key_text(request);
+    int state = GPOINTER_TO_INT(g_hash_table_lookup(sim->keys, text));
+    g_free(text);
+    if (state == SIM_KEY_DONE) {
+        finish(sim, request, CH_OK);
+    }
+    else if (state != 0) {
+        request->ran = true;
+        finish(sim, request,
+               state == SIM_KEY_RUNNING ? CH_IN_PROGRESS : CH_OUTCOME_UNKNOWN);
+    }
+    else {
+        note_key(sim, request, SIM_KEY_RUNNING);
+        size_t centre = sim->entries[request->entry].site->data_centre;
+        int64_t delay = KV_TIME + 2 * sim_delay(sim, centre, 0);
+        sim_schedule(sim, sim->now + delay, ask_recorded,
+                     (uint64_t)(request - sim->requests), 0, 0);
+    }
+}
+
+/* A request comes in at an entry host.  a: its place in the trace. */
+void
+sim_request_arrive(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = &sim->requests[event->a];
+    const struct ch_trace_event *from = &sim->trace->events[event->a];
+    int entry = pick_entry(sim, from->caller, event->a);
+    request->event = from;
+    request->arrived = from->at;
+    request->entry = entry == SIM_NOBODY ? 0 : (size_t)entry;
+    request->upstream = SIM_NOBODY;
+    request->ask = G_MAXUINT64;
+    request->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    fill_work(sim, request);
+    tenant_of(sim, request)->requests++;
+    sim->result->requests++;
+    sim->result->classes[from->class_index].requests++;
+    count_second(sim->result->offered, from->at);
+    if (entry == SIM_NOBODY) {
+        finish(sim, request, CH_NO_UPSTREAM);
+        return;
+    }
+    ch_retry_budget_fresh(&sim->entries[entry].budget);
+    if (is_keyed(request)) {
+        begin_keyed(sim, request);
+        return;
+    }
+    ask(sim, request);
+}
+
+/* Gives a grant back to the home. */
+static void
+release(struct sim *sim, uint64_t number, enum ch_code code, int64_t first,
+        int64_t token)
+{
+    const struct sim_ask *record =
+        &g_array_index(sim->asks, struct sim_ask, number);
+    const struct sim_request *request = &sim->requests[record->request];
+    int host = sim->upstreams[record->upstream].host;
+    if (host == SIM_NOBODY) {
+        return;
+    }
+    int64_t delay =
+        sim_delay(sim, sim->entries[request->entry].site->data_centre,
+                  sim->entries[host].site->data_centre);
+    uint64_t sample = ((uint64_t)MIN(first, UINT32_MAX) << 32) |
+                      (uint64_t)MIN(token, UINT32_MAX);
+    sim_schedule(sim, sim->now + delay, sim_home_release, number, code,
+                 sample);
+}
+
+/* The call goes out to the upstream. */
+static void
+dispatch(struct sim *sim, struct sim_request *request)
+{
+    struct sim_entry *entry = &sim->entries[request->entry];
+    const struct sim_upstream *to = &sim->upstreams[request->upstream];
+    request->state = SIM_RUNNING;
+    request->sent = sim->now;
+    request->this_first = 0;
+    request->dispatches++;
+    sim->result->dispatches++;
+    sim->result->retries += request->dispatches > 1 ? 1 : 0;
+    int64_t delay =
+        sim_delay(sim, entry->site->data_centre, to->site->data_centre);
+    if (to->region != entry->region) {
+        const struct ch_site_engine *model = &sim->site->engine;
+        uint64_t bytes = 4ull * request->work.prompt_tokens;
+        uint64_t back =
+            (uint64_t)model->token_bytes * request->work.output_tokens;
+        ch_bucket_take(&entry->link, (double)(bytes + back), sim->now);
+        delay += sim_link_send(sim, entry->region, to->region, bytes);
+    }
+    sim_schedule(sim, sim->now + delay, sim_request_dispatch, request->ask, 0,
+                 0);
+}
+
+/* Refusals after which another home may say something else. */
+static bool
+is_worth_asking_on(enum ch_code code)
+{
+    return code == CH_LATE || code == CH_SHARE_FULL || code == CH_QUEUE_FULL ||
+           code == CH_NO_UPSTREAM || code == CH_PEER_LOST ||
+           code == CH_PEER_TIMEOUT;
+}
+
+/* A home's answer.  a: the ask, b: code, c: when to come back. */
+void
+sim_request_answer(struct sim *sim, const struct sim_event *event)
+{
+    const struct sim_ask *record =
+        &g_array_index(sim->asks, struct sim_ask, event->a);
+    struct sim_request *request = sim_request_of(sim, event->a);
+    enum ch_code code = (enum ch_code)event->b;
+    if (request == NULL || request->state != SIM_ASKING) {
+        if (code == CH_OK) {
+            release(sim, event->a, CH_DEADLINE, 0, 0);
+        }
+        return;
+    }
+    sim->entries[request->entry].asked[record->upstream]--;
+    if (code == CH_OK) {
+        dispatch(sim, request);
+        return;
+    }
+    GQuark name = sim->upstreams[record->upstream].name;
+    g_array_append_val(request->excluded, name);
+    if (request->asks < MOST_ASKS && is_worth_asking_on(code)) {
+        ask(sim, request);
+        return;
+    }
+    if (code == CH_PEER_LOST || code == CH_PEER_TIMEOUT) {
+        code = CH_NO_UPSTREAM; /* no grant came: nothing was dispatched */
+    }
+    note_key(sim, request, request->ran ? SIM_KEY_UNKNOWN : 0);
+    finish(sim, request, code);
+}
+
+/* A call reaches the upstream.  a: the ask. */
+void
+sim_request_dispatch(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = sim_request_of(sim, event->a);
+    if (request == NULL) {
+        return;
+    }
+    size_t upstream = (size_t)request->upstream;
+    if (is_keyed(request) && !sim->upstreams[upstream].engine.down) {
+        char *text = key_text(request);
+        int runs = GPOINTER_TO_INT(g_hash_table_lookup(sim->key_runs, text));
+        g_hash_table_replace(sim->key_runs, text, GINT_TO_POINTER(runs + 1));
+        sim->result->ran_twice += runs == 1 ? 1 : 0;
+    }
+    sim_engine_accept(sim, upstream, event->a);
+}
+
+/* The first token comes in.  a: the ask. */
+void
+sim_request_first(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = sim_request_of(sim, event->a);
+    if (request == NULL || request->state != SIM_RUNNING) {
+        return;
+    }
+    request->this_first = sim->now;
+    if (request->first == 0) {
+        request->first = sim->now;
+    }
+}
+
+/* The answer is whole.  a: the ask, b: tokens. */
+void
+sim_request_done(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = sim_request_of(sim, event->a);
+    if (request == NULL || request->state != SIM_RUNNING) {
+        return;
+    }
+    int64_t first =
+        (request->this_first > 0 ? request->this_first : sim->now) -
+        request->sent;
+    int64_t token = 0;
+    if (event->b > 1 && !request->work.service) {
+        token = (sim->now - request->sent - first) / (int64_t)(event->b - 1);
+    }
+    release(sim, event->a, CH_OK, first, token);
+    note_key(sim, request, SIM_KEY_DONE);
+    finish(sim, request, CH_OK);
+}
+
+/* A dispatch failed.  a: the ask, b: code, c: 1 when it may have run. */
+void
+sim_request_fail(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_request *request = sim_request_of(sim, event->a);
+    if (request == NULL || request->state != SIM_RUNNING) {
+        return;
+    }
+    enum ch_code code = (enum ch_code)event->b;
+    bool ran = event->c != 0;
+    request->ran = request->ran || ran;
+    release(sim, event->a, code, 0, 0);
+    GQuark name = sim->upstreams[request->upstream].name;
+    g_array_append_val(request->excluded, name);
+    enum ch_retry retry = ch_retry_decide(
+        &sim->entries[request->entry].budget, &request->work, code, ran,
+        !request->work.service, request->given, sim->now);
+    if (retry == CH_RETRY_NO) {
+        note_key(sim, request, request->ran ? SIM_KEY_UNKNOWN : 0);
+        finish(sim, request, code);
+        return;
+    }
+    if (retry == CH_RETRY_RESUME) {
+        uint32_t all = request->event->output_tokens;
+        request->work.output_tokens = MAX(all - MIN(request->given, all), 1);
+    }
+    else {
+        request->given = 0;
+    }
+    request->work.attempt++;
+    request->asks = 0;
+    ask(sim, request);
+}
+
+/* The homes notice that an entry host is gone.  a: the ask. */
+static void
+forget(struct sim *sim, const struct sim_event *event)
+{
+    size_t upstream =
+        g_array_index(sim->asks, struct sim_ask, event->a).upstream;
+    sim_home_forget(sim, upstream, event->a);
+}
+
+/* An entry host dies, and with it the callers' connections that it held. */
+void
+sim_entry_down(struct sim *sim, size_t entry)
+{
+    sim->entries[entry].up = false;
+    for (size_t i = 0; i < sim->trace->count; i++) {
+        struct sim_request *request = &sim->requests[i];
+        if (request->event == NULL || request->state == SIM_OVER ||
+            request->entry != entry) {
+            continue;
+        }
+        if (request->state == SIM_RUNNING) {
+            sim_engine_cancel(sim, (size_t)request->upstream, request->ask);
+        }
+        if (request->upstream != SIM_NOBODY) {
+            sim_schedule(sim, sim->now + SILENT, forget, request->ask, 0, 0);
+        }
+        request->ran = true; /* for all that the caller can tell */
+        note_key(sim, request, SIM_KEY_UNKNOWN);
+        finish(sim, request, CH_UPSTREAM_CUT);
+    }
+    memset(sim->entries[entry].asked, 0,
+           sim->site->upstream_count * sizeof(uint32_t));
+}
+
+/* The link between the regions is cut: what crosses it stalls. */
+void
+sim_link_cut(struct sim *sim)
+{
+    for (size_t i = 0; i < sim->trace->count; i++) {
+        struct sim_request *request = &sim->requests[i];
+        if (request->event == NULL || request->state == SIM_OVER ||
+            request->upstream == SIM_NOBODY) {
+            continue;
+        }
+        const struct sim_upstream *to = &sim->upstreams[request->upstream];
+        if (to->region == sim->entries[request->entry].region) {
+            continue;
+        }
+        if (request->state == SIM_RUNNING) {
+            sim_engine_cancel(sim, (size_t)request->upstream, request->ask);
+            sim_schedule(sim, sim->now + STALL, sim_request_fail, request->ask,
+                         CH_UPSTREAM_STALLED, 1);
+        }
+        else {
+            sim_schedule(sim, sim->now + SILENT, sim_request_answer,
+                         request->ask, CH_PEER_TIMEOUT, 0);
+            sim_schedule(sim, sim->now + SILENT, forget, request->ask, 0, 0);
+        }
+    }
+}
--- /dev/null
+++ b/libchestnuthitch/replay/sim.h
@@ -0,0 +1,235 @@
+#ifndef CH_REPLAY_SIM_H
+#define CH_REPLAY_SIM_H
+
+/* The inside of a run: virtual time, the model of engines, store and link,
+ * and the entry hosts whose decisions are the code under test. */
+
+#include "decide/ledger.h"
+#include "replay/replay.h"
+
+struct sim;
+
+/* ---- virtual time (run.c) ---- */
+
+/* What is to happen; a, b and c mean what the handler's comment says. */
+struct sim_event {
+    int64_t at;
+    uint64_t order; /* of events at the same time: first scheduled first */
+    void (*handle)(struct sim *sim, const struct sim_event *event);
+    uint64_t a;
+    uint64_t b;
+    uint64_t c;
+};
+
+void sim_schedule(struct sim *sim, int64_t at,
+                  void (*handle)(struct sim *sim,
+                                 const struct sim_event *event),
+                  uint64_t a, uint64_t b, uint64_t c);
+/* A number from 0 to 1 that depends on the seed and the key alone. */
+double sim_random(const struct sim *sim, uint64_t key, uint64_t salt);
+
+/* ---- engines and plain services (engine_model.c) ---- */
+
+struct sim_item {
+    GQuark name;
+    uint32_t memory_mb;
+    bool loading;
+    char order[24];
+};
+
+/* One request in an engine: thresholds on the engine's progress. */
+struct sim_job {
+    uint64_t dispatch;
+    double first; /* progress at which the first token is out */
+    double end;
+    bool first_out;
+    uint32_t tokens;
+};
+
+struct sim_engine {
+    bool service;
+    uint32_t capacity_mb;
+    uint32_t batch;
+    double slow;
+    double progress; /* tokens that a request running all along would have */
+    int64_t at;      /* when progress was so */
+    uint64_t turn;   /* step events of an earlier turn are void */
+    GArray *running; /* struct sim_job */
+    GArray *waiting; /* struct sim_job, thresholds relative */
+    GArray *items;   /* struct sim_item */
+    GArray *cache;   /* uint64_t: prefixes, least recently used first */
+    GPtrArray *done; /* ids of orders carried out */
+    unsigned boot;
+    bool down;
+    bool leaving;
+    int64_t left_at;
+};
+
+void sim_engine_init(struct sim *sim, size_t upstream);
+void sim_engine_clear(struct sim_engine *engine);
+void sim_engine_accept(struct sim *sim, size_t upstream, uint64_t dispatch);
+void sim_engine_cancel(struct sim *sim, size_t upstream, uint64_t dispatch);
+void sim_engine_fail(struct sim *sim, size_t upstream);
+void sim_engine_set_slow(struct sim *sim, size_t upstream, double slow);
+bool sim_engine_has(const struct sim_engine *engine, GQuark item);
+void sim_engine_load(struct sim *sim, size_t upstream, GQuark item,
+                     uint32_t memory_mb, const char *order);
+void sim_engine_unload(struct sim *sim, size_t upstream, GQuark item,
+                       const char *order);
+void sim_engine_loaded(struct sim *sim, size_t upstream, GQuark item,
+                       unsigned boot);
+
+/* ---- weight store and link (store_model.c) ---- */
+
+struct sim_load {
+    size_t upstream;
+    unsigned boot;
+    GQuark item;
+    double left_mb;
+};
+
+struct sim_store {
+    GArray *loads; /* struct sim_load */
+    int64_t at;
+    uint64_t turn;
+    unsigned adapters;
+};
+
+void sim_store_load(struct sim *sim, size_t upstream, GQuark item,
+                    uint32_t memory_mb);
+void sim_store_adapter(struct sim *sim, size_t upstream, GQuark item);
+/* Microseconds from one region to another for so many bytes, which it
+   counts when the regions differ. */
+int64_t sim_link_send(struct sim *sim, size_t from, size_t to, uint64_t bytes);
+
+/* ---- upstreams' homes (home_side.c) ---- */
+
+enum {
+    SIM_NOBODY = -1,
+};
+
+struct sim_upstream {
+    const struct ch_site_upstream *site;
+    GQuark name;
+    size_t region;
+    struct sim_engine engine;
+    struct ch_home *home;
+    int host; /* entry host that is its home; SIM_NOBODY: none just now */
+    struct ch_ledger *ledger;
+    GHashTable *told; /* GQuark to state that the home was told, plus one */
+};
+
+void sim_home_init(struct sim *sim, size_t upstream);
+void sim_home_clear(struct sim_upstream *upstream);
+void sim_home_ask(struct sim *sim, const struct sim_event *event);
+void sim_home_release(struct sim *sim, const struct sim_event *event);
+void sim_home_tick(struct sim *sim, const struct sim_event *event);
+void sim_home_report(struct sim *sim, const struct sim_event *event);
+void sim_home_move(struct sim *sim, size_t upstream);
+void sim_home_forget(struct sim *sim, size_t upstream, uint64_t ask);
+void sim_home_gossip(struct sim *sim, const struct sim_event *event);
+int sim_home_host(const struct sim *sim, size_t upstream);
+
+/* ---- entry hosts and requests (entry_side.c) ---- */
+
+struct sim_entry {
+    const struct ch_site_entry *site;
+    size_t region;
+    bool up;
+    struct ch_fleet fleet;
+    uint32_t *asked; /* by upstream: asks not yet answered */
+    struct ch_retry_budget budget;
+    struct ch_bucket link;
+    struct ch_bucket loads;
+};
+
+enum sim_state {
+    SIM_ASKING,
+    SIM_RUNNING,
+    SIM_OVER,
+};
+
+struct sim_request {
+    const struct ch_trace_event *event;
+    struct ch_work work;
+    size_t entry;
+    enum sim_state state;
+    unsigned asks;      /* since the last dispatch */
+    uint64_t ask;       /* the one in force */
+    int upstream;       /* of that ask */
+    GArray *excluded;   /* GQuark */
+    int64_t arrived;    /* when the caller sent it */
+    int64_t sent;       /* at the latest dispatch */
+    int64_t first;      /* first byte at the entry host; 0: none yet */
+    int64_t this_first; /* first byte of the latest dispatch */
+    uint32_t given;     /* tokens that the caller has */
+    uint32_t dispatches;
+    bool ran;
+};
+
+/* An ask by its number: which request made it. */
+struct sim_ask {
+    uint64_t request;
+    size_t upstream;
+};
+
+void sim_entry_init(struct sim *sim, size_t entry);
+void sim_entry_clear(struct sim *sim, struct sim_entry *entry);
+void sim_request_arrive(struct sim *sim, const struct sim_event *event);
+void sim_request_answer(struct sim *sim, const struct sim_event *event);
+void sim_request_dispatch(struct sim *sim, const struct sim_event *event);
+void sim_request_first(struct sim *sim, const struct sim_event *event);
+void sim_request_done(struct sim *sim, const struct sim_event *event);
+void sim_request_fail(struct sim *sim, const struct sim_event *event);
+void sim_entry_down(struct sim *sim, size_t entry);
+void sim_link_cut(struct sim *sim);
+/* The request of an ask when that ask is still in force; NULL otherwise. */
+struct sim_request *sim_request_of(struct sim *sim, uint64_t ask);
+/* Microseconds between an entry host and an upstream or another host. */
+int64_t sim_delay(const struct sim *sim, size_t centre_a, size_t centre_b);
+
+/* ---- the whole ---- */
+
+/* What became of a key of a non-idempotent request. */
+enum sim_key {
+    SIM_KEY_RUNNING = 1,
+    SIM_KEY_DONE,
+    SIM_KEY_UNKNOWN,
+};
+
+struct sim {
+    const struct ch_site *site;
+    const struct ch_declaration *declaration;
+    const struct ch_trace *trace;
+    const struct ch_policy *policy;
+    uint64_t seed;
+    int64_t now;
+    GArray *heap; /* struct sim_event */
+    uint64_t scheduled;
+    struct sim_upstream *upstreams;
+    struct sim_entry *entries;
+    struct sim_store store;
+    GArray **first_items; /* by upstream: struct sim_item at the start */
+    int64_t client_delay; /* the longest, between callers and entry hosts */
+    int64_t *link_free;   /* by region: when its way out is free */
+    struct sim_request *requests; /* by place in the trace */
+    GArray *asks;                 /* struct sim_ask */
+    GHashTable *keys;             /* text to enum sim_key */
+    GHashTable *key_runs;         /* text to dispatches */
+    uint64_t open;                /* requests not yet over */
+    bool kv_down;
+    bool link_down;
+    int64_t link_changed;
+    int64_t end; /* no event after it */
+    struct ch_result *result;
+    uint8_t *model_asked;
+    uint8_t *model_run;
+    GHashTable *tenants; /* caller to struct sim_tenant */
+};
+
+struct sim_tenant {
+    uint64_t requests;
+    uint64_t met;
+};
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/replay/store_model.c
@@ -0,0 +1,124 @@
+/* The weight store and the link between regions: shared, narrow, no smarter
+ * than the brief says. */
+
+#include "replay/sim.h"
+
+#include <math.h>
+
+/* Megabytes a second of one load while so many run. */
+static double
+load_rate(const struct sim *sim, guint loads)
+{
+    double rate = sim->site->load_mb_per_s;
+    if (loads > sim->site->loads_parallel) {
+        rate *= (double)sim->site->loads_parallel / loads;
+    }
+    return rate;
+}
+
+/* Brings all loads up to the present. */
+static void
+advance(struct sim *sim)
+{
+    struct sim_store *store = &sim->store;
+    double seconds = (double)(sim->now - store->at) / G_USEC_PER_SEC;
+    double moved = seconds * load_rate(sim, store->loads->len);
+    for (guint i = 0; i < store->loads->len; i++) {
+        g_array_index(store->loads, struct sim_load, i).left_mb -= moved;
+    }
+    store->at = sim->now;
+}
+
+static void step(struct sim *sim, const struct sim_event *event);
+
+/* Schedules the end of the load that is nearest to it. */
+static void
+schedule_step(struct sim *sim)
+{
+    struct sim_store *store = &sim->store;
+    store->turn++;
+    double least = INFINITY;
+    for (guint i = 0; i < store->loads->len; i++) {
+        least = MIN(least,
+                    g_array_index(store->loads, struct sim_load, i).left_mb);
+    }
+    if (isfinite(least)) {
+        double seconds = MAX(least, 0.0) / load_rate(sim, store->loads->len);
+        sim_schedule(sim, sim->now + (int64_t)ceil(seconds * G_USEC_PER_SEC),
+                     step, store->turn, 0, 0);
+    }
+}
+
+/* A load is over.  a: turn. */
+static void
+step(struct sim *sim, const struct sim_event *event)
+{
+    struct sim_store *store = &sim->store;
+    if (event->a != store->turn) {
+        return;
+    }
+    advance(sim);
+    for (guint i = store->loads->len; i-- > 0;) {
+        struct sim_load load = g_array_index(store->loads, struct sim_load, i);
+        if (load.left_mb <= 0.01) {
+            g_array_remove_index(store->loads, i);
+            sim_engine_loaded(sim, load.upstream, load.item, load.boot);
+        }
+    }
+    schedule_step(sim);
+}
+
+/* An engine begins to fetch a model. */
+void
+sim_store_load(struct sim *sim, size_t upstream, GQuark item,
+               uint32_t memory_mb)
+{
+    advance(sim);
+    struct sim_load load = {
+        .upstream = upstream,
+        .boot = sim->upstreams[upstream].engine.boot,
+        .item = item,
+        .left_mb = memory_mb,
+    };
+    g_array_append_val(sim->store.loads, load);
+    schedule_step(sim);
+}
+
+/* An adapter has come.  a: upstream, b: item, c: boot. */
+static void
+adapter_loaded(struct sim *sim, const struct sim_event *event)
+{
+    sim->store.adapters--;
+    sim_engine_loaded(sim, (size_t)event->a, (GQuark)event->b,
+                      (unsigned)event->c);
+}
+
+/* An engine begins to fetch an adapter: a time within the stated range, in
+ * proportion longer beyond the stated number in flight. */
+void
+sim_store_adapter(struct sim *sim, size_t upstream, GQuark item)
+{
+    const struct ch_site *site = sim->site;
+    sim->store.adapters++;
+    double range = (double)(site->adapter_most - site->adapter_least);
+    double time = (double)site->adapter_least +
+                  range * sim_random(sim, (uint64_t)sim->now + item, 5);
+    double crowd = (double)sim->store.adapters / site->adapters_parallel;
+    time *= MAX(crowd, 1.0);
+    sim_schedule(sim, sim->now + (int64_t)time, adapter_loaded, upstream, item,
+                 sim->upstreams[upstream].engine.boot);
+}
+
+/* Sends bytes; between regions they wait for those sent before them. */
+int64_t
+sim_link_send(struct sim *sim, size_t from, size_t to, uint64_t bytes)
+{
+    if (from == to) {
+        return 0;
+    }
+    sim->result->link_bytes += bytes;
+    double seconds = (double)bytes * 8.0 / (sim->site->link_mbit * 1e6);
+    int64_t start = MAX(sim->link_free[from], sim->now);
+    sim->link_free[from] = start + (int64_t)(seconds * G_USEC_PER_SEC);
+    return sim->link_free[from] - sim->now;
+}
