--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -501,7 +501,7 @@
 {
     struct ch_item item = {
         .name = held->name,
-        .rate = (uint32_t)(ch_demand_level(&held->demand, now) * 1000.0),
+        .rate = (uint32_t)(ch_demand_most(&held->demand, now) * 1000.0),
     };
     if (held->state == CH_ITEM_RESIDENT && !held->leaving) {
         g_array_append_val(out->resident, item);
--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -25,14 +25,16 @@
 uint32_t ch_rates_batch(const struct ch_rates *rates, int64_t between,
                         uint32_t most);
 
-/* Requests a second, of late: fades with time. */
+/* Requests a second, of the last seconds and of the last minute. */
 struct ch_demand {
-    double level;
+    double fast;
+    double slow;
     int64_t at;
 };
 
 void ch_demand_add(struct ch_demand *demand, int64_t now);
-double ch_demand_level(const struct ch_demand *demand, int64_t now);
+double ch_demand_most(const struct ch_demand *demand, int64_t now);
+double ch_demand_least(const struct ch_demand *demand, int64_t now);
 
 /* ---- one queue (queue.c) ---- */
 
--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -97,7 +97,7 @@
 worth(const struct ch_home *home, const struct ch_fleet *fleet,
       const struct ch_held *item, int64_t now)
 {
-    double worth = ch_demand_level(&item->demand, now);
+    double worth = ch_demand_most(&item->demand, now);
     double idle = (double)(now - item->used) / G_USEC_PER_SEC;
     if (home->policy->placing->keep_last &&
         has_fellow(home, fleet, item->name)) {
@@ -248,7 +248,7 @@
     if (!absent && home->loads_left == 0) {
         return false;
     }
-    if (model->unserved == 0) {
+    if (absent && model->unserved == 0) {
         model->unserved = now;
     }
     bool overdue = absent && now - model->unserved > REACH;
@@ -261,7 +261,7 @@
     if (overdue || (absent && value < IDLE)) {
         return true;
     }
-    double gain = ch_demand_level(&model->demand, now);
+    double gain = ch_demand_least(&model->demand, now);
     gain = MIN(gain, most_served(home, work));
     double load_s = (double)ch_place_load_time(model) / G_USEC_PER_SEC;
     return (gain - value) * HORIZON_S > value * load_s + PRICE;
@@ -426,12 +426,31 @@
     }
 }
 
+/* Forgets for how long a model was out of reach once it is somewhere. */
+static void
+note_served(struct ch_home *home, const struct ch_fleet *fleet)
+{
+    for (guint i = 0; i < home->items->len; i++) {
+        struct ch_held *item = &g_array_index(home->items, struct ch_held, i);
+        for (size_t j = 0; item->unserved != 0 && j < fleet->count; j++) {
+            const struct ch_upstream_view *view = &fleet->upstreams[j];
+            if (!view->down && !view->leaving &&
+                ch_upstream_view_has(view, item->name)) {
+                item->unserved = 0;
+            }
+        }
+    }
+}
+
 /* Goes on with all moves: what is due is ordered, what leaves is unloaded.
  * Without a fleet nothing new is chosen to go; the next tick does. */
 void
 ch_place_pump(struct ch_home *home, const struct ch_fleet *fleet, int64_t now,
               struct ch_actions *out)
 {
+    if (fleet != NULL) {
+        note_served(home, fleet);
+    }
     if (now < home->blocked_until) {
         return;
     }
--- a/libchestnuthitch/decide/rates.c
+++ b/libchestnuthitch/decide/rates.c
@@ -11,10 +11,11 @@
     FIRST_ENGINE = 150 * 1000,
     FIRST_SERVICE = 50 * 1000,
     TOKEN = 30 * 1000,
-    /* Demand fades by 1/e in this time: short enough that a burst at the start
-     * of a rehearsal shows within seconds, long enough that one request does
-     * not look like demand. */
-    DEMAND_FADES = 10 * G_USEC_PER_SEC,
+    /* Demand fades by 1/e in these times: short enough that a burst at the
+     * start of a rehearsal shows within seconds, and long enough that a model
+     * asked for ten times a minute is not taken for idle between two. */
+    FAST = 10 * G_USEC_PER_SEC,
+    SLOW = 60 * G_USEC_PER_SEC,
 };
 
 /* Weight of the past at each sample: about the last fifty count, so that an
@@ -117,21 +118,39 @@
     return low;
 }
 
+/* A level that has faded since. */
+static double
+faded(double level, int64_t since, int64_t now, int64_t fades)
+{
+    return now <= since ? level
+                        : level * exp(-(double)(now - since) / (double)fades);
+}
+
 /* Counts one request. */
 void
 ch_demand_add(struct ch_demand *demand, int64_t now)
 {
-    demand->level =
-        ch_demand_level(demand, now) + (double)G_USEC_PER_SEC / DEMAND_FADES;
-    demand->at = now;
+    demand->fast = faded(demand->fast, demand->at, now, FAST) +
+                   (double)G_USEC_PER_SEC / FAST;
+    demand->slow = faded(demand->slow, demand->at, now, SLOW) +
+                   (double)G_USEC_PER_SEC / SLOW;
+    demand->at = MAX(demand->at, now);
 }
 
-/* Requests a second, of late. */
+/* Requests a second that have to be reckoned with: the higher of both. */
 double
-ch_demand_level(const struct ch_demand *demand, int64_t now)
+ch_demand_most(const struct ch_demand *demand, int64_t now)
 {
-    if (now <= demand->at) {
-        return demand->level;
-    }
-    return demand->level * exp(-(double)(now - demand->at) / DEMAND_FADES);
+    return MAX(faded(demand->fast, demand->at, now, FAST),
+               faded(demand->slow, demand->at, now, SLOW));
+}
+
+/* Requests a second that can be counted on: those of the last minute, or of
+ * the last seconds less the chance error of so few arrivals. */
+double
+ch_demand_least(const struct ch_demand *demand, int64_t now)
+{
+    double fast = faded(demand->fast, demand->at, now, FAST);
+    double chance = sqrt(fast * G_USEC_PER_SEC / (2.0 * FAST));
+    return MAX(fast - chance, faded(demand->slow, demand->at, now, SLOW));
 }
