--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -12,8 +12,11 @@
     SETTLE = 20 * G_USEC_PER_SEC,
     /* A model that nobody serves comes in after this, whatever has to go. */
     REACH = 60 * G_USEC_PER_SEC,
-    /* A wish that nothing has renewed lapses. */
-    WISH_LAPSES = 5 * G_USEC_PER_SEC,
+    /* An adapter's request of this age lets it come with its model. */
+    ADAPTER_RECENT = 30 * G_USEC_PER_SEC,
+    /* A wish that nothing has renewed lapses; longer than what it made leave
+     * needs to end its requests, or that would be unloaded for nothing. */
+    WISH_LAPSES = 30 * G_USEC_PER_SEC,
 };
 
 /* What a move has to earn, in requests that meet their target: its price (the
@@ -34,6 +37,16 @@
     return (int64_t)item->memory_mb * LOAD_PER_MB;
 }
 
+/* Memory that a model needs to come in: its own, and some of the engine left
+ * for adapters (a twenty-fifth holds a handful of the usual size).  Without it
+ * two models that just fit shut out every adapter of both. */
+static uint32_t
+need_of(const struct ch_home *home, uint32_t memory_mb)
+{
+    uint32_t capacity = home->facts.capacity_mb;
+    return MAX(memory_mb, MIN(memory_mb + capacity / 25, capacity));
+}
+
 /* Memory in use: resident, reserved, or not yet known to be gone. */
 static uint32_t
 committed(const struct ch_home *home)
@@ -91,6 +104,24 @@
     return false;
 }
 
+/* Memory promised to models that are to come in, other than the named one:
+ * what leaves for them is not free for the next. */
+static uint32_t
+pledged(const struct ch_home *home, GQuark except)
+{
+    uint32_t sum = 0;
+    for (guint i = 0; i < home->items->len; i++) {
+        const struct ch_held *item =
+            &g_array_index(home->items, struct ch_held, i);
+        bool due = item->wanted || is_awaited(home, item->name);
+        if (item->model == 0 && item->state == CH_ITEM_ABSENT && due &&
+            item->name != except) {
+            sum += need_of(home, item->memory_mb);
+        }
+    }
+    return sum;
+}
+
 /* What it would cost to lose the model: requests a second that would miss.
  * Among models without demand the one longest unused goes first. */
 static double
@@ -165,16 +196,16 @@
     return least;
 }
 
-/* Names of the models that have to go so that memory_mb becomes free, their
+/* Names of the models that have to go so that `model` has memory_mb, their
  * joint worth in *value; NULL when that is not to be had.  The array is the
  * caller's to unref. */
 static GArray *
-victims(struct ch_home *home, const struct ch_fleet *fleet, uint32_t memory_mb,
-        bool gentle, int64_t now, double *value)
+victims(struct ch_home *home, const struct ch_fleet *fleet, GQuark model,
+        uint32_t memory_mb, bool gentle, int64_t now, double *value)
 {
     GArray *chosen = g_array_new(FALSE, FALSE, sizeof(GQuark));
     uint32_t room = home->facts.capacity_mb + outgoing(home);
-    uint32_t used = committed(home);
+    uint32_t used = committed(home) + pledged(home, model);
     room = room > used ? room - used : 0;
     *value = 0;
     while (room < memory_mb) {
@@ -253,7 +284,8 @@
     }
     bool overdue = absent && now - model->unserved > REACH;
     double value = 0;
-    GArray *chosen = victims(home, fleet, memory_mb, !overdue, now, &value);
+    GArray *chosen = victims(home, fleet, work->model,
+                             need_of(home, memory_mb), !overdue, now, &value);
     if (chosen == NULL) {
         return false;
     }
@@ -330,9 +362,10 @@
           const struct ch_held *item, int64_t now, struct ch_actions *out)
 {
     double value;
-    GArray *chosen = victims(home, fleet, item->memory_mb, true, now, &value);
+    uint32_t need = need_of(home, item->memory_mb);
+    GArray *chosen = victims(home, fleet, item->name, need, true, now, &value);
     if (chosen == NULL) {
-        chosen = victims(home, fleet, item->memory_mb, false, now, &value);
+        chosen = victims(home, fleet, item->name, need, false, now, &value);
     }
     if (chosen == NULL) {
         return;
@@ -376,8 +409,9 @@
     if (now < item->not_before) {
         return;
     }
-    uint32_t used = committed(home);
-    if (used + item->memory_mb <= home->facts.capacity_mb) {
+    uint32_t need =
+        item->model == 0 ? need_of(home, item->memory_mb) : item->memory_mb;
+    if (committed(home) + need <= home->facts.capacity_mb) {
         /* Load: many models wanted at once after a shift of demand.  Harm
          * prevented: past its rate the weight store serves all loads slower,
          * and each model comes later than the first would have.  Adapters
@@ -392,7 +426,9 @@
         return;
     }
     if (item->model != 0) {
-        make_adapter_room(home, now, out);
+        if (is_awaited(home, item->name)) {
+            make_adapter_room(home, now, out);
+        }
     }
     else if (fleet != NULL) {
         make_room(home, fleet, item, now, out);
@@ -400,7 +436,8 @@
 }
 
 /* Whether the item is to be loaded: somebody waits for it, or a wish for it
- * still stands.  An adapter waits for its model first. */
+ * still stands.  An adapter waits for its model; one that was asked for here
+ * of late comes with it, if there is room, before anybody waits. */
 static bool
 is_due(struct ch_home *home, struct ch_held *item, int64_t now)
 {
@@ -408,7 +445,9 @@
         return false;
     }
     if (item->model != 0) {
-        return is_awaited(home, item->name) && ch_home_has(home, item->model);
+        return (is_awaited(home, item->name) ||
+                now - item->used < ADAPTER_RECENT) &&
+               ch_home_has(home, item->model);
     }
     if (item->wanted && now - item->used > WISH_LAPSES &&
         !is_awaited(home, item->name)) {
--- a/libchestnuthitch/replay/replay.h
+++ b/libchestnuthitch/replay/replay.h
@@ -10,7 +10,7 @@
 #include "base/base.h"
 #include "decide/policy.h"
 
-/* ---- the site: what the platform would report (site.c) ---- */
+/* ---- the site: what the platform would report (site_read.c) ---- */
 
 struct ch_site_region {
     char *name;
@@ -169,7 +169,7 @@
 /* One JSON object and a newline. */
 void ch_result_print(struct ch_result *result, GString *out);
 
-/* ---- a run (run.c) and the bound (bound.c) ---- */
+/* ---- a run (sim_run.c) and the bound (bound.c) ---- */
 
 struct ch_result *ch_replay_run(const struct ch_site *site,
                                 const struct ch_declaration *declaration,
--- a/libchestnuthitch/replay/sim.h
+++ b/libchestnuthitch/replay/sim.h
@@ -9,7 +9,7 @@
 
 struct sim;
 
-/* ---- virtual time (run.c) ---- */
+/* ---- virtual time (sim_run.c) ---- */
 
 /* What is to happen; a, b and c mean what the handler's comment says. */
 struct sim_event {
@@ -28,7 +28,7 @@
 /* A number from 0 to 1 that depends on the seed and the key alone. */
 double sim_random(const struct sim *sim, uint64_t key, uint64_t salt);
 
-/* ---- engines and plain services (engine_model.c) ---- */
+/* ---- engines and plain services (sim_engine.c) ---- */
 
 struct sim_item {
     GQuark name;
@@ -79,7 +79,7 @@
 void sim_engine_loaded(struct sim *sim, size_t upstream, GQuark item,
                        unsigned boot);
 
-/* ---- weight store and link (store_model.c) ---- */
+/* ---- weight store and link (sim_store.c) ---- */
 
 struct sim_load {
     size_t upstream;
@@ -102,7 +102,7 @@
    counts when the regions differ. */
 int64_t sim_link_send(struct sim *sim, size_t from, size_t to, uint64_t bytes);
 
-/* ---- upstreams' homes (home_side.c) ---- */
+/* ---- upstreams' homes (sim_homes.c) ---- */
 
 enum {
     SIM_NOBODY = -1,
@@ -130,7 +130,7 @@
 void sim_home_gossip(struct sim *sim, const struct sim_event *event);
 int sim_home_host(const struct sim *sim, size_t upstream);
 
-/* ---- entry hosts and requests (entry_side.c) ---- */
+/* ---- entry hosts and requests (sim_entries.c) ---- */
 
 struct sim_entry {
     const struct ch_site_entry *site;
