--- /dev/null
+++ b/tests/unit/test_codes.c
@@ -0,0 +1,111 @@
+/* Result codes: docs/RESULT-CODES.md says what codes.def says.  `test_codes
+ * --write` writes the page anew. */
+
+#include "base/base.h"
+
+#include <string.h>
+
+#define PAGE "docs/RESULT-CODES.md"
+
+struct row {
+    const char *name;
+    int number;
+    int http;
+    const char *meaning;
+};
+
+static const struct row rows[] = {
+#define CH_CODE(name, number, http, outcome, meaning)                         \
+    {#name, number, http, meaning},
+#include "base/codes.def"
+#undef CH_CODE
+};
+
+/* The page as it has to be, in a new string. */
+static char *
+make_page(void)
+{
+    GString *page = g_string_new(
+        "# Result codes\n\n"
+        "Made from libchestnuthitch/base/codes.def by "
+        "`build/address/tests/unit/test_codes --write`.\n\n"
+        "Every refusal and error bears a number (`Chestnuthitch-Code`, and "
+        "`code` in the JSON\nbody). A number keeps its meaning for good. The "
+        "outcome is what is certain about\nthe request when it ends with "
+        "the code: `not-run`, `ran` or `unknown`. A request of\nwhich "
+        "more is known (no byte of it went out) may say `not-run` where the "
+        "table says\n`unknown`. 1xx: the request is wrong; 2xx: refused "
+        "for now, come back; 3xx: the\nupstream; 4xx: the platform; 5xx: "
+        "settings and declarations; 6xx: between nodes;\n7xx: replay; 9xx: "
+        "the machine and the command line.\n\n"
+        "| number | name | HTTP | outcome | meaning |\n"
+        "|---|---|---|---|---|\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        enum ch_code code = (enum ch_code)rows[i].number;
+        g_string_append_printf(page, "| %d | %s | %d | %s | %s |\n",
+                               rows[i].number, rows[i].name, rows[i].http,
+                               ch_outcome_name(ch_code_outcome(code)),
+                               rows[i].meaning);
+    }
+    return g_string_free(page, FALSE);
+}
+
+/* The page in the repository is the one that the table gives. */
+static void
+test_page(void)
+{
+    char *text = NULL;
+    char *page = make_page();
+    g_assert_true(g_file_get_contents(PAGE, &text, NULL, NULL));
+    g_assert_cmpstr(text, ==, page);
+    g_free(text);
+    g_free(page);
+}
+
+/* Numbers are unique, rise, and give back their row; a number of a later
+ * version counts as SYSTEM, whose outcome is unknown. */
+static void
+test_numbers(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        enum ch_code code = (enum ch_code)rows[i].number;
+        g_assert_true(i == 0 || rows[i].number > rows[i - 1].number);
+        g_assert_cmpstr(ch_code_name(code), ==, rows[i].name);
+        g_assert_cmpint(ch_code_http(code), ==, rows[i].http);
+    }
+    g_assert_cmpstr(ch_code_name((enum ch_code)899), ==, "SYSTEM");
+    g_assert_cmpint(ch_code_outcome((enum ch_code)899), ==, CH_UNKNOWN);
+}
+
+/* The first cause stays; a long message is cut. */
+static void
+test_error(void)
+{
+    struct ch_error error = {0};
+    char *large = g_strnfill(4000, 'x');
+    ch_error_set(&error, CH_LATE, "%s", large);
+    ch_error_set(&error, CH_STOPPING, "second");
+    g_assert_cmpint(error.code, ==, CH_LATE);
+    g_assert_cmpuint(strlen(error.message), ==, sizeof(error.message) - 1);
+    ch_error_clear(&error);
+    ch_error_set(&error, CH_STOPPING, "second");
+    g_assert_cmpstr(error.message, ==, "second");
+    ch_error_set(NULL, CH_LATE, "nobody asks");
+    g_free(large);
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc == 2 && strcmp(argv[1], "--write") == 0) {
+        char *page = make_page();
+        bool written = g_file_set_contents(PAGE, page, -1, NULL);
+        g_free(page);
+        return written ? 0 : 1;
+    }
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/codes/page", test_page);
+    g_test_add_func("/codes/numbers", test_numbers);
+    g_test_add_func("/codes/error", test_error);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_declaration.c
@@ -0,0 +1,203 @@
+/* Declarations: mistakes, one canonical text, look-ups and differences. */
+
+#include "base/base.h"
+
+#include <string.h>
+
+#define MODEL "[model m1]\nmemory-mb = 10\n"
+#define CLASS "[class c1]\nanswer-ms = 100\nmodels = m1\n"
+
+struct bad_case {
+    const char *text;
+    enum ch_code code;
+    const char *message;
+};
+
+static const struct bad_case bad_cases[] = {
+    {"", CH_MISSING, "f.ini: [class NAME]: there is no class"},
+    {CLASS, CH_BAD_VALUE, "f.ini: [class c1] models: 'm1' is not declared"},
+    {CLASS MODEL "[colour x]\n", CH_UNKNOWN_GROUP, "[colour x]"},
+    {CLASS MODEL "[classes]\n", CH_UNKNOWN_GROUP, "[classes]"},
+    {CLASS MODEL "[model]\nmemory-mb = 1\n", CH_BAD_VALUE,
+     "f.ini: [model]: not [model NAME]"},
+    {CLASS MODEL "[model a/b]\nmemory-mb = 1\n", CH_BAD_VALUE,
+     "[model a/b]: not [model NAME]"},
+    {CLASS MODEL "[service a b]\n", CH_BAD_VALUE, "not [service NAME]"},
+    {CLASS MODEL "weight = 3\n", CH_UNKNOWN_SETTING,
+     "f.ini: [model m1] weight: no such key"},
+    {CLASS "[model m1]\n", CH_MISSING,
+     "f.ini: [model m1] memory-mb: the key is missing"},
+    {CLASS "[model m1]\nmemory-mb = 0\n", CH_BAD_VALUE, "memory-mb: '0'"},
+    {CLASS "[model m1]\nmemory-mb = big\n", CH_BAD_VALUE,
+     "not a whole number"},
+    {CLASS MODEL "adapters = a1\n", CH_MISSING,
+     "[model m1] adapter-memory-mb: the key is missing"},
+    {CLASS MODEL "adapters = a1, a1\nadapter-memory-mb = 1\n", CH_BAD_VALUE,
+     "[model m1] adapters: 'a1, a1': 'a1' stands twice"},
+    {CLASS MODEL "adapters = *\nadapter-memory-mb = 1\n", CH_BAD_VALUE,
+     "[model m1] adapters: '*' is not a name"},
+    {CLASS MODEL "adapters = m1\nadapter-memory-mb = 1\n", CH_DUPLICATE,
+     "[model m1] adapters: the name 'm1' is that of [model m1] too"},
+    {CLASS MODEL "adapters = a1\nadapter-memory-mb = 1\n"
+                 "[model m2]\nmemory-mb = 1\nadapters = a1\n"
+                 "adapter-memory-mb = 1\n",
+     CH_DUPLICATE,
+     "[model m2] adapters: the name 'a1' is that of [model m1] too"},
+    {CLASS MODEL "[service m1]\n", CH_DUPLICATE,
+     "[service m1]: the name 'm1' is that of [model m1] too"},
+    {CLASS MODEL "[model  m1]\nmemory-mb = 2\n", CH_DUPLICATE, "[model m1]"},
+    {CLASS CLASS MODEL, CH_DUPLICATE, "[class c1]: the group stands twice"},
+    {CLASS MODEL "[class  c1]\nanswer-ms = 1\nmodels = *\n", CH_DUPLICATE,
+     "[class c1]: the group stands twice"},
+    {CLASS "services = s1\n" MODEL, CH_BAD_VALUE,
+     "[class c1] services: 's1' is not declared"},
+    {"[class c1]\nmodels = m1\n" MODEL, CH_MISSING,
+     "f.ini: [class c1] answer-ms: a class states a target"},
+    {"[class c1]\nanswer-ms = 100\n" MODEL, CH_MISSING,
+     "f.ini: [class c1] models: a class names the models"},
+    {"[class c1]\nanswer-ms = 0\nmodels = m1\n" MODEL, CH_BAD_VALUE,
+     "[class c1] answer-ms: '0': not from 1"},
+    {"[class c1]\nfirst-token-ms = 1e3\nmodels = m1\n" MODEL, CH_BAD_VALUE,
+     "not a whole number"},
+    {CLASS "idempotent = perhaps\n" MODEL, CH_BAD_VALUE,
+     "[class c1] idempotent: 'perhaps': not one of false, true"},
+    {CLASS "callers = *\n" MODEL, CH_BAD_VALUE, "callers are named one by"},
+    {CLASS "callers = a\n" MODEL
+           "[class c2]\nanswer-ms = 1\nmodels = *\ncallers = a\n",
+     CH_DUPLICATE, "callers: 'a' is a caller of class c"},
+};
+
+/* Each mistake gives its code and a message with file, group and key. */
+static void
+test_bad(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
+        struct ch_error error = {0};
+        struct ch_declaration *declaration =
+            ch_declaration_parse(bad_cases[i].text, "f.ini", &error);
+        g_test_message("case %zu: %s", i, error.message);
+        g_assert_null(declaration);
+        g_assert_cmpint(error.code, ==, bad_cases[i].code);
+        g_assert_nonnull(strstr(error.message, bad_cases[i].message));
+    }
+}
+
+/* Texts that say the same; the first of each pair is canonical. */
+static const char *const same_cases[][2] = {
+    {"[class c1]\nanswer-ms = 100\nidempotent = true\nmodels = m1\n\n"
+     "[model m1]\nmemory-mb = 10\n\n",
+     "# note\n" MODEL "\n" CLASS},
+    {"[class c1]\nfirst-token-ms = 5\nbetween-tokens-ms = 6\n"
+     "idempotent = false\nmodels = *\nservices = s1, s2\ncallers = a, b\n\n"
+     "[model m1]\nmemory-mb = 10\nadapters = x, y\n"
+     "adapter-memory-mb = 3\n\n[service s1]\n\n[service s2]\n\n",
+     "[region r]\nanything = 1\n[service s2]\n[service s1]\n[link]\n"
+     "[model m1]\nadapter-memory-mb=3\nadapters=y;x\nmemory-mb=10\n"
+     "[class c1]\ncallers = b a\nidempotent = false\nmodels=*\n"
+     "services=s2,s1\nbetween-tokens-ms=6\nfirst-token-ms=5\n"},
+};
+
+/* The same declaration gives the same bytes, whatever the order of the file,
+ * and the canonical text gives itself. */
+static void
+test_canonical(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(same_cases); i++) {
+        for (size_t j = 0; j < 2; j++) {
+            struct ch_error error = {0};
+            struct ch_declaration *declaration =
+                ch_declaration_parse(same_cases[i][j], "f.ini", &error);
+            g_assert_cmpstr(error.message, ==, "");
+            g_assert_cmpstr(declaration->text, ==, same_cases[i][0]);
+            ch_declaration_free(declaration);
+        }
+    }
+}
+
+/* Look-ups by name; marks of what each class may use. */
+static void
+test_lookup(void)
+{
+    struct ch_error error = {0};
+    struct ch_declaration *declaration =
+        ch_declaration_load("examples/small.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    int adapter = -1;
+    g_assert_cmpint(ch_declaration_model(declaration, "m02"), ==, 1);
+    g_assert_cmpint(ch_declaration_model(declaration, "m01-a2"), ==, -1);
+    g_assert_cmpint(ch_declaration_adapter(declaration, "m01-a2", &adapter),
+                    ==, 0);
+    g_assert_cmpint(adapter, ==, 1);
+    g_assert_cmpint(ch_declaration_adapter(declaration, "m01", NULL), ==, -1);
+    g_assert_cmpint(ch_declaration_service(declaration, "orders"), ==, 0);
+    int lookup = ch_declaration_class(declaration, "lookup");
+    g_assert_cmpint(ch_declaration_caller_class(declaration, "secretary"), ==,
+                    lookup);
+    g_assert_cmpint(ch_declaration_caller_class(declaration, "nobody"), ==,
+                    -1);
+    const struct ch_class *class = &declaration->classes[lookup];
+    g_assert_cmpint(class->whole_answer, ==, 3000000);
+    g_assert_true(class->idempotent);
+    g_assert_cmpint(class->models[1], ==, 1);
+    g_assert_cmpint(class->models[2], ==, 0);
+    g_assert_cmpint(class->services[0], ==, 0);
+    ch_declaration_free(declaration);
+}
+
+/* Every declaration that is shipped is one. */
+static void
+test_examples(void)
+{
+    GDir *examples = g_dir_open("examples", 0, NULL);
+    const char *name;
+    while ((name = g_dir_read_name(examples)) != NULL) {
+        if (!g_str_has_suffix(name, ".ini") || strcmp(name, "node.ini") == 0) {
+            continue;
+        }
+        char *path = g_build_filename("examples", name, NULL);
+        struct ch_error error = {0};
+        struct ch_declaration *declaration = ch_declaration_load(path, &error);
+        g_assert_cmpstr(error.message, ==, "");
+        ch_declaration_free(declaration);
+        g_free(path);
+    }
+    g_dir_close(examples);
+}
+
+struct diff_case {
+    const char *from;
+    const char *to;
+    const char *diff;
+};
+
+static const struct diff_case diff_cases[] = {
+    {"", "", ""},
+    {"[a]\nx = 1\n", "[a]\nx = 1\n", ""},
+    {"[a]\nx = 1\n", "[a]\nx = 2\n", " [a]\n-x = 1\n+x = 2\n"},
+    {"[a]\nx = 1\ny = 2\n", "[a]\nx = 1\nz = 3\n", " [a]\n-y = 2\n+z = 3\n"},
+    {"", "[a]\nx = 1\n", "+[a]\n+x = 1\n"},
+    {"[a]\nx = 1\n[b]\n", "[b]\n", "-[a]\n-x = 1\n"},
+};
+
+/* Lines that changed, under their groups. */
+static void
+test_diff(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(diff_cases); i++) {
+        char *diff = ch_declaration_diff(diff_cases[i].from, diff_cases[i].to);
+        g_assert_cmpstr(diff, ==, diff_cases[i].diff);
+        g_free(diff);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/declaration/bad", test_bad);
+    g_test_add_func("/declaration/canonical", test_canonical);
+    g_test_add_func("/declaration/lookup", test_lookup);
+    g_test_add_func("/declaration/examples", test_examples);
+    g_test_add_func("/declaration/diff", test_diff);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_settings.c
@@ -0,0 +1,150 @@
+/* Settings: defaults, and every kind of mistake with the error that names it.
+ */
+
+#include "base/base.h"
+
+#include <string.h>
+
+#define NODE "[node]\nname = n1\nregion = r1\ndata-centre = d1\n"
+#define LISTEN                                                                \
+    "[listen]\ncallers = 127.0.0.1:1\nadmin = 127.0.0.1:2\n"                  \
+    "peers = 127.0.0.1:3\n"
+#define PLATFORM "[platform]\nkv = 127.0.0.1:4\nhosts = 127.0.0.1:5\n"
+#define GOOD NODE LISTEN PLATFORM
+
+struct bad_case {
+    const char *text;
+    enum ch_code code;
+    const char *message;
+};
+
+static const struct bad_case bad_cases[] = {
+    {"", CH_MISSING, "f.ini: [node]: the group is missing; it needs name"},
+    {NODE LISTEN, CH_MISSING, "f.ini: [platform]: the group is missing"},
+    {NODE LISTEN "[platform]\nkv = 127.0.0.1:4\n", CH_MISSING,
+     "f.ini: [platform] hosts: the key is missing"},
+    {GOOD "[colour]\n", CH_UNKNOWN_GROUP, "f.ini: [colour]: no such group"},
+    {GOOD "[limits]\nbody = 1\n", CH_UNKNOWN_SETTING,
+     "f.ini: [limits] body: no such key"},
+    {GOOD "[limits]\nqueue = many\n", CH_BAD_VALUE,
+     "f.ini: [limits] queue: 'many': not a whole number"},
+    {GOOD "[limits]\nqueue = 1.5\n", CH_BAD_VALUE, "not a whole number"},
+    {GOOD "[limits]\nqueue =\n", CH_BAD_VALUE, "'': not a whole number"},
+    {GOOD "[limits]\nqueue = 0\n", CH_BAD_VALUE, "'0': not from 1 to 100000"},
+    {GOOD "[limits]\nqueue = -4\n", CH_BAD_VALUE, "not from 1"},
+    {GOOD "[limits]\nqueue = 99999999999999999999\n", CH_BAD_VALUE,
+     "not from 1"},
+    {GOOD "[limits]\nqueue = 0x10\n", CH_BAD_VALUE, "not a whole number"},
+    {GOOD "[limits]\nretry-share = nan\n", CH_BAD_VALUE, "not a number"},
+    {GOOD "[limits]\nretry-share = 1.01\n", CH_BAD_VALUE, "not from 0 to 1"},
+    {GOOD "[limits]\nretry-share = 1e999\n", CH_BAD_VALUE, "not a number"},
+    {GOOD "[upstreams]\nfencing = yes\n", CH_BAD_VALUE,
+     "[upstreams] fencing: 'yes': not one of ignore, refuse"},
+    {GOOD "[node]\nworkers = 2\n", CH_DUPLICATE,
+     "f.ini: [node]: the group stands twice"},
+    {GOOD "[once]\nslots = 1\nslots = 2\n", CH_DUPLICATE,
+     "f.ini: [once] slots: the key stands twice"},
+    {"[node]\nname = a/b\nregion = r\ndata-centre = d\n" LISTEN PLATFORM,
+     CH_BAD_VALUE, "[node] name: 'a/b': not a name"},
+    {"[node]\nname =\nregion = r\ndata-centre = d\n" LISTEN PLATFORM,
+     CH_BAD_VALUE, "[node] name: '': not a name"},
+    {NODE "[listen]\ncallers = localhost:1\nadmin = 127.0.0.1:2\n"
+          "peers = 127.0.0.1:3\n" PLATFORM,
+     CH_BAD_VALUE, "[listen] callers: 'localhost:1': not ip:port"},
+    {NODE "[listen]\ncallers = 127.0.0.1:70000\nadmin = 127.0.0.1:2\n"
+          "peers = 127.0.0.1:3\n" PLATFORM,
+     CH_BAD_VALUE, "[listen] callers"},
+    {NODE "[listen]\ncallers = 127.0.0.1:1\nadmin = 127.0.0.1:2\n"
+          "peers = 127.0.0.1:1\n" PLATFORM,
+     CH_DUPLICATE,
+     "[listen] peers: '127.0.0.1:1' is the address of callers too"},
+    {NODE "[listen]\ncallers = 0.0.0.0:1\nadmin = 127.0.0.1:1\n"
+          "peers = 127.0.0.1:3\n" PLATFORM,
+     CH_DUPLICATE, "[listen] admin"},
+    {NODE LISTEN "[platform]\nkv = 127.0.0.1:0\nhosts = 127.0.0.1:5\n",
+     CH_BAD_VALUE, "[platform] kv: '127.0.0.1:0': port 0"},
+    {"name = n1\n", CH_INI_SYNTAX, "f.ini: "},
+    {"[node\n", CH_INI_SYNTAX, "f.ini: "},
+    {"[node]\nname = \xff\n", CH_INI_SYNTAX, "f.ini: not UTF-8"},
+};
+
+/* Each mistake gives its code and a message with file, group and key. */
+static void
+test_bad(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
+        struct ch_error error = {0};
+        struct ch_settings *settings =
+            ch_settings_parse(bad_cases[i].text, "f.ini", &error);
+        g_test_message("case %zu: %s", i, error.message);
+        g_assert_null(settings);
+        g_assert_cmpint(error.code, ==, bad_cases[i].code);
+        g_assert_nonnull(strstr(error.message, bad_cases[i].message));
+    }
+}
+
+/* What the required keys leave out has its default. */
+static void
+test_defaults(void)
+{
+    struct ch_error error = {0};
+    struct ch_settings *settings = ch_settings_parse(GOOD, "f.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_cmpstr(settings->name, ==, "n1");
+    g_assert_cmpstr(settings->hosts, ==, "127.0.0.1:5");
+    g_assert_cmpint(settings->log_level, ==, CH_LOG_INFO);
+    g_assert_false(settings->fencing);
+    g_assert_cmpuint(settings->once_slots, ==, 64);
+    g_assert_cmpuint(settings->max_body, ==, 1048576);
+    g_assert_cmpfloat(settings->retry_share, ==, 0.1);
+    g_assert_cmpfloat(settings->link_mbit, ==, 30);
+    g_assert_cmpuint(settings->drain_ms, ==, 3000);
+    ch_settings_free(settings);
+}
+
+/* Every type is read; three listeners may all leave the port to the kernel. */
+static void
+test_values(void)
+{
+    struct ch_error error = {0};
+    struct ch_settings *settings = ch_settings_parse(
+        NODE "workers = 2\nlog-level = err\n"
+             "[listen]\ncallers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n"
+             "peers = 127.0.0.1:0\n" PLATFORM "[upstreams]\nfencing = refuse\n"
+             "[limits]\nbody-bytes = 2048\n"
+             "[weight-store]\nloads-per-s = 0.5\n[link]\nmbit-per-s = 0\n",
+        "f.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_cmpuint(settings->workers, ==, 2);
+    g_assert_cmpint(settings->log_level, ==, CH_LOG_ERR);
+    g_assert_true(settings->fencing);
+    g_assert_cmpuint(settings->max_body, ==, 2048);
+    g_assert_cmpfloat(settings->loads_per_s, ==, 0.5);
+    g_assert_cmpfloat(settings->link_mbit, ==, 0);
+    ch_settings_free(settings);
+}
+
+/* Files: the shipped example loads; one that is not there names itself. */
+static void
+test_files(void)
+{
+    struct ch_error error = {0};
+    struct ch_settings *settings =
+        ch_settings_load("examples/node.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    ch_settings_free(settings);
+    g_assert_null(ch_settings_load("examples/none.ini", &error));
+    g_assert_cmpint(error.code, ==, CH_FILE_UNREADABLE);
+    g_assert_nonnull(strstr(error.message, "examples/none.ini"));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/settings/bad", test_bad);
+    g_test_add_func("/settings/defaults", test_defaults);
+    g_test_add_func("/settings/values", test_values);
+    g_test_add_func("/settings/files", test_files);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_table.c
@@ -0,0 +1,91 @@
+/* Handle tables: a handle finds its own item or nothing. */
+
+#include "base/base.h"
+
+/* A late message bears the handle of something that is gone.  Its slot has a
+ * new item by then; the old handle must not find it. */
+static void
+test_stale(void)
+{
+    struct ch_table *table = ch_table_new();
+    int items[2];
+    uint64_t first = ch_table_add(table, &items[0]);
+    g_assert_cmpuint(first, !=, 0);
+    g_assert_true(ch_table_get(table, first) == &items[0]);
+    g_assert_true(ch_table_remove(table, first) == &items[0]);
+    g_assert_null(ch_table_remove(table, first));
+    uint64_t second = ch_table_add(table, &items[1]);
+    g_assert_cmpuint((uint32_t)second, ==, (uint32_t)first);
+    g_assert_null(ch_table_get(table, first));
+    g_assert_true(ch_table_get(table, second) == &items[1]);
+    ch_table_free(table);
+}
+
+/* Handles that were never given find nothing. */
+static void
+test_foreign(void)
+{
+    static const uint64_t handles[] = {
+        0, 1, UINT32_MAX, UINT64_MAX, UINT64_C(1) << 32, UINT64_C(2) << 32};
+    struct ch_table *table = ch_table_new();
+    int item;
+    (void)ch_table_remove(table, ch_table_add(table, &item));
+    for (size_t i = 0; i < G_N_ELEMENTS(handles); i++) {
+        g_assert_null(ch_table_get(table, handles[i]));
+        g_assert_null(ch_table_remove(table, handles[i]));
+    }
+    g_assert_cmpuint(ch_table_count(table), ==, 0);
+    ch_table_free(table);
+}
+
+/* Checks each item against its handle and counts it. */
+static void
+count_item(void *item, uint64_t handle, void *data)
+{
+    size_t *count = data;
+    g_assert_cmpuint(*(uint64_t *)item, ==, handle);
+    (*count)++;
+}
+
+/* Many adds and removes in a fixed order of chance: every live handle finds
+ * its item, each walk meets every item once. */
+static void
+test_many(void)
+{
+    enum {
+        ITEMS = 500,
+        ROUNDS = 20000
+    };
+    uint64_t items[ITEMS] = {0}; /* each holds its own handle; 0: out */
+    size_t live = 0;
+    GRand *rand = g_rand_new_with_seed(7);
+    struct ch_table *table = ch_table_new();
+    for (int i = 0; i < ROUNDS; i++) {
+        uint64_t *item = &items[g_rand_int_range(rand, 0, ITEMS)];
+        if (*item == 0) {
+            *item = ch_table_add(table, item);
+            live++;
+            continue;
+        }
+        g_assert_true(ch_table_get(table, *item) == item);
+        g_assert_true(ch_table_remove(table, *item) == item);
+        *item = 0;
+        live--;
+    }
+    size_t walked = 0;
+    ch_table_each(table, count_item, &walked);
+    g_assert_cmpuint(walked, ==, live);
+    g_assert_cmpuint(ch_table_count(table), ==, live);
+    ch_table_free(table);
+    g_rand_free(rand);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/table/stale", test_stale);
+    g_test_add_func("/table/foreign", test_foreign);
+    g_test_add_func("/table/many", test_many);
+    return g_test_run();
+}
