--- a/libchestnuthitch/base/pool.c
+++ b/libchestnuthitch/base/pool.c
@@ -1,6 +1,7 @@
 /* The worker pool: jobs go through a Concurrency Kit ring to POSIX threads. */
 
 #include "base/base.h"
+#include "base/annotate.h"
 
 #include <ck_ring.h>
 #include <pthread.h>
@@ -41,6 +42,7 @@
         while (!ck_ring_dequeue_mpmc(&pool->ring, pool->buffer, &job)) {
             ck_pr_stall();
         }
+        CH_ACQUIRE(job);
         if (job->run == NULL) {
             g_free(job);
             return NULL;
@@ -76,6 +78,7 @@
     struct job *job = g_new(struct job, 1);
     job->run = run;
     job->data = data;
+    CH_RELEASE(job);
     while (!ck_ring_enqueue_mpmc(&pool->ring, pool->buffer, job)) {
         sched_yield();
     }
