Add the inner protocol, membership, homes and the node's life

Nodes talk over framed protobuf-c on TCP. Who answers is judged by each node from what it hears itself; a silence that others report is only a reason to probe. An entry node asks an upstream's home for leave to dispatch and calls the upstream itself, so that a home's death cuts no stream. What a decision leads to is carried out after the lock is given back.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -145,6 +145,8 @@
 struct ch_timers;
 
 struct ch_timers *ch_timers_new(struct ch_pool *pool);
+/* Ends the thread; from then on nothing that is asked for runs. */
+void ch_timers_stop(struct ch_timers *timers);
 void ch_timers_free(struct ch_timers *timers);
 /* run(data) once after delay; the handle never comes again. */
 uint64_t ch_timers_after(struct ch_timers *timers, int64_t delay,
--- a/libchestnuthitch/base/timer.c
+++ b/libchestnuthitch/base/timer.c
@@ -120,18 +120,29 @@
     return timers;
 }
 
-/* Ends the thread.  What was not yet due never runs. */
+/* Ends the thread.  What was not yet due never runs, nor what is asked for
+ * later: the pool's last jobs may still ask. */
 void
-ch_timers_free(struct ch_timers *timers)
+ch_timers_stop(struct ch_timers *timers)
 {
-    if (timers == NULL) {
-        return;
-    }
     pthread_mutex_lock(&timers->lock);
+    bool running = !timers->stopping;
     timers->stopping = true;
     pthread_cond_signal(&timers->changed);
     pthread_mutex_unlock(&timers->lock);
-    pthread_join(timers->thread, NULL);
+    if (running) {
+        pthread_join(timers->thread, NULL);
+    }
+}
+
+/* Frees the timers, stopped first if need be. */
+void
+ch_timers_free(struct ch_timers *timers)
+{
+    if (timers == NULL) {
+        return;
+    }
+    ch_timers_stop(timers);
     g_hash_table_destroy(timers->by_handle);
     g_sequence_free(timers->due);
     pthread_cond_destroy(&timers->changed);
--- /dev/null
+++ b/libchestnuthitch/decide/member.c
@@ -0,0 +1,390 @@
+/* Membership: who is listed, who answers, whom to probe next. */
+
+#include "decide/member.h"
+
+#include <string.h>
+
+enum {
+    /* A silent member is probed this often: soon enough to come back into
+     * use, seldom enough that a lost data centre costs little. */
+    SILENT_PROBE = 1000 * 1000,
+    /* How long others are told: several rounds of gossip at 320 nodes. */
+    HINT_TIME = 4 * 1000 * 1000,
+};
+
+struct ch_members {
+    char *self;
+    char *region;
+    char *data_centre;
+    bool stopping;
+    GPtrArray *list; /* of struct ch_member, by name */
+    GRand *random;
+    int64_t silent_after;
+    int64_t next_probe;
+    GArray *order; /* uint32_t: what is left of this round's shuffle */
+};
+
+/* Frees one member. */
+static void
+free_member(gpointer data)
+{
+    struct ch_member *member = data;
+    g_free(member->name);
+    g_free(member->address);
+    g_free(member->region);
+    g_free(member->data_centre);
+    g_free(member);
+}
+
+/* Members as seen by the node `self`, which is always live and not listed
+ * among them.  The seed makes the order of probes repeatable. */
+struct ch_members *
+ch_members_new(const char *self, const char *region, const char *data_centre,
+               uint64_t seed, int64_t silent_after)
+{
+    struct ch_members *members = g_new0(struct ch_members, 1);
+    members->self = g_strdup(self);
+    members->region = g_strdup(region);
+    members->data_centre = g_strdup(data_centre);
+    members->list = g_ptr_array_new_with_free_func(free_member);
+    members->random = g_rand_new_with_seed((guint32)seed);
+    members->silent_after = silent_after;
+    members->order = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    return members;
+}
+
+/* Frees the members and every name that was given out. */
+void
+ch_members_free(struct ch_members *members)
+{
+    if (members == NULL) {
+        return;
+    }
+    g_ptr_array_free(members->list, TRUE);
+    g_array_free(members->order, TRUE);
+    g_rand_free(members->random);
+    g_free(members->self);
+    g_free(members->region);
+    g_free(members->data_centre);
+    g_free(members);
+}
+
+/* The place of name in the list, or where it belongs. */
+static guint
+place_of(const struct ch_members *members, const char *name, bool *found)
+{
+    guint low = 0;
+    guint high = members->list->len;
+    *found = false;
+    while (low < high) {
+        guint middle = low + (high - low) / 2;
+        const struct ch_member *member =
+            g_ptr_array_index(members->list, middle);
+        int order = strcmp(member->name, name);
+        if (order == 0) {
+            *found = true;
+            return middle;
+        }
+        if (order < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/* The member of that name, to be changed; NULL for this node or an unknown
+ * one. */
+static struct ch_member *
+find_member(const struct ch_members *members, const char *name)
+{
+    bool found = false;
+    guint at = place_of(members, name, &found);
+    return found ? g_ptr_array_index(members->list, at) : NULL;
+}
+
+/* The member of that name; NULL for this node or an unknown one. */
+const struct ch_member *
+ch_members_find(const struct ch_members *members, const char *name)
+{
+    return find_member(members, name);
+}
+
+/* Begins an update by the platform's list. */
+void
+ch_members_begin_update(struct ch_members *members)
+{
+    for (guint i = 0; i < members->list->len; i++) {
+        struct ch_member *member = g_ptr_array_index(members->list, i);
+        member->listed = false;
+    }
+}
+
+/* Replaces a string when it differs. */
+static void
+set_string(char **at, const char *value)
+{
+    if (g_strcmp0(*at, value) != 0) {
+        g_free(*at);
+        *at = g_strdup(value);
+    }
+}
+
+/* One line of the list.  A new member counts as live until it is found
+ * silent: the list names hosts that the platform holds to be up, and the first
+ * use of a home that is not costs one time-out. */
+void
+ch_members_listed(struct ch_members *members, const char *name,
+                  const char *address, const char *region,
+                  const char *data_centre, bool leaving, int64_t now)
+{
+    if (strcmp(name, members->self) == 0) {
+        return;
+    }
+    bool found = false;
+    guint at = place_of(members, name, &found);
+    if (!found) {
+        struct ch_member *fresh = g_new0(struct ch_member, 1);
+        fresh->name = g_strdup(name);
+        fresh->heard = now;
+        g_ptr_array_insert(members->list, (gint)at, fresh);
+    }
+    struct ch_member *member = g_ptr_array_index(members->list, at);
+    set_string(&member->address, address);
+    set_string(&member->region, region);
+    set_string(&member->data_centre, data_centre);
+    member->leaving = leaving;
+    member->listed = true;
+}
+
+/* Ends the update: who was not listed is forgotten. */
+void
+ch_members_end_update(struct ch_members *members)
+{
+    for (guint i = members->list->len; i > 0; i--) {
+        const struct ch_member *member =
+            g_ptr_array_index(members->list, i - 1);
+        if (!member->listed) {
+            g_ptr_array_remove_index(members->list, i - 1);
+        }
+    }
+    g_array_set_size(members->order, 0);
+}
+
+/* Something came from it: it is alive. */
+void
+ch_members_heard(struct ch_members *members, const char *name, int64_t now)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member == NULL) {
+        return;
+    }
+    member->heard = MAX(member->heard, now);
+    member->status = CH_MEMBER_ALIVE;
+    member->hint_until = 0;
+    member->probe_at = 0;
+}
+
+/* One connection failed.  The member is silent only if nothing came from it
+ * on any other for silent_after: a single connection that something on the way
+ * has forgotten says nothing about the node. */
+bool
+ch_members_lost(struct ch_members *members, const char *name, int64_t now)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member == NULL) {
+        return false;
+    }
+    if (now - member->heard < members->silent_after) {
+        member->probe_at = now;
+        return false;
+    }
+    if (member->status == CH_MEMBER_ALIVE) {
+        member->status = CH_MEMBER_SILENT;
+        member->hint_until = now + HINT_TIME;
+    }
+    member->probe_at = now + SILENT_PROBE;
+    return true;
+}
+
+/* Another node finds it silent: probe it at once and judge by that. */
+void
+ch_members_hint(struct ch_members *members, const char *name, int64_t now)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member == NULL || member->status == CH_MEMBER_SILENT ||
+        now - member->heard < members->silent_after) {
+        return;
+    }
+    member->probe_at = now;
+}
+
+/* A node that stops says so, ahead of the lagging list: homes move away while
+ * it still answers, and nobody waits for a time-out. */
+void
+ch_members_leaves(struct ch_members *members, const char *name,
+                  uint64_t incarnation)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL) {
+        member->leaves = incarnation;
+    }
+}
+
+/* From now on the keys of this node have their homes elsewhere; where there is
+ * nobody else, ch_members_home finds none. */
+void
+ch_members_stop_self(struct ch_members *members)
+{
+    members->stopping = true;
+}
+
+/* The process behind the name: a new one has not said that it stops. */
+void
+ch_members_incarnation(struct ch_members *members, const char *name,
+                       uint64_t incarnation)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL && member->incarnation != incarnation) {
+        member->incarnation = incarnation;
+        member->leaves = 0;
+    }
+}
+
+/* Whether keys may have their home there. */
+bool
+ch_member_serves(const struct ch_member *member)
+{
+    return member->status == CH_MEMBER_ALIVE && !member->leaving &&
+           member->leaves == 0;
+}
+
+/* After a pause of this process (stopped, or starved of processor time) every
+ * member seems silent at once, though none was asked.  Without this the node
+ * would call itself the home of everything until it had heard from each. */
+void
+ch_members_paused(struct ch_members *members, int64_t gap)
+{
+    for (guint i = 0; i < members->list->len; i++) {
+        struct ch_member *member = g_ptr_array_index(members->list, i);
+        member->heard += gap;
+    }
+}
+
+/* Draws the next member of a shuffled round: every member is probed once a
+ * round, so that the time to find a failure is bounded, as in SWIM (Das, Gupta
+ * and Motivala, 2002). */
+static struct ch_member *
+draw_member(struct ch_members *members)
+{
+    if (members->list->len == 0) {
+        return NULL;
+    }
+    if (members->order->len == 0) {
+        for (uint32_t i = 0; i < members->list->len; i++) {
+            g_array_append_val(members->order, i);
+        }
+    }
+    guint pick = (guint)g_rand_int_range(members->random, 0,
+                                         (gint32)members->order->len);
+    uint32_t index = g_array_index(members->order, uint32_t, pick);
+    g_array_remove_index_fast(members->order, pick);
+    return g_ptr_array_index(members->list, index);
+}
+
+/* Gives the names to probe now: those due after a loss or hint, and one of
+ * the round when the period is over. */
+size_t
+ch_members_probe(struct ch_members *members, int64_t now, const char **names,
+                 size_t most)
+{
+    size_t count = 0;
+    for (guint i = 0; i < members->list->len && count < most; i++) {
+        struct ch_member *member = g_ptr_array_index(members->list, i);
+        if (member->probe_at > 0 && member->probe_at <= now) {
+            member->probe_at = now + SILENT_PROBE;
+            names[count++] = member->name;
+        }
+    }
+    if (now < members->next_probe || count == most) {
+        return count;
+    }
+    members->next_probe = now + CH_MEMBER_PERIOD;
+    const struct ch_member *drawn = draw_member(members);
+    if (drawn != NULL && drawn->status == CH_MEMBER_ALIVE) {
+        names[count++] = drawn->name;
+    }
+    return count;
+}
+
+/* How many members there are besides this node. */
+size_t
+ch_members_count(const struct ch_members *members)
+{
+    return members->list->len;
+}
+
+/* The member at a place in the order of names. */
+const struct ch_member *
+ch_members_at(const struct ch_members *members, size_t index)
+{
+    return g_ptr_array_index(members->list, index);
+}
+
+/* Whether a node in that place serves the scope; NULL means any. */
+static bool
+in_scope(const char *region, const char *data_centre, const char *want_region,
+         const char *want_data_centre)
+{
+    return (want_region == NULL || strcmp(region, want_region) == 0) &&
+           (want_data_centre == NULL ||
+            strcmp(data_centre, want_data_centre) == 0);
+}
+
+/* The live node of the scope with the highest weight, or NULL. */
+static const char *
+best_in_scope(const struct ch_members *members, uint64_t key,
+              const char *region, const char *data_centre)
+{
+    const char *best = NULL;
+    uint64_t best_weight = 0;
+    if (!members->stopping &&
+        in_scope(members->region, members->data_centre, region, data_centre)) {
+        best = members->self;
+        best_weight = ch_hash_pair(key, ch_hash_string(best));
+    }
+    for (guint i = 0; i < members->list->len; i++) {
+        const struct ch_member *member = g_ptr_array_index(members->list, i);
+        if (!ch_member_serves(member) ||
+            !in_scope(member->region, member->data_centre, region,
+                      data_centre)) {
+            continue;
+        }
+        uint64_t weight = ch_hash_pair(key, ch_hash_string(member->name));
+        if (best == NULL || weight > best_weight) {
+            best = member->name;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+/* The home of a key: in the data centre if a node lives there, so that the
+ * exact counts are kept a millisecond from the upstream; else in its region;
+ * else anywhere, so that losing every node of a data centre leaves its
+ * upstreams in use. */
+const char *
+ch_members_home(const struct ch_members *members, uint64_t key,
+                const char *region, const char *data_centre)
+{
+    const char *best = best_in_scope(members, key, region, data_centre);
+    if (best == NULL) {
+        best = best_in_scope(members, key, region, NULL);
+    }
+    if (best == NULL) {
+        best = best_in_scope(members, key, NULL, NULL);
+    }
+    return best;
+}
--- /dev/null
+++ b/libchestnuthitch/node/node.c
@@ -0,0 +1,122 @@
+/* A node's life: what is started in which order, and how it stops. */
+
+#include "node/homes_internal.h"
+
+#include <time.h>
+
+enum {
+    /* A call to the host list that takes longer is given up. */
+    LIST_LIMIT = 2 * 1000 * 1000,
+};
+
+/* Frees everything, in the reverse of its order.  Stopped before, or never
+ * started: each part takes NULL. */
+static void
+free_node(struct ch_node *node)
+{
+    ch_front_free(node->front);
+    ch_admin_free(node->admin);
+    ch_config_keeper_free(node->config);
+    ch_once_keeper_free(node->once);
+    ch_ledger_keeper_free(node->ledger);
+    ch_homes_free(node->homes);
+    ch_peers_free(node->peers);
+    if (node->kv != NULL) {
+        node->kv->ops->free(node->kv);
+    }
+    if (node->hosts != NULL) {
+        node->hosts->ops->free(node->hosts);
+    }
+    g_free(node);
+}
+
+/* Makes what the settings name, sockets opened but nothing yet served. */
+static bool
+make_parts(struct ch_node *node, struct ch_error *error)
+{
+    const struct ch_settings *settings = node->settings;
+    node->pool = ch_pool_new(settings->workers);
+    node->timers = ch_timers_new(node->pool);
+    node->http = ch_http_new(node->client);
+    ch_http_idle_limit(node->http,
+                       (int64_t)settings->idle_connection_ms * 1000);
+    node->kv = ch_kv_http_new(node->client, node->http, settings->kv,
+                              (int64_t)settings->kv_timeout_ms * 1000);
+    node->hosts = ch_hosts_http_new(node->client, node->http, settings->hosts,
+                                    LIST_LIMIT);
+    node->peers = ch_peers_new(node, error);
+    if (node->peers == NULL) {
+        return false;
+    }
+    node->config = ch_config_keeper_new(node);
+    node->once = ch_once_keeper_new(node);
+    node->homes = ch_homes_new(node);
+    node->ledger =
+        ch_ledger_keeper_new(node, home_ledger_handlers(), node->homes);
+    return true;
+}
+
+/* Ends threads: those that bring work first, then the pool that does it. */
+static void
+stop_threads(struct ch_node *node)
+{
+    if (node->peers != NULL) {
+        ch_peers_stop(node->peers);
+    }
+    ch_http_free(node->http);
+    node->http = NULL;
+    ch_timers_stop(node->timers);
+    ch_pool_free(node->pool);
+    node->pool = NULL;
+    ch_timers_free(node->timers);
+    node->timers = NULL;
+}
+
+/* Starts a node.  The listeners are open and served when this returns; it is
+ * ready once a configuration is known. */
+struct ch_node *
+ch_node_start(struct ch_client *client, const struct ch_settings *settings,
+              struct ch_error *error)
+{
+    struct ch_node *node = g_new0(struct ch_node, 1);
+    node->client = client;
+    node->settings = settings;
+    node->incarnation = (uint64_t)g_get_real_time();
+    if (!make_parts(node, error)) {
+        stop_threads(node);
+        free_node(node);
+        return NULL;
+    }
+    ch_peers_start(node->peers);
+    ch_config_keeper_start(node->config);
+    ch_homes_start(node->homes);
+    node->front = ch_front_new(node, error);
+    node->admin = node->front != NULL ? ch_admin_new(node, error) : NULL;
+    if (node->admin == NULL) {
+        ch_node_stop(node);
+        return NULL;
+    }
+    return node;
+}
+
+/* Stops a node without cutting a request short: callers first, while homes,
+ * records and peers still work; then what served them. */
+void
+ch_node_stop(struct ch_node *node)
+{
+    ch_log(node->client, CH_LOG_NOTICE, "stopping", CH_F_END);
+    ch_homes_drain(node->homes);
+    if (node->front != NULL) {
+        ch_front_stop(node->front);
+    }
+    if (node->admin != NULL) {
+        ch_admin_stop(node->admin);
+    }
+    ch_homes_stop(node->homes);
+    ch_once_keeper_stop(node->once);
+    ch_ledger_keeper_stop(node->ledger);
+    ch_config_keeper_stop(node->config);
+    stop_threads(node);
+    ch_log(node->client, CH_LOG_NOTICE, "stopped", CH_F_END);
+    free_node(node);
+}
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -22,6 +22,8 @@
 #include "upstream/upstream.h"
 #include "wire/wire.h"
 
+#include <json-glib/json-glib.h>
+
 struct ch_node {
     struct ch_client *client;
     const struct ch_settings *settings;
@@ -52,6 +54,8 @@
 struct ch_peers;
 
 struct ch_peers *ch_peers_new(struct ch_node *node, struct ch_error *error);
+/* After the handlers were set. */
+void ch_peers_start(struct ch_peers *peers);
 void ch_peers_stop(struct ch_peers *peers);
 void ch_peers_free(struct ch_peers *peers);
 /*
@@ -71,9 +75,15 @@
                  void (*done)(void *data, enum ch_code code,
                               const Chestnuthitch__Wire__Frame *reply),
                  void *data);
-/* Replies to a frame that was handled; `to` and `id` from that frame. */
-void ch_peers_reply(struct ch_peers *peers, const char *to, uint64_t id,
+/* Replies to a frame that was handled; `to` and `id` from that frame.  False:
+   the connection that it came by is gone, and the asker has been told so. */
+bool ch_peers_reply(struct ch_peers *peers, const char *to, uint64_t id,
                     Chestnuthitch__Wire__Frame *frame);
+/* Replies that nobody waits for any more, on a pool worker. */
+void ch_peers_handle_late(
+    struct ch_peers *peers,
+    void (*handle)(void *data, const Chestnuthitch__Wire__Frame *frame),
+    void *data);
 /* Handles frames of one body case, on a pool worker; before start alone. */
 void ch_peers_handle(struct ch_peers *peers,
                      Chestnuthitch__Wire__Frame__BodyCase body,
@@ -84,6 +94,23 @@
    A new string; this node's own name when it is alone. */
 char *ch_peers_home(struct ch_peers *peers, uint64_t key,
                     const char *data_centre);
+/* As above for an upstream: its data centre, else its region, else any. */
+char *ch_peers_upstream_home(struct ch_peers *peers, uint64_t key,
+                             const char *region, const char *data_centre);
+/* The platform's list, whole. */
+void ch_peers_list(struct ch_peers *peers, const struct ch_host_list *list);
+/* When anything last came from the node; 0: it is not known.  incarnation
+   (may be NULL): of its process. */
+int64_t ch_peers_heard(struct ch_peers *peers, const char *name,
+                       uint64_t *incarnation);
+/* Members to tell of in gossip, and what others tell. */
+void ch_peers_hints(struct ch_peers *peers, GPtrArray *silent_names);
+void ch_peers_told(struct ch_peers *peers,
+                   const Chestnuthitch__Wire__Gossip *gossip);
+/* The port that the kernel gave. */
+uint16_t ch_peers_port(const struct ch_peers *peers);
+/* This node stops: no key has its home here, unless it is alone. */
+void ch_peers_stopping(struct ch_peers *peers);
 /* Names of the live nodes, this one among them, sorted; g_strfreev. */
 char **ch_peers_live(struct ch_peers *peers);
 
@@ -208,6 +235,8 @@
                           const GArray *excluded,
                           const struct ch_homes_handlers *handlers,
                           void *data);
+/* This node stops: its homes go to others, what is queued with them. */
+void ch_homes_drain(struct ch_homes *homes);
 /* True: neither handler will run.  False: one has run or is about to; a grant
    is then to be released as ever. */
 bool ch_homes_withdraw(struct ch_homes *homes, uint64_t handle);
@@ -215,9 +244,8 @@
 void ch_homes_release(struct ch_homes *homes, uint64_t handle,
                       const struct ch_sample *sample);
 /* Upstreams, homes, residents as JSON members of an open object. */
-struct _JsonBuilder;
-void ch_homes_status(struct ch_homes *homes, struct _JsonBuilder *builder);
-void ch_peers_status(struct ch_peers *peers, struct _JsonBuilder *builder);
+void ch_homes_status(struct ch_homes *homes, JsonBuilder *builder);
+void ch_peers_status(struct ch_peers *peers, JsonBuilder *builder);
 
 /* ---- front (front.c: HTTP; exchange.c: one request's course) ---- */
 
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1556,7 +1556,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__enqueue__field_descriptors[12] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__enqueue__field_descriptors[14] =
 {
   {
     "upstream",
@@ -1702,12 +1702,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Enqueue, whole_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Enqueue, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__enqueue__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
   11,   /* field[11] = attempt */
   9,   /* field[9] = between_us */
   3,   /* field[3] = class_name */
+  13,   /* field[13] = idempotent */
   8,   /* field[8] = left_us */
   1,   /* field[1] = model */
   6,   /* field[6] = output_tokens */
@@ -1716,11 +1741,12 @@
   10,   /* field[10] = service */
   4,   /* field[4] = tenant */
   0,   /* field[0] = upstream */
+  12,   /* field[12] = whole_us */
 };
 static const ProtobufCIntRange chestnuthitch__wire__enqueue__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__enqueue__descriptor =
 {
@@ -1730,7 +1756,7 @@
   "Chestnuthitch__Wire__Enqueue",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Enqueue),
-  12,
+  14,
   chestnuthitch__wire__enqueue__field_descriptors,
   chestnuthitch__wire__enqueue__field_indices_by_name,
   1,  chestnuthitch__wire__enqueue__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -244,10 +244,15 @@
   uint64_t between_us;
   protobuf_c_boolean service;
   uint32_t attempt;
+  /*
+   * until the target for the whole answer; 0: none
+   */
+  uint64_t whole_us;
+  protobuf_c_boolean idempotent;
 };
 #define CHESTNUTHITCH__WIRE__ENQUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__enqueue__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Chestnuthitch__Wire__Grant
--- /dev/null
+++ b/libchestnuthitch/wire/frame.c
@@ -0,0 +1,128 @@
+/* Framing: four bytes of length, big endian, then one encoded Frame. */
+
+#include "wire/wire.h"
+
+#include <string.h>
+
+struct ch_wire_decoder {
+    GByteArray *bytes;
+    size_t taken; /* of bytes, by frames already given out */
+    bool failed;
+};
+
+/* Appends frame with its length to out.  False with FRAME_TOO_LARGE when it
+ * would be refused at the other end; out is as before then. */
+bool
+ch_wire_encode(const Chestnuthitch__Wire__Frame *frame, GByteArray *out,
+               struct ch_error *error)
+{
+    size_t length = chestnuthitch__wire__frame__get_packed_size(frame);
+    if (length > CH_WIRE_MOST_BYTES) {
+        ch_error_set(error, CH_FRAME_TOO_LARGE, "a frame of %zu bytes",
+                     length);
+        return false;
+    }
+    guint at = out->len;
+    g_byte_array_set_size(out, at + CH_WIRE_PREFIX + (guint)length);
+    uint32_t prefix = GUINT32_TO_BE((uint32_t)length);
+    memcpy(out->data + at, &prefix, sizeof(prefix));
+    chestnuthitch__wire__frame__pack(frame, out->data + at + CH_WIRE_PREFIX);
+    return true;
+}
+
+/* A decoder for one connection. */
+struct ch_wire_decoder *
+ch_wire_decoder_new(void)
+{
+    struct ch_wire_decoder *decoder = g_new0(struct ch_wire_decoder, 1);
+    decoder->bytes = g_byte_array_new();
+    return decoder;
+}
+
+/* Frees the decoder with what was not yet a whole frame. */
+void
+ch_wire_decoder_free(struct ch_wire_decoder *decoder)
+{
+    if (decoder == NULL) {
+        return;
+    }
+    g_byte_array_free(decoder->bytes, TRUE);
+    g_free(decoder);
+}
+
+/* Takes bytes as they came off the connection.  The caller asks for frames
+ * after each feed, so that no more than one frame and one read are held. */
+void
+ch_wire_decoder_feed(struct ch_wire_decoder *decoder, const void *bytes,
+                     size_t length)
+{
+    if (decoder->taken > 0) {
+        g_byte_array_remove_range(decoder->bytes, 0, (guint)decoder->taken);
+        decoder->taken = 0;
+    }
+    g_byte_array_append(decoder->bytes, bytes, (guint)length);
+}
+
+/* Sets the error and leaves the decoder in it for good: after one bad frame
+ * the place where the next begins is not known. */
+static Chestnuthitch__Wire__Frame *
+fail(struct ch_wire_decoder *decoder, struct ch_error *error,
+     enum ch_code code, const char *message)
+{
+    decoder->failed = true;
+    ch_error_set(error, code, "%s", message);
+    return NULL;
+}
+
+/* The next whole frame, freed with ch_wire_frame_free; NULL when more bytes
+ * are needed, or with *error set when the connection is to be closed.  The
+ * length is checked before anything is allocated for it. */
+Chestnuthitch__Wire__Frame *
+ch_wire_decoder_next(struct ch_wire_decoder *decoder, struct ch_error *error)
+{
+    if (decoder->failed) {
+        return fail(decoder, error, CH_FRAME_DAMAGED, "after a bad frame");
+    }
+    size_t held = decoder->bytes->len - decoder->taken;
+    if (held < CH_WIRE_PREFIX) {
+        return NULL;
+    }
+    const uint8_t *at = decoder->bytes->data + decoder->taken;
+    uint32_t prefix = 0;
+    memcpy(&prefix, at, sizeof(prefix));
+    size_t length = GUINT32_FROM_BE(prefix);
+    if (length > CH_WIRE_MOST_BYTES) {
+        return fail(decoder, error, CH_FRAME_TOO_LARGE, "frame over limit");
+    }
+    if (held - CH_WIRE_PREFIX < length) {
+        return NULL;
+    }
+    Chestnuthitch__Wire__Frame *frame =
+        chestnuthitch__wire__frame__unpack(NULL, length, at + CH_WIRE_PREFIX);
+    if (frame == NULL) {
+        return fail(decoder, error, CH_FRAME_DAMAGED, "frame does not decode");
+    }
+    decoder->taken += CH_WIRE_PREFIX + length;
+    if (frame->version != CH_WIRE_VERSION) {
+        ch_wire_frame_free(frame);
+        return fail(decoder, error, CH_FRAME_VERSION,
+                    "frame of another "
+                    "version");
+    }
+    if (frame->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY__NOT_SET ||
+        frame->from[0] == '\0') {
+        ch_wire_frame_free(frame);
+        return fail(decoder, error, CH_FRAME_DAMAGED,
+                    "frame without body or sender");
+    }
+    return frame;
+}
+
+/* Frees a frame that the decoder gave. */
+void
+ch_wire_frame_free(Chestnuthitch__Wire__Frame *frame)
+{
+    if (frame != NULL) {
+        chestnuthitch__wire__frame__free_unpacked(frame, NULL);
+    }
+}
