--- /dev/null
+++ b/libchestnuthitch/upstream/engine.c
@@ -0,0 +1,221 @@
+/* The client of a model engine: calls, orders and reports over HTTP. */
+
+#include "upstream/call.h"
+#include "upstream/report.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+enum {
+    /* Of a report: some hundred residents and orders of a hundred bytes. */
+    MOST_REPORT = 1024 * 1024,
+    MOST_ORDER_ANSWER = 64 * 1024,
+};
+
+struct engine {
+    struct ch_upstream base;
+    struct ch_client *client;
+    struct ch_http *http;
+    char *address;
+    int64_t call_limit;
+};
+
+/* Passes a caller's request on to the engine. */
+static uint64_t
+engine_call(struct ch_upstream *upstream, const struct ch_call *call,
+            const struct ch_call_handlers *handlers, void *data)
+{
+    static const struct ch_call_rules rules = {
+        .server_errors_fail = true,
+        .events_have_ids = true,
+    };
+    struct engine *engine = (struct engine *)upstream;
+    return ch_call_start(engine->client, engine->http, engine->address, &rules,
+                         call, handlers, data);
+}
+
+/* Ends a call; the closed connection tells the engine. */
+static void
+engine_cancel(struct ch_upstream *upstream, uint64_t handle)
+{
+    struct engine *engine = (struct engine *)upstream;
+    ch_http_cancel(engine->http, handle);
+}
+
+/* An order under way: who is to be told. */
+struct order_wait {
+    void (*done)(void *data, enum ch_code code);
+    void *data;
+};
+
+/*
+ * The code for an order's answer.  What is not one of the agreed statuses says
+ * nothing of whether the order was taken, nor does a lost answer: those are
+ * unknown outcomes.
+ */
+static enum ch_code
+code_of_order(const struct ch_http_answer *answer)
+{
+    if (answer->end.code != CH_OK) {
+        return answer->end.sent ? answer->end.code : CH_UPSTREAM_CONNECT;
+    }
+    switch (answer->end.status) {
+    case 200:
+    case 202:
+        return CH_OK;
+    case 409:
+        return CH_STALE_FENCE;
+    case 507:
+        return CH_UPSTREAM_REFUSED;
+    default:
+        return CH_UPSTREAM_ANSWER;
+    }
+}
+
+/* The answer to an order, or what kept it from coming. */
+static void
+order_answered(void *data, const struct ch_http_answer *answer)
+{
+    struct order_wait *wait = data;
+    wait->done(wait->data, code_of_order(answer));
+    g_free(wait);
+}
+
+/* The JSON of an order; a new string. */
+static char *
+print_order(const struct ch_order *order)
+{
+    JsonBuilder *builder = json_builder_new_immutable();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "id");
+    json_builder_add_string_value(builder, order->id);
+    json_builder_set_member_name(builder, "fence");
+    json_builder_add_int_value(builder, (int64_t)order->fence);
+    json_builder_set_member_name(builder, "action");
+    json_builder_add_string_value(
+        builder, order->action == CH_ORDER_LOAD ? "load" : "unload");
+    json_builder_set_member_name(builder, "model");
+    json_builder_add_string_value(builder, order->model);
+    if (order->adapter != NULL) {
+        json_builder_set_member_name(builder, "adapter");
+        json_builder_add_string_value(builder, order->adapter);
+    }
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return text;
+}
+
+/* Sends an order on a fresh connection: libcurl must not repeat it. */
+static void
+engine_order(struct ch_upstream *upstream, const struct ch_order *order,
+             void (*done)(void *data, enum ch_code code), void *data)
+{
+    struct engine *engine = (struct engine *)upstream;
+    static const struct ch_http_header headers[] = {
+        {"Content-Type", "application/json"},
+    };
+    struct order_wait *wait = g_new0(struct order_wait, 1);
+    wait->done = done;
+    wait->data = data;
+    char *url = g_strdup_printf("http://%s/v1/orders", engine->address);
+    char *body = print_order(order);
+    struct ch_http_request request = {
+        .method = "POST",
+        .url = url,
+        .headers = headers,
+        .header_count = G_N_ELEMENTS(headers),
+        .body = body,
+        .body_length = strlen(body),
+        .connect_limit = engine->call_limit,
+        .first_byte_limit = engine->call_limit,
+        .stall_limit = engine->call_limit,
+        .total_limit = engine->call_limit,
+        .fresh_connection = true,
+    };
+    ch_http_fetch(engine->http, &request, MOST_ORDER_ANSWER, order_answered,
+                  wait);
+    g_free(url);
+    g_free(body);
+}
+
+/* A report under way: who is to be told. */
+struct report_wait {
+    void (*done)(void *data, enum ch_code code, struct ch_report *report);
+    void *data;
+};
+
+/* The answer to GET /v1/load, or what kept it from coming. */
+static void
+report_answered(void *data, const struct ch_http_answer *answer)
+{
+    struct report_wait *wait = data;
+    struct ch_error error = {.code = answer->end.code};
+    struct ch_report *report = NULL;
+    if (error.code == CH_OK && answer->end.status != 200) {
+        ch_error_set(&error, CH_UPSTREAM_ANSWER, "report: status %d",
+                     answer->end.status);
+    }
+    if (error.code == CH_OK) {
+        report = ch_report_parse(answer->body, answer->length, &error);
+    }
+    wait->done(wait->data, error.code, report);
+    g_free(wait);
+}
+
+/* Asks the engine for its report. */
+static void
+engine_report(struct ch_upstream *upstream,
+              void (*done)(void *data, enum ch_code code,
+                           struct ch_report *report),
+              void *data)
+{
+    struct engine *engine = (struct engine *)upstream;
+    struct report_wait *wait = g_new0(struct report_wait, 1);
+    wait->done = done;
+    wait->data = data;
+    char *url = g_strdup_printf("http://%s/v1/load", engine->address);
+    struct ch_http_request request = {
+        .method = "GET",
+        .url = url,
+        .connect_limit = engine->call_limit,
+        .first_byte_limit = engine->call_limit,
+        .stall_limit = engine->call_limit,
+        .total_limit = engine->call_limit,
+    };
+    ch_http_fetch(engine->http, &request, MOST_REPORT, report_answered, wait);
+    g_free(url);
+}
+
+/* Frees the client; calls under way go on without it. */
+static void
+engine_free(struct ch_upstream *upstream)
+{
+    struct engine *engine = (struct engine *)upstream;
+    g_free(engine->address);
+    g_free(engine);
+}
+
+/* A client of the engine at "ip:port".  call_limit bounds orders and reports.
+ * Calls under way outlive it. */
+struct ch_upstream *
+ch_upstream_engine_new(struct ch_client *client, struct ch_http *http,
+                       const char *address, int64_t call_limit)
+{
+    static const struct ch_upstream_ops ops = {
+        .call = engine_call,
+        .cancel = engine_cancel,
+        .order = engine_order,
+        .report = engine_report,
+        .free = engine_free,
+    };
+    struct engine *engine = g_new0(struct engine, 1);
+    engine->base.ops = &ops;
+    engine->client = client;
+    engine->http = http;
+    engine->address = g_strdup(address);
+    engine->call_limit = call_limit;
+    return &engine->base;
+}
--- /dev/null
+++ b/libchestnuthitch/upstream/report.c
@@ -0,0 +1,157 @@
+/* An engine's own report, from the JSON of GET /v1/load. */
+
+#include "upstream/report.h"
+
+#include <json-glib/json-glib.h>
+
+enum {
+    /* Over any real engine's memory or count; under what overflows sums. */
+    MOST_NUMBER = 1000 * 1000 * 1000,
+};
+
+/* Frees a report and all that it holds. */
+void
+ch_report_free(struct ch_report *report)
+{
+    if (report == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < report->resident_count; i++) {
+        g_free(report->resident[i].name);
+    }
+    g_free(report->resident);
+    g_strfreev(report->orders_done);
+    g_free(report->boot);
+    g_free(report);
+}
+
+/* A member that must be a string; "" with *error when it is not. */
+static const char *
+text_member(JsonObject *object, const char *name, struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    if (node == NULL || json_node_get_value_type(node) != G_TYPE_STRING) {
+        ch_error_set(error, CH_UPSTREAM_ANSWER, "report: %s is not a string",
+                     name);
+        return "";
+    }
+    return json_node_get_string(node);
+}
+
+/* A member that must be a whole number from 0; 0 with *error when not. */
+static uint32_t
+number_member(JsonObject *object, const char *name, struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    int64_t value = -1;
+    if (node != NULL && json_node_get_value_type(node) == G_TYPE_INT64) {
+        value = json_node_get_int(node);
+    }
+    if (value < 0 || value > MOST_NUMBER) {
+        ch_error_set(error, CH_UPSTREAM_ANSWER,
+                     "report: %s is not a number in range", name);
+        return 0;
+    }
+    return (uint32_t)value;
+}
+
+/* A member that must be an array; NULL with *error when it is not. */
+static JsonArray *
+array_member(JsonObject *object, const char *name, struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
+        ch_error_set(error, CH_UPSTREAM_ANSWER, "report: %s is not an array",
+                     name);
+        return NULL;
+    }
+    return json_node_get_array(node);
+}
+
+/* Reads "resident": what is in memory, and how much of it. */
+static void
+read_resident(JsonArray *array, struct ch_report *report,
+              struct ch_error *error)
+{
+    guint count = json_array_get_length(array);
+    report->resident = g_new0(struct ch_resident, count);
+    for (guint i = 0; i < count; i++) {
+        JsonNode *node = json_array_get_element(array, i);
+        if (!JSON_NODE_HOLDS_OBJECT(node)) {
+            ch_error_set(error, CH_UPSTREAM_ANSWER,
+                         "report: resident holds no object");
+            return;
+        }
+        JsonObject *object = json_node_get_object(node);
+        struct ch_resident *resident = &report->resident[i];
+        resident->name = g_strdup(text_member(object, "name", error));
+        resident->memory_mb = number_member(object, "memory_mb", error);
+        report->resident_count = i + 1;
+    }
+}
+
+/* Reads "orders_done". */
+static void
+read_orders(JsonArray *array, struct ch_report *report, struct ch_error *error)
+{
+    guint count = json_array_get_length(array);
+    report->orders_done = g_new0(char *, count + 1);
+    for (guint i = 0; i < count; i++) {
+        JsonNode *node = json_array_get_element(array, i);
+        if (json_node_get_value_type(node) != G_TYPE_STRING) {
+            ch_error_set(error, CH_UPSTREAM_ANSWER,
+                         "report: orders_done holds no string");
+            return;
+        }
+        report->orders_done[i] = g_strdup(json_node_get_string(node));
+        report->orders_done_count = i + 1;
+    }
+}
+
+/* Reads every member of the report's object. */
+static void
+read_report(JsonObject *object, struct ch_report *report,
+            struct ch_error *error)
+{
+    report->boot = g_strdup(text_member(object, "boot", error));
+    report->memory_mb = number_member(object, "memory_mb", error);
+    report->running = number_member(object, "running", error);
+    report->waiting = number_member(object, "waiting", error);
+    report->leaving =
+        json_object_get_boolean_member_with_default(object, "leaving", FALSE);
+    JsonArray *resident = array_member(object, "resident", error);
+    JsonArray *orders = array_member(object, "orders_done", error);
+    if (resident != NULL) {
+        read_resident(resident, report, error);
+    }
+    if (orders != NULL) {
+        read_orders(orders, report, error);
+    }
+}
+
+/* Reads a report; NULL with *error when any part of it is missing or out of
+ * range: memory is given out by it, so a half-understood one is no report. */
+struct ch_report *
+ch_report_parse(const char *json, size_t length, struct ch_error *error)
+{
+    struct ch_error own = {.code = CH_OK};
+    struct ch_report *report = g_new0(struct ch_report, 1);
+    JsonParser *parser = json_parser_new_immutable();
+    JsonNode *root = NULL;
+    if (json_parser_load_from_data(parser, json, (gssize)length, NULL)) {
+        root = json_parser_get_root(parser);
+    }
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        ch_error_set(&own, CH_UPSTREAM_ANSWER, "report: not a JSON object");
+    }
+    else {
+        read_report(json_node_get_object(root), report, &own);
+    }
+    g_object_unref(parser);
+    if (own.code != CH_OK) {
+        ch_error_set(error, own.code, "%s", own.message);
+        ch_report_free(report);
+        return NULL;
+    }
+    return report;
+}
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -15,6 +15,7 @@
     const char *method;
     const char *path; /* with its query string */
     const char *content_type;
+    const char *idempotency_key; /* passed on to a plain service; or NULL */
     const void *body;
     size_t body_length;
     bool stream;          /* server-sent events are expected */
