Add the stand-ins for what stands around the system

Faults are numbers set under /control/ on a port of their own; an upstream records what it ran and at which memory, so that it can judge what callers were told.

--- /dev/null
+++ b/tests/standin/judge.c
@@ -0,0 +1,58 @@
+/* The record of what an upstream ran. */
+
+#include "judge.h"
+
+#include <inttypes.h>
+
+/* A copy of a header, "" without one. */
+static char *
+copy_header(const struct exchange *exchange, const char *name)
+{
+    const char *value = exchange_header(exchange, name);
+    return g_strdup(value == NULL ? "" : value);
+}
+
+/* Notes that a call begins to run now; the run belongs to the list. */
+struct run *
+judge_begin(GPtrArray *runs, const struct exchange *exchange, const char *item)
+{
+    const char *from = exchange_header(exchange, "X-Resume-From");
+    struct run *run = g_new0(struct run, 1);
+    run->request_id = copy_header(exchange, "X-Request-Id");
+    run->key = copy_header(exchange, "Idempotency-Key");
+    run->method = g_strdup(exchange->method);
+    run->path = g_strdup(exchange->path);
+    run->item = g_strdup(item);
+    run->hash = ch_hash(exchange->body->str, exchange->body->len);
+    run->resume_from =
+        from == NULL ? 0 : (unsigned)g_ascii_strtoull(from, NULL, 10);
+    run->at = now_us();
+    g_ptr_array_add(runs, run);
+    return run;
+}
+
+/* Writes "runs": times are milliseconds of CLOCK_MONOTONIC. */
+void
+judge_record(const GPtrArray *runs, JsonBuilder *out)
+{
+    json_builder_set_member_name(out, "runs");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < runs->len; i++) {
+        const struct run *run = g_ptr_array_index(runs, i);
+        char hash[20];
+        (void)g_snprintf(hash, sizeof hash, "%016" PRIx64, run->hash);
+        json_builder_begin_object(out);
+        json_text(out, "request_id", run->request_id);
+        json_text(out, "key", run->key);
+        json_text(out, "method", run->method);
+        json_text(out, "path", run->path);
+        json_text(out, "item", run->item);
+        json_text(out, "body_hash", hash);
+        json_number(out, "resume_from", run->resume_from);
+        json_number(out, "at_ms", run->at / 1000);
+        json_builder_set_member_name(out, "whole");
+        json_builder_add_boolean_value(out, run->whole);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
+}
--- /dev/null
+++ b/tests/standin/loop.c
@@ -0,0 +1,280 @@
+/* The stand-in's one thread: timers, sockets and signals. */
+
+#include "standin.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+struct timer {
+    int64_t at;
+    void (*run)(void *data);
+    void *data;
+    GSequenceIter *place;
+};
+
+/* CLOCK_MONOTONIC in microseconds: the same for all processes here. */
+int64_t
+now_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* Orders timers by time. */
+static gint
+timer_compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct timer *one = a;
+    const struct timer *two = b;
+    (void)data;
+    return (one->at > two->at) - (one->at < two->at);
+}
+
+/* Runs run(data) after delay microseconds, unless it is stopped. */
+struct timer *
+timer_add(struct standin *standin, int64_t delay, void (*run)(void *data),
+          void *data)
+{
+    struct timer *timer = g_new0(struct timer, 1);
+    timer->at = now_us() + delay;
+    timer->run = run;
+    timer->data = data;
+    timer->place =
+        g_sequence_insert_sorted(standin->timers, timer, timer_compare, NULL);
+    return timer;
+}
+
+/* Frees a timer that has not run; NULL is allowed. */
+void
+timer_stop(struct standin *standin, struct timer *timer)
+{
+    (void)standin;
+    if (timer != NULL) {
+        g_sequence_remove(timer->place);
+        g_free(timer);
+    }
+}
+
+/* Runs what is due; returns milliseconds until the next, -1 for none. */
+static int
+timers_run(struct standin *standin)
+{
+    for (;;) {
+        GSequenceIter *first = g_sequence_get_begin_iter(standin->timers);
+        if (g_sequence_iter_is_end(first)) {
+            return -1;
+        }
+        struct timer *timer = g_sequence_get(first);
+        int64_t left = timer->at - now_us();
+        if (left > 0) {
+            return (int)(left / 1000) + 1;
+        }
+        g_sequence_remove(first);
+        timer->run(timer->data);
+        g_free(timer);
+    }
+}
+
+/* From any thread: run(standin, data) on the loop. */
+void
+standin_wake(struct standin *standin, void (*run)(struct standin *, void *),
+             void *data)
+{
+    struct wake_job job = {run, data};
+    if (write(standin->wake[1], &job, sizeof job) != (ssize_t)sizeof job) {
+        abort();
+    }
+}
+
+/* Adds a descriptor to the loop. */
+static void
+watch_fd(struct standin *standin, int fd)
+{
+    struct epoll_event event = {.events = EPOLLIN, .data.fd = fd};
+    if (epoll_ctl(standin->epoll, EPOLL_CTL_ADD, fd, &event) != 0) {
+        abort();
+    }
+}
+
+/* A listening socket on loopback; port 0 is chosen by the kernel. */
+static int
+open_socket(uint16_t *port)
+{
+    int one = 1;
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(*port)};
+    socklen_t length = sizeof address;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
+        listen(fd, 4096) != 0 ||
+        getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
+        perror("standin: listen");
+        exit(1);
+    }
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+/* Starts a daemon on a port and has the loop run it. */
+static struct MHD_Daemon *
+open_daemon(struct standin *standin, uint16_t *port)
+{
+    struct MHD_Daemon *daemon = exchange_daemon(standin, open_socket(port));
+    if (daemon == NULL) {
+        (void)fprintf(stderr, "standin: no daemon\n");
+        exit(1);
+    }
+    g_ptr_array_add(standin->daemons, daemon);
+    watch_fd(standin,
+             MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd);
+    return daemon;
+}
+
+/*
+ * Open connections: silent ones stay open and are never read or written
+ * again; the others are closed.
+ */
+void
+standin_close_links(struct standin *standin, bool silent)
+{
+    GHashTableIter iter;
+    gpointer link;
+    gpointer connection;
+    g_hash_table_iter_init(&iter, standin->links);
+    while (g_hash_table_iter_next(&iter, &link, &connection)) {
+        struct link *open = link;
+        if (open->control || open->silent) {
+            continue;
+        }
+        if (silent) {
+            open->silent = true;
+            continue;
+        }
+        const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+            connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        (void)shutdown(info->connect_fd, SHUT_RDWR);
+    }
+}
+
+/* Begins or stops listening on the stand-in's own port. */
+void
+standin_listen(struct standin *standin, bool on)
+{
+    if (on == (standin->listening != NULL)) {
+        return;
+    }
+    if (on) {
+        standin->listening = open_daemon(standin, &standin->port);
+        return;
+    }
+    (void)close(MHD_quiesce_daemon(standin->listening));
+    standin->listening = NULL;
+    standin_close_links(standin, false);
+}
+
+/* Takes what other threads have handed over. */
+static void
+run_jobs(struct standin *standin)
+{
+    struct wake_job job;
+    while (read(standin->wake[0], &job, sizeof job) == (ssize_t)sizeof job) {
+        job.run(standin, job.data);
+    }
+}
+
+/* Milliseconds that the loop may sleep. */
+static int
+sleep_limit(struct standin *standin, int until_timer)
+{
+    MHD_UNSIGNED_LONG_LONG most;
+    for (guint i = 0; i < standin->daemons->len; i++) {
+        struct MHD_Daemon *daemon = g_ptr_array_index(standin->daemons, i);
+        if (MHD_get_timeout(daemon, &most) == MHD_YES &&
+            (until_timer < 0 || most < (MHD_UNSIGNED_LONG_LONG)until_timer)) {
+            until_timer = (int)most;
+        }
+    }
+    return until_timer;
+}
+
+/* Puts the numbers given on the command line into the faults. */
+static uint16_t
+read_options(struct standin *standin)
+{
+    static const char *const names[] = {
+#define FAULT(name) #name,
+        FAULTS(FAULT)
+#undef FAULT
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        const char *value = g_hash_table_lookup(standin->options, names[i]);
+        standin->faults[i] =
+            value == NULL ? 0 : g_ascii_strtoll(value, NULL, 10);
+    }
+    const char *port = g_hash_table_lookup(standin->options, "port");
+    return port == NULL ? 0 : (uint16_t)g_ascii_strtoull(port, NULL, 10);
+}
+
+/* Opens what the loop needs: signals, the pipe, both ports. */
+static void
+open_loop(struct standin *standin)
+{
+    uint16_t control = 0;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigprocmask(SIG_BLOCK, &signals, NULL);
+    (void)signal(SIGPIPE, SIG_IGN);
+    standin->signals = signalfd(-1, &signals, SFD_CLOEXEC);
+    standin->epoll = epoll_create1(EPOLL_CLOEXEC);
+    if (pipe2(standin->wake, O_CLOEXEC) != 0) {
+        abort();
+    }
+    (void)fcntl(standin->wake[0], F_SETFL, O_NONBLOCK);
+    watch_fd(standin, standin->signals);
+    watch_fd(standin, standin->wake[0]);
+    standin->listening = open_daemon(standin, &standin->port);
+    (void)open_daemon(standin, &control);
+    (void)printf("listening %u\ncontrol %u\n", standin->port, control);
+    (void)fflush(stdout);
+}
+
+/* Runs the mode until SIGTERM; returns the exit status. */
+int
+standin_run(struct standin *standin)
+{
+    struct epoll_event events[8];
+    standin->timers = g_sequence_new(NULL);
+    standin->links = g_hash_table_new(NULL, NULL);
+    standin->daemons = g_ptr_array_new();
+    standin->port = read_options(standin);
+    standin->mode->start(standin);
+    open_loop(standin);
+    for (;;) {
+        int limit = sleep_limit(standin, timers_run(standin));
+        int count = epoll_wait(standin->epoll, events, 8, limit);
+        for (int i = 0; i < count; i++) {
+            if (events[i].data.fd == standin->signals) {
+                return 0;
+            }
+        }
+        run_jobs(standin);
+        (void)timers_run(standin);
+        for (guint i = 0; i < standin->daemons->len; i++) {
+            (void)MHD_run(g_ptr_array_index(standin->daemons, i));
+        }
+    }
+}
--- /dev/null
+++ b/tests/standin/platform.c
@@ -0,0 +1,137 @@
+/* Stand-ins for the host list and the rate-limited weight store. */
+
+#include "standin.h"
+
+#include <string.h>
+
+/* ---- host list: what was last posted to /control/hosts, with a lag ---- */
+
+struct hosts {
+    char *list;
+    char *next; /* given out after lag_ms */
+    int64_t calls;
+};
+
+/* Begins with an empty list. */
+static void
+hosts_start(struct standin *standin)
+{
+    struct hosts *hosts = g_new0(struct hosts, 1);
+    hosts->list = g_strdup("{\"hosts\":[]}");
+    standin->state = hosts;
+}
+
+/* GET /v1/hosts. */
+static void
+hosts_handle(struct exchange *exchange)
+{
+    struct hosts *hosts = exchange->standin->state;
+    hosts->calls++;
+    exchange_reply_text(exchange, 200, hosts->list);
+    exchange_add_header(exchange, "Content-Type", "application/json");
+}
+
+/* The lag is over. */
+static void
+hosts_change(void *data)
+{
+    struct hosts *hosts = data;
+    if (hosts->next != NULL) {
+        g_free(hosts->list);
+        hosts->list = g_steal_pointer(&hosts->next);
+    }
+}
+
+/* POST /control/hosts with a list. */
+static bool
+hosts_control(struct exchange *exchange)
+{
+    struct standin *standin = exchange->standin;
+    struct hosts *hosts = standin->state;
+    if (strcmp(exchange->path, "/control/hosts") != 0) {
+        return false;
+    }
+    g_free(hosts->next);
+    hosts->next = g_strdup(exchange->body->str);
+    int64_t lag = standin->faults[FAULT_lag_ms];
+    if (lag == 0) {
+        hosts_change(hosts);
+    }
+    else {
+        (void)timer_add(standin, lag * 1000, hosts_change, hosts);
+    }
+    return true;
+}
+
+/* The count of calls. */
+static void
+hosts_record(struct standin *standin, JsonBuilder *out)
+{
+    json_number(out, "gets", ((struct hosts *)standin->state)->calls);
+}
+
+const struct mode mode_hosts = {"hosts", hosts_start, hosts_handle,
+                                hosts_record, hosts_control};
+
+/* ---- weight store: a transfer takes longer when many run at once ---- */
+
+struct weights {
+    int64_t transfers;
+    int64_t running;
+    int64_t most;
+};
+
+/* Begins with no transfers. */
+static void
+weights_start(struct standin *standin)
+{
+    standin->state = g_new0(struct weights, 1);
+}
+
+/* The transfer ended, whole or not. */
+static void
+weights_gone(struct exchange *exchange, bool whole)
+{
+    (void)whole;
+    ((struct weights *)exchange->standin->state)->running--;
+}
+
+/* The transfer is through. */
+static void
+weights_done(void *data)
+{
+    struct exchange *exchange = data;
+    exchange->timer = NULL;
+    exchange_reply_text(exchange, 200, "");
+    exchange_resume(exchange);
+}
+
+/* GET /v1/weights/NAME. */
+static void
+weights_handle(struct exchange *exchange)
+{
+    struct standin *standin = exchange->standin;
+    struct weights *weights = standin->state;
+    int64_t parallel = MAX(standin->faults[FAULT_parallel], 1);
+    weights->transfers++;
+    weights->running++;
+    weights->most = MAX(weights->most, weights->running);
+    exchange->gone = weights_gone;
+    int64_t share = MAX(weights->running, parallel);
+    exchange->timer = timer_add(
+        standin, standin->faults[FAULT_transfer_ms] * 1000 * share / parallel,
+        weights_done, exchange);
+}
+
+/* How many transfers there were, and how many at once. */
+static void
+weights_record(struct standin *standin, JsonBuilder *out)
+{
+    struct weights *weights = standin->state;
+    json_number(out, "transfers", weights->transfers);
+    json_number(out, "running", weights->running);
+    json_number(out, "most", weights->most);
+}
+
+const struct mode mode_weights = {"weights", weights_start, weights_handle,
+                                  weights_record, NULL};
