--- a/Makefile
+++ b/Makefile
@@ -45,24 +45,28 @@
 define build_kind
 $(BUILD)/$(1)/%.o: %.c
 	@mkdir -p $$(dir $$@)
-	$(2) $(CPPFLAGS) $(CFLAGS) $(3) -MMD -MP -c -o $$@ $$<
+	@echo "  CC      $$@"
+	@$(2) $(CPPFLAGS) $(CFLAGS) $(3) -MMD -MP -c -o $$@ $$<
 
 $(BUILD)/$(1)/libchestnuthitch.a: $(LIBRARY_SOURCES:%.c=$(BUILD)/$(1)/%.o)
 	@rm -f $$@
-	ar rcs $$@ $$^
+	@ar rcs $$@ $$^
 
 $(BUILD)/$(1)/chestnuthitch: $(CLI_SOURCES:%.c=$(BUILD)/$(1)/%.o) \
     $(BUILD)/$(1)/libchestnuthitch.a
-	$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
+	@echo "  LD      $$@"
+	@$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
 
 $(BUILD)/$(1)/standin: $(STANDIN_SOURCES:%.c=$(BUILD)/$(1)/%.o) \
     $(BUILD)/$(1)/libchestnuthitch.a
-	$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
+	@echo "  LD      $$@"
+	@$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
 
 $(BUILD)/$(1)/tests/%: $(BUILD)/$(1)/tests/%.o \
     $(HARNESS_SOURCES:%.c=$(BUILD)/$(1)/%.o) \
     $(BUILD)/$(1)/libchestnuthitch.a
-	$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
+	@echo "  LD      $$@"
+	@$(2) $(CFLAGS) $(3) -o $$@ $$^ $(LDLIBS)
 endef
 
 ADDRESS_FLAGS = -O1 -fsanitize=address,undefined -fno-sanitize-recover=all \
@@ -78,7 +82,8 @@
 $(BUILD)/fuzz/bin/%: $(BUILD)/fuzz/tests/fuzz/%.o \
     $(BUILD)/fuzz/libchestnuthitch.a
 	@mkdir -p $(dir $@)
-	$(CLANG) $(CFLAGS) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
+	@echo "  LD      $@"
+	@$(CLANG) $(CFLAGS) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
 
 $(BUILD)/chestnuthitch: $(BUILD)/plain/chestnuthitch
 	@cp $< $@
@@ -128,10 +133,11 @@
 	bash tests/check.sh replay
 
 format:
-	clang-format --dry-run --Werror $(OWN_SOURCES) $(OWN_HEADERS)
+	@clang-format --dry-run --Werror $(OWN_SOURCES) $(OWN_HEADERS)
 
 lint: $(OWN_SOURCES:%.c=$(BUILD)/lint/%.tidy)
-	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j 4 \
+	@echo "  CPPCHECK"
+	@cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j 4 \
 	    --enable=warning,portability,performance \
 	    --library=gnu --suppress=missingIncludeSystem \
 	    --suppressions-list=tests/cppcheck.txt \
@@ -142,7 +148,8 @@
 
 $(BUILD)/lint/%.tidy: %.c .clang-tidy $(OWN_HEADERS)
 	@mkdir -p $(dir $@)
-	clang-tidy --quiet $< -- $(CPPFLAGS) -std=gnu11 >$@.out 2>/dev/null \
+	@echo "  TIDY    $<"
+	@clang-tidy --quiet $< -- $(CPPFLAGS) -std=gnu11 >$@.out 2>/dev/null \
 	    || { cat $@.out; exit 1; }
 	@touch $@
 
