--- a/libchestnuthitch/node/home_side.c
+++ b/libchestnuthitch/node/home_side.c
@@ -134,8 +134,9 @@
     if (action->kind == CH_ACTION_LOAD &&
         !may_load(homes, action->item, now)) {
         struct ch_actions more = new_actions();
+        /* As if somebody else had been first: tried again a tick later. */
         ch_home_order_failed(upstream->home, action->item, action->kind,
-                             CH_QUEUE_FULL, now, &more);
+                             CH_KV_CONFLICT, now, &more);
         apply_actions(homes, upstream, &more, now, effects);
         return;
     }
