--- a/cli/node.c
+++ b/cli/node.c
@@ -44,10 +44,9 @@
            CH_F_STR("version", CHESTNUTHITCH_VERSION), CH_F_END);
     int signal_number = 0;
     (void)sigwait(&signals, &signal_number);
-    ch_log(&client, CH_LOG_NOTICE, "stopping",
-           CH_F_STR("signal", strsignal(signal_number)), CH_F_END);
+    ch_log(&client, CH_LOG_NOTICE, "signal",
+           CH_F_STR("name", strsignal(signal_number)), CH_F_END);
     ch_node_stop(node);
-    ch_log(&client, CH_LOG_NOTICE, "stopped", CH_F_END);
     ch_metrics_free(client.metrics);
     return CLI_OK;
 }
