--- /dev/null
+++ b/libchestnuthitch/node/exchange.c
@@ -0,0 +1,531 @@
+/* The course of one request, step by step. */
+
+#include "node/exchange.h"
+
+#include <string.h>
+
+/* Gives a reference back; the last one frees the exchange. */
+static void
+exchange_unref(void *data)
+{
+    struct ch_exchange *exchange = data;
+    if (!g_atomic_int_dec_and_test(&exchange->references)) {
+        return;
+    }
+    ch_request_free(exchange->request);
+    g_array_free(exchange->excluded, TRUE);
+    g_byte_array_free(exchange->body, TRUE);
+    g_free(exchange->content_type);
+    pthread_mutex_destroy(&exchange->lock);
+    g_free(exchange);
+}
+
+/* Ends the course: the record is written, and the reply let go, which also
+ * breaks the ring of references between the two. */
+void
+ch_exchange_over(struct ch_exchange *exchange)
+{
+    struct ch_front *front = exchange->front;
+    if (exchange->timer != 0 &&
+        ch_timers_cancel(front->node->timers, exchange->timer)) {
+        exchange_unref(exchange);
+    }
+    ch_exchange_record(exchange);
+    pthread_mutex_lock(&exchange->lock);
+    struct ch_reply *reply = exchange->reply;
+    exchange->reply = NULL;
+    pthread_mutex_unlock(&exchange->lock);
+    ch_reply_unref(reply);
+    exchange_unref(exchange);
+    ch_front_leave(front);
+}
+
+/* ---- the end of the once record ---- */
+
+/* The once record was finished, or could not be: the caller is answered
+ * either way, with what the upstream said. */
+static void
+once_finished(void *data, bool kept)
+{
+    (void)kept;
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->whole) {
+        ch_exchange_tell_answer(exchange);
+    }
+    exchange->step = CH_STEP_OVER;
+    pthread_mutex_unlock(&exchange->lock);
+    ch_exchange_over(exchange);
+}
+
+/* Hands the whole answer to the once record before the caller has it: a
+ * caller that repeats after losing this answer gets the same one.  Without an
+ * answer the key is given free.  On the pool; nothing writes to the answer in
+ * this step, so that the lock is not needed. */
+static void
+finish_once(void *data)
+{
+    struct ch_exchange *exchange = data;
+    const struct ch_request *request = exchange->request;
+    bool whole = exchange->whole;
+    ch_once_keeper_finish(
+        exchange->front->node->once, request->caller, request->key,
+        exchange->once_attempt, !whole, whole ? exchange->status : 0,
+        whole ? exchange->content_type : NULL,
+        whole ? exchange->body->data : NULL, whole ? exchange->body->len : 0,
+        once_finished, exchange);
+}
+
+/* Goes on to the end of the once record.  Lock held. */
+static void
+keep(struct ch_exchange *exchange)
+{
+    exchange->step = CH_STEP_KEEP;
+    ch_pool_submit(exchange->front->node->pool, finish_once, exchange);
+}
+
+/* Ends a course without an answer; the caller was told before.  A key whose
+ * request may have run is left as it is: a repeat then learns that the
+ * outcome is unknown.  Lock held; true when the course is over. */
+static bool
+wind_up(struct ch_exchange *exchange)
+{
+    if (exchange->once_created && !exchange->may_have_run) {
+        keep(exchange);
+        return false;
+    }
+    exchange->step = CH_STEP_OVER;
+    return true;
+}
+
+/* ---- leave from a home ---- */
+
+/* Tells the caller that it is out, and winds up.  Lock held. */
+static bool
+fail(struct ch_exchange *exchange, enum ch_code code, const char *message,
+     int64_t retry_after)
+{
+    ch_exchange_tell_failure(exchange, code, message, retry_after);
+    return wind_up(exchange);
+}
+
+/* A home gave leave.  Leave that comes after the caller gave up is given back
+ * unused. */
+static void
+home_granted(void *data, const struct ch_grant *grant)
+{
+    struct ch_exchange *exchange = data;
+    struct ch_front *front = exchange->front;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->home_answered = true;
+    exchange->grant = *grant;
+    if (exchange->first_grant == 0) {
+        exchange->first_grant = ch_client_now(front->node->client);
+    }
+    if (exchange->abandoned) {
+        const struct ch_sample sample = {.code = CH_CANCELLED};
+        ch_homes_release(front->node->homes, grant->handle, &sample);
+        over = wind_up(exchange);
+    }
+    else {
+        ch_exchange_call(exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+static void ask_home(void *data);
+
+/*
+ * True when a refusal comes only of what this request itself excluded, and was
+ * not asked without that yet.  A model with one replica whose connection was
+ * lost would else be refused although its engine is well.
+ */
+static bool
+should_ask_anew(struct ch_exchange *exchange, enum ch_code code)
+{
+    if (exchange->abandoned || exchange->asked_anew ||
+        exchange->excluded->len == 0 || code != CH_NO_UPSTREAM) {
+        return false;
+    }
+    exchange->asked_anew = true;
+    g_array_set_size(exchange->excluded, 0);
+    return true;
+}
+
+/* A home refused, or none serves this: final, and told at once. */
+static void
+home_refused(void *data, enum ch_code code, int64_t retry_after,
+             const char *message)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->home_answered = true;
+    if (should_ask_anew(exchange, code)) {
+        ch_pool_submit(exchange->front->node->pool, ask_home, exchange);
+    }
+    else {
+        over = fail(exchange, code, message, retry_after);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+/* Withdraws what waits at a home.  True when no handler will run any more and
+ * the course is over; else the handler that comes ends it.  Lock held. */
+static bool
+withdraw(struct ch_exchange *exchange)
+{
+    if (exchange->home_answered || exchange->home_handle == 0) {
+        return false;
+    }
+    exchange->home_answered = true;
+    if (!ch_homes_withdraw(exchange->front->node->homes,
+                           exchange->home_handle)) {
+        return false;
+    }
+    return wind_up(exchange);
+}
+
+/* Notes the handle of what was asked, unless it was answered meanwhile.  A
+ * caller may have given up before there was a handle to withdraw. */
+static void
+note_home_handle(struct ch_exchange *exchange, unsigned round, uint64_t handle)
+{
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->step == CH_STEP_HOME && exchange->round == round &&
+        !exchange->home_answered) {
+        exchange->home_handle = handle;
+        over = exchange->abandoned && withdraw(exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+/* Asks for leave to dispatch; on the pool, the lock not held, since the answer
+ * may come before the call returns. */
+static void
+ask_home(void *data)
+{
+    static const struct ch_homes_handlers handlers = {
+        .granted = home_granted,
+        .refused = home_refused,
+    };
+    struct ch_exchange *exchange = data;
+    struct ch_homes *homes = exchange->front->node->homes;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->abandoned) {
+        bool over = wind_up(exchange);
+        pthread_mutex_unlock(&exchange->lock);
+        if (over) {
+            ch_exchange_over(exchange);
+        }
+        return;
+    }
+    unsigned round = ++exchange->round;
+    exchange->home_answered = false;
+    exchange->home_handle = 0;
+    struct ch_work work = exchange->request->work;
+    GArray *excluded = g_array_copy(exchange->excluded);
+    /* The course may be over when the call returns. */
+    g_atomic_int_inc(&exchange->references);
+    pthread_mutex_unlock(&exchange->lock);
+    uint64_t handle =
+        ch_homes_request(homes, &work, excluded, &handlers, exchange);
+    note_home_handle(exchange, round, handle);
+    g_array_free(excluded, TRUE);
+    exchange_unref(exchange);
+}
+
+/* ---- the call's end ---- */
+
+/* Whether a failed call is tried again, by the policy and the node's budget.
+ * A non-idempotent request without a key has one dispatch and no other: there
+ * is no record that would tell a repeat from a first try. */
+static enum ch_retry
+decide_retry(struct ch_exchange *exchange, const struct ch_call_end *end)
+{
+    struct ch_front *front = exchange->front;
+    const struct ch_work *work = &exchange->request->work;
+    if (exchange->abandoned || exchange->too_large ||
+        (!work->idempotent && !exchange->once_created)) {
+        return CH_RETRY_NO;
+    }
+    pthread_mutex_lock(&front->lock);
+    enum ch_retry retry =
+        ch_retry_decide(&front->retries, work, end->code, end->may_have_run,
+                        exchange->request->stream, exchange->events,
+                        ch_client_now(front->node->client));
+    pthread_mutex_unlock(&front->lock);
+    if (retry == CH_RETRY_AGAIN && exchange->stream_begun) {
+        return CH_RETRY_NO;
+    }
+    return retry;
+}
+
+/* Goes back to the homes for another upstream.  Lock held. */
+static void
+try_elsewhere(struct ch_exchange *exchange, enum ch_retry retry)
+{
+    struct ch_metrics *metrics = exchange->front->node->client->metrics;
+    ch_metrics_count(metrics, CH_COUNT_RETRIES, 1);
+    if (retry == CH_RETRY_RESUME) {
+        ch_metrics_count(metrics, CH_COUNT_RESUMED, 1);
+    }
+    if (retry == CH_RETRY_AGAIN) {
+        g_byte_array_set_size(exchange->body, 0);
+    }
+    GQuark failed = exchange->grant.upstream;
+    g_array_append_val(exchange->excluded, failed);
+    exchange->request->work.attempt++;
+    exchange->step = CH_STEP_HOME;
+    exchange->home_handle = 0;
+    exchange->home_answered = false;
+    ch_pool_submit(exchange->front->node->pool, ask_home, exchange);
+}
+
+/* A whole answer came.  Lock held; true when the course is over. */
+static bool
+take_answer(struct ch_exchange *exchange)
+{
+    exchange->whole = true;
+    if (exchange->told) {
+        ch_metrics_count(exchange->front->node->client->metrics,
+                         CH_COUNT_LATE_ANSWERS, 1);
+    }
+    if (exchange->once_created) {
+        keep(exchange);
+        return false;
+    }
+    ch_exchange_tell_answer(exchange);
+    exchange->step = CH_STEP_OVER;
+    return true;
+}
+
+/* The upstream's call is over, well or not.  The grant is given back here and
+ * nowhere else once it was used. */
+bool
+ch_exchange_call_ended(struct ch_exchange *exchange,
+                       const struct ch_call_end *end)
+{
+    struct ch_node *node = exchange->front->node;
+    exchange->may_have_run = exchange->ran_before || end->may_have_run;
+    struct ch_sample sample = ch_exchange_sample(exchange, end->code);
+    ch_homes_release(node->homes, exchange->grant.handle, &sample);
+    if (end->code == CH_OK && !exchange->too_large) {
+        return take_answer(exchange);
+    }
+    enum ch_retry retry = decide_retry(exchange, end);
+    if (retry != CH_RETRY_NO) {
+        try_elsewhere(exchange, retry);
+        return false;
+    }
+    if (exchange->too_large) {
+        return fail(exchange, CH_UPSTREAM_ANSWER,
+                    "the upstream's answer is over the limit", 0);
+    }
+    return fail(exchange, end->code, end->message,
+                exchange->request->work.idempotent ? CH_EXCHANGE_RETRY_AFTER
+                                                   : 0);
+}
+
+/* ---- the caller gives up ---- */
+
+/*
+ * Ends what is done for a caller that is gone or whose deadline has passed.
+ * What may not be repeated is left to run to its end once it was dispatched:
+ * cutting it would not undo it, and a repeat with the same key can be given
+ * the answer.
+ */
+bool
+ch_exchange_abandon(struct ch_exchange *exchange, enum ch_code code,
+                    const char *message)
+{
+    if (exchange->abandoned || exchange->step == CH_STEP_OVER) {
+        return false;
+    }
+    exchange->abandoned = true;
+    if (exchange->step == CH_STEP_KEEP) {
+        if (exchange->whole) {
+            ch_exchange_tell_answer(exchange);
+        }
+        return false;
+    }
+    ch_exchange_tell_failure(exchange, code, message, 0);
+    if (exchange->step == CH_STEP_HOME) {
+        return withdraw(exchange);
+    }
+    if (exchange->step == CH_STEP_CALL && exchange->request->work.idempotent) {
+        exchange->grant.client->ops->cancel(exchange->grant.client,
+                                            exchange->call_handle);
+    }
+    return false;
+}
+
+/* The caller's deadline has passed; on the pool. */
+static void
+deadline_passed(void *data)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    bool over = ch_exchange_abandon(exchange, CH_DEADLINE,
+                                    "the caller's deadline passed");
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+    exchange_unref(exchange);
+}
+
+/* The caller closed its connection. */
+static void
+caller_gone(void *data)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    bool over = ch_exchange_abandon(exchange, CH_CANCELLED,
+                                    "the caller closed its connection");
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+/* ---- the beginning ---- */
+
+/* Gives the caller what the first try with this key was answered.  Lock
+ * held. */
+static void
+tell_kept(struct ch_exchange *exchange, const struct ch_once_answer *answer)
+{
+    exchange->may_have_run = true;
+    if (!answer->kept) {
+        ch_exchange_tell_failure(
+            exchange, CH_OUTCOME_UNKNOWN,
+            "an earlier try with this key ran; its answer was not kept", 0);
+        return;
+    }
+    exchange->status = answer->status;
+    exchange->content_type = g_strdup(answer->content_type);
+    g_byte_array_append(exchange->body, answer->body, (guint)answer->length);
+    ch_exchange_tell_answer(exchange);
+}
+
+/* Answers a caller whose key gives no leave to dispatch.  Lock held. */
+static void
+tell_once(struct ch_exchange *exchange, const struct ch_once_answer *answer)
+{
+    switch (answer->state) {
+    case CH_ONCE_DONE:
+        tell_kept(exchange, answer);
+        return;
+    case CH_ONCE_RUNNING:
+        exchange->may_have_run = true;
+        ch_exchange_tell_failure(exchange, CH_IN_PROGRESS, NULL,
+                                 CH_EXCHANGE_RETRY_AFTER);
+        return;
+    case CH_ONCE_MISMATCH:
+        ch_exchange_tell_failure(exchange, CH_KEY_REUSED, NULL, 0);
+        return;
+    default:
+        ch_exchange_tell_failure(exchange, CH_ONCE_UNAVAILABLE, NULL,
+                                 CH_EXCHANGE_RETRY_AFTER);
+        return;
+    }
+}
+
+/* The once record's answer.  CREATED alone gives leave to dispatch. */
+static void
+once_begun(void *data, const struct ch_once_answer *answer)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    if (answer->state == CH_ONCE_CREATED) {
+        exchange->once_created = true;
+        exchange->once_attempt = answer->attempt;
+        exchange->step = CH_STEP_HOME;
+        ch_pool_submit(exchange->front->node->pool, ask_home, exchange);
+    }
+    else {
+        tell_once(exchange, answer);
+        exchange->step = CH_STEP_OVER;
+        over = true;
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+/* First step, on the pool: the once record before anything else, so that
+ * nothing is queued for a key that has run. */
+static void
+begin(void *data)
+{
+    struct ch_exchange *exchange = data;
+    const struct ch_request *request = exchange->request;
+    if (!request->work.idempotent && request->key != NULL) {
+        ch_once_keeper_begin(exchange->front->node->once, request->caller,
+                             request->key, request->fingerprint, once_begun,
+                             exchange);
+        return;
+    }
+    ask_home(exchange);
+}
+
+/* Arms the timer for a caller that states how long it waits. */
+static void
+arm_deadline(struct ch_exchange *exchange)
+{
+    int64_t deadline = exchange->request->deadline;
+    if (deadline == 0) {
+        return;
+    }
+    g_atomic_int_inc(&exchange->references);
+    exchange->timer = ch_timers_after(exchange->front->node->timers,
+                                      deadline - exchange->arrived,
+                                      deadline_passed, exchange);
+}
+
+/* Begins the course of a request that was parsed and found good.  Called
+ * before the reply is given to the library, so that nothing runs early. */
+void
+ch_exchange_start(struct ch_front *front, struct ch_request *request,
+                  struct ch_reply *reply)
+{
+    static const struct ch_reply_watcher watcher = {
+        .gone = caller_gone,
+        .drop = exchange_unref,
+    };
+    struct ch_exchange *exchange = g_new0(struct ch_exchange, 1);
+    exchange->references = 2; /* the course's, and the reply's watcher's */
+    exchange->front = front;
+    exchange->request = request;
+    exchange->reply = ch_reply_ref(reply);
+    exchange->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    exchange->body = g_byte_array_new();
+    exchange->arrived = request->work.arrived;
+    exchange->at_wall_ms = g_get_real_time() / 1000;
+    exchange->code = CH_SYSTEM;
+    exchange->step = !request->work.idempotent && request->key != NULL
+                         ? CH_STEP_ONCE
+                         : CH_STEP_HOME;
+    pthread_mutex_init(&exchange->lock, NULL);
+    ch_reply_watch(reply, &watcher, exchange);
+    ch_front_enter(front);
+    pthread_mutex_lock(&front->lock);
+    ch_retry_budget_fresh(&front->retries);
+    pthread_mutex_unlock(&front->lock);
+    arm_deadline(exchange);
+    ch_pool_submit(front->node->pool, begin, exchange);
+}
--- /dev/null
+++ b/libchestnuthitch/node/exchange_call.c
@@ -0,0 +1,266 @@
+/* The upstream's side of an exchange: the call, what comes of it, and what its
+ * home learns from it.  The handlers run on the loop of HTTP calls out. */
+
+#include "node/exchange.h"
+
+#include <string.h>
+
+enum {
+    /* A plain model answer comes in one piece after its last token: the bound
+     * to its first byte is one for all its tokens.  Twice the class's target
+     * between tokens each, or this when it states none. */
+    USUAL_TOKEN = 100 * 1000,
+    MOST_FIRST_BYTE = 600 * G_USEC_PER_SEC,
+};
+
+/* True for the head of a stream that was asked for. */
+static bool
+is_stream_head(const struct ch_exchange *exchange)
+{
+    return exchange->request->stream && exchange->status == 200 &&
+           exchange->content_type != NULL &&
+           g_ascii_strncasecmp(exchange->content_type, "text/event-stream",
+                               17) == 0;
+}
+
+/* The head of an answer that is ours. */
+static void
+call_head(void *data, int status, const char *content_type)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->status = status;
+    g_free(exchange->content_type);
+    exchange->content_type = g_strdup(content_type);
+    exchange->is_stream = is_stream_head(exchange);
+    pthread_mutex_unlock(&exchange->lock);
+}
+
+/* Notes when data came.  Lock held. */
+static void
+note_times(struct ch_exchange *exchange)
+{
+    int64_t now = ch_client_now(exchange->front->node->client);
+    if (exchange->call_first == 0) {
+        exchange->call_first = now;
+    }
+    if (exchange->first == 0) {
+        exchange->first = now;
+    }
+    exchange->call_last = now;
+    exchange->last = now;
+}
+
+/* Cancels the call: its on_end then ends the course.  Lock held. */
+static void
+cancel_call(struct ch_exchange *exchange)
+{
+    exchange->grant.client->ops->cancel(exchange->grant.client,
+                                        exchange->call_handle);
+}
+
+/* Adds bytes of a plain answer, or of a stream whose text is to be kept.  Lock
+ * held. */
+static void
+gather(struct ch_exchange *exchange, const char *bytes, size_t length)
+{
+    if (exchange->too_large) {
+        return;
+    }
+    if (exchange->body->len + length > CH_EXCHANGE_MOST_ANSWER) {
+        exchange->too_large = true;
+        cancel_call(exchange);
+        return;
+    }
+    g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)length);
+}
+
+/* Passes one event on.  Lock held. */
+static void
+pass_event(struct ch_exchange *exchange, const char *bytes, size_t length)
+{
+    exchange->events++;
+    exchange->call_events++;
+    exchange->made_tokens = exchange->events;
+    if (exchange->once_created) {
+        gather(exchange, bytes, length);
+    }
+    if (exchange->told) {
+        return;
+    }
+    if (!exchange->stream_begun) {
+        exchange->stream_begun = true;
+        ch_reply_begin(exchange->reply);
+    }
+    if (!ch_reply_event(exchange->reply, bytes, length)) {
+        ch_exchange_abandon(exchange, CH_CANCELLED,
+                            "the caller is gone or reads too slowly");
+    }
+}
+
+/* Bytes of a plain answer, or one event.  They are dropped when nobody waits
+ * for them any more. */
+static void
+call_data(void *data, const char *bytes, size_t length)
+{
+    struct ch_exchange *exchange = data;
+    struct ch_metrics *metrics = exchange->front->node->client->metrics;
+    pthread_mutex_lock(&exchange->lock);
+    note_times(exchange);
+    if (exchange->grant.other_region) {
+        ch_metrics_count(metrics, CH_COUNT_LINK_BYTES, length);
+    }
+    if (exchange->abandoned && !exchange->once_created) {
+        pthread_mutex_unlock(&exchange->lock);
+        return;
+    }
+    if (exchange->is_stream) {
+        ch_metrics_count(metrics, CH_COUNT_TOKENS, 1);
+        pass_event(exchange, bytes, length);
+    }
+    else {
+        gather(exchange, bytes, length);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+}
+
+/* The number of tokens in a plain answer's usage, 0 when it has none. */
+static uint32_t
+tokens_of_answer(const GByteArray *body)
+{
+    static const char member[] = "\"completion_tokens\"";
+    const char *text = (const char *)body->data;
+    const char *end = text + body->len;
+    const char *at = body->len == 0
+                         ? NULL
+                         : memmem(text, body->len, member, sizeof(member) - 1);
+    uint64_t tokens = 0;
+    if (at == NULL) {
+        return 0;
+    }
+    at += sizeof(member) - 1;
+    while (at < end && (*at == ' ' || *at == ':')) {
+        at++;
+    }
+    while (at < end && g_ascii_isdigit(*at) &&
+           tokens < CH_REQUEST_MOST_TOKENS) {
+        tokens = tokens * 10 + (uint64_t)g_ascii_digit_value(*at);
+        at++;
+    }
+    return (uint32_t)MIN(tokens, CH_REQUEST_MOST_TOKENS);
+}
+
+/* The call is over. */
+static void
+call_end(void *data, const struct ch_call_end *end)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    /* What a resumed call answers in another shape than the stream that was
+     * begun can't go on in it. */
+    struct ch_call_end judged = *end;
+    if (end->code == CH_OK && exchange->stream_begun && !exchange->is_stream) {
+        judged.code = CH_UPSTREAM_ANSWER;
+        g_strlcpy(judged.message, "the stream was not resumed",
+                  sizeof(judged.message));
+    }
+    if (end->code == CH_OK && !exchange->is_stream &&
+        !exchange->request->work.service) {
+        exchange->made_tokens = tokens_of_answer(exchange->body);
+    }
+    bool over = ch_exchange_call_ended(exchange, &judged);
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
+/* The bound to the first byte of the answer; see USUAL_TOKEN. */
+static int64_t
+first_byte_limit(const struct ch_exchange *exchange)
+{
+    const struct ch_request *request = exchange->request;
+    int64_t limit =
+        (int64_t)exchange->front->node->settings->first_byte_ms * 1000;
+    if (request->stream || request->work.service) {
+        return limit;
+    }
+    int64_t token = request->between_tokens > 0 ? 2 * request->between_tokens
+                                                : USUAL_TOKEN;
+    return MIN(limit + token * request->work.output_tokens, MOST_FIRST_BYTE);
+}
+
+/* Sets the exchange back to before the first byte of a call. */
+static void
+reset_call(struct ch_exchange *exchange)
+{
+    exchange->step = CH_STEP_CALL;
+    exchange->calls++;
+    exchange->ran_before = exchange->may_have_run;
+    exchange->may_have_run = true;
+    exchange->dispatched = ch_client_now(exchange->front->node->client);
+    exchange->call_first = 0;
+    exchange->call_last = 0;
+    exchange->call_events = 0;
+    exchange->status = 0;
+    exchange->is_stream = false;
+}
+
+/* Calls the granted upstream.  A second try goes out on a fresh connection:
+ * the first may have failed because kept-alive ones have gone silent. */
+void
+ch_exchange_call(struct ch_exchange *exchange)
+{
+    static const struct ch_call_handlers handlers = {
+        .on_head = call_head,
+        .on_data = call_data,
+        .on_end = call_end,
+    };
+    const struct ch_request *request = exchange->request;
+    const struct ch_settings *settings = exchange->front->node->settings;
+    reset_call(exchange);
+    struct ch_call call = {
+        .request_id = ch_reply_id(exchange->reply),
+        .method = request->method,
+        .path = request->path,
+        .content_type = request->content_type,
+        .idempotency_key = request->work.service ? request->key : NULL,
+        .body = request->body,
+        .body_length = request->length,
+        .stream = request->stream,
+        .may_repeat = request->work.idempotent && request->work.attempt == 0,
+        .resume_from = exchange->events,
+        .priority = exchange->grant.priority,
+        .connect_limit = (int64_t)settings->connect_ms * 1000,
+        .first_byte_limit = first_byte_limit(exchange),
+        .stall_limit = (int64_t)settings->stall_ms * 1000,
+    };
+    struct ch_upstream *client = exchange->grant.client;
+    exchange->call_handle =
+        client->ops->call(client, &call, &handlers, exchange);
+}
+
+/* Of a plain model answer all tokens come at once, so that the time for one is
+ * taken from the whole. */
+struct ch_sample
+ch_exchange_sample(const struct ch_exchange *exchange, enum ch_code code)
+{
+    struct ch_sample sample = {.code = code};
+    if (exchange->call_first == 0) {
+        return sample;
+    }
+    sample.first = exchange->call_first - exchange->dispatched;
+    if (exchange->is_stream) {
+        sample.tokens = exchange->call_events;
+        if (exchange->call_events > 1) {
+            sample.token = (exchange->call_last - exchange->call_first) /
+                           (exchange->call_events - 1);
+        }
+    }
+    else if (exchange->made_tokens > 0) {
+        sample.tokens = exchange->made_tokens;
+        sample.token = sample.first / exchange->made_tokens;
+        sample.first = sample.token;
+    }
+    return sample;
+}
--- /dev/null
+++ b/libchestnuthitch/node/front.c
@@ -0,0 +1,440 @@
+/*
+ * The callers' listener: takes requests in whole and within bounds, and hands
+ * the good ones on.  What is bad, too large or too late is answered here.
+ */
+
+#include "node/exchange.h"
+#include "node/hangup.h"
+#include "node/intake.h"
+#include "node/local.h"
+#include "node/refusal.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+    /* A connection on which nothing moves, as with a caller that never ends
+     * its request or never reads its answer.  Those that wait for an answer
+     * are not counted. */
+    IDLE_SECONDS = 30,
+    MOST_LISTENER_THREADS = 4,
+    STOPPING_RETRY_AFTER = 1000 * 1000,
+};
+
+/* ---- ids and counts ---- */
+
+/* A number that is unique in this process, and a text that is unique among
+ * all nodes and their restarts. */
+uint64_t
+ch_front_new_id(struct ch_front *front, char text[CH_REPLY_ID])
+{
+    pthread_mutex_lock(&front->lock);
+    uint64_t number = ++front->last_id;
+    pthread_mutex_unlock(&front->lock);
+    (void)snprintf(text, CH_REPLY_ID,
+                   "%016" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
+                   front->id_start, number);
+    return number;
+}
+
+/* A course begins. */
+void
+ch_front_enter(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    front->exchanges++;
+    pthread_mutex_unlock(&front->lock);
+}
+
+/* A course is over. */
+void
+ch_front_leave(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    front->exchanges--;
+    pthread_cond_broadcast(&front->quiet);
+    pthread_mutex_unlock(&front->lock);
+}
+
+/* True once new requests are to be refused; *stopping: once callers are to
+ * look for another node. */
+static bool
+is_refusing(struct ch_front *front, bool *stopping)
+{
+    pthread_mutex_lock(&front->lock);
+    bool refusing = front->refusing;
+    *stopping = front->stopping;
+    pthread_mutex_unlock(&front->lock);
+    return refusing;
+}
+
+/* True when a configuration is known and the node is not stopping. */
+bool
+ch_node_ready(struct ch_node *node)
+{
+    bool stopping = false;
+    if (node->front == NULL) {
+        return false;
+    }
+    (void)is_refusing(node->front, &stopping);
+    struct ch_config *config = ch_config_keeper_current(node->config);
+    bool known = config != NULL;
+    if (known) {
+        ch_config_unref(config);
+    }
+    return known && !stopping;
+}
+
+/* ---- one request that was taken in ---- */
+
+/* Answers with a refusal that was decided before any course began. */
+static void
+refuse(struct ch_front *front, struct ch_reply *reply,
+       const struct ch_fault *fault, int64_t retry_after)
+{
+    enum ch_code code = fault->error.code;
+    const struct ch_refusal refusal = {
+        .code = code,
+        .outcome = CH_NOT_RUN,
+        .message = fault->error.message,
+        .field = fault->field,
+        .retry_after = retry_after,
+        .request_id = ch_reply_id(reply),
+    };
+    char *json = ch_refusal_print(&refusal);
+    const struct ch_reply_answer answer = {
+        .status = ch_code_http(code),
+        .content_type = "application/json",
+        .outcome = CH_NOT_RUN,
+        .code = code,
+        .retry_after = retry_after,
+        .body = json,
+        .length = strlen(json),
+    };
+    ch_reply_whole(reply, &answer);
+    ch_metrics_count(front->node->client->metrics, CH_COUNT_REFUSED, 1);
+    ch_log(front->node->client, CH_LOG_INFO, "refused",
+           CH_F_STR("request_id", ch_reply_id(reply)), CH_F_INT("code", code),
+           CH_F_STR("name", ch_code_name(code)),
+           CH_F_STR("field", fault->field),
+           CH_F_STR("message", fault->error.message),
+           CH_F_STR("outcome", ch_outcome_name(CH_NOT_RUN)), CH_F_END);
+}
+
+/* Watches the caller's socket until the library is done with the request. */
+static void
+watch_caller(struct ch_front *front, struct ch_intake *intake)
+{
+    pthread_mutex_lock(&front->lock);
+    intake->mark = ch_table_add(front->replies, intake->reply);
+    pthread_mutex_unlock(&front->lock);
+    ch_hangups_add(front->hangups, ch_reply_fd(intake->reply), intake->mark);
+}
+
+/* Parses a request by the configuration in force, and begins its course or
+ * answers it. */
+static void
+take_request(struct ch_front *front, struct ch_intake *intake,
+             const struct ch_config *config)
+{
+    struct ch_fault fault = {.error.code = CH_OK};
+    struct ch_request_input input;
+    ch_intake_input(intake, &input);
+    struct ch_request *request =
+        ch_request_parse(config->declaration, &input,
+                         ch_client_now(front->node->client), &fault);
+    if (request == NULL) {
+        refuse(front, intake->reply, &fault, 0);
+        return;
+    }
+    if (request->kind == CH_REQUEST_MODEL_LIST) {
+        ch_local_models(config->declaration, request, intake->reply);
+        ch_request_free(request);
+        return;
+    }
+    request->work.id = intake->number;
+    watch_caller(front, intake);
+    ch_exchange_start(front, request, intake->reply);
+}
+
+/* Decides what becomes of a request that has come whole. */
+static void
+take_intake(struct ch_front *front, struct ch_intake *intake, bool refusing)
+{
+    struct ch_fault fault = {.error.code = CH_OK};
+    if (ch_local_serve(front, intake)) {
+        return;
+    }
+    ch_metrics_count(front->node->client->metrics, CH_COUNT_REQUESTS, 1);
+    if (refusing) {
+        ch_fault_set(&fault, CH_STOPPING, "", "this node is stopping");
+        refuse(front, intake->reply, &fault, STOPPING_RETRY_AFTER);
+        return;
+    }
+    struct ch_config *config = ch_config_keeper_current(front->node->config);
+    if (config == NULL) {
+        ch_fault_set(&fault, CH_NOT_READY, "",
+                     "this node has no configuration yet");
+        refuse(front, intake->reply, &fault, STOPPING_RETRY_AFTER);
+        return;
+    }
+    take_request(front, intake, config);
+    ch_config_unref(config);
+}
+
+/* ---- the library's callbacks ---- */
+
+/* The request line came; it is kept as it stood, since the library decodes the
+ * path that it gives to the handler. */
+static void *
+request_begun(void *data, const char *uri, struct MHD_Connection *connection)
+{
+    struct ch_front *front = data;
+    char id[CH_REPLY_ID];
+    uint64_t number = ch_front_new_id(front, id);
+    struct ch_intake *intake = ch_intake_new(connection, uri, id, number);
+    pthread_mutex_lock(&front->lock);
+    front->open++;
+    pthread_mutex_unlock(&front->lock);
+    return intake;
+}
+
+/* The library's handler: once for the head, for each part of the body, for the
+ * end of the request, and after each resume. */
+static enum MHD_Result
+handle(void *data, struct MHD_Connection *connection, const char *path,
+       const char *method, const char *version, const char *upload,
+       size_t *upload_size, void **request)
+{
+    (void)path;
+    (void)version;
+    struct ch_front *front = data;
+    struct ch_intake *intake = *request;
+    const struct ch_settings *settings = front->node->settings;
+    bool stopping = false;
+    bool refusing = is_refusing(front, &stopping);
+    if (!intake->begun) {
+        struct ch_fault fault = {.error.code = CH_OK};
+        if (ch_intake_head(intake, connection, method, settings, &fault)) {
+            return MHD_YES;
+        }
+        intake->complete = true;
+        refuse(front, intake->reply, &fault, 0);
+        return ch_reply_serve(intake->reply, stopping);
+    }
+    if (*upload_size > 0) {
+        bool good =
+            ch_intake_body(intake, upload, *upload_size, settings->max_body);
+        *upload_size = 0;
+        return good ? MHD_YES : MHD_NO;
+    }
+    if (!intake->complete) {
+        intake->complete = true;
+        struct ch_fault fault = {.error.code = CH_OK};
+        if (ch_intake_check(intake, settings->max_body, &fault)) {
+            take_intake(front, intake, refusing);
+        }
+        else {
+            refuse(front, intake->reply, &fault, 0);
+        }
+    }
+    return ch_reply_serve(intake->reply, stopping);
+}
+
+/* The library is done with a request, well or not. */
+static void
+request_over(void *data, struct MHD_Connection *connection, void **request,
+             enum MHD_RequestTerminationCode why)
+{
+    (void)connection;
+    struct ch_front *front = data;
+    struct ch_intake *intake = *request;
+    if (intake == NULL) {
+        return;
+    }
+    if (intake->mark != 0) {
+        ch_hangups_remove(front->hangups, ch_reply_fd(intake->reply));
+        pthread_mutex_lock(&front->lock);
+        ch_table_remove(front->replies, intake->mark);
+        pthread_mutex_unlock(&front->lock);
+    }
+    if (!intake->complete) {
+        ch_log(front->node->client, CH_LOG_INFO, "request cut short",
+               CH_F_STR("request_id", ch_reply_id(intake->reply)),
+               CH_F_INT("code", CH_BODY_TRUNCATED), CH_F_INT("why", (int)why),
+               CH_F_END);
+    }
+    ch_reply_detach(intake->reply);
+    ch_intake_free(intake);
+    *request = NULL;
+    pthread_mutex_lock(&front->lock);
+    front->open--;
+    pthread_cond_broadcast(&front->quiet);
+    pthread_mutex_unlock(&front->lock);
+}
+
+/* A caller's socket was closed at its end. */
+static void
+caller_hung_up(void *data, uint64_t mark)
+{
+    struct ch_front *front = data;
+    pthread_mutex_lock(&front->lock);
+    struct ch_reply *reply = ch_table_get(front->replies, mark);
+    if (reply != NULL) {
+        ch_reply_ref(reply);
+    }
+    pthread_mutex_unlock(&front->lock);
+    if (reply != NULL) {
+        ch_reply_hang_up(reply);
+        ch_reply_unref(reply);
+    }
+}
+
+/* The library's own complaints, such as of malformed requests. */
+static void library_log(void *data, const char *form, va_list arguments)
+    G_GNUC_PRINTF(2, 0);
+
+static void
+library_log(void *data, const char *form, va_list arguments)
+{
+    struct ch_front *front = data;
+    char text[256];
+    (void)vsnprintf(text, sizeof(text), form, arguments);
+    ch_log(front->node->client, CH_LOG_DEBUG, "listener",
+           CH_F_STR("message", g_strchomp(text)), CH_F_END);
+}
+
+/* ---- start and stop ---- */
+
+/* "ip:port" as a socket address; false with *error. */
+static bool
+parse_address(const char *text, struct sockaddr_in *address,
+              struct ch_error *error)
+{
+    if (!ch_address_check(text, error)) {
+        return false;
+    }
+    const char *colon = strrchr(text, ':');
+    char *host = g_strndup(text, (size_t)(colon - text));
+    *address = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)),
+    };
+    inet_pton(AF_INET, host, &address->sin_addr);
+    g_free(host);
+    return true;
+}
+
+/* Starts the library's threads.  Its memory for a connection bounds the head
+ * of a request even before this node can look at it. */
+static struct MHD_Daemon *
+start_daemon(struct ch_front *front, const struct sockaddr_in *address)
+{
+    const struct ch_settings *settings = front->node->settings;
+    unsigned threads = CLAMP(settings->workers, 1, MOST_LISTENER_THREADS);
+    threads = MIN(threads, MAX(settings->max_connections, 1));
+    return MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_USE_INTERNAL_POLLING_THREAD |
+            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
+        0, NULL, NULL, handle, front, MHD_OPTION_EXTERNAL_LOGGER, library_log,
+        front, MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_URI_LOG_CALLBACK,
+        request_begun, front, MHD_OPTION_NOTIFY_COMPLETED, request_over, front,
+        MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        settings->max_headers + CH_INTAKE_MEMORY,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_SECONDS,
+        MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT,
+        1, MHD_OPTION_END);
+}
+
+/* Starts listening for callers.  The node's other parts are to be there, but
+ * for its configuration: without one the answer is NOT_READY. */
+struct ch_front *
+ch_front_new(struct ch_node *node, struct ch_error *error)
+{
+    struct sockaddr_in address;
+    if (!parse_address(node->settings->callers, &address, error)) {
+        return NULL;
+    }
+    struct ch_front *front = g_new0(struct ch_front, 1);
+    front->node = node;
+    front->id_start =
+        ch_hash_pair(ch_hash_string(node->settings->name), node->incarnation);
+    front->replies = ch_table_new();
+    pthread_mutex_init(&front->lock, NULL);
+    pthread_cond_init(&front->quiet, NULL);
+    ch_retry_budget_init(&front->retries, node->settings->retry_share);
+    front->hangups = ch_hangups_new(caller_hung_up, front);
+    front->daemon = start_daemon(front, &address);
+    if (front->daemon == NULL) {
+        ch_error_set(error, CH_SYSTEM, "cannot listen on %s: %s",
+                     node->settings->callers, g_strerror(errno));
+        ch_front_free(front);
+        return NULL;
+    }
+    const union MHD_DaemonInfo *bound =
+        MHD_get_daemon_info(front->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    ch_log(node->client, CH_LOG_NOTICE, "listening for callers",
+           CH_F_STR("address", node->settings->callers),
+           CH_F_INT("port", bound == NULL ? 0 : bound->port), CH_F_END);
+    return front;
+}
+
+/* Waits until no request is open and no course is under way. */
+static void
+wait_quiet(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    while (front->open > 0 || front->exchanges > 0) {
+        pthread_cond_wait(&front->quiet, &front->lock);
+    }
+    pthread_mutex_unlock(&front->lock);
+}
+
+/*
+ * Stops without cutting a request short.  The balancer takes some time to see
+ * that the node is not ready and goes on sending; so for drain_ms everything
+ * is served as ever, and callers are told to close their connections.  Then
+ * new requests are refused, all accepted ones are answered, and only then is
+ * the listener closed.
+ */
+void
+ch_front_stop(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    front->stopping = true;
+    pthread_mutex_unlock(&front->lock);
+    g_usleep((gulong)front->node->settings->drain_ms * 1000);
+    pthread_mutex_lock(&front->lock);
+    front->refusing = true;
+    pthread_mutex_unlock(&front->lock);
+    wait_quiet(front);
+    int listener = MHD_quiesce_daemon(front->daemon);
+    wait_quiet(front);
+    MHD_stop_daemon(front->daemon);
+    front->daemon = NULL;
+    if (listener >= 0) {
+        close(listener);
+    }
+}
+
+/* Frees the front; stops it at once when ch_front_stop() was not called. */
+void
+ch_front_free(struct ch_front *front)
+{
+    if (front == NULL) {
+        return;
+    }
+    if (front->daemon != NULL) {
+        MHD_stop_daemon(front->daemon);
+    }
+    ch_hangups_free(front->hangups);
+    ch_table_free(front->replies);
+    pthread_cond_destroy(&front->quiet);
+    pthread_mutex_destroy(&front->lock);
+    g_free(front);
+}
--- /dev/null
+++ b/libchestnuthitch/node/front.h
@@ -0,0 +1,38 @@
+#ifndef CH_NODE_FRONT_H
+#define CH_NODE_FRONT_H
+
+/* What the listener and the exchanges share.  Lock order: exchange < front <
+ * reply; see node.h for the rest. */
+
+#include "node/node.h"
+#include "node/reply.h"
+#include "node/request.h"
+
+#include <pthread.h>
+
+struct ch_hangups;
+
+struct ch_front {
+    struct ch_node *node;
+    struct MHD_Daemon *daemon;
+    struct ch_hangups *hangups;
+    uint64_t id_start; /* differs between nodes and between their starts */
+    pthread_mutex_t lock;
+    pthread_cond_t quiet;           /* open or exchanges went down to 0 */
+    struct ch_table *replies;       /* those whose callers are watched */
+    size_t open;                    /* requests begun and not yet answered */
+    size_t exchanges;               /* courses not yet over */
+    uint64_t last_id;               /* of requests */
+    struct ch_retry_budget retries; /* one for the node */
+    bool stopping;                  /* not ready; still serving */
+    bool refusing;                  /* new requests are refused */
+};
+
+/* Ids for a request: a number for the decisions, a text for the caller. */
+uint64_t ch_front_new_id(struct ch_front *front, char text[CH_REPLY_ID]);
+
+/* A course begins or is over; ch_front_stop() waits for the last. */
+void ch_front_enter(struct ch_front *front);
+void ch_front_leave(struct ch_front *front);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/node/hangup.h
@@ -0,0 +1,18 @@
+#ifndef CH_NODE_HANGUP_H
+#define CH_NODE_HANGUP_H
+
+/* Notices callers that go away while they wait.  The HTTP library does not
+ * look at a connection that is suspended. */
+
+#include "base/base.h"
+
+struct ch_hangups;
+
+/* gone(data, mark) runs on the watch's own thread, once for each add. */
+struct ch_hangups *ch_hangups_new(void (*gone)(void *data, uint64_t mark),
+                                  void *data);
+void ch_hangups_free(struct ch_hangups *hangups);
+void ch_hangups_add(struct ch_hangups *hangups, int fd, uint64_t mark);
+void ch_hangups_remove(struct ch_hangups *hangups, int fd);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/node/json_shape.c
@@ -0,0 +1,100 @@
+/*
+ * A look at a JSON text before it is parsed.
+ *
+ * The parser descends one stack frame for each level, so that a body of
+ * brackets alone would end the process; it also takes comments, several texts
+ * after one another (the last one counts), and the same member twice (the
+ * last one counts).  An engine that takes the first would then serve a model
+ * that was never checked.  So such bodies are refused here.
+ */
+
+#include "node/request.h"
+
+#include <string.h>
+
+struct shape {
+    unsigned depth;
+    unsigned max_depth;
+    bool in_string;
+    bool escaped;
+    bool ended; /* the outermost object was closed */
+    size_t members;
+};
+
+/* One byte inside a string; false for a raw control character. */
+static bool
+string_byte(struct shape *shape, char byte)
+{
+    if (shape->escaped) {
+        shape->escaped = false;
+    }
+    else if (byte == '\\') {
+        shape->escaped = true;
+    }
+    else if (byte == '"') {
+        shape->in_string = false;
+    }
+    return (unsigned char)byte >= ' ';
+}
+
+/* An opening or closing bracket. */
+static bool
+bracket(struct shape *shape, char byte)
+{
+    if (byte == '{' || byte == '[') {
+        if (shape->depth == 0 && byte == '[') {
+            return false;
+        }
+        shape->depth++;
+        return shape->depth <= shape->max_depth;
+    }
+    if (shape->depth == 0) {
+        return false;
+    }
+    shape->depth--;
+    shape->ended = shape->depth == 0;
+    return true;
+}
+
+/* One byte outside a string. */
+static bool
+plain_byte(struct shape *shape, char byte)
+{
+    if (byte == ' ' || byte == '\t' || byte == '\r' || byte == '\n') {
+        return true;
+    }
+    if (shape->ended || byte == '\0') {
+        return false;
+    }
+    if (strchr("{}[]", byte) != NULL) {
+        return bracket(shape, byte);
+    }
+    if (shape->depth == 0) {
+        return false;
+    }
+    if (byte == '"') {
+        shape->in_string = true;
+        return true;
+    }
+    if (byte == ':' && shape->depth == 1) {
+        shape->members++;
+    }
+    return strchr(":,+-.eE0123456789truefalsn", byte) != NULL;
+}
+
+/* See request.h. */
+bool
+ch_json_shape(const char *text, size_t length, unsigned max_depth,
+              size_t *members)
+{
+    struct shape shape = {.max_depth = max_depth};
+    for (size_t i = 0; i < length; i++) {
+        bool good = shape.in_string ? string_byte(&shape, text[i])
+                                    : plain_byte(&shape, text[i]);
+        if (!good) {
+            return false;
+        }
+    }
+    *members = shape.members;
+    return shape.ended;
+}
--- /dev/null
+++ b/libchestnuthitch/node/refusal.c
@@ -0,0 +1,50 @@
+/* The JSON by which callers learn why there is no answer. */
+
+#include "node/refusal.h"
+
+#include <json-glib/json-glib.h>
+
+/* Adds a string member. */
+static void
+add_text(JsonBuilder *builder, const char *name, const char *text)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_string_value(builder, text);
+}
+
+/* Prints {"error": {...}}; the caller frees it. */
+char *
+ch_refusal_print(const struct ch_refusal *refusal)
+{
+    JsonBuilder *builder = json_builder_new_immutable();
+    const char *message = refusal->message;
+    if (message == NULL || message[0] == '\0') {
+        message = ch_code_meaning(refusal->code);
+    }
+    char *valid = g_utf8_make_valid(message, -1);
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "error");
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "code");
+    json_builder_add_int_value(builder, refusal->code);
+    add_text(builder, "name", ch_code_name(refusal->code));
+    add_text(builder, "message", valid);
+    if (refusal->field != NULL && refusal->field[0] != '\0') {
+        add_text(builder, "field", refusal->field);
+    }
+    add_text(builder, "outcome", ch_outcome_name(refusal->outcome));
+    if (refusal->retry_after > 0) {
+        json_builder_set_member_name(builder, "retry_after_ms");
+        json_builder_add_int_value(builder,
+                                   (refusal->retry_after + 999) / 1000);
+    }
+    add_text(builder, "request_id", refusal->request_id);
+    json_builder_end_object(builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    g_free(valid);
+    return text;
+}
--- /dev/null
+++ b/libchestnuthitch/node/request.c
@@ -0,0 +1,407 @@
+/* A caller's request: path, headers and permissions. */
+
+#include "node/request.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    MOST_URI = 8 * 1024,
+    /* When a class states no target at all: what queues may go by. */
+    NO_TARGET = 60 * G_USEC_PER_SEC,
+};
+
+/* Notes the first fault found, and the field that is to be named. */
+void
+ch_fault_set(struct ch_fault *fault, enum ch_code code, const char *field,
+             const char *form, ...)
+{
+    if (fault->error.code != CH_OK) {
+        return;
+    }
+    char text[sizeof(fault->error.message)];
+    va_list arguments;
+    va_start(arguments, form);
+    (void)vsnprintf(text, sizeof(text), form, arguments);
+    va_end(arguments);
+    ch_error_set(&fault->error, code, "%s", text);
+    g_strlcpy(fault->field, field, sizeof(fault->field));
+}
+
+/* Frees a request and all that it holds. */
+void
+ch_request_free(struct ch_request *request)
+{
+    if (request == NULL) {
+        return;
+    }
+    g_free(request->method);
+    g_free(request->path);
+    g_free(request->content_type);
+    g_free(request->key);
+    g_free(request->body);
+    g_free(request->caller);
+    g_free(request->tenant);
+    g_free(request->class_name);
+    g_free(request->model);
+    g_free(request->adapter);
+    g_free(request);
+}
+
+/* True when every byte is printable ASCII and there are 1 to `most`; a space
+ * counts as printable where a header's value is checked. */
+static bool
+is_printable(const char *text, size_t most, bool space)
+{
+    size_t length = strlen(text);
+    for (size_t i = 0; i < length; i++) {
+        if (!g_ascii_isgraph(text[i]) && !(space && text[i] == ' ')) {
+            return false;
+        }
+    }
+    return length > 0 && length <= most;
+}
+
+/* ---- path ---- */
+
+struct route {
+    const char *path;
+    const char *method;
+    enum ch_request_kind kind;
+};
+
+static const struct route routes[] = {
+    {"/v1/completions", "POST", CH_REQUEST_MODEL_CALL},
+    {"/v1/chat/completions", "POST", CH_REQUEST_MODEL_CALL},
+    {"/v1/models", "GET", CH_REQUEST_MODEL_LIST},
+};
+
+static const char service_prefix[] = "/services/";
+
+/* Checks the path as it stood in the request line.  It is passed on to plain
+ * services byte by byte; '#' is refused since an HTTP client cuts there. */
+static bool
+check_uri(const char *uri, struct ch_fault *fault)
+{
+    if (uri[0] != '/' || !is_printable(uri, MOST_URI, false) ||
+        strpbrk(uri, "#\\\"<>^`{|}") != NULL) {
+        ch_fault_set(fault, CH_BAD_FIELD, "path",
+                     "the path is not 1 to %d bytes of a URL's characters",
+                     MOST_URI);
+        return false;
+    }
+    return true;
+}
+
+/* Takes /services/NAME/REST apart. */
+static bool
+take_service_path(struct ch_request *request, const char *uri,
+                  struct ch_fault *fault)
+{
+    const char *name = uri + sizeof(service_prefix) - 1;
+    size_t length = strcspn(name, "/?");
+    if (length == 0 || length > CH_REQUEST_MOST_NAME) {
+        ch_fault_set(fault, CH_UNKNOWN_SERVICE, "path",
+                     "the path names no service");
+        return false;
+    }
+    request->kind = CH_REQUEST_SERVICE_CALL;
+    request->model = g_strndup(name, length);
+    request->path = name[length] == '/'
+                        ? g_strdup(name + length)
+                        : g_strconcat("/", name + length, NULL);
+    return true;
+}
+
+/* Finds what is asked for by path and method. */
+static bool
+take_path(struct ch_request *request, const struct ch_request_input *input,
+          struct ch_fault *fault)
+{
+    if (!check_uri(input->uri, fault)) {
+        return false;
+    }
+    if (g_str_has_prefix(input->uri, service_prefix)) {
+        return take_service_path(request, input->uri, fault);
+    }
+    size_t length = strcspn(input->uri, "?");
+    for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+        if (strlen(routes[i].path) != length ||
+            strncmp(routes[i].path, input->uri, length) != 0) {
+            continue;
+        }
+        if (strcmp(routes[i].method, input->method) != 0) {
+            ch_fault_set(fault, CH_BAD_METHOD, "method", "%s takes %s alone",
+                         routes[i].path, routes[i].method);
+            return false;
+        }
+        request->kind = routes[i].kind;
+        request->path = g_strdup(input->uri);
+        return true;
+    }
+    ch_fault_set(fault, CH_UNKNOWN_PATH, "path", "no such path");
+    return false;
+}
+
+/* ---- headers ---- */
+
+/* Takes the caller's identity. */
+static bool
+take_caller(struct ch_request *request, const struct ch_request_input *input,
+            struct ch_fault *fault)
+{
+    const char *caller = input->caller == NULL ? "anonymous" : input->caller;
+    if (!is_printable(caller, CH_REQUEST_MOST_NAME, true)) {
+        ch_fault_set(fault, CH_BAD_FIELD, "Chestnuthitch-Caller",
+                     "the caller's name is not 1 to %d printable characters",
+                     CH_REQUEST_MOST_NAME);
+        return false;
+    }
+    request->caller = g_strdup(caller);
+    request->work.tenant = ch_hash_string(caller);
+    return true;
+}
+
+/* Takes the idempotency key. */
+static bool
+take_key(struct ch_request *request, const struct ch_request_input *input,
+         struct ch_fault *fault)
+{
+    if (input->key == NULL) {
+        return true;
+    }
+    if (!is_printable(input->key, CH_REQUEST_MOST_KEY, true)) {
+        ch_fault_set(fault, CH_BAD_KEY, "Idempotency-Key",
+                     "the key is not 1 to %d printable ASCII characters",
+                     CH_REQUEST_MOST_KEY);
+        return false;
+    }
+    request->key = g_strdup(input->key);
+    return true;
+}
+
+/* Takes how long the caller waits. */
+static bool
+take_deadline(struct ch_request *request, const struct ch_request_input *input,
+              int64_t now, struct ch_fault *fault)
+{
+    guint64 wait = 0;
+    if (input->deadline_ms == NULL) {
+        return true;
+    }
+    if (!g_ascii_string_to_unsigned(input->deadline_ms, 10, 1,
+                                    CH_REQUEST_MOST_DEADLINE_MS, &wait,
+                                    NULL)) {
+        ch_fault_set(fault, CH_BAD_FIELD, "Chestnuthitch-Deadline-Ms",
+                     "the deadline is not a whole number from 1 to %d",
+                     CH_REQUEST_MOST_DEADLINE_MS);
+        return false;
+    }
+    request->deadline = now + (int64_t)wait * 1000;
+    return true;
+}
+
+/* The class that the request names, else the one declared for its caller; NULL
+ * with *fault when there is none. */
+static const struct ch_class *
+take_class(struct ch_request *request,
+           const struct ch_declaration *declaration,
+           const struct ch_request_input *input, struct ch_fault *fault)
+{
+    int declared = ch_declaration_caller_class(declaration, request->caller);
+    int index = declared;
+    if (input->class_name != NULL) {
+        index = ch_declaration_class(declaration, input->class_name);
+        if (index < 0) {
+            ch_fault_set(fault, CH_UNKNOWN_CLASS, "Chestnuthitch-Class",
+                         "no such class");
+            return NULL;
+        }
+    }
+    if (index < 0) {
+        ch_fault_set(fault, CH_CLASS_MISSING, "Chestnuthitch-Class",
+                     "no class named, none declared for this caller");
+        return NULL;
+    }
+    const struct ch_class *class = &declaration->classes[index];
+    /* Callers choose their names: counters by tenant would grow without bound
+     * if every name had its own. */
+    request->tenant = g_strdup(declared >= 0 ? request->caller : "other");
+    request->class_name = g_strdup(class->name);
+    request->first_token = class->first_token;
+    request->between_tokens = class->between_tokens;
+    request->whole_answer = class->whole_answer;
+    request->work.class_name = g_quark_from_string(class->name);
+    request->work.idempotent = class->idempotent;
+    return class;
+}
+
+/* ---- what the class may use ---- */
+
+/* Resolves the model or adapter that the body names. */
+static bool
+take_model(struct ch_request *request,
+           const struct ch_declaration *declaration,
+           const struct ch_class *class, const char *name,
+           struct ch_fault *fault)
+{
+    int adapter = -1;
+    int index = ch_declaration_model(declaration, name);
+    if (index < 0) {
+        index = ch_declaration_adapter(declaration, name, &adapter);
+    }
+    if (index < 0) {
+        ch_fault_set(fault, CH_UNKNOWN_MODEL, "model",
+                     "no such model or adapter");
+        return false;
+    }
+    if (!class->every_model &&
+        (class->models == NULL || class->models[index] == 0)) {
+        ch_fault_set(fault, CH_MODEL_FORBIDDEN, "model",
+                     "class %s may not use this model", class->name);
+        return false;
+    }
+    const struct ch_model *model = &declaration->models[index];
+    request->model = g_strdup(model->name);
+    request->work.model = g_quark_from_string(model->name);
+    request->work.model_mb = model->memory_mb;
+    if (adapter >= 0) {
+        request->adapter = g_strdup(model->adapters[adapter]);
+        char *full = g_strconcat(model->name, "/", request->adapter, NULL);
+        request->work.adapter = g_quark_from_string(full);
+        request->work.adapter_mb = model->adapter_memory_mb;
+        g_free(full);
+    }
+    return true;
+}
+
+/* Resolves the plain service that the path names. */
+static bool
+take_service(struct ch_request *request,
+             const struct ch_declaration *declaration,
+             const struct ch_class *class, struct ch_fault *fault)
+{
+    int index = ch_declaration_service(declaration, request->model);
+    if (index < 0) {
+        ch_fault_set(fault, CH_UNKNOWN_SERVICE, "path", "no such service");
+        return false;
+    }
+    if (class->services == NULL || class->services[index] == 0) {
+        ch_fault_set(fault, CH_MODEL_FORBIDDEN, "path",
+                     "class %s may not use this service", class->name);
+        return false;
+    }
+    request->work.model = g_quark_from_string(request->model);
+    request->work.service = true;
+    return true;
+}
+
+/* Parses a model call's body. */
+static bool
+take_model_body(struct ch_request *request,
+                const struct ch_declaration *declaration,
+                const struct ch_class *class,
+                const struct ch_request_input *input, struct ch_fault *fault)
+{
+    struct ch_model_body body;
+    bool chat = g_str_has_prefix(request->path, "/v1/chat/");
+    if (!ch_model_body_parse(input->body, input->length, chat, &body, fault)) {
+        return false;
+    }
+    bool good = take_model(request, declaration, class, body.model, fault);
+    request->stream = body.stream;
+    request->work.prompt_tokens = body.prompt_tokens;
+    request->work.output_tokens = body.output_tokens;
+    request->work.prefix = body.prefix;
+    g_free(body.model);
+    return good;
+}
+
+/* ---- the whole request ---- */
+
+/* Sets the times by which the class wants answers; a caller that stops waiting
+ * earlier makes them earlier. */
+static void
+set_targets(struct ch_request *request, int64_t now)
+{
+    struct ch_work *work = &request->work;
+    int64_t first = request->first_token;
+    if (first == 0 || work->service) {
+        first = request->whole_answer > 0 ? request->whole_answer : first;
+    }
+    work->arrived = now;
+    work->first_by = now + (first > 0 ? first : NO_TARGET);
+    work->between = request->between_tokens;
+    work->whole_by =
+        request->whole_answer > 0 ? now + request->whole_answer : 0;
+    if (request->deadline != 0) {
+        work->first_by = MIN(work->first_by, request->deadline);
+        work->whole_by = work->whole_by == 0
+                             ? request->deadline
+                             : MIN(work->whole_by, request->deadline);
+    }
+}
+
+/* Copies method, content type and body, and hashes what a repeat must equal.
+ */
+static void
+copy_body(struct ch_request *request, const struct ch_request_input *input)
+{
+    request->method = g_strdup(input->method);
+    request->content_type = g_strdup(input->content_type);
+    request->length = input->length;
+    request->body = g_malloc(input->length + 1);
+    if (input->length > 0) {
+        memcpy(request->body, input->body, input->length);
+    }
+    request->body[input->length] = '\0';
+    request->fingerprint =
+        ch_hash_pair(ch_hash_string(input->method),
+                     ch_hash_pair(ch_hash_string(input->uri),
+                                  ch_hash(request->body, request->length)));
+}
+
+/* Fills in the request; false with *fault at the first thing wrong. */
+static bool
+take_all(struct ch_request *request, const struct ch_declaration *declaration,
+         const struct ch_request_input *input, int64_t now,
+         struct ch_fault *fault)
+{
+    if (!take_path(request, input, fault) ||
+        !take_caller(request, input, fault) ||
+        !take_key(request, input, fault) ||
+        !take_deadline(request, input, now, fault)) {
+        return false;
+    }
+    const struct ch_class *class =
+        take_class(request, declaration, input, fault);
+    if (class == NULL) {
+        return false;
+    }
+    if (request->kind == CH_REQUEST_MODEL_CALL &&
+        !take_model_body(request, declaration, class, input, fault)) {
+        return false;
+    }
+    if (request->kind == CH_REQUEST_SERVICE_CALL &&
+        !take_service(request, declaration, class, fault)) {
+        return false;
+    }
+    copy_body(request, input);
+    set_targets(request, now);
+    return true;
+}
+
+/* Parses and checks a request; the caller frees it. */
+struct ch_request *
+ch_request_parse(const struct ch_declaration *declaration,
+                 const struct ch_request_input *input, int64_t now,
+                 struct ch_fault *fault)
+{
+    struct ch_request *request = g_new0(struct ch_request, 1);
+    if (!take_all(request, declaration, input, now, fault)) {
+        ch_request_free(request);
+        return NULL;
+    }
+    return request;
+}
--- /dev/null
+++ b/libchestnuthitch/node/request.h
@@ -0,0 +1,99 @@
+#ifndef CH_NODE_REQUEST_H
+#define CH_NODE_REQUEST_H
+
+/*
+ * A caller's request, parsed and checked against the declaration in force.
+ * No sockets here: the listener fills in struct ch_request_input.
+ */
+
+#include "base/base.h"
+#include "decide/fleet.h"
+
+enum {
+    CH_REQUEST_MOST_KEY = 200,
+    CH_REQUEST_MOST_NAME = 200, /* of a caller, class, model or service */
+    CH_REQUEST_MOST_TOKENS = 128 * 1024,
+    CH_REQUEST_USUAL_TOKENS = 256, /* when the caller states no bound */
+    CH_REQUEST_MOST_DEADLINE_MS = 24 * 60 * 60 * 1000,
+};
+
+/* What came over HTTP.  Header values are NULL when they did not come. */
+struct ch_request_input {
+    const char *method;
+    const char *uri; /* as it stood in the request line, with its query */
+    const char *caller;
+    const char *class_name;
+    const char *deadline_ms;
+    const char *key;
+    const char *content_type;
+    const void *body;
+    size_t length;
+};
+
+enum ch_request_kind {
+    CH_REQUEST_MODEL_CALL,
+    CH_REQUEST_SERVICE_CALL,
+    CH_REQUEST_MODEL_LIST,
+};
+
+struct ch_request {
+    enum ch_request_kind kind;
+    char *method;
+    char *path; /* as the upstream is to get it, with its query */
+    char *content_type;
+    char *key;
+    char *body;
+    size_t length;
+    char *caller;
+    char *tenant; /* the caller when it is declared, else "other" */
+    char *class_name;
+    int64_t first_token; /* targets of the class */
+    int64_t between_tokens;
+    int64_t whole_answer;
+    char *model; /* or the plain service */
+    char *adapter;
+    bool stream;
+    int64_t deadline;     /* when the caller stops waiting; 0: not stated */
+    uint64_t fingerprint; /* of method, path and body */
+    struct ch_work work;
+};
+
+/* What is wrong with a request: which field, and why. */
+struct ch_fault {
+    struct ch_error error;
+    char field[64]; /* "" when no single field is at fault */
+};
+
+void ch_fault_set(struct ch_fault *fault, enum ch_code code, const char *field,
+                  const char *form, ...) G_GNUC_PRINTF(4, 5);
+
+/* NULL with *fault when the request must not go on. */
+struct ch_request *ch_request_parse(const struct ch_declaration *declaration,
+                                    const struct ch_request_input *input,
+                                    int64_t now, struct ch_fault *fault);
+void ch_request_free(struct ch_request *request);
+
+/* ---- the body of a model call (model_body.c) ---- */
+
+struct ch_model_body {
+    char *model; /* as the caller named it: a model or an adapter */
+    bool stream;
+    uint32_t prompt_tokens; /* estimated from its length */
+    uint32_t output_tokens;
+    uint64_t prefix;
+};
+
+/* False with *fault; body->model is then NULL. */
+bool ch_model_body_parse(const char *text, size_t length, bool chat,
+                         struct ch_model_body *body, struct ch_fault *fault);
+
+/* ---- strict JSON (json_shape.c) ---- */
+
+/*
+ * True for one JSON object that is nested max_depth deep at most; members is
+ * how many the object itself has.  Finds no more than the shape.
+ */
+bool ch_json_shape(const char *text, size_t length, unsigned max_depth,
+                   size_t *members);
+
+#endif
