--- /dev/null
+++ b/tests/demo/demo.c
@@ -0,0 +1,165 @@
+/*
+ * The whole path, shown: the platform's stand-ins, two model engines, a plain
+ * service and three nodes as processes on loopback; real requests of each
+ * class through different nodes; the status; a graceful stop.  Exits with 1
+ * when anything is not as it should be.
+ */
+
+#include "harness/harness.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct request {
+    const char *what;
+    unsigned node;
+    const char *class_name;
+    const char *caller;
+    const char *path;
+    const char *model; /* NULL: a plain service */
+    unsigned tokens;
+    bool stream;
+    const char *key;
+    const char *body; /* of a plain service */
+};
+
+static const struct request requests[] = {
+    {"a streamed answer; the model is loaded first", 0, "advice", "fitter",
+     "/v1/chat/completions", "m01", 8, true, NULL, NULL},
+    {"the same model, now in memory, through another node", 1, "advice",
+     "fitter", "/v1/chat/completions", "m01", 8, true, NULL, NULL},
+    {"a whole answer of a second model", 2, "lookup", "secretary",
+     "/v1/completions", "m02", 6, false, NULL, NULL},
+    {"a third model, which fills most of an engine", 0, "advice", "fitter",
+     "/v1/completions", "m03", 4, false, NULL, NULL},
+    {"an adapter of the first model", 1, "advice", "fitter", "/v1/completions",
+     "m01-a1", 4, false, NULL, NULL},
+    {"an order with an Idempotency-Key", 1, "order", "workshop",
+     "/services/orders/jackets", NULL, 0, false, "llanelli-silver-7",
+     "{\"hem\":\"Llanelli Silver\",\"jackets\":1}"},
+    {"the same order again, through another node", 2, "order", "workshop",
+     "/services/orders/jackets", NULL, 0, false, "llanelli-silver-7",
+     "{\"hem\":\"Llanelli Silver\",\"jackets\":1}"},
+};
+
+/* Prints an answer as its caller got it. */
+static void
+print_answer(const struct harness_answer *answer)
+{
+    printf("   status %d, request id %s, outcome %s\n", answer->status,
+           answer->request_id == NULL ? "-" : answer->request_id,
+           answer->outcome == NULL ? "-" : answer->outcome);
+    printf("   first byte after %" G_GINT64_FORMAT
+           " ms, whole after %" G_GINT64_FORMAT " ms\n",
+           answer->first - answer->sent, answer->ended - answer->sent);
+    char **lines = g_strsplit(answer->text->str, "\n", -1);
+    for (size_t i = 0; lines[i] != NULL; i++) {
+        if (lines[i][0] != '\0') {
+            printf("   | %s\n", lines[i]);
+        }
+    }
+    g_strfreev(lines);
+}
+
+/* Sends one request and prints what came. */
+static struct harness_answer *
+send_request(struct harness_fleet *fleet, size_t i)
+{
+    const struct request *request = &requests[i];
+    char *body = request->model == NULL
+                     ? g_strdup(request->body)
+                     : harness_model_body(request->model, request->tokens,
+                                          request->stream, (unsigned)i);
+    struct harness_call call = {.address =
+                                    fleet->nodes[request->node].caller_address,
+                                .method = "POST",
+                                .path = request->path,
+                                .class_name = request->class_name,
+                                .caller = request->caller,
+                                .key = request->key,
+                                .body = body,
+                                .limit_ms = 15000};
+    printf("\n%zu. %s\n   POST http://%s%s, class %s%s%s\n   %s\n", i + 1,
+           request->what, call.address, call.path, call.class_name,
+           call.key == NULL ? "" : ", Idempotency-Key ",
+           call.key == NULL ? "" : call.key, body);
+    struct harness_answer *answer = harness_call(&call);
+    print_answer(answer);
+    (void)fflush(stdout);
+    g_free(body);
+    return answer;
+}
+
+/* Runs the command line and prints what it says; true when it exits with 0. */
+static bool
+show_cli(const struct harness_fleet *fleet, const char *const *args)
+{
+    char *output = NULL;
+    int status = harness_cli(fleet, &fleet->nodes[2], &output, args);
+    printf("\n$ chestnuthitch");
+    for (size_t i = 0; args[i] != NULL; i++) {
+        printf(" %s", args[i]);
+    }
+    printf(" --node %s\n%s", fleet->nodes[2].admin_address, output);
+    g_free(output);
+    return status == 0;
+}
+
+/* One line of the summary; 1 when it is not as it should be. */
+static unsigned
+expect(const char *what, bool holds)
+{
+    printf("%s  %s\n", holds ? "ok  " : "FAIL", what);
+    return holds ? 0 : 1;
+}
+
+/* Every request, and what was made of it. */
+static unsigned
+show_requests(struct harness_fleet *fleet)
+{
+    struct harness_verdict verdict;
+    GPtrArray *answers =
+        g_ptr_array_new_with_free_func((GDestroyNotify)harness_answer_free);
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        g_ptr_array_add(answers, send_request(fleet, i));
+    }
+    harness_check(fleet, answers, &verdict);
+    unsigned bad = show_cli(fleet, (const char *[]){"status", NULL}) ? 0 : 1;
+    printf("\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        bad += expect(requests[i].what,
+                      harness_answer_good(g_ptr_array_index(answers, i)));
+    }
+    bad += expect("the order ran once", verdict.ran_twice == 0);
+    bad += expect("no engine was asked for more than its memory",
+                  verdict.overcommit == 0);
+    g_ptr_array_unref(answers);
+    return bad;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct harness_shape shape = {
+        .nodes = 3, .engines = 2, .services = 1};
+    if (argc != 2) {
+        (void)fprintf(stderr, "usage: demo BUILD-DIRECTORY\n");
+        return 2;
+    }
+    printf("starting the platform's stand-ins, two engines, one service and "
+           "three nodes\n");
+    (void)fflush(stdout);
+    struct harness_fleet *fleet = harness_fleet_start(argv[1], &shape);
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        printf("node %s: callers at http://%s, operators at http://%s\n",
+               fleet->nodes[i].name, fleet->nodes[i].caller_address,
+               fleet->nodes[i].admin_address);
+    }
+    bool shown = show_cli(fleet, (const char *[]){"config", "show", NULL});
+    unsigned bad = expect("the declaration is in force", shown);
+    bad += show_requests(fleet);
+    bad += expect("every node stopped gracefully",
+                  harness_fleet_stop(fleet) == 0);
+    printf("%s\n", bad == 0 ? "the whole path works" : "SOMETHING IS WRONG");
+    return bad == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/harness/call.c
@@ -0,0 +1,213 @@
+/* One caller's request, by libcurl, and what it was told. */
+
+#include "harness/harness.h"
+#include "standin/answer.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A piece of the answer: its time counts. */
+static size_t
+on_bytes(char *bytes, size_t size, size_t count, void *data)
+{
+    struct harness_answer *answer = data;
+    int64_t now = harness_now();
+    int64_t last = answer->first == 0 ? now : answer->ended;
+    if (answer->first == 0) {
+        answer->first = now;
+    }
+    answer->longest = MAX(answer->longest, now - last);
+    answer->ended = now;
+    g_string_append_len(answer->text, bytes, (gssize)(size * count));
+    return size * count;
+}
+
+/* A header's value when the line is of that name; else NULL. */
+static char *
+header_value(const char *line, size_t length, const char *name)
+{
+    size_t start = strlen(name);
+    if (length <= start || g_ascii_strncasecmp(line, name, start) != 0 ||
+        line[start] != ':') {
+        return NULL;
+    }
+    return g_strstrip(g_strndup(line + start + 1, length - start - 1));
+}
+
+/* A header line of the answer. */
+static size_t
+on_header(char *line, size_t size, size_t count, void *data)
+{
+    struct harness_answer *answer = data;
+    size_t length = size * count;
+    char *value;
+    if ((value = header_value(line, length, "Chestnuthitch-Request-Id"))) {
+        g_free(answer->request_id);
+        answer->request_id = value;
+    }
+    else if ((value = header_value(line, length, "Chestnuthitch-Outcome"))) {
+        g_free(answer->outcome);
+        answer->outcome = value;
+    }
+    else if ((value = header_value(line, length, "Chestnuthitch-Code"))) {
+        answer->code = atoi(value);
+        g_free(value);
+    }
+    else if ((value = header_value(line, length, "Retry-After"))) {
+        answer->retry_after = true;
+        g_free(value);
+    }
+    return length;
+}
+
+/* Adds "NAME: VALUE" when there is a value. */
+static struct curl_slist *
+add_header(struct curl_slist *list, const char *name, const char *value)
+{
+    if (value == NULL) {
+        return list;
+    }
+    char *line = g_strdup_printf("%s: %s", name, value);
+    list = curl_slist_append(list, line);
+    g_free(line);
+    return list;
+}
+
+/* The easy handle of a call, on a fresh connection. */
+static CURL *
+prepare(const struct harness_call *call, struct harness_answer *answer,
+        struct curl_slist *headers)
+{
+    CURL *curl = curl_easy_init();
+    char *url = g_strdup_printf("http://%s%s", call->address, call->path);
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->limit_ms);
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_bytes);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, answer);
+    if (call->body != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call->body);
+    }
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call->method);
+    g_free(url);
+    return curl;
+}
+
+/* Sends one request and waits for its end; harness_answer_free. */
+struct harness_answer *
+harness_call(const struct harness_call *call)
+{
+    struct harness_answer *answer = g_new0(struct harness_answer, 1);
+    struct curl_slist *headers = NULL;
+    long status = 0;
+    headers = add_header(headers, "Content-Type", "application/json");
+    headers = add_header(headers, "Chestnuthitch-Class", call->class_name);
+    headers = add_header(headers, "Chestnuthitch-Caller", call->caller);
+    headers = add_header(headers, "Idempotency-Key", call->key);
+    headers = curl_slist_append(headers, "Expect:");
+    answer->method = g_strdup(call->method);
+    answer->path = g_strdup(call->path);
+    answer->key = g_strdup(call->key);
+    answer->body = g_strdup(call->body);
+    answer->class_name = g_strdup(call->class_name);
+    answer->node = g_strdup(call->address);
+    answer->text = g_string_new(NULL);
+    CURL *curl = prepare(call, answer, headers);
+    answer->sent = harness_now();
+    answer->curl = (int)curl_easy_perform(curl);
+    answer->ended = harness_now();
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    answer->status = (int)status;
+    curl_easy_cleanup(curl);
+    curl_slist_free_all(headers);
+    return answer;
+}
+
+/* Frees an answer. */
+void
+harness_answer_free(struct harness_answer *answer)
+{
+    g_free(answer->method);
+    g_free(answer->path);
+    g_free(answer->key);
+    g_free(answer->body);
+    g_free(answer->class_name);
+    g_free(answer->node);
+    g_free(answer->request_id);
+    g_free(answer->outcome);
+    g_string_free(answer->text, TRUE);
+    g_free(answer);
+}
+
+/* The body of a model call; g_free. */
+char *
+harness_model_body(const char *model, unsigned tokens, bool stream,
+                   unsigned serial)
+{
+    return g_strdup_printf("{\"model\":\"%s\",\"prompt\":\"call %u\","
+                           "\"max_tokens\":%u,\"stream\":%s}",
+                           model, serial, tokens, stream ? "true" : "false");
+}
+
+/* What the stand-in makes for a model call, with the request id given. */
+static void
+expected_model(GString *out, const struct harness_answer *answer)
+{
+    JsonNode *root = json_from_string(answer->body, NULL);
+    JsonObject *call = json_node_get_object(root);
+    uint64_t hash = ch_hash_string(answer->body);
+    bool chat = strstr(answer->path, "chat") != NULL;
+    unsigned tokens = (unsigned)json_object_get_int_member(call, "max_tokens");
+    if (!json_object_get_boolean_member(call, "stream")) {
+        answer_whole(out, answer->request_id, chat, hash, tokens);
+    }
+    else {
+        for (unsigned i = 0; i < tokens; i++) {
+            answer_event(out, answer->request_id, chat, hash, i);
+        }
+        g_string_append(out, "data: [DONE]\n\n");
+    }
+    json_node_unref(root);
+}
+
+/* True when the whole answer came and is, byte for byte, the request's own. */
+bool
+harness_answer_good(const struct harness_answer *answer)
+{
+    GString *expected = g_string_new(NULL);
+    bool good = false;
+    if (answer->curl == 0 && answer->status == 200 &&
+        answer->request_id != NULL) {
+        const char *service = strstr(answer->path, "/services/");
+        if (service == NULL) {
+            expected_model(expected, answer);
+        }
+        else {
+            const char *rest = strchr(service + strlen("/services/"), '/');
+            answer_service(expected, answer->method, rest ? rest : "/",
+                           ch_hash_string(answer->body ? answer->body : ""));
+        }
+        good = g_string_equal(expected, answer->text);
+    }
+    g_string_free(expected, TRUE);
+    return good;
+}
+
+/* A plain GET; the status, 0 without an answer. */
+int
+harness_get(const char *address, const char *path, char **body)
+{
+    struct harness_call call = {
+        .address = address, .method = "GET", .path = path, .limit_ms = 2000};
+    struct harness_answer *answer = harness_call(&call);
+    int status = answer->curl == 0 ? answer->status : 0;
+    if (body != NULL) {
+        *body = g_strdup(answer->text->str);
+    }
+    harness_answer_free(answer);
+    return status;
+}
--- /dev/null
+++ b/tests/harness/fleet.c
@@ -0,0 +1,475 @@
+/* A fleet: settings files, the host list, nodes and the command line. */
+
+#include "harness/harness.h"
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Settings of a node in a test: small waits, so that a test is short. */
+static const char *const usual_settings[] = {
+    "node.workers=2",
+    "node.log-level=info",
+    "upstreams.fencing=ignore",
+    "upstreams.report-ms=100",
+    "platform.list-ms=200",
+    "platform.kv-timeout-ms=1000",
+    "once.slots=16",
+    "once.gather-ms=5",
+    "once.keep-s=600",
+    "limits.body-bytes=1048576",
+    "limits.header-bytes=16384",
+    "limits.queue=1000",
+    "limits.connections=4000",
+    "limits.retry-share=0.1",
+    "weight-store.loads-per-s=5",
+    "weight-store.parallel=10",
+    "weight-store.adapters-parallel=80",
+    "link.mbit-per-s=30",
+    "timeouts.connect-ms=500",
+    "timeouts.first-byte-ms=1500",
+    "timeouts.stall-ms=1000",
+    "timeouts.peer-silent-ms=600",
+    "timeouts.idle-connection-ms=5000",
+    "timeouts.drain-ms=600",
+};
+
+/* Puts "group.key=value" into a settings file's text. */
+static void
+put_setting(GKeyFile *file, const char *setting)
+{
+    const char *dot = strchr(setting, '.');
+    const char *equals = strchr(setting, '=');
+    char *group = g_strndup(setting, (gsize)(dot - setting));
+    char *key = g_strndup(dot + 1, (gsize)(equals - dot - 1));
+    g_key_file_set_value(file, group, key, equals + 1);
+    g_free(group);
+    g_free(key);
+}
+
+/* Writes a node's settings file. */
+static void
+write_settings(struct harness_fleet *fleet, struct harness_node *node)
+{
+    GKeyFile *file = g_key_file_new();
+    for (size_t i = 0; i < G_N_ELEMENTS(usual_settings); i++) {
+        put_setting(file, usual_settings[i]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(fleet->shape.settings) &&
+                       fleet->shape.settings[i] != NULL;
+         i++) {
+        put_setting(file, fleet->shape.settings[i]);
+    }
+    char *listen = g_strdup_printf("127.0.0.1:%u", node->peers);
+    g_key_file_set_value(file, "node", "name", node->name);
+    g_key_file_set_value(file, "node", "region", node->region);
+    g_key_file_set_value(file, "node", "data-centre", node->data_centre);
+    g_key_file_set_value(file, "listen", "callers", node->caller_address);
+    g_key_file_set_value(file, "listen", "admin", node->admin_address);
+    g_key_file_set_value(file, "listen", "peers", listen);
+    g_key_file_set_value(file, "platform", "kv", fleet->kv.address);
+    g_key_file_set_value(file, "platform", "hosts", fleet->hosts.address);
+    if (!g_key_file_save_to_file(file, node->settings, NULL)) {
+        g_error("harness: cannot write %s", node->settings);
+    }
+    g_free(listen);
+    g_key_file_unref(file);
+}
+
+/* Gives a node its ports and files. */
+static void
+prepare_node(struct harness_fleet *fleet, unsigned i)
+{
+    struct harness_node *node = &fleet->nodes[i];
+    (void)g_snprintf(node->name, sizeof node->name, "n%02u", i + 1);
+    node->region = "de-cymru";
+    node->data_centre = "caerdydd";
+    node->callers = harness_port();
+    node->admin = harness_port();
+    node->peers = harness_port();
+    (void)g_snprintf(node->caller_address, 32, "127.0.0.1:%u", node->callers);
+    (void)g_snprintf(node->admin_address, 32, "127.0.0.1:%u", node->admin);
+    (void)g_snprintf(node->peer_address, 32, "127.0.0.1:%u", node->peers);
+    node->settings =
+        g_strdup_printf("%s/%s.ini", fleet->directory, node->name);
+    node->log = g_strdup_printf("%s/%s.log", fleet->directory, node->name);
+    write_settings(fleet, node);
+}
+
+/* Starts an upstream's stand-in. */
+static void
+start_upstream(struct harness_fleet *fleet, const char *service, unsigned i)
+{
+    struct harness_upstream *upstream =
+        &fleet->upstreams[fleet->upstream_count++];
+    char *models = g_strdup_printf("models=%s", fleet->shape.declaration);
+    char *weights = g_strdup_printf("weights=%s", fleet->weights.address);
+    const char *args[16] = {"token_us=5000",   "load_ms=100", "answer_ms=10",
+                            "memory_mb=40000", models,        weights};
+    for (size_t k = 0; k < G_N_ELEMENTS(fleet->shape.engine_args) &&
+                       fleet->shape.engine_args[k] != NULL;
+         k++) {
+        args[6 + k] = fleet->shape.engine_args[k];
+    }
+    (void)g_snprintf(upstream->name, sizeof upstream->name, "%c%02u",
+                     service == NULL ? 'w' : 'o', i + 1);
+    upstream->service = service;
+    upstream->region = "de-cymru";
+    upstream->data_centre = "caerdydd";
+    harness_standin_start(&upstream->standin, fleet->build,
+                          service == NULL ? "engine" : "service", args);
+    g_free(models);
+    g_free(weights);
+}
+
+/* Adds one host to the list. */
+static void
+list_host(JsonBuilder *out, const char *const *texts, bool engine,
+          bool leaving)
+{
+    static const char *const names[] = {"name",   "kind",        "address",
+                                        "region", "data_centre", "service"};
+    json_builder_begin_object(out);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (texts[i] != NULL) {
+            json_builder_set_member_name(out, names[i]);
+            json_builder_add_string_value(out, texts[i]);
+        }
+    }
+    if (engine) {
+        json_builder_set_member_name(out, "memory_mb");
+        json_builder_add_int_value(out, 40000);
+        json_builder_set_member_name(out, "accelerators");
+        json_builder_add_int_value(out, 1);
+        json_builder_set_member_name(out, "batch");
+        json_builder_add_int_value(out, 64);
+    }
+    json_builder_set_member_name(out, "state");
+    json_builder_add_string_value(out, leaving ? "leaving" : "live");
+    json_builder_end_object(out);
+}
+
+/* Gives the stand-in of the host list the fleet as it is meant to be. */
+void
+harness_fleet_list(struct harness_fleet *fleet)
+{
+    JsonBuilder *out = json_builder_new();
+    json_builder_begin_object(out);
+    json_builder_set_member_name(out, "hosts");
+    json_builder_begin_array(out);
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        const struct harness_node *node = &fleet->nodes[i];
+        const char *texts[] = {node->name,         "entry",
+                               node->peer_address, node->region,
+                               node->data_centre,  NULL};
+        list_host(out, texts, false, false);
+    }
+    for (unsigned i = 0; i < fleet->upstream_count; i++) {
+        const struct harness_upstream *upstream = &fleet->upstreams[i];
+        const char *texts[] = {upstream->name,
+                               upstream->service ? "service" : "engine",
+                               upstream->standin.address,
+                               upstream->region,
+                               upstream->data_centre,
+                               upstream->service};
+        list_host(out, texts, upstream->service == NULL,
+                  upstream->left_at != 0);
+    }
+    json_builder_end_array(out);
+    json_builder_end_object(out);
+    JsonNode *root = json_builder_get_root(out);
+    char *text = json_to_string(root, FALSE);
+    g_free(harness_control(&fleet->hosts, "hosts", text));
+    g_free(text);
+    json_node_unref(root);
+    g_object_unref(out);
+}
+
+/* Stand-ins, settings files and the list; no node runs yet. */
+struct harness_fleet *
+harness_fleet_prepare(const char *build, const struct harness_shape *shape)
+{
+    static const char *const store[] = {"transfer_ms=100", "parallel=10",
+                                        NULL};
+    struct harness_fleet *fleet = g_new0(struct harness_fleet, 1);
+    fleet->build = build;
+    fleet->shape = *shape;
+    if (fleet->shape.declaration == NULL) {
+        fleet->shape.declaration = "examples/small.ini";
+    }
+    fleet->directory = g_dir_make_tmp("chestnuthitch-XXXXXX", NULL);
+    harness_standin_start(&fleet->kv, build, "kv", NULL);
+    harness_standin_start(&fleet->hosts, build, "hosts", NULL);
+    harness_standin_start(&fleet->weights, build, "weights", store);
+    for (unsigned i = 0; i < shape->engines; i++) {
+        start_upstream(fleet, NULL, i);
+    }
+    for (unsigned i = 0; i < shape->services; i++) {
+        start_upstream(fleet, "orders", i);
+    }
+    for (unsigned i = 0; i < shape->nodes; i++) {
+        prepare_node(fleet, i);
+        fleet->node_count++;
+    }
+    harness_fleet_list(fleet);
+    return fleet;
+}
+
+/* Starts a node's process; it may have run before. */
+void
+harness_node_start(struct harness_fleet *fleet, struct harness_node *node)
+{
+    char *program = g_build_filename(fleet->build, "chestnuthitch", NULL);
+    const char *argv[] = {program, "node", "--settings", node->settings, NULL};
+    node->pid = harness_spawn(argv, node->log, NULL);
+    g_free(program);
+}
+
+/* Waits until /readyz says ready or not ready. */
+bool
+harness_node_wait(const struct harness_node *node, bool ready,
+                  int64_t limit_ms)
+{
+    int64_t limit = harness_now() + limit_ms;
+    do {
+        int status = harness_get(node->caller_address, "/readyz", NULL);
+        if (status == 200 ? ready : (status != 0 && !ready)) {
+            return true;
+        }
+        harness_sleep(20);
+    } while (harness_now() < limit);
+    return false;
+}
+
+/* Sends a signal; after SIGKILL the process is reaped. */
+void
+harness_node_kill(struct harness_node *node, int signal)
+{
+    (void)kill(node->pid, signal);
+    if (signal == SIGKILL) {
+        (void)harness_wait(node->pid, 5000);
+        node->pid = 0;
+    }
+}
+
+/* Applies the declaration, with patience: a node that has just started has
+ * its listener, but perhaps no way to the key-value service yet. */
+static void
+apply_first(struct harness_fleet *fleet)
+{
+    char *output = NULL;
+    int64_t limit = harness_now() + HARNESS_READY_MS;
+    while (harness_apply(fleet, &fleet->nodes[0], fleet->shape.declaration,
+                         &output) != 0) {
+        if (harness_now() > limit) {
+            g_error("harness: config apply: %s", output);
+        }
+        g_clear_pointer(&output, g_free);
+        harness_sleep(100);
+    }
+    g_free(output);
+}
+
+/* The whole path, up and configured. */
+struct harness_fleet *
+harness_fleet_start(const char *build, const struct harness_shape *shape)
+{
+    struct harness_fleet *fleet = harness_fleet_prepare(build, shape);
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        harness_node_start(fleet, &fleet->nodes[i]);
+    }
+    apply_first(fleet);
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        if (!harness_node_wait(&fleet->nodes[i], true, HARNESS_READY_MS)) {
+            g_error("harness: %s is not ready, see %s", fleet->nodes[i].name,
+                    fleet->nodes[i].log);
+        }
+    }
+    return fleet;
+}
+
+/* Removes the fleet's files. */
+static void
+remove_files(struct harness_fleet *fleet)
+{
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        (void)g_unlink(fleet->nodes[i].settings);
+        (void)g_unlink(fleet->nodes[i].log);
+        g_free(fleet->nodes[i].settings);
+        g_free(fleet->nodes[i].log);
+    }
+    (void)g_rmdir(fleet->directory);
+    g_free(fleet->directory);
+}
+
+/*
+ * Stops the nodes gracefully, then the stand-ins, and frees the fleet.  The
+ * logs are kept when a node did not end with 0.
+ */
+unsigned
+harness_fleet_stop(struct harness_fleet *fleet)
+{
+    unsigned bad = 0;
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        if (fleet->nodes[i].pid != 0) {
+            (void)kill(fleet->nodes[i].pid, SIGTERM);
+        }
+    }
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        struct harness_node *node = &fleet->nodes[i];
+        int status = node->pid == 0 ? 0 : harness_wait(node->pid, 15000);
+        if (status != 0) {
+            g_printerr("%s ended with %d, see %s\n", node->name, status,
+                       node->log);
+            bad++;
+        }
+        if (status == -1) {
+            harness_node_kill(node, SIGKILL);
+        }
+    }
+    struct harness_standin *platform[] = {&fleet->kv, &fleet->hosts,
+                                          &fleet->weights};
+    for (size_t i = 0; i < G_N_ELEMENTS(platform); i++) {
+        (void)kill(platform[i]->pid, SIGTERM);
+        (void)harness_wait(platform[i]->pid, 5000);
+    }
+    for (unsigned i = 0; i < fleet->upstream_count; i++) {
+        (void)kill(fleet->upstreams[i].standin.pid, SIGTERM);
+        (void)harness_wait(fleet->upstreams[i].standin.pid, 5000);
+    }
+    if (bad == 0 && g_getenv("HARNESS_KEEP") == NULL) {
+        remove_files(fleet);
+    }
+    g_free(fleet);
+    return bad;
+}
+
+/* Runs the program's command line against a node. */
+int
+harness_cli(const struct harness_fleet *fleet, const struct harness_node *node,
+            char **output, const char *const *args)
+{
+    char *program = g_build_filename(fleet->build, "chestnuthitch", NULL);
+    char *log = g_strdup_printf("%s/cli.log", fleet->directory);
+    const char *argv[16] = {program};
+    size_t count = 1;
+    char text[4096];
+    int out;
+    while (args[count - 1] != NULL && count < 13) {
+        argv[count] = args[count - 1];
+        count++;
+    }
+    argv[count++] = "--node";
+    argv[count] = node->admin_address;
+    (void)g_unlink(log);
+    pid_t pid = harness_spawn(argv, log, &out);
+    GString *all = g_string_new(NULL);
+    for (ssize_t length; (length = read(out, text, sizeof text)) > 0;) {
+        g_string_append_len(all, text, length);
+    }
+    (void)close(out);
+    int status = harness_wait(pid, 30000);
+    char *errors = NULL;
+    if (g_file_get_contents(log, &errors, NULL, NULL)) {
+        g_string_append(all, errors);
+        g_free(errors);
+    }
+    (void)g_unlink(log);
+    g_free(log);
+    g_free(program);
+    if (output != NULL) {
+        *output = all->str;
+    }
+    (void)g_string_free(all, output == NULL);
+    return status;
+}
+
+/* `chestnuthitch config apply FILE`. */
+int
+harness_apply(const struct harness_fleet *fleet,
+              const struct harness_node *node, const char *path, char **output)
+{
+    const char *args[] = {"config", "apply", path, NULL};
+    return harness_cli(fleet, node, output, args);
+}
+
+/* A node's answer to an admin GET as JSON; NULL when there is none. */
+static JsonNode *
+admin_get(const struct harness_node *node, const char *path)
+{
+    char *body = NULL;
+    JsonNode *root = NULL;
+    if (harness_get(node->admin_address, path, &body) == 200) {
+        root = json_from_string(body, NULL);
+    }
+    g_free(body);
+    return root;
+}
+
+/* The revision in force at a node; 0: none, or no answer. */
+uint64_t
+harness_revision(const struct harness_node *node)
+{
+    JsonNode *config = admin_get(node, "/admin/v1/config");
+    if (config == NULL) {
+        return 0;
+    }
+    uint64_t revision = (uint64_t)json_object_get_int_member(
+        json_node_get_object(config), "revision");
+    json_node_unref(config);
+    return revision;
+}
+
+/* A node's status; NULL when it does not answer. */
+JsonNode *
+harness_status(const struct harness_node *node)
+{
+    return admin_get(node, "/admin/v1/status");
+}
+
+/* An upstream of the fleet by name. */
+struct harness_upstream *
+harness_find_upstream(struct harness_fleet *fleet, const char *name)
+{
+    for (unsigned i = 0; i < fleet->upstream_count; i++) {
+        if (strcmp(fleet->upstreams[i].name, name) == 0) {
+            return &fleet->upstreams[i];
+        }
+    }
+    return NULL;
+}
+
+/* A node of the fleet by name. */
+struct harness_node *
+harness_find_node(struct harness_fleet *fleet, const char *name)
+{
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        if (strcmp(fleet->nodes[i].name, name) == 0) {
+            return &fleet->nodes[i];
+        }
+    }
+    return NULL;
+}
+
+/* The home of an upstream, as a node's status has it; NULL: it says none. */
+char *
+harness_home(const struct harness_node *node, const char *upstream)
+{
+    char *home = NULL;
+    JsonNode *status = harness_status(node);
+    if (status == NULL) {
+        return NULL;
+    }
+    JsonArray *list = json_object_get_array_member(
+        json_node_get_object(status), "upstreams");
+    for (guint i = 0; list != NULL && i < json_array_get_length(list); i++) {
+        JsonObject *one = json_array_get_object_element(list, i);
+        if (strcmp(json_object_get_string_member(one, "name"), upstream) ==
+            0) {
+            home = g_strdup(json_object_get_string_member(one, "home"));
+        }
+    }
+    json_node_unref(status);
+    return home;
+}
--- a/tests/standin/generate.c
+++ b/tests/standin/generate.c
@@ -172,12 +172,12 @@
 {
     struct exchange *exchange = data;
     struct generation *generation = exchange->work;
-    GString *text = g_string_new(NULL);
     exchange->timer = NULL;
     if (exchange->link->silent) {
         release(generation);
         return;
     }
+    GString *text = g_string_new(NULL);
     answer_whole(text, generation->id, generation->chat, generation->hash,
                  generation->total);
     if (generation->cut_at < generation->total) {
