--- a/Makefile
+++ b/Makefile
@@ -133,7 +133,7 @@
 lint: $(OWN_SOURCES:%.c=$(BUILD)/lint/%.tidy)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j 4 \
 	    --enable=warning,portability,performance \
-	    --library=gnu --suppress=missingIncludeSystem \
+	    --library=gnu --library=gtk --suppress=missingIncludeSystem \
 	    --suppressions-list=tests/cppcheck.txt \
 	    -D__GNUC__ -D__linux__ -D__x86_64__ \
 	    -DPROTOBUF_C_VERSION_NUMBER=1004001 \
