--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -146,7 +146,9 @@
     if (strcmp(name, "set") == 0) {
         (void)MHD_get_connection_values(
             exchange->connection, MHD_GET_ARGUMENT_KIND, set_fault, standin);
-        standin_listen(standin, standin->faults[FAULT_down] == 0);
+        if (standin->mode->handle != NULL) {
+            standin_listen(standin, standin->faults[FAULT_down] == 0);
+        }
     }
     else if (strcmp(name, "silent") == 0) {
         standin_close_links(standin, true);
--- a/tests/standin/loop.c
+++ b/tests/standin/loop.c
@@ -107,14 +107,16 @@
 }
 
 /* A listening socket on loopback; port 0 is chosen by the kernel. */
-static int
-open_socket(uint16_t *port)
+int
+standin_socket(uint16_t *port, bool nonblocking)
 {
     int one = 1;
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(*port)};
     socklen_t length = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    int fd = socket(
+        AF_INET,
+        SOCK_STREAM | SOCK_CLOEXEC | (nonblocking ? SOCK_NONBLOCK : 0), 0);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
@@ -131,7 +133,8 @@
 static struct MHD_Daemon *
 open_daemon(struct standin *standin, uint16_t *port)
 {
-    struct MHD_Daemon *daemon = exchange_daemon(standin, open_socket(port));
+    struct MHD_Daemon *daemon =
+        exchange_daemon(standin, standin_socket(port, true));
     if (daemon == NULL) {
         (void)fprintf(stderr, "standin: no daemon\n");
         exit(1);
@@ -246,7 +249,9 @@
     (void)fcntl(standin->wake[0], F_SETFL, O_NONBLOCK);
     watch_fd(standin, standin->signals);
     watch_fd(standin, standin->wake[0]);
-    standin->listening = open_daemon(standin, &standin->port);
+    if (standin->mode->handle != NULL) {
+        standin->listening = open_daemon(standin, &standin->port);
+    }
     (void)open_daemon(standin, &control);
     (void)printf("listening %u\ncontrol %u\n", standin->port, control);
     (void)fflush(stdout);
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 static const struct mode *const modes[] = {
-    &mode_kv, &mode_hosts, &mode_weights, &mode_engine, &mode_service,
+    &mode_kv,     &mode_hosts,   &mode_weights,
+    &mode_engine, &mode_service, &mode_relay,
 };
 
 int
@@ -19,8 +20,9 @@
         }
     }
     if (standin.mode == NULL) {
-        (void)fprintf(stderr, "usage: standin kv|hosts|weights|engine|service"
-                              " [NAME=VALUE...]\n");
+        (void)fprintf(stderr,
+                      "usage: standin kv|hosts|weights|engine|service|relay"
+                      " [NAME=VALUE...]\n");
         return 2;
     }
     standin.options =
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -94,7 +94,8 @@
 struct mode {
     const char *name;
     void (*start)(struct standin *standin);
-    /* Answers now by exchange_reply, or later with exchange_resume. */
+    /* Answers now by exchange_reply, or later with exchange_resume.  NULL:
+       the mode listens by itself. */
     void (*handle)(struct exchange *exchange);
     /* Members of the record, into an open object. */
     void (*record)(struct standin *standin, JsonBuilder *out);
@@ -124,7 +125,7 @@
 };
 
 extern const struct mode mode_kv, mode_hosts, mode_weights, mode_engine,
-    mode_service;
+    mode_service, mode_relay;
 
 /* ---- loop.c ---- */
 
@@ -134,6 +135,8 @@
 void timer_stop(struct standin *standin, struct timer *timer);
 void standin_wake(struct standin *standin,
                   void (*run)(struct standin *, void *), void *data);
+/* A listening socket on loopback; port 0 is chosen by the kernel. */
+int standin_socket(uint16_t *port, bool nonblocking);
 int standin_run(struct standin *standin);
 void standin_listen(struct standin *standin, bool on);
 void standin_close_links(struct standin *standin, bool silent);
