Run what a release or withdrawal leads to on the pool

The exchange holds its own lock when it gives a grant back; the grant that follows for another request would take that one's lock, and two such releases could wait for each other.

--- a/libchestnuthitch/node/effects.c
+++ b/libchestnuthitch/node/effects.c
@@ -368,10 +368,15 @@
     g_free(batch);
 }
 
-/* Has the pool carry out the effects; the list is taken over. */
+/* Has the pool carry out the effects, if any; the list is taken over. */
 void
 effects_submit(struct ch_homes *homes, struct effects *effects)
 {
+    if (effects->list->len == 0) {
+        g_ptr_array_free(effects->list, TRUE);
+        effects->list = NULL;
+        return;
+    }
     struct batch *batch = g_new(struct batch, 1);
     batch->homes = homes;
     batch->effects = *effects;
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -296,7 +296,8 @@
     return handle;
 }
 
-/* Ends the wait for a grant. */
+/* Ends the wait for a grant.  What follows for other requests runs on the
+ * pool, as the caller may hold the lock of its own. */
 bool
 ch_homes_withdraw(struct ch_homes *homes, uint64_t handle)
 {
@@ -319,7 +320,7 @@
         withdrawn = true;
     }
     pthread_mutex_unlock(&homes->lock);
-    effects_run(homes, &effects);
+    effects_submit(homes, &effects);
     return withdrawn;
 }
 
@@ -343,7 +344,7 @@
         free_request(homes, request);
     }
     pthread_mutex_unlock(&homes->lock);
-    effects_run(homes, &effects);
+    effects_submit(homes, &effects);
 }
 
 /* A Grant that nobody waits for: it goes back at once. */
