--- /dev/null
+++ b/tests/threaded/test_http.c
@@ -0,0 +1,623 @@
+/* HTTP calls out against a small server that misbehaves as it is told. */
+
+#include "net/net.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    PATIENCE_S = 20, /* a test that waits longer than this has failed */
+    SHORT = 80 * 1000,
+    LONG = PATIENCE_S * G_USEC_PER_SEC,
+    MOST_CONNECTIONS = 16,
+};
+
+/* What the server does with a request that is no GET; GETs are answered. */
+enum manner {
+    ANSWERS,
+    CLOSES_FIRST,   /* reads it and closes; answers any after the first */
+    NEVER_ANSWERS,  /* reads it and stays silent */
+    STOPS_MIDWAY,   /* sends a part of the body and stays silent */
+    CUTS_MIDWAY,    /* sends a part of the body and closes */
+    CUTS_CHUNKS,    /* the same, with chunks */
+    ASKS_AGAIN,     /* 417, which is a reason for libcurl to send again */
+    SENDS_NONSENSE, /* no HTTP at all */
+    REDIRECTS,      /* 307 to itself */
+    NEVER_ACCEPTS,  /* a full backlog: no connection comes about */
+    REFUSES,        /* nobody listens */
+};
+
+struct server {
+    enum manner manner;
+    int listener;
+    int port;
+    pthread_t thread;
+    pthread_t connections[MOST_CONNECTIONS];
+    int fds[MOST_CONNECTIONS];
+    unsigned connection_count;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    unsigned posts; /* whole requests read that were no GET */
+    bool stopping;
+};
+
+struct connection {
+    struct server *server;
+    int fd;
+};
+
+static void
+send_text(int fd, const char *text)
+{
+    ssize_t sent = send(fd, text, strlen(text), MSG_NOSIGNAL);
+    (void)sent;
+}
+
+/* Reads one whole request; false when the other end closed before that. */
+static bool
+read_request(int fd, GString *buffer, bool *is_get)
+{
+    char bytes[4096];
+    g_string_truncate(buffer, 0);
+    for (;;) {
+        const char *end = strstr(buffer->str, "\r\n\r\n");
+        if (end != NULL) {
+            const char *field = strstr(buffer->str, "Content-Length: ");
+            size_t body = field == NULL ? 0 : strtoul(field + 16, NULL, 10);
+            if (buffer->len >= (size_t)(end + 4 - buffer->str) + body) {
+                *is_get = g_str_has_prefix(buffer->str, "GET ");
+                return true;
+            }
+        }
+        ssize_t got = recv(fd, bytes, sizeof(bytes), 0);
+        if (got <= 0) {
+            return false;
+        }
+        g_string_append_len(buffer, bytes, got);
+    }
+}
+
+/* Notes a request that is no GET; returns which it is, from 1. */
+static unsigned
+note_post(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    unsigned number = ++server->posts;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+    return number;
+}
+
+/* How many such requests came so far. */
+static unsigned
+posts_of(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    unsigned posts = server->posts;
+    pthread_mutex_unlock(&server->lock);
+    return posts;
+}
+
+static const char good[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/* Answers by the server's manner; false: close. */
+static bool
+misbehave(struct server *server, int fd, unsigned number)
+{
+    switch (server->manner) {
+    case CLOSES_FIRST:
+        if (number == 1) {
+            return false;
+        }
+        break;
+    case NEVER_ANSWERS:
+        return true;
+    case STOPS_MIDWAY:
+        send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+        return true;
+    case CUTS_MIDWAY:
+        send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+        return false;
+    case CUTS_CHUNKS:
+        send_text(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "2\r\nok\r\n");
+        return false;
+    case ASKS_AGAIN:
+        if (number == 1) {
+            send_text(fd, "HTTP/1.1 417 No\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        break;
+    case SENDS_NONSENSE:
+        send_text(fd, "good day to you\r\n\r\n");
+        return false;
+    case REDIRECTS:
+        send_text(fd, "HTTP/1.1 307 Go\r\nLocation: /again\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        return true;
+    default:
+        break;
+    }
+    send_text(fd, good);
+    return true;
+}
+
+static void *
+run_connection(void *data)
+{
+    struct connection *connection = data;
+    GString *buffer = g_string_new(NULL);
+    bool is_get = false;
+    while (read_request(connection->fd, buffer, &is_get)) {
+        if (is_get) {
+            send_text(connection->fd, good);
+        }
+        else if (!misbehave(connection->server, connection->fd,
+                            note_post(connection->server))) {
+            break;
+        }
+    }
+    shutdown(connection->fd, SHUT_RDWR);
+    g_string_free(buffer, TRUE);
+    g_free(connection);
+    return NULL;
+}
+
+static void *
+run_server(void *data)
+{
+    struct server *server = data;
+    for (;;) {
+        int fd = accept(server->listener, NULL, NULL);
+        if (fd < 0) {
+            return NULL;
+        }
+        struct connection *connection = g_new(struct connection, 1);
+        *connection = (struct connection){server, fd};
+        pthread_mutex_lock(&server->lock);
+        g_assert_cmpuint(server->connection_count, <, MOST_CONNECTIONS);
+        unsigned index = server->connection_count++;
+        server->fds[index] = fd;
+        pthread_create(&server->connections[index], NULL, run_connection,
+                       connection);
+        pthread_mutex_unlock(&server->lock);
+    }
+}
+
+/* Fills the backlog, so that the next connection waits for good. */
+static void
+fill_backlog(struct server *server, const struct sockaddr_in *address)
+{
+    for (unsigned i = 0; i < 4; i++) {
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        int connected =
+            connect(fd, (const struct sockaddr *)address, sizeof(*address));
+        (void)connected;
+        server->fds[server->connection_count++] = fd;
+    }
+}
+
+static struct server *
+server_new(enum manner manner)
+{
+    struct server *server = g_new0(struct server, 1);
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t length = sizeof(address);
+    server->manner = manner;
+    pthread_mutex_init(&server->lock, NULL);
+    pthread_cond_init(&server->changed, NULL);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(
+        bind(server->listener, (struct sockaddr *)&address, sizeof(address)),
+        ==, 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &length);
+    server->port = ntohs(address.sin_port);
+    if (manner == REFUSES) {
+        return server;
+    }
+    g_assert_cmpint(listen(server->listener, manner == NEVER_ACCEPTS ? 0 : 16),
+                    ==, 0);
+    if (manner == NEVER_ACCEPTS) {
+        fill_backlog(server, &address);
+        return server;
+    }
+    pthread_create(&server->thread, NULL, run_server, server);
+    return server;
+}
+
+static void
+server_free(struct server *server)
+{
+    bool accepts =
+        server->manner != REFUSES && server->manner != NEVER_ACCEPTS;
+    shutdown(server->listener, SHUT_RDWR);
+    if (accepts) {
+        pthread_join(server->thread, NULL);
+    }
+    for (unsigned i = 0; i < server->connection_count; i++) {
+        shutdown(server->fds[i], SHUT_RDWR);
+        if (accepts) {
+            pthread_join(server->connections[i], NULL);
+        }
+        close(server->fds[i]);
+    }
+    close(server->listener);
+    pthread_mutex_destroy(&server->lock);
+    pthread_cond_destroy(&server->changed);
+    g_free(server);
+}
+
+/* ---- a call, and waiting for it ---- */
+
+struct call {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    unsigned ends;
+    unsigned after_end; /* handlers that ran after on_end: must stay 0 */
+    int heads;
+    struct ch_http_end end;
+    GString *body;
+};
+
+static void
+call_head(void *data, int status)
+{
+    struct call *call = data;
+    pthread_mutex_lock(&call->lock);
+    call->after_end += call->ends;
+    call->heads++;
+    g_assert_cmpint(status, >=, 200);
+    pthread_mutex_unlock(&call->lock);
+}
+
+static void
+call_data(void *data, const char *bytes, size_t length)
+{
+    struct call *call = data;
+    pthread_mutex_lock(&call->lock);
+    call->after_end += call->ends;
+    g_string_append_len(call->body, bytes, (gssize)length);
+    pthread_cond_broadcast(&call->changed);
+    pthread_mutex_unlock(&call->lock);
+}
+
+static void
+call_end(void *data, const struct ch_http_end *end)
+{
+    struct call *call = data;
+    pthread_mutex_lock(&call->lock);
+    call->ends++;
+    call->end = *end;
+    pthread_cond_broadcast(&call->changed);
+    pthread_mutex_unlock(&call->lock);
+}
+
+static const struct ch_http_handlers handlers = {
+    .on_head = call_head,
+    .on_data = call_data,
+    .on_end = call_end,
+};
+
+static struct call *
+call_new(void)
+{
+    struct call *call = g_new0(struct call, 1);
+    pthread_mutex_init(&call->lock, NULL);
+    pthread_cond_init(&call->changed, NULL);
+    call->body = g_string_new(NULL);
+    return call;
+}
+
+static void
+call_free(struct call *call)
+{
+    g_string_free(call->body, TRUE);
+    pthread_mutex_destroy(&call->lock);
+    pthread_cond_destroy(&call->changed);
+    g_free(call);
+}
+
+/* Waits for a change with a bound, so that a fault ends the test. */
+static void
+wait_once(pthread_cond_t *changed, pthread_mutex_t *lock)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_sec += PATIENCE_S;
+    g_assert_cmpint(pthread_cond_timedwait(changed, lock, &until), ==, 0);
+}
+
+static void
+wait_for_end(struct call *call)
+{
+    pthread_mutex_lock(&call->lock);
+    while (call->ends == 0) {
+        wait_once(&call->changed, &call->lock);
+    }
+    pthread_mutex_unlock(&call->lock);
+}
+
+static uint64_t
+submit(struct ch_http *http, struct server *server, const char *method,
+       bool fresh, int64_t limit, struct call *call)
+{
+    char url[64];
+    (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/x", server->port);
+    struct ch_http_request request = {
+        .method = method,
+        .url = url,
+        .body = "order",
+        .body_length = strcmp(method, "GET") == 0 ? 0 : 5,
+        .connect_limit = limit,
+        .first_byte_limit = limit,
+        .stall_limit = limit,
+        .fresh_connection = fresh,
+    };
+    return ch_http_submit(http, &request, &handlers, call);
+}
+
+/* A GET that leaves a kept-alive connection behind. */
+static void
+warm_up(struct ch_http *http, struct server *server)
+{
+    struct call *call = call_new();
+    submit(http, server, "GET", false, LONG, call);
+    wait_for_end(call);
+    g_assert_cmpint(call->end.code, ==, CH_OK);
+    call_free(call);
+}
+
+/* ---- how calls end ---- */
+
+struct end_case {
+    const char *name;
+    enum manner manner;
+    bool warm;
+    bool fresh;
+    int64_t limit;
+    enum ch_code code;
+    bool sent;
+    unsigned posts; /* how often the server got the request */
+    const char *body;
+};
+
+static const struct end_case end_cases[] = {
+    {"answered", ANSWERS, false, false, LONG, CH_OK, true, 1, "ok"},
+    {"answered, fresh", ANSWERS, true, true, LONG, CH_OK, true, 1, "ok"},
+    /* The hazard itself: with a kept-alive connection libcurl sends again by
+     * itself and reports success. */
+    {"closed, reused", CLOSES_FIRST, true, false, LONG, CH_OK, true, 2, "ok"},
+    /* The safeguard. */
+    {"closed, fresh", CLOSES_FIRST, true, true, LONG, CH_UPSTREAM_CUT, true, 1,
+     ""},
+    {"417, fresh", ASKS_AGAIN, true, true, LONG, CH_OK, true, 1, ""},
+    {"417, reused", ASKS_AGAIN, true, false, LONG, CH_OK, true, 1, ""},
+    {"redirect", REDIRECTS, false, false, LONG, CH_OK, true, 1, ""},
+    {"refused", REFUSES, false, true, LONG, CH_UPSTREAM_CONNECT, false, 0, ""},
+    {"no connection", NEVER_ACCEPTS, false, true, SHORT, CH_UPSTREAM_CONNECT,
+     false, 0, ""},
+    {"silent", NEVER_ANSWERS, false, true, SHORT, CH_UPSTREAM_STALLED, true, 1,
+     ""},
+    {"silent, reused", NEVER_ANSWERS, true, false, SHORT, CH_UPSTREAM_STALLED,
+     true, 1, ""},
+    {"silent midway", STOPS_MIDWAY, false, true, SHORT, CH_UPSTREAM_STALLED,
+     true, 1, "ok"},
+    {"cut midway", CUTS_MIDWAY, false, true, LONG, CH_UPSTREAM_CUT, true, 1,
+     "ok"},
+    {"chunks cut", CUTS_CHUNKS, false, true, LONG, CH_UPSTREAM_CUT, true, 1,
+     "ok"},
+    {"nonsense", SENDS_NONSENSE, false, true, LONG, CH_UPSTREAM_ANSWER, true,
+     1, ""},
+};
+
+/*
+ * A caller orders once and the order is cut twice: the engine or service read
+ * the POST and went away before its answer, libcurl sent it again on a new
+ * connection, and the caller was told of one success.  Each row is one way in
+ * which a call ends; the server counts how often it got the request.
+ */
+static void
+test_ends(gconstpointer data)
+{
+    const struct end_case *row = data;
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(row->manner);
+    struct ch_http *http = ch_http_new(&client);
+    struct call *call = call_new();
+    if (row->warm) {
+        warm_up(http, server);
+    }
+    submit(http, server, "POST", row->fresh, row->limit, call);
+    wait_for_end(call);
+    ch_http_free(http);
+    g_assert_cmpuint(call->ends, ==, 1);
+    g_assert_cmpuint(call->after_end, ==, 0);
+    g_assert_cmpint(call->end.code, ==, row->code);
+    g_assert_cmpint(call->end.sent, ==, row->sent);
+    g_assert_cmpuint(posts_of(server), ==, row->posts);
+    g_assert_cmpstr(call->body->str, ==, row->body);
+    server_free(server);
+    call_free(call);
+}
+
+/* ---- cancelling ---- */
+
+enum moment {
+    AT_ONCE,
+    WHILE_CONNECTING,
+    BEFORE_FIRST_BYTE,
+    IN_THE_BODY,
+    BY_END_OF_LOOP,
+};
+
+struct cancel_case {
+    const char *name;
+    enum moment moment;
+    enum manner manner;
+};
+
+static const struct cancel_case cancel_cases[] = {
+    {"at once", AT_ONCE, NEVER_ANSWERS},
+    {"while connecting", WHILE_CONNECTING, NEVER_ACCEPTS},
+    {"before the first byte", BEFORE_FIRST_BYTE, NEVER_ANSWERS},
+    {"in the body", IN_THE_BODY, STOPS_MIDWAY},
+    {"by the end of the loop", BY_END_OF_LOOP, NEVER_ANSWERS},
+};
+
+/* Waits until the call is in the phase that the row is about. */
+static void
+wait_for_moment(enum moment moment, struct server *server, struct call *call)
+{
+    if (moment == BEFORE_FIRST_BYTE || moment == BY_END_OF_LOOP) {
+        pthread_mutex_lock(&server->lock);
+        while (server->posts == 0) {
+            wait_once(&server->changed, &server->lock);
+        }
+        pthread_mutex_unlock(&server->lock);
+    }
+    if (moment == IN_THE_BODY) {
+        pthread_mutex_lock(&call->lock);
+        while (call->body->len == 0) {
+            wait_once(&call->changed, &call->lock);
+        }
+        pthread_mutex_unlock(&call->lock);
+    }
+}
+
+/* A call that is cancelled ends once, with CANCELLED, whatever it was doing;
+ * a second cancel, or one after the end, does nothing. */
+static void
+test_cancel(gconstpointer data)
+{
+    const struct cancel_case *row = data;
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(row->manner);
+    struct ch_http *http = ch_http_new(&client);
+    struct call *call = call_new();
+    uint64_t handle = submit(http, server, "POST", true, LONG, call);
+    wait_for_moment(row->moment, server, call);
+    if (row->moment != BY_END_OF_LOOP) {
+        ch_http_cancel(http, handle);
+        ch_http_cancel(http, handle);
+        wait_for_end(call);
+        ch_http_cancel(http, handle);
+    }
+    ch_http_free(http);
+    g_assert_cmpuint(call->ends, ==, 1);
+    g_assert_cmpuint(call->after_end, ==, 0);
+    g_assert_cmpint(call->end.code, ==, CH_CANCELLED);
+    if (row->moment == WHILE_CONNECTING) {
+        g_assert_false(call->end.sent);
+    }
+    server_free(server);
+    call_free(call);
+}
+
+/* ---- connections that went silent ---- */
+
+/*
+ * Something between the two ends forgets its connections: the kept-alive one
+ * is silent for good while new ones work.  The caller of the first call waits
+ * for its bound; those after it must not, so they go out on new connections.
+ */
+static void
+test_suspected(void)
+{
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(NEVER_ANSWERS);
+    struct ch_http *http = ch_http_new(&client);
+    struct call *second = call_new();
+    warm_up(http, server);
+    struct call *first = call_new();
+    /* Another idle connection, which would be silent as well. */
+    submit(http, server, "POST", false, SHORT, first);
+    warm_up(http, server);
+    wait_for_end(first);
+    g_assert_cmpint(first->end.code, ==, CH_UPSTREAM_STALLED);
+    pthread_mutex_lock(&server->lock);
+    unsigned before = server->connection_count;
+    pthread_mutex_unlock(&server->lock);
+    submit(http, server, "GET", false, LONG, second);
+    wait_for_end(second);
+    g_assert_cmpint(second->end.code, ==, CH_OK);
+    pthread_mutex_lock(&server->lock);
+    g_assert_cmpuint(server->connection_count, ==, before + 1);
+    pthread_mutex_unlock(&server->lock);
+    ch_http_free(http);
+    server_free(server);
+    call_free(first);
+    call_free(second);
+}
+
+/* ---- whole answers ---- */
+
+struct fetched {
+    struct call *call;
+    enum ch_code code;
+    size_t length;
+};
+
+static void
+fetch_done(void *data, const struct ch_http_answer *answer)
+{
+    struct fetched *fetched = data;
+    fetched->code = answer->end.code;
+    fetched->length = answer->length;
+    call_end(fetched->call, &answer->end);
+}
+
+/* An answer over its bound is no answer. */
+static void
+test_fetch(void)
+{
+    static const struct {
+        size_t most;
+        enum ch_code code;
+    } rows[] = {{2, CH_OK}, {1, CH_UPSTREAM_ANSWER}, {0, CH_UPSTREAM_ANSWER}};
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(ANSWERS);
+    struct ch_http *http = ch_http_new(&client);
+    char url[64];
+    (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/x", server->port);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct fetched fetched = {.call = call_new()};
+        struct ch_http_request request = {.method = "GET", .url = url};
+        ch_http_fetch(http, &request, rows[i].most, fetch_done, &fetched);
+        wait_for_end(fetched.call);
+        g_assert_cmpint(fetched.code, ==, rows[i].code);
+        g_assert_cmpuint(fetched.length, <=, rows[i].most);
+        call_free(fetched.call);
+    }
+    ch_http_free(http);
+    server_free(server);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
+        char *path = g_strdup_printf("/http/end/%s", end_cases[i].name);
+        g_test_add_data_func(path, &end_cases[i], test_ends);
+        g_free(path);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(cancel_cases); i++) {
+        char *path = g_strdup_printf("/http/cancel/%s", cancel_cases[i].name);
+        g_test_add_data_func(path, &cancel_cases[i], test_cancel);
+        g_free(path);
+    }
+    g_test_add_func("/http/suspected", test_suspected);
+    g_test_add_func("/http/fetch", test_fetch);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_request.c
@@ -0,0 +1,395 @@
+/* Requests of callers: what is wrong is named, and goes no further. */
+
+#include "node/request.h"
+
+#include <string.h>
+
+static const char declaration_text[] = "[model m01]\n"
+                                       "memory-mb = 100\n"
+                                       "adapters = m01-a1;m01-a2\n"
+                                       "adapter-memory-mb = 5\n"
+                                       "[model m02]\n"
+                                       "memory-mb = 200\n"
+                                       "[service orders]\n"
+                                       "[service desk]\n"
+                                       "[class advice]\n"
+                                       "first-token-ms = 400\n"
+                                       "between-tokens-ms = 60\n"
+                                       "models = m01\n"
+                                       "callers = cardiff\n"
+                                       "[class order]\n"
+                                       "answer-ms = 900\n"
+                                       "services = orders\n"
+                                       "idempotent = false\n";
+
+enum {
+    NOW = 5 * G_USEC_PER_SEC,
+};
+
+static struct ch_declaration *
+declaration_new(void)
+{
+    struct ch_error error = {.code = CH_OK};
+    struct ch_declaration *declaration =
+        ch_declaration_parse(declaration_text, "test", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_nonnull(declaration);
+    return declaration;
+}
+
+/* A row that leaves out method, URI, caller, class or body gets good ones. */
+struct bad_case {
+    const char *name;
+    struct ch_request_input input;
+    enum ch_code code;
+    const char *field;
+};
+
+#define GOOD_BODY "{\"model\":\"m01\",\"prompt\":\"hem?\"}"
+#define BODY(text) .body = (text), .length = sizeof(text) - 1
+#define WITH(member) BODY("{\"model\":\"m01\",\"prompt\":\"x\"," member "}")
+#define CHAT(messages)                                                        \
+    .uri = "/v1/chat/completions",                                            \
+    BODY("{\"model\":\"m01\",\"messages\":" messages "}")
+#define ORDER .uri = "/services/orders/cut", .class_name = "order"
+
+static const struct bad_case bad_cases[] = {
+    {"no such path", {.uri = "/v2/x"}, CH_UNKNOWN_PATH, "path"},
+    {"half a path", {.uri = "/v1/completion"}, CH_UNKNOWN_PATH, "path"},
+    {"not a path", {.uri = "v1/completions"}, CH_BAD_FIELD, "path"},
+    {"a fragment", {.uri = "/services/orders/a#b"}, CH_BAD_FIELD, "path"},
+    {"a quote", {.uri = "/services/orders/\""}, CH_BAD_FIELD, "path"},
+    {"GET", {.method = "GET"}, CH_BAD_METHOD, "method"},
+    {"POST", {.uri = "/v1/models"}, CH_BAD_METHOD, "method"},
+    {"no such class",
+     {.class_name = "x"},
+     CH_UNKNOWN_CLASS,
+     "Chestnuthitch-Class"},
+    {"no class",
+     {.caller = "nobody"},
+     CH_CLASS_MISSING,
+     "Chestnuthitch-Class"},
+    {"empty caller", {.caller = ""}, CH_BAD_FIELD, "Chestnuthitch-Caller"},
+    {"tab in caller",
+     {.caller = "a\tb"},
+     CH_BAD_FIELD,
+     "Chestnuthitch-Caller"},
+    {"empty key", {.key = ""}, CH_BAD_KEY, "Idempotency-Key"},
+    {"key not ASCII", {.key = "\xc3\xa9"}, CH_BAD_KEY, "Idempotency-Key"},
+    {"deadline 0",
+     {.deadline_ms = "0"},
+     CH_BAD_FIELD,
+     "Chestnuthitch-Deadline-Ms"},
+    {"deadline -1",
+     {.deadline_ms = "-1"},
+     CH_BAD_FIELD,
+     "Chestnuthitch-Deadline-Ms"},
+    {"deadline 1s",
+     {.deadline_ms = "1s"},
+     CH_BAD_FIELD,
+     "Chestnuthitch-Deadline-Ms"},
+    {"deadline absurd",
+     {.deadline_ms = "99999999999999999999"},
+     CH_BAD_FIELD,
+     "Chestnuthitch-Deadline-Ms"},
+    {"empty body", {BODY("")}, CH_BAD_JSON, "body"},
+    {"truncated body",
+     {BODY("{\"model\":\"m01\",\"pro")},
+     CH_BAD_JSON,
+     "body"},
+    {"not an object", {BODY("[1]")}, CH_BAD_JSON, "body"},
+    {"two objects", {BODY(GOOD_BODY GOOD_BODY)}, CH_BAD_JSON, "body"},
+    {"not UTF-8", {WITH("\"user\":\"\xff\"")}, CH_BAD_JSON, "body"},
+    {"a comment", {BODY("{/**/\"model\":\"m01\"}")}, CH_BAD_JSON, "body"},
+    {"a NUL",
+     {BODY("{\"model\":\"m01\",\0\"prompt\":1}")},
+     CH_BAD_JSON,
+     "body"},
+    {"model twice",
+     {BODY("{\"model\":\"m02\",\"prompt\":\"x\",\"model\":\"m01\"}")},
+     CH_BAD_JSON,
+     "body"},
+    {"model twice, one escaped",
+     {BODY("{\"mod\\u0065l\":\"m02\",\"prompt\":\"\",\"model\":\"m01\"}")},
+     CH_BAD_JSON,
+     "body"},
+    {"no model", {BODY("{\"prompt\":\"x\"}")}, CH_BAD_FIELD, "model"},
+    {"model a number",
+     {BODY("{\"model\":1,\"prompt\":\"x\"}")},
+     CH_BAD_FIELD,
+     "model"},
+    {"no such model",
+     {BODY("{\"model\":\"m99\",\"prompt\":\"x\"}")},
+     CH_UNKNOWN_MODEL,
+     "model"},
+    {"a model of others",
+     {BODY("{\"model\":\"m02\",\"prompt\":\"x\"}")},
+     CH_MODEL_FORBIDDEN,
+     "model"},
+    {"no prompt", {BODY("{\"model\":\"m01\"}")}, CH_BAD_FIELD, "prompt"},
+    {"prompt a number",
+     {BODY("{\"model\":\"m01\",\"prompt\":7}")},
+     CH_BAD_FIELD,
+     "prompt"},
+    {"prompt of objects",
+     {BODY("{\"model\":\"m01\",\"prompt\":[{}]}")},
+     CH_BAD_FIELD,
+     "prompt"},
+    {"tokens -1", {WITH("\"max_tokens\":-1")}, CH_BAD_FIELD, "max_tokens"},
+    {"tokens 0", {WITH("\"max_tokens\":0")}, CH_BAD_FIELD, "max_tokens"},
+    {"tokens absurd",
+     {WITH("\"max_tokens\":1000000000")},
+     CH_BAD_FIELD,
+     "max_tokens"},
+    {"tokens over 64 bits",
+     {WITH("\"max_tokens\":99999999999999999999999")},
+     CH_BAD_FIELD,
+     "max_tokens"},
+    {"tokens 1.5", {WITH("\"max_tokens\":1.5")}, CH_BAD_FIELD, "max_tokens"},
+    {"tokens text",
+     {WITH("\"max_tokens\":\"9\"")},
+     CH_BAD_FIELD,
+     "max_tokens"},
+    {"temperature -1",
+     {WITH("\"temperature\":-1")},
+     CH_BAD_FIELD,
+     "temperature"},
+    {"temperature endless",
+     {WITH("\"temperature\":1e999")},
+     CH_BAD_FIELD,
+     "temperature"},
+    {"top_p 2", {WITH("\"top_p\":2")}, CH_BAD_FIELD, "top_p"},
+    {"stream 1", {WITH("\"stream\":1")}, CH_BAD_FIELD, "stream"},
+    {"no messages", {CHAT("[]")}, CH_BAD_FIELD, "messages"},
+    {"no role", {CHAT("[{\"content\":\"x\"}]")}, CH_BAD_FIELD, "messages"},
+    {"content 1",
+     {CHAT("[{\"role\":\"user\",\"content\":1}]")},
+     CH_BAD_FIELD,
+     "messages"},
+    {"no service",
+     {.uri = "/services/", .class_name = "order"},
+     CH_UNKNOWN_SERVICE,
+     "path"},
+    {"no such service",
+     {.uri = "/services/x/y", .class_name = "order"},
+     CH_UNKNOWN_SERVICE,
+     "path"},
+    {"a service of others",
+     {.uri = "/services/desk/y", .class_name = "order"},
+     CH_MODEL_FORBIDDEN,
+     "path"},
+};
+
+/* Fills in what a row leaves out. */
+static struct ch_request_input
+filled(const struct ch_request_input *row)
+{
+    struct ch_request_input input = *row;
+    input.method = input.method == NULL ? "POST" : input.method;
+    input.uri = input.uri == NULL ? "/v1/completions" : input.uri;
+    input.caller = input.caller == NULL ? "cardiff" : input.caller;
+    if (input.body == NULL) {
+        input.body = GOOD_BODY;
+        input.length = sizeof(GOOD_BODY) - 1;
+    }
+    return input;
+}
+
+static void
+test_bad(gconstpointer data)
+{
+    const struct bad_case *row = data;
+    struct ch_declaration *declaration = declaration_new();
+    struct ch_request_input input = filled(&row->input);
+    struct ch_fault fault = {.error.code = CH_OK};
+    struct ch_request *request =
+        ch_request_parse(declaration, &input, NOW, &fault);
+    g_assert_null(request);
+    g_assert_cmpstr(ch_code_name(fault.error.code), ==,
+                    ch_code_name(row->code));
+    g_assert_cmpstr(fault.field, ==, row->field);
+    g_assert_cmpstr(fault.error.message, !=, "");
+    g_assert_cmpint(ch_code_http(row->code) / 100, ==, 4);
+    g_assert_cmpint(ch_code_outcome(row->code), ==, CH_NOT_RUN);
+    ch_declaration_free(declaration);
+}
+
+/* Brackets alone would exhaust the stack of a parser that descends. */
+static void
+test_depth(void)
+{
+    static const unsigned depths[] = {64, 65, 500000};
+    for (size_t i = 0; i < G_N_ELEMENTS(depths); i++) {
+        GString *text =
+            g_string_new("{\"model\":\"m\",\"prompt\":\"\",\"x\":");
+        struct ch_model_body body;
+        struct ch_fault fault = {.error.code = CH_OK};
+        for (unsigned k = 1; k < depths[i]; k++) {
+            g_string_append_c(text, '[');
+        }
+        for (unsigned k = 1; k < depths[i]; k++) {
+            g_string_append_c(text, ']');
+        }
+        g_string_append_c(text, '}');
+        bool good =
+            ch_model_body_parse(text->str, text->len, false, &body, &fault);
+        g_assert_cmpint(good, ==, depths[i] <= 64);
+        g_free(body.model);
+        g_string_free(text, TRUE);
+    }
+}
+
+struct good_case {
+    const char *name;
+    struct ch_request_input input;
+    const char *path;
+    const char *model;
+    const char *adapter;
+    bool stream;
+    bool idempotent;
+    uint32_t output_tokens;
+    int64_t first_by;
+};
+
+static const struct good_case good_cases[] = {
+    {"plain",
+     {.key = NULL},
+     "/v1/completions",
+     "m01",
+     NULL,
+     false,
+     true,
+     CH_REQUEST_USUAL_TOKENS,
+     NOW + 400000},
+    {"adapter, stream, bound",
+     {BODY("{\"model\":\"m01-a2\",\"prompt\":[\"x\",\"y\"],\"stream\":true,"
+           "\"max_tokens\":9,\"unknown\":{\"a\":[null]}}")},
+     "/v1/completions",
+     "m01",
+     "m01-a2",
+     true,
+     true,
+     9,
+     NOW + 400000},
+    {"nulls",
+     {WITH("\"max_tokens\":null,\"stream\":null")},
+     "/v1/completions",
+     "m01",
+     NULL,
+     false,
+     true,
+     CH_REQUEST_USUAL_TOKENS,
+     NOW + 400000},
+    {"chat, parts",
+     {CHAT("[{\"role\":\"user\",\"content\":[{\"type\":\"text\",\"text\":"
+           "\"x\"}]},{\"role\":\"assistant\",\"content\":null}]")},
+     "/v1/chat/completions",
+     "m01",
+     NULL,
+     false,
+     true,
+     CH_REQUEST_USUAL_TOKENS,
+     NOW + 400000},
+    {"a deadline before the target",
+     {.deadline_ms = "100"},
+     "/v1/completions",
+     "m01",
+     NULL,
+     false,
+     true,
+     CH_REQUEST_USUAL_TOKENS,
+     NOW + 100000},
+    {"an order",
+     {ORDER, .key = "k 1"},
+     "/cut",
+     "orders",
+     NULL,
+     false,
+     false,
+     0,
+     NOW + 900000},
+    {"an order without a path",
+     {.uri = "/services/orders?a=%2F", .class_name = "order"},
+     "/?a=%2F",
+     "orders",
+     NULL,
+     false,
+     false,
+     0,
+     NOW + 900000},
+};
+
+static void
+test_good(gconstpointer data)
+{
+    const struct good_case *row = data;
+    struct ch_declaration *declaration = declaration_new();
+    struct ch_request_input input = filled(&row->input);
+    struct ch_fault fault = {.error.code = CH_OK};
+    struct ch_request *request =
+        ch_request_parse(declaration, &input, NOW, &fault);
+    g_assert_cmpstr(fault.error.message, ==, "");
+    g_assert_nonnull(request);
+    g_assert_cmpstr(request->path, ==, row->path);
+    g_assert_cmpstr(request->model, ==, row->model);
+    g_assert_cmpstr(request->adapter, ==, row->adapter);
+    g_assert_cmpstr(request->key, ==, input.key);
+    g_assert_cmpint(request->stream, ==, row->stream);
+    g_assert_cmpint(request->work.idempotent, ==, row->idempotent);
+    g_assert_cmpuint(request->work.output_tokens, ==, row->output_tokens);
+    g_assert_cmpint(request->work.first_by, ==, row->first_by);
+    g_assert_cmpmem(request->body, request->length, input.body, input.length);
+    ch_request_free(request);
+    ch_declaration_free(declaration);
+}
+
+/* A repeat is told from another request under the same key by method, path
+ * and body. */
+static void
+test_fingerprint(void)
+{
+    static const struct ch_request_input inputs[] = {
+        {ORDER},
+        {ORDER, .method = "PUT"},
+        {.uri = "/services/orders/hem", .class_name = "order"},
+        {ORDER, BODY("two jackets")},
+        {ORDER, BODY("two jacket")},
+    };
+    struct ch_declaration *declaration = declaration_new();
+    uint64_t seen[G_N_ELEMENTS(inputs)];
+    for (size_t i = 0; i < G_N_ELEMENTS(inputs); i++) {
+        struct ch_request_input input = filled(&inputs[i]);
+        struct ch_fault fault = {.error.code = CH_OK};
+        struct ch_request *first =
+            ch_request_parse(declaration, &input, NOW, &fault);
+        struct ch_request *again =
+            ch_request_parse(declaration, &input, NOW + 1, &fault);
+        g_assert_cmpuint(first->fingerprint, ==, again->fingerprint);
+        seen[i] = first->fingerprint;
+        for (size_t k = 0; k < i; k++) {
+            g_assert_cmpuint(seen[k], !=, seen[i]);
+        }
+        ch_request_free(first);
+        ch_request_free(again);
+    }
+    ch_declaration_free(declaration);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
+        char *path = g_strdup_printf("/request/bad/%s", bad_cases[i].name);
+        g_test_add_data_func(path, &bad_cases[i], test_bad);
+        g_free(path);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(good_cases); i++) {
+        char *path = g_strdup_printf("/request/good/%s", good_cases[i].name);
+        g_test_add_data_func(path, &good_cases[i], test_good);
+        g_free(path);
+    }
+    g_test_add_func("/request/depth", test_depth);
+    g_test_add_func("/request/fingerprint", test_fingerprint);
+    return g_test_run();
+}
