--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -326,10 +326,11 @@
     int status = accepted ? MHD_HTTP_OK : ch_code_http(error->code);
     char *answer = accepted ? config_json(config) : error_json(error, config);
     pthread_mutex_lock(&admin->lock);
+    struct MHD_Connection *connection = request->connection;
     request->status = status;
     request->answer = answer;
     pthread_mutex_unlock(&admin->lock);
-    MHD_resume_connection(request->connection);
+    MHD_resume_connection(connection);
 }
 
 /* The revision that the operator started from; false when it is no number. */
