--- a/tests/harness/check.c
+++ b/tests/harness/check.c
@@ -91,36 +91,36 @@
     return !stream || g_str_has_suffix(answer->text->str, "data: [DONE]\n\n");
 }
 
-/* Counts one answer; bodies: how often each was sent. */
+/* An answer with status 200. */
 static void
-judge_answer(const struct harness_answer *answer, const struct runs *runs,
-             GHashTable *bodies, struct harness_verdict *verdict)
+judge_accepted(const struct harness_answer *answer,
+               struct harness_verdict *verdict)
+{
+    if (harness_answer_good(answer)) {
+        verdict->good++;
+    }
+    else if (looks_whole(answer)) {
+        verdict->wrong++;
+        g_printerr("wrong answer to %s: %s\n", answer->body,
+                   answer->text->str);
+    }
+    else if (stream_told(answer)) {
+        verdict->failed++;
+    }
+    else {
+        verdict->untold++;
+        g_printerr("cut without telling: %s\n", answer->body);
+    }
+}
+
+/* An error; bodies: how often each was sent. */
+static void
+judge_error(const struct harness_answer *answer, const struct runs *runs,
+            GHashTable *bodies, struct harness_verdict *verdict)
 {
     char hash[20];
     const char *body = answer->body == NULL ? "" : answer->body;
     (void)g_snprintf(hash, sizeof hash, "%016" PRIx64, ch_hash_string(body));
-    verdict->answers++;
-    if (answer->curl != 0) {
-        verdict->broken++;
-        return;
-    }
-    if (answer->status == 200) {
-        if (harness_answer_good(answer)) {
-            verdict->good++;
-        }
-        else if (looks_whole(answer)) {
-            verdict->wrong++;
-            g_printerr("wrong answer to %s: %s\n", body, answer->text->str);
-        }
-        else if (stream_told(answer)) {
-            verdict->failed++;
-        }
-        else {
-            verdict->untold++;
-            g_printerr("cut without telling: %s\n", body);
-        }
-        return;
-    }
     if (answer->outcome == NULL || answer->code == 0) {
         verdict->untold++;
         g_printerr("status %d without outcome: %s\n", answer->status,
@@ -140,6 +140,27 @@
     }
 }
 
+/* Counts one answer. */
+static void
+judge_answer(const struct harness_answer *answer, const struct runs *runs,
+             GHashTable *bodies, struct harness_verdict *verdict)
+{
+    unsigned good = verdict->good;
+    verdict->answers++;
+    if (answer->curl != 0) {
+        verdict->broken++;
+    }
+    else if (answer->status == 200) {
+        judge_accepted(answer, verdict);
+    }
+    else {
+        judge_error(answer, runs, bodies, verdict);
+    }
+    if (answer->key == NULL && verdict->good == good) {
+        verdict->idempotent_bad++;
+    }
+}
+
 /* Compares every answer with every record. */
 void
 harness_check(struct harness_fleet *fleet, const GPtrArray *answers,
@@ -169,9 +190,9 @@
 harness_assert(const char *name, const struct harness_verdict *verdict)
 {
     g_print("figure: %s: %u answers, %u good, %u refused not-run, %u failed "
-            "and told, %u connections broken\n",
+            "and told, %u connections broken; %u of them without a key\n",
             name, verdict->answers, verdict->good, verdict->refused,
-            verdict->failed, verdict->broken);
+            verdict->failed, verdict->broken, verdict->idempotent_bad);
     g_assert_cmpuint(verdict->ran_twice, ==, 0);
     g_assert_cmpuint(verdict->not_run_ran, ==, 0);
     g_assert_cmpuint(verdict->wrong, ==, 0);
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -95,6 +95,13 @@
         g_strdup_printf("%s/%s.ini", fleet->directory, node->name);
     node->log = g_strdup_printf("%s/%s.log", fleet->directory, node->name);
     write_settings(fleet, node);
+    if (fleet->shape.relays) {
+        char *target = g_strdup_printf("target=%s", node->peer_address);
+        const char *const args[] = {target, NULL};
+        harness_standin_start(&node->relay, fleet->build, "relay", args);
+        (void)g_snprintf(node->peer_address, 32, "%s", node->relay.address);
+        g_free(target);
+    }
 }
 
 /* Starts an upstream's stand-in. */
@@ -303,6 +310,16 @@
     g_free(fleet->directory);
 }
 
+/* Ends a stand-in that was started. */
+static void
+stop_standin(struct harness_standin *standin)
+{
+    if (standin->pid != 0) {
+        (void)kill(standin->pid, SIGTERM);
+        (void)harness_wait(standin->pid, 5000);
+    }
+}
+
 /*
  * Stops the nodes gracefully, then the stand-ins, and frees the fleet.  The
  * logs are kept when a node did not end with 0.
@@ -328,15 +345,14 @@
             harness_node_kill(node, SIGKILL);
         }
     }
-    struct harness_standin *platform[] = {&fleet->kv, &fleet->hosts,
-                                          &fleet->weights};
-    for (size_t i = 0; i < G_N_ELEMENTS(platform); i++) {
-        (void)kill(platform[i]->pid, SIGTERM);
-        (void)harness_wait(platform[i]->pid, 5000);
-    }
+    stop_standin(&fleet->kv);
+    stop_standin(&fleet->hosts);
+    stop_standin(&fleet->weights);
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
-        (void)kill(fleet->upstreams[i].standin.pid, SIGTERM);
-        (void)harness_wait(fleet->upstreams[i].standin.pid, 5000);
+        stop_standin(&fleet->upstreams[i].standin);
+    }
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        stop_standin(&fleet->nodes[i].relay);
     }
     if (bad == 0 && g_getenv("HARNESS_KEEP") == NULL) {
         remove_files(fleet);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -61,7 +61,8 @@
     char *log;      /* path */
     char admin_address[32];
     char caller_address[32];
-    char peer_address[32]; /* as the host list gives it */
+    char peer_address[32];        /* as the host list gives it */
+    struct harness_standin relay; /* in front of its peers' listener */
     const char *region;
     const char *data_centre;
 };
@@ -79,6 +80,7 @@
     unsigned nodes;
     unsigned engines;
     unsigned services;
+    bool relays;                /* between the nodes */
     const char *declaration;    /* NULL: examples/small.ini */
     const char *engine_args[8]; /* besides the usual; NAME=VALUE */
     const char *settings[16];   /* "group.key=value", over the usual */
@@ -202,6 +204,7 @@
     int64_t pause_ms;  /* of a caller between two calls */
     int64_t limit_ms;  /* of a call */
     bool repeat_keyed; /* after an unknown outcome, again by another node */
+    unsigned first_serial; /* of bodies and keys */
 };
 
 struct harness_running;
@@ -215,9 +218,10 @@
 struct harness_verdict {
     unsigned answers;
     unsigned good;
-    unsigned refused; /* not-run */
-    unsigned failed;  /* unknown, ran with an error */
-    unsigned broken;  /* the connection went, before or in the answer */
+    unsigned refused;        /* not-run */
+    unsigned failed;         /* unknown, ran with an error */
+    unsigned broken;         /* the connection went, before or in the answer */
+    unsigned idempotent_bad; /* calls without a key that are not good */
     /* each of these breaks a promise */
     unsigned ran_twice;
     unsigned not_run_ran;
@@ -248,4 +252,72 @@
 void harness_measure(const char *name, const GPtrArray *answers, int64_t begun,
                      int64_t ended, struct harness_figures *figures);
 
+/* ---- scenarios (scenario.c): a fault under load, and what it cost ---- */
+
+struct harness_scenario;
+
+/* A scenario as it runs. */
+struct harness_scene {
+    const struct harness_scenario *scenario;
+    struct harness_fleet *fleet;
+    struct harness_node *victim; /* what begin chose, for end */
+    int64_t begun;
+    int64_t ended;
+    GPtrArray *answers; /* after the load */
+    struct harness_verdict verdict;
+    struct harness_figures figures;
+};
+
+enum {
+    HARNESS_ANY = -1,
+};
+
+/* What a fault may cost at most; HARNESS_ANY: not bounded here. */
+struct harness_cost {
+    int64_t gap_ms;
+    int64_t recovered_ms;
+    int refused;
+    int failed;
+    int broken;
+    int idempotent_bad;
+    /* Not good, though another node than the victim held the connection, and
+       no try of the same key was held by the victim. */
+    int collateral;
+    int during; /* least share meeting target, percent */
+    int after;
+};
+
+struct harness_scenario {
+    const char *name;
+    struct harness_shape shape;
+    const struct harness_kind *kinds; /* NULL: harness_kinds */
+    unsigned kind_count;
+    unsigned callers; /* 0: 12 */
+    int64_t before_ms;
+    int64_t during_ms;
+    int64_t after_ms;
+    void (*begin)(struct harness_scene *scene);
+    void (*end)(struct harness_scene *scene);  /* may be NULL */
+    void (*more)(struct harness_scene *scene); /* further checks; or NULL */
+    struct harness_cost cost;
+};
+
+/* A streamed, a whole and a non-idempotent call. */
+enum {
+    HARNESS_KINDS = 3,
+};
+extern const struct harness_kind harness_kinds[HARNESS_KINDS];
+
+/* For g_test_add_data_func: runs the scenario, prints figures, asserts. */
+void harness_scenario_run(gconstpointer scenario);
+/* Calls every kind through every node until each was answered well. */
+void harness_warm_up(struct harness_fleet *fleet,
+                     const struct harness_kind *kinds, unsigned count);
+unsigned harness_collateral(const struct harness_scene *scene);
+/* The main of a failure test: adds each scenario under /failure/THEME/. */
+int harness_main(int argc, char **argv, const char *theme,
+                 const struct harness_scenario *scenarios, size_t count);
+/* build/KIND, from the program's own path. */
+const char *harness_build(void);
+
 #endif
--- a/tests/harness/load.c
+++ b/tests/harness/load.c
@@ -179,6 +179,7 @@
 {
     struct harness_running *running = g_new0(struct harness_running, 1);
     running->load = *load;
+    running->serial = load->first_serial;
     running->answers =
         g_ptr_array_new_with_free_func((GDestroyNotify)harness_answer_free);
     pthread_mutex_init(&running->lock, NULL);
