--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -132,8 +132,8 @@
 
 /* Adds one host to the list. */
 static void
-list_host(JsonBuilder *out, const char *const *texts, bool engine,
-          bool leaving)
+list_host(const struct harness_shape *shape, JsonBuilder *out,
+          const char *const *texts, bool engine, bool leaving)
 {
     static const char *const names[] = {"name",   "kind",        "address",
                                         "region", "data_centre", "service"};
@@ -146,11 +146,12 @@
     }
     if (engine) {
         json_builder_set_member_name(out, "memory_mb");
-        json_builder_add_int_value(out, 40000);
+        json_builder_add_int_value(
+            out, shape->memory_mb == 0 ? 40000 : shape->memory_mb);
         json_builder_set_member_name(out, "accelerators");
         json_builder_add_int_value(out, 1);
         json_builder_set_member_name(out, "batch");
-        json_builder_add_int_value(out, 64);
+        json_builder_add_int_value(out, shape->batch == 0 ? 64 : shape->batch);
     }
     json_builder_set_member_name(out, "state");
     json_builder_add_string_value(out, leaving ? "leaving" : "live");
@@ -170,7 +171,7 @@
         const char *texts[] = {node->name,         "entry",
                                node->peer_address, node->region,
                                node->data_centre,  NULL};
-        list_host(out, texts, false, false);
+        list_host(&fleet->shape, out, texts, false, false);
     }
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
         const struct harness_upstream *upstream = &fleet->upstreams[i];
@@ -180,7 +181,7 @@
                                upstream->region,
                                upstream->data_centre,
                                upstream->service};
-        list_host(out, texts, upstream->service == NULL,
+        list_host(&fleet->shape, out, texts, upstream->service == NULL,
                   upstream->left_at != 0);
     }
     json_builder_end_array(out);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -26,6 +26,9 @@
 pid_t harness_spawn(const char *const *argv, const char *log, int *out);
 /* Waits for the end; the exit status, 128 + signal, or -1 after limit. */
 int harness_wait(pid_t pid, int64_t limit_ms);
+/* What a process has used: processor time in ms, resident memory in KB. */
+double harness_cpu_ms(pid_t pid);
+double harness_memory_kb(pid_t pid);
 /* A port that stays this process's until it ends, for a child to listen on. */
 uint16_t harness_port(void);
 
@@ -81,6 +84,8 @@
     unsigned engines;
     unsigned services;
     bool relays;                /* between the nodes */
+    unsigned batch;             /* of an engine; 0: 64 */
+    unsigned memory_mb;         /* of an engine, as listed; 0: 40000 */
     const char *declaration;    /* NULL: examples/small.ini */
     const char *engine_args[8]; /* besides the usual; NAME=VALUE */
     const char *settings[16];   /* "group.key=value", over the usual */
--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -96,6 +96,40 @@
     }
 }
 
+/* Milliseconds of processor time that a process has used. */
+double
+harness_cpu_ms(pid_t pid)
+{
+    double ticks = 0;
+    char *path = g_strdup_printf("/proc/%d/stat", (int)pid);
+    char *text = NULL;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        /* Fields after the name: the 12th and 13th are user and system. */
+        char **fields = g_strsplit(strrchr(text, ')') + 2, " ", 15);
+        ticks = g_ascii_strtod(fields[11], NULL) +
+                g_ascii_strtod(fields[12], NULL);
+        g_strfreev(fields);
+    }
+    g_free(text);
+    g_free(path);
+    return ticks * 1000.0 / (double)sysconf(_SC_CLK_TCK);
+}
+
+/* Kilobytes of a process that are in memory. */
+double
+harness_memory_kb(pid_t pid)
+{
+    double pages = 0;
+    char *path = g_strdup_printf("/proc/%d/statm", (int)pid);
+    char *text = NULL;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        pages = g_ascii_strtod(strchr(text, ' '), NULL);
+    }
+    g_free(text);
+    g_free(path);
+    return pages * (double)sysconf(_SC_PAGESIZE) / 1024.0;
+}
+
 /* A port of the kernel's choice.  Its socket stays bound, and listens never:
  * nobody else gets the port, and a child with SO_REUSEADDR can listen on it,
  * more than once. */
