--- a/tests/bench/bench_fleet.c
+++ b/tests/bench/bench_fleet.c
@@ -141,7 +141,7 @@
 measure_size(const char *build, unsigned nodes)
 {
     static const char *const kinds[][3] = {
-        {"get", "list", NULL}, {"put", "delete", NULL}, {"watch", NULL}};
+        {"gets", "lists", NULL}, {"puts", "deletes", NULL}, {"watches", NULL}};
     struct harness_shape shape = {
         .nodes = nodes,
         .engines = ENGINES,
