Add the keepers of configuration, at-most-once records and ledgers

Once: a slot's log of batches, each created if absent and linked to the one before it; a home that was paused for longer than keys are kept can create a removed sequence anew, so a writer checks the batch before its own, and readers follow the links. Configuration: few watchers, the rest by revision and pull; a record tells the tokens of the writes before it, so that a lost answer is resolved also when another operator has written since. Ledger: one call at a time, orders after the write that covers them, ambiguous writes read again. enum ch_once_state moves to decide/once.h, which node.h includes.

--- a/libchestnuthitch/decide/ledger.c
+++ b/libchestnuthitch/decide/ledger.c
@@ -7,11 +7,12 @@
 
 enum {
     /*
-     * An engine lists the latest 64 orders that it carried out.  Half of that
-     * may be open at once, so that none falls off the list unseen between two
-     * reports and its reservation with it for good.
+     * An engine lists the latest 64 orders that it carried out.  Fewer than
+     * that may be open at once, so that none falls off the list between two
+     * reports and stays reserved for good.
      */
-    MOST_UNSETTLED = 32,
+    MOST_LOADS_OPEN = 32,
+    MOST_UNLOADS_OPEN = 24,
 };
 
 /* An empty ledger, of no boot: nothing can be reserved before a report told
@@ -149,16 +150,13 @@
 }
 
 /* Megabytes that copies on the way could take, leaving one item out (NULL:
- * none); *sends counts them all. */
+ * none). */
 static uint64_t
-exposed_without(const struct ch_ledger *ledger, const char *item,
-                size_t *sends)
+exposed_without(const struct ch_ledger *ledger, const char *item)
 {
     uint64_t sum = 0;
-    *sends = 0;
     for (size_t i = 0; i < ledger->send_count; i++) {
         const struct ch_ledger_send *sending = &ledger->sends[i];
-        *sends += sending->delivery != CH_LEDGER_SETTLED;
         if (first_unsettled(ledger, i) &&
             (item == NULL || strcmp(sending->item, item) != 0)) {
             sum += sending->memory_mb;
@@ -171,8 +169,7 @@
 uint32_t
 ch_ledger_exposed(const struct ch_ledger *ledger)
 {
-    size_t sends = 0;
-    return (uint32_t)MIN(exposed_without(ledger, NULL, &sends), UINT32_MAX);
+    return (uint32_t)MIN(exposed_without(ledger, NULL), UINT32_MAX);
 }
 
 /*
@@ -184,14 +181,7 @@
 may_send(const struct ch_ledger *ledger, const char *item, uint32_t memory_mb,
          struct ch_error *error)
 {
-    size_t sends = 0;
-    uint64_t exposed = exposed_without(ledger, item, &sends);
-    if (sends >= MOST_UNSETTLED) {
-        ch_error_set(error, CH_QUEUE_FULL, "%s: %zu orders are open",
-                     ledger->upstream, sends);
-        return false;
-    }
-    if (exposed + memory_mb > ledger->capacity_mb) {
+    if (exposed_without(ledger, item) + memory_mb > ledger->capacity_mb) {
         ch_error_set(error, CH_QUEUE_FULL,
                      "%s: no room for %s beside orders that may yet arrive",
                      ledger->upstream, item);
@@ -200,6 +190,28 @@
     return true;
 }
 
+/* How many orders to load are not known to be carried out. */
+static size_t
+loads_open(const struct ch_ledger *ledger)
+{
+    size_t open = 0;
+    for (size_t i = 0; i < ledger->send_count; i++) {
+        open += !ledger->sends[i].done;
+    }
+    return open;
+}
+
+/* How many unloads are not known to be carried out. */
+static size_t
+unloads_open(const struct ch_ledger *ledger)
+{
+    size_t open = 0;
+    for (size_t i = 0; i < ledger->count; i++) {
+        open += ledger->entries[i].state == CH_LEDGER_UNLOADING;
+    }
+    return open;
+}
+
 /* Notes that sender is about to send a copy of an order to load. */
 static void
 open_send(struct ch_ledger *ledger, const char *order, const char *item,
@@ -262,6 +274,11 @@
                      ledger->upstream, item);
         return false;
     }
+    if (loads_open(ledger) >= MOST_LOADS_OPEN) {
+        ch_error_set(error, CH_QUEUE_FULL, "%s: too many loads are open",
+                     ledger->upstream);
+        return false;
+    }
     if (!may_send(ledger, item, memory_mb, error)) {
         return false;
     }
@@ -282,6 +299,11 @@
                      ledger->upstream, item);
         return false;
     }
+    if (unloads_open(ledger) >= MOST_UNLOADS_OPEN) {
+        ch_error_set(error, CH_QUEUE_FULL, "%s: too many unloads are open",
+                     ledger->upstream);
+        return false;
+    }
     entry->state = CH_LEDGER_UNLOADING;
     entry->fence = ledger->version;
     g_strlcpy(entry->order, order, sizeof(entry->order));
--- /dev/null
+++ b/libchestnuthitch/decide/once_batch.c
@@ -0,0 +1,291 @@
+/* Batches of the at-most-once log as JSON. */
+
+#include "decide/once.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+enum {
+    MOST_EVENTS = 10000,
+    MOST_STATUS = 999,
+};
+
+static const char *const kind_names[] = {"create", "complete", "release",
+                                         NULL};
+
+/* Frees an event; a GDestroyNotify. */
+void
+ch_once_event_free(void *data)
+{
+    struct ch_once_event *event = data;
+    if (event == NULL) {
+        return;
+    }
+    g_free(event->caller);
+    g_free(event->key);
+    g_free(event->content_type);
+    g_free(event->body);
+    g_free(event);
+}
+
+/* An empty batch that owns the events put into it. */
+struct ch_once_batch *
+ch_once_batch_new(uint64_t previous, const char *writer)
+{
+    struct ch_once_batch *batch = g_new0(struct ch_once_batch, 1);
+    batch->previous = previous;
+    batch->writer = g_strdup(writer);
+    batch->events = g_ptr_array_new_with_free_func(ch_once_event_free);
+    return batch;
+}
+
+/* Frees a batch with its events; NULL is fine. */
+void
+ch_once_batch_free(struct ch_once_batch *batch)
+{
+    if (batch == NULL) {
+        return;
+    }
+    g_ptr_array_unref(batch->events);
+    g_free(batch->writer);
+    g_free(batch);
+}
+
+/* Appends "name": "value". */
+static void
+add_text(JsonBuilder *builder, const char *name, const char *value)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_string_value(builder, value);
+}
+
+/* Appends "name": "N"; as text, since JSON readers round large numbers. */
+static void
+add_number(JsonBuilder *builder, const char *name, uint64_t value)
+{
+    char text[24];
+    (void)g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+    add_text(builder, name, text);
+}
+
+/* Appends text that may hold any byte but NUL, escaped as in a URI. */
+static void
+add_escaped(JsonBuilder *builder, const char *name, const char *value)
+{
+    g_autofree char *escaped = g_uri_escape_string(value, " /;=,+", FALSE);
+    add_text(builder, name, escaped);
+}
+
+/* Appends an event's object. */
+static void
+add_event(JsonBuilder *builder, const struct ch_once_event *event)
+{
+    json_builder_begin_object(builder);
+    add_text(builder, "do", kind_names[event->kind]);
+    add_escaped(builder, "caller", event->caller);
+    add_escaped(builder, "key", event->key);
+    add_number(builder, "attempt", event->attempt);
+    if (event->kind == CH_ONCE_EVENT_CREATE) {
+        add_number(builder, "fingerprint", event->fingerprint);
+    }
+    if (event->kind == CH_ONCE_EVENT_COMPLETE && event->kept) {
+        g_autofree char *body = g_base64_encode(event->body, event->length);
+        add_number(builder, "status", (uint64_t)event->status);
+        add_escaped(builder, "type",
+                    event->content_type == NULL ? "" : event->content_type);
+        add_text(builder, "body", body);
+    }
+    json_builder_end_object(builder);
+}
+
+/* The batch's JSON, a new string. */
+char *
+ch_once_batch_encode(const struct ch_once_batch *batch)
+{
+    g_autoptr(JsonBuilder) builder = json_builder_new();
+    json_builder_begin_object(builder);
+    add_number(builder, "previous", batch->previous);
+    add_text(builder, "writer", batch->writer);
+    json_builder_set_member_name(builder, "events");
+    json_builder_begin_array(builder);
+    for (guint i = 0; i < batch->events->len; i++) {
+        add_event(builder, g_ptr_array_index(batch->events, i));
+    }
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    g_autoptr(JsonNode) root = json_builder_get_root(builder);
+    return json_to_string(root, FALSE);
+}
+
+/* A text member, valid as long as the object; NULL with an error. */
+static const char *
+read_text(JsonObject *object, const char *name, struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+        json_node_get_value_type(node) != G_TYPE_STRING) {
+        ch_error_set(error, CH_BAD_JSON, "once: '%s' is not a string", name);
+        return NULL;
+    }
+    return json_node_get_string(node);
+}
+
+/* A number that was written as text; false with an error. */
+static bool
+read_number(JsonObject *object, const char *name, uint64_t most, uint64_t *out,
+            struct ch_error *error)
+{
+    const char *text = read_text(object, name, error);
+    if (text == NULL) {
+        return false;
+    }
+    if (!g_ascii_string_to_unsigned(text, 10, 0, most, out, NULL)) {
+        ch_error_set(error, CH_BAD_JSON, "once: '%s' is out of range", name);
+        return false;
+    }
+    return true;
+}
+
+/* An escaped member as it was; NULL with an error. */
+static char *
+read_escaped(JsonObject *object, const char *name, struct ch_error *error)
+{
+    const char *text = read_text(object, name, error);
+    if (text == NULL) {
+        return NULL;
+    }
+    char *plain = g_uri_unescape_string(text, NULL);
+    if (plain == NULL) {
+        ch_error_set(error, CH_BAD_JSON, "once: '%s' is badly escaped", name);
+    }
+    return plain;
+}
+
+/* The kept answer of a completion; false with an error. */
+static bool
+read_answer(JsonObject *object, struct ch_once_event *event,
+            struct ch_error *error)
+{
+    if (!json_object_has_member(object, "body")) {
+        return true;
+    }
+    uint64_t status = 0;
+    const char *body = read_text(object, "body", error);
+    event->content_type = read_escaped(object, "type", error);
+    if (body == NULL || event->content_type == NULL ||
+        !read_number(object, "status", MOST_STATUS, &status, error)) {
+        return false;
+    }
+    event->kept = true;
+    event->status = (int)status;
+    event->body = g_base64_decode(body, &event->length);
+    return true;
+}
+
+/* Fills in an event; false with an error. */
+static bool
+read_event(JsonObject *object, struct ch_once_event *event,
+           struct ch_error *error)
+{
+    const char *kind = read_text(object, "do", error);
+    int index = 0;
+    while (kind != NULL && kind_names[index] != NULL &&
+           strcmp(kind_names[index], kind) != 0) {
+        index++;
+    }
+    if (kind == NULL || kind_names[index] == NULL) {
+        ch_error_set(error, CH_BAD_JSON, "once: an event of unknown kind");
+        return false;
+    }
+    event->kind = (enum ch_once_event_kind)index;
+    event->caller = read_escaped(object, "caller", error);
+    event->key = read_escaped(object, "key", error);
+    if (event->caller == NULL || event->key == NULL ||
+        !read_number(object, "attempt", UINT64_MAX, &event->attempt, error)) {
+        return false;
+    }
+    switch (event->kind) {
+    case CH_ONCE_EVENT_CREATE:
+        return read_number(object, "fingerprint", UINT64_MAX,
+                           &event->fingerprint, error);
+    case CH_ONCE_EVENT_COMPLETE:
+        return read_answer(object, event, error);
+    case CH_ONCE_EVENT_RELEASE:
+        break;
+    }
+    return true;
+}
+
+/* Fills in the events; false with an error. */
+static bool
+read_events(JsonObject *object, struct ch_once_batch *batch,
+            struct ch_error *error)
+{
+    JsonNode *node = json_object_get_member(object, "events");
+    JsonArray *array = node != NULL && JSON_NODE_HOLDS_ARRAY(node)
+                           ? json_node_get_array(node)
+                           : NULL;
+    if (array == NULL || json_array_get_length(array) > MOST_EVENTS) {
+        ch_error_set(error, CH_BAD_JSON, "once: no list of events");
+        return false;
+    }
+    for (guint i = 0; i < json_array_get_length(array); i++) {
+        JsonNode *element = json_array_get_element(array, i);
+        struct ch_once_event *event = g_new0(struct ch_once_event, 1);
+        g_ptr_array_add(batch->events, event);
+        if (!JSON_NODE_HOLDS_OBJECT(element) ||
+            !read_event(json_node_get_object(element), event, error)) {
+            ch_error_set(error, CH_BAD_JSON, "once: an event is no object");
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The batch in a value; NULL with an error when any part is damaged: an event
+ * left out would let its request run again. */
+struct ch_once_batch *
+ch_once_batch_decode(const char *bytes, size_t length, struct ch_error *error)
+{
+    g_autoptr(JsonParser) parser = json_parser_new();
+    if (length > G_MAXSSIZE ||
+        !json_parser_load_from_data(parser, bytes, (gssize)length, NULL)) {
+        ch_error_set(error, CH_BAD_JSON, "once: not JSON");
+        return NULL;
+    }
+    JsonNode *root = json_parser_get_root(parser);
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        ch_error_set(error, CH_BAD_JSON, "once: not an object");
+        return NULL;
+    }
+    JsonObject *object = json_node_get_object(root);
+    uint64_t previous = 0;
+    const char *writer = read_text(object, "writer", error);
+    if (writer == NULL ||
+        !read_number(object, "previous", UINT64_MAX, &previous, error)) {
+        return NULL;
+    }
+    struct ch_once_batch *batch = ch_once_batch_new(previous, writer);
+    if (!read_events(object, batch, error)) {
+        ch_once_batch_free(batch);
+        return NULL;
+    }
+    return batch;
+}
+
+/* The completion of an attempt, valid as long as the batch; NULL: none. */
+const struct ch_once_event *
+ch_once_batch_completion(const struct ch_once_batch *batch, const char *caller,
+                         const char *key, uint64_t attempt)
+{
+    for (guint i = 0; i < batch->events->len; i++) {
+        const struct ch_once_event *event =
+            g_ptr_array_index(batch->events, i);
+        if (event->kind == CH_ONCE_EVENT_COMPLETE &&
+            event->attempt == attempt && strcmp(event->key, key) == 0 &&
+            strcmp(event->caller, caller) == 0) {
+            return event;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/libchestnuthitch/node/config_keeper.c
@@ -0,0 +1,633 @@
+/*
+ * The configuration in force on this node.
+ *
+ * A few nodes hold a watch on the key-value service; the others learn from the
+ * revision that every frame bears, and pull.  Whoever takes a new one tells a
+ * few others, so that it is everywhere after a number of hops that grows with
+ * the logarithm of the fleet.
+ */
+
+#include "node/kv_call.h"
+
+#include "decide/revision.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#define CONFIG_KEY "config/current"
+
+enum {
+    /* Nodes with a watch: three, so that one lost and one paused leave one. */
+    WATCHERS = 3,
+    /* Nodes that are told of a new revision by whoever takes it. */
+    FANOUT = 4,
+    WATCH_WAIT = 30 * 1000 * 1000,
+    TICK = 1000 * 1000,
+    PULL_LIMIT = 2 * 1000 * 1000,
+    FIRST_PAUSE = 250 * 1000,
+    MOST_PAUSE = 4 * 1000 * 1000,
+};
+
+struct ch_config_keeper {
+    struct ch_node *node;
+    pthread_mutex_t lock;
+    int references;
+    bool stopped;
+    struct ch_config *current;
+    bool pulling;
+    bool calling; /* a watch or read of the service is under way */
+    int64_t pause;
+    int64_t not_before;
+    uint64_t timer;
+    uint64_t tokens;
+};
+
+/* ---- ownership ---- */
+
+/* One more owner: a call or timer under way. */
+static struct ch_config_keeper *
+keeper_ref(struct ch_config_keeper *keeper)
+{
+    g_atomic_int_inc(&keeper->references);
+    return keeper;
+}
+
+/* One owner less; the last frees it. */
+static void
+keeper_unref(struct ch_config_keeper *keeper)
+{
+    if (!g_atomic_int_dec_and_test(&keeper->references)) {
+        return;
+    }
+    if (keeper->current != NULL) {
+        ch_config_unref(keeper->current);
+    }
+    pthread_mutex_destroy(&keeper->lock);
+    g_free(keeper);
+}
+
+/* ---- taking a revision into force ---- */
+
+/* A reference to what is in force, or NULL. */
+struct ch_config *
+ch_config_keeper_current(struct ch_config_keeper *keeper)
+{
+    pthread_mutex_lock(&keeper->lock);
+    struct ch_config *config =
+        keeper->current == NULL ? NULL : ch_config_ref(keeper->current);
+    pthread_mutex_unlock(&keeper->lock);
+    return config;
+}
+
+/* The revision in force; 0: none. */
+static uint64_t
+current_revision(struct ch_config_keeper *keeper)
+{
+    pthread_mutex_lock(&keeper->lock);
+    uint64_t revision =
+        keeper->current == NULL ? 0 : keeper->current->revision;
+    pthread_mutex_unlock(&keeper->lock);
+    return revision;
+}
+
+/* Tells a few nodes of the revision that this node's frames now bear: they
+ * pull it when they are behind. */
+static void
+tell_others(struct ch_config_keeper *keeper)
+{
+    struct ch_node *node = keeper->node;
+    g_auto(GStrv) live = ch_peers_live(node->peers);
+    guint count = g_strv_length(live);
+    for (guint i = 0; i < FANOUT && count > 0; i++) {
+        const char *name = live[g_random_int_range(0, (gint32)count)];
+        if (strcmp(name, node->settings->name) == 0) {
+            continue;
+        }
+        Chestnuthitch__Wire__ConfigPull pull =
+            CHESTNUTHITCH__WIRE__CONFIG_PULL__INIT;
+        Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+        pull.above = current_revision(keeper);
+        frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PULL;
+        frame.config_pull = &pull;
+        ch_peers_send(node->peers, name, &frame);
+    }
+}
+
+/* Takes the config (owned) into force, if its revision is higher. */
+static void
+take_config(struct ch_config_keeper *keeper, struct ch_config *config)
+{
+    struct ch_node *node = keeper->node;
+    struct ch_config *old = config;
+    pthread_mutex_lock(&keeper->lock);
+    uint64_t known = keeper->current == NULL ? 0 : keeper->current->revision;
+    bool newer = ch_revision_newer(known, config->revision);
+    if (newer) {
+        old = keeper->current;
+        keeper->current = config;
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    if (newer) {
+        if (node->client->metrics != NULL) {
+            ch_metrics_count(node->client->metrics, CH_COUNT_CONFIG_CHANGES,
+                             1);
+        }
+        ch_log(node->client, CH_LOG_NOTICE, "config_in_force",
+               CH_F_INT("revision", config->revision),
+               CH_F_STR("author", config->author), CH_F_END);
+        tell_others(keeper);
+    }
+    if (old != NULL) {
+        ch_config_unref(old);
+    }
+}
+
+/* Takes a revision into force from its parts.  A text that this node can't
+ * read leaves what is in force as it is. */
+static void
+take_parts(struct ch_config_keeper *keeper, uint64_t revision,
+           const char *token, const char *author, const char *text)
+{
+    struct ch_error error = {0};
+    if (!ch_revision_newer(current_revision(keeper), revision)) {
+        return;
+    }
+    struct ch_declaration *declaration =
+        ch_declaration_parse(text, CONFIG_KEY, &error);
+    if (declaration == NULL) {
+        ch_log(keeper->node->client, CH_LOG_ERR, "config_unreadable",
+               CH_F_INT("revision", revision),
+               CH_F_STR("message", error.message), CH_F_END);
+        return;
+    }
+    take_config(keeper, ch_config_new(revision, token, author, declaration));
+}
+
+/* Takes a value of the service into force. */
+static void
+take_value(struct ch_config_keeper *keeper, const struct ch_kv_answer *answer)
+{
+    struct ch_error error = {0};
+    struct ch_revision_record *record =
+        ch_revision_record_parse(answer->value, answer->length, &error);
+    if (record == NULL) {
+        ch_log(keeper->node->client, CH_LOG_ERR, "config_unreadable",
+               CH_F_INT("revision", answer->revision),
+               CH_F_STR("message", error.message), CH_F_END);
+        return;
+    }
+    take_parts(keeper, answer->revision, record->token, record->author,
+               record->text);
+    ch_revision_record_free(record);
+}
+
+/* ---- from the service: watch, or the first read ---- */
+
+static void begin_call(struct ch_config_keeper *keeper);
+
+/* Notes how a watch or read went.  Without an answer the next one waits: the
+ * service is to come back under the calls of all.  Likewise while there is no
+ * configuration to read. */
+static void
+end_call(struct ch_config_keeper *keeper, enum ch_code code)
+{
+    pthread_mutex_lock(&keeper->lock);
+    bool quiet = code == CH_KV_MISSING && keeper->current != NULL;
+    keeper->calling = false;
+    if (code == CH_OK || quiet) {
+        keeper->pause = 0;
+    }
+    else {
+        keeper->pause = CLAMP(keeper->pause * 2, FIRST_PAUSE, MOST_PAUSE);
+        keeper->not_before =
+            ch_client_now(keeper->node->client) + keeper->pause;
+    }
+    pthread_mutex_unlock(&keeper->lock);
+}
+
+/* The answer to a watch or read; a watch follows at once when it answered. */
+static void
+call_done(void *data, const struct ch_kv_answer *answer)
+{
+    struct ch_config_keeper *keeper = data;
+    if (answer->code == CH_OK) {
+        take_value(keeper, answer);
+    }
+    end_call(keeper, answer->code);
+    if (answer->code == CH_OK) {
+        begin_call(keeper);
+    }
+    keeper_unref(keeper);
+}
+
+/* True when this node is one of the few that watch. */
+static bool
+is_watcher(struct ch_config_keeper *keeper)
+{
+    struct ch_node *node = keeper->node;
+    for (int i = 0; i < WATCHERS; i++) {
+        char key[32];
+        (void)g_snprintf(key, sizeof(key), "config-watch-%d", i);
+        g_autofree char *home =
+            ch_peers_home(node->peers, ch_hash_string(key), NULL);
+        if (g_strcmp0(home, node->settings->name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Begins a watch, or on other nodes a read while nothing is known, unless one
+ * is under way or the service is given time. */
+static void
+begin_call(struct ch_config_keeper *keeper)
+{
+    struct ch_node *node = keeper->node;
+    bool watcher = is_watcher(keeper);
+    pthread_mutex_lock(&keeper->lock);
+    uint64_t revision =
+        keeper->current == NULL ? 0 : keeper->current->revision;
+    bool begin = !keeper->stopped && !keeper->calling &&
+                 (watcher || revision == 0) &&
+                 ch_client_now(node->client) >= keeper->not_before;
+    if (begin) {
+        keeper->calling = true;
+        keeper_ref(keeper);
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    if (!begin) {
+        return;
+    }
+    if (watcher) {
+        ch_kv_call_watch(node, CONFIG_KEY, revision, WATCH_WAIT, call_done,
+                         keeper);
+    }
+    else {
+        ch_kv_call_get(node, CONFIG_KEY, call_done, keeper);
+    }
+}
+
+/* ---- from other nodes: pull and push ---- */
+
+/* Takes a frame's ConfigPush into force. */
+static void
+take_push(struct ch_config_keeper *keeper,
+          const Chestnuthitch__Wire__Frame *frame)
+{
+    if (frame->body_case != CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PUSH) {
+        return;
+    }
+    const Chestnuthitch__Wire__ConfigPush *push = frame->config_push;
+    take_parts(keeper, push->revision, push->token, push->author, push->text);
+}
+
+/* The answer to a pull. */
+static void
+pull_done(void *data, enum ch_code code,
+          const Chestnuthitch__Wire__Frame *reply)
+{
+    struct ch_config_keeper *keeper = data;
+    if (code == CH_OK && reply != NULL) {
+        take_push(keeper, reply);
+    }
+    pthread_mutex_lock(&keeper->lock);
+    keeper->pulling = false;
+    pthread_mutex_unlock(&keeper->lock);
+    keeper_unref(keeper);
+}
+
+/* Pulls from a node, one pull at a time. */
+static void
+begin_pull(struct ch_config_keeper *keeper, const char *from)
+{
+    Chestnuthitch__Wire__ConfigPull pull =
+        CHESTNUTHITCH__WIRE__CONFIG_PULL__INIT;
+    Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    pthread_mutex_lock(&keeper->lock);
+    bool begin = !keeper->pulling && !keeper->stopped;
+    if (begin) {
+        keeper->pulling = true;
+        keeper_ref(keeper);
+        pull.above = keeper->current == NULL ? 0 : keeper->current->revision;
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    if (begin) {
+        frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PULL;
+        frame.config_pull = &pull;
+        ch_peers_request(keeper->node->peers, from, &frame, PULL_LIMIT,
+                         pull_done, keeper);
+    }
+}
+
+/* Some frame bore a revision: if it is higher, it is pulled. */
+void
+ch_config_keeper_learn(struct ch_config_keeper *keeper, uint64_t revision,
+                       const char *from)
+{
+    pthread_mutex_lock(&keeper->lock);
+    uint64_t known = keeper->current == NULL ? 0 : keeper->current->revision;
+    pthread_mutex_unlock(&keeper->lock);
+    if (ch_revision_newer(known, revision)) {
+        begin_pull(keeper, from);
+    }
+}
+
+/* A node asks for what is above its revision. */
+static void
+handle_pull(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    struct ch_config_keeper *keeper = data;
+    Chestnuthitch__Wire__Frame reply = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    Chestnuthitch__Wire__ConfigPush push =
+        CHESTNUTHITCH__WIRE__CONFIG_PUSH__INIT;
+    Chestnuthitch__Wire__Done done = CHESTNUTHITCH__WIRE__DONE__INIT;
+    struct ch_config *config = ch_config_keeper_current(keeper);
+    if (config != NULL &&
+        ch_revision_newer(frame->config_pull->above, config->revision)) {
+        push.revision = config->revision;
+        push.token = config->token;
+        push.author = config->author;
+        push.text = config->declaration->text;
+        reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PUSH;
+        reply.config_push = &push;
+    }
+    else {
+        reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_DONE;
+        reply.done = &done;
+    }
+    ch_peers_reply(keeper->node->peers, frame->from, frame->id, &reply);
+    if (config != NULL) {
+        ch_config_unref(config);
+    }
+}
+
+/* A push that came by itself. */
+static void
+handle_push(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    take_push(data, frame);
+}
+
+/* While nothing is known, asks one node after another: a fresh node starts
+ * while the service is away. */
+static void
+ask_others(struct ch_config_keeper *keeper)
+{
+    const struct ch_node *node = keeper->node;
+    if (current_revision(keeper) != 0) {
+        return;
+    }
+    g_auto(GStrv) live = ch_peers_live(node->peers);
+    guint count = g_strv_length(live);
+    guint first = count == 0 ? 0 : g_random_int() % count;
+    for (guint i = 0; i < count; i++) {
+        const char *name = live[(first + i) % count];
+        if (strcmp(name, node->settings->name) != 0) {
+            begin_pull(keeper, name);
+            return;
+        }
+    }
+}
+
+/* ---- the tick ---- */
+
+/* Every second: watch if it falls to this node, read or ask while nothing is
+ * known.  Only watchers and nodes without a configuration call the service. */
+static void
+tick(void *data)
+{
+    struct ch_config_keeper *keeper = data;
+    begin_call(keeper);
+    ask_others(keeper);
+    pthread_mutex_lock(&keeper->lock);
+    bool again = !keeper->stopped;
+    if (again) {
+        keeper->timer =
+            ch_timers_after(keeper->node->timers, TICK, tick, keeper);
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    if (!again) {
+        keeper_unref(keeper);
+    }
+}
+
+/* ---- an operator's write ---- */
+
+struct apply {
+    struct ch_config_keeper *keeper;
+    struct ch_revision_write write;
+    char *author;
+    char *text;
+    char *bytes;                     /* the record to write */
+    struct ch_revision_record *read; /* what was read last; NULL: none */
+    uint64_t read_revision;
+    void (*done)(void *data, const struct ch_error *error,
+                 struct ch_config *config);
+    void *data;
+};
+
+/* Frees an operator's write. */
+static void
+apply_free(struct apply *apply)
+{
+    ch_revision_write_clear(&apply->write);
+    ch_revision_record_free(apply->read);
+    keeper_unref(apply->keeper);
+    g_free(apply->author);
+    g_free(apply->text);
+    g_free(apply->bytes);
+    g_free(apply);
+}
+
+/* Gives the verdict, with what is in force here by then. */
+static void
+apply_end(struct apply *apply, enum ch_revision_step step)
+{
+    static const struct {
+        enum ch_revision_step step;
+        enum ch_code code;
+        const char *message;
+    } verdicts[] = {
+        {CH_REVISION_CONFLICT, CH_KV_CONFLICT,
+         "another revision is in force than the one this was made from"},
+        {CH_REVISION_FAILED, CH_KV_UNREACHABLE,
+         "the key-value service is away; nothing was changed"},
+        {CH_REVISION_UNSURE, CH_KV_AMBIGUOUS,
+         "the answer was lost; the change may be in force, or may yet come"},
+    };
+    struct ch_error error = {0};
+    for (size_t i = 0; i < G_N_ELEMENTS(verdicts); i++) {
+        if (verdicts[i].step == step) {
+            ch_error_set(&error, verdicts[i].code, "%s", verdicts[i].message);
+        }
+    }
+    if (step == CH_REVISION_ACCEPTED) {
+        take_parts(apply->keeper, apply->write.revision, apply->write.token,
+                   apply->author, apply->text);
+    }
+    if (apply->read != NULL) {
+        take_parts(apply->keeper, apply->read_revision, apply->read->token,
+                   apply->read->author, apply->read->text);
+    }
+    struct ch_config *config = ch_config_keeper_current(apply->keeper);
+    apply->done(apply->data, &error, config);
+    if (config != NULL) {
+        ch_config_unref(config);
+    }
+    apply_free(apply);
+}
+
+static void apply_step(struct apply *apply, enum ch_revision_step step);
+
+/* The answer to the write. */
+static void
+apply_written(void *data, const struct ch_kv_answer *answer)
+{
+    struct apply *apply = data;
+    apply_step(apply, ch_revision_write_written(&apply->write, answer->code,
+                                                answer->revision));
+}
+
+/* The answer to a read. */
+static void
+apply_read(void *data, const struct ch_kv_answer *answer)
+{
+    struct apply *apply = data;
+    enum ch_code code = answer->code;
+    if (code == CH_OK) {
+        struct ch_revision_record *record =
+            ch_revision_record_parse(answer->value, answer->length, NULL);
+        ch_revision_record_free(apply->read);
+        apply->read = record;
+        apply->read_revision = answer->revision;
+        code = record == NULL ? CH_SYSTEM : CH_OK;
+    }
+    apply_step(apply,
+               ch_revision_write_read(&apply->write, code,
+                                      code == CH_OK ? apply->read : NULL,
+                                      answer->revision));
+}
+
+/* The record is made once, from what was read at base, so that each try writes
+ * the same. */
+static void
+make_record(struct apply *apply)
+{
+    if (apply->bytes != NULL) {
+        return;
+    }
+    struct ch_revision_record *record = ch_revision_record_new(
+        apply->write.token, apply->author, apply->text,
+        apply->write.base == 0 ? NULL : apply->read, apply->write.base);
+    apply->bytes = ch_revision_record_print(record);
+    ch_revision_record_free(record);
+}
+
+/* Does the next step of a write. */
+static void
+apply_step(struct apply *apply, enum ch_revision_step step)
+{
+    struct ch_node *node = apply->keeper->node;
+    switch (step) {
+    case CH_REVISION_READ:
+        ch_kv_call_get(node, CONFIG_KEY, apply_read, apply);
+        return;
+    case CH_REVISION_WRITE:
+        make_record(apply);
+        ch_kv_call_put(node, CONFIG_KEY, apply->bytes, strlen(apply->bytes),
+                       apply->write.base, apply_written, apply);
+        return;
+    default:
+        apply_end(apply, step);
+    }
+}
+
+/* A mark that no other write of any process bears. */
+static char *
+new_token(struct ch_config_keeper *keeper)
+{
+    pthread_mutex_lock(&keeper->lock);
+    uint64_t number = ++keeper->tokens;
+    pthread_mutex_unlock(&keeper->lock);
+    return g_strdup_printf(
+        "%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
+        keeper->node->settings->name, keeper->node->incarnation, number);
+}
+
+/*
+ * Writes an operator's text by compare-and-swap against base.  The text is
+ * checked first: what can't be read is never accepted.  done runs once, on a
+ * worker, or at once in this thread when the text is wrong.
+ */
+void
+ch_config_keeper_apply(struct ch_config_keeper *keeper, const char *text,
+                       const char *author, uint64_t base,
+                       void (*done)(void *data, const struct ch_error *error,
+                                    struct ch_config *config),
+                       void *data)
+{
+    struct ch_error error = {0};
+    struct ch_declaration *declaration =
+        ch_declaration_parse(text, "configuration", &error);
+    if (declaration == NULL) {
+        done(data, &error, NULL);
+        return;
+    }
+    g_autofree char *token = new_token(keeper);
+    struct apply *apply = g_new0(struct apply, 1);
+    apply->keeper = keeper_ref(keeper);
+    apply->author = g_strdup(author);
+    apply->text = g_strdup(declaration->text);
+    apply->done = done;
+    apply->data = data;
+    ch_revision_write_init(&apply->write, base, token);
+    ch_declaration_free(declaration);
+    apply_step(apply, CH_REVISION_READ);
+}
+
+/* ---- life ---- */
+
+/* A keeper that knows nothing yet, registered with the node's peers; node
+ * outlives it. */
+struct ch_config_keeper *
+ch_config_keeper_new(struct ch_node *node)
+{
+    struct ch_config_keeper *keeper = g_new0(struct ch_config_keeper, 1);
+    keeper->node = node;
+    keeper->references = 1;
+    pthread_mutex_init(&keeper->lock, NULL);
+    ch_peers_handle(node->peers, CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PULL,
+                    handle_pull, keeper);
+    ch_peers_handle(node->peers, CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PUSH,
+                    handle_push, keeper);
+    return keeper;
+}
+
+/* Begins to read, watch and ask. */
+void
+ch_config_keeper_start(struct ch_config_keeper *keeper)
+{
+    ch_pool_submit(keeper->node->pool, tick, keeper_ref(keeper));
+}
+
+/* Ends the tick; calls under way run out. */
+void
+ch_config_keeper_stop(struct ch_config_keeper *keeper)
+{
+    pthread_mutex_lock(&keeper->lock);
+    keeper->stopped = true;
+    uint64_t timer = keeper->timer;
+    pthread_mutex_unlock(&keeper->lock);
+    if (timer != 0 && ch_timers_cancel(keeper->node->timers, timer)) {
+        keeper_unref(keeper);
+    }
+}
+
+/* Drops the node's hold. */
+void
+ch_config_keeper_free(struct ch_config_keeper *keeper)
+{
+    if (keeper != NULL) {
+        keeper_unref(keeper);
+    }
+}
--- /dev/null
+++ b/libchestnuthitch/node/kv_call.h
@@ -0,0 +1,30 @@
+#ifndef CH_NODE_KV_CALL_H
+#define CH_NODE_KV_CALL_H
+
+/* Key-value calls whose answers come on a pool worker. */
+
+#include "node/node.h"
+
+void ch_kv_call_get(struct ch_node *node, const char *key,
+                    void (*done)(void *data,
+                                 const struct ch_kv_answer *answer),
+                    void *data);
+void ch_kv_call_put(struct ch_node *node, const char *key, const void *value,
+                    size_t length, uint64_t revision,
+                    void (*done)(void *data,
+                                 const struct ch_kv_answer *answer),
+                    void *data);
+void
+ch_kv_call_remove(struct ch_node *node, const char *key, uint64_t revision,
+                  void (*done)(void *data, const struct ch_kv_answer *answer),
+                  void *data);
+void ch_kv_call_watch(
+    struct ch_node *node, const char *key, uint64_t revision, int64_t wait,
+    void (*done)(void *data, const struct ch_kv_answer *answer), void *data);
+void ch_kv_call_list(struct ch_node *node, const char *prefix,
+                     void (*done)(void *data, enum ch_code code,
+                                  const struct ch_kv_entry *entries,
+                                  size_t count),
+                     void *data);
+
+#endif
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -16,6 +16,7 @@
 
 #include "base/base.h"
 #include "decide/ledger.h"
+#include "decide/once.h"
 #include "decide/policy.h"
 #include "net/net.h"
 #include "platform/platform.h"
@@ -138,14 +139,6 @@
 
 /* ---- at most once (once_keeper.c) ---- */
 
-enum ch_once_state {
-    CH_ONCE_CREATED,  /* this try alone may be dispatched, once */
-    CH_ONCE_DONE,     /* ran before: answer is given when it was kept */
-    CH_ONCE_RUNNING,  /* another try of it may be running or have run */
-    CH_ONCE_MISMATCH, /* the key came with another body */
-    CH_ONCE_REFUSED,  /* surely not created by this try */
-};
-
 struct ch_once_answer {
     enum ch_once_state state;
     uint64_t attempt; /* to be given to finish */
