Test the listener and the course of a request over sockets

Cause: the front had run against nothing. Change: a table of courses with homes, once records and upstreams that do as they are told, and real sockets to the caller; callers that give up; bounds; a stop with a request under way. Found by it: a body over its bound in one part closed the connection without an answer; and a reply's lock was held while the library took its own lock on a response, which the library holds when it calls back (ThreadSanitizer: lock-order inversion).

--- a/libchestnuthitch/node/intake.c
+++ b/libchestnuthitch/node/intake.c
@@ -105,7 +105,7 @@
 }
 
 /* Takes a part of the body.  What is over the bound is dropped and refused at
- * the end; a body without an end is cut off after as much again. */
+ * the end; a body without an end is cut off at twice the bound. */
 bool
 ch_intake_body(struct ch_intake *intake, const char *bytes, size_t length,
                size_t most)
@@ -113,7 +113,7 @@
     if (intake->too_large || length > most - intake->body->len) {
         intake->too_large = true;
         intake->dropped += length;
-        return intake->dropped <= most;
+        return intake->body->len + intake->dropped <= 2 * most;
     }
     g_byte_array_append(intake->body, (const guint8 *)bytes, (guint)length);
     return true;
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -12,6 +12,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+enum {
+    STREAM_BLOCK = 16 * 1024, /* what the library asks for at once */
+};
+
 struct ch_reply {
     int references;
     char id[CH_REPLY_ID];
@@ -269,14 +273,14 @@
     }
 }
 
-/* The library's response for the answer that is there.  Lock held. */
+/* The library's response for the answer that is there. */
 static struct MHD_Response *
 make_response(struct ch_reply *reply, bool stopping)
 {
     struct MHD_Response *response = NULL;
     if (reply->streams) {
         response = MHD_create_response_from_callback(
-            MHD_SIZE_UNKNOWN, 16 * 1024, read_stream, ch_reply_ref(reply),
+            MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, ch_reply_ref(reply),
             release_stream);
     }
     else {
@@ -290,35 +294,41 @@
     return response;
 }
 
+/* Queues the answer.  The lock is not held: the library has one of its own for
+ * a response, which it holds when it calls read_stream().  An answer that was
+ * given is not written to any more, so that none is needed. */
+static enum MHD_Result
+queue_answer(struct ch_reply *reply, struct MHD_Connection *connection,
+             bool stopping)
+{
+    struct MHD_Response *response = make_response(reply, stopping);
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    enum MHD_Result result = MHD_queue_response(
+        connection, (unsigned)reply->answer.status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
 /* Called by the library's handler once the whole request has come, and again
  * after each resume. */
 enum MHD_Result
 ch_reply_serve(struct ch_reply *reply, bool stopping)
 {
-    enum MHD_Result result = MHD_YES;
     pthread_mutex_lock(&reply->lock);
-    if (reply->cut) {
-        result = MHD_NO;
-    }
-    else if (!reply->answered) {
+    struct MHD_Connection *connection = reply->connection;
+    bool answered = reply->answered;
+    bool gone = reply->cut;
+    if (!answered && !gone) {
         reply->suspended = true;
-        MHD_suspend_connection(reply->connection);
-    }
-    else {
-        struct MHD_Response *response = make_response(reply, stopping);
-        result = MHD_NO;
-        if (response != NULL) {
-            result = MHD_queue_response(
-                reply->connection, (unsigned)reply->answer.status, response);
-        }
-        pthread_mutex_unlock(&reply->lock);
-        if (response != NULL) {
-            MHD_destroy_response(response);
-        }
-        return result;
+        MHD_suspend_connection(connection);
     }
     pthread_mutex_unlock(&reply->lock);
-    return result;
+    if (gone) {
+        return MHD_NO;
+    }
+    return answered ? queue_answer(reply, connection, stopping) : MHD_YES;
 }
 
 /* Tells the watcher, once. */
--- /dev/null
+++ b/tests/threaded/test_exchange.c
@@ -0,0 +1,1135 @@
+/*
+ * The callers' listener and the course of a request, over real sockets to the
+ * caller, with homes, once records and upstreams that do as they are told.
+ */
+
+#include "node/front.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    PATIENCE_S = 20,
+    MOST_TRIES = 4,
+    EVENTS = 5, /* of a whole stream */
+};
+
+/* What a home does with a request. */
+enum home_act {
+    GRANTS,
+    REFUSES,
+    HOLDS_BACK, /* neither, until it is withdrawn */
+};
+
+/* What an upstream does with a call. */
+enum call_act {
+    WHOLE,
+    CUT,          /* after two events, or in the middle of a plain answer */
+    NO_CONNECT,   /* certainly not run */
+    SAYS_NOT_RUN, /* 429 or 503 with X-Not-Run */
+    CROSSED,
+    SILENT, /* until it is cancelled or released by the test */
+    FLOODS, /* events without an end, until it is cancelled */
+};
+
+struct ch_homes {
+    struct world *world;
+};
+
+struct ch_once_keeper {
+    struct world *world;
+};
+
+struct ch_config_keeper {
+    struct world *world;
+};
+
+struct held_call {
+    struct world *world;
+    struct ch_call_handlers handlers;
+    void *data;
+    enum call_act act;
+    bool stream;
+    uint32_t resume_from;
+    bool cancelled;
+    char id[CH_REPLY_ID];
+};
+
+/* The node's other parts, and what they saw. */
+struct world {
+    struct ch_upstream upstream; /* first: the fake upstream is the world */
+    struct ch_client client;
+    struct ch_settings settings;
+    struct ch_node node;
+    struct ch_homes homes;
+    struct ch_once_keeper once;
+    struct ch_config_keeper config_keeper;
+    struct ch_config *config;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    enum home_act home_acts[MOST_TRIES];
+    enum call_act call_acts[MOST_TRIES];
+    struct ch_once_answer once_answer;
+    unsigned asked;
+    unsigned granted;
+    unsigned released;
+    unsigned withdrawn;
+    unsigned calls;
+    unsigned fresh; /* calls that may not be repeated by libcurl */
+    unsigned cancelled;
+    unsigned begun;    /* once records asked for */
+    unsigned finished; /* with an answer */
+    unsigned freed;    /* as not run */
+    unsigned excluded; /* upstreams that the last request left out */
+    unsigned resumed_from;
+    struct ch_homes_handlers waiting;
+    void *waiting_data;
+    struct held_call *held;
+    int port;
+};
+
+static void
+notify(struct world *world)
+{
+    pthread_cond_broadcast(&world->changed);
+    pthread_mutex_unlock(&world->lock);
+}
+
+/* Waits until a counter has reached a value. */
+static void
+wait_for(struct world *world, const unsigned *counter, unsigned value)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_sec += PATIENCE_S;
+    pthread_mutex_lock(&world->lock);
+    while (*counter < value) {
+        g_assert_cmpint(
+            pthread_cond_timedwait(&world->changed, &world->lock, &until), ==,
+            0);
+    }
+    pthread_mutex_unlock(&world->lock);
+}
+
+/* ---- homes ---- */
+
+struct home_job {
+    struct world *world;
+    struct ch_homes_handlers handlers;
+    void *data;
+    enum home_act act;
+    uint64_t handle;
+};
+
+static void
+run_home(void *data)
+{
+    struct home_job *job = data;
+    if (job->act == GRANTS) {
+        const struct ch_grant grant = {
+            .handle = job->handle,
+            .upstream = g_quark_from_string("w01"),
+            .client = &job->world->upstream,
+            .priority = 3,
+        };
+        pthread_mutex_lock(&job->world->lock);
+        job->world->granted++;
+        notify(job->world);
+        job->handlers.granted(job->data, &grant);
+    }
+    else {
+        job->handlers.refused(job->data, CH_LATE, 1500 * 1000, "too late");
+    }
+    g_free(job);
+}
+
+uint64_t
+ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
+                 const GArray *excluded,
+                 const struct ch_homes_handlers *handlers, void *data)
+{
+    struct world *world = homes->world;
+    pthread_mutex_lock(&world->lock);
+    unsigned number = world->asked++;
+    enum home_act act = world->home_acts[MIN(number, MOST_TRIES - 1)];
+    world->excluded = excluded == NULL ? 0 : excluded->len;
+    world->waiting = *handlers;
+    world->waiting_data = data;
+    g_assert_cmpuint(work->attempt, ==, number);
+    notify(world);
+    if (act != HOLDS_BACK) {
+        struct home_job *job = g_new(struct home_job, 1);
+        *job = (struct home_job){world, *handlers, data, act, number + 1};
+        ch_pool_submit(world->node.pool, run_home, job);
+    }
+    return number + 1;
+}
+
+bool
+ch_homes_withdraw(struct ch_homes *homes, uint64_t handle)
+{
+    struct world *world = homes->world;
+    pthread_mutex_lock(&world->lock);
+    bool held = world->home_acts[handle - 1] == HOLDS_BACK;
+    world->withdrawn += held;
+    notify(world);
+    return held;
+}
+
+void
+ch_homes_release(struct ch_homes *homes, uint64_t handle,
+                 const struct ch_sample *sample)
+{
+    struct world *world = homes->world;
+    g_assert_cmpuint(handle, >, 0);
+    g_assert_cmpint(sample->first, >=, 0);
+    pthread_mutex_lock(&world->lock);
+    world->released++;
+    notify(world);
+}
+
+/* ---- once records and configuration ---- */
+
+struct once_job {
+    struct world *world;
+    void (*begun)(void *data, const struct ch_once_answer *answer);
+    void (*finished)(void *data, bool kept);
+    void *data;
+};
+
+static void
+run_once(void *data)
+{
+    struct once_job *job = data;
+    if (job->begun != NULL) {
+        job->begun(job->data, &job->world->once_answer);
+    }
+    else {
+        job->finished(job->data, true);
+    }
+    g_free(job);
+}
+
+void
+ch_once_keeper_begin(struct ch_once_keeper *keeper, const char *caller,
+                     const char *key, uint64_t fingerprint,
+                     void (*done)(void *data,
+                                  const struct ch_once_answer *answer),
+                     void *data)
+{
+    struct world *world = keeper->world;
+    g_assert_cmpstr(caller, ==, "llanelli");
+    g_assert_cmpstr(key, ==, "k1");
+    g_assert_cmpuint(fingerprint, !=, 0);
+    pthread_mutex_lock(&world->lock);
+    world->begun++;
+    notify(world);
+    struct once_job *job = g_new0(struct once_job, 1);
+    *job = (struct once_job){.world = world, .begun = done, .data = data};
+    ch_pool_submit(world->node.pool, run_once, job);
+}
+
+void
+ch_once_keeper_finish(struct ch_once_keeper *keeper, const char *caller,
+                      const char *key, uint64_t attempt, bool not_run,
+                      int status, const char *content_type, const void *body,
+                      size_t length, void (*done)(void *data, bool kept),
+                      void *data)
+{
+    struct world *world = keeper->world;
+    (void)caller;
+    (void)key;
+    (void)content_type;
+    g_assert_cmpuint(attempt, ==, 77);
+    if (!not_run) {
+        g_assert_cmpint(status, ==, 200);
+        g_assert_cmpmem(body, length, "whole answer", 12);
+    }
+    pthread_mutex_lock(&world->lock);
+    world->finished += !not_run;
+    world->freed += not_run;
+    notify(world);
+    struct once_job *job = g_new0(struct once_job, 1);
+    *job = (struct once_job){.world = world, .finished = done, .data = data};
+    ch_pool_submit(world->node.pool, run_once, job);
+}
+
+struct ch_config *
+ch_config_keeper_current(struct ch_config_keeper *keeper)
+{
+    struct ch_config *config = keeper->world->config;
+    return config == NULL ? NULL : ch_config_ref(config);
+}
+
+/* ---- upstreams ---- */
+
+static void
+end_call(struct held_call *call, enum ch_code code, bool may_have_run)
+{
+    struct ch_call_end end = {
+        .code = code,
+        .status = 200,
+        .may_have_run = may_have_run,
+    };
+    call->handlers.on_end(call->data, &end);
+    g_free(call);
+}
+
+static void
+send_events(struct held_call *call, uint32_t upto)
+{
+    call->handlers.on_head(call->data, 200, "text/event-stream");
+    for (uint32_t i = call->resume_from; i < upto; i++) {
+        char event[64];
+        (void)snprintf(event, sizeof(event), "data: {\"n\":%u}\n\n", i);
+        call->handlers.on_data(call->data, event, strlen(event));
+    }
+}
+
+static void
+send_plain(struct held_call *call, const char *bytes)
+{
+    call->handlers.on_head(call->data, 200, "application/json");
+    call->handlers.on_data(call->data, bytes, strlen(bytes));
+}
+
+/* Sends events until the call is cancelled. */
+static void
+flood(struct held_call *call)
+{
+    char *event = g_strnfill(64 * 1024, 'x');
+    bool cancelled = false;
+    call->handlers.on_head(call->data, 200, "text/event-stream");
+    for (unsigned i = 0; i < 100000 && !cancelled; i++) {
+        call->handlers.on_data(call->data, event, 64 * 1024);
+        pthread_mutex_lock(&call->world->lock);
+        cancelled = call->cancelled;
+        pthread_mutex_unlock(&call->world->lock);
+    }
+    g_free(event);
+    g_assert_true(cancelled);
+}
+
+static void
+run_call(void *data)
+{
+    struct held_call *call = data;
+    switch (call->act) {
+    case WHOLE:
+        if (call->stream) {
+            send_events(call, EVENTS);
+        }
+        else {
+            send_plain(call, "whole answer");
+        }
+        end_call(call, CH_OK, true);
+        return;
+    case CUT:
+        if (call->stream) {
+            send_events(call, 2);
+        }
+        else {
+            send_plain(call, "half an");
+        }
+        end_call(call, CH_UPSTREAM_CUT, true);
+        return;
+    case NO_CONNECT:
+        end_call(call, CH_UPSTREAM_CONNECT, false);
+        return;
+    case SAYS_NOT_RUN:
+        end_call(call, CH_UPSTREAM_REFUSED, false);
+        return;
+    case CROSSED:
+        end_call(call, CH_UPSTREAM_CROSSED, true);
+        return;
+    case FLOODS:
+        flood(call);
+        end_call(call, CH_CANCELLED, true);
+        return;
+    default:
+        end_call(call, call->cancelled ? CH_CANCELLED : CH_UPSTREAM_STALLED,
+                 true);
+        return;
+    }
+}
+
+static uint64_t
+upstream_call(struct ch_upstream *upstream, const struct ch_call *call,
+              const struct ch_call_handlers *handlers, void *data)
+{
+    struct world *world = (struct world *)upstream;
+    struct held_call *held = g_new0(struct held_call, 1);
+    held->world = world;
+    held->handlers = *handlers;
+    held->data = data;
+    held->stream = call->stream;
+    held->resume_from = call->resume_from;
+    pthread_mutex_lock(&world->lock);
+    held->act = world->call_acts[MIN(world->calls, MOST_TRIES - 1)];
+    world->calls++;
+    world->fresh += !call->may_repeat;
+    world->resumed_from = call->resume_from;
+    world->held = held;
+    bool runs = held->act != SILENT;
+    notify(world);
+    if (runs) {
+        ch_pool_submit(world->node.pool, run_call, held);
+    }
+    return 1;
+}
+
+static void
+upstream_cancel(struct ch_upstream *upstream, uint64_t handle)
+{
+    struct world *world = (struct world *)upstream;
+    (void)handle;
+    pthread_mutex_lock(&world->lock);
+    struct held_call *held = world->held;
+    held->cancelled = true;
+    world->cancelled++;
+    bool silent = held->act == SILENT;
+    notify(world);
+    if (silent) {
+        ch_pool_submit(world->node.pool, run_call, held);
+    }
+}
+
+/* Lets a silent call answer after all. */
+static void
+answer_late(struct world *world)
+{
+    pthread_mutex_lock(&world->lock);
+    world->held->act = WHOLE;
+    struct held_call *held = world->held;
+    pthread_mutex_unlock(&world->lock);
+    ch_pool_submit(world->node.pool, run_call, held);
+}
+
+/* ---- the world ---- */
+
+static void
+no_log(void *data, const char *line, size_t length)
+{
+    (void)data;
+    (void)line;
+    (void)length;
+}
+
+static const char declaration_text[] = "[model m01]\nmemory-mb = 1\n"
+                                       "[service orders]\n"
+                                       "[class advice]\nmodels = m01\n"
+                                       "first-token-ms = 400\n"
+                                       "callers = cardiff\n"
+                                       "[class order]\nservices = orders\n"
+                                       "answer-ms = 900\n"
+                                       "idempotent = false\n"
+                                       "callers = llanelli\n";
+
+/* A port that was free just now. */
+static int
+free_port(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t length = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+                    0);
+    getsockname(fd, (struct sockaddr *)&address, &length);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static struct world *
+world_new(void)
+{
+    static const struct ch_upstream_ops ops = {
+        .call = upstream_call,
+        .cancel = upstream_cancel,
+    };
+    struct world *world = g_new0(struct world, 1);
+    struct ch_error error = {.code = CH_OK};
+    world->upstream.ops = &ops;
+    ch_client_init(&world->client, "n1");
+    world->client.log_write = no_log;
+    world->client.metrics = ch_metrics_new();
+    world->port = free_port();
+    world->settings = (struct ch_settings){
+        .name = (char *)"n1",
+        .callers = g_strdup_printf("127.0.0.1:%d", world->port),
+        .workers = 2,
+        .max_body = 4096,
+        .max_headers = 2048,
+        .max_connections = 64,
+        .retry_share = 0.1,
+        .connect_ms = 1000,
+        .first_byte_ms = 1000,
+        .stall_ms = 1000,
+    };
+    world->homes.world = world;
+    world->once.world = world;
+    world->config_keeper.world = world;
+    pthread_mutex_init(&world->lock, NULL);
+    pthread_cond_init(&world->changed, NULL);
+    struct ch_declaration *declaration =
+        ch_declaration_parse(declaration_text, "test", &error);
+    g_assert_nonnull(declaration);
+    world->config = ch_config_new(1, "t", "a", declaration);
+    world->once_answer = (struct ch_once_answer){
+        .state = CH_ONCE_CREATED,
+        .attempt = 77,
+    };
+    return world;
+}
+
+/* Opens the listener; what the fakes are to do was set before. */
+static void
+world_start(struct world *world)
+{
+    struct ch_error error = {.code = CH_OK};
+    struct ch_node *node = &world->node;
+    node->client = &world->client;
+    node->settings = &world->settings;
+    node->incarnation = 1;
+    node->pool = ch_pool_new(4);
+    node->timers = ch_timers_new(node->pool);
+    node->homes = &world->homes;
+    node->once = &world->once;
+    node->config = &world->config_keeper;
+    node->front = ch_front_new(node, &error);
+    g_assert_cmpstr(error.message, ==, "");
+}
+
+/* Stops as a node does.  Threads are joined: the counters may be read. */
+static void
+world_stop(struct world *world)
+{
+    ch_front_stop(world->node.front);
+    ch_timers_stop(world->node.timers);
+    ch_pool_free(world->node.pool);
+    world->node.pool = NULL;
+}
+
+/* Checks what must hold after any course, that each grant was given back once,
+ * and frees all. */
+static void
+world_free(struct world *world)
+{
+    if (world->node.pool != NULL) {
+        world_stop(world);
+    }
+    ch_timers_free(world->node.timers);
+    ch_front_free(world->node.front);
+    g_assert_cmpuint(world->granted, ==, world->released);
+    if (world->config != NULL) {
+        ch_config_unref(world->config);
+    }
+    ch_metrics_free(world->client.metrics);
+    pthread_mutex_destroy(&world->lock);
+    pthread_cond_destroy(&world->changed);
+    g_free(world->settings.callers);
+    g_free(world);
+}
+
+/* ---- the caller ---- */
+
+static int
+dial(const struct world *world)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)world->port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    struct timeval patience = {.tv_sec = PATIENCE_S};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    return fd;
+}
+
+/* Sends a request; headers are lines that end in CR LF. */
+static int
+ask(const struct world *world, const char *line, const char *headers,
+    const char *body)
+{
+    int fd = dial(world);
+    char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: n1\r\n%s"
+                                 "Connection: close\r\n"
+                                 "Content-Length: %zu\r\n\r\n%s",
+                                 line, headers, strlen(body), body);
+    g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
+                    (ssize_t)strlen(text));
+    g_free(text);
+    return fd;
+}
+
+/* The whole answer as text, chunks as they are; closes the connection. */
+static char *
+hear(int fd)
+{
+    GString *text = g_string_new(NULL);
+    char bytes[4096];
+    ssize_t got = 0;
+    while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        g_string_append_len(text, bytes, got);
+    }
+    close(fd);
+    return g_string_free(text, FALSE);
+}
+
+static const char plain_call[] = "{\"model\":\"m01\",\"prompt\":\"x\"}";
+static const char stream_call[] =
+    "{\"model\":\"m01\",\"prompt\":\"x\",\"stream\":true}";
+
+enum asked_for {
+    PLAIN,
+    STREAM,
+    ORDER,     /* non-idempotent, with a key */
+    BARE_ORDER /* the same without */
+};
+
+static int
+ask_for(const struct world *world, enum asked_for what, const char *headers)
+{
+    char *all = NULL;
+    int fd = -1;
+    switch (what) {
+    case PLAIN:
+    case STREAM:
+        all = g_strconcat("Chestnuthitch-Caller: cardiff\r\n", headers, NULL);
+        fd = ask(world, "POST /v1/completions", all,
+                 what == STREAM ? stream_call : plain_call);
+        break;
+    default:
+        all = g_strconcat("Chestnuthitch-Caller: llanelli\r\n",
+                          what == ORDER ? "Idempotency-Key: k1\r\n" : "",
+                          headers, NULL);
+        fd = ask(world, "POST /services/orders/cut", all, "jacket");
+        break;
+    }
+    g_free(all);
+    return fd;
+}
+
+/* Every text of the list, parted by '|', is in the answer; after a '!', none
+ * is. */
+static void
+check_answer(const char *answer, const char *list)
+{
+    char **texts = g_strsplit(list, "|", -1);
+    for (size_t i = 0; texts[i] != NULL; i++) {
+        bool absent = texts[i][0] == '!';
+        const char *text = texts[i] + absent;
+        if ((strstr(answer, text) != NULL) == absent) {
+            g_test_message("'%s' %s in: %s", text, absent ? "is" : "is not",
+                           answer);
+            g_test_fail();
+        }
+    }
+    g_strfreev(texts);
+    g_assert_nonnull(strstr(answer, "Chestnuthitch-Request-Id: "));
+}
+
+/* ---- courses that end by themselves ---- */
+
+struct course_case {
+    const char *name;
+    enum asked_for what;
+    enum home_act home[MOST_TRIES];
+    enum call_act call[MOST_TRIES];
+    const char *answer;
+    unsigned calls;
+    unsigned finished;
+    unsigned freed;
+};
+
+#define RAN "Chestnuthitch-Outcome: ran"
+#define NOT_RUN "Chestnuthitch-Outcome: not-run"
+#define UNKNOWN "Chestnuthitch-Outcome: unknown"
+
+static const struct course_case course_cases[] = {
+    {"plain",
+     PLAIN,
+     {GRANTS},
+     {WHOLE},
+     "HTTP/1.1 200|" RAN "|whole answer",
+     1,
+     0,
+     0},
+    {"stream",
+     STREAM,
+     {GRANTS},
+     {WHOLE},
+     "HTTP/1.1 200|" RAN "|text/event-stream|{\"n\":0}|{\"n\":4}|[DONE]",
+     1,
+     0,
+     0},
+    {"refused by the home",
+     PLAIN,
+     {REFUSES},
+     {WHOLE},
+     "HTTP/1.1 503|" NOT_RUN "|Retry-After: 2|Chestnuthitch-Code: 201|"
+     "\"retry_after_ms\":1500",
+     0,
+     0,
+     0},
+    {"no connection, then elsewhere",
+     PLAIN,
+     {GRANTS, GRANTS},
+     {NO_CONNECT, WHOLE},
+     "HTTP/1.1 200|whole answer",
+     2,
+     0,
+     0},
+    {"no connection, then refused",
+     PLAIN,
+     {GRANTS, REFUSES},
+     {NO_CONNECT},
+     "HTTP/1.1 503|" NOT_RUN,
+     1,
+     0,
+     0},
+    {"cut, then refused: it may have run",
+     PLAIN,
+     {GRANTS, REFUSES},
+     {CUT},
+     "HTTP/1.1 503|" UNKNOWN "|!half an",
+     1,
+     0,
+     0},
+    {"cut, then elsewhere from the start",
+     PLAIN,
+     {GRANTS, GRANTS},
+     {CUT, WHOLE},
+     "HTTP/1.1 200|whole answer|!half an",
+     2,
+     0,
+     0},
+    {"crossed, then elsewhere",
+     PLAIN,
+     {GRANTS, GRANTS},
+     {CROSSED, WHOLE},
+     "HTTP/1.1 200|whole answer",
+     2,
+     0,
+     0},
+    {"stream cut and resumed",
+     STREAM,
+     {GRANTS, GRANTS},
+     {CUT, WHOLE},
+     "HTTP/1.1 200|{\"n\":0}|{\"n\":1}|{\"n\":2}|{\"n\":4}|[DONE]|!error",
+     2,
+     0,
+     0},
+    {"stream cut for good",
+     STREAM,
+     {GRANTS, REFUSES},
+     {CUT},
+     "HTTP/1.1 200|{\"n\":1}|!{\"n\":2}|!DONE|\"outcome\":\"unknown\"",
+     1,
+     0,
+     0},
+    {"order",
+     ORDER,
+     {GRANTS},
+     {WHOLE},
+     "HTTP/1.1 200|" RAN "|whole answer",
+     1,
+     1,
+     0},
+    {"order refused by the home",
+     ORDER,
+     {REFUSES},
+     {WHOLE},
+     "HTTP/1.1 503|" NOT_RUN,
+     0,
+     0,
+     1},
+    {"order cut: never again",
+     ORDER,
+     {GRANTS, GRANTS},
+     {CUT, WHOLE},
+     "HTTP/1.1 502|" UNKNOWN "|!half an",
+     1,
+     0,
+     0},
+    {"order crossed: never again",
+     ORDER,
+     {GRANTS, GRANTS},
+     {CROSSED, WHOLE},
+     "HTTP/1.1 502|" UNKNOWN,
+     1,
+     0,
+     0},
+    {"order not connected, then elsewhere",
+     ORDER,
+     {GRANTS, GRANTS},
+     {NO_CONNECT, WHOLE},
+     "HTTP/1.1 200|" RAN,
+     2,
+     1,
+     0},
+    {"order never connected: the key is free",
+     ORDER,
+     {GRANTS, GRANTS, GRANTS},
+     {NO_CONNECT, SAYS_NOT_RUN, NO_CONNECT},
+     "HTTP/1.1 502|" NOT_RUN,
+     3,
+     0,
+     1},
+    {"order without a key",
+     BARE_ORDER,
+     {GRANTS},
+     {WHOLE},
+     "HTTP/1.1 200|" RAN,
+     1,
+     0,
+     0},
+    {"order without a key: one dispatch",
+     BARE_ORDER,
+     {GRANTS, GRANTS},
+     {NO_CONNECT, WHOLE},
+     "HTTP/1.1 502|" NOT_RUN,
+     1,
+     0,
+     0},
+};
+
+/* A caller sends one request; homes and upstreams do as the row says.  It gets
+ * the whole answer or an error with the true outcome, and what may have run
+ * and may not run twice is never dispatched again. */
+static void
+test_course(gconstpointer data)
+{
+    const struct course_case *row = data;
+    struct world *world = world_new();
+    memcpy(world->home_acts, row->home, sizeof(row->home));
+    memcpy(world->call_acts, row->call, sizeof(row->call));
+    world_start(world);
+    char *answer = hear(ask_for(world, row->what, ""));
+    check_answer(answer, row->answer);
+    g_free(answer);
+    world_stop(world);
+    g_assert_cmpuint(world->calls, ==, row->calls);
+    g_assert_cmpuint(world->finished, ==, row->finished);
+    g_assert_cmpuint(world->freed, ==, row->freed);
+    /* All but the first try of what may be repeated are on fresh ones. */
+    bool repeats = row->what == PLAIN || row->what == STREAM;
+    g_assert_cmpuint(world->fresh, ==,
+                     row->calls - (repeats && row->calls > 0));
+    if (row->what == STREAM && row->calls == 2) {
+        g_assert_cmpuint(world->resumed_from, ==, 2);
+        g_assert_cmpuint(world->excluded, ==, 1);
+    }
+    world_free(world);
+}
+
+/* ---- the once record's answers ---- */
+
+struct once_case {
+    const char *name;
+    struct ch_once_answer answer;
+    const char *expected;
+};
+
+static const struct once_case once_cases[] = {
+    {"done and kept",
+     {.state = CH_ONCE_DONE,
+      .kept = true,
+      .status = 201,
+      .content_type = "text/x",
+      .body = "first",
+      .length = 5},
+     "HTTP/1.1 201|" RAN "|text/x|first"},
+    {"done, not kept",
+     {.state = CH_ONCE_DONE},
+     "HTTP/1.1 409|" UNKNOWN "|\"code\":307"},
+    {"running",
+     {.state = CH_ONCE_RUNNING},
+     "HTTP/1.1 409|" UNKNOWN "|\"code\":310|Retry-After: 1"},
+    {"another body",
+     {.state = CH_ONCE_MISMATCH},
+     "HTTP/1.1 422|" NOT_RUN "|\"code\":113"},
+    {"no record to be had",
+     {.state = CH_ONCE_REFUSED},
+     "HTTP/1.1 503|" NOT_RUN "|\"code\":206|Retry-After: 1"},
+};
+
+/* A repeat of an order, or an order while the key-value service is away: it is
+ * answered from the record, and nothing is queued or sent. */
+static void
+test_once(gconstpointer data)
+{
+    const struct once_case *row = data;
+    struct world *world = world_new();
+    world->once_answer = row->answer;
+    world_start(world);
+    char *answer = hear(ask_for(world, ORDER, ""));
+    check_answer(answer, row->expected);
+    g_free(answer);
+    world_stop(world);
+    g_assert_cmpuint(world->asked, ==, 0);
+    g_assert_cmpuint(world->calls, ==, 0);
+    g_assert_cmpuint(world->finished + world->freed, ==, 0);
+    world_free(world);
+}
+
+/* ---- callers that give up ---- */
+
+struct give_up_case {
+    const char *name;
+    enum asked_for what;
+    enum home_act home;
+    enum call_act call;
+    bool hangs_up; /* else its deadline passes */
+    bool answers_late;
+    const char *answer;
+    unsigned withdrawn;
+    unsigned cancelled;
+    unsigned finished;
+    unsigned freed;
+};
+
+static const struct give_up_case give_up_cases[] = {
+    {"deadline in the queue", PLAIN, HOLDS_BACK, WHOLE, false, false,
+     "HTTP/1.1 504|" NOT_RUN "|\"code\":308", 1, 0, 0, 0},
+    {"deadline of an order in the queue", ORDER, HOLDS_BACK, WHOLE, false,
+     false, "HTTP/1.1 504|" NOT_RUN, 1, 0, 0, 1},
+    {"deadline at a silent engine", PLAIN, GRANTS, SILENT, false, false,
+     "HTTP/1.1 504|" UNKNOWN, 0, 1, 0, 0},
+    {"deadline at a silent service", ORDER, GRANTS, SILENT, false, true,
+     "HTTP/1.1 504|" UNKNOWN, 0, 0, 1, 0},
+    {"hang-up in the queue", PLAIN, HOLDS_BACK, WHOLE, true, false, NULL, 1, 0,
+     0, 0},
+    {"hang-up at a silent engine", STREAM, GRANTS, SILENT, true, false, NULL,
+     0, 1, 0, 0},
+    {"hang-up at a silent service", ORDER, GRANTS, SILENT, true, true, NULL, 0,
+     0, 1, 0},
+    {"reads nothing of a long stream", STREAM, GRANTS, FLOODS, false, false,
+     NULL, 0, 1, 0, 0},
+};
+
+/*
+ * A caller hangs up, stops reading, or its deadline passes, while its request
+ * waits at a home or is silent at an upstream.  It is told at once; the place
+ * in the queue is given up and the idempotent call cancelled.  An order that
+ * is out runs to its end, and its answer is kept for the repeat.
+ */
+static void
+test_give_up(gconstpointer data)
+{
+    const struct give_up_case *row = data;
+    struct world *world = world_new();
+    world->home_acts[0] = row->home;
+    world->call_acts[0] = row->call;
+    world_start(world);
+    bool waits = row->answer != NULL;
+    int fd = ask_for(world, row->what,
+                     waits ? "Chestnuthitch-Deadline-Ms: 60\r\n" : "");
+    if (row->hangs_up) {
+        wait_for(world, row->home == GRANTS ? &world->calls : &world->asked,
+                 1);
+        close(fd);
+    }
+    if (waits) {
+        char *answer = hear(fd);
+        check_answer(answer, row->answer);
+        g_free(answer);
+    }
+    if (row->answers_late) {
+        wait_for(world, &world->calls, 1);
+        answer_late(world);
+    }
+    wait_for(world, &world->withdrawn, row->withdrawn);
+    wait_for(world, &world->cancelled, row->cancelled);
+    wait_for(world, &world->finished, row->finished);
+    wait_for(world, &world->freed, row->freed);
+    if (!waits && !row->hangs_up) {
+        close(fd);
+    }
+    world_free(world);
+}
+
+/* ---- requests that go no further ---- */
+
+struct bounds_case {
+    const char *name;
+    const char *text; /* %s: 5,000 letters */
+    const char *answer;
+};
+
+#define POST "POST /v1/completions HTTP/1.1\r\nHost: n1\r\n"
+
+static const struct bounds_case bounds_cases[] = {
+    {"stated length", POST "Content-Length: 5000\r\n\r\n",
+     "HTTP/1.1 413|" NOT_RUN "|\"field\":\"body\""},
+    {"chunks over the bound",
+     POST "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+          "1388\r\n%s\r\n0\r\n\r\n",
+     "HTTP/1.1 413|" NOT_RUN "|\"field\":\"body\""},
+    {"long header", POST "X-Long: %s\r\nContent-Length: 0\r\n\r\n",
+     "HTTP/1.1 431|" NOT_RUN "|\"field\":\"headers\""},
+    {"header twice",
+     POST "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
+          "Content-Length: 0\r\n\r\n",
+     "HTTP/1.1 400|" NOT_RUN "|\"field\":\"Idempotency-Key\""},
+    {"empty body",
+     POST "Chestnuthitch-Caller: cardiff\r\nConnection: close\r\n"
+          "Content-Length: 0\r\n\r\n",
+     "HTTP/1.1 400|" NOT_RUN "|\"field\":\"body\""},
+    {"no such path",
+     "GET /x HTTP/1.1\r\nHost: n1\r\nConnection: close\r\n\r\n",
+     "HTTP/1.1 404|" NOT_RUN "|\"field\":\"path\""},
+    {"wrong method",
+     "GET /v1/completions HTTP/1.1\r\nHost: n1\r\nConnection: close\r\n\r\n",
+     "HTTP/1.1 405|" NOT_RUN "|\"field\":\"method\""},
+};
+
+static void
+test_bounds(gconstpointer data)
+{
+    const struct bounds_case *row = data;
+    struct world *world = world_new();
+    world_start(world);
+    char *letters = g_strnfill(5000, 'a');
+    char **parts = g_strsplit(row->text, "%s", 2);
+    char *text =
+        g_strconcat(parts[0], parts[1] == NULL ? "" : letters, parts[1], NULL);
+    int fd = dial(world);
+    ssize_t sent = send(fd, text, strlen(text), MSG_NOSIGNAL);
+    g_assert_cmpint(sent, ==, (ssize_t)strlen(text));
+    char *answer = hear(fd);
+    check_answer(answer, row->answer);
+    g_free(answer);
+    world_stop(world);
+    g_assert_cmpuint(world->asked, ==, 0);
+    g_free(letters);
+    g_free(text);
+    g_strfreev(parts);
+    world_free(world);
+}
+
+/* A body that ends before its stated length, and a head that does: nothing of
+ * it goes on, and the node does not wait for the rest when it stops. */
+static void
+test_truncated(void)
+{
+    static const char *const texts[] = {
+        POST
+        "Chestnuthitch-Caller: cardiff\r\nContent-Length: 90\r\n\r\n{\"mod",
+        POST "Chestnuthitch-Cal",
+        "POST /v1/comp",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        struct world *world = world_new();
+        world_start(world);
+        int fd = dial(world);
+        ssize_t sent = send(fd, texts[i], strlen(texts[i]), MSG_NOSIGNAL);
+        g_assert_cmpint(sent, ==, (ssize_t)strlen(texts[i]));
+        close(fd);
+        world_free(world);
+    }
+}
+
+/* ---- starting and stopping ---- */
+
+static void
+test_not_ready(void)
+{
+    struct world *world = world_new();
+    ch_config_unref(world->config);
+    world->config = NULL;
+    world_start(world);
+    char *answer = hear(ask_for(world, PLAIN, ""));
+    check_answer(answer, "HTTP/1.1 503|" NOT_RUN "|\"code\":205|Retry-After");
+    g_free(answer);
+    answer = hear(ask(world, "GET /readyz", "", ""));
+    check_answer(answer, "HTTP/1.1 503|\"ready\":false");
+    g_free(answer);
+    answer = hear(ask(world, "GET /healthz", "", ""));
+    check_answer(answer, "HTTP/1.1 200|ok");
+    g_free(answer);
+    world_free(world);
+}
+
+static void *
+run_stop(void *data)
+{
+    struct world *world = data;
+    world_stop(world);
+    return NULL;
+}
+
+/*
+ * SIGTERM while a request is at an engine and another comes in.  The node is
+ * no longer ready, the new one is refused with when to come back, and the one
+ * that was accepted gets its whole answer before the stop returns.
+ */
+static void
+test_stop(void)
+{
+    struct world *world = world_new();
+    pthread_t stopper;
+    world->call_acts[0] = SILENT;
+    world_start(world);
+    int accepted = ask_for(world, PLAIN, "");
+    wait_for(world, &world->calls, 1);
+    pthread_create(&stopper, NULL, run_stop, world);
+    char *answer = NULL;
+    for (unsigned i = 0; i < 2000; i++) {
+        g_free(answer);
+        answer = hear(ask(world, "GET /readyz", "", ""));
+        if (strstr(answer, "HTTP/1.1 503") != NULL) {
+            break;
+        }
+    }
+    check_answer(answer, "HTTP/1.1 503|Connection: close");
+    g_free(answer);
+    g_assert_false(ch_node_ready(&world->node));
+    for (unsigned i = 0; i < 2000; i++) {
+        answer = hear(ask(world, "POST /v1/completions", "", ""));
+        if (strstr(answer, "\"code\":204") != NULL) {
+            break;
+        }
+        g_free(answer);
+        answer = NULL;
+    }
+    check_answer(answer,
+                 "HTTP/1.1 503|" NOT_RUN "|Retry-After: 1|Connection: close");
+    g_free(answer);
+    answer_late(world);
+    answer = hear(accepted);
+    check_answer(answer, "HTTP/1.1 200|whole answer");
+    g_free(answer);
+    pthread_join(stopper, NULL);
+    world_free(world);
+}
+
+/* Adds a test for each row of a table. */
+#define ADD_TABLE(prefix, table, test)                                        \
+    for (size_t i = 0; i < G_N_ELEMENTS(table); i++) {                        \
+        char *path = g_strconcat(prefix, (table)[i].name, NULL);              \
+        g_test_add_data_func(path, &(table)[i], test);                        \
+        g_free(path);                                                         \
+    }
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD_TABLE("/exchange/course/", course_cases, test_course)
+    ADD_TABLE("/exchange/once/", once_cases, test_once)
+    ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
+    ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
+    g_test_add_func("/exchange/truncated", test_truncated);
+    g_test_add_func("/exchange/not ready", test_not_ready);
+    g_test_add_func("/exchange/stop", test_stop);
+    return g_test_run();
+}
