--- a/cli/node.c
+++ b/cli/node.c
@@ -34,7 +34,7 @@
     struct ch_error error = {0};
     struct ch_node *node = ch_node_start(&client, settings, &error);
     if (node == NULL) {
-        ch_log(&client, CH_LOG_ERR, "start_failed",
+        ch_log(&client, CH_LOG_ERR, "start-failed",
                CH_F_STR("code", ch_code_name(error.code)),
                CH_F_STR("message", error.message), CH_F_END);
         ch_metrics_free(client.metrics);
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -316,7 +316,7 @@
     struct ch_admin *admin = request->admin;
     bool accepted = error == NULL || error->code == CH_OK;
     ch_log(admin->node->client, accepted ? CH_LOG_NOTICE : CH_LOG_WARNING,
-           "config_apply",
+           "config-apply",
            CH_F_STR("result", ch_code_name(accepted ? CH_OK : error->code)),
            CH_F_INT("revision", config == NULL ? 0 : config->revision),
            CH_F_STR("author",
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -124,6 +124,48 @@
     ch_settings_free(settings);
 }
 
+/* The example with every default stated, its "#key = value" lines taken in. */
+static char *
+stated_example(void)
+{
+    char *text = NULL;
+    g_assert_true(g_file_get_contents("examples/node.ini", &text, NULL, NULL));
+    GRegex *regex = g_regex_new("^#([a-z-]+ = )", G_REGEX_MULTILINE, 0, NULL);
+    char *stated = g_regex_replace(regex, text, -1, 0, "\\1", 0, NULL);
+    g_regex_unref(regex);
+    g_free(text);
+    return stated;
+}
+
+/* The numbers of settings alone; takes them over. */
+static struct ch_settings
+numbers_of(struct ch_settings *settings)
+{
+    struct ch_settings numbers;
+    memcpy(&numbers, settings, sizeof(numbers));
+    numbers.name = numbers.region = numbers.data_centre = NULL;
+    numbers.callers = numbers.admin = numbers.peers = NULL;
+    numbers.kv = numbers.hosts = NULL;
+    ch_settings_free(settings);
+    return numbers;
+}
+
+/* The defaults that the example states are those that hold. */
+static void
+test_example_defaults(void)
+{
+    struct ch_error error = {0};
+    char *text = stated_example();
+    struct ch_settings *stated = ch_settings_parse(text, "f.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    struct ch_settings *plain = ch_settings_parse(GOOD, "f.ini", &error);
+    struct ch_settings a = numbers_of(stated);
+    struct ch_settings b = numbers_of(plain);
+    g_assert_cmpmem(&a, sizeof(a), &b, sizeof(b));
+    g_assert_nonnull(strstr(text, "\ndrain-ms = "));
+    g_free(text);
+}
+
 /* Files: the shipped example loads; one that is not there names itself. */
 static void
 test_files(void)
@@ -145,6 +187,7 @@
     g_test_add_func("/settings/bad", test_bad);
     g_test_add_func("/settings/defaults", test_defaults);
     g_test_add_func("/settings/values", test_values);
+    g_test_add_func("/settings/example-defaults", test_example_defaults);
     g_test_add_func("/settings/files", test_files);
     return g_test_run();
 }
