--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -95,6 +95,13 @@
         g_strdup_printf("%s/%s.ini", fleet->directory, node->name);
     node->log = g_strdup_printf("%s/%s.log", fleet->directory, node->name);
     write_settings(fleet, node);
+    if (fleet->shape.relays) {
+        char *target = g_strdup_printf("target=%s", node->peer_address);
+        const char *const args[] = {target, NULL};
+        harness_standin_start(&node->relay, fleet->build, "relay", args);
+        (void)g_snprintf(node->peer_address, 32, "%s", node->relay.address);
+        g_free(target);
+    }
 }
 
 /* Starts an upstream's stand-in. */
@@ -125,8 +132,8 @@
 
 /* Adds one host to the list. */
 static void
-list_host(JsonBuilder *out, const char *const *texts, bool engine,
-          bool leaving)
+list_host(const struct harness_shape *shape, JsonBuilder *out,
+          const char *const *texts, bool engine, bool leaving)
 {
     static const char *const names[] = {"name",   "kind",        "address",
                                         "region", "data_centre", "service"};
@@ -139,11 +146,12 @@
     }
     if (engine) {
         json_builder_set_member_name(out, "memory_mb");
-        json_builder_add_int_value(out, 40000);
+        json_builder_add_int_value(
+            out, shape->memory_mb == 0 ? 40000 : shape->memory_mb);
         json_builder_set_member_name(out, "accelerators");
         json_builder_add_int_value(out, 1);
         json_builder_set_member_name(out, "batch");
-        json_builder_add_int_value(out, 64);
+        json_builder_add_int_value(out, shape->batch == 0 ? 64 : shape->batch);
     }
     json_builder_set_member_name(out, "state");
     json_builder_add_string_value(out, leaving ? "leaving" : "live");
@@ -163,7 +171,7 @@
         const char *texts[] = {node->name,         "entry",
                                node->peer_address, node->region,
                                node->data_centre,  NULL};
-        list_host(out, texts, false, false);
+        list_host(&fleet->shape, out, texts, false, false);
     }
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
         const struct harness_upstream *upstream = &fleet->upstreams[i];
@@ -173,7 +181,7 @@
                                upstream->region,
                                upstream->data_centre,
                                upstream->service};
-        list_host(out, texts, upstream->service == NULL,
+        list_host(&fleet->shape, out, texts, upstream->service == NULL,
                   upstream->left_at != 0);
     }
     json_builder_end_array(out);
@@ -303,6 +311,16 @@
     g_free(fleet->directory);
 }
 
+/* Ends a stand-in that was started. */
+static void
+stop_standin(struct harness_standin *standin)
+{
+    if (standin->pid != 0) {
+        (void)kill(standin->pid, SIGTERM);
+        (void)harness_wait(standin->pid, 5000);
+    }
+}
+
 /*
  * Stops the nodes gracefully, then the stand-ins, and frees the fleet.  The
  * logs are kept when a node did not end with 0.
@@ -328,15 +346,14 @@
             harness_node_kill(node, SIGKILL);
         }
     }
-    struct harness_standin *platform[] = {&fleet->kv, &fleet->hosts,
-                                          &fleet->weights};
-    for (size_t i = 0; i < G_N_ELEMENTS(platform); i++) {
-        (void)kill(platform[i]->pid, SIGTERM);
-        (void)harness_wait(platform[i]->pid, 5000);
-    }
+    stop_standin(&fleet->kv);
+    stop_standin(&fleet->hosts);
+    stop_standin(&fleet->weights);
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
-        (void)kill(fleet->upstreams[i].standin.pid, SIGTERM);
-        (void)harness_wait(fleet->upstreams[i].standin.pid, 5000);
+        stop_standin(&fleet->upstreams[i].standin);
+    }
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        stop_standin(&fleet->nodes[i].relay);
     }
     if (bad == 0 && g_getenv("HARNESS_KEEP") == NULL) {
         remove_files(fleet);
