--- a/cli/config.c
+++ b/cli/config.c
@@ -123,8 +123,30 @@
     return CLI_CONFLICT;
 }
 
-/* Settles an apply whose answer was lost: in force now, overtaken by
- * somebody else's, or still not known. */
+/* What one look tells of an apply whose answer was lost: an exit status, or -1
+ * when the base is still in force.  Somebody else's later revision does not
+ * tell whether the file was in force before it. */
+static int
+settle(const struct cli_config *config,
+       const struct ch_declaration *declaration, uint64_t base)
+{
+    if (config->revision <= base) {
+        return -1;
+    }
+    if (strcmp(config->text, declaration->text) == 0) {
+        print_revision(stdout, "in force: ", config);
+        return CLI_OK;
+    }
+    print_revision(stderr,
+                   "chestnuthitch: the answer was lost; now in force is ",
+                   config);
+    (void)fprintf(stderr, "The file may have been in force before it.  From "
+                          "that revision to your file:\n");
+    print_diff(config->text, declaration->text);
+    return CLI_AWAY;
+}
+
+/* Settles an apply whose answer was lost by looking at what is in force. */
 static int
 read_back(const struct options *options,
           const struct ch_declaration *declaration, uint64_t base)
@@ -132,15 +154,7 @@
     for (int i = 0; i < READ_BACK_TRIES; i++) {
         struct cli_config config;
         if (fetch(options, &config)) {
-            int status = -1;
-            if (config.revision > base &&
-                strcmp(config.text, declaration->text) == 0) {
-                print_revision(stdout, "in force: ", &config);
-                status = CLI_OK;
-            }
-            else if (config.revision > base) {
-                status = report_conflict(&config, declaration);
-            }
+            int status = settle(&config, declaration, base);
             cli_config_clear(&config);
             if (status >= 0) {
                 return status;
