--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -2,10 +2,15 @@
 
 #include "harness/harness.h"
 
+#include <glib/gstdio.h>
 #include <inttypes.h>
 #include <string.h>
 #include <unistd.h>
 
+enum {
+    SIDE_BY_SIDE = 3,
+};
+
 const struct harness_kind harness_kinds[HARNESS_KINDS] = {
     {"advice", "m01", NULL, 40, true, false, 2000},
     {"lookup", "m02", NULL, 10, false, false, 3000},
@@ -208,11 +213,86 @@
     g_assert_cmpuint(harness_fleet_stop(scene.fleet), ==, 0);
 }
 
-/* Adds each scenario as a test and runs them. */
+/* A scenario that runs in a process of its own. */
+struct job {
+    pid_t pid; /* 0: not begun, or over */
+    int status;
+    bool over;
+    char *log;
+};
+
+/* Starts this program anew for one scenario alone. */
+static void
+job_start(struct job *job, const char *program, const char *theme,
+          const struct harness_scenario *scenario)
+{
+    char *path = g_strdup_printf("/failure/%s/%s", theme, scenario->name);
+    const char *argv[] = {program, "-p", path, NULL};
+    int fd = g_file_open_tmp("chestnuthitch-log-XXXXXX", &job->log, NULL);
+    (void)close(fd);
+    job->pid = harness_spawn(argv, job->log, NULL);
+    g_free(path);
+}
+
+/* Takes the end of a job that is over, and prints what it said. */
+static void
+job_poll(struct job *job)
+{
+    char *text = NULL;
+    if (job->pid == 0 || (job->status = harness_wait(job->pid, 0)) == -1) {
+        return;
+    }
+    job->pid = 0;
+    job->over = true;
+    if (g_file_get_contents(job->log, &text, NULL, NULL)) {
+        g_print("%s", text);
+        g_free(text);
+    }
+    (void)g_unlink(job->log);
+    g_free(job->log);
+}
+
+/*
+ * Runs the scenarios side by side, each in a process of its own and on ports
+ * of its own: most of their time is spent waiting for the fault to last.  Few
+ * at once, so that the machine's own load is not what callers feel.
+ */
+static int
+run_side_by_side(const char *program, const char *theme,
+                 const struct harness_scenario *scenarios, size_t count)
+{
+    struct job *jobs = g_new0(struct job, count);
+    size_t begun = 0;
+    size_t over = 0;
+    int failed = 0;
+    while (over < count) {
+        while (begun < count && begun - over < SIDE_BY_SIDE) {
+            job_start(&jobs[begun], program, theme, &scenarios[begun]);
+            begun++;
+        }
+        harness_sleep(20);
+        over = 0;
+        failed = 0;
+        for (size_t i = 0; i < begun; i++) {
+            job_poll(&jobs[i]);
+            over += jobs[i].over ? 1 : 0;
+            failed += jobs[i].over && jobs[i].status != 0 ? 1 : 0;
+        }
+    }
+    g_free(jobs);
+    g_print("# %zu scenarios, %d failed\n", count, failed);
+    return failed == 0 ? 0 : 1;
+}
+
+/* The main of a failure test: every scenario, or with arguments as GTest
+ * takes them the ones that these name. */
 int
 harness_main(int argc, char **argv, const char *theme,
              const struct harness_scenario *scenarios, size_t count)
 {
+    if (argc == 1) {
+        return run_side_by_side(argv[0], theme, scenarios, count);
+    }
     g_test_init(&argc, &argv, NULL);
     for (size_t i = 0; i < count; i++) {
         char *path =
