--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -61,15 +61,26 @@
     g_strfreev(lines);
 }
 
+/* A request's body; g_free. */
+static char *
+request_body(const struct request *request, unsigned serial)
+{
+    if (request->model == NULL) {
+        return g_strdup(request->body);
+    }
+    return strstr(request->path, "chat") != NULL
+               ? harness_chat_body(request->model, request->tokens,
+                                   request->stream, serial)
+               : harness_model_body(request->model, request->tokens,
+                                    request->stream, serial);
+}
+
 /* Sends one request and prints what came. */
 static struct harness_answer *
 send_request(struct harness_fleet *fleet, size_t i)
 {
     const struct request *request = &requests[i];
-    char *body = request->model == NULL
-                     ? g_strdup(request->body)
-                     : harness_model_body(request->model, request->tokens,
-                                          request->stream, (unsigned)i);
+    char *body = request_body(request, (unsigned)i);
     struct harness_call call = {.address =
                                     fleet->nodes[request->node].caller_address,
                                 .method = "POST",
--- a/tests/harness/call.c
+++ b/tests/harness/call.c
@@ -153,6 +153,17 @@
                            model, serial, tokens, stream ? "true" : "false");
 }
 
+/* The body of a chat call; g_free. */
+char *
+harness_chat_body(const char *model, unsigned tokens, bool stream,
+                  unsigned serial)
+{
+    return g_strdup_printf(
+        "{\"model\":\"%s\",\"messages\":[{\"role\":\"user\",\"content\":"
+        "\"call %u\"}],\"max_tokens\":%u,\"stream\":%s}",
+        model, serial, tokens, stream ? "true" : "false");
+}
+
 /* What the stand-in makes for a model call, with the request id given. */
 static void
 expected_model(GString *out, const struct harness_answer *answer)
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -178,6 +178,8 @@
 /* A model call's body: unlike any other with another serial. */
 char *harness_model_body(const char *model, unsigned tokens, bool stream,
                          unsigned serial);
+char *harness_chat_body(const char *model, unsigned tokens, bool stream,
+                        unsigned serial);
 /* Status 200, and the whole answer is what the stand-in makes for the body. */
 bool harness_answer_good(const struct harness_answer *answer);
 /* GET of a path; status (0: none) and the body, g_free. */
