Say ready only once the upstreams are known

Cause: a node was ready as soon as it had the configuration. Its first callers were refused with NO_UPSTREAM, as the host list and the homes' states came some 100 ms later; in a rolling replacement each new node would have refused for that long, or had models loaded that other engines hold. Ruled out: waiting in the balancer, which asks only /readyz. Now: ready after the list and one state of each upstream, of the latter not longer than 2 s.

--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -160,7 +160,8 @@
                          g_strdup("{\"status\":\"ready\"}"));
     }
     struct ch_config *config = ch_config_keeper_current(node->config);
-    enum ch_code code = config == NULL ? CH_NOT_READY : CH_STOPPING;
+    bool knows = config != NULL && ch_homes_ready(node->homes);
+    enum ch_code code = knows ? CH_STOPPING : CH_NOT_READY;
     ch_config_unref(config);
     return send_error(request->connection, code, NULL);
 }
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -71,7 +71,8 @@
     return refusing;
 }
 
-/* True when a configuration is known and the node is not stopping. */
+/* True when a configuration and the upstreams are known and the node is not
+ * stopping. */
 bool
 ch_node_ready(struct ch_node *node)
 {
@@ -85,7 +86,7 @@
     if (known) {
         ch_config_unref(config);
     }
-    return known && !stopping;
+    return known && !stopping && ch_homes_ready(node->homes);
 }
 
 /* ---- one request that was taken in ---- */
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -23,6 +23,8 @@
      * each costs the silent limit at most. */
     LOST_HOMES = 6,
     LOST_RETRY_AFTER = 1000 * 1000,
+    /* How long a new node waits for a state of each upstream. */
+    FIRST_STATES = 2 * 1000 * 1000,
     /* The list is asked no more than 20 times a second by the whole fleet. */
     LIST_SHARE_MS = 50,
     /* What one request may carry over the link, for the byte budget. */
@@ -380,6 +382,30 @@
     pthread_mutex_unlock(&homes->lock);
 }
 
+/*
+ * Whether this node knows enough to route.  A node that has just started and
+ * says that it is ready refuses its first callers, as it has no list yet, or
+ * has a model loaded anew that another engine holds, as no home has told it
+ * yet: seen with the first requests after a start.  So it waits for the list
+ * and for one state of each upstream, of the latter not longer than
+ * FIRST_STATES: a home that cannot tell must not keep a fleet from starting.
+ */
+bool
+ch_homes_ready(struct ch_homes *homes)
+{
+    pthread_mutex_lock(&homes->lock);
+    int64_t now = ch_client_now(homes->node->client);
+    bool ready = homes->listed_at > 0;
+    for (guint i = 0; ready && i < homes->upstreams->len; i++) {
+        const struct upstream *upstream =
+            g_ptr_array_index(homes->upstreams, i);
+        ready =
+            upstream->sequence > 0 || now - homes->listed_at > FIRST_STATES;
+    }
+    pthread_mutex_unlock(&homes->lock);
+    return ready;
+}
+
 /* Whether the recurring jobs go on. */
 static bool
 goes_on(struct ch_homes *homes)
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -86,7 +86,7 @@
     unsigned jobs; /* recurring jobs that are waiting or running */
     bool stopping;
     bool draining;
-    bool listed;          /* the platform's list came once at least */
+    int64_t listed_at;    /* the platform's list came first; 0: not yet */
     GPtrArray *upstreams; /* by name, as fleet.upstreams */
     struct ch_fleet fleet;
     GPtrArray *regions; /* names; the fleet's indexes are of these */
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -230,6 +230,8 @@
 void ch_homes_start(struct ch_homes *homes);
 void ch_homes_stop(struct ch_homes *homes);
 void ch_homes_free(struct ch_homes *homes);
+/* True once this node knows enough of the upstreams to route. */
+bool ch_homes_ready(struct ch_homes *homes);
 /* work is copied; excluded: GQuarks of upstreams not to try (may be NULL). */
 uint64_t ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
                           const GArray *excluded,
@@ -256,7 +258,8 @@
    then new requests are refused with STOPPING; returns when none is open. */
 void ch_front_stop(struct ch_front *front);
 void ch_front_free(struct ch_front *front);
-/* True when a configuration is known and the node is not stopping. */
+/* True when a configuration and the upstreams are known and the node is not
+   stopping. */
 bool ch_node_ready(struct ch_node *node);
 
 /* ---- admin (admin.c): operators' and platform's listener ---- */
--- a/libchestnuthitch/node/site.c
+++ b/libchestnuthitch/node/site.c
@@ -305,7 +305,9 @@
         }
     }
     rebuild_fleet(homes);
-    homes->listed = true;
+    if (homes->listed_at == 0) {
+        homes->listed_at = ch_client_now(homes->node->client);
+    }
 }
 
 /* Fills an array of items from names that the configuration knows or knew:
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -108,6 +108,14 @@
     return ready;
 }
 
+/* Fake knowledge of the upstreams. */
+bool
+ch_homes_ready(struct ch_homes *homes)
+{
+    (void)homes;
+    return true;
+}
+
 /* Fake status of the members. */
 void
 ch_peers_status(struct ch_peers *peers, JsonBuilder *builder)
