--- a/cli/main.c
+++ b/cli/main.c
@@ -15,7 +15,6 @@
     {"node", cli_node, "run the node of this entry host"},
     {"config", cli_config, "check, show, diff or apply a declaration"},
     {"status", cli_status, "show nodes, upstreams and what is in force"},
-    {"replay", cli_replay, "run a trace through the decisions"},
 };
 
 /* Writes the list of subcommands. */
--- a/libchestnuthitch/node/home_side.c
+++ b/libchestnuthitch/node/home_side.c
@@ -92,6 +92,10 @@
         return;
     }
     struct request *request = request_of(homes, ticket);
+    ch_log(homes->node->client, CH_LOG_DEBUG, "home-refused",
+           CH_F_STR("upstream", g_quark_to_string(ticket->upstream->name)),
+           CH_F_INT("code", action->code), CH_F_STR("reason", action->message),
+           CH_F_END);
     if (ticket->from != NULL) {
         effects_refuse_frame(effects, ticket, action->code,
                              action->retry_after, action->message, homes);
@@ -863,6 +867,12 @@
     struct ch_homes *homes = data;
     struct effects effects;
     effects_init(&effects);
+    ch_log(homes->node->client, CH_LOG_NOTICE, "order-failed",
+           CH_F_STR("upstream", g_quark_to_string(name)),
+           CH_F_STR("item", g_quark_to_string(item)),
+           CH_F_STR("action", kind == CH_ACTION_LOAD ? "load" : "unload"),
+           CH_F_INT("code", code), CH_F_STR("reason", ch_code_meaning(code)),
+           CH_F_END);
     pthread_mutex_lock(&homes->lock);
     struct upstream *upstream = site_find(homes, name);
     if (upstream != NULL && upstream->home != NULL) {
