--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -444,8 +444,8 @@
         held->state == CH_ITEM_UNLOADING) {
         held->state = CH_ITEM_RESIDENT;
     }
-    /* Passing: somebody else wrote first, or the ledger of a home that has just
-     * opened waits for the engine's first report. */
+    /* Passing: somebody else wrote first, or the ledger of a home that has
+     * just opened waits for the engine's first report. */
     if (code == CH_KV_CONFLICT || code == CH_NOT_READY) {
         if (held != NULL) {
             held->not_before = now + CH_HOME_TICK;
