--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -523,11 +523,19 @@
     ch_revision_record_free(record);
 }
 
-/* Does the next step of a write. */
+/* Does the next step of a write; none after the stop. */
 static void
 apply_step(struct apply *apply, enum ch_revision_step step)
 {
     struct ch_node *node = apply->keeper->node;
+    pthread_mutex_lock(&apply->keeper->lock);
+    bool stopped = apply->keeper->stopped;
+    pthread_mutex_unlock(&apply->keeper->lock);
+    if (stopped) {
+        apply_end(apply, apply->write.writes > 0 ? CH_REVISION_UNSURE
+                                                 : CH_REVISION_FAILED);
+        return;
+    }
     switch (step) {
     case CH_REVISION_READ:
         ch_kv_call_get(node, CONFIG_KEY, apply_read, apply);
--- a/libchestnuthitch/node/ledger_holding.c
+++ b/libchestnuthitch/node/ledger_holding.c
@@ -59,7 +59,7 @@
     GQuark upstream;
     char *key;
     pthread_mutex_t lock;
-    pthread_cond_t idle; /* signalled when sending drops to 0 */
+    pthread_cond_t idle; /* signalled when sending or busy ends */
     int references;
     struct ch_upstream *engine; /* NULL when closed */
     unsigned sending;           /* threads that are using engine */
@@ -106,7 +106,11 @@
     holding->upstream = upstream;
     holding->key = g_strconcat("ledger/", g_quark_to_string(upstream), NULL);
     pthread_mutex_init(&holding->lock, NULL);
-    pthread_cond_init(&holding->idle, NULL);
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&holding->idle, &attributes);
+    pthread_condattr_destroy(&attributes);
     holding->references = 1;
     holding->reread = true;
     holding->intents = g_array_new(FALSE, TRUE, sizeof(struct intent));
@@ -225,6 +229,7 @@
 {
     pthread_mutex_lock(&holding->lock);
     holding->busy = false;
+    pthread_cond_broadcast(&holding->idle);
     pthread_mutex_unlock(&holding->lock);
     submit_step(holding);
 }
@@ -819,6 +824,7 @@
     pthread_mutex_lock(&holding->lock);
     enum next_step next = choose_step(holding, failed);
     holding->busy |= next != STEP_NONE;
+    pthread_cond_broadcast(&holding->idle);
     pthread_mutex_unlock(&holding->lock);
     tell_failed(holding, failed);
     if (next == STEP_READ) {
@@ -860,6 +866,26 @@
     submit_step(holding);
 }
 
+/* Copies of a process that has gone are never noted as ended, and their room
+ * is kept free for a new boot of the engine for good.  So a planned stop waits
+ * for what this process has on its way. */
+void
+ch_ledger_holding_settle(struct ch_ledger_holding *holding,
+                         const struct timespec *deadline)
+{
+    const struct ch_client *client = holding->office->node->client;
+    bool late = false;
+    pthread_mutex_lock(&holding->lock);
+    while (!late && holding->ledger != NULL &&
+           (holding->busy || holding->endings->len > 0 ||
+            g_hash_table_size(holding->inflight) > 0) &&
+           ch_client_now(client) >= holding->not_before) {
+        late = pthread_cond_timedwait(&holding->idle, &holding->lock,
+                                      deadline) != 0;
+    }
+    pthread_mutex_unlock(&holding->lock);
+}
+
 /* Ends the timer; calls under way still run out. */
 void
 ch_ledger_holding_stop(struct ch_ledger_holding *holding)
--- a/libchestnuthitch/node/ledger_holding.h
+++ b/libchestnuthitch/node/ledger_holding.h
@@ -8,6 +8,8 @@
 
 #include "node/node.h"
 
+#include <time.h>
+
 struct ch_ledger_holding;
 
 /* What all holdings of a node share; outlives them. */
@@ -30,6 +32,10 @@
 /* When it returns, the engine is no longer used.  What was sent is still
    followed up, so that the next home need not allow for it. */
 void ch_ledger_holding_close(struct ch_ledger_holding *holding);
+/* Waits until what was sent is noted as ended in the ledger, or until the
+   deadline on the monotonic clock, or while the service is away. */
+void ch_ledger_holding_settle(struct ch_ledger_holding *holding,
+                              const struct timespec *deadline);
 /* No further calls are begun. */
 void ch_ledger_holding_stop(struct ch_ledger_holding *holding);
 /* memory_mb 0: unload. */
--- a/libchestnuthitch/node/ledger_keeper.c
+++ b/libchestnuthitch/node/ledger_keeper.c
@@ -4,6 +4,11 @@
 
 #include <pthread.h>
 
+enum {
+    /* A stop waits this long for the answers to orders and their writes. */
+    STOP_WAIT_S = 3,
+};
+
 struct ch_ledger_keeper {
     struct ch_ledger_office office;
     pthread_mutex_t lock;
@@ -54,7 +59,8 @@
     return holding;
 }
 
-/* Stops every holding: no call is begun after it. */
+/* Closes every holding, waits a little for what is on its way, and stops: no
+ * call is begun after it. */
 void
 ch_ledger_keeper_stop(struct ch_ledger_keeper *keeper)
 {
@@ -65,7 +71,14 @@
         ch_ledger_holding_ref(at->data);
     }
     pthread_mutex_unlock(&keeper->lock);
+    struct timespec deadline;
+    clock_gettime(CLOCK_MONOTONIC, &deadline);
+    deadline.tv_sec += STOP_WAIT_S;
+    for (GList *at = holdings; at != NULL; at = at->next) {
+        ch_ledger_holding_close(at->data);
+    }
     for (GList *at = holdings; at != NULL; at = at->next) {
+        ch_ledger_holding_settle(at->data, &deadline);
         ch_ledger_holding_stop(at->data);
         ch_ledger_holding_unref(at->data);
     }
--- a/libchestnuthitch/node/once_home.c
+++ b/libchestnuthitch/node/once_home.c
@@ -233,11 +233,12 @@
 {
     pthread_mutex_lock(&home->lock);
     struct waiter *waiter = ch_table_remove(home->waiters, action->waiter);
+    bool stopped = home->stopped;
     pthread_mutex_unlock(&home->lock);
     if (waiter == NULL) {
         return;
     }
-    if (action->completed != 0) {
+    if (action->completed != 0 && !stopped) {
         struct kept_call *call = g_new0(struct kept_call, 1);
         call->home = home_ref(home);
         call->waiter = waiter;
@@ -342,7 +343,9 @@
     leave(slot, &actions, true);
 }
 
-/* Begins a call that the machine asked for. */
+/* Begins a call that the machine asked for; none after the stop, when the HTTP
+ * loop may be gone.  Who waits is told by the end of the connection, and reads
+ * the log. */
 static void
 run_call(struct home_slot *slot, const struct ch_once_action *action)
 {
@@ -350,8 +353,12 @@
     g_autofree char *prefix = ch_once_slot_prefix(slot->number);
     g_autofree char *key = ch_once_batch_key(slot->number, action->sequence);
     pthread_mutex_lock(&slot->home->lock);
-    slot->calls++;
+    bool stopped = slot->home->stopped;
+    slot->calls += !stopped;
     pthread_mutex_unlock(&slot->home->lock);
+    if (stopped) {
+        return;
+    }
     home_ref(slot->home);
     switch (action->kind) {
     case CH_ONCE_LIST:
--- a/libchestnuthitch/node/once_keeper.c
+++ b/libchestnuthitch/node/once_keeper.c
@@ -119,6 +119,16 @@
     g_free(begin);
 }
 
+/* True when the begin has ended, or the keeper was stopped. */
+static bool
+is_over(const struct begin *begin)
+{
+    pthread_mutex_lock(&begin->keeper->lock);
+    bool over = begin->finished || begin->keeper->stopped;
+    pthread_mutex_unlock(&begin->keeper->lock);
+    return over;
+}
+
 /* Counts by a counter, if there are counters. */
 static void
 count(struct ch_once_keeper *keeper, enum ch_counter counter)
@@ -441,7 +451,7 @@
         reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ONCE_ANSWER) {
         end_by_answer(begin, reply->once_answer);
     }
-    else if (code == CH_PEER_TIMEOUT) {
+    else if (code == CH_PEER_TIMEOUT || is_over(begin)) {
         begin_end_state(begin, CH_ONCE_REFUSED);
     }
     else {
@@ -510,7 +520,7 @@
     if (answer->code == CH_OK) {
         take_slots(begin, begin->keeper->node->settings->once_slots);
     }
-    else if (answer->code == CH_KV_CONFLICT) {
+    else if (answer->code == CH_KV_CONFLICT && !is_over(begin)) {
         read_slots(begin);
     }
     else {
@@ -526,7 +536,7 @@
     struct begin *begin = data;
     struct ch_node *node = begin->keeper->node;
     guint64 slots = 0;
-    if (answer->code == CH_KV_MISSING) {
+    if (answer->code == CH_KV_MISSING && !is_over(begin)) {
         char text[16];
         (void)g_snprintf(text, sizeof(text), "%u", node->settings->once_slots);
         ch_kv_call_put(node, SLOTS_KEY, text, strlen(text), 0, slots_written,
