Bound a whole answer's first byte by the measured time for a token

Ruled out: a lower first-byte-ms, which long prompts need. Now four times the time that the home has measured for a token there.

--- a/libchestnuthitch/node/effects.c
+++ b/libchestnuthitch/node/effects.c
@@ -68,8 +68,9 @@
 /* The request's granted handler is to be called. */
 void
 effects_granted(struct effects *effects, const struct request *request,
-                const struct ch_homes *homes, uint32_t priority)
+                struct ch_homes *homes, uint32_t priority)
 {
+    const struct ch_upstream_view *view = site_view(homes, request->upstream);
     struct effect *effect = add_effect(effects, EFFECT_GRANTED);
     effect->handlers = request->handlers;
     effect->data = request->data;
@@ -80,6 +81,7 @@
         .priority = priority,
         .other_region = g_strcmp0(request->upstream->region,
                                   homes->node->settings->region) != 0,
+        .token = view != NULL ? view->token : 0,
     };
 }
 
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -7,8 +7,11 @@
 
 enum {
     /* A plain model answer comes in one piece after its last token: the bound
-     * to its first byte is one for all its tokens.  Twice the class's target
-     * between tokens each, or this when it states none. */
+     * to its first byte is one for all its tokens, each four times what the
+     * home has measured there, so that a batch that fills meanwhile does not
+     * look silent.  Until something was measured: twice the class's target
+     * between tokens, or this when it states none. */
+    MEASURED_TIMES = 4,
     USUAL_TOKEN = 100 * 1000,
     MOST_FIRST_BYTE = 600 * G_USEC_PER_SEC,
 };
@@ -187,6 +190,9 @@
     }
     int64_t token = request->between_tokens > 0 ? 2 * request->between_tokens
                                                 : USUAL_TOKEN;
+    if (exchange->grant.token > 0) {
+        token = MIN(token, MEASURED_TIMES * exchange->grant.token);
+    }
     return MIN(limit + token * request->work.output_tokens, MOST_FIRST_BYTE);
 }
 
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -116,7 +116,7 @@
 /* Carries out and empties; without the lock. */
 void effects_run(struct ch_homes *homes, struct effects *effects);
 void effects_granted(struct effects *effects, const struct request *request,
-                     const struct ch_homes *homes, uint32_t priority);
+                     struct ch_homes *homes, uint32_t priority);
 void effects_refused(struct effects *effects, const struct request *request,
                      enum ch_code code, int64_t retry_after,
                      const char *message);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -210,6 +210,7 @@
     struct ch_upstream *client; /* valid until release */
     uint32_t priority;
     bool other_region;
+    int64_t token; /* measured there for one token; 0: not yet */
 };
 
 /* One of the two, once, on a pool worker. */
--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -69,7 +69,7 @@
                 unsigned count)
 {
     int64_t limit = harness_now() + HARNESS_READY_MS;
-    unsigned serial = 0;
+    static unsigned serial; /* no body or key of a process comes twice */
     for (unsigned i = 0; i < fleet->node_count; i++) {
         for (unsigned k = 0; k < count; k++) {
             while (!warm_call(&fleet->nodes[i], &kinds[k], serial++)) {
