Tell the caller what the last home said when every place refused

Cause: after a home's refusal the request is routed to another; when there was none left, the caller got NO_UPSTREAM in place of the home's reason and time to come back (seen in make run: LATE and a failed load both showed as NO_UPSTREAM with 1000 ms). Now the last refusal is given.

--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -43,6 +43,7 @@
     }
     g_array_free(request->excluded, TRUE);
     g_free(request->home);
+    g_free(request->refusal_message);
     g_free(request);
 }
 
@@ -88,6 +89,12 @@
                 int64_t now, struct effects *effects)
 {
     if (may_ask_another(request, code)) {
+        if (ch_code_outcome(code) == CH_NOT_RUN && code != CH_NOT_READY) {
+            request->refusal = code;
+            request->refusal_after = retry_after;
+            g_free(request->refusal_message);
+            request->refusal_message = g_strdup(message);
+        }
         route_request(homes, request, now, effects);
         return;
     }
@@ -247,6 +254,14 @@
     homes->fleet.loads_left = (uint32_t)ch_bucket_level(&homes->loads, now);
     struct ch_route route = ch_route_choose(
         homes->policy, &homes->fleet, &request->work, request->excluded, now);
+    if (route.code != CH_OK && request->refusal != CH_OK) {
+        /* Every place was asked: the caller learns what the last one said,
+         * and when it may come back, rather than that there is none. */
+        effects_refused(effects, request, request->refusal,
+                        request->refusal_after, request->refusal_message);
+        free_request(homes, request);
+        return;
+    }
     if (route.code != CH_OK) {
         effects_refused(effects, request, route.code, route.retry_after,
                         route.message);
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -72,6 +72,10 @@
     void *data;
     bool withdrawn;
     unsigned bounces; /* homes that refused it or were lost */
+    /* What the last home that refused it said; 0: none did. */
+    enum ch_code refusal;
+    int64_t refusal_after;
+    char *refusal_message;
     struct upstream *upstream;
     char *home;       /* node, when it is queued or granted there */
     uint64_t enqueue; /* id of the Enqueue */
