Let the first loads wait for an engine's first report

Cause: an intent was composed before the engine's boot was known, failed with NOT_READY, and the home then blocked loads for a second and refused all that waited: every model's first callers after a fleet's start were refused (make run: four of five model calls). Ruled out: KV conflicts between homes at the start, which are retried a tick later. Now intents stay until the first report; make run serves all seven calls.

--- a/libchestnuthitch/node/ledger_holding.c
+++ b/libchestnuthitch/node/ledger_holding.c
@@ -572,7 +572,9 @@
  * Makes the next version in holding->writing; false when there is nothing to
  * write.  Orders wait until none is on its way: two of different versions
  * could overtake each other, and an engine that refuses old fencing numbers
- * would refuse the first.  Lock held.
+ * would refuse the first.  They wait, too, for the first report of a new
+ * upstream: nothing may be reserved before its boot is known, and failing them
+ * refused the first callers of every model for a second.  Lock held.
  */
 static bool
 compose(struct ch_ledger_holding *holding, GArray *failed)
@@ -589,7 +591,7 @@
         changed |= next->capacity_mb != holding->capacity_mb;
         next->capacity_mb = holding->capacity_mb;
         changed |= apply_report(holding, next);
-        if (g_hash_table_size(holding->inflight) == 0) {
+        if (g_hash_table_size(holding->inflight) == 0 && next->boot != NULL) {
             changed |= apply_intents(holding, next, failed);
             g_array_set_size(holding->intents, 0);
             changed |= apply_resends(holding, next);
