--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -72,6 +72,10 @@
     void *data;
     bool withdrawn;
     unsigned bounces; /* homes that refused it or were lost */
+    /* What the last home that refused it said; 0: none did. */
+    enum ch_code refusal;
+    int64_t refusal_after;
+    char *refusal_message;
     struct upstream *upstream;
     char *home;       /* node, when it is queued or granted there */
     uint64_t enqueue; /* id of the Enqueue */
@@ -116,7 +120,7 @@
 /* Carries out and empties; without the lock. */
 void effects_run(struct ch_homes *homes, struct effects *effects);
 void effects_granted(struct effects *effects, const struct request *request,
-                     const struct ch_homes *homes, uint32_t priority);
+                     struct ch_homes *homes, uint32_t priority);
 void effects_refused(struct effects *effects, const struct request *request,
                      enum ch_code code, int64_t retry_after,
                      const char *message);
