--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -127,12 +127,13 @@
     if (job->done != NULL) {
         job->done(job->data, job->code, job->frame);
     }
-    else if (job->frame->reply) {
+    else if (job->frame != NULL && job->frame->reply) {
         if (peers->late.handle != NULL) {
             peers->late.handle(peers->late.data, job->frame);
         }
     }
-    else if ((unsigned)job->frame->body_case < (unsigned)BODY_CASES) {
+    else if (job->frame != NULL &&
+             (unsigned)job->frame->body_case < (unsigned)BODY_CASES) {
         const struct handler *handler =
             &peers->handlers[job->frame->body_case];
         if (handler->handle != NULL) {
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -5,10 +5,8 @@
 
 #include <string.h>
 
-enum {
-    MS = 1000,
-    SILENT_AFTER = 600 * MS,
-};
+static const int64_t MS = 1000;
+static const int64_t SILENT_AFTER = 600 * 1000;
 
 /* A members table of this node a1 (region r1, data centre a) and others named
  * by their data centre's letter. */
