Use the pool's ring with one producer and one consumer at a time

Cause: 'thread tests/threaded/test_pool' stopped with a data race in _ck_ring_dequeue_mc. The ring's form for many consumers reads a slot before its compare-and-swap and drops what it read when that fails; ThreadSanitizer cannot see that, so any threaded check of the node would stop there too.

Ruled out: telling it of the hand-over of each job (the slot itself is still reported); builtins in place of inline assembly in Concurrency Kit (the slot is a plain read there too); a suppression, which would ease the check.

Change: two locks, the ring's form for one of each between them. Before: fails on each run. After: 6 of 6 runs pass under ThreadSanitizer and AddressSanitizer with tests/tsan.supp as it stands. A node has some thousands a second.

--- a/libchestnuthitch/base/pool.c
+++ b/libchestnuthitch/base/pool.c
@@ -22,7 +22,18 @@
     RING_SIZE = 1 << 15,
 };
 
+/*
+ * The ring has one producer and one consumer at a time: the two locks see to
+ * it.  Its form for many of each reads a slot that another thread may be
+ * writing and drops what it read when its compare-and-swap fails, which
+ * ThreadSanitizer cannot tell from a fault: every check of a node's threads
+ * would stop there.  The locks cost a microsecond or two for each job, and a
+ * node has some thousands a second.  A post follows each put under the same
+ * lock, so that after the nth wait n jobs were put.
+ */
 struct ch_pool {
+    pthread_mutex_t put_lock;
+    pthread_mutex_t take_lock;
     ck_ring_t ring;
     ck_ring_buffer_t *buffer;
     sem_t jobs;
@@ -30,6 +41,32 @@
     unsigned count;
 };
 
+/* The next job, or NULL when the ring is empty. */
+static struct job *
+take(struct ch_pool *pool)
+{
+    struct job *job = NULL;
+    pthread_mutex_lock(&pool->take_lock);
+    (void)ck_ring_dequeue_spsc(&pool->ring, pool->buffer, &job);
+    CH_RELEASE(&pool->ring);
+    pthread_mutex_unlock(&pool->take_lock);
+    return job;
+}
+
+/* Puts a job in; false when the ring is full. */
+static bool
+put(struct ch_pool *pool, struct job *job)
+{
+    pthread_mutex_lock(&pool->put_lock);
+    CH_ACQUIRE(&pool->ring);
+    bool fits = ck_ring_enqueue_spsc(&pool->ring, pool->buffer, job);
+    if (fits) {
+        sem_post(&pool->jobs);
+    }
+    pthread_mutex_unlock(&pool->put_lock);
+    return fits;
+}
+
 /* Takes jobs until it meets the one with no function, which ends it. */
 static void *
 work(void *data)
@@ -38,11 +75,7 @@
     for (;;) {
         while (sem_wait(&pool->jobs) != 0) {
         }
-        struct job *job = NULL;
-        while (!ck_ring_dequeue_mpmc(&pool->ring, pool->buffer, &job)) {
-            ck_pr_stall();
-        }
-        CH_ACQUIRE(job);
+        struct job *job = take(pool);
         if (job->run == NULL) {
             g_free(job);
             return NULL;
@@ -61,6 +94,8 @@
     pool->buffer = g_new0(ck_ring_buffer_t, RING_SIZE);
     ck_ring_init(&pool->ring, RING_SIZE);
     sem_init(&pool->jobs, 0, 0);
+    pthread_mutex_init(&pool->put_lock, NULL);
+    pthread_mutex_init(&pool->take_lock, NULL);
     pool->threads = g_new0(pthread_t, pool->count);
     for (unsigned i = 0; i < pool->count; i++) {
         if (pthread_create(&pool->threads[i], NULL, work, pool) != 0) {
@@ -78,11 +113,9 @@
     struct job *job = g_new(struct job, 1);
     job->run = run;
     job->data = data;
-    CH_RELEASE(job);
-    while (!ck_ring_enqueue_mpmc(&pool->ring, pool->buffer, job)) {
+    while (!put(pool, job)) {
         sched_yield();
     }
-    sem_post(&pool->jobs);
 }
 
 /* Runs what was submitted, ends the workers and frees the pool.  Nothing may
@@ -99,13 +132,15 @@
     for (unsigned i = 0; i < pool->count; i++) {
         pthread_join(pool->threads[i], NULL);
     }
-    struct job *job = NULL;
-    while (ck_ring_dequeue_mpmc(&pool->ring, pool->buffer, &job)) {
+    struct job *job;
+    while ((job = take(pool)) != NULL) {
         if (job->run != NULL) {
             job->run(job->data);
         }
         g_free(job);
     }
+    pthread_mutex_destroy(&pool->put_lock);
+    pthread_mutex_destroy(&pool->take_lock);
     sem_destroy(&pool->jobs);
     g_free(pool->buffer);
     g_free(pool->threads);
