--- a/tests/harness/check.c
+++ b/tests/harness/check.c
@@ -161,6 +161,47 @@
     }
 }
 
+/* The answer's error as "CODE MESSAGE"; g_free. */
+static char *
+error_text(const struct harness_answer *answer)
+{
+    const char *found = strstr(answer->text->str, "\"message\":\"");
+    if (answer->curl != 0) {
+        return g_strdup_printf("connection broken (%d)", answer->curl);
+    }
+    found = found == NULL ? "" : found + strlen("\"message\":\"");
+    return g_strdup_printf("%s %d %.*s",
+                           answer->outcome == NULL ? "-" : answer->outcome,
+                           answer->code, (int)strcspn(found, "\""), found);
+}
+
+/* Prints how often each error came. */
+static void
+print_errors(const GPtrArray *answers)
+{
+    GHashTable *errors = counts_new();
+    GHashTableIter iter;
+    gpointer text;
+    gpointer count;
+    for (guint i = 0; i < answers->len; i++) {
+        const struct harness_answer *answer = g_ptr_array_index(answers, i);
+        if (!harness_answer_good(answer)) {
+            char *error = error_text(answer);
+            char *line = g_strdup_printf(
+                "%s: %s", answer->class_name ? answer->class_name : "-",
+                error);
+            (void)count_up(errors, line);
+            g_free(line);
+            g_free(error);
+        }
+    }
+    g_hash_table_iter_init(&iter, errors);
+    while (g_hash_table_iter_next(&iter, &text, &count)) {
+        g_print("# %u x %s\n", GPOINTER_TO_UINT(count), (char *)text);
+    }
+    g_hash_table_unref(errors);
+}
+
 /* Compares every answer with every record. */
 void
 harness_check(struct harness_fleet *fleet, const GPtrArray *answers,
@@ -179,6 +220,7 @@
     for (guint i = 0; i < answers->len; i++) {
         judge_answer(g_ptr_array_index(answers, i), &runs, bodies, verdict);
     }
+    print_errors(answers);
     g_hash_table_unref(bodies);
     g_hash_table_unref(runs.ids);
     g_hash_table_unref(runs.bodies);
@@ -233,19 +275,22 @@
     return (*one > *two) - (*one < *two);
 }
 
-/* The longest time between two good answers. */
+/* The longest time between two good answers, of calls with a key or of those
+ * without one. */
 static int64_t
-longest_gap(const GPtrArray *answers, int64_t end)
+longest_gap(const GPtrArray *answers, bool keyed, int64_t end)
 {
     GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
     int64_t longest = 0;
     for (guint i = 0; i < answers->len; i++) {
         const struct harness_answer *answer = g_ptr_array_index(answers, i);
-        if (harness_answer_good(answer)) {
+        if ((answer->key != NULL) == keyed && harness_answer_good(answer)) {
             g_array_append_val(times, answer->ended);
         }
     }
-    g_array_append_val(times, end);
+    if (times->len > 0) {
+        g_array_append_val(times, end);
+    }
     g_array_sort(times, by_time);
     for (guint i = 1; i < times->len; i++) {
         longest = MAX(longest, g_array_index(times, int64_t, i) -
@@ -278,11 +323,13 @@
     figures->before = percent(&shares[0]);
     figures->during = percent(&shares[1]);
     figures->after = percent(&shares[2]);
-    figures->longest_gap = longest_gap(answers, end);
+    figures->longest_gap = longest_gap(answers, false, end);
+    figures->orders_gap = longest_gap(answers, true, end);
     figures->recovered = last > end - SETTLED_MS ? -1 : last - begun;
-    g_print("figure: %s: longest gap %" PRId64 " ms; met target %.1f%% before,"
-            " %.1f%% during, %.1f%% after; recovered %" PRId64 " ms after the "
+    g_print("figure: %s: longest gap %" PRId64 " ms, of orders %" PRId64
+            " ms; met target %.1f%% before, %.1f%% during, %.1f%% after; "
+            "recovered %" PRId64 " ms after the "
             "fault began\n",
-            name, figures->longest_gap, figures->before, figures->during,
-            figures->after, figures->recovered);
+            name, figures->longest_gap, figures->orders_gap, figures->before,
+            figures->during, figures->after, figures->recovered);
 }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -250,7 +250,8 @@
  * good again.
  */
 struct harness_figures {
-    int64_t longest_gap;
+    int64_t longest_gap; /* of calls that may be repeated */
+    int64_t orders_gap;  /* of those with a key; 0: there were none */
     double before;
     double during;
     double after;
--- a/tests/harness/load.c
+++ b/tests/harness/load.c
@@ -155,18 +155,20 @@
     g_free(body);
 }
 
-/* A caller's thread: kinds in turn, beginning at another one for each. */
+/* A caller's thread.  It sends one kind only, so that a kind whose answers are
+ * slow keeps no caller of another kind waiting. */
 static gpointer
 run_caller(gpointer data)
 {
     struct caller *caller = data;
     struct harness_running *running = caller->running;
-    for (unsigned i = caller->number; !stopping(running); i++) {
+    const struct harness_kind *kind =
+        &running->load.kinds[caller->number % running->load.kind_count];
+    while (!stopping(running)) {
         pthread_mutex_lock(&running->lock);
         unsigned serial = running->serial++;
         pthread_mutex_unlock(&running->lock);
-        make_call(running, &running->load.kinds[i % running->load.kind_count],
-                  serial);
+        make_call(running, kind, serial);
         harness_sleep(running->load.pause_ms);
     }
     g_free(caller);
