Believe a refused connection between nodes at once

Cause: after SIGKILL of a home its host refuses connections, but membership held the node for alive until nothing was heard for peer-silent-ms; each request for its upstreams spent its LOST_HOMES within a millisecond on the dead node and was refused. Ruled out: the ledger (the new home read it in 10 ms).

--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -209,6 +209,27 @@
     return true;
 }
 
+/*
+ * Its host refused a connection: the process is gone, and no time need pass
+ * before that is believed.  Without this every request for its homes went back
+ * to the dead node until silent_after had passed, and was refused.  A process
+ * that has only begun to start is heard from at the next probe; what went
+ * elsewhere until then cost nothing but a queue of its own.
+ */
+void
+ch_members_refused(struct ch_members *members, const char *name, int64_t now)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member == NULL) {
+        return;
+    }
+    if (member->status == CH_MEMBER_ALIVE) {
+        member->status = CH_MEMBER_SILENT;
+        member->hint_until = now + HINT_TIME;
+    }
+    member->probe_at = now + SILENT_PROBE;
+}
+
 /* Another node finds it silent: probe it at once and judge by that. */
 void
 ch_members_hint(struct ch_members *members, const char *name, int64_t now)
--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -53,6 +53,9 @@
    to be silent, as nothing else was heard from it either. */
 bool ch_members_lost(struct ch_members *members, const char *name,
                      int64_t now);
+/* Its host answered that nobody listens there. */
+void ch_members_refused(struct ch_members *members, const char *name,
+                        int64_t now);
 void ch_members_hint(struct ch_members *members, const char *name,
                      int64_t now);
 /* It says itself that it stops: no key has its home there any more. */
--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -320,6 +320,9 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
         errno != EINPROGRESS) {
+        if (errno == ECONNREFUSED) {
+            ch_members_refused(peers->members, member->name, now);
+        }
         close(fd);
         return NULL;
     }
@@ -522,6 +525,9 @@
     int failure = 0;
     socklen_t length = sizeof(failure);
     getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &failure, &length);
+    if (failure == ECONNREFUSED) {
+        ch_members_refused(peers->members, connection->name, now);
+    }
     if (failure != 0) {
         connection->failure = CH_PEER_LOST;
         return;
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -203,6 +203,22 @@
     g_assert_cmpuint(ch_gossip_repeats(320, false), >, 0);
 }
 
+/* A refused connection is believed at once, and what is heard after it too. */
+static void
+test_refused(void)
+{
+    struct ch_members *members = make_members(seven, G_N_ELEMENTS(seven));
+    ch_members_heard(members, "b1", 10 * MS);
+    ch_members_refused(members, "b1", 11 * MS);
+    const struct ch_member *member = ch_members_find(members, "b1");
+    g_assert_false(ch_member_serves(member));
+    g_assert_cmpint(member->hint_until, >, 11 * MS);
+    ch_members_heard(members, "b1", 12 * MS);
+    g_assert_true(ch_member_serves(member));
+    ch_members_refused(members, "nobody", 13 * MS);
+    ch_members_free(members);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -215,5 +231,6 @@
     g_test_add_func("/member/pause", test_pause);
     g_test_add_func("/member/stopping", test_stopping);
     g_test_add_func("/member/fanout", test_fanout);
+    g_test_add_func("/member/refused", test_refused);
     return g_test_run();
 }
