--- a/cli/main.c
+++ b/cli/main.c
@@ -14,6 +14,7 @@
 static const struct command commands[] = {
     {"node", cli_node, "run the node of this entry host"},
     {"config", cli_config, "check, show, diff or apply a declaration"},
+    {"replay", cli_replay, "run a trace through the decisions"},
     {"status", cli_status, "show nodes, upstreams and what is in force"},
 };
 
