--- a/cli/node.c
+++ b/cli/node.c
@@ -34,7 +34,7 @@
     struct ch_error error = {0};
     struct ch_node *node = ch_node_start(&client, settings, &error);
     if (node == NULL) {
-        ch_log(&client, CH_LOG_ERR, "start_failed",
+        ch_log(&client, CH_LOG_ERR, "start-failed",
                CH_F_STR("code", ch_code_name(error.code)),
                CH_F_STR("message", error.message), CH_F_END);
         ch_metrics_free(client.metrics);
@@ -44,10 +44,9 @@
            CH_F_STR("version", CHESTNUTHITCH_VERSION), CH_F_END);
     int signal_number = 0;
     (void)sigwait(&signals, &signal_number);
-    ch_log(&client, CH_LOG_NOTICE, "stopping",
-           CH_F_STR("signal", strsignal(signal_number)), CH_F_END);
+    ch_log(&client, CH_LOG_NOTICE, "signal",
+           CH_F_STR("name", strsignal(signal_number)), CH_F_END);
     ch_node_stop(node);
-    ch_log(&client, CH_LOG_NOTICE, "stopped", CH_F_END);
     ch_metrics_free(client.metrics);
     return CLI_OK;
 }
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -160,7 +160,8 @@
                          g_strdup("{\"status\":\"ready\"}"));
     }
     struct ch_config *config = ch_config_keeper_current(node->config);
-    enum ch_code code = config == NULL ? CH_NOT_READY : CH_STOPPING;
+    bool knows = config != NULL && ch_homes_ready(node->homes);
+    enum ch_code code = knows ? CH_STOPPING : CH_NOT_READY;
     ch_config_unref(config);
     return send_error(request->connection, code, NULL);
 }
@@ -316,7 +317,7 @@
     struct ch_admin *admin = request->admin;
     bool accepted = error == NULL || error->code == CH_OK;
     ch_log(admin->node->client, accepted ? CH_LOG_NOTICE : CH_LOG_WARNING,
-           "config_apply",
+           "config-apply",
            CH_F_STR("result", ch_code_name(accepted ? CH_OK : error->code)),
            CH_F_INT("revision", config == NULL ? 0 : config->revision),
            CH_F_STR("author",
@@ -326,10 +327,11 @@
     int status = accepted ? MHD_HTTP_OK : ch_code_http(error->code);
     char *answer = accepted ? config_json(config) : error_json(error, config);
     pthread_mutex_lock(&admin->lock);
+    struct MHD_Connection *connection = request->connection;
     request->status = status;
     request->answer = answer;
     pthread_mutex_unlock(&admin->lock);
-    MHD_resume_connection(request->connection);
+    MHD_resume_connection(connection);
 }
 
 /* The revision that the operator started from; false when it is no number. */
