Count what waits for an item instead of searching the queue

Models that are due make room in the order in which they were seen, so that two cannot wait for each other's.

--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -151,6 +151,30 @@
     g_array_append_val(out->list, *action);
 }
 
+/* Counts a request in or out of what waits for the items that it needs. */
+static void
+count_queued(struct ch_home *home, const struct ch_work *work, int change)
+{
+    GQuark names[] = {work->model, work->adapter};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        struct ch_held *item =
+            names[i] == 0 ? NULL : ch_home_item(home, names[i]);
+        if (item != NULL) {
+            item->queued = (uint32_t)((int)item->queued + change);
+        }
+    }
+}
+
+/* Takes the entry at a place out of the queue. */
+static struct ch_entry
+take_out(struct ch_home *home, guint at)
+{
+    struct ch_entry entry = *ch_queue_at(&home->queue, at);
+    ch_queue_remove(&home->queue, at);
+    count_queued(home, &entry.work, -1);
+    return entry;
+}
+
 /* Takes the entry at a place out of the queue and refuses it, at once and for
  * good.  retry_after: microseconds until it is worth asking again. */
 void
@@ -159,12 +183,11 @@
 {
     struct ch_action action = {
         .kind = CH_ACTION_REFUSE,
-        .work = ch_queue_at(&home->queue, at)->work.id,
+        .work = take_out(home, at).work.id,
         .code = code,
         .retry_after = retry_after,
     };
     g_strlcpy(action.message, reason, sizeof(action.message));
-    ch_queue_remove(&home->queue, at);
     append(out, &action);
 }
 
@@ -186,8 +209,7 @@
 static void
 grant(struct ch_home *home, guint at, int64_t now, struct ch_actions *out)
 {
-    struct ch_work work = ch_queue_at(&home->queue, at)->work;
-    ch_queue_remove(&home->queue, at);
+    struct ch_work work = take_out(home, at).work;
     uint32_t running = home->granted->len + 1;
     struct ch_granted granted = {
         .work = work.id,
@@ -351,6 +373,7 @@
             entry.rank = MAX(entry.rank, work->arrived + CH_LATE_RANK);
         }
         ch_queue_add(&home->queue, &entry);
+        count_queued(home, work, 1);
     }
     pump(home, fleet, now, out);
 }
@@ -363,7 +386,7 @@
 {
     int at = ch_queue_find(&home->queue, work);
     if (at >= 0) {
-        ch_queue_remove(&home->queue, (guint)at);
+        (void)take_out(home, (guint)at);
     }
     pump(home, NULL, now, out);
 }
--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -65,6 +65,7 @@
     bool leaving;            /* to be unloaded once nothing runs on it */
     bool wanted;             /* to be loaded as soon as there is room */
     uint32_t running;        /* granted requests that use it */
+    uint32_t queued;         /* waiting ones */
     struct ch_demand demand; /* offered, refused requests among it */
     int64_t used;            /* last offered */
     int64_t unserved;   /* first refused since it was last here; 0: none */
--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -75,19 +75,6 @@
     return sum;
 }
 
-/* Whether queued work asks for the item. */
-static bool
-is_awaited(const struct ch_home *home, GQuark name)
-{
-    for (guint i = 0; i < home->queue.entries->len; i++) {
-        const struct ch_work *work = &ch_queue_at(&home->queue, i)->work;
-        if (work->model == name || work->adapter == name) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Whether another replica has room to take over what this one serves. */
 static bool
 has_fellow(const struct ch_home *home, const struct ch_fleet *fleet,
@@ -104,18 +91,24 @@
     return false;
 }
 
-/* Memory promised to models that are to come in, other than the named one:
- * what leaves for them is not free for the next. */
+/* Memory promised to models that are to come in before the named one: what
+ * leaves for them is not free for it.  Those that were seen here first go
+ * first, so that two that wait for each other's room cannot both stand. */
 static uint32_t
-pledged(const struct ch_home *home, GQuark except)
+pledged(const struct ch_home *home, GQuark model, bool newcomer)
 {
     uint32_t sum = 0;
     for (guint i = 0; i < home->items->len; i++) {
         const struct ch_held *item =
             &g_array_index(home->items, struct ch_held, i);
-        bool due = item->wanted || is_awaited(home, item->name);
-        if (item->model == 0 && item->state == CH_ITEM_ABSENT && due &&
-            item->name != except) {
+        if (item->name == model) {
+            if (!newcomer) {
+                return sum;
+            }
+            continue;
+        }
+        bool due = item->wanted || item->queued > 0;
+        if (item->model == 0 && item->state == CH_ITEM_ABSENT && due) {
             sum += need_of(home, item->memory_mb);
         }
     }
@@ -197,15 +190,16 @@
 }
 
 /* Names of the models that have to go so that `model` has memory_mb, their
- * joint worth in *value; NULL when that is not to be had.  The array is the
- * caller's to unref. */
+ * joint worth in *value; newcomer: others that are due go first; NULL when
+ * that is not to be had.  The array is the caller's to unref. */
 static GArray *
 victims(struct ch_home *home, const struct ch_fleet *fleet, GQuark model,
-        uint32_t memory_mb, bool gentle, int64_t now, double *value)
+        uint32_t memory_mb, bool gentle, bool newcomer, int64_t now,
+        double *value)
 {
     GArray *chosen = g_array_new(FALSE, FALSE, sizeof(GQuark));
     uint32_t room = home->facts.capacity_mb + outgoing(home);
-    uint32_t used = committed(home) + pledged(home, model);
+    uint32_t used = committed(home) + pledged(home, model, newcomer);
     room = room > used ? room - used : 0;
     *value = 0;
     while (room < memory_mb) {
@@ -284,8 +278,9 @@
     }
     bool overdue = absent && now - model->unserved > REACH;
     double value = 0;
-    GArray *chosen = victims(home, fleet, work->model,
-                             need_of(home, memory_mb), !overdue, now, &value);
+    GArray *chosen =
+        victims(home, fleet, work->model, need_of(home, memory_mb), !overdue,
+                true, now, &value);
     if (chosen == NULL) {
         return false;
     }
@@ -363,9 +358,11 @@
 {
     double value;
     uint32_t need = need_of(home, item->memory_mb);
-    GArray *chosen = victims(home, fleet, item->name, need, true, now, &value);
+    GArray *chosen =
+        victims(home, fleet, item->name, need, true, false, now, &value);
     if (chosen == NULL) {
-        chosen = victims(home, fleet, item->name, need, false, now, &value);
+        chosen =
+            victims(home, fleet, item->name, need, false, false, now, &value);
     }
     if (chosen == NULL) {
         return;
@@ -389,7 +386,7 @@
             return;
         }
         if (item->model == 0 || item->state != CH_ITEM_RESIDENT ||
-            item->running > 0 || is_awaited(home, item->name)) {
+            item->running > 0 || item->queued > 0) {
             continue;
         }
         if (oldest == NULL || item->used < oldest->used) {
@@ -426,7 +423,7 @@
         return;
     }
     if (item->model != 0) {
-        if (is_awaited(home, item->name)) {
+        if (item->queued > 0) {
             make_adapter_room(home, now, out);
         }
     }
@@ -445,15 +442,13 @@
         return false;
     }
     if (item->model != 0) {
-        return (is_awaited(home, item->name) ||
-                now - item->used < ADAPTER_RECENT) &&
+        return (item->queued > 0 || now - item->used < ADAPTER_RECENT) &&
                ch_home_has(home, item->model);
     }
-    if (item->wanted && now - item->used > WISH_LAPSES &&
-        !is_awaited(home, item->name)) {
+    if (item->wanted && now - item->used > WISH_LAPSES && item->queued == 0) {
         item->wanted = false;
     }
-    return item->wanted || is_awaited(home, item->name);
+    return item->wanted || item->queued > 0;
 }
 
 /* Keeps what was to go when nothing needs its room any more. */
