--- a/libchestnuthitch/replay/trace.c
+++ b/libchestnuthitch/replay/trace.c
@@ -94,7 +94,7 @@
             return true;
         }
         if (comma == NULL) {
-            ch_trace_fail(reader, strlen(line) + 1,
+            ch_trace_fail(reader, (size_t)(at - line) + strlen(at) + 1,
                           "%zu columns where %d are needed", i + 1, COLUMNS);
             return false;
         }
