Try again at the same upstream when no other serves the model

Cause: a failed call was tried again with its upstream left out; where that held the only replica, the other one's home refused it as LATE (the model would come too late), and the caller was told that it failed. Ruled out: the retry budget (3 at the start, 0.1 a request). An upstream that failed is still avoided while another serves; and another try of what was let in is not refused as late.

--- a/libchestnuthitch/decide/admit.c
+++ b/libchestnuthitch/decide/admit.c
@@ -185,6 +185,23 @@
         .code = code, .retry_after = retry_after, .reason = reason};
 }
 
+/*
+ * What would be late: refused, unless this is another try of a request that
+ * was let in before.  Load: an upstream that failed what it ran.  Harm
+ * prevented: a caller who holds half an answer, or has waited for a whole one,
+ * is told that it failed, though it can still be served.  Limit: retries are a
+ * small share of the fresh requests (see retry.c), and go behind those that
+ * can still be on time.
+ */
+static struct ch_admission
+late(const struct ch_work *work, int64_t retry_after, const char *reason)
+{
+    if (work->attempt > 0) {
+        return (struct ch_admission){.code = CH_OK, .late_ok = true};
+    }
+    return refuse(CH_LATE, retry_after, reason);
+}
+
 /*
  * Load: more than can be served in time.  Harm prevented: queues that grow
  * until every answer is late (goodput falls as load grows), and callers who
@@ -217,20 +234,20 @@
         if (load > ADAPTER_LOAD && !served_elsewhere(home, work, fleet)) {
             return (struct ch_admission){.code = CH_OK, .late_ok = true};
         }
-        return refuse(CH_LATE, load, "the model would come too late");
+        return late(work, load, "the model would come too late");
     }
     int64_t rank = home->policy->ordering->rank(home, work, now);
     for (int tries = 0; tries <= MOST_DISPLACED; tries++) {
         int64_t wait = MAX(load, ch_home_wait(home, rank, now));
-        int64_t late = now + wait + first - work->first_by;
-        if (late <= 0) {
+        int64_t late_by = now + wait + first - work->first_by;
+        if (late_by <= 0) {
             return (struct ch_admission){.code = CH_OK};
         }
         if (!home->policy->admitting->fair || !displace(home, work, out)) {
-            return refuse(CH_LATE, late, "the queue is too long");
+            return late(work, late_by, "the queue is too long");
         }
     }
-    return refuse(CH_LATE, G_USEC_PER_SEC, "the queue is too long");
+    return late(work, G_USEC_PER_SEC, "the queue is too long");
 }
 
 /* Lets in whatever the queue has room for: the baselines' way. */
--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -31,6 +31,14 @@
                                 const struct ch_work *work,
                                 const GArray *excluded, int64_t now);
 
+/* As above after failed tries: the first `failed` of excluded did not refuse
+   the request, but failed with it; see route.c. */
+struct ch_route ch_route_retry(const struct ch_policy *policy,
+                               struct ch_fleet *fleet,
+                               const struct ch_work *work,
+                               const GArray *excluded, guint failed,
+                               int64_t now);
+
 /* ---- at the home of an upstream: one queue, exact counts (home.c) ---- */
 
 enum ch_action_kind {
--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -454,3 +454,46 @@
     }
     return route;
 }
+
+/* Whether a route leads to an upstream that serves the work as it is. */
+static bool
+route_serves(const struct ch_fleet *fleet, const struct ch_route *route,
+             const struct ch_work *work)
+{
+    return route->code == CH_OK &&
+           ch_view_serves(&fleet->upstreams[route->upstream], work);
+}
+
+/*
+ * Load: connections to an upstream that have gone silent, or answers that came
+ * crossed or cut, while the upstream itself is well.  An upstream at which
+ * this request failed is avoided as long as another serves it; where none
+ * does, it is asked again, as another try goes out on a new connection.  Harm
+ * prevented: a model with one replica refused, or moved, for each connection
+ * that is lost.  Limit: the retry budget and the count of attempts, which hold
+ * for an upstream that is truly gone.
+ */
+struct ch_route
+ch_route_retry(const struct ch_policy *policy, struct ch_fleet *fleet,
+               const struct ch_work *work, const GArray *excluded,
+               guint failed, int64_t now)
+{
+    struct ch_route route =
+        ch_route_choose(policy, fleet, work, excluded, now);
+    if (failed == 0 || route_serves(fleet, &route, work)) {
+        return route;
+    }
+    GArray *refused = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    for (guint i = failed; i < excluded->len; i++) {
+        g_array_append_val(refused, g_array_index(excluded, GQuark, i));
+    }
+    struct ch_route again = ch_route_choose(policy, fleet, work, refused, now);
+    g_array_free(refused, TRUE);
+    if (!route_serves(fleet, &again, work)) {
+        return route;
+    }
+    if (route.code == CH_OK) {
+        fleet->upstreams[route.upstream].sent_since--;
+    }
+    return again;
+}
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -252,8 +252,9 @@
 {
     homes->fleet.link_bytes = (int64_t)ch_bucket_level(&homes->link, now);
     homes->fleet.loads_left = (uint32_t)ch_bucket_level(&homes->loads, now);
-    struct ch_route route = ch_route_choose(
-        homes->policy, &homes->fleet, &request->work, request->excluded, now);
+    struct ch_route route =
+        ch_route_retry(homes->policy, &homes->fleet, &request->work,
+                       request->excluded, request->failed, now);
     if (route.code != CH_OK && request->refusal != CH_OK) {
         /* Every place was asked: the caller learns what the last one said,
          * and when it may come back, rather than that there is none. */
@@ -300,6 +301,7 @@
     request->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
     if (excluded != NULL && excluded->len > 0) {
         g_array_append_vals(request->excluded, excluded->data, excluded->len);
+        request->failed = excluded->len;
     }
     struct effects effects;
     effects_init(&effects);
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -67,7 +67,8 @@
     uint64_t handle;
     enum request_state state;
     struct ch_work work;
-    GArray *excluded; /* of GQuark */
+    GArray *excluded; /* of GQuark: refused it, and failed before */
+    guint failed;     /* so many at the front failed before */
     const struct ch_homes_handlers *handlers;
     void *data;
     bool withdrawn;
