--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -54,6 +54,7 @@
     bool fresh;
     bool sent;       /* the request was begun on some connection */
     bool reused;     /* on a connection that had served before */
+    bool doomed;     /* cancelled by a handler: its connection must not stay */
     bool head_whole; /* the blank line after the final head came */
     int status;      /* of the final head; 0: none yet */
     char problem[CURL_ERROR_SIZE];
@@ -221,7 +222,7 @@
         return length;
     }
     take_header_line(transfer, line, length);
-    return length;
+    return transfer->doomed ? 0 : length;
 }
 
 /* libcurl gives bytes of the answer's body. */
@@ -233,7 +234,7 @@
     if (transfer->handlers.on_data != NULL) {
         transfer->handlers.on_data(transfer->data, bytes, size * count);
     }
-    return size * count;
+    return transfer->doomed ? 0 : size * count;
 }
 
 /* Sets what is the same for every transfer; see the top of this file. */
@@ -682,14 +683,24 @@
     return handle;
 }
 
-/* Has the loop end a call with CANCELLED, unless it is over.  The connection
- * is closed, which tells the other end.  Any thread, also a handler. */
+/*
+ * Has the loop end a call with CANCELLED, unless it is over.  The connection
+ * is closed, which tells the other end.  Any thread, also a handler: then the
+ * rest of the answer is not even read.  If it were, an answer that had come
+ * whole would end well before the loop took the cancel, and its connection
+ * would serve the next call, with whatever it still holds: after one answer
+ * that came twice, every later call on it got the one before its own.
+ */
 void
 ch_http_cancel(struct ch_http *http, uint64_t handle)
 {
     pthread_mutex_lock(&http->lock);
     g_array_append_val(http->cancelled, handle);
+    struct transfer *transfer = ch_table_get(http->transfers, handle);
     pthread_mutex_unlock(&http->lock);
+    if (transfer != NULL && pthread_equal(pthread_self(), http->thread)) {
+        transfer->doomed = true;
+    }
     curl_multi_wakeup(http->multi);
 }
 
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -87,30 +87,6 @@
     course->id_missing = true;
 }
 
-/* Notes the headers that matter here. */
-static void
-header_came(void *data, const char *name, const char *value)
-{
-    struct course *course = data;
-    if (strcasecmp(name, "X-Request-Id") == 0) {
-        course->id_missing = false;
-        course->id_matches = strcmp(value, course->request_id) == 0;
-    }
-    else if (strcasecmp(name, "X-Not-Run") == 0) {
-        course->not_run = strcmp(value, "1") == 0;
-    }
-    else if (strcasecmp(name, "Content-Type") == 0) {
-        g_free(course->content_type);
-        course->content_type = g_strdup(value);
-    }
-    else if (strcasecmp(name, "Content-Length") == 0) {
-        course->framed = true;
-    }
-    else if (strcasecmp(name, "Transfer-Encoding") == 0) {
-        course->framed = strcasecmp(value, "chunked") == 0;
-    }
-}
-
 /* True for an answer that says by itself that the request was not run. */
 static bool
 is_refusal(const struct course *course)
@@ -222,6 +198,35 @@
     }
 }
 
+/* Notes the headers that matter here.  An answer to another request is given
+ * up at once, so that its connection serves no further call. */
+static void
+header_came(void *data, const char *name, const char *value)
+{
+    struct course *course = data;
+    if (strcasecmp(name, "X-Request-Id") == 0) {
+        course->id_missing = false;
+        course->id_matches = strcmp(value, course->request_id) == 0;
+        if (!course->id_matches && !course->judged) {
+            judge_head(course);
+            give_up(course);
+        }
+    }
+    else if (strcasecmp(name, "X-Not-Run") == 0) {
+        course->not_run = strcmp(value, "1") == 0;
+    }
+    else if (strcasecmp(name, "Content-Type") == 0) {
+        g_free(course->content_type);
+        course->content_type = g_strdup(value);
+    }
+    else if (strcasecmp(name, "Content-Length") == 0) {
+        course->framed = true;
+    }
+    else if (strcasecmp(name, "Transfer-Encoding") == 0) {
+        course->framed = strcasecmp(value, "chunked") == 0;
+    }
+}
+
 /* Takes bytes of the body.  The end mark ends a stream at once: an upstream
  * that then leaves the connection open must not keep the caller waiting. */
 static void
