--- a/cli/config.c
+++ b/cli/config.c
@@ -6,10 +6,14 @@
 #include <stdio.h>
 #include <string.h>
 
+enum {
+    NO_BASE = -1,
+};
+
 struct options {
     char **nodes;
     char *author;
-    gint64 base; /* -1: the revision in force */
+    gint64 base; /* NO_BASE: the revision in force */
     char **rest; /* what is left: the verb and its file */
 };
 
@@ -221,7 +225,7 @@
         return CLI_AWAY;
     }
     uint64_t base =
-        options->base < 0 ? config.revision : (uint64_t)options->base;
+        options->base == NO_BASE ? config.revision : (uint64_t)options->base;
     bool same =
         config.revision != 0 && strcmp(config.text, declaration->text) == 0;
     if (same) {
@@ -322,6 +326,10 @@
         complain(reason->message);
         g_error_free(reason);
     }
+    else if (options->base < NO_BASE) {
+        complain("--base: not a revision (0 for none)");
+        fine = false;
+    }
     g_option_context_free(context);
     return fine;
 }
@@ -330,7 +338,7 @@
 int
 cli_config(int argc, char **argv)
 {
-    struct options options = {.base = -1};
+    struct options options = {.base = NO_BASE};
     int status = CLI_BAD_INPUT;
     if (parse_options(argc, argv, &options)) {
         if (options.author == NULL) {
--- a/tests/failure/test_command.c
+++ b/tests/failure/test_command.c
@@ -261,6 +261,7 @@
     {{"config", "show"}, 2, "--node IP:PORT is missing"},
     {{"config", "show", "--node", "here"}, 2, "'here' is not ip:port"},
     {{"config", "show", "--weight", "1"}, 2, "--weight"},
+    {{"config", "show", "--base", "-2"}, 2, "--base: not a revision"},
     {{"config", "show", "--node", "127.0.0.1:1"}, 4, "127.0.0.1:1"},
     {{"status", "--node", "127.0.0.1:1"}, 4, "127.0.0.1:1"},
     {{"status", "extra"}, 2, "status takes no 'extra'"},
