--- a/cli/main.c
+++ b/cli/main.c
@@ -2,6 +2,7 @@
 
 #include "cli.h"
 
+#include <locale.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -30,9 +31,21 @@
     (void)fprintf(out, "\n`chestnuthitch COMMAND --help` tells more.\n");
 }
 
+/* Runs a subcommand under its full name, which its --help shows. */
+static int
+run_command(const struct command *command, int argc, char **argv)
+{
+    char *name = g_strconcat("chestnuthitch ", command->name, NULL);
+    g_set_prgname(name);
+    g_free(name);
+    return command->run(argc, argv);
+}
+
 int
 main(int argc, char **argv)
 {
+    /* Characters alone: numbers are read and written the same everywhere. */
+    (void)setlocale(LC_CTYPE, "");
     if (argc < 2) {
         print_usage(stderr);
         return CLI_BAD_INPUT;
@@ -47,7 +60,7 @@
     }
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
         if (strcmp(argv[1], commands[i].name) == 0) {
-            return commands[i].run(argc - 1, argv + 1);
+            return run_command(&commands[i], argc - 1, argv + 1);
         }
     }
     (void)fprintf(stderr, "chestnuthitch: no command '%s'\n", argv[1]);
