--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -191,6 +191,12 @@
     notify(world);
 }
 
+bool
+ch_homes_ready(struct ch_homes *homes)
+{
+    return homes->world != NULL;
+}
+
 /* ---- once records and configuration ---- */
 
 struct once_job {
