--- a/libchestnuthitch/node/home_side.c
+++ b/libchestnuthitch/node/home_side.c
@@ -866,12 +866,21 @@
     effects_run(homes, &effects);
 }
 
-/* An order will not be done. */
+/*
+ * An order will not be done.  That the ledger holds the item already is no
+ * failure: a home that has just opened wants a model before its first read of
+ * the ledger, which told it since how the item stands.  Taken for a failure it
+ * blocked all loads for a second and refused what waited, at each change of
+ * home.
+ */
 static void
 ledger_failed(void *data, GQuark name, GQuark item, enum ch_action_kind kind,
               enum ch_code code)
 {
     struct ch_homes *homes = data;
+    if (code == CH_DUPLICATE) {
+        return;
+    }
     struct effects effects;
     effects_init(&effects);
     ch_log(homes->node->client, CH_LOG_NOTICE, "order-failed",
