Ask a key-value service that was away once a second for each slot

Cause: the pause between tries of a slot doubled up to 4 s, so that orders were still refused up to 4 s after the service was back (test_kv down: 773 of 1298 answers refused, orders without service for 3766 ms of a 3000 ms outage, not recovered 1500 ms after it). Ruled out: the service's own time-out. Now 1 s at most: 64 slots ask 64 times a second while it is away.

--- a/libchestnuthitch/decide/once_slot.c
+++ b/libchestnuthitch/decide/once_slot.c
@@ -6,9 +6,13 @@
 #include <string.h>
 
 enum {
-    /* While the service is away: one try after each pause. */
+    /* While the service is away: one try after each pause.  Non-idempotent
+     * work is refused until a try succeeds, so the longest pause is the time
+     * that callers lose after the service is back; a try a second for each of
+     * 64 slots is a fifth of what the service may be asked, whatever the
+     * number of nodes. */
     FIRST_PAUSE = 250 * 1000,
-    MOST_PAUSE = 4 * 1000 * 1000,
+    MOST_PAUSE = 1000 * 1000,
     /* Completions that wait for the service; the oldest go first, and their
        keys stay in doubt. */
     MOST_WAITING = 4096,
