Accept callers' connections in a thread of its own; test the upstream clients

Cause: a run of the tests ended in 'Failed to remove listen FD from epoll set' and an abort: MHD_quiesce_daemon (0.9.75, epoll, a pool of threads) removes the listening socket from each thread's set while that thread may do the same, and the library ends the process over it, in the middle of a graceful stop. Ruled out: the sanitizer (the abort is the library's own), our close of the socket (it came after the threads were joined). Change: the node accepts by itself and hands connections to the library; what has connected before the stop is still taken in. A stop no longer waits without end for a caller that sends its request byte by byte. A deadline that passes before the once record is known is 'unknown' and not 'not-run': an earlier try with the key may have run. Tests: a table of answers that are cut, crossed or without their mark for the clients of engines and services.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -342,6 +342,9 @@
         }
         return false;
     }
+    /* What an earlier try with this key did is not known yet. */
+    exchange->may_have_run =
+        exchange->may_have_run || exchange->step == CH_STEP_ONCE;
     ch_exchange_tell_failure(exchange, code, message, 0);
     if (exchange->step == CH_STEP_HOME) {
         return withdraw(exchange);
@@ -433,6 +436,7 @@
     bool over = false;
     pthread_mutex_lock(&exchange->lock);
     if (answer->state == CH_ONCE_CREATED) {
+        exchange->may_have_run = false;
         exchange->once_created = true;
         exchange->once_attempt = answer->attempt;
         exchange->step = CH_STEP_HOME;
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -16,16 +16,6 @@
     MOST_FIRST_BYTE = 600 * G_USEC_PER_SEC,
 };
 
-/* True for the head of a stream that was asked for. */
-static bool
-is_stream_head(const struct ch_exchange *exchange)
-{
-    return exchange->request->stream && exchange->status == 200 &&
-           exchange->content_type != NULL &&
-           g_ascii_strncasecmp(exchange->content_type, "text/event-stream",
-                               17) == 0;
-}
-
 /* The head of an answer that is ours. */
 static void
 call_head(void *data, int status, const char *content_type)
@@ -35,7 +25,8 @@
     exchange->status = status;
     g_free(exchange->content_type);
     exchange->content_type = g_strdup(content_type);
-    exchange->is_stream = is_stream_head(exchange);
+    exchange->is_stream =
+        ch_call_is_stream(exchange->request->stream, status, content_type);
     pthread_mutex_unlock(&exchange->lock);
 }
 
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -3,23 +3,26 @@
  * the good ones on.  What is bad, too large or too late is answered here.
  */
 
+#include "base/annotate.h"
 #include "node/exchange.h"
 #include "node/hangup.h"
 #include "node/intake.h"
+#include "node/listener.h"
 #include "node/local.h"
 #include "node/refusal.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
+#include <time.h>
 
 enum {
     /* A connection on which nothing moves, as with a caller that never ends
      * its request or never reads its answer.  Those that wait for an answer
      * are not counted. */
     IDLE_SECONDS = 30,
+    /* How long a stop waits for requests that have begun to come in. */
+    INCOMING_SECONDS = 5,
     MOST_LISTENER_THREADS = 4,
     STOPPING_RETRY_AFTER = 1000 * 1000,
 };
@@ -194,15 +197,29 @@
 request_begun(void *data, const char *uri, struct MHD_Connection *connection)
 {
     struct ch_front *front = data;
+    CH_ACQUIRE(&front->listener); /* see take_connection() */
     char id[CH_REPLY_ID];
     uint64_t number = ch_front_new_id(front, id);
     struct ch_intake *intake = ch_intake_new(connection, uri, id, number);
     pthread_mutex_lock(&front->lock);
-    front->open++;
+    front->incoming++;
     pthread_mutex_unlock(&front->lock);
     return intake;
 }
 
+/* The whole request has come, or is answered before that: from here on the
+ * node stops only after it was answered. */
+static void
+accept_intake(struct ch_front *front, struct ch_intake *intake)
+{
+    intake->complete = true;
+    pthread_mutex_lock(&front->lock);
+    front->incoming--;
+    front->accepted++;
+    pthread_cond_broadcast(&front->quiet);
+    pthread_mutex_unlock(&front->lock);
+}
+
 /* The library's handler: once for the head, for each part of the body, for the
  * end of the request, and after each resume. */
 static enum MHD_Result
@@ -222,7 +239,7 @@
         if (ch_intake_head(intake, connection, method, settings, &fault)) {
             return MHD_YES;
         }
-        intake->complete = true;
+        accept_intake(front, intake);
         refuse(front, intake->reply, &fault, 0);
         return ch_reply_serve(intake->reply, stopping);
     }
@@ -233,7 +250,7 @@
         return good ? MHD_YES : MHD_NO;
     }
     if (!intake->complete) {
-        intake->complete = true;
+        accept_intake(front, intake);
         struct ch_fault fault = {.error.code = CH_OK};
         if (ch_intake_check(intake, settings->max_body, &fault)) {
             take_intake(front, intake, refusing);
@@ -268,11 +285,13 @@
                CH_F_INT("code", CH_BODY_TRUNCATED), CH_F_INT("why", (int)why),
                CH_F_END);
     }
+    bool complete = intake->complete;
     ch_reply_detach(intake->reply);
     ch_intake_free(intake);
     *request = NULL;
     pthread_mutex_lock(&front->lock);
-    front->open--;
+    front->accepted -= complete;
+    front->incoming -= !complete;
     pthread_cond_broadcast(&front->quiet);
     pthread_mutex_unlock(&front->lock);
 }
@@ -310,46 +329,42 @@
 
 /* ---- start and stop ---- */
 
-/* "ip:port" as a socket address; false with *error. */
-static bool
-parse_address(const char *text, struct sockaddr_in *address,
-              struct ch_error *error)
+/* Gives a new connection to the library, which closes it when there are too
+ * many. */
+static void
+take_connection(void *data, int fd, const struct sockaddr_in *from)
 {
-    if (!ch_address_check(text, error)) {
-        return false;
+    struct ch_front *front = data;
+    CH_RELEASE(&front->listener); /* the library's lock hands fd on */
+    if (MHD_add_connection(front->daemon, fd, (const struct sockaddr *)from,
+                           sizeof(*from)) != MHD_YES) {
+        ch_log(front->node->client, CH_LOG_WARNING, "connection refused",
+               CH_F_INT("connections", front->node->settings->max_connections),
+               CH_F_END);
     }
-    const char *colon = strrchr(text, ':');
-    char *host = g_strndup(text, (size_t)(colon - text));
-    *address = (struct sockaddr_in){
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)),
-    };
-    inet_pton(AF_INET, host, &address->sin_addr);
-    g_free(host);
-    return true;
 }
 
 /* Starts the library's threads.  Its memory for a connection bounds the head
  * of a request even before this node can look at it. */
 static struct MHD_Daemon *
-start_daemon(struct ch_front *front, const struct sockaddr_in *address)
+start_daemon(struct ch_front *front)
 {
     const struct ch_settings *settings = front->node->settings;
     unsigned threads = CLAMP(settings->workers, 1, MOST_LISTENER_THREADS);
     threads = MIN(threads, MAX(settings->max_connections, 1));
     return MHD_start_daemon(
         MHD_USE_EPOLL | MHD_USE_INTERNAL_POLLING_THREAD |
-            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
+            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET |
+            MHD_USE_ERROR_LOG,
         0, NULL, NULL, handle, front, MHD_OPTION_EXTERNAL_LOGGER, library_log,
-        front, MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_URI_LOG_CALLBACK,
-        request_begun, front, MHD_OPTION_NOTIFY_COMPLETED, request_over, front,
+        front, MHD_OPTION_URI_LOG_CALLBACK, request_begun, front,
+        MHD_OPTION_NOTIFY_COMPLETED, request_over, front,
         MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         settings->max_headers + CH_INTAKE_MEMORY,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_SECONDS,
         MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT,
-        1, MHD_OPTION_END);
+        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
 
 /* Starts listening for callers.  The node's other parts are to be there, but
@@ -357,10 +372,6 @@
 struct ch_front *
 ch_front_new(struct ch_node *node, struct ch_error *error)
 {
-    struct sockaddr_in address;
-    if (!parse_address(node->settings->callers, &address, error)) {
-        return NULL;
-    }
     struct ch_front *front = g_new0(struct ch_front, 1);
     front->node = node;
     front->id_start =
@@ -370,27 +381,42 @@
     pthread_cond_init(&front->quiet, NULL);
     ch_retry_budget_init(&front->retries, node->settings->retry_share);
     front->hangups = ch_hangups_new(caller_hung_up, front);
-    front->daemon = start_daemon(front, &address);
+    front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
-        ch_error_set(error, CH_SYSTEM, "cannot listen on %s: %s",
-                     node->settings->callers, g_strerror(errno));
+        ch_error_set(error, CH_SYSTEM, "cannot serve HTTP: %s",
+                     g_strerror(errno));
+        ch_front_free(front);
+        return NULL;
+    }
+    front->listener = ch_listener_new(node->settings->callers, take_connection,
+                                      front, error);
+    if (front->listener == NULL) {
         ch_front_free(front);
         return NULL;
     }
-    const union MHD_DaemonInfo *bound =
-        MHD_get_daemon_info(front->daemon, MHD_DAEMON_INFO_BIND_PORT);
     ch_log(node->client, CH_LOG_NOTICE, "listening for callers",
            CH_F_STR("address", node->settings->callers),
-           CH_F_INT("port", bound == NULL ? 0 : bound->port), CH_F_END);
+           CH_F_INT("port", ch_listener_port(front->listener)), CH_F_END);
     return front;
 }
 
-/* Waits until no request is open and no course is under way. */
+/*
+ * Waits until everything accepted is answered.  Requests that are still coming
+ * in are given a while: a caller that sends a byte now and then must not keep
+ * the node from stopping.
+ */
 static void
 wait_quiet(struct ch_front *front)
 {
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_sec += INCOMING_SECONDS;
     pthread_mutex_lock(&front->lock);
-    while (front->open > 0 || front->exchanges > 0) {
+    int error = 0;
+    while (front->incoming > 0 && error == 0) {
+        error = pthread_cond_timedwait(&front->quiet, &front->lock, &until);
+    }
+    while (front->accepted > 0 || front->exchanges > 0) {
         pthread_cond_wait(&front->quiet, &front->lock);
     }
     pthread_mutex_unlock(&front->lock);
@@ -414,13 +440,11 @@
     front->refusing = true;
     pthread_mutex_unlock(&front->lock);
     wait_quiet(front);
-    int listener = MHD_quiesce_daemon(front->daemon);
+    ch_listener_free(front->listener);
+    front->listener = NULL;
     wait_quiet(front);
     MHD_stop_daemon(front->daemon);
     front->daemon = NULL;
-    if (listener >= 0) {
-        close(listener);
-    }
 }
 
 /* Frees the front; stops it at once when ch_front_stop() was not called. */
@@ -430,6 +454,7 @@
     if (front == NULL) {
         return;
     }
+    ch_listener_free(front->listener);
     if (front->daemon != NULL) {
         MHD_stop_daemon(front->daemon);
     }
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -11,16 +11,19 @@
 #include <pthread.h>
 
 struct ch_hangups;
+struct ch_listener;
 
 struct ch_front {
     struct ch_node *node;
+    struct ch_listener *listener; /* NULL once it is closed */
     struct MHD_Daemon *daemon;
     struct ch_hangups *hangups;
     uint64_t id_start; /* differs between nodes and between their starts */
     pthread_mutex_t lock;
-    pthread_cond_t quiet;           /* open or exchanges went down to 0 */
+    pthread_cond_t quiet;           /* a count went down */
     struct ch_table *replies;       /* those whose callers are watched */
-    size_t open;                    /* requests begun and not yet answered */
+    size_t incoming;                /* requests begun and not yet whole */
+    size_t accepted;                /* whole and not yet answered */
     size_t exchanges;               /* courses not yet over */
     uint64_t last_id;               /* of requests */
     struct ch_retry_budget retries; /* one for the node */
--- /dev/null
+++ b/libchestnuthitch/node/listener.c
@@ -0,0 +1,162 @@
+/* One thread that accepts connections, until it is told to stop. */
+
+#include "node/listener.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    BACKLOG = 1024,
+    /* Out of descriptors or memory: until some connection closes. */
+    PAUSE_US = 10 * 1000,
+};
+
+struct ch_listener {
+    int fd;
+    int stop; /* an eventfd */
+    int port;
+    pthread_t thread;
+    void (*accepted)(void *data, int fd, const struct sockaddr_in *from);
+    void *data;
+};
+
+/* Accepts what has connected so far. */
+static void
+accept_all(struct ch_listener *listener)
+{
+    for (;;) {
+        struct sockaddr_in from;
+        socklen_t length = sizeof(from);
+        int fd = accept4(listener->fd, (struct sockaddr *)&from, &length,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0) {
+            listener->accepted(listener->data, fd, &from);
+            continue;
+        }
+        if (errno == ECONNABORTED || errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            g_usleep(PAUSE_US);
+        }
+        return;
+    }
+}
+
+/* Accepts until the stop.  What connected before it is still taken in: the
+ * kernel would reset it, and its caller would not be told why. */
+static void *
+run_listener(void *data)
+{
+    struct ch_listener *listener = data;
+    struct pollfd sets[2] = {
+        {.fd = listener->fd, .events = POLLIN},
+        {.fd = listener->stop, .events = POLLIN},
+    };
+    while ((sets[1].revents & POLLIN) == 0) {
+        if (poll(sets, G_N_ELEMENTS(sets), -1) < 0) {
+            continue;
+        }
+        accept_all(listener);
+    }
+    return NULL;
+}
+
+/* "ip:port" as a socket address; false with *error. */
+static bool
+parse_address(const char *text, struct sockaddr_in *address,
+              struct ch_error *error)
+{
+    if (!ch_address_check(text, error)) {
+        return false;
+    }
+    const char *colon = strrchr(text, ':');
+    char *host = g_strndup(text, (size_t)(colon - text));
+    *address = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)),
+    };
+    inet_pton(AF_INET, host, &address->sin_addr);
+    g_free(host);
+    return true;
+}
+
+/* A socket that listens; -1 with errno.  The address may be one that an
+ * earlier process has just left. */
+static int
+listen_on(struct sockaddr_in *address)
+{
+    const int yes = 1;
+    socklen_t length = sizeof(*address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    if (bind(fd, (struct sockaddr *)address, length) != 0 ||
+        listen(fd, BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)address, &length) != 0) {
+        int cause = errno;
+        close(fd);
+        errno = cause;
+        return -1;
+    }
+    return fd;
+}
+
+/* Listens and starts the thread; NULL with *error. */
+struct ch_listener *
+ch_listener_new(const char *address,
+                void (*accepted)(void *data, int fd,
+                                 const struct sockaddr_in *from),
+                void *data, struct ch_error *error)
+{
+    struct sockaddr_in bound;
+    if (!parse_address(address, &bound, error)) {
+        return NULL;
+    }
+    int fd = listen_on(&bound);
+    if (fd < 0) {
+        ch_error_set(error, CH_SYSTEM, "cannot listen on %s: %s", address,
+                     g_strerror(errno));
+        return NULL;
+    }
+    struct ch_listener *listener = g_new0(struct ch_listener, 1);
+    listener->fd = fd;
+    listener->stop = eventfd(0, EFD_CLOEXEC);
+    listener->port = ntohs(bound.sin_port);
+    listener->accepted = accepted;
+    listener->data = data;
+    if (pthread_create(&listener->thread, NULL, run_listener, listener) != 0) {
+        g_error("no thread to listen on %s", address);
+    }
+    return listener;
+}
+
+/* The port that callers connect to. */
+int
+ch_listener_port(const struct ch_listener *listener)
+{
+    return listener->port;
+}
+
+/* Stops listening. */
+void
+ch_listener_free(struct ch_listener *listener)
+{
+    if (listener == NULL) {
+        return;
+    }
+    eventfd_write(listener->stop, 1);
+    pthread_join(listener->thread, NULL);
+    close(listener->stop);
+    close(listener->fd);
+    g_free(listener);
+}
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -114,6 +114,15 @@
     }
 }
 
+/* See upstream.h. */
+bool
+ch_call_is_stream(bool asked, int status, const char *content_type)
+{
+    static const char type[] = "text/event-stream";
+    return asked && status == 200 && content_type != NULL &&
+           g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
+}
+
 /* Looks at the whole head, once; passes it on when the answer is ours. */
 static void
 judge_head(struct course *course)
@@ -126,10 +135,8 @@
     if (course->failure != CH_OK) {
         return;
     }
-    course->is_stream = course->stream_asked && course->status == 200 &&
-                        course->content_type != NULL &&
-                        g_ascii_strncasecmp(course->content_type,
-                                            "text/event-stream", 17) == 0;
+    course->is_stream = ch_call_is_stream(course->stream_asked, course->status,
+                                          course->content_type);
     course->handlers.on_head(course->data, course->status,
                              course->content_type);
 }
@@ -185,15 +192,16 @@
     course->handlers.on_end(course->data, &told);
 }
 
-/* Ends the call at once for its owner and closes the connection, for an answer
- * of which the rest is of no use.  What still comes is dropped. */
+/* Ends the call at once for its owner, for an answer of which the rest is of
+ * no use, and closes the connection; but a refusal is short, and its
+ * connection is good for the next call.  What still comes is dropped. */
 static void
 give_up(struct course *course)
 {
     const struct ch_http_end end = {.code = CH_OK, .sent = true};
     tell_end(course, &end);
     uint64_t handle = ck_pr_load_64(&course->handle);
-    if (handle != 0) {
+    if (handle != 0 && course->failure != CH_UPSTREAM_REFUSED) {
         ch_http_cancel(course->http, handle);
     }
 }
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -47,6 +47,10 @@
     void (*on_end)(void *data, const struct ch_call_end *end);
 };
 
+/* True for the head of a stream that was asked for; any other answer to such a
+   call is a plain one (call.c). */
+bool ch_call_is_stream(bool asked, int status, const char *content_type);
+
 /* ---- orders and reports of an engine ---- */
 
 enum ch_order_action {
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -4,6 +4,7 @@
  */
 
 #include "node/front.h"
+#include "node/listener.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -85,8 +86,8 @@
     unsigned freed;    /* as not run */
     unsigned excluded; /* upstreams that the last request left out */
     unsigned resumed_from;
-    struct ch_homes_handlers waiting;
-    void *waiting_data;
+    bool once_waits; /* the record's answer is held back */
+    struct once_job *once_job;
     struct held_call *held;
     int port;
 };
@@ -156,8 +157,6 @@
     unsigned number = world->asked++;
     enum home_act act = world->home_acts[MIN(number, MOST_TRIES - 1)];
     world->excluded = excluded == NULL ? 0 : excluded->len;
-    world->waiting = *handlers;
-    world->waiting_data = data;
     g_assert_cmpuint(work->attempt, ==, number);
     notify(world);
     if (act != HOLDS_BACK) {
@@ -231,11 +230,15 @@
     g_assert_cmpstr(key, ==, "k1");
     g_assert_cmpuint(fingerprint, !=, 0);
     pthread_mutex_lock(&world->lock);
-    world->begun++;
-    notify(world);
     struct once_job *job = g_new0(struct once_job, 1);
     *job = (struct once_job){.world = world, .begun = done, .data = data};
-    ch_pool_submit(world->node.pool, run_once, job);
+    world->begun++;
+    world->once_job = job;
+    bool waits = world->once_waits;
+    notify(world);
+    if (!waits) {
+        ch_pool_submit(world->node.pool, run_once, job);
+    }
 }
 
 void
@@ -435,23 +438,6 @@
                                        "idempotent = false\n"
                                        "callers = llanelli\n";
 
-/* A port that was free just now. */
-static int
-free_port(void)
-{
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)), ==,
-                    0);
-    getsockname(fd, (struct sockaddr *)&address, &length);
-    close(fd);
-    return ntohs(address.sin_port);
-}
-
 static struct world *
 world_new(void)
 {
@@ -465,10 +451,9 @@
     ch_client_init(&world->client, "n1");
     world->client.log_write = no_log;
     world->client.metrics = ch_metrics_new();
-    world->port = free_port();
     world->settings = (struct ch_settings){
         .name = (char *)"n1",
-        .callers = g_strdup_printf("127.0.0.1:%d", world->port),
+        .callers = (char *)"127.0.0.1:0",
         .workers = 2,
         .max_body = 4096,
         .max_headers = 2048,
@@ -510,6 +495,7 @@
     node->config = &world->config_keeper;
     node->front = ch_front_new(node, &error);
     g_assert_cmpstr(error.message, ==, "");
+    world->port = ch_listener_port(node->front->listener);
 }
 
 /* Stops as a node does.  Threads are joined: the counters may be read. */
@@ -539,7 +525,6 @@
     ch_metrics_free(world->client.metrics);
     pthread_mutex_destroy(&world->lock);
     pthread_cond_destroy(&world->changed);
-    g_free(world->settings.callers);
     g_free(world);
 }
 
@@ -965,6 +950,31 @@
     world_free(world);
 }
 
+/*
+ * An order whose record can't be had in time: the key-value service is slow.
+ * Nothing was sent, but an earlier try with the key may have run, so that the
+ * caller is not told "not-run".  The record that comes late is given back.
+ */
+static void
+test_once_late(void)
+{
+    struct world *world = world_new();
+    world->once_waits = true;
+    world_start(world);
+    char *answer =
+        hear(ask_for(world, ORDER, "Chestnuthitch-Deadline-Ms: 60\r\n"));
+    check_answer(answer, "HTTP/1.1 504|" UNKNOWN "|\"code\":308");
+    g_free(answer);
+    pthread_mutex_lock(&world->lock);
+    struct once_job *job = world->once_job;
+    pthread_mutex_unlock(&world->lock);
+    ch_pool_submit(world->node.pool, run_once, job);
+    wait_for(world, &world->freed, 1);
+    world_stop(world);
+    g_assert_cmpuint(world->asked, ==, 0);
+    world_free(world);
+}
+
 /* ---- requests that go no further ---- */
 
 struct bounds_case {
@@ -1136,6 +1146,7 @@
     ADD_TABLE("/exchange/once/", once_cases, test_once)
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
+    g_test_add_func("/exchange/once late", test_once_late);
     g_test_add_func("/exchange/truncated", test_truncated);
     g_test_add_func("/exchange/not ready", test_not_ready);
     g_test_add_func("/exchange/stop", test_stop);
--- /dev/null
+++ b/tests/threaded/test_upstream.c
@@ -0,0 +1,477 @@
+/* The clients of engines and services against answers that are not what they
+ * should be. */
+
+#include "upstream/upstream.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    PATIENCE_S = 20,
+    LIMIT = 300 * 1000,
+};
+
+/* Answers one connection after another with the same bytes, and closes; or
+ * leaves the last one open. */
+struct server {
+    int listener;
+    int port;
+    pthread_t thread;
+    const char *answer;
+    bool stays_open;
+    GString *request; /* the last one */
+    int open;
+};
+
+/* Reads up to the end of the head and of a stated body. */
+static void
+read_request(struct server *server, int fd)
+{
+    char bytes[4096];
+    g_string_truncate(server->request, 0);
+    for (;;) {
+        const char *end = strstr(server->request->str, "\r\n\r\n");
+        const char *field = strstr(server->request->str, "Content-Length: ");
+        size_t body = field == NULL ? 0 : strtoul(field + 16, NULL, 10);
+        if (end != NULL &&
+            server->request->len >=
+                (size_t)(end + 4 - server->request->str) + body) {
+            return;
+        }
+        ssize_t got = recv(fd, bytes, sizeof(bytes), 0);
+        if (got <= 0) {
+            return;
+        }
+        g_string_append_len(server->request, bytes, got);
+    }
+}
+
+static void *
+run_server(void *data)
+{
+    struct server *server = data;
+    for (;;) {
+        int fd = accept(server->listener, NULL, NULL);
+        if (fd < 0) {
+            return NULL;
+        }
+        read_request(server, fd);
+        ssize_t sent =
+            send(fd, server->answer, strlen(server->answer), MSG_NOSIGNAL);
+        (void)sent;
+        if (server->stays_open) {
+            server->open = fd;
+        }
+        else {
+            close(fd);
+        }
+    }
+}
+
+static void
+server_start(struct server *server, const char *answer, bool stays_open)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t length = sizeof(address);
+    *server = (struct server){
+        .listener = socket(AF_INET, SOCK_STREAM, 0),
+        .answer = answer,
+        .stays_open = stays_open,
+        .request = g_string_new(NULL),
+        .open = -1,
+    };
+    g_assert_cmpint(
+        bind(server->listener, (struct sockaddr *)&address, sizeof(address)),
+        ==, 0);
+    g_assert_cmpint(listen(server->listener, 8), ==, 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &length);
+    server->port = ntohs(address.sin_port);
+    pthread_create(&server->thread, NULL, run_server, server);
+}
+
+/* Joins the server's thread: what it read may be looked at. */
+static void
+server_join(struct server *server)
+{
+    shutdown(server->listener, SHUT_RDWR);
+    pthread_join(server->thread, NULL);
+    close(server->listener);
+    if (server->open >= 0) {
+        close(server->open);
+    }
+}
+
+/* ---- what came of a call ---- */
+
+struct result {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    unsigned heads;
+    unsigned pieces;
+    unsigned ends;
+    GString *passed;
+    struct ch_call_end end;
+    enum ch_code code; /* of an order or a report */
+    uint32_t memory_mb;
+};
+
+static void
+result_init(struct result *result)
+{
+    *result = (struct result){.passed = g_string_new(NULL)};
+    pthread_mutex_init(&result->lock, NULL);
+    pthread_cond_init(&result->changed, NULL);
+}
+
+static void
+result_clear(struct result *result)
+{
+    g_string_free(result->passed, TRUE);
+    pthread_mutex_destroy(&result->lock);
+    pthread_cond_destroy(&result->changed);
+}
+
+static void
+result_end(struct result *result)
+{
+    pthread_mutex_lock(&result->lock);
+    result->ends++;
+    pthread_cond_broadcast(&result->changed);
+    pthread_mutex_unlock(&result->lock);
+}
+
+static void
+result_wait(struct result *result)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_sec += PATIENCE_S;
+    pthread_mutex_lock(&result->lock);
+    while (result->ends == 0) {
+        g_assert_cmpint(
+            pthread_cond_timedwait(&result->changed, &result->lock, &until),
+            ==, 0);
+    }
+    pthread_mutex_unlock(&result->lock);
+}
+
+static void
+on_head(void *data, int status, const char *content_type)
+{
+    struct result *result = data;
+    (void)content_type;
+    g_assert_cmpint(status, >, 0);
+    g_assert_cmpuint(result->ends, ==, 0);
+    result->heads++;
+}
+
+static void
+on_data(void *data, const char *bytes, size_t length)
+{
+    struct result *result = data;
+    g_assert_cmpuint(result->heads, ==, 1);
+    g_assert_cmpuint(result->ends, ==, 0);
+    result->pieces++;
+    g_string_append_len(result->passed, bytes, (gssize)length);
+}
+
+static void
+on_end(void *data, const struct ch_call_end *end)
+{
+    struct result *result = data;
+    result->end = *end;
+    result_end(result);
+}
+
+/* ---- calls ---- */
+
+struct call_case {
+    const char *name;
+    const char *answer;
+    bool service;
+    bool stream;
+    bool stays_open;
+    bool may_have_run;
+    enum ch_code code;
+    const char *passed;
+};
+
+#define HEAD_OF(status, id) "HTTP/1.1 " status " X\r\nX-Request-Id: " id "\r\n"
+#define OURS HEAD_OF("200", "r7")
+#define STREAM_OF(id)                                                         \
+    HEAD_OF("200", id)                                                        \
+    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+#define EVENT(id, text) "data: {\"id\":\"cmpl-" id "\",\"t\":\"" text "\"}\n\n"
+#define DONE "data: [DONE]\n\n"
+
+static const struct call_case call_cases[] = {
+    {"plain, whole", OURS "Content-Length: 2\r\n\r\nok", false, false, false,
+     true, CH_OK, "ok"},
+    {"plain, chunks",
+     OURS "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false,
+     false, false, true, CH_OK, "ok"},
+    {"plain, cut", OURS "Content-Length: 9\r\n\r\nok", false, false, false,
+     true, CH_UPSTREAM_CUT, "ok"},
+    {"plain, no end to be told", OURS "Connection: close\r\n\r\nok", false,
+     false, false, true, CH_UPSTREAM_CUT, "ok"},
+    {"plain, of another", HEAD_OF("200", "r8") "Content-Length: 2\r\n\r\nok",
+     false, false, false, true, CH_UPSTREAM_CROSSED, ""},
+    {"plain, without an id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+     false, false, false, true, CH_UPSTREAM_CROSSED, ""},
+    {"plain, silent midway", OURS "Content-Length: 9\r\n\r\nok", false, false,
+     true, true, CH_UPSTREAM_STALLED, "ok"},
+    {"error of the caller's",
+     HEAD_OF("400", "r7") "Content-Length: 2\r\n\r\nno", false, false, false,
+     true, CH_OK, "no"},
+    {"error of the engine's",
+     HEAD_OF("500", "r7") "Content-Length: 2\r\n\r\nno", false, false, false,
+     true, CH_UPSTREAM_ANSWER, ""},
+    {"error of the service's",
+     HEAD_OF("500", "r7") "Content-Length: 2\r\n\r\nno", true, false, false,
+     true, CH_OK, "no"},
+    {"refused",
+     HEAD_OF("503", "r7") "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", false,
+     false, false, false, CH_UPSTREAM_REFUSED, ""},
+    {"refused, no body",
+     HEAD_OF("429", "r7") "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true,
+     false, false, false, CH_UPSTREAM_REFUSED, ""},
+    {"refusal of another",
+     HEAD_OF("503", "r8") "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", false,
+     false, false, true, CH_UPSTREAM_CROSSED, ""},
+    {"503 that says nothing of it",
+     HEAD_OF("503", "r7") "Content-Length: 2\r\n\r\nno", false, false, false,
+     true, CH_UPSTREAM_ANSWER, ""},
+    {"200 that says it did not run",
+     OURS "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok", false, false, false,
+     true, CH_OK, "ok"},
+    {"nothing at all", "", false, false, false, true, CH_UPSTREAM_CUT, ""},
+    {"stream, whole", STREAM_OF("r7") EVENT("r7", "a") EVENT("r7", "b") DONE,
+     false, true, false, true, CH_OK, EVENT("r7", "a") EVENT("r7", "b")},
+    {"stream, whole but left open", STREAM_OF("r7") EVENT("r7", "a") DONE,
+     false, true, true, true, CH_OK, EVENT("r7", "a")},
+    {"stream, more after its end",
+     STREAM_OF("r7") EVENT("r7", "a") DONE EVENT("r7", "b"), false, true,
+     false, true, CH_OK, EVENT("r7", "a")},
+    {"stream, no end mark", STREAM_OF("r7") EVENT("r7", "a"), false, true,
+     false, true, CH_UPSTREAM_CUT, EVENT("r7", "a")},
+    {"stream, cut in an event", STREAM_OF("r7") EVENT("r7", "a") "data: {\"i",
+     false, true, false, true, CH_UPSTREAM_CUT, EVENT("r7", "a")},
+    {"stream, silent midway", STREAM_OF("r7") EVENT("r7", "a"), false, true,
+     true, true, CH_UPSTREAM_STALLED, EVENT("r7", "a")},
+    {"stream, of another", STREAM_OF("r8") EVENT("r8", "a") DONE, false, true,
+     false, true, CH_UPSTREAM_CROSSED, ""},
+    {"stream, an event of another",
+     STREAM_OF("r7") EVENT("r7", "a") EVENT("r8", "b") EVENT("r7", "c") DONE,
+     false, true, false, true, CH_UPSTREAM_CROSSED, EVENT("r7", "a")},
+    {"stream, an event without an id",
+     STREAM_OF("r7") "data: {\"t\":\"a\"}\n\n" DONE, false, true, false, true,
+     CH_UPSTREAM_CROSSED, ""},
+    {"stream asked for, plain error",
+     HEAD_OF("400", "r7") "Content-Length: 2\r\n\r\nno", false, true, false,
+     true, CH_OK, "no"},
+};
+
+/*
+ * An upstream's answer is cut, crossed with another's, or ends without its
+ * mark.  What is passed on is never more than what is surely this request's,
+ * and it is called whole only with the upstream's own end mark.
+ */
+static void
+test_call(gconstpointer data)
+{
+    const struct call_case *row = data;
+    struct ch_client client;
+    struct server server;
+    struct result result;
+    char address[32];
+    ch_client_init(&client, "test");
+    client.metrics = ch_metrics_new();
+    server_start(&server, row->answer, row->stays_open);
+    result_init(&result);
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", server.port);
+    struct ch_http *http = ch_http_new(&client);
+    struct ch_upstream *upstream =
+        row->service ? ch_upstream_service_new(&client, http, address, LIMIT)
+                     : ch_upstream_engine_new(&client, http, address, LIMIT);
+    static const struct ch_call_handlers handlers = {on_head, on_data, on_end};
+    const struct ch_call call = {
+        .request_id = "r7",
+        .method = "POST",
+        .path = "/v1/completions?a=b",
+        .content_type = "application/json",
+        .idempotency_key = "k 1",
+        .body = "{}",
+        .body_length = 2,
+        .stream = row->stream,
+        .resume_from = 3,
+        .priority = 2,
+        .connect_limit = LIMIT,
+        .first_byte_limit = LIMIT,
+        .stall_limit = LIMIT,
+    };
+    upstream->ops->call(upstream, &call, &handlers, &result);
+    upstream->ops->free(upstream); /* a call outlives its client */
+    result_wait(&result);
+    ch_http_free(http);
+    server_join(&server);
+    g_assert_cmpstr(ch_code_name(result.end.code), ==,
+                    ch_code_name(row->code));
+    g_assert_cmpint(result.end.may_have_run, ==, row->may_have_run);
+    g_assert_cmpstr(result.passed->str, ==, row->passed);
+    g_assert_cmpuint(result.ends, ==, 1);
+    g_assert_true(g_str_has_prefix(server.request->str,
+                                   "POST /v1/completions?a=b HTTP/1.1\r\n"));
+    static const char *const lines[] = {
+        "\r\nX-Request-Id: r7\r\n",  "\r\nX-Priority: 2\r\n",
+        "\r\nX-Resume-From: 3\r\n",  "\r\nIdempotency-Key: k 1\r\n",
+        "\r\nContent-Length: 2\r\n", "\r\nContent-Type: application/json\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        g_assert_nonnull(strstr(server.request->str, lines[i]));
+    }
+    g_assert_null(strstr(server.request->str, "Expect"));
+    g_string_free(server.request, TRUE);
+    result_clear(&result);
+    ch_metrics_free(client.metrics);
+}
+
+/* ---- orders and reports ---- */
+
+struct control_case {
+    const char *name;
+    const char *status;
+    const char *body; /* NULL: no answer at all */
+    bool order;
+    bool cut;
+    enum ch_code code;
+    uint32_t memory_mb;
+};
+
+#define REPORT(memory)                                                        \
+    "{\"boot\":\"b\",\"memory_mb\":" memory                                   \
+    ",\"resident\":[{\"name\":\"m01\",\"memory_mb\":5}],"                     \
+    "\"orders_done\":[\"a\"],\"running\":1,\"waiting\":0,\"leaving\":true}"
+
+static const struct control_case control_cases[] = {
+    {"order taken", "202", "", true, false, CH_OK, 0},
+    {"order's fence is old", "409", "", true, false, CH_STALE_FENCE, 0},
+    {"no memory", "507", "", true, false, CH_UPSTREAM_REFUSED, 0},
+    {"order, 500", "500", "", true, false, CH_UPSTREAM_ANSWER, 0},
+    {"order, no answer", "", NULL, true, false, CH_UPSTREAM_CUT, 0},
+    {"report", "200", REPORT("9000"), false, false, CH_OK, 9000},
+    {"report, cut", "200", REPORT("9000"), false, true, CH_UPSTREAM_CUT, 0},
+    {"report, not JSON", "200", "ok", false, false, CH_UPSTREAM_ANSWER, 0},
+    {"report, negative", "200", REPORT("-9"), false, false, CH_UPSTREAM_ANSWER,
+     0},
+    {"report, 500", "500", REPORT("9000"), false, false, CH_UPSTREAM_ANSWER,
+     0},
+};
+
+/* The answer of a row; a new string. */
+static char *
+print_answer(const struct control_case *row)
+{
+    if (row->body == NULL) {
+        return g_strdup("");
+    }
+    return g_strdup_printf("HTTP/1.1 %s X\r\nContent-Length: %zu\r\n\r\n%s",
+                           row->status, strlen(row->body) + row->cut,
+                           row->body);
+}
+
+static void
+order_done(void *data, enum ch_code code)
+{
+    struct result *result = data;
+    result->code = code;
+    result_end(result);
+}
+
+static void
+report_done(void *data, enum ch_code code, struct ch_report *report)
+{
+    struct result *result = data;
+    result->code = code;
+    if (report != NULL) {
+        result->memory_mb = report->memory_mb;
+        g_assert_cmpstr(report->boot, ==, "b");
+        g_assert_cmpuint(report->resident_count, ==, 1);
+        g_assert_cmpstr(report->resident[0].name, ==, "m01");
+        g_assert_cmpstr(report->orders_done[0], ==, "a");
+        g_assert_true(report->leaving);
+    }
+    ch_report_free(report);
+    result_end(result);
+}
+
+/* What an engine answers to an order or to the question for its report, and
+ * the code that its home gets. */
+static void
+test_control(gconstpointer data)
+{
+    const struct control_case *row = data;
+    struct ch_client client;
+    struct server server;
+    struct result result;
+    char address[32];
+    ch_client_init(&client, "test");
+    char *answer = print_answer(row);
+    server_start(&server, answer, false);
+    result_init(&result);
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", server.port);
+    struct ch_http *http = ch_http_new(&client);
+    struct ch_upstream *engine =
+        ch_upstream_engine_new(&client, http, address, LIMIT);
+    const struct ch_order order = {
+        .id = "o1",
+        .fence = 12,
+        .action = CH_ORDER_LOAD,
+        .model = "m01",
+        .adapter = "m01-a1",
+    };
+    if (row->order) {
+        engine->ops->order(engine, &order, order_done, &result);
+    }
+    else {
+        engine->ops->report(engine, report_done, &result);
+    }
+    result_wait(&result);
+    ch_http_free(http);
+    engine->ops->free(engine);
+    server_join(&server);
+    g_free(answer);
+    g_assert_cmpstr(ch_code_name(result.code), ==, ch_code_name(row->code));
+    g_assert_cmpuint(result.memory_mb, ==, row->memory_mb);
+    g_assert_nonnull(
+        strstr(server.request->str,
+               row->order ? "{\"id\":\"o1\",\"fence\":12,\"action\":\"load\","
+                            "\"model\":\"m01\",\"adapter\":\"m01-a1\"}"
+                          : "GET /v1/load HTTP/1.1"));
+    g_string_free(server.request, TRUE);
+    result_clear(&result);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(call_cases); i++) {
+        char *path = g_strconcat("/upstream/call/", call_cases[i].name, NULL);
+        g_test_add_data_func(path, &call_cases[i], test_call);
+        g_free(path);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(control_cases); i++) {
+        char *path =
+            g_strconcat("/upstream/control/", control_cases[i].name, NULL);
+        g_test_add_data_func(path, &control_cases[i], test_control);
+        g_free(path);
+    }
+    return g_test_run();
+}
