Notice a caller that closes while its request is still coming in

When the close comes together with the last bytes the HTTP library, edge-triggered and without EPOLLRDHUP, reads once and never sees it; the connection stays until the idle limit of 30 s. Ruled out: the missing notice of completion (it came at the idle limit). Change: callers are watched from the first line of their request; a request that was not answered and whose caller is gone is shut down.

--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -128,16 +128,6 @@
            CH_F_STR("outcome", ch_outcome_name(CH_NOT_RUN)), CH_F_END);
 }
 
-/* Watches the caller's socket until the library is done with the request. */
-static void
-watch_caller(struct ch_front *front, struct ch_intake *intake)
-{
-    pthread_mutex_lock(&front->lock);
-    intake->mark = ch_table_add(front->replies, intake->reply);
-    pthread_mutex_unlock(&front->lock);
-    ch_hangups_add(front->hangups, ch_reply_fd(intake->reply), intake->mark);
-}
-
 /* Parses a request by the configuration in force, and begins its course or
  * answers it. */
 static void
@@ -160,7 +150,6 @@
         return;
     }
     request->work.id = intake->number;
-    watch_caller(front, intake);
     ch_exchange_start(front, request, intake->reply);
 }
 
@@ -203,7 +192,9 @@
     struct ch_intake *intake = ch_intake_new(connection, uri, id, number);
     pthread_mutex_lock(&front->lock);
     front->incoming++;
+    intake->mark = ch_table_add(front->replies, intake->reply);
     pthread_mutex_unlock(&front->lock);
+    ch_hangups_add(front->hangups, ch_reply_fd(intake->reply), intake->mark);
     return intake;
 }
 
@@ -273,12 +264,10 @@
     if (intake == NULL) {
         return;
     }
-    if (intake->mark != 0) {
-        ch_hangups_remove(front->hangups, ch_reply_fd(intake->reply));
-        pthread_mutex_lock(&front->lock);
-        ch_table_remove(front->replies, intake->mark);
-        pthread_mutex_unlock(&front->lock);
-    }
+    ch_hangups_remove(front->hangups, ch_reply_fd(intake->reply));
+    pthread_mutex_lock(&front->lock);
+    ch_table_remove(front->replies, intake->mark);
+    pthread_mutex_unlock(&front->lock);
     if (!intake->complete) {
         ch_log(front->node->client, CH_LOG_INFO, "request cut short",
                CH_F_STR("request_id", ch_reply_id(intake->reply)),
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -21,7 +21,7 @@
     uint64_t id_start; /* differs between nodes and between their starts */
     pthread_mutex_t lock;
     pthread_cond_t quiet;           /* a count went down */
-    struct ch_table *replies;       /* those whose callers are watched */
+    struct ch_table *replies;       /* of the requests that are open */
     size_t incoming;                /* requests begun and not yet whole */
     size_t accepted;                /* whole and not yet answered */
     size_t exchanges;               /* courses not yet over */
--- a/libchestnuthitch/node/hangup.h
+++ b/libchestnuthitch/node/hangup.h
@@ -1,8 +1,10 @@
 #ifndef CH_NODE_HANGUP_H
 #define CH_NODE_HANGUP_H
 
-/* Notices callers that go away while they wait.  The HTTP library does not
- * look at a connection that is suspended. */
+/* Notices callers that go away.  The HTTP library does not look at a
+ * connection that is suspended, and when a caller's close comes together with
+ * its last bytes it misses the close, and waits for the rest of a request
+ * until its idle limit. */
 
 #include "base/base.h"
 
--- a/libchestnuthitch/node/intake.h
+++ b/libchestnuthitch/node/intake.h
@@ -24,7 +24,7 @@
 struct ch_intake {
     struct ch_reply *reply;
     uint64_t number; /* of the request, in this process */
-    uint64_t mark;   /* in the front's table; 0: not watched */
+    uint64_t mark;   /* in the front's table of watched callers */
     char *uri;
     char *method;
     char *headers[CH_INTAKE_HEADERS]; /* NULL: did not come */
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -344,13 +344,19 @@
     }
 }
 
-/* The caller's end closed: nothing can reach it, so the library may close. */
+/* The caller's end closed: nothing can reach it, so the library may close.  An
+ * answer that is on its way is left to it. */
 void
 ch_reply_hang_up(struct ch_reply *reply)
 {
     pthread_mutex_lock(&reply->lock);
-    reply->cut = true;
-    wake(reply);
+    if (reply->answered) {
+        reply->cut = true;
+        wake(reply);
+    }
+    else {
+        cut(reply);
+    }
     pthread_mutex_unlock(&reply->lock);
     tell_gone(reply);
 }
