Call a call that a handler cancelled cancelled, also to its home

Cause: a call that its own handler cancels ends inside libcurl as a write error, which was told as UPSTREAM_CUT; a slow caller's stream then counted against the engine at its home. Change: such a call ends as CANCELLED.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -354,6 +354,9 @@
 static enum ch_code
 code_of_result(const struct transfer *transfer, CURLcode result)
 {
+    if (transfer->doomed) {
+        return CH_CANCELLED;
+    }
     if (result == CURLE_OK) {
         return transfer->status == 0 ? CH_UPSTREAM_ANSWER : CH_OK;
     }
