Serve what an engine holds while a new home cannot read its ledger

Cause: a home that opened while the key-value service was away knew no model to be in memory until its ledger was read; with every node replaced in turn during an outage 1661 of 2569 answers were model calls refused as LATE, and there was no service for 4106 ms. Ruled out: the configuration (new nodes had it from their peers after 370 to 570 ms). Loads and unloads wait for the ledger as before.

--- a/libchestnuthitch/node/home_side.c
+++ b/libchestnuthitch/node/home_side.c
@@ -191,6 +191,75 @@
     view->leaving = view->leaving || upstream->leaving;
 }
 
+/* Tells a home that an item is in memory, of which the ledger has not told
+ * yet. */
+static void
+assume_resident(struct upstream *upstream, GQuark item, uint32_t memory_mb,
+                int64_t now, struct ch_actions *actions)
+{
+    g_array_append_val(upstream->items, item);
+    ch_home_set_item(upstream->home, item, CH_ITEM_RESIDENT, memory_mb, now,
+                     actions);
+}
+
+/*
+ * A home that has just opened takes what its predecessor told the fleet to be
+ * in memory as still there, until the ledger is read.  While the key-value
+ * service is away that may be an hour, in which the models are served all the
+ * same: to send a request needs no reservation.  An engine that has lost or
+ * unloads the model refuses the request before running it, and it is tried
+ * elsewhere.  Loads and unloads wait for the ledger as ever.
+ */
+static void
+assume_view(struct ch_homes *homes, struct upstream *upstream, int64_t now,
+            struct effects *effects)
+{
+    const struct ch_upstream_view *view = site_view(homes, upstream);
+    struct ch_actions actions = new_actions();
+    for (guint i = 0; view != NULL && i < view->resident->len; i++) {
+        GQuark item = g_array_index(view->resident, struct ch_item, i).name;
+        assume_resident(upstream, item, 0, now, &actions);
+    }
+    apply_actions(homes, upstream, &actions, now, effects);
+}
+
+/* Whether an item is among items. */
+static bool
+has_item(const GArray *items, GQuark item)
+{
+    for (guint i = 0; i < items->len; i++) {
+        if (g_array_index(items, GQuark, i) == item) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* As above, from the engine's own report: it overrides what was told. */
+static void
+assume_report(struct upstream *upstream, const struct ch_report *report,
+              int64_t now, struct ch_actions *actions)
+{
+    if (upstream->ledger_read) {
+        return;
+    }
+    GArray *before = upstream->items;
+    upstream->items = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    for (size_t i = 0; i < report->resident_count; i++) {
+        assume_resident(upstream,
+                        g_quark_from_string(report->resident[i].name),
+                        report->resident[i].memory_mb, now, actions);
+    }
+    for (guint i = 0; i < before->len; i++) {
+        GQuark item = g_array_index(before, GQuark, i);
+        if (!has_item(upstream->items, item)) {
+            ch_home_set_item(upstream->home, item, CH_ITEM_ABSENT, 0, now,
+                             actions);
+        }
+    }
+    g_array_free(before, TRUE);
+}
+
 /* Makes this node the home of an upstream. */
 void
 home_open(struct ch_homes *homes, struct upstream *upstream, int64_t now,
@@ -210,6 +279,8 @@
     };
     upstream->home = ch_home_new(homes->policy, &facts, now);
     g_array_set_size(upstream->items, 0);
+    upstream->ledger_read = false;
+    assume_view(homes, upstream, now, effects);
     upstream->report_at = now;
     upstream->report_failures = 0;
     upstream->incarnation = homes->node->incarnation;
@@ -498,6 +569,7 @@
         ch_home_report(
             upstream->home, job->report->running, job->report->waiting,
             job->report->leaving || upstream->leaving, false, now, &actions);
+        assume_report(upstream, job->report, now, &actions);
     }
     else if (++upstream->report_failures >= REPORTS_MISSED ||
              job->code == CH_UPSTREAM_CONNECT) {
@@ -831,6 +903,7 @@
             struct effects *effects)
 {
     struct ch_actions actions = new_actions();
+    upstream->ledger_read = true;
     for (guint i = 0; i < upstream->items->len; i++) {
         GQuark item = g_array_index(upstream->items, GQuark, i);
         if (ch_ledger_find(ledger, g_quark_to_string(item)) == NULL) {
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -42,6 +42,7 @@
     unsigned report_failures;
     int64_t down_until; /* of a plain service, after refused connections */
     GArray *items;      /* GQuark: what the ledger held when last seen */
+    bool ledger_read;   /* since this node became home */
 };
 
 /* A request in a home's queue or granted by it: its work's id is its handle.
