Keep libcurl from sending a model call again by itself

Cause: an engine that started anew cut the calls that it ran; on kept-alive connections libcurl sent them again, the engine refused that sending with X-Not-Run, and the caller was told not-run of a call that had run (test_engine, new-boot: 3 calls; found under ThreadSanitizer, where the boot hit them). Ruled out: the exchange, which keeps count of what may have run over its tries. Calls to engines still use kept-alive connections, but are sent once on each; another try is the node's own. test_http has the row. Also: readiness is asked by the front's thread while the main thread notes the front (ThreadSanitizer, front.c:80); the pointer is now stored atomically.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -52,6 +52,7 @@
     enum phase phase;
     CURL *easy; /* NULL until the loop began it */
     bool fresh;
+    bool sent_once;
     bool sent;       /* the request was begun on some connection */
     bool reused;     /* on a connection that had served before */
     bool doomed;     /* cancelled by a handler: its connection must not stay */
@@ -149,7 +150,7 @@
     (void)remote_port;
     (void)local_port;
     struct transfer *transfer = data;
-    if (transfer->sent && transfer->fresh) {
+    if (transfer->sent && (transfer->fresh || transfer->sent_once)) {
         return CURL_PREREQFUNC_ABORT;
     }
     long connects = 0;
@@ -658,6 +659,7 @@
     transfer->first_byte_limit = request->first_byte_limit;
     transfer->stall_limit = request->stall_limit;
     transfer->fresh = request->fresh_connection;
+    transfer->sent_once = request->sent_once;
     transfer->until = INT64_MAX;
     if (request->total_limit > 0) {
         transfer->total_until =
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -32,6 +32,12 @@
      * before any answer byte (seen with 7.88.1).
      */
     bool fresh_connection;
+    /*
+     * libcurl must not send it again by itself, though it may go out on a
+     * connection that was used before: the caller of this keeps count of what
+     * may have run.
+     */
+    bool sent_once;
 };
 
 struct ch_http_end {
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -10,6 +10,7 @@
 #include "node/refusal.h"
 
 #include <arpa/inet.h>
+#include <ck_pr.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -77,10 +78,11 @@
 ch_node_ready(struct ch_node *node)
 {
     bool stopping = false;
-    if (node->front == NULL) {
+    struct ch_front *front = ck_pr_load_ptr(&node->front);
+    if (front == NULL) {
         return false;
     }
-    (void)is_refusing(node->front, &stopping);
+    (void)is_refusing(front, &stopping);
     struct ch_config *config = ch_config_keeper_current(node->config);
     bool known = config != NULL;
     if (known) {
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -2,6 +2,7 @@
 
 #include "node/homes_internal.h"
 
+#include <ck_pr.h>
 #include <time.h>
 
 enum {
@@ -90,7 +91,8 @@
     ch_peers_start(node->peers);
     ch_config_keeper_start(node->config);
     ch_homes_start(node->homes);
-    node->front = ch_front_new(node, error);
+    /* The front's thread may ask for readiness before this is noted. */
+    ck_pr_store_ptr(&node->front, ch_front_new(node, error));
     node->admin = node->front != NULL ? ch_admin_new(node, error) : NULL;
     if (node->admin == NULL) {
         ch_node_stop(node);
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -364,6 +364,10 @@
         .first_byte_limit = call->first_byte_limit,
         .stall_limit = call->stall_limit,
         .fresh_connection = !call->may_repeat,
+        /* Else a call that ran, was cut and is sent again by libcurl would
+         * bear the outcome of the second sending alone: an engine that starts
+         * anew refuses that one, and the caller would be told not-run. */
+        .sent_once = true,
     };
     course->references = 2; /* the loop's, until end_came(), and this one */
     uint64_t handle = ch_http_submit(http, &request, &http_handlers, course);
--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -344,9 +344,10 @@
     pthread_mutex_unlock(&call->lock);
 }
 
+/* Sends "order" to the server; once: libcurl must not send it again. */
 static uint64_t
-submit(struct ch_http *http, struct server *server, const char *method,
-       bool fresh, int64_t limit, struct call *call)
+submit_once(struct ch_http *http, struct server *server, const char *method,
+            bool fresh, bool once, int64_t limit, struct call *call)
 {
     char url[64];
     (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/x", server->port);
@@ -359,10 +360,19 @@
         .first_byte_limit = limit,
         .stall_limit = limit,
         .fresh_connection = fresh,
+        .sent_once = once,
     };
     return ch_http_submit(http, &request, &handlers, call);
 }
 
+/* As submit_once, where libcurl may send again. */
+static uint64_t
+submit(struct ch_http *http, struct server *server, const char *method,
+       bool fresh, int64_t limit, struct call *call)
+{
+    return submit_once(http, server, method, fresh, false, limit, call);
+}
+
 /* A GET that leaves a kept-alive connection behind. */
 static void
 warm_up(struct ch_http *http, struct server *server)
@@ -386,35 +396,41 @@
     enum ch_code code;
     unsigned posts; /* how often the server got the request */
     const char *body;
+    bool once;
 };
 
 static const struct end_case end_cases[] = {
-    {"answered", ANSWERS, false, false, true, LONG, CH_OK, 1, "ok"},
-    {"answered, fresh", ANSWERS, true, true, true, LONG, CH_OK, 1, "ok"},
+    {"answered", ANSWERS, false, false, true, LONG, CH_OK, 1, "ok", false},
+    {"answered, fresh", ANSWERS, true, true, true, LONG, CH_OK, 1, "ok",
+     false},
     /* The hazard itself: with a kept-alive connection libcurl sends again by
      * itself and reports success. */
-    {"closed, reused", CLOSES_FIRST, true, false, true, LONG, CH_OK, 2, "ok"},
-    /* The safeguard. */
+    {"closed, reused", CLOSES_FIRST, true, false, true, LONG, CH_OK, 2, "ok",
+     false},
+    /* The safeguards. */
+    {"closed, reused, once", CLOSES_FIRST, true, false, true, LONG,
+     CH_UPSTREAM_CUT, 1, "", true},
     {"closed, fresh", CLOSES_FIRST, true, true, true, LONG, CH_UPSTREAM_CUT, 1,
-     ""},
-    {"417, fresh", ASKS_AGAIN, true, true, true, LONG, CH_OK, 1, ""},
-    {"417, reused", ASKS_AGAIN, true, false, true, LONG, CH_OK, 1, ""},
-    {"redirect", REDIRECTS, false, false, true, LONG, CH_OK, 1, ""},
-    {"refused", REFUSES, false, true, false, LONG, CH_UPSTREAM_CONNECT, 0, ""},
+     "", false},
+    {"417, fresh", ASKS_AGAIN, true, true, true, LONG, CH_OK, 1, "", false},
+    {"417, reused", ASKS_AGAIN, true, false, true, LONG, CH_OK, 1, "", false},
+    {"redirect", REDIRECTS, false, false, true, LONG, CH_OK, 1, "", false},
+    {"refused", REFUSES, false, true, false, LONG, CH_UPSTREAM_CONNECT, 0, "",
+     false},
     {"no connection", NEVER_ACCEPTS, false, true, false, SHORT,
-     CH_UPSTREAM_CONNECT, 0, ""},
+     CH_UPSTREAM_CONNECT, 0, "", false},
     {"silent", NEVER_ANSWERS, false, true, true, SHORT, CH_UPSTREAM_STALLED, 1,
-     ""},
+     "", false},
     {"silent, reused", NEVER_ANSWERS, true, false, true, SHORT,
-     CH_UPSTREAM_STALLED, 1, ""},
+     CH_UPSTREAM_STALLED, 1, "", false},
     {"silent midway", STOPS_MIDWAY, false, true, true, SHORT,
-     CH_UPSTREAM_STALLED, 1, "ok"},
+     CH_UPSTREAM_STALLED, 1, "ok", false},
     {"cut midway", CUTS_MIDWAY, false, true, true, LONG, CH_UPSTREAM_CUT, 1,
-     "ok"},
+     "ok", false},
     {"chunks cut", CUTS_CHUNKS, false, true, true, LONG, CH_UPSTREAM_CUT, 1,
-     "ok"},
+     "ok", false},
     {"nonsense", SENDS_NONSENSE, false, true, true, LONG, CH_UPSTREAM_ANSWER,
-     1, ""},
+     1, "", false},
 };
 
 /*
@@ -435,7 +451,7 @@
     if (row->warm) {
         warm_up(http, server);
     }
-    submit(http, server, "POST", row->fresh, row->limit, call);
+    submit_once(http, server, "POST", row->fresh, row->once, row->limit, call);
     wait_for_end(call);
     ch_http_free(http);
     g_assert_cmpuint(call->ends, ==, 1);
