--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -11,6 +11,7 @@
 #include "node/local.h"
 #include "node/refusal.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -80,10 +81,11 @@
 ch_node_ready(struct ch_node *node)
 {
     bool stopping = false;
-    if (node->front == NULL) {
+    struct ch_front *front = ck_pr_load_ptr(&node->front);
+    if (front == NULL) {
         return false;
     }
-    (void)is_refusing(node->front, &stopping);
+    (void)is_refusing(front, &stopping);
     struct ch_config *config = ch_config_keeper_current(node->config);
     bool known = config != NULL;
     if (known) {
