Count a refused connection as a change of the members

Cause: homes are found anew when the version of the members changes or a list was taken. A refused connection made its member silent and left the version as it was, so that the homes of a killed node moved at the next list alone: after a second in a small fleet, after 16 s at 320 nodes, and never once an unchanged list is no longer taken. The round of probes began anew at each list as well, so that no member was sure to be asked within a round.

Change: the version grows with a refusal, once; the round of probes goes on unless a member came or went.

Both tests fail without the change.

--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -156,6 +156,7 @@
         members->version++;
         fresh->heard = now;
         g_ptr_array_insert(members->list, (gint)at, fresh);
+        g_array_set_size(members->order, 0);
     }
     struct ch_member *member = g_ptr_array_index(members->list, at);
     set_string(&member->address, address);
@@ -169,7 +170,9 @@
     member->listed = true;
 }
 
-/* Ends the update: who was not listed is forgotten. */
+/* Ends the update: who was not listed is forgotten.  The round of probes goes
+ * on unless the members are others: begun anew at each list, it would never
+ * come to an end in a fleet whose list comes more often than a round takes. */
 void
 ch_members_end_update(struct ch_members *members)
 {
@@ -179,9 +182,9 @@
         if (!member->listed) {
             members->version++;
             g_ptr_array_remove_index(members->list, i - 1);
+            g_array_set_size(members->order, 0);
         }
     }
-    g_array_set_size(members->order, 0);
 }
 
 /* Something came from it: it is alive. */
@@ -240,6 +243,7 @@
     }
     if (member->status == CH_MEMBER_ALIVE) {
         member->status = CH_MEMBER_SILENT;
+        members->version++;
         member->hint_until = now + HINT_TIME;
     }
     member->probe_at = now + SILENT_PROBE;
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -8,13 +8,11 @@
 static const int64_t MS = 1000;
 static const int64_t SILENT_AFTER = 600000;
 
-/* A members table of this node a1 (region r1, data centre a) and others named
- * by their data centre's letter. */
-static struct ch_members *
-make_members(const char *const *names, size_t count)
+/* The platform lists members named by their data centre's letter. */
+static void
+list_members(struct ch_members *members, const char *const *names,
+             size_t count)
 {
-    struct ch_members *members =
-        ch_members_new("a1", "r1", "a", 1, SILENT_AFTER);
     ch_members_begin_update(members);
     for (size_t i = 0; i < count; i++) {
         char data_centre[2] = {names[i][0], '\0'};
@@ -23,6 +21,15 @@
                           data_centre, false, 0);
     }
     ch_members_end_update(members);
+}
+
+/* A members table of this node a1 (region r1, data centre a) and others. */
+static struct ch_members *
+make_members(const char *const *names, size_t count)
+{
+    struct ch_members *members =
+        ch_members_new("a1", "r1", "a", 1, SILENT_AFTER);
+    list_members(members, names, count);
     return members;
 }
 
@@ -133,7 +140,8 @@
     ch_members_free(members);
 }
 
-/* Every member is probed once a round, at one probe a period. */
+/* Every member is probed once a round, at one probe a period, also when the
+ * same list comes at each of them. */
 static void
 test_probe_round(void)
 {
@@ -141,6 +149,7 @@
     int probes[G_N_ELEMENTS(seven)] = {0};
     for (size_t round = 0; round < 3 * G_N_ELEMENTS(seven); round++) {
         const char *names[8];
+        list_members(members, seven, G_N_ELEMENTS(seven));
         size_t count = ch_members_probe(
             members, (int64_t)(round + 1) * CH_MEMBER_PERIOD, names, 8);
         g_assert_cmpuint(count, ==, 1);
@@ -203,16 +212,22 @@
     g_assert_cmpuint(ch_gossip_repeats(320, false), >, 0);
 }
 
-/* A refused connection is believed at once, and what is heard after it too. */
+/* A refused connection is believed at once, and what is heard after it too.
+ * Homes move by the version alone, so it must change with that belief. */
 static void
 test_refused(void)
 {
     struct ch_members *members = make_members(seven, G_N_ELEMENTS(seven));
     ch_members_heard(members, "b1", 10 * MS);
+    uint64_t before = ch_members_version(members);
     ch_members_refused(members, "b1", 11 * MS);
     const struct ch_member *member = ch_members_find(members, "b1");
     g_assert_false(ch_member_serves(member));
     g_assert_cmpint(member->hint_until, >, 11 * MS);
+    uint64_t version = ch_members_version(members);
+    g_assert_cmpuint(version, !=, before);
+    ch_members_refused(members, "b1", 11 * MS);
+    g_assert_cmpuint(ch_members_version(members), ==, version);
     ch_members_heard(members, "b1", 12 * MS);
     g_assert_true(ch_member_serves(member));
     ch_members_refused(members, "nobody", 13 * MS);
