--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -252,7 +252,7 @@
 struct harness_figures {
     int64_t longest_gap; /* of calls that may be repeated */
     int64_t orders_gap;  /* of those with a key; 0: there were none */
-    double before; /* share of calls without a key that met the target */
+    double before;       /* share of calls without a key that met the target */
     double during;
     double after;
     double orders_before; /* share of those with one */
