Check the ledger by spin; do not adopt an order whose end is to be noted

Cause: after a re-read, a copy that ended since was noted as ended at once, and a report asked for before its end then settled it: a new boot would have forgotten an order that it may hold. Found by writing tests/spec/ledger.pml; its MUTATION_ADOPT_ENDED shows memory overcommitted.

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -531,7 +531,7 @@
     pthread_mutex_lock(&apply->keeper->lock);
     bool stopped = apply->keeper->stopped;
     pthread_mutex_unlock(&apply->keeper->lock);
-    if (stopped) {
+    if (stopped && (step == CH_REVISION_READ || step == CH_REVISION_WRITE)) {
         apply_end(apply, apply->write.writes > 0 ? CH_REVISION_UNSURE
                                                  : CH_REVISION_FAILED);
         return;
--- a/libchestnuthitch/node/ledger_holding.c
+++ b/libchestnuthitch/node/ledger_holding.c
@@ -458,6 +458,22 @@
     return changed;
 }
 
+/* True while an order is on its way from here, or its end is still to be
+ * noted.  An end after the read that is noted with the read would let a report
+ * settle it that was asked for before it (found by tests/spec/ledger.pml,
+ * MUTATION_ADOPT_ENDED). */
+static bool
+followed_up(const struct ch_ledger_holding *holding, const char *order)
+{
+    for (guint i = 0; i < holding->endings->len; i++) {
+        if (strcmp(g_array_index(holding->endings, struct ending, i).order,
+                   order) == 0) {
+            return true;
+        }
+    }
+    return g_hash_table_contains(holding->inflight, order);
+}
+
 /* After a read: what this process is noted as sending and does not send.  It
  * wrote so and then lost sight of the write, or an earlier process of this
  * node's name did. */
@@ -469,7 +485,7 @@
     for (size_t i = 0; i < next->send_count; i++) {
         const struct ch_ledger_send *sending = &next->sends[i];
         if (strcmp(sending->sender, sender) == 0 &&
-            !g_hash_table_contains(holding->inflight, sending->order)) {
+            !followed_up(holding, sending->order)) {
             changed |= ch_ledger_end(next, sending->order, sender, false);
         }
     }
