Do not let a stand-in sleep on a connection that it has resumed

An answer due at once was sent only with the next event from outside: in an outside loop MHD_get_timeout does not count a resumed connection.

--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -98,6 +98,7 @@
     exchange->timer = NULL;
     if (exchange->suspended && !exchange->link->silent) {
         exchange->suspended = false;
+        exchange->standin->resumed = true;
         MHD_resume_connection(exchange->connection);
     }
 }
--- a/tests/standin/loop.c
+++ b/tests/standin/loop.c
@@ -197,11 +197,15 @@
     }
 }
 
-/* Milliseconds that the loop may sleep. */
+/* Milliseconds that the loop may sleep: none when a timer has just resumed a
+ * connection, which MHD_get_timeout does not count in an outside loop. */
 static int
 sleep_limit(struct standin *standin, int until_timer)
 {
     MHD_UNSIGNED_LONG_LONG most;
+    if (standin->resumed) {
+        return 0;
+    }
     for (guint i = 0; i < standin->daemons->len; i++) {
         struct MHD_Daemon *daemon = g_ptr_array_index(standin->daemons, i);
         if (MHD_get_timeout(daemon, &most) == MHD_YES &&
@@ -278,6 +282,7 @@
         }
         run_jobs(standin);
         (void)timers_run(standin);
+        standin->resumed = false;
         for (guint i = 0; i < standin->daemons->len; i++) {
             (void)MHD_run(g_ptr_array_index(standin->daemons, i));
         }
