--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -111,7 +111,6 @@
     GHashTable *links; /* open connections */
     GPtrArray *daemons;
     bool resumed; /* a connection, since MHD_run, which does not say so */
-    bool resumed; /* a connection, since MHD_run: the library does not tell */
     struct MHD_Daemon *listening; /* NULL: down */
     uint16_t port;
     int wake[2]; /* a pipe of struct wake_job */
