--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -52,8 +52,10 @@
     enum phase phase;
     CURL *easy; /* NULL until the loop began it */
     bool fresh;
+    bool sent_once;
     bool sent;       /* the request was begun on some connection */
     bool reused;     /* on a connection that had served before */
+    bool doomed;     /* cancelled by a handler: its connection must not stay */
     bool head_whole; /* the blank line after the final head came */
     int status;      /* of the final head; 0: none yet */
     char problem[CURL_ERROR_SIZE];
@@ -148,7 +150,7 @@
     (void)remote_port;
     (void)local_port;
     struct transfer *transfer = data;
-    if (transfer->sent && transfer->fresh) {
+    if (transfer->sent && (transfer->fresh || transfer->sent_once)) {
         return CURL_PREREQFUNC_ABORT;
     }
     long connects = 0;
@@ -221,7 +223,7 @@
         return length;
     }
     take_header_line(transfer, line, length);
-    return length;
+    return transfer->doomed ? 0 : length;
 }
 
 /* libcurl gives bytes of the answer's body. */
@@ -233,7 +235,7 @@
     if (transfer->handlers.on_data != NULL) {
         transfer->handlers.on_data(transfer->data, bytes, size * count);
     }
-    return size * count;
+    return transfer->doomed ? 0 : size * count;
 }
 
 /* Sets what is the same for every transfer; see the top of this file. */
@@ -353,6 +355,9 @@
 static enum ch_code
 code_of_result(const struct transfer *transfer, CURLcode result)
 {
+    if (transfer->doomed) {
+        return CH_CANCELLED;
+    }
     if (result == CURLE_OK) {
         return transfer->status == 0 ? CH_UPSTREAM_ANSWER : CH_OK;
     }
@@ -657,6 +662,7 @@
     transfer->first_byte_limit = request->first_byte_limit;
     transfer->stall_limit = request->stall_limit;
     transfer->fresh = request->fresh_connection;
+    transfer->sent_once = request->sent_once;
     transfer->until = INT64_MAX;
     if (request->total_limit > 0) {
         transfer->total_until =
@@ -682,14 +688,24 @@
     return handle;
 }
 
-/* Has the loop end a call with CANCELLED, unless it is over.  The connection
- * is closed, which tells the other end.  Any thread, also a handler. */
+/*
+ * Has the loop end a call with CANCELLED, unless it is over.  The connection
+ * is closed, which tells the other end.  Any thread, also a handler: then the
+ * rest of the answer is not even read.  If it were, an answer that had come
+ * whole would end well before the loop took the cancel, and its connection
+ * would serve the next call, with whatever it still holds: after one answer
+ * that came twice, every later call on it got the one before its own.
+ */
 void
 ch_http_cancel(struct ch_http *http, uint64_t handle)
 {
     pthread_mutex_lock(&http->lock);
     g_array_append_val(http->cancelled, handle);
+    struct transfer *transfer = ch_table_get(http->transfers, handle);
     pthread_mutex_unlock(&http->lock);
+    if (transfer != NULL && pthread_equal(pthread_self(), http->thread)) {
+        transfer->doomed = true;
+    }
     curl_multi_wakeup(http->multi);
 }
 
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -87,30 +87,6 @@
     course->id_missing = true;
 }
 
-/* Notes the headers that matter here. */
-static void
-header_came(void *data, const char *name, const char *value)
-{
-    struct course *course = data;
-    if (strcasecmp(name, "X-Request-Id") == 0) {
-        course->id_missing = false;
-        course->id_matches = strcmp(value, course->request_id) == 0;
-    }
-    else if (strcasecmp(name, "X-Not-Run") == 0) {
-        course->not_run = strcmp(value, "1") == 0;
-    }
-    else if (strcasecmp(name, "Content-Type") == 0) {
-        g_free(course->content_type);
-        course->content_type = g_strdup(value);
-    }
-    else if (strcasecmp(name, "Content-Length") == 0) {
-        course->framed = true;
-    }
-    else if (strcasecmp(name, "Transfer-Encoding") == 0) {
-        course->framed = strcasecmp(value, "chunked") == 0;
-    }
-}
-
 /* True for an answer that says by itself that the request was not run. */
 static bool
 is_refusal(const struct course *course)
@@ -138,6 +114,15 @@
     }
 }
 
+/* See upstream.h. */
+bool
+ch_call_is_stream(bool asked, int status, const char *content_type)
+{
+    static const char type[] = "text/event-stream";
+    return asked && status == 200 && content_type != NULL &&
+           g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
+}
+
 /* Looks at the whole head, once; passes it on when the answer is ours. */
 static void
 judge_head(struct course *course)
@@ -150,10 +135,8 @@
     if (course->failure != CH_OK) {
         return;
     }
-    course->is_stream = course->stream_asked && course->status == 200 &&
-                        course->content_type != NULL &&
-                        g_ascii_strncasecmp(course->content_type,
-                                            "text/event-stream", 17) == 0;
+    course->is_stream = ch_call_is_stream(course->stream_asked, course->status,
+                                          course->content_type);
     course->handlers.on_head(course->data, course->status,
                              course->content_type);
 }
@@ -209,19 +192,49 @@
     course->handlers.on_end(course->data, &told);
 }
 
-/* Ends the call at once for its owner and closes the connection, for an answer
- * of which the rest is of no use.  What still comes is dropped. */
+/* Ends the call at once for its owner, for an answer of which the rest is of
+ * no use, and closes the connection; but a refusal is short, and its
+ * connection is good for the next call.  What still comes is dropped. */
 static void
 give_up(struct course *course)
 {
     const struct ch_http_end end = {.code = CH_OK, .sent = true};
     tell_end(course, &end);
     uint64_t handle = ck_pr_load_64(&course->handle);
-    if (handle != 0) {
+    if (handle != 0 && course->failure != CH_UPSTREAM_REFUSED) {
         ch_http_cancel(course->http, handle);
     }
 }
 
+/* Notes the headers that matter here.  An answer to another request is given
+ * up at once, so that its connection serves no further call. */
+static void
+header_came(void *data, const char *name, const char *value)
+{
+    struct course *course = data;
+    if (strcasecmp(name, "X-Request-Id") == 0) {
+        course->id_missing = false;
+        course->id_matches = strcmp(value, course->request_id) == 0;
+        if (!course->id_matches && !course->judged) {
+            judge_head(course);
+            give_up(course);
+        }
+    }
+    else if (strcasecmp(name, "X-Not-Run") == 0) {
+        course->not_run = strcmp(value, "1") == 0;
+    }
+    else if (strcasecmp(name, "Content-Type") == 0) {
+        g_free(course->content_type);
+        course->content_type = g_strdup(value);
+    }
+    else if (strcasecmp(name, "Content-Length") == 0) {
+        course->framed = true;
+    }
+    else if (strcasecmp(name, "Transfer-Encoding") == 0) {
+        course->framed = strcasecmp(value, "chunked") == 0;
+    }
+}
+
 /* Takes bytes of the body.  The end mark ends a stream at once: an upstream
  * that then leaves the connection open must not keep the caller waiting. */
 static void
@@ -359,6 +372,10 @@
         .first_byte_limit = call->first_byte_limit,
         .stall_limit = call->stall_limit,
         .fresh_connection = !call->may_repeat,
+        /* Else a call that ran, was cut and is sent again by libcurl would
+         * bear the outcome of the second sending alone: an engine that starts
+         * anew refuses that one, and the caller would be told not-run. */
+        .sent_once = true,
     };
     course->references = 2; /* the loop's, until end_came(), and this one */
     uint64_t handle = ch_http_submit(http, &request, &http_handlers, course);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -252,10 +252,13 @@
 struct harness_figures {
     int64_t longest_gap; /* of calls that may be repeated */
     int64_t orders_gap;  /* of those with a key; 0: there were none */
-    double before;
+    double before;       /* share of calls without a key that met the target */
     double during;
     double after;
-    int64_t recovered; /* ms after begun; -1: never */
+    double orders_before; /* share of those with one */
+    double orders_during;
+    double orders_after;
+    int64_t recovered; /* of all, ms after begun; -1: never */
 };
 void harness_measure(const char *name, const GPtrArray *answers, int64_t begun,
                      int64_t ended, struct harness_figures *figures);
@@ -304,9 +307,11 @@
     int64_t before_ms;
     int64_t during_ms;
     int64_t after_ms;
-    void (*begin)(struct harness_scene *scene);
-    void (*end)(struct harness_scene *scene);  /* may be NULL */
-    void (*more)(struct harness_scene *scene); /* further checks; or NULL */
+    /* Before the first call, in place of warming up; may be NULL. */
+    void (*early)(struct harness_scene *scene);
+    void (*begin)(struct harness_scene *scene); /* may be NULL */
+    void (*end)(struct harness_scene *scene);   /* may be NULL */
+    void (*more)(struct harness_scene *scene);  /* further checks; or NULL */
     struct harness_cost cost;
 };
 
