--- a/libchestnuthitch/replay/sim.h
+++ b/libchestnuthitch/replay/sim.h
@@ -157,7 +157,8 @@
     unsigned asks;      /* since the last dispatch */
     uint64_t ask;       /* the one in force */
     int upstream;       /* of that ask */
-    GArray *excluded;   /* GQuark */
+    GArray *excluded;   /* GQuark: failures first, then refusals */
+    guint failed;       /* how many of them are failures */
     int64_t arrived;    /* when the caller sent it */
     int64_t sent;       /* at the latest dispatch */
     int64_t first;      /* first byte at the entry host; 0: none yet */
--- a/libchestnuthitch/replay/sim_entries.c
+++ b/libchestnuthitch/replay/sim_entries.c
@@ -256,8 +256,8 @@
     request->state = SIM_ASKING;
     entry->fleet.link_bytes = (int64_t)ch_bucket_level(&entry->link, sim->now);
     struct ch_route route =
-        ch_route_choose(sim->policy, &entry->fleet, &request->work,
-                        request->excluded, sim->now);
+        ch_route_retry(sim->policy, &entry->fleet, &request->work,
+                       request->excluded, request->failed, sim->now);
     struct sim_ask record = {
         .request = (uint64_t)(request - sim->requests),
         .upstream = route.code == CH_OK ? route.upstream : 0,
@@ -559,7 +559,9 @@
     request->ran = request->ran || ran;
     release(sim, event->a, code, 0, 0);
     GQuark name = sim->upstreams[request->upstream].name;
+    g_array_set_size(request->excluded, request->failed);
     g_array_append_val(request->excluded, name);
+    request->failed++;
     enum ch_retry retry = ch_retry_decide(
         &sim->entries[request->entry].budget, &request->work, code, ran,
         !request->work.service, request->given, sim->now);
