--- a/libchestnuthitch/decide/admit.c
+++ b/libchestnuthitch/decide/admit.c
@@ -62,6 +62,7 @@
     }
     uint32_t limit = ch_home_limit(home);
     guint running = home->granted->len;
+    /* Without a limit, what was granted beyond it waits at the upstream. */
     if (running + ahead < limit) {
         return 0;
     }
--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -253,14 +253,16 @@
 grant_all(struct ch_home *home, int64_t now, struct ch_actions *out)
 {
     guint at = 0;
-    uint32_t most = limit_with(home, 0);
+    uint32_t most =
+        home->policy->admitting->unlimited ? G_MAXUINT32 : limit_with(home, 0);
     while (at < home->queue.entries->len && home->granted->len < most) {
         struct ch_entry *entry = ch_queue_at(&home->queue, at);
         if (!can_run(home, &entry->work)) {
             at++;
             continue;
         }
-        if (home->granted->len >= limit_with(home, entry->work.between)) {
+        if (!home->policy->admitting->unlimited &&
+            home->granted->len >= limit_with(home, entry->work.between)) {
             return;
         }
         grant(home, at, now, out);
--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -162,6 +162,7 @@
     bool predict;    /* refuse what will miss; else shed what has missed */
     bool find_batch; /* from measured times; else what the engine states */
     bool fair;       /* between tenants when full */
+    bool unlimited;  /* grants all at once: the upstream queues by itself */
 };
 
 struct ch_placing {
@@ -186,6 +187,10 @@
                                       struct ch_fleet *fleet,
                                       const struct ch_work *work,
                                       const GArray *excluded, int64_t now);
+struct ch_route ch_route_independent(const struct ch_policy *policy,
+                                     struct ch_fleet *fleet,
+                                     const struct ch_work *work,
+                                     const GArray *excluded, int64_t now);
 struct ch_route ch_route_static(const struct ch_policy *policy,
                                 struct ch_fleet *fleet,
                                 const struct ch_work *work,
--- a/libchestnuthitch/decide/policy.c
+++ b/libchestnuthitch/decide/policy.c
@@ -55,17 +55,21 @@
                                                      false, true, true};
 static const struct ch_routing ROUTE_STATIC = {ch_route_static, false, true,
                                                false};
+static const struct ch_routing ROUTE_INDEPENDENT = {ch_route_independent, true,
+                                                    true, true};
 static const struct ch_ordering BY_DEADLINE = {rank_deadline};
 static const struct ch_ordering BY_ARRIVAL = {rank_arrival};
 static const struct ch_ordering BY_SLACK = {rank_slack};
 static const struct ch_admitting ADMIT_DEFAULT = {ch_admit_predicting, true,
-                                                  true, true};
+                                                  true, true, false};
 static const struct ch_admitting ADMIT_SHEDDING = {ch_admit_all, false, true,
-                                                   false};
+                                                   false, false};
 static const struct ch_admitting ADMIT_UNFAIR = {ch_admit_predicting, true,
-                                                 true, false};
+                                                 true, false, false};
 static const struct ch_admitting ADMIT_ALL = {ch_admit_all, false, false,
-                                              false};
+                                              false, false};
+static const struct ch_admitting ADMIT_UNLIMITED = {ch_admit_all, false, true,
+                                                    false, true};
 static const struct ch_placing PLACE_DEFAULT = {false, true, true};
 static const struct ch_placing PLACE_EAGER = {false, false, false};
 static const struct ch_placing PLACE_FIXED = {true, false, false};
@@ -88,6 +92,8 @@
      &PLACE_DEFAULT},
     {"eager-moves", &ROUTE_DEFAULT, &BY_DEADLINE, &ADMIT_DEFAULT,
      &PLACE_EAGER},
+    {"independent", &ROUTE_INDEPENDENT, &BY_ARRIVAL, &ADMIT_UNLIMITED,
+     &PLACE_DEFAULT},
 };
 
 /* Names of all policies, ended by NULL; for messages. */
@@ -95,10 +101,9 @@
 ch_policy_names(void)
 {
     static const char *const NAMES[] = {
-        "default",     "static",      "least-loaded",
-        "fcfs",        "least-slack", "late-shedding",
-        "no-affinity", "no-spill",    "no-fairness",
-        "eager-moves", NULL};
+        "default",     "static",        "least-loaded", "fcfs",
+        "least-slack", "late-shedding", "no-affinity",  "no-spill",
+        "no-fairness", "eager-moves",   "independent",  NULL};
     G_STATIC_ASSERT(G_N_ELEMENTS(NAMES) == G_N_ELEMENTS(POLICIES) + 1);
     return NAMES;
 }
--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -394,6 +394,27 @@
     return answer(at);
 }
 
+/* For measuring what homes are worth: routers that know lagging reports and
+ * their own requests alone.  What no replica is seen to serve in time is
+ * refused here, and a model that is nowhere is placed as by default. */
+struct ch_route
+ch_route_independent(const struct ch_policy *policy, struct ch_fleet *fleet,
+                     const struct ch_work *work, const GArray *excluded,
+                     int64_t now)
+{
+    int at = best_replica(policy, fleet, work, excluded, true, now);
+    if (at < 0 && fleet->link_bytes >= link_cost(work)) {
+        at = best_replica(policy, fleet, work, excluded, false, now);
+    }
+    if (at < 0) {
+        at = best_loading(fleet, work, excluded, false, now);
+    }
+    if (at < 0) {
+        at = best_place(fleet, work, excluded);
+    }
+    return answer(at);
+}
+
 /* Whether an upstream of the wanted region can hold or serve the work. */
 static bool
 is_candidate(const struct ch_fleet *fleet, const struct ch_upstream_view *view,
