--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -9,7 +9,7 @@
     /* A model that has just come, or was asked for this lately, does not go
      * for one that is served elsewhere: two models that take turns would
      * each be loading most of the time. */
-    SETTLE = 20 * G_USEC_PER_SEC,
+    SETTLE = 10 * G_USEC_PER_SEC,
     /* A model that nobody serves comes in after this, whatever has to go. */
     REACH = 60 * G_USEC_PER_SEC,
     /* An adapter's request of this age lets it come with its model. */
