--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -11,7 +11,7 @@
      * each be loading most of the time. */
     SETTLE = 10 * G_USEC_PER_SEC,
     /* A model that nobody serves comes in after this, whatever has to go. */
-    REACH = 60 * G_USEC_PER_SEC,
+    REACH = 90 * G_USEC_PER_SEC,
     /* An adapter's request of this age lets it come with its model. */
     ADAPTER_RECENT = 30 * G_USEC_PER_SEC,
     /* A wish that nothing has renewed lapses; longer than what it made leave
