--- a/libchestnuthitch/replay/sim.h
+++ b/libchestnuthitch/replay/sim.h
@@ -154,16 +154,17 @@
     struct ch_work work;
     size_t entry;
     enum sim_state state;
-    unsigned asks;      /* since the last dispatch */
-    uint64_t ask;       /* the one in force */
-    int upstream;       /* of that ask */
-    GArray *excluded;   /* GQuark: failures first, then refusals */
-    guint failed;       /* how many of them are failures */
-    int64_t arrived;    /* when the caller sent it */
-    int64_t sent;       /* at the latest dispatch */
-    int64_t first;      /* first byte at the entry host; 0: none yet */
-    int64_t this_first; /* first byte of the latest dispatch */
-    uint32_t given;     /* tokens that the caller has */
+    unsigned asks;        /* since the last dispatch */
+    uint64_t ask;         /* the one in force */
+    int upstream;         /* of that ask */
+    GArray *excluded;     /* GQuark: failures first, then refusals */
+    guint failed;         /* how many of them are failures */
+    enum ch_code refusal; /* the latest home's; OK: none */
+    int64_t arrived;      /* when the caller sent it */
+    int64_t sent;         /* at the latest dispatch */
+    int64_t first;        /* first byte at the entry host; 0: none yet */
+    int64_t this_first;   /* first byte of the latest dispatch */
+    uint32_t given;       /* tokens that the caller has */
     uint32_t dispatches;
     bool ran;
 };
--- a/libchestnuthitch/replay/sim_entries.c
+++ b/libchestnuthitch/replay/sim_entries.c
@@ -265,7 +265,9 @@
     g_array_append_val(sim->asks, record);
     if (route.code != CH_OK) {
         note_key(sim, request, request->ran ? SIM_KEY_UNKNOWN : 0);
-        finish(sim, request, route.code);
+        /* The caller learns what the last home said, as from a node. */
+        finish(sim, request,
+               request->refusal != CH_OK ? request->refusal : route.code);
         return;
     }
     request->upstream = (int)route.upstream;
@@ -483,6 +485,9 @@
     }
     GQuark name = sim->upstreams[record->upstream].name;
     g_array_append_val(request->excluded, name);
+    if (ch_code_outcome(code) == CH_NOT_RUN) {
+        request->refusal = code;
+    }
     if (request->asks < MOST_ASKS && is_worth_asking_on(code)) {
         ask(sim, request);
         return;
@@ -562,6 +567,7 @@
     g_array_set_size(request->excluded, request->failed);
     g_array_append_val(request->excluded, name);
     request->failed++;
+    request->refusal = CH_OK;
     enum ch_retry retry = ch_retry_decide(
         &sim->entries[request->entry].budget, &request->work, code, ran,
         !request->work.service, request->given, sim->now);
