--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -213,38 +213,52 @@
     return best;
 }
 
-/* Whether another upstream serves the model, of those a node knows. */
-static bool
-is_elsewhere(const struct ch_fleet *fleet, const struct ch_upstream_view *here,
-             GQuark model)
+/* Items of a list; 0 when an upstream has not been heard of yet. */
+static guint
+count_of(const GArray *list)
+{
+    return list == NULL ? 0 : list->len;
+}
+
+/* How many upstreams serve each item, by quark: one pass, as choosing a place
+ * asks it for every model of every upstream.  The caller's to unref. */
+static GHashTable *
+count_replicas(const struct ch_fleet *fleet)
 {
+    GHashTable *counts = g_hash_table_new(NULL, NULL);
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (view != here && !view->down && !view->leaving &&
-            ch_upstream_view_has(view, model)) {
-            return true;
+        for (guint j = 0;
+             !view->down && !view->leaving && j < count_of(view->resident);
+             j++) {
+            gpointer key = GUINT_TO_POINTER(
+                g_array_index(view->resident, struct ch_item, j).name);
+            guint count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
+            g_hash_table_insert(counts, key, GUINT_TO_POINTER(count + 1));
         }
     }
-    return false;
+    return counts;
 }
 
 /* What would have to go at an upstream for the work's model, in coarse steps,
  * so that nodes whose views differ a little still agree: requests a second of
  * the models there, of last replicas above all. */
 static unsigned
-cost_step(const struct ch_fleet *fleet, const struct ch_upstream_view *view,
+cost_step(GHashTable *replicas, const struct ch_upstream_view *view,
           const struct ch_work *work)
 {
     if (view->free_mb >= work->model_mb + work->adapter_mb) {
         return 0;
     }
     uint32_t demand = 0;
-    for (guint i = 0; i < view->resident->len; i++) {
+    for (guint i = 0; i < count_of(view->resident); i++) {
         const struct ch_item *item =
             &g_array_index(view->resident, struct ch_item, i);
         if (strchr(g_quark_to_string(item->name), '/') == NULL) {
-            demand += is_elsewhere(fleet, view, item->name) ? item->rate / 4
-                                                            : item->rate;
+            gpointer key = GUINT_TO_POINTER(item->name);
+            bool fellow =
+                GPOINTER_TO_UINT(g_hash_table_lookup(replicas, key)) > 1;
+            demand += fellow ? item->rate / 4 : item->rate;
         }
     }
     unsigned step = 1;
@@ -259,7 +273,7 @@
 static bool
 is_loading_model(const struct ch_upstream_view *view)
 {
-    for (guint i = 0; i < view->loading->len; i++) {
+    for (guint i = 0; i < count_of(view->loading); i++) {
         GQuark name = g_array_index(view->loading, struct ch_item, i).name;
         if (strchr(g_quark_to_string(name), '/') == NULL) {
             return true;
@@ -289,6 +303,7 @@
     unsigned best_step = 0;
     uint64_t best_weight = 0;
     uint64_t key = ch_hash_string(g_quark_to_string(work->model));
+    GHashTable *replicas = count_replicas(fleet);
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
         if (view->down || view->leaving || view->service != 0 ||
@@ -297,7 +312,7 @@
             view->capacity_mb < work->model_mb + work->adapter_mb) {
             continue;
         }
-        unsigned step = cost_step(fleet, view, work) * 2;
+        unsigned step = cost_step(replicas, view, work) * 2;
         step += view->region == fleet->region ? 0 : 3;
         uint64_t weight = preference(key, view);
         if (best < 0 || step < best_step ||
@@ -307,6 +322,7 @@
             best_weight = weight;
         }
     }
+    g_hash_table_unref(replicas);
     if (best >= 0 && is_excluded(excluded, fleet->upstreams[best].name)) {
         return -1;
     }
