--- a/libchestnuthitch/decide/admit.c
+++ b/libchestnuthitch/decide/admit.c
@@ -9,6 +9,10 @@
     MOST_DISPLACED = 4,
     /* Where the settings state no limit. */
     DEFAULT_QUEUE = 256,
+    /* Tenths of the predicted wait that must be left.  The prediction is a
+     * mean: without a margin some of those let in are refused only when their
+     * turn comes, seconds after they could have asked elsewhere. */
+    MARGIN = 11,
     /* A measurement older than this no longer speaks for the upstream. */
     STALE = 10 * G_USEC_PER_SEC,
 };
@@ -239,7 +243,8 @@
     }
     int64_t rank = home->policy->ordering->rank(home, work, now);
     for (int tries = 0; tries <= MOST_DISPLACED; tries++) {
-        int64_t wait = MAX(load, ch_home_wait(home, rank, now));
+        int64_t wait = ch_home_wait(home, rank, now) * MARGIN / 10;
+        wait = MAX(load, wait);
         int64_t late_by = now + wait + first - work->first_by;
         if (late_by <= 0) {
             return (struct ch_admission){.code = CH_OK};
