Give back a grant that is from before a pause of the process

Cause: a node stopped between a grant and its use would, on waking, send work to an upstream that may have left long before, and take a place in a batch that its home has given to another. Found by reading, for the promise that a leaving upstream gets no new work; no run showed it, as the window is microseconds. Change: requests note the count of pauses (ticks over 1 s apart) when they are sent to a home; a grant with an older count is given back and asked for anew.

--- a/libchestnuthitch/node/effects.c
+++ b/libchestnuthitch/node/effects.c
@@ -299,7 +299,9 @@
     struct ch_ledger_keeper *ledger = homes->node->ledger;
     switch (effect->kind) {
     case EFFECT_GRANTED:
-        effect->handlers->granted(effect->data, &effect->grant);
+        if (!request_is_stale(homes, effect->grant.handle)) {
+            effect->handlers->granted(effect->data, &effect->grant);
+        }
         break;
     case EFFECT_REFUSED:
         effect->handlers->refused(effect->data, effect->code,
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -23,6 +23,10 @@
      * each costs the silent limit at most. */
     LOST_HOMES = 6,
     LOST_RETRY_AFTER = 1000 * 1000,
+    /* Ticks this far apart mean that the process did not run: twenty of them
+     * are missing.  On a starved machine it may be wrong, at the cost of one
+     * more Enqueue. */
+    PAUSE = 1000 * 1000,
     /* How long a new node waits for a state of each upstream. */
     FIRST_STATES = 2 * 1000 * 1000,
     /* The list is asked no more than 20 times a second by the whole fleet. */
@@ -245,6 +249,16 @@
     ch_bucket_take(&homes->link, bytes, now);
 }
 
+/* Counts a pause of this process, seen by the ticks or before the next one. */
+static void
+note_pause(struct ch_homes *homes, int64_t now)
+{
+    if (homes->ticked > 0 && now - homes->ticked > PAUSE) {
+        homes->pauses++;
+        homes->ticked = now;
+    }
+}
+
 /* Chooses an upstream and asks its home, or refuses at once. */
 static void
 route_request(struct ch_homes *homes, struct request *request, int64_t now,
@@ -275,6 +289,8 @@
     request->upstream =
         upstream_ref(g_ptr_array_index(homes->upstreams, route.upstream));
     take_link(homes, request, now);
+    note_pause(homes, now);
+    request->pauses = homes->pauses;
     g_free(request->home);
     request->home = ch_peers_upstream_home(
         homes->node->peers, request->upstream->key, request->upstream->region,
@@ -366,6 +382,42 @@
     effects_submit(homes, &effects);
 }
 
+/*
+ * A process that is stopped between a grant and its use wakes up with leave
+ * that is as old as the pause.  The upstream may have left meanwhile and would
+ * get new work long after; the home has ended the grant and given the place to
+ * another.  So a grant from before a pause is given back and asked for anew.
+ * What remains is a pause within the microseconds between this look and the
+ * call.
+ */
+bool
+request_is_stale(struct ch_homes *homes, uint64_t handle)
+{
+    static const struct ch_sample unused = {.code = CH_CANCELLED};
+    int64_t now = ch_client_now(homes->node->client);
+    bool stale = false;
+    struct effects effects;
+    effects_init(&effects);
+    pthread_mutex_lock(&homes->lock);
+    note_pause(homes, now);
+    struct request *request = ch_table_get(homes->requests, handle);
+    if (request != NULL && request->pauses != homes->pauses) {
+        stale = true;
+        if (request->state == REQUEST_GRANTED_HERE) {
+            home_release(homes, request->ticket, &unused, now, &effects);
+        }
+        else {
+            effects_release(&effects, request->home, request->upstream->name,
+                            request->ticket, &unused);
+        }
+        request->state = REQUEST_ROUTING;
+        route_request(homes, request, now, &effects);
+    }
+    pthread_mutex_unlock(&homes->lock);
+    effects_run(homes, &effects);
+    return stale;
+}
+
 /* A Grant that nobody waits for: it goes back at once. */
 static void
 handle_late(void *data, const Chestnuthitch__Wire__Frame *frame)
@@ -446,6 +498,8 @@
     struct effects effects;
     effects_init(&effects);
     pthread_mutex_lock(&homes->lock);
+    note_pause(homes, now);
+    homes->ticked = now;
     home_rehome(homes, now, &effects);
     pthread_mutex_unlock(&homes->lock);
     home_tick_all(homes, now, &effects);
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -82,6 +82,7 @@
     char *home;       /* node, when it is queued or granted there */
     uint64_t enqueue; /* id of the Enqueue */
     uint64_t ticket;  /* here: its handle; there: the grant */
+    uint64_t pauses;  /* of this process, when it was sent to its home */
 };
 
 struct ch_homes {
@@ -102,6 +103,8 @@
     struct ch_bucket loads;
     struct ch_bucket link;
     uint64_t sequence;
+    int64_t ticked;  /* last tick */
+    uint64_t pauses; /* times that this process did not run for long */
     int64_t next_rehome;
     int64_t next_gossip;
     uint64_t homed_version; /* of the membership, when homes were last found */
@@ -205,6 +208,10 @@
                      const char *message, int64_t now,
                      struct effects *effects);
 
+/* True when the grant is from before a pause of this process: it was given
+   back, and the request is on its way to a home again. */
+bool request_is_stale(struct ch_homes *homes, uint64_t handle);
+
 /* ---- gossip.c ---- */
 
 void gossip_handlers(struct ch_homes *homes);
