--- /dev/null
+++ b/tests/threaded/test_homes.c
@@ -0,0 +1,243 @@
+/* A node's requests on their way to a grant, with a clock that the test
+ * moves. */
+
+#include "node/node.h"
+
+#include <ck_pr.h>
+#include <semaphore.h>
+#include <string.h>
+
+struct world {
+    struct ch_hosts hosts; /* first: the vtable's own */
+    struct ch_client client;
+    struct ch_settings settings;
+    struct ch_node node;
+    uint64_t ahead; /* microseconds that the clock was moved */
+    const char *state;
+    sem_t answered;
+    sem_t held; /* the only worker waits here */
+    sem_t holding;
+    unsigned granted;
+    unsigned refused;
+    enum ch_code code;
+    struct ch_grant grant;
+};
+
+/* The clock, moved by `ahead`. */
+static int64_t
+moved_now(void *data)
+{
+    struct world *world = data;
+    return g_get_monotonic_time() + (int64_t)ck_pr_load_64(&world->ahead);
+}
+
+/* Drops log lines: the tests look at outcomes. */
+static void
+no_log(void *data, const char *line, size_t length)
+{
+    (void)data;
+    (void)line;
+    (void)length;
+}
+
+/* The host list: one plain service. */
+static void
+fetch(struct ch_hosts *hosts,
+      void (*done)(void *data, enum ch_code code, struct ch_host_list *list),
+      void *data)
+{
+    const struct world *world = (const struct world *)hosts;
+    char *json = g_strdup_printf(
+        "{\"hosts\":[{\"name\":\"o01\",\"kind\":\"service\",\"address\":"
+        "\"127.0.0.1:9\",\"region\":\"r1\",\"data_centre\":\"a\","
+        "\"service\":\"orders\",\"state\":\"%s\"}]}",
+        world->state);
+    struct ch_error error = {0};
+    struct ch_host_list *list = ch_host_list_parse(json, strlen(json), &error);
+    g_assert_nonnull(list);
+    g_free(json);
+    done(data, CH_OK, list);
+}
+
+static const struct ch_hosts_ops hosts_ops = {.fetch = fetch};
+
+/* A node with one worker and no more than a list and homes. */
+static struct world *
+world_new(const char *state)
+{
+    struct world *world = g_new0(struct world, 1);
+    struct ch_error error = {0};
+    world->hosts.ops = &hosts_ops;
+    world->state = state;
+    sem_init(&world->answered, 0, 0);
+    sem_init(&world->held, 0, 0);
+    sem_init(&world->holding, 0, 0);
+    ch_client_init(&world->client, "e01");
+    world->client.log_write = no_log;
+    world->client.now = moved_now;
+    world->client.now_data = world;
+    world->client.metrics = ch_metrics_new();
+    world->settings = (struct ch_settings){
+        .name = (char *)"e01",
+        .region = (char *)"r1",
+        .data_centre = (char *)"a",
+        .peers = (char *)"127.0.0.1:0",
+        .peer_silent_ms = 600,
+        .idle_connection_ms = 60000,
+        .list_ms = 10000,
+        .max_queue = 10,
+        .first_byte_ms = 1000,
+        .loads_per_s = 1,
+        .loads_parallel = 1,
+        .link_mbit = 30,
+    };
+    struct ch_node *node = &world->node;
+    node->client = &world->client;
+    node->settings = &world->settings;
+    node->incarnation = 1;
+    node->hosts = &world->hosts;
+    node->pool = ch_pool_new(1);
+    node->timers = ch_timers_new(node->pool);
+    node->http = ch_http_new(&world->client);
+    node->peers = ch_peers_new(node, &error);
+    g_assert_nonnull(node->peers);
+    node->homes = ch_homes_new(node);
+    ch_peers_start(node->peers);
+    ch_homes_start(node->homes);
+    while (!ch_homes_ready(node->homes)) {
+        g_usleep(1000);
+    }
+    return world;
+}
+
+static void
+world_free(struct world *world)
+{
+    struct ch_node *node = &world->node;
+    ch_homes_stop(node->homes);
+    ch_peers_stop(node->peers);
+    ch_http_free(node->http);
+    ch_timers_stop(node->timers);
+    ch_pool_free(node->pool);
+    ch_timers_free(node->timers);
+    ch_homes_free(node->homes);
+    ch_peers_free(node->peers);
+    ch_metrics_free(world->client.metrics);
+    g_free(world);
+}
+
+static void
+on_granted(void *data, const struct ch_grant *grant)
+{
+    struct world *world = data;
+    world->granted++;
+    world->grant = *grant;
+    sem_post(&world->answered);
+}
+
+static void
+on_refused(void *data, enum ch_code code, int64_t retry_after,
+           const char *message)
+{
+    struct world *world = data;
+    (void)retry_after;
+    (void)message;
+    world->refused++;
+    world->code = code;
+    sem_post(&world->answered);
+}
+
+/* Waits without regard to signals. */
+static void
+wait_for(sem_t *semaphore)
+{
+    while (sem_wait(semaphore) != 0) {
+    }
+}
+
+/* Asks for leave to send an order. */
+static uint64_t
+ask(struct world *world)
+{
+    static const struct ch_homes_handlers handlers = {
+        .granted = on_granted,
+        .refused = on_refused,
+    };
+    int64_t now = moved_now(world);
+    struct ch_work work = {
+        .id = 1,
+        .model = g_quark_from_static_string("orders"),
+        .service = true,
+        .class_name = g_quark_from_static_string("order"),
+        .arrived = now,
+        .first_by = now + 60 * G_USEC_PER_SEC,
+    };
+    return ch_homes_request(world->node.homes, &work, NULL, &handlers, world);
+}
+
+/* Keeps the only worker until it is let go. */
+static void
+hold_worker(void *data)
+{
+    struct world *world = data;
+    sem_post(&world->holding);
+    wait_for(&world->held);
+}
+
+struct row {
+    const char *name;
+    const char *state;
+    int64_t pause; /* between the home's grant and its use */
+    unsigned granted;
+    unsigned refused;
+    uint64_t grants; /* given by the home */
+};
+
+/*
+ * What the caller sees: its order is sent once, a little later. The node is
+ * stopped after the home's grant and before the order goes out, and wakes up
+ * with leave that is five seconds old. It must not use it, as the upstream may
+ * have left: the grant is given back and asked for anew.
+ */
+static const struct row rows[] = {
+    {"at once", "live", 0, 1, 0, 1},
+    {"after a short pause", "live", 500 * 1000, 1, 0, 1},
+    {"after a pause", "live", 5 * G_USEC_PER_SEC, 1, 0, 2},
+    {"leaving", "leaving", 0, 0, 1, 0},
+};
+
+static void
+test_grant(gconstpointer data)
+{
+    const struct row *row = data;
+    struct world *world = world_new(row->state);
+    ch_pool_submit(world->node.pool, hold_worker, world);
+    wait_for(&world->holding);
+    uint64_t handle = ask(world);
+    ck_pr_store_64(&world->ahead, (uint64_t)row->pause);
+    sem_post(&world->held);
+    wait_for(&world->answered);
+    g_assert_cmpuint(world->granted, ==, row->granted);
+    g_assert_cmpuint(world->refused, ==, row->refused);
+    g_assert_cmpuint(ch_metrics_read(world->client.metrics, CH_COUNT_GRANTS),
+                     ==, row->grants);
+    if (world->granted > 0) {
+        const struct ch_sample sample = {.code = CH_OK, .first = 1000};
+        g_assert_cmpuint(world->grant.handle, ==, handle);
+        ch_homes_release(world->node.homes, handle, &sample);
+    }
+    g_assert_false(ch_homes_withdraw(world->node.homes, handle));
+    world_free(world);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *path = g_strdup_printf("/homes/grant/%s", rows[i].name);
+        g_test_add_data_func(path, &rows[i], test_grant);
+        g_free(path);
+    }
+    return g_test_run();
+}
