--- a/libchestnuthitch/base/address.c
+++ b/libchestnuthitch/base/address.c
@@ -5,11 +5,12 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-/* Checks for an IPv4 number and a port from 0 to 65535 (0: the kernel
- * chooses).  Names are refused: nodes talk by IP numbers, so that no resolver
- * can stall or mislead them. */
+/* Takes an IPv4 number and a port from 0 to 65535 (0: the kernel chooses).
+ * Names are refused: nodes talk by IP numbers, so that no resolver can stall
+ * or mislead them. */
 bool
-ch_address_check(const char *text, struct ch_error *error)
+ch_address_parse(const char *text, struct sockaddr_in *address,
+                 struct ch_error *error)
 {
     const char *colon = strrchr(text, ':');
     char host[INET_ADDRSTRLEN] = "";
@@ -25,5 +26,18 @@
         ch_error_set(error, CH_BAD_VALUE, "'%s' is not ip:port", text);
         return false;
     }
+    *address = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)port),
+        .sin_addr = number,
+    };
     return true;
 }
+
+/* Whether ch_address_parse() would take it. */
+bool
+ch_address_check(const char *text, struct ch_error *error)
+{
+    struct sockaddr_in address;
+    return ch_address_parse(text, &address, error);
+}
--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -177,6 +177,10 @@
 
 /* "192.0.2.1:80": IP numbers only.  Returns false with BAD_VALUE. */
 bool ch_address_check(const char *text, struct ch_error *error);
+struct sockaddr_in;
+/* The same as a socket address; *address is set on true alone. */
+bool ch_address_parse(const char *text, struct sockaddr_in *address,
+                      struct ch_error *error);
 
 /* ---- node settings (settings.c) ---- */
 
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -320,6 +320,20 @@
 
 /* ---- start and stop ---- */
 
+/* Says that there are too many connections, not more than once a second. */
+static void
+log_full(struct ch_front *front)
+{
+    int64_t now = ch_client_now(front->node->client);
+    if (front->full_at != 0 && now - front->full_at < G_USEC_PER_SEC) {
+        return;
+    }
+    front->full_at = now;
+    ch_log(front->node->client, CH_LOG_WARNING, "too many connections",
+           CH_F_INT("limit", front->node->settings->max_connections),
+           CH_F_END);
+}
+
 /* Gives a new connection to the library, which closes it when there are too
  * many. */
 static void
@@ -329,9 +343,7 @@
     CH_RELEASE(&front->listener); /* the library's lock hands fd on */
     if (MHD_add_connection(front->daemon, fd, (const struct sockaddr *)from,
                            sizeof(*from)) != MHD_YES) {
-        ch_log(front->node->client, CH_LOG_WARNING, "connection refused",
-               CH_F_INT("connections", front->node->settings->max_connections),
-               CH_F_END);
+        log_full(front);
     }
 }
 
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -18,6 +18,7 @@
     struct ch_listener *listener; /* NULL once it is closed */
     struct MHD_Daemon *daemon;
     struct ch_hangups *hangups;
+    int64_t full_at;   /* the listener's own: when it last said so */
     uint64_t id_start; /* differs between nodes and between their starts */
     pthread_mutex_t lock;
     pthread_cond_t quiet;           /* a count went down */
--- a/libchestnuthitch/node/listener.c
+++ b/libchestnuthitch/node/listener.c
@@ -2,12 +2,9 @@
 
 #include "node/listener.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <poll.h>
 #include <pthread.h>
-#include <string.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -69,25 +66,6 @@
     return NULL;
 }
 
-/* "ip:port" as a socket address; false with *error. */
-static bool
-parse_address(const char *text, struct sockaddr_in *address,
-              struct ch_error *error)
-{
-    if (!ch_address_check(text, error)) {
-        return false;
-    }
-    const char *colon = strrchr(text, ':');
-    char *host = g_strndup(text, (size_t)(colon - text));
-    *address = (struct sockaddr_in){
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10)),
-    };
-    inet_pton(AF_INET, host, &address->sin_addr);
-    g_free(host);
-    return true;
-}
-
 /* A socket that listens; -1 with errno.  The address may be one that an
  * earlier process has just left. */
 static int
@@ -119,7 +97,7 @@
                 void *data, struct ch_error *error)
 {
     struct sockaddr_in bound;
-    if (!parse_address(address, &bound, error)) {
+    if (!ch_address_parse(address, &bound, error)) {
         return NULL;
     }
     int fd = listen_on(&bound);
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -217,6 +217,12 @@
     {"plain, chunks",
      OURS "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false,
      false, false, true, CH_OK, "ok"},
+    {"interim head first",
+     "HTTP/1.1 103 Hints\r\nX-Request-Id: r8\r\n\r\n" OURS
+     "Content-Length: 2\r\n\r\nok",
+     false, false, false, true, CH_OK, "ok"},
+    {"no content", HEAD_OF("204", "r7") "\r\n", true, false, false, true,
+     CH_OK, ""},
     {"plain, cut", OURS "Content-Length: 9\r\n\r\nok", false, false, false,
      true, CH_UPSTREAM_CUT, "ok"},
     {"plain, no end to be told", OURS "Connection: close\r\n\r\nok", false,
