Take a request out of the table by an id that nobody frees

Cause: a reply was handed to the pool and its request then taken out of the table by the id inside the reply, which a worker may have freed by then. The request stayed in the table, or another one's went; at its limit it ended a second time, in memory that its owner had freed. Nodes died of it under keyed requests (signal 11 in finish_answered), and requests vanished.

Change: the id is copied before the reply is handed over. bench_records, new, counts what requests and promises cost, and fails when a node does not stop well.

Ruled out: an allocator's fault and the once keeper's own counting (the sanitizers see nothing, since the read is inside GLib).

--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -422,8 +422,9 @@
         return;
     }
     connection->awaited--;
+    uint64_t id = frame->id; /* a worker may free the frame from here on */
     submit_end(peers, request, CH_OK, frame);
-    g_hash_table_remove(peers->requests, &frame->id);
+    g_hash_table_remove(peers->requests, &id);
 }
 
 /* One frame.  Hello, ping and pong end here; the rest goes to the pool. */
@@ -953,8 +954,9 @@
     pthread_mutex_lock(&peers->lock);
     struct request *request = g_hash_table_lookup(peers->requests, &copy->id);
     if (request != NULL && request->connection == NULL) {
+        uint64_t id = copy->id; /* a worker may free the copy from here on */
         submit_end(peers, request, CH_OK, copy);
-        g_hash_table_remove(peers->requests, &copy->id);
+        g_hash_table_remove(peers->requests, &id);
         copy = NULL;
     }
     pthread_mutex_unlock(&peers->lock);
--- /dev/null
+++ b/tests/bench/bench_records.c
@@ -0,0 +1,182 @@
+/*
+ * What requests and promises cost: frames between nodes for each request, and
+ * calls to the key-value service for each model or adapter that is loaded (the
+ * ledger) and for each keyed request as their rate, the slots and the time of
+ * gathering change (at-most-once records).
+ */
+
+#include "harness/harness.h"
+
+#include <stdio.h>
+
+enum {
+    SETTLE_MS = 1500,
+    LOAD_MS = 4000,
+    CALLERS = 24,
+    PATIENCE_MS = 10000,
+};
+
+struct reading {
+    double reads; /* of the key-value service */
+    double writes;
+    double frames; /* sent by all nodes */
+    double bytes;
+    double forwarded; /* requests whose home is another node */
+};
+
+/* What the key-value stand-in and the nodes have counted. */
+static struct reading
+read_all(const struct harness_fleet *fleet)
+{
+    struct reading reading = {
+        .reads = (double)(harness_record_number(&fleet->kv, "gets") +
+                          harness_record_number(&fleet->kv, "lists")),
+        .writes = (double)(harness_record_number(&fleet->kv, "puts") +
+                           harness_record_number(&fleet->kv, "deletes")),
+    };
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        const struct harness_node *node = &fleet->nodes[i];
+        reading.frames += harness_counter(node, "frames_sent");
+        reading.bytes += harness_counter(node, "frame_bytes_sent");
+        reading.forwarded += harness_counter(node, "forwarded");
+    }
+    return reading;
+}
+
+/* Ends a fleet whose nodes must all have lived through the load. */
+static void
+stop_fleet(struct harness_fleet *fleet)
+{
+    if (harness_fleet_stop(fleet) != 0) {
+        g_error("bench: a node did not stop well");
+    }
+}
+
+/* Calls for one item after another, each of which has to be loaded first. */
+static void
+measure_ledger(const char *build)
+{
+    static const char *const items[] = {"m01", "m01-a1", "m01-a2", "m02",
+                                        "m02-a1"};
+    struct harness_shape shape = {.nodes = 1, .engines = 1};
+    struct harness_fleet *fleet = harness_fleet_start(build, &shape);
+    harness_sleep(SETTLE_MS);
+    struct reading before = read_all(fleet);
+    for (unsigned i = 0; i < G_N_ELEMENTS(items); i++) {
+        struct harness_call call = {
+            .address = fleet->nodes[0].caller_address,
+            .method = "POST",
+            .path = "/v1/completions",
+            .class_name = "advice",
+            .body = harness_model_body(items[i], 4, false, i),
+            .limit_ms = PATIENCE_MS,
+        };
+        struct harness_answer *answer = harness_call(&call);
+        if (!harness_answer_good(answer)) {
+            g_error("bench: %s was answered with %d", items[i],
+                    answer->status);
+        }
+        harness_answer_free(answer);
+        g_free((char *)call.body);
+        harness_sleep(SETTLE_MS);
+    }
+    struct reading after = read_all(fleet);
+    unsigned loads = G_N_ELEMENTS(items);
+    g_print("figure: ledger loads=%u kv-writes=%.1f kv-reads=%.1f a load\n",
+            loads, (after.writes - before.writes) / loads,
+            (after.reads - before.reads) / loads);
+    stop_fleet(fleet);
+}
+
+/* Calls of one kind by so many callers. */
+static void
+measure_load(struct harness_fleet *fleet, const char *what,
+             const struct harness_kind *kind, unsigned callers)
+{
+    static unsigned serial = 1;
+    const struct harness_load load = {
+        .fleet = fleet,
+        .kinds = kind,
+        .kind_count = 1,
+        .callers = callers,
+        .limit_ms = PATIENCE_MS,
+        .first_serial = serial,
+    };
+    struct reading before = read_all(fleet);
+    int64_t begun = harness_now();
+    struct harness_running *running = harness_load_start(&load);
+    harness_sleep(LOAD_MS);
+    GPtrArray *answers = harness_load_stop(running);
+    double seconds = (double)(harness_now() - begun) / 1000.0;
+    struct reading after = read_all(fleet);
+    unsigned good = 0;
+    double waited = 0;
+    for (guint i = 0; i < answers->len; i++) {
+        const struct harness_answer *answer = g_ptr_array_index(answers, i);
+        good += answer->status == 200;
+        waited += (double)(answer->ended - answer->sent);
+    }
+    double count = MAX(answers->len, 1U);
+    g_print("figure: %s: callers=%u answers=%.0f/s good=%u of %u mean=%.0fms "
+            "kv-writes=%.0f/s kv-reads=%.0f/s, of a request: frames=%.2f "
+            "bytes=%.0f forwarded=%.2f\n",
+            what, callers, answers->len / seconds, good, answers->len,
+            waited / count, (after.writes - before.writes) / seconds,
+            (after.reads - before.reads) / seconds,
+            (after.frames - before.frames) / count,
+            (after.bytes - before.bytes) / count,
+            (after.forwarded - before.forwarded) / count);
+    serial += answers->len + callers;
+    g_ptr_array_unref(answers);
+}
+
+/* Requests that need leave of a home on another node, or here. */
+static void
+measure_requests(const char *build)
+{
+    static const struct harness_kind kind = {"lookup", "m01", NULL, 1,
+                                             false,    false, 3000};
+    struct harness_shape shape = {.nodes = 12, .engines = 6};
+    struct harness_fleet *fleet = harness_fleet_start(build, &shape);
+    harness_warm_up(fleet, &kind, 1);
+    measure_load(fleet, "requests", &kind, CALLERS);
+    stop_fleet(fleet);
+}
+
+/* One setting of slots and gathering, at several rates. */
+static void
+measure_once(const char *build, const char *slots, const char *gather)
+{
+    static const unsigned callers[] = {4, 16, 64};
+    static const struct harness_kind kind = {
+        "order", NULL, "/services/orders/jackets", 0, false, true, 3000};
+    struct harness_shape shape = {
+        .nodes = 3,
+        .engines = 1,
+        .services = 3,
+        .settings = {slots, gather},
+    };
+    char *settings = g_strdup_printf("once %s %s", slots, gather);
+    struct harness_fleet *fleet = harness_fleet_start(build, &shape);
+    harness_sleep(SETTLE_MS);
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        measure_load(fleet, settings, &kind, callers[i]);
+    }
+    stop_fleet(fleet);
+    g_free(settings);
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 2) {
+        (void)fprintf(stderr, "usage: bench_records BUILD\n");
+        return 2;
+    }
+    measure_requests(argv[1]);
+    measure_ledger(argv[1]);
+    measure_once(argv[1], "once.slots=64", "once.gather-ms=5");
+    measure_once(argv[1], "once.slots=16", "once.gather-ms=5");
+    measure_once(argv[1], "once.slots=8", "once.gather-ms=25");
+    return 0;
+}
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -490,3 +490,17 @@
     json_node_unref(status);
     return home;
 }
+
+/* A counter of a node's text exposition; 0 when there is none. */
+double
+harness_counter(const struct harness_node *node, const char *name)
+{
+    char *text = NULL;
+    char *key = g_strdup_printf("\nchestnuthitch_%s_total ", name);
+    (void)harness_get(node->admin_address, "/metrics", &text);
+    const char *at = text == NULL ? NULL : strstr(text, key);
+    double value = at != NULL ? g_ascii_strtod(at + strlen(key), NULL) : 0;
+    g_free(key);
+    g_free(text);
+    return value;
+}
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -129,6 +129,8 @@
 /* The revision in force at a node; 0: none or no answer. */
 uint64_t harness_revision(const struct harness_node *node);
 JsonNode *harness_status(const struct harness_node *node);
+/* A counter of a node's metrics: chestnuthitch_NAME_total. */
+double harness_counter(const struct harness_node *node, const char *name);
 /* The node's name that is home of an upstream by a node's status; g_free. */
 char *harness_home(const struct harness_node *node, const char *upstream);
 struct harness_upstream *harness_find_upstream(struct harness_fleet *fleet,
