--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -6,8 +6,6 @@
 
 #include "node/homes_internal.h"
 
-#include "decide/gossip.h"
-
 #include <string.h>
 
 #define WIRE(name) CHESTNUTHITCH__WIRE__##name
@@ -27,10 +25,6 @@
      * are missing.  On a starved machine it may be wrong, at the cost of one
      * more Enqueue. */
     PAUSE = 1000 * 1000,
-    /* How long a new node waits for a state of each upstream. */
-    FIRST_STATES = 2 * 1000 * 1000,
-    /* The list is asked no more than 20 times a second by the whole fleet. */
-    LIST_SHARE_MS = 50,
     /* What one request may carry over the link, for the byte budget. */
     LINK_HEAD_BYTES = 2048,
     LINK_PROMPT_BYTES = 4,
@@ -250,8 +244,8 @@
 }
 
 /* Counts a pause of this process, seen by the ticks or before the next one. */
-static void
-note_pause(struct ch_homes *homes, int64_t now)
+void
+homes_note_pause(struct ch_homes *homes, int64_t now)
 {
     if (homes->ticked > 0 && now - homes->ticked > PAUSE) {
         homes->pauses++;
@@ -289,7 +283,7 @@
     request->upstream =
         upstream_ref(g_ptr_array_index(homes->upstreams, route.upstream));
     take_link(homes, request, now);
-    note_pause(homes, now);
+    homes_note_pause(homes, now);
     request->pauses = homes->pauses;
     g_free(request->home);
     request->home = ch_peers_upstream_home(
@@ -399,7 +393,7 @@
     struct effects effects;
     effects_init(&effects);
     pthread_mutex_lock(&homes->lock);
-    note_pause(homes, now);
+    homes_note_pause(homes, now);
     struct request *request = ch_table_get(homes->requests, handle);
     if (request != NULL && request->pauses != homes->pauses) {
         stale = true;
@@ -439,139 +433,6 @@
     effects_run(homes, &effects);
 }
 
-/* ---- what recurs ---- */
-
-/* One recurring job less; the stop waits for the last. */
-static void
-end_job(struct ch_homes *homes)
-{
-    pthread_mutex_lock(&homes->lock);
-    homes->jobs--;
-    pthread_cond_broadcast(&homes->idle);
-    pthread_mutex_unlock(&homes->lock);
-}
-
-/*
- * Whether this node knows enough to route.  A node that has just started and
- * says that it is ready refuses its first callers, as it has no list yet, or
- * has a model loaded anew that another engine holds, as no home has told it
- * yet: seen with the first requests after a start.  So it waits for the list
- * and for one state of each upstream, of the latter not longer than
- * FIRST_STATES: a home that cannot tell must not keep a fleet from starting.
- */
-bool
-ch_homes_ready(struct ch_homes *homes)
-{
-    pthread_mutex_lock(&homes->lock);
-    int64_t now = ch_client_now(homes->node->client);
-    bool ready = homes->listed_at > 0;
-    for (guint i = 0; ready && i < homes->upstreams->len; i++) {
-        const struct upstream *upstream =
-            g_ptr_array_index(homes->upstreams, i);
-        ready =
-            upstream->sequence > 0 || now - homes->listed_at > FIRST_STATES;
-    }
-    pthread_mutex_unlock(&homes->lock);
-    return ready;
-}
-
-/* Whether the recurring jobs go on. */
-static bool
-goes_on(struct ch_homes *homes)
-{
-    pthread_mutex_lock(&homes->lock);
-    bool stopping = homes->stopping;
-    pthread_mutex_unlock(&homes->lock);
-    return !stopping;
-}
-
-/* Every CH_HOME_TICK: homes, membership's consequences, gossip. */
-static void
-run_tick(void *data)
-{
-    struct ch_homes *homes = data;
-    if (!goes_on(homes)) {
-        end_job(homes);
-        return;
-    }
-    int64_t now = ch_client_now(homes->node->client);
-    struct effects effects;
-    effects_init(&effects);
-    pthread_mutex_lock(&homes->lock);
-    note_pause(homes, now);
-    homes->ticked = now;
-    home_rehome(homes, now, &effects);
-    pthread_mutex_unlock(&homes->lock);
-    home_tick_all(homes, now, &effects);
-    effects_run(homes, &effects);
-    if (now >= homes->next_gossip) {
-        homes->next_gossip = now + CH_GOSSIP_PERIOD;
-        gossip_round(homes, now);
-    }
-    ch_timers_after(homes->node->timers, CH_HOME_TICK, run_tick, homes);
-}
-
-struct list_job {
-    struct ch_homes *homes;
-    enum ch_code code;
-    struct ch_host_list *list;
-};
-
-static void fetch_list(void *data);
-
-/* On the pool: takes the list; without one the last stays in force, since an
- * unreachable list says nothing about the hosts.  One that did not change is
- * not taken again: that would find the homes of all upstreams anew. */
-static void
-run_list(void *data)
-{
-    struct list_job *job = data;
-    struct ch_homes *homes = job->homes;
-    if (job->list != NULL) {
-        struct effects effects;
-        effects_init(&effects);
-        ch_peers_list(homes->node->peers, job->list);
-        pthread_mutex_lock(&homes->lock);
-        site_take_list(homes, job->list, &effects);
-        pthread_mutex_unlock(&homes->lock);
-        effects_run(homes, &effects);
-    }
-    else if (job->code != CH_OK) {
-        ch_log(homes->node->client, CH_LOG_WARNING, "list-unreachable",
-               CH_F_INT("code", job->code), CH_F_END);
-    }
-    unsigned period = MAX(homes->node->settings->list_ms,
-                          homes->live * (unsigned)LIST_SHARE_MS);
-    ch_host_list_free(job->list);
-    g_free(job);
-    ch_timers_after(homes->node->timers,
-                    goes_on(homes) ? (int64_t)period * 1000 : 0, fetch_list,
-                    homes);
-}
-
-/* On the loop's thread: hands the list to the pool. */
-static void
-list_done(void *data, enum ch_code code, struct ch_host_list *list)
-{
-    struct list_job *job = g_new0(struct list_job, 1);
-    job->homes = data;
-    job->code = code;
-    job->list = list;
-    ch_pool_submit(job->homes->node->pool, run_list, job);
-}
-
-/* Asks for the platform's list. */
-static void
-fetch_list(void *data)
-{
-    struct ch_homes *homes = data;
-    if (!goes_on(homes)) {
-        end_job(homes);
-        return;
-    }
-    homes->node->hosts->ops->fetch(homes->node->hosts, list_done, homes);
-}
-
 /* ---- life ---- */
 
 /* Sets the handlers of frames; nothing runs before ch_homes_start. */
@@ -608,8 +469,8 @@
     pthread_mutex_lock(&homes->lock);
     homes->jobs += 2;
     pthread_mutex_unlock(&homes->lock);
-    fetch_list(homes);
-    ch_timers_after(homes->node->timers, CH_HOME_TICK, run_tick, homes);
+    homes_fetch_list(homes);
+    ch_timers_after(homes->node->timers, CH_HOME_TICK, homes_run_tick, homes);
 }
 
 /* Hands the homes over: says that this node stops, then closes each, by which
@@ -678,80 +539,3 @@
     pthread_cond_destroy(&homes->idle);
     g_free(homes);
 }
-
-/* ---- status ---- */
-
-/* Adds a member with a string. */
-static void
-add_string(JsonBuilder *builder, const char *name, const char *value)
-{
-    json_builder_set_member_name(builder, name);
-    json_builder_add_string_value(builder, value);
-}
-
-/* Adds a member with a number. */
-static void
-add_int(JsonBuilder *builder, const char *name, int64_t value)
-{
-    json_builder_set_member_name(builder, name);
-    json_builder_add_int_value(builder, value);
-}
-
-/* Adds an array of the names of items. */
-static void
-add_items(JsonBuilder *builder, const char *name, const GArray *items)
-{
-    json_builder_set_member_name(builder, name);
-    json_builder_begin_array(builder);
-    for (guint i = 0; i < items->len; i++) {
-        json_builder_add_string_value(
-            builder,
-            g_quark_to_string(g_array_index(items, struct ch_item, i).name));
-    }
-    json_builder_end_array(builder);
-}
-
-/* One upstream for the status. */
-static void
-add_upstream(struct ch_homes *homes, const struct upstream *upstream,
-             JsonBuilder *builder)
-{
-    const struct ch_upstream_view *view = site_view(homes, upstream);
-    char *home =
-        ch_peers_upstream_home(homes->node->peers, upstream->key,
-                               upstream->region, upstream->data_centre);
-    json_builder_begin_object(builder);
-    add_string(builder, "name", g_quark_to_string(upstream->name));
-    add_string(builder, "kind",
-               upstream->kind == CH_HOST_SERVICE ? "service" : "engine");
-    add_string(builder, "region", upstream->region);
-    add_string(builder, "data_centre", upstream->data_centre);
-    add_string(builder, "home", home);
-    add_string(builder, "state",
-               view->down      ? "down"
-               : view->leaving ? "leaving"
-                               : "live");
-    add_int(builder, "memory_mb", view->capacity_mb);
-    add_int(builder, "free_mb", view->free_mb);
-    add_int(builder, "running", view->running);
-    add_int(builder, "queued", view->queued);
-    add_int(builder, "wait_ms", view->wait / 1000);
-    add_items(builder, "resident", view->resident);
-    add_items(builder, "reserved", view->loading);
-    json_builder_end_object(builder);
-    g_free(home);
-}
-
-/* The upstreams, as an array "upstreams" in an open JSON object. */
-void
-ch_homes_status(struct ch_homes *homes, JsonBuilder *builder)
-{
-    json_builder_set_member_name(builder, "upstreams");
-    json_builder_begin_array(builder);
-    pthread_mutex_lock(&homes->lock);
-    for (guint i = 0; i < homes->upstreams->len; i++) {
-        add_upstream(homes, g_ptr_array_index(homes->upstreams, i), builder);
-    }
-    pthread_mutex_unlock(&homes->lock);
-    json_builder_end_array(builder);
-}
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -2,7 +2,7 @@
 #define CH_NODE_HOMES_INTERNAL_H
 
 /*
- * What homes.c (requests of this node's callers), home_side.c (upstreams that
+ * What homes.c (requests of this node's callers), home_*.c (upstreams that
  * this node is home of), site.c (upstreams as listed and seen) and gossip.c
  * share.  One lock guards all of it: at the sizes of docs/CAPACITY.md a node
  * takes some tens of decisions a second, each of microseconds, so a finer lock
@@ -172,8 +172,18 @@
 site_make_state(struct ch_homes *homes, const struct upstream *upstream);
 void site_free_state(Chestnuthitch__Wire__UpstreamState *state);
 
-/* ---- home_side.c ---- */
+/* ---- home_queue.c ---- */
 
+struct ch_actions home_actions_new(void);
+/* Does what a home's decisions ask for, and frees the list. */
+void home_apply(struct ch_homes *homes, struct upstream *upstream,
+                struct ch_actions *actions, int64_t now,
+                struct effects *effects);
+/* Offers work under a new ticket, whose handle is in *handle before the home
+   answers. */
+void home_offer(struct ch_homes *homes, struct upstream *upstream,
+                struct ch_work *work, struct ticket *ticket, uint64_t *handle,
+                int64_t now, struct effects *effects);
 void home_open(struct ch_homes *homes, struct upstream *upstream, int64_t now,
                struct effects *effects);
 void home_close(struct ch_homes *homes, struct upstream *upstream,
@@ -190,15 +200,33 @@
 /* Refreshes the fleet's view of an upstream whose home is here. */
 void home_refresh_view(struct ch_homes *homes, struct upstream *upstream,
                        int64_t now);
+
+/* ---- home_members.c ---- */
+
 /* Opens and closes homes as membership says; ends lost grants. */
 void home_rehome(struct ch_homes *homes, int64_t now, struct effects *effects);
+
+/* ---- home_report.c ---- */
+
 /* What each home does every CH_HOME_TICK, reports among it. */
 void home_tick_all(struct ch_homes *homes, int64_t now,
                    struct effects *effects);
+
+/* ---- home_frames.c ---- */
+
 void home_handlers(struct ch_homes *homes);
+
+/* ---- home_ledger.c ---- */
+
+/* Takes for resident what was told of the engine, until the ledger is read. */
+void home_assume_view(struct ch_homes *homes, struct upstream *upstream,
+                      int64_t now, struct effects *effects);
+void home_assume_report(struct upstream *upstream,
+                        const struct ch_report *report, int64_t now,
+                        struct ch_actions *actions);
 const struct ch_ledger_handlers *home_ledger_handlers(void);
 
-/* ---- homes.c, for home_side.c ---- */
+/* ---- homes.c, for the homes here ---- */
 
 /* Answers for a local request; routing it anew when its home went. */
 void request_granted(struct ch_homes *homes, struct request *request,
@@ -211,6 +239,13 @@
 /* True when the grant is from before a pause of this process: it was given
    back, and the request is on its way to a home again. */
 bool request_is_stale(struct ch_homes *homes, uint64_t handle);
+/* Counts a pause of this process when the last tick is long ago; lock held. */
+void homes_note_pause(struct ch_homes *homes, int64_t now);
+
+/* ---- homes_recur.c: each has itself run again until the homes stop ---- */
+
+void homes_run_tick(void *data);
+void homes_fetch_list(void *data);
 
 /* ---- gossip.c ---- */
 
