Probe many silent members in turn

Cause: each silent member was tried each second by every node. When regions lose each other, some 200 of 320 members are silent: 200 connections and pings a second from each node for as long as it lasts.

Change: all silent members together are tried 20 times a second at most, in turn. Up to 20 of them, and so in every fleet of today, nothing changes.

Ruled out: a growing pause for each (the one that comes back first waits longest); trying a sample (no bound on when a member is found again).

--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -6,8 +6,15 @@
 
 enum {
     /* A silent member is probed this often: soon enough to come back into
-     * use, seldom enough that a lost data centre costs little. */
+     * use. */
     SILENT_PROBE = 1000 * 1000,
+    /* All silent members together are probed no more often than this.  Load:
+     * regions that have lost each other, where 200 of 320 nodes are silent.
+     * Harm prevented: 200 tries a second from each node, which the link that
+     * is about to come back would carry.  Up to 20 silent members, and in any
+     * fleet of today, it changes nothing; 200 have their turn every 10 s, and
+     * whichever of two nodes tries first brings both back. */
+    SILENT_SHARE = 50 * 1000,
     /* How long others are told: several rounds of gossip at 320 nodes. */
     HINT_TIME = 4 * 1000 * 1000,
 };
@@ -204,6 +211,18 @@
     member->probe_at = 0;
 }
 
+/* How long each silent member waits for its turn. */
+static int64_t
+silent_period(const struct ch_members *members)
+{
+    int64_t silent = 0;
+    for (guint i = 0; i < members->list->len; i++) {
+        const struct ch_member *member = g_ptr_array_index(members->list, i);
+        silent += member->status == CH_MEMBER_SILENT;
+    }
+    return MAX((int64_t)SILENT_PROBE, silent * SILENT_SHARE);
+}
+
 /* One connection failed.  The member is silent only if nothing came from it
  * on any other for silent_after: a single connection that something on the way
  * has forgotten says nothing about the node. */
@@ -223,7 +242,7 @@
         members->version++;
         member->hint_until = now + HINT_TIME;
     }
-    member->probe_at = now + SILENT_PROBE;
+    member->probe_at = now + silent_period(members);
     return true;
 }
 
@@ -246,7 +265,7 @@
         members->version++;
         member->hint_until = now + HINT_TIME;
     }
-    member->probe_at = now + SILENT_PROBE;
+    member->probe_at = now + silent_period(members);
 }
 
 /* Another node finds it silent: probe it at once and judge by that. */
@@ -344,10 +363,11 @@
                  size_t most)
 {
     size_t count = 0;
+    int64_t period = silent_period(members);
     for (guint i = 0; i < members->list->len && count < most; i++) {
         struct ch_member *member = g_ptr_array_index(members->list, i);
         if (member->probe_at > 0 && member->probe_at <= now) {
-            member->probe_at = now + SILENT_PROBE;
+            member->probe_at = now + period;
             names[count++] = member->name;
         }
     }
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -234,6 +234,52 @@
     ch_members_free(members);
 }
 
+/* Silent members are probed each second, or, when they are many, in turn at
+ * no more than 20 a second; none is forgotten. */
+static void
+test_silent_probes(void)
+{
+    const struct {
+        unsigned silent;
+        unsigned most; /* probes of them in 20 s */
+        unsigned least_each;
+    } cases[] = {{2, 42, 19}, {20, 420, 19}, {200, 420, 1}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ch_members *members =
+            ch_members_new("a1", "r1", "a", 1, SILENT_AFTER);
+        unsigned *probes = g_new0(unsigned, cases[i].silent);
+        size_t total = 0;
+        int64_t begun = 2 * SILENT_AFTER;
+        char name[16];
+        ch_members_begin_update(members);
+        for (unsigned k = 0; k < cases[i].silent; k++) {
+            g_snprintf(name, sizeof(name), "b%03u", k);
+            ch_members_listed(members, name, "127.0.0.1:1", "r1", "b", false,
+                              0);
+        }
+        ch_members_end_update(members);
+        for (unsigned k = 0; k < cases[i].silent; k++) {
+            g_snprintf(name, sizeof(name), "b%03u", k);
+            g_assert_true(ch_members_lost(members, name, begun));
+        }
+        for (int64_t now = begun; now < begun + 20000 * MS; now += 50 * MS) {
+            const char *names[16];
+            size_t count = ch_members_probe(members, now, names, 16);
+            total += count;
+            for (size_t k = 0; k < count; k++) {
+                probes[g_ascii_strtoull(names[k] + 1, NULL, 10)]++;
+                ch_members_lost(members, names[k], now);
+            }
+        }
+        g_assert_cmpuint(total, <=, cases[i].most);
+        for (unsigned k = 0; k < cases[i].silent; k++) {
+            g_assert_cmpuint(probes[k], >=, cases[i].least_each);
+        }
+        g_free(probes);
+        ch_members_free(members);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -247,5 +293,6 @@
     g_test_add_func("/member/stopping", test_stopping);
     g_test_add_func("/member/fanout", test_fanout);
     g_test_add_func("/member/refused", test_refused);
+    g_test_add_func("/member/silent-probes", test_silent_probes);
     return g_test_run();
 }
