Test records, ledger, revision and host list, and every order of their events

Tables of cases, the counter-examples of the specifications among them, and each order of events up to a stated bound against a small model.

--- a/tests/spec/ledger.pml
+++ b/tests/spec/ledger.pml
@@ -870,6 +870,9 @@
             :: else
             fi
         fi
+    :: next.state[want] == UNLOADING ->
+        unloads_done[next.order[want]] = 1;
+        resident[want] = 0
     :: else
     fi;
     assign(kv, next);
@@ -895,7 +898,9 @@
                 copy[s].with_boot = 0
             }
             settle_holder(0);
+#ifndef MUTATION_NEVER_SETTLED
             settle_holder(1);
+#endif
             for (round : 1 .. 14) {
                 recover_round(want)
             }
