--- a/tests/unit/test_once.c
+++ b/tests/unit/test_once.c
@@ -398,7 +398,7 @@
     model_add(&model, 0, event_new(CH_ONCE_EVENT_CREATE, "k", 2), 2);
     g_assert_cmpint(model.answers[2], ==, 1 + CH_ONCE_REFUSED);
     g_assert_false(model.called[0]);
-    model.now += 10 * 1000 * 1000;
+    model.now += (int64_t)10 * G_USEC_PER_SEC;
     model_add(&model, 0, event_new(CH_ONCE_EVENT_CREATE, "k", 3), 3);
     model_settle(&model, 0);
     g_assert_cmpint(model.answers[3], ==, 1 + CH_ONCE_CREATED);
