Hold less memory for each open stream

Cause: 1,000 open streams took 53.8 MB; most of it room that the HTTP library sets aside for each connection and response. Change: 2 KiB in place of 16 for what it asks for at once, 8 KiB in place of 32 beside the head's bound. A test that a head just under its bound is taken, and one of more callers than connections.

--- a/libchestnuthitch/node/intake.h
+++ b/libchestnuthitch/node/intake.h
@@ -8,8 +8,9 @@
 enum {
     /* The library's own needs in a connection's memory, beside the head of the
      * request: its buffers, and room to see that a head is too large, so that
-     * the refusal can be ours and name it. */
-    CH_INTAKE_MEMORY = 32 * 1024,
+     * the refusal can be ours and name it.  It is held for each open stream.
+     */
+    CH_INTAKE_MEMORY = 8 * 1024,
 };
 
 enum ch_intake_header {
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -13,7 +13,9 @@
 #include <sys/socket.h>
 
 enum {
-    STREAM_BLOCK = 16 * 1024, /* what the library asks for at once */
+    /* What the library asks for at once, and holds for each open stream: some
+     * ten events. */
+    STREAM_BLOCK = 2 * 1024,
 };
 
 struct ch_reply {
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -15,6 +15,7 @@
 enum {
     PATIENCE_S = 20,
     MOST_TRIES = 4,
+    MOST_CALLERS = 12,
     EVENTS = 5, /* of a whole stream */
 };
 
@@ -887,6 +888,8 @@
     const char *answer;
 };
 
+#define SIXTY "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefgh"
+#define LETTERS SIXTY SIXTY SIXTY SIXTY SIXTY
 #define POST "POST /v1/completions HTTP/1.1\r\nHost: n1\r\n"
 
 static const struct bounds_case bounds_cases[] = {
@@ -898,6 +901,11 @@
      "HTTP/1.1 413|" NOT_RUN "|\"field\":\"body\""},
     {"long header", POST "X-Long: %s\r\nContent-Length: 0\r\n\r\n",
      "HTTP/1.1 431|" NOT_RUN "|\"field\":\"headers\""},
+    {"header not too long",
+     POST "X-Long: " LETTERS LETTERS LETTERS LETTERS LETTERS LETTERS "\r\n"
+          "Chestnuthitch-Caller: cardiff\r\nConnection: close\r\n"
+          "Content-Length: 1\r\n\r\n{",
+     "HTTP/1.1 400|" NOT_RUN "|\"field\":\"body\""},
     {"header twice",
      POST "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
           "Content-Length: 0\r\n\r\n",
@@ -960,6 +968,33 @@
     }
 }
 
+/* More callers than the node has connections for: those over the limit are
+ * closed at once, the others are served as ever. */
+static void
+test_full(void)
+{
+    struct world *world = world_new();
+    int fds[MOST_CALLERS + 1];
+    char byte = 0;
+    world->settings.max_connections = MOST_CALLERS;
+    world_start(world);
+    for (unsigned i = 0; i <= MOST_CALLERS; i++) {
+        fds[i] = dial(world);
+    }
+    g_assert_cmpint(recv(fds[MOST_CALLERS], &byte, 1, 0), <=, 0);
+    close(fds[MOST_CALLERS]);
+    for (unsigned i = 0; i < MOST_CALLERS; i++) {
+        static const char text[] =
+            "GET /healthz HTTP/1.1\r\nHost: n1\r\nConnection: close\r\n\r\n";
+        ssize_t sent = send(fds[i], text, sizeof(text) - 1, MSG_NOSIGNAL);
+        g_assert_cmpint(sent, ==, (ssize_t)sizeof(text) - 1);
+        char *answer = hear(fds[i]);
+        check_answer(answer, "HTTP/1.1 200|ok");
+        g_free(answer);
+    }
+    world_free(world);
+}
+
 /* ---- starting and stopping ---- */
 
 static void
@@ -1052,6 +1087,7 @@
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/once late", test_once_late);
     g_test_add_func("/exchange/truncated", test_truncated);
+    g_test_add_func("/exchange/full", test_full);
     g_test_add_func("/exchange/not ready", test_not_ready);
     g_test_add_func("/exchange/stop", test_stop);
     return g_test_run();
