--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 enum {
     /* A connection on which nothing moves, as with a caller that never ends
@@ -334,16 +335,54 @@
            CH_F_END);
 }
 
-/* Gives a new connection to the library, which closes it when there are too
- * many. */
+/* Counts a connection, unless there are as many as there may be.  The
+ * library's own limit is one for each of its threads, so that it turns callers
+ * away while another thread has room. */
+static bool
+enter_connection(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    bool room = front->connections < front->node->settings->max_connections;
+    front->connections += room;
+    pthread_mutex_unlock(&front->lock);
+    return room;
+}
+
+/* A connection is no more. */
+static void
+leave_connection(struct ch_front *front)
+{
+    pthread_mutex_lock(&front->lock);
+    front->connections--;
+    pthread_mutex_unlock(&front->lock);
+}
+
+/* The library begins with a connection, or is done with it. */
+static void
+connection_changed(void *data, struct MHD_Connection *connection,
+                   void **context, enum MHD_ConnectionNotificationCode what)
+{
+    (void)connection;
+    (void)context;
+    if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        leave_connection(data);
+    }
+}
+
+/* Gives a new connection to the library; closes it when there are too many. */
 static void
 take_connection(void *data, int fd, const struct sockaddr_in *from)
 {
     struct ch_front *front = data;
+    if (!enter_connection(front)) {
+        log_full(front);
+        close(fd);
+        return;
+    }
     CH_RELEASE(&front->listener); /* the library's lock hands fd on */
     if (MHD_add_connection(front->daemon, fd, (const struct sockaddr *)from,
                            sizeof(*from)) != MHD_YES) {
-        log_full(front);
+        leave_connection(front);
     }
 }
 
@@ -354,7 +393,6 @@
 {
     const struct ch_settings *settings = front->node->settings;
     unsigned threads = CLAMP(settings->workers, 1, MOST_LISTENER_THREADS);
-    threads = MIN(threads, MAX(settings->max_connections, 1));
     return MHD_start_daemon(
         MHD_USE_EPOLL | MHD_USE_INTERNAL_POLLING_THREAD |
             MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET |
@@ -362,7 +400,8 @@
         0, NULL, NULL, handle, front, MHD_OPTION_EXTERNAL_LOGGER, library_log,
         front, MHD_OPTION_URI_LOG_CALLBACK, request_begun, front,
         MHD_OPTION_NOTIFY_COMPLETED, request_over, front,
-        MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
+        MHD_OPTION_CONNECTION_LIMIT, settings->max_connections * threads,
+        MHD_OPTION_NOTIFY_CONNECTION, connection_changed, front,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         settings->max_headers + CH_INTAKE_MEMORY,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_SECONDS,
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -26,6 +26,7 @@
     size_t incoming;                /* requests begun and not yet whole */
     size_t accepted;                /* whole and not yet answered */
     size_t exchanges;               /* courses not yet over */
+    unsigned connections;           /* that the library has */
     uint64_t last_id;               /* of requests */
     struct ch_retry_budget retries; /* one for the node */
     bool stopping;                  /* not ready; still serving */
