--- a/tests/bench/bench_path.c
+++ b/tests/bench/bench_path.c
@@ -62,6 +62,7 @@
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, *headers);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ignore);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, 5000L);
     g_free(url);
     return curl;
 }
@@ -72,6 +73,7 @@
 {
     long status = 0;
     curl_easy_setopt(curl, CURLOPT_COPYPOSTFIELDS, body);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 10000L);
     int64_t begun = g_get_monotonic_time();
     CURLcode code = curl_easy_perform(curl);
     double took = (double)(g_get_monotonic_time() - begun) / 1000.0;
--- a/tests/standin/generate.c
+++ b/tests/standin/generate.c
@@ -268,9 +268,12 @@
         stream_begin(exchange, generation);
         return;
     }
-    exchange->timer =
-        timer_add(standin, token_time(generation) * generation->total,
-                  whole_done, exchange);
+    int64_t time = token_time(generation) * generation->total;
+    if (time == 0) {
+        whole_done(exchange);
+        return;
+    }
+    exchange->timer = timer_add(standin, time, whole_done, exchange);
 }
 
 /* POST /v1/completions and /v1/chat/completions. */
