--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -65,6 +65,7 @@
     bool leaving;            /* to be unloaded once nothing runs on it */
     bool wanted;             /* to be loaded as soon as there is room */
     uint32_t running;        /* granted requests that use it */
+    uint32_t queued;         /* waiting ones */
     struct ch_demand demand; /* offered, refused requests among it */
     int64_t used;            /* last offered */
     int64_t unserved;   /* first refused since it was last here; 0: none */
@@ -161,6 +162,7 @@
     bool predict;    /* refuse what will miss; else shed what has missed */
     bool find_batch; /* from measured times; else what the engine states */
     bool fair;       /* between tenants when full */
+    bool unlimited;  /* grants all at once: the upstream queues by itself */
 };
 
 struct ch_placing {
@@ -185,6 +187,10 @@
                                       struct ch_fleet *fleet,
                                       const struct ch_work *work,
                                       const GArray *excluded, int64_t now);
+struct ch_route ch_route_independent(const struct ch_policy *policy,
+                                     struct ch_fleet *fleet,
+                                     const struct ch_work *work,
+                                     const GArray *excluded, int64_t now);
 struct ch_route ch_route_static(const struct ch_policy *policy,
                                 struct ch_fleet *fleet,
                                 const struct ch_work *work,
