Tell the states of a home's upstreams directly, to the nodes in turn

Cause: in fleets of more than 12 nodes relays told states on.

Change: nobody relays. Each home tells its own states to three nodes of its own data centre and three of others in each round, in turn. Up to 12 nodes everything is as it was. The sender's name is no longer repeated in each state.

The states of other data centres are still old; what will carry them is named in docs/CAPACITY.md.

--- a/libchestnuthitch/decide/gossip.c
+++ b/libchestnuthitch/decide/gossip.c
@@ -1,31 +1,42 @@
-/* Gossip of upstreams' states: straight to all in a small fleet, by relays in
- * a large one. */
+/* How many nodes hear the states of a home's upstreams in one round. */
 
 #include "decide/gossip.h"
 
 enum {
-    /* Up to here a home tells every node itself: the entry nodes of today see
-     * a change after one round, and nothing is sent twice. */
+    /* Up to here a home tells every node in each round: the entry nodes of
+     * today see a change after half a second. */
     DIRECT_NODES = 12,
-    RELAY_FANOUT = 4,
+    ROUND_NODES = 6,
+    /* Of them, in other data centres while there are enough in both. */
+    FAR_NODES = 3,
 };
 
-/* At 320 nodes four messages a round reach all in about five rounds
- * (log 320 to the base 5), at a cost that does not grow with the fleet. */
-unsigned
-ch_gossip_fanout(unsigned live)
+/*
+ * Load: 320 nodes that are each home of some 6 upstreams, whose states all
+ * differ at each round.  Harm prevented: states that relays tell on come three
+ * of four times to a node that has them already, so that the bytes a node may
+ * spend carry each upstream once in a minute and a half.  So nobody relays:
+ * each home tells its own states, to the nodes in turn.  Six messages of some
+ * 630 bytes a round are 7.5 KB a second each way at any size; at 320 nodes in
+ * seven data centres those of the own one, which most of the requests come
+ * from, have their turn every 8 s, the rest every 46 s.
+ */
+struct ch_gossip_share
+ch_gossip_share(unsigned near, unsigned far)
 {
-    unsigned others = live > 0 ? live - 1 : 0;
-    return live <= DIRECT_NODES ? others : (unsigned)RELAY_FANOUT;
+    struct ch_gossip_share share = {near, far};
+    if (near + far < DIRECT_NODES) {
+        return share;
+    }
+    share.near = MIN(near, (unsigned)(ROUND_NODES - FAR_NODES));
+    share.far = MIN(far, ROUND_NODES - share.near);
+    share.near = MIN(near, ROUND_NODES - share.far);
+    return share;
 }
 
-/* A relay repeats a state it heard once; the home repeats its own until it has
- * had the time to spread, since a relay may die with it. */
-unsigned
-ch_gossip_repeats(unsigned live, bool own)
+/* Whether a round goes to every other node, so that only news need be told. */
+bool
+ch_gossip_direct(unsigned live)
 {
-    if (live <= DIRECT_NODES) {
-        return own ? 1 : 0;
-    }
-    return own ? 3 : 2;
+    return live <= DIRECT_NODES;
 }
--- a/libchestnuthitch/decide/gossip.h
+++ b/libchestnuthitch/decide/gossip.h
@@ -10,14 +10,19 @@
     /* A state that does not change is told again this often, for nodes that
      * missed it. */
     CH_GOSSIP_REFRESH = 5 * 1000 * 1000,
-    /* Most states in one message: about 4 KB, so that four messages a period
-     * stay under the 28 KB a second that a node may spend on control. */
+    /* Most states in one message: a home of more tells them in turn. */
     CH_GOSSIP_STATES = 32,
 };
 
-/* Nodes that one round of gossip goes to, of `live` with this one. */
-unsigned ch_gossip_fanout(unsigned live);
-/* Rounds that a state is told in: by its home (own), or by who heard it. */
-unsigned ch_gossip_repeats(unsigned live, bool own);
+/* Nodes that one round goes to. */
+struct ch_gossip_share {
+    unsigned near; /* of the own data centre */
+    unsigned far;
+};
+
+/* Out of so many other live nodes. */
+struct ch_gossip_share ch_gossip_share(unsigned near, unsigned far);
+/* live: with this node. */
+bool ch_gossip_direct(unsigned live);
 
 #endif
--- a/libchestnuthitch/node/gossip.c
+++ b/libchestnuthitch/node/gossip.c
@@ -48,26 +48,31 @@
     upstream->told_at = now;
     upstream->sequence =
         MAX(upstream->sequence + 1, (uint64_t)g_get_real_time());
-    upstream->tell = ch_gossip_repeats(homes->live, true);
+    upstream->news = true;
 }
 
 /* Gathers the states to tell in this round, from a place that moves on, so
- * that all get their turn when there are more than one message holds. */
+ * that all get their turn when there are more than one message holds.  In a
+ * small fleet those with news; in a large one all, since the nodes whose turn
+ * it is have not heard the news of the rounds before. */
 static void
 gather_states(struct ch_homes *homes, struct message *message, int64_t now)
 {
+    bool direct = ch_gossip_direct(homes->live);
     guint count = homes->upstreams->len;
     guint start = count > 0 ? g_rand_int(homes->random) % count : 0;
     for (guint k = 0; k < count; k++) {
         struct upstream *upstream =
             g_ptr_array_index(homes->upstreams, (start + k) % count);
-        if (upstream->home != NULL) {
-            note_news(homes, upstream, now);
+        if (upstream->home == NULL) {
+            continue;
         }
-        if (upstream->tell == 0 || message->state_count == CH_GOSSIP_STATES) {
+        note_news(homes, upstream, now);
+        if ((direct && !upstream->news) ||
+            message->state_count == CH_GOSSIP_STATES) {
             continue;
         }
-        upstream->tell--;
+        upstream->news = false;
         message->states[message->state_count] =
             site_make_state(homes, upstream);
         if (message->states[message->state_count] != NULL) {
@@ -100,10 +105,10 @@
     g_free(state);
 }
 
-/* Sends the message to some live nodes, chosen at random. */
+/* Sends the message to so many of the nodes, from the one whose turn it is. */
 static void
 send_message(struct ch_homes *homes, const struct message *message,
-             unsigned fanout)
+             const GPtrArray *names, unsigned turn, unsigned most)
 {
     Chestnuthitch__Wire__Gossip gossip = WIRE(GOSSIP__INIT);
     gossip.n_upstreams = message->state_count;
@@ -111,22 +116,37 @@
     gossip.n_members = message->members->len;
     gossip.members =
         (Chestnuthitch__Wire__MemberState **)message->members->pdata;
-    char **live = ch_peers_live(homes->node->peers);
-    unsigned count = g_strv_length(live);
-    unsigned sent = 0;
-    unsigned start = count > 0 ? (unsigned)g_random_int() % count : 0;
-    for (unsigned k = 0; k < count && sent < fanout; k++) {
-        const char *name = live[(start + k) % count];
-        if (strcmp(name, homes->node->settings->name) == 0) {
-            continue;
-        }
+    for (unsigned k = 0; k < most; k++) {
         Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
         frame.body_case = WIRE(FRAME__BODY_GOSSIP);
         frame.gossip = &gossip;
-        ch_peers_send(homes->node->peers, name, &frame);
-        sent++;
+        ch_peers_send(homes->node->peers,
+                      g_ptr_array_index(names, (turn + k) % names->len),
+                      &frame);
+    }
+}
+
+/* Sends the message to those whose turn it is, or to every node. */
+static void
+send_round(struct ch_homes *homes, const struct message *message, bool all)
+{
+    GPtrArray *near = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *far = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_others(homes->node->peers, near, far);
+    struct ch_gossip_share share = {near->len, far->len};
+    if (!all) {
+        share = ch_gossip_share(near->len, far->len);
     }
-    g_strfreev(live);
+    pthread_mutex_lock(&homes->lock);
+    unsigned near_turn = homes->near_turn;
+    unsigned far_turn = homes->far_turn;
+    homes->near_turn += share.near;
+    homes->far_turn += share.far;
+    pthread_mutex_unlock(&homes->lock);
+    send_message(homes, message, near, near_turn, share.near);
+    send_message(homes, message, far, far_turn, share.far);
+    g_ptr_array_free(near, TRUE);
+    g_ptr_array_free(far, TRUE);
 }
 
 /* Frees what a message holds. */
@@ -156,10 +176,9 @@
     g_ptr_array_free(silent, TRUE);
     pthread_mutex_lock(&homes->lock);
     gather_states(homes, &message, now);
-    unsigned fanout = ch_gossip_fanout(homes->live);
     pthread_mutex_unlock(&homes->lock);
     if (message.state_count > 0 || message.members->len > 0) {
-        send_message(homes, &message, fanout);
+        send_round(homes, &message, false);
     }
     clear_message(&message);
 }
@@ -174,7 +193,7 @@
     };
     add_member(&message, homes->node->settings->name, homes->node->incarnation,
                CH_MEMBER_STOPPING);
-    send_message(homes, &message, UINT32_MAX);
+    send_round(homes, &message, true);
     clear_message(&message);
 }
 
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -29,14 +29,14 @@
     uint32_t accelerators;
     uint32_t batch;
     GQuark service;
-    /* Version of what the fleet's view holds, and how often to tell of it. */
+    /* Version of what the fleet's view holds. */
     uint64_t incarnation;
     uint64_t sequence;
-    unsigned tell;
     /* The home's part: NULL while another node is home. */
     struct ch_home *home;
     uint64_t told_hash; /* of the state that was last told */
     int64_t told_at;
+    bool news; /* not told in any round yet */
     bool reporting;
     int64_t report_at;
     unsigned report_failures;
@@ -104,6 +104,8 @@
     uint64_t sequence;
     int64_t next_rehome;
     int64_t next_gossip;
+    unsigned near_turn; /* whose turn it is to be told, by place in order */
+    unsigned far_turn;
     uint64_t homed_version; /* of the membership, when homes were last found */
     bool rehome;            /* find them again: the list, or a guest home */
     unsigned live;          /* nodes at the last look */
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -114,6 +114,9 @@
 uint16_t ch_peers_port(const struct ch_peers *peers);
 /* This node stops: no key has its home here, unless it is alone. */
 void ch_peers_stopping(struct ch_peers *peers);
+/* Adds the names of the other live nodes, new strings in one order: those of
+   this node's data centre, and those of others. */
+void ch_peers_others(struct ch_peers *peers, GPtrArray *near, GPtrArray *far);
 /* Names of the live nodes, this one among them, sorted; g_strfreev. */
 char **ch_peers_live(struct ch_peers *peers);
 
--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -1065,6 +1065,31 @@
     return (char **)g_ptr_array_free(names, FALSE);
 }
 
+/* The other live nodes, from the first that comes after this one in order of
+ * names: nodes that begin together do not all begin with the same one. */
+void
+ch_peers_others(struct ch_peers *peers, GPtrArray *near, GPtrArray *far)
+{
+    const struct ch_settings *settings = peers->node->settings;
+    pthread_mutex_lock(&peers->lock);
+    size_t count = ch_members_count(peers->members);
+    size_t first = 0;
+    while (first < count && strcmp(ch_members_at(peers->members, first)->name,
+                                   settings->name) < 0) {
+        first++;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const struct ch_member *member =
+            ch_members_at(peers->members, (first + i) % count);
+        if (!ch_member_serves(member)) {
+            continue;
+        }
+        bool is_near = strcmp(member->data_centre, settings->data_centre) == 0;
+        g_ptr_array_add(is_near ? near : far, g_strdup(member->name));
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
 /* Takes the platform's list of entry hosts. */
 void
 ch_peers_list(struct ch_peers *peers, const struct ch_host_list *list)
--- a/libchestnuthitch/node/site.c
+++ b/libchestnuthitch/node/site.c
@@ -1,6 +1,5 @@
 /* Upstreams as the platform lists them and as their homes describe them. */
 
-#include "decide/gossip.h"
 #include "node/homes_internal.h"
 
 #include <string.h>
@@ -345,7 +344,6 @@
     struct ch_upstream_view *view = site_view(homes, upstream);
     upstream->incarnation = state->incarnation;
     upstream->sequence = state->sequence;
-    upstream->tell = ch_gossip_repeats(homes->live, false);
     view->running = state->running;
     view->queued = state->queued;
     view->wait = (int64_t)state->wait_us;
@@ -374,7 +372,8 @@
     return names;
 }
 
-/* The state of an upstream as this node knows it, new. */
+/* The state of an upstream as this node knows it, new.  Whose word it is the
+ * frame says; repeated in each state, the name was 6 bytes of 103. */
 Chestnuthitch__Wire__UpstreamState *
 site_make_state(struct ch_homes *homes, const struct upstream *upstream)
 {
@@ -386,7 +385,6 @@
         g_new(Chestnuthitch__Wire__UpstreamState, 1);
     chestnuthitch__wire__upstream_state__init(state);
     state->upstream = g_strdup(g_quark_to_string(upstream->name));
-    state->home = g_strdup(homes->node->settings->name);
     state->incarnation = upstream->incarnation;
     state->sequence = upstream->sequence;
     state->running = view->running;
@@ -419,6 +417,5 @@
     g_strfreev(state->loading);
     g_free(state->resident_rate);
     g_free(state->upstream);
-    g_free(state->home);
     g_free(state);
 }
