--- a/tests/bench/bench_records.c
+++ b/tests/bench/bench_records.c
@@ -8,6 +8,7 @@
 #include "harness/harness.h"
 
 #include <stdio.h>
+#include <string.h>
 
 enum {
     SETTLE_MS = 1500,
@@ -22,6 +23,7 @@
     double frames; /* sent by all nodes */
     double bytes;
     double forwarded; /* requests whose home is another node */
+    double memory;    /* bytes of all nodes */
 };
 
 /* What the key-value stand-in and the nodes have counted. */
@@ -39,6 +41,7 @@
         reading.frames += harness_counter(node, "frames_sent");
         reading.bytes += harness_counter(node, "frame_bytes_sent");
         reading.forwarded += harness_counter(node, "forwarded");
+        reading.memory += harness_memory_kb(node->pid) * 1024;
     }
     return reading;
 }
@@ -88,8 +91,8 @@
     stop_fleet(fleet);
 }
 
-/* Calls of one kind by so many callers. */
-static void
+/* Calls of one kind by so many callers; how many were answered. */
+static unsigned
 measure_load(struct harness_fleet *fleet, const char *what,
              const struct harness_kind *kind, unsigned callers)
 {
@@ -119,15 +122,17 @@
     double count = MAX(answers->len, 1U);
     g_print("figure: %s: callers=%u answers=%.0f/s good=%u of %u mean=%.0fms "
             "kv-writes=%.0f/s kv-reads=%.0f/s, of a request: frames=%.2f "
-            "bytes=%.0f forwarded=%.2f\n",
+            "bytes=%.0f forwarded=%.2f memory=%.0f\n",
             what, callers, answers->len / seconds, good, answers->len,
             waited / count, (after.writes - before.writes) / seconds,
             (after.reads - before.reads) / seconds,
             (after.frames - before.frames) / count,
             (after.bytes - before.bytes) / count,
-            (after.forwarded - before.forwarded) / count);
+            (after.forwarded - before.forwarded) / count,
+            (after.memory - before.memory) / count);
     serial += answers->len + callers;
     g_ptr_array_unref(answers);
+    return (unsigned)count;
 }
 
 /* Requests that need leave of a home on another node, or here. */
@@ -139,7 +144,7 @@
     struct harness_shape shape = {.nodes = 12, .engines = 6};
     struct harness_fleet *fleet = harness_fleet_start(build, &shape);
     harness_warm_up(fleet, &kind, 1);
-    measure_load(fleet, "requests", &kind, CALLERS);
+    (void)measure_load(fleet, "requests", &kind, CALLERS);
     stop_fleet(fleet);
 }
 
@@ -159,9 +164,15 @@
     char *settings = g_strdup_printf("once %s %s", slots, gather);
     struct harness_fleet *fleet = harness_fleet_start(build, &shape);
     harness_sleep(SETTLE_MS);
+    unsigned total = 0;
     for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
-        measure_load(fleet, settings, &kind, callers[i]);
+        total += measure_load(fleet, settings, &kind, callers[i]);
     }
+    char *list = NULL;
+    (void)harness_get(fleet->kv.address, "/v1/list?prefix=once/", &list);
+    g_print("figure: %s: a list of the records is %.0f bytes a request\n",
+            settings, list == NULL ? 0 : (double)strlen(list) / total);
+    g_free(list);
     stop_fleet(fleet);
     g_free(settings);
 }
