--- a/tests/traces/run.sh
+++ b/tests/traces/run.sh
@@ -9,12 +9,13 @@
 trap 'rm -rf "$scratch"' EXIT
 failed=0
 
-# site TRACE: which example a trace is of.
+# site TRACE: the settings that a trace is of.
 site() {
     case $1 in
+    recorded) echo recorded.site ;;
     late-report | lost-booking | doubled-deposit | bursts | flapping | \
-        store-contended | rare) echo steppe ;;
-    *) echo gwisg ;;
+        store-contended | rare) echo ../../examples/steppe.ini ;;
+    *) echo ../../examples/gwisg.ini ;;
     esac
 }
 
@@ -22,7 +23,7 @@
 replay() {
     local trace=$1 policy=$2 output=$3
     shift 3
-    "$binary" replay --settings "../../examples/$(site "$trace").ini" \
+    "$binary" replay --settings "$(site "$trace")" \
         --trace "$scratch/$trace.csv" --policy "$policy" "$@" \
         >"$scratch/$trace.$output"
 }
@@ -35,10 +36,10 @@
 # whole TRACE: all runs of one trace; fails with the first that does.
 whole() {
     local trace=$1 status=0
-    if [ -f "$trace.awk" ] || [ ! -f "$trace.jsonl" ]; then
-        awk -v trace="$trace" -f generate.awk >"$scratch/$trace.csv" || return 1
-    else
+    if [ -f "$trace.jsonl" ]; then
         cp "$trace.jsonl" "$scratch/$trace.csv"
+    else
+        awk -v trace="$trace" -f generate.awk >"$scratch/$trace.csv" || return 1
     fi
     replay "$trace" default first --expect "$trace.ini" || status=1
     replay "$trace" default second || status=1
