One question whether a model is served elsewhere, not two

Admission and placement each had their own; admission's took a load at an upstream that is down for service.

--- a/libchestnuthitch/decide/admit.c
+++ b/libchestnuthitch/decide/admit.c
@@ -73,28 +73,6 @@
     return time_to_free(home, running + ahead - limit, now);
 }
 
-/* Whether another upstream can serve the work: resident and fast enough
- * there, or on its way. */
-static bool
-served_elsewhere(const struct ch_home *home, const struct ch_work *work,
-                 const struct ch_fleet *fleet)
-{
-    if (fleet == NULL) {
-        return false;
-    }
-    for (size_t i = 0; i < fleet->count; i++) {
-        const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (view->name == home->facts.name) {
-            continue;
-        }
-        if (ch_view_serves(view, work) ||
-            ch_upstream_view_loads(view, work->model)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Microseconds until the request's model and adapter are here; -1: they are
  * not going to be. */
 static int64_t
@@ -236,7 +214,7 @@
     }
     int64_t first = (int64_t)home->rates.first;
     if (now + load + first > work->first_by) {
-        if (load > ADAPTER_LOAD && !served_elsewhere(home, work, fleet)) {
+        if (load > ADAPTER_LOAD && !ch_place_is_served(home, work, fleet)) {
             return (struct ch_admission){.code = CH_OK, .late_ok = true};
         }
         return late(work, load, "the model would come too late");
--- a/libchestnuthitch/decide/home.c
+++ b/libchestnuthitch/decide/home.c
@@ -486,7 +486,9 @@
     pump(home, NULL, now, out);
 }
 
-/* The engine's own word, as late as it comes. */
+/* The engine's own word, as late as it comes.  Its counts are left aside: the
+ * home's own are exact, and adding what runs beyond them was tried without
+ * gain (docs/DECISIONS.md). */
 void
 ch_home_report(struct ch_home *home, uint32_t running, uint32_t waiting,
                bool leaving, bool down, int64_t now, struct ch_actions *out)
--- a/libchestnuthitch/decide/home.h
+++ b/libchestnuthitch/decide/home.h
@@ -113,6 +113,8 @@
                                   GQuark model, uint32_t memory_mb);
 bool ch_home_has(const struct ch_home *home, GQuark item);
 int64_t ch_place_load_time(const struct ch_held *item);
+bool ch_place_is_served(const struct ch_home *home, const struct ch_work *work,
+                        const struct ch_fleet *fleet);
 void ch_place_pump(struct ch_home *home, const struct ch_fleet *fleet,
                    int64_t now, struct ch_actions *out);
 bool ch_place_may_load(struct ch_home *home, const struct ch_work *work,
--- a/libchestnuthitch/decide/place.c
+++ b/libchestnuthitch/decide/place.c
@@ -217,10 +217,11 @@
     return chosen;
 }
 
-/* Whether some upstream holds the model or is loading it, and can be used. */
-static bool
-is_served(const struct ch_home *home, const struct ch_work *work,
-          const struct ch_fleet *fleet)
+/* Whether another upstream serves the work, fast enough, or is loading its
+ * model. */
+bool
+ch_place_is_served(const struct ch_home *home, const struct ch_work *work,
+                   const struct ch_fleet *fleet)
 {
     for (size_t i = 0; fleet != NULL && i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
@@ -271,7 +272,7 @@
     if (model->wanted || !home->policy->placing->reluctant) {
         return true;
     }
-    bool absent = !is_served(home, work, fleet);
+    bool absent = !ch_place_is_served(home, work, fleet);
     if (!absent && home->loads_left == 0) {
         return false;
     }
