--- a/tests/threaded/test_homes.c
+++ b/tests/threaded/test_homes.c
@@ -170,7 +170,7 @@
         .service = true,
         .class_name = g_quark_from_static_string("order"),
         .arrived = now,
-        .first_by = now + 60 * G_USEC_PER_SEC,
+        .first_by = now + INT64_C(60000000),
     };
     return ch_homes_request(world->node.homes, &work, NULL, &handlers, world);
 }
@@ -201,8 +201,8 @@
  */
 static const struct row rows[] = {
     {"at once", "live", 0, 1, 0, 1},
-    {"after a short pause", "live", 500 * 1000, 1, 0, 1},
-    {"after a pause", "live", 5 * G_USEC_PER_SEC, 1, 0, 2},
+    {"after a short pause", "live", INT64_C(500000), 1, 0, 1},
+    {"after a pause", "live", INT64_C(5000000), 1, 0, 2},
     {"leaving", "leaving", 0, 0, 1, 0},
 };
 
