Take the reply's lock when its watcher is set

Cause: found in reading: callers are watched from the first line of a request now, so that one may hang up while the course that is to be told of it begins; the watcher was written without the lock that its reader takes. Change: the lock; the two new locks stand in node.h's order.

--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -305,10 +305,10 @@
     }
 }
 
-/* The library's own complaints, such as of malformed requests. */
 static void library_log(void *data, const char *form, va_list arguments)
     G_GNUC_PRINTF(2, 0);
 
+/* The library's own complaints, such as of malformed requests. */
 static void
 library_log(void *data, const char *form, va_list arguments)
 {
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -9,8 +9,8 @@
  * to the pool; decisions run on the pool.
  *
  * Lock order, outermost first; a thread that holds one takes only later ones:
- *   exchange < homes < home < config < once < ledger < peers < pool, timers,
- *   http < metrics.
+ *   exchange < front < reply < homes < home < config < once < ledger < peers
+ *   < pool, timers, http < metrics.
  * No handler of another package is called with a lock held.
  */
 
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -95,13 +95,16 @@
     return reply->fd;
 }
 
-/* Sets who is told when the caller goes away; data is the watcher's. */
+/* Sets who is told when the caller goes away; data is the watcher's.  One that
+ * has just gone is told of when the library closes its connection. */
 void
 ch_reply_watch(struct ch_reply *reply, const struct ch_reply_watcher *watcher,
                void *data)
 {
+    pthread_mutex_lock(&reply->lock);
     reply->watcher = *watcher;
     reply->watcher_data = data;
+    pthread_mutex_unlock(&reply->lock);
 }
 
 /* Lets the library look at the connection again.  Lock held. */
--- a/libchestnuthitch/node/reply.h
+++ b/libchestnuthitch/node/reply.h
@@ -45,7 +45,7 @@
 void ch_reply_unref(struct ch_reply *reply);
 const char *ch_reply_id(const struct ch_reply *reply);
 int ch_reply_fd(const struct ch_reply *reply);
-/* Before the reply is used by a second thread. */
+/* Once, before anything is answered. */
 void ch_reply_watch(struct ch_reply *reply,
                     const struct ch_reply_watcher *watcher, void *data);
 
