--- /dev/null
+++ b/libchestnuthitch/node/peers_connection.c
@@ -0,0 +1,239 @@
+/* One connection between two nodes: begun, written to, closed. */
+
+#include "node/peers_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define WIRE(name) CHESTNUTHITCH__WIRE__##name
+
+enum {
+    /*
+     * Most bytes waiting on one connection.  One configuration at the largest
+     * and 6 MB of small frames: a peer that reads nothing for the silent limit
+     * is dropped long before, and memory stays bounded meanwhile.
+     */
+    MOST_WAITING = 8 * 1024 * 1024,
+};
+
+/* Has the thread look at its connections again. */
+void
+peers_wake(struct ch_peers *peers)
+{
+    uint64_t one = 1;
+    ssize_t written = write(peers->wake, &one, sizeof(one));
+    (void)written;
+}
+
+/* Says which events the thread is to hear of. */
+static void
+set_events(struct ch_peers *peers, struct connection *connection)
+{
+    bool wants_out =
+        connection->connecting || connection->out_sent < connection->out->len;
+    struct epoll_event event = {
+        .events = EPOLLIN | (wants_out ? EPOLLOUT : 0U),
+        .data.ptr = connection,
+    };
+    epoll_ctl(peers->epoll, EPOLL_CTL_MOD, connection->fd, &event);
+}
+
+/* Takes up a socket. */
+struct connection *
+connection_add(struct ch_peers *peers, int fd, const char *name, bool outbound,
+               int64_t now)
+{
+    struct connection *connection = g_new0(struct connection, 1);
+    connection->fd = fd;
+    connection->outbound = outbound;
+    connection->connecting = outbound;
+    connection->name = g_strdup(name);
+    connection->decoder = ch_wire_decoder_new();
+    connection->out = g_byte_array_new();
+    connection->opened = now;
+    connection->heard = now;
+    connection->used = now;
+    g_ptr_array_add(peers->connections, connection);
+    struct epoll_event event = {
+        .events = EPOLLIN | (outbound ? EPOLLOUT : 0U),
+        .data.ptr = connection,
+    };
+    epoll_ctl(peers->epoll, EPOLL_CTL_ADD, fd, &event);
+    return connection;
+}
+
+/* Writes what waits, as far as the socket takes it. */
+void
+connection_flush(struct ch_peers *peers, struct connection *connection)
+{
+    while (connection->out_sent < connection->out->len) {
+        ssize_t sent =
+            send(connection->fd, connection->out->data + connection->out_sent,
+                 connection->out->len - connection->out_sent,
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                connection->failure = CH_PEER_LOST;
+            }
+            break;
+        }
+        ch_metrics_count(peers->node->client->metrics,
+                         CH_COUNT_FRAME_BYTES_SENT, (uint64_t)sent);
+        connection->out_sent += (size_t)sent;
+    }
+    if (connection->out_sent == connection->out->len) {
+        g_byte_array_set_size(connection->out, 0);
+        connection->out_sent = 0;
+    }
+    set_events(peers, connection);
+}
+
+/* Puts a frame on a connection and sends what can be sent at once. */
+bool
+connection_put(struct ch_peers *peers, struct connection *connection,
+               Chestnuthitch__Wire__Frame *frame, int64_t now)
+{
+    struct ch_error error = {0};
+    frame->version = CH_WIRE_VERSION;
+    frame->from = (char *)peers->node->settings->name;
+    if (connection->failure != CH_OK ||
+        connection->out->len - connection->out_sent > MOST_WAITING ||
+        !ch_wire_encode(frame, connection->out, &error)) {
+        return false;
+    }
+    ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_SENT, 1);
+    connection->used = now;
+    if (!connection->connecting) {
+        connection_flush(peers, connection);
+    }
+    if (connection->failure != CH_OK) {
+        peers_wake(peers);
+        return false;
+    }
+    return true;
+}
+
+/* Sends who this is: the first frame of every connection. */
+void
+connection_hello(struct ch_peers *peers, struct connection *connection,
+                 int64_t now)
+{
+    Chestnuthitch__Wire__Hello hello = WIRE(HELLO__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    hello.region = peers->node->settings->region;
+    hello.data_centre = peers->node->settings->data_centre;
+    hello.incarnation = peers->node->incarnation;
+    frame.body_case = WIRE(FRAME__BODY_HELLO);
+    frame.hello = &hello;
+    connection_put(peers, connection, &frame, now);
+}
+
+/* Sends a ping; its answer shows that the other end still serves. */
+void
+connection_ping(struct ch_peers *peers, struct connection *connection,
+                int64_t now)
+{
+    Chestnuthitch__Wire__Ping ping = WIRE(PING__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    frame.body_case = WIRE(FRAME__BODY_PING);
+    frame.ping = &ping;
+    connection->pinged = now;
+    if (connection->asked == 0) {
+        connection->asked = now;
+    }
+    connection_put(peers, connection, &frame, now);
+}
+
+/* Begins a connection to an address; NULL when that fails at once. */
+static struct connection *
+open_connection(struct ch_peers *peers, const struct ch_member *member,
+                int64_t now)
+{
+    struct sockaddr_in address;
+    if (!ch_address_parse(member->address, &address, NULL)) {
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
+        errno != EINPROGRESS) {
+        if (errno == ECONNREFUSED) {
+            ch_members_refused(peers->members, member->name, now);
+        }
+        close(fd);
+        return NULL;
+    }
+    struct connection *connection =
+        connection_add(peers, fd, member->name, true, now);
+    g_hash_table_insert(peers->outbound, connection->name, connection);
+    connection_hello(peers, connection, now);
+    return connection;
+}
+
+/* The connection for sending to a node, begun when there is none. */
+struct connection *
+connection_outbound(struct ch_peers *peers, const char *name, int64_t now)
+{
+    struct connection *connection = g_hash_table_lookup(peers->outbound, name);
+    if (connection != NULL && connection->failure == CH_OK) {
+        return connection;
+    }
+    if (connection != NULL) {
+        g_hash_table_remove(peers->outbound, name);
+    }
+    const struct ch_member *member = ch_members_find(peers->members, name);
+    if (member == NULL) {
+        return NULL;
+    }
+    connection = open_connection(peers, member, now);
+    if (connection == NULL) {
+        ch_members_lost(peers->members, name, now);
+    }
+    return connection;
+}
+
+/* Ends every request that waits on a connection. */
+static void
+fail_requests(struct ch_peers *peers, const struct connection *connection)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, peers->requests);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct request *request = value;
+        if (request->connection == connection) {
+            peers_submit_end(peers, request, CH_PEER_LOST, NULL);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+/* Closes a connection and forgets it. */
+void
+connection_drop(struct ch_peers *peers, struct connection *connection)
+{
+    fail_requests(peers, connection);
+    if (connection->name != NULL) {
+        GHashTable *table =
+            connection->outbound ? peers->outbound : peers->inbound;
+        if (g_hash_table_lookup(table, connection->name) == connection) {
+            g_hash_table_remove(table, connection->name);
+        }
+    }
+    epoll_ctl(peers->epoll, EPOLL_CTL_DEL, connection->fd, NULL);
+    close(connection->fd);
+    ch_wire_decoder_free(connection->decoder);
+    g_byte_array_free(connection->out, TRUE);
+    g_free(connection->name);
+    g_ptr_array_remove_fast(peers->connections, connection);
+    g_free(connection);
+}
--- /dev/null
+++ b/libchestnuthitch/node/peers_internal.h
@@ -0,0 +1,112 @@
+#ifndef CH_NODE_PEERS_INTERNAL_H
+#define CH_NODE_PEERS_INTERNAL_H
+
+/*
+ * What peers.c (sending, requests, replies), peers_members.c (who answers),
+ * peers_connection.c, peers_loop.c (the thread) and peers_job.c (what goes to
+ * the pool) share.  One lock guards all of it but the handlers, which are set
+ * before the thread starts.
+ */
+
+#include "decide/member.h"
+#include "node/node.h"
+
+#include <pthread.h>
+
+enum {
+    PEERS_BODY_CASES = 32,
+};
+
+struct connection {
+    int fd;
+    bool outbound;
+    bool connecting;
+    char *name; /* NULL until an inbound one has said its name */
+    struct ch_wire_decoder *decoder;
+    GByteArray *out;
+    size_t out_sent;
+    int64_t opened;
+    int64_t heard;
+    int64_t asked;  /* first thing sent that awaits an answer; 0: nothing */
+    int64_t pinged; /* last ping */
+    int64_t used;
+    unsigned awaited; /* requests that wait for a reply */
+    enum ch_code failure;
+};
+
+struct request {
+    uint64_t id;
+    struct connection *connection; /* NULL: to this node itself */
+    int64_t due;                   /* 0: while the connection lives */
+    void (*done)(void *data, enum ch_code code,
+                 const Chestnuthitch__Wire__Frame *reply);
+    void *data;
+};
+
+struct handler {
+    void (*handle)(void *data, const Chestnuthitch__Wire__Frame *frame);
+    void *data;
+};
+
+struct ch_peers {
+    struct ch_node *node;
+    pthread_mutex_t lock;
+    pthread_t thread;
+    bool started;
+    bool stopping;
+    int epoll;
+    int wake;
+    int listener;
+    uint16_t port;
+    struct ch_members *members;
+    GPtrArray *connections;
+    GHashTable *outbound; /* name to connection */
+    GHashTable *inbound;  /* name to the latest connection */
+    GHashTable *requests; /* id to struct request */
+    uint64_t last_id;
+    int64_t last_tick;
+    struct handler handlers[PEERS_BODY_CASES];
+    struct handler late;
+};
+
+/* ---- peers_job.c ---- */
+
+/* Hands a frame that came, owned by the job from now, to the pool. */
+void peers_submit_frame(struct ch_peers *peers,
+                        Chestnuthitch__Wire__Frame *frame);
+/* Ends a request with a reply (owned by the job from now) or a failure. */
+void peers_submit_end(struct ch_peers *peers, const struct request *request,
+                      enum ch_code code, Chestnuthitch__Wire__Frame *reply);
+
+/* ---- peers_connection.c; the lock is held in all but the first ---- */
+
+/* Has the thread look at its connections again. */
+void peers_wake(struct ch_peers *peers);
+struct connection *connection_add(struct ch_peers *peers, int fd,
+                                  const char *name, bool outbound,
+                                  int64_t now);
+void connection_flush(struct ch_peers *peers, struct connection *connection);
+/* False: the frame was not taken, and will not be sent. */
+bool connection_put(struct ch_peers *peers, struct connection *connection,
+                    Chestnuthitch__Wire__Frame *frame, int64_t now);
+void connection_hello(struct ch_peers *peers, struct connection *connection,
+                      int64_t now);
+void connection_ping(struct ch_peers *peers, struct connection *connection,
+                     int64_t now);
+/* The connection for sending to a node, begun when there is none; NULL when
+   that fails. */
+struct connection *connection_outbound(struct ch_peers *peers,
+                                       const char *name, int64_t now);
+/* Closes a connection, which fails the requests that wait on it. */
+void connection_drop(struct ch_peers *peers, struct connection *connection);
+
+/* ---- peers_loop.c ---- */
+
+/* The thread. */
+void *peers_run(void *data);
+
+/* ---- peers.c ---- */
+
+bool peers_is_self(const struct ch_peers *peers, const char *name);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/node/peers_job.c
@@ -0,0 +1,77 @@
+/* What came from other nodes, on its way to the pool. */
+
+#include "node/peers_internal.h"
+
+struct job {
+    struct ch_peers *peers;
+    Chestnuthitch__Wire__Frame *frame;
+    void (*done)(void *data, enum ch_code code,
+                 const Chestnuthitch__Wire__Frame *reply);
+    void *data;
+    enum ch_code code;
+};
+
+/* Tells the configuration keeper of the revision that a frame bears. */
+static void
+learn_revision(const struct ch_peers *peers,
+               const Chestnuthitch__Wire__Frame *frame)
+{
+    if (frame->config_revision > 0 && peers->node->config != NULL) {
+        ch_config_keeper_learn(peers->node->config, frame->config_revision,
+                               frame->from);
+    }
+}
+
+/* Runs one job: a reply or failure for a requester, or a frame for its
+ * handler. */
+static void
+run_job(void *data)
+{
+    struct job *job = data;
+    struct ch_peers *peers = job->peers;
+    if (job->frame != NULL) {
+        learn_revision(peers, job->frame);
+    }
+    if (job->done != NULL) {
+        job->done(job->data, job->code, job->frame);
+    }
+    else if (job->frame != NULL && job->frame->reply) {
+        if (peers->late.handle != NULL) {
+            peers->late.handle(peers->late.data, job->frame);
+        }
+    }
+    else if (job->frame != NULL &&
+             (unsigned)job->frame->body_case < (unsigned)PEERS_BODY_CASES) {
+        const struct handler *handler =
+            &peers->handlers[job->frame->body_case];
+        if (handler->handle != NULL) {
+            handler->handle(handler->data, job->frame);
+        }
+    }
+    ch_wire_frame_free(job->frame);
+    g_free(job);
+}
+
+/* Hands a frame that came, owned by the job from now, to the pool. */
+void
+peers_submit_frame(struct ch_peers *peers, Chestnuthitch__Wire__Frame *frame)
+{
+    struct job *job = g_new0(struct job, 1);
+    job->peers = peers;
+    job->frame = frame;
+    ch_pool_submit(peers->node->pool, run_job, job);
+}
+
+/* Ends a request with a reply (owned by the job from now) or a failure. */
+void
+peers_submit_end(struct ch_peers *peers, const struct request *request,
+                 enum ch_code code, Chestnuthitch__Wire__Frame *reply)
+{
+    struct job *job = g_new0(struct job, 1);
+    job->peers = peers;
+    job->frame = reply;
+    job->done = request->done;
+    job->data = request->data;
+    job->code = code;
+    ch_pool_submit(peers->node->pool, run_job, job);
+}
--- /dev/null
+++ b/libchestnuthitch/node/peers_loop.c
@@ -0,0 +1,357 @@
+/* The thread of the connections between nodes: what comes, and the clock. */
+
+#include "node/peers_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define WIRE(name) CHESTNUTHITCH__WIRE__##name
+
+enum {
+    TICK_MS = 50,
+    READ_SIZE = 64 * 1024,
+    EVENTS = 64,
+    PROBES = 16,
+    /* A quarter of the silent limit: three pings may be lost to a stall of
+     * this process before a live connection is given up. */
+    PING_SHARE = 4,
+    /* A pause of this process longer than this is taken off the silences. */
+    PAUSE = 250 * 1000,
+};
+
+/* ---- what comes; the lock is held ---- */
+
+/* An inbound connection says whose it is. */
+static void
+take_hello(struct ch_peers *peers, struct connection *connection,
+           const Chestnuthitch__Wire__Frame *frame, int64_t now)
+{
+    ch_members_incarnation(peers->members, frame->from,
+                           frame->hello->incarnation);
+    if (connection->outbound || connection->name != NULL) {
+        return;
+    }
+    connection->name = g_strdup(frame->from);
+    g_hash_table_replace(peers->inbound, connection->name, connection);
+    connection_hello(peers, connection, now);
+}
+
+/* Gives a reply to who waits for it; a late one to the late handler. */
+static void
+take_reply(struct ch_peers *peers, struct connection *connection,
+           Chestnuthitch__Wire__Frame *frame)
+{
+    struct request *request = g_hash_table_lookup(peers->requests, &frame->id);
+    if (request == NULL || request->connection != connection) {
+        ch_metrics_count(peers->node->client->metrics, CH_COUNT_LATE_ANSWERS,
+                         1);
+        peers_submit_frame(peers, frame);
+        return;
+    }
+    connection->awaited--;
+    uint64_t id = frame->id; /* a worker may free the frame from here on */
+    peers_submit_end(peers, request, CH_OK, frame);
+    g_hash_table_remove(peers->requests, &id);
+}
+
+/* One frame.  Hello, ping and pong end here; the rest goes to the pool. */
+static void
+take_frame(struct ch_peers *peers, struct connection *connection,
+           Chestnuthitch__Wire__Frame *frame, int64_t now)
+{
+    ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_RECEIVED,
+                     1);
+    ch_members_heard(peers->members, frame->from, now);
+    connection->heard = now;
+    connection->asked = 0;
+    if (connection->name != NULL &&
+        strcmp(connection->name, frame->from) != 0) {
+        connection->failure = CH_FRAME_DAMAGED;
+        ch_wire_frame_free(frame);
+        return;
+    }
+    switch (frame->body_case) {
+    case WIRE(FRAME__BODY_HELLO):
+        take_hello(peers, connection, frame, now);
+        ch_wire_frame_free(frame);
+        return;
+    case WIRE(FRAME__BODY_PING): {
+        Chestnuthitch__Wire__Pong pong = WIRE(PONG__INIT);
+        Chestnuthitch__Wire__Frame answer = WIRE(FRAME__INIT);
+        answer.body_case = WIRE(FRAME__BODY_PONG);
+        answer.pong = &pong;
+        connection_put(peers, connection, &answer, now);
+        ch_wire_frame_free(frame);
+        return;
+    }
+    case WIRE(FRAME__BODY_PONG):
+        ch_wire_frame_free(frame);
+        return;
+    default:
+        break;
+    }
+    if (frame->reply) {
+        take_reply(peers, connection, frame);
+        return;
+    }
+    connection->used = now;
+    peers_submit_frame(peers, frame);
+}
+
+/* Decodes what the decoder holds.  A bad frame ends this connection alone. */
+static void
+take_frames(struct ch_peers *peers, struct connection *connection, int64_t now)
+{
+    struct ch_error error = {0};
+    Chestnuthitch__Wire__Frame *frame = NULL;
+    while (connection->failure == CH_OK &&
+           (frame = ch_wire_decoder_next(connection->decoder, &error)) !=
+               NULL) {
+        take_frame(peers, connection, frame, now);
+    }
+    if (error.code == CH_OK && connection->failure != CH_FRAME_DAMAGED) {
+        return;
+    }
+    connection->failure = error.code != CH_OK ? error.code : CH_FRAME_DAMAGED;
+    ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_BAD, 1);
+    ch_log(peers->node->client, CH_LOG_WARNING, "bad-frame",
+           CH_F_STR("peer", connection->name ? connection->name : "?"),
+           CH_F_INT("code", connection->failure),
+           CH_F_STR("reason", error.code != CH_OK ? error.message
+                                                  : "sender's name changed"),
+           CH_F_END);
+}
+
+/* Reads once: a busy peer must not keep the others waiting. */
+static void
+read_connection(struct ch_peers *peers, struct connection *connection,
+                int64_t now)
+{
+    char bytes[READ_SIZE];
+    ssize_t count = recv(connection->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+    if (count < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            connection->failure = CH_PEER_LOST;
+        }
+        return;
+    }
+    if (count == 0) {
+        connection->failure = CH_PEER_LOST;
+        return;
+    }
+    ch_metrics_count(peers->node->client->metrics,
+                     CH_COUNT_FRAME_BYTES_RECEIVED, (uint64_t)count);
+    ch_wire_decoder_feed(connection->decoder, bytes, (size_t)count);
+    take_frames(peers, connection, now);
+}
+
+/* Whether the connection that was begun is made. */
+static void
+finish_connect(struct ch_peers *peers, struct connection *connection,
+               int64_t now)
+{
+    int failure = 0;
+    socklen_t length = sizeof(failure);
+    getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &failure, &length);
+    if (failure == ECONNREFUSED) {
+        ch_members_refused(peers->members, connection->name, now);
+    }
+    if (failure != 0) {
+        connection->failure = CH_PEER_LOST;
+        return;
+    }
+    connection->connecting = false;
+    connection->heard = now;
+    connection_flush(peers, connection);
+}
+
+/* Takes every connection that waits at the listener. */
+static void
+accept_connections(struct ch_peers *peers, int64_t now)
+{
+    for (;;) {
+        int fd =
+            accept4(peers->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+        connection_add(peers, fd, NULL, false, now);
+    }
+}
+
+/* One event of a connection. */
+static void
+take_event(struct ch_peers *peers, struct connection *connection,
+           uint32_t events, int64_t now)
+{
+    if (connection->failure != CH_OK) {
+        return;
+    }
+    if (connection->connecting &&
+        (events & (EPOLLOUT | EPOLLERR | EPOLLHUP))) {
+        finish_connect(peers, connection, now);
+    }
+    else if (events & EPOLLOUT) {
+        connection_flush(peers, connection);
+    }
+    if (!connection->connecting &&
+        (events & (EPOLLIN | EPOLLERR | EPOLLHUP))) {
+        read_connection(peers, connection, now);
+    }
+}
+
+/* ---- the clock's part; the lock is held ---- */
+
+/*
+ * Ends a connection on which an answer is due and nothing comes.  Without
+ * this, a request that waits at a home which is paused, or on a connection
+ * that something between the two has forgotten, would wait for ever, since TCP
+ * alone notices after minutes.
+ */
+static void
+watch_connection(struct ch_peers *peers, struct connection *connection,
+                 int64_t now)
+{
+    int64_t silent = (int64_t)peers->node->settings->peer_silent_ms * 1000;
+    if (connection->connecting) {
+        if (now - connection->opened > silent) {
+            connection->failure = CH_PEER_LOST;
+        }
+        return;
+    }
+    if (connection->asked > 0 && now - connection->asked > silent) {
+        ch_metrics_count(peers->node->client->metrics, CH_COUNT_PEERS_SILENT,
+                         1);
+        connection->failure = CH_PEER_TIMEOUT;
+        return;
+    }
+    if (connection->awaited > 0 &&
+        now - MAX(connection->heard, connection->pinged) >
+            silent / PING_SHARE) {
+        connection_ping(peers, connection, now);
+    }
+    int64_t idle = (int64_t)peers->node->settings->idle_connection_ms * 1000;
+    if (connection->awaited == 0 && connection->asked == 0 &&
+        now - connection->used > (connection->outbound ? idle : 2 * idle)) {
+        connection->failure = CH_PEER_LOST;
+    }
+}
+
+/* Removes the connections that failed, telling membership of them. */
+static void
+sweep_connections(struct ch_peers *peers, int64_t now)
+{
+    for (guint i = peers->connections->len; i > 0; i--) {
+        struct connection *connection =
+            g_ptr_array_index(peers->connections, i - 1);
+        if (connection->failure == CH_OK) {
+            continue;
+        }
+        bool idle = connection->awaited == 0 && connection->asked == 0 &&
+                    !connection->connecting;
+        if (connection->outbound && !idle &&
+            ch_members_lost(peers->members, connection->name, now)) {
+            ch_log(peers->node->client, CH_LOG_WARNING, "peer-silent",
+                   CH_F_STR("peer", connection->name),
+                   CH_F_INT("code", connection->failure), CH_F_END);
+        }
+        connection_drop(peers, connection);
+    }
+}
+
+/* Ends the requests whose own limit is over. */
+static void
+expire_requests(struct ch_peers *peers, int64_t now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, peers->requests);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct request *request = value;
+        if (request->due > 0 && request->due <= now) {
+            if (request->connection != NULL) {
+                request->connection->awaited--;
+            }
+            peers_submit_end(peers, request, CH_PEER_TIMEOUT, NULL);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+/* Pings the members whose turn it is. */
+static void
+probe_members(struct ch_peers *peers, int64_t now)
+{
+    const char *names[PROBES];
+    size_t count = ch_members_probe(peers->members, now, names, PROBES);
+    for (size_t i = 0; i < count; i++) {
+        struct connection *connection =
+            connection_outbound(peers, names[i], now);
+        if (connection != NULL) {
+            connection_ping(peers, connection, now);
+        }
+    }
+}
+
+/* What is done each tick. */
+static void
+tick(struct ch_peers *peers, int64_t now)
+{
+    int64_t gap = now - peers->last_tick - TICK_MS * INT64_C(1000);
+    if (peers->last_tick > 0 && gap > PAUSE) {
+        ch_members_paused(peers->members, gap);
+        for (guint i = 0; i < peers->connections->len; i++) {
+            struct connection *connection =
+                g_ptr_array_index(peers->connections, i);
+            connection->asked += connection->asked > 0 ? gap : 0;
+            connection->opened += gap;
+        }
+    }
+    peers->last_tick = now;
+    for (guint i = 0; i < peers->connections->len; i++) {
+        watch_connection(peers, g_ptr_array_index(peers->connections, i), now);
+    }
+    expire_requests(peers, now);
+    probe_members(peers, now);
+}
+
+/* The thread: waits for events, then does the clock's part when it is due. */
+void *
+peers_run(void *data)
+{
+    struct ch_peers *peers = data;
+    struct epoll_event events[EVENTS];
+    pthread_mutex_lock(&peers->lock);
+    while (!peers->stopping) {
+        pthread_mutex_unlock(&peers->lock);
+        int count = epoll_wait(peers->epoll, events, EVENTS, TICK_MS);
+        pthread_mutex_lock(&peers->lock);
+        int64_t now = ch_client_now(peers->node->client);
+        for (int i = 0; i < count; i++) {
+            if (events[i].data.ptr == peers) {
+                accept_connections(peers, now);
+            }
+            else if (events[i].data.ptr == &peers->wake) {
+                uint64_t drained = 0;
+                ssize_t got = read(peers->wake, &drained, sizeof(drained));
+                (void)got;
+            }
+            else {
+                take_event(peers, events[i].data.ptr, events[i].events, now);
+            }
+        }
+        if (now - peers->last_tick >= TICK_MS * INT64_C(1000)) {
+            tick(peers, now);
+        }
+        sweep_connections(peers, now);
+    }
+    pthread_mutex_unlock(&peers->lock);
+    return NULL;
+}
--- /dev/null
+++ b/libchestnuthitch/node/peers_members.c
@@ -0,0 +1,210 @@
+/* Who answers among the nodes, and which of them is home of what. */
+
+#include "node/peers_internal.h"
+
+#include <string.h>
+
+/* A new string: the home of a key among the live nodes. */
+char *
+ch_peers_upstream_home(struct ch_peers *peers, uint64_t key,
+                       const char *region, const char *data_centre)
+{
+    pthread_mutex_lock(&peers->lock);
+    const char *best =
+        ch_members_home(peers->members, key, region, data_centre);
+    char *home = g_strdup(best != NULL ? best : peers->node->settings->name);
+    pthread_mutex_unlock(&peers->lock);
+    return home;
+}
+
+/* The membership's version; see ch_members_version. */
+uint64_t
+ch_peers_version(struct ch_peers *peers)
+{
+    pthread_mutex_lock(&peers->lock);
+    uint64_t version = ch_members_version(peers->members);
+    pthread_mutex_unlock(&peers->lock);
+    return version;
+}
+
+/* A new string: the home of a key in a data centre, or among all. */
+char *
+ch_peers_home(struct ch_peers *peers, uint64_t key, const char *data_centre)
+{
+    return ch_peers_upstream_home(peers, key, NULL, data_centre);
+}
+
+/* The names of the live nodes with this one, in order; g_strfreev. */
+char **
+ch_peers_live(struct ch_peers *peers)
+{
+    GPtrArray *names = g_ptr_array_new();
+    const char *self = peers->node->settings->name;
+    bool self_done = false;
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_at(peers->members, i);
+        if (!self_done && strcmp(self, member->name) < 0) {
+            g_ptr_array_add(names, g_strdup(self));
+            self_done = true;
+        }
+        if (ch_member_serves(member)) {
+            g_ptr_array_add(names, g_strdup(member->name));
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+    if (!self_done) {
+        g_ptr_array_add(names, g_strdup(self));
+    }
+    g_ptr_array_add(names, NULL);
+    return (char **)g_ptr_array_free(names, FALSE);
+}
+
+/* The other live nodes, from the first that comes after this one in order of
+ * names: nodes that begin together do not all begin with the same one. */
+void
+ch_peers_others(struct ch_peers *peers, GPtrArray *near, GPtrArray *far)
+{
+    const struct ch_settings *settings = peers->node->settings;
+    pthread_mutex_lock(&peers->lock);
+    size_t count = ch_members_count(peers->members);
+    size_t first = 0;
+    while (first < count && strcmp(ch_members_at(peers->members, first)->name,
+                                   settings->name) < 0) {
+        first++;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const struct ch_member *member =
+            ch_members_at(peers->members, (first + i) % count);
+        if (!ch_member_serves(member)) {
+            continue;
+        }
+        bool is_near = strcmp(member->data_centre, settings->data_centre) == 0;
+        g_ptr_array_add(is_near ? near : far, g_strdup(member->name));
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* Takes the platform's list of entry hosts. */
+void
+ch_peers_list(struct ch_peers *peers, const struct ch_host_list *list)
+{
+    int64_t now = ch_client_now(peers->node->client);
+    pthread_mutex_lock(&peers->lock);
+    ch_members_begin_update(peers->members);
+    for (size_t i = 0; i < list->count; i++) {
+        const struct ch_host *host = &list->hosts[i];
+        if (host->kind == CH_HOST_ENTRY) {
+            ch_members_listed(peers->members, host->name, host->address,
+                              host->region, host->data_centre, host->leaving,
+                              now);
+        }
+    }
+    ch_members_end_update(peers->members);
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* When anything last came from a node, on the client's clock; 0: unknown. */
+int64_t
+ch_peers_heard(struct ch_peers *peers, const char *name, uint64_t *incarnation)
+{
+    int64_t heard = 0;
+    if (peers_is_self(peers, name)) {
+        if (incarnation != NULL) {
+            *incarnation = peers->node->incarnation;
+        }
+        return ch_client_now(peers->node->client);
+    }
+    pthread_mutex_lock(&peers->lock);
+    const struct ch_member *member = ch_members_find(peers->members, name);
+    if (member != NULL) {
+        heard = member->heard;
+        if (incarnation != NULL) {
+            *incarnation = member->incarnation;
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+    return heard;
+}
+
+/* Adds the names (new strings) of members found silent of late. */
+void
+ch_peers_hints(struct ch_peers *peers, GPtrArray *silent_names)
+{
+    int64_t now = ch_client_now(peers->node->client);
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_at(peers->members, i);
+        if (member->status == CH_MEMBER_SILENT && member->hint_until > now) {
+            g_ptr_array_add(silent_names, g_strdup(member->name));
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* Takes what another node tells of members: a silence to look into, or its own
+ * word that it stops. */
+void
+ch_peers_told(struct ch_peers *peers,
+              const Chestnuthitch__Wire__Gossip *gossip)
+{
+    int64_t now = ch_client_now(peers->node->client);
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < gossip->n_members; i++) {
+        const Chestnuthitch__Wire__MemberState *state = gossip->members[i];
+        if (state->status == CH_MEMBER_SILENT) {
+            ch_members_hint(peers->members, state->node, now);
+        }
+        else if (state->status == CH_MEMBER_STOPPING) {
+            ch_members_leaves(peers->members, state->node, state->incarnation);
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+    peers_wake(peers);
+}
+
+/* This node stops: no key has its home here from now on. */
+void
+ch_peers_stopping(struct ch_peers *peers)
+{
+    pthread_mutex_lock(&peers->lock);
+    ch_members_stop_self(peers->members);
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* The port of the listener. */
+uint16_t
+ch_peers_port(const struct ch_peers *peers)
+{
+    return peers->port;
+}
+
+/* The members, as an array "nodes" in an open JSON object. */
+void
+ch_peers_status(struct ch_peers *peers, JsonBuilder *builder)
+{
+    int64_t now = ch_client_now(peers->node->client);
+    json_builder_set_member_name(builder, "nodes");
+    json_builder_begin_array(builder);
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_at(peers->members, i);
+        json_builder_begin_object(builder);
+        json_builder_set_member_name(builder, "name");
+        json_builder_add_string_value(builder, member->name);
+        json_builder_set_member_name(builder, "region");
+        json_builder_add_string_value(builder, member->region);
+        json_builder_set_member_name(builder, "data_centre");
+        json_builder_add_string_value(builder, member->data_centre);
+        json_builder_set_member_name(builder, "state");
+        json_builder_add_string_value(
+            builder, member->status == CH_MEMBER_SILENT ? "silent"
+                     : ch_member_serves(member)         ? "live"
+                                                        : "leaving");
+        json_builder_set_member_name(builder, "heard_ms_ago");
+        json_builder_add_int_value(builder, (now - member->heard) / 1000);
+        json_builder_end_object(builder);
+    }
+    pthread_mutex_unlock(&peers->lock);
+    json_builder_end_array(builder);
+}
