--- a/tests/bench/bench_size.c
+++ b/tests/bench/bench_size.c
@@ -7,6 +7,7 @@
  */
 
 #include "decide/gossip.h"
+#include "decide/member.h"
 #include "harness/harness.h"
 #include "wire/wire.h"
 
@@ -27,7 +28,7 @@
     LIST_SHARE_MS = 50, /* as a node stretches its polls of the list */
     ADAPTERS = 3,
     CENTRES = 7,
-    REGIONS = 3,
+    OWN_CENTRES = 3, /* of the node's region */
     RETURN_MS = 60000,
     EVENTS = 64,
     GOSSIP_SENDERS = 4,
@@ -54,7 +55,7 @@
     int epoll;
     pthread_t thread;
     bool stopping; /* atomic */
-    bool parted;   /* atomic: those of two regions of three do not answer */
+    bool parted;   /* atomic: those of other regions do not answer */
     GPtrArray *ends;
 };
 
@@ -68,6 +69,13 @@
     int64_t at;
 };
 
+/* Whether the nth host is in another region than the node. */
+static bool
+is_far(unsigned n)
+{
+    return n % CENTRES >= OWN_CENTRES;
+}
+
 /* Sends a frame of a member. */
 static void
 send_frame(int fd, unsigned member, Chestnuthitch__Wire__Frame *frame)
@@ -159,7 +167,7 @@
         return;
     }
     if (__atomic_load_n(&others->parted, __ATOMIC_ACQUIRE) &&
-        end->member % REGIONS != 0) {
+        is_far(end->member)) {
         return;
     }
     ch_wire_decoder_feed(end->decoder, bytes, (size_t)count);
@@ -456,20 +464,58 @@
     return count;
 }
 
-/* Two regions of three fall silent for a while and come back. */
+/* Tells the node that the hosts of the other regions are silent, as the hosts
+ * that found them so tell each other. */
+static void
+send_hints(const struct others *others, int fd)
+{
+    unsigned count = 0;
+    Chestnuthitch__Wire__MemberState *states =
+        g_new0(Chestnuthitch__Wire__MemberState, others->size.nodes);
+    Chestnuthitch__Wire__MemberState **list =
+        g_new0(Chestnuthitch__Wire__MemberState *, others->size.nodes);
+    Chestnuthitch__Wire__Gossip gossip = WIRE(GOSSIP__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    for (unsigned i = 1; i < others->size.nodes; i++) {
+        if (is_far(i)) {
+            list[count] = &states[count];
+            chestnuthitch__wire__member_state__init(list[count]);
+            list[count]->status = CH_MEMBER_SILENT;
+            list[count++]->node = g_strdup_printf("e%03u", i);
+        }
+    }
+    gossip.n_members = count;
+    gossip.members = list;
+    frame.body_case = WIRE(FRAME__BODY_GOSSIP);
+    frame.gossip = &gossip;
+    send_frame(fd, CENTRES, &frame);
+    for (unsigned i = 0; i < count; i++) {
+        g_free(states[i].node);
+    }
+    g_free(states);
+    g_free(list);
+}
+
+/* The other regions fall silent for a while and come back. */
 static void
 measure_parted(struct others *others, const struct harness_fleet *fleet,
                int64_t window)
 {
     const struct size *size = &others->size;
     __atomic_store_n(&others->parted, true, __ATOMIC_RELEASE);
+    int fd = call_node(fleet, CENTRES);
     struct reading before = read_all(fleet);
-    harness_sleep(window);
+    for (int64_t begun = harness_now(); harness_now() - begun < window;) {
+        send_hints(others, fd);
+        harness_sleep(CH_GOSSIP_PERIOD / 1000);
+    }
     print_spent(fleet, size, "parting", &before);
     before = read_all(fleet);
     harness_sleep(window);
     print_spent(fleet, size, "parted", &before);
     unsigned silent = count_silent(fleet);
+    unsigned homes = count_homes(fleet);
+    (void)close(fd);
     __atomic_store_n(&others->parted, false, __ATOMIC_RELEASE);
     int64_t begun = harness_now();
     while (count_silent(fleet) > 0 && harness_now() - begun < RETURN_MS) {
@@ -477,7 +523,7 @@
     }
     g_print("figure: size nodes=%u parted: %u silent, %u homes here; all live "
             "again after %" PRIi64 " ms\n",
-            size->nodes, silent, count_homes(fleet), harness_now() - begun);
+            size->nodes, silent, homes, harness_now() - begun);
 }
 
 /* The three windows: idle, a list that differs at each poll, and as much
@@ -579,10 +625,15 @@
     static const struct size sizes[] = {
         {40, 300, 150}, {120, 900, 450}, {320, 1900, 1100}};
     if (argc < 2) {
-        (void)fprintf(stderr, "usage: bench_size BUILD\n");
+        (void)fprintf(stderr, "usage: bench_size BUILD [NODES]\n");
         return 2;
     }
+    unsigned only =
+        argc > 2 ? (unsigned)g_ascii_strtoull(argv[2], NULL, 10) : 0;
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        if (only != 0 && only != sizes[i].nodes) {
+            continue;
+        }
         measure_size(argv[1], &sizes[i]);
     }
     return 0;
