--- a/libchestnuthitch/replay/trace_log.c
+++ b/libchestnuthitch/replay/trace_log.c
@@ -50,12 +50,11 @@
     return true;
 }
 
-/* Takes one request's line over. */
+/* Takes one request's line over; the event owns its strings. */
 static bool
 read_request(const struct ch_trace_reader *reader, const char *line,
-             JsonObject *object)
+             JsonObject *object, struct ch_trace_event *event)
 {
-    struct ch_trace_event event = {.kind = CH_TRACE_REQUEST, .adapter = -1};
     const char *caller = string_of(reader, line, object, "caller");
     const char *class_name =
         caller == NULL ? NULL : string_of(reader, line, object, "class");
@@ -82,22 +81,21 @@
     int64_t prompt;
     int64_t output;
     int64_t made;
-    if (!ch_trace_resolve(reader, &names, &event) ||
+    if (!ch_trace_resolve(reader, &names, event) ||
         !number_of(reader, line, object, "at_ms", G_MAXINT64 / 1000, &at) ||
         !number_of(reader, line, object, "prompt_tokens", 10000000, &prompt) ||
         !number_of(reader, line, object, "output_tokens", 1000000, &output) ||
         !number_of(reader, line, object, "made_tokens", 1000000, &made)) {
         return false;
     }
-    event.at = at * 1000;
-    event.caller = g_strdup(caller);
-    event.prefix = prefix[0] == '\0' ? 0 : ch_hash_string(prefix);
-    event.key = key[0] == '\0' ? NULL : g_strdup(key);
-    event.prompt_tokens = (uint32_t)prompt;
+    event->at = at * 1000;
+    event->caller = g_strdup(caller);
+    event->prefix = prefix[0] == '\0' ? 0 : ch_hash_string(prefix);
+    event->key = key[0] == '\0' ? NULL : g_strdup(key);
+    event->prompt_tokens = (uint32_t)prompt;
     /* What was made is what the request needed; the bound that its caller
      * stated stands in where it was refused. */
-    event.output_tokens = (uint32_t)MAX(made > 0 ? made : output, 1);
-    g_array_append_val(reader->events, event);
+    event->output_tokens = (uint32_t)MAX(made > 0 ? made : output, 1);
     return true;
 }
 
@@ -125,7 +123,11 @@
         if (event != NULL && JSON_NODE_HOLDS_VALUE(event) &&
             json_node_get_value_type(event) == G_TYPE_STRING &&
             strcmp(json_node_get_string(event), "request") == 0) {
-            fine = read_request(reader, line, object);
+            struct ch_trace_event request = {.kind = CH_TRACE_REQUEST};
+            fine = read_request(reader, line, object, &request);
+            if (fine) {
+                g_array_append_val(reader->events, request);
+            }
         }
     }
     g_object_unref(parser);
