--- a/tests/threaded/test_keepers.c
+++ b/tests/threaded/test_keepers.c
@@ -297,7 +297,7 @@
         g_autofree char *key = g_strdup_printf("%s%u", prefix, i % KEYS);
         ch_once_keeper_begin(once, "c", key, 7, begun, try);
     }
-    await(tally, KEYS * TRIES);
+    await(tally, (unsigned)KEYS * TRIES);
 }
 
 /*
@@ -326,7 +326,7 @@
     }
     await(&tally, KEYS);
     begin_all(once, &tally, "a");
-    g_assert_cmpuint(tally.kept, ==, KEYS * TRIES);
+    g_assert_cmpuint(tally.kept, ==, (guint64)KEYS * TRIES);
     fake_fault(&fake, FAULT_LOSE);
     begin_all(once, &tally, "b");
     for (unsigned i = 0; i < KEYS; i++) {
