--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -24,7 +24,9 @@
     struct ch_upstream *client;
     int references;
     bool listed;
-    bool leaving; /* by the list */
+    bool leaving;     /* by the list */
+    bool ledger_read; /* since this node became home */
+    bool reporting;
     uint32_t capacity_mb;
     uint32_t accelerators;
     uint32_t batch;
@@ -37,12 +39,10 @@
     struct ch_home *home;
     uint64_t told_hash; /* of the state that was last told */
     int64_t told_at;
-    bool reporting;
     int64_t report_at;
     unsigned report_failures;
     int64_t down_until; /* of a plain service, after refused connections */
     GArray *items;      /* GQuark: what the ledger held when last seen */
-    bool ledger_read;   /* since this node became home */
 };
 
 /* A request in a home's queue or granted by it: its work's id is its handle.
--- a/tests/failure/test_orders.c
+++ b/tests/failure/test_orders.c
@@ -169,28 +169,26 @@
         HARNESS_ANY, HARNESS_ANY, HARNESS_ANY, HARNESS_ANY, HARNESS_ANY,      \
             HARNESS_ANY, HARNESS_ANY, HARNESS_ANY, HARNESS_ANY                \
     }
-#define ROW(row_name, row_shape, row_early, row_begin)                        \
-    {                                                                         \
-        .name = (row_name), .shape = row_shape, .kinds = kinds,               \
-        .kind_count = G_N_ELEMENTS(kinds), .callers = 6, .before_ms = 700,    \
-        .during_ms = 1800, .after_ms = 500, .early = (row_early),             \
-        .begin = (row_begin), .end = heal, .more = check_models,              \
-        .cost = ANY_COST                                                      \
-    }
+/* All of a row but its shape. */
+#define ROW(row_name, row_early, row_begin)                                   \
+    .name = (row_name), .kinds = kinds, .kind_count = G_N_ELEMENTS(kinds),    \
+    .callers = 6, .before_ms = 700, .during_ms = 1800, .after_ms = 500,       \
+    .early = (row_early), .begin = (row_begin), .end = heal,                  \
+    .more = check_models, .cost = ANY_COST
 
 static const struct harness_scenario scenarios[] = {
-    ROW("dropped", SHAPE, drop, NULL),
-    ROW("lost-after-acceptance", SHAPE, lose, NULL),
-    ROW("late", SHAPE, delay, NULL),
-    ROW("late-fenced", FENCED, delay, NULL),
-    ROW("repeated", SHAPE, repeat, NULL),
-    ROW("late-and-new-boot", SHAPE, delay, boot),
-    ROW("writes-unanswered", SHAPE, lose_writes, NULL),
-    ROW("late-and-home-paused", SHAPE, delay, pause_home),
-    ROW("late-and-home-paused-fenced", FENCED, delay, pause_home),
-    ROW("late-and-home-killed", SHAPE, delay, kill_home),
-    ROW("all-together", SHAPE, astray, upheaval),
-    ROW("all-together-fenced", FENCED, astray, upheaval),
+    {.shape = SHAPE, ROW("dropped", drop, NULL)},
+    {.shape = SHAPE, ROW("lost-after-acceptance", lose, NULL)},
+    {.shape = SHAPE, ROW("late", delay, NULL)},
+    {.shape = FENCED, ROW("late-fenced", delay, NULL)},
+    {.shape = SHAPE, ROW("repeated", repeat, NULL)},
+    {.shape = SHAPE, ROW("late-and-new-boot", delay, boot)},
+    {.shape = SHAPE, ROW("writes-unanswered", lose_writes, NULL)},
+    {.shape = SHAPE, ROW("late-and-home-paused", delay, pause_home)},
+    {.shape = FENCED, ROW("late-and-home-paused-fenced", delay, pause_home)},
+    {.shape = SHAPE, ROW("late-and-home-killed", delay, kill_home)},
+    {.shape = SHAPE, ROW("all-together", astray, upheaval)},
+    {.shape = FENCED, ROW("all-together-fenced", astray, upheaval)},
 };
 
 int
