Keep loads within the store's parallel limit; watch an adapter's load closely

A request that waits for an adapter, which loads in milliseconds, waited for the engine's next report: for 300 ms after such an order it is asked at every tick.

--- a/libchestnuthitch/node/home_queue.c
+++ b/libchestnuthitch/node/home_queue.c
@@ -9,6 +9,9 @@
     /* A plain service that refused a connection is tried again after this: it
      * sends no reports that would tell. */
     SERVICE_TRIAL = 1000 * 1000,
+    /* An adapter loads in milliseconds: for so long after its order the engine
+     * is asked for a report at every tick, since a request waits for it. */
+    ADAPTER_WATCH = 300 * 1000,
 };
 
 /* An empty list of actions. */
@@ -108,6 +111,37 @@
     return ch_bucket_take(&homes->loads, 1.0, now);
 }
 
+/* Models that are being loaded anywhere in this node's region, as far as it
+ * knows: all of them share one weight store. */
+static unsigned
+loads_under_way(const struct ch_homes *homes)
+{
+    unsigned loads = 0;
+    for (size_t i = 0; i < homes->fleet.count; i++) {
+        const struct ch_upstream_view *view = &homes->fleet.upstreams[i];
+        if (view->region != homes->fleet.region) {
+            continue;
+        }
+        for (guint k = 0; k < view->loading->len; k++) {
+            loads +=
+                is_model(g_array_index(view->loading, struct ch_item, k).name);
+        }
+    }
+    return loads;
+}
+
+/* Puts into the fleet how many loads may begin now: what this node's part of
+ * the rate allows, and no more at once than the store serves at full speed. */
+void
+homes_refresh_loads(struct ch_homes *homes, int64_t now)
+{
+    unsigned parallel = homes->node->settings->loads_parallel;
+    unsigned busy = loads_under_way(homes);
+    unsigned level = (unsigned)ch_bucket_level(&homes->loads, now);
+    homes->fleet.loads_left =
+        busy < parallel ? MIN(level, parallel - busy) : 0;
+}
+
 /* Hands an order to the ledger, or tells the home that it must wait. */
 static void
 apply_order(struct ch_homes *homes, struct upstream *upstream,
@@ -123,6 +157,9 @@
         home_apply(homes, upstream, &more, now, effects);
         return;
     }
+    if (action->kind == CH_ACTION_LOAD && !is_model(action->item)) {
+        upstream->quick_until = now + ADAPTER_WATCH;
+    }
     effects_order(effects, upstream, action->kind, action->item,
                   action->memory_mb);
 }
@@ -272,7 +309,7 @@
     work->id = ch_table_add(homes->tickets, ticket);
     *handle = work->id;
     struct ch_actions actions = home_actions_new();
-    homes->fleet.loads_left = (uint32_t)ch_bucket_level(&homes->loads, now);
+    homes_refresh_loads(homes, now);
     ch_home_offer(upstream->home, work, &homes->fleet, now, &actions);
     home_apply(homes, upstream, &actions, now, effects);
 }
--- a/libchestnuthitch/node/home_report.c
+++ b/libchestnuthitch/node/home_report.c
@@ -80,7 +80,8 @@
               GPtrArray *jobs)
 {
     if (upstream->home == NULL || upstream->kind != CH_HOST_ENGINE ||
-        upstream->reporting || now < upstream->report_at) {
+        upstream->reporting ||
+        (now < upstream->report_at && now > upstream->quick_until)) {
         return;
     }
     upstream->reporting = true;
@@ -114,7 +115,7 @@
 {
     GPtrArray *jobs = g_ptr_array_new();
     pthread_mutex_lock(&homes->lock);
-    homes->fleet.loads_left = (uint32_t)ch_bucket_level(&homes->loads, now);
+    homes_refresh_loads(homes, now);
     for (guint i = 0; i < homes->upstreams->len; i++) {
         struct upstream *upstream = g_ptr_array_index(homes->upstreams, i);
         if (upstream->home != NULL) {
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -259,7 +259,7 @@
               struct effects *effects)
 {
     homes->fleet.link_bytes = (int64_t)ch_bucket_level(&homes->link, now);
-    homes->fleet.loads_left = (uint32_t)ch_bucket_level(&homes->loads, now);
+    homes_refresh_loads(homes, now);
     struct ch_route route =
         ch_route_retry(homes->policy, &homes->fleet, &request->work,
                        request->excluded, request->failed, now);
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -40,6 +40,7 @@
     uint64_t told_hash; /* of the state that was last told */
     int64_t told_at;
     int64_t report_at;
+    int64_t quick_until; /* reports at every tick until then */
     unsigned report_failures;
     int64_t down_until; /* of a plain service, after refused connections */
     GArray *items;      /* GQuark: what the ledger held when last seen */
@@ -199,6 +200,7 @@
 void home_withdraw(struct ch_homes *homes, uint64_t ticket, int64_t now,
                    struct effects *effects);
 void home_free_ticket(struct ticket *ticket);
+void homes_refresh_loads(struct ch_homes *homes, int64_t now);
 /* Refreshes the fleet's view of an upstream whose home is here. */
 void home_refresh_view(struct ch_homes *homes, struct upstream *upstream,
                        int64_t now);
