--- a/tests/bench/bench_path.c
+++ b/tests/bench/bench_path.c
@@ -233,10 +233,10 @@
 /* A thread's streams. */
 struct streams {
     const char *address;
-    unsigned number;
     int64_t until; /* ms */
     int64_t from;  /* events before are not counted */
     uint64_t bytes;
+    unsigned number;
     unsigned opened; /* got their first byte */
     unsigned ended;  /* before the time */
     unsigned token_bytes;
