--- a/tests/bench/bench_records.c
+++ b/tests/bench/bench_records.c
@@ -141,7 +141,7 @@
 {
     static const struct harness_kind kind = {"lookup", "m01", NULL, 1,
                                              false,    false, 3000};
-    struct harness_shape shape = {.nodes = 12, .engines = 6};
+    struct harness_shape shape = {.nodes = 24, .engines = 6};
     struct harness_fleet *fleet = harness_fleet_start(build, &shape);
     harness_warm_up(fleet, &kind, 1);
     (void)measure_load(fleet, "requests", &kind, CALLERS);
@@ -189,5 +189,6 @@
     measure_once(argv[1], "once.slots=64", "once.gather-ms=5");
     measure_once(argv[1], "once.slots=16", "once.gather-ms=5");
     measure_once(argv[1], "once.slots=8", "once.gather-ms=25");
+    measure_once(argv[1], "once.slots=16", "once.gather-ms=120");
     return 0;
 }
