--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -175,8 +175,10 @@
 accept_connections(struct ch_peers *peers, int64_t now)
 {
     for (;;) {
-        int fd =
-            accept4(peers->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        struct sockaddr_in from;
+        socklen_t length = sizeof(from);
+        int fd = accept4(peers->listener, (struct sockaddr *)&from, &length,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             return;
         }
--- a/libchestnuthitch/node/site.c
+++ b/libchestnuthitch/node/site.c
@@ -320,7 +320,7 @@
     for (size_t i = 0; i < count; i++) {
         struct ch_item item = {
             .name = g_quark_from_string(names[i]),
-            .rate = i < rate_count ? rates[i] : 0,
+            .rate = rates != NULL && i < rate_count ? rates[i] : 0,
         };
         g_array_append_val(items, item);
     }
--- a/tests/threaded/test_keepers.c
+++ b/tests/threaded/test_keepers.c
@@ -79,6 +79,7 @@
     next->length = length;
     next->revision = ++fake->revision;
     g_tree_replace(fake->values, next->key, next);
+    /* cppcheck-suppress memleak ; the tree owns it now */
     return CH_OK;
 }
 
