Ask a restarted node to be home only once it is ready

Cause: a node that has just started answers probes, and so was home by its weights, before it knew configuration, list and what its predecessor knew. A request asked for leave there spent its six tries within a millisecond and was refused (NOT_READY, or 'the model is not here' while the key-value service was away). Ruled out: the ledger, the list, the order of the stop.

Change: every frame says whether its sender is ready; requests go to the ready home by weight, a home goes on until its successor is ready, and a restarted node opens its homes only then. When none is ready, homes are as before.

Pings now bear the revision too.

--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -26,6 +26,7 @@
     uint64_t hash; /* of this node's name */
     uint64_t version;
     bool stopping;
+    bool unready;    /* this node knows no configuration */
     GPtrArray *list; /* of struct ch_member, by name */
     GRand *random;
     int64_t silent_after;
@@ -315,6 +316,27 @@
     }
 }
 
+/* A node says with each frame whether it is ready to be home. */
+void
+ch_members_ready(struct ch_members *members, const char *name, bool ready)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL && member->unready == ready) {
+        member->unready = !ready;
+        members->version++;
+    }
+}
+
+/* The same of this node. */
+void
+ch_members_ready_self(struct ch_members *members, bool ready)
+{
+    if (members->unready == ready) {
+        members->unready = !ready;
+        members->version++;
+    }
+}
+
 /* Whether keys may have their home there. */
 bool
 ch_member_serves(const struct ch_member *member)
@@ -418,18 +440,18 @@
 /* The live node of the scope with the highest weight, or NULL. */
 static const char *
 best_in_scope(const struct ch_members *members, uint64_t key,
-              const char *region, const char *data_centre)
+              const char *region, const char *data_centre, bool ready)
 {
     const char *best = NULL;
     uint64_t best_weight = 0;
-    if (!members->stopping &&
+    if (!members->stopping && !(ready && members->unready) &&
         in_scope(members->region, members->data_centre, region, data_centre)) {
         best = members->self;
         best_weight = ch_hash_pair(key, members->hash);
     }
     for (guint i = 0; i < members->list->len; i++) {
         const struct ch_member *member = g_ptr_array_index(members->list, i);
-        if (!ch_member_serves(member) ||
+        if (!ch_member_serves(member) || (ready && member->unready) ||
             !in_scope(member->region, member->data_centre, region,
                       data_centre)) {
             continue;
@@ -443,6 +465,21 @@
     return best;
 }
 
+/* The home of a key among all nodes or the ready ones, by scope. */
+static const char *
+home_among(const struct ch_members *members, uint64_t key, const char *region,
+           const char *data_centre, bool ready)
+{
+    const char *best = best_in_scope(members, key, region, data_centre, ready);
+    if (best == NULL) {
+        best = best_in_scope(members, key, region, NULL, ready);
+    }
+    if (best == NULL) {
+        best = best_in_scope(members, key, NULL, NULL, ready);
+    }
+    return best;
+}
+
 /* The home of a key: in the data centre if a node lives there, so that the
  * exact counts are kept a millisecond from the upstream; else in its region;
  * else anywhere, so that losing every node of a data centre leaves its
@@ -451,12 +488,23 @@
 ch_members_home(const struct ch_members *members, uint64_t key,
                 const char *region, const char *data_centre)
 {
-    const char *best = best_in_scope(members, key, region, data_centre);
-    if (best == NULL) {
-        best = best_in_scope(members, key, region, NULL);
-    }
+    return home_among(members, key, region, data_centre, false);
+}
+
+/*
+ * A node that has just started answers probes before it knows configuration,
+ * host list and what the homes before it knew, and refuses what it is asked to
+ * queue.  Asked first, it would cost a request all its tries within a
+ * millisecond, though the home of before still serves.  When none is ready
+ * the fleet starts as a whole, and homes are found as ever.
+ */
+const char *
+ch_members_ready_home(const struct ch_members *members, uint64_t key,
+                      const char *region, const char *data_centre)
+{
+    const char *best = home_among(members, key, region, data_centre, true);
     if (best == NULL) {
-        best = best_in_scope(members, key, NULL, NULL);
+        best = ch_members_home(members, key, region, data_centre);
     }
     return best;
 }
--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -25,6 +25,7 @@
     enum ch_member_status status;
     bool leaving;    /* by the list */
     uint64_t leaves; /* incarnation that said that it stops; 0: none */
+    bool unready;    /* it answers, but is not ready to be home */
     bool listed;     /* found by the update that runs now */
     uint64_t incarnation;
     uint64_t hash;      /* of the name, for rendezvous */
@@ -66,6 +67,11 @@
 void ch_members_stop_self(struct ch_members *members);
 void ch_members_incarnation(struct ch_members *members, const char *name,
                             uint64_t incarnation);
+/* Whether it says that it knows what a home must know. */
+void ch_members_ready(struct ch_members *members, const char *name,
+                      bool ready);
+/* The same of this node itself. */
+void ch_members_ready_self(struct ch_members *members, bool ready);
 bool ch_member_serves(const struct ch_member *member);
 /* This process did not run for `gap`: what seems silent was not asked. */
 void ch_members_paused(struct ch_members *members, int64_t gap);
@@ -90,6 +96,10 @@
  */
 const char *ch_members_home(const struct ch_members *members, uint64_t key,
                             const char *region, const char *data_centre);
+/* The same among the nodes that are ready, as long as any is. */
+const char *ch_members_ready_home(const struct ch_members *members,
+                                  uint64_t key, const char *region,
+                                  const char *data_centre);
 
 enum {
     /*
--- a/libchestnuthitch/node/home_members.c
+++ b/libchestnuthitch/node/home_members.c
@@ -100,15 +100,14 @@
     homes->rehome = false;
     for (guint i = 0; i < homes->upstreams->len; i++) {
         struct upstream *upstream = g_ptr_array_index(homes->upstreams, i);
-        char *home =
-            ch_peers_upstream_home(homes->node->peers, upstream->key,
-                                   upstream->region, upstream->data_centre);
-        bool ours = strcmp(home, homes->node->settings->name) == 0;
-        g_free(home);
-        if (ours) {
+        bool becomes = false;
+        bool is_home = ch_peers_is_home(homes->node->peers, upstream->key,
+                                        upstream->region,
+                                        upstream->data_centre, &becomes);
+        if (becomes) {
             home_open(homes, upstream, now, effects);
         }
-        else {
+        else if (!is_home) {
             home_close(homes, upstream, effects);
         }
     }
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -98,6 +98,10 @@
 /* As above for an upstream: its data centre, else its region, else any. */
 char *ch_peers_upstream_home(struct ch_peers *peers, uint64_t key,
                              const char *region, const char *data_centre);
+/* Whether this node is home of it, and whether it should become so: not yet
+   while it is not ready and another node still serves. */
+bool ch_peers_is_home(struct ch_peers *peers, uint64_t key, const char *region,
+                      const char *data_centre, bool *becomes);
 /* The same number for as long as no home can have moved. */
 uint64_t ch_peers_version(struct ch_peers *peers);
 /* The platform's list, whole. */
--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -8,6 +8,7 @@
 #include "node/peers_internal.h"
 
 #include <arpa/inet.h>
+#include <ck_pr.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -123,20 +124,30 @@
     g_free(peers);
 }
 
-/* Sets the revision that every frame bears. */
-static void
-stamp_revision(const struct ch_peers *peers, Chestnuthitch__Wire__Frame *frame)
+/* Notes the revision that every frame is to bear. */
+void
+peers_refresh_revision(struct ch_peers *peers)
 {
     if (peers->node->config == NULL) {
         return;
     }
     struct ch_config *config = ch_config_keeper_current(peers->node->config);
     if (config != NULL) {
-        frame->config_revision = config->revision;
+        ck_pr_store_64(&peers->revision, config->revision);
         ch_config_unref(config);
     }
 }
 
+/* Puts in what every frame bears. */
+void
+peers_stamp(const struct ch_peers *peers, Chestnuthitch__Wire__Frame *frame)
+{
+    frame->version = CH_WIRE_VERSION;
+    frame->from = (char *)peers->node->settings->name;
+    frame->config_revision = ck_pr_load_64(&peers->revision);
+    frame->ready = ck_pr_load_uint(&peers->ready) != 0;
+}
+
 /* Whether the name is this node's own. */
 bool
 peers_is_self(const struct ch_peers *peers, const char *name)
@@ -148,8 +159,7 @@
 static Chestnuthitch__Wire__Frame *
 copy_frame(const struct ch_peers *peers, Chestnuthitch__Wire__Frame *frame)
 {
-    frame->version = CH_WIRE_VERSION;
-    frame->from = (char *)peers->node->settings->name;
+    peers_stamp(peers, frame);
     size_t length = chestnuthitch__wire__frame__get_packed_size(frame);
     uint8_t *bytes = g_malloc(length);
     chestnuthitch__wire__frame__pack(frame, bytes);
@@ -166,7 +176,7 @@
               Chestnuthitch__Wire__Frame *frame)
 {
     int64_t now = ch_client_now(peers->node->client);
-    stamp_revision(peers, frame);
+    peers_refresh_revision(peers);
     if (peers_is_self(peers, to)) {
         peers_submit_frame(peers, copy_frame(peers, frame));
         return;
@@ -210,7 +220,7 @@
                  void *data)
 {
     int64_t now = ch_client_now(peers->node->client);
-    stamp_revision(peers, frame);
+    peers_refresh_revision(peers);
     struct request *request = g_new0(struct request, 1);
     request->due = limit > 0 ? now + limit : 0;
     request->done = done;
@@ -259,7 +269,7 @@
 ch_peers_reply(struct ch_peers *peers, const char *to, uint64_t id,
                Chestnuthitch__Wire__Frame *frame)
 {
-    stamp_revision(peers, frame);
+    peers_refresh_revision(peers);
     frame->id = id;
     frame->reply = true;
     if (peers_is_self(peers, to)) {
--- a/libchestnuthitch/node/peers_connection.c
+++ b/libchestnuthitch/node/peers_connection.c
@@ -99,8 +99,7 @@
                Chestnuthitch__Wire__Frame *frame, int64_t now)
 {
     struct ch_error error = {0};
-    frame->version = CH_WIRE_VERSION;
-    frame->from = (char *)peers->node->settings->name;
+    peers_stamp(peers, frame);
     if (connection->failure != CH_OK ||
         connection->out->len - connection->out_sent > MOST_WAITING ||
         !ch_wire_encode(frame, connection->out, &error)) {
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -64,6 +64,8 @@
     GHashTable *inbound;  /* name to the latest connection */
     GHashTable *requests; /* id to struct request */
     uint64_t last_id;
+    uint64_t revision; /* in force here; atomic */
+    unsigned ready;    /* this node may be home; atomic */
     int64_t last_tick;
     struct handler handlers[PEERS_BODY_CASES];
     struct handler late;
@@ -107,6 +109,12 @@
 
 /* ---- peers.c ---- */
 
+/* Looks up the revision in force; not with the lock, which comes after the
+   configuration's in the order. */
+void peers_refresh_revision(struct ch_peers *peers);
+/* What every frame bears. */
+void peers_stamp(const struct ch_peers *peers,
+                 Chestnuthitch__Wire__Frame *frame);
 bool peers_is_self(const struct ch_peers *peers, const char *name);
 
 #endif
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -2,6 +2,7 @@
 
 #include "node/peers_internal.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -59,6 +60,18 @@
     g_hash_table_remove(peers->requests, &id);
 }
 
+/* Ends a frame that needs no handler; a revision that this node does not know
+ * yet is learnt from it on the pool, so that pings spread it too. */
+static void
+end_frame(struct ch_peers *peers, Chestnuthitch__Wire__Frame *frame)
+{
+    if (frame->config_revision > ck_pr_load_64(&peers->revision)) {
+        peers_submit_frame(peers, frame);
+        return;
+    }
+    ch_wire_frame_free(frame);
+}
+
 /* One frame.  Hello, ping and pong end here; the rest goes to the pool. */
 static void
 take_frame(struct ch_peers *peers, struct connection *connection,
@@ -67,6 +80,7 @@
     ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_RECEIVED,
                      1);
     ch_members_heard(peers->members, frame->from, now);
+    ch_members_ready(peers->members, frame->from, frame->ready);
     connection->heard = now;
     connection->asked = 0;
     if (connection->name != NULL &&
@@ -78,7 +92,7 @@
     switch (frame->body_case) {
     case WIRE(FRAME__BODY_HELLO):
         take_hello(peers, connection, frame, now);
-        ch_wire_frame_free(frame);
+        end_frame(peers, frame);
         return;
     case WIRE(FRAME__BODY_PING): {
         Chestnuthitch__Wire__Pong pong = WIRE(PONG__INIT);
@@ -86,11 +100,11 @@
         answer.body_case = WIRE(FRAME__BODY_PONG);
         answer.pong = &pong;
         connection_put(peers, connection, &answer, now);
-        ch_wire_frame_free(frame);
+        end_frame(peers, frame);
         return;
     }
     case WIRE(FRAME__BODY_PONG):
-        ch_wire_frame_free(frame);
+        end_frame(peers, frame);
         return;
     default:
         break;
@@ -317,6 +331,7 @@
         }
     }
     peers->last_tick = now;
+    ch_members_ready_self(peers->members, ck_pr_load_uint(&peers->ready) != 0);
     for (guint i = 0; i < peers->connections->len; i++) {
         watch_connection(peers, g_ptr_array_index(peers->connections, i), now);
     }
@@ -324,6 +339,19 @@
     probe_members(peers, now);
 }
 
+/* Looks whether this node knows by now what a home must know; it does not
+ * forget it again.  Without the lock, which comes after the others'. */
+static void
+refresh_ready(struct ch_peers *peers)
+{
+    peers_refresh_revision(peers);
+    if (ck_pr_load_uint(&peers->ready) == 0 &&
+        ck_pr_load_64(&peers->revision) > 0 && peers->node->homes != NULL &&
+        ch_homes_ready(peers->node->homes)) {
+        ck_pr_store_uint(&peers->ready, 1);
+    }
+}
+
 /* The thread: waits for events, then does the clock's part when it is due. */
 void *
 peers_run(void *data)
@@ -333,6 +361,7 @@
     pthread_mutex_lock(&peers->lock);
     while (!peers->stopping) {
         pthread_mutex_unlock(&peers->lock);
+        refresh_ready(peers);
         int count = epoll_wait(peers->epoll, events, EVENTS, TICK_MS);
         pthread_mutex_lock(&peers->lock);
         int64_t now = ch_client_now(peers->node->client);
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -4,19 +4,49 @@
 
 #include <string.h>
 
-/* A new string: the home of a key among the live nodes. */
+/* The name of a home that was found, or this node's own. */
+static const char *
+home_or_self(const struct ch_peers *peers, const char *home)
+{
+    return home != NULL ? home : peers->node->settings->name;
+}
+
+/* A new string: the node to ask as home of an upstream. */
 char *
 ch_peers_upstream_home(struct ch_peers *peers, uint64_t key,
                        const char *region, const char *data_centre)
 {
     pthread_mutex_lock(&peers->lock);
-    const char *best =
-        ch_members_home(peers->members, key, region, data_centre);
-    char *home = g_strdup(best != NULL ? best : peers->node->settings->name);
+    char *home = g_strdup(
+        home_or_self(peers, ch_members_ready_home(peers->members, key, region,
+                                                  data_centre)));
     pthread_mutex_unlock(&peers->lock);
     return home;
 }
 
+/*
+ * A home opens where the weights put it, once that node is ready; a node that
+ * is home goes on until its successor is.  So a restarted node learns from the
+ * homes before it what is resident where before it takes over, and the first
+ * node that is ready in a fleet that starts does not open every home.
+ */
+bool
+ch_peers_is_home(struct ch_peers *peers, uint64_t key, const char *region,
+                 const char *data_centre, bool *becomes)
+{
+    pthread_mutex_lock(&peers->lock);
+    const char *owner = home_or_self(
+        peers, ch_members_home(peers->members, key, region, data_centre));
+    const char *asked =
+        home_or_self(peers, ch_members_ready_home(peers->members, key, region,
+                                                  data_centre));
+    bool owns = peers_is_self(peers, owner);
+    bool is_asked = peers_is_self(peers, asked);
+    pthread_mutex_unlock(&peers->lock);
+    *becomes = owns && is_asked;
+    return owns || is_asked;
+}
+
 /* The membership's version; see ch_members_version. */
 uint64_t
 ch_peers_version(struct ch_peers *peers)
@@ -27,11 +57,16 @@
     return version;
 }
 
-/* A new string: the home of a key in a data centre, or among all. */
+/* A new string: the home of a key in a data centre, or among all.  Ready or
+ * not: what is asked of it needs the key-value service alone. */
 char *
 ch_peers_home(struct ch_peers *peers, uint64_t key, const char *data_centre)
 {
-    return ch_peers_upstream_home(peers, key, NULL, data_centre);
+    pthread_mutex_lock(&peers->lock);
+    char *home = g_strdup(home_or_self(
+        peers, ch_members_home(peers->members, key, NULL, data_centre)));
+    pthread_mutex_unlock(&peers->lock);
+    return home;
 }
 
 /* The names of the live nodes with this one, in order; g_strfreev. */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -817,7 +817,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__once_finish__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[20] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[21] =
 {
   {
     "version",
@@ -879,6 +879,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ready",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Frame, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "hello",
     10,
@@ -1061,32 +1073,33 @@
   },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
-  14,   /* field[14] = config_pull */
-  15,   /* field[15] = config_push */
+  15,   /* field[15] = config_pull */
+  16,   /* field[16] = config_push */
   4,   /* field[4] = config_revision */
-  19,   /* field[19] = done */
-  9,   /* field[9] = enqueue */
+  20,   /* field[20] = done */
+  10,   /* field[10] = enqueue */
   1,   /* field[1] = from */
-  8,   /* field[8] = gossip */
-  10,   /* field[10] = grant */
-  5,   /* field[5] = hello */
+  9,   /* field[9] = gossip */
+  11,   /* field[11] = grant */
+  6,   /* field[6] = hello */
   2,   /* field[2] = id */
-  17,   /* field[17] = once_answer */
-  16,   /* field[16] = once_begin */
-  18,   /* field[18] = once_finish */
-  6,   /* field[6] = ping */
-  7,   /* field[7] = pong */
-  11,   /* field[11] = refuse */
-  12,   /* field[12] = release */
+  18,   /* field[18] = once_answer */
+  17,   /* field[17] = once_begin */
+  19,   /* field[19] = once_finish */
+  7,   /* field[7] = ping */
+  8,   /* field[8] = pong */
+  5,   /* field[5] = ready */
+  12,   /* field[12] = refuse */
+  13,   /* field[13] = release */
   3,   /* field[3] = reply */
   0,   /* field[0] = version */
-  13,   /* field[13] = withdraw */
+  14,   /* field[14] = withdraw */
 };
 static const ProtobufCIntRange chestnuthitch__wire__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 5 },
-  { 0, 20 }
+  { 10, 6 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -1096,7 +1109,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  20,
+  21,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -75,6 +75,10 @@
   uint64_t id;
   protobuf_c_boolean reply;
   uint64_t config_revision;
+  /*
+   * the sender may be home: it knows what a home must know
+   */
+  protobuf_c_boolean ready;
   Chestnuthitch__Wire__Frame__BodyCase body_case;
   union {
     Chestnuthitch__Wire__Hello *hello;
@@ -96,7 +100,7 @@
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, CHESTNUTHITCH__WIRE__FRAME__BODY__NOT_SET, {0} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, CHESTNUTHITCH__WIRE__FRAME__BODY__NOT_SET, {0} }
 
 
 /*
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -197,6 +197,45 @@
     ch_members_free(members);
 }
 
+/*
+ * What the caller sees: its request is served by the home that was there
+ * before. A node that has just started answers, and is to be home, but knows
+ * too little and would refuse; until it is ready, the others are asked. When
+ * none is ready, the fleet starts, and homes are as ever.
+ */
+static void
+test_unready(void)
+{
+    const char *const other[] = {"a2"};
+    struct ch_members *members = make_members(other, 1);
+    static const struct {
+        bool self;
+        bool other;
+        const char *asked; /* NULL: the owner, whoever it is */
+    } cases[] = {
+        {true, false, "a1"},
+        {false, true, "a2"},
+        {true, true, NULL},
+        {false, false, NULL},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ch_members_ready_self(members, cases[i].self);
+        ch_members_ready(members, "a2", cases[i].other);
+        for (uint64_t key = 0; key < 50; key++) {
+            const char *owner = ch_members_home(members, key, "r1", "a");
+            const char *asked = ch_members_ready_home(members, key, "r1", "a");
+            g_assert_cmpstr(asked, ==,
+                            cases[i].asked != NULL ? cases[i].asked : owner);
+        }
+    }
+    uint64_t version = ch_members_version(members);
+    ch_members_ready(members, "a2", false);
+    g_assert_cmpuint(ch_members_version(members), ==, version);
+    ch_members_ready(members, "a2", true);
+    g_assert_cmpuint(ch_members_version(members), !=, version);
+    ch_members_free(members);
+}
+
 /* Messages a round do not grow with the fleet; both kinds of nodes get some.
  */
 static void
@@ -301,6 +340,7 @@
     g_test_add_func("/member/probe-round", test_probe_round);
     g_test_add_func("/member/pause", test_pause);
     g_test_add_func("/member/stopping", test_stopping);
+    g_test_add_func("/member/unready", test_unready);
     g_test_add_func("/member/fanout", test_fanout);
     g_test_add_func("/member/refused", test_refused);
     g_test_add_func("/member/silent-probes", test_silent_probes);
