--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -312,8 +312,8 @@
 }
 
 /* Ends a stand-in that was started. */
-static void
-stop_standin(struct harness_standin *standin)
+void
+harness_standin_stop(struct harness_standin *standin)
 {
     if (standin->pid != 0) {
         (void)kill(standin->pid, SIGTERM);
@@ -346,14 +346,14 @@
             harness_node_kill(node, SIGKILL);
         }
     }
-    stop_standin(&fleet->kv);
-    stop_standin(&fleet->hosts);
-    stop_standin(&fleet->weights);
+    harness_standin_stop(&fleet->kv);
+    harness_standin_stop(&fleet->hosts);
+    harness_standin_stop(&fleet->weights);
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
-        stop_standin(&fleet->upstreams[i].standin);
+        harness_standin_stop(&fleet->upstreams[i].standin);
     }
     for (unsigned i = 0; i < fleet->node_count; i++) {
-        stop_standin(&fleet->nodes[i].relay);
+        harness_standin_stop(&fleet->nodes[i].relay);
     }
     if (bad == 0 && g_getenv("HARNESS_KEEP") == NULL) {
         remove_files(fleet);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -43,6 +43,8 @@
 /* args: NAME=VALUE, ended by NULL; may be NULL. */
 void harness_standin_start(struct harness_standin *standin, const char *build,
                            const char *mode, const char *const *args);
+/* SIGTERM, and waits; one that was not started is left alone. */
+void harness_standin_stop(struct harness_standin *standin);
 /* A call under /control/; the answer's body, g_free. */
 char *harness_control(const struct harness_standin *standin, const char *path,
                       const char *body);
--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -90,13 +90,36 @@
     }
 }
 
-/* Goes on with an exchange, unless its connection is silent for good. */
+/* The time for which an answer is held back is over. */
+static void
+end_hold(void *data)
+{
+    struct exchange *exchange = data;
+    exchange->hold = NULL;
+    exchange_resume(exchange);
+}
+
+/* Holds an answer back for the time that is set. */
+static void
+begin_hold(struct exchange *exchange)
+{
+    exchange->slow = false;
+    exchange->hold = timer_add(exchange->standin, exchange->standin->slow_us,
+                               end_hold, exchange);
+}
+
+/* Goes on with an exchange, unless its answer is held back or its connection
+ * is silent for good. */
 void
 exchange_resume(void *data)
 {
     struct exchange *exchange = data;
     exchange->timer = NULL;
-    if (exchange->suspended && !exchange->link->silent) {
+    if (exchange->slow) {
+        begin_hold(exchange);
+    }
+    if (exchange->hold == NULL && exchange->suspended &&
+        !exchange->link->silent) {
         exchange->suspended = false;
         exchange->standin->resumed = true;
         MHD_resume_connection(exchange->connection);
@@ -209,22 +232,27 @@
     }
 }
 
-/* Holds a finished answer back while the stand-in is slow. */
+/* Holds an answer back while the stand-in is slow: one that is there at once,
+ * or one whose work is still under way, when that is done. */
 static void
 delay_answer(struct exchange *exchange)
 {
     struct standin *standin = exchange->standin;
     int64_t delay = standin->faults[FAULT_slow_ms];
-    if (exchange->response == NULL || delay == 0) {
+    if (delay == 0) {
         return;
     }
+    standin->slow_us = delay * 1000;
     if (standin->faults[FAULT_slow_next] > 0 &&
         --standin->faults[FAULT_slow_next] == 0) {
         standin->faults[FAULT_slow_ms] = 0;
     }
+    if (exchange->response == NULL) {
+        exchange->slow = true;
+        return;
+    }
     exchange_suspend(exchange);
-    exchange->timer =
-        timer_add(standin, delay * 1000, exchange_resume, exchange);
+    begin_hold(exchange);
 }
 
 /* Gives libmicrohttpd what has been decided for the exchange. */
@@ -308,6 +336,7 @@
         return;
     }
     timer_stop(exchange->standin, exchange->timer);
+    timer_stop(exchange->standin, exchange->hold);
     if (exchange->gone != NULL) {
         exchange->gone(exchange, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     }
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -87,7 +87,9 @@
     struct MHD_Response *response;
     int status;
     struct timer *timer;
-    void *work; /* of the mode; freed by the mode's gone */
+    struct timer *hold; /* the answer is held back until then; NULL: not */
+    bool slow;          /* to be held back when its work is done */
+    void *work;         /* of the mode; freed by the mode's gone */
     void (*gone)(struct exchange *exchange, bool whole);
 };
 
@@ -110,7 +112,8 @@
     GSequence *timers;
     GHashTable *links; /* open connections */
     GPtrArray *daemons;
-    bool resumed; /* a connection, since MHD_run, which does not say so */
+    int64_t slow_us; /* of the latest answer that is held back */
+    bool resumed;    /* a connection, since MHD_run, which does not say so */
     struct MHD_Daemon *listening; /* NULL: down */
     uint16_t port;
     int wake[2]; /* a pipe of struct wake_job */
