--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -132,7 +132,7 @@
             ch_metrics_count(node->client->metrics, CH_COUNT_CONFIG_CHANGES,
                              1);
         }
-        ch_log(node->client, CH_LOG_NOTICE, "config_in_force",
+        ch_log(node->client, CH_LOG_NOTICE, "config-in-force",
                CH_F_INT("revision", config->revision),
                CH_F_STR("author", config->author), CH_F_END);
         tell_others(keeper);
@@ -155,7 +155,7 @@
     struct ch_declaration *declaration =
         ch_declaration_parse(text, CONFIG_KEY, &error);
     if (declaration == NULL) {
-        ch_log(keeper->node->client, CH_LOG_ERR, "config_unreadable",
+        ch_log(keeper->node->client, CH_LOG_ERR, "config-unreadable",
                CH_F_INT("revision", revision),
                CH_F_STR("message", error.message), CH_F_END);
         return;
@@ -171,7 +171,7 @@
     struct ch_revision_record *record =
         ch_revision_record_parse(answer->value, answer->length, &error);
     if (record == NULL) {
-        ch_log(keeper->node->client, CH_LOG_ERR, "config_unreadable",
+        ch_log(keeper->node->client, CH_LOG_ERR, "config-unreadable",
                CH_F_INT("revision", answer->revision),
                CH_F_STR("message", error.message), CH_F_END);
         return;
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -272,7 +272,7 @@
     ch_table_remove(front->replies, intake->mark);
     pthread_mutex_unlock(&front->lock);
     if (!intake->complete) {
-        ch_log(front->node->client, CH_LOG_INFO, "request cut short",
+        ch_log(front->node->client, CH_LOG_INFO, "request-cut-short",
                CH_F_STR("request_id", ch_reply_id(intake->reply)),
                CH_F_INT("code", CH_BODY_TRUNCATED), CH_F_INT("why", (int)why),
                CH_F_END);
@@ -330,7 +330,7 @@
         return;
     }
     front->full_at = now;
-    ch_log(front->node->client, CH_LOG_WARNING, "too many connections",
+    ch_log(front->node->client, CH_LOG_WARNING, "too-many-connections",
            CH_F_INT("limit", front->node->settings->max_connections),
            CH_F_END);
 }
@@ -436,7 +436,7 @@
         ch_front_free(front);
         return NULL;
     }
-    ch_log(node->client, CH_LOG_NOTICE, "listening for callers",
+    ch_log(node->client, CH_LOG_NOTICE, "listening-for-callers",
            CH_F_STR("address", node->settings->callers),
            CH_F_INT("port", ch_listener_port(front->listener)), CH_F_END);
     return front;
--- a/libchestnuthitch/node/ledger_holding.c
+++ b/libchestnuthitch/node/ledger_holding.c
@@ -217,7 +217,7 @@
         begin_pause(holding);
     }
     pthread_mutex_unlock(&holding->lock);
-    ch_log(holding->office->node->client, CH_LOG_NOTICE, "ledger_not_written",
+    ch_log(holding->office->node->client, CH_LOG_NOTICE, "ledger-not-written",
            CH_F_STR("upstream", g_quark_to_string(holding->upstream)),
            CH_F_STR("code", ch_code_name(code)), CH_F_END);
     ledger_tell_failed(holding, failed);
@@ -270,7 +270,7 @@
     pthread_mutex_lock(&holding->lock);
     begin_pause(holding);
     pthread_mutex_unlock(&holding->lock);
-    ch_log(holding->office->node->client, CH_LOG_WARNING, "ledger_not_read",
+    ch_log(holding->office->node->client, CH_LOG_WARNING, "ledger-not-read",
            CH_F_STR("upstream", g_quark_to_string(holding->upstream)),
            CH_F_STR("code", ch_code_name(code)), CH_F_END);
 }
--- a/libchestnuthitch/node/ledger_orders.c
+++ b/libchestnuthitch/node/ledger_orders.c
@@ -44,7 +44,7 @@
     if (code == CH_STALE_FENCE && client->metrics != NULL) {
         ch_metrics_count(client->metrics, CH_COUNT_ORDERS_REFUSED, 1);
     }
-    ch_log(client, code == CH_OK ? CH_LOG_INFO : CH_LOG_WARNING, "order_ended",
+    ch_log(client, code == CH_OK ? CH_LOG_INFO : CH_LOG_WARNING, "order-ended",
            CH_F_STR("upstream", g_quark_to_string(sent->holding->upstream)),
            CH_F_STR("item", sent->item), CH_F_STR("order", sent->order),
            CH_F_STR("code", ch_code_name(code)), CH_F_END);
--- a/libchestnuthitch/node/once_keeper.c
+++ b/libchestnuthitch/node/once_keeper.c
@@ -504,7 +504,7 @@
     keeper->slots = slots;
     pthread_mutex_unlock(&keeper->lock);
     if (slots != keeper->node->settings->once_slots) {
-        ch_log(keeper->node->client, CH_LOG_WARNING, "once_slots_differ",
+        ch_log(keeper->node->client, CH_LOG_WARNING, "once-slots-differ",
                CH_F_INT("in_use", slots),
                CH_F_INT("set", keeper->node->settings->once_slots), CH_F_END);
     }
--- a/libchestnuthitch/platform/hosts_http.c
+++ b/libchestnuthitch/platform/hosts_http.c
@@ -39,7 +39,7 @@
         owner->etag = list != NULL ? g_strdup(answer->etag) : NULL;
     }
     if (error.code != CH_OK) {
-        ch_log(call->owner->client, CH_LOG_WARNING, "host_list_damaged",
+        ch_log(call->owner->client, CH_LOG_WARNING, "host-list-damaged",
                CH_F_STR("code", ch_code_name(error.code)),
                CH_F_STR("message", error.message), CH_F_END);
     }
