--- a/Makefile
+++ b/Makefile
@@ -12,13 +12,13 @@
 DEPENDENCIES_CFLAGS := $(shell pkgconf --cflags $(PACKAGES) 2>/dev/null)
 DEPENDENCIES_LIBS := $(shell pkgconf --libs $(PACKAGES) 2>/dev/null)
 CPPFLAGS = -D_GNU_SOURCE -DG_LOG_DOMAIN='"chestnuthitch"' \
-    -Ilibchestnuthitch -Itests $(DEPENDENCIES_CFLAGS)
+    -Ilibchestnuthitch -Iplatform -Itests $(DEPENDENCIES_CFLAGS)
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes
 CFLAGS = -std=gnu11 -g -O2 -pthread $(WARNINGS)
 LDLIBS = $(DEPENDENCIES_LIBS) -lck -lm -pthread
 
-LIBRARY_SOURCES = $(wildcard libchestnuthitch/*/*.c)
+LIBRARY_SOURCES = $(wildcard libchestnuthitch/*/*.c platform/*.c)
 GENERATED = libchestnuthitch/wire/chestnuthitch.pb-c.c
 CLI_SOURCES = $(wildcard cli/*.c)
 STANDIN_SOURCES = $(wildcard tests/standin/*.c)
@@ -32,7 +32,7 @@
     $(THREADED_SOURCES) $(FAILURE_SOURCES) $(FUZZ_SOURCES) \
     $(wildcard tests/bench/*.c tests/demo/*.c)
 OWN_HEADERS = $(filter-out %.pb-c.h,$(wildcard libchestnuthitch/*.h \
-    libchestnuthitch/*/*.h cli/*.h tests/*/*.h))
+    libchestnuthitch/*/*.h platform/*.h cli/*.h tests/*/*.h))
 
 .PHONY: all run check unit threaded failure fuzz spec replay format lint \
     bench clean install-packages tests
@@ -88,6 +88,12 @@
 $(BUILD)/chestnuthitch: $(BUILD)/plain/chestnuthitch
 	@cp $< $@
 
+# The build that the platform runs: everything under target/.
+target/chestnuthitch:
+	$(MAKE) BUILD=target target/plain/chestnuthitch
+	@cp target/plain/chestnuthitch $@
+.PHONY: target/chestnuthitch
+
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
--- a/cli/node.c
+++ b/cli/node.c
@@ -2,6 +2,8 @@
 
 #include "cli.h"
 
+#include "fleet.h"
+
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -15,11 +17,29 @@
     sigemptyset(signals);
     sigaddset(signals, SIGTERM);
     sigaddset(signals, SIGINT);
+    sigaddset(signals, SIGHUP);
     (void)pthread_sigmask(SIG_BLOCK, signals, NULL);
     /* A peer that closes shows as an error of write, not as our death. */
     (void)signal(SIGPIPE, SIG_IGN);
 }
 
+/* Waits for a signal that ends the node.  A hang-up says that the settings may
+ * have changed: none of them may change while a node runs, which is told. */
+static void
+wait_for_end(const struct ch_client *client, const sigset_t *signals)
+{
+    int number = SIGHUP;
+    while (number == SIGHUP) {
+        (void)sigwait(signals, &number);
+        ch_log(client, CH_LOG_NOTICE, "signal",
+               CH_F_STR("name", strsignal(number)),
+               CH_F_STR("effect", number == SIGHUP
+                                      ? "settings take effect at a restart"
+                                      : "stopping"),
+               CH_F_END);
+    }
+}
+
 /* Runs the node until it is asked to stop.  The signals stay blocked during
  * the stop: a second one does not cut requests that are being answered. */
 static int
@@ -32,7 +52,10 @@
     client.log_level = (enum ch_level)settings->log_level;
     client.metrics = ch_metrics_new();
     struct ch_error error = {0};
-    struct ch_node *node = ch_node_start(&client, settings, &error);
+    struct ch_node *node = ch_node_start(
+        &client, settings,
+        settings->platform == CH_PLATFORM_USERS ? platform_dialect() : NULL,
+        &error);
     if (node == NULL) {
         ch_log(&client, CH_LOG_ERR, "start-failed",
                CH_F_STR("code", ch_code_name(error.code)),
@@ -42,10 +65,7 @@
     }
     ch_log(&client, CH_LOG_NOTICE, "started",
            CH_F_STR("version", CHESTNUTHITCH_VERSION), CH_F_END);
-    int signal_number = 0;
-    (void)sigwait(&signals, &signal_number);
-    ch_log(&client, CH_LOG_NOTICE, "signal",
-           CH_F_STR("name", strsignal(signal_number)), CH_F_END);
+    wait_for_end(&client, &signals);
     ch_node_stop(node);
     ch_metrics_free(client.metrics);
     return CLI_OK;
@@ -81,7 +101,7 @@
     gboolean check = FALSE;
     const GOptionEntry entries[] = {
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-         "Settings of this node (INI)", "FILE"},
+         "Settings of this node (INI); else CHESTNUTHITCH_SETTINGS", "FILE"},
         {"check", 'c', 0, G_OPTION_ARG_NONE, &check,
          "Check the settings and exit", NULL},
         {0},
@@ -96,13 +116,14 @@
     g_option_context_add_main_entries(context, entries, NULL);
     GError *reason = NULL;
     int status = CLI_BAD_INPUT;
+    path = g_strdup(g_getenv("CHESTNUTHITCH_SETTINGS"));
     if (!g_option_context_parse(context, &argc, &argv, &reason)) {
         (void)fprintf(stderr, "chestnuthitch: %s\n", reason->message);
         g_error_free(reason);
     }
     else if (path == NULL || argc > 1) {
         (void)fprintf(stderr, "chestnuthitch: node takes --settings FILE "
-                              "[--check]\n");
+                              "(or CHESTNUTHITCH_SETTINGS) [--check]\n");
     }
     else {
         status = load_and_run(path, check);
--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -184,15 +184,24 @@
 
 /* ---- node settings (settings.c) ---- */
 
+/* Whose interfaces are spoken to callers, upstreams and the platform. */
+enum ch_platform_kind {
+    CH_PLATFORM_OWN,
+    CH_PLATFORM_USERS,
+};
+
 struct ch_settings {
     char *name;                  /* [node] name */
     char *region;                /* [node] region */
     char *data_centre;           /* [node] data-centre */
+    char *data_centres;          /* [node] data-centres = NAME:REGION, ... */
     unsigned workers;            /* [node] workers */
     int log_level;               /* [node] log-level: err..debug */
     char *callers;               /* [listen] callers = ip:port */
     char *admin;                 /* [listen] admin */
     char *peers;                 /* [listen] peers */
+    char *ready_path;            /* [listen] ready-path, beside /readyz */
+    int platform;                /* [platform] kind, enum ch_platform_kind */
     char *kv;                    /* [platform] kv = ip:port */
     char *hosts;                 /* [platform] hosts = ip:port */
     bool fencing;                /* [upstreams] fencing = refuse | ignore */
@@ -207,6 +216,10 @@
     unsigned max_queue;          /* [limits] queue, for each upstream */
     unsigned max_connections;    /* [limits] connections */
     double retry_share;          /* [limits] retry-share */
+    unsigned retry_slack;        /* [limits] retry-slack, of the whole fleet */
+    unsigned lease_ms;           /* [upstreams] lease-ms, of a right to order */
+    unsigned load_window_s;      /* [weight-store] window-s */
+    double load_overshoot;       /* [weight-store] overshoot */
     double loads_per_s;          /* [weight-store] loads-per-s */
     unsigned loads_parallel;     /* [weight-store] parallel */
     unsigned adapters_parallel;  /* [weight-store] adapters-parallel */
@@ -217,6 +230,7 @@
     unsigned peer_silent_ms;     /* [timeouts] peer-silent-ms */
     unsigned idle_connection_ms; /* [timeouts] idle-connection-ms */
     unsigned drain_ms;           /* [timeouts] drain-ms, listener stays open */
+    unsigned grace_ms;           /* [timeouts] grace-ms, of a stop; 0: none */
 };
 
 struct ch_settings *ch_settings_load(const char *path, struct ch_error *error);
@@ -235,6 +249,23 @@
     bool every_model; /* models = * */
     uint8_t *models;  /* by model index: 1 when the class may use it */
     uint8_t *services;
+    /* Of a class that is chosen by host and path; host is NULL in others. */
+    char *host;
+    char *path;         /* prefix, begins and ends with a slash */
+    int64_t gap;        /* target: longest pause between events; 0: none */
+    int64_t time_limit; /* longest that a caller is kept waiting; 0: none */
+    bool stream;
+    bool resumable;    /* a stream may go on elsewhere from its last event */
+    unsigned priority; /* 0 goes first */
+    unsigned tries;    /* most upstreams that one request may be sent to */
+    struct ch_share *shares; /* of the services */
+    size_t share_count;
+};
+
+/* A service's part of a class's requests. */
+struct ch_share {
+    int service; /* index */
+    unsigned weight;
 };
 
 struct ch_model {
@@ -243,10 +274,28 @@
     uint32_t adapter_memory_mb;
     char **adapters;
     size_t adapter_count;
+    unsigned numbered_adapters; /* named MODEL/a1, MODEL/a2, ... */
+    int64_t load;               /* from the weight store; 0: not stated */
+    uint8_t *services;          /* by index: 1 when its engines may hold it */
 };
 
 struct ch_service {
     char *name;
+    /* Of its upstreams, each; 0: not stated. */
+    unsigned connections;   /* most, from all nodes together */
+    unsigned batch;         /* requests at once */
+    unsigned memory_mb;     /* for weights and adapters; 0: a plain service */
+    unsigned context_tokens;
+    unsigned adapter_places;
+    double loads_per_s; /* from the weight store, over all upstreams */
+};
+
+/* What a caller may send, and how slowly; 0: the node's settings hold. */
+struct ch_caller_limits {
+    size_t header_bytes;
+    size_t body_bytes;
+    int64_t header_time;
+    int64_t idle_time;
 };
 
 struct ch_caller {
@@ -274,12 +323,16 @@
     char *text; /* canonical INI: the same declaration gives the same bytes */
     struct ch_adapter *adapters; /* of all models, in order of name */
     size_t adapter_count;
+    struct ch_caller_limits limits;
 };
 
 /*
  * Groups: [class X] first-token-ms, between-tokens-ms, answer-ms, models,
- * services, idempotent, callers; [model X] memory-mb, adapters,
- * adapter-memory-mb; [service X].  Site groups (declared by the platform, read
+ * services, idempotent, callers, and for one that is chosen by host and path
+ * host, path, shares, stream, resumable, priority, tries, gap-ms,
+ * time-limit-ms; [model X] memory-mb, adapters, adapter-memory-mb, services,
+ * numbered-adapters, load-ms; [service X] connections, batch, memory-mb,
+ * context-tokens, adapter-places, loads-per-s; [limits] of callers.  Site groups (declared by the platform, read
  * by replay alone: region, data-centre, upstream, entry, weight-store, link,
  * engine) may stand in the same file and are left out of the text.
  */
@@ -299,6 +352,12 @@
                            const char *name, int *adapter);
 int ch_declaration_caller_class(const struct ch_declaration *declaration,
                                 const char *caller);
+/* The class of the host whose path prefix is the longest that the path begins
+   with; -1 when there is none.  path: without its query, not terminated. */
+int ch_declaration_route(const struct ch_declaration *declaration,
+                         const char *host, const char *path, size_t length);
+/* Whether the model has an adapter of that number, as in MODEL/a3. */
+bool ch_declaration_numbered(const struct ch_model *model, const char *name);
 /* Line diff of two canonical texts, "-old" and "+new" lines under groups. */
 char *ch_declaration_diff(const char *from, const char *to);
 
--- a/libchestnuthitch/base/client.c
+++ b/libchestnuthitch/base/client.c
@@ -5,14 +5,14 @@
 #include <time.h>
 #include <unistd.h>
 
-/* Writes a line to standard error in one call, so that lines of several
+/* Writes a line to standard output in one call, so that lines of several
  * threads do not mix.  A log that can't be written is dropped: the service
  * goes on. */
 static void
-write_stderr(void *data, const char *line, size_t length)
+write_stdout(void *data, const char *line, size_t length)
 {
     (void)data;
-    ssize_t written = write(STDERR_FILENO, line, length);
+    ssize_t written = write(STDOUT_FILENO, line, length);
     (void)written;
 }
 
@@ -26,13 +26,13 @@
     return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
-/* Sets the usual handlers: standard error, the monotonic clock, no counters.
+/* Sets the usual handlers: standard output, the monotonic clock, no counters.
  * name must outlive the client. */
 void
 ch_client_init(struct ch_client *client, const char *name)
 {
     *client = (struct ch_client){
-        .log_write = write_stderr,
+        .log_write = write_stdout,
         .log_level = CH_LOG_INFO,
         .now = monotonic_now,
         .name = name,
--- a/libchestnuthitch/base/declaration.c
+++ b/libchestnuthitch/base/declaration.c
@@ -17,6 +17,15 @@
     char **models;
     char **services;
     char **callers;
+    char *host;
+    char *path;
+    char *shares;
+    bool stream;
+    bool resumable;
+    unsigned priority;
+    unsigned tries;
+    int64_t gap;
+    int64_t time_limit;
 };
 
 /* A model as the file has it. */
@@ -25,19 +34,25 @@
     unsigned memory_mb;
     unsigned adapter_memory_mb;
     char **adapters;
+    char **services;
+    unsigned numbered_adapters;
+    int64_t load;
 };
 
 /* The file's groups by kind, each in order of name. */
 struct raw {
     GArray *classes;  /* struct raw_class */
     GArray *models;   /* struct raw_model */
-    GArray *services; /* char * */
+    GArray *services; /* struct ch_service */
+    struct ch_caller_limits limits;
 };
 
 static const char *const yes_names[] = {"false", "true", NULL};
 
 #define CLASS(member) offsetof(struct raw_class, member)
 #define MODEL(member) offsetof(struct raw_model, member)
+#define SERVICE(member) offsetof(struct ch_service, member)
+#define LIMIT(member) offsetof(struct ch_caller_limits, member)
 
 /*
  * Targets: a millisecond to ten minutes for a first token, an hour for a whole
@@ -61,6 +76,43 @@
     {"model", "adapters", CH_INI_LIST, MODEL(adapters), "", 0, 0, NULL},
     {"model", "adapter-memory-mb", CH_INI_UNSIGNED, MODEL(adapter_memory_mb),
      "", 1, 16777216, NULL},
+    {"class", "host", CH_INI_TEXT, CLASS(host), "", 0, 0, NULL},
+    {"class", "path", CH_INI_TEXT, CLASS(path), "", 0, 0, NULL},
+    {"class", "shares", CH_INI_SHARES, CLASS(shares), "", 0, 0, NULL},
+    {"class", "stream", CH_INI_FLAG, CLASS(stream), "false", 0, 0, yes_names},
+    {"class", "resumable", CH_INI_FLAG, CLASS(resumable), "false", 0, 0,
+     yes_names},
+    {"class", "priority", CH_INI_UNSIGNED, CLASS(priority), "0", 0, 1000,
+     NULL},
+    {"class", "tries", CH_INI_UNSIGNED, CLASS(tries), "1", 1, 100, NULL},
+    {"class", "gap-ms", CH_INI_MILLISECONDS, CLASS(gap), "", 1, 600000, NULL},
+    {"class", "time-limit-ms", CH_INI_MILLISECONDS, CLASS(time_limit), "", 1,
+     86400000, NULL},
+    {"model", "services", CH_INI_LIST, MODEL(services), "", 0, 0, NULL},
+    {"model", "numbered-adapters", CH_INI_UNSIGNED, MODEL(numbered_adapters),
+     "0", 0, 100000, NULL},
+    {"model", "load-ms", CH_INI_MILLISECONDS, MODEL(load), "", 0, 3600000,
+     NULL},
+    {"service", "connections", CH_INI_UNSIGNED, SERVICE(connections), "0", 0,
+     1000000, NULL},
+    {"service", "batch", CH_INI_UNSIGNED, SERVICE(batch), "0", 0, 100000,
+     NULL},
+    {"service", "memory-mb", CH_INI_UNSIGNED, SERVICE(memory_mb), "0", 0,
+     1e9, NULL},
+    {"service", "context-tokens", CH_INI_UNSIGNED, SERVICE(context_tokens),
+     "0", 0, 1e9, NULL},
+    {"service", "adapter-places", CH_INI_UNSIGNED, SERVICE(adapter_places),
+     "0", 0, 100000, NULL},
+    {"service", "loads-per-s", CH_INI_DOUBLE, SERVICE(loads_per_s), "0", 0,
+     1e6, NULL},
+    {"limits", "header-bytes", CH_INI_SIZE, LIMIT(header_bytes), "0", 0, 1e9,
+     NULL},
+    {"limits", "body-bytes", CH_INI_SIZE, LIMIT(body_bytes), "0", 0, 1e9,
+     NULL},
+    {"limits", "header-ms", CH_INI_MILLISECONDS, LIMIT(header_time), "", 0,
+     86400000, NULL},
+    {"limits", "idle-ms", CH_INI_MILLISECONDS, LIMIT(idle_time), "", 0,
+     86400000, NULL},
 };
 
 /* Groups of the platform, in the same file for replay: not ours to check. */
@@ -70,8 +122,9 @@
 };
 
 enum {
-    /* Each class has its counters and histograms on every node. */
-    MOST_CLASSES = 64,
+    /* Classes by host and path are made in hundreds by an operator's program;
+     * counters beyond the first 96 are kept together. */
+    MOST_CLASSES = 8192,
     /* Several times the largest fleet that is planned for. */
     MOST_MODELS = 8192,
     MOST_SERVICES = 1024,
@@ -88,6 +141,9 @@
     g_strfreev(class->models);
     g_strfreev(class->services);
     g_strfreev(class->callers);
+    g_free(class->host);
+    g_free(class->path);
+    g_free(class->shares);
 }
 
 /* Frees the strings of a model read so far. */
@@ -97,13 +153,15 @@
     struct raw_model *model = data;
     g_free(model->name);
     g_strfreev(model->adapters);
+    g_strfreev(model->services);
 }
 
 /* Frees a service's name. */
 static void
 clear_service(void *data)
 {
-    g_free(*(char **)data);
+    struct ch_service *service = data;
+    g_free(service->name);
 }
 
 /* Order by name: every kind begins with its name. */
@@ -119,7 +177,8 @@
 {
     raw->classes = g_array_new(FALSE, TRUE, sizeof(struct raw_class));
     raw->models = g_array_new(FALSE, TRUE, sizeof(struct raw_model));
-    raw->services = g_array_new(FALSE, TRUE, sizeof(char *));
+    raw->services = g_array_new(FALSE, TRUE, sizeof(struct ch_service));
+    raw->limits = (struct ch_caller_limits){0};
     g_array_set_clear_func(raw->classes, clear_class);
     g_array_set_clear_func(raw->models, clear_model);
     g_array_set_clear_func(raw->services, clear_service);
@@ -196,6 +255,12 @@
         fine = read_entry(ini, group, section, raw->services, MOST_SERVICES,
                           error);
     }
+    else if (strcmp(group, "limits") == 0) {
+        fine = ch_ini_known_keys(ini, group, section, rows,
+                                 G_N_ELEMENTS(rows), error) &&
+               ch_ini_fill(ini, group, section, rows, G_N_ELEMENTS(rows),
+                           &raw->limits, error);
+    }
     else if (!g_strv_contains(site_sections, section)) {
         ch_ini_fail(ini, group, NULL, CH_UNKNOWN_GROUP, error,
                     "no such group");
@@ -295,7 +360,8 @@
     }
     for (guint i = 0; fine && i < raw->services->len; i++) {
         fine = note_name(ini, seen, "service",
-                         g_array_index(raw->services, char *, i), NULL, error);
+                         g_array_index(raw->services, struct ch_service, i).name,
+                         NULL, error);
     }
     for (guint i = 0; fine && i < raw->models->len; i++) {
         fine = note_adapters(ini, seen,
@@ -350,6 +416,25 @@
     return true;
 }
 
+/* A class that is chosen by host and path names the services it goes to. */
+static bool
+check_route(const struct ch_ini *ini, const struct raw_class *class,
+            const char *group, struct ch_error *error)
+{
+    if (class->path == NULL || class->path[0] != '/' ||
+        !g_str_has_suffix(class->path, "/")) {
+        ch_ini_fail(ini, group, "path", CH_BAD_VALUE, error,
+                    "a path begins and ends with a slash");
+        return false;
+    }
+    if (class->shares == NULL || class->shares[0] == '\0') {
+        ch_ini_fail(ini, group, "shares", CH_MISSING, error,
+                    "a class with a host names the shares of its services");
+        return false;
+    }
+    return true;
+}
+
 /* A class has a target and something to use, or it means nothing. */
 static bool
 check_class(const struct ch_ini *ini, const struct raw_class *class,
@@ -362,6 +447,9 @@
                     "between-tokens-ms or answer-ms");
         return false;
     }
+    if (class->host != NULL) {
+        return check_route(ini, class, group, error);
+    }
     if (class->models[0] == NULL && class->services[0] == NULL) {
         ch_ini_fail(ini, group, "models", CH_MISSING, error,
                     "a class names the models or services that it may use");
@@ -393,14 +481,103 @@
         model->adapter_count = g_strv_length(from->adapters);
         model->adapter_memory_mb =
             model->adapter_count == 0 ? 0 : from->adapter_memory_mb;
+        model->numbered_adapters = from->numbered_adapters;
+        if (from->numbered_adapters > 0) {
+            model->adapter_memory_mb = from->adapter_memory_mb;
+        }
+        model->load = from->load;
         declaration->adapter_count += model->adapter_count;
     }
     declaration->service_count = raw->services->len;
     declaration->services = g_new0(struct ch_service, raw->services->len);
     for (guint i = 0; i < raw->services->len; i++) {
-        declaration->services[i].name =
-            g_strdup(g_array_index(raw->services, char *, i));
+        const struct ch_service *from =
+            &g_array_index(raw->services, struct ch_service, i);
+        declaration->services[i] = *from;
+        declaration->services[i].name = g_strdup(from->name);
+    }
+    declaration->limits = raw->limits;
+}
+
+/* Resolves the services that may hold each model. */
+static bool
+build_model_services(const struct ch_ini *ini,
+                     struct ch_declaration *declaration,
+                     const struct raw *raw, struct ch_error *error)
+{
+    bool fine = true;
+    for (guint i = 0; fine && i < raw->models->len; i++) {
+        const struct raw_model *from =
+            &g_array_index(raw->models, struct raw_model, i);
+        struct ch_model *model = &declaration->models[i];
+        char *group = g_strdup_printf("model %s", from->name);
+        model->services = g_new0(uint8_t, MAX(raw->services->len, 1));
+        fine = mark(ini, group, "services", from->services, raw->services,
+                    model->services, error);
+        g_free(group);
+    }
+    return fine;
+}
+
+/* Resolves one "NAME:WEIGHT" of a class's shares. */
+static bool
+build_share(const struct ch_ini *ini, const char *group, const char *text,
+            const struct raw *raw, struct ch_share *share,
+            struct ch_error *error)
+{
+    const char *colon = strrchr(text, ':');
+    guint64 weight = 0;
+    if (colon == NULL || !g_ascii_string_to_unsigned(colon + 1, 10, 0, 1000000,
+                                                     &weight, NULL)) {
+        ch_ini_fail(ini, group, "shares", CH_BAD_VALUE, error,
+                    "'%s' is not SERVICE:WEIGHT", text);
+        return false;
     }
+    char *name = g_strndup(text, (size_t)(colon - text));
+    share->weight = (unsigned)weight;
+    share->service = find_name(raw->services->data, raw->services->len,
+                               sizeof(struct ch_service), name);
+    if (share->service < 0) {
+        ch_ini_fail(ini, group, "shares", CH_BAD_VALUE, error,
+                    "'%s' is not declared", name);
+    }
+    g_free(name);
+    return share->service >= 0;
+}
+
+/* Fills in what a class that is chosen by host and path has. */
+static bool
+build_route(const struct ch_ini *ini, const char *group,
+            struct ch_class *class, const struct raw_class *from,
+            const struct raw *raw, struct ch_error *error)
+{
+    if (from->host == NULL) {
+        return true;
+    }
+    class->host = g_strdup(from->host);
+    class->path = g_strdup(from->path);
+    class->gap = from->gap;
+    class->time_limit = from->time_limit;
+    class->stream = from->stream;
+    class->resumable = from->resumable;
+    class->priority = from->priority;
+    class->tries = from->tries;
+    char **parts = g_strsplit_set(from->shares, ",; ", -1);
+    class->shares = g_new0(struct ch_share, g_strv_length(parts));
+    bool fine = true;
+    for (size_t i = 0; fine && parts[i] != NULL; i++) {
+        if (parts[i][0] == '\0') {
+            continue;
+        }
+        struct ch_share *share = &class->shares[class->share_count];
+        fine = build_share(ini, group, parts[i], raw, share, error);
+        if (fine) {
+            class->services[share->service] = 1;
+            class->share_count++;
+        }
+    }
+    g_strfreev(parts);
+    return fine;
 }
 
 /* Makes the index by which adapters are found. */
@@ -445,7 +622,8 @@
                 mark(ini, group, "models", from->models, raw->models,
                      class->models, error) &&
                 mark(ini, group, "services", from->services, raw->services,
-                     class->services, error);
+                     class->services, error) &&
+                build_route(ini, group, class, from, raw, error);
     g_free(group);
     return fine;
 }
@@ -531,6 +709,66 @@
     g_free(joined);
 }
 
+/* Appends "key = number" unless it is 0. */
+static void
+print_number(GString *out, const char *key, double number)
+{
+    char text[G_ASCII_DTOSTR_BUF_SIZE];
+    if (number > 0) {
+        g_string_append_printf(out, "%s = %s\n", key,
+                               g_ascii_formatd(text, sizeof(text), "%.10g",
+                                               number));
+    }
+}
+
+/* Appends what a class that is chosen by host and path has. */
+static void
+print_route(GString *out, const struct raw_class *class)
+{
+    if (class->host == NULL) {
+        return;
+    }
+    g_string_append_printf(out, "host = %s\npath = %s\nshares = %s\n",
+                           class->host, class->path, class->shares);
+    g_string_append_printf(out, "stream = %s\nresumable = %s\n",
+                           yes_names[class->stream ? 1 : 0],
+                           yes_names[class->resumable ? 1 : 0]);
+    print_number(out, "priority", class->priority);
+    print_number(out, "tries", class->tries);
+    print_target(out, "gap-ms", class->gap);
+    print_target(out, "time-limit-ms", class->time_limit);
+}
+
+/* Appends a service's group. */
+static void
+print_service(GString *out, const struct ch_service *service)
+{
+    g_string_append_printf(out, "[service %s]\n", service->name);
+    print_number(out, "connections", service->connections);
+    print_number(out, "batch", service->batch);
+    print_number(out, "memory-mb", service->memory_mb);
+    print_number(out, "context-tokens", service->context_tokens);
+    print_number(out, "adapter-places", service->adapter_places);
+    print_number(out, "loads-per-s", service->loads_per_s);
+    g_string_append_c(out, '\n');
+}
+
+/* Appends the callers' limits, if there are any. */
+static void
+print_limits(GString *out, const struct ch_caller_limits *limits)
+{
+    if (limits->header_bytes == 0 && limits->body_bytes == 0 &&
+        limits->header_time == 0 && limits->idle_time == 0) {
+        return;
+    }
+    g_string_append(out, "[limits]\n");
+    print_number(out, "header-bytes", (double)limits->header_bytes);
+    print_number(out, "body-bytes", (double)limits->body_bytes);
+    print_target(out, "header-ms", limits->header_time);
+    print_target(out, "idle-ms", limits->idle_time);
+    g_string_append_c(out, '\n');
+}
+
 /* The canonical text: kinds, names, keys and lists in one order, defaults
  * left out where they say nothing. */
 static char *
@@ -550,6 +788,7 @@
         print_list(out, "models", class->models);
         print_list(out, "services", class->services);
         print_list(out, "callers", class->callers);
+        print_route(out, class);
         g_string_append_c(out, '\n');
     }
     for (size_t i = 0; i < declaration->model_count; i++) {
@@ -557,16 +796,20 @@
         g_string_append_printf(out, "[model %s]\nmemory-mb = %" PRIu32 "\n",
                                model->name, model->memory_mb);
         print_list(out, "adapters", model->adapters);
-        if (model->adapter_count > 0) {
+        print_list(out, "services",
+                   g_array_index(raw->models, struct raw_model, i).services);
+        print_number(out, "numbered-adapters", model->numbered_adapters);
+        print_target(out, "load-ms", model->load);
+        if (model->adapter_count > 0 || model->numbered_adapters > 0) {
             g_string_append_printf(out, "adapter-memory-mb = %" PRIu32 "\n",
                                    model->adapter_memory_mb);
         }
         g_string_append_c(out, '\n');
     }
     for (size_t i = 0; i < declaration->service_count; i++) {
-        g_string_append_printf(out, "[service %s]\n\n",
-                               declaration->services[i].name);
+        print_service(out, &declaration->services[i]);
     }
+    print_limits(out, &declaration->limits);
     return g_string_free(out, FALSE);
 }
 
@@ -590,7 +833,8 @@
     if (fine) {
         build_items(declaration, &raw);
         build_adapters(declaration);
-        fine = build_classes(&ini, declaration, &raw, error) &&
+        fine = build_model_services(&ini, declaration, &raw, error) &&
+               build_classes(&ini, declaration, &raw, error) &&
                build_callers(&ini, declaration, &raw, error);
     }
     if (fine) {
@@ -630,10 +874,14 @@
         g_free(declaration->classes[i].name);
         g_free(declaration->classes[i].models);
         g_free(declaration->classes[i].services);
+        g_free(declaration->classes[i].host);
+        g_free(declaration->classes[i].path);
+        g_free(declaration->classes[i].shares);
     }
     for (size_t i = 0; i < declaration->model_count; i++) {
         g_free(declaration->models[i].name);
         g_strfreev(declaration->models[i].adapters);
+        g_free(declaration->models[i].services);
     }
     for (size_t i = 0; i < declaration->service_count; i++) {
         g_free(declaration->services[i].name);
@@ -703,3 +951,36 @@
                        sizeof(struct ch_caller), caller);
     return at < 0 ? -1 : (int)declaration->callers[at].class_index;
 }
+
+/* See base.h.  All classes are looked at: hundreds of comparisons of short
+ * strings, for some ten requests a second. */
+int
+ch_declaration_route(const struct ch_declaration *declaration,
+                     const char *host, const char *path, size_t length)
+{
+    int best = -1;
+    size_t best_length = 0;
+    for (size_t i = 0; i < declaration->class_count; i++) {
+        const struct ch_class *class = &declaration->classes[i];
+        if (class->host == NULL || g_ascii_strcasecmp(class->host, host) != 0) {
+            continue;
+        }
+        size_t prefix = strlen(class->path);
+        if (prefix > best_length && prefix <= length &&
+            memcmp(class->path, path, prefix) == 0) {
+            best = (int)i;
+            best_length = prefix;
+        }
+    }
+    return best;
+}
+
+/* See base.h. */
+bool
+ch_declaration_numbered(const struct ch_model *model, const char *name)
+{
+    guint64 number = 0;
+    return name[0] == 'a' &&
+           g_ascii_string_to_unsigned(name + 1, 10, 1,
+                                      model->numbered_adapters, &number, NULL);
+}
--- a/libchestnuthitch/base/ini.c
+++ b/libchestnuthitch/base/ini.c
@@ -348,6 +348,21 @@
     return true;
 }
 
+/* Stores text that may stand in a header or a path.  blanks: whether there may
+ * be some. */
+static bool
+store_text(const char *text, bool blanks, void *at, char **reason)
+{
+    for (const char *c = text; *c != '\0'; c++) {
+        if (!g_ascii_isprint(*c) || (*c == ' ' && !blanks)) {
+            *reason = g_strdup("not printable ASCII, or with blanks");
+            return false;
+        }
+    }
+    *(char **)at = g_strdup(text);
+    return true;
+}
+
 /* Stores text as the row's type; false with a reason (g_free). */
 static bool
 store(const struct ch_ini_row *row, const char *text, void *at, char **reason)
@@ -368,6 +383,10 @@
         return store_choice(row, text, at, reason);
     case CH_INI_LIST:
         return store_list(text, at, reason);
+    case CH_INI_TEXT:
+        return store_text(text, false, at, reason);
+    case CH_INI_SHARES:
+        return store_text(text, true, at, reason);
     default:
         if (!read_number(row, text, &number, reason)) {
             return false;
--- a/libchestnuthitch/base/ini.h
+++ b/libchestnuthitch/base/ini.h
@@ -19,6 +19,8 @@
     CH_INI_CHOICE,       /* int: least + place among the choices */
     CH_INI_FLAG,         /* bool: place among the two choices */
     CH_INI_LIST,         /* char **: names, sorted; "*" may stand alone */
+    CH_INI_TEXT,         /* char *: printable ASCII, no blanks */
+    CH_INI_SHARES,       /* char *: NAME:NUMBER, ... */
 };
 
 struct ch_ini_row {
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -7,6 +7,7 @@
 
 static const char *const level_names[] = {"err",  "warning", "notice",
                                           "info", "debug",   NULL};
+static const char *const platform_names[] = {"own", "users", NULL};
 static const char *const fencing_names[] = {"ignore", "refuse", NULL};
 
 #define AT(member) offsetof(struct ch_settings, member)
@@ -19,12 +20,17 @@
     {"node", "name", CH_INI_NAME, AT(name), NULL, 0, 0, NULL},
     {"node", "region", CH_INI_NAME, AT(region), NULL, 0, 0, NULL},
     {"node", "data-centre", CH_INI_NAME, AT(data_centre), NULL, 0, 0, NULL},
+    {"node", "data-centres", CH_INI_SHARES, AT(data_centres), "", 0, 0, NULL},
     {"node", "workers", CH_INI_UNSIGNED, AT(workers), "4", 1, 256, NULL},
     {"node", "log-level", CH_INI_CHOICE, AT(log_level), "info", CH_LOG_ERR, 0,
      level_names},
     {"listen", "callers", CH_INI_ADDRESS, AT(callers), NULL, 0, 0, NULL},
     {"listen", "admin", CH_INI_ADDRESS, AT(admin), NULL, 0, 0, NULL},
     {"listen", "peers", CH_INI_ADDRESS, AT(peers), NULL, 0, 0, NULL},
+    {"listen", "ready-path", CH_INI_TEXT, AT(ready_path), "/readyz", 0, 0,
+     NULL},
+    {"platform", "kind", CH_INI_CHOICE, AT(platform), "own", CH_PLATFORM_OWN,
+     0, platform_names},
     {"platform", "kv", CH_INI_ADDRESS, AT(kv), NULL, 1, 0, NULL},
     {"platform", "hosts", CH_INI_ADDRESS, AT(hosts), NULL, 1, 0, NULL},
     {"platform", "list-ms", CH_INI_UNSIGNED, AT(list_ms), "1000", 50, 60000,
@@ -33,6 +39,8 @@
      50, 60000, NULL},
     {"upstreams", "fencing", CH_INI_FLAG, AT(fencing), "ignore", 0, 0,
      fencing_names},
+    {"upstreams", "lease-ms", CH_INI_UNSIGNED, AT(lease_ms), "3000", 500,
+     600000, NULL},
     {"upstreams", "report-ms", CH_INI_UNSIGNED, AT(report_ms), "500", 50,
      60000, NULL},
     {"once", "slots", CH_INI_UNSIGNED, AT(once_slots), "64", 1, 65536, NULL},
@@ -50,10 +58,16 @@
      16384, NULL},
     {"limits", "retry-share", CH_INI_DOUBLE, AT(retry_share), "0.1", 0, 1,
      NULL},
+    {"limits", "retry-slack", CH_INI_UNSIGNED, AT(retry_slack), "20", 0,
+     100000, NULL},
     {"weight-store", "loads-per-s", CH_INI_DOUBLE, AT(loads_per_s), "1.5",
      0.001, 10000, NULL},
     {"weight-store", "parallel", CH_INI_UNSIGNED, AT(loads_parallel), "10", 1,
      10000, NULL},
+    {"weight-store", "window-s", CH_INI_UNSIGNED, AT(load_window_s), "5", 1,
+     3600, NULL},
+    {"weight-store", "overshoot", CH_INI_DOUBLE, AT(load_overshoot), "1", 0.1,
+     100, NULL},
     {"weight-store", "adapters-parallel", CH_INI_UNSIGNED,
      AT(adapters_parallel), "80", 1, 100000, NULL},
     {"link", "mbit-per-s", CH_INI_DOUBLE, AT(link_mbit), "30", 0, 1000000,
@@ -68,6 +82,8 @@
      50, 60000, NULL},
     {"timeouts", "idle-connection-ms", CH_INI_UNSIGNED, AT(idle_connection_ms),
      "10000", 100, 3600000, NULL},
+    {"timeouts", "grace-ms", CH_INI_UNSIGNED, AT(grace_ms), "0", 0, 3600000,
+     NULL},
     {"timeouts", "drain-ms", CH_INI_UNSIGNED, AT(drain_ms), "3000", 0, 600000,
      NULL},
 };
@@ -222,9 +238,11 @@
     g_free(settings->name);
     g_free(settings->region);
     g_free(settings->data_centre);
+    g_free(settings->data_centres);
     g_free(settings->callers);
     g_free(settings->admin);
     g_free(settings->peers);
+    g_free(settings->ready_path);
     g_free(settings->kv);
     g_free(settings->hosts);
     g_free(settings);
--- /dev/null
+++ b/libchestnuthitch/decide/balance.c
@@ -0,0 +1,617 @@
+/* Routing by a node's own view. */
+
+#include "decide/balance.h"
+
+#include <string.h>
+
+enum {
+    /* Microseconds to read one token of a prompt: engines of the users' sheets
+     * read 19 a millisecond. */
+    READ_TOKEN = 52,
+    /* Each request that runs beside makes a step of the batch longer, and a
+     * request is some hundred steps: microseconds that one more costs the
+     * newcomer and its neighbours until their first tokens. */
+    NEIGHBOUR = 1500,
+    /* What a step of the batch, the way to the engine and back take at least.
+     */
+    LEAST_FIRST = 25 * 1000,
+    /* A usual plain service's answer, until one was measured. */
+    USUAL_ANSWER = 30 * 1000,
+    /* What another data centre or region costs beside its delay: bytes between
+     * data centres are paid, between regions four times as much. */
+    OTHER_CENTRE = 15 * 1000,
+    OTHER_REGION = 120 * 1000,
+    /* An upstream whose memory would not hold the request makes another wait
+     * for its turn, or preempts one in its stream. */
+    MEMORY_FULL = 2 * G_USEC_PER_SEC,
+    /* Each request beyond the slots waits for one of them to end. */
+    SLOT_WAIT = 100 * 1000,
+    /* A failure costs a caller its target: an upstream that failed all of its
+     * last requests is only taken when the others are this much worse. */
+    FAILURE = 4 * G_USEC_PER_SEC,
+    /* Failures are forgotten in this time, so that an upstream which is well
+     * again is asked again, one request at first. */
+    FORGET = 4 * G_USEC_PER_SEC,
+    /* An adapter that has to be loaded: 6 to 19 ms, and the order's way. */
+    ADAPTER_LOAD = 60 * 1000,
+    /* Numbers of others older than this say nothing any more. */
+    OTHERS_STALE = 3 * G_USEC_PER_SEC,
+    /* When something is missing that is being looked after. */
+    SOON = G_USEC_PER_SEC,
+    MOST_KEPT = 1024, /* prompt parts remembered of one upstream */
+};
+
+/* Part of the last outcome in the share of failures. */
+static const double failure_weight = 0.3;
+/* Part of the last measurement in a mean. */
+static const double mean_weight = 0.2;
+/* Of the memory for contexts, what is filled before it counts as full: lengths
+ * of answers are guesses. */
+static const double memory_fill = 0.9;
+/* Two upstreams whose costs differ by less than this share are alike; each
+ * node takes another of them. */
+static const double alike = 0.1;
+
+/* A part of a prompt that was read at an upstream lately. */
+struct kept {
+    uint64_t chain; /* hash of the model and of all parts up to this one */
+    uint32_t tokens;
+    int64_t used;
+};
+
+struct seat {
+    struct ch_seat_facts facts;
+    bool listed;
+    GArray *models;   /* GQuark */
+    GArray *adapters; /* GQuark: "model/adapter" */
+    /* Of this node's requests. */
+    uint32_t running;
+    uint64_t unread;  /* tokens of prompts whose answers have not begun */
+    uint64_t context; /* tokens of all that runs */
+    /* As others told. */
+    uint32_t others;
+    uint32_t others_waiting;
+    int64_t others_at;
+    /* Measured. */
+    double failures; /* share of the last requests, at `judged` */
+    int64_t judged;
+    double answer; /* mean time of an answer; 0: none yet */
+    double slow;   /* times longer than expected until the first token */
+    GArray *kept;  /* struct kept */
+    uint64_t kept_tokens;
+};
+
+struct ch_balance {
+    GQuark region;
+    GQuark data_centre;
+    GHashTable *seats; /* name to struct seat */
+};
+
+/* ---- seats ---- */
+
+/* Frees an upstream's seat. */
+static void
+free_seat(void *data)
+{
+    struct seat *seat = data;
+    g_array_free(seat->models, TRUE);
+    g_array_free(seat->adapters, TRUE);
+    g_array_free(seat->kept, TRUE);
+    g_free(seat);
+}
+
+/* Nothing listed yet; for a node in this region and data centre. */
+struct ch_balance *
+ch_balance_new(GQuark region, GQuark data_centre)
+{
+    struct ch_balance *balance = g_new0(struct ch_balance, 1);
+    balance->region = region;
+    balance->data_centre = data_centre;
+    balance->seats = g_hash_table_new_full(NULL, NULL, NULL, free_seat);
+    return balance;
+}
+
+/* Frees it with all that it holds. */
+void
+ch_balance_free(struct ch_balance *balance)
+{
+    if (balance != NULL) {
+        g_hash_table_destroy(balance->seats);
+        g_free(balance);
+    }
+}
+
+/* The seat of an upstream, or NULL. */
+static struct seat *
+find(const struct ch_balance *balance, GQuark upstream)
+{
+    return g_hash_table_lookup(balance->seats, GUINT_TO_POINTER(upstream));
+}
+
+/* Whether a list of names has this one. */
+static bool
+has(const GArray *names, GQuark name)
+{
+    for (guint i = 0; i < names->len; i++) {
+        if (g_array_index(names, GQuark, i) == name) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes a name out of a list. */
+static void
+drop(GArray *names, GQuark name)
+{
+    for (guint i = names->len; i > 0; i--) {
+        if (g_array_index(names, GQuark, i - 1) == name) {
+            g_array_remove_index_fast(names, i - 1);
+        }
+    }
+}
+
+/* An upstream that was not known, or has started anew. */
+static struct seat *
+add_seat(struct ch_balance *balance, GQuark name)
+{
+    struct seat *seat = g_new0(struct seat, 1);
+    seat->models = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    seat->adapters = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    seat->kept = g_array_new(FALSE, FALSE, sizeof(struct kept));
+    seat->slow = 1;
+    g_hash_table_replace(balance->seats, GUINT_TO_POINTER(name), seat);
+    return seat;
+}
+
+/* Begins a new list. */
+void
+ch_balance_begin_update(struct ch_balance *balance)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->seats);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct seat *seat = value;
+        seat->listed = false;
+    }
+}
+
+/* Forgets what an upstream that starts anew no longer holds. */
+static void
+restart(struct seat *seat)
+{
+    g_array_set_size(seat->adapters, 0);
+    g_array_set_size(seat->kept, 0);
+    seat->kept_tokens = 0;
+    seat->failures = 0;
+    seat->slow = 1;
+}
+
+/* One upstream of the new list. */
+void
+ch_balance_listed(struct ch_balance *balance,
+                  const struct ch_seat_facts *facts)
+{
+    struct seat *seat = find(balance, facts->name);
+    if (seat == NULL) {
+        seat = add_seat(balance, facts->name);
+    }
+    else if (seat->facts.boot != facts->boot) {
+        restart(seat);
+    }
+    seat->facts = *facts;
+    seat->facts.resident = NULL;
+    seat->listed = true;
+    g_array_set_size(seat->models, 0);
+    if (facts->resident_count > 0) {
+        g_array_append_vals(seat->models, facts->resident,
+                            (guint)facts->resident_count);
+    }
+}
+
+/* Ends the list: who was not in it is gone.  What still runs there ends by
+ * itself. */
+void
+ch_balance_end_update(struct ch_balance *balance)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->seats);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct seat *seat = value;
+        if (!seat->listed) {
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+/* See balance.h. */
+void
+ch_balance_adapters(struct ch_balance *balance, GQuark upstream,
+                    const GQuark *adapters, size_t count)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat == NULL) {
+        return;
+    }
+    g_array_set_size(seat->adapters, 0);
+    if (count > 0) {
+        g_array_append_vals(seat->adapters, adapters, (guint)count);
+    }
+}
+
+/* See balance.h. */
+void
+ch_balance_adapter(struct ch_balance *balance, GQuark upstream, GQuark adapter,
+                   bool resident)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat == NULL) {
+        return;
+    }
+    drop(seat->adapters, adapter);
+    if (resident) {
+        g_array_append_val(seat->adapters, adapter);
+    }
+}
+
+/* See balance.h. */
+void
+ch_balance_model_gone(struct ch_balance *balance, GQuark upstream,
+                      GQuark model)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat != NULL) {
+        drop(seat->models, model);
+    }
+}
+
+/* See balance.h. */
+void
+ch_balance_others(struct ch_balance *balance, GQuark upstream,
+                  uint32_t running, uint32_t waiting, int64_t now)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat == NULL) {
+        return;
+    }
+    seat->others = running;
+    seat->others_waiting = waiting;
+    seat->others_at = now;
+}
+
+/* See balance.h. */
+uint32_t
+ch_balance_running(const struct ch_balance *balance, GQuark upstream)
+{
+    const struct seat *seat = find(balance, upstream);
+    return seat == NULL ? 0 : seat->running;
+}
+
+/* Upstreams that are listed. */
+size_t
+ch_balance_count(const struct ch_balance *balance)
+{
+    return g_hash_table_size(balance->seats);
+}
+
+/* ---- parts of prompts that were read before ---- */
+
+/* The chain of a part: parts count as kept only with all that come before
+ * them, for the same model and adapter. */
+static uint64_t
+next_chain(uint64_t chain, const struct ch_part *part)
+{
+    return ch_hash_pair(chain, part->id);
+}
+
+/* Where a request's chain begins. */
+static uint64_t
+first_chain(const struct ch_work *work)
+{
+    return ch_hash_pair(work->model, work->adapter);
+}
+
+/* A part that is remembered, or NULL. */
+static struct kept *
+find_kept(const struct seat *seat, uint64_t chain)
+{
+    for (guint i = 0; i < seat->kept->len; i++) {
+        struct kept *kept = &g_array_index(seat->kept, struct kept, i);
+        if (kept->chain == chain) {
+            return kept;
+        }
+    }
+    return NULL;
+}
+
+/* Tokens of the prompt that the upstream would have to read. */
+static uint32_t
+tokens_to_read(const struct seat *seat, const struct ch_work *work)
+{
+    uint64_t chain = first_chain(work);
+    uint32_t known = 0;
+    for (size_t i = 0; i < work->part_count; i++) {
+        chain = next_chain(chain, &work->parts[i]);
+        if (find_kept(seat, chain) == NULL) {
+            break;
+        }
+        known += work->parts[i].tokens;
+    }
+    return work->prompt_tokens > known ? work->prompt_tokens - known : 0;
+}
+
+/* Forgets the part that was used longest ago. */
+static void
+forget_oldest(struct seat *seat)
+{
+    guint oldest = 0;
+    for (guint i = 1; i < seat->kept->len; i++) {
+        if (g_array_index(seat->kept, struct kept, i).used <
+            g_array_index(seat->kept, struct kept, oldest).used) {
+            oldest = i;
+        }
+    }
+    seat->kept_tokens -=
+        g_array_index(seat->kept, struct kept, oldest).tokens;
+    g_array_remove_index_fast(seat->kept, oldest);
+}
+
+/* Remembers the parts that the upstream reads for this request. */
+static void
+note_parts(struct seat *seat, const struct ch_work *work, int64_t now)
+{
+    uint64_t chain = first_chain(work);
+    for (size_t i = 0; i < work->part_count; i++) {
+        chain = next_chain(chain, &work->parts[i]);
+        struct kept *kept = find_kept(seat, chain);
+        if (kept != NULL) {
+            kept->used = now;
+            continue;
+        }
+        const struct kept fresh = {chain, work->parts[i].tokens, now};
+        g_array_append_val(seat->kept, fresh);
+        seat->kept_tokens += fresh.tokens;
+    }
+    uint64_t most = MAX(seat->facts.context_tokens, 1);
+    while (seat->kept->len > MOST_KEPT ||
+           (seat->kept_tokens > most && seat->kept->len > 1)) {
+        forget_oldest(seat);
+    }
+}
+
+/* ---- cost ---- */
+
+/* The share of failures by now. */
+static double
+failures_now(const struct seat *seat, int64_t now)
+{
+    double age = (double)(now - seat->judged) / FORGET;
+    return age >= 1 ? 0 : seat->failures * (1 - age);
+}
+
+/* Requests that run there, of all nodes. */
+static uint32_t
+running_in_all(const struct seat *seat, int64_t now)
+{
+    uint32_t others =
+        now - seat->others_at > OTHERS_STALE ? 0 : seat->others;
+    return seat->running + others;
+}
+
+/* Delay and price of the way there. */
+static int64_t
+distance(const struct ch_balance *balance, const struct seat *seat)
+{
+    if (seat->facts.region != balance->region) {
+        return OTHER_REGION;
+    }
+    return seat->facts.data_centre != balance->data_centre ? OTHER_CENTRE : 0;
+}
+
+/* What is beyond the slots. */
+static int64_t
+slot_wait(const struct seat *seat, int64_t now, int64_t each)
+{
+    uint32_t running = running_in_all(seat, now) + 1;
+    uint32_t slots = MAX(seat->facts.slots, 1);
+    return running > slots ? (int64_t)(running - slots) * each : 0;
+}
+
+/* Microseconds until an engine's first token. */
+static int64_t
+engine_cost(const struct seat *seat, const struct ch_work *work,
+            uint32_t new_tokens, int64_t now)
+{
+    uint64_t tokens = seat->unread + new_tokens;
+    int64_t cost = LEAST_FIRST + (int64_t)tokens * READ_TOKEN +
+                   (int64_t)running_in_all(seat, now) * NEIGHBOUR;
+    cost = (int64_t)((double)cost * seat->slow);
+    cost += slot_wait(seat, now, SLOT_WAIT);
+    uint64_t need =
+        seat->context + work->prompt_tokens + work->output_tokens;
+    if (seat->facts.context_tokens > 0 &&
+        (double)need > memory_fill * seat->facts.context_tokens) {
+        cost += MEMORY_FULL;
+    }
+    if (work->adapter != 0 && !has(seat->adapters, work->adapter)) {
+        cost += ADAPTER_LOAD;
+        if (seat->facts.adapter_places > 0 &&
+            seat->adapters->len >= seat->facts.adapter_places) {
+            cost += ADAPTER_LOAD; /* another has to go first */
+        }
+    }
+    return cost;
+}
+
+/* Microseconds until a plain service's answer. */
+static int64_t
+service_cost(const struct seat *seat, int64_t now)
+{
+    double each = seat->answer > 0 ? seat->answer : USUAL_ANSWER;
+    uint32_t slots = MAX(seat->facts.slots, 1);
+    double busy = (double)running_in_all(seat, now) / slots;
+    return (int64_t)(each * (1 + busy)) +
+           slot_wait(seat, now, (int64_t)(each / slots));
+}
+
+/* Whether the request may go there at all. */
+static bool
+is_candidate(const struct seat *seat, const struct ch_work *work,
+             const GArray *excluded)
+{
+    if (seat->facts.leaving || seat->facts.service != work->pool) {
+        return false;
+    }
+    if (excluded != NULL && has(excluded, seat->facts.name)) {
+        return false;
+    }
+    return work->service || has(seat->models, work->model);
+}
+
+/*
+ * Load: requests for models that stand on some upstreams, each with parts of
+ * prompts in memory that others share, among upstreams of which some fail or
+ * are slow.  Harm prevented: prompts read anew where they were read before,
+ * queues at one upstream beside an idle one, callers who pay for an upstream's
+ * failures.  All of it is weighed in one measure, the time until the first of
+ * the answer, so that no rule goes before another; upstreams that are alike
+ * are taken in another order by each request, since all nodes decide at once
+ * by views that are some hundred milliseconds old.
+ */
+struct ch_choice
+ch_balance_choose(struct ch_balance *balance, const struct ch_work *work,
+                  const GArray *excluded, int64_t now)
+{
+    struct ch_choice best = {
+        .code = CH_NO_UPSTREAM,
+        .retry_after = SOON,
+        .message = "no upstream can take this now",
+    };
+    double best_cost = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->seats);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct seat *seat = value;
+        if (!is_candidate(seat, work, excluded)) {
+            continue;
+        }
+        uint32_t tokens =
+            work->service ? 0 : tokens_to_read(seat, work);
+        int64_t expected = work->service
+                               ? service_cost(seat, now)
+                               : engine_cost(seat, work, tokens, now);
+        double cost = (double)(expected + distance(balance, seat)) +
+                      failures_now(seat, now) * FAILURE;
+        uint64_t tie = ch_hash_pair(work->id, seat->facts.name);
+        cost *= 1 + alike * (double)(tie % 1024) / 1024;
+        if (best.code == CH_OK && cost >= best_cost) {
+            continue;
+        }
+        best_cost = cost;
+        best = (struct ch_choice){
+            .code = CH_OK,
+            .upstream = seat->facts.name,
+            .other_region = seat->facts.region != balance->region,
+            .adapter_missing = work->adapter != 0 &&
+                               !has(seat->adapters, work->adapter),
+            .new_tokens = tokens,
+            .expected = expected,
+        };
+    }
+    return best;
+}
+
+/* ---- what becomes of a request ---- */
+
+/* See balance.h. */
+void
+ch_balance_sent(struct ch_balance *balance, const struct ch_work *work,
+                const struct ch_choice *choice, int64_t now)
+{
+    struct seat *seat = find(balance, choice->upstream);
+    if (seat == NULL) {
+        return;
+    }
+    seat->running++;
+    seat->unread += choice->new_tokens;
+    seat->context += work->prompt_tokens + work->output_tokens;
+    if (!work->service) {
+        note_parts(seat, work, now);
+    }
+}
+
+/* A mean that follows the last measurements. */
+static double
+follow(double mean, double last)
+{
+    return mean <= 0 ? last : mean + (last - mean) * mean_weight;
+}
+
+/* See balance.h. */
+void
+ch_balance_first(struct ch_balance *balance, const struct ch_choice *choice,
+                 int64_t took, int64_t now)
+{
+    (void)now;
+    struct seat *seat = find(balance, choice->upstream);
+    if (seat == NULL) {
+        return;
+    }
+    seat->unread -= MIN(seat->unread, choice->new_tokens);
+    seat->answer = follow(seat->answer, (double)took);
+    double ratio = (double)took / (double)MAX(choice->expected, 1);
+    seat->slow = CLAMP(follow(seat->slow, seat->slow * ratio), 0.5, 8.0);
+}
+
+/* Whether a result says something of the upstream, and what. */
+static bool
+judges(enum ch_code code, bool *failed)
+{
+    switch (code) {
+    case CH_OK:
+        *failed = false;
+        return true;
+    case CH_UPSTREAM_CONNECT:
+    case CH_UPSTREAM_STALLED:
+    case CH_UPSTREAM_CUT:
+    case CH_UPSTREAM_CROSSED:
+    case CH_UPSTREAM_ANSWER:
+    case CH_UPSTREAM_REFUSED:
+        *failed = true;
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* See balance.h. */
+void
+ch_balance_ended(struct ch_balance *balance, const struct ch_work *work,
+                 const struct ch_choice *choice, bool begun, enum ch_code code,
+                 int64_t now)
+{
+    struct seat *seat = find(balance, choice->upstream);
+    bool failed = false;
+    if (seat == NULL) {
+        return;
+    }
+    seat->running -= MIN(seat->running, 1);
+    seat->context -=
+        MIN(seat->context, work->prompt_tokens + work->output_tokens);
+    if (!begun) {
+        seat->unread -= MIN(seat->unread, choice->new_tokens);
+    }
+    if (!judges(code, &failed)) {
+        return;
+    }
+    double share = failures_now(seat, now);
+    seat->failures = share + ((failed ? 1 : 0) - share) * failure_weight;
+    /* A connection that can't be made says all at once. */
+    if (code == CH_UPSTREAM_CONNECT) {
+        seat->failures = MAX(seat->failures, 0.5);
+    }
+    seat->judged = now;
+}
--- /dev/null
+++ b/libchestnuthitch/decide/balance.h
@@ -0,0 +1,85 @@
+#ifndef CH_DECIDE_BALANCE_H
+#define CH_DECIDE_BALANCE_H
+
+/*
+ * Which upstream a request goes to where each node routes by its own view:
+ * what the upstreams tell of themselves, what other nodes tell, and what this
+ * node has sent there.  No sockets, no clock, no threads.
+ */
+
+#include "decide/fleet.h"
+
+/* What is told of an upstream. */
+struct ch_seat_facts {
+    GQuark name;
+    GQuark service;
+    GQuark region;
+    GQuark data_centre;
+    bool engine;
+    bool leaving;
+    uint64_t boot;
+    uint32_t slots;          /* requests at once */
+    uint32_t context_tokens; /* memory for prompts and answers; 0: unknown */
+    uint32_t adapter_places;
+    const GQuark *resident;  /* models */
+    size_t resident_count;
+};
+
+/* What was decided for one request. */
+struct ch_choice {
+    enum ch_code code; /* OK: the rest is set; else it is refused */
+    GQuark upstream;
+    bool other_region;
+    bool adapter_missing; /* it is to be loaded before the request goes out */
+    uint32_t new_tokens;  /* of the prompt, that are to be read there */
+    int64_t expected;     /* until the first of the answer, microseconds */
+    int64_t retry_after;  /* of a refusal */
+    const char *message;
+};
+
+struct ch_balance;
+
+struct ch_balance *ch_balance_new(GQuark region, GQuark data_centre);
+void ch_balance_free(struct ch_balance *balance);
+
+/* The upstreams, whole: who is not listed is forgotten. */
+void ch_balance_begin_update(struct ch_balance *balance);
+void ch_balance_listed(struct ch_balance *balance,
+                       const struct ch_seat_facts *facts);
+void ch_balance_end_update(struct ch_balance *balance);
+
+/* Adapters of an upstream as its keeper knows them, in place of what was
+   known. */
+void ch_balance_adapters(struct ch_balance *balance, GQuark upstream,
+                         const GQuark *adapters, size_t count);
+/* One adapter came or went. */
+void ch_balance_adapter(struct ch_balance *balance, GQuark upstream,
+                        GQuark adapter, bool resident);
+/* A model went, or was never there: until the next update. */
+void ch_balance_model_gone(struct ch_balance *balance, GQuark upstream,
+                           GQuark model);
+/* What others run there, as of now. */
+void ch_balance_others(struct ch_balance *balance, GQuark upstream,
+                       uint32_t running, uint32_t waiting, int64_t now);
+
+/* excluded: GQuarks of upstreams that this request must not go to. */
+struct ch_choice ch_balance_choose(struct ch_balance *balance,
+                                   const struct ch_work *work,
+                                   const GArray *excluded, int64_t now);
+/* The request goes out as chosen; each is followed by one ended. */
+void ch_balance_sent(struct ch_balance *balance, const struct ch_work *work,
+                     const struct ch_choice *choice, int64_t now);
+/* The first of its answer came after `took`. */
+void ch_balance_first(struct ch_balance *balance,
+                      const struct ch_choice *choice, int64_t took,
+                      int64_t now);
+/* begun: ch_balance_first was called. */
+void ch_balance_ended(struct ch_balance *balance, const struct ch_work *work,
+                      const struct ch_choice *choice, bool begun,
+                      enum ch_code code, int64_t now);
+
+/* What this node runs on an upstream. */
+uint32_t ch_balance_running(const struct ch_balance *balance, GQuark upstream);
+size_t ch_balance_count(const struct ch_balance *balance);
+
+#endif
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -12,6 +12,12 @@
 
 /* ---- a request, as the decisions see it ---- */
 
+/* A part of a prompt that requests may share, in the prompt's order. */
+struct ch_part {
+    uint64_t id;
+    uint32_t tokens;
+};
+
 struct ch_work {
     uint64_t id;
     GQuark model;   /* or the plain service's name */
@@ -30,6 +36,11 @@
     int64_t whole_by; /* target for the whole answer; 0: none */
     uint32_t attempt; /* 0 for the first */
     bool idempotent;
+    GQuark pool; /* the service whose upstreams may take it; 0: any */
+    const struct ch_part *parts; /* the request's own; lives as long as it */
+    size_t part_count;
+    uint32_t tries;    /* most upstreams that it may run on; 0: the policy's */
+    uint32_t priority; /* of its class, 0 goes first */
 };
 
 /* ---- an upstream, as a node believes it to be ---- */
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -61,7 +61,9 @@
                 enum ch_code code, bool may_have_run, bool stream,
                 uint32_t events_given, int64_t now)
 {
-    if (!is_of_the_upstream(code) || work->attempt >= MOST_ATTEMPTS) {
+    uint32_t most = work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
+    bool sent = code != CH_UPSTREAM_CONNECT;
+    if (!is_of_the_upstream(code) || (sent && work->attempt >= most)) {
         return CH_RETRY_NO;
     }
     if (may_have_run && !work->idempotent) {
@@ -73,6 +75,10 @@
     if (events_given > 0 && !stream) {
         return CH_RETRY_NO;
     }
+    /* What was never sent is no load on anybody. */
+    if (work->tries > 0 && !sent) {
+        return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
+    }
     if (budget->level < 1.0) {
         return CH_RETRY_NO;
     }
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -160,7 +160,7 @@
                          g_strdup("{\"status\":\"ready\"}"));
     }
     struct ch_config *config = ch_config_keeper_current(node->config);
-    bool knows = config != NULL && ch_homes_ready(node->homes);
+    bool knows = config != NULL && node->router->ops->ready(node->router);
     enum ch_code code = knows ? CH_STOPPING : CH_NOT_READY;
     ch_config_unref(config);
     return send_error(request->connection, code, NULL);
@@ -242,7 +242,7 @@
     json_builder_begin_object(builder);
     add_node(builder, node);
     ch_peers_status(node->peers, builder);
-    ch_homes_status(node->homes, builder);
+    node->router->ops->status(node->router, builder);
     json_builder_set_member_name(builder, "outcomes");
     json_builder_begin_object(builder);
     ch_metrics_each_class(node->client->metrics, add_outcomes, builder);
@@ -402,7 +402,12 @@
 static enum MHD_Result
 run_route(struct request *request, const char *method, const char *path)
 {
+    const struct ch_settings *settings = request->admin->node->settings;
     bool path_known = false;
+    if (strcmp(path, settings->ready_path) == 0 &&
+        strcmp(method, "GET") == 0) {
+        return get_ready(request);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
         if (strcmp(routes[i].path, path) != 0) {
             continue;
--- /dev/null
+++ b/libchestnuthitch/node/balancer.h
@@ -0,0 +1,10 @@
+#ifndef CH_NODE_BALANCER_H
+#define CH_NODE_BALANCER_H
+
+/* The router of nodes that choose by their own view; decide/balance.h. */
+
+#include "node/node.h"
+
+struct ch_router *ch_balancer_new(struct ch_node *node);
+
+#endif
--- a/libchestnuthitch/node/effects.c
+++ b/libchestnuthitch/node/effects.c
@@ -30,7 +30,7 @@
 
 struct effect {
     enum effect_kind kind;
-    const struct ch_homes_handlers *handlers;
+    const struct ch_router_handlers *handlers;
     void *data;
     struct ch_grant grant;
     enum ch_code code;
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -107,7 +107,8 @@
     }
     if (exchange->abandoned) {
         const struct ch_sample sample = {.code = CH_CANCELLED};
-        ch_homes_release(front->node->homes, grant->handle, &sample);
+        front->node->router->ops->release(front->node->router, grant->handle,
+                                          &sample);
         over = wind_up(exchange);
     }
     else {
@@ -168,8 +169,8 @@
         return false;
     }
     exchange->home_answered = true;
-    if (!ch_homes_withdraw(exchange->front->node->homes,
-                           exchange->home_handle)) {
+    struct ch_router *router = exchange->front->node->router;
+    if (!router->ops->withdraw(router, exchange->home_handle)) {
         return false;
     }
     return wind_up(exchange);
@@ -198,12 +199,12 @@
 static void
 ask_home(void *data)
 {
-    static const struct ch_homes_handlers handlers = {
+    static const struct ch_router_handlers handlers = {
         .granted = home_granted,
         .refused = home_refused,
     };
     struct ch_exchange *exchange = data;
-    struct ch_homes *homes = exchange->front->node->homes;
+    struct ch_router *router = exchange->front->node->router;
     pthread_mutex_lock(&exchange->lock);
     if (exchange->abandoned) {
         bool over = wind_up(exchange);
@@ -222,7 +223,7 @@
     ch_exchange_ref(exchange);
     pthread_mutex_unlock(&exchange->lock);
     uint64_t handle =
-        ch_homes_request(homes, &work, excluded, &handlers, exchange);
+        router->ops->request(router, &work, excluded, &handlers, exchange);
     note_home_handle(exchange, round, handle);
     g_array_free(excluded, TRUE);
     ch_exchange_unref(exchange);
@@ -238,13 +239,14 @@
 {
     struct ch_front *front = exchange->front;
     const struct ch_work *work = &exchange->request->work;
-    if (exchange->abandoned || exchange->too_large ||
-        (!work->idempotent && !exchange->once_created)) {
+    bool repeatable = work->idempotent || exchange->once_created ||
+                      (work->tries > 0 && !exchange->may_have_run);
+    if (exchange->abandoned || exchange->too_large || !repeatable) {
         return CH_RETRY_NO;
     }
     pthread_mutex_lock(&front->lock);
     enum ch_retry retry =
-        ch_retry_decide(&front->retries, work, end->code, end->may_have_run,
+        ch_retry_decide(ch_front_budget(front, work->pool), work, end->code, end->may_have_run,
                         exchange->request->stream, exchange->events,
                         ch_client_now(front->node->client));
     pthread_mutex_unlock(&front->lock);
@@ -268,7 +270,8 @@
     }
     GQuark failed = exchange->grant.upstream;
     g_array_append_val(exchange->excluded, failed);
-    exchange->request->work.attempt++;
+    bool counts = exchange->request->work.tries == 0 || exchange->was_sent;
+    exchange->request->work.attempt += counts ? 1 : 0;
     exchange->step = CH_STEP_HOME;
     exchange->home_handle = 0;
     exchange->home_answered = false;
@@ -301,8 +304,9 @@
 {
     struct ch_node *node = exchange->front->node;
     exchange->may_have_run = exchange->ran_before || end->may_have_run;
+    exchange->was_sent = end->code != CH_UPSTREAM_CONNECT;
     struct ch_sample sample = ch_exchange_sample(exchange, end->code);
-    ch_homes_release(node->homes, exchange->grant.handle, &sample);
+    node->router->ops->release(node->router, exchange->grant.handle, &sample);
     if (end->code == CH_OK && !exchange->too_large) {
         return take_answer(exchange);
     }
@@ -497,7 +501,7 @@
     ch_reply_watch(reply, &watcher, ch_exchange_ref(exchange));
     ch_front_enter(front);
     pthread_mutex_lock(&front->lock);
-    ch_retry_budget_fresh(&front->retries);
+    ch_retry_budget_fresh(ch_front_budget(front, request->work.pool));
     pthread_mutex_unlock(&front->lock);
     arm_deadline(exchange);
     ch_pool_submit(front->node->pool, begin, exchange);
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -41,6 +41,7 @@
     bool told;      /* the caller has its answer, or is gone */
     bool abandoned; /* the caller gave up: nothing more is done for it */
     bool may_have_run;
+    bool was_sent;     /* the last call got a connection */
     bool ran_before;   /* may_have_run before the present call */
     bool whole;        /* the upstream's whole answer is there */
     bool once_created; /* this try has leave to dispatch, once */
@@ -49,6 +50,7 @@
     bool is_stream;    /* the answer that comes */
     bool stream_begun; /* the answer that goes to the caller */
     bool too_large;
+    bool out_of_order; /* of the present call: an event that can't be next */
 
     /* Leave to dispatch. */
     uint64_t once_attempt;
@@ -61,6 +63,8 @@
     unsigned calls;
     uint64_t call_handle;
     char *content_type;
+    GArray *headers; /* struct ch_http_header, of the answer that is passed */
+    char *last_event; /* id of the last event that the caller has; or NULL */
     GByteArray *body; /* plain answer, or a stream's text to keep */
     int status;
     uint32_t events;      /* given to the caller, over all calls */
@@ -111,6 +115,8 @@
 
 /* Calls the upstream of the grant.  Lock held. */
 void ch_exchange_call(struct ch_exchange *exchange);
+/* The request's id as its caller knows it. */
+const char *ch_exchange_id(const struct ch_exchange *exchange);
 /* What the home learns from the call.  Lock held. */
 struct ch_sample ch_exchange_sample(const struct ch_exchange *exchange,
                                     enum ch_code code);
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -16,6 +16,21 @@
     MOST_FIRST_BYTE = 600 * G_USEC_PER_SEC,
 };
 
+/* The headers of an answer that is ours.  A stream that was begun keeps those
+ * of its first upstream. */
+static void
+call_headers(void *data, const struct ch_http_header *headers, size_t count)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    for (size_t i = 0; !exchange->stream_begun && i < count; i++) {
+        const struct ch_http_header copy = {g_strdup(headers[i].name),
+                                            g_strdup(headers[i].value)};
+        g_array_append_val(exchange->headers, copy);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+}
+
 /* The head of an answer that is ours. */
 static void
 call_head(void *data, int status, const char *content_type)
@@ -36,7 +51,11 @@
 {
     int64_t now = ch_client_now(exchange->front->node->client);
     if (exchange->call_first == 0) {
+        struct ch_router *router = exchange->front->node->router;
         exchange->call_first = now;
+        if (router->ops->first != NULL) {
+            router->ops->first(router, exchange->grant.handle);
+        }
     }
     if (exchange->first == 0) {
         exchange->first = now;
@@ -69,10 +88,54 @@
     g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)length);
 }
 
+/* The number on the event's "id" line; false when it has none. */
+static bool
+event_id(const char *text, size_t length, uint64_t *id)
+{
+    const char *line = text;
+    const char *end = text + length;
+    while (line < end) {
+        const char *next = memchr(line, '\n', (size_t)(end - line));
+        if (strncmp(line, "id:", 3) == 0) {
+            char *after = NULL;
+            *id = g_ascii_strtoull(line + 3, &after, 10);
+            return after == next;
+        }
+        line = next == NULL ? end : next + 1;
+    }
+    return false;
+}
+
+/*
+ * Whether an event goes on where the caller's stream stands, for streams that
+ * are resumed by the id of their last event.  A resumed call that began
+ * somewhere else would leave a gap or a repeat in the caller's answer.
+ */
+static bool
+goes_on(struct ch_exchange *exchange, const char *bytes, size_t length)
+{
+    uint64_t id = 0;
+    if (!exchange->request->routed || !event_id(bytes, length, &id)) {
+        return true;
+    }
+    if (exchange->last_event != NULL &&
+        id != g_ascii_strtoull(exchange->last_event, NULL, 10) + 1) {
+        return false;
+    }
+    g_free(exchange->last_event);
+    exchange->last_event = g_strdup_printf("%" G_GUINT64_FORMAT, id);
+    return true;
+}
+
 /* Passes one event on.  Lock held. */
 static void
 pass_event(struct ch_exchange *exchange, const char *bytes, size_t length)
 {
+    if (exchange->out_of_order || !goes_on(exchange, bytes, length)) {
+        exchange->out_of_order = true;
+        cancel_call(exchange);
+        return;
+    }
     exchange->events++;
     exchange->call_events++;
     exchange->made_tokens = exchange->events;
@@ -84,7 +147,10 @@
     }
     if (!exchange->stream_begun) {
         exchange->stream_begun = true;
-        ch_reply_begin(exchange->reply);
+        ch_reply_begin(exchange->reply,
+                       (const struct ch_http_header *)(void *)
+                           exchange->headers->data,
+                       exchange->headers->len);
     }
     if (!ch_reply_event(exchange->reply, bytes, length)) {
         ch_exchange_abandon(exchange, CH_CANCELLED,
@@ -162,6 +228,12 @@
         !exchange->request->work.service) {
         exchange->made_tokens = tokens_of_answer(exchange->body);
     }
+    if (exchange->out_of_order) {
+        judged.code = CH_UPSTREAM_ANSWER;
+        judged.may_have_run = true;
+        g_strlcpy(judged.message, "an event is missing or came twice",
+                  sizeof(judged.message));
+    }
     bool over = ch_exchange_call_ended(exchange, &judged);
     pthread_mutex_unlock(&exchange->lock);
     if (over) {
@@ -176,6 +248,9 @@
     const struct ch_request *request = exchange->request;
     int64_t limit =
         (int64_t)exchange->front->node->settings->first_byte_ms * 1000;
+    if (request->first_byte_limit > 0) {
+        return request->first_byte_limit;
+    }
     if (request->stream || request->work.service) {
         return limit;
     }
@@ -201,6 +276,19 @@
     exchange->call_events = 0;
     exchange->status = 0;
     exchange->is_stream = false;
+    exchange->out_of_order = false;
+    if (!exchange->stream_begun) {
+        g_array_set_size(exchange->headers, 0);
+    }
+}
+
+/* See exchange.h. */
+const char *
+ch_exchange_id(const struct ch_exchange *exchange)
+{
+    return exchange->request->request_id != NULL
+               ? exchange->request->request_id
+               : ch_reply_id(exchange->reply);
 }
 
 /* Calls the granted upstream.  A second try goes out on a fresh connection:
@@ -209,6 +297,7 @@
 ch_exchange_call(struct ch_exchange *exchange)
 {
     static const struct ch_call_handlers handlers = {
+        .on_headers = call_headers,
         .on_head = call_head,
         .on_data = call_data,
         .on_end = call_end,
@@ -217,7 +306,7 @@
     const struct ch_settings *settings = exchange->front->node->settings;
     reset_call(exchange);
     struct ch_call call = {
-        .request_id = ch_reply_id(exchange->reply),
+        .request_id = ch_exchange_id(exchange),
         .method = request->method,
         .path = request->path,
         .content_type = request->content_type,
@@ -225,12 +314,21 @@
         .body = request->body,
         .body_length = request->length,
         .stream = request->stream,
-        .may_repeat = request->work.idempotent && request->work.attempt == 0,
+        .may_repeat = request->work.idempotent,
+        .fresh = request->work.attempt > 0,
         .resume_from = exchange->events,
+        .resume_id = exchange->last_event,
+        .headers = request->headers,
+        .header_count = request->header_count,
+        .time_left = request->routed
+                         ? request->deadline - exchange->dispatched
+                         : 0,
         .priority = exchange->grant.priority,
         .connect_limit = (int64_t)settings->connect_ms * 1000,
         .first_byte_limit = first_byte_limit(exchange),
-        .stall_limit = (int64_t)settings->stall_ms * 1000,
+        .stall_limit = request->stall_limit > 0
+                           ? request->stall_limit
+                           : (int64_t)settings->stall_ms * 1000,
     };
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
--- a/libchestnuthitch/node/exchange_life.c
+++ b/libchestnuthitch/node/exchange_life.c
@@ -2,6 +2,15 @@
 
 #include "node/exchange.h"
 
+/* Frees the strings of one of the answer's headers. */
+static void
+clear_header(void *data)
+{
+    struct ch_http_header *header = data;
+    g_free((char *)header->name);
+    g_free((char *)header->value);
+}
+
 /* An exchange that has taken the request over and not yet begun. */
 struct ch_exchange *
 ch_exchange_new(struct ch_front *front, struct ch_request *request,
@@ -13,6 +22,10 @@
     exchange->request = request;
     exchange->reply = ch_reply_ref(reply);
     exchange->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    exchange->headers =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+    g_array_set_clear_func(exchange->headers, clear_header);
+    exchange->last_event = g_strdup(request->resume_id);
     exchange->body = g_byte_array_new();
     exchange->arrived = request->work.arrived;
     exchange->at_wall_ms = g_get_real_time() / 1000;
@@ -43,6 +56,8 @@
     ch_request_free(exchange->request);
     g_array_free(exchange->excluded, TRUE);
     g_byte_array_free(exchange->body, TRUE);
+    g_array_free(exchange->headers, TRUE);
+    g_free(exchange->last_event);
     g_free(exchange->content_type);
     pthread_mutex_destroy(&exchange->lock);
     g_free(exchange);
--- a/libchestnuthitch/node/exchange_tell.c
+++ b/libchestnuthitch/node/exchange_tell.c
@@ -30,6 +30,20 @@
     g_free(event);
 }
 
+/*
+ * The status for callers who take 503 for a promise that the request was not
+ * run and never will be: said of what surely was not, and of nothing else.
+ */
+static int
+routed_status(enum ch_code code, enum ch_outcome outcome)
+{
+    int status = ch_code_http(code);
+    if (outcome == CH_NOT_RUN) {
+        return status >= 500 ? 503 : status;
+    }
+    return status == 504 ? 504 : 502;
+}
+
 /*
  * Tells the caller that there will be no answer.  "not-run" is said only when
  * no try may have run, whatever the code: a refusal by the second upstream
@@ -49,16 +63,24 @@
         .outcome = exchange->outcome,
         .message = message,
         .retry_after = retry_after,
-        .request_id = ch_reply_id(exchange->reply),
+        .request_id = ch_exchange_id(exchange),
     };
     char *json = ch_refusal_print(&refusal);
+    if (exchange->stream_begun && exchange->request->routed) {
+        /* Whatever came after the upstream's events would not be its answer. */
+        ch_reply_cut(exchange->reply);
+        g_free(json);
+        return;
+    }
     if (exchange->stream_begun) {
         end_with_error(exchange, json);
         g_free(json);
         return;
     }
     const struct ch_reply_answer answer = {
-        .status = ch_code_http(code),
+        .status = exchange->request->routed
+                      ? routed_status(code, exchange->outcome)
+                      : ch_code_http(code),
         .content_type = "application/json",
         .outcome = exchange->outcome,
         .code = code,
@@ -69,6 +91,21 @@
     ch_reply_whole(exchange->reply, &answer);
 }
 
+/* The headers that go on from the upstream. */
+static const struct ch_http_header *
+headers_of(const struct ch_exchange *exchange)
+{
+    return (const struct ch_http_header *)(void *)exchange->headers->data;
+}
+
+/* Begins the stream to the caller, if that was not done. */
+static void
+begin_stream(struct ch_exchange *exchange)
+{
+    ch_reply_begin(exchange->reply, headers_of(exchange),
+                   exchange->headers->len);
+}
+
 /* Passes on the upstream's whole answer.  An error of a plain service's own is
  * an answer too, but not one that says whether the work was done. */
 void
@@ -79,8 +116,11 @@
     }
     note_told(exchange, CH_OK, exchange->status >= 500 ? CH_UNKNOWN : CH_RAN);
     if (exchange->is_stream) {
-        ch_reply_begin(exchange->reply);
-        ch_reply_event(exchange->reply, done_event, sizeof(done_event) - 1);
+        begin_stream(exchange);
+        if (!exchange->request->routed) {
+            ch_reply_event(exchange->reply, done_event,
+                           sizeof(done_event) - 1);
+        }
         ch_reply_end(exchange->reply);
         return;
     }
@@ -90,6 +130,8 @@
         .outcome = exchange->outcome,
         .body = g_memdup2(exchange->body->data, exchange->body->len),
         .length = exchange->body->len,
+        .headers = headers_of(exchange),
+        .header_count = exchange->headers->len,
     };
     ch_reply_whole(exchange->reply, &answer);
 }
@@ -185,7 +227,7 @@
     count(exchange);
     ch_log(
         exchange->front->node->client, CH_LOG_INFO, "request",
-        CH_F_STR("request_id", ch_reply_id(exchange->reply)),
+        CH_F_STR("request_id", ch_exchange_id(exchange)),
         CH_F_STR("caller", request->caller),
         CH_F_STR("class", request->class_name),
         CH_F_STR("model", request->model),
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -45,6 +45,25 @@
     return number;
 }
 
+/* See front.h. */
+struct ch_retry_budget *
+ch_front_budget(struct ch_front *front, GQuark service)
+{
+    gpointer key = GUINT_TO_POINTER(service);
+    if (service == 0) {
+        return &front->retries;
+    }
+    struct ch_retry_budget *budget =
+        g_hash_table_lookup(front->service_retries, key);
+    if (budget == NULL) {
+        const struct ch_settings *settings = front->node->settings;
+        budget = g_new0(struct ch_retry_budget, 1);
+        ch_retry_budget_init(budget, settings->retry_share);
+        g_hash_table_insert(front->service_retries, key, budget);
+    }
+    return budget;
+}
+
 /* A course begins. */
 void
 ch_front_enter(struct ch_front *front)
@@ -92,7 +111,7 @@
     if (known) {
         ch_config_unref(config);
     }
-    return known && !stopping && ch_homes_ready(node->homes);
+    return known && !stopping && node->router->ops->ready(node->router);
 }
 
 /* ---- one request that was taken in ---- */
@@ -131,6 +150,30 @@
            CH_F_STR("outcome", ch_outcome_name(CH_NOT_RUN)), CH_F_END);
 }
 
+/* Parses a request of a class that is chosen by host and path. */
+static struct ch_request *
+parse_routed(struct ch_front *front, struct ch_intake *intake,
+             const struct ch_config *config, int64_t now,
+             struct ch_fault *fault)
+{
+    struct ch_request_input *input = g_new0(struct ch_request_input, 1);
+    struct ch_request *request = NULL;
+    bool good = ch_intake_read(intake, front->node->dialect, input, fault);
+    if (input->request_id != NULL &&
+        strlen(input->request_id) <= CH_REPLY_MOST_ID) {
+        ch_reply_own_id(intake->reply,
+                        front->node->dialect->request_id_header,
+                        input->request_id);
+    }
+    if (good) {
+        request = ch_request_parse_routed(config->declaration, input, now,
+                                          fault);
+    }
+    g_array_free(input->passed, TRUE);
+    g_free(input);
+    return request;
+}
+
 /* Parses a request by the configuration in force, and begins its course or
  * answers it. */
 static void
@@ -139,10 +182,15 @@
 {
     struct ch_fault fault = {.error.code = CH_OK};
     struct ch_request_input input;
-    ch_intake_input(intake, &input);
-    struct ch_request *request =
-        ch_request_parse(config->declaration, &input,
-                         ch_client_now(front->node->client), &fault);
+    struct ch_request *request = NULL;
+    int64_t now = ch_client_now(front->node->client);
+    if (front->node->dialect != NULL) {
+        request = parse_routed(front, intake, config, now, &fault);
+    }
+    else {
+        ch_intake_input(intake, &input);
+        request = ch_request_parse(config->declaration, &input, now, &fault);
+    }
     if (request == NULL) {
         refuse(front, intake->reply, &fault, 0);
         return;
@@ -161,7 +209,7 @@
 take_intake(struct ch_front *front, struct ch_intake *intake, bool refusing)
 {
     struct ch_fault fault = {.error.code = CH_OK};
-    if (ch_local_serve(front, intake)) {
+    if (front->node->dialect == NULL && ch_local_serve(front, intake)) {
         return;
     }
     ch_metrics_count(front->node->client->metrics, CH_COUNT_REQUESTS, 1);
@@ -193,6 +241,10 @@
     char id[CH_REPLY_ID];
     uint64_t number = ch_front_new_id(front, id);
     struct ch_intake *intake = ch_intake_new(connection, uri, id, number);
+    if (front->node->dialect != NULL) {
+        ch_reply_own_id(intake->reply,
+                        front->node->dialect->request_id_header, NULL);
+    }
     pthread_mutex_lock(&front->lock);
     front->incoming++;
     intake->mark = ch_table_add(front->replies, intake->reply);
@@ -235,7 +287,8 @@
         }
         accept_intake(front, intake);
         refuse(front, intake->reply, &fault, 0);
-        return ch_reply_serve(intake->reply, stopping);
+        /* Its body is not read: what follows is not a request's beginning. */
+        return ch_reply_serve(intake->reply, true);
     }
     if (*upload_size > 0) {
         bool good =
@@ -422,6 +475,8 @@
     pthread_mutex_init(&front->lock, NULL);
     pthread_cond_init(&front->quiet, NULL);
     ch_retry_budget_init(&front->retries, node->settings->retry_share);
+    front->service_retries =
+        g_hash_table_new_full(NULL, NULL, NULL, g_free);
     front->hangups = ch_hangups_new(caller_hung_up, front);
     front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
@@ -502,6 +557,9 @@
     }
     ch_hangups_free(front->hangups);
     ch_table_free(front->replies);
+    if (front->service_retries != NULL) {
+        g_hash_table_destroy(front->service_retries);
+    }
     pthread_cond_destroy(&front->quiet);
     pthread_mutex_destroy(&front->lock);
     g_free(front);
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -4,6 +4,7 @@
 /* What the listener and the exchanges share.  Lock order: exchange < front <
  * reply; see node.h for the rest. */
 
+#include "node/dialect.h"
 #include "node/node.h"
 #include "node/reply.h"
 #include "node/request.h"
@@ -28,7 +29,8 @@
     size_t exchanges;               /* courses not yet over */
     unsigned connections;           /* that the library has */
     uint64_t last_id;               /* of requests */
-    struct ch_retry_budget retries; /* one for the node */
+    struct ch_retry_budget retries; /* of requests to any service */
+    GHashTable *service_retries;    /* GQuark to struct ch_retry_budget */
     bool stopping;                  /* not ready; still serving */
     bool refusing;                  /* new requests are refused */
 };
@@ -36,6 +38,9 @@
 /* Ids for a request: a number for the decisions, a text for the caller. */
 uint64_t ch_front_new_id(struct ch_front *front, char text[CH_REPLY_ID]);
 
+/* The node's part of the retries towards a service (0: any).  Lock held. */
+struct ch_retry_budget *ch_front_budget(struct ch_front *front, GQuark service);
+
 /* A course begins or is over; ch_front_stop() waits for the last. */
 void ch_front_enter(struct ch_front *front);
 void ch_front_leave(struct ch_front *front);
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -302,7 +302,7 @@
 uint64_t
 ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
                  const GArray *excluded,
-                 const struct ch_homes_handlers *handlers, void *data)
+                 const struct ch_router_handlers *handlers, void *data)
 {
     struct request *request = g_new0(struct request, 1);
     request->work = *work;
@@ -433,6 +433,85 @@
     effects_run(homes, &effects);
 }
 
+/* ---- as a router ---- */
+
+static void
+router_start(struct ch_router *router)
+{
+    ch_homes_start((struct ch_homes *)router);
+}
+
+static bool
+router_ready(struct ch_router *router)
+{
+    return ch_homes_ready((struct ch_homes *)router);
+}
+
+static uint64_t
+router_request(struct ch_router *router, const struct ch_work *work,
+               const GArray *excluded,
+               const struct ch_router_handlers *handlers, void *data)
+{
+    return ch_homes_request((struct ch_homes *)router, work, excluded,
+                            handlers, data);
+}
+
+static bool
+router_withdraw(struct ch_router *router, uint64_t handle)
+{
+    return ch_homes_withdraw((struct ch_homes *)router, handle);
+}
+
+static void
+router_release(struct ch_router *router, uint64_t handle,
+               const struct ch_sample *sample)
+{
+    ch_homes_release((struct ch_homes *)router, handle, sample);
+}
+
+static void
+router_drain(struct ch_router *router)
+{
+    ch_homes_drain((struct ch_homes *)router);
+}
+
+static void
+router_stop(struct ch_router *router)
+{
+    ch_homes_stop((struct ch_homes *)router);
+}
+
+static void
+router_free(struct ch_router *router)
+{
+    ch_homes_free((struct ch_homes *)router);
+}
+
+static void
+router_status(struct ch_router *router, JsonBuilder *builder)
+{
+    ch_homes_status((struct ch_homes *)router, builder);
+}
+
+/* See node.h. */
+struct ch_router *
+ch_homes_router(struct ch_homes *homes)
+{
+    static const struct ch_router_ops ops = {
+        .start = router_start,
+        .ready = router_ready,
+        .request = router_request,
+        .withdraw = router_withdraw,
+        .release = router_release,
+        .drain = router_drain,
+        .stop = router_stop,
+        .free = router_free,
+        .status = router_status,
+    };
+    homes->router.ops = &ops;
+    return &homes->router;
+}
+
 /* ---- life ---- */
 
 /* Sets the handlers of frames; nothing runs before ch_homes_start. */
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -71,7 +71,7 @@
     struct ch_work work;
     GArray *excluded; /* of GQuark: refused it, and failed before */
     guint failed;     /* so many at the front failed before */
-    const struct ch_homes_handlers *handlers;
+    const struct ch_router_handlers *handlers;
     void *data;
     bool withdrawn;
     unsigned bounces; /* homes that refused it or were lost */
@@ -87,6 +87,7 @@
 };
 
 struct ch_homes {
+    struct ch_router router;
     struct ch_node *node;
     const struct ch_policy *policy;
     pthread_mutex_t lock;
--- a/libchestnuthitch/node/intake.c
+++ b/libchestnuthitch/node/intake.c
@@ -24,6 +24,7 @@
     intake->uri = g_strdup(uri);
     intake->body = g_byte_array_new();
     intake->repeated = -1;
+    intake->all = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
     return intake;
 }
 
@@ -32,6 +33,7 @@
 ch_intake_free(struct ch_intake *intake)
 {
     ch_reply_unref(intake->reply);
+    g_array_free(intake->all, TRUE);
     g_byte_array_free(intake->body, TRUE);
     for (int i = 0; i < CH_INTAKE_HEADERS; i++) {
         g_free(intake->headers[i]);
@@ -41,6 +43,45 @@
     g_free(intake);
 }
 
+/* Whether a value is what a body's length or coding may be. */
+static bool
+is_framing(const char *name, const char *value)
+{
+    if (strcasecmp(name, "Transfer-Encoding") == 0) {
+        return strcasecmp(value, "chunked") == 0;
+    }
+    return value[0] != '\0' &&
+           strspn(value, "0123456789") == strlen(value) && strlen(value) < 19;
+}
+
+/*
+ * Looks for what lets two readers of the same bytes see different requests,
+ * one of them hidden in the other's body: a name with a blank, a control byte,
+ * two lengths, a length and chunks together, another coding than chunks.  The
+ * HTTP library takes several of these and answers what was hidden.  A head of
+ * that kind is refused and its connection closed, so that nothing which comes
+ * after it is read.
+ */
+static void
+check_shape(struct ch_intake *intake, const char *name, const char *value)
+{
+    bool framing = strcasecmp(name, "Content-Length") == 0 ||
+                   strcasecmp(name, "Transfer-Encoding") == 0;
+    bool clean = name[0] != '\0';
+    for (const char *c = name; *c != '\0'; c++) {
+        clean = clean && g_ascii_isgraph(*c);
+    }
+    for (const char *c = value; *c != '\0'; c++) {
+        clean = clean && ((unsigned char)*c >= 0x20 || *c == '\t') &&
+                *c != 0x7f;
+    }
+    intake->lengths += framing ? 1 : 0;
+    if (!clean || intake->lengths > 1 ||
+        (framing && !is_framing(name, value))) {
+        intake->malformed = true;
+    }
+}
+
 /* Counts a header's bytes as they stood in the request, and keeps those that
  * matter. */
 static enum MHD_Result
@@ -50,7 +91,10 @@
     (void)kind;
     struct ch_intake *intake = data;
     const char *text = value == NULL ? "" : value;
+    const struct ch_http_header header = {name, text};
     intake->header_bytes += strlen(name) + strlen(text) + 4;
+    check_shape(intake, name, text);
+    g_array_append_val(intake->all, header);
     for (int i = 0; i < CH_INTAKE_HEADERS; i++) {
         if (strcasecmp(name, header_names[i]) != 0) {
             continue;
@@ -91,6 +135,11 @@
                      "the headers are over %zu bytes", settings->max_headers);
         return false;
     }
+    if (intake->malformed) {
+        ch_fault_set(fault, CH_BAD_FIELD, "headers",
+                     "the head of the request is malformed");
+        return false;
+    }
     if (intake->repeated >= 0) {
         ch_fault_set(fault, CH_BAD_FIELD, header_names[intake->repeated],
                      "%s came twice", header_names[intake->repeated]);
@@ -148,3 +197,21 @@
         .length = intake->body->len,
     };
 }
+
+/* See intake.h. */
+bool
+ch_intake_read(const struct ch_intake *intake,
+               const struct ch_dialect *dialect,
+               struct ch_request_input *input, struct ch_fault *fault)
+{
+    memset(input, 0, sizeof(*input));
+    input->method = intake->method;
+    input->uri = intake->uri;
+    input->content_type = intake->headers[CH_INTAKE_CONTENT_TYPE];
+    input->body = intake->body->data;
+    input->length = intake->body->len;
+    input->passed = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+    return dialect->read_headers(
+        (const struct ch_http_header *)(void *)intake->all->data,
+        intake->all->len, input, fault);
+}
--- a/libchestnuthitch/node/intake.h
+++ b/libchestnuthitch/node/intake.h
@@ -29,8 +29,12 @@
     char *uri;
     char *method;
     char *headers[CH_INTAKE_HEADERS]; /* NULL: did not come */
+    GArray *all; /* struct ch_http_header, of requests that are routed by host
+                    and path; the strings are the library's */
     int repeated; /* an enum ch_intake_header that came twice; -1: none */
     size_t header_bytes;
+    bool malformed; /* the head is none that two readers read alike */
+    unsigned lengths; /* headers that say how the body is framed */
     GByteArray *body;
     bool begun;     /* the head was looked at */
     bool complete;  /* the whole request came, or it was answered before */
@@ -53,6 +57,11 @@
 /* After the last part of the body; false with *fault. */
 bool ch_intake_check(const struct ch_intake *intake, size_t most,
                      struct ch_fault *fault);
+/* The same by a dialect's names of headers; false with *fault.  input->passed
+   is the caller's to unref in both cases. */
+bool ch_intake_read(const struct ch_intake *intake,
+                    const struct ch_dialect *dialect,
+                    struct ch_request_input *input, struct ch_fault *fault);
 /* Points into the intake. */
 void ch_intake_input(const struct ch_intake *intake,
                      struct ch_request_input *input);
--- a/libchestnuthitch/node/kv_call.c
+++ b/libchestnuthitch/node/kv_call.c
@@ -3,13 +3,17 @@
 
 #include "node/kv_call.h"
 
+#include <string.h>
+
 struct kv_call {
     struct ch_pool *pool;
     void (*done)(void *data, const struct ch_kv_answer *answer);
     void (*listed)(void *data, enum ch_code code,
                    const struct ch_kv_entry *entries, size_t count);
+    void (*ranged)(void *data, const struct ch_kv_range *range);
     void *data;
     struct ch_kv_answer answer;
+    uint64_t at; /* of a range */
     void *value;
     struct ch_kv_entry *entries;
     size_t count;
@@ -33,7 +37,16 @@
 call_run(void *data)
 {
     struct kv_call *call = data;
-    if (call->listed != NULL) {
+    if (call->ranged != NULL) {
+        const struct ch_kv_range range = {
+            .code = call->answer.code,
+            .entries = call->entries,
+            .count = call->count,
+            .at = call->at,
+        };
+        call->ranged(call->data, &range);
+    }
+    else if (call->listed != NULL) {
         call->listed(call->data, call->answer.code, call->entries,
                      call->count);
     }
@@ -56,6 +69,19 @@
     ch_pool_submit(call->pool, call_run, call);
 }
 
+/* Copies a value; NULL, which is one that was removed, stays NULL. */
+static char *
+copy_value(const char *value, size_t length)
+{
+    if (value == NULL) {
+        return NULL;
+    }
+    char *copy = g_malloc(length + 1);
+    memcpy(copy, value, length);
+    copy[length] = '\0';
+    return copy;
+}
+
 /* On the HTTP loop: copies a list and hands it on. */
 static void
 list_came(void *data, enum ch_code code, const struct ch_kv_entry *entries,
@@ -69,7 +95,7 @@
         call->entries[i] = entries[i];
         call->entries[i].key = g_strdup(entries[i].key);
         call->entries[i].value =
-            g_memdup2(entries[i].value, entries[i].length);
+            copy_value(entries[i].value, entries[i].length);
     }
     ch_pool_submit(call->pool, call_run, call);
 }
@@ -139,3 +165,87 @@
     call->listed = done;
     node->kv->ops->list(node->kv, prefix, list_came, call);
 }
+
+/* On the HTTP loop: copies a range and hands it on. */
+static void
+range_came(void *data, const struct ch_kv_range *range)
+{
+    struct kv_call *call = data;
+    call->at = range->at;
+    list_came(data, range->code, range->entries, range->count);
+}
+
+/* A call whose answer is a range. */
+static struct kv_call *
+range_call_new(struct ch_node *node,
+               void (*done)(void *data, const struct ch_kv_range *range),
+               void *data)
+{
+    struct kv_call *call = call_new(node, NULL, data);
+    call->ranged = done;
+    return call;
+}
+
+/* See struct ch_kv_ops; the entries are valid during done alone. */
+void
+ch_kv_call_range(struct ch_node *node, const char *prefix,
+                 void (*done)(void *data, const struct ch_kv_range *range),
+                 void *data)
+{
+    node->kv->ops->range(node->kv, prefix, range_came,
+                         range_call_new(node, done, data));
+}
+
+/* See struct ch_kv_ops; the entries are valid during done alone. */
+void
+ch_kv_call_changes(struct ch_node *node, const char *prefix, uint64_t after,
+                   int64_t wait,
+                   void (*done)(void *data, const struct ch_kv_range *range),
+                   void *data)
+{
+    node->kv->ops->changes(node->kv, prefix, after, wait, range_came,
+                           range_call_new(node, done, data));
+}
+
+/* See struct ch_kv_ops. */
+void
+ch_kv_call_lease(struct ch_node *node, int64_t ttl,
+                 void (*done)(void *data, const struct ch_kv_answer *answer),
+                 void *data)
+{
+    node->kv->ops->lease(node->kv, ttl, value_came,
+                         call_new(node, done, data));
+}
+
+/* See struct ch_kv_ops. */
+void
+ch_kv_call_renew(struct ch_node *node, uint64_t lease,
+                 void (*done)(void *data, const struct ch_kv_answer *answer),
+                 void *data)
+{
+    node->kv->ops->renew(node->kv, lease, value_came,
+                         call_new(node, done, data));
+}
+
+/* See struct ch_kv_ops. */
+void
+ch_kv_call_end_lease(struct ch_node *node, uint64_t lease,
+                     void (*done)(void *data,
+                                  const struct ch_kv_answer *answer),
+                     void *data)
+{
+    node->kv->ops->end_lease(node->kv, lease, value_came,
+                             call_new(node, done, data));
+}
+
+/* See struct ch_kv_ops. */
+void
+ch_kv_call_put_leased(struct ch_node *node, const char *key, const void *value,
+                      size_t length, uint64_t revision, uint64_t lease,
+                      void (*done)(void *data,
+                                   const struct ch_kv_answer *answer),
+                      void *data)
+{
+    node->kv->ops->put_leased(node->kv, key, value, length, revision, lease,
+                              value_came, call_new(node, done, data));
+}
--- a/libchestnuthitch/node/kv_call.h
+++ b/libchestnuthitch/node/kv_call.h
@@ -26,5 +26,31 @@
                                   const struct ch_kv_entry *entries,
                                   size_t count),
                      void *data);
+/* Of services that have ranges and leases. */
+void ch_kv_call_range(struct ch_node *node, const char *prefix,
+                      void (*done)(void *data,
+                                   const struct ch_kv_range *range),
+                      void *data);
+void ch_kv_call_changes(
+    struct ch_node *node, const char *prefix, uint64_t after, int64_t wait,
+    void (*done)(void *data, const struct ch_kv_range *range), void *data);
+void ch_kv_call_lease(struct ch_node *node, int64_t ttl,
+                      void (*done)(void *data,
+                                   const struct ch_kv_answer *answer),
+                      void *data);
+void ch_kv_call_renew(struct ch_node *node, uint64_t lease,
+                      void (*done)(void *data,
+                                   const struct ch_kv_answer *answer),
+                      void *data);
+void ch_kv_call_end_lease(struct ch_node *node, uint64_t lease,
+                          void (*done)(void *data,
+                                       const struct ch_kv_answer *answer),
+                          void *data);
+void ch_kv_call_put_leased(struct ch_node *node, const char *key,
+                           const void *value, size_t length, uint64_t revision,
+                           uint64_t lease,
+                           void (*done)(void *data,
+                                        const struct ch_kv_answer *answer),
+                           void *data);
 
 #endif
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -1,5 +1,7 @@
 /* A node's life: what is started in which order, and how it stops. */
 
+#include "node/dialect.h"
+#include "node/balancer.h"
 #include "node/homes_internal.h"
 
 #include <ck_pr.h>
@@ -20,7 +22,9 @@
     ch_config_keeper_free(node->config);
     ch_once_keeper_free(node->once);
     ch_ledger_keeper_free(node->ledger);
-    ch_homes_free(node->homes);
+    if (node->router != NULL) {
+        node->router->ops->free(node->router);
+    }
     ch_peers_free(node->peers);
     if (node->kv != NULL) {
         node->kv->ops->free(node->kv);
@@ -41,17 +45,29 @@
     node->http = ch_http_new(node->client);
     ch_http_idle_limit(node->http,
                        (int64_t)settings->idle_connection_ms * 1000);
-    node->kv = ch_kv_http_new(node->client, node->http, settings->kv,
-                              (int64_t)settings->kv_timeout_ms * 1000);
-    node->hosts = ch_hosts_http_new(node->client, node->http, settings->hosts,
-                                    LIST_LIMIT);
+    int64_t kv_limit = (int64_t)settings->kv_timeout_ms * 1000;
+    if (node->dialect != NULL) {
+        node->kv = node->dialect->kv_new(node->client, node->http,
+                                         settings->kv, kv_limit);
+    }
+    else {
+        node->kv = ch_kv_http_new(node->client, node->http, settings->kv,
+                                  kv_limit);
+        node->hosts = ch_hosts_http_new(node->client, node->http,
+                                        settings->hosts, LIST_LIMIT);
+    }
     node->peers = ch_peers_new(node, error);
     if (node->peers == NULL) {
         return false;
     }
     node->config = ch_config_keeper_new(node);
     node->once = ch_once_keeper_new(node);
+    if (node->dialect != NULL) {
+        node->router = ch_balancer_new(node);
+        return true;
+    }
     node->homes = ch_homes_new(node);
+    node->router = ch_homes_router(node->homes);
     node->ledger =
         ch_ledger_keeper_new(node, home_ledger_handlers(), node->homes);
     return true;
@@ -77,11 +93,12 @@
  * ready once a configuration is known. */
 struct ch_node *
 ch_node_start(struct ch_client *client, const struct ch_settings *settings,
-              struct ch_error *error)
+              const struct ch_dialect *dialect, struct ch_error *error)
 {
     struct ch_node *node = g_new0(struct ch_node, 1);
     node->client = client;
     node->settings = settings;
+    node->dialect = dialect;
     node->incarnation = (uint64_t)g_get_real_time();
     if (!make_parts(node, error)) {
         stop_threads(node);
@@ -90,7 +107,7 @@
     }
     ch_peers_start(node->peers);
     ch_config_keeper_start(node->config);
-    ch_homes_start(node->homes);
+    node->router->ops->start(node->router);
     /* The front's thread may ask for readiness before this is noted. */
     ck_pr_store_ptr(&node->front, ch_front_new(node, error));
     node->admin = node->front != NULL ? ch_admin_new(node, error) : NULL;
@@ -107,16 +124,18 @@
 ch_node_stop(struct ch_node *node)
 {
     ch_log(node->client, CH_LOG_NOTICE, "stopping", CH_F_END);
-    ch_homes_drain(node->homes);
+    node->router->ops->drain(node->router);
     if (node->front != NULL) {
         ch_front_stop(node->front);
     }
     if (node->admin != NULL) {
         ch_admin_stop(node->admin);
     }
-    ch_homes_stop(node->homes);
+    node->router->ops->stop(node->router);
     ch_once_keeper_stop(node->once);
-    ch_ledger_keeper_stop(node->ledger);
+    if (node->ledger != NULL) {
+        ch_ledger_keeper_stop(node->ledger);
+    }
     ch_config_keeper_stop(node->config);
     stop_threads(node);
     ch_log(node->client, CH_LOG_NOTICE, "stopped", CH_F_END);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -25,8 +25,12 @@
 
 #include <json-glib/json-glib.h>
 
+struct ch_dialect;
+struct ch_router;
+
 struct ch_node {
     struct ch_client *client;
+    const struct ch_dialect *dialect; /* NULL: our own interface */
     const struct ch_settings *settings;
     uint64_t incarnation; /* start of the process, wall clock microseconds */
     struct ch_pool *pool;
@@ -38,14 +42,17 @@
     struct ch_config_keeper *config;
     struct ch_once_keeper *once;
     struct ch_ledger_keeper *ledger;
-    struct ch_homes *homes;
+    struct ch_homes *homes; /* NULL where nodes route by their own view */
+    struct ch_router *router;
     struct ch_front *front;
     struct ch_admin *admin;
 };
 
-/* Starts everything; NULL with an error.  settings outlives the node. */
+/* Starts everything; NULL with an error.  settings and dialect (NULL: our own
+   interface) outlive the node. */
 struct ch_node *ch_node_start(struct ch_client *client,
                               const struct ch_settings *settings,
+                              const struct ch_dialect *dialect,
                               struct ch_error *error);
 /* Graceful: returns when all that was accepted is answered. */
 void ch_node_stop(struct ch_node *node);
@@ -209,9 +216,7 @@
 void ch_ledger_keeper_report(struct ch_ledger_keeper *keeper, GQuark upstream,
                              const struct ch_report *report);
 
-/* ---- homes (homes.c): leave to dispatch, wherever the home is ---- */
-
-struct ch_homes;
+/* ---- routers: which upstream a request goes to, and when ---- */
 
 struct ch_grant {
     uint64_t handle; /* the request's, given back by release */
@@ -223,12 +228,48 @@
 };
 
 /* One of the two, once, on a pool worker. */
-struct ch_homes_handlers {
+struct ch_router_handlers {
     void (*granted)(void *data, const struct ch_grant *grant);
     void (*refused)(void *data, enum ch_code code, int64_t retry_after,
                     const char *message);
 };
 
+struct ch_router_ops {
+    void (*start)(struct ch_router *router);
+    /* True once this node knows enough of the upstreams to route. */
+    bool (*ready)(struct ch_router *router);
+    /* work is copied; excluded: GQuarks of upstreams not to try (may be
+       NULL).  One of the handlers runs once, unless it is withdrawn. */
+    uint64_t (*request)(struct ch_router *router, const struct ch_work *work,
+                        const GArray *excluded,
+                        const struct ch_router_handlers *handlers, void *data);
+    /* True: neither handler will run.  False: one has run or is about to; a
+       grant is then to be released as ever. */
+    bool (*withdraw)(struct ch_router *router, uint64_t handle);
+    /* The granted request's first event came; may be NULL. */
+    void (*first)(struct ch_router *router, uint64_t handle);
+    /* Exactly once for each grant. */
+    void (*release)(struct ch_router *router, uint64_t handle,
+                    const struct ch_sample *sample);
+    /* This node stops: what it does for others goes to them. */
+    void (*drain)(struct ch_router *router);
+    void (*stop)(struct ch_router *router);
+    void (*free)(struct ch_router *router);
+    /* JSON members of an open object. */
+    void (*status)(struct ch_router *router, JsonBuilder *builder);
+};
+
+struct ch_router {
+    const struct ch_router_ops *ops;
+};
+
+/* ---- homes (homes.c): leave to dispatch, wherever the home is ---- */
+
+struct ch_homes;
+
+/* The homes as a router; they live as long. */
+struct ch_router *ch_homes_router(struct ch_homes *homes);
+
 struct ch_homes *ch_homes_new(struct ch_node *node);
 void ch_homes_start(struct ch_homes *homes);
 void ch_homes_stop(struct ch_homes *homes);
@@ -238,7 +279,7 @@
 /* work is copied; excluded: GQuarks of upstreams not to try (may be NULL). */
 uint64_t ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
                           const GArray *excluded,
-                          const struct ch_homes_handlers *handlers,
+                          const struct ch_router_handlers *handlers,
                           void *data);
 /* This node stops: its homes go to others, what is queued with them. */
 void ch_homes_drain(struct ch_homes *homes);
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -346,8 +346,8 @@
 {
     peers_refresh_revision(peers);
     if (ck_pr_load_uint(&peers->ready) == 0 &&
-        ck_pr_load_64(&peers->revision) > 0 && peers->node->homes != NULL &&
-        ch_homes_ready(peers->node->homes)) {
+        ck_pr_load_64(&peers->revision) > 0 && peers->node->router != NULL &&
+        peers->node->router->ops->ready(peers->node->router)) {
         ck_pr_store_uint(&peers->ready, 1);
     }
 }
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -20,7 +20,8 @@
 
 struct ch_reply {
     int references;
-    char id[CH_REPLY_ID];
+    char id[CH_REPLY_MOST_ID + 1];
+    const char *id_header; /* NULL: our own headers are sent */
     int fd;
     pthread_mutex_t lock;
     struct MHD_Connection *connection; /* NULL once the library is done */
@@ -63,6 +64,31 @@
     return reply;
 }
 
+/* Frees the upstream's headers. */
+static void
+free_headers(struct ch_reply *reply)
+{
+    for (size_t i = 0; i < reply->answer.header_count; i++) {
+        g_free((char *)reply->answer.headers[i].name);
+        g_free((char *)reply->answer.headers[i].value);
+    }
+    g_free((struct ch_http_header *)reply->answer.headers);
+}
+
+/* Copies the upstream's headers.  Lock held. */
+static void
+copy_headers(struct ch_reply *reply, const struct ch_http_header *headers,
+             size_t count)
+{
+    struct ch_http_header *copy = g_new0(struct ch_http_header, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        copy[i].name = g_strdup(headers[i].name);
+        copy[i].value = g_strdup(headers[i].value);
+    }
+    reply->answer.headers = copy;
+    reply->answer.header_count = count;
+}
+
 /* Gives a reference back; the last one frees the reply. */
 void
 ch_reply_unref(struct ch_reply *reply)
@@ -76,6 +102,7 @@
     g_free((char *)reply->answer.content_type);
     g_free((char *)reply->answer.allow);
     g_free(reply->answer.body);
+    free_headers(reply);
     g_byte_array_free(reply->unsent, TRUE);
     pthread_mutex_destroy(&reply->lock);
     g_free(reply);
@@ -95,6 +122,16 @@
     return reply->fd;
 }
 
+/* See reply.h. */
+void
+ch_reply_own_id(struct ch_reply *reply, const char *header, const char *id)
+{
+    reply->id_header = header;
+    if (id != NULL) {
+        g_strlcpy(reply->id, id, sizeof(reply->id));
+    }
+}
+
 /* Sets who is told when the caller goes away; data is the watcher's.  One that
  * has just gone is told of when the library closes its connection. */
 void
@@ -131,13 +168,15 @@
     reply->answer = *answer;
     reply->answer.content_type = g_strdup(answer->content_type);
     reply->answer.allow = g_strdup(answer->allow);
+    copy_headers(reply, answer->headers, answer->header_count);
     wake(reply);
     pthread_mutex_unlock(&reply->lock);
 }
 
 /* Begins a stream: 200, and events as they come. */
 void
-ch_reply_begin(struct ch_reply *reply)
+ch_reply_begin(struct ch_reply *reply, const struct ch_http_header *headers,
+               size_t count)
 {
     pthread_mutex_lock(&reply->lock);
     if (!reply->answered) {
@@ -146,6 +185,7 @@
         reply->answer.status = 200;
         reply->answer.outcome = CH_RAN;
         reply->answer.content_type = g_strdup("text/event-stream");
+        copy_headers(reply, headers, count);
         wake(reply);
     }
     pthread_mutex_unlock(&reply->lock);
@@ -163,6 +203,15 @@
     wake(reply);
 }
 
+/* See reply.h. */
+void
+ch_reply_cut(struct ch_reply *reply)
+{
+    pthread_mutex_lock(&reply->lock);
+    cut(reply);
+    pthread_mutex_unlock(&reply->lock);
+}
+
 /* Adds an event.  A caller that leaves more than CH_REPLY_MOST_UNSENT unread
  * is cut off: holding its tokens would take memory from all the others, and
  * waiting for it would stall the thread that serves them. */
@@ -246,11 +295,44 @@
     ch_reply_unref(data);
 }
 
+/* Adds the headers of an answer to a caller with an id of its own: those of
+ * the upstream, or the few that a refusal has. */
+static void
+add_passed_headers(struct MHD_Response *response,
+                   const struct ch_reply *reply, bool stopping)
+{
+    const struct ch_reply_answer *answer = &reply->answer;
+    char seconds[G_ASCII_DTOSTR_BUF_SIZE];
+    for (size_t i = 0; i < answer->header_count; i++) {
+        MHD_add_response_header(response, answer->headers[i].name,
+                                answer->headers[i].value);
+    }
+    if (answer->header_count == 0) {
+        MHD_add_response_header(response, reply->id_header, reply->id);
+        if (answer->content_type != NULL) {
+            MHD_add_response_header(response, "Content-Type",
+                                    answer->content_type);
+        }
+    }
+    if (answer->retry_after > 0) {
+        g_ascii_formatd(seconds, sizeof(seconds), "%.2f",
+                        (double)answer->retry_after / G_USEC_PER_SEC);
+        MHD_add_response_header(response, "Retry-After", seconds);
+    }
+    if (stopping) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+}
+
 /* Adds the headers that every answer bears, and those that it may. */
 static void
 add_headers(struct MHD_Response *response, const struct ch_reply *reply,
             bool stopping)
 {
+    if (reply->id_header != NULL) {
+        add_passed_headers(response, reply, stopping);
+        return;
+    }
     const struct ch_reply_answer *answer = &reply->answer;
     char number[24];
     MHD_add_response_header(response, "Chestnuthitch-Request-Id", reply->id);
--- a/libchestnuthitch/node/reply.h
+++ b/libchestnuthitch/node/reply.h
@@ -7,11 +7,13 @@
  */
 
 #include "base/base.h"
+#include "net/net.h"
 
 #include <microhttpd.h>
 
 enum {
     CH_REPLY_ID = 40,
+    CH_REPLY_MOST_ID = 200, /* of a caller's own id */
     /* Unsent bytes of one stream.  A token's event is some 200 bytes, so this
      * is about 5,000 tokens, more than any usual answer: a caller that is that
      * far behind has stopped reading.  1,000 such callers take 1 GB, and no
@@ -29,6 +31,9 @@
     const char *allow;   /* of 405; NULL: none */
     char *body;          /* g_malloc'ed, or NULL */
     size_t length;
+    /* The upstream's own, in place of ours; copied. */
+    const struct ch_http_header *headers;
+    size_t header_count;
 };
 
 struct ch_reply;
@@ -45,6 +50,11 @@
 void ch_reply_unref(struct ch_reply *reply);
 const char *ch_reply_id(const struct ch_reply *reply);
 int ch_reply_fd(const struct ch_reply *reply);
+/* The caller's own id takes the place of ours, and goes back in a header of
+   this name, which lives on, in place of all our headers.  Before anything is
+   answered. */
+void ch_reply_own_id(struct ch_reply *reply, const char *header,
+                     const char *id);
 /* Once, before anything is answered. */
 void ch_reply_watch(struct ch_reply *reply,
                     const struct ch_reply_watcher *watcher, void *data);
@@ -53,8 +63,12 @@
 
 void ch_reply_whole(struct ch_reply *reply,
                     const struct ch_reply_answer *answer);
-/* Head of a stream of server-sent events. */
-void ch_reply_begin(struct ch_reply *reply);
+/* Head of a stream of server-sent events; headers: the upstream's own, which
+   are copied, or NULL. */
+void ch_reply_begin(struct ch_reply *reply,
+                    const struct ch_http_header *headers, size_t count);
+/* Closes the connection without an end: what was sent does not look whole. */
+void ch_reply_cut(struct ch_reply *reply);
 /* False when the caller is gone or too far behind: the stream is then cut. */
 bool ch_reply_event(struct ch_reply *reply, const char *bytes, size_t length);
 void ch_reply_end(struct ch_reply *reply);
--- a/libchestnuthitch/node/request.c
+++ b/libchestnuthitch/node/request.c
@@ -46,6 +46,14 @@
     g_free(request->class_name);
     g_free(request->model);
     g_free(request->adapter);
+    g_free(request->request_id);
+    g_free(request->resume_id);
+    for (size_t i = 0; i < request->header_count; i++) {
+        g_free((char *)request->headers[i].name);
+        g_free((char *)request->headers[i].value);
+    }
+    g_free(request->headers);
+    g_free(request->parts);
     g_free(request);
 }
 
@@ -81,8 +89,8 @@
 
 /* Checks the path as it stood in the request line.  It is passed on to plain
  * services byte by byte; '#' is refused since an HTTP client cuts there. */
-static bool
-check_uri(const char *uri, struct ch_fault *fault)
+bool
+ch_request_check_uri(const char *uri, struct ch_fault *fault)
 {
     if (uri[0] != '/' || !is_printable(uri, MOST_URI, false) ||
         strpbrk(uri, "#\\\"<>^`{|}") != NULL) {
@@ -119,7 +127,7 @@
 take_path(struct ch_request *request, const struct ch_request_input *input,
           struct ch_fault *fault)
 {
-    if (!check_uri(input->uri, fault)) {
+    if (!ch_request_check_uri(input->uri, fault)) {
         return false;
     }
     if (g_str_has_prefix(input->uri, service_prefix)) {
@@ -345,8 +353,9 @@
 
 /* Copies method, content type and body, and hashes what a repeat must equal.
  */
-static void
-copy_body(struct ch_request *request, const struct ch_request_input *input)
+void
+ch_request_copy_body(struct ch_request *request,
+                     const struct ch_request_input *input)
 {
     request->method = g_strdup(input->method);
     request->content_type = g_strdup(input->content_type);
@@ -387,7 +396,7 @@
         !take_service(request, declaration, class, fault)) {
         return false;
     }
-    copy_body(request, input);
+    ch_request_copy_body(request, input);
     set_targets(request, now);
     return true;
 }
--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "decide/fleet.h"
+#include "net/net.h"
 
 enum {
     CH_REQUEST_MOST_KEY = 200,
@@ -15,6 +16,8 @@
     CH_REQUEST_MOST_TOKENS = 128 * 1024,
     CH_REQUEST_USUAL_TOKENS = 256, /* when the caller states no bound */
     CH_REQUEST_MOST_DEADLINE_MS = 24 * 60 * 60 * 1000,
+    CH_REQUEST_MOST_CONTEXT = 16 * 1024 * 1024, /* tokens; no engine has more */
+    CH_REQUEST_MOST_PARTS = 64, /* of a prompt; callers use a handful */
 };
 
 /* What came over HTTP.  Header values are NULL when they did not come. */
@@ -28,6 +31,16 @@
     const char *content_type;
     const void *body;
     size_t length;
+    /* Of a request whose class is chosen by host and path. */
+    const char *host;
+    const char *request_id; /* the caller's own */
+    const char *model;      /* "model" or "model/adapter" */
+    const char *resume_id;  /* of the last event that the caller has */
+    uint32_t prompt_tokens;
+    uint32_t output_tokens;
+    struct ch_part parts[CH_REQUEST_MOST_PARTS];
+    size_t part_count;
+    GArray *passed; /* struct ch_http_header: goes on to the upstream */
 };
 
 enum ch_request_kind {
@@ -56,6 +69,16 @@
     int64_t deadline;     /* when the caller stops waiting; 0: not stated */
     uint64_t fingerprint; /* of method, path and body */
     struct ch_work work;
+    /* Of a request whose class is chosen by host and path. */
+    bool routed;
+    char *request_id;
+    char *resume_id;
+    struct ch_http_header *headers; /* go on to the upstream */
+    size_t header_count;
+    struct ch_part *parts;
+    int64_t gap;              /* target: longest pause between events */
+    int64_t first_byte_limit; /* 0: the node's */
+    int64_t stall_limit;      /* 0: the node's */
 };
 
 /* What is wrong with a request: which field, and why. */
@@ -72,6 +95,16 @@
                                     const struct ch_request_input *input,
                                     int64_t now, struct ch_fault *fault);
 void ch_request_free(struct ch_request *request);
+/* The same where the class is chosen by host and path (request_route.c). */
+struct ch_request *
+ch_request_parse_routed(const struct ch_declaration *declaration,
+                        const struct ch_request_input *input, int64_t now,
+                        struct ch_fault *fault);
+/* Whether the request line's target may go on; false with *fault. */
+bool ch_request_check_uri(const char *uri, struct ch_fault *fault);
+/* Copies method, content type and body, and hashes what a repeat must equal. */
+void ch_request_copy_body(struct ch_request *request,
+                          const struct ch_request_input *input);
 
 /* ---- the body of a model call (model_body.c) ---- */
 
--- /dev/null
+++ b/libchestnuthitch/node/request_route.c
@@ -0,0 +1,255 @@
+/* A request whose class is chosen by its host and path. */
+
+#include "node/request.h"
+
+#include <string.h>
+
+enum {
+    /* Where a class states no target and no limit. */
+    USUAL_LIMIT = 60 * G_USEC_PER_SEC,
+    /*
+     * How long an upstream may leave a request that may be repeated without an
+     * answer, as a share of the target for it, before another is asked: early
+     * enough that the second can still make the target, late enough that a
+     * usual answer has come (engines answer within a tenth of a second when
+     * they are not full, plain services within a tenth of their target).
+     */
+    FIRST_BYTE_TENTHS = 6,
+    LEAST_FIRST_BYTE = 150 * 1000,
+    MOST_FIRST_BYTE = 2 * G_USEC_PER_SEC,
+    /* The same between two events, in times the longest pause that is still
+     * on time: four, and at least a second, are far beyond a batch that fills
+     * up, and well before callers give a stream up. */
+    STALL_PAUSES = 4,
+    LEAST_STALL = G_USEC_PER_SEC,
+};
+
+/* The service that takes the request: by weight, the same for the same id. */
+static int
+choose_service(const struct ch_class *class, const char *request_id)
+{
+    uint64_t total = 0;
+    for (size_t i = 0; i < class->share_count; i++) {
+        total += class->shares[i].weight;
+    }
+    if (total == 0) {
+        return class->share_count > 0 ? class->shares[0].service : -1;
+    }
+    uint64_t at = ch_hash_string(request_id) % total;
+    size_t share = 0;
+    while (at >= class->shares[share].weight) {
+        at -= class->shares[share].weight;
+        share++;
+    }
+    return class->shares[share].service;
+}
+
+/* The class for the host and path; NULL with *fault. */
+static const struct ch_class *
+take_class(struct ch_request *request,
+           const struct ch_declaration *declaration,
+           const struct ch_request_input *input, struct ch_fault *fault)
+{
+    if (input->host == NULL) {
+        ch_fault_set(fault, CH_BAD_FIELD, "Host", "no host is named");
+        return NULL;
+    }
+    char *host = g_strndup(input->host, strcspn(input->host, ":"));
+    int index = ch_declaration_route(declaration, host, input->uri,
+                                     strcspn(input->uri, "?"));
+    g_free(host);
+    if (index < 0) {
+        ch_fault_set(fault, CH_UNKNOWN_PATH, "path",
+                     "no class takes this host and path");
+        return NULL;
+    }
+    const struct ch_class *class = &declaration->classes[index];
+    request->path = g_strdup(input->uri);
+    request->class_name = g_strdup(class->name);
+    request->caller = g_strdup("");
+    request->tenant = g_strdup("other");
+    request->stream = class->stream;
+    request->first_token = class->first_token;
+    request->between_tokens = class->between_tokens;
+    request->whole_answer = class->whole_answer;
+    request->gap = class->gap;
+    request->work.class_name = g_quark_from_string(class->name);
+    request->work.idempotent = class->idempotent;
+    request->work.tries = MAX(class->tries, 1);
+    request->work.priority = class->priority;
+    return class;
+}
+
+/* Resolves the model and adapter that the request names. */
+static bool
+take_model(struct ch_request *request,
+           const struct ch_declaration *declaration, int service,
+           const struct ch_request_input *input, struct ch_fault *fault)
+{
+    if (input->model == NULL) {
+        ch_fault_set(fault, CH_BAD_FIELD, "model", "no model is named");
+        return false;
+    }
+    size_t length = strcspn(input->model, "/");
+    request->model = g_strndup(input->model, length);
+    int index = ch_declaration_model(declaration, request->model);
+    const struct ch_model *model =
+        index < 0 ? NULL : &declaration->models[index];
+    if (model == NULL || !model->services[service]) {
+        ch_fault_set(fault, CH_UNKNOWN_MODEL, "model",
+                     "the service has no such model");
+        return false;
+    }
+    request->kind = CH_REQUEST_MODEL_CALL;
+    request->work.model = g_quark_from_string(model->name);
+    request->work.model_mb = model->memory_mb;
+    if (input->model[length] == '\0') {
+        return true;
+    }
+    request->adapter = g_strdup(input->model + length + 1);
+    if (!ch_declaration_numbered(model, request->adapter)) {
+        ch_fault_set(fault, CH_UNKNOWN_MODEL, "model",
+                     "the model has no such adapter");
+        return false;
+    }
+    request->work.adapter = g_quark_from_string(input->model);
+    request->work.adapter_mb = model->adapter_memory_mb;
+    return true;
+}
+
+/* Resolves the service, and the model where its upstreams are engines. */
+static bool
+take_target(struct ch_request *request,
+            const struct ch_declaration *declaration,
+            const struct ch_class *class, const struct ch_request_input *input,
+            struct ch_fault *fault)
+{
+    int index = choose_service(class, input->request_id);
+    if (index < 0) {
+        ch_fault_set(fault, CH_UNKNOWN_SERVICE, "path",
+                     "the class has no service");
+        return false;
+    }
+    const struct ch_service *service = &declaration->services[index];
+    request->work.pool = g_quark_from_string(service->name);
+    if (service->memory_mb > 0) {
+        return take_model(request, declaration, index, input, fault);
+    }
+    request->kind = CH_REQUEST_SERVICE_CALL;
+    request->model = g_strdup(service->name);
+    request->work.service = true;
+    request->work.model = request->work.pool;
+    return true;
+}
+
+/* Sets by when what is to come, and how long an upstream may be silent. */
+static void
+set_times(struct ch_request *request, const struct ch_class *class,
+          int64_t now)
+{
+    struct ch_work *work = &request->work;
+    int64_t limit = class->time_limit > 0 ? class->time_limit : USUAL_LIMIT;
+    request->deadline = request->deadline == 0
+                            ? now + limit
+                            : MIN(request->deadline, now + limit);
+    int64_t target =
+        class->stream ? class->first_token : class->whole_answer;
+    work->arrived = now;
+    work->first_by = target > 0 ? now + target : request->deadline;
+    work->first_by = MIN(work->first_by, request->deadline);
+    work->whole_by = request->deadline;
+    request->first_byte_limit = request->deadline - now;
+    request->stall_limit = request->deadline - now;
+    if (class->idempotent && class->tries > 1 && target > 0) {
+        request->first_byte_limit =
+            CLAMP(target * FIRST_BYTE_TENTHS / 10, LEAST_FIRST_BYTE,
+                  MOST_FIRST_BYTE);
+        request->stall_limit = MAX(class->gap * STALL_PAUSES, LEAST_STALL);
+    }
+}
+
+/* Takes the time for which the caller waits. */
+static bool
+take_deadline(struct ch_request *request, const struct ch_request_input *input,
+              int64_t now, struct ch_fault *fault)
+{
+    guint64 wait = 0;
+    if (input->deadline_ms == NULL) {
+        return true;
+    }
+    if (!g_ascii_string_to_unsigned(input->deadline_ms, 10, 0,
+                                    CH_REQUEST_MOST_DEADLINE_MS, &wait,
+                                    NULL)) {
+        ch_fault_set(fault, CH_BAD_FIELD, "deadline",
+                     "the deadline is not a whole number up to %d",
+                     CH_REQUEST_MOST_DEADLINE_MS);
+        return false;
+    }
+    request->deadline = now + MAX((int64_t)wait, 1) * 1000;
+    return true;
+}
+
+/* Copies what goes on to the upstream as it came. */
+static void
+copy_passed(struct ch_request *request, const struct ch_request_input *input)
+{
+    request->header_count = input->passed->len;
+    request->headers = g_new0(struct ch_http_header, input->passed->len + 1);
+    for (guint i = 0; i < input->passed->len; i++) {
+        const struct ch_http_header *header =
+            &g_array_index(input->passed, struct ch_http_header, i);
+        request->headers[i].name = g_strdup(header->name);
+        request->headers[i].value = g_strdup(header->value);
+    }
+    request->resume_id = g_strdup(input->resume_id);
+    request->parts = g_memdup2(input->parts, sizeof(struct ch_part) *
+                                                 MAX(input->part_count, 1));
+    request->work.parts = request->parts;
+    request->work.part_count = input->part_count;
+    request->work.prompt_tokens = input->prompt_tokens;
+    request->work.output_tokens = input->output_tokens;
+}
+
+/* Fills in the request; false with *fault at the first thing wrong. */
+static bool
+take_all(struct ch_request *request, const struct ch_declaration *declaration,
+         const struct ch_request_input *input, int64_t now,
+         struct ch_fault *fault)
+{
+    if (!ch_request_check_uri(input->uri, fault)) {
+        return false;
+    }
+    if (input->request_id == NULL || input->request_id[0] == '\0' ||
+        strlen(input->request_id) > CH_REQUEST_MOST_NAME) {
+        ch_fault_set(fault, CH_BAD_FIELD, "request id",
+                     "the request bears no id of 1 to %d bytes",
+                     CH_REQUEST_MOST_NAME);
+        return false;
+    }
+    request->request_id = g_strdup(input->request_id);
+    const struct ch_class *class =
+        take_class(request, declaration, input, fault);
+    if (class == NULL || !take_deadline(request, input, now, fault) ||
+        !take_target(request, declaration, class, input, fault)) {
+        return false;
+    }
+    copy_passed(request, input);
+    ch_request_copy_body(request, input);
+    set_times(request, class, now);
+    return true;
+}
+
+/* See request.h. */
+struct ch_request *
+ch_request_parse_routed(const struct ch_declaration *declaration,
+                        const struct ch_request_input *input, int64_t now,
+                        struct ch_fault *fault)
+{
+    struct ch_request *request = g_new0(struct ch_request, 1);
+    request->routed = true;
+    if (!take_all(request, declaration, input, now, fault)) {
+        ch_request_free(request);
+        return NULL;
+    }
+    return request;
+}
--- a/libchestnuthitch/platform/hosts.c
+++ b/libchestnuthitch/platform/hosts.c
@@ -219,6 +219,19 @@
     return list;
 }
 
+/* See platform.h. */
+void
+ch_host_clear(struct ch_host *host)
+{
+    g_free(host->name);
+    g_free(host->address);
+    g_free(host->region);
+    g_free(host->data_centre);
+    g_free(host->service);
+    g_strfreev(host->resident);
+    g_strfreev(host->copies);
+}
+
 /* Frees a list with its hosts; NULL is fine. */
 void
 ch_host_list_free(struct ch_host_list *list)
@@ -227,12 +240,7 @@
         return;
     }
     for (size_t i = 0; i < list->count; i++) {
-        struct ch_host *host = &list->hosts[i];
-        g_free(host->name);
-        g_free(host->address);
-        g_free(host->region);
-        g_free(host->data_centre);
-        g_free(host->service);
+        ch_host_clear(&list->hosts[i]);
     }
     g_free(list->hosts);
     g_free(list);
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -26,6 +26,15 @@
     uint64_t revision;
 };
 
+/* Entries below a prefix as they were at a revision, or what has changed. */
+struct ch_kv_range {
+    enum ch_code code; /* OK, KV_MISSING (a watch: nothing changed within its
+                          wait), KV_HISTORY_GONE, KV_UNREACHABLE */
+    const struct ch_kv_entry *entries; /* value NULL: the key was removed */
+    size_t count;
+    uint64_t at; /* the service's revision */
+};
+
 struct ch_kv;
 
 struct ch_kv_ops {
@@ -50,6 +59,37 @@
                  void (*done)(void *data, enum ch_code code,
                               const struct ch_kv_entry *entries, size_t count),
                  void *data);
+    /*
+     * The rest is NULL where the service has no such calls.  range: the keys
+     * below a prefix; changes: waits for what changes there after a revision.
+     */
+    void (*range)(struct ch_kv *kv, const char *prefix,
+                  void (*done)(void *data, const struct ch_kv_range *range),
+                  void *data);
+    void (*changes)(struct ch_kv *kv, const char *prefix, uint64_t after,
+                    int64_t wait,
+                    void (*done)(void *data, const struct ch_kv_range *range),
+                    void *data);
+    /* Keys written under a lease go when it ends; ttl in microseconds, from
+       when the service takes the call.  value of the answer is empty, revision
+       the lease's number. */
+    void (*lease)(struct ch_kv *kv, int64_t ttl,
+                  void (*done)(void *data, const struct ch_kv_answer *answer),
+                  void *data);
+    /* KV_MISSING: it has ended. */
+    void (*renew)(struct ch_kv *kv, uint64_t lease,
+                  void (*done)(void *data, const struct ch_kv_answer *answer),
+                  void *data);
+    void (*end_lease)(struct ch_kv *kv, uint64_t lease,
+                      void (*done)(void *data,
+                                   const struct ch_kv_answer *answer),
+                      void *data);
+    /* As put, under a lease; KV_MISSING: there is no such lease. */
+    void (*put_leased)(struct ch_kv *kv, const char *key, const void *value,
+                       size_t length, uint64_t revision, uint64_t lease,
+                       void (*done)(void *data,
+                                    const struct ch_kv_answer *answer),
+                       void *data);
     void (*free)(struct ch_kv *kv);
 };
 
@@ -80,8 +120,18 @@
     uint32_t accelerators;
     uint32_t batch; /* most requests at once; 0: not stated */
     bool leaving;
+    /* What an engine tells of itself there; empty where the list has none. */
+    uint64_t boot;       /* another number after each start; 0: not told */
+    uint64_t order_count; /* orders it has taken since its start */
+    int64_t leaves_in;   /* it is gone after this; 0: not told */
+    int64_t slow_for;    /* it works slowly for so long after its start */
+    char **resident;     /* "model" and "model/adapter"; NULL: none */
+    char **copies;       /* models of which it keeps a copy near by */
 };
 
+/* Frees what a host holds, not the struct. */
+void ch_host_clear(struct ch_host *host);
+
 struct ch_host_list {
     struct ch_host *hosts;
     size_t count;
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -31,7 +31,9 @@
     bool id_missing;
     bool not_run;
     bool framed; /* Content-Length or chunks: its end can be told */
+    bool proven; /* the proof came, where one is asked for */
     char *content_type;
+    GArray *headers; /* struct ch_http_header, to be passed on */
     /* Of its course. */
     bool judged; /* the head was looked at, by judge_head() */
     bool is_stream;
@@ -44,6 +46,15 @@
     bool told; /* on_end was called */
 };
 
+/* Frees the strings of a header that is to be passed on. */
+static void
+clear_header(void *data)
+{
+    struct ch_http_header *header = data;
+    g_free((char *)header->name);
+    g_free((char *)header->value);
+}
+
 /* Gives one reference back; the last one frees the course. */
 static void
 course_unref(struct course *course)
@@ -51,6 +62,7 @@
     if (!g_atomic_int_dec_and_test(&course->references)) {
         return;
     }
+    g_array_free(course->headers, TRUE);
     ch_sse_clear(&course->sse);
     g_free(course->request_id);
     g_free(course->event_id);
@@ -91,6 +103,10 @@
 static bool
 is_refusal(const struct course *course)
 {
+    if (course->rules.passes_headers) {
+        return course->status == 421 ||
+               (course->not_run && course->status >= 400);
+    }
     return course->not_run && (course->status == 429 || course->status == 503);
 }
 
@@ -98,7 +114,13 @@
 static void
 find_fault_of_head(struct course *course)
 {
-    if (!course->id_matches) {
+    if (is_refusal(course) && course->id_missing &&
+        course->rules.passes_headers) {
+        /* It says that nothing was run; whose it is makes no difference to
+         * a request that was sent alone on its connection. */
+        fail(course, CH_UPSTREAM_REFUSED, "the upstream refused the request");
+    }
+    else if (!course->id_matches) {
         fail_crossed(course, course->id_missing
                                  ? "the answer bears no request id"
                                  : "the answer bears another request's id");
@@ -112,6 +134,10 @@
                        course->status);
         fail(course, CH_UPSTREAM_ANSWER, text);
     }
+    else if (course->rules.proof_header != NULL && !course->proven &&
+             course->status < 300) {
+        fail(course, CH_UPSTREAM_ANSWER, "the answer bears no signature");
+    }
 }
 
 /* See upstream.h. */
@@ -137,6 +163,12 @@
     }
     course->is_stream = ch_call_is_stream(course->stream_asked, course->status,
                                           course->content_type);
+    if (course->handlers.on_headers != NULL && course->rules.passes_headers) {
+        course->handlers.on_headers(
+            course->data,
+            (const struct ch_http_header *)(void *)course->headers->data,
+            course->headers->len);
+    }
     course->handlers.on_head(course->data, course->status,
                              course->content_type);
 }
@@ -149,7 +181,7 @@
     if (course->done || course->failure != CH_OK) {
         return;
     }
-    if (ch_sse_is_done(text, length)) {
+    if (!course->rules.ends_by_framing && ch_sse_is_done(text, length)) {
         course->done = true;
         return;
     }
@@ -171,7 +203,8 @@
     if (!end->sent) {
         return false;
     }
-    return !(course->failure == CH_UPSTREAM_REFUSED && course->id_matches);
+    return !(course->failure == CH_UPSTREAM_REFUSED &&
+             (course->id_matches || course->rules.passes_headers));
 }
 
 /* Tells the owner how the call ended, once. */
@@ -206,13 +239,43 @@
     }
 }
 
+/* Whether a header concerns one connection alone (RFC 9110, 7.6.1), or says how
+ * the body is framed, which the listener says anew. */
+static bool
+is_hop_header(const char *name)
+{
+    static const char *const names[] = {
+        "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
+        "Transfer-Encoding", "Upgrade",    "Content-Length",   "Trailer",
+        "Date",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcasecmp(name, names[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Keeps a header that goes on to the caller. */
+static void
+keep_header(struct course *course, const char *name, const char *value)
+{
+    if (!course->rules.passes_headers || is_hop_header(name)) {
+        return;
+    }
+    const struct ch_http_header header = {g_strdup(name), g_strdup(value)};
+    g_array_append_val(course->headers, header);
+}
+
 /* Notes the headers that matter here.  An answer to another request is given
  * up at once, so that its connection serves no further call. */
 static void
 header_came(void *data, const char *name, const char *value)
 {
     struct course *course = data;
-    if (strcasecmp(name, "X-Request-Id") == 0) {
+    keep_header(course, name, value);
+    if (strcasecmp(name, course->rules.id_header) == 0) {
         course->id_missing = false;
         course->id_matches = strcmp(value, course->request_id) == 0;
         if (!course->id_matches && !course->judged) {
@@ -220,7 +283,11 @@
             give_up(course);
         }
     }
-    else if (strcasecmp(name, "X-Not-Run") == 0) {
+    else if (course->rules.proof_header != NULL &&
+             strcasecmp(name, course->rules.proof_header) == 0) {
+        course->proven = true;
+    }
+    else if (strcasecmp(name, course->rules.not_run_header) == 0) {
         course->not_run = strcmp(value, "1") == 0;
     }
     else if (strcasecmp(name, "Content-Type") == 0) {
@@ -271,10 +338,19 @@
 {
     bool bodiless =
         course->head_request || course->status == 204 || course->status == 304;
-    if (course->is_stream && !course->done) {
+    if (course->is_stream && course->rules.ends_by_framing) {
+        if (ch_sse_is_partial(&course->sse)) {
+            fail(course, CH_UPSTREAM_CUT, "the stream ended within an event");
+        }
+        else if (!course->framed && !course->rules.may_be_unframed) {
+            fail(course, CH_UPSTREAM_CUT, "the stream's end can't be told");
+        }
+    }
+    else if (course->is_stream && !course->done) {
         fail(course, CH_UPSTREAM_CUT, "the stream ended without [DONE]");
     }
-    else if (!course->is_stream && !course->framed && !bodiless) {
+    else if (!course->is_stream && !course->framed && !bodiless &&
+             !course->rules.may_be_unframed) {
         fail(course, CH_UPSTREAM_CUT,
              "the answer has neither Content-Length nor chunks");
     }
@@ -298,29 +374,6 @@
     course_unref(course);
 }
 
-/* Fills in the headers; returns how many. */
-static size_t
-fill_headers(const struct ch_call *call, char *priority, char *resume,
-             struct ch_http_header *headers)
-{
-    size_t count = 0;
-    headers[count++] =
-        (struct ch_http_header){"X-Request-Id", call->request_id};
-    headers[count++] = (struct ch_http_header){"X-Priority", priority};
-    if (call->content_type != NULL) {
-        headers[count++] =
-            (struct ch_http_header){"Content-Type", call->content_type};
-    }
-    if (call->resume_from > 0) {
-        headers[count++] = (struct ch_http_header){"X-Resume-From", resume};
-    }
-    if (call->idempotency_key != NULL) {
-        headers[count++] =
-            (struct ch_http_header){"Idempotency-Key", call->idempotency_key};
-    }
-    return count;
-}
-
 /* The course of a call, not yet begun. */
 static struct course *
 course_new(struct ch_client *client, struct ch_http *http,
@@ -330,21 +383,29 @@
     course->client = client;
     course->http = http;
     course->rules = *rules;
+    /* The upstream's word on a request that can't be repeated is all that its
+     * caller will get. */
+    if (rules->passes_headers && !call->may_repeat) {
+        course->rules.server_errors_fail = false;
+    }
     course->request_id = g_strdup(call->request_id);
     course->event_id = g_strconcat("cmpl-", call->request_id, NULL);
     course->stream_asked = call->stream;
     course->head_request = strcmp(call->method, "HEAD") == 0;
     course->failure = CH_OK;
+    course->headers = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+    g_array_set_clear_func(course->headers, clear_header);
     ch_sse_init(&course->sse);
     return course;
 }
 
 /* Begins a call; the handle is for ch_http_cancel(). */
 uint64_t
-ch_call_start(struct ch_client *client, struct ch_http *http,
-              const char *address, const struct ch_call_rules *rules,
-              const struct ch_call *call,
-              const struct ch_call_handlers *handlers, void *data)
+ch_call_start_with(struct ch_client *client, struct ch_http *http,
+                   const char *address, const struct ch_call_rules *rules,
+                   const struct ch_call *call,
+                   const struct ch_http_header *headers, size_t count,
+                   const struct ch_call_handlers *handlers, void *data)
 {
     static const struct ch_http_handlers http_handlers = {
         .on_head = head_came,
@@ -355,23 +416,18 @@
     struct course *course = course_new(client, http, rules, call);
     course->handlers = *handlers;
     course->data = data;
-    char priority[16];
-    char resume[16];
-    struct ch_http_header headers[CH_CALL_MOST_HEADERS];
-    (void)snprintf(priority, sizeof(priority), "%u", call->priority);
-    (void)snprintf(resume, sizeof(resume), "%u", call->resume_from);
     char *url = g_strdup_printf("http://%s%s", address, call->path);
     struct ch_http_request request = {
         .method = call->method,
         .url = url,
         .headers = headers,
-        .header_count = fill_headers(call, priority, resume, headers),
+        .header_count = count,
         .body = call->body,
         .body_length = call->body_length,
         .connect_limit = call->connect_limit,
         .first_byte_limit = call->first_byte_limit,
         .stall_limit = call->stall_limit,
-        .fresh_connection = !call->may_repeat,
+        .fresh_connection = !call->may_repeat || call->fresh,
         /* Else a call that ran, was cut and is sent again by libcurl would
          * bear the outcome of the second sending alone: an engine that starts
          * anew refuses that one, and the caller would be told not-run. */
@@ -384,3 +440,34 @@
     g_free(url);
     return handle;
 }
+
+/* The same, to an upstream of our own interface. */
+uint64_t
+ch_call_start(struct ch_client *client, struct ch_http *http,
+              const char *address, const struct ch_call_rules *rules,
+              const struct ch_call *call,
+              const struct ch_call_handlers *handlers, void *data)
+{
+    char priority[16];
+    char resume[16];
+    struct ch_http_header headers[5];
+    size_t count = 0;
+    (void)snprintf(priority, sizeof(priority), "%u", call->priority);
+    (void)snprintf(resume, sizeof(resume), "%u", call->resume_from);
+    headers[count++] =
+        (struct ch_http_header){rules->id_header, call->request_id};
+    headers[count++] = (struct ch_http_header){"X-Priority", priority};
+    if (call->content_type != NULL) {
+        headers[count++] =
+            (struct ch_http_header){"Content-Type", call->content_type};
+    }
+    if (call->resume_from > 0) {
+        headers[count++] = (struct ch_http_header){"X-Resume-From", resume};
+    }
+    if (call->idempotency_key != NULL) {
+        headers[count++] =
+            (struct ch_http_header){"Idempotency-Key", call->idempotency_key};
+    }
+    return ch_call_start_with(client, http, address, rules, call, headers,
+                              count, handlers, data);
+}
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -26,6 +26,7 @@
             const struct ch_call_handlers *handlers, void *data)
 {
     static const struct ch_call_rules rules = {
+        CH_CALL_OWN_RULES,
         .server_errors_fail = true,
         .events_have_ids = true,
     };
--- a/libchestnuthitch/upstream/service.c
+++ b/libchestnuthitch/upstream/service.c
@@ -15,6 +15,7 @@
              const struct ch_call_handlers *handlers, void *data)
 {
     static const struct ch_call_rules rules = {
+        CH_CALL_OWN_RULES,
         .server_errors_fail = false,
         .events_have_ids = false,
     };
--- a/libchestnuthitch/upstream/sse.c
+++ b/libchestnuthitch/upstream/sse.c
@@ -74,6 +74,13 @@
     return !sse->failed;
 }
 
+/* See sse.h. */
+bool
+ch_sse_is_partial(const struct ch_sse *sse)
+{
+    return sse->event->len > 0 || sse->line->len > 0;
+}
+
 /* Looks at the first line alone: the end mark is an event of one line. */
 bool
 ch_sse_is_done(const char *text, size_t length)
--- a/libchestnuthitch/upstream/sse.h
+++ b/libchestnuthitch/upstream/sse.h
@@ -28,6 +28,8 @@
 bool ch_sse_feed(struct ch_sse *sse, const char *bytes, size_t length,
                  void (*event)(void *data, const char *text, size_t length),
                  void *data);
+/* True when some bytes of an event came and its end did not. */
+bool ch_sse_is_partial(const struct ch_sse *sse);
 /* True when the event's data is the end mark [DONE]. */
 bool ch_sse_is_done(const char *text, size_t length);
 /* True when the event's JSON has the member "id" with this value. */
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -21,7 +21,13 @@
     bool stream;          /* server-sent events are expected */
     bool may_repeat;      /* false: fresh connection, never sent twice */
     uint32_t resume_from; /* token events that the caller already has */
+    const char *resume_id; /* id of the last event that it has; or NULL */
     uint32_t priority;
+    /* What came with the request and goes on with it; NULL: nothing. */
+    const struct ch_http_header *headers;
+    size_t header_count;
+    int64_t time_left; /* until the caller gives up; 0: not stated */
+    bool fresh;        /* on a new connection, though it may be repeated */
     int64_t connect_limit;
     int64_t first_byte_limit;
     int64_t stall_limit;
@@ -42,6 +48,10 @@
  * them; of a plain answer, bytes as they come.
  */
 struct ch_call_handlers {
+    /* Before on_head, of upstreams whose headers go on to the caller; may be
+       NULL. */
+    void (*on_headers)(void *data, const struct ch_http_header *headers,
+                       size_t count);
     void (*on_head)(void *data, int status, const char *content_type);
     void (*on_data)(void *data, const char *bytes, size_t length);
     void (*on_end)(void *data, const struct ch_call_end *end);
@@ -64,6 +74,13 @@
     enum ch_order_action action;
     const char *model;
     const char *adapter; /* NULL: the model itself */
+    /* Orders that the engine has taken before this one; it refuses the order
+       when there were others.  ANY: not checked. */
+    int64_t expected;
+};
+
+enum {
+    CH_ORDER_EXPECT_ANY = -1,
 };
 
 struct ch_resident {
@@ -81,6 +98,10 @@
     uint32_t running;
     uint32_t waiting;
     bool leaving;
+    bool busy;             /* an order is being carried out */
+    uint64_t orders_taken; /* since its start; 0 where it is not told */
+    uint32_t context_used; /* tokens that can't give way */
+    char **coming;         /* adapters on their way; NULL where not told */
 };
 
 void ch_report_free(struct ch_report *report);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -120,7 +120,7 @@
 
 struct home_job {
     struct world *world;
-    struct ch_homes_handlers handlers;
+    struct ch_router_handlers handlers;
     void *data;
     enum home_act act;
     uint64_t handle;
@@ -151,7 +151,7 @@
 uint64_t
 ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
                  const GArray *excluded,
-                 const struct ch_homes_handlers *handlers, void *data)
+                 const struct ch_router_handlers *handlers, void *data)
 {
     struct world *world = homes->world;
     pthread_mutex_lock(&world->lock);
--- a/tests/threaded/test_homes.c
+++ b/tests/threaded/test_homes.c
@@ -159,7 +159,7 @@
 static uint64_t
 ask(struct world *world)
 {
-    static const struct ch_homes_handlers handlers = {
+    static const struct ch_router_handlers handlers = {
         .granted = on_granted,
         .refused = on_refused,
     };
