--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -205,6 +205,28 @@
 
 /* ---- changes ---- */
 
+/* Says what became of an upstream or a node.  Lock held. */
+static void
+log_entry(const struct feed *feed, const struct ch_host *host,
+          const char *what)
+{
+    char *resident = host->resident == NULL
+                         ? NULL
+                         : g_strjoinv(" ", (char **)host->resident);
+    char *copies = host->copies == NULL
+                       ? NULL
+                       : g_strjoinv(" ", (char **)host->copies);
+    ch_log(feed->roster->node->client, CH_LOG_INFO, "listed",
+           CH_F_STR("host", host->name), CH_F_STR("state", what),
+           CH_F_BOOL("leaving", host->leaving),
+           CH_F_STR("data_centre", host->data_centre),
+           CH_F_STR("service", host->service),
+           CH_F_STR("resident", resident), CH_F_STR("copies", copies),
+           CH_F_INT("order_count", host->order_count), CH_F_END);
+    g_free(resident);
+    g_free(copies);
+}
+
 /* Puts an entry in place of what the key had.  One that can't be read names
  * nothing to use; what its key named before is left as it was, since a stranger
  * may have written over it.  Lock held. */
@@ -215,6 +237,7 @@
     if (!parse_entry(feed, from, &host)) {
         return;
     }
+    log_entry(feed, &host, "there");
     struct entry *entry = g_new0(struct entry, 1);
     entry->host = host;
     g_hash_table_replace(feed->entries, g_strdup(from->key), entry);
@@ -231,6 +254,7 @@
     }
     bool lapsed = feed == &feed->roster->nodes ||
                   (feed->troubled != 0 && now - feed->troubled < feed->grace);
+    log_entry(feed, &entry->host, lapsed ? "vanished" : "gone");
     if (!lapsed) {
         g_hash_table_remove(feed->entries, key);
         return;
