--- /dev/null
+++ b/libchestnuthitch/decide/arrange.c
@@ -0,0 +1,419 @@
+/* Which models come and go on the engines of one data centre. */
+
+#include "decide/arrange.h"
+
+/* Requests that run at once on one replica before another is worth a load: an
+ * engine reads a usual prompt in 60 ms and writes a usual answer in two
+ * seconds, so that beyond eight or so first tokens wait for one another. */
+static const double busy_replica = 6;
+/* A model must be asked for this many times as much as the one that goes. */
+static const double clear_gain = 2;
+/* A request that waits for a model says more than one that runs. */
+static const double waiting_weight = 3;
+
+/* What is decided upon: the state, and what was ordered in this round. */
+struct round {
+    const struct ch_arrange_state *state;
+    uint32_t loads_left;
+    uint32_t changing;
+    GArray *out;
+};
+
+/* ---- looking ---- */
+
+/* An engine's item, or NULL. */
+static const struct ch_arrange_item *
+find_item(const struct ch_arrange_engine *engine, GQuark model)
+{
+    for (size_t i = 0; i < engine->item_count; i++) {
+        if (engine->items[i].model == model) {
+            return &engine->items[i];
+        }
+    }
+    return NULL;
+}
+
+/* Whether the engine has a copy of the model near by. */
+static bool
+has_copy(const struct ch_arrange_engine *engine, GQuark model)
+{
+    for (size_t i = 0; i < engine->copy_count; i++) {
+        if (engine->copies[i] == model) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the engine's service may hold the model. */
+static bool
+may_hold(const struct ch_arrange_engine *engine,
+         const struct ch_arrange_model *model)
+{
+    for (size_t i = 0; i < model->service_count; i++) {
+        if (model->services[i] == engine->service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The model of that name, or NULL: the configuration has dropped it. */
+static const struct ch_arrange_model *
+find_model(const struct round *round, GQuark name)
+{
+    for (size_t i = 0; i < round->state->model_count; i++) {
+        if (round->state->models[i].name == name) {
+            return &round->state->models[i];
+        }
+    }
+    return NULL;
+}
+
+/* Engines that hold the model or are loading it, and stay. */
+static unsigned
+replicas_of(const struct round *round, GQuark model)
+{
+    unsigned count = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        const struct ch_arrange_item *item = find_item(engine, model);
+        if (!engine->leaving && item != NULL &&
+            item->state != CH_ITEM_UNLOADING) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Requests for each replica, if there were `replicas`. */
+static double
+pressure(const struct ch_arrange_model *model, unsigned replicas)
+{
+    double asked = model->running + waiting_weight * model->waiting;
+    return asked / MAX(replicas, 1);
+}
+
+/* Memory that is not taken, nor kept for adapters. */
+static uint32_t
+free_of(const struct round *round, const struct ch_arrange_engine *engine)
+{
+    uint64_t used = engine->reserve_mb;
+    for (size_t i = 0; i < engine->item_count; i++) {
+        const struct ch_arrange_model *model =
+            find_model(round, engine->items[i].model);
+        used += model == NULL ? 0 : model->memory_mb;
+    }
+    return used < engine->memory_mb ? engine->memory_mb - (uint32_t)used : 0;
+}
+
+/* Whether this engine is to be changed now. */
+static bool
+is_open(const struct ch_arrange_engine *engine)
+{
+    return engine->mine && engine->open && !engine->leaving;
+}
+
+/* ---- ordering ---- */
+
+/* Appends an order. */
+static void
+order(struct round *round, enum ch_action_kind kind,
+      const struct ch_arrange_engine *engine, GQuark model, const char *reason)
+{
+    const struct ch_arrange_action action = {
+        .kind = kind,
+        .engine = engine->name,
+        .model = model,
+        .from_store =
+            kind == CH_ACTION_LOAD && !has_copy(engine, model),
+        .reason = reason,
+    };
+    if (action.from_store) {
+        round->loads_left--;
+    }
+    round->changing++;
+    g_array_append_val(round->out, action);
+}
+
+/* Whether the engine was given an order in this round. */
+static bool
+is_ordered(const struct round *round, const struct ch_arrange_engine *engine)
+{
+    for (guint i = 0; i < round->out->len; i++) {
+        if (g_array_index(round->out, struct ch_arrange_action, i).engine ==
+            engine->name) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a load there may begin now: one from the weight store counts. */
+static bool
+may_load(const struct round *round, const struct ch_arrange_engine *engine,
+         GQuark model)
+{
+    return has_copy(engine, model) || round->loads_left > 0;
+}
+
+/* ---- room ---- */
+
+/* The model on the engine that is missed least if it goes, so that at least
+ * `memory_mb` are free then; 0: none may go.  most: what it may be asked for
+ * at the replicas that stay. */
+static GQuark
+victim_on(const struct round *round, const struct ch_arrange_engine *engine,
+          uint32_t memory_mb, double most, double *asked)
+{
+    GQuark best = 0;
+    uint32_t room = free_of(round, engine);
+    for (size_t i = 0; i < engine->item_count; i++) {
+        const struct ch_arrange_item *item = &engine->items[i];
+        const struct ch_arrange_model *model = find_model(round, item->model);
+        unsigned replicas = replicas_of(round, item->model);
+        if (item->state != CH_ITEM_RESIDENT || model == NULL ||
+            replicas < 2 || room + model->memory_mb < memory_mb) {
+            continue;
+        }
+        double left = pressure(model, replicas - 1);
+        if (left <= most && (best == 0 || left < *asked)) {
+            best = item->model;
+            *asked = left;
+        }
+    }
+    return best;
+}
+
+/* ---- reachability ---- */
+
+/* Whether this data centre is the one that brings back a model which nobody
+ * holds: the same for every node, by rendezvous among those with engines. */
+static bool
+is_chosen_centre(const struct round *round,
+                 const struct ch_arrange_model *model)
+{
+    GQuark best = 0;
+    uint64_t best_weight = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        uint64_t weight = ch_hash_pair(
+            ch_hash_string(g_quark_to_string(model->name)),
+            ch_hash_string(g_quark_to_string(engine->data_centre)));
+        if (!engine->leaving && may_hold(engine, model) &&
+            (best == 0 || weight > best_weight)) {
+            best = engine->data_centre;
+            best_weight = weight;
+        }
+    }
+    return best == round->state->data_centre;
+}
+
+/*
+ * Load: the last engine that held a model has crashed or leaves.  Harm
+ * prevented: the model is out of reach until somebody asks for it, and then
+ * for as long as its load takes.  It is brought back at once, where there is
+ * room, else in place of a model that others hold too; a quick copy is worth
+ * more than an idle engine.
+ */
+static void
+restore(struct round *round, const struct ch_arrange_model *model)
+{
+    const struct ch_arrange_engine *best = NULL;
+    GQuark best_victim = 0;
+    double best_cost = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        if (!is_open(engine) || is_ordered(round, engine) ||
+            !may_hold(engine, model) ||
+            !may_load(round, engine, model->name)) {
+            continue;
+        }
+        double asked = 0;
+        GQuark victim = 0;
+        if (free_of(round, engine) < model->memory_mb) {
+            victim = victim_on(round, engine, model->memory_mb, G_MAXDOUBLE,
+                               &asked);
+            if (victim == 0) {
+                continue;
+            }
+        }
+        double cost = (has_copy(engine, model->name) ? 0 : 100) +
+                      (victim != 0 ? 50 : 0) + asked + engine->running / 16.0;
+        if (best == NULL || cost < best_cost) {
+            best = engine;
+            best_victim = victim;
+            best_cost = cost;
+        }
+    }
+    if (best != NULL) {
+        order(round, best_victim == 0 ? CH_ACTION_LOAD : CH_ACTION_UNLOAD,
+              best, best_victim == 0 ? model->name : best_victim,
+              "nobody holds the model");
+    }
+}
+
+/* ---- demand ---- */
+
+/*
+ * Load: demand that moves to another model within seconds.  Harm prevented: it
+ * queues at the few engines that hold the model while others stand idle.  A
+ * replica that is missed much less gives way on one engine at a time, a copy
+ * near by going first, since it loads in a second or two where the weight
+ * store needs eight.  Never the last replica of anything.
+ */
+static void
+shift(struct round *round, const struct ch_arrange_model *model)
+{
+    double asked = pressure(model, replicas_of(round, model->name));
+    const struct ch_arrange_engine *best = NULL;
+    GQuark best_victim = 0;
+    double best_cost = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        if (!is_open(engine) || is_ordered(round, engine) ||
+            !may_hold(engine, model) ||
+            find_item(engine, model->name) != NULL ||
+            !may_load(round, engine, model->name)) {
+            continue;
+        }
+        double left = 0;
+        GQuark victim = victim_on(round, engine, model->memory_mb,
+                                  asked / clear_gain, &left);
+        if (victim == 0) {
+            continue;
+        }
+        double cost = (has_copy(engine, model->name) ? 0 : 10) + left +
+                      engine->running / 16.0;
+        if (best == NULL || cost < best_cost) {
+            best = engine;
+            best_victim = victim;
+            best_cost = cost;
+        }
+    }
+    if (best != NULL) {
+        order(round, CH_ACTION_UNLOAD, best, best_victim,
+              "another model is asked for more");
+    }
+}
+
+/* ---- free room ---- */
+
+/* How much a further replica of the model on this engine is wanted. */
+static double
+want(const struct round *round, const struct ch_arrange_engine *engine,
+     const struct ch_arrange_model *model)
+{
+    unsigned replicas = replicas_of(round, model->name);
+    double want = pressure(model, replicas) / busy_replica + 1.0 / (replicas + 1);
+    if (has_copy(engine, model->name)) {
+        want += 0.2;
+    }
+    /* Apart from that in another order on each engine, so that idle models
+     * spread. */
+    uint64_t tie = ch_hash_pair(model->name, engine->name);
+    return want + 0.1 * (double)(tie % 1024) / 1024;
+}
+
+/*
+ * Load: none yet, or engines with room to spare.  Harm prevented: demand that
+ * moves to a model which a single engine holds, while memory stands empty.
+ * What is free is filled with the model that is asked for most, else with one
+ * that few engines hold; from the weight store only what is asked for, since
+ * its rate is needed when a model is lost.
+ */
+static void
+fill(struct round *round, const struct ch_arrange_engine *engine)
+{
+    const struct ch_arrange_model *best = NULL;
+    double best_want = 0;
+    uint32_t room = free_of(round, engine);
+    for (size_t i = 0; i < round->state->model_count; i++) {
+        const struct ch_arrange_model *model = &round->state->models[i];
+        bool busy = pressure(model, replicas_of(round, model->name)) >
+                    busy_replica;
+        if (model->memory_mb > room || !may_hold(engine, model) ||
+            find_item(engine, model->name) != NULL ||
+            !may_load(round, engine, model->name) ||
+            (!busy && !has_copy(engine, model->name))) {
+            continue;
+        }
+        double wanted = want(round, engine, model);
+        if (best == NULL || wanted > best_want) {
+            best = model;
+            best_want = wanted;
+        }
+    }
+    if (best != NULL) {
+        order(round, CH_ACTION_LOAD, engine, best->name, "there is room");
+    }
+}
+
+/* ---- the whole ---- */
+
+/* Engines of this data centre that are changing already. */
+static uint32_t
+count_changing(const struct ch_arrange_state *state)
+{
+    uint32_t count = 0;
+    for (size_t i = 0; i < state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &state->engines[i];
+        if (engine->mine && !engine->open && !engine->leaving) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* The busy model with the most requests for each replica that was not looked
+ * at in this round; NULL: none. */
+static const struct ch_arrange_model *
+next_busy(const struct round *round, double below)
+{
+    const struct ch_arrange_model *best = NULL;
+    double best_pressure = busy_replica;
+    for (size_t i = 0; i < round->state->model_count; i++) {
+        const struct ch_arrange_model *model = &round->state->models[i];
+        double asked = pressure(model, replicas_of(round, model->name));
+        if (asked > best_pressure && asked < below) {
+            best = model;
+            best_pressure = asked;
+        }
+    }
+    return best;
+}
+
+/* See arrange.h.  What is out of reach goes first, then room that is free,
+ * then what is asked for most. */
+void
+ch_arrange(const struct ch_arrange_state *state, GArray *out)
+{
+    struct round round = {
+        .state = state,
+        .loads_left = state->loads_left,
+        .changing = count_changing(state),
+        .out = out,
+    };
+    for (size_t i = 0; i < state->model_count; i++) {
+        const struct ch_arrange_model *model = &state->models[i];
+        if (replicas_of(&round, model->name) == 0 &&
+            is_chosen_centre(&round, model)) {
+            restore(&round, model);
+        }
+    }
+    for (size_t i = 0; i < state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &state->engines[i];
+        if (is_open(engine) && !is_ordered(&round, engine)) {
+            fill(&round, engine);
+        }
+    }
+    double below = G_MAXDOUBLE;
+    while (round.changing < state->most_changes) {
+        const struct ch_arrange_model *model = next_busy(&round, below);
+        if (model == NULL) {
+            break;
+        }
+        below = pressure(model, replicas_of(&round, model->name));
+        shift(&round, model);
+    }
+}
--- /dev/null
+++ b/libchestnuthitch/decide/arrange.h
@@ -0,0 +1,65 @@
+#ifndef CH_DECIDE_ARRANGE_H
+#define CH_DECIDE_ARRANGE_H
+
+/*
+ * Which models stand on which engines, where one node at a time has the right
+ * to order the engines of a data centre and sees what all engines hold.
+ * No sockets, no clock, no threads.
+ */
+
+#include "decide/policy.h"
+
+/* What an engine holds, or is about to. */
+struct ch_arrange_item {
+    GQuark model;
+    enum ch_item_state state;
+    uint32_t running; /* requests on it, where that is known */
+};
+
+struct ch_arrange_engine {
+    GQuark name;
+    GQuark service;
+    GQuark data_centre;
+    bool mine;    /* the deciding node may order it */
+    bool open;    /* it takes an order now */
+    bool leaving;
+    uint32_t memory_mb;
+    uint32_t reserve_mb; /* of it, for adapters */
+    uint32_t running;
+    const struct ch_arrange_item *items;
+    size_t item_count;
+    const GQuark *copies; /* models that load quickly here */
+    size_t copy_count;
+};
+
+struct ch_arrange_model {
+    GQuark name;
+    uint32_t memory_mb;
+    double running; /* requests in the whole fleet, smoothed */
+    double waiting; /* of which no engine has it */
+    const GQuark *services; /* whose engines may hold it */
+    size_t service_count;
+};
+
+struct ch_arrange_state {
+    const struct ch_arrange_engine *engines;
+    size_t engine_count;
+    const struct ch_arrange_model *models;
+    size_t model_count;
+    GQuark data_centre; /* that the deciding node orders */
+    uint32_t loads_left; /* from the weight store, now */
+    uint32_t most_changes; /* engines of the data centre changed at a time */
+};
+
+struct ch_arrange_action {
+    enum ch_action_kind kind; /* LOAD or UNLOAD */
+    GQuark engine;
+    GQuark model;
+    bool from_store;
+    const char *reason;
+};
+
+/* Appends the orders to give now: struct ch_arrange_action. */
+void ch_arrange(const struct ch_arrange_state *state, GArray *out);
+
+#endif
--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -140,6 +140,16 @@
     return false;
 }
 
+/* Puts names in place of others. */
+static void
+replace(GArray *names, const GQuark *by, size_t count)
+{
+    g_array_set_size(names, 0);
+    if (count > 0) {
+        g_array_append_vals(names, by, (guint)count);
+    }
+}
+
 /* Takes a name out of a list. */
 static void
 drop(GArray *names, GQuark name)
@@ -203,11 +213,7 @@
     seat->facts = *facts;
     seat->facts.resident = NULL;
     seat->listed = true;
-    g_array_set_size(seat->models, 0);
-    if (facts->resident_count > 0) {
-        g_array_append_vals(seat->models, facts->resident,
-                            (guint)facts->resident_count);
-    }
+    replace(seat->models, facts->resident, facts->resident_count);
 }
 
 /* Ends the list: who was not in it is gone.  What still runs there ends by
@@ -226,18 +232,25 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_models(struct ch_balance *balance, GQuark upstream,
+                  const GQuark *models, size_t count)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat != NULL) {
+        replace(seat->models, models, count);
+    }
+}
+
 /* See balance.h. */
 void
 ch_balance_adapters(struct ch_balance *balance, GQuark upstream,
                     const GQuark *adapters, size_t count)
 {
     struct seat *seat = find(balance, upstream);
-    if (seat == NULL) {
-        return;
-    }
-    g_array_set_size(seat->adapters, 0);
-    if (count > 0) {
-        g_array_append_vals(seat->adapters, adapters, (guint)count);
+    if (seat != NULL) {
+        replace(seat->adapters, adapters, count);
     }
 }
 
@@ -419,6 +432,21 @@
     return running > slots ? (int64_t)(running - slots) * each : 0;
 }
 
+/*
+ * An adapter that is nowhere is loaded by all nodes in the same place, as long
+ * as the places are alike: some milliseconds between one upstream and the
+ * next, in an order that is another for each adapter.  Else each node would
+ * load it somewhere else, and a few adapters fill all places.
+ */
+static int64_t
+adapter_order(const struct seat *seat, GQuark adapter)
+{
+    uint64_t hash =
+        ch_hash_pair(ch_hash_string(g_quark_to_string(adapter)),
+                     ch_hash_string(g_quark_to_string(seat->facts.name)));
+    return (int64_t)(hash % 64) * 1000;
+}
+
 /* Microseconds until an engine's first token. */
 static int64_t
 engine_cost(const struct seat *seat, const struct ch_work *work,
@@ -436,7 +464,7 @@
         cost += MEMORY_FULL;
     }
     if (work->adapter != 0 && !has(seat->adapters, work->adapter)) {
-        cost += ADAPTER_LOAD;
+        cost += ADAPTER_LOAD + adapter_order(seat, work->adapter);
         if (seat->facts.adapter_places > 0 &&
             seat->adapters->len >= seat->facts.adapter_places) {
             cost += ADAPTER_LOAD; /* another has to go first */
@@ -459,8 +487,11 @@
 /* Whether the request may go there at all. */
 static bool
 is_candidate(const struct seat *seat, const struct ch_work *work,
-             const GArray *excluded)
+             const GArray *excluded, bool ready)
 {
+    if (ready && work->adapter != 0 && !has(seat->adapters, work->adapter)) {
+        return false;
+    }
     if (seat->facts.leaving || seat->facts.service != work->pool) {
         return false;
     }
@@ -482,7 +513,7 @@
  */
 struct ch_choice
 ch_balance_choose(struct ch_balance *balance, const struct ch_work *work,
-                  const GArray *excluded, int64_t now)
+                  const GArray *excluded, bool ready, int64_t now)
 {
     struct ch_choice best = {
         .code = CH_NO_UPSTREAM,
@@ -495,7 +526,7 @@
     g_hash_table_iter_init(&iterator, balance->seats);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct seat *seat = value;
-        if (!is_candidate(seat, work, excluded)) {
+        if (!is_candidate(seat, work, excluded, ready)) {
             continue;
         }
         uint32_t tokens =
@@ -514,6 +545,7 @@
         best = (struct ch_choice){
             .code = CH_OK,
             .upstream = seat->facts.name,
+            .data_centre = seat->facts.data_centre,
             .other_region = seat->facts.region != balance->region,
             .adapter_missing = work->adapter != 0 &&
                                !has(seat->adapters, work->adapter),
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -29,6 +29,7 @@
 struct ch_choice {
     enum ch_code code; /* OK: the rest is set; else it is refused */
     GQuark upstream;
+    GQuark data_centre;
     bool other_region;
     bool adapter_missing; /* it is to be loaded before the request goes out */
     uint32_t new_tokens;  /* of the prompt, that are to be read there */
@@ -48,8 +49,9 @@
                        const struct ch_seat_facts *facts);
 void ch_balance_end_update(struct ch_balance *balance);
 
-/* Adapters of an upstream as its keeper knows them, in place of what was
-   known. */
+/* Models and adapters of an upstream, in place of what was known. */
+void ch_balance_models(struct ch_balance *balance, GQuark upstream,
+                       const GQuark *models, size_t count);
 void ch_balance_adapters(struct ch_balance *balance, GQuark upstream,
                          const GQuark *adapters, size_t count);
 /* One adapter came or went. */
@@ -62,10 +64,12 @@
 void ch_balance_others(struct ch_balance *balance, GQuark upstream,
                        uint32_t running, uint32_t waiting, int64_t now);
 
-/* excluded: GQuarks of upstreams that this request must not go to. */
+/* excluded: GQuarks of upstreams that this request must not go to.  ready: only
+   where its adapter is already. */
 struct ch_choice ch_balance_choose(struct ch_balance *balance,
                                    const struct ch_work *work,
-                                   const GArray *excluded, int64_t now);
+                                   const GArray *excluded, bool ready,
+                                   int64_t now);
 /* The request goes out as chosen; each is followed by one ended. */
 void ch_balance_sent(struct ch_balance *balance, const struct ch_work *work,
                      const struct ch_choice *choice, int64_t now);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -7,6 +7,7 @@
 #include "node/balancer.h"
 
 #include "decide/balance.h"
+#include "node/controller.h"
 #include "node/dialect.h"
 #include "node/roster.h"
 
@@ -16,6 +17,20 @@
 enum {
     /* A bound for orders and reports to upstreams. */
     CALL_LIMIT = 2 * 1000 * 1000,
+    /* What a holder told stands against the list for this long: three of its
+     * messages.  After it the list's word counts again. */
+    TOLD_FRESH = 6 * 1000 * 1000,
+    /* How long a request waits for its model, in times the target of its
+     * class: callers give up a stream that brings nothing for four. */
+    WAIT_TARGETS = 3,
+    /* ... and for somebody to begin with a model that nobody is loading. */
+    WAIT_BEGIN = 1500 * 1000,
+    /* When a caller may come back whose model is not there: a copy near by
+     * loads in two seconds. */
+    MODEL_RETRY_AFTER = 2000 * 1000,
+    ADAPTER_RETRY_AFTER = 500 * 1000,
+    /* Engines at which an adapter is asked for in vain. */
+    MOST_PREPARED = 2,
 };
 
 /* An upstream's client, for as long as it is listed or a call uses it. */
@@ -25,25 +40,48 @@
     char *address;
 };
 
-/* A request that was routed. */
+enum request_state {
+    REQUEST_PREPARING, /* its adapter is being loaded */
+    REQUEST_WAITING,   /* no engine has its model yet */
+    REQUEST_GRANTED,
+};
+
+/* A request that was routed, or waits for what it needs. */
 struct request {
     uint64_t handle;
+    enum request_state state;
     struct ch_work work;
+    GArray *excluded; /* GQuark */
+    const struct ch_router_handlers *handlers;
+    void *data;
     struct ch_choice choice;
-    struct seat_client *client;
-    bool sent; /* counted in the balance */
+    struct seat_client *client; /* of a granted one */
+    unsigned prepared;          /* adapters asked for in vain */
     bool begun;
+    int64_t at;    /* granted */
+    int64_t until; /* waits so long at most */
+};
+
+/* What a holder told of an engine, for as long as it is fresh. */
+struct told_engine {
+    uint64_t boot;
     int64_t at;
+    GArray *models;   /* GQuark */
+    GArray *adapters; /* GQuark */
+    GArray *coming;   /* GQuark */
 };
 
 struct balancer {
     struct ch_router router;
     struct ch_node *node;
     struct ch_roster *roster;
+    struct ch_controller *controller;
     pthread_mutex_t lock;
     struct ch_balance *balance; /* guarded by lock, like the rest */
     GHashTable *clients;        /* GQuark to struct seat_client */
     GHashTable *listed;         /* of the update that runs: GQuark */
+    GHashTable *told;           /* GQuark to struct told_engine */
+    GHashTable *used;           /* "UPSTREAM MODEL/ADAPTER" */
     struct ch_table *requests;
 };
 
@@ -111,6 +149,21 @@
     return index < 0 ? NULL : &config->declaration->services[index];
 }
 
+/* What its holder told of a listed upstream, if that is newer than what the
+ * upstream says of itself: it does so only now and then, and not at all of
+ * adapters.  Lock held. */
+static const struct told_engine *
+fresh_told(const struct balancer *balancer, const struct ch_host *host)
+{
+    int64_t now = ch_client_now(balancer->node->client);
+    const struct told_engine *told = g_hash_table_lookup(
+        balancer->told, GUINT_TO_POINTER(g_quark_try_string(host->name)));
+    return told != NULL && told->boot == host->boot &&
+                   now - told->at < TOLD_FRESH
+               ? told
+               : NULL;
+}
+
 /* Takes one upstream of the list.  Lock held. */
 static void
 take_host(void *data, const struct ch_host *host)
@@ -122,6 +175,11 @@
     GArray *models = g_array_new(FALSE, FALSE, sizeof(GQuark));
     GArray *adapters = g_array_new(FALSE, FALSE, sizeof(GQuark));
     split_resident(host->resident, models, adapters);
+    const struct told_engine *told = fresh_told(balancer, host);
+    if (told != NULL) {
+        g_array_set_size(models, 0);
+        g_array_append_vals(models, told->models->data, told->models->len);
+    }
     const struct ch_seat_facts facts = {
         .name = g_quark_from_string(host->name),
         .service = g_quark_from_string(host->service),
@@ -139,9 +197,10 @@
     need_client(balancer, facts.name, host);
     g_hash_table_add(balancer->listed, GUINT_TO_POINTER(facts.name));
     ch_balance_listed(balancer->balance, &facts);
-    for (guint i = 0; i < adapters->len; i++) {
-        ch_balance_adapter(balancer->balance, facts.name,
-                           g_array_index(adapters, GQuark, i), true);
+    if (told == NULL) {
+        ch_balance_adapters(balancer->balance, facts.name,
+                            (const GQuark *)(void *)adapters->data,
+                            adapters->len);
     }
     g_array_free(models, TRUE);
     g_array_free(adapters, TRUE);
@@ -155,6 +214,8 @@
     return !g_hash_table_contains(data, key);
 }
 
+static void route_waiting(struct balancer *balancer);
+
 /* The roster changed, on the pool. */
 static void
 roster_changed(void *data)
@@ -174,64 +235,244 @@
     g_hash_table_destroy(balancer->listed);
     balancer->listed = NULL;
     pthread_mutex_unlock(&balancer->lock);
-    if (update.config != NULL) {
-        ch_config_unref(update.config);
-    }
+    ch_config_unref(update.config);
+    ch_controller_changed(balancer->controller);
+    route_waiting(balancer);
 }
 
 /* ---- requests ---- */
 
-/* What one of the handlers is told, on the pool, without the lock. */
-struct told {
+/* Frees a request that is out of the table.  Lock held. */
+static void
+free_request(struct request *request)
+{
+    if (request->client != NULL) {
+        client_unref(request->client);
+    }
+    g_array_free(request->excluded, TRUE);
+    g_free(request);
+}
+
+/* What is to be done for a request without the lock. */
+struct step {
+    enum { STEP_NONE, STEP_GRANT, STEP_REFUSE, STEP_PREPARE } kind;
     const struct ch_router_handlers *handlers;
     void *data;
+    uint64_t handle;
     struct ch_grant grant;
     struct ch_choice choice;
+    GQuark model;
+    GQuark adapter;
 };
 
-/* Tells how the request was routed. */
-static void
-run_told(void *data)
+/* Refuses a request: it is out of the table.  Lock held. */
+static struct step
+refuse(struct balancer *balancer, struct request *request, enum ch_code code,
+       int64_t retry_after, const char *message)
 {
-    struct told *told = data;
-    if (told->choice.code == CH_OK) {
-        told->handlers->granted(told->data, &told->grant);
-    }
-    else {
-        told->handlers->refused(told->data, told->choice.code,
-                                told->choice.retry_after,
-                                told->choice.message);
-    }
-    g_free(told);
+    const struct step step = {
+        .kind = STEP_REFUSE,
+        .handlers = request->handlers,
+        .data = request->data,
+        .choice = {.code = code,
+                   .retry_after = retry_after,
+                   .message = message},
+    };
+    ch_table_remove(balancer->requests, request->handle);
+    free_request(request);
+    return step;
 }
 
-/* Keeps a request that goes out.  Lock held. */
-static void
-keep_request(struct balancer *balancer, const struct ch_work *work,
-             const struct ch_choice *choice, struct ch_grant *grant,
-             int64_t now)
+/* Lets a request go out as chosen.  Lock held. */
+static struct step
+grant(struct balancer *balancer, struct request *request, int64_t now)
 {
-    struct request *request = g_new0(struct request, 1);
-    request->work = *work;
-    request->choice = *choice;
+    const struct ch_choice *choice = &request->choice;
+    request->state = REQUEST_GRANTED;
     request->at = now;
     request->client = g_hash_table_lookup(
         balancer->clients, GUINT_TO_POINTER(choice->upstream));
     request->client->references++;
-    request->sent = true;
-    ch_balance_sent(balancer->balance, work, choice, now);
-    request->handle = ch_table_add(balancer->requests, request);
-    *grant = (struct ch_grant){
-        .handle = request->handle,
-        .upstream = choice->upstream,
-        .client = request->client->client,
-        .priority = work->priority,
-        .other_region = choice->other_region,
+    ch_balance_sent(balancer->balance, &request->work, choice, now);
+    if (request->work.adapter != 0) {
+        g_hash_table_add(balancer->used,
+                         g_strdup_printf(
+                             "%s %s", g_quark_to_string(choice->upstream),
+                             g_quark_to_string(request->work.adapter)));
+    }
+    return (struct step){
+        .kind = STEP_GRANT,
+        .handlers = request->handlers,
+        .data = request->data,
+        .grant = {
+            .handle = request->handle,
+            .upstream = choice->upstream,
+            .client = request->client->client,
+            .priority = request->work.priority,
+            .other_region = choice->other_region,
+        },
     };
 }
 
-/* Routes a request; see struct ch_router_ops.  The handler runs on the pool.
+/* Whether some engine is loading the model.  Lock held. */
+static bool
+is_coming(const struct balancer *balancer, GQuark model)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balancer->told);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct told_engine *told = value;
+        for (guint i = 0; i < told->coming->len; i++) {
+            if (g_array_index(told->coming, GQuark, i) == model) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/*
+ * What becomes of a request that no upstream can take.  One whose model is on
+ * its way waits for it, as long as its caller would; one that nobody brings is
+ * refused soon, with when to come back.
  */
+static struct step
+wait_or_refuse(struct balancer *balancer, struct request *request, int64_t now)
+{
+    const struct ch_work *work = &request->work;
+    int64_t limit =
+        work->arrived + WAIT_TARGETS * (work->first_by - work->arrived);
+    if (work->service || request->excluded->len > 0) {
+        return refuse(balancer, request, CH_NO_UPSTREAM,
+                      request->choice.retry_after, request->choice.message);
+    }
+    if (!is_coming(balancer, work->model)) {
+        limit = MIN(limit, work->arrived + WAIT_BEGIN);
+    }
+    limit = MIN(limit, work->whole_by - WAIT_BEGIN);
+    if (now >= limit) {
+        return refuse(balancer, request, CH_NO_UPSTREAM, MODEL_RETRY_AFTER,
+                      "no engine has the model");
+    }
+    request->state = REQUEST_WAITING;
+    request->until = limit;
+    return (struct step){.kind = STEP_NONE};
+}
+
+/* Chooses an upstream for a request.  Lock held. */
+static struct step
+route(struct balancer *balancer, struct request *request, int64_t now)
+{
+    const struct ch_work *work = &request->work;
+    bool ready = request->prepared >= MOST_PREPARED;
+    request->choice = ch_balance_choose(balancer->balance, work,
+                                        request->excluded, ready, now);
+    if (request->choice.code != CH_OK && ready) {
+        return refuse(balancer, request, CH_NO_UPSTREAM, ADAPTER_RETRY_AFTER,
+                      "the adapter cannot be loaded now");
+    }
+    if (request->choice.code != CH_OK) {
+        return wait_or_refuse(balancer, request, now);
+    }
+    if (!request->choice.adapter_missing) {
+        return grant(balancer, request, now);
+    }
+    request->state = REQUEST_PREPARING;
+    return (struct step){
+        .kind = STEP_PREPARE,
+        .handle = request->handle,
+        .choice = request->choice,
+        .model = work->model,
+        .adapter = work->adapter,
+    };
+}
+
+/* ---- steps without the lock ---- */
+
+/* A request whose adapter was asked for. */
+struct preparation {
+    struct balancer *balancer;
+    uint64_t handle;
+};
+
+static void run_step(struct balancer *balancer, const struct step *step);
+
+/* Goes on with a request whose adapter is there, or cannot be. */
+static void
+take_prepared(struct balancer *balancer, uint64_t handle, bool good)
+{
+    struct step step = {.kind = STEP_NONE};
+    int64_t now = ch_client_now(balancer->node->client);
+    pthread_mutex_lock(&balancer->lock);
+    struct request *request = ch_table_get(balancer->requests, handle);
+    if (request != NULL && request->state == REQUEST_PREPARING) {
+        GQuark upstream = request->choice.upstream;
+        bool listed = g_hash_table_contains(balancer->clients,
+                                            GUINT_TO_POINTER(upstream));
+        ch_balance_adapter(balancer->balance, upstream, request->work.adapter,
+                           good);
+        if (good && listed) {
+            step = grant(balancer, request, now);
+        }
+        else {
+            request->prepared++;
+            g_array_append_val(request->excluded, upstream);
+            step = route(balancer, request, now);
+        }
+    }
+    pthread_mutex_unlock(&balancer->lock);
+    run_step(balancer, &step);
+}
+
+/* The holder's word on an adapter. */
+static void
+prepare_done(void *data, enum ch_code code,
+             const Chestnuthitch__Wire__Frame *reply)
+{
+    struct preparation *preparation = data;
+    bool good =
+        code == CH_OK && reply != NULL &&
+        reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_DONE;
+    take_prepared(preparation->balancer, preparation->handle, good);
+    g_free(preparation);
+}
+
+/* Does what was found to be done for a request. */
+static void
+run_step(struct balancer *balancer, const struct step *step)
+{
+    struct preparation *preparation = NULL;
+    switch (step->kind) {
+    case STEP_GRANT:
+        step->handlers->granted(step->data, &step->grant);
+        return;
+    case STEP_REFUSE:
+        step->handlers->refused(step->data, step->choice.code,
+                                step->choice.retry_after,
+                                step->choice.message);
+        return;
+    case STEP_PREPARE:
+        preparation = g_new0(struct preparation, 1);
+        preparation->balancer = balancer;
+        preparation->handle = step->handle;
+        if (!ch_controller_has_holder(balancer->controller,
+                                      step->choice.data_centre) ||
+            !ch_controller_prepare(balancer->controller,
+                                   step->choice.upstream,
+                                   step->choice.data_centre, step->model,
+                                   step->adapter, prepare_done,
+                                   preparation)) {
+            g_free(preparation);
+            take_prepared(balancer, step->handle, false);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+/* Routes a request; see struct ch_router_ops. */
 static uint64_t
 balancer_request(struct ch_router *router, const struct ch_work *work,
                  const GArray *excluded,
@@ -239,27 +480,184 @@
 {
     struct balancer *balancer = (struct balancer *)router;
     int64_t now = ch_client_now(balancer->node->client);
-    struct told *told = g_new0(struct told, 1);
-    told->handlers = handlers;
-    told->data = data;
-    pthread_mutex_lock(&balancer->lock);
-    told->choice =
-        ch_balance_choose(balancer->balance, work, excluded, now);
-    if (told->choice.code == CH_OK) {
-        keep_request(balancer, work, &told->choice, &told->grant, now);
+    struct request *request = g_new0(struct request, 1);
+    request->work = *work;
+    request->handlers = handlers;
+    request->data = data;
+    request->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    if (excluded != NULL && excluded->len > 0) {
+        g_array_append_vals(request->excluded, excluded->data, excluded->len);
     }
+    pthread_mutex_lock(&balancer->lock);
+    uint64_t handle = ch_table_add(balancer->requests, request);
+    request->handle = handle;
+    struct step step = route(balancer, request, now);
     pthread_mutex_unlock(&balancer->lock);
-    run_told(told);
-    return 0;
+    run_step(balancer, &step);
+    return handle;
 }
 
-/* Nothing waits here: a handler has run, or is about to. */
+/* See struct ch_router_ops. */
 static bool
 balancer_withdraw(struct ch_router *router, uint64_t handle)
 {
-    (void)router;
+    struct balancer *balancer = (struct balancer *)router;
+    pthread_mutex_lock(&balancer->lock);
+    struct request *request = ch_table_get(balancer->requests, handle);
+    bool waits = request != NULL && request->state != REQUEST_GRANTED;
+    if (waits) {
+        ch_table_remove(balancer->requests, handle);
+        free_request(request);
+    }
+    pthread_mutex_unlock(&balancer->lock);
+    return waits;
+}
+
+/* ---- requests that wait for their model ---- */
+
+/* Gathers what waits. */
+static void
+collect_waiting(void *item, uint64_t handle, void *data)
+{
+    const struct request *request = item;
+    if (request->state == REQUEST_WAITING) {
+        g_array_append_val(data, handle);
+    }
+}
+
+/* Looks at all that wait: something may have come, or their time is over. */
+static void
+route_waiting(struct balancer *balancer)
+{
+    GArray *handles = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *steps = g_array_new(FALSE, FALSE, sizeof(struct step));
+    int64_t now = ch_client_now(balancer->node->client);
+    pthread_mutex_lock(&balancer->lock);
+    ch_table_each(balancer->requests, collect_waiting, handles);
+    for (guint i = 0; i < handles->len; i++) {
+        struct request *request = ch_table_get(
+            balancer->requests, g_array_index(handles, uint64_t, i));
+        const struct step step = route(balancer, request, now);
+        g_array_append_val(steps, step);
+    }
+    pthread_mutex_unlock(&balancer->lock);
+    for (guint i = 0; i < steps->len; i++) {
+        run_step(balancer, &g_array_index(steps, struct step, i));
+    }
+    g_array_free(handles, TRUE);
+    g_array_free(steps, TRUE);
+}
+
+/* ---- what the holders tell, and are told ---- */
+
+/* Frees what was told of an engine. */
+static void
+free_told(void *data)
+{
+    struct told_engine *told = data;
+    g_array_free(told->models, TRUE);
+    g_array_free(told->adapters, TRUE);
+    g_array_free(told->coming, TRUE);
+    g_free(told);
+}
+
+/* A list of names, copied. */
+static GArray *
+copy_names(const GQuark *names, size_t count)
+{
+    GArray *copy = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    if (count > 0) {
+        g_array_append_vals(copy, names, (guint)count);
+    }
+    return copy;
+}
+
+/* A holder's word on one engine. */
+static void
+engine_told(void *data, const struct ch_engine_told *engine)
+{
+    struct balancer *balancer = data;
+    struct told_engine *told = g_new0(struct told_engine, 1);
+    told->boot = engine->boot;
+    told->at = ch_client_now(balancer->node->client);
+    told->models = copy_names(engine->models, engine->model_count);
+    told->adapters = copy_names(engine->adapters, engine->adapter_count);
+    told->coming = copy_names(engine->coming, engine->coming_count);
+    pthread_mutex_lock(&balancer->lock);
+    uint32_t own = ch_balance_running(balancer->balance, engine->upstream);
+    g_hash_table_replace(balancer->told, GUINT_TO_POINTER(engine->upstream),
+                         told);
+    ch_balance_models(balancer->balance, engine->upstream, engine->models,
+                      engine->model_count);
+    ch_balance_adapters(balancer->balance, engine->upstream, engine->adapters,
+                        engine->adapter_count);
+    uint32_t all = engine->running + engine->waiting;
+    ch_balance_others(balancer->balance, engine->upstream,
+                      all > own ? all - own : 0, engine->waiting, told->at);
+    pthread_mutex_unlock(&balancer->lock);
+}
+
+/* A whole message was taken. */
+static void
+all_told(void *data)
+{
+    route_waiting(data);
+}
+
+/* Adds a request to the demand for its model. */
+static void
+add_demand(void *item, uint64_t handle, void *data)
+{
     (void)handle;
-    return false;
+    const struct request *request = item;
+    GArray *out = data;
+    struct ch_model_demand *found = NULL;
+    for (guint i = 0; found == NULL && i < out->len; i++) {
+        struct ch_model_demand *demand =
+            &g_array_index(out, struct ch_model_demand, i);
+        found = demand->model == request->work.model ? demand : NULL;
+    }
+    if (request->work.service) {
+        return;
+    }
+    if (found == NULL) {
+        const struct ch_model_demand fresh = {request->work.model, 0, 0};
+        g_array_append_val(out, fresh);
+        found = &g_array_index(out, struct ch_model_demand, out->len - 1);
+    }
+    if (request->state == REQUEST_WAITING) {
+        found->waiting++;
+    }
+    else {
+        found->running++;
+    }
+}
+
+/* What this node's requests ask for. */
+static void
+tell_demand(void *data, GArray *out)
+{
+    struct balancer *balancer = data;
+    pthread_mutex_lock(&balancer->lock);
+    ch_table_each(balancer->requests, add_demand, out);
+    pthread_mutex_unlock(&balancer->lock);
+    route_waiting(balancer);
+}
+
+/* Which adapters were used since this was last asked. */
+static void
+tell_used(void *data, GPtrArray *out)
+{
+    struct balancer *balancer = data;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    pthread_mutex_lock(&balancer->lock);
+    g_hash_table_iter_init(&iterator, balancer->used);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        g_ptr_array_add(out, g_strdup(key));
+    }
+    g_hash_table_remove_all(balancer->used);
+    pthread_mutex_unlock(&balancer->lock);
 }
 
 /* See struct ch_router_ops. */
@@ -303,8 +701,7 @@
         if (sample->code == CH_UPSTREAM_REFUSED) {
             note_refused(balancer, request);
         }
-        client_unref(request->client);
-        g_free(request);
+        free_request(request);
     }
     pthread_mutex_unlock(&balancer->lock);
 }
@@ -344,6 +741,7 @@
     json_builder_begin_array(builder);
     ch_roster_each(balancer->roster, status_host, builder);
     json_builder_end_array(builder);
+    ch_controller_status(balancer->controller, builder);
 }
 
 /* ---- life ---- */
@@ -352,7 +750,9 @@
 static void
 balancer_start(struct ch_router *router)
 {
-    ch_roster_start(((struct balancer *)router)->roster);
+    struct balancer *balancer = (struct balancer *)router;
+    ch_roster_start(balancer->roster);
+    ch_controller_start(balancer->controller);
 }
 
 /* See struct ch_router_ops. */
@@ -366,14 +766,18 @@
 static void
 balancer_drain(struct ch_router *router)
 {
-    ch_roster_leave(((struct balancer *)router)->roster);
+    struct balancer *balancer = (struct balancer *)router;
+    ch_controller_drain(balancer->controller);
+    ch_roster_leave(balancer->roster);
 }
 
 /* See struct ch_router_ops. */
 static void
 balancer_stop(struct ch_router *router)
 {
-    ch_roster_stop(((struct balancer *)router)->roster);
+    struct balancer *balancer = (struct balancer *)router;
+    ch_controller_stop(balancer->controller);
+    ch_roster_stop(balancer->roster);
 }
 
 /* Gathers what is left in a table. */
@@ -392,13 +796,14 @@
     GPtrArray *left = g_ptr_array_new();
     ch_table_each(balancer->requests, collect, left);
     for (guint i = 0; i < left->len; i++) {
-        struct request *request = g_ptr_array_index(left, i);
-        client_unref(request->client);
-        g_free(request);
+        free_request(g_ptr_array_index(left, i));
     }
     g_ptr_array_free(left, TRUE);
     ch_table_free(balancer->requests);
+    ch_controller_free(balancer->controller);
     ch_roster_free(balancer->roster);
+    g_hash_table_destroy(balancer->told);
+    g_hash_table_destroy(balancer->used);
     ch_balance_free(balancer->balance);
     g_hash_table_destroy(balancer->clients);
     pthread_mutex_destroy(&balancer->lock);
@@ -421,6 +826,12 @@
         .free = balancer_free,
         .status = balancer_status,
     };
+    static const struct ch_controller_handlers handlers = {
+        .told = engine_told,
+        .told_all = all_told,
+        .demand = tell_demand,
+        .used = tell_used,
+    };
     struct balancer *balancer = g_new0(struct balancer, 1);
     balancer->router.ops = &ops;
     balancer->node = node;
@@ -431,6 +842,11 @@
         g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
     pthread_mutex_init(&balancer->lock, NULL);
+    balancer->told = g_hash_table_new_full(NULL, NULL, NULL, free_told);
+    balancer->used =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     balancer->roster = ch_roster_new(node, roster_changed, balancer);
+    balancer->controller =
+        ch_controller_new(node, balancer->roster, &handlers, balancer);
     return &balancer->router;
 }
--- /dev/null
+++ b/libchestnuthitch/node/controller_engine.c
@@ -0,0 +1,871 @@
+/* One engine under orders: what it holds, the order that is next, reports. */
+
+#include "node/controller_internal.h"
+
+#include <string.h>
+
+enum {
+    /* A report is as old as some hundred ms: one that was asked for this long
+     * after an order was sent tells whether it was taken. */
+    SETTLED = 700 * 1000,
+    /* Between reports: while the engine changes its models, and else. */
+    REPORT_CHANGING = 300 * 1000,
+    REPORT_IDLE = 1000 * 1000,
+    /* After an order that another one kept from being taken. */
+    BUSY_PAUSE = 250 * 1000,
+    /* After a worker that is not the one that was meant. */
+    GONE_PAUSE = 1000 * 1000,
+    /* An adapter is there after its order was taken: 6 to 19 ms, and a little
+     * for the order to begin. */
+    ADAPTER_LOAD = 30 * 1000,
+    /* An adapter that was asked for this lately is not dropped for another:
+     * its request may be on its way. */
+    ADAPTER_RECENT = 1500 * 1000,
+    /* A load that no report shows as begun has failed. */
+    LOAD_LOST = 1500 * 1000,
+    /* Adapters of which an engine has memory beside its models: as many as
+     * there are places, each the largest of any model. */
+    USUAL_ADAPTER_MB = 100,
+};
+
+/* ---- facts ---- */
+
+/* The declaration of the engine's service, or NULL; config is the caller's to
+ * unref. */
+static const struct ch_service *
+service_of(const struct controller_engine *engine, struct ch_config **config)
+{
+    *config = ch_config_keeper_current(engine->controller->node->config);
+    if (*config == NULL) {
+        return NULL;
+    }
+    int index = ch_declaration_service((*config)->declaration,
+                                       g_quark_to_string(engine->service));
+    return index < 0 ? NULL : &(*config)->declaration->services[index];
+}
+
+/* See controller_internal.h. */
+uint32_t
+engine_memory(const struct controller_engine *engine)
+{
+    struct ch_config *config = NULL;
+    const struct ch_service *service = service_of(engine, &config);
+    uint32_t memory = service == NULL ? 0 : service->memory_mb;
+    ch_config_unref(config);
+    return memory;
+}
+
+/* See controller_internal.h. */
+uint32_t
+engine_adapter_places(const struct controller_engine *engine)
+{
+    struct ch_config *config = NULL;
+    const struct ch_service *service = service_of(engine, &config);
+    uint32_t places = service == NULL ? 0 : service->adapter_places;
+    ch_config_unref(config);
+    return places;
+}
+
+/* See controller_internal.h. */
+uint32_t
+engine_reserve(const struct controller_engine *engine)
+{
+    struct ch_config *config = NULL;
+    const struct ch_service *service = service_of(engine, &config);
+    uint32_t largest = USUAL_ADAPTER_MB;
+    for (size_t i = 0; config != NULL && i < config->declaration->model_count;
+         i++) {
+        largest = MAX(largest,
+                      config->declaration->models[i].adapter_memory_mb);
+    }
+    uint32_t reserve = service == NULL ? 0 : service->adapter_places * largest;
+    ch_config_unref(config);
+    return reserve;
+}
+
+/* The memory of a model or adapter by a configuration. */
+static uint32_t
+memory_in(const struct ch_declaration *declaration, const char *name)
+{
+    size_t length = strcspn(name, "/");
+    char *model = g_strndup(name, length);
+    int index = ch_declaration_model(declaration, model);
+    g_free(model);
+    if (index < 0) {
+        return 0;
+    }
+    return name[length] == '/' ? declaration->models[index].adapter_memory_mb
+                               : declaration->models[index].memory_mb;
+}
+
+/* See controller_internal.h. */
+uint32_t
+controller_memory(struct ch_controller *controller, GQuark name)
+{
+    struct ch_config *config =
+        ch_config_keeper_current(controller->node->config);
+    uint32_t memory = 0;
+    if (config != NULL) {
+        memory = memory_in(config->declaration, g_quark_to_string(name));
+        ch_config_unref(config);
+    }
+    return memory;
+}
+
+/* ---- items ---- */
+
+/* Frees what waits for an item. */
+static void
+free_waits(struct item *item)
+{
+    for (guint i = 0; item->waits != NULL && i < item->waits->len; i++) {
+        g_free(g_array_index(item->waits, struct adapter_wait, i).from);
+    }
+    if (item->waits != NULL) {
+        g_array_free(item->waits, TRUE);
+    }
+    item->waits = NULL;
+}
+
+/* For g_array_set_clear_func. */
+static void
+clear_item(void *data)
+{
+    free_waits(data);
+}
+
+/* See controller_internal.h. */
+struct item *
+engine_item(struct controller_engine *engine, GQuark name)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        struct item *item = &g_array_index(engine->items, struct item, i);
+        if (item->name == name) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+/* See controller_internal.h. */
+struct item *
+engine_add_item(struct controller_engine *engine, GQuark name, GQuark model,
+                enum ch_item_state state, int64_t now)
+{
+    const struct item item = {
+        .name = name,
+        .model = model,
+        .state = state,
+        .changed = now,
+        .used = now,
+    };
+    g_array_append_val(engine->items, item);
+    return &g_array_index(engine->items, struct item, engine->items->len - 1);
+}
+
+/* Answers all who wait for an item. */
+static void
+answer_waits(struct controller_engine *engine, struct item *item,
+             enum ch_code code)
+{
+    for (guint i = 0; item->waits != NULL && i < item->waits->len; i++) {
+        controller_answer(
+            engine->controller,
+            &g_array_index(item->waits, struct adapter_wait, i), code);
+    }
+    free_waits(item);
+}
+
+/* Takes an item away; who waits for it is told. */
+static void
+remove_item(struct controller_engine *engine, GQuark name)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        struct item *item = &g_array_index(engine->items, struct item, i);
+        if (item->name == name) {
+            answer_waits(engine, item, CH_NO_UPSTREAM);
+            g_array_remove_index(engine->items, i);
+            engine->news = true;
+            return;
+        }
+    }
+}
+
+/* See controller_internal.h. */
+void
+engine_fail_waits(struct controller_engine *engine, enum ch_code code)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        answer_waits(engine, &g_array_index(engine->items, struct item, i),
+                     code);
+    }
+}
+
+/* Sets an item's state. */
+static void
+set_state(struct controller_engine *engine, struct item *item,
+          enum ch_item_state state, int64_t now)
+{
+    if (item->state != state) {
+        item->state = state;
+        item->changed = now;
+        item->ordered = false;
+        engine->news = true;
+    }
+}
+
+/* ---- life ---- */
+
+/* See controller_internal.h. */
+struct controller_engine *
+engine_new(struct ch_controller *controller, const struct ch_host *host)
+{
+    struct ch_node *node = controller->node;
+    struct controller_engine *engine = g_new0(struct controller_engine, 1);
+    engine->controller = controller;
+    engine->references = 1;
+    engine->name = g_quark_from_string(host->name);
+    engine->address = g_strdup(host->address);
+    engine->client = node->dialect->upstream_new(
+        node->client, node->http, host, CH_CONTROLLER_CALL_LIMIT);
+    engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
+    engine->copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    g_array_set_clear_func(engine->items, clear_item);
+    return engine;
+}
+
+/* See controller_internal.h. */
+void
+engine_unref(struct controller_engine *engine)
+{
+    if (--engine->references > 0) {
+        return;
+    }
+    engine->client->ops->free(engine->client);
+    g_array_free(engine->items, TRUE);
+    g_array_free(engine->copies, TRUE);
+    g_free(engine->address);
+    g_free(engine);
+}
+
+/* Takes the names of what is resident, with all else unknown. */
+static void
+take_resident(struct controller_engine *engine, char **names, int64_t now)
+{
+    for (size_t i = 0; names != NULL && names[i] != NULL; i++) {
+        const char *slash = strchr(names[i], '/');
+        GQuark name = g_quark_from_string(names[i]);
+        GQuark model = 0;
+        if (slash != NULL) {
+            char *text = g_strndup(names[i], (size_t)(slash - names[i]));
+            model = g_quark_from_string(text);
+            g_free(text);
+        }
+        if (engine_item(engine, name) == NULL) {
+            engine_add_item(engine, name, model, CH_ITEM_RESIDENT, now);
+        }
+    }
+}
+
+/* See controller_internal.h. */
+void
+engine_listed(struct controller_engine *engine, const struct ch_host *host,
+              int64_t now)
+{
+    if (engine->boot != host->boot) {
+        engine_fail_waits(engine, CH_NO_UPSTREAM);
+        g_array_set_size(engine->items, 0);
+        engine->boot = host->boot;
+        engine->known = false;
+        engine->unsure = false;
+        engine->taken = host->order_count;
+        engine->report_at = now;
+        take_resident(engine, host->resident, now);
+    }
+    engine->listed = true;
+    engine->leaving = host->leaving;
+    engine->service = g_quark_from_string(host->service);
+    engine->data_centre = g_quark_from_string(host->data_centre);
+    g_array_set_size(engine->copies, 0);
+    for (size_t i = 0; host->copies != NULL && host->copies[i] != NULL; i++) {
+        GQuark copy = g_quark_from_string(host->copies[i]);
+        g_array_append_val(engine->copies, copy);
+    }
+    engine->news = true;
+}
+
+/* ---- orders ---- */
+
+struct order_job {
+    struct ch_controller *controller;
+    struct controller_engine *engine;
+    uint64_t boot;
+    enum ch_code code;
+};
+
+/* Counts an order that was taken. */
+static void
+count_order(const struct controller_engine *engine, const struct item *item,
+            enum ch_order_action action)
+{
+    struct ch_metrics *metrics = engine->controller->node->client->metrics;
+    enum ch_counter counter = CH_COUNT_ADAPTER_LOADS;
+    if (item->model == 0) {
+        counter = action == CH_ORDER_LOAD ? CH_COUNT_MODEL_LOADS
+                                          : CH_COUNT_MODEL_UNLOADS;
+    }
+    else if (action == CH_ORDER_UNLOAD) {
+        return;
+    }
+    ch_metrics_count(metrics, counter, 1);
+}
+
+/* On the pool: an adapter's load has had its time. */
+static void
+adapter_ready(void *data)
+{
+    struct order_job *job = data;
+    struct ch_controller *controller = job->controller;
+    struct controller_engine *engine = job->engine;
+    pthread_mutex_lock(&controller->lock);
+    int64_t now = ch_client_now(controller->node->client);
+    for (guint i = 0; i < engine->items->len; i++) {
+        struct item *item = &g_array_index(engine->items, struct item, i);
+        if (item->model != 0 && item->state == CH_ITEM_LOADING &&
+            item->ordered && now - item->changed >= ADAPTER_LOAD) {
+            set_state(engine, item, CH_ITEM_RESIDENT, now);
+            answer_waits(engine, item, CH_OK);
+        }
+    }
+    engine_unref(engine);
+    controller->jobs--;
+    pthread_cond_broadcast(&controller->idle);
+    pthread_mutex_unlock(&controller->lock);
+    g_free(job);
+}
+
+/* Has adapter_ready() run when the adapter is there. */
+static void
+await_adapter(struct controller_engine *engine)
+{
+    struct ch_controller *controller = engine->controller;
+    struct order_job *job = g_new0(struct order_job, 1);
+    job->controller = controller;
+    job->engine = engine;
+    engine->references++;
+    controller->jobs++;
+    ch_timers_after(controller->node->timers, ADAPTER_LOAD + 1000,
+                    adapter_ready, job);
+}
+
+/* The order was taken. */
+static void
+order_taken(struct controller_engine *engine, struct item *item, int64_t now)
+{
+    engine->taken++;
+    count_order(engine, item, engine->ordered_action);
+    item->ordered = true;
+    item->changed = now;
+    engine->report_at = now + REPORT_CHANGING;
+    if (item->model == 0) {
+        return;
+    }
+    if (engine->ordered_action == CH_ORDER_LOAD) {
+        await_adapter(engine);
+    }
+    else {
+        /* An adapter that no request uses goes at once. */
+        remove_item(engine, item->name);
+    }
+}
+
+/* The order was not taken, or may have been. */
+static void
+order_failed(struct controller_engine *engine, enum ch_code code, int64_t now)
+{
+    engine->known = false;
+    switch (code) {
+    case CH_UPSTREAM_REFUSED:
+        engine->quiet_until = now + BUSY_PAUSE;
+        break;
+    case CH_NO_UPSTREAM:
+    case CH_UPSTREAM_CONNECT:
+        engine->quiet_until = now + GONE_PAUSE;
+        engine_fail_waits(engine, CH_NO_UPSTREAM);
+        break;
+    default:
+        engine->unsure = true;
+        engine->quiet_until = now + SETTLED;
+        break;
+    }
+    engine->report_at = engine->quiet_until;
+}
+
+/* Takes the answer to an order. */
+static void
+take_answer(struct order_job *job, int64_t now)
+{
+    struct controller_engine *engine = job->engine;
+    struct item *item = engine_item(engine, engine->ordered_item);
+    struct duty *duty =
+        controller_duty(job->controller, engine->data_centre);
+    engine->ordering = false;
+    if (job->boot != engine->boot) {
+        return;
+    }
+    if (job->code == CH_STALE_FENCE) {
+        ch_metrics_count(job->controller->node->client->metrics,
+                         CH_COUNT_ORDERS_REFUSED, 1);
+        ch_claim_give_up(duty->claim, 0);
+    }
+    else if (job->code == CH_BAD_FIELD && item != NULL) {
+        remove_item(engine, item->name);
+    }
+    else if (job->code == CH_OK && item != NULL) {
+        order_taken(engine, item, now);
+    }
+    else if (job->code != CH_OK) {
+        order_failed(engine, job->code, now);
+    }
+    engine_pump(engine, duty, now);
+}
+
+/* On the pool: an order's answer. */
+static void
+run_order_answer(void *data)
+{
+    struct order_job *job = data;
+    struct ch_controller *controller = job->controller;
+    pthread_mutex_lock(&controller->lock);
+    int64_t now = ch_client_now(controller->node->client);
+    ch_log(controller->node->client, CH_LOG_INFO, "ordered",
+           CH_F_STR("upstream", g_quark_to_string(job->engine->name)),
+           CH_F_STR("item", g_quark_to_string(job->engine->ordered_item)),
+           CH_F_STR("action", job->engine->ordered_action == CH_ORDER_LOAD
+                                  ? "load"
+                                  : "unload"),
+           CH_F_INT("taken", job->engine->taken), CH_F_INT("code", job->code),
+           CH_F_INT("took_us", now - job->engine->last_order), CH_F_END);
+    take_answer(job, now);
+    engine_unref(job->engine);
+    controller->jobs--;
+    pthread_cond_broadcast(&controller->idle);
+    pthread_mutex_unlock(&controller->lock);
+    g_free(job);
+}
+
+/* On the loop's thread. */
+static void
+order_done(void *data, enum ch_code code)
+{
+    struct order_job *job = data;
+    job->code = code;
+    ch_pool_submit(job->controller->node->pool, run_order_answer, job);
+}
+
+/* Sends an order, if the right is held at this very moment. */
+static void
+send_order(struct controller_engine *engine, struct duty *duty,
+           struct item *item, enum ch_order_action action, int64_t now)
+{
+    struct ch_controller *controller = engine->controller;
+    const char *name = g_quark_to_string(item->name);
+    const char *slash = strchr(name, '/');
+    uint64_t fence = 0;
+    if (!ch_claim_held(duty->claim, &fence)) {
+        return;
+    }
+    engine->ordering = true;
+    engine->ordered_item = item->name;
+    engine->ordered_action = action;
+    engine->last_order = now;
+    struct order_job *job = g_new0(struct order_job, 1);
+    job->controller = controller;
+    job->engine = engine;
+    job->boot = engine->boot;
+    engine->references++;
+    controller->jobs++;
+    ch_metrics_count(controller->node->client->metrics, CH_COUNT_ORDERS, 1);
+    struct ch_order order = {
+        .fence = fence,
+        .action = action,
+        .model = slash == NULL ? name : g_quark_to_string(item->model),
+        .adapter = slash == NULL ? NULL : slash + 1,
+        .expected = (int64_t)engine->taken,
+    };
+    engine->client->ops->order(engine->client, &order, order_done, job);
+}
+
+/* ---- which order is next ---- */
+
+/* Adapters that take a place, or may. */
+static uint32_t
+adapter_count(const struct controller_engine *engine)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        bool placed = item->state != CH_ITEM_LOADING || item->ordered;
+        count += item->model != 0 && placed ? 1 : 0;
+    }
+    return count;
+}
+
+/* Memory that is taken, or may be. */
+static uint64_t
+memory_used(struct controller_engine *engine)
+{
+    uint64_t used = 0;
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        if (item->state != CH_ITEM_LOADING || item->ordered) {
+            used += controller_memory(engine->controller, item->name);
+        }
+    }
+    return used;
+}
+
+/* The adapter that is to go for another: the one not asked for longest, and
+ * not lately; NULL: none. */
+static struct item *
+idle_adapter(struct controller_engine *engine, int64_t now)
+{
+    struct item *oldest = NULL;
+    for (guint i = 0; i < engine->items->len; i++) {
+        struct item *item = &g_array_index(engine->items, struct item, i);
+        if (item->model == 0 || item->state != CH_ITEM_RESIDENT ||
+            now - item->used < ADAPTER_RECENT) {
+            continue;
+        }
+        if (oldest == NULL || item->used < oldest->used) {
+            oldest = item;
+        }
+    }
+    return oldest;
+}
+
+/* Whether the engine has the model that an adapter belongs to. */
+static bool
+has_model(struct controller_engine *engine, GQuark model)
+{
+    const struct item *item = engine_item(engine, model);
+    return item != NULL && item->state == CH_ITEM_RESIDENT;
+}
+
+/* Orders the adapter, or another one out of its way.  True: an order was
+ * sent. */
+static bool
+order_adapter(struct controller_engine *engine, struct duty *duty,
+              struct item *item, int64_t now)
+{
+    uint32_t places = engine_adapter_places(engine);
+    uint32_t memory = engine_memory(engine);
+    bool fits = memory_used(engine) +
+                    controller_memory(engine->controller, item->name) <=
+                memory;
+    if (adapter_count(engine) < places && fits) {
+        send_order(engine, duty, item, CH_ORDER_LOAD, now);
+        return true;
+    }
+    struct item *idle = idle_adapter(engine, now);
+    if (idle == NULL) {
+        remove_item(engine, item->name);
+        return false;
+    }
+    set_state(engine, idle, CH_ITEM_UNLOADING, now);
+    send_order(engine, duty, idle, CH_ORDER_UNLOAD, now);
+    return true;
+}
+
+/* Orders a model, once there is room for it. */
+static bool
+order_model(struct controller_engine *engine, struct duty *duty,
+            struct item *item, int64_t now)
+{
+    if (item->state == CH_ITEM_UNLOADING) {
+        send_order(engine, duty, item, CH_ORDER_UNLOAD, now);
+        return true;
+    }
+    uint64_t need = controller_memory(engine->controller, item->name);
+    if (need == 0 || memory_used(engine) + need > engine_memory(engine)) {
+        return false;
+    }
+    send_order(engine, duty, item, CH_ORDER_LOAD, now);
+    return true;
+}
+
+/* Sends the next order: adapters first, for which requests wait. */
+static void
+send_next(struct controller_engine *engine, struct duty *duty, int64_t now)
+{
+    for (int models = 0; models < 2; models++) {
+        for (guint i = 0; i < engine->items->len; i++) {
+            struct item *item = &g_array_index(engine->items, struct item, i);
+            bool due = !item->ordered && now >= item->not_before &&
+                       (item->state == CH_ITEM_LOADING ||
+                        item->state == CH_ITEM_UNLOADING);
+            if (!due || (item->model == 0) != (models == 1)) {
+                continue;
+            }
+            if (item->model != 0 && !has_model(engine, item->model)) {
+                remove_item(engine, item->name);
+                return;
+            }
+            bool sent = item->model != 0
+                            ? order_adapter(engine, duty, item, now)
+                            : order_model(engine, duty, item, now);
+            if (sent || item->model != 0) {
+                return;
+            }
+        }
+    }
+}
+
+/* ---- reports ---- */
+
+struct report_job {
+    struct ch_controller *controller;
+    struct controller_engine *engine;
+    uint64_t boot;
+    int64_t asked;
+    enum ch_code code;
+    struct ch_report *report;
+};
+
+/* Whether a report lists a name. */
+static bool
+report_has(const struct ch_report *report, const char *name)
+{
+    for (size_t i = 0; i < report->resident_count; i++) {
+        if (strcmp(report->resident[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Compares one item with a report that counts as many orders as this node. */
+static void
+compare_item(struct controller_engine *engine, struct item *item,
+             const struct ch_report *report, int64_t now)
+{
+    bool there = report_has(report, g_quark_to_string(item->name));
+    bool old = now - item->changed > LOAD_LOST;
+    switch (item->state) {
+    case CH_ITEM_RESIDENT:
+        if (!there && old) {
+            item->state = CH_ITEM_ABSENT;
+        }
+        break;
+    case CH_ITEM_LOADING:
+        if (there) {
+            set_state(engine, item, CH_ITEM_RESIDENT, now);
+            answer_waits(engine, item, CH_OK);
+        }
+        else if (item->ordered && old && !report->busy) {
+            item->state = CH_ITEM_ABSENT;
+        }
+        break;
+    case CH_ITEM_UNLOADING:
+        if (!there) {
+            item->state = CH_ITEM_ABSENT;
+        }
+        else if (item->ordered && old && !report->busy) {
+            item->ordered = false;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/* Takes over what a report lists. */
+static void
+take_lists(struct controller_engine *engine, const struct ch_report *report,
+           int64_t now)
+{
+    char **names = g_new0(char *, report->resident_count + 1);
+    for (guint i = 0; i < engine->items->len; i++) {
+        compare_item(engine, &g_array_index(engine->items, struct item, i),
+                     report, now);
+    }
+    for (guint i = engine->items->len; i > 0; i--) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i - 1);
+        if (item->state == CH_ITEM_ABSENT) {
+            remove_item(engine, item->name);
+        }
+    }
+    for (size_t i = 0; i < report->resident_count; i++) {
+        names[i] = report->resident[i].name;
+    }
+    guint before = engine->items->len;
+    take_resident(engine, names, now);
+    engine->news = engine->news || engine->items->len != before;
+    g_free(names);
+}
+
+/* Takes a report.  One that counts fewer orders than were taken is from before
+ * them, and says nothing of what is held. */
+static void
+take_report(struct report_job *job, int64_t now)
+{
+    struct controller_engine *engine = job->engine;
+    const struct ch_report *report = job->report;
+    engine->reporting = false;
+    if (report == NULL || job->boot != engine->boot) {
+        return;
+    }
+    engine->news = engine->news || engine->running != report->running ||
+                   engine->waiting != report->waiting;
+    engine->running = report->running;
+    engine->waiting = report->waiting;
+    bool settled = !engine->ordering &&
+                   job->asked - engine->last_order >= SETTLED;
+    if (engine->ordering || (!settled && report->orders_taken != engine->taken)) {
+        return;
+    }
+    if (report->orders_taken < engine->taken && !settled) {
+        return;
+    }
+    engine->taken = report->orders_taken;
+    engine->unsure = false;
+    engine->known = true;
+    take_lists(engine, report, now);
+}
+
+/* On the pool: a report's result. */
+static void
+run_report(void *data)
+{
+    struct report_job *job = data;
+    struct ch_controller *controller = job->controller;
+    pthread_mutex_lock(&controller->lock);
+    int64_t now = ch_client_now(controller->node->client);
+    take_report(job, now);
+    engine_pump(job->engine,
+                controller_duty(controller, job->engine->data_centre), now);
+    engine_unref(job->engine);
+    controller->jobs--;
+    pthread_cond_broadcast(&controller->idle);
+    pthread_mutex_unlock(&controller->lock);
+    ch_report_free(job->report);
+    g_free(job);
+}
+
+/* On the loop's thread. */
+static void
+report_done(void *data, enum ch_code code, struct ch_report *report)
+{
+    struct report_job *job = data;
+    job->code = code;
+    job->report = report;
+    ch_pool_submit(job->controller->node->pool, run_report, job);
+}
+
+/* Whether a model of the engine is on its way. */
+static bool
+is_changing(const struct controller_engine *engine)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        if (item->model == 0 && item->state != CH_ITEM_RESIDENT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Asks for a report when it is time. */
+static void
+ask_report(struct controller_engine *engine, int64_t now)
+{
+    if (engine->reporting || now < engine->report_at) {
+        return;
+    }
+    bool soon = is_changing(engine) || !engine->known;
+    engine->reporting = true;
+    engine->report_at = now + (soon ? REPORT_CHANGING : REPORT_IDLE);
+    struct report_job *job = g_new0(struct report_job, 1);
+    job->controller = engine->controller;
+    job->engine = engine;
+    job->boot = engine->boot;
+    job->asked = now;
+    engine->references++;
+    engine->controller->jobs++;
+    engine->client->ops->report(engine->client, report_done, job);
+}
+
+/* ---- the whole ---- */
+
+/* See controller_internal.h. */
+bool
+engine_is_open(const struct controller_engine *engine, int64_t now)
+{
+    return engine->listed && engine->known && !engine->unsure &&
+           now >= engine->quiet_until && !is_changing(engine);
+}
+
+/* Ends the waits that are over their time. */
+static void
+expire_waits(struct controller_engine *engine, int64_t now)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        struct item *item = &g_array_index(engine->items, struct item, i);
+        if (item->waits != NULL && item->waits->len > 0 &&
+            g_array_index(item->waits, struct adapter_wait, 0).until <= now) {
+            answer_waits(engine, item, CH_PEER_TIMEOUT);
+        }
+    }
+}
+
+/* See controller_internal.h. */
+void
+engine_pump(struct controller_engine *engine, struct duty *duty, int64_t now)
+{
+    uint64_t fence = 0;
+    if (engine->controller->stopping || !ch_claim_held(duty->claim, &fence)) {
+        engine_fail_waits(engine, CH_NOT_READY);
+        return;
+    }
+    expire_waits(engine, now);
+    ask_report(engine, now);
+    if (!engine->listed || engine->leaving || engine->ordering ||
+        !engine->known || now < engine->quiet_until) {
+        return;
+    }
+    send_next(engine, duty, now);
+}
+
+/* See controller_internal.h. */
+void
+engine_prepare(struct controller_engine *engine, struct duty *duty,
+               GQuark model, GQuark adapter, const struct adapter_wait *wait,
+               int64_t now)
+{
+    struct item *item = engine_item(engine, adapter);
+    if (item != NULL && item->state == CH_ITEM_RESIDENT) {
+        item->used = now;
+        controller_answer(engine->controller, wait, CH_OK);
+        return;
+    }
+    if (!has_model(engine, model) || engine->leaving ||
+        (item != NULL && item->state == CH_ITEM_UNLOADING)) {
+        controller_answer(engine->controller, wait, CH_NO_UPSTREAM);
+        return;
+    }
+    if (item == NULL) {
+        item = engine_add_item(engine, adapter, model, CH_ITEM_LOADING, now);
+    }
+    if (item->waits == NULL) {
+        item->waits =
+            g_array_new(FALSE, FALSE, sizeof(struct adapter_wait));
+    }
+    struct adapter_wait copy = *wait;
+    copy.from = g_strdup(wait->from);
+    g_array_append_val(item->waits, copy);
+    engine_pump(engine, duty, now);
+}
--- /dev/null
+++ b/libchestnuthitch/node/controller_internal.h
@@ -0,0 +1,170 @@
+#ifndef CH_NODE_CONTROLLER_INTERNAL_H
+#define CH_NODE_CONTROLLER_INTERNAL_H
+
+/*
+ * What controller.c (rights, what is told and asked), controller_engine.c (one
+ * engine's orders and reports) and controller_models.c (which models) share.
+ * One lock guards all of it.
+ */
+
+#include "decide/arrange.h"
+#include "node/claim.h"
+#include "node/controller.h"
+#include "node/dialect.h"
+
+#include <pthread.h>
+
+enum {
+    /* A bound for orders and reports, microseconds: a worker that is well
+     * answers within a few milliseconds and the way there and back. */
+    CH_CONTROLLER_CALL_LIMIT = 1500 * 1000,
+};
+
+/* A request that waits for an adapter, by the frame that asked. */
+struct adapter_wait {
+    char *from;
+    uint64_t id;
+    int64_t until;
+};
+
+/* A model or adapter on an engine. */
+struct item {
+    GQuark name;
+    GQuark model; /* of an adapter; 0: it is a model */
+    enum ch_item_state state;
+    int64_t changed;   /* last change of state */
+    int64_t used;      /* an adapter was last asked for */
+    int64_t not_before; /* the order for it is not sent before */
+    bool ordered;      /* the order for its state was taken */
+    GArray *waits;     /* struct adapter_wait; NULL: none */
+};
+
+struct controller_engine {
+    struct ch_controller *controller;
+    int references;
+    GQuark name;
+    GQuark service;
+    GQuark data_centre;
+    char *address;
+    struct ch_upstream *client;
+    uint64_t boot;
+    bool listed;
+    bool leaving;
+    bool known; /* its orders and what it holds were read since its start */
+    uint64_t taken; /* orders it has taken */
+    GArray *items;  /* struct item */
+    GArray *copies; /* GQuark */
+    /* The order under way. */
+    bool ordering;
+    GQuark ordered_item;
+    enum ch_order_action ordered_action;
+    bool unsure; /* its answer was lost: it may act yet */
+    int64_t quiet_until; /* no order before then */
+    /* Reports. */
+    bool reporting;
+    int64_t report_at;
+    int64_t last_order; /* sent at */
+    uint32_t running;
+    uint32_t waiting;
+    /* What is told. */
+    bool news;
+};
+
+/* A data centre's engines and the right to order them. */
+struct duty {
+    GQuark data_centre;
+    struct ch_claim *claim;
+    char *holder;   /* the node that told last; NULL: none */
+    uint64_t fence; /* of its right */
+    int64_t heard;
+    bool was_held;
+    int64_t held_since;
+    int64_t next_tell;
+    int64_t next_whole;
+    int64_t next_arrange;
+    struct ch_bucket loads; /* of models from the weight store */
+};
+
+/* What one node told of its requests. */
+struct node_demand {
+    GArray *list; /* struct ch_model_demand */
+    int64_t at;
+};
+
+/* A model's smoothed demand. */
+struct smoothed {
+    double running;
+    double waiting;
+};
+
+struct ch_controller {
+    struct ch_node *node;
+    struct ch_roster *roster;
+    const struct ch_controller_handlers *handlers;
+    void *data;
+    pthread_mutex_t lock;
+    pthread_cond_t idle;
+    unsigned jobs;
+    bool stopping;
+    bool draining;
+    uint64_t timer;
+    int64_t next_demand;
+    GHashTable *engines;  /* GQuark to struct controller_engine */
+    GHashTable *duties;   /* GQuark of data centre to struct duty */
+    GHashTable *demands;  /* node name to struct node_demand */
+    GHashTable *smoothed; /* GQuark to struct smoothed */
+    int64_t smoothed_at;
+};
+
+/* ---- controller_engine.c; lock held ---- */
+
+struct controller_engine *engine_new(struct ch_controller *controller,
+                                     const struct ch_host *host);
+void engine_unref(struct controller_engine *engine);
+/* What the list says of it; another boot forgets what it held. */
+void engine_listed(struct controller_engine *engine,
+                   const struct ch_host *host, int64_t now);
+struct item *engine_item(struct controller_engine *engine, GQuark name);
+struct item *engine_add_item(struct controller_engine *engine, GQuark name,
+                             GQuark model, enum ch_item_state state,
+                             int64_t now);
+/* Gives the order that is next, asks for a report that is due. */
+void engine_pump(struct controller_engine *engine, struct duty *duty,
+                 int64_t now);
+/* Whether a model may be ordered now. */
+bool engine_is_open(const struct controller_engine *engine, int64_t now);
+/* A request asks for an adapter: answered when it is there, or cannot come. */
+void engine_prepare(struct controller_engine *engine, struct duty *duty,
+                    GQuark model, GQuark adapter,
+                    const struct adapter_wait *wait, int64_t now);
+/* Ends what waits for adapters, with a code. */
+void engine_fail_waits(struct controller_engine *engine, enum ch_code code);
+/* Memory of a model or adapter by the configuration in force; 0: unknown. */
+uint32_t controller_memory(struct ch_controller *controller, GQuark name);
+/* Places for adapters of the engine. */
+uint32_t engine_adapter_places(const struct controller_engine *engine);
+/* Memory of the engine for weights; 0: unknown. */
+uint32_t engine_memory(const struct controller_engine *engine);
+/* Memory kept for adapters. */
+uint32_t engine_reserve(const struct controller_engine *engine);
+
+/* ---- controller_models.c; lock held ---- */
+
+/* Takes a node's word on what it asks for. */
+void controller_take_demand(struct ch_controller *controller,
+                            const char *from,
+                            const Chestnuthitch__Wire__Demand *demand,
+                            int64_t now);
+/* Decides on models, and begins what was decided. */
+void controller_arrange(struct ch_controller *controller, struct duty *duty,
+                        int64_t now);
+
+/* ---- controller.c; lock held ---- */
+
+struct duty *controller_duty(struct ch_controller *controller,
+                             GQuark data_centre);
+/* Answers who waits for an adapter. */
+void controller_answer(struct ch_controller *controller,
+                       const struct adapter_wait *wait, enum ch_code code);
+
+#endif
--- /dev/null
+++ b/libchestnuthitch/node/controller_models.c
@@ -0,0 +1,289 @@
+/* What requests ask for, and which models are to come and go for it. */
+
+#include "node/controller_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+    /* A node's word holds this long; nodes tell it twice a second. */
+    DEMAND_STALE = 2 * 1000 * 1000,
+    /* Demand is smoothed over this time: it moves every few seconds, and a
+     * load takes one at least. */
+    SMOOTH = 1000 * 1000,
+    /* A model that is to go gets no new requests for this long before the
+     * order for it is sent: the time in which every node has been told. */
+    LEAVE_FIRST = 400 * 1000,
+};
+
+/* ---- demand ---- */
+
+/* Frees what a node told. */
+static void
+free_demand(void *data)
+{
+    struct node_demand *demand = data;
+    g_array_free(demand->list, TRUE);
+    g_free(demand);
+}
+
+/* See controller_internal.h. */
+void
+controller_take_demand(struct ch_controller *controller, const char *from,
+                       const Chestnuthitch__Wire__Demand *demand, int64_t now)
+{
+    struct node_demand *told = g_new0(struct node_demand, 1);
+    told->at = now;
+    told->list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
+    for (size_t i = 0; i < demand->n_models && i < demand->n_running &&
+                       i < demand->n_waiting;
+         i++) {
+        const struct ch_model_demand model = {
+            .model = g_quark_from_string(demand->models[i]),
+            .running = demand->running[i],
+            .waiting = demand->waiting[i],
+        };
+        g_array_append_val(told->list, model);
+    }
+    if (controller->demands == NULL) {
+        controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal,
+                                                    g_free, free_demand);
+    }
+    g_hash_table_replace(controller->demands, g_strdup(from), told);
+}
+
+/* Adds up what all nodes told lately. */
+static GHashTable *
+sum_demands(struct ch_controller *controller, int64_t now)
+{
+    GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (controller->demands == NULL) {
+        return sums;
+    }
+    g_hash_table_iter_init(&iterator, controller->demands);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct node_demand *told = value;
+        for (guint i = 0;
+             now - told->at < DEMAND_STALE && i < told->list->len; i++) {
+            const struct ch_model_demand *model =
+                &g_array_index(told->list, struct ch_model_demand, i);
+            gpointer key = GUINT_TO_POINTER(model->model);
+            struct smoothed *sum = g_hash_table_lookup(sums, key);
+            if (sum == NULL) {
+                sum = g_new0(struct smoothed, 1);
+                g_hash_table_insert(sums, key, sum);
+            }
+            sum->running += model->running;
+            sum->waiting += model->waiting;
+        }
+    }
+    return sums;
+}
+
+/* Lets the smoothed demand follow what is told now. */
+static void
+smooth(struct ch_controller *controller, int64_t now)
+{
+    GHashTable *sums = sum_demands(controller, now);
+    double age = (double)(now - controller->smoothed_at) / SMOOTH;
+    double weight = 1 - exp(-age);
+    controller->smoothed_at = now;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, sums);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        if (!g_hash_table_contains(controller->smoothed, key)) {
+            g_hash_table_insert(controller->smoothed, key,
+                                g_new0(struct smoothed, 1));
+        }
+    }
+    g_hash_table_iter_init(&iterator, controller->smoothed);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct smoothed *smoothed = value;
+        const struct smoothed *sum = g_hash_table_lookup(sums, key);
+        double running = sum == NULL ? 0 : sum->running;
+        double waiting = sum == NULL ? 0 : sum->waiting;
+        smoothed->running += (running - smoothed->running) * weight;
+        smoothed->waiting += (waiting - smoothed->waiting) * weight;
+    }
+    g_hash_table_destroy(sums);
+}
+
+/* ---- the state that is decided upon ---- */
+
+/* What the decision is given; its lists are freed after it. */
+struct picture {
+    GArray *engines; /* struct ch_arrange_engine */
+    GArray *models;  /* struct ch_arrange_model */
+    GPtrArray *lists; /* GArray, to be freed */
+};
+
+/* Adds an engine with its models. */
+static void
+add_engine(struct picture *picture, const struct controller_engine *engine,
+           const struct duty *duty, int64_t now)
+{
+    GArray *items =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_item));
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        const struct ch_arrange_item copy = {item->name, item->state, 0};
+        if (item->model == 0) {
+            g_array_append_val(items, copy);
+        }
+    }
+    g_ptr_array_add(picture->lists, items);
+    const struct ch_arrange_engine entry = {
+        .name = engine->name,
+        .service = engine->service,
+        .data_centre = engine->data_centre,
+        .mine = engine->data_centre == duty->data_centre,
+        .open = engine_is_open(engine, now),
+        .leaving = engine->leaving,
+        .memory_mb = engine_memory(engine),
+        .reserve_mb = engine_reserve(engine),
+        .running = engine->running,
+        .items = (const struct ch_arrange_item *)(void *)items->data,
+        .item_count = items->len,
+        .copies = (const GQuark *)(void *)engine->copies->data,
+        .copy_count = engine->copies->len,
+    };
+    g_array_append_val(picture->engines, entry);
+}
+
+/* Adds a model of the configuration with what is asked of it. */
+static void
+add_model(struct picture *picture, struct ch_controller *controller,
+          const struct ch_declaration *declaration, size_t index)
+{
+    const struct ch_model *model = &declaration->models[index];
+    GQuark name = g_quark_from_string(model->name);
+    const struct smoothed *smoothed =
+        g_hash_table_lookup(controller->smoothed, GUINT_TO_POINTER(name));
+    GArray *services = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    for (size_t i = 0; i < declaration->service_count; i++) {
+        GQuark service =
+            g_quark_from_string(declaration->services[i].name);
+        if (model->services[i]) {
+            g_array_append_val(services, service);
+        }
+    }
+    g_ptr_array_add(picture->lists, services);
+    const struct ch_arrange_model entry = {
+        .name = name,
+        .memory_mb = model->memory_mb,
+        .running = smoothed == NULL ? 0 : smoothed->running,
+        .waiting = smoothed == NULL ? 0 : smoothed->waiting,
+        .services = (const GQuark *)(void *)services->data,
+        .service_count = services->len,
+    };
+    g_array_append_val(picture->models, entry);
+}
+
+/* For g_ptr_array_new_with_free_func. */
+static void
+free_list(void *data)
+{
+    g_array_free(data, TRUE);
+}
+
+/* Engines of the data centre, a quarter of which may change at a time. */
+static uint32_t
+most_changes(const struct picture *picture)
+{
+    uint32_t mine = 0;
+    for (guint i = 0; i < picture->engines->len; i++) {
+        mine += g_array_index(picture->engines, struct ch_arrange_engine, i)
+                        .mine
+                    ? 1
+                    : 0;
+    }
+    return MAX(mine / 4, 1);
+}
+
+/* ---- doing what was decided ---- */
+
+/* Begins a load or an unload; the orders follow when they can be sent. */
+static void
+begin(struct ch_controller *controller, struct duty *duty,
+      const struct ch_arrange_action *action, int64_t now)
+{
+    struct controller_engine *engine = g_hash_table_lookup(
+        controller->engines, GUINT_TO_POINTER(action->engine));
+    ch_log(controller->node->client, CH_LOG_INFO, "model-move",
+           CH_F_STR("upstream", g_quark_to_string(action->engine)),
+           CH_F_STR("model", g_quark_to_string(action->model)),
+           CH_F_STR("action",
+                    action->kind == CH_ACTION_LOAD ? "load" : "unload"),
+           CH_F_BOOL("from_store", action->from_store),
+           CH_F_STR("reason", action->reason), CH_F_END);
+    if (action->kind == CH_ACTION_LOAD) {
+        if (action->from_store) {
+            (void)ch_bucket_take(&duty->loads, 1, now);
+        }
+        engine_add_item(engine, action->model, 0, CH_ITEM_LOADING, now);
+    }
+    else {
+        struct item *item = engine_item(engine, action->model);
+        item->state = CH_ITEM_UNLOADING;
+        item->ordered = false;
+        item->changed = now;
+        item->not_before = now + LEAVE_FIRST;
+    }
+    engine->news = true;
+    engine_pump(engine, duty, now);
+}
+
+/* See controller_internal.h. */
+void
+controller_arrange(struct ch_controller *controller, struct duty *duty,
+                   int64_t now)
+{
+    struct ch_config *config =
+        ch_config_keeper_current(controller->node->config);
+    if (config == NULL) {
+        return;
+    }
+    smooth(controller, now);
+    struct picture picture = {
+        .engines = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_engine)),
+        .models = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_model)),
+        .lists = g_ptr_array_new_with_free_func(free_list),
+    };
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, controller->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        add_engine(&picture, value, duty, now);
+    }
+    for (size_t i = 0; i < config->declaration->model_count; i++) {
+        add_model(&picture, controller, config->declaration, i);
+    }
+    const struct ch_arrange_state state = {
+        .engines =
+            (const struct ch_arrange_engine *)(void *)picture.engines->data,
+        .engine_count = picture.engines->len,
+        .models =
+            (const struct ch_arrange_model *)(void *)picture.models->data,
+        .model_count = picture.models->len,
+        .data_centre = duty->data_centre,
+        .loads_left = (uint32_t)ch_bucket_level(&duty->loads, now),
+        .most_changes = most_changes(&picture),
+    };
+    GArray *actions =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_action));
+    ch_arrange(&state, actions);
+    for (guint i = 0; i < actions->len; i++) {
+        begin(controller, duty,
+              &g_array_index(actions, struct ch_arrange_action, i), now);
+    }
+    g_array_free(actions, TRUE);
+    g_array_free(picture.engines, TRUE);
+    g_array_free(picture.models, TRUE);
+    g_ptr_array_free(picture.lists, TRUE);
+    ch_config_unref(config);
+}
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -817,7 +817,187 @@
   assert(message->base.descriptor == &chestnuthitch__wire__once_finish__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[21] =
+void   chestnuthitch__wire__engine_state__init
+                     (Chestnuthitch__Wire__EngineState         *message)
+{
+  static const Chestnuthitch__Wire__EngineState init_value = CHESTNUTHITCH__WIRE__ENGINE_STATE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__engine_state__get_packed_size
+                     (const Chestnuthitch__Wire__EngineState *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__engine_state__pack
+                     (const Chestnuthitch__Wire__EngineState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__engine_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__EngineState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__EngineState *
+       chestnuthitch__wire__engine_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__EngineState *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__engine_state__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__engine_state__free_unpacked
+                     (Chestnuthitch__Wire__EngineState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__engines__init
+                     (Chestnuthitch__Wire__Engines         *message)
+{
+  static const Chestnuthitch__Wire__Engines init_value = CHESTNUTHITCH__WIRE__ENGINES__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__engines__get_packed_size
+                     (const Chestnuthitch__Wire__Engines *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__engines__pack
+                     (const Chestnuthitch__Wire__Engines *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__engines__pack_to_buffer
+                     (const Chestnuthitch__Wire__Engines *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__Engines *
+       chestnuthitch__wire__engines__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__Engines *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__engines__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__engines__free_unpacked
+                     (Chestnuthitch__Wire__Engines *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__engines__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__prepare__init
+                     (Chestnuthitch__Wire__Prepare         *message)
+{
+  static const Chestnuthitch__Wire__Prepare init_value = CHESTNUTHITCH__WIRE__PREPARE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__prepare__get_packed_size
+                     (const Chestnuthitch__Wire__Prepare *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prepare__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__prepare__pack
+                     (const Chestnuthitch__Wire__Prepare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prepare__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__prepare__pack_to_buffer
+                     (const Chestnuthitch__Wire__Prepare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prepare__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__Prepare *
+       chestnuthitch__wire__prepare__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__Prepare *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__prepare__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__prepare__free_unpacked
+                     (Chestnuthitch__Wire__Prepare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__prepare__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__demand__init
+                     (Chestnuthitch__Wire__Demand         *message)
+{
+  static const Chestnuthitch__Wire__Demand init_value = CHESTNUTHITCH__WIRE__DEMAND__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__demand__get_packed_size
+                     (const Chestnuthitch__Wire__Demand *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__demand__pack
+                     (const Chestnuthitch__Wire__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__demand__pack_to_buffer
+                     (const Chestnuthitch__Wire__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__Demand *
+       chestnuthitch__wire__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__Demand *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__demand__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__demand__free_unpacked
+                     (Chestnuthitch__Wire__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[24] =
 {
   {
     "version",
@@ -1071,12 +1251,50 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engines",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, engines),
+    &chestnuthitch__wire__engines__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prepare",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, prepare),
+    &chestnuthitch__wire__prepare__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, demand),
+    &chestnuthitch__wire__demand__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
   16,   /* field[16] = config_push */
   4,   /* field[4] = config_revision */
+  23,   /* field[23] = demand */
   20,   /* field[20] = done */
+  21,   /* field[21] = engines */
   10,   /* field[10] = enqueue */
   1,   /* field[1] = from */
   9,   /* field[9] = gossip */
@@ -1088,6 +1306,7 @@
   19,   /* field[19] = once_finish */
   7,   /* field[7] = ping */
   8,   /* field[8] = pong */
+  22,   /* field[22] = prepare */
   5,   /* field[5] = ready */
   12,   /* field[12] = refuse */
   13,   /* field[13] = release */
@@ -1099,7 +1318,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -1109,7 +1328,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  21,
+  24,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -2521,3 +2740,337 @@
   (ProtobufCMessageInit) chestnuthitch__wire__once_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_state__field_descriptors[7] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "models",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Chestnuthitch__Wire__EngineState, n_models),
+    offsetof(Chestnuthitch__Wire__EngineState, models),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapters",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Chestnuthitch__Wire__EngineState, n_adapters),
+    offsetof(Chestnuthitch__Wire__EngineState, adapters),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "coming",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Chestnuthitch__Wire__EngineState, n_coming),
+    offsetof(Chestnuthitch__Wire__EngineState, coming),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__engine_state__field_indices_by_name[] = {
+  3,   /* field[3] = adapters */
+  1,   /* field[1] = boot */
+  4,   /* field[4] = coming */
+  2,   /* field[2] = models */
+  5,   /* field[5] = running */
+  0,   /* field[0] = upstream */
+  6,   /* field[6] = waiting */
+};
+static const ProtobufCIntRange chestnuthitch__wire__engine_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.EngineState",
+  "EngineState",
+  "Chestnuthitch__Wire__EngineState",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__EngineState),
+  7,
+  chestnuthitch__wire__engine_state__field_descriptors,
+  chestnuthitch__wire__engine_state__field_indices_by_name,
+  1,  chestnuthitch__wire__engine_state__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__engine_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engines__field_descriptors[4] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Engines, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Engines, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Engines, n_engines),
+    offsetof(Chestnuthitch__Wire__Engines, engines),
+    &chestnuthitch__wire__engine_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Engines, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__engines__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  2,   /* field[2] = engines */
+  1,   /* field[1] = fence */
+  3,   /* field[3] = whole */
+};
+static const ProtobufCIntRange chestnuthitch__wire__engines__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__engines__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.Engines",
+  "Engines",
+  "Chestnuthitch__Wire__Engines",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__Engines),
+  4,
+  chestnuthitch__wire__engines__field_descriptors,
+  chestnuthitch__wire__engines__field_indices_by_name,
+  1,  chestnuthitch__wire__engines__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__engines__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__prepare__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Prepare, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Prepare, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Prepare, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__prepare__field_indices_by_name[] = {
+  2,   /* field[2] = adapter */
+  1,   /* field[1] = model */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__prepare__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__prepare__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.Prepare",
+  "Prepare",
+  "Chestnuthitch__Wire__Prepare",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__Prepare),
+  3,
+  chestnuthitch__wire__prepare__field_descriptors,
+  chestnuthitch__wire__prepare__field_indices_by_name,
+  1,  chestnuthitch__wire__prepare__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__prepare__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__demand__field_descriptors[4] =
+{
+  {
+    "models",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Chestnuthitch__Wire__Demand, n_models),
+    offsetof(Chestnuthitch__Wire__Demand, models),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__Demand, n_running),
+    offsetof(Chestnuthitch__Wire__Demand, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__Demand, n_waiting),
+    offsetof(Chestnuthitch__Wire__Demand, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Chestnuthitch__Wire__Demand, n_used),
+    offsetof(Chestnuthitch__Wire__Demand, used),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__demand__field_indices_by_name[] = {
+  0,   /* field[0] = models */
+  1,   /* field[1] = running */
+  3,   /* field[3] = used */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange chestnuthitch__wire__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.Demand",
+  "Demand",
+  "Chestnuthitch__Wire__Demand",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__Demand),
+  4,
+  chestnuthitch__wire__demand__field_descriptors,
+  chestnuthitch__wire__demand__field_indices_by_name,
+  1,  chestnuthitch__wire__demand__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -33,6 +33,10 @@
 typedef struct Chestnuthitch__Wire__OnceBegin Chestnuthitch__Wire__OnceBegin;
 typedef struct Chestnuthitch__Wire__OnceAnswer Chestnuthitch__Wire__OnceAnswer;
 typedef struct Chestnuthitch__Wire__OnceFinish Chestnuthitch__Wire__OnceFinish;
+typedef struct Chestnuthitch__Wire__EngineState Chestnuthitch__Wire__EngineState;
+typedef struct Chestnuthitch__Wire__Engines Chestnuthitch__Wire__Engines;
+typedef struct Chestnuthitch__Wire__Prepare Chestnuthitch__Wire__Prepare;
+typedef struct Chestnuthitch__Wire__Demand Chestnuthitch__Wire__Demand;
 
 
 /* --- enums --- */
@@ -56,7 +60,10 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_ONCE_BEGIN = 21,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ONCE_ANSWER = 22,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ONCE_FINISH = 23,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_DONE = 24
+  CHESTNUTHITCH__WIRE__FRAME__BODY_DONE = 24,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ENGINES = 25,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PREPARE = 26,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_DEMAND = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -96,6 +103,9 @@
     Chestnuthitch__Wire__OnceAnswer *once_answer;
     Chestnuthitch__Wire__OnceFinish *once_finish;
     Chestnuthitch__Wire__Done *done;
+    Chestnuthitch__Wire__Engines *engines;
+    Chestnuthitch__Wire__Prepare *prepare;
+    Chestnuthitch__Wire__Demand *demand;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -410,6 +420,99 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
+/*
+ * What the node with the right to order the engines of a data centre knows of
+ * them; what is left out of `models` gets no new requests.
+ */
+struct  Chestnuthitch__Wire__EngineState
+{
+  ProtobufCMessage base;
+  char *upstream;
+  uint64_t boot;
+  size_t n_models;
+  char **models;
+  /*
+   * "model/adapter"
+   */
+  size_t n_adapters;
+  char **adapters;
+  /*
+   * models that are being loaded
+   */
+  size_t n_coming;
+  char **coming;
+  uint32_t running;
+  uint32_t waiting;
+};
+#define CHESTNUTHITCH__WIRE__ENGINE_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engine_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__Engines
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  /*
+   * of the right: the highest one counts
+   */
+  uint64_t fence;
+  size_t n_engines;
+  Chestnuthitch__Wire__EngineState **engines;
+  /*
+   * all engines of the data centre
+   */
+  protobuf_c_boolean whole;
+};
+#define CHESTNUTHITCH__WIRE__ENGINES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engines__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+
+
+/*
+ * To that node: load an adapter, so that a request can go out.
+ */
+struct  Chestnuthitch__Wire__Prepare
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *model;
+  /*
+   * "model/adapter"
+   */
+  char *adapter;
+};
+#define CHESTNUTHITCH__WIRE__PREPARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__prepare__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * What a node's requests ask for, by model.
+ */
+struct  Chestnuthitch__Wire__Demand
+{
+  ProtobufCMessage base;
+  size_t n_models;
+  char **models;
+  size_t n_running;
+  uint32_t *running;
+  /*
+   * of which no engine has the model
+   */
+  size_t n_waiting;
+  uint32_t *waiting;
+  /*
+   * "UPSTREAM MODEL/ADAPTER", since the last
+   */
+  size_t n_used;
+  char **used;
+};
+#define CHESTNUTHITCH__WIRE__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__demand__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -752,6 +855,82 @@
 void   chestnuthitch__wire__once_finish__free_unpacked
                      (Chestnuthitch__Wire__OnceFinish *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__EngineState methods */
+void   chestnuthitch__wire__engine_state__init
+                     (Chestnuthitch__Wire__EngineState         *message);
+size_t chestnuthitch__wire__engine_state__get_packed_size
+                     (const Chestnuthitch__Wire__EngineState   *message);
+size_t chestnuthitch__wire__engine_state__pack
+                     (const Chestnuthitch__Wire__EngineState   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__engine_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__EngineState   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__EngineState *
+       chestnuthitch__wire__engine_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__engine_state__free_unpacked
+                     (Chestnuthitch__Wire__EngineState *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__Engines methods */
+void   chestnuthitch__wire__engines__init
+                     (Chestnuthitch__Wire__Engines         *message);
+size_t chestnuthitch__wire__engines__get_packed_size
+                     (const Chestnuthitch__Wire__Engines   *message);
+size_t chestnuthitch__wire__engines__pack
+                     (const Chestnuthitch__Wire__Engines   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__engines__pack_to_buffer
+                     (const Chestnuthitch__Wire__Engines   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__Engines *
+       chestnuthitch__wire__engines__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__engines__free_unpacked
+                     (Chestnuthitch__Wire__Engines *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__Prepare methods */
+void   chestnuthitch__wire__prepare__init
+                     (Chestnuthitch__Wire__Prepare         *message);
+size_t chestnuthitch__wire__prepare__get_packed_size
+                     (const Chestnuthitch__Wire__Prepare   *message);
+size_t chestnuthitch__wire__prepare__pack
+                     (const Chestnuthitch__Wire__Prepare   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__prepare__pack_to_buffer
+                     (const Chestnuthitch__Wire__Prepare   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__Prepare *
+       chestnuthitch__wire__prepare__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__prepare__free_unpacked
+                     (Chestnuthitch__Wire__Prepare *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__Demand methods */
+void   chestnuthitch__wire__demand__init
+                     (Chestnuthitch__Wire__Demand         *message);
+size_t chestnuthitch__wire__demand__get_packed_size
+                     (const Chestnuthitch__Wire__Demand   *message);
+size_t chestnuthitch__wire__demand__pack
+                     (const Chestnuthitch__Wire__Demand   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__demand__pack_to_buffer
+                     (const Chestnuthitch__Wire__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__Demand *
+       chestnuthitch__wire__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__demand__free_unpacked
+                     (Chestnuthitch__Wire__Demand *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -808,6 +987,18 @@
 typedef void (*Chestnuthitch__Wire__OnceFinish_Closure)
                  (const Chestnuthitch__Wire__OnceFinish *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__EngineState_Closure)
+                 (const Chestnuthitch__Wire__EngineState *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__Engines_Closure)
+                 (const Chestnuthitch__Wire__Engines *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__Prepare_Closure)
+                 (const Chestnuthitch__Wire__Prepare *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__Demand_Closure)
+                 (const Chestnuthitch__Wire__Demand *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -832,6 +1023,10 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__once_begin__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__once_answer__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__once_finish__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__engines__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__prepare__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor;
 
 PROTOBUF_C__END_DECLS
 
