Leave a full engine its requests; share the budget of repeats among the nodes

A first byte that was not there after 0.6 of the target ended the call and sent it elsewhere: with one engine full, 176 of 250 failures.

--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -310,6 +310,7 @@
             .client = request->client->client,
             .priority = request->work.priority,
             .other_region = choice->other_region,
+            .expected = choice->expected,
         },
     };
 }
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -14,6 +14,14 @@
     MEASURED_TIMES = 4,
     USUAL_TOKEN = 100 * 1000,
     MOST_FIRST_BYTE = 600 * G_USEC_PER_SEC,
+    /*
+     * An upstream that is full answers late and not never: a request that is
+     * taken away from it begins at the end of another queue, and what it read
+     * of the prompt is read twice.  So it is left there until four times what
+     * the load explains, and some more, have passed.
+     */
+    EXPECTED_TIMES = 4,
+    EXPECTED_MORE = 500 * 1000,
 };
 
 /* The headers of an answer that is ours.  A stream that was begun keeps those
@@ -249,7 +257,8 @@
     int64_t limit =
         (int64_t)exchange->front->node->settings->first_byte_ms * 1000;
     if (request->first_byte_limit > 0) {
-        return request->first_byte_limit;
+        return MAX(request->first_byte_limit,
+                   EXPECTED_TIMES * exchange->grant.expected + EXPECTED_MORE);
     }
     if (request->stream || request->work.service) {
         return limit;
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -29,6 +29,9 @@
     STOPPING_RETRY_AFTER = 1000 * 1000,
 };
 
+/* Of the repeats that are allowed, what the nodes use in all. */
+static const double RETRY_PART = 0.8;
+
 /* ---- ids and counts ---- */
 
 /* A number that is unique in this process, and a text that is unique among
@@ -45,6 +48,38 @@
     return number;
 }
 
+/* Nodes among which the slack is shared, looked up now and then. */
+static unsigned
+count_sharers(struct ch_front *front)
+{
+    int64_t now = ch_client_now(front->node->client);
+    if (front->live == 0 || now - front->shared_at > G_USEC_PER_SEC) {
+        char **live = ch_peers_live(front->node->peers);
+        front->live = MAX(g_strv_length(live), 1U);
+        front->shared_at = now;
+        g_strfreev(live);
+    }
+    return front->live;
+}
+
+/*
+ * Load: an upstream that fails, or a platform that does, fails requests on all
+ * nodes at once.  Harm prevented: more repeats towards a service than the
+ * operators allow it, over all nodes: a share of its requests, and a slack in
+ * any window.  Each node takes its part of the slack and no more of the share
+ * than its own requests give; a part of both stays unused, since nodes that
+ * start or stop do not agree on their number at once.
+ */
+static void
+share_budget(struct ch_front *front, struct ch_retry_budget *budget)
+{
+    const struct ch_settings *settings = front->node->settings;
+    double slack = RETRY_PART * settings->retry_slack / count_sharers(front);
+    budget->share = RETRY_PART * settings->retry_share;
+    budget->most = MAX(slack, 1);
+    budget->level = MIN(budget->level, budget->most);
+}
+
 /* See front.h. */
 struct ch_retry_budget *
 ch_front_budget(struct ch_front *front, GQuark service)
@@ -56,11 +91,12 @@
     struct ch_retry_budget *budget =
         g_hash_table_lookup(front->service_retries, key);
     if (budget == NULL) {
-        const struct ch_settings *settings = front->node->settings;
         budget = g_new0(struct ch_retry_budget, 1);
-        ch_retry_budget_init(budget, settings->retry_share);
+        ch_retry_budget_init(budget, RETRY_PART *
+                                         front->node->settings->retry_share);
         g_hash_table_insert(front->service_retries, key, budget);
     }
+    share_budget(front, budget);
     return budget;
 }
 
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -31,6 +31,8 @@
     uint64_t last_id;               /* of requests */
     struct ch_retry_budget retries; /* of requests to any service */
     GHashTable *service_retries;    /* GQuark to struct ch_retry_budget */
+    int64_t shared_at;              /* when the slack was last shared out */
+    unsigned live;                  /* nodes that share it */
     bool stopping;                  /* not ready; still serving */
     bool refusing;                  /* new requests are refused */
 };
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -225,6 +225,9 @@
     uint32_t priority;
     bool other_region;
     int64_t token; /* measured there for one token; 0: not yet */
+    /* Until the first of the answer, by what is known of the load there; 0:
+       nothing is. */
+    int64_t expected;
 };
 
 /* One of the two, once, on a pool worker. */
