Tell orders under way from orders done; drop no adapter that is in use

Now 202 and 200 are told apart, what runs is told to the holders, and a refused unload is taken back.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -34,6 +34,9 @@
     FORGET = 4 * G_USEC_PER_SEC,
     /* An adapter that has to be loaded: 6 to 19 ms, and the order's way. */
     ADAPTER_LOAD = 60 * 1000,
+    /* An engine that changes its models takes no other order for a second or
+     * more. */
+    BUSY = 1500 * 1000,
     /* Numbers of others older than this say nothing any more. */
     OTHERS_STALE = 3 * G_USEC_PER_SEC,
     /* When something is missing that is being looked after. */
@@ -62,6 +65,7 @@
 struct seat {
     struct ch_seat_facts facts;
     bool listed;
+    bool busy;        /* takes no orders now */
     GArray *models;   /* GQuark */
     GArray *adapters; /* GQuark: "model/adapter" */
     /* Of this node's requests. */
@@ -269,6 +273,16 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_busy(struct ch_balance *balance, GQuark upstream, bool busy)
+{
+    struct seat *seat = find(balance, upstream);
+    if (seat != NULL) {
+        seat->busy = busy;
+    }
+}
+
 /* See balance.h. */
 void
 ch_balance_model_gone(struct ch_balance *balance, GQuark upstream,
@@ -464,7 +478,8 @@
         cost += MEMORY_FULL;
     }
     if (work->adapter != 0 && !has(seat->adapters, work->adapter)) {
-        cost += ADAPTER_LOAD + adapter_order(seat, work->adapter);
+        cost += ADAPTER_LOAD + adapter_order(seat, work->adapter) +
+                (seat->busy ? BUSY : 0);
         if (seat->facts.adapter_places > 0 &&
             seat->adapters->len >= seat->facts.adapter_places) {
             cost += ADAPTER_LOAD; /* another has to go first */
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -57,6 +57,8 @@
 /* One adapter came or went. */
 void ch_balance_adapter(struct ch_balance *balance, GQuark upstream,
                         GQuark adapter, bool resident);
+/* Whether it takes orders, as for an adapter that is missing. */
+void ch_balance_busy(struct ch_balance *balance, GQuark upstream, bool busy);
 /* A model went, or was never there: until the next update. */
 void ch_balance_model_gone(struct ch_balance *balance, GQuark upstream,
                            GQuark model);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -283,6 +283,16 @@
     return step;
 }
 
+/* Notes that a request's adapter is used where it runs.  Lock held. */
+static void
+note_used(struct balancer *balancer, const struct request *request)
+{
+    g_hash_table_add(
+        balancer->used,
+        g_strdup_printf("%s %s", g_quark_to_string(request->choice.upstream),
+                        g_quark_to_string(request->work.adapter)));
+}
+
 /* Lets a request go out as chosen.  Lock held. */
 static struct step
 grant(struct balancer *balancer, struct request *request, int64_t now)
@@ -295,10 +305,7 @@
     request->client->references++;
     ch_balance_sent(balancer->balance, &request->work, choice, now);
     if (request->work.adapter != 0) {
-        g_hash_table_add(balancer->used,
-                         g_strdup_printf(
-                             "%s %s", g_quark_to_string(choice->upstream),
-                             g_quark_to_string(request->work.adapter)));
+        note_used(balancer, request);
     }
     return (struct step){
         .kind = STEP_GRANT,
@@ -592,6 +599,7 @@
                       engine->model_count);
     ch_balance_adapters(balancer->balance, engine->upstream, engine->adapters,
                         engine->adapter_count);
+    ch_balance_busy(balancer->balance, engine->upstream, engine->busy);
     uint32_t all = engine->running + engine->waiting;
     ch_balance_others(balancer->balance, engine->upstream,
                       all > own ? all - own : 0, engine->waiting, told->at);
@@ -645,7 +653,18 @@
     route_waiting(balancer);
 }
 
-/* Which adapters were used since this was last asked. */
+/* Adds the adapter that a request runs on. */
+static void
+add_used(void *item, uint64_t handle, void *data)
+{
+    (void)handle;
+    const struct request *request = item;
+    if (request->state == REQUEST_GRANTED && request->work.adapter != 0) {
+        note_used(data, request);
+    }
+}
+
+/* Which adapters are in use, or were since this was last asked. */
 static void
 tell_used(void *data, GPtrArray *out)
 {
@@ -653,6 +672,7 @@
     GHashTableIter iterator;
     gpointer key = NULL;
     pthread_mutex_lock(&balancer->lock);
+    ch_table_each(balancer->requests, add_used, balancer);
     g_hash_table_iter_init(&iterator, balancer->used);
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
         g_ptr_array_add(out, g_strdup(key));
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -207,6 +207,7 @@
     state->coming = names_of(engine, true, CH_ITEM_LOADING, &state->n_coming);
     state->running = engine->running;
     state->waiting = engine->waiting;
+    state->busy = engine_is_busy(engine);
     return state;
 }
 
@@ -320,6 +321,7 @@
         .coming_count = coming->len,
         .running = state->running,
         .waiting = state->waiting,
+        .busy = state->busy,
     };
     pthread_mutex_lock(&controller->lock);
     struct controller_engine *engine = g_hash_table_lookup(
--- a/libchestnuthitch/node/controller.h
+++ b/libchestnuthitch/node/controller.h
@@ -22,6 +22,7 @@
     size_t coming_count;
     uint32_t running;
     uint32_t waiting;
+    bool busy; /* takes no order now */
 };
 
 /* What this node's requests ask for of one model. */
@@ -38,8 +39,8 @@
     void (*told_all)(void *data);
     /* Appends struct ch_model_demand. */
     void (*demand)(void *data, GArray *out);
-    /* Appends "UPSTREAM MODEL/ADAPTER" of what was used since it was last
-       asked; new strings. */
+    /* Appends "UPSTREAM MODEL/ADAPTER" of what is in use, or was since it was
+       last asked; new strings. */
     void (*used)(void *data, GPtrArray *out);
 };
 
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -367,15 +367,35 @@
     item->ordered = true;
     item->changed = now;
     engine->report_at = now + REPORT_CHANGING;
-    if (item->model == 0) {
-        return;
-    }
-    if (engine->ordered_action == CH_ORDER_LOAD) {
+    if (item->model != 0 && engine->ordered_action == CH_ORDER_LOAD) {
         await_adapter(engine);
     }
-    else {
-        /* An adapter that no request uses goes at once. */
+}
+
+/* The engine is as ordered already.  An adapter that nobody uses goes at once,
+ * which is an order taken; what was so before is none.  Should this count be
+ * wrong, the next order is refused, and the report tells. */
+static void
+order_holds(struct controller_engine *engine, struct item *item, int64_t now)
+{
+    if (engine->ordered_action == CH_ORDER_UNLOAD) {
+        engine->taken += item->model != 0 ? 1 : 0;
         remove_item(engine, item->name);
+        return;
+    }
+    set_state(engine, item, CH_ITEM_RESIDENT, now);
+    answer_waits(engine, item, CH_OK);
+}
+
+/* Another order is under way, or came before.  An adapter that was to go for
+ * another stays. */
+static void
+order_refused(struct controller_engine *engine, struct item *item, int64_t now)
+{
+    if (item != NULL && item->model != 0 &&
+        engine->ordered_action == CH_ORDER_UNLOAD) {
+        set_state(engine, item, CH_ITEM_RESIDENT, now);
+        item->used = now;
     }
 }
 
@@ -424,7 +444,11 @@
     else if (job->code == CH_OK && item != NULL) {
         order_taken(engine, item, now);
     }
-    else if (job->code != CH_OK) {
+    else if (job->code == CH_ORDER_HOLDS && item != NULL) {
+        order_holds(engine, item, now);
+    }
+    else if (job->code != CH_OK && job->code != CH_ORDER_HOLDS) {
+        order_refused(engine, item, now);
         order_failed(engine, job->code, now);
     }
     engine_pump(engine, duty, now);
@@ -496,6 +520,23 @@
     engine->client->ops->order(engine->client, &order, order_done, job);
 }
 
+/* See controller_internal.h. */
+bool
+engine_is_busy(const struct controller_engine *engine)
+{
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        bool moving = item->state == CH_ITEM_LOADING ||
+                      item->state == CH_ITEM_UNLOADING;
+        bool slow = item->model == 0 || item->state == CH_ITEM_UNLOADING;
+        if (moving && slow && item->ordered) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- which order is next ---- */
 
 /* Adapters that take a place, or may. */
@@ -834,7 +875,8 @@
     expire_waits(engine, now);
     ask_report(engine, now);
     if (!engine->listed || engine->leaving || engine->ordering ||
-        !engine->known || now < engine->quiet_until) {
+        !engine->known || now < engine->quiet_until ||
+        engine_is_busy(engine)) {
         return;
     }
     send_next(engine, duty, now);
@@ -853,6 +895,7 @@
         return;
     }
     if (!has_model(engine, model) || engine->leaving ||
+        engine_is_busy(engine) ||
         (item != NULL && item->state == CH_ITEM_UNLOADING)) {
         controller_answer(engine->controller, wait, CH_NO_UPSTREAM);
         return;
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -131,6 +131,9 @@
 /* Gives the order that is next, asks for a report that is due. */
 void engine_pump(struct controller_engine *engine, struct duty *duty,
                  int64_t now);
+/* Whether it carries out an order that keeps all others from being taken: of a
+   model, or for an adapter that is still used. */
+bool engine_is_busy(const struct controller_engine *engine);
 /* Whether a model may be ordered now. */
 bool engine_is_open(const struct controller_engine *engine, int64_t now);
 /* A request asks for an adapter: answered when it is there, or cannot come. */
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -114,7 +114,9 @@
     uint64_t (*call)(struct ch_upstream *upstream, const struct ch_call *call,
                      const struct ch_call_handlers *handlers, void *data);
     void (*cancel)(struct ch_upstream *upstream, uint64_t handle);
-    /* OK: accepted; STALE_FENCE: refused; UNKNOWN outcomes: may arrive yet.
+    /* OK: accepted, it is being carried out; ORDER_HOLDS: it was done at once,
+       or was so already; STALE_FENCE: refused; UPSTREAM_REFUSED: another one
+       is under way, or has come before; UNKNOWN outcomes: may arrive yet.
        NULL for a plain service. */
     void (*order)(struct ch_upstream *upstream, const struct ch_order *order,
                   void (*done)(void *data, enum ch_code code), void *data);
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -2740,7 +2740,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__once_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_state__field_descriptors[8] =
 {
   {
     "upstream",
@@ -2826,10 +2826,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "busy",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__engine_state__field_indices_by_name[] = {
   3,   /* field[3] = adapters */
   1,   /* field[1] = boot */
+  7,   /* field[7] = busy */
   4,   /* field[4] = coming */
   2,   /* field[2] = models */
   5,   /* field[5] = running */
@@ -2839,7 +2852,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor =
 {
@@ -2849,7 +2862,7 @@
   "Chestnuthitch__Wire__EngineState",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__EngineState),
-  7,
+  8,
   chestnuthitch__wire__engine_state__field_descriptors,
   chestnuthitch__wire__engine_state__field_indices_by_name,
   1,  chestnuthitch__wire__engine_state__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -443,10 +443,14 @@
   char **coming;
   uint32_t running;
   uint32_t waiting;
+  /*
+   * takes no order now
+   */
+  protobuf_c_boolean busy;
 };
 #define CHESTNUTHITCH__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Chestnuthitch__Wire__Engines
