--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -267,19 +267,37 @@
     }
 }
 
-/* See controller_internal.h. */
+/* Forgets what an earlier process of the engine held. */
+static void
+start_anew(struct controller_engine *engine, int64_t now)
+{
+    engine_fail_waits(engine, CH_NO_UPSTREAM);
+    g_array_set_size(engine->items, 0);
+    engine->taken = 0;
+    engine->known = false;
+    engine->unsure = false;
+    engine->report_at = now;
+    engine->news = true;
+}
+
+/*
+ * See controller_internal.h.  The list lags: that an engine has started anew
+ * is seen by its report first, and it has taken orders by the time that its
+ * list entry says so.  Those would be forgotten with the entry, and the engine
+ * loaded past its memory; so the entry of a start that was seen already
+ * changes nothing but the name of the process.
+ */
 void
 engine_listed(struct controller_engine *engine, const struct ch_host *host,
               int64_t now)
 {
-    if (engine->boot != host->boot) {
-        engine_fail_waits(engine, CH_NO_UPSTREAM);
-        g_array_set_size(engine->items, 0);
+    if (host->boot > engine->boot && engine->restarted) {
+        engine->boot = host->boot;
+        engine->restarted = false;
+    }
+    else if (host->boot > engine->boot || engine->boot == 0) {
+        start_anew(engine, now);
         engine->boot = host->boot;
-        engine->known = false;
-        engine->unsure = false;
-        engine->taken = host->order_count;
-        engine->report_at = now;
         take_resident(engine, host->resident, now);
     }
     engine->listed = true;
@@ -771,10 +789,18 @@
     if (report->orders_taken < engine->taken && !settled) {
         return;
     }
+    if (report->orders_taken < engine->taken) {
+        start_anew(engine, now);
+        engine->restarted = true;
+    }
     engine->taken = report->orders_taken;
     engine->unsure = false;
-    engine->known = true;
     take_lists(engine, report, now);
+    /* An order that somebody else gave is under way: what it loads is in no
+     * list yet, and would be loaded past.  Once it is done a report shows it;
+     * one that is not busy and counts as many orders as the engine takes next
+     * has all in it. */
+    engine->known = !report->busy || engine_is_busy(engine);
 }
 
 /* On the pool: a report's result. */
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -50,7 +50,8 @@
     uint64_t boot;
     bool listed;
     bool leaving;
-    bool known; /* its orders and what it holds were read since its start */
+    bool restarted; /* a report showed it; the list does not yet */
+    bool known;     /* its orders and what it holds were read since its start */
     uint64_t taken; /* orders it has taken */
     GArray *items;  /* struct item */
     GArray *copies; /* GQuark */
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -222,7 +222,7 @@
            CH_F_STR("data_centre", host->data_centre),
            CH_F_STR("service", host->service),
            CH_F_STR("resident", resident), CH_F_STR("copies", copies),
-           CH_F_INT("order_count", host->order_count), CH_F_END);
+           CH_F_END);
     g_free(resident);
     g_free(copies);
 }
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -121,8 +121,7 @@
     uint32_t batch; /* most requests at once; 0: not stated */
     bool leaving;
     /* What an engine tells of itself there; empty where the list has none. */
-    uint64_t boot;       /* another number after each start; 0: not told */
-    uint64_t order_count; /* orders it has taken since its start */
+    uint64_t boot;       /* higher after each start; 0: not told */
     int64_t leaves_in;   /* it is gone after this; 0: not told */
     int64_t slow_for;    /* it works slowly for so long after its start */
     char **resident;     /* "model" and "model/adapter"; NULL: none */
