Tell holders what is sent where; no line longer than callers wait; shift sooner

Routing knew its own requests alone, and a model that became busy was waited for in one engine's line until its callers had gone.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -47,7 +47,13 @@
 /* Part of the last outcome in the share of failures. */
 static const double failure_weight = 0.3;
 /* Part of the last measurement in a mean. */
-static const double mean_weight = 0.2;
+static const double mean_weight = 0.1;
+/* How far measurements may move what is expected of an upstream or a model: a
+ * single odd one must not make either look free or lost. */
+static const double LEAST_SLOW = 0.5;
+static const double MOST_SLOW = 8;
+static const double LEAST_PACE = 0.05;
+static const double MOST_PACE = 4;
 /* Of the memory for contexts, what is filled before it counts as full: lengths
  * of answers are guesses. */
 static const double memory_fill = 0.9;
@@ -70,11 +76,13 @@
     GArray *adapters; /* GQuark: "model/adapter" */
     /* Of this node's requests. */
     uint32_t running;
-    uint64_t unread;  /* tokens of prompts whose answers have not begun */
+    int64_t unread;   /* microseconds to read prompts that have not begun */
     uint64_t context; /* tokens of all that runs */
-    /* As others told. */
+    /* Of others: what was told of all, without the own part of then. */
+    uint32_t told_running;
+    int64_t told_unread;
     uint32_t others;
-    uint32_t others_waiting;
+    int64_t others_unread;
     int64_t others_at;
     /* Measured. */
     double failures; /* share of the last requests, at `judged` */
@@ -89,6 +97,7 @@
     GQuark region;
     GQuark data_centre;
     GHashTable *seats; /* name to struct seat */
+    GHashTable *paces; /* model to its time for a token, in usual ones */
 };
 
 /* ---- seats ---- */
@@ -112,6 +121,7 @@
     balance->region = region;
     balance->data_centre = data_centre;
     balance->seats = g_hash_table_new_full(NULL, NULL, NULL, free_seat);
+    balance->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return balance;
 }
 
@@ -121,6 +131,7 @@
 {
     if (balance != NULL) {
         g_hash_table_destroy(balance->seats);
+        g_hash_table_destroy(balance->paces);
         g_free(balance);
     }
 }
@@ -296,18 +307,41 @@
 
 /* See balance.h. */
 void
-ch_balance_others(struct ch_balance *balance, GQuark upstream,
-                  uint32_t running, uint32_t waiting, int64_t now)
+ch_balance_all(struct ch_balance *balance, GQuark upstream, uint32_t running,
+               int64_t unread, int64_t now)
 {
     struct seat *seat = find(balance, upstream);
     if (seat == NULL) {
         return;
     }
-    seat->others = running;
-    seat->others_waiting = waiting;
+    seat->others =
+        running > seat->told_running ? running - seat->told_running : 0;
+    seat->others_unread = MAX(unread - seat->told_unread, 0);
     seat->others_at = now;
 }
 
+/* See balance.h. */
+void
+ch_balance_tell(struct ch_balance *balance,
+                void (*each)(void *data, GQuark upstream, GQuark data_centre,
+                             uint32_t running, int64_t unread),
+                void *data)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->seats);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct seat *seat = value;
+        bool news = seat->running > 0 || seat->told_running > 0;
+        seat->told_running = seat->running;
+        seat->told_unread = seat->unread;
+        if (news && seat->facts.engine) {
+            each(data, seat->facts.name, seat->facts.data_centre,
+                 seat->running, seat->unread);
+        }
+    }
+}
+
 /* See balance.h. */
 uint32_t
 ch_balance_running(const struct ch_balance *balance, GQuark upstream)
@@ -461,13 +495,25 @@
     return (int64_t)(hash % 64) * 1000;
 }
 
+/* A model's time for a token, in usual ones: larger models take longer. */
+static double
+pace_of(const struct ch_balance *balance, GQuark model)
+{
+    const double *pace =
+        g_hash_table_lookup(balance->paces, GUINT_TO_POINTER(model));
+    return pace == NULL ? 1 : *pace;
+}
+
 /* Microseconds until an engine's first token. */
 static int64_t
 engine_cost(const struct seat *seat, const struct ch_work *work,
-            uint32_t new_tokens, int64_t now)
+            int64_t reading, int64_t now)
 {
-    uint64_t tokens = seat->unread + new_tokens;
-    int64_t cost = LEAST_FIRST + (int64_t)tokens * READ_TOKEN +
+    int64_t unread = seat->unread;
+    if (now - seat->others_at <= OTHERS_STALE) {
+        unread += seat->others_unread;
+    }
+    int64_t cost = LEAST_FIRST + unread + reading +
                    (int64_t)running_in_all(seat, now) * NEIGHBOUR;
     cost = (int64_t)((double)cost * seat->slow);
     cost += slot_wait(seat, now, SLOT_WAIT);
@@ -544,11 +590,14 @@
         if (!is_candidate(seat, work, excluded, ready)) {
             continue;
         }
-        uint32_t tokens =
-            work->service ? 0 : tokens_to_read(seat, work);
+        int64_t reading =
+            work->service
+                ? 0
+                : (int64_t)((double)tokens_to_read(seat, work) * READ_TOKEN *
+                            pace_of(balance, work->model));
         int64_t expected = work->service
                                ? service_cost(seat, now)
-                               : engine_cost(seat, work, tokens, now);
+                               : engine_cost(seat, work, reading, now);
         double cost = (double)(expected + distance(balance, seat)) +
                       failures_now(seat, now) * FAILURE;
         uint64_t tie = ch_hash_pair(work->id, seat->facts.name);
@@ -564,7 +613,7 @@
             .other_region = seat->facts.region != balance->region,
             .adapter_missing = work->adapter != 0 &&
                                !has(seat->adapters, work->adapter),
-            .new_tokens = tokens,
+            .reading = reading,
             .expected = expected,
         };
     }
@@ -583,7 +632,7 @@
         return;
     }
     seat->running++;
-    seat->unread += choice->new_tokens;
+    seat->unread += choice->reading;
     seat->context += work->prompt_tokens + work->output_tokens;
     if (!work->service) {
         note_parts(seat, work, now);
@@ -597,20 +646,39 @@
     return mean <= 0 ? last : mean + (last - mean) * mean_weight;
 }
 
+/* Lets a model's pace follow what was seen. */
+static void
+learn_pace(struct ch_balance *balance, GQuark model, double ratio)
+{
+    gpointer key = GUINT_TO_POINTER(model);
+    double *pace = g_hash_table_lookup(balance->paces, key);
+    if (pace == NULL) {
+        pace = g_new(double, 1);
+        *pace = 1;
+        g_hash_table_insert(balance->paces, key, pace);
+    }
+    *pace = CLAMP(follow(*pace, *pace * ratio), LEAST_PACE, MOST_PACE);
+}
+
 /* See balance.h. */
 void
-ch_balance_first(struct ch_balance *balance, const struct ch_choice *choice,
-                 int64_t took, int64_t now)
+ch_balance_first(struct ch_balance *balance, const struct ch_work *work,
+                 const struct ch_choice *choice, int64_t took, int64_t now)
 {
     (void)now;
     struct seat *seat = find(balance, choice->upstream);
     if (seat == NULL) {
         return;
     }
-    seat->unread -= MIN(seat->unread, choice->new_tokens);
+    seat->unread -= MIN(seat->unread, choice->reading);
     seat->answer = follow(seat->answer, (double)took);
     double ratio = (double)took / (double)MAX(choice->expected, 1);
-    seat->slow = CLAMP(follow(seat->slow, seat->slow * ratio), 0.5, 8.0);
+    /* Part of a difference is the upstream's, part the model's. */
+    seat->slow =
+        CLAMP(follow(seat->slow, seat->slow * ratio), LEAST_SLOW, MOST_SLOW);
+    if (!work->service) {
+        learn_pace(balance, work->model, ratio);
+    }
 }
 
 /* Whether a result says something of the upstream, and what. */
@@ -649,7 +717,7 @@
     seat->context -=
         MIN(seat->context, work->prompt_tokens + work->output_tokens);
     if (!begun) {
-        seat->unread -= MIN(seat->unread, choice->new_tokens);
+        seat->unread -= MIN(seat->unread, choice->reading);
     }
     if (!judges(code, &failed)) {
         return;
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -32,7 +32,7 @@
     GQuark data_centre;
     bool other_region;
     bool adapter_missing; /* it is to be loaded before the request goes out */
-    uint32_t new_tokens;  /* of the prompt, that are to be read there */
+    int64_t reading;      /* what is to be read takes there, microseconds */
     int64_t expected;     /* until the first of the answer, microseconds */
     int64_t retry_after;  /* of a refusal */
     const char *message;
@@ -62,9 +62,17 @@
 /* A model went, or was never there: until the next update. */
 void ch_balance_model_gone(struct ch_balance *balance, GQuark upstream,
                            GQuark model);
-/* What others run there, as of now. */
-void ch_balance_others(struct ch_balance *balance, GQuark upstream,
-                       uint32_t running, uint32_t waiting, int64_t now);
+/* What all nodes together run there, as of now, and how long it takes to read
+   what has not begun, microseconds; this node's own part, as it was told last,
+   is among it. */
+void ch_balance_all(struct ch_balance *balance, GQuark upstream,
+                    uint32_t running, int64_t unread, int64_t now);
+/* The own part, to be told: each(data, upstream, running, unread). */
+void ch_balance_tell(struct ch_balance *balance,
+                     void (*each)(void *data, GQuark upstream,
+                                  GQuark data_centre, uint32_t running,
+                                  int64_t unread),
+                     void *data);
 
 /* excluded: GQuarks of upstreams that this request must not go to.  ready: only
    where its adapter is already. */
@@ -76,7 +84,7 @@
 void ch_balance_sent(struct ch_balance *balance, const struct ch_work *work,
                      const struct ch_choice *choice, int64_t now);
 /* The first of its answer came after `took`. */
-void ch_balance_first(struct ch_balance *balance,
+void ch_balance_first(struct ch_balance *balance, const struct ch_work *work,
                       const struct ch_choice *choice, int64_t took,
                       int64_t now);
 /* begun: ch_balance_first was called. */
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -29,6 +29,11 @@
      * loads in two seconds. */
     MODEL_RETRY_AFTER = 2000 * 1000,
     ADAPTER_RETRY_AFTER = 500 * 1000,
+    /* When those come back who were refused as engines are full. */
+    LEAST_BACK = 500 * 1000,
+    MOST_BACK = 3000 * 1000,
+    /* What is not sent this long before its caller gives up is not of use. */
+    LEAST_WAIT_LEFT = 300 * 1000,
     /* Engines at which an adapter is asked for in vain. */
     MOST_PREPARED = 2,
 };
@@ -368,6 +373,48 @@
     return (struct step){.kind = STEP_NONE};
 }
 
+/* Until when it is of use to begin with a request: callers give up a stream
+ * that brings nothing for four times its target. */
+static int64_t
+last_begin(const struct ch_work *work)
+{
+    int64_t target = work->first_by - work->arrived;
+    return MIN(work->arrived + WAIT_TARGETS * target, work->whole_by);
+}
+
+/* Whether the chosen engine would begin with a request when its caller has
+ * given up. */
+static bool
+is_too_late(const struct request *request, int64_t now)
+{
+    const struct ch_work *work = &request->work;
+    return !work->service && work->attempt == 0 &&
+           now + request->choice.expected > last_begin(work);
+}
+
+/*
+ * Load: more requests for a model than its engines can begin with before the
+ * callers give up.  Harm prevented: all of them wait in one line, and the
+ * engines work for callers who have gone while the next ones wait too long in
+ * their turn.  What would come too late waits here if another engine is
+ * loading the model, else it is refused at once, with when to come back.
+ */
+static struct step
+wait_or_refuse_late(struct balancer *balancer, struct request *request,
+                    int64_t now)
+{
+    const struct ch_work *work = &request->work;
+    int64_t limit = last_begin(work) - LEAST_WAIT_LEFT;
+    if (is_coming(balancer, work->model) && now < limit) {
+        request->state = REQUEST_WAITING;
+        request->until = limit;
+        return (struct step){.kind = STEP_NONE};
+    }
+    int64_t back = CLAMP(request->choice.expected / 2, LEAST_BACK, MOST_BACK);
+    return refuse(balancer, request, CH_LATE, back,
+                  "the model's engines are full");
+}
+
 /* Chooses an upstream for a request.  Lock held. */
 static struct step
 route(struct balancer *balancer, struct request *request, int64_t now)
@@ -383,6 +430,9 @@
     if (request->choice.code != CH_OK) {
         return wait_or_refuse(balancer, request, now);
     }
+    if (is_too_late(request, now)) {
+        return wait_or_refuse_late(balancer, request, now);
+    }
     if (!request->choice.adapter_missing) {
         return grant(balancer, request, now);
     }
@@ -592,7 +642,6 @@
     told->adapters = copy_names(engine->adapters, engine->adapter_count);
     told->coming = copy_names(engine->coming, engine->coming_count);
     pthread_mutex_lock(&balancer->lock);
-    uint32_t own = ch_balance_running(balancer->balance, engine->upstream);
     g_hash_table_replace(balancer->told, GUINT_TO_POINTER(engine->upstream),
                          told);
     ch_balance_models(balancer->balance, engine->upstream, engine->models,
@@ -600,9 +649,8 @@
     ch_balance_adapters(balancer->balance, engine->upstream, engine->adapters,
                         engine->adapter_count);
     ch_balance_busy(balancer->balance, engine->upstream, engine->busy);
-    uint32_t all = engine->running + engine->waiting;
-    ch_balance_others(balancer->balance, engine->upstream,
-                      all > own ? all - own : 0, engine->waiting, told->at);
+    ch_balance_all(balancer->balance, engine->upstream, engine->running,
+                   engine->unread, told->at);
     pthread_mutex_unlock(&balancer->lock);
 }
 
@@ -642,12 +690,23 @@
     }
 }
 
-/* What this node's requests ask for. */
+/* Adds what this node has sent to one engine. */
+static void
+add_load(void *data, GQuark upstream, GQuark data_centre, uint32_t running,
+         int64_t unread)
+{
+    const struct ch_engine_load load = {upstream, data_centre, running,
+                                        unread};
+    g_array_append_val((GArray *)data, load);
+}
+
+/* What this node's requests ask for, and where they run. */
 static void
-tell_demand(void *data, GArray *out)
+tell_demand(void *data, GArray *out, GArray *loads)
 {
     struct balancer *balancer = data;
     pthread_mutex_lock(&balancer->lock);
+    ch_balance_tell(balancer->balance, add_load, loads);
     ch_table_each(balancer->requests, add_demand, out);
     pthread_mutex_unlock(&balancer->lock);
     route_waiting(balancer);
@@ -691,7 +750,7 @@
     struct request *request = ch_table_get(balancer->requests, handle);
     if (request != NULL && !request->begun) {
         request->begun = true;
-        ch_balance_first(balancer->balance, &request->choice,
+        ch_balance_first(balancer->balance, &request->work, &request->choice,
                          now - request->at, now);
     }
     pthread_mutex_unlock(&balancer->lock);
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -11,11 +11,11 @@
     TICK = 100 * 1000,
     /* A holder tells of changes no more often than this, and of all its
      * engines this often, for nodes that missed a message. */
-    TELL = 100 * 1000,
+    TELL = 200 * 1000,
     TELL_WHOLE = 2000 * 1000,
     /* What requests ask for is told this often. */
-    DEMAND_PERIOD = 500 * 1000,
-    ARRANGE_PERIOD = 500 * 1000,
+    DEMAND_PERIOD = 250 * 1000,
+    ARRANGE_PERIOD = 250 * 1000,
     /* A holder that told nothing for this long may be gone: three messages.
      * Asking for its right in vain costs two calls. */
     HOLDER_SILENT = 2500 * 1000,
@@ -205,8 +205,8 @@
     state->adapters =
         names_of(engine, false, CH_ITEM_RESIDENT, &state->n_adapters);
     state->coming = names_of(engine, true, CH_ITEM_LOADING, &state->n_coming);
-    state->running = engine->running;
-    state->waiting = engine->waiting;
+    state->running = engine->load_running;
+    state->unread_ms = (uint32_t)(engine->load_unread / 1000);
     state->busy = engine_is_busy(engine);
     return state;
 }
@@ -244,6 +244,7 @@
     if (now < duty->next_tell && !whole) {
         return;
     }
+    controller_sum_loads(controller, duty, now);
     GPtrArray *states = g_ptr_array_new_with_free_func(free_state);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -320,7 +321,7 @@
         .coming = (const GQuark *)(void *)coming->data,
         .coming_count = coming->len,
         .running = state->running,
-        .waiting = state->waiting,
+        .unread = (int64_t)state->unread_ms * 1000,
         .busy = state->busy,
     };
     pthread_mutex_lock(&controller->lock);
@@ -369,61 +370,115 @@
 
 /* ---- demand ---- */
 
-/* Tells the holders what this node's requests ask for, and which adapters they
- * used. */
+/* What this node tells of its requests, gathered once for all holders. */
+struct own_demand {
+    GArray *models; /* struct ch_model_demand */
+    GArray *loads;  /* struct ch_engine_load */
+    GPtrArray *used;
+};
+
+/* Sends the demand to the holder of a data centre, with the loads of its
+ * engines. */
 static void
-tell_demand(struct ch_controller *controller)
-{
-    GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
-    GPtrArray *used = g_ptr_array_new_with_free_func(g_free);
-    controller->handlers->demand(controller->data, list);
-    controller->handlers->used(controller->data, used);
-    char **models = g_new0(char *, list->len + 1);
-    uint32_t *running = g_new0(uint32_t, list->len + 1);
-    uint32_t *waiting = g_new0(uint32_t, list->len + 1);
-    for (guint i = 0; i < list->len; i++) {
+send_demand(struct ch_controller *controller, const struct own_demand *own,
+            const char *holder, GQuark data_centre)
+{
+    guint count = own->models->len;
+    g_autofree char **models = g_new0(char *, count + 1);
+    g_autofree uint32_t *running = g_new0(uint32_t, count + 1);
+    g_autofree uint32_t *waiting = g_new0(uint32_t, count + 1);
+    for (guint i = 0; i < count; i++) {
         const struct ch_model_demand *model =
-            &g_array_index(list, struct ch_model_demand, i);
+            &g_array_index(own->models, struct ch_model_demand, i);
         models[i] = (char *)g_quark_to_string(model->model);
         running[i] = model->running;
         waiting[i] = model->waiting;
     }
+    g_autofree Chestnuthitch__Wire__EngineLoad *loads =
+        g_new0(Chestnuthitch__Wire__EngineLoad, own->loads->len + 1);
+    g_autofree Chestnuthitch__Wire__EngineLoad **pointers =
+        g_new0(Chestnuthitch__Wire__EngineLoad *, own->loads->len + 1);
+    size_t sent = 0;
+    for (guint i = 0; i < own->loads->len; i++) {
+        const struct ch_engine_load *load =
+            &g_array_index(own->loads, struct ch_engine_load, i);
+        if (load->data_centre != data_centre) {
+            continue;
+        }
+        chestnuthitch__wire__engine_load__init(&loads[sent]);
+        loads[sent].upstream = (char *)g_quark_to_string(load->upstream);
+        loads[sent].running = load->running;
+        loads[sent].unread_ms = (uint32_t)(load->unread / 1000);
+        pointers[sent] = &loads[sent];
+        sent++;
+    }
     Chestnuthitch__Wire__Demand demand = WIRE(DEMAND__INIT);
-    demand.n_models = list->len;
+    demand.n_models = count;
     demand.models = models;
-    demand.n_running = list->len;
+    demand.n_running = count;
     demand.running = running;
-    demand.n_waiting = list->len;
+    demand.n_waiting = count;
     demand.waiting = waiting;
-    demand.n_used = used->len;
-    demand.used = (char **)used->pdata;
-    GHashTable *told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                             NULL);
-    pthread_mutex_lock(&controller->lock);
+    demand.n_used = own->used->len;
+    demand.used = (char **)own->used->pdata;
+    demand.n_loads = sent;
+    demand.loads = pointers;
+    demand.data_centre = (char *)g_quark_to_string(data_centre);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    frame.body_case = WIRE(FRAME__BODY_DEMAND);
+    frame.demand = &demand;
+    ch_peers_send(controller->node->peers, holder, &frame);
+}
+
+/* A data centre and the node that orders its engines. */
+struct holder {
+    GQuark data_centre;
+    char *name;
+};
+
+/* The holders that are known; new strings. */
+static GArray *
+list_holders(struct ch_controller *controller)
+{
+    GArray *holders = g_array_new(FALSE, FALSE, sizeof(struct holder));
     GHashTableIter iterator;
     gpointer value = NULL;
+    pthread_mutex_lock(&controller->lock);
     g_hash_table_iter_init(&iterator, controller->duties);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct duty *duty = value;
         if (duty->holder != NULL) {
-            g_hash_table_add(told, g_strdup(duty->holder));
+            const struct holder holder = {duty->data_centre,
+                                          g_strdup(duty->holder)};
+            g_array_append_val(holders, holder);
         }
     }
     pthread_mutex_unlock(&controller->lock);
-    gpointer name = NULL;
-    g_hash_table_iter_init(&iterator, told);
-    while (g_hash_table_iter_next(&iterator, &name, NULL)) {
-        Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
-        frame.body_case = WIRE(FRAME__BODY_DEMAND);
-        frame.demand = &demand;
-        ch_peers_send(controller->node->peers, name, &frame);
-    }
-    g_hash_table_destroy(told);
-    g_ptr_array_free(used, TRUE);
-    g_array_free(list, TRUE);
-    g_free(models);
-    g_free(running);
-    g_free(waiting);
+    return holders;
+}
+
+/* Tells the holders what this node's requests ask for, where they run, and
+ * which adapters they use. */
+static void
+tell_demand(struct ch_controller *controller)
+{
+    struct own_demand own = {
+        .models = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand)),
+        .loads = g_array_new(FALSE, FALSE, sizeof(struct ch_engine_load)),
+        .used = g_ptr_array_new_with_free_func(g_free),
+    };
+    controller->handlers->demand(controller->data, own.models, own.loads);
+    controller->handlers->used(controller->data, own.used);
+    GArray *holders = list_holders(controller);
+    for (guint i = 0; i < holders->len; i++) {
+        struct holder *holder = &g_array_index(holders, struct holder, i);
+        send_demand(controller, &own, holder->name, holder->data_centre);
+        g_free(holder->name);
+    }
+    g_array_free(holders, TRUE);
+    g_array_free(own.models, TRUE);
+    g_array_free(own.loads, TRUE);
+    g_ptr_array_free(own.used, TRUE);
 }
 
 /* Notes that an adapter was used: "UPSTREAM MODEL/ADAPTER". */
--- a/libchestnuthitch/node/controller.h
+++ b/libchestnuthitch/node/controller.h
@@ -20,9 +20,9 @@
     size_t adapter_count;
     const GQuark *coming;
     size_t coming_count;
-    uint32_t running;
-    uint32_t waiting;
-    bool busy; /* takes no order now */
+    uint32_t running; /* requests of all nodes */
+    int64_t unread;   /* to read what has not begun, microseconds */
+    bool busy;        /* takes no order now */
 };
 
 /* What this node's requests ask for of one model. */
@@ -32,13 +32,21 @@
     uint32_t waiting; /* no engine has the model */
 };
 
+/* What this node has sent to one engine. */
+struct ch_engine_load {
+    GQuark upstream;
+    GQuark data_centre;
+    uint32_t running;
+    int64_t unread;
+};
+
 struct ch_controller_handlers {
     /* On a pool worker, no lock held. */
     void (*told)(void *data, const struct ch_engine_told *engine);
     /* All that was told in one message is told. */
     void (*told_all)(void *data);
-    /* Appends struct ch_model_demand. */
-    void (*demand)(void *data, GArray *out);
+    /* Appends struct ch_model_demand, and struct ch_engine_load. */
+    void (*demand)(void *data, GArray *out, GArray *loads);
     /* Appends "UPSTREAM MODEL/ADAPTER" of what is in use, or was since it was
        last asked; new strings. */
     void (*used)(void *data, GPtrArray *out);
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -67,6 +67,9 @@
     int64_t last_order; /* sent at */
     uint32_t running;
     uint32_t waiting;
+    /* What all nodes together have sent, as they told. */
+    uint32_t load_running;
+    int64_t load_unread;
     /* What is told. */
     bool news;
 };
@@ -88,7 +91,9 @@
 
 /* What one node told of its requests. */
 struct node_demand {
-    GArray *list; /* struct ch_model_demand */
+    GQuark data_centre; /* to whose holder it was told */
+    GArray *list;  /* struct ch_model_demand */
+    GArray *loads; /* struct ch_engine_load */
     int64_t at;
 };
 
@@ -159,6 +164,9 @@
                             const char *from,
                             const Chestnuthitch__Wire__Demand *demand,
                             int64_t now);
+/* Adds up what all nodes have sent to the engines of a data centre. */
+void controller_sum_loads(struct ch_controller *controller,
+                          const struct duty *duty, int64_t now);
 /* Decides on models, and begins what was decided. */
 void controller_arrange(struct ch_controller *controller, struct duty *duty,
                         int64_t now);
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -10,10 +10,10 @@
     DEMAND_STALE = 2 * 1000 * 1000,
     /* Demand is smoothed over this time: it moves every few seconds, and a
      * load takes one at least. */
-    SMOOTH = 1000 * 1000,
+    SMOOTH = 500 * 1000,
     /* A model that is to go gets no new requests for this long before the
      * order for it is sent: the time in which every node has been told. */
-    LEAVE_FIRST = 400 * 1000,
+    LEAVE_FIRST = 250 * 1000,
 };
 
 /* ---- demand ---- */
@@ -24,6 +24,7 @@
 {
     struct node_demand *demand = data;
     g_array_free(demand->list, TRUE);
+    g_array_free(demand->loads, TRUE);
     g_free(demand);
 }
 
@@ -34,6 +35,7 @@
 {
     struct node_demand *told = g_new0(struct node_demand, 1);
     told->at = now;
+    told->data_centre = g_quark_from_string(demand->data_centre);
     told->list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
     for (size_t i = 0; i < demand->n_models && i < demand->n_running &&
                        i < demand->n_waiting;
@@ -45,16 +47,28 @@
         };
         g_array_append_val(told->list, model);
     }
+    told->loads = g_array_new(FALSE, FALSE, sizeof(struct ch_engine_load));
+    for (size_t i = 0; i < demand->n_loads; i++) {
+        const struct ch_engine_load load = {
+            .upstream = g_quark_from_string(demand->loads[i]->upstream),
+            .running = demand->loads[i]->running,
+            .unread = (int64_t)demand->loads[i]->unread_ms * 1000,
+        };
+        g_array_append_val(told->loads, load);
+    }
     if (controller->demands == NULL) {
         controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal,
                                                     g_free, free_demand);
     }
-    g_hash_table_replace(controller->demands, g_strdup(from), told);
+    g_hash_table_replace(
+        controller->demands,
+        g_strconcat(from, " ", demand->data_centre, NULL), told);
 }
 
 /* Adds up what all nodes told lately. */
 static GHashTable *
-sum_demands(struct ch_controller *controller, int64_t now)
+sum_demands(struct ch_controller *controller, const struct duty *duty,
+            int64_t now)
 {
     GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     GHashTableIter iterator;
@@ -66,7 +80,9 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct node_demand *told = value;
         for (guint i = 0;
-             now - told->at < DEMAND_STALE && i < told->list->len; i++) {
+             told->data_centre == duty->data_centre &&
+             now - told->at < DEMAND_STALE && i < told->list->len;
+             i++) {
             const struct ch_model_demand *model =
                 &g_array_index(told->list, struct ch_model_demand, i);
             gpointer key = GUINT_TO_POINTER(model->model);
@@ -82,11 +98,55 @@
     return sums;
 }
 
+/* Adds what one node has sent to the engines.  Lock held. */
+static void
+add_loads(struct ch_controller *controller, const struct node_demand *told)
+{
+    for (guint i = 0; i < told->loads->len; i++) {
+        const struct ch_engine_load *load =
+            &g_array_index(told->loads, struct ch_engine_load, i);
+        struct controller_engine *engine = g_hash_table_lookup(
+            controller->engines, GUINT_TO_POINTER(load->upstream));
+        if (engine != NULL) {
+            engine->load_running += load->running;
+            engine->load_unread += load->unread;
+        }
+    }
+}
+
+/* See controller_internal.h. */
+void
+controller_sum_loads(struct ch_controller *controller, const struct duty *duty,
+                     int64_t now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, controller->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controller_engine *engine = value;
+        if (engine->data_centre == duty->data_centre) {
+            engine->news = engine->news || engine->load_running > 0;
+            engine->load_running = 0;
+            engine->load_unread = 0;
+        }
+    }
+    if (controller->demands == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, controller->demands);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct node_demand *told = value;
+        if (now - told->at < DEMAND_STALE) {
+            add_loads(controller, told);
+        }
+    }
+}
+
 /* Lets the smoothed demand follow what is told now. */
 static void
-smooth(struct ch_controller *controller, int64_t now)
+smooth(struct ch_controller *controller, const struct duty *duty, int64_t now)
 {
-    GHashTable *sums = sum_demands(controller, now);
+    GHashTable *sums = sum_demands(controller, duty, now);
     double age = (double)(now - controller->smoothed_at) / SMOOTH;
     double weight = 1 - exp(-age);
     controller->smoothed_at = now;
@@ -191,7 +251,7 @@
     g_array_free(data, TRUE);
 }
 
-/* Engines of the data centre, a quarter of which may change at a time. */
+/* Engines of the data centre, half of which may change at a time. */
 static uint32_t
 most_changes(const struct picture *picture)
 {
@@ -202,7 +262,7 @@
                     ? 1
                     : 0;
     }
-    return MAX(mine / 4, 1);
+    return MAX(mine / 2, 1);
 }
 
 /* ---- doing what was decided ---- */
@@ -248,7 +308,7 @@
     if (config == NULL) {
         return;
     }
-    smooth(controller, now);
+    smooth(controller, duty, now);
     struct picture picture = {
         .engines = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_engine)),
         .models = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_model)),
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &chestnuthitch__wire__prepare__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__engine_load__init
+                     (Chestnuthitch__Wire__EngineLoad         *message)
+{
+  static const Chestnuthitch__Wire__EngineLoad init_value = CHESTNUTHITCH__WIRE__ENGINE_LOAD__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__engine_load__get_packed_size
+                     (const Chestnuthitch__Wire__EngineLoad *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__engine_load__pack
+                     (const Chestnuthitch__Wire__EngineLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__engine_load__pack_to_buffer
+                     (const Chestnuthitch__Wire__EngineLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__EngineLoad *
+       chestnuthitch__wire__engine_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__EngineLoad *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__engine_load__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__engine_load__free_unpacked
+                     (Chestnuthitch__Wire__EngineLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__engine_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__demand__init
                      (Chestnuthitch__Wire__Demand         *message)
 {
@@ -2815,12 +2860,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "unread_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Chestnuthitch__Wire__EngineState, waiting),
+    offsetof(Chestnuthitch__Wire__EngineState, unread_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2846,8 +2891,8 @@
   4,   /* field[4] = coming */
   2,   /* field[2] = models */
   5,   /* field[5] = running */
+  6,   /* field[6] = unread_ms */
   0,   /* field[0] = upstream */
-  6,   /* field[6] = waiting */
 };
 static const ProtobufCIntRange chestnuthitch__wire__engine_state__number_ranges[1 + 1] =
 {
@@ -3010,7 +3055,71 @@
   (ProtobufCMessageInit) chestnuthitch__wire__prepare__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__demand__field_descriptors[4] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_load__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineLoad, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineLoad, unread_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__engine_load__field_indices_by_name[] = {
+  1,   /* field[1] = running */
+  2,   /* field[2] = unread_ms */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__engine_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__engine_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.EngineLoad",
+  "EngineLoad",
+  "Chestnuthitch__Wire__EngineLoad",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__EngineLoad),
+  3,
+  chestnuthitch__wire__engine_load__field_descriptors,
+  chestnuthitch__wire__engine_load__field_indices_by_name,
+  1,  chestnuthitch__wire__engine_load__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__engine_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__demand__field_descriptors[6] =
 {
   {
     "models",
@@ -3060,8 +3169,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Demand, n_loads),
+    offsetof(Chestnuthitch__Wire__Demand, loads),
+    &chestnuthitch__wire__engine_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Demand, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__demand__field_indices_by_name[] = {
+  5,   /* field[5] = data_centre */
+  4,   /* field[4] = loads */
   0,   /* field[0] = models */
   1,   /* field[1] = running */
   3,   /* field[3] = used */
@@ -3070,7 +3205,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor =
 {
@@ -3080,7 +3215,7 @@
   "Chestnuthitch__Wire__Demand",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Demand),
-  4,
+  6,
   chestnuthitch__wire__demand__field_descriptors,
   chestnuthitch__wire__demand__field_indices_by_name,
   1,  chestnuthitch__wire__demand__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct Chestnuthitch__Wire__EngineState Chestnuthitch__Wire__EngineState;
 typedef struct Chestnuthitch__Wire__Engines Chestnuthitch__Wire__Engines;
 typedef struct Chestnuthitch__Wire__Prepare Chestnuthitch__Wire__Prepare;
+typedef struct Chestnuthitch__Wire__EngineLoad Chestnuthitch__Wire__EngineLoad;
 typedef struct Chestnuthitch__Wire__Demand Chestnuthitch__Wire__Demand;
 
 
@@ -441,8 +442,14 @@
    */
   size_t n_coming;
   char **coming;
+  /*
+   * requests of all nodes, as they tell them
+   */
   uint32_t running;
-  uint32_t waiting;
+  /*
+   * of engine time, to read what has not begun
+   */
+  uint32_t unread_ms;
   /*
    * takes no order now
    */
@@ -492,7 +499,22 @@
 
 
 /*
- * What a node's requests ask for, by model.
+ * What a node has sent to one engine.
+ */
+struct  Chestnuthitch__Wire__EngineLoad
+{
+  ProtobufCMessage base;
+  char *upstream;
+  uint32_t running;
+  uint32_t unread_ms;
+};
+#define CHESTNUTHITCH__WIRE__ENGINE_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engine_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What a node's requests ask for, by model, and where they run.
  */
 struct  Chestnuthitch__Wire__Demand
 {
@@ -511,10 +533,19 @@
    */
   size_t n_used;
   char **used;
+  /*
+   * of the engines of this data centre
+   */
+  size_t n_loads;
+  Chestnuthitch__Wire__EngineLoad **loads;
+  /*
+   * that the receiver orders
+   */
+  char *data_centre;
 };
 #define CHESTNUTHITCH__WIRE__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__demand__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /* Chestnuthitch__Wire__Frame methods */
@@ -916,6 +947,25 @@
 void   chestnuthitch__wire__prepare__free_unpacked
                      (Chestnuthitch__Wire__Prepare *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__EngineLoad methods */
+void   chestnuthitch__wire__engine_load__init
+                     (Chestnuthitch__Wire__EngineLoad         *message);
+size_t chestnuthitch__wire__engine_load__get_packed_size
+                     (const Chestnuthitch__Wire__EngineLoad   *message);
+size_t chestnuthitch__wire__engine_load__pack
+                     (const Chestnuthitch__Wire__EngineLoad   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__engine_load__pack_to_buffer
+                     (const Chestnuthitch__Wire__EngineLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__EngineLoad *
+       chestnuthitch__wire__engine_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__engine_load__free_unpacked
+                     (Chestnuthitch__Wire__EngineLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__Demand methods */
 void   chestnuthitch__wire__demand__init
                      (Chestnuthitch__Wire__Demand         *message);
@@ -1000,6 +1050,9 @@
 typedef void (*Chestnuthitch__Wire__Prepare_Closure)
                  (const Chestnuthitch__Wire__Prepare *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__EngineLoad_Closure)
+                 (const Chestnuthitch__Wire__EngineLoad *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__Demand_Closure)
                  (const Chestnuthitch__Wire__Demand *message,
                   void *closure_data);
@@ -1030,6 +1083,7 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engines__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__prepare__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_load__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor;
 
 PROTOBUF_C__END_DECLS
