Keep room for the model that it was made for; load adapters before they are asked for

Room made for a busy model was filled with an idle one whose copy was near by, as the weight store's share was used up by then: the load is now counted when the room is made. While the key-value service is away nobody may order, and adapters that stood nowhere were refused; free places take them beforehand.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -116,17 +116,20 @@
 
 /* ---- ordering ---- */
 
-/* Appends an order. */
+/* Appends an order: to load a model, or first to unload a victim for it.  The
+ * load from the weight store is counted with the first of the two, so that the
+ * room is not made in vain. */
 static void
-order(struct round *round, enum ch_action_kind kind,
-      const struct ch_arrange_engine *engine, GQuark model, const char *reason)
+order(struct round *round, const struct ch_arrange_engine *engine,
+      GQuark victim, GQuark model, const char *reason)
 {
     const struct ch_arrange_action action = {
-        .kind = kind,
+        .kind = victim == 0 ? CH_ACTION_LOAD : CH_ACTION_UNLOAD,
         .engine = engine->name,
-        .model = model,
+        .model = victim == 0 ? model : victim,
+        .pledged = victim == 0 ? 0 : model,
         .from_store =
-            kind == CH_ACTION_LOAD && !has_copy(engine, model),
+            engine->pledged != model && !has_copy(engine, model),
         .reason = reason,
     };
     if (action.from_store) {
@@ -154,7 +157,15 @@
 may_load(const struct round *round, const struct ch_arrange_engine *engine,
          GQuark model)
 {
-    return has_copy(engine, model) || round->loads_left > 0;
+    return engine->pledged == model || has_copy(engine, model) ||
+           round->loads_left > 0;
+}
+
+/* Whether room was made on the engine for another model. */
+static bool
+is_pledged_to_other(const struct ch_arrange_engine *engine, GQuark model)
+{
+    return engine->pledged != 0 && engine->pledged != model;
 }
 
 /* ---- room ---- */
@@ -226,6 +237,7 @@
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         if (!is_open(engine) || is_ordered(round, engine) ||
             !may_hold(engine, model) ||
+            is_pledged_to_other(engine, model->name) ||
             !may_load(round, engine, model->name)) {
             continue;
         }
@@ -247,8 +259,7 @@
         }
     }
     if (best != NULL) {
-        order(round, best_victim == 0 ? CH_ACTION_LOAD : CH_ACTION_UNLOAD,
-              best, best_victim == 0 ? model->name : best_victim,
+        order(round, best, best_victim, model->name,
               "nobody holds the model");
     }
 }
@@ -272,7 +283,7 @@
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         if (!is_open(engine) || is_ordered(round, engine) ||
-            !may_hold(engine, model) ||
+            !may_hold(engine, model) || engine->pledged != 0 ||
             find_item(engine, model->name) != NULL ||
             !may_load(round, engine, model->name)) {
             continue;
@@ -292,7 +303,7 @@
         }
     }
     if (best != NULL) {
-        order(round, CH_ACTION_UNLOAD, best, best_victim,
+        order(round, best, best_victim, model->name,
               "another model is asked for more");
     }
 }
@@ -332,10 +343,12 @@
         const struct ch_arrange_model *model = &round->state->models[i];
         bool busy = pressure(model, replicas_of(round, model->name)) >
                     busy_replica;
+        bool quick = has_copy(engine, model->name) ||
+                     engine->pledged == model->name;
         if (model->memory_mb > room || !may_hold(engine, model) ||
             find_item(engine, model->name) != NULL ||
-            !may_load(round, engine, model->name) ||
-            (!busy && !has_copy(engine, model->name))) {
+            is_pledged_to_other(engine, model->name) ||
+            !may_load(round, engine, model->name) || (!busy && !quick)) {
             continue;
         }
         double wanted = want(round, engine, model);
@@ -345,7 +358,9 @@
         }
     }
     if (best != NULL) {
-        order(round, CH_ACTION_LOAD, engine, best->name, "there is room");
+        order(round, engine, 0, best->name,
+              engine->pledged != 0 ? "room was made for it"
+                                   : "there is room");
     }
 }
 
--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -30,6 +30,7 @@
     size_t item_count;
     const GQuark *copies; /* models that load quickly here */
     size_t copy_count;
+    GQuark pledged; /* what room was made for; 0: nothing */
 };
 
 struct ch_arrange_model {
@@ -55,7 +56,8 @@
     enum ch_action_kind kind; /* LOAD or UNLOAD */
     GQuark engine;
     GQuark model;
-    bool from_store;
+    GQuark pledged;  /* of an unload: the model that is to come */
+    bool from_store; /* of a load, or of the one that is to come */
     const char *reason;
 };
 
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -28,6 +28,9 @@
     PREPARE_LIMIT = 500 * 1000,
 };
 
+/* Of the weight store's rate, what is used. */
+static const double LOADS_PART = 0.9;
+
 /* ---- duties ---- */
 
 /* See controller_internal.h. */
@@ -138,9 +141,8 @@
     double window = settings->load_window_s;
     double share = rate * window * settings->load_overshoot /
                    MAX(g_hash_table_size(controller->duties), 1U);
-    /* Three fifths of it come evenly, the rest may come at once. */
-    ch_bucket_init(&duty->loads, share * 0.6 / window, MAX(share * 0.4, 1),
-                   now);
+    /* One at once, the rest evenly. */
+    ch_bucket_init(&duty->loads, LOADS_PART * share / window, 1, now);
     duty->loads.level = 0;
 }
 
@@ -297,6 +299,11 @@
     for (size_t i = 0; i < told->model_count; i++) {
         engine_add_item(engine, told->models[i], 0, CH_ITEM_RESIDENT, now);
     }
+    for (size_t i = 0; i < told->adapter_count; i++) {
+        engine_add_item(engine, told->adapters[i],
+                        controller_model_of(told->adapters[i]),
+                        CH_ITEM_RESIDENT, now);
+    }
     for (size_t i = 0; i < told->coming_count; i++) {
         engine_add_item(engine, told->coming[i], 0, CH_ITEM_LOADING, now);
     }
@@ -691,6 +698,7 @@
     if (now >= duty->next_arrange) {
         duty->next_arrange = now + ARRANGE_PERIOD;
         controller_arrange(controller, duty, now);
+        controller_fill_places(controller, duty, now);
     }
     tell(controller, duty, fence, now);
 }
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -112,6 +112,19 @@
     return memory;
 }
 
+/* See controller_internal.h. */
+GQuark
+controller_model_of(GQuark name)
+{
+    const char *text = g_quark_to_string(name);
+    const char *slash = strchr(text, '/');
+    if (slash == NULL) {
+        return 0;
+    }
+    g_autofree char *model = g_strndup(text, (size_t)(slash - text));
+    return g_quark_from_string(model);
+}
+
 /* ---- items ---- */
 
 /* Frees what waits for an item. */
@@ -253,16 +266,10 @@
 take_resident(struct controller_engine *engine, char **names, int64_t now)
 {
     for (size_t i = 0; names != NULL && names[i] != NULL; i++) {
-        const char *slash = strchr(names[i], '/');
         GQuark name = g_quark_from_string(names[i]);
-        GQuark model = 0;
-        if (slash != NULL) {
-            char *text = g_strndup(names[i], (size_t)(slash - names[i]));
-            model = g_quark_from_string(text);
-            g_free(text);
-        }
         if (engine_item(engine, name) == NULL) {
-            engine_add_item(engine, name, model, CH_ITEM_RESIDENT, now);
+            engine_add_item(engine, name, controller_model_of(name),
+                            CH_ITEM_RESIDENT, now);
         }
     }
 }
@@ -456,9 +463,6 @@
                          CH_COUNT_ORDERS_REFUSED, 1);
         ch_claim_give_up(duty->claim, 0);
     }
-    else if (job->code == CH_BAD_FIELD && item != NULL) {
-        remove_item(engine, item->name);
-    }
     else if (job->code == CH_OK && item != NULL) {
         order_taken(engine, item, now);
     }
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -59,6 +59,8 @@
     bool ordering;
     GQuark ordered_item;
     enum ch_order_action ordered_action;
+    GQuark pledged; /* the model that room was made for; 0: none */
+    int64_t pledged_until;
     bool unsure; /* its answer was lost: it may act yet */
     int64_t quiet_until; /* no order before then */
     /* Reports. */
@@ -150,6 +152,8 @@
 void engine_fail_waits(struct controller_engine *engine, enum ch_code code);
 /* Memory of a model or adapter by the configuration in force; 0: unknown. */
 uint32_t controller_memory(struct ch_controller *controller, GQuark name);
+/* The model of an adapter "model/adapter"; 0 for a model. */
+GQuark controller_model_of(GQuark name);
 /* Places for adapters of the engine. */
 uint32_t engine_adapter_places(const struct controller_engine *engine);
 /* Memory of the engine for weights; 0: unknown. */
@@ -171,6 +175,10 @@
 void controller_arrange(struct ch_controller *controller, struct duty *duty,
                         int64_t now);
 
+/* Loads adapters that stand nowhere where places are free. */
+void controller_fill_places(struct ch_controller *controller,
+                            struct duty *duty, int64_t now);
+
 /* ---- controller.c; lock held ---- */
 
 struct duty *controller_duty(struct ch_controller *controller,
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -14,6 +14,12 @@
     /* A model that is to go gets no new requests for this long before the
      * order for it is sent: the time in which every node has been told. */
     LEAVE_FIRST = 250 * 1000,
+    /* Room that was made for a model is kept for it this long: its victim's
+     * last requests have ended by then, or something went wrong. */
+    PLEDGE = 8 * 1000 * 1000,
+    /* Places on an engine that stay free for adapters which are asked for. */
+    SPARE_PLACES = 1,
+    MOST_ADAPTER_NAME = 96, /* a model's name has 64 bytes at most */
 };
 
 /* ---- demand ---- */
@@ -211,6 +217,7 @@
         .item_count = items->len,
         .copies = (const GQuark *)(void *)engine->copies->data,
         .copy_count = engine->copies->len,
+        .pledged = now < engine->pledged_until ? engine->pledged : 0,
     };
     g_array_append_val(picture->engines, entry);
 }
@@ -279,12 +286,17 @@
            CH_F_STR("model", g_quark_to_string(action->model)),
            CH_F_STR("action",
                     action->kind == CH_ACTION_LOAD ? "load" : "unload"),
+           CH_F_STR("pledged", action->pledged == 0
+                                   ? ""
+                                   : g_quark_to_string(action->pledged)),
            CH_F_BOOL("from_store", action->from_store),
            CH_F_STR("reason", action->reason), CH_F_END);
+    if (action->from_store) {
+        (void)ch_bucket_take(&duty->loads, 1, now);
+    }
+    engine->pledged = action->pledged;
+    engine->pledged_until = now + PLEDGE;
     if (action->kind == CH_ACTION_LOAD) {
-        if (action->from_store) {
-            (void)ch_bucket_take(&duty->loads, 1, now);
-        }
         engine_add_item(engine, action->model, 0, CH_ITEM_LOADING, now);
     }
     else {
@@ -347,3 +359,107 @@
     g_ptr_array_free(picture.lists, TRUE);
     ch_config_unref(config);
 }
+
+/* ---- adapters before they are asked for ---- */
+
+/* Engines that have an adapter or are loading it. */
+static unsigned
+adapter_replicas(struct ch_controller *controller, GQuark adapter)
+{
+    unsigned count = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, controller->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controller_engine *engine = value;
+        if (!engine->leaving && engine_item(engine, adapter) != NULL) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* The adapter of a model that stands nowhere, if there is one; 0: none. */
+static GQuark
+missing_adapter(struct ch_controller *controller, const struct ch_model *model)
+{
+    char name[MOST_ADAPTER_NAME];
+    for (unsigned i = 1; i <= model->numbered_adapters; i++) {
+        (void)g_snprintf(name, sizeof(name), "%s/a%u", model->name, i);
+        GQuark adapter = g_quark_from_string(name);
+        if (adapter_replicas(controller, adapter) == 0) {
+            return adapter;
+        }
+    }
+    return 0;
+}
+
+/* Places for adapters that are taken on an engine, or will be. */
+static uint32_t
+places_taken(const struct controller_engine *engine)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < engine->items->len; i++) {
+        count +=
+            g_array_index(engine->items, struct item, i).model != 0 ? 1 : 0;
+    }
+    return count;
+}
+
+/* Begins to load one adapter on an engine that has places free. */
+static void
+fill_places(struct ch_controller *controller, struct duty *duty,
+            struct controller_engine *engine,
+            const struct ch_declaration *declaration, int64_t now)
+{
+    if (!engine_is_open(engine, now) || engine->ordering ||
+        places_taken(engine) + SPARE_PLACES >=
+            engine_adapter_places(engine)) {
+        return;
+    }
+    for (size_t i = 0; i < declaration->model_count; i++) {
+        const struct ch_model *model = &declaration->models[i];
+        GQuark name = g_quark_from_string(model->name);
+        const struct item *item = engine_item(engine, name);
+        if (item == NULL || item->state != CH_ITEM_RESIDENT) {
+            continue;
+        }
+        GQuark adapter = missing_adapter(controller, model);
+        if (adapter != 0) {
+            struct item *added = engine_add_item(engine, adapter, name,
+                                                 CH_ITEM_LOADING, now);
+            added->used = 0;
+            engine_pump(engine, duty, now);
+            return;
+        }
+    }
+}
+
+/*
+ * Load: an adapter is asked for that stands nowhere, while the key-value
+ * service is away and nobody has the right to order.  Harm prevented: all
+ * requests for it are refused until the service is back; else the first of
+ * them waits for the load.  So places that are free take adapters that stand
+ * nowhere, one at a time on each engine; each goes again as soon as another is
+ * asked for, as nobody has used it.
+ */
+void
+controller_fill_places(struct ch_controller *controller, struct duty *duty,
+                       int64_t now)
+{
+    struct ch_config *config =
+        ch_config_keeper_current(controller->node->config);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (config == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, controller->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controller_engine *engine = value;
+        if (engine->data_centre == duty->data_centre) {
+            fill_places(controller, duty, engine, config->declaration, now);
+        }
+    }
+    ch_config_unref(config);
+}
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -26,7 +26,10 @@
     /* How long a stop waits for requests that have begun to come in. */
     INCOMING_SECONDS = 5,
     MOST_LISTENER_THREADS = 4,
-    STOPPING_RETRY_AFTER = 1000 * 1000,
+    /* Another node takes the request at once. */
+    STOPPING_RETRY_AFTER = 50 * 1000,
+    /* A node reads its configuration within a second of its start. */
+    NOT_READY_RETRY_AFTER = 1000 * 1000,
 };
 
 /* Of the repeats that are allowed, what the nodes use in all. */
@@ -258,7 +261,7 @@
     if (config == NULL) {
         ch_fault_set(&fault, CH_NOT_READY, "",
                      "this node has no configuration yet");
-        refuse(front, intake->reply, &fault, STOPPING_RETRY_AFTER);
+        refuse(front, intake->reply, &fault, NOT_READY_RETRY_AFTER);
         return;
     }
     take_request(front, intake, config);
