Use a right to order for 6 s without the store, and take it back at a restart

With 2 s nobody ordered during most of an outage of 4 to 8 s, while demand moved and engines left. A process that starts again finds its own key and takes it over at once; another host's is waited for.

--- a/libchestnuthitch/node/claim.c
+++ b/libchestnuthitch/node/claim.c
@@ -9,11 +9,15 @@
 #include <time.h>
 
 enum {
-    /* How long the right is used after its last renewal was sent.  A renewal
-     * is sent four times in this, so that three may be lost; longer would make
-     * the gap after a holder's death longer by as much. */
-    USE = 2000 * 1000,
-    RENEWAL = 500 * 1000,
+    /*
+     * How long the right is used after its last renewal was sent.  Longer, and
+     * more outages of the service pass without anybody being kept from
+     * ordering (users' platforms have them for 4 to 8 seconds); shorter, and
+     * the successor of a holder that is lost with its host comes sooner.  A
+     * holder whose process alone was lost takes its right back at its restart.
+     */
+    USE = 6000 * 1000,
+    RENEWAL = 700 * 1000,
     /* Beyond the use and the pause: the clocks of two hosts differ a little
      * in speed. */
     MARGIN = 200 * 1000,
@@ -37,6 +41,8 @@
     char *mark; /* of the write under way: knows one's own again */
     uint64_t marks;
     int64_t not_before;
+    uint64_t over; /* revision of an earlier process's key; 0: the key is free
+                    */
 };
 
 /* Microseconds of a clock that also counts while the host is suspended. */
@@ -195,7 +201,46 @@
         return;
     }
     ch_kv_call_put_leased(claim->node, claim->key, claim->mark,
-                          strlen(claim->mark), 0, lease, written, claim);
+                          strlen(claim->mark), claim->over, lease, written,
+                          claim);
+}
+
+/* Whether the key is of an earlier process of this host, which is no more as
+ * this one has its address. */
+static bool
+is_own(const struct ch_claim *claim, const struct ch_kv_answer *answer)
+{
+    const char *name = claim->node->settings->name;
+    size_t length = strlen(name);
+    return answer->code == CH_OK && answer->length > length &&
+           memcmp(answer->value, name, length) == 0 &&
+           ((const char *)answer->value)[length] == ' ';
+}
+
+/* The key as it is: free, left by an earlier process of this host, or
+ * another's. */
+static void
+looked(void *data, const struct ch_kv_answer *answer)
+{
+    struct ch_claim *claim = data;
+    int64_t ttl = USE + claim->pause + MARGIN;
+    pthread_mutex_lock(&claim->lock);
+    bool own = is_own(claim, answer);
+    bool good = !claim->given_up && (own || answer->code == CH_KV_MISSING);
+    if (good) {
+        claim->over = own ? answer->revision : 0;
+        claim->sent = boot_now();
+    }
+    else {
+        claim->calling = false;
+        start_over(claim, "another node has it");
+    }
+    pthread_mutex_unlock(&claim->lock);
+    if (!good) {
+        claim_unref(claim);
+        return;
+    }
+    ch_kv_call_lease(claim->node, ttl, leased, claim);
 }
 
 /* The lease was renewed, or has ended. */
@@ -241,7 +286,7 @@
         ch_kv_call_renew(claim->node, lease, renewed, claim);
     }
     else if (call) {
-        ch_kv_call_lease(claim->node, ttl, leased, claim);
+        ch_kv_call_get(claim->node, claim->key, looked, claim);
     }
 }
 
