Decide on models by the engine time that is asked for

The count of running requests made a small, quick model look busier than a large one: it was given replicas that others needed. Now each node tells, by model, the time that engines need to read what comes a second, by the pace that was measured, and what has not begun.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -2,14 +2,21 @@
 
 #include "decide/arrange.h"
 
-/* Requests that run at once on one replica before another is worth a load: an
- * engine reads a usual prompt in 60 ms and writes a usual answer in two
- * seconds, so that beyond eight or so first tokens wait for one another. */
-static const double busy_replica = 6;
+/* Part of an engine's time that reading prompts takes before another replica
+ * is worth a load.  Writing answers takes as much again, and beyond some eight
+ * tenths in all first tokens wait for one another. */
+static const double busy_replica = 0.35;
 /* A model must be asked for this many times as much as the one that goes. */
 static const double clear_gain = 2;
-/* A request that waits for a model says more than one that runs. */
-static const double waiting_weight = 3;
+/* What waits is to be done within this many seconds. */
+static const double backlog_s = 2;
+
+/* What makes one engine worse than another for a model, in engines' time that
+ * is asked of it: a load of eight seconds in place of one or two, a model that
+ * has to go.  To bring back what nobody holds, time is all. */
+static const double FROM_STORE = 20;
+static const double DISPLACES = 10;
+static const double SHIFT_FROM_STORE = 0.5;
 
 /* What is decided upon: the state, and what was ordered in this round. */
 struct round {
@@ -86,12 +93,27 @@
     return count;
 }
 
-/* Requests for each replica, if there were `replicas`. */
+/* What is asked of each replica, if there were `replicas`. */
 static double
 pressure(const struct ch_arrange_model *model, unsigned replicas)
 {
-    double asked = model->running + waiting_weight * model->waiting;
-    return asked / MAX(replicas, 1);
+    return (model->work + model->backlog / backlog_s) / MAX(replicas, 1);
+}
+
+/* What is asked of an engine for all its models but one (0: for all). */
+static double
+busy_of(const struct round *round, const struct ch_arrange_engine *engine,
+        GQuark but)
+{
+    double busy = 0;
+    for (size_t i = 0; i < engine->item_count; i++) {
+        GQuark name = engine->items[i].model;
+        const struct ch_arrange_model *model = find_model(round, name);
+        if (model != NULL && name != but) {
+            busy += pressure(model, replicas_of(round, name));
+        }
+    }
+    return busy;
 }
 
 /* Memory that is not taken, nor kept for adapters. */
@@ -250,8 +272,9 @@
                 continue;
             }
         }
-        double cost = (has_copy(engine, model->name) ? 0 : 100) +
-                      (victim != 0 ? 50 : 0) + asked + engine->running / 16.0;
+        double cost = (has_copy(engine, model->name) ? 0 : FROM_STORE) +
+                      (victim != 0 ? DISPLACES : 0) + asked +
+                      busy_of(round, engine, victim);
         if (best == NULL || cost < best_cost) {
             best = engine;
             best_victim = victim;
@@ -294,8 +317,8 @@
         if (victim == 0) {
             continue;
         }
-        double cost = (has_copy(engine, model->name) ? 0 : 10) + left +
-                      engine->running / 16.0;
+        double cost = (has_copy(engine, model->name) ? 0 : SHIFT_FROM_STORE) +
+                      left + busy_of(round, engine, victim);
         if (best == NULL || cost < best_cost) {
             best = engine;
             best_victim = victim;
@@ -316,7 +339,8 @@
      const struct ch_arrange_model *model)
 {
     unsigned replicas = replicas_of(round, model->name);
-    double want = pressure(model, replicas) / busy_replica + 1.0 / (replicas + 1);
+    double want =
+        pressure(model, replicas) / busy_replica + 1.0 / (replicas + 1);
     if (has_copy(engine, model->name)) {
         want += 0.2;
     }
--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -13,7 +13,6 @@
 struct ch_arrange_item {
     GQuark model;
     enum ch_item_state state;
-    uint32_t running; /* requests on it, where that is known */
 };
 
 struct ch_arrange_engine {
@@ -25,7 +24,6 @@
     bool leaving;
     uint32_t memory_mb;
     uint32_t reserve_mb; /* of it, for adapters */
-    uint32_t running;
     const struct ch_arrange_item *items;
     size_t item_count;
     const GQuark *copies; /* models that load quickly here */
@@ -36,8 +34,9 @@
 struct ch_arrange_model {
     GQuark name;
     uint32_t memory_mb;
-    double running; /* requests in the whole fleet, smoothed */
-    double waiting; /* of which no engine has it */
+    double work;    /* engines' time that the fleet asks for, smoothed: 1 is
+                       all the time of one engine */
+    double backlog; /* seconds of it that have not begun */
     const GQuark *services; /* whose engines may hold it */
     size_t service_count;
 };
--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -2,6 +2,7 @@
 
 #include "decide/balance.h"
 
+#include <math.h>
 #include <string.h>
 
 enum {
@@ -41,9 +42,14 @@
     OTHERS_STALE = 3 * G_USEC_PER_SEC,
     /* When something is missing that is being looked after. */
     SOON = G_USEC_PER_SEC,
+    /* Over this time what is asked of a model is counted: demand moves every
+     * few seconds. */
+    ASKED = 1000 * 1000,
     MOST_KEPT = 1024, /* prompt parts remembered of one upstream */
 };
 
+/* Of a prompt, what an engine usually has to read: the rest others share. */
+static const double usual_unknown = 0.75;
 /* Part of the last outcome in the share of failures. */
 static const double failure_weight = 0.3;
 /* Part of the last measurement in a mean. */
@@ -93,11 +99,18 @@
     uint64_t kept_tokens;
 };
 
+/* What is known of a model. */
+struct model {
+    double pace;  /* its time for a token, in usual ones: larger, longer */
+    double asked; /* engine time that requests asked for, decaying */
+    int64_t asked_at;
+};
+
 struct ch_balance {
     GQuark region;
     GQuark data_centre;
     GHashTable *seats; /* name to struct seat */
-    GHashTable *paces; /* model to its time for a token, in usual ones */
+    GHashTable *models; /* model to struct model */
 };
 
 /* ---- seats ---- */
@@ -121,7 +134,7 @@
     balance->region = region;
     balance->data_centre = data_centre;
     balance->seats = g_hash_table_new_full(NULL, NULL, NULL, free_seat);
-    balance->paces = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    balance->models = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return balance;
 }
 
@@ -131,7 +144,7 @@
 {
     if (balance != NULL) {
         g_hash_table_destroy(balance->seats);
-        g_hash_table_destroy(balance->paces);
+        g_hash_table_destroy(balance->models);
         g_free(balance);
     }
 }
@@ -495,13 +508,69 @@
     return (int64_t)(hash % 64) * 1000;
 }
 
-/* A model's time for a token, in usual ones: larger models take longer. */
+/* A model's time for a token. */
+static double
+pace_of(const struct ch_balance *balance, GQuark name)
+{
+    const struct model *model =
+        g_hash_table_lookup(balance->models, GUINT_TO_POINTER(name));
+    return model == NULL ? 1 : model->pace;
+}
+
+/* What is known of a model, begun when nothing is. */
+static struct model *
+need_model(struct ch_balance *balance, GQuark name)
+{
+    gpointer key = GUINT_TO_POINTER(name);
+    struct model *model = g_hash_table_lookup(balance->models, key);
+    if (model == NULL) {
+        model = g_new0(struct model, 1);
+        model->pace = 1;
+        g_hash_table_insert(balance->models, key, model);
+    }
+    return model;
+}
+
+/* See balance.h.  Some of the prompt is in memory wherever it goes. */
+int64_t
+ch_balance_reading(const struct ch_balance *balance,
+                   const struct ch_work *work)
+{
+    return (int64_t)(work->prompt_tokens * READ_TOKEN * usual_unknown *
+                     pace_of(balance, work->model));
+}
+
+/* What was asked for, by now: a mean over the last ASKED. */
 static double
-pace_of(const struct ch_balance *balance, GQuark model)
+asked_now(const struct model *model, int64_t now)
+{
+    return model->asked * exp(-(double)(now - model->asked_at) / ASKED);
+}
+
+/* See balance.h. */
+void
+ch_balance_asked(struct ch_balance *balance, const struct ch_work *work,
+                 int64_t now)
+{
+    struct model *model = need_model(balance, work->model);
+    model->asked = asked_now(model, now) +
+                   (double)ch_balance_reading(balance, work) / ASKED;
+    model->asked_at = now;
+}
+
+/* See balance.h. */
+void
+ch_balance_each_asked(struct ch_balance *balance, int64_t now,
+                      void (*each)(void *data, GQuark model, double work),
+                      void *data)
 {
-    const double *pace =
-        g_hash_table_lookup(balance->paces, GUINT_TO_POINTER(model));
-    return pace == NULL ? 1 : *pace;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->models);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        each(data, GPOINTER_TO_UINT(key), asked_now(value, now));
+    }
 }
 
 /* Microseconds until an engine's first token. */
@@ -650,14 +719,9 @@
 static void
 learn_pace(struct ch_balance *balance, GQuark model, double ratio)
 {
-    gpointer key = GUINT_TO_POINTER(model);
-    double *pace = g_hash_table_lookup(balance->paces, key);
-    if (pace == NULL) {
-        pace = g_new(double, 1);
-        *pace = 1;
-        g_hash_table_insert(balance->paces, key, pace);
-    }
-    *pace = CLAMP(follow(*pace, *pace * ratio), LEAST_PACE, MOST_PACE);
+    struct model *known = need_model(balance, model);
+    known->pace = CLAMP(follow(known->pace, known->pace * ratio), LEAST_PACE,
+                        MOST_PACE);
 }
 
 /* See balance.h. */
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -92,6 +92,17 @@
                       const struct ch_choice *choice, bool begun,
                       enum ch_code code, int64_t now);
 
+/* A request comes, whatever becomes of it: what it asks of engines counts for
+   its model. */
+void ch_balance_asked(struct ch_balance *balance, const struct ch_work *work,
+                      int64_t now);
+/* Engine time that requests ask for, of each model, a second. */
+void ch_balance_each_asked(struct ch_balance *balance, int64_t now,
+                           void (*each)(void *data, GQuark model, double work),
+                           void *data);
+/* Microseconds that an engine takes to read the request's prompt. */
+int64_t ch_balance_reading(const struct ch_balance *balance,
+                           const struct ch_work *work);
 /* What this node runs on an upstream. */
 uint32_t ch_balance_running(const struct ch_balance *balance, GQuark upstream);
 size_t ch_balance_count(const struct ch_balance *balance);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -547,6 +547,9 @@
         g_array_append_vals(request->excluded, excluded->data, excluded->len);
     }
     pthread_mutex_lock(&balancer->lock);
+    if (!work->service && work->attempt == 0) {
+        ch_balance_asked(balancer->balance, work, now);
+    }
     uint64_t handle = ch_table_add(balancer->requests, request);
     request->handle = handle;
     struct step step = route(balancer, request, now);
@@ -661,33 +664,52 @@
     route_waiting(data);
 }
 
-/* Adds a request to the demand for its model. */
+/* What is gathered for the holders. */
+struct gathered {
+    const struct balancer *balancer;
+    GArray *models; /* struct ch_model_demand */
+};
+
+/* The entry of a model, added when there is none. */
+static struct ch_model_demand *
+demand_of(GArray *models, GQuark model)
+{
+    for (guint i = 0; i < models->len; i++) {
+        struct ch_model_demand *demand =
+            &g_array_index(models, struct ch_model_demand, i);
+        if (demand->model == model) {
+            return demand;
+        }
+    }
+    const struct ch_model_demand fresh = {.model = model};
+    g_array_append_val(models, fresh);
+    return &g_array_index(models, struct ch_model_demand, models->len - 1);
+}
+
+/* Adds what is asked of a model, unless it is next to nothing. */
+static void
+add_asked(void *data, GQuark model, double work)
+{
+    uint32_t thousandths = (uint32_t)(work * 1000);
+    if (thousandths > 0) {
+        demand_of(data, model)->work = thousandths;
+    }
+}
+
+/* Adds a request that no engine has begun with. */
 static void
-add_demand(void *item, uint64_t handle, void *data)
+add_backlog(void *item, uint64_t handle, void *data)
 {
     (void)handle;
     const struct request *request = item;
-    GArray *out = data;
-    struct ch_model_demand *found = NULL;
-    for (guint i = 0; found == NULL && i < out->len; i++) {
-        struct ch_model_demand *demand =
-            &g_array_index(out, struct ch_model_demand, i);
-        found = demand->model == request->work.model ? demand : NULL;
-    }
-    if (request->work.service) {
+    const struct gathered *gathered = data;
+    if (request->work.service || request->begun) {
         return;
     }
-    if (found == NULL) {
-        const struct ch_model_demand fresh = {request->work.model, 0, 0};
-        g_array_append_val(out, fresh);
-        found = &g_array_index(out, struct ch_model_demand, out->len - 1);
-    }
-    if (request->state == REQUEST_WAITING) {
-        found->waiting++;
-    }
-    else {
-        found->running++;
-    }
+    int64_t reading = ch_balance_reading(gathered->balancer->balance,
+                                         &request->work);
+    demand_of(gathered->models, request->work.model)->backlog +=
+        (uint32_t)(reading / 1000);
 }
 
 /* Adds what this node has sent to one engine. */
@@ -706,8 +728,12 @@
 {
     struct balancer *balancer = data;
     pthread_mutex_lock(&balancer->lock);
+    const struct gathered gathered = {balancer, out};
     ch_balance_tell(balancer->balance, add_load, loads);
-    ch_table_each(balancer->requests, add_demand, out);
+    ch_balance_each_asked(balancer->balance,
+                          ch_client_now(balancer->node->client), add_asked,
+                          out);
+    ch_table_each(balancer->requests, add_backlog, (void *)&gathered);
     pthread_mutex_unlock(&balancer->lock);
     route_waiting(balancer);
 }
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -392,14 +392,14 @@
 {
     guint count = own->models->len;
     g_autofree char **models = g_new0(char *, count + 1);
-    g_autofree uint32_t *running = g_new0(uint32_t, count + 1);
-    g_autofree uint32_t *waiting = g_new0(uint32_t, count + 1);
+    g_autofree uint32_t *work = g_new0(uint32_t, count + 1);
+    g_autofree uint32_t *backlog = g_new0(uint32_t, count + 1);
     for (guint i = 0; i < count; i++) {
         const struct ch_model_demand *model =
             &g_array_index(own->models, struct ch_model_demand, i);
         models[i] = (char *)g_quark_to_string(model->model);
-        running[i] = model->running;
-        waiting[i] = model->waiting;
+        work[i] = model->work;
+        backlog[i] = model->backlog;
     }
     g_autofree Chestnuthitch__Wire__EngineLoad *loads =
         g_new0(Chestnuthitch__Wire__EngineLoad, own->loads->len + 1);
@@ -422,10 +422,10 @@
     Chestnuthitch__Wire__Demand demand = WIRE(DEMAND__INIT);
     demand.n_models = count;
     demand.models = models;
-    demand.n_running = count;
-    demand.running = running;
-    demand.n_waiting = count;
-    demand.waiting = waiting;
+    demand.n_work = count;
+    demand.work = work;
+    demand.n_backlog = count;
+    demand.backlog = backlog;
     demand.n_used = own->used->len;
     demand.used = (char **)own->used->pdata;
     demand.n_loads = sent;
--- a/libchestnuthitch/node/controller.h
+++ b/libchestnuthitch/node/controller.h
@@ -28,8 +28,8 @@
 /* What this node's requests ask for of one model. */
 struct ch_model_demand {
     GQuark model;
-    uint32_t running;
-    uint32_t waiting; /* no engine has the model */
+    uint32_t work;    /* ms of engine time a second */
+    uint32_t backlog; /* ms of it that have not begun */
 };
 
 /* What this node has sent to one engine. */
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -101,8 +101,8 @@
 
 /* A model's smoothed demand. */
 struct smoothed {
-    double running;
-    double waiting;
+    double work;    /* engines' time */
+    double backlog; /* seconds */
 };
 
 struct ch_controller {
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -43,13 +43,13 @@
     told->at = now;
     told->data_centre = g_quark_from_string(demand->data_centre);
     told->list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
-    for (size_t i = 0; i < demand->n_models && i < demand->n_running &&
-                       i < demand->n_waiting;
+    for (size_t i = 0; i < demand->n_models && i < demand->n_work &&
+                       i < demand->n_backlog;
          i++) {
         const struct ch_model_demand model = {
             .model = g_quark_from_string(demand->models[i]),
-            .running = demand->running[i],
-            .waiting = demand->waiting[i],
+            .work = demand->work[i],
+            .backlog = demand->backlog[i],
         };
         g_array_append_val(told->list, model);
     }
@@ -97,8 +97,8 @@
                 sum = g_new0(struct smoothed, 1);
                 g_hash_table_insert(sums, key, sum);
             }
-            sum->running += model->running;
-            sum->waiting += model->waiting;
+            sum->work += model->work / 1000.0;
+            sum->backlog += model->backlog / 1000.0;
         }
     }
     return sums;
@@ -170,10 +170,10 @@
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         struct smoothed *smoothed = value;
         const struct smoothed *sum = g_hash_table_lookup(sums, key);
-        double running = sum == NULL ? 0 : sum->running;
-        double waiting = sum == NULL ? 0 : sum->waiting;
-        smoothed->running += (running - smoothed->running) * weight;
-        smoothed->waiting += (waiting - smoothed->waiting) * weight;
+        double work = sum == NULL ? 0 : sum->work;
+        double backlog = sum == NULL ? 0 : sum->backlog;
+        smoothed->work += (work - smoothed->work) * weight;
+        smoothed->backlog += (backlog - smoothed->backlog) * weight;
     }
     g_hash_table_destroy(sums);
 }
@@ -197,7 +197,7 @@
     for (guint i = 0; i < engine->items->len; i++) {
         const struct item *item =
             &g_array_index(engine->items, struct item, i);
-        const struct ch_arrange_item copy = {item->name, item->state, 0};
+        const struct ch_arrange_item copy = {item->name, item->state};
         if (item->model == 0) {
             g_array_append_val(items, copy);
         }
@@ -212,7 +212,6 @@
         .leaving = engine->leaving,
         .memory_mb = engine_memory(engine),
         .reserve_mb = engine_reserve(engine),
-        .running = engine->running,
         .items = (const struct ch_arrange_item *)(void *)items->data,
         .item_count = items->len,
         .copies = (const GQuark *)(void *)engine->copies->data,
@@ -243,8 +242,8 @@
     const struct ch_arrange_model entry = {
         .name = name,
         .memory_mb = model->memory_mb,
-        .running = smoothed == NULL ? 0 : smoothed->running,
-        .waiting = smoothed == NULL ? 0 : smoothed->waiting,
+        .work = smoothed == NULL ? 0 : smoothed->work,
+        .backlog = smoothed == NULL ? 0 : smoothed->backlog,
         .services = (const GQuark *)(void *)services->data,
         .service_count = services->len,
     };
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -3134,24 +3134,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "work",
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Chestnuthitch__Wire__Demand, n_running),
-    offsetof(Chestnuthitch__Wire__Demand, running),
+    offsetof(Chestnuthitch__Wire__Demand, n_work),
+    offsetof(Chestnuthitch__Wire__Demand, work),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "backlog",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Chestnuthitch__Wire__Demand, n_waiting),
-    offsetof(Chestnuthitch__Wire__Demand, waiting),
+    offsetof(Chestnuthitch__Wire__Demand, n_backlog),
+    offsetof(Chestnuthitch__Wire__Demand, backlog),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -3195,12 +3195,12 @@
   },
 };
 static const unsigned chestnuthitch__wire__demand__field_indices_by_name[] = {
+  2,   /* field[2] = backlog */
   5,   /* field[5] = data_centre */
   4,   /* field[4] = loads */
   0,   /* field[0] = models */
-  1,   /* field[1] = running */
   3,   /* field[3] = used */
-  2,   /* field[2] = waiting */
+  1,   /* field[1] = work */
 };
 static const ProtobufCIntRange chestnuthitch__wire__demand__number_ranges[1 + 1] =
 {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -521,13 +521,16 @@
   ProtobufCMessage base;
   size_t n_models;
   char **models;
-  size_t n_running;
-  uint32_t *running;
   /*
-   * of which no engine has the model
+   * ms of engine time that it asks for a second
    */
-  size_t n_waiting;
-  uint32_t *waiting;
+  size_t n_work;
+  uint32_t *work;
+  /*
+   * ms of engine time that have not begun
+   */
+  size_t n_backlog;
+  uint32_t *backlog;
   /*
    * "UPSTREAM MODEL/ADAPTER", since the last
    */
