Keep last replicas; leave alone engines whose adapters are needed; quick copies first

Two data centres gave up the last two replicas of a model at once, and three engines then brought it back. An engine that loads from the weight store takes no adapter orders for eight seconds.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -17,6 +17,10 @@
 static const double FROM_STORE = 20;
 static const double DISPLACES = 10;
 static const double SHIFT_FROM_STORE = 0.5;
+static const double BLOCKS_ADAPTERS = 0.5;
+/* So many times a busy replica's work is reason for a load from the weight
+ * store although another engine has a copy near by. */
+static const double MUCH = 2;
 
 /* What is decided upon: the state, and what was ordered in this round. */
 struct round {
@@ -77,7 +81,8 @@
     return NULL;
 }
 
-/* Engines that hold the model or are loading it, and stay. */
+/* Engines that hold the model, are loading it or make room for it, and stay.
+ */
 static unsigned
 replicas_of(const struct round *round, GQuark model)
 {
@@ -85,8 +90,8 @@
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         const struct ch_arrange_item *item = find_item(engine, model);
-        if (!engine->leaving && item != NULL &&
-            item->state != CH_ITEM_UNLOADING) {
+        bool holds = item != NULL && item->state != CH_ITEM_UNLOADING;
+        if (!engine->leaving && (holds || engine->pledged == model)) {
             count++;
         }
     }
@@ -190,6 +195,89 @@
     return engine->pledged != 0 && engine->pledged != model;
 }
 
+/* Replicas of a model in this data centre that stay. */
+static unsigned
+own_replicas(const struct round *round, GQuark model)
+{
+    unsigned count = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        const struct ch_arrange_item *item = find_item(engine, model);
+        if (engine->mine && !engine->leaving && item != NULL &&
+            item->state == CH_ITEM_RESIDENT) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/*
+ * Whether this data centre keeps the last replica of a model, of all that have
+ * one: the same answer everywhere, by rendezvous.  Else two data centres that
+ * each see the other's replica give up both at once, and nobody holds the
+ * model.
+ */
+static bool
+keeps_last(const struct round *round, GQuark model)
+{
+    GQuark best = 0;
+    uint64_t best_weight = 0;
+    uint64_t key = ch_hash_string(g_quark_to_string(model));
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        const struct ch_arrange_item *item = find_item(engine, model);
+        uint64_t weight = ch_hash_pair(
+            key, ch_hash_string(g_quark_to_string(engine->data_centre)));
+        if (!engine->leaving && item != NULL &&
+            item->state == CH_ITEM_RESIDENT &&
+            (best == 0 || weight > best_weight)) {
+            best = engine->data_centre;
+            best_weight = weight;
+        }
+    }
+    return best == round->state->data_centre;
+}
+
+/* Whether one replica of the model on an engine here may go. */
+static bool
+may_go(const struct round *round, GQuark model)
+{
+    return replicas_of(round, model) >= 2 &&
+           (own_replicas(round, model) >= 2 || !keeps_last(round, model));
+}
+
+/* What an engine's change costs those who need adapters meanwhile: it is the
+ * only one with a model that has some. */
+static double
+blocks_adapters(const struct round *round,
+                const struct ch_arrange_engine *engine)
+{
+    double cost = 0;
+    for (size_t i = 0; i < engine->item_count; i++) {
+        const struct ch_arrange_model *model =
+            find_model(round, engine->items[i].model);
+        if (model != NULL && model->adapters &&
+            replicas_of(round, model->name) < 2) {
+            cost += BLOCKS_ADAPTERS;
+        }
+    }
+    return cost;
+}
+
+/* Whether an engine elsewhere could load the model quickly. */
+static bool
+is_quick_elsewhere(const struct round *round, GQuark model)
+{
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        if (!engine->leaving && find_item(engine, model) == NULL &&
+            has_copy(engine, model)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- room ---- */
 
 /* The model on the engine that is missed least if it goes, so that at least
@@ -206,7 +294,8 @@
         const struct ch_arrange_model *model = find_model(round, item->model);
         unsigned replicas = replicas_of(round, item->model);
         if (item->state != CH_ITEM_RESIDENT || model == NULL ||
-            replicas < 2 || room + model->memory_mb < memory_mb) {
+            !may_go(round, item->model) ||
+            room + model->memory_mb < memory_mb) {
             continue;
         }
         double left = pressure(model, replicas - 1);
@@ -274,7 +363,8 @@
         }
         double cost = (has_copy(engine, model->name) ? 0 : FROM_STORE) +
                       (victim != 0 ? DISPLACES : 0) + asked +
-                      busy_of(round, engine, victim);
+                      busy_of(round, engine, victim) +
+                      blocks_adapters(round, engine);
         if (best == NULL || cost < best_cost) {
             best = engine;
             best_victim = victim;
@@ -300,6 +390,8 @@
 shift(struct round *round, const struct ch_arrange_model *model)
 {
     double asked = pressure(model, replicas_of(round, model->name));
+    bool slowly = asked > MUCH * busy_replica ||
+                  !is_quick_elsewhere(round, model->name);
     const struct ch_arrange_engine *best = NULL;
     GQuark best_victim = 0;
     double best_cost = 0;
@@ -307,6 +399,7 @@
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         if (!is_open(engine) || is_ordered(round, engine) ||
             !may_hold(engine, model) || engine->pledged != 0 ||
+            (!slowly && !has_copy(engine, model->name)) ||
             find_item(engine, model->name) != NULL ||
             !may_load(round, engine, model->name)) {
             continue;
@@ -318,7 +411,8 @@
             continue;
         }
         double cost = (has_copy(engine, model->name) ? 0 : SHIFT_FROM_STORE) +
-                      left + busy_of(round, engine, victim);
+                      left + busy_of(round, engine, victim) +
+                      blocks_adapters(round, engine);
         if (best == NULL || cost < best_cost) {
             best = engine;
             best_victim = victim;
--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -37,6 +37,8 @@
     double work;    /* engines' time that the fleet asks for, smoothed: 1 is
                        all the time of one engine */
     double backlog; /* seconds of it that have not begun */
+    bool adapters;  /* it has some, which an engine that loads a model can't
+                       load meanwhile */
     const GQuark *services; /* whose engines may hold it */
     size_t service_count;
 };
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -246,6 +246,7 @@
         .backlog = smoothed == NULL ? 0 : smoothed->backlog,
         .services = (const GQuark *)(void *)services->data,
         .service_count = services->len,
+        .adapters = model->numbered_adapters > 0,
     };
     g_array_append_val(picture->models, entry);
 }
