--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -62,7 +62,7 @@
                 uint32_t events_given, int64_t now)
 {
     uint32_t most = work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
-    bool sent = code != CH_UPSTREAM_CONNECT;
+    bool sent = work->tries == 0 || code != CH_UPSTREAM_CONNECT;
     if (!is_of_the_upstream(code) || (sent && work->attempt >= most)) {
         return CH_RETRY_NO;
     }
@@ -76,7 +76,7 @@
         return CH_RETRY_NO;
     }
     /* What was never sent is no load on anybody. */
-    if (work->tries > 0 && !sent) {
+    if (!sent) {
         return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
     }
     if (budget->level < 1.0) {
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -109,10 +109,10 @@
 }
 
 /* Fake knowledge of the upstreams. */
-bool
-ch_homes_ready(struct ch_homes *homes)
+static bool
+router_ready(struct ch_router *router)
 {
-    (void)homes;
+    (void)router;
     return true;
 }
 
@@ -126,20 +126,26 @@
 }
 
 /* Fake status of the upstreams. */
-void
-ch_homes_status(struct ch_homes *homes, JsonBuilder *builder)
+static void
+router_status(struct ch_router *router, JsonBuilder *builder)
 {
-    (void)homes;
+    (void)router;
     json_builder_set_member_name(builder, "upstreams");
     json_builder_add_int_value(builder, 2);
 }
 
+static const struct ch_router_ops router_ops = {
+    .ready = router_ready,
+    .status = router_status,
+};
+
 /* ---- one listener and calls to it ---- */
 
 struct fixture {
     struct ch_client client;
     struct ch_settings *settings;
     struct ch_config_keeper keeper;
+    struct ch_router router;
     struct ch_node node;
     struct ch_admin *admin;
     GString *log;
@@ -188,6 +194,8 @@
     fixture->node.client = &fixture->client;
     fixture->node.settings = fixture->settings;
     fixture->node.config = &fixture->keeper;
+    fixture->router.ops = &router_ops;
+    fixture->node.router = &fixture->router;
     fixture->admin = ch_admin_new(&fixture->node, &error);
     g_assert_cmpstr(error.message, ==, "");
     const char *at = strstr(fixture->log->str, "\"admin\":\"");
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -38,6 +38,7 @@
 };
 
 struct ch_homes {
+    struct ch_router router;
     struct world *world;
 };
 
@@ -148,12 +149,12 @@
     g_free(job);
 }
 
-uint64_t
-ch_homes_request(struct ch_homes *homes, const struct ch_work *work,
-                 const GArray *excluded,
-                 const struct ch_router_handlers *handlers, void *data)
+static uint64_t
+home_request(struct ch_router *router, const struct ch_work *work,
+             const GArray *excluded, const struct ch_router_handlers *handlers,
+             void *data)
 {
-    struct world *world = homes->world;
+    struct world *world = ((struct ch_homes *)router)->world;
     pthread_mutex_lock(&world->lock);
     unsigned number = world->asked++;
     enum home_act act = world->home_acts[MIN(number, MOST_TRIES - 1)];
@@ -168,10 +169,10 @@
     return number + 1;
 }
 
-bool
-ch_homes_withdraw(struct ch_homes *homes, uint64_t handle)
+static bool
+home_withdraw(struct ch_router *router, uint64_t handle)
 {
-    struct world *world = homes->world;
+    struct world *world = ((struct ch_homes *)router)->world;
     pthread_mutex_lock(&world->lock);
     bool held = world->home_acts[handle - 1] == HOLDS_BACK;
     world->withdrawn += held;
@@ -179,11 +180,11 @@
     return held;
 }
 
-void
-ch_homes_release(struct ch_homes *homes, uint64_t handle,
-                 const struct ch_sample *sample)
+static void
+home_release(struct ch_router *router, uint64_t handle,
+             const struct ch_sample *sample)
 {
-    struct world *world = homes->world;
+    struct world *world = ((struct ch_homes *)router)->world;
     g_assert_cmpuint(handle, >, 0);
     g_assert_cmpint(sample->first, >=, 0);
     pthread_mutex_lock(&world->lock);
@@ -191,10 +192,25 @@
     notify(world);
 }
 
-bool
-ch_homes_ready(struct ch_homes *homes)
+static bool
+home_ready(struct ch_router *router)
+{
+    return ((struct ch_homes *)router)->world != NULL;
+}
+
+static const struct ch_router_ops router_ops = {
+    .ready = home_ready,
+    .request = home_request,
+    .withdraw = home_withdraw,
+    .release = home_release,
+};
+
+/* The node is alone. */
+char **
+ch_peers_live(struct ch_peers *peers)
 {
-    return homes->world != NULL;
+    (void)peers;
+    return g_strdupv((char *[]){"alone", NULL});
 }
 
 /* ---- once records and configuration ---- */
@@ -381,7 +397,7 @@
     pthread_mutex_lock(&world->lock);
     held->act = world->call_acts[MIN(world->calls, MOST_TRIES - 1)];
     world->calls++;
-    world->fresh += !call->may_repeat;
+    world->fresh += !call->may_repeat || call->fresh;
     world->resumed_from = call->resume_from;
     world->held = held;
     bool runs = held->act != SILENT;
@@ -491,7 +507,8 @@
     node->incarnation = 1;
     node->pool = ch_pool_new(4);
     node->timers = ch_timers_new(node->pool);
-    node->homes = &world->homes;
+    world->homes.router.ops = &router_ops;
+    node->router = &world->homes.router;
     node->once = &world->once;
     node->config = &world->config_keeper;
     node->front = ch_front_new(node, &error);
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -306,7 +306,11 @@
     struct ch_upstream *upstream =
         row->service ? ch_upstream_service_new(&client, http, address, LIMIT)
                      : ch_upstream_engine_new(&client, http, address, LIMIT);
-    static const struct ch_call_handlers handlers = {on_head, on_data, on_end};
+    static const struct ch_call_handlers handlers = {
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
     const struct ch_call call = {
         .request_id = "r7",
         .method = "POST",
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -146,6 +146,7 @@
     numbers.name = numbers.region = numbers.data_centre = NULL;
     numbers.callers = numbers.admin = numbers.peers = NULL;
     numbers.kv = numbers.hosts = NULL;
+    numbers.data_centres = numbers.ready_path = NULL;
     ch_settings_free(settings);
     return numbers;
 }
