A few nodes watch the list of upstreams and tell the rest

Now three nodes by rendezvous watch; they tell each entry with its revision, and a node that is told nothing for 3 s reads by itself.

--- a/Makefile
+++ b/Makefile
@@ -85,14 +85,10 @@
 	@echo "  LD      $@"
 	@$(CLANG) $(CFLAGS) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
 
+# `make BUILD=target target/chestnuthitch` builds what the platform runs, all of
+# it under target/.
 $(BUILD)/chestnuthitch: $(BUILD)/plain/chestnuthitch
-	@cp $< $@
-
-# The build that the platform runs: everything under target/.
-target/chestnuthitch:
-	$(MAKE) BUILD=target target/plain/chestnuthitch
-	@cp target/plain/chestnuthitch $@
-.PHONY: target/chestnuthitch
+	@cp -f $< $@
 
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -1,4 +1,13 @@
-/* The upstreams and nodes that describe themselves in the key-value service. */
+/*
+ * The upstreams and nodes that describe themselves in the key-value service.
+ *
+ * A few nodes watch the service and tell all others what has changed, each
+ * entry with its revision, so that none is ever replaced by an older one.  A
+ * watch from every node would cost the service a call for each node at each
+ * change, and joining nodes change the list themselves: calls that grow with
+ * the square of the fleet.  A node that is told nothing for a while, as it is
+ * cut off from those that watch, reads the service by itself.
+ */
 
 #include "node/roster.h"
 
@@ -12,15 +21,27 @@
 #define NODES_PREFIX "nodes/"
 
 enum {
-    TICK = 250 * 1000,
+    TICK = 100 * 1000,
     WATCH_WAIT = 20 * 1000 * 1000,
     FIRST_PAUSE = 250 * 1000,
     MOST_PAUSE = 2 * 1000 * 1000,
     /* A node's own entry goes this long after its last renewal.  Whether a
      * node answers is judged by its peers much sooner; the entry alone says
      * that it may exist. */
-    NODE_TTL = 10 * 1000 * 1000,
-    NODE_RENEWAL = 3 * 1000 * 1000,
+    NODE_TTL = 30 * 1000 * 1000,
+    NODE_RENEWAL = 8 * 1000 * 1000,
+    /* Nodes that watch: three, so that one lost and one paused leave one. */
+    WATCHERS = 3,
+    /* What is new is told at the next tick; this often when nothing is, so that
+     * the others know that they miss nothing. */
+    TELL_AGAIN = 1000 * 1000,
+    /* A node that was told nothing for so long reads by itself, this often:
+     * three messages that did not come. */
+    UNTOLD = 3000 * 1000,
+    /* A node that has just read waits for this long before it watches: by then
+     * it knows who else is there. */
+    SETTLE = 1500 * 1000,
+    PULL_LIMIT = 1500 * 1000,
     /*
      * Entries lapse while the service is away, and their owners write them
      * again when it is back: within two seconds, as the platform says.  Until
@@ -37,7 +58,17 @@
 /* One entry. */
 struct entry {
     struct ch_host host;
+    uint64_t revision;
+    char *value; /* as it lies in the service */
+    size_t length;
     int64_t gone_at; /* it is removed then; 0: it is there */
+    uint64_t gone;   /* revision of its removal */
+};
+
+/* A removal, to be told; or an entry that is to be told. */
+struct news {
+    char *key;
+    uint64_t removed; /* revision; 0: the entry that is there */
 };
 
 /* What lies below one prefix. */
@@ -45,6 +76,12 @@
     struct ch_roster *roster;
     char *prefix;
     GHashTable *entries; /* key to struct entry */
+    GHashTable *removed; /* key to revision of its latest removal */
+    GArray *news;        /* struct news: not told yet */
+    uint64_t told_at;    /* revision up to which it was told */
+    int64_t tell_at;     /* next time to tell */
+    int64_t heard;       /* when a node that watches last told something */
+    bool pulling;
     uint64_t at;         /* revision up to which it is known; 0: nothing is */
     bool known;
     bool calling;
@@ -84,6 +121,16 @@
     return roster;
 }
 
+/* Frees what a feed holds. */
+static void
+feed_clear(struct feed *feed)
+{
+    g_hash_table_destroy(feed->entries);
+    g_hash_table_destroy(feed->removed);
+    g_array_free(feed->news, TRUE);
+    g_free(feed->prefix);
+}
+
 /* One owner less; the last frees it. */
 static void
 roster_unref(struct ch_roster *roster)
@@ -91,11 +138,9 @@
     if (!g_atomic_int_dec_and_test(&roster->references)) {
         return;
     }
-    g_hash_table_destroy(roster->upstreams.entries);
-    g_hash_table_destroy(roster->nodes.entries);
+    feed_clear(&roster->upstreams);
+    feed_clear(&roster->nodes);
     g_hash_table_destroy(roster->strangers);
-    g_free(roster->upstreams.prefix);
-    g_free(roster->nodes.prefix);
     pthread_mutex_destroy(&roster->lock);
     g_free(roster);
 }
@@ -106,9 +151,18 @@
 {
     struct entry *entry = data;
     ch_host_clear(&entry->host);
+    g_free(entry->value);
     g_free(entry);
 }
 
+/* For g_array_set_clear_func. */
+static void
+clear_news(void *data)
+{
+    struct news *news = data;
+    g_free(news->key);
+}
+
 /* ---- reading entries ---- */
 
 /* The region of a data centre by the settings' table "NAME:REGION, ..."; a new
@@ -227,6 +281,33 @@
     g_free(copies);
 }
 
+/* Notes what is to be told.  Lock held. */
+static void
+add_news(struct feed *feed, const char *key, uint64_t removed)
+{
+    const struct news news = {g_strdup(key), removed};
+    g_array_append_val(feed->news, news);
+}
+
+/* Notes the latest removal of a key.  Lock held. */
+static void
+note_removal(struct feed *feed, const char *key, uint64_t revision)
+{
+    uint64_t *copy = g_new(uint64_t, 1);
+    *copy = revision;
+    g_hash_table_replace(feed->removed, g_strdup(key), copy);
+}
+
+/* Whether something later is known of a key than this revision.  Lock held. */
+static bool
+is_stale(const struct feed *feed, const char *key, uint64_t revision)
+{
+    const struct entry *entry = g_hash_table_lookup(feed->entries, key);
+    const uint64_t *removed = g_hash_table_lookup(feed->removed, key);
+    return (entry != NULL && entry->revision >= revision) ||
+           (removed != NULL && *removed >= revision);
+}
+
 /* Puts an entry in place of what the key had.  One that can't be read names
  * nothing to use; what its key named before is left as it was, since a stranger
  * may have written over it.  Lock held. */
@@ -234,33 +315,54 @@
 put_entry(struct feed *feed, const struct ch_kv_entry *from)
 {
     struct ch_host host = {0};
-    if (!parse_entry(feed, from, &host)) {
+    struct entry *known = g_hash_table_lookup(feed->entries, from->key);
+    if (known != NULL && known->revision == from->revision) {
+        known->gone_at = 0; /* it is there after all */
+    }
+    if (is_stale(feed, from->key, from->revision) ||
+        !parse_entry(feed, from, &host)) {
         return;
     }
     log_entry(feed, &host, "there");
     struct entry *entry = g_new0(struct entry, 1);
     entry->host = host;
+    entry->revision = from->revision;
+    entry->length = from->length;
+    entry->value = g_memdup2(from->value, from->length);
     g_hash_table_replace(feed->entries, g_strdup(from->key), entry);
+    add_news(feed, from->key, 0);
+}
+
+/* Takes an entry away for good.  Lock held. */
+static void
+drop_entry(struct feed *feed, const char *key, uint64_t revision)
+{
+    g_autofree char *copy = g_strdup(key); /* key may be the table's own */
+    note_removal(feed, copy, revision);
+    add_news(feed, copy, revision);
+    g_hash_table_remove(feed->entries, copy);
 }
 
 /* Takes an entry that has gone.  After a failure of the service it may only
  * have lapsed, and stays for a while.  Lock held. */
 static void
-remove_entry(struct feed *feed, const char *key, int64_t now)
+remove_entry(struct feed *feed, const char *key, uint64_t revision,
+             int64_t now)
 {
     struct entry *entry = g_hash_table_lookup(feed->entries, key);
-    if (entry == NULL) {
+    if (entry == NULL || entry->revision > revision) {
         return;
     }
     bool lapsed = feed == &feed->roster->nodes ||
                   (feed->troubled != 0 && now - feed->troubled < feed->grace);
     log_entry(feed, &entry->host, lapsed ? "vanished" : "gone");
     if (!lapsed) {
-        g_hash_table_remove(feed->entries, key);
+        drop_entry(feed, key, revision);
         return;
     }
     if (entry->gone_at == 0) {
         entry->gone_at = now + feed->grace;
+        entry->gone = revision;
     }
 }
 
@@ -269,17 +371,24 @@
 static bool
 drop_gone(struct feed *feed, int64_t now)
 {
-    bool dropped = false;
+    GPtrArray *gone = g_ptr_array_new();
     GHashTableIter iterator;
+    gpointer key = NULL;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, feed->entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
         const struct entry *entry = value;
         if (entry->gone_at != 0 && entry->gone_at <= now) {
-            g_hash_table_iter_remove(&iterator);
-            dropped = true;
+            g_ptr_array_add(gone, key);
         }
     }
+    for (guint i = 0; i < gone->len; i++) {
+        const char *name = g_ptr_array_index(gone, i);
+        const struct entry *entry = g_hash_table_lookup(feed->entries, name);
+        drop_entry(feed, name, entry->gone);
+    }
+    bool dropped = gone->len > 0;
+    g_ptr_array_free(gone, TRUE);
     return dropped;
 }
 
@@ -302,7 +411,7 @@
         }
     }
     for (guint i = 0; i < missing->len; i++) {
-        remove_entry(feed, g_ptr_array_index(missing, i), now);
+        remove_entry(feed, g_ptr_array_index(missing, i), range->at, now);
     }
     g_ptr_array_free(missing, TRUE);
     g_hash_table_destroy(there);
@@ -316,7 +425,7 @@
     for (size_t i = 0; i < range->count; i++) {
         const struct ch_kv_entry *entry = &range->entries[i];
         if (entry->value == NULL) {
-            remove_entry(feed, entry->key, now);
+            remove_entry(feed, entry->key, entry->revision, now);
         }
         else {
             put_entry(feed, entry);
@@ -379,6 +488,8 @@
     bool fresh = range->code == CH_OK || range->code == CH_KV_MISSING;
     pthread_mutex_lock(&roster->lock);
     if (whole && range->code == CH_OK) {
+        feed->not_before = feed->known ? 0 : now + SETTLE;
+        feed->heard = now;
         take_all(feed, range, now);
     }
     else if (range->code == CH_OK) {
@@ -413,17 +524,39 @@
     call_done(data, range, false);
 }
 
-/* Begins a range while nothing is known, else a watch, unless one is under way
- * or the service is given time. */
+/* True when this node is one of the few that watch. */
+static bool
+is_watcher(struct ch_roster *roster)
+{
+    struct ch_node *node = roster->node;
+    for (int i = 0; i < WATCHERS; i++) {
+        char key[32];
+        (void)g_snprintf(key, sizeof(key), "roster-watch-%d", i);
+        g_autofree char *home =
+            ch_peers_home(node->peers, ch_hash_string(key), NULL);
+        if (g_strcmp0(home, node->settings->name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Begins a range while nothing is known, or where nothing was told for long;
+ * on a node that watches, a watch; unless a call is under way or the service is
+ * given time. */
 static void
 begin_call(struct feed *feed)
 {
     struct ch_roster *roster = feed->roster;
     int64_t now = ch_client_now(roster->node->client);
+    bool watcher = is_watcher(roster);
     pthread_mutex_lock(&roster->lock);
+    if (!watcher && now - feed->heard >= UNTOLD) {
+        feed->at = 0; /* whatever was missed is in a range */
+    }
     uint64_t at = feed->at;
-    bool begin =
-        !roster->stopped && !feed->calling && now >= feed->not_before;
+    bool begin = !roster->stopped && !feed->calling &&
+                 now >= feed->not_before && (watcher || at == 0);
     if (begin) {
         feed->calling = true;
         roster_ref(roster);
@@ -441,6 +574,257 @@
     }
 }
 
+/* ---- from node to node ---- */
+
+/* Takes entries that another node told; true when something is new.  Lock
+ * held. */
+static bool
+take_told(struct feed *feed, const Chestnuthitch__Wire__Roster *roster,
+          int64_t now)
+{
+    guint before = feed->news->len;
+    for (size_t i = 0; i < roster->n_entries; i++) {
+        const Chestnuthitch__Wire__RosterEntry *told = roster->entries[i];
+        if (told->removed) {
+            const struct entry *entry =
+                g_hash_table_lookup(feed->entries, told->key);
+            if (entry != NULL && entry->revision <= told->revision) {
+                log_entry(feed, &entry->host, "gone");
+                drop_entry(feed, told->key, told->revision);
+            }
+            continue;
+        }
+        const struct ch_kv_entry entry = {
+            .key = told->key,
+            .value = (char *)told->value.data,
+            .length = told->value.len,
+            .revision = told->revision,
+        };
+        put_entry(feed, &entry);
+    }
+    feed->heard = now;
+    return feed->news->len > before;
+}
+
+/* The feed of a prefix, or NULL. */
+static struct feed *
+feed_of(struct ch_roster *roster, const char *prefix)
+{
+    if (strcmp(prefix, roster->upstreams.prefix) == 0) {
+        return &roster->upstreams;
+    }
+    return strcmp(prefix, roster->nodes.prefix) == 0 ? &roster->nodes : NULL;
+}
+
+/* Tells who uses the list that it has changed. */
+static void
+tell_users(struct feed *feed)
+{
+    if (feed == &feed->roster->nodes) {
+        tell_peers(feed->roster);
+    }
+    feed->roster->changed(feed->roster->data);
+}
+
+/* All that another node knows, or nothing. */
+static void
+pull_done(void *data, enum ch_code code,
+          const Chestnuthitch__Wire__Frame *reply)
+{
+    struct feed *feed = data;
+    struct ch_roster *roster = feed->roster;
+    bool good =
+        code == CH_OK && reply != NULL &&
+        reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    bool fresh = false;
+    pthread_mutex_lock(&roster->lock);
+    feed->pulling = false;
+    if (good) {
+        fresh = take_told(feed, reply->roster,
+                          ch_client_now(roster->node->client));
+        feed->at = MAX(feed->at, reply->roster->at);
+        feed->known = true;
+    }
+    pthread_mutex_unlock(&roster->lock);
+    if (fresh) {
+        tell_users(feed);
+    }
+    roster_unref(roster);
+}
+
+/* Asks a node that watches for all, as something was missed. */
+static void
+begin_pull(struct feed *feed, const char *from)
+{
+    struct ch_roster *roster = feed->roster;
+    pthread_mutex_lock(&roster->lock);
+    bool begin = !feed->pulling && !roster->stopped;
+    if (begin) {
+        feed->pulling = true;
+        roster_ref(roster);
+    }
+    pthread_mutex_unlock(&roster->lock);
+    if (!begin) {
+        return;
+    }
+    Chestnuthitch__Wire__RosterPull pull =
+        CHESTNUTHITCH__WIRE__ROSTER_PULL__INIT;
+    Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    pull.prefix = feed->prefix;
+    frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL;
+    frame.roster_pull = &pull;
+    ch_peers_request(roster->node->peers, from, &frame, PULL_LIMIT, pull_done,
+                     feed);
+}
+
+/* A node that watches tells what has changed.  What came before its message
+ * and was not told here is asked for. */
+static void
+handle_roster(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    struct ch_roster *roster = data;
+    const Chestnuthitch__Wire__Roster *told = frame->roster;
+    struct feed *feed = feed_of(roster, told->prefix);
+    if (feed == NULL ||
+        strcmp(frame->from, roster->node->settings->name) == 0) {
+        return;
+    }
+    pthread_mutex_lock(&roster->lock);
+    bool fresh = take_told(feed, told, ch_client_now(roster->node->client));
+    bool missed = !feed->known || told->since > feed->at;
+    if (!missed) {
+        feed->at = MAX(feed->at, told->at);
+    }
+    pthread_mutex_unlock(&roster->lock);
+    if (fresh) {
+        tell_users(feed);
+    }
+    if (missed) {
+        begin_pull(feed, frame->from);
+    }
+}
+
+/* Fills in an entry of a message; the strings stay the roster's.  Lock held. */
+static void
+fill_told(Chestnuthitch__Wire__RosterEntry *told, const char *key,
+          const struct entry *entry, uint64_t removed)
+{
+    chestnuthitch__wire__roster_entry__init(told);
+    told->key = (char *)key;
+    told->removed = entry == NULL;
+    told->revision = entry == NULL ? removed : entry->revision;
+    if (entry != NULL) {
+        told->value.data = (uint8_t *)entry->value;
+        told->value.len = entry->length;
+    }
+}
+
+/* A message of a feed, and the arrays that it is made of. */
+struct telling {
+    Chestnuthitch__Wire__Roster roster;
+    Chestnuthitch__Wire__RosterEntry *entries;
+    Chestnuthitch__Wire__RosterEntry **pointers;
+};
+
+/* An empty message with room for so many entries. */
+static void
+telling_init(struct telling *telling, const struct feed *feed, size_t most)
+{
+    chestnuthitch__wire__roster__init(&telling->roster);
+    telling->entries = g_new0(Chestnuthitch__Wire__RosterEntry, most + 1);
+    telling->pointers = g_new0(Chestnuthitch__Wire__RosterEntry *, most + 1);
+    for (size_t i = 0; i < most; i++) {
+        telling->pointers[i] = &telling->entries[i];
+    }
+    telling->roster.prefix = feed->prefix;
+    telling->roster.at = feed->at;
+    telling->roster.entries = telling->pointers;
+}
+
+/* Frees a message's arrays. */
+static void
+telling_clear(struct telling *telling)
+{
+    g_free(telling->entries);
+    g_free(telling->pointers);
+}
+
+/* A node asks for all that is there. */
+static void
+handle_pull(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    struct ch_roster *roster = data;
+    struct feed *feed = feed_of(roster, frame->roster_pull->prefix);
+    if (feed == NULL) {
+        return;
+    }
+    Chestnuthitch__Wire__Frame reply = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    struct telling telling;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    pthread_mutex_lock(&roster->lock);
+    telling_init(&telling, feed, g_hash_table_size(feed->entries));
+    g_hash_table_iter_init(&iterator, feed->entries);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        fill_told(&telling.entries[telling.roster.n_entries++], key, value, 0);
+    }
+    reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    reply.roster = &telling.roster;
+    ch_peers_reply(roster->node->peers, frame->from, frame->id, &reply);
+    pthread_mutex_unlock(&roster->lock);
+    telling_clear(&telling);
+}
+
+/* Tells all live nodes what is new, or that nothing is; on nodes that watch.
+ * On the others what is new was told to them.  Lock not held. */
+static void
+tell_others(struct feed *feed, bool watcher, int64_t now)
+{
+    struct ch_roster *roster = feed->roster;
+    struct telling telling;
+    pthread_mutex_lock(&roster->lock);
+    bool due = watcher && feed->known &&
+               (now >= feed->tell_at || feed->news->len > 0);
+    if (!due) {
+        if (!watcher) {
+            g_array_set_size(feed->news, 0);
+            feed->told_at = feed->at;
+        }
+        pthread_mutex_unlock(&roster->lock);
+        return;
+    }
+    telling_init(&telling, feed, feed->news->len);
+    for (guint i = 0; i < feed->news->len; i++) {
+        const struct news *news =
+            &g_array_index(feed->news, struct news, i);
+        const struct entry *entry =
+            news->removed != 0
+                ? NULL
+                : g_hash_table_lookup(feed->entries, news->key);
+        if (entry != NULL || news->removed != 0) {
+            fill_told(&telling.entries[telling.roster.n_entries++], news->key,
+                      entry, news->removed);
+        }
+    }
+    telling.roster.since = feed->told_at;
+    feed->told_at = feed->at;
+    feed->tell_at = now + TELL_AGAIN;
+    char **live = ch_peers_live(roster->node->peers);
+    for (size_t i = 0; live[i] != NULL; i++) {
+        Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+        frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+        frame.roster = &telling.roster;
+        if (strcmp(live[i], roster->node->settings->name) != 0) {
+            ch_peers_send(roster->node->peers, live[i], &frame);
+        }
+    }
+    g_strfreev(live);
+    g_array_set_size(feed->news, 0);
+    pthread_mutex_unlock(&roster->lock);
+    telling_clear(&telling);
+}
+
 /* ---- this node's own entry ---- */
 
 /* The entry's value; a new string. */
@@ -570,8 +954,11 @@
 {
     struct ch_roster *roster = data;
     int64_t now = ch_client_now(roster->node->client);
+    bool watcher = is_watcher(roster);
     begin_call(&roster->upstreams);
     begin_call(&roster->nodes);
+    tell_others(&roster->upstreams, watcher, now);
+    tell_others(&roster->nodes, watcher, now);
     keep_own(roster, now);
     pthread_mutex_lock(&roster->lock);
     bool dropped = drop_gone(&roster->upstreams, now);
@@ -634,6 +1021,10 @@
     feed->grace = grace;
     feed->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
+    feed->removed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    feed->news = g_array_new(FALSE, FALSE, sizeof(struct news));
+    g_array_set_clear_func(feed->news, clear_news);
 }
 
 /* A roster that knows nothing yet; node outlives it. */
@@ -651,6 +1042,10 @@
     feed_init(&roster->upstreams, roster, node->dialect->hosts_prefix,
               LAPSE_GRACE);
     feed_init(&roster->nodes, roster, NODES_PREFIX, NODE_GRACE);
+    ch_peers_handle(node->peers, CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER,
+                    handle_roster, roster);
+    ch_peers_handle(node->peers, CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL,
+                    handle_pull, roster);
     return roster;
 }
 
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1042,7 +1042,142 @@
   assert(message->base.descriptor == &chestnuthitch__wire__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[24] =
+void   chestnuthitch__wire__roster_entry__init
+                     (Chestnuthitch__Wire__RosterEntry         *message)
+{
+  static const Chestnuthitch__Wire__RosterEntry init_value = CHESTNUTHITCH__WIRE__ROSTER_ENTRY__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__roster_entry__get_packed_size
+                     (const Chestnuthitch__Wire__RosterEntry *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__roster_entry__pack
+                     (const Chestnuthitch__Wire__RosterEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__roster_entry__pack_to_buffer
+                     (const Chestnuthitch__Wire__RosterEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RosterEntry *
+       chestnuthitch__wire__roster_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RosterEntry *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__roster_entry__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__roster_entry__free_unpacked
+                     (Chestnuthitch__Wire__RosterEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__roster__init
+                     (Chestnuthitch__Wire__Roster         *message)
+{
+  static const Chestnuthitch__Wire__Roster init_value = CHESTNUTHITCH__WIRE__ROSTER__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__roster__get_packed_size
+                     (const Chestnuthitch__Wire__Roster *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__roster__pack
+                     (const Chestnuthitch__Wire__Roster *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__roster__pack_to_buffer
+                     (const Chestnuthitch__Wire__Roster *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__Roster *
+       chestnuthitch__wire__roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__Roster *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__roster__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__roster__free_unpacked
+                     (Chestnuthitch__Wire__Roster *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__roster__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__roster_pull__init
+                     (Chestnuthitch__Wire__RosterPull         *message)
+{
+  static const Chestnuthitch__Wire__RosterPull init_value = CHESTNUTHITCH__WIRE__ROSTER_PULL__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__roster_pull__get_packed_size
+                     (const Chestnuthitch__Wire__RosterPull *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__roster_pull__pack
+                     (const Chestnuthitch__Wire__RosterPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__roster_pull__pack_to_buffer
+                     (const Chestnuthitch__Wire__RosterPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RosterPull *
+       chestnuthitch__wire__roster_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RosterPull *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__roster_pull__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__roster_pull__free_unpacked
+                     (Chestnuthitch__Wire__RosterPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__roster_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[26] =
 {
   {
     "version",
@@ -1332,6 +1467,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, roster),
+    &chestnuthitch__wire__roster__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "roster_pull",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, roster_pull),
+    &chestnuthitch__wire__roster_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
@@ -1356,6 +1515,8 @@
   12,   /* field[12] = refuse */
   13,   /* field[13] = release */
   3,   /* field[3] = reply */
+  24,   /* field[24] = roster */
+  25,   /* field[25] = roster_pull */
   0,   /* field[0] = version */
   14,   /* field[14] = withdraw */
 };
@@ -1363,7 +1524,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -1373,7 +1534,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  24,
+  26,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -3222,3 +3383,195 @@
   (ProtobufCMessageInit) chestnuthitch__wire__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster_entry__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterEntry, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterEntry, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterEntry, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterEntry, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__roster_entry__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  3,   /* field[3] = removed */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange chestnuthitch__wire__roster_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__roster_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RosterEntry",
+  "RosterEntry",
+  "Chestnuthitch__Wire__RosterEntry",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RosterEntry),
+  4,
+  chestnuthitch__wire__roster_entry__field_descriptors,
+  chestnuthitch__wire__roster_entry__field_indices_by_name,
+  1,  chestnuthitch__wire__roster_entry__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__roster_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[4] =
+{
+  {
+    "prefix",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Roster, n_entries),
+    offsetof(Chestnuthitch__Wire__Roster, entries),
+    &chestnuthitch__wire__roster_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__roster__field_indices_by_name[] = {
+  2,   /* field[2] = at */
+  3,   /* field[3] = entries */
+  0,   /* field[0] = prefix */
+  1,   /* field[1] = since */
+};
+static const ProtobufCIntRange chestnuthitch__wire__roster__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.Roster",
+  "Roster",
+  "Chestnuthitch__Wire__Roster",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__Roster),
+  4,
+  chestnuthitch__wire__roster__field_descriptors,
+  chestnuthitch__wire__roster__field_indices_by_name,
+  1,  chestnuthitch__wire__roster__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__roster__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster_pull__field_descriptors[1] =
+{
+  {
+    "prefix",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterPull, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__roster_pull__field_indices_by_name[] = {
+  0,   /* field[0] = prefix */
+};
+static const ProtobufCIntRange chestnuthitch__wire__roster_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__roster_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RosterPull",
+  "RosterPull",
+  "Chestnuthitch__Wire__RosterPull",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RosterPull),
+  1,
+  chestnuthitch__wire__roster_pull__field_descriptors,
+  chestnuthitch__wire__roster_pull__field_indices_by_name,
+  1,  chestnuthitch__wire__roster_pull__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__roster_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -38,6 +38,9 @@
 typedef struct Chestnuthitch__Wire__Prepare Chestnuthitch__Wire__Prepare;
 typedef struct Chestnuthitch__Wire__EngineLoad Chestnuthitch__Wire__EngineLoad;
 typedef struct Chestnuthitch__Wire__Demand Chestnuthitch__Wire__Demand;
+typedef struct Chestnuthitch__Wire__RosterEntry Chestnuthitch__Wire__RosterEntry;
+typedef struct Chestnuthitch__Wire__Roster Chestnuthitch__Wire__Roster;
+typedef struct Chestnuthitch__Wire__RosterPull Chestnuthitch__Wire__RosterPull;
 
 
 /* --- enums --- */
@@ -64,7 +67,9 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_DONE = 24,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ENGINES = 25,
   CHESTNUTHITCH__WIRE__FRAME__BODY_PREPARE = 26,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_DEMAND = 27
+  CHESTNUTHITCH__WIRE__FRAME__BODY_DEMAND = 27,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER = 28,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -107,6 +112,8 @@
     Chestnuthitch__Wire__Engines *engines;
     Chestnuthitch__Wire__Prepare *prepare;
     Chestnuthitch__Wire__Demand *demand;
+    Chestnuthitch__Wire__Roster *roster;
+    Chestnuthitch__Wire__RosterPull *roster_pull;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -551,6 +558,59 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
 
 
+/*
+ * An entry of the roster as it lies in the key-value service, or its removal.
+ */
+struct  Chestnuthitch__Wire__RosterEntry
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+  /*
+   * of the entry, or of its removal
+   */
+  uint64_t revision;
+  protobuf_c_boolean removed;
+};
+#define CHESTNUTHITCH__WIRE__ROSTER_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+/*
+ * From one of the few nodes that watch the service: what has changed below a
+ * prefix after one revision up to another.
+ */
+struct  Chestnuthitch__Wire__Roster
+{
+  ProtobufCMessage base;
+  char *prefix;
+  /*
+   * 0: all that is there
+   */
+  uint64_t since;
+  uint64_t at;
+  size_t n_entries;
+  Chestnuthitch__Wire__RosterEntry **entries;
+};
+#define CHESTNUTHITCH__WIRE__ROSTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * To such a node: all that is there below a prefix.
+ */
+struct  Chestnuthitch__Wire__RosterPull
+{
+  ProtobufCMessage base;
+  char *prefix;
+};
+#define CHESTNUTHITCH__WIRE__ROSTER_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster_pull__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -988,6 +1048,63 @@
 void   chestnuthitch__wire__demand__free_unpacked
                      (Chestnuthitch__Wire__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RosterEntry methods */
+void   chestnuthitch__wire__roster_entry__init
+                     (Chestnuthitch__Wire__RosterEntry         *message);
+size_t chestnuthitch__wire__roster_entry__get_packed_size
+                     (const Chestnuthitch__Wire__RosterEntry   *message);
+size_t chestnuthitch__wire__roster_entry__pack
+                     (const Chestnuthitch__Wire__RosterEntry   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__roster_entry__pack_to_buffer
+                     (const Chestnuthitch__Wire__RosterEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RosterEntry *
+       chestnuthitch__wire__roster_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__roster_entry__free_unpacked
+                     (Chestnuthitch__Wire__RosterEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__Roster methods */
+void   chestnuthitch__wire__roster__init
+                     (Chestnuthitch__Wire__Roster         *message);
+size_t chestnuthitch__wire__roster__get_packed_size
+                     (const Chestnuthitch__Wire__Roster   *message);
+size_t chestnuthitch__wire__roster__pack
+                     (const Chestnuthitch__Wire__Roster   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__roster__pack_to_buffer
+                     (const Chestnuthitch__Wire__Roster   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__Roster *
+       chestnuthitch__wire__roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__roster__free_unpacked
+                     (Chestnuthitch__Wire__Roster *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RosterPull methods */
+void   chestnuthitch__wire__roster_pull__init
+                     (Chestnuthitch__Wire__RosterPull         *message);
+size_t chestnuthitch__wire__roster_pull__get_packed_size
+                     (const Chestnuthitch__Wire__RosterPull   *message);
+size_t chestnuthitch__wire__roster_pull__pack
+                     (const Chestnuthitch__Wire__RosterPull   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__roster_pull__pack_to_buffer
+                     (const Chestnuthitch__Wire__RosterPull   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RosterPull *
+       chestnuthitch__wire__roster_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__roster_pull__free_unpacked
+                     (Chestnuthitch__Wire__RosterPull *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -1059,6 +1176,15 @@
 typedef void (*Chestnuthitch__Wire__Demand_Closure)
                  (const Chestnuthitch__Wire__Demand *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__RosterEntry_Closure)
+                 (const Chestnuthitch__Wire__RosterEntry *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__Roster_Closure)
+                 (const Chestnuthitch__Wire__Roster *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__RosterPull_Closure)
+                 (const Chestnuthitch__Wire__RosterPull *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1088,6 +1214,9 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__prepare__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_load__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__roster_entry__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__roster_pull__descriptor;
 
 PROTOBUF_C__END_DECLS
 
