--- a/libchestnuthitch/node/once_keeper.c
+++ b/libchestnuthitch/node/once_keeper.c
@@ -25,6 +25,14 @@
     BEGIN_LIMIT = 900 * 1000,
     /* Homes that are asked in turn when one is lost. */
     BEGIN_TRIES = 3,
+    /*
+     * Before the next one is asked.  A home whose process was killed refuses
+     * connections at once, and is still named as home for the moment that the
+     * membership takes to learn of it: without the pause all tries went to it
+     * within twenty milliseconds, and the caller was refused though another
+     * home would have served it a moment later.
+     */
+    LOST_PAUSE = 60 * 1000,
     FINISH_LIMIT = 1000 * 1000,
     /* An answer is offered this often: 1, 2, 4, 8 s apart. */
     FINISH_TRIES = 5,
@@ -441,6 +449,20 @@
     begin_end(begin, &answer);
 }
 
+/* The pause after a lost home is over. */
+static void
+pause_over(void *data)
+{
+    struct begin *begin = data;
+    if (is_over(begin)) {
+        begin_end_state(begin, CH_ONCE_REFUSED);
+    }
+    else {
+        read_log(begin);
+    }
+    begin_unref(begin);
+}
+
 /* The home answered, or was lost. */
 static void
 home_answered(void *data, enum ch_code code,
@@ -455,7 +477,8 @@
         begin_end_state(begin, CH_ONCE_REFUSED);
     }
     else {
-        read_log(begin);
+        ch_timers_after(begin->keeper->node->timers, LOST_PAUSE, pause_over,
+                        begin_ref(begin));
     }
     begin_unref(begin);
 }
