--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -191,43 +191,43 @@
 };
 
 struct ch_settings {
-    char *name;                  /* [node] name */
-    char *region;                /* [node] region */
-    char *data_centre;           /* [node] data-centre */
-    char *data_centres;          /* [node] data-centres = NAME:REGION, ... */
-    unsigned workers;            /* [node] workers */
-    int log_level;               /* [node] log-level: err..debug */
-    char *callers;               /* [listen] callers = ip:port */
-    char *admin;                 /* [listen] admin */
-    char *peers;                 /* [listen] peers */
-    char *ready_path;            /* [listen] ready-path, beside /readyz */
-    int platform;                /* [platform] kind, enum ch_platform_kind */
-    char *kv;                    /* [platform] kv = ip:port */
-    char *hosts;                 /* [platform] hosts = ip:port */
-    bool fencing;                /* [upstreams] fencing = refuse | ignore */
-    unsigned report_ms;          /* [upstreams] report-ms */
-    unsigned list_ms;            /* [platform] list-ms */
-    unsigned kv_timeout_ms;      /* [platform] kv-timeout-ms */
-    unsigned once_slots;         /* [once] slots */
-    unsigned once_gather_ms;     /* [once] gather-ms */
-    unsigned once_keep_s;        /* [once] keep-s */
-    size_t max_body;             /* [limits] body-bytes */
-    size_t max_headers;          /* [limits] header-bytes */
-    unsigned max_queue;          /* [limits] queue, for each upstream */
-    unsigned max_connections;    /* [limits] connections */
-    double retry_share;          /* [limits] retry-share */
-    unsigned retry_slack;        /* [limits] retry-slack, of the whole fleet */
-    unsigned lease_ms;           /* [upstreams] lease-ms, of a right to order */
-    unsigned load_window_s;      /* [weight-store] window-s */
-    double load_overshoot;       /* [weight-store] overshoot */
-    double loads_per_s;          /* [weight-store] loads-per-s */
-    unsigned loads_parallel;     /* [weight-store] parallel */
-    unsigned adapters_parallel;  /* [weight-store] adapters-parallel */
-    double link_mbit;            /* [link] mbit-per-s */
-    unsigned connect_ms;         /* [timeouts] connect-ms */
-    unsigned first_byte_ms;      /* [timeouts] first-byte-ms */
-    unsigned stall_ms;           /* [timeouts] stall-ms, between tokens */
-    unsigned peer_silent_ms;     /* [timeouts] peer-silent-ms */
+    char *name;                 /* [node] name */
+    char *region;               /* [node] region */
+    char *data_centre;          /* [node] data-centre */
+    char *data_centres;         /* [node] data-centres = NAME:REGION, ... */
+    unsigned workers;           /* [node] workers */
+    int log_level;              /* [node] log-level: err..debug */
+    char *callers;              /* [listen] callers = ip:port */
+    char *admin;                /* [listen] admin */
+    char *peers;                /* [listen] peers */
+    char *ready_path;           /* [listen] ready-path, beside /readyz */
+    int platform;               /* [platform] kind, enum ch_platform_kind */
+    char *kv;                   /* [platform] kv = ip:port */
+    char *hosts;                /* [platform] hosts = ip:port */
+    bool fencing;               /* [upstreams] fencing = refuse | ignore */
+    unsigned report_ms;         /* [upstreams] report-ms */
+    unsigned list_ms;           /* [platform] list-ms */
+    unsigned kv_timeout_ms;     /* [platform] kv-timeout-ms */
+    unsigned once_slots;        /* [once] slots */
+    unsigned once_gather_ms;    /* [once] gather-ms */
+    unsigned once_keep_s;       /* [once] keep-s */
+    size_t max_body;            /* [limits] body-bytes */
+    size_t max_headers;         /* [limits] header-bytes */
+    unsigned max_queue;         /* [limits] queue, for each upstream */
+    unsigned max_connections;   /* [limits] connections */
+    double retry_share;         /* [limits] retry-share */
+    unsigned retry_slack;       /* [limits] retry-slack, of the whole fleet */
+    unsigned lease_ms;          /* [upstreams] lease-ms, of a right to order */
+    unsigned load_window_s;     /* [weight-store] window-s */
+    double load_overshoot;      /* [weight-store] overshoot */
+    double loads_per_s;         /* [weight-store] loads-per-s */
+    unsigned loads_parallel;    /* [weight-store] parallel */
+    unsigned adapters_parallel; /* [weight-store] adapters-parallel */
+    double link_mbit;           /* [link] mbit-per-s */
+    unsigned connect_ms;        /* [timeouts] connect-ms */
+    unsigned first_byte_ms;     /* [timeouts] first-byte-ms */
+    unsigned stall_ms;          /* [timeouts] stall-ms, between tokens */
+    unsigned peer_silent_ms;    /* [timeouts] peer-silent-ms */
     unsigned idle_connection_ms; /* [timeouts] idle-connection-ms */
     unsigned drain_ms;           /* [timeouts] drain-ms, listener stays open */
     unsigned grace_ms;           /* [timeouts] grace-ms, of a stop; 0: none */
@@ -282,9 +282,9 @@
 struct ch_service {
     char *name;
     /* Of its upstreams, each; 0: not stated. */
-    unsigned connections;   /* most, from all nodes together */
-    unsigned batch;         /* requests at once */
-    unsigned memory_mb;     /* for weights and adapters; 0: a plain service */
+    unsigned connections; /* most, from all nodes together */
+    unsigned batch;       /* requests at once */
+    unsigned memory_mb;   /* for weights and adapters; 0: a plain service */
     unsigned context_tokens;
     unsigned adapter_places;
     double loads_per_s; /* from the weight store, over all upstreams */
@@ -332,9 +332,10 @@
  * host, path, shares, stream, resumable, priority, tries, gap-ms,
  * time-limit-ms; [model X] memory-mb, adapters, adapter-memory-mb, services,
  * numbered-adapters, load-ms; [service X] connections, batch, memory-mb,
- * context-tokens, adapter-places, loads-per-s; [limits] of callers.  Site groups (declared by the platform, read
- * by replay alone: region, data-centre, upstream, entry, weight-store, link,
- * engine) may stand in the same file and are left out of the text.
+ * context-tokens, adapter-places, loads-per-s; [limits] of callers.  Site
+ * groups (declared by the platform, read by replay alone: region, data-centre,
+ * upstream, entry, weight-store, link, engine) may stand in the same file and
+ * are left out of the text.
  */
 struct ch_declaration *ch_declaration_parse(const char *text, const char *path,
                                             struct ch_error *error);
--- a/libchestnuthitch/base/declaration.c
+++ b/libchestnuthitch/base/declaration.c
@@ -97,8 +97,8 @@
      1000000, NULL},
     {"service", "batch", CH_INI_UNSIGNED, SERVICE(batch), "0", 0, 100000,
      NULL},
-    {"service", "memory-mb", CH_INI_UNSIGNED, SERVICE(memory_mb), "0", 0,
-     1e9, NULL},
+    {"service", "memory-mb", CH_INI_UNSIGNED, SERVICE(memory_mb), "0", 0, 1e9,
+     NULL},
     {"service", "context-tokens", CH_INI_UNSIGNED, SERVICE(context_tokens),
      "0", 0, 1e9, NULL},
     {"service", "adapter-places", CH_INI_UNSIGNED, SERVICE(adapter_places),
@@ -256,8 +256,8 @@
                           error);
     }
     else if (strcmp(group, "limits") == 0) {
-        fine = ch_ini_known_keys(ini, group, section, rows,
-                                 G_N_ELEMENTS(rows), error) &&
+        fine = ch_ini_known_keys(ini, group, section, rows, G_N_ELEMENTS(rows),
+                                 error) &&
                ch_ini_fill(ini, group, section, rows, G_N_ELEMENTS(rows),
                            &raw->limits, error);
     }
@@ -359,9 +359,10 @@
                          NULL, error);
     }
     for (guint i = 0; fine && i < raw->services->len; i++) {
-        fine = note_name(ini, seen, "service",
-                         g_array_index(raw->services, struct ch_service, i).name,
-                         NULL, error);
+        fine =
+            note_name(ini, seen, "service",
+                      g_array_index(raw->services, struct ch_service, i).name,
+                      NULL, error);
     }
     for (guint i = 0; fine && i < raw->models->len; i++) {
         fine = note_adapters(ini, seen,
@@ -502,8 +503,8 @@
 /* Resolves the services that may hold each model. */
 static bool
 build_model_services(const struct ch_ini *ini,
-                     struct ch_declaration *declaration,
-                     const struct raw *raw, struct ch_error *error)
+                     struct ch_declaration *declaration, const struct raw *raw,
+                     struct ch_error *error)
 {
     bool fine = true;
     for (guint i = 0; fine && i < raw->models->len; i++) {
@@ -715,9 +716,9 @@
 {
     char text[G_ASCII_DTOSTR_BUF_SIZE];
     if (number > 0) {
-        g_string_append_printf(out, "%s = %s\n", key,
-                               g_ascii_formatd(text, sizeof(text), "%.10g",
-                                               number));
+        g_string_append_printf(
+            out, "%s = %s\n", key,
+            g_ascii_formatd(text, sizeof(text), "%.10g", number));
     }
 }
 
@@ -962,7 +963,8 @@
     size_t best_length = 0;
     for (size_t i = 0; i < declaration->class_count; i++) {
         const struct ch_class *class = &declaration->classes[i];
-        if (class->host == NULL || g_ascii_strcasecmp(class->host, host) != 0) {
+        if (class->host == NULL ||
+            g_ascii_strcasecmp(class->host, host) != 0) {
             continue;
         }
         size_t prefix = strlen(class->path);
--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -155,8 +155,7 @@
         .engine = engine->name,
         .model = victim == 0 ? model : victim,
         .pledged = victim == 0 ? 0 : model,
-        .from_store =
-            engine->pledged != model && !has_copy(engine, model),
+        .from_store = engine->pledged != model && !has_copy(engine, model),
         .reason = reason,
     };
     if (action.from_store) {
@@ -372,8 +371,7 @@
         }
     }
     if (best != NULL) {
-        order(round, best, best_victim, model->name,
-              "nobody holds the model");
+        order(round, best, best_victim, model->name, "nobody holds the model");
     }
 }
 
@@ -390,8 +388,8 @@
 shift(struct round *round, const struct ch_arrange_model *model)
 {
     double asked = pressure(model, replicas_of(round, model->name));
-    bool slowly = asked > MUCH * busy_replica ||
-                  !is_quick_elsewhere(round, model->name);
+    bool slowly =
+        asked > MUCH * busy_replica || !is_quick_elsewhere(round, model->name);
     const struct ch_arrange_engine *best = NULL;
     GQuark best_victim = 0;
     double best_cost = 0;
@@ -459,10 +457,10 @@
     uint32_t room = free_of(round, engine);
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_arrange_model *model = &round->state->models[i];
-        bool busy = pressure(model, replicas_of(round, model->name)) >
-                    busy_replica;
-        bool quick = has_copy(engine, model->name) ||
-                     engine->pledged == model->name;
+        bool busy =
+            pressure(model, replicas_of(round, model->name)) > busy_replica;
+        bool quick =
+            has_copy(engine, model->name) || engine->pledged == model->name;
         if (model->memory_mb > room || !may_hold(engine, model) ||
             find_item(engine, model->name) != NULL ||
             is_pledged_to_other(engine, model->name) ||
@@ -477,8 +475,7 @@
     }
     if (best != NULL) {
         order(round, engine, 0, best->name,
-              engine->pledged != 0 ? "room was made for it"
-                                   : "there is room");
+              engine->pledged != 0 ? "room was made for it" : "there is room");
     }
 }
 
--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -19,8 +19,8 @@
     GQuark name;
     GQuark service;
     GQuark data_centre;
-    bool mine;    /* the deciding node may order it */
-    bool open;    /* it takes an order now */
+    bool mine; /* the deciding node may order it */
+    bool open; /* it takes an order now */
     bool leaving;
     uint32_t memory_mb;
     uint32_t reserve_mb; /* of it, for adapters */
@@ -48,8 +48,8 @@
     size_t engine_count;
     const struct ch_arrange_model *models;
     size_t model_count;
-    GQuark data_centre; /* that the deciding node orders */
-    uint32_t loads_left; /* from the weight store, now */
+    GQuark data_centre;    /* that the deciding node orders */
+    uint32_t loads_left;   /* from the weight store, now */
     uint32_t most_changes; /* engines of the data centre changed at a time */
 };
 
--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -116,7 +116,7 @@
 struct ch_balance {
     GQuark region;
     GQuark data_centre;
-    GHashTable *seats; /* name to struct seat */
+    GHashTable *seats;  /* name to struct seat */
     GHashTable *models; /* model to struct model */
 };
 
@@ -434,8 +434,7 @@
             oldest = i;
         }
     }
-    seat->kept_tokens -=
-        g_array_index(seat->kept, struct kept, oldest).tokens;
+    seat->kept_tokens -= g_array_index(seat->kept, struct kept, oldest).tokens;
     g_array_remove_index_fast(seat->kept, oldest);
 }
 
@@ -476,8 +475,7 @@
 static uint32_t
 running_in_all(const struct seat *seat, int64_t now)
 {
-    uint32_t others =
-        now - seat->others_at > OTHERS_STALE ? 0 : seat->others;
+    uint32_t others = now - seat->others_at > OTHERS_STALE ? 0 : seat->others;
     return seat->running + others;
 }
 
@@ -609,8 +607,7 @@
                    (int64_t)running_in_all(seat, now) * NEIGHBOUR;
     cost = (int64_t)((double)cost * seat->slow);
     cost += slot_wait(seat, now, SLOT_WAIT);
-    uint64_t need =
-        seat->context + work->prompt_tokens + work->output_tokens;
+    uint64_t need = seat->context + work->prompt_tokens + work->output_tokens;
     if (seat->facts.context_tokens > 0 &&
         (double)need > memory_fill * seat->facts.context_tokens) {
         cost += MEMORY_FULL;
@@ -719,8 +716,8 @@
             .upstream = seat->facts.name,
             .data_centre = seat->facts.data_centre,
             .other_region = seat->facts.region != balance->region,
-            .adapter_missing = work->adapter != 0 &&
-                               !has(seat->adapters, work->adapter),
+            .adapter_missing =
+                work->adapter != 0 && !has(seat->adapters, work->adapter),
             .reading = reading,
             .too_dense = !work->service && is_too_dense(seat, reading, now),
             .expected = expected,
@@ -764,8 +761,8 @@
 learn_pace(struct ch_balance *balance, GQuark model, double ratio)
 {
     struct model *known = need_model(balance, model);
-    known->pace = CLAMP(follow(known->pace, known->pace * ratio), LEAST_PACE,
-                        MOST_PACE);
+    known->pace =
+        CLAMP(follow(known->pace, known->pace * ratio), LEAST_PACE, MOST_PACE);
 }
 
 /* See balance.h. */
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -21,7 +21,7 @@
     uint32_t slots;          /* requests at once */
     uint32_t context_tokens; /* memory for prompts and answers; 0: unknown */
     uint32_t adapter_places;
-    const GQuark *resident;  /* models */
+    const GQuark *resident; /* models */
     size_t resident_count;
 };
 
@@ -36,7 +36,7 @@
     int64_t expected;     /* until the first of the answer, microseconds */
     bool too_dense; /* it would make the streams there pause for too long: it
                        is better sent a little later */
-    int64_t retry_after;  /* of a refusal */
+    int64_t retry_after; /* of a refusal */
     const char *message;
 };
 
@@ -76,8 +76,8 @@
                                   int64_t unread),
                      void *data);
 
-/* excluded: GQuarks of upstreams that this request must not go to.  ready: only
-   where its adapter is already. */
+/* excluded: GQuarks of upstreams that this request must not go to.  ready:
+   only where its adapter is already. */
 struct ch_choice ch_balance_choose(struct ch_balance *balance,
                                    const struct ch_work *work,
                                    const GArray *excluded, bool ready,
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -181,8 +181,8 @@
 {
     const struct update *update = data;
     struct balancer *balancer = update->balancer;
-    const struct ch_service *service = service_of(update->config,
-                                                  host->service);
+    const struct ch_service *service =
+        service_of(update->config, host->service);
     GArray *models = g_array_new(FALSE, FALSE, sizeof(GQuark));
     GArray *adapters = g_array_new(FALSE, FALSE, sizeof(GQuark));
     split_resident(host->resident, models, adapters);
@@ -317,8 +317,8 @@
     const struct ch_choice *choice = &request->choice;
     request->state = REQUEST_GRANTED;
     request->at = now;
-    request->client = g_hash_table_lookup(
-        balancer->clients, GUINT_TO_POINTER(choice->upstream));
+    request->client = g_hash_table_lookup(balancer->clients,
+                                          GUINT_TO_POINTER(choice->upstream));
     request->client->references++;
     ch_balance_sent(balancer->balance, &request->work, choice, now);
     if (request->work.adapter != 0) {
@@ -328,14 +328,15 @@
         .kind = STEP_GRANT,
         .handlers = request->handlers,
         .data = request->data,
-        .grant = {
-            .handle = request->handle,
-            .upstream = choice->upstream,
-            .client = request->client->client,
-            .priority = request->work.priority,
-            .other_region = choice->other_region,
-            .expected = choice->expected,
-        },
+        .grant =
+            {
+                .handle = request->handle,
+                .upstream = choice->upstream,
+                .client = request->client->client,
+                .priority = request->work.priority,
+                .other_region = choice->other_region,
+                .expected = choice->expected,
+            },
     };
 }
 
@@ -427,8 +428,8 @@
                   "the model's engines are full");
 }
 
-/* Whether a request may wait for its engine to rest: not for longer than leaves
- * the rest of its target for what is expected. */
+/* Whether a request may wait for its engine to rest: not for longer than
+ * leaves the rest of its target for what is expected. */
 static bool
 may_pace(const struct request *request, int64_t now)
 {
@@ -516,9 +517,8 @@
              const Chestnuthitch__Wire__Frame *reply)
 {
     struct preparation *preparation = data;
-    bool good =
-        code == CH_OK && reply != NULL &&
-        reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_DONE;
+    bool good = code == CH_OK && reply != NULL &&
+                reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_DONE;
     take_prepared(preparation->balancer, preparation->handle, good);
     g_free(preparation);
 }
@@ -543,8 +543,7 @@
     balancer->looking = true;
     pthread_mutex_unlock(&balancer->lock);
     if (begin) {
-        ch_timers_after(balancer->node->timers, PACE_LOOK, run_look,
-                        balancer);
+        ch_timers_after(balancer->node->timers, PACE_LOOK, run_look, balancer);
     }
 }
 
@@ -568,11 +567,9 @@
         preparation->handle = step->handle;
         if (!ch_controller_has_holder(balancer->controller,
                                       step->choice.data_centre) ||
-            !ch_controller_prepare(balancer->controller,
-                                   step->choice.upstream,
+            !ch_controller_prepare(balancer->controller, step->choice.upstream,
                                    step->choice.data_centre, step->model,
-                                   step->adapter, prepare_done,
-                                   preparation)) {
+                                   step->adapter, prepare_done, preparation)) {
             g_free(preparation);
             take_prepared(balancer, step->handle, false);
         }
@@ -636,8 +633,7 @@
 collect_waiting(void *item, uint64_t handle, void *data)
 {
     const struct request *request = item;
-    if (request->state == REQUEST_WAITING ||
-        request->state == REQUEST_PACED) {
+    if (request->state == REQUEST_WAITING || request->state == REQUEST_PACED) {
         g_array_append_val(data, handle);
     }
 }
@@ -762,8 +758,8 @@
     if (request->work.service || request->begun) {
         return;
     }
-    int64_t reading = ch_balance_reading(gathered->balancer->balance,
-                                         &request->work);
+    int64_t reading =
+        ch_balance_reading(gathered->balancer->balance, &request->work);
     demand_of(gathered->models, request->work.model)->backlog +=
         (uint32_t)(reading / 1000);
 }
@@ -997,11 +993,10 @@
     struct balancer *balancer = g_new0(struct balancer, 1);
     balancer->router.ops = &ops;
     balancer->node = node;
-    balancer->balance = ch_balance_new(
-        g_quark_from_string(node->settings->region),
-        g_quark_from_string(node->settings->data_centre));
-    balancer->clients =
-        g_hash_table_new_full(NULL, NULL, NULL, client_unref);
+    balancer->balance =
+        ch_balance_new(g_quark_from_string(node->settings->region),
+                       g_quark_from_string(node->settings->data_centre));
+    balancer->clients = g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
     pthread_mutex_init(&balancer->lock, NULL);
     balancer->told = g_hash_table_new_full(NULL, NULL, NULL, free_told);
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -118,13 +118,13 @@
     }
     bool foreign = false;
     guint rank = rank_of(controller, duty, &foreign);
-    int64_t wait = HOLDER_SILENT + (int64_t)rank * TRY_STEP +
-                   (foreign ? TRY_FOREIGN : 0);
+    int64_t wait =
+        HOLDER_SILENT + (int64_t)rank * TRY_STEP + (foreign ? TRY_FOREIGN : 0);
     return silent >= wait;
 }
 
-/* What may be loaded from the weight store by one of the data centres' holders:
- * its part of what is allowed in a window, some of it at once. */
+/* What may be loaded from the weight store by one of the data centres'
+ * holders: its part of what is allowed in a window, some of it at once. */
 static void
 init_loads(struct ch_controller *controller, struct duty *duty, int64_t now)
 {
@@ -202,8 +202,7 @@
     chestnuthitch__wire__engine_state__init(state);
     state->upstream = (char *)g_quark_to_string(engine->name);
     state->boot = engine->boot;
-    state->models =
-        names_of(engine, true, CH_ITEM_RESIDENT, &state->n_models);
+    state->models = names_of(engine, true, CH_ITEM_RESIDENT, &state->n_models);
     state->adapters =
         names_of(engine, false, CH_ITEM_RESIDENT, &state->n_adapters);
     state->coming = names_of(engine, true, CH_ITEM_LOADING, &state->n_coming);
@@ -265,8 +264,7 @@
         engines.fence = fence;
         engines.whole = whole;
         engines.n_engines = states->len;
-        engines.engines =
-            (Chestnuthitch__Wire__EngineState **)states->pdata;
+        engines.engines = (Chestnuthitch__Wire__EngineState **)states->pdata;
         Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
         frame.body_case = WIRE(FRAME__BODY_ENGINES);
         frame.engines = &engines;
@@ -354,8 +352,8 @@
     int64_t now = ch_client_now(controller->node->client);
     uint64_t fence = 0;
     pthread_mutex_lock(&controller->lock);
-    struct duty *duty = controller_duty(
-        controller, g_quark_from_string(engines->data_centre));
+    struct duty *duty =
+        controller_duty(controller, g_quark_from_string(engines->data_centre));
     bool newest = engines->fence >= duty->fence;
     if (newest) {
         duty->fence = engines->fence;
@@ -401,9 +399,9 @@
         work[i] = model->work;
         backlog[i] = model->backlog;
     }
-    g_autofree Chestnuthitch__Wire__EngineLoad *loads =
+    Chestnuthitch__Wire__EngineLoad *loads =
         g_new0(Chestnuthitch__Wire__EngineLoad, own->loads->len + 1);
-    g_autofree Chestnuthitch__Wire__EngineLoad **pointers =
+    Chestnuthitch__Wire__EngineLoad **pointers =
         g_new0(Chestnuthitch__Wire__EngineLoad *, own->loads->len + 1);
     size_t sent = 0;
     for (guint i = 0; i < own->loads->len; i++) {
@@ -435,6 +433,8 @@
     frame.body_case = WIRE(FRAME__BODY_DEMAND);
     frame.demand = &demand;
     ch_peers_send(controller->node->peers, holder, &frame);
+    g_free(loads);
+    g_free(pointers);
 }
 
 /* A data centre and the node that orders its engines. */
@@ -561,9 +561,9 @@
     struct controller_engine *engine = g_hash_table_lookup(
         controller->engines,
         GUINT_TO_POINTER(g_quark_try_string(prepare->upstream)));
-    struct duty *duty =
-        engine == NULL ? NULL
-                       : controller_duty(controller, engine->data_centre);
+    struct duty *duty = engine == NULL
+                            ? NULL
+                            : controller_duty(controller, engine->data_centre);
     if (duty == NULL || !ch_claim_held(duty->claim, &fence)) {
         controller_answer(controller, &wait, CH_NOT_READY);
     }
@@ -788,8 +788,7 @@
     controller->data = data;
     pthread_mutex_init(&controller->lock, NULL);
     pthread_cond_init(&controller->idle, NULL);
-    controller->engines =
-        g_hash_table_new_full(NULL, NULL, NULL, drop_engine);
+    controller->engines = g_hash_table_new_full(NULL, NULL, NULL, drop_engine);
     controller->duties = g_hash_table_new_full(NULL, NULL, NULL, free_duty);
     controller->smoothed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     ch_peers_handle(node->peers, WIRE(FRAME__BODY_ENGINES), handle_engines,
@@ -809,8 +808,8 @@
     ch_timers_after(controller->node->timers, TICK, tick, controller);
 }
 
-/* See controller.h.  The right goes only when what this node ordered last is as
- * long ago as there has to be between two holders. */
+/* See controller.h.  The right goes only when what this node ordered last is
+ * as long ago as there has to be between two holders. */
 void
 ch_controller_drain(struct ch_controller *controller)
 {
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -75,8 +75,8 @@
     uint32_t largest = USUAL_ADAPTER_MB;
     for (size_t i = 0; config != NULL && i < config->declaration->model_count;
          i++) {
-        largest = MAX(largest,
-                      config->declaration->models[i].adapter_memory_mb);
+        largest =
+            MAX(largest, config->declaration->models[i].adapter_memory_mb);
     }
     uint32_t reserve = service == NULL ? 0 : service->adapter_places * largest;
     ch_config_unref(config);
@@ -182,9 +182,9 @@
              enum ch_code code)
 {
     for (guint i = 0; item->waits != NULL && i < item->waits->len; i++) {
-        controller_answer(
-            engine->controller,
-            &g_array_index(item->waits, struct adapter_wait, i), code);
+        controller_answer(engine->controller,
+                          &g_array_index(item->waits, struct adapter_wait, i),
+                          code);
     }
     free_waits(item);
 }
@@ -452,8 +452,7 @@
 {
     struct controller_engine *engine = job->engine;
     struct item *item = engine_item(engine, engine->ordered_item);
-    struct duty *duty =
-        controller_duty(job->controller, engine->data_centre);
+    struct duty *duty = controller_duty(job->controller, engine->data_centre);
     engine->ordering = false;
     if (job->boot != engine->boot) {
         return;
@@ -549,8 +548,8 @@
     for (guint i = 0; i < engine->items->len; i++) {
         const struct item *item =
             &g_array_index(engine->items, struct item, i);
-        bool moving = item->state == CH_ITEM_LOADING ||
-                      item->state == CH_ITEM_UNLOADING;
+        bool moving =
+            item->state == CH_ITEM_LOADING || item->state == CH_ITEM_UNLOADING;
         bool slow = item->model == 0 || item->state == CH_ITEM_UNLOADING;
         if (moving && slow && item->ordered) {
             return true;
@@ -785,9 +784,10 @@
                    engine->waiting != report->waiting;
     engine->running = report->running;
     engine->waiting = report->waiting;
-    bool settled = !engine->ordering &&
-                   job->asked - engine->last_order >= SETTLED;
-    if (engine->ordering || (!settled && report->orders_taken != engine->taken)) {
+    bool settled =
+        !engine->ordering && job->asked - engine->last_order >= SETTLED;
+    if (engine->ordering ||
+        (!settled && report->orders_taken != engine->taken)) {
         return;
     }
     if (report->orders_taken < engine->taken && !settled) {
@@ -934,8 +934,7 @@
         item = engine_add_item(engine, adapter, model, CH_ITEM_LOADING, now);
     }
     if (item->waits == NULL) {
-        item->waits =
-            g_array_new(FALSE, FALSE, sizeof(struct adapter_wait));
+        item->waits = g_array_new(FALSE, FALSE, sizeof(struct adapter_wait));
     }
     struct adapter_wait copy = *wait;
     copy.from = g_strdup(wait->from);
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -32,11 +32,11 @@
     GQuark name;
     GQuark model; /* of an adapter; 0: it is a model */
     enum ch_item_state state;
-    int64_t changed;   /* last change of state */
-    int64_t used;      /* an adapter was last asked for */
+    int64_t changed;    /* last change of state */
+    int64_t used;       /* an adapter was last asked for */
     int64_t not_before; /* the order for it is not sent before */
-    bool ordered;      /* the order for its state was taken */
-    GArray *waits;     /* struct adapter_wait; NULL: none */
+    bool ordered;       /* the order for its state was taken */
+    GArray *waits;      /* struct adapter_wait; NULL: none */
 };
 
 struct controller_engine {
@@ -48,32 +48,32 @@
     char *address;
     struct ch_upstream *client;
     uint64_t boot;
-    bool listed;
-    bool leaving;
-    bool restarted; /* a report showed it; the list does not yet */
-    bool known;     /* its orders and what it holds were read since its start */
     uint64_t taken; /* orders it has taken */
     GArray *items;  /* struct item */
     GArray *copies; /* GQuark */
-    /* The order under way. */
-    bool ordering;
-    GQuark ordered_item;
-    enum ch_order_action ordered_action;
-    GQuark pledged; /* the model that room was made for; 0: none */
-    int64_t pledged_until;
-    bool unsure; /* its answer was lost: it may act yet */
+    /* When what is due, on the client's clock. */
     int64_t quiet_until; /* no order before then */
-    /* Reports. */
-    bool reporting;
     int64_t report_at;
     int64_t last_order; /* sent at */
-    uint32_t running;
-    uint32_t waiting;
+    int64_t pledged_until;
     /* What all nodes together have sent, as they told. */
-    uint32_t load_running;
     int64_t load_unread;
-    /* What is told. */
-    bool news;
+    uint32_t load_running;
+    /* By the last report. */
+    uint32_t running;
+    uint32_t waiting;
+    GQuark pledged; /* the model that room was made for; 0: none */
+    /* The order under way. */
+    GQuark ordered_item;
+    enum ch_order_action ordered_action;
+    bool ordering;
+    bool unsure; /* its answer was lost: it may act yet */
+    bool reporting;
+    bool listed;
+    bool leaving;
+    bool restarted; /* a report showed it; the list does not yet */
+    bool known;     /* its orders and what it holds were read since its start */
+    bool news;      /* to be told */
 };
 
 /* A data centre's engines and the right to order them. */
@@ -94,8 +94,8 @@
 /* What one node told of its requests. */
 struct node_demand {
     GQuark data_centre; /* to whose holder it was told */
-    GArray *list;  /* struct ch_model_demand */
-    GArray *loads; /* struct ch_engine_load */
+    GArray *list;       /* struct ch_model_demand */
+    GArray *loads;      /* struct ch_engine_load */
     int64_t at;
 };
 
@@ -164,8 +164,7 @@
 /* ---- controller_models.c; lock held ---- */
 
 /* Takes a node's word on what it asks for. */
-void controller_take_demand(struct ch_controller *controller,
-                            const char *from,
+void controller_take_demand(struct ch_controller *controller, const char *from,
                             const Chestnuthitch__Wire__Demand *demand,
                             int64_t now);
 /* Adds up what all nodes have sent to the engines of a data centre. */
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -43,8 +43,8 @@
     told->at = now;
     told->data_centre = g_quark_from_string(demand->data_centre);
     told->list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
-    for (size_t i = 0; i < demand->n_models && i < demand->n_work &&
-                       i < demand->n_backlog;
+    for (size_t i = 0;
+         i < demand->n_models && i < demand->n_work && i < demand->n_backlog;
          i++) {
         const struct ch_model_demand model = {
             .model = g_quark_from_string(demand->models[i]),
@@ -66,9 +66,9 @@
         controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal,
                                                     g_free, free_demand);
     }
-    g_hash_table_replace(
-        controller->demands,
-        g_strconcat(from, " ", demand->data_centre, NULL), told);
+    g_hash_table_replace(controller->demands,
+                         g_strconcat(from, " ", demand->data_centre, NULL),
+                         told);
 }
 
 /* Adds up what all nodes told lately. */
@@ -85,9 +85,8 @@
     g_hash_table_iter_init(&iterator, controller->demands);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct node_demand *told = value;
-        for (guint i = 0;
-             told->data_centre == duty->data_centre &&
-             now - told->at < DEMAND_STALE && i < told->list->len;
+        for (guint i = 0; told->data_centre == duty->data_centre &&
+                          now - told->at < DEMAND_STALE && i < told->list->len;
              i++) {
             const struct ch_model_demand *model =
                 &g_array_index(told->list, struct ch_model_demand, i);
@@ -182,8 +181,8 @@
 
 /* What the decision is given; its lists are freed after it. */
 struct picture {
-    GArray *engines; /* struct ch_arrange_engine */
-    GArray *models;  /* struct ch_arrange_model */
+    GArray *engines;  /* struct ch_arrange_engine */
+    GArray *models;   /* struct ch_arrange_model */
     GPtrArray *lists; /* GArray, to be freed */
 };
 
@@ -192,8 +191,7 @@
 add_engine(struct picture *picture, const struct controller_engine *engine,
            const struct duty *duty, int64_t now)
 {
-    GArray *items =
-        g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_item));
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_item));
     for (guint i = 0; i < engine->items->len; i++) {
         const struct item *item =
             &g_array_index(engine->items, struct item, i);
@@ -232,8 +230,7 @@
         g_hash_table_lookup(controller->smoothed, GUINT_TO_POINTER(name));
     GArray *services = g_array_new(FALSE, FALSE, sizeof(GQuark));
     for (size_t i = 0; i < declaration->service_count; i++) {
-        GQuark service =
-            g_quark_from_string(declaration->services[i].name);
+        GQuark service = g_quark_from_string(declaration->services[i].name);
         if (model->services[i]) {
             g_array_append_val(services, service);
         }
@@ -264,10 +261,10 @@
 {
     uint32_t mine = 0;
     for (guint i = 0; i < picture->engines->len; i++) {
-        mine += g_array_index(picture->engines, struct ch_arrange_engine, i)
-                        .mine
-                    ? 1
-                    : 0;
+        mine +=
+            g_array_index(picture->engines, struct ch_arrange_engine, i).mine
+                ? 1
+                : 0;
     }
     return MAX(mine / 2, 1);
 }
@@ -281,16 +278,16 @@
 {
     struct controller_engine *engine = g_hash_table_lookup(
         controller->engines, GUINT_TO_POINTER(action->engine));
-    ch_log(controller->node->client, CH_LOG_INFO, "model-move",
-           CH_F_STR("upstream", g_quark_to_string(action->engine)),
-           CH_F_STR("model", g_quark_to_string(action->model)),
-           CH_F_STR("action",
-                    action->kind == CH_ACTION_LOAD ? "load" : "unload"),
-           CH_F_STR("pledged", action->pledged == 0
-                                   ? ""
-                                   : g_quark_to_string(action->pledged)),
-           CH_F_BOOL("from_store", action->from_store),
-           CH_F_STR("reason", action->reason), CH_F_END);
+    ch_log(
+        controller->node->client, CH_LOG_INFO, "model-move",
+        CH_F_STR("upstream", g_quark_to_string(action->engine)),
+        CH_F_STR("model", g_quark_to_string(action->model)),
+        CH_F_STR("action", action->kind == CH_ACTION_LOAD ? "load" : "unload"),
+        CH_F_STR("pledged", action->pledged == 0
+                                ? ""
+                                : g_quark_to_string(action->pledged)),
+        CH_F_BOOL("from_store", action->from_store),
+        CH_F_STR("reason", action->reason), CH_F_END);
     if (action->from_store) {
         (void)ch_bucket_take(&duty->loads, 1, now);
     }
@@ -413,8 +410,7 @@
             const struct ch_declaration *declaration, int64_t now)
 {
     if (!engine_is_open(engine, now) || engine->ordering ||
-        places_taken(engine) + SPARE_PLACES >=
-            engine_adapter_places(engine)) {
+        places_taken(engine) + SPARE_PLACES >= engine_adapter_places(engine)) {
         return;
     }
     for (size_t i = 0; i < declaration->model_count; i++) {
@@ -426,8 +422,8 @@
         }
         GQuark adapter = missing_adapter(controller, model);
         if (adapter != 0) {
-            struct item *added = engine_add_item(engine, adapter, name,
-                                                 CH_ITEM_LOADING, now);
+            struct item *added =
+                engine_add_item(engine, adapter, name, CH_ITEM_LOADING, now);
             added->used = 0;
             engine_pump(engine, duty, now);
             return;
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -246,9 +246,9 @@
     }
     pthread_mutex_lock(&front->lock);
     enum ch_retry retry =
-        ch_retry_decide(ch_front_budget(front, work->pool), work, end->code, end->may_have_run,
-                        exchange->request->stream, exchange->events,
-                        ch_client_now(front->node->client));
+        ch_retry_decide(ch_front_budget(front, work->pool), work, end->code,
+                        end->may_have_run, exchange->request->stream,
+                        exchange->events, ch_client_now(front->node->client));
     pthread_mutex_unlock(&front->lock);
     if (retry == CH_RETRY_AGAIN && exchange->stream_begun) {
         return CH_RETRY_NO;
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -63,7 +63,7 @@
     unsigned calls;
     uint64_t call_handle;
     char *content_type;
-    GArray *headers; /* struct ch_http_header, of the answer that is passed */
+    GArray *headers;  /* struct ch_http_header, of the answer that is passed */
     char *last_event; /* id of the last event that the caller has; or NULL */
     GByteArray *body; /* plain answer, or a stream's text to keep */
     int status;
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -159,10 +159,10 @@
     }
     if (!exchange->stream_begun) {
         exchange->stream_begun = true;
-        ch_reply_begin(exchange->reply,
-                       (const struct ch_http_header *)(void *)
-                           exchange->headers->data,
-                       exchange->headers->len);
+        ch_reply_begin(
+            exchange->reply,
+            (const struct ch_http_header *)(void *)exchange->headers->data,
+            exchange->headers->len);
     }
     if (!ch_reply_event(exchange->reply, bytes, length)) {
         ch_exchange_abandon(exchange, CH_CANCELLED,
@@ -333,9 +333,8 @@
         .resume_id = exchange->last_event,
         .headers = request->headers,
         .header_count = request->header_count,
-        .time_left = request->routed
-                         ? request->deadline - exchange->dispatched
-                         : 0,
+        .time_left =
+            request->routed ? request->deadline - exchange->dispatched : 0,
         .priority = exchange->grant.priority,
         .connect_limit = (int64_t)settings->connect_ms * 1000,
         .first_byte_limit = first_byte_limit(exchange),
--- a/libchestnuthitch/node/exchange_tell.c
+++ b/libchestnuthitch/node/exchange_tell.c
@@ -67,7 +67,8 @@
     };
     char *json = ch_refusal_print(&refusal);
     if (exchange->stream_begun && exchange->request->routed) {
-        /* Whatever came after the upstream's events would not be its answer. */
+        /* Whatever came after the upstream's events would not be its answer.
+         */
         ch_reply_cut(exchange->reply);
         g_free(json);
         return;
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -95,8 +95,8 @@
         g_hash_table_lookup(front->service_retries, key);
     if (budget == NULL) {
         budget = g_new0(struct ch_retry_budget, 1);
-        ch_retry_budget_init(budget, RETRY_PART *
-                                         front->node->settings->retry_share);
+        ch_retry_budget_init(budget,
+                             RETRY_PART * front->node->settings->retry_share);
         g_hash_table_insert(front->service_retries, key, budget);
     }
     share_budget(front, budget);
@@ -200,13 +200,12 @@
     bool good = ch_intake_read(intake, front->node->dialect, input, fault);
     if (input->request_id != NULL &&
         strlen(input->request_id) <= CH_REPLY_MOST_ID) {
-        ch_reply_own_id(intake->reply,
-                        front->node->dialect->request_id_header,
+        ch_reply_own_id(intake->reply, front->node->dialect->request_id_header,
                         input->request_id);
     }
     if (good) {
-        request = ch_request_parse_routed(config->declaration, input, now,
-                                          fault);
+        request =
+            ch_request_parse_routed(config->declaration, input, now, fault);
     }
     g_array_free(input->passed, TRUE);
     g_free(input);
@@ -281,8 +280,8 @@
     uint64_t number = ch_front_new_id(front, id);
     struct ch_intake *intake = ch_intake_new(connection, uri, id, number);
     if (front->node->dialect != NULL) {
-        ch_reply_own_id(intake->reply,
-                        front->node->dialect->request_id_header, NULL);
+        ch_reply_own_id(intake->reply, front->node->dialect->request_id_header,
+                        NULL);
     }
     pthread_mutex_lock(&front->lock);
     front->incoming++;
@@ -514,8 +513,7 @@
     pthread_mutex_init(&front->lock, NULL);
     pthread_cond_init(&front->quiet, NULL);
     ch_retry_budget_init(&front->retries, node->settings->retry_share);
-    front->service_retries =
-        g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    front->service_retries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     front->hangups = ch_hangups_new(caller_hung_up, front);
     front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -41,7 +41,8 @@
 uint64_t ch_front_new_id(struct ch_front *front, char text[CH_REPLY_ID]);
 
 /* The node's part of the retries towards a service (0: any).  Lock held. */
-struct ch_retry_budget *ch_front_budget(struct ch_front *front, GQuark service);
+struct ch_retry_budget *ch_front_budget(struct ch_front *front,
+                                        GQuark service);
 
 /* A course begins or is over; ch_front_stop() waits for the last. */
 void ch_front_enter(struct ch_front *front);
--- a/libchestnuthitch/node/intake.c
+++ b/libchestnuthitch/node/intake.c
@@ -50,8 +50,8 @@
     if (strcasecmp(name, "Transfer-Encoding") == 0) {
         return strcasecmp(value, "chunked") == 0;
     }
-    return value[0] != '\0' &&
-           strspn(value, "0123456789") == strlen(value) && strlen(value) < 19;
+    return value[0] != '\0' && strspn(value, "0123456789") == strlen(value) &&
+           strlen(value) < 19;
 }
 
 /*
@@ -72,8 +72,8 @@
         clean = clean && g_ascii_isgraph(*c);
     }
     for (const char *c = value; *c != '\0'; c++) {
-        clean = clean && ((unsigned char)*c >= 0x20 || *c == '\t') &&
-                *c != 0x7f;
+        clean =
+            clean && ((unsigned char)*c >= 0x20 || *c == '\t') && *c != 0x7f;
     }
     intake->lengths += framing ? 1 : 0;
     if (!clean || intake->lengths > 1 ||
--- a/libchestnuthitch/node/intake.h
+++ b/libchestnuthitch/node/intake.h
@@ -29,11 +29,11 @@
     char *uri;
     char *method;
     char *headers[CH_INTAKE_HEADERS]; /* NULL: did not come */
-    GArray *all; /* struct ch_http_header, of requests that are routed by host
-                    and path; the strings are the library's */
+    GArray *all;  /* struct ch_http_header, of requests that are routed by host
+                     and path; the strings are the library's */
     int repeated; /* an enum ch_intake_header that came twice; -1: none */
     size_t header_bytes;
-    bool malformed; /* the head is none that two readers read alike */
+    bool malformed;   /* the head is none that two readers read alike */
     unsigned lengths; /* headers that say how the body is framed */
     GByteArray *body;
     bool begun;     /* the head was looked at */
--- a/libchestnuthitch/node/kv_call.h
+++ b/libchestnuthitch/node/kv_call.h
@@ -46,11 +46,9 @@
                           void (*done)(void *data,
                                        const struct ch_kv_answer *answer),
                           void *data);
-void ch_kv_call_put_leased(struct ch_node *node, const char *key,
-                           const void *value, size_t length, uint64_t revision,
-                           uint64_t lease,
-                           void (*done)(void *data,
-                                        const struct ch_kv_answer *answer),
-                           void *data);
+void ch_kv_call_put_leased(
+    struct ch_node *node, const char *key, const void *value, size_t length,
+    uint64_t revision, uint64_t lease,
+    void (*done)(void *data, const struct ch_kv_answer *answer), void *data);
 
 #endif
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -51,8 +51,8 @@
                                          settings->kv, kv_limit);
     }
     else {
-        node->kv = ch_kv_http_new(node->client, node->http, settings->kv,
-                                  kv_limit);
+        node->kv =
+            ch_kv_http_new(node->client, node->http, settings->kv, kv_limit);
         node->hosts = ch_hosts_http_new(node->client, node->http,
                                         settings->hosts, LIST_LIMIT);
     }
--- a/libchestnuthitch/node/reply.c
+++ b/libchestnuthitch/node/reply.c
@@ -298,8 +298,8 @@
 /* Adds the headers of an answer to a caller with an id of its own: those of
  * the upstream, or the few that a refusal has. */
 static void
-add_passed_headers(struct MHD_Response *response,
-                   const struct ch_reply *reply, bool stopping)
+add_passed_headers(struct MHD_Response *response, const struct ch_reply *reply,
+                   bool stopping)
 {
     const struct ch_reply_answer *answer = &reply->answer;
     char seconds[G_ASCII_DTOSTR_BUF_SIZE];
--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -16,7 +16,8 @@
     CH_REQUEST_MOST_TOKENS = 128 * 1024,
     CH_REQUEST_USUAL_TOKENS = 256, /* when the caller states no bound */
     CH_REQUEST_MOST_DEADLINE_MS = 24 * 60 * 60 * 1000,
-    CH_REQUEST_MOST_CONTEXT = 16 * 1024 * 1024, /* tokens; no engine has more */
+    CH_REQUEST_MOST_CONTEXT =
+        16 * 1024 * 1024,       /* tokens; no engine has more */
     CH_REQUEST_MOST_PARTS = 64, /* of a prompt; callers use a handful */
 };
 
@@ -102,7 +103,8 @@
                         struct ch_fault *fault);
 /* Whether the request line's target may go on; false with *fault. */
 bool ch_request_check_uri(const char *uri, struct ch_fault *fault);
-/* Copies method, content type and body, and hashes what a repeat must equal. */
+/* Copies method, content type and body, and hashes what a repeat must equal.
+ */
 void ch_request_copy_body(struct ch_request *request,
                           const struct ch_request_input *input);
 
--- a/libchestnuthitch/node/request_route.c
+++ b/libchestnuthitch/node/request_route.c
@@ -152,8 +152,7 @@
     request->deadline = request->deadline == 0
                             ? now + limit
                             : MIN(request->deadline, now + limit);
-    int64_t target =
-        class->stream ? class->first_token : class->whole_answer;
+    int64_t target = class->stream ? class->first_token : class->whole_answer;
     work->arrived = now;
     work->first_by = target > 0 ? now + target : request->deadline;
     work->first_by = MIN(work->first_by, request->deadline);
@@ -161,9 +160,8 @@
     request->first_byte_limit = request->deadline - now;
     request->stall_limit = request->deadline - now;
     if (class->idempotent && class->tries > 1 && target > 0) {
-        request->first_byte_limit =
-            CLAMP(target * FIRST_BYTE_TENTHS / 10, LEAST_FIRST_BYTE,
-                  MOST_FIRST_BYTE);
+        request->first_byte_limit = CLAMP(target * FIRST_BYTE_TENTHS / 10,
+                                          LEAST_FIRST_BYTE, MOST_FIRST_BYTE);
         request->stall_limit = MAX(class->gap * STALL_PAUSES, LEAST_STALL);
     }
 }
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -32,8 +32,8 @@
     NODE_RENEWAL = 8 * 1000 * 1000,
     /* Nodes that watch: three, so that one lost and one paused leave one. */
     WATCHERS = 3,
-    /* What is new is told at the next tick; this often when nothing is, so that
-     * the others know that they miss nothing. */
+    /* What is new is told at the next tick; this often when nothing is, so
+     * that the others know that they miss nothing. */
     TELL_AGAIN = 1000 * 1000,
     /* A node that was told nothing for so long reads by itself, this often:
      * three messages that did not come. */
@@ -82,7 +82,7 @@
     int64_t tell_at;     /* next time to tell */
     int64_t heard;       /* when a node that watches last told something */
     bool pulling;
-    uint64_t at;         /* revision up to which it is known; 0: nothing is */
+    uint64_t at; /* revision up to which it is known; 0: nothing is */
     bool known;
     bool calling;
     int64_t pause;
@@ -251,8 +251,8 @@
     }
     if (!good && g_hash_table_add(roster->strangers, g_strdup(from->key))) {
         ch_log(node->client, CH_LOG_WARNING, "entry-unreadable",
-               CH_F_STR("key", from->key),
-               CH_F_STR("message", error.message), CH_F_END);
+               CH_F_STR("key", from->key), CH_F_STR("message", error.message),
+               CH_F_END);
     }
     return good;
 }
@@ -267,16 +267,14 @@
     char *resident = host->resident == NULL
                          ? NULL
                          : g_strjoinv(" ", (char **)host->resident);
-    char *copies = host->copies == NULL
-                       ? NULL
-                       : g_strjoinv(" ", (char **)host->copies);
+    char *copies =
+        host->copies == NULL ? NULL : g_strjoinv(" ", (char **)host->copies);
     ch_log(feed->roster->node->client, CH_LOG_INFO, "listed",
            CH_F_STR("host", host->name), CH_F_STR("state", what),
            CH_F_BOOL("leaving", host->leaving),
            CH_F_STR("data_centre", host->data_centre),
-           CH_F_STR("service", host->service),
-           CH_F_STR("resident", resident), CH_F_STR("copies", copies),
-           CH_F_END);
+           CH_F_STR("service", host->service), CH_F_STR("resident", resident),
+           CH_F_STR("copies", copies), CH_F_END);
     g_free(resident);
     g_free(copies);
 }
@@ -309,8 +307,8 @@
 }
 
 /* Puts an entry in place of what the key had.  One that can't be read names
- * nothing to use; what its key named before is left as it was, since a stranger
- * may have written over it.  Lock held. */
+ * nothing to use; what its key named before is left as it was, since a
+ * stranger may have written over it.  Lock held. */
 static void
 put_entry(struct feed *feed, const struct ch_kv_entry *from)
 {
@@ -542,8 +540,8 @@
 }
 
 /* Begins a range while nothing is known, or where nothing was told for long;
- * on a node that watches, a watch; unless a call is under way or the service is
- * given time. */
+ * on a node that watches, a watch; unless a call is under way or the service
+ * is given time. */
 static void
 begin_call(struct feed *feed)
 {
@@ -633,9 +631,8 @@
 {
     struct feed *feed = data;
     struct ch_roster *roster = feed->roster;
-    bool good =
-        code == CH_OK && reply != NULL &&
-        reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    bool good = code == CH_OK && reply != NULL &&
+                reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
     bool fresh = false;
     pthread_mutex_lock(&roster->lock);
     feed->pulling = false;
@@ -704,7 +701,8 @@
     }
 }
 
-/* Fills in an entry of a message; the strings stay the roster's.  Lock held. */
+/* Fills in an entry of a message; the strings stay the roster's.  Lock held.
+ */
 static void
 fill_told(Chestnuthitch__Wire__RosterEntry *told, const char *key,
           const struct entry *entry, uint64_t removed)
@@ -796,12 +794,10 @@
     }
     telling_init(&telling, feed, feed->news->len);
     for (guint i = 0; i < feed->news->len; i++) {
-        const struct news *news =
-            &g_array_index(feed->news, struct news, i);
+        const struct news *news = &g_array_index(feed->news, struct news, i);
         const struct entry *entry =
-            news->removed != 0
-                ? NULL
-                : g_hash_table_lookup(feed->entries, news->key);
+            news->removed != 0 ? NULL
+                               : g_hash_table_lookup(feed->entries, news->key);
         if (entry != NULL || news->removed != 0) {
             fill_told(&telling.entries[telling.roster.n_entries++], news->key,
                       entry, news->removed);
@@ -915,8 +911,8 @@
         g_autofree char *key =
             g_strconcat(NODES_PREFIX, node->settings->name, NULL);
         g_autofree char *value = print_own(node->settings);
-        ch_kv_call_put_leased(node, key, value, strlen(value), revision,
-                              lease, own_written, roster);
+        ch_kv_call_put_leased(node, key, value, strlen(value), revision, lease,
+                              own_written, roster);
     }
     else {
         ch_kv_call_renew(node, lease, own_leased, roster);
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -121,11 +121,11 @@
     uint32_t batch; /* most requests at once; 0: not stated */
     bool leaving;
     /* What an engine tells of itself there; empty where the list has none. */
-    uint64_t boot;       /* higher after each start; 0: not told */
-    int64_t leaves_in;   /* it is gone after this; 0: not told */
-    int64_t slow_for;    /* it works slowly for so long after its start */
-    char **resident;     /* "model" and "model/adapter"; NULL: none */
-    char **copies;       /* models of which it keeps a copy near by */
+    uint64_t boot;     /* higher after each start; 0: not told */
+    int64_t leaves_in; /* it is gone after this; 0: not told */
+    int64_t slow_for;  /* it works slowly for so long after its start */
+    char **resident;   /* "model" and "model/adapter"; NULL: none */
+    char **copies;     /* models of which it keeps a copy near by */
 };
 
 /* Frees what a host holds, not the struct. */
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -239,14 +239,20 @@
     }
 }
 
-/* Whether a header concerns one connection alone (RFC 9110, 7.6.1), or says how
- * the body is framed, which the listener says anew. */
+/* Whether a header concerns one connection alone (RFC 9110, 7.6.1), or says
+ * how the body is framed, which the listener says anew. */
 static bool
 is_hop_header(const char *name)
 {
     static const char *const names[] = {
-        "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
-        "Transfer-Encoding", "Upgrade",    "Content-Length",   "Trailer",
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "TE",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Trailer",
         "Date",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -18,9 +18,9 @@
     const char *idempotency_key; /* passed on to a plain service; or NULL */
     const void *body;
     size_t body_length;
-    bool stream;          /* server-sent events are expected */
-    bool may_repeat;      /* false: fresh connection, never sent twice */
-    uint32_t resume_from; /* token events that the caller already has */
+    bool stream;           /* server-sent events are expected */
+    bool may_repeat;       /* false: fresh connection, never sent twice */
+    uint32_t resume_from;  /* token events that the caller already has */
     const char *resume_id; /* id of the last event that it has; or NULL */
     uint32_t priority;
     /* What came with the request and goes on with it; NULL: nothing. */
--- /dev/null
+++ b/tests/unit/test_arrange.c
@@ -0,0 +1,204 @@
+/* Which models come and go on engines: rounds of decisions over a small fleet.
+ */
+
+#include "decide/arrange.h"
+
+#include <string.h>
+
+enum {
+    MOST = 12,
+};
+
+/* A fleet as a text of lines "NAME DATA-CENTRE MODELS COPIES"; models with
+ * commas between, "-" for none, "+" after a model that is being loaded. */
+struct fleet {
+    struct ch_arrange_engine engines[MOST];
+    struct ch_arrange_item items[MOST][MOST];
+    GQuark copies[MOST][MOST];
+    size_t count;
+};
+
+/* Reads one line. */
+static void
+read_engine(struct fleet *fleet, const char *line, GQuark own)
+{
+    char **words = g_strsplit(line, " ", -1);
+    size_t at = fleet->count++;
+    struct ch_arrange_engine *engine = &fleet->engines[at];
+    char **models = g_strsplit(words[2], ",", -1);
+    char **copies = g_strsplit(words[3], ",", -1);
+    *engine = (struct ch_arrange_engine){
+        .name = g_quark_from_string(words[0]),
+        .service = g_quark_from_string("s"),
+        .data_centre = g_quark_from_string(words[1]),
+        .open = true,
+        .memory_mb = 200,
+        .items = fleet->items[at],
+        .copies = fleet->copies[at],
+    };
+    engine->mine = engine->data_centre == own;
+    for (size_t i = 0; models[i] != NULL && strcmp(models[i], "-") != 0; i++) {
+        bool loading = g_str_has_suffix(models[i], "+");
+        models[i][strcspn(models[i], "+")] = '\0';
+        fleet->items[at][engine->item_count++] = (struct ch_arrange_item){
+            g_quark_from_string(models[i]),
+            loading ? CH_ITEM_LOADING : CH_ITEM_RESIDENT,
+        };
+        engine->open = engine->open && !loading;
+    }
+    for (size_t i = 0; copies[i] != NULL && strcmp(copies[i], "-") != 0; i++) {
+        fleet->copies[at][engine->copy_count++] =
+            g_quark_from_string(copies[i]);
+    }
+    g_strfreev(words);
+    g_strfreev(models);
+    g_strfreev(copies);
+}
+
+/* "ENGINE load MODEL" and "ENGINE unload MODEL for MODEL" of every action, in
+ * order. */
+static char *
+decide(const char *text, const char *own, const char *busy, double work,
+       const char *pledged, uint32_t loads_left)
+{
+    static const char *const names[] = {"m1", "m2", "m3", "m4"};
+    struct fleet fleet = {0};
+    struct ch_arrange_model models[G_N_ELEMENTS(names)];
+    GQuark service = g_quark_from_string("s");
+    char **lines = g_strsplit(text, "\n", -1);
+    for (size_t i = 0; lines[i] != NULL && lines[i][0] != '\0'; i++) {
+        read_engine(&fleet, lines[i], g_quark_from_string(own));
+    }
+    if (pledged != NULL) {
+        fleet.engines[0].pledged = g_quark_from_string(pledged);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        models[i] = (struct ch_arrange_model){
+            .name = g_quark_from_string(names[i]),
+            .memory_mb = 70,
+            .work = g_strcmp0(names[i], busy) == 0 ? work : 0.01,
+            .services = &service,
+            .service_count = 1,
+        };
+    }
+    const struct ch_arrange_state state = {
+        .engines = fleet.engines,
+        .engine_count = fleet.count,
+        .models = models,
+        .model_count = G_N_ELEMENTS(names),
+        .data_centre = g_quark_from_string(own),
+        .loads_left = loads_left,
+        .most_changes = 1,
+    };
+    GArray *actions =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_action));
+    GString *out = g_string_new(NULL);
+    ch_arrange(&state, actions);
+    for (guint i = 0; i < actions->len; i++) {
+        const struct ch_arrange_action *action =
+            &g_array_index(actions, struct ch_arrange_action, i);
+        g_string_append_printf(out, "%s%s %s %s", i == 0 ? "" : "; ",
+                               g_quark_to_string(action->engine),
+                               action->kind == CH_ACTION_LOAD ? "load"
+                                                              : "unload",
+                               g_quark_to_string(action->model));
+        if (action->pledged != 0) {
+            g_string_append_printf(out, " for %s",
+                                   g_quark_to_string(action->pledged));
+        }
+    }
+    g_array_free(actions, TRUE);
+    g_strfreev(lines);
+    return g_string_free(out, FALSE);
+}
+
+/* m1 to m4 have 70 each, an engine 200: two fit. */
+static const struct {
+    const char *what;
+    const char *fleet;
+    const char *busy;
+    double work;
+    const char *pledged;
+    uint32_t loads_left;
+    const char *expect;
+} cases[] = {
+    {"nothing presses, all are held", "e1 d1 m1,m2 -\ne2 d1 m3,m4 -", NULL, 0,
+     NULL, 9, ""},
+    {"nobody holds m4: it is loaded where there is room",
+     "e1 d1 m1,m2 -\ne2 d1 m3 -", NULL, 0, NULL, 9, "e2 load m4"},
+    {"nobody holds m4: the copy near by before the weight store",
+     "e1 d1 m1 -\ne2 d1 m2,m3 m4\ne3 d1 m2 m4", NULL, 0, NULL, 9,
+     "e3 load m4"},
+    {"no room: one of two replicas makes way, never a last one",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m1 -", NULL, 0, NULL, 9, "e1 unload m1 for m4"},
+    {"no load of the weight store is left: it waits",
+     "e1 d1 m1,m2 -\ne2 d1 m3 -", NULL, 0, NULL, 0, ""},
+    {"a copy needs none of them", "e1 d1 m1,m2 -\ne2 d1 m3 m4", NULL, 0, NULL,
+     0, "e2 load m4"},
+    {"room that was made for m4 is not given to m2",
+     "e1 d1 m1 m2\ne2 d1 m2,m3 -", NULL, 0, "m4", 0, "e1 load m4"},
+    {"room that was made is not made a second time",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m1 -", NULL, 0, "m4", 9, ""},
+    {"free room takes another replica from a copy, not from the store",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m4 -\ne3 d1 m3 m2\ne4 d1 m4 -", NULL, 0, NULL, 9,
+     "e3 load m2"},
+    {"m1 is asked for much: an idle replica of m3 makes way",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m4 m1\ne3 d1 m3,m2 m1", "m1", 2, NULL, 9,
+     "e3 unload m3 for m1"},
+    {"m1 is asked for much, and nothing may go",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m4 m1", "m1", 2, NULL, 9, ""},
+    {"one engine at a time is changed for demand",
+     "e1 d1 m1,m2 -\ne2 d1 m3,m1+ -\ne3 d1 m3,m4 m1", "m1", 2, NULL, 9, ""},
+    {"engines of other data centres are not ours to order",
+     "e1 d2 m1,m2 -\ne2 d2 m3 m4", NULL, 0, NULL, 9, ""},
+};
+
+static void
+test_cases(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].what);
+        g_autofree char *got =
+            decide(cases[i].fleet, "d1", cases[i].busy, cases[i].work,
+                   cases[i].pledged, cases[i].loads_left);
+        g_assert_cmpstr(got, ==, cases[i].expect);
+    }
+}
+
+/* Two data centres that each hold a replica of m3, and both want its room: one
+ * of them alone gives it up, or nobody holds the model afterwards. */
+static void
+test_both_give_up(void)
+{
+    static const char fleet[] = "e1 d1 m2,m3 m1\ne2 d2 m4,m3 m1\ne3 d3 m1 -";
+    g_autofree char *here = decide(fleet, "d1", "m1", 4, NULL, 9);
+    g_autofree char *there = decide(fleet, "d2", "m1", 4, NULL, 9);
+    unsigned gone = (strstr(here, "unload m3") != NULL ? 1 : 0) +
+                    (strstr(there, "unload m3") != NULL ? 1 : 0);
+    g_test_message("here: %s; there: %s", here, there);
+    g_assert_cmpuint(gone, ==, 1);
+}
+
+/* A model that nobody holds comes back in one data centre alone. */
+static void
+test_one_restores(void)
+{
+    static const char fleet[] =
+        "e1 d1 m1,m2 -\ne2 d1 m3 -\ne3 d2 m1,m2 -\ne4 d2 m3 -";
+    g_autofree char *here = decide(fleet, "d1", NULL, 0, NULL, 9);
+    g_autofree char *there = decide(fleet, "d2", NULL, 0, NULL, 9);
+    unsigned loads = (strstr(here, "load m4") != NULL ? 1 : 0) +
+                     (strstr(there, "load m4") != NULL ? 1 : 0);
+    g_test_message("here: %s; there: %s", here, there);
+    g_assert_cmpuint(loads, ==, 1);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/arrange/cases", test_cases);
+    g_test_add_func("/arrange/both-give-up", test_both_give_up);
+    g_test_add_func("/arrange/one-restores", test_one_restores);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,201 @@
+/* What the users' platform says, in our own terms. */
+
+#include "fleet.h"
+
+#include "config.h"
+
+#include <string.h>
+
+#define CONFIG                                                                \
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","     \
+    "\"path_prefix\":\"/x/\",\"type\":\"streaming\",\"timeout_ms\":15000,"    \
+    "\"target_latency_ms\":1000,\"priority\":1,\"backends\":[{\"service\":"   \
+    "\"models\",\"weight\":90},{\"service\":\"app\",\"weight\":10}],"         \
+    "\"max_attempts\":2,\"resumable\":true,\"target_gap_ms\":300},"           \
+    "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/y/\","        \
+    "\"type\":\"unsafe\",\"target_latency_ms\":200,\"service\":\"app\","      \
+    "\"new_field\":[1]}],"                                                    \
+    "\"services\":[{\"name\":\"models\",\"max_connections\":360,\"engine\":"  \
+    "{\"slots\":64,\"kv_capacity\":145419,\"weights_mb\":200000.0,"           \
+    "\"adapter_slots\":8,\"loads_per_s\":1.4,\"models\":[{\"name\":\"m1\","   \
+    "\"weights_mb\":65099.99999999999,\"load_s\":7.8,\"adapters\":42,"        \
+    "\"adapter_mb\":12.0}]}},{\"name\":\"app\"}],"                            \
+    "\"limits\":{\"max_header_bytes\":16384,\"idle_timeout_ms\":15000}}"
+
+/* A configuration reads as a declaration of ours. */
+static void
+test_config(void)
+{
+    struct ch_error error = {0};
+    g_autofree char *text =
+        platform_config_text(CONFIG, strlen(CONFIG), &error);
+    g_assert_cmpstr(error.message, ==, "");
+    struct ch_declaration *declaration =
+        ch_declaration_parse(text, "config", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    const struct ch_class *first =
+        &declaration->classes[ch_declaration_class(declaration, "r1")];
+    const struct ch_class *second =
+        &declaration->classes[ch_declaration_class(declaration, "r2")];
+    g_assert_true(first->stream && first->resumable && first->idempotent);
+    g_assert_cmpint(first->first_token, ==, 1000000);
+    g_assert_cmpint(first->gap, ==, 300000);
+    g_assert_cmpuint(first->tries, ==, 2);
+    g_assert_cmpuint(first->share_count, ==, 2);
+    g_assert_false(second->idempotent || second->stream);
+    g_assert_cmpint(second->whole_answer, ==, 200000);
+    g_assert_cmpuint(declaration->models[0].memory_mb, ==, 65100);
+    g_assert_cmpuint(declaration->models[0].numbered_adapters, ==, 42);
+    g_assert_cmpuint(declaration->limits.header_bytes, ==, 16384);
+    ch_declaration_free(declaration);
+}
+
+/* What can't be read is an error, so that the one in force stays. */
+static void
+test_bad_config(void)
+{
+    static const char *const texts[] = {
+        "",
+        "[]",
+        "{\"routes\":7,\"services\":[]}",
+        "{\"routes\":[],\"services\":7}",
+        "{\"routes\":[7],\"services\":[]}",
+        "{\"routes\":[{\"name\":\"a b\"}],\"services\":[]}",
+        "{\"routes\":[{\"name\":\"a\",\"host\":\"h\"}],\"services\":[]}",
+        "{\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/\","
+        "\"backends\":[{\"service\":\"s\"}]}],\"services\":[]}",
+        "{\"routes\":[{\"name\":\"a\",\"host\":\"h\\n[x]\",\"path_prefix\":"
+        "\"/\",\"service\":\"s\"}],\"services\":[]}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        struct ch_error error = {0};
+        g_assert_null(
+            platform_config_text(texts[i], strlen(texts[i]), &error));
+        g_assert_cmpint(error.code, !=, CH_OK);
+    }
+}
+
+#define ENTRY(service, address, state, slots)                                 \
+    "{\"service\":" service ",\"address\":" address                           \
+    ",\"zone\":\"z\",\"state\":" state ",\"slots\":" slots                    \
+    ",\"born\":5,\"sequence\":9,\"models\":[{\"name\":\"m1\",\"adapters\":"   \
+    "[\"a1\"]},7,{\"name\":3}],\"available\":{\"on_disk\":[\"m2\",7]}}"
+
+/* Entries by strange writers name no upstream. */
+static const struct {
+    const char *text;
+    bool good;
+} entries[] = {
+    {ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "64"), true},
+    {ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"draining\"", "64"), true},
+    {ENTRY("7", "\"10.0.0.1:80\"", "\"ready\"", "64"), false},
+    {ENTRY("\"s\"", "\"here\"", "\"ready\"", "64"), false},
+    {ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"gone\"", "64"), false},
+    {ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "\"64\""), false},
+    {ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "-1"), false},
+    {"{}", false},
+    {"[1]", false},
+    {"\xff\xfe{", false},
+    {"", false},
+};
+
+static void
+test_entries(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+        struct ch_host host = {0};
+        struct ch_error error = {0};
+        bool good =
+            platform_host_parse("servers/i-1", entries[i].text,
+                                strlen(entries[i].text), &host, &error);
+        g_assert_cmpint(good, ==, entries[i].good);
+        g_assert_cmpint(error.code == CH_OK, ==, entries[i].good);
+        if (good) {
+            g_assert_cmpstr(host.name, ==, "i-1");
+            g_assert_cmpint(host.leaving, ==, i == 1);
+            g_assert_cmpuint(host.boot, ==, 5);
+            g_assert_cmpstr(host.resident[0], ==, "m1");
+            g_assert_cmpstr(host.resident[1], ==, "m1/a1");
+            g_assert_null(host.resident[2]);
+            g_assert_cmpstr(host.copies[0], ==, "m2");
+        }
+        ch_host_clear(&host);
+    }
+}
+
+/* A client's headers: what they say, and which of them go on. */
+static void
+test_headers(void)
+{
+    static const struct ch_http_header headers[] = {
+        {"Host", "a.example"},
+        {"request-id", "i1"},
+        {"Deadline-Ms", "500"},
+        {"Model", "m1/a1"},
+        {"Token-Usage", "1460, 80"},
+        {"Prompt-Prefix", "5c:800,91:410"},
+        {"Hold", "h"},
+        {"Pin-Ms", "5"},
+        {"Kv-From", "x"},
+        {"Kv-Backup", "x"},
+        {"Request-Priority", "0"},
+        {"Connection", "close, X-Mine"},
+        {"X-Mine", "1"},
+        {"X-Other", "2"},
+    };
+    static const char *const passed[] = {"Host",          "request-id",
+                                         "Model",         "Token-Usage",
+                                         "Prompt-Prefix", "X-Other"};
+    struct ch_request_input *input = g_new0(struct ch_request_input, 1);
+    struct ch_fault fault = {.error.code = CH_OK};
+    input->passed = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+    g_assert_true(
+        platform_front_read(headers, G_N_ELEMENTS(headers), input, &fault));
+    g_assert_cmpstr(input->request_id, ==, "i1");
+    g_assert_cmpuint(input->prompt_tokens, ==, 1460);
+    g_assert_cmpuint(input->output_tokens, ==, 80);
+    g_assert_cmpuint(input->part_count, ==, 2);
+    g_assert_cmpuint(input->parts[1].tokens, ==, 410);
+    g_assert_cmpuint(input->passed->len, ==, G_N_ELEMENTS(passed));
+    for (guint i = 0; i < input->passed->len; i++) {
+        g_assert_cmpstr(
+            g_array_index(input->passed, struct ch_http_header, i).name, ==,
+            passed[i]);
+    }
+    g_array_free(input->passed, TRUE);
+    g_free(input);
+}
+
+/* Headers that do not say what they should. */
+static void
+test_bad_headers(void)
+{
+    static const struct ch_http_header bad[] = {
+        {"Token-Usage", "1460"},     {"Token-Usage", "a,b"},
+        {"Token-Usage", "-1,2"},     {"Prompt-Prefix", "5c"},
+        {"Prompt-Prefix", ":800"},   {"Prompt-Prefix", "5c:x"},
+        {"Prompt-Prefix", "5c:1,,"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        struct ch_request_input *input = g_new0(struct ch_request_input, 1);
+        struct ch_fault fault = {.error.code = CH_OK};
+        input->passed =
+            g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+        g_assert_false(platform_front_read(&bad[i], 1, input, &fault));
+        g_assert_cmpint(fault.error.code, ==, CH_BAD_FIELD);
+        g_array_free(input->passed, TRUE);
+        g_free(input);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/config", test_config);
+    g_test_add_func("/platform/bad-config", test_bad_config);
+    g_test_add_func("/platform/entries", test_entries);
+    g_test_add_func("/platform/headers", test_headers);
+    g_test_add_func("/platform/bad-headers", test_bad_headers);
+    return g_test_run();
+}
