Call: one question for a bare refusal, asked in one place

Two branches of the answer's first line did the same thing for two reasons; the lint pass named it. The test of the store and the tests of the upstream pass with it.

--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -110,14 +110,21 @@
     return course->not_run && (course->status == 429 || course->status == 503);
 }
 
+/* Whether a refusal bears no id, from upstreams that send such: it says that
+ * nothing was run, and whose it is makes no difference to a request that is
+ * alone on its connection. */
+static bool
+is_bare_refusal(const struct course *course)
+{
+    return course->id_missing && course->rules.passes_headers;
+}
+
 /* Notes why the answer can't be passed on, if it can't. */
 static void
 find_fault_of_head(struct course *course)
 {
-    if (is_refusal(course) && course->id_missing &&
-        course->rules.passes_headers) {
-        /* It says that nothing was run; whose it is makes no difference to
-         * a request that was sent alone on its connection. */
+    if (is_refusal(course) &&
+        (course->id_matches || is_bare_refusal(course))) {
         fail(course, CH_UPSTREAM_REFUSED, "the upstream refused the request");
     }
     else if (!course->id_matches) {
@@ -125,9 +132,6 @@
                                  ? "the answer bears no request id"
                                  : "the answer bears another request's id");
     }
-    else if (is_refusal(course)) {
-        fail(course, CH_UPSTREAM_REFUSED, "the upstream refused the request");
-    }
     else if (course->status >= 500 && course->rules.server_errors_fail) {
         char text[64];
         (void)snprintf(text, sizeof(text), "the upstream answered %d",
