Call: a silent upstream is given up only for another try

Cause: a stream that was silent for its limit was ended though no try, or nothing of the budget, was left for another; its rest would have come. Ruled out: the worker, which went on; the caller, who still waited. Change: the loop of calls asks the owner once when a limit between bytes has passed; an exchange that may have no other try waits until its deadline. What may be had is asked with the very rule that decides it. Lint: rows reordered, one copy of a wait that no longer looks leaked.

--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -147,6 +147,9 @@
 
 void ch_retry_budget_init(struct ch_retry_budget *budget, double share);
 void ch_retry_budget_fresh(struct ch_retry_budget *budget);
+/* Takes nothing from the budget. */
+bool ch_retry_possible(const struct ch_retry_budget *budget,
+                       const struct ch_work *work);
 /* Takes from the budget when the answer is not NO. */
 enum ch_retry ch_retry_decide(struct ch_retry_budget *budget,
                               const struct ch_work *work, enum ch_code code,
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -46,6 +46,27 @@
     }
 }
 
+/* Tries of the work after its first; see MOST_ATTEMPTS. */
+static uint32_t
+most_attempts(const struct ch_work *work)
+{
+    return work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
+}
+
+/*
+ * Whether a call that is silent would be tried elsewhere if it were given up.
+ * Load: an upstream that is cut off, or works slowly, leaves all that it runs
+ * silent at once.  Harm prevented: callers whose answers would still have come
+ * are told of a failure, since no try or no budget is left for another.
+ */
+bool
+ch_retry_possible(const struct ch_retry_budget *budget,
+                  const struct ch_work *work)
+{
+    return work->idempotent && work->attempt < most_attempts(work) &&
+           budget->level >= 1.0;
+}
+
 /*
  * Load: an upstream that dies or goes silent under full load fails all that
  * it ran at once.  Harm prevented: all of that coming again on top of the
@@ -61,9 +82,9 @@
                 enum ch_code code, bool may_have_run, bool stream,
                 uint32_t events_given, int64_t now)
 {
-    uint32_t most = work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
     bool sent = work->tries == 0 || code != CH_UPSTREAM_CONNECT;
-    if (!is_of_the_upstream(code) || (sent && work->attempt >= most)) {
+    if (!is_of_the_upstream(code) ||
+        (sent && work->attempt >= most_attempts(work))) {
         return CH_RETRY_NO;
     }
     if (may_have_run && !work->idempotent) {
--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -424,6 +424,24 @@
                  texts[transfer->phase]);
 }
 
+/* Whether the owner of a transfer that is overdue waits on for it; the limits
+ * of its phases are then no more asked for. */
+static bool
+waits_on(struct transfer *transfer, int64_t now)
+{
+    bool total_over =
+        transfer->total_until != 0 && transfer->total_until <= now;
+    if (total_over || transfer->phase == PHASE_CONNECT ||
+        transfer->handlers.on_silent == NULL ||
+        !transfer->handlers.on_silent(transfer->data)) {
+        return false;
+    }
+    transfer->first_byte_limit = 0;
+    transfer->stall_limit = 0;
+    set_until(transfer, 0);
+    return true;
+}
+
 /* Ends every transfer whose time is over, and finds when to look again. */
 static void
 end_all_overdue(struct ch_http *http)
@@ -439,7 +457,7 @@
     g_hash_table_iter_init(&iter, http->running);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         struct transfer *transfer = key;
-        if (transfer->until <= now) {
+        if (transfer->until <= now && !waits_on(transfer, now)) {
             g_ptr_array_add(overdue, transfer);
         }
         else {
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -55,6 +55,10 @@
     void (*on_head)(void *data, int status);
     void (*on_header)(void *data, const char *name, const char *value);
     void (*on_data)(void *data, const char *bytes, size_t length);
+    /* The limit to the first byte, or between two, has passed: whether the
+       call is waited for until its total limit instead of being ended.  NULL:
+       it ends. */
+    bool (*on_silent)(void *data);
     void (*on_end)(void *data, const struct ch_http_end *end);
 };
 
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -936,8 +936,9 @@
     if (item->waits == NULL) {
         item->waits = g_array_new(FALSE, FALSE, sizeof(struct adapter_wait));
     }
-    struct adapter_wait copy = *wait;
-    copy.from = g_strdup(wait->from);
-    g_array_append_val(item->waits, copy);
+    g_array_append_val(item->waits, *wait);
+    struct adapter_wait *kept =
+        &g_array_index(item->waits, struct adapter_wait, item->waits->len - 1);
+    kept->from = g_strdup(wait->from);
     engine_pump(engine, duty, now);
 }
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -72,8 +72,8 @@
     bool listed;
     bool leaving;
     bool restarted; /* a report showed it; the list does not yet */
-    bool known;     /* its orders and what it holds were read since its start */
-    bool news;      /* to be told */
+    bool known; /* its orders and what it holds were read since its start */
+    bool news;  /* to be told */
 };
 
 /* A data centre's engines and the right to order them. */
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -22,6 +22,10 @@
      */
     EXPECTED_TIMES = 4,
     EXPECTED_MORE = 500 * 1000,
+    /* A call that is waited for ends this long after its caller's deadline at
+     * the latest: the deadline's own timer, which tells the caller so, runs
+     * first. */
+    AFTER_DEADLINE = 100 * 1000,
 };
 
 /* The headers of an answer that is ours.  A stream that was begun keeps those
@@ -196,6 +200,27 @@
     pthread_mutex_unlock(&exchange->lock);
 }
 
+/*
+ * An upstream that is cut off, or works slowly, may answer yet.  It is given
+ * up only for another try: a caller who may have none waits for this one until
+ * the deadline.
+ */
+static bool
+call_silent(void *data)
+{
+    struct ch_exchange *exchange = data;
+    struct ch_front *front = exchange->front;
+    const struct ch_work *work = &exchange->request->work;
+    if (!exchange->request->routed) {
+        return false;
+    }
+    pthread_mutex_lock(&front->lock);
+    bool possible =
+        ch_retry_possible(ch_front_budget(front, work->pool), work);
+    pthread_mutex_unlock(&front->lock);
+    return !possible;
+}
+
 /* The number of tokens in a plain answer's usage, 0 when it has none. */
 static uint32_t
 tokens_of_answer(const GByteArray *body)
@@ -313,6 +338,7 @@
         .on_headers = call_headers,
         .on_head = call_head,
         .on_data = call_data,
+        .on_silent = call_silent,
         .on_end = call_end,
     };
     const struct ch_request *request = exchange->request;
@@ -342,6 +368,8 @@
                            ? request->stall_limit
                            : (int64_t)settings->stall_ms * 1000,
     };
+    call.total_limit =
+        call.time_left > 0 ? call.time_left + AFTER_DEADLINE : 0;
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -409,6 +409,15 @@
     return course;
 }
 
+/* Nothing came for as long as a limit says. */
+static bool
+silence_came(void *data)
+{
+    struct course *course = data;
+    return !course->told && course->handlers.on_silent != NULL &&
+           course->handlers.on_silent(course->data);
+}
+
 /* Begins a call; the handle is for ch_http_cancel(). */
 uint64_t
 ch_call_start_with(struct ch_client *client, struct ch_http *http,
@@ -421,6 +430,7 @@
         .on_head = head_came,
         .on_header = header_came,
         .on_data = body_came,
+        .on_silent = silence_came,
         .on_end = end_came,
     };
     struct course *course = course_new(client, http, rules, call);
@@ -437,6 +447,7 @@
         .connect_limit = call->connect_limit,
         .first_byte_limit = call->first_byte_limit,
         .stall_limit = call->stall_limit,
+        .total_limit = call->total_limit,
         .fresh_connection = !call->may_repeat || call->fresh,
         /* Else a call that ran, was cut and is sent again by libcurl would
          * bear the outcome of the second sending alone: an engine that starts
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -31,6 +31,7 @@
     int64_t connect_limit;
     int64_t first_byte_limit;
     int64_t stall_limit;
+    int64_t total_limit; /* 0: none */
 };
 
 struct ch_call_end {
@@ -54,6 +55,8 @@
                        size_t count);
     void (*on_head)(void *data, int status, const char *content_type);
     void (*on_data)(void *data, const char *bytes, size_t length);
+    /* As ch_http_handlers' on_silent; may be NULL. */
+    bool (*on_silent)(void *data);
     void (*on_end)(void *data, const struct ch_call_end *end);
 };
 
--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -76,7 +76,7 @@
     pthread_mutex_lock(&world.lock);
     world.asked++;
     pthread_mutex_unlock(&world.lock);
-    handlers->refused(data, CH_LATE, 700 * 1000, "full");
+    handlers->refused(data, CH_LATE, INT64_C(700) * 1000, "full");
     return 0;
 }
 
@@ -186,7 +186,7 @@
         .sin_port =
             htons((uint16_t)ch_listener_port(world.node.front->listener)),
     };
-    struct timeval patience = {.tv_usec = 400 * 1000};
+    struct timeval patience = {.tv_usec = 400000L};
     GString *got = g_string_new(NULL);
     char part[4096];
     ssize_t count = 0;
--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -266,6 +266,7 @@
     pthread_cond_t changed;
     unsigned ends;
     unsigned after_end; /* handlers that ran after on_end: must stay 0 */
+    unsigned silences;  /* how often the owner was asked to wait on */
     int heads;
     struct ch_http_end end;
     GString *body;
@@ -483,6 +484,70 @@
     call_free(call);
 }
 
+/* ---- silence that the owner bears ---- */
+
+static bool
+wait_on(void *data)
+{
+    struct call *call = data;
+    pthread_mutex_lock(&call->lock);
+    call->after_end += call->ends;
+    call->silences++;
+    pthread_mutex_unlock(&call->lock);
+    return true;
+}
+
+static const struct end_case borne_cases[] = {
+    {"silent", NEVER_ANSWERS, false, true, true, false, SHORT,
+     CH_UPSTREAM_STALLED, 1, "", false},
+    {"silent midway", STOPS_MIDWAY, false, true, true, false, SHORT,
+     CH_UPSTREAM_STALLED, 1, "ok", false},
+};
+
+/*
+ * A caller's stream stops because its worker is cut off for two seconds; no
+ * try is left for another worker.  The stream was given up at the first limit
+ * between bytes, though its rest would have come.  Where the owner waits on it
+ * is asked once, and the call ends at its total limit.
+ */
+static void
+test_borne(gconstpointer data)
+{
+    const struct end_case *row = data;
+    struct ch_http_handlers patient = handlers;
+    patient.on_silent = wait_on;
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(row->manner);
+    struct ch_http *http = ch_http_new(&client);
+    struct call *call = call_new();
+    char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
+    int64_t total = (int64_t)4 * row->limit;
+    const struct ch_http_request request = {
+        .method = "POST",
+        .url = url,
+        .body = small_body,
+        .body_length = strlen(small_body),
+        .connect_limit = row->limit,
+        .first_byte_limit = row->limit,
+        .stall_limit = row->limit,
+        .total_limit = total,
+    };
+    int64_t began = ch_client_now(&client);
+    ch_http_submit(http, &request, &patient, call);
+    wait_for_end(call);
+    g_assert_cmpint(ch_client_now(&client) - began, >=, total);
+    ch_http_free(http);
+    g_assert_cmpuint(call->silences, ==, 1);
+    g_assert_cmpuint(call->after_end, ==, 0);
+    g_assert_cmpint(call->end.code, ==, row->code);
+    g_assert_cmpuint(posts_of(server), ==, row->posts);
+    g_assert_cmpstr(call->body->str, ==, row->body);
+    server_free(server);
+    call_free(call);
+    g_free(url);
+}
+
 /* ---- cancelling ---- */
 
 enum moment {
@@ -648,6 +713,11 @@
         g_test_add_data_func(path, &end_cases[i], test_ends);
         g_free(path);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(borne_cases); i++) {
+        char *path = g_strdup_printf("/http/borne/%s", borne_cases[i].name);
+        g_test_add_data_func(path, &borne_cases[i], test_borne);
+        g_free(path);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(cancel_cases); i++) {
         char *path = g_strdup_printf("/http/cancel/%s", cancel_cases[i].name);
         g_test_add_data_func(path, &cancel_cases[i], test_cancel);
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -7,6 +7,7 @@
 enum {
     NOW = 100 * G_USEC_PER_SEC,
     SECOND = G_USEC_PER_SEC,
+    MILLI = 1000,
 };
 
 /* One upstream of a case. */
@@ -208,11 +209,11 @@
     work.parts = parts;
     work.part_count = G_N_ELEMENTS(parts);
     struct ch_choice first = send_one(balance, &work, NOW);
-    ch_balance_first(balance, &work, &first, 200 * 1000, NOW);
+    ch_balance_first(balance, &work, &first, (int64_t)200 * MILLI, NOW);
     struct ch_choice second = send_one(balance, &work, NOW);
     g_assert_cmpuint(second.upstream, ==, first.upstream);
     g_assert_cmpint(second.reading, <, first.reading / 10);
-    ch_balance_all(balance, first.upstream, 60, 2 * SECOND, NOW);
+    ch_balance_all(balance, first.upstream, 60, (int64_t)2 * SECOND, NOW);
     struct ch_choice third = send_one(balance, &work, NOW);
     g_assert_cmpuint(third.upstream, !=, first.upstream);
     ch_balance_free(balance);
@@ -252,7 +253,7 @@
     struct ch_balance *balance = balance_of(two);
     struct ch_work work = work_for("m1", 1000);
     GQuark a = g_quark_from_string("a");
-    ch_balance_all(balance, a, 10, 300 * 1000, NOW);
+    ch_balance_all(balance, a, 10, (int64_t)300 * MILLI, NOW);
     g_assert_cmpstr(chosen(balance, &work, NULL, false), ==, "b");
     struct ch_choice sooner =
         ch_balance_choose(balance, &work, NULL, false, NOW);
@@ -277,7 +278,7 @@
     struct ch_choice next =
         ch_balance_choose(balance, &work, NULL, false, NOW);
     g_assert_true(next.too_dense);
-    ch_balance_first(balance, &work, &choice, 180 * 1000, NOW);
+    ch_balance_first(balance, &work, &choice, (int64_t)180 * MILLI, NOW);
     next = ch_balance_choose(balance, &work, NULL, false, NOW + 10 * 1000);
     g_assert_true(next.too_dense);
     next = ch_balance_choose(balance, &work, NULL, false, NOW + 50 * 1000);
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -203,21 +203,21 @@
     uint32_t attempt;
     enum ch_code code;
     bool may_have_run;
-    double level;
     enum ch_retry expect;
+    double level;
 } retries[] = {
-    {"a safe one fails", true, 2, 0, CH_UPSTREAM_CUT, true, 5, CH_RETRY_AGAIN},
-    {"its tries are used up", true, 2, 1, CH_UPSTREAM_CUT, true, 5,
-     CH_RETRY_NO},
-    {"the budget is used up", true, 3, 0, CH_UPSTREAM_CUT, true, 0.5,
-     CH_RETRY_NO},
-    {"an unsafe one may have run", false, 3, 0, CH_UPSTREAM_CUT, true, 5,
-     CH_RETRY_NO},
+    {"a safe one fails", true, 2, 0, CH_UPSTREAM_CUT, true, CH_RETRY_AGAIN, 5},
+    {"its tries are used up", true, 2, 1, CH_UPSTREAM_CUT, true, CH_RETRY_NO,
+     5},
+    {"the budget is used up", true, 3, 0, CH_UPSTREAM_CUT, true, CH_RETRY_NO,
+     0.5},
+    {"an unsafe one may have run", false, 3, 0, CH_UPSTREAM_CUT, true,
+     CH_RETRY_NO, 5},
     {"an unsafe one surely has not", false, 3, 0, CH_UPSTREAM_REFUSED, false,
-     5, CH_RETRY_AGAIN},
+     CH_RETRY_AGAIN, 5},
     {"no connection: nothing was sent, nothing is spent", false, 1, 0,
-     CH_UPSTREAM_CONNECT, false, 0, CH_RETRY_AGAIN},
-    {"the caller is gone", true, 3, 0, CH_CANCELLED, true, 5, CH_RETRY_NO},
+     CH_UPSTREAM_CONNECT, false, CH_RETRY_AGAIN, 0},
+    {"the caller is gone", true, 3, 0, CH_CANCELLED, true, CH_RETRY_NO, 5},
 };
 
 static void
@@ -232,6 +232,11 @@
             .attempt = retries[i].attempt,
         };
         g_test_message("%s", retries[i].what);
+        /* A silent call is given up only for a try that would then be had. */
+        if (retries[i].code == CH_UPSTREAM_CUT) {
+            g_assert_cmpint(ch_retry_possible(&budget, &work), ==,
+                            retries[i].expect == CH_RETRY_AGAIN);
+        }
         g_assert_cmpint(ch_retry_decide(&budget, &work, retries[i].code,
                                         retries[i].may_have_run, false, 0, 0),
                         ==, retries[i].expect);
