Stop: what is open shortly before the platform's grace ends is ended

The setting grace-ms was read and not used. Ruled out: a stop that is stuck otherwise (the open exchanges were those streams alone). Change: a second before the grace ends (at half of it when it is short) every course that is under way is ended: its caller is told 204, not-run only where that is certain; the stop goes on in order. The front keeps its courses as a set in place of a count. Test: /exchange/cut-by-stop; without the change it waits for ever.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -18,8 +18,8 @@
     exchange->reply = NULL;
     pthread_mutex_unlock(&exchange->lock);
     ch_reply_unref(reply);
+    ch_front_leave(front, exchange);
     ch_exchange_unref(exchange);
-    ch_front_leave(front);
 }
 
 /* ---- the end of the once record ---- */
@@ -375,6 +375,25 @@
     ch_exchange_unref(exchange);
 }
 
+/* See exchange.h. */
+void
+ch_exchange_cut(struct ch_exchange *exchange)
+{
+    pthread_mutex_lock(&exchange->lock);
+    bool calling = exchange->step == CH_STEP_CALL;
+    bool over =
+        ch_exchange_abandon(exchange, CH_STOPPING, "the node has to stop");
+    /* The node ends, so that nobody would hear the rest. */
+    if (calling && !exchange->request->work.idempotent) {
+        exchange->grant.client->ops->cancel(exchange->grant.client,
+                                            exchange->call_handle);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_over(exchange);
+    }
+}
+
 /* The caller closed its connection. */
 static void
 caller_gone(void *data)
@@ -499,7 +518,7 @@
     };
     struct ch_exchange *exchange = ch_exchange_new(front, request, reply);
     ch_reply_watch(reply, &watcher, ch_exchange_ref(exchange));
-    ch_front_enter(front);
+    ch_front_enter(front, exchange);
     pthread_mutex_lock(&front->lock);
     ch_retry_budget_fresh(ch_front_budget(front, request->work.pool));
     pthread_mutex_unlock(&front->lock);
--- a/libchestnuthitch/node/front.c
+++ b/libchestnuthitch/node/front.c
@@ -24,7 +24,11 @@
      * are not counted. */
     IDLE_SECONDS = 30,
     /* How long a stop waits for requests that have begun to come in. */
-    INCOMING_SECONDS = 5,
+    INCOMING = 5 * G_USEC_PER_SEC,
+    /* What is left of the platform's grace once requests are cut, for what is
+     * given back after them: two calls to the store and a pause between. */
+    AFTER_CUT = G_USEC_PER_SEC,
+    NANO = 1000 * 1000 * 1000,
     MOST_LISTENER_THREADS = 4,
     /* Another node takes the request at once. */
     STOPPING_RETRY_AFTER = 50 * 1000,
@@ -105,19 +109,19 @@
 
 /* A course begins. */
 void
-ch_front_enter(struct ch_front *front)
+ch_front_enter(struct ch_front *front, struct ch_exchange *exchange)
 {
     pthread_mutex_lock(&front->lock);
-    front->exchanges++;
+    g_hash_table_add(front->exchanges, exchange);
     pthread_mutex_unlock(&front->lock);
 }
 
 /* A course is over. */
 void
-ch_front_leave(struct ch_front *front)
+ch_front_leave(struct ch_front *front, struct ch_exchange *exchange)
 {
     pthread_mutex_lock(&front->lock);
-    front->exchanges--;
+    g_hash_table_remove(front->exchanges, exchange);
     pthread_cond_broadcast(&front->quiet);
     pthread_mutex_unlock(&front->lock);
 }
@@ -513,6 +517,7 @@
     pthread_mutex_init(&front->lock, NULL);
     pthread_cond_init(&front->quiet, NULL);
     ch_retry_budget_init(&front->retries, node->settings->retry_share);
+    front->exchanges = g_hash_table_new(NULL, NULL);
     front->service_retries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     front->hangups = ch_hangups_new(caller_hung_up, front);
     front->daemon = start_daemon(front);
@@ -534,24 +539,73 @@
     return front;
 }
 
+/* A point of the clock that conditions wait by, this long from now. */
+static struct timespec
+until_after(int64_t wait)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    int64_t nanoseconds = until.tv_nsec + wait % G_USEC_PER_SEC * 1000;
+    until.tv_sec += wait / G_USEC_PER_SEC + nanoseconds / NANO;
+    until.tv_nsec = nanoseconds % NANO;
+    return until;
+}
+
+/* Ends all courses that are under way. */
+static void
+cut_all(struct ch_front *front)
+{
+    GPtrArray *open = g_ptr_array_new_with_free_func(ch_exchange_unref);
+    GHashTableIter iterator;
+    gpointer exchange = NULL;
+    pthread_mutex_lock(&front->lock);
+    g_hash_table_iter_init(&iterator, front->exchanges);
+    while (g_hash_table_iter_next(&iterator, &exchange, NULL)) {
+        g_ptr_array_add(open, ch_exchange_ref(exchange));
+    }
+    pthread_mutex_unlock(&front->lock);
+    ch_log(front->node->client, CH_LOG_WARNING, "requests-cut",
+           CH_F_INT("count", open->len), CH_F_END);
+    for (guint i = 0; i < open->len; i++) {
+        ch_exchange_cut(g_ptr_array_index(open, i));
+    }
+    g_ptr_array_free(open, TRUE);
+}
+
+/* Waits until everything accepted is answered, or until `until` (NULL: for as
+ * long as it takes).  Front's lock held; false when that time has come. */
+static bool
+wait_answered(struct ch_front *front, const struct timespec *until)
+{
+    int error = 0;
+    while (error == 0 &&
+           (front->accepted > 0 || g_hash_table_size(front->exchanges) > 0)) {
+        error = until == NULL ? pthread_cond_wait(&front->quiet, &front->lock)
+                              : pthread_cond_timedwait(&front->quiet,
+                                                       &front->lock, until);
+    }
+    return error == 0;
+}
+
 /*
  * Waits until everything accepted is answered.  Requests that are still coming
  * in are given a while: a caller that sends a byte now and then must not keep
  * the node from stopping.
  */
 static void
-wait_quiet(struct ch_front *front)
+wait_quiet(struct ch_front *front, const struct timespec *cut_at)
 {
-    struct timespec until;
-    clock_gettime(CLOCK_REALTIME, &until);
-    until.tv_sec += INCOMING_SECONDS;
+    struct timespec until = until_after(INCOMING);
     pthread_mutex_lock(&front->lock);
     int error = 0;
     while (front->incoming > 0 && error == 0) {
         error = pthread_cond_timedwait(&front->quiet, &front->lock, &until);
     }
-    while (front->accepted > 0 || front->exchanges > 0) {
-        pthread_cond_wait(&front->quiet, &front->lock);
+    if (!wait_answered(front, cut_at)) {
+        pthread_mutex_unlock(&front->lock);
+        cut_all(front);
+        pthread_mutex_lock(&front->lock);
+        wait_answered(front, NULL);
     }
     pthread_mutex_unlock(&front->lock);
 }
@@ -562,10 +616,18 @@
  * is served as ever, and callers are told to close their connections.  Then
  * new requests are refused, all accepted ones are answered, and only then is
  * the listener closed.
+ *
+ * Where the platform kills a process that stops for too long, what is still
+ * open shortly before is ended: those callers are told, and rights, entries
+ * and connections are given back in order.  Killed, a node leaves its entry
+ * behind until that lapses, and its callers with connections that are reset.
  */
 void
 ch_front_stop(struct ch_front *front)
 {
+    int64_t grace = (int64_t)front->node->settings->grace_ms * 1000;
+    struct timespec at = until_after(grace - MIN(AFTER_CUT, grace / 2));
+    const struct timespec *cut_at = grace > 0 ? &at : NULL;
     pthread_mutex_lock(&front->lock);
     front->stopping = true;
     pthread_mutex_unlock(&front->lock);
@@ -573,10 +635,10 @@
     pthread_mutex_lock(&front->lock);
     front->refusing = true;
     pthread_mutex_unlock(&front->lock);
-    wait_quiet(front);
+    wait_quiet(front, cut_at);
     ch_listener_free(front->listener);
     front->listener = NULL;
-    wait_quiet(front);
+    wait_quiet(front, cut_at);
     MHD_stop_daemon(front->daemon);
     front->daemon = NULL;
 }
@@ -597,6 +659,9 @@
     if (front->service_retries != NULL) {
         g_hash_table_destroy(front->service_retries);
     }
+    if (front->exchanges != NULL) {
+        g_hash_table_destroy(front->exchanges);
+    }
     pthread_cond_destroy(&front->quiet);
     pthread_mutex_destroy(&front->lock);
     g_free(front);
--- a/libchestnuthitch/node/front.h
+++ b/libchestnuthitch/node/front.h
@@ -11,6 +11,7 @@
 
 #include <pthread.h>
 
+struct ch_exchange;
 struct ch_hangups;
 struct ch_listener;
 
@@ -26,7 +27,7 @@
     struct ch_table *replies;       /* of the requests that are open */
     size_t incoming;                /* requests begun and not yet whole */
     size_t accepted;                /* whole and not yet answered */
-    size_t exchanges;               /* courses not yet over */
+    GHashTable *exchanges;          /* courses not yet over, to themselves */
     unsigned connections;           /* that the library has */
     uint64_t last_id;               /* of requests */
     struct ch_retry_budget retries; /* of requests to any service */
@@ -45,7 +46,7 @@
                                         GQuark service);
 
 /* A course begins or is over; ch_front_stop() waits for the last. */
-void ch_front_enter(struct ch_front *front);
-void ch_front_leave(struct ch_front *front);
+void ch_front_enter(struct ch_front *front, struct ch_exchange *exchange);
+void ch_front_leave(struct ch_front *front, struct ch_exchange *exchange);
 
 #endif
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -872,6 +872,54 @@
     world_free(world);
 }
 
+static const struct {
+    const char *name;
+    enum asked_for what;
+    enum home_act home;
+    enum call_act call;
+    const char *answer;
+    unsigned cancelled;
+} cut_cases[] = {
+    {"in the queue", PLAIN, HOLDS_BACK, WHOLE,
+     "HTTP/1.1 503|" NOT_RUN "|\"code\":204", 0},
+    {"at a silent engine", PLAIN, GRANTS, SILENT,
+     "HTTP/1.1 503|" UNKNOWN "|\"code\":204", 1},
+    {"an order at a silent service", BARE_ORDER, GRANTS, SILENT,
+     "HTTP/1.1 503|" UNKNOWN "|\"code\":204", 1},
+};
+
+/*
+ * A node is asked to stop while an upstream hangs.  The stop waited for the
+ * upstream; the platform killed the process at the end of its grace, the
+ * caller's connection was reset, and the entry and the rights of the node
+ * stood until they lapsed.  Now the caller is told before that, and the stop
+ * goes on.
+ */
+static void
+test_cut_by_stop(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++) {
+        struct world *world = world_new();
+        g_test_message("%s", cut_cases[i].name);
+        world->settings.grace_ms = 600;
+        world->home_acts[0] = cut_cases[i].home;
+        world->call_acts[0] = cut_cases[i].call;
+        world_start(world);
+        int fd = ask_for(world, cut_cases[i].what, "");
+        wait_for(world,
+                 cut_cases[i].home == GRANTS ? &world->calls : &world->asked,
+                 1);
+        int64_t began = g_get_monotonic_time();
+        world_stop(world);
+        g_assert_cmpint(g_get_monotonic_time() - began, >=, 250 * 1000);
+        char *answer = hear(fd);
+        check_answer(answer, cut_cases[i].answer);
+        g_assert_cmpuint(world->cancelled, ==, cut_cases[i].cancelled);
+        g_free(answer);
+        world_free(world);
+    }
+}
+
 /*
  * An order whose record can't be had in time: the key-value service is slow.
  * Nothing was sent, but an earlier try with the key may have run, so that the
@@ -1102,6 +1150,7 @@
     ADD_TABLE("/exchange/once/", once_cases, test_once)
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
+    g_test_add_func("/exchange/cut-by-stop", test_cut_by_stop);
     g_test_add_func("/exchange/once late", test_once_late);
     g_test_add_func("/exchange/truncated", test_truncated);
     g_test_add_func("/exchange/full", test_full);
