Store: watches are short, read anew after a failure; the configuration is read in turn

Traced by its logs in three steps. (2) The store dropped its history between 7.2 and 8.2 s; the watch of the third node ended without the change and the next one began after it. (3) Watches of 30 s, and a pause of up to 4 s after failures, hid it until 23 s. Ruled out: the spread between nodes (0.05 s), reading it. Change: watches of 1 to 2 s, given up a second after their wait (tests /store/silent-watch: 4.1 s before); a read before the next watch after one that failed (same test, /roster/watches); all nodes read the configuration in turn, one read in 0.3 s over the fleet (/roster/left-out); the pause after failures is 1 s at most, and the first failure is logged.

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -23,8 +23,27 @@
     WATCHERS = 3,
     /* Nodes that are told of a new revision by whoever takes it. */
     FANOUT = 4,
-    WATCH_WAIT = 30 * 1000 * 1000,
-    TICK = 1000 * 1000,
+    /*
+     * A connection that falls silent takes its watch with it, and one fault on
+     * the way to the service takes those of all watchers.  A change must be in
+     * force within three to four seconds; so a watch is asked anew after 1 to
+     * 2 s.  The watchers are out of step, so that the first finds out within
+     * some 1.5 s (with 30 s, a change was in force after 16 s).  It costs 2.4
+     * calls a second at any size of the fleet.
+     */
+    LEAST_WATCH = 1000 * 1000,
+    MOST_WATCH = 2000 * 1000,
+    /*
+     * A service that drops its history may leave a change out of a watch, and
+     * may turn the very nodes away that watch.  So the configuration is also
+     * read, by all nodes in turn: one read of the fleet in this time, whatever
+     * its size, finds a change before it must be in force also when a third of
+     * the nodes are turned away (with 0.5 s between reads, after 2.4 s of 3,
+     * since the turns are not evenly spaced).  It costs 3.3 calls a second,
+     * and each of 320 nodes one copy in 96 s.
+     */
+    READ_EVERY = 300 * 1000,
+    TICK = 250 * 1000,
     PULL_LIMIT = 2 * 1000 * 1000,
     /* Another node is asked as well when the first has not answered for this
      * long: some round trips between regions. */
@@ -40,7 +59,9 @@
      * some ten thousand paths. */
     MOST_TEXT = 8 * 1024 * 1024,
     FIRST_PAUSE = 250 * 1000,
-    MOST_PAUSE = 4 * 1000 * 1000,
+    /* A third of the time within which a change has to be in force; three
+     * watchers make three calls a second of it. */
+    MOST_PAUSE = 1000 * 1000,
 };
 
 struct ch_config_keeper {
@@ -54,7 +75,9 @@
     uint64_t far_revision; /* what far nodes have, and since when */
     int64_t far_since;
     GBytes *packed; /* the text in force; NULL: not packed yet */
-    bool calling;   /* a watch or read of the service is under way */
+    int64_t next_read;
+    bool reading;
+    bool calling; /* a watch or read of the service is under way */
     int64_t pause;
     int64_t not_before;
     uint64_t timer;
@@ -220,6 +243,10 @@
         keeper->pause = 0;
     }
     else {
+        if (keeper->pause == 0) {
+            ch_log(keeper->node->client, CH_LOG_WARNING, "config-unreachable",
+                   CH_F_INT("code", code), CH_F_END);
+        }
         keeper->pause = CLAMP(keeper->pause * 2, FIRST_PAUSE, MOST_PAUSE);
         keeper->not_before =
             ch_client_now(keeper->node->client) + keeper->pause;
@@ -281,14 +308,55 @@
         return;
     }
     if (watcher) {
-        ch_kv_call_watch(node, CONFIG_KEY, revision, WATCH_WAIT, call_done,
-                         keeper);
+        ch_kv_call_watch(node, CONFIG_KEY, revision,
+                         g_random_int_range(LEAST_WATCH, MOST_WATCH),
+                         call_done, keeper);
     }
     else {
         ch_kv_call_get(node, CONFIG_KEY, call_done, keeper);
     }
 }
 
+/* What a read in turn brought.  That the service is away is said by those who
+ * watch. */
+static void
+read_done(void *data, const struct ch_kv_answer *answer)
+{
+    struct ch_config_keeper *keeper = data;
+    if (answer->code == CH_OK) {
+        take_value(keeper, answer);
+    }
+    pthread_mutex_lock(&keeper->lock);
+    keeper->reading = false;
+    pthread_mutex_unlock(&keeper->lock);
+    keeper_unref(keeper);
+}
+
+/* Reads the configuration if it is this node's turn; see READ_EVERY. */
+static void
+read_in_turn(struct ch_config_keeper *keeper)
+{
+    struct ch_node *node = keeper->node;
+    g_auto(GStrv) live = ch_peers_live(node->peers);
+    int64_t now = ch_client_now(node->client);
+    int64_t round = (int64_t)READ_EVERY * MAX(g_strv_length(live), 1U);
+    pthread_mutex_lock(&keeper->lock);
+    if (keeper->next_read == 0 || keeper->next_read > now + 2 * round) {
+        keeper->next_read = now + (int64_t)(g_random_double() * (double)round);
+    }
+    bool begin = !keeper->stopped && !keeper->reading &&
+                 keeper->current != NULL && now >= keeper->next_read;
+    if (begin) {
+        keeper->reading = true;
+        keeper->next_read = now + round;
+        keeper_ref(keeper);
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    if (begin) {
+        ch_kv_call_get(node, CONFIG_KEY, read_done, keeper);
+    }
+}
+
 /* ---- from other nodes: pull and push ---- */
 
 /* Takes a frame's ConfigPush into force. */
@@ -500,13 +568,14 @@
 
 /* ---- the tick ---- */
 
-/* Every second: watch if it falls to this node, read or ask while nothing is
- * known.  Only watchers and nodes without a configuration call the service. */
+/* Every TICK: watch if it falls to this node, read if it is its turn, read or
+ * ask while nothing is known. */
 static void
 tick(void *data)
 {
     struct ch_config_keeper *keeper = data;
     begin_call(keeper);
+    read_in_turn(keeper);
     ask_others(keeper);
     pthread_mutex_lock(&keeper->lock);
     bool again = !keeper->stopped;
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -22,7 +22,10 @@
 
 enum {
     TICK = 100 * 1000,
-    WATCH_WAIT = 20 * 1000 * 1000,
+    /* As long as a leaving upstream may get new work, less what it takes to
+     * tell of it: see the configuration's watches for why they are short. */
+    LEAST_WATCH = 1500 * 1000,
+    MOST_WATCH = 2500 * 1000,
     FIRST_PAUSE = 250 * 1000,
     MOST_PAUSE = 2 * 1000 * 1000,
     /* A node's own entry goes this long after its last renewal.  Whether a
@@ -459,8 +462,12 @@
         feed->pause = 0;
         return;
     }
+    /* After a watch that failed all is read anew.  A service that drops
+     * history also cuts its watches, and may take the next one from before the
+     * gap without a word: an upstream that began to leave in it would get work
+     * until it is gone. */
+    feed->at = 0;
     if (code == CH_KV_HISTORY_GONE) {
-        feed->at = 0;
         return;
     }
     if (feed->troubled == 0 || feed->pause == 0) {
@@ -563,7 +570,8 @@
         ch_kv_call_range(roster->node, feed->prefix, range_done, feed);
     }
     else {
-        ch_kv_call_changes(roster->node, feed->prefix, at, WATCH_WAIT,
+        ch_kv_call_changes(roster->node, feed->prefix, at,
+                           g_random_int_range(LEAST_WATCH, MOST_WATCH),
                            changes_done, feed);
     }
 }
--- /dev/null
+++ b/tests/threaded/test_roster.c
@@ -0,0 +1,289 @@
+/*
+ * What a node reads of the key-value service to know who is there and what is
+ * in force, against a fake service whose watches fail.
+ */
+
+#include "decide/revision.h"
+#include "node/dialect.h"
+#include "node/roster.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#define PREFIX "hosts/"
+
+enum {
+    MOST_STEPS = 8,
+};
+
+/* Calls that ask for upstreams: 'R' for all, 'C' for what changed. */
+static struct {
+    struct ch_kv kv;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    char steps[MOST_STEPS + 1];
+    const enum ch_code *watches; /* their answers in turn, the last repeated */
+    size_t watched;
+} world;
+
+/* Notes a step; the number of those before it. */
+static void
+note(char step)
+{
+    pthread_mutex_lock(&world.lock);
+    size_t count = strlen(world.steps);
+    if (count < MOST_STEPS) {
+        world.steps[count] = step;
+    }
+    pthread_cond_broadcast(&world.changed);
+    pthread_mutex_unlock(&world.lock);
+}
+
+static void
+fake_range(struct ch_kv *kv, const char *prefix,
+           void (*done)(void *data, const struct ch_kv_range *range),
+           void *data)
+{
+    (void)kv;
+    const struct ch_kv_range range = {.code = CH_OK, .at = 10};
+    if (strcmp(prefix, PREFIX) == 0) {
+        note('R');
+    }
+    done(data, &range);
+}
+
+static void
+fake_changes(struct ch_kv *kv, const char *prefix, uint64_t after,
+             int64_t wait,
+             void (*done)(void *data, const struct ch_kv_range *range),
+             void *data)
+{
+    (void)kv, (void)after, (void)wait;
+    struct ch_kv_range range = {.code = CH_KV_UNREACHABLE};
+    if (strcmp(prefix, PREFIX) == 0) {
+        note('C');
+        range.code = world.watches[world.watched];
+        range.at = 10;
+        world.watched++;
+    }
+    done(data, &range);
+}
+
+static void
+fake_lease(struct ch_kv *kv, int64_t ttl,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    (void)kv, (void)ttl;
+    const struct ch_kv_answer answer = {.code = CH_KV_UNREACHABLE};
+    done(data, &answer);
+}
+
+static void
+drop_line(void *data, const char *line, size_t length)
+{
+    (void)data, (void)line, (void)length;
+}
+
+static void
+ignore(void *data)
+{
+    (void)data;
+}
+
+static const struct {
+    const char *what;
+    enum ch_code watches[3];
+    const char *steps;
+} rows[] = {
+    {"nothing changes", {CH_KV_MISSING, CH_KV_MISSING, CH_KV_MISSING}, "RCC"},
+    {"a watch is cut",
+     {CH_KV_UNREACHABLE, CH_KV_MISSING, CH_KV_MISSING},
+     "RCRC"},
+    {"the history is gone",
+     {CH_KV_HISTORY_GONE, CH_KV_MISSING, CH_KV_MISSING},
+     "RCRC"},
+};
+
+/*
+ * A worker that is leaving gets new work, seconds after it said so.  The
+ * service dropped its history while it cut the watches; the next watch from
+ * the same revision was taken, but what was dropped did not come again.  After
+ * a watch that failed all is read anew.
+ */
+static void
+test_watches(void)
+{
+    static const struct ch_kv_ops ops = {
+        .range = fake_range,
+        .changes = fake_changes,
+        .lease = fake_lease,
+    };
+    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct ch_client client;
+        struct ch_error error = {0};
+        struct ch_settings settings = {
+            .name = "n1",
+            .region = "r1",
+            .data_centre = "a",
+            .peers = "127.0.0.1:0",
+            .callers = "127.0.0.1:0",
+            .peer_silent_ms = 600,
+            .idle_connection_ms = 60000,
+        };
+        g_test_message("%s", rows[i].what);
+        ch_client_init(&client, "n1");
+        client.log_write = drop_line;
+        client.metrics = ch_metrics_new();
+        world.kv.ops = &ops;
+        world.watches = rows[i].watches;
+        world.watched = 0;
+        memset(world.steps, 0, sizeof(world.steps));
+        struct ch_node node = {
+            .client = &client,
+            .settings = &settings,
+            .dialect = &dialect,
+            .kv = &world.kv,
+            .incarnation = 1,
+            .pool = ch_pool_new(2),
+        };
+        node.timers = ch_timers_new(node.pool);
+        node.peers = ch_peers_new(&node, &error);
+        g_assert_nonnull(node.peers);
+        struct ch_roster *roster = ch_roster_new(&node, ignore, NULL);
+        ch_roster_start(roster);
+        size_t count = strlen(rows[i].steps);
+        pthread_mutex_lock(&world.lock);
+        while (strlen(world.steps) < count) {
+            pthread_cond_wait(&world.changed, &world.lock);
+        }
+        g_assert_true(g_str_has_prefix(world.steps, rows[i].steps));
+        pthread_mutex_unlock(&world.lock);
+        ch_roster_stop(roster);
+        ch_peers_stop(node.peers);
+        ch_timers_stop(node.timers);
+        ch_pool_free(node.pool);
+        ch_timers_free(node.timers);
+        ch_roster_free(roster);
+        ch_peers_free(node.peers);
+        ch_metrics_free(client.metrics);
+    }
+}
+
+/* ---- a change that no watch brings ---- */
+
+/* The configuration, at a revision that grows with each read. */
+static void
+get_next(struct ch_kv *kv, const char *key,
+         void (*done)(void *data, const struct ch_kv_answer *answer),
+         void *data)
+{
+    (void)kv, (void)key;
+    struct ch_revision_record *record =
+        ch_revision_record_new("t", "a",
+                               "[class c]\nhost = h\npath = /x/\nshares = "
+                               "s:1\nanswer-ms = 1000\n[service s]\n",
+                               NULL, 0);
+    char *bytes = ch_revision_record_print(record);
+    pthread_mutex_lock(&world.lock);
+    world.watched++;
+    struct ch_kv_answer answer = {
+        .code = CH_OK,
+        .value = bytes,
+        .length = strlen(bytes),
+        .revision = world.watched,
+    };
+    pthread_mutex_unlock(&world.lock);
+    done(data, &answer);
+    g_free(bytes);
+    ch_revision_record_free(record);
+}
+
+/* Brings what there is first, and nothing after. */
+static void
+watch_nothing(struct ch_kv *kv, const char *key, uint64_t revision,
+              int64_t wait,
+              void (*done)(void *data, const struct ch_kv_answer *answer),
+              void *data)
+{
+    (void)wait;
+    if (revision == 0) {
+        get_next(kv, key, done, data);
+        return;
+    }
+    const struct ch_kv_answer answer = {.code = CH_KV_MISSING};
+    done(data, &answer);
+}
+
+/*
+ * An accepted route is refused as unknown for six seconds: two of the three
+ * nodes that watch were turned away by the service, which then left the change
+ * out of the third one's watch.  Each node also reads in its turn.
+ */
+static void
+test_left_out(void)
+{
+    static const struct ch_kv_ops ops = {
+        .get = get_next,
+        .watch = watch_nothing,
+    };
+    struct ch_client client;
+    struct ch_error error = {0};
+    struct ch_settings settings = {
+        .name = "n1",
+        .region = "r1",
+        .data_centre = "a",
+        .peers = "127.0.0.1:0",
+        .peer_silent_ms = 600,
+        .idle_connection_ms = 60000,
+    };
+    ch_client_init(&client, "n1");
+    client.log_write = drop_line;
+    client.metrics = ch_metrics_new();
+    world.kv.ops = &ops;
+    world.watched = 0;
+    struct ch_node node = {
+        .client = &client,
+        .settings = &settings,
+        .kv = &world.kv,
+        .incarnation = 1,
+        .pool = ch_pool_new(2),
+    };
+    node.timers = ch_timers_new(node.pool);
+    node.peers = ch_peers_new(&node, &error);
+    g_assert_nonnull(node.peers);
+    struct ch_config_keeper *keeper = ch_config_keeper_new(&node);
+    node.config = keeper;
+    ch_config_keeper_start(keeper);
+    uint64_t revision = 0;
+    for (int64_t until = g_get_monotonic_time() + 3000000L;
+         revision < 2 && g_get_monotonic_time() < until;) {
+        g_usleep(10000);
+        struct ch_config *config = ch_config_keeper_current(keeper);
+        revision = config == NULL ? 0 : config->revision;
+        if (config != NULL) {
+            ch_config_unref(config);
+        }
+    }
+    g_assert_cmpuint(revision, >=, 2);
+    ch_config_keeper_stop(keeper);
+    ch_peers_stop(node.peers);
+    ch_timers_stop(node.timers);
+    ch_pool_free(node.pool);
+    ch_timers_free(node.timers);
+    ch_config_keeper_free(keeper);
+    ch_peers_free(node.peers);
+    ch_metrics_free(client.metrics);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    pthread_mutex_init(&world.lock, NULL);
+    pthread_cond_init(&world.changed, NULL);
+    g_test_add_func("/roster/watches", test_watches);
+    g_test_add_func("/roster/left-out", test_left_out);
+    return g_test_run();
+}
--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -22,8 +22,12 @@
     pthread_t thread;
     const char *const *answers;
     GString *asked;
+    int held; /* a connection that stays open without an answer; 0: none */
 };
 
+/* In place of an answer: the connection falls silent. */
+static const char silence[] = "silence";
+
 /* Reads up to the end of a request with its stated body. */
 static void
 read_request(struct server *server, int fd)
@@ -58,6 +62,10 @@
             return NULL;
         }
         read_request(server, fd);
+        if (server->answers[i] == silence) {
+            server->held = fd;
+            continue;
+        }
         ssize_t sent = send(fd, server->answers[i], strlen(server->answers[i]),
                             MSG_NOSIGNAL);
         (void)sent;
@@ -94,6 +102,9 @@
     shutdown(server->listener, SHUT_RDWR);
     pthread_join(server->thread, NULL);
     close(server->listener);
+    if (server->held > 0) {
+        close(server->held);
+    }
 }
 
 /* ---- one call and its result ---- */
@@ -422,6 +433,50 @@
     }
 }
 
+/*
+ * An accepted configuration is in force nowhere for sixteen seconds: the
+ * connections of all nodes that watched the store had fallen silent just
+ * before, and each watch was given up only with its long wait and the limit of
+ * a call after it.  A watch that is not answered soon after its wait is over
+ * has lost its connection.  And the configuration is read before it is watched
+ * again: the store may have dropped what a watch from there would bring.
+ */
+static void
+test_silent_watch(void)
+{
+    const char *answers[] = {OK_JSON(CONFIG), silence, OK_JSON(CONFIG), NULL};
+    struct server server;
+    struct result result;
+    struct ch_client client;
+    client_init(&client);
+    server_start(&server, answers);
+    struct ch_http *http = ch_http_new(&client);
+    g_autofree char *address = g_strdup_printf("127.0.0.1:%d", server.port);
+    struct ch_kv *kv = platform_store_new(&client, http, address, 4000000L);
+    result_init(&result);
+    make_call(kv, GET_CONFIG, &result);
+    wait_done(&result);
+    result_clear(&result);
+    result_init(&result);
+    int64_t began = g_get_monotonic_time();
+    make_call(kv, WATCH_CONFIG, &result);
+    wait_done(&result);
+    g_assert_cmpint(result.code, ==, CH_KV_UNREACHABLE);
+    g_assert_cmpint(g_get_monotonic_time() - began, <, 2000000);
+    result_clear(&result);
+    result_init(&result);
+    make_call(kv, WATCH_CONFIG, &result);
+    wait_done(&result);
+    g_assert_cmpint(result.code, ==, CH_OK);
+    g_assert_cmpuint(result.revision, ==, 9);
+    ch_http_free(http);
+    server_join(&server);
+    kv->ops->free(kv);
+    ch_metrics_free(client.metrics);
+    g_string_free(server.asked, TRUE);
+    result_clear(&result);
+}
+
 /* ---- a worker ---- */
 
 #define ANSWER(status, id, more, body)                                        \
@@ -651,6 +706,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/store/silent-watch", test_silent_watch);
     g_test_add_func("/store/calls", test_store);
     g_test_add_func("/store/worker", test_worker);
     g_test_add_func("/store/orders", test_orders);
