--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -269,30 +269,14 @@
     keeper_unref(keeper);
 }
 
-/* True when this node is one of the few that watch. */
-static bool
-is_watcher(struct ch_config_keeper *keeper)
-{
-    struct ch_node *node = keeper->node;
-    for (int i = 0; i < WATCHERS; i++) {
-        char key[32];
-        (void)g_snprintf(key, sizeof(key), "config-watch-%d", i);
-        g_autofree char *home =
-            ch_peers_home(node->peers, ch_hash_string(key), NULL);
-        if (g_strcmp0(home, node->settings->name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Begins a watch, or on other nodes a read while nothing is known, unless one
  * is under way or the service is given time. */
 static void
 begin_call(struct ch_config_keeper *keeper)
 {
     struct ch_node *node = keeper->node;
-    bool watcher = is_watcher(keeper);
+    bool watcher = ch_peers_has_role(node->peers, node->settings,
+                                     "config-watch", WATCHERS, NULL);
     pthread_mutex_lock(&keeper->lock);
     uint64_t revision =
         keeper->current == NULL ? 0 : keeper->current->revision;
@@ -428,23 +412,6 @@
     }
 }
 
-/* Whether this node is one of its region's that pull from others at once. */
-static bool
-is_entry(struct ch_config_keeper *keeper)
-{
-    struct ch_node *node = keeper->node;
-    for (int i = 0; i < ENTRIES; i++) {
-        char key[32];
-        (void)g_snprintf(key, sizeof(key), "config-entry-%d", i);
-        g_autofree char *home = ch_peers_upstream_home(
-            node->peers, ch_hash_string(key), node->settings->region, "");
-        if (g_strcmp0(home, node->settings->name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /*
  * Load: a new configuration, which every node needs within seconds.  Harm
  * prevented: a copy for each node over the link between regions, which fills
@@ -456,10 +423,14 @@
 may_pull_from(struct ch_config_keeper *keeper, uint64_t revision,
               const char *from)
 {
-    if (ch_peers_is_near(keeper->node->peers, from) || is_entry(keeper)) {
+    const struct ch_node *node = keeper->node;
+    const struct ch_settings *own = node->settings;
+    if (ch_peers_is_near(node->peers, from) ||
+        ch_peers_has_role(node->peers, own, "config-entry", ENTRIES,
+                          own->region)) {
         return true;
     }
-    int64_t now = ch_client_now(keeper->node->client);
+    int64_t now = ch_client_now(node->client);
     pthread_mutex_lock(&keeper->lock);
     if (ch_revision_newer(keeper->far_revision, revision)) {
         keeper->far_revision = revision;
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -109,6 +109,13 @@
    while it is not ready and another node still serves. */
 bool ch_peers_is_home(struct ch_peers *peers, uint64_t key, const char *region,
                       const char *data_centre, bool *becomes);
+/*
+ * Whether this node is one of `count` that do something for all others: each
+ * the home of a key made of the role's name and its number.  region NULL: of
+ * all nodes; else of those of a region.  (peers_role.c)
+ */
+bool ch_peers_has_role(struct ch_peers *peers, const struct ch_settings *own,
+                       const char *role, unsigned count, const char *region);
 /* Whether a node is of this node's region; true for one that is not known. */
 bool ch_peers_is_near(struct ch_peers *peers, const char *name);
 /* The same number for as long as no home can have moved. */
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -451,7 +451,16 @@
 
 /* ---- calls ---- */
 
-static void begin_call(struct feed *feed);
+/* True when this node is one of the few that watch. */
+static bool
+is_watcher(const struct ch_roster *roster)
+{
+    const struct ch_node *node = roster->node;
+    return ch_peers_has_role(node->peers, node->settings, "roster-watch",
+                             WATCHERS, NULL);
+}
+
+static void begin_call(struct feed *feed, bool watcher);
 
 /* Notes how a call went, and when the next may begin.  Lock held. */
 static void
@@ -507,7 +516,7 @@
         }
         roster->changed(roster->data);
     }
-    begin_call(feed);
+    begin_call(feed, is_watcher(roster));
     roster_unref(roster);
 }
 
@@ -525,32 +534,14 @@
     call_done(data, range, false);
 }
 
-/* True when this node is one of the few that watch. */
-static bool
-is_watcher(struct ch_roster *roster)
-{
-    struct ch_node *node = roster->node;
-    for (int i = 0; i < WATCHERS; i++) {
-        char key[32];
-        (void)g_snprintf(key, sizeof(key), "roster-watch-%d", i);
-        g_autofree char *home =
-            ch_peers_home(node->peers, ch_hash_string(key), NULL);
-        if (g_strcmp0(home, node->settings->name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Begins a range while nothing is known, or where nothing was told for long;
  * on a node that watches, a watch; unless a call is under way or the service
  * is given time. */
 static void
-begin_call(struct feed *feed)
+begin_call(struct feed *feed, bool watcher)
 {
     struct ch_roster *roster = feed->roster;
     int64_t now = ch_client_now(roster->node->client);
-    bool watcher = is_watcher(roster);
     pthread_mutex_lock(&roster->lock);
     if (!watcher && now - feed->heard >= UNTOLD) {
         feed->at = 0; /* whatever was missed is in a range */
@@ -955,8 +946,8 @@
     struct ch_roster *roster = data;
     int64_t now = ch_client_now(roster->node->client);
     bool watcher = is_watcher(roster);
-    begin_call(&roster->upstreams);
-    begin_call(&roster->nodes);
+    begin_call(&roster->upstreams, watcher);
+    begin_call(&roster->nodes, watcher);
     tell_others(&roster->upstreams, watcher, now);
     tell_others(&roster->nodes, watcher, now);
     keep_own(roster, now);
