Orders and reports asked in one place; the holder's round does its sums once

A holder added up the loads twice in a tick (for near and for far nodes); looked for the largest adapter of all models once for each engine; and asked all engines for each adapter of each model whether it stands anywhere. At 1,900 engines the last alone would have been some hundred million looks in a quarter second (by count, not measured). Each is done once a round now, the last as a set. The table of demands is made with the controller, so that three checks for it go. Behaviour as it was, but that an adapter which is given up within the round is tried again in the next one.

--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -96,14 +96,13 @@
     GPtrArray *far = g_ptr_array_new_with_free_func(g_free);
     ch_peers_others(controller->node->peers, near, far);
     *foreign = strcmp(centre, settings->data_centre) != 0;
-    GPtrArray *names = near;
     for (guint i = 0; *foreign && i < far->len; i++) {
         g_ptr_array_add(near, g_strdup(g_ptr_array_index(far, i)));
     }
-    g_ptr_array_add(names, g_strdup(settings->name));
-    g_ptr_array_sort_with_data(names, by_weight, &key);
+    g_ptr_array_add(near, g_strdup(settings->name));
+    g_ptr_array_sort_with_data(near, by_weight, &key);
     guint rank = 0;
-    while (strcmp(g_ptr_array_index(names, rank), settings->name) != 0) {
+    while (strcmp(g_ptr_array_index(near, rank), settings->name) != 0) {
         rank++;
     }
     g_ptr_array_free(near, TRUE);
@@ -271,18 +270,21 @@
     }
 }
 
+/* Whether something is to be told now. */
+static bool
+is_due(const struct tell_times *times, int64_t now)
+{
+    return now >= MIN(times->next, times->next_whole);
+}
+
 /* Tells nodes near or far what changed, or all, of the engines that this node
  * orders. */
 static void
 tell(struct ch_controller *controller, struct duty *duty, uint64_t fence,
      bool near, int64_t now)
 {
-    struct telling *telling = near ? &duty->near : &duty->far;
-    bool whole = now >= telling->next_whole;
-    if (now < telling->next && !whole) {
-        return;
-    }
-    controller_sum_loads(controller, duty, now);
+    struct tell_times *times = near ? &duty->near : &duty->far;
+    bool whole = now >= times->next_whole;
     GPtrArray *states = g_ptr_array_new_with_free_func(free_state);
     add_states(controller, duty, whole, near, states);
     if (whole || states->len > 0 || !near) {
@@ -296,10 +298,10 @@
         frame.body_case = WIRE(FRAME__BODY_ENGINES);
         frame.engines = &engines;
         send_to_all(controller, near, &frame);
-        telling->next = now + (near ? TELL : TELL_FAR);
+        times->next = now + (near ? TELL : TELL_FAR);
     }
     if (whole) {
-        telling->next_whole = now + (near ? TELL_WHOLE : TELL_WHOLE_FAR);
+        times->next_whole = now + (near ? TELL_WHOLE : TELL_WHOLE_FAR);
     }
     g_ptr_array_free(states, TRUE);
 }
@@ -729,8 +731,17 @@
         controller_arrange(controller, duty, now);
         controller_fill_places(controller, duty, now);
     }
-    tell(controller, duty, fence, true, now);
-    tell(controller, duty, fence, false, now);
+    bool near = is_due(&duty->near, now);
+    bool far = is_due(&duty->far, now);
+    if (near || far) {
+        controller_sum_loads(controller, duty, now);
+    }
+    if (near) {
+        tell(controller, duty, fence, true, now);
+    }
+    if (far) {
+        tell(controller, duty, fence, false, now);
+    }
 }
 
 /* Every TICK. */
@@ -820,6 +831,7 @@
     pthread_cond_init(&controller->idle, NULL);
     controller->engines = g_hash_table_new_full(NULL, NULL, NULL, drop_engine);
     controller->duties = g_hash_table_new_full(NULL, NULL, NULL, free_duty);
+    controller->demands = controller_demands_new();
     controller->smoothed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     ch_peers_handle(node->peers, WIRE(FRAME__BODY_ENGINES), handle_engines,
                     controller);
@@ -879,9 +891,7 @@
     }
     g_hash_table_destroy(controller->engines);
     g_hash_table_destroy(controller->duties);
-    if (controller->demands != NULL) {
-        g_hash_table_destroy(controller->demands);
-    }
+    g_hash_table_destroy(controller->demands);
     g_hash_table_destroy(controller->smoothed);
     pthread_mutex_destroy(&controller->lock);
     pthread_cond_destroy(&controller->idle);
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -23,9 +23,6 @@
     ADAPTER_RECENT = 1500 * 1000,
     /* A load that no report shows as begun has failed. */
     LOAD_LOST = 1500 * 1000,
-    /* Adapters of which an engine has memory beside its models: as many as
-     * there are places, each the largest of any model. */
-    USUAL_ADAPTER_MB = 100,
 };
 
 /* ---- facts ---- */
@@ -68,19 +65,9 @@
 
 /* See controller_internal.h. */
 uint32_t
-engine_reserve(const struct controller_engine *engine)
+engine_reserve(const struct controller_engine *engine, uint32_t adapter_mb)
 {
-    struct ch_config *config = NULL;
-    const struct ch_service *service = service_of(engine, &config);
-    uint32_t largest = USUAL_ADAPTER_MB;
-    for (size_t i = 0; config != NULL && i < config->declaration->model_count;
-         i++) {
-        largest =
-            MAX(largest, config->declaration->models[i].adapter_memory_mb);
-    }
-    uint32_t reserve = service == NULL ? 0 : service->adapter_places * largest;
-    ch_config_unref(config);
-    return reserve;
+    return engine_adapter_places(engine) * adapter_mb;
 }
 
 /* The memory of a model or adapter by a configuration. */
@@ -692,8 +679,7 @@
     struct controller_engine *engine;
     uint64_t boot;
     int64_t asked;
-    enum ch_code code;
-    struct ch_report *report;
+    struct ch_report *report; /* NULL: none came */
 };
 
 /* Whether a report lists a name. */
@@ -831,7 +817,7 @@
 report_done(void *data, enum ch_code code, struct ch_report *report)
 {
     struct report_job *job = data;
-    job->code = code;
+    (void)code;
     job->report = report;
     ch_pool_submit(job->controller->node->pool, run_report, job);
 }
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -78,7 +78,7 @@
 };
 
 /* When what a holder knows of its engines is told next. */
-struct telling {
+struct tell_times {
     int64_t next;
     int64_t next_whole;
 };
@@ -92,8 +92,8 @@
     int64_t heard;
     bool was_held;
     int64_t held_since;
-    struct telling near; /* to nodes of this region */
-    struct telling far;  /* to all others */
+    struct tell_times near; /* to nodes of this region */
+    struct tell_times far;  /* to all others */
     int64_t next_arrange;
     struct ch_bucket loads; /* of models from the weight store */
 };
@@ -166,11 +166,13 @@
 /* Memory of the engine for weights; 0: unknown. */
 uint32_t engine_memory(const struct controller_engine *engine);
 /* Memory kept for adapters. */
-uint32_t engine_reserve(const struct controller_engine *engine);
+uint32_t engine_reserve(const struct controller_engine *engine,
+                        uint32_t adapter_mb);
 
 /* ---- controller_models.c; lock held ---- */
 
 /* Takes a node's word on what it asks for. */
+GHashTable *controller_demands_new(void);
 void controller_take_demand(struct ch_controller *controller, const char *from,
                             const Chestnuthitch__Wire__Demand *demand,
                             int64_t now);
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -19,6 +19,8 @@
     PLEDGE = 8 * 1000 * 1000,
     /* Places on an engine that stay free for adapters which are asked for. */
     SPARE_PLACES = 1,
+    /* Memory of an adapter where no model states more. */
+    USUAL_ADAPTER_MB = 100,
     MOST_ADAPTER_NAME = 96, /* a model's name has 64 bytes at most */
 };
 
@@ -34,6 +36,13 @@
     g_free(demand);
 }
 
+/* What nodes told, by the node's name and the data centre. */
+GHashTable *
+controller_demands_new(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
+}
+
 /* See controller_internal.h. */
 void
 controller_take_demand(struct ch_controller *controller, const char *from,
@@ -62,10 +71,6 @@
         };
         g_array_append_val(told->loads, load);
     }
-    if (controller->demands == NULL) {
-        controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                                    g_free, free_demand);
-    }
     g_hash_table_replace(controller->demands,
                          g_strconcat(from, " ", demand->data_centre, NULL),
                          told);
@@ -79,9 +84,6 @@
     GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     GHashTableIter iterator;
     gpointer value = NULL;
-    if (controller->demands == NULL) {
-        return sums;
-    }
     g_hash_table_iter_init(&iterator, controller->demands);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct node_demand *told = value;
@@ -135,9 +137,6 @@
             engine->load_unread = 0;
         }
     }
-    if (controller->demands == NULL) {
-        return;
-    }
     g_hash_table_iter_init(&iterator, controller->demands);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct node_demand *told = value;
@@ -189,7 +188,7 @@
 /* Adds an engine with its models. */
 static void
 add_engine(struct picture *picture, const struct controller_engine *engine,
-           const struct duty *duty, int64_t now)
+           const struct duty *duty, uint32_t adapter_mb, int64_t now)
 {
     GArray *items = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_item));
     for (guint i = 0; i < engine->items->len; i++) {
@@ -209,7 +208,7 @@
         .open = engine_is_open(engine, now),
         .leaving = engine->leaving,
         .memory_mb = engine_memory(engine),
-        .reserve_mb = engine_reserve(engine),
+        .reserve_mb = engine_reserve(engine, adapter_mb),
         .items = (const struct ch_arrange_item *)(void *)items->data,
         .item_count = items->len,
         .copies = (const GQuark *)(void *)engine->copies->data,
@@ -248,6 +247,17 @@
     g_array_append_val(picture->models, entry);
 }
 
+/* The memory to count on for an adapter: the largest of any model. */
+static uint32_t
+largest_adapter(const struct ch_declaration *declaration)
+{
+    uint32_t largest = USUAL_ADAPTER_MB;
+    for (size_t i = 0; i < declaration->model_count; i++) {
+        largest = MAX(largest, declaration->models[i].adapter_memory_mb);
+    }
+    return largest;
+}
+
 /* For g_ptr_array_new_with_free_func. */
 static void
 free_list(void *data)
@@ -318,6 +328,7 @@
         return;
     }
     smooth(controller, duty, now);
+    uint32_t adapter_mb = largest_adapter(config->declaration);
     struct picture picture = {
         .engines = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_engine)),
         .models = g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_model)),
@@ -327,7 +338,7 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, controller->engines);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        add_engine(&picture, value, duty, now);
+        add_engine(&picture, value, duty, adapter_mb, now);
     }
     for (size_t i = 0; i < config->declaration->model_count; i++) {
         add_model(&picture, controller, config->declaration, i);
@@ -359,32 +370,36 @@
 
 /* ---- adapters before they are asked for ---- */
 
-/* Engines that have an adapter or are loading it. */
-static unsigned
-adapter_replicas(struct ch_controller *controller, GQuark adapter)
+/* The adapters that some engine has or is loading; GQuark to itself. */
+static GHashTable *
+standing_adapters(const struct ch_controller *controller)
 {
-    unsigned count = 0;
+    GHashTable *standing = g_hash_table_new(NULL, NULL);
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, controller->engines);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct controller_engine *engine = value;
-        if (!engine->leaving && engine_item(engine, adapter) != NULL) {
-            count++;
+        const struct controller_engine *engine = value;
+        for (guint i = 0; !engine->leaving && i < engine->items->len; i++) {
+            const struct item *item =
+                &g_array_index(engine->items, struct item, i);
+            if (item->model != 0) {
+                g_hash_table_add(standing, GUINT_TO_POINTER(item->name));
+            }
         }
     }
-    return count;
+    return standing;
 }
 
 /* The adapter of a model that stands nowhere, if there is one; 0: none. */
 static GQuark
-missing_adapter(struct ch_controller *controller, const struct ch_model *model)
+missing_adapter(GHashTable *standing, const struct ch_model *model)
 {
     char name[MOST_ADAPTER_NAME];
     for (unsigned i = 1; i <= model->numbered_adapters; i++) {
         (void)g_snprintf(name, sizeof(name), "%s/a%u", model->name, i);
         GQuark adapter = g_quark_from_string(name);
-        if (adapter_replicas(controller, adapter) == 0) {
+        if (!g_hash_table_contains(standing, GUINT_TO_POINTER(adapter))) {
             return adapter;
         }
     }
@@ -405,9 +420,9 @@
 
 /* Begins to load one adapter on an engine that has places free. */
 static void
-fill_places(struct ch_controller *controller, struct duty *duty,
-            struct controller_engine *engine,
-            const struct ch_declaration *declaration, int64_t now)
+fill_places(struct duty *duty, struct controller_engine *engine,
+            const struct ch_declaration *declaration, GHashTable *standing,
+            int64_t now)
 {
     if (!engine_is_open(engine, now) || engine->ordering ||
         places_taken(engine) + SPARE_PLACES >= engine_adapter_places(engine)) {
@@ -420,11 +435,12 @@
         if (item == NULL || item->state != CH_ITEM_RESIDENT) {
             continue;
         }
-        GQuark adapter = missing_adapter(controller, model);
+        GQuark adapter = missing_adapter(standing, model);
         if (adapter != 0) {
             struct item *added =
                 engine_add_item(engine, adapter, name, CH_ITEM_LOADING, now);
             added->used = 0;
+            g_hash_table_add(standing, GUINT_TO_POINTER(adapter));
             engine_pump(engine, duty, now);
             return;
         }
@@ -450,12 +466,14 @@
     if (config == NULL) {
         return;
     }
+    GHashTable *standing = standing_adapters(controller);
     g_hash_table_iter_init(&iterator, controller->engines);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controller_engine *engine = value;
         if (engine->data_centre == duty->data_centre) {
-            fill_places(controller, duty, engine, config->declaration, now);
+            fill_places(duty, engine, config->declaration, standing, now);
         }
     }
+    g_hash_table_destroy(standing);
     ch_config_unref(config);
 }
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -1,17 +1,12 @@
 /* The client of a model engine: calls, orders and reports over HTTP. */
 
+#include "upstream/ask.h"
 #include "upstream/call.h"
 #include "upstream/report.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-enum {
-    /* Of a report: some hundred residents and orders of a hundred bytes. */
-    MOST_REPORT = 1024 * 1024,
-    MOST_ORDER_ANSWER = 64 * 1024,
-};
-
 struct engine {
     struct ch_upstream base;
     struct ch_client *client;
@@ -43,24 +38,11 @@
     ch_http_cancel(engine->http, handle);
 }
 
-/* An order under way: who is to be told. */
-struct order_wait {
-    void (*done)(void *data, enum ch_code code);
-    void *data;
-};
-
-/*
- * The code for an order's answer.  What is not one of the agreed statuses says
- * nothing of whether the order was taken, nor does a lost answer: those are
- * unknown outcomes.
- */
+/* The code for an order's answer, by its status. */
 static enum ch_code
-code_of_order(const struct ch_http_answer *answer)
+code_of_order(int status)
 {
-    if (answer->end.code != CH_OK) {
-        return answer->end.sent ? answer->end.code : CH_UPSTREAM_CONNECT;
-    }
-    switch (answer->end.status) {
+    switch (status) {
     case 200:
     case 202:
         return CH_OK;
@@ -73,15 +55,6 @@
     }
 }
 
-/* The answer to an order, or what kept it from coming. */
-static void
-order_answered(void *data, const struct ch_http_answer *answer)
-{
-    struct order_wait *wait = data;
-    wait->done(wait->data, code_of_order(answer));
-    g_free(wait);
-}
-
 /* The JSON of an order; a new string. */
 static char *
 print_order(const struct ch_order *order)
@@ -118,9 +91,6 @@
     static const struct ch_http_header headers[] = {
         {"Content-Type", "application/json"},
     };
-    struct order_wait *wait = g_new0(struct order_wait, 1);
-    wait->done = done;
-    wait->data = data;
     char *url = g_strdup_printf("http://%s/v1/orders", engine->address);
     char *body = print_order(order);
     struct ch_http_request request = {
@@ -136,36 +106,11 @@
         .total_limit = engine->call_limit,
         .fresh_connection = true,
     };
-    ch_http_fetch(engine->http, &request, MOST_ORDER_ANSWER, order_answered,
-                  wait);
+    ch_ask_order(engine->http, &request, code_of_order, done, data);
     g_free(url);
     g_free(body);
 }
 
-/* A report under way: who is to be told. */
-struct report_wait {
-    void (*done)(void *data, enum ch_code code, struct ch_report *report);
-    void *data;
-};
-
-/* The answer to GET /v1/load, or what kept it from coming. */
-static void
-report_answered(void *data, const struct ch_http_answer *answer)
-{
-    struct report_wait *wait = data;
-    struct ch_error error = {.code = answer->end.code};
-    struct ch_report *report = NULL;
-    if (error.code == CH_OK && answer->end.status != 200) {
-        ch_error_set(&error, CH_UPSTREAM_ANSWER, "report: status %d",
-                     answer->end.status);
-    }
-    if (error.code == CH_OK) {
-        report = ch_report_parse(answer->body, answer->length, &error);
-    }
-    wait->done(wait->data, error.code, report);
-    g_free(wait);
-}
-
 /* Asks the engine for its report. */
 static void
 engine_report(struct ch_upstream *upstream,
@@ -174,9 +119,6 @@
               void *data)
 {
     struct engine *engine = (struct engine *)upstream;
-    struct report_wait *wait = g_new0(struct report_wait, 1);
-    wait->done = done;
-    wait->data = data;
     char *url = g_strdup_printf("http://%s/v1/load", engine->address);
     struct ch_http_request request = {
         .method = "GET",
@@ -186,7 +128,7 @@
         .stall_limit = engine->call_limit,
         .total_limit = engine->call_limit,
     };
-    ch_http_fetch(engine->http, &request, MOST_REPORT, report_answered, wait);
+    ch_ask_report(engine->http, &request, ch_report_parse, done, data);
     g_free(url);
 }
 
