One way to print a builder's JSON and to read a string member

base/json.h had only the check and the parse; ten places printed a builder in the same four lines, and eight took a string member with the same three checks, the platform's among them.

--- a/libchestnuthitch/base/json.c
+++ b/libchestnuthitch/base/json.c
@@ -121,3 +121,25 @@
                ? json_node_get_object(root)
                : NULL;
 }
+
+/* See json.h. */
+const char *
+ch_json_text(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    return node != NULL && JSON_NODE_HOLDS_VALUE(node) &&
+                   json_node_get_value_type(node) == G_TYPE_STRING
+               ? json_node_get_string(node)
+               : NULL;
+}
+
+/* See json.h. */
+char *
+ch_json_print(JsonBuilder *builder)
+{
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return text;
+}
--- a/libchestnuthitch/base/json.h
+++ b/libchestnuthitch/base/json.h
@@ -19,4 +19,10 @@
 JsonObject *ch_json_object(const char *text, size_t length,
                            JsonParser **parser);
 
+/* A member that is a string, as long as the object; NULL: it is none. */
+const char *ch_json_text(JsonObject *object, const char *name);
+
+/* What a builder holds, as a new string; the builder is given up. */
+char *ch_json_print(JsonBuilder *builder);
+
 #endif
--- a/libchestnuthitch/decide/ledger_json.c
+++ b/libchestnuthitch/decide/ledger_json.c
@@ -64,7 +64,7 @@
 char *
 ch_ledger_print(const struct ch_ledger *ledger)
 {
-    g_autoptr(JsonBuilder) builder = json_builder_new();
+    JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     add_text(builder, "upstream", ledger->upstream);
     add_int(builder, "version", ledger->version);
@@ -84,21 +84,18 @@
     }
     json_builder_end_array(builder);
     json_builder_end_object(builder);
-    g_autoptr(JsonNode) root = json_builder_get_root(builder);
-    return json_to_string(root, FALSE);
+    return ch_json_print(builder);
 }
 
 /* A member's text; NULL with an error when it is none. */
 static const char *
 read_text(JsonObject *object, const char *name, struct ch_error *error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, name);
+    if (text == NULL) {
         ch_error_set(error, CH_BAD_JSON, "ledger: '%s' is not a string", name);
-        return NULL;
     }
-    return json_node_get_string(node);
+    return text;
 }
 
 /* A member's number from 0 to most; false with an error. */
--- a/libchestnuthitch/decide/once_batch.c
+++ b/libchestnuthitch/decide/once_batch.c
@@ -102,7 +102,7 @@
 char *
 ch_once_batch_encode(const struct ch_once_batch *batch)
 {
-    g_autoptr(JsonBuilder) builder = json_builder_new();
+    JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     add_number(builder, "previous", batch->previous);
     add_text(builder, "writer", batch->writer);
@@ -113,21 +113,18 @@
     }
     json_builder_end_array(builder);
     json_builder_end_object(builder);
-    g_autoptr(JsonNode) root = json_builder_get_root(builder);
-    return json_to_string(root, FALSE);
+    return ch_json_print(builder);
 }
 
 /* A text member, valid as long as the object; NULL with an error. */
 static const char *
 read_text(JsonObject *object, const char *name, struct ch_error *error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, name);
+    if (text == NULL) {
         ch_error_set(error, CH_BAD_JSON, "once: '%s' is not a string", name);
-        return NULL;
     }
-    return json_node_get_string(node);
+    return text;
 }
 
 /* A number that was written as text; false with an error. */
--- a/libchestnuthitch/decide/revision_record.c
+++ b/libchestnuthitch/decide/revision_record.c
@@ -55,7 +55,7 @@
 char *
 ch_revision_record_print(const struct ch_revision_record *record)
 {
-    g_autoptr(JsonBuilder) builder = json_builder_new();
+    JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     add_text(builder, "token", record->token);
     add_text(builder, "author", record->author);
@@ -71,21 +71,18 @@
     }
     json_builder_end_array(builder);
     json_builder_end_object(builder);
-    g_autoptr(JsonNode) root = json_builder_get_root(builder);
-    return json_to_string(root, FALSE);
+    return ch_json_print(builder);
 }
 
 /* A copy of a text member; NULL with an error. */
 static char *
 read_text(JsonObject *object, const char *name, struct ch_error *error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, name);
+    if (text == NULL) {
         ch_error_set(error, CH_BAD_JSON, "configuration: no text '%s'", name);
-        return NULL;
     }
-    return g_strdup(json_node_get_string(node));
+    return g_strdup(text);
 }
 
 /* Fills in one past entry; false with an error. */
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -1,10 +1,10 @@
 /* The operators' listener: health, counters, status and the configuration. */
 
 #include "node/node.h"
+#include "base/json.h"
 #include "base/ini.h"
 
 #include <arpa/inet.h>
-#include <json-glib/json-glib.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <string.h>
@@ -41,17 +41,6 @@
 
 /* ---- answers ---- */
 
-/* The finished JSON of a builder in a new string. */
-static char *
-print_json(JsonBuilder *builder)
-{
-    JsonNode *root = json_builder_get_root(builder);
-    char *text = json_to_string(root, FALSE);
-    json_node_unref(root);
-    g_object_unref(builder);
-    return text;
-}
-
 /* Adds a string member. */
 static void
 add_string(JsonBuilder *builder, const char *name, const char *value)
@@ -101,7 +90,7 @@
     }
     json_builder_end_object(builder);
     g_free(message);
-    return print_json(builder);
+    return ch_json_print(builder);
 }
 
 /* Queues an answer and takes over its body. */
@@ -252,7 +241,7 @@
     add_counters(builder, node->client->metrics);
     json_builder_end_object(builder);
     json_builder_end_object(builder);
-    return send_json(request->connection, MHD_HTTP_OK, print_json(builder));
+    return send_json(request->connection, MHD_HTTP_OK, ch_json_print(builder));
 }
 
 /* A configuration as JSON in a new string. */
@@ -263,7 +252,7 @@
     json_builder_begin_object(builder);
     add_config(builder, config);
     json_builder_end_object(builder);
-    return print_json(builder);
+    return ch_json_print(builder);
 }
 
 /* The configuration in force on this node. */
--- a/libchestnuthitch/node/local.c
+++ b/libchestnuthitch/node/local.c
@@ -1,8 +1,8 @@
 /* /healthz, /readyz, /metrics and /v1/models. */
 
 #include "node/local.h"
+#include "base/json.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 /* Answers with a body that is taken over. */
@@ -135,8 +135,5 @@
     }
     json_builder_end_array(builder);
     json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    answer(reply, 200, "application/json", json_to_string(root, FALSE));
-    json_node_unref(root);
-    g_object_unref(builder);
+    answer(reply, 200, "application/json", ch_json_print(builder));
 }
--- a/libchestnuthitch/node/refusal.c
+++ b/libchestnuthitch/node/refusal.c
@@ -1,8 +1,7 @@
 /* The JSON by which callers learn why there is no answer. */
 
 #include "node/refusal.h"
-
-#include <json-glib/json-glib.h>
+#include "base/json.h"
 
 /* Adds a string member. */
 static void
@@ -41,10 +40,6 @@
     add_text(builder, "request_id", refusal->request_id);
     json_builder_end_object(builder);
     json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    char *text = json_to_string(root, FALSE);
-    json_node_unref(root);
-    g_object_unref(builder);
     g_free(valid);
-    return text;
+    return ch_json_print(builder);
 }
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -188,17 +188,6 @@
     return region != NULL ? region : g_strdup(data_centre);
 }
 
-/* A member of a node's entry; NULL: it is no text. */
-static const char *
-text_member(JsonObject *object, const char *name)
-{
-    JsonNode *node = json_object_get_member(object, name);
-    return node != NULL && JSON_NODE_HOLDS_VALUE(node) &&
-                   json_node_get_value_type(node) == G_TYPE_STRING
-               ? json_node_get_string(node)
-               : NULL;
-}
-
 /* Reads a node's entry. */
 static bool
 parse_node(const char *key, const char *value, size_t length,
@@ -210,9 +199,9 @@
         ch_error_set(error, CH_BAD_JSON, "not one JSON object");
         return false;
     }
-    const char *address = text_member(object, "address");
-    const char *data_centre = text_member(object, "data_centre");
-    const char *region = text_member(object, "region");
+    const char *address = ch_json_text(object, "address");
+    const char *data_centre = ch_json_text(object, "data_centre");
+    const char *region = ch_json_text(object, "region");
     if (data_centre == NULL || region == NULL || address == NULL ||
         !ch_address_check(address, error)) {
         ch_error_set(error, CH_BAD_FIELD, "not a node's entry");
@@ -831,11 +820,7 @@
     json_builder_set_member_name(builder, "region");
     json_builder_add_string_value(builder, settings->region);
     json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    char *text = json_to_string(root, FALSE);
-    json_node_unref(root);
-    g_object_unref(builder);
-    return text;
+    return ch_json_print(builder);
 }
 
 /* The entry was written, or another is in the way: an earlier process of this
--- a/libchestnuthitch/platform/hosts.c
+++ b/libchestnuthitch/platform/hosts.c
@@ -17,14 +17,12 @@
 static const char *
 string_member(JsonObject *object, const char *name, struct ch_error *error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, name);
+    if (text == NULL) {
         ch_error_set(error, CH_BAD_JSON, "host list: '%s' is not a string",
                      name);
         return NULL;
     }
-    const char *text = json_node_get_string(node);
     if (text[0] == '\0' || strlen(text) > MOST_NAME) {
         ch_error_set(error, CH_BAD_FIELD,
                      "host list: '%s' is empty or too long", name);
--- a/libchestnuthitch/replay/trace_log.c
+++ b/libchestnuthitch/replay/trace_log.c
@@ -21,14 +21,12 @@
 string_of(const struct ch_trace_reader *reader, const char *line,
           JsonObject *object, const char *member)
 {
-    JsonNode *node = json_object_get_member(object, member);
-    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-        json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, member);
+    if (text == NULL) {
         ch_trace_fail(reader, column_of(line, member),
                       "\"%s\" is not there as a string", member);
-        return NULL;
     }
-    return json_node_get_string(node);
+    return text;
 }
 
 /* A member that must be a whole number within a range. */
@@ -110,10 +108,7 @@
         fine = false;
     }
     else {
-        JsonNode *event = json_object_get_member(object, "event");
-        if (event != NULL && JSON_NODE_HOLDS_VALUE(event) &&
-            json_node_get_value_type(event) == G_TYPE_STRING &&
-            strcmp(json_node_get_string(event), "request") == 0) {
+        if (g_strcmp0(ch_json_text(object, "event"), "request") == 0) {
             struct ch_trace_event request = {.kind = CH_TRACE_REQUEST};
             fine = read_request(reader, line, object, &request);
             if (fine) {
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -1,10 +1,10 @@
 /* The client of a model engine: calls, orders and reports over HTTP. */
 
 #include "upstream/ask.h"
+#include "base/json.h"
 #include "upstream/call.h"
 #include "upstream/report.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 struct engine {
@@ -75,11 +75,7 @@
         json_builder_add_string_value(builder, order->adapter);
     }
     json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    char *text = json_to_string(root, FALSE);
-    json_node_unref(root);
-    g_object_unref(builder);
-    return text;
+    return ch_json_print(builder);
 }
 
 /* Sends an order on a fresh connection: libcurl must not repeat it. */
--- a/libchestnuthitch/upstream/report.c
+++ b/libchestnuthitch/upstream/report.c
@@ -28,13 +28,13 @@
 static const char *
 text_member(JsonObject *object, const char *name, struct ch_error *error)
 {
-    JsonNode *node = json_object_get_member(object, name);
-    if (node == NULL || json_node_get_value_type(node) != G_TYPE_STRING) {
+    const char *text = ch_json_text(object, name);
+    if (text == NULL) {
         ch_error_set(error, CH_UPSTREAM_ANSWER, "report: %s is not a string",
                      name);
         return "";
     }
-    return json_node_get_string(node);
+    return text;
 }
 
 /* A member that must be a whole number from 0; 0 with *error when not. */
