At most once: the pause after a lost home counts from when it was asked

Cause: tests/failure/test_pause, home-of-service, failed once in the whole check: orders refused with 206. That pause is for homes that refuse connections at once. Change: it lasts until 60 ms after the home was asked; nothing is added for one that has been silent for longer. The test stays as it is.

--- a/libchestnuthitch/node/once_keeper.c
+++ b/libchestnuthitch/node/once_keeper.c
@@ -59,6 +59,7 @@
     uint64_t attempt;
     uint32_t slot;
     unsigned tries;
+    int64_t asked; /* when the home of the latest try was */
     bool in_doubt; /* the attempt may have been written */
     bool finished;
     uint64_t timer;
@@ -463,6 +464,19 @@
     begin_unref(begin);
 }
 
+/* How long to wait before the next home is asked; see LOST_PAUSE.  A home that
+ * fell silent was lost for longer than that already. */
+static int64_t
+pause_left(struct begin *begin)
+{
+    struct ch_once_keeper *keeper = begin->keeper;
+    int64_t now = ch_client_now(keeper->node->client);
+    pthread_mutex_lock(&keeper->lock);
+    int64_t left = begin->asked + LOST_PAUSE - now;
+    pthread_mutex_unlock(&keeper->lock);
+    return MAX(left, 0);
+}
+
 /* The home answered, or was lost. */
 static void
 home_answered(void *data, enum ch_code code,
@@ -477,8 +491,8 @@
         begin_end_state(begin, CH_ONCE_REFUSED);
     }
     else {
-        ch_timers_after(begin->keeper->node->timers, LOST_PAUSE, pause_over,
-                        begin_ref(begin));
+        ch_timers_after(begin->keeper->node->timers, pause_left(begin),
+                        pause_over, begin_ref(begin));
     }
     begin_unref(begin);
 }
@@ -495,6 +509,7 @@
     pthread_mutex_lock(&begin->keeper->lock);
     bool go = !begin->finished && begin->tries < BEGIN_TRIES;
     begin->tries += go;
+    begin->asked = ch_client_now(node->client);
     begin->in_doubt |= go;
     pthread_mutex_unlock(&begin->keeper->lock);
     if (!go) {
