Models come sooner: no waiting for a copy elsewhere, all engines, spare room

On the grown deployment 179 places for models fell to 112 within 20 s: engines that come empty took only what was asked for already. Change: a load from the store begins at once; all engines may change; what is left of the store's rate fills free room, but never with a model that nobody holds, which one data centre alone brings back (test_one_restores found two).

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -2,10 +2,11 @@
 
 #include "decide/arrange.h"
 
-/* Part of an engine's time that reading prompts takes before another replica
- * is worth a load.  Writing answers takes as much again, and beyond some eight
- * tenths in all first tokens wait for one another. */
-static const double busy_replica = 0.35;
+/* Part of an engine's time, for reading prompts and for the slots of its
+ * batch, from which on another replica is worth a load: beyond some eight
+ * tenths first tokens wait for one another, and a load takes seconds in which
+ * demand grows. */
+static const double busy_replica = 0.5;
 /* A model must be asked for this many times as much as the one that goes. */
 static const double clear_gain = 2;
 /* What waits is to be done within this many seconds. */
@@ -18,9 +19,6 @@
 static const double DISPLACES = 10;
 static const double SHIFT_FROM_STORE = 0.5;
 static const double BLOCKS_ADAPTERS = 0.5;
-/* So many times a busy replica's work is reason for a load from the weight
- * store although another engine has a copy near by. */
-static const double MUCH = 2;
 
 /* What is decided upon: the state, and what was ordered in this round. */
 struct round {
@@ -263,20 +261,6 @@
     return cost;
 }
 
-/* Whether an engine elsewhere could load the model quickly. */
-static bool
-is_quick_elsewhere(const struct round *round, GQuark model)
-{
-    for (size_t i = 0; i < round->state->engine_count; i++) {
-        const struct ch_arrange_engine *engine = &round->state->engines[i];
-        if (!engine->leaving && find_item(engine, model) == NULL &&
-            has_copy(engine, model)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* ---- room ---- */
 
 /* The model on the engine that is missed least if it goes, so that at least
@@ -382,14 +366,14 @@
  * queues at the few engines that hold the model while others stand idle.  A
  * replica that is missed much less gives way on one engine at a time, a copy
  * near by going first, since it loads in a second or two where the weight
- * store needs eight.  Never the last replica of anything.
+ * store needs eight.  A copy on an engine elsewhere is not waited for: that
+ * engine may have nothing that can go, and the demand grew for four seconds
+ * while nobody loaded the model.  Never the last replica of anything.
  */
 static void
 shift(struct round *round, const struct ch_arrange_model *model)
 {
     double asked = pressure(model, replicas_of(round, model->name));
-    bool slowly =
-        asked > MUCH * busy_replica || !is_quick_elsewhere(round, model->name);
     const struct ch_arrange_engine *best = NULL;
     GQuark best_victim = 0;
     double best_cost = 0;
@@ -397,7 +381,6 @@
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         if (!is_open(engine) || is_ordered(round, engine) ||
             !may_hold(engine, model) || engine->pledged != 0 ||
-            (!slowly && !has_copy(engine, model->name)) ||
             find_item(engine, model->name) != NULL ||
             !may_load(round, engine, model->name)) {
             continue;
@@ -442,29 +425,28 @@
     return want + 0.1 * (double)(tie % 1024) / 1024;
 }
 
-/*
- * Load: none yet, or engines with room to spare.  Harm prevented: demand that
- * moves to a model which a single engine holds, while memory stands empty.
- * What is free is filled with the model that is asked for most, else with one
- * that few engines hold; from the weight store only what is asked for, since
- * its rate is needed when a model is lost.
- */
-static void
-fill(struct round *round, const struct ch_arrange_engine *engine)
+/* The model that is wanted most on this engine, of those that fit and may be
+ * loaded now; NULL: none.  spare: also one that nobody asks for, from the
+ * weight store; but not one that nobody holds, which one data centre alone
+ * brings back. */
+static const struct ch_arrange_model *
+most_wanted(const struct round *round, const struct ch_arrange_engine *engine,
+            bool spare)
 {
     const struct ch_arrange_model *best = NULL;
     double best_want = 0;
     uint32_t room = free_of(round, engine);
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_arrange_model *model = &round->state->models[i];
-        bool busy =
-            pressure(model, replicas_of(round, model->name)) > busy_replica;
+        unsigned replicas = replicas_of(round, model->name);
+        bool busy = pressure(model, replicas) > busy_replica;
         bool quick =
             has_copy(engine, model->name) || engine->pledged == model->name;
         if (model->memory_mb > room || !may_hold(engine, model) ||
             find_item(engine, model->name) != NULL ||
             is_pledged_to_other(engine, model->name) ||
-            !may_load(round, engine, model->name) || (!busy && !quick)) {
+            !may_load(round, engine, model->name) ||
+            (!busy && !quick && (!spare || replicas == 0))) {
             continue;
         }
         double wanted = want(round, engine, model);
@@ -473,12 +455,38 @@
             best_want = wanted;
         }
     }
+    return best;
+}
+
+/*
+ * Load: none yet, or engines with room to spare.  Harm prevented: demand that
+ * moves to a model which a single engine holds, while memory stands empty.
+ * What is free is filled with the model that is asked for most, else with one
+ * that few engines hold.  From the weight store only what is asked for, as
+ * long as something else may need its rate; spare: nothing does.
+ */
+static void
+fill(struct round *round, const struct ch_arrange_engine *engine, bool spare)
+{
+    const struct ch_arrange_model *best = most_wanted(round, engine, spare);
     if (best != NULL) {
         order(round, engine, 0, best->name,
               engine->pledged != 0 ? "room was made for it" : "there is room");
     }
 }
 
+/* Has every engine that takes an order fill its room. */
+static void
+fill_all(struct round *round, bool spare)
+{
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &round->state->engines[i];
+        if (is_open(engine) && !is_ordered(round, engine)) {
+            fill(round, engine, spare);
+        }
+    }
+}
+
 /* ---- the whole ---- */
 
 /* Engines of this data centre that are changing already. */
@@ -531,12 +539,7 @@
             restore(&round, model);
         }
     }
-    for (size_t i = 0; i < state->engine_count; i++) {
-        const struct ch_arrange_engine *engine = &state->engines[i];
-        if (is_open(engine) && !is_ordered(&round, engine)) {
-            fill(&round, engine);
-        }
-    }
+    fill_all(&round, false);
     double below = G_MAXDOUBLE;
     while (round.changing < state->most_changes) {
         const struct ch_arrange_model *model = next_busy(&round, below);
@@ -546,4 +549,8 @@
         below = pressure(model, replicas_of(&round, model->name));
         shift(&round, model);
     }
+    /* Engines that came empty, or lost what they held, would stand with half
+     * of their memory free while the rest is asked for too much: what is left
+     * of the weight store's rate is of no use to anybody else. */
+    fill_all(&round, true);
 }
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -265,7 +265,10 @@
     g_array_free(data, TRUE);
 }
 
-/* Engines of the data centre, half of which may change at a time. */
+/* Engines of the data centre: all of them may change at a time.  An engine
+ * serves what it holds meanwhile, only its adapters stay as they are; with a
+ * limit of half of them, a model in demand waited for ten seconds behind loads
+ * that took eight each. */
 static uint32_t
 most_changes(const struct picture *picture)
 {
@@ -276,7 +279,7 @@
                 ? 1
                 : 0;
     }
-    return MAX(mine / 2, 1);
+    return MAX(mine, 1);
 }
 
 /* ---- doing what was decided ---- */
