Configuration: turns to read are spread over the round

All nodes had drawn their first turn to read within a second of their start, from the round of a fleet of which each knew next to nothing, and the next one 19.2 s later: all read together. Ruled out: slow spread between nodes (all had it 0.5 s after the first); answers of the store that were lost (three config-unreachable lines, all of watchers).

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -12,6 +12,7 @@
 #include "node/kv_call.h"
 
 #include "decide/revision.h"
+#include "decide/turn.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -74,8 +75,8 @@
     int64_t pulled;        /* when the latest began */
     uint64_t far_revision; /* what far nodes have, and since when */
     int64_t far_since;
-    GBytes *packed; /* the text in force; NULL: not packed yet */
-    int64_t next_read;
+    GBytes *packed;      /* the text in force; NULL: not packed yet */
+    struct ch_turn turn; /* to read; see READ_EVERY */
     bool reading;
     bool calling; /* a watch or read of the service is under way */
     int64_t pause;
@@ -325,14 +326,11 @@
     int64_t now = ch_client_now(node->client);
     int64_t round = (int64_t)READ_EVERY * MAX(g_strv_length(live), 1U);
     pthread_mutex_lock(&keeper->lock);
-    if (keeper->next_read == 0 || keeper->next_read > now + 2 * round) {
-        keeper->next_read = now + (int64_t)(g_random_double() * (double)round);
-    }
     bool begin = !keeper->stopped && !keeper->reading &&
-                 keeper->current != NULL && now >= keeper->next_read;
+                 keeper->current != NULL &&
+                 ch_turn_due(&keeper->turn, round, g_random_double(), now);
     if (begin) {
         keeper->reading = true;
-        keeper->next_read = now + round;
         keeper_ref(keeper);
     }
     pthread_mutex_unlock(&keeper->lock);
