A node's own entry: each failed call waits longer

Cause: own_leased() and own_written() left the call due, so that the next tick, a tenth of a second later, made it again for as long as the service answered busy or not at all: some ten calls a second from every node, hundreds from a hundred. Ruled out: nodes that were told nothing and read by themselves (watchers go on telling); the rights (their renewals are tenths and stop with the lease). Change: the pause doubles from a quarter second up to as much as keeps the fleet at some ten calls a second, a renewal's period at most, half of it at random.

--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -33,6 +33,13 @@
      * that it may exist. */
     NODE_TTL = 30 * 1000 * 1000,
     NODE_RENEWAL = 8 * 1000 * 1000,
+    /*
+     * While the service is away or refuses, the fleet asks for its own entries
+     * some ten times a second in all, whatever its size: each node this often
+     * for each live node, and at least once in a renewal's time.  Asked again
+     * at each tick, a hundred nodes made most of a thousand calls a second.
+     */
+    OWN_PAUSE_EACH = 100 * 1000,
     /* Nodes that watch: three, so that one lost and one paused leave one. */
     WATCHERS = 3,
     /* What is new is told at the next tick; this often when nothing is, so
@@ -112,6 +119,8 @@
     bool listed;
     uint64_t own_revision; /* of the entry that is in the way; 0: none */
     int64_t renewed;
+    int64_t own_pause; /* after the last call for it; 0: it was answered */
+    int64_t own_not_before;
 };
 
 /* ---- ownership ---- */
@@ -823,6 +832,26 @@
     return ch_json_print(builder);
 }
 
+/* Notes how a call for the own entry went, and when the next may begin: not
+ * all nodes at once after an outage that they all saw.  Lock held. */
+static void
+end_own(struct ch_roster *roster, enum ch_code code)
+{
+    roster->writing = false;
+    if (code == CH_OK || code == CH_KV_CONFLICT || code == CH_KV_MISSING) {
+        roster->own_pause = 0;
+        return;
+    }
+    struct ch_node *node = roster->node;
+    g_auto(GStrv) live = ch_peers_live(node->peers);
+    int64_t most = (int64_t)OWN_PAUSE_EACH * g_strv_length(live);
+    most = CLAMP(most, MOST_PAUSE, NODE_RENEWAL);
+    roster->own_pause = CLAMP(roster->own_pause * 2, FIRST_PAUSE, most);
+    roster->own_not_before =
+        ch_client_now(node->client) +
+        (int64_t)(g_random_double_range(0.5, 1.5) * (double)roster->own_pause);
+}
+
 /* The entry was written, or another is in the way: an earlier process of this
  * node left it, and it is written over next time. */
 static void
@@ -830,7 +859,7 @@
 {
     struct ch_roster *roster = data;
     pthread_mutex_lock(&roster->lock);
-    roster->writing = false;
+    end_own(roster, answer->code);
     roster->listed = answer->code == CH_OK;
     if (answer->code == CH_KV_CONFLICT) {
         roster->own_revision = answer->revision;
@@ -848,7 +877,7 @@
 {
     struct ch_roster *roster = data;
     pthread_mutex_lock(&roster->lock);
-    roster->writing = false;
+    end_own(roster, answer->code);
     if (answer->code == CH_OK) {
         roster->renewed = ch_client_now(roster->node->client);
         if (answer->revision != 0) {
@@ -871,7 +900,8 @@
     struct ch_node *node = roster->node;
     pthread_mutex_lock(&roster->lock);
     bool renew = now - roster->renewed >= NODE_RENEWAL;
-    bool due = !roster->writing && !roster->leaving &&
+    bool paused = roster->own_pause > 0 && now < roster->own_not_before;
+    bool due = !roster->writing && !roster->leaving && !paused &&
                (roster->lease == 0 || !roster->listed || renew);
     uint64_t lease = roster->lease;
     uint64_t revision = roster->own_revision;
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -24,6 +24,7 @@
     char steps[MOST_STEPS + 1];
     const enum ch_code *watches; /* their answers in turn, the last repeated */
     size_t watched;
+    int leases; /* asked for */
 } world;
 
 /* Notes a step; the number of those before it. */
@@ -75,6 +76,7 @@
            void *data)
 {
     (void)kv, (void)ttl;
+    g_atomic_int_inc(&world.leases);
     const struct ch_kv_answer answer = {.code = CH_KV_UNREACHABLE};
     done(data, &answer);
 }
@@ -171,6 +173,80 @@
     }
 }
 
+/* ---- a node's own entry ---- */
+
+/* Watches nothing, without end. */
+static void
+changes_none(struct ch_kv *kv, const char *prefix, uint64_t after,
+             int64_t wait,
+             void (*done)(void *data, const struct ch_kv_range *range),
+             void *data)
+{
+    (void)kv, (void)prefix, (void)after;
+    const struct ch_kv_range range = {.code = CH_KV_MISSING, .at = 10};
+    g_usleep((gulong)wait / 4);
+    done(data, &range);
+}
+
+/*
+ * Callers are refused for longer than the key-value service is away.  It
+ * answers "busy" at once to all nodes, each of which asked again for its own
+ * entry's lease ten times a second: hundreds of calls a second from a hundred
+ * nodes, under which the service came back late.  Each failure waits longer.
+ */
+static void
+test_own_entry(void)
+{
+    static const struct ch_kv_ops ops = {
+        .range = fake_range,
+        .changes = changes_none,
+        .lease = fake_lease,
+    };
+    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
+    struct ch_client client;
+    struct ch_error error = {0};
+    struct ch_settings settings = {
+        .name = "n1",
+        .region = "r1",
+        .data_centre = "a",
+        .peers = "127.0.0.1:0",
+        .callers = "127.0.0.1:0",
+        .peer_silent_ms = 600,
+        .idle_connection_ms = 60000,
+    };
+    ch_client_init(&client, "n1");
+    client.log_write = drop_line;
+    client.metrics = ch_metrics_new();
+    world.kv.ops = &ops;
+    g_atomic_int_set(&world.leases, 0);
+    struct ch_node node = {
+        .client = &client,
+        .settings = &settings,
+        .dialect = &dialect,
+        .kv = &world.kv,
+        .incarnation = 1,
+        .pool = ch_pool_new(4),
+    };
+    node.timers = ch_timers_new(node.pool);
+    node.peers = ch_peers_new(&node, &error);
+    g_assert_nonnull(node.peers);
+    struct ch_roster *roster = ch_roster_new(&node, ignore, NULL);
+    ch_roster_start(roster);
+    g_usleep(3 * G_USEC_PER_SEC);
+    int leases = g_atomic_int_get(&world.leases);
+    g_test_message("%d leases asked for in 3 s", leases);
+    g_assert_cmpint(leases, >=, 2);
+    g_assert_cmpint(leases, <=, 8);
+    ch_roster_stop(roster);
+    ch_peers_stop(node.peers);
+    ch_timers_stop(node.timers);
+    ch_pool_free(node.pool);
+    ch_timers_free(node.timers);
+    ch_roster_free(roster);
+    ch_peers_free(node.peers);
+    ch_metrics_free(client.metrics);
+}
+
 /* ---- a change that no watch brings ---- */
 
 /* The configuration, at a revision that grows with each read. */
@@ -284,6 +360,7 @@
     pthread_mutex_init(&world.lock, NULL);
     pthread_cond_init(&world.changed, NULL);
     g_test_add_func("/roster/watches", test_watches);
+    g_test_add_func("/roster/own-entry", test_own_entry);
     g_test_add_func("/roster/left-out", test_left_out);
     return g_test_run();
 }
