A stream that has begun waits for its turn when the next upstream is full

Ruled out: a third upstream, as the class says how many may have it; keeping the first call open until the second has begun, which runs the request twice. Change: what surely was not run is asked for again 0.3 s later, at the upstream that refused it, as long as the caller waits; each time out of the budget of repeats. Where a home or the router knows of none, likewise.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -683,6 +683,9 @@
     if (seat->facts.leaving || seat->facts.service != work->pool) {
         return false;
     }
+    if (work->only != 0 && seat->facts.name != work->only) {
+        return false;
+    }
     if (excluded != NULL && has(excluded, seat->facts.name)) {
         return false;
     }
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -41,6 +41,7 @@
     size_t part_count;
     uint32_t tries;    /* most upstreams that it may run on; 0: the policy's */
     uint32_t priority; /* of its class, 0 goes first */
+    GQuark only;       /* no other upstream may take it; 0: any may */
 };
 
 /* ---- an upstream, as a node believes it to be ---- */
--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -133,6 +133,13 @@
 
 /* ---- after a failed dispatch (retry.c) ---- */
 
+enum {
+    /* A stream whose caller has its beginning is asked for again so much
+       later, microseconds: an engine's slots come free every 0.1 to 0.2 s, and
+       callers leave a stream that pauses for two seconds or more. */
+    CH_RETRY_WAIT = 300 * 1000,
+};
+
 enum ch_retry {
     CH_RETRY_NO,
     CH_RETRY_AGAIN,  /* elsewhere, from the start */
@@ -151,6 +158,12 @@
 bool ch_retry_possible(const struct ch_retry_budget *budget,
                        const struct ch_work *work);
 /* Takes from the budget when the answer is not NO. */
+/* Whether a request that no upstream takes now, and surely none has run since
+   it was last sent, is asked for again after CH_RETRY_WAIT. */
+bool ch_retry_waits(const struct ch_work *work, enum ch_code code,
+                    bool may_have_run, uint32_t events_given);
+/* Draws a further try from the budget; false: none is left now. */
+bool ch_retry_draw(struct ch_retry_budget *budget);
 enum ch_retry ch_retry_decide(struct ch_retry_budget *budget,
                               const struct ch_work *work, enum ch_code code,
                               bool may_have_run, bool stream,
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -67,6 +67,32 @@
            budget->level >= 1.0;
 }
 
+/* See policy.h. */
+bool
+ch_retry_draw(struct ch_retry_budget *budget)
+{
+    bool left = budget->level >= 1.0;
+    budget->level -= left ? 1.0 : 0.0;
+    return left;
+}
+
+/*
+ * Load: upstreams that are full when a stream has to go on elsewhere.  Harm
+ * prevented: a caller who has the beginning of an answer, and would have
+ * waited for the rest, is cut off since the second upstream refused it at that
+ * moment. Limit: only what was surely not run is asked for again, so that it
+ * runs on no more upstreams than it may; the caller's deadline ends it.
+ */
+bool
+ch_retry_waits(const struct ch_work *work, enum ch_code code,
+               bool may_have_run, uint32_t events_given)
+{
+    bool full = code == CH_UPSTREAM_REFUSED || code == CH_LATE ||
+                code == CH_NO_UPSTREAM;
+    return work->tries > 0 && work->idempotent && events_given > 0 &&
+           !may_have_run && full;
+}
+
 /*
  * Load: an upstream that dies or goes silent under full load fails all that
  * it ran at once.  Harm prevented: all of that coming again on top of the
@@ -100,9 +126,8 @@
     if (!sent) {
         return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
     }
-    if (budget->level < 1.0) {
+    if (!ch_retry_draw(budget)) {
         return CH_RETRY_NO;
     }
-    budget->level -= 1.0;
     return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
 }
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -139,7 +139,63 @@
     return true;
 }
 
-/* A home refused, or none serves this: final, and told at once. */
+/* Whether a further try may begin now; counted if so. */
+static bool
+draw_try(struct ch_exchange *exchange)
+{
+    struct ch_front *front = exchange->front;
+    pthread_mutex_lock(&front->lock);
+    bool drawn =
+        ch_retry_draw(ch_front_budget(front, exchange->request->work.pool));
+    pthread_mutex_unlock(&front->lock);
+    return drawn;
+}
+
+static void ask_later(struct ch_exchange *exchange);
+
+/* On the pool, CH_RETRY_WAIT later: asks again, if the budget allows. */
+static void
+ask_again(void *data)
+{
+    struct ch_exchange *exchange = data;
+    pthread_mutex_lock(&exchange->lock);
+    bool wait = !exchange->abandoned && !draw_try(exchange);
+    if (wait) {
+        ask_later(exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (!wait) {
+        ask_home(exchange);
+    }
+}
+
+/* Goes back to the homes a little later.  A caller that gives up meanwhile is
+ * found when it asks.  Lock held. */
+static void
+ask_later(struct ch_exchange *exchange)
+{
+    exchange->step = CH_STEP_HOME;
+    exchange->home_handle = 0;
+    exchange->home_answered = true;
+    g_array_set_size(exchange->excluded, 0);
+    ch_timers_after(exchange->front->node->timers, CH_RETRY_WAIT, ask_again,
+                    exchange);
+}
+
+/* Whether a stream that was begun waits for its turn at an upstream: the one
+ * that just refused it, or any while more may have it.  Lock held. */
+static bool
+waits_for_turn(struct ch_exchange *exchange, enum ch_code code,
+               bool may_have_run)
+{
+    const struct ch_work *work = &exchange->request->work;
+    bool gone = work->only != 0 && code == CH_NO_UPSTREAM;
+    return !exchange->abandoned && exchange->stream_begun && !gone &&
+           ch_retry_waits(work, code, may_have_run, exchange->events);
+}
+
+/* A home refused, or none serves this: final, and told at once, unless the
+ * caller has the beginning of a stream. */
 static void
 home_refused(void *data, enum ch_code code, int64_t retry_after,
              const char *message)
@@ -151,6 +207,9 @@
     if (should_ask_anew(exchange, code)) {
         ch_pool_submit(exchange->front->node->pool, ask_home, exchange);
     }
+    else if (waits_for_turn(exchange, code, false)) {
+        ask_later(exchange);
+    }
     else {
         over = fail(exchange, code, message, retry_after);
     }
@@ -319,6 +378,11 @@
         return fail(exchange, CH_UPSTREAM_ANSWER,
                     "the upstream's answer is over the limit", 0);
     }
+    if (waits_for_turn(exchange, end->code, end->may_have_run)) {
+        exchange->request->work.only = exchange->grant.upstream;
+        ask_later(exchange);
+        return false;
+    }
     return fail(exchange, end->code, end->message,
                 exchange->request->work.idempotent ? CH_EXCHANGE_RETRY_AFTER
                                                    : 0);
