Free room is not filled from the weight store any more

An engine that loads for eight seconds takes no other order, so that a model that is asked for meanwhile waits. Change: fill() as it was; the cases of test_arrange that it had changed stand as before.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -425,28 +425,29 @@
     return want + 0.1 * (double)(tie % 1024) / 1024;
 }
 
-/* The model that is wanted most on this engine, of those that fit and may be
- * loaded now; NULL: none.  spare: also one that nobody asks for, from the
- * weight store; but not one that nobody holds, which one data centre alone
- * brings back. */
-static const struct ch_arrange_model *
-most_wanted(const struct round *round, const struct ch_arrange_engine *engine,
-            bool spare)
+/*
+ * Load: none yet, or engines with room to spare.  Harm prevented: demand that
+ * moves to a model which a single engine holds, while memory stands empty.
+ * What is free is filled with the model that is asked for most, else with one
+ * that few engines hold; from the weight store only what is asked for, since
+ * its rate is needed when a model is lost.
+ */
+static void
+fill(struct round *round, const struct ch_arrange_engine *engine)
 {
     const struct ch_arrange_model *best = NULL;
     double best_want = 0;
     uint32_t room = free_of(round, engine);
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_arrange_model *model = &round->state->models[i];
-        unsigned replicas = replicas_of(round, model->name);
-        bool busy = pressure(model, replicas) > busy_replica;
+        bool busy =
+            pressure(model, replicas_of(round, model->name)) > busy_replica;
         bool quick =
             has_copy(engine, model->name) || engine->pledged == model->name;
         if (model->memory_mb > room || !may_hold(engine, model) ||
             find_item(engine, model->name) != NULL ||
             is_pledged_to_other(engine, model->name) ||
-            !may_load(round, engine, model->name) ||
-            (!busy && !quick && (!spare || replicas == 0))) {
+            !may_load(round, engine, model->name) || (!busy && !quick)) {
             continue;
         }
         double wanted = want(round, engine, model);
@@ -455,38 +456,12 @@
             best_want = wanted;
         }
     }
-    return best;
-}
-
-/*
- * Load: none yet, or engines with room to spare.  Harm prevented: demand that
- * moves to a model which a single engine holds, while memory stands empty.
- * What is free is filled with the model that is asked for most, else with one
- * that few engines hold.  From the weight store only what is asked for, as
- * long as something else may need its rate; spare: nothing does.
- */
-static void
-fill(struct round *round, const struct ch_arrange_engine *engine, bool spare)
-{
-    const struct ch_arrange_model *best = most_wanted(round, engine, spare);
     if (best != NULL) {
         order(round, engine, 0, best->name,
               engine->pledged != 0 ? "room was made for it" : "there is room");
     }
 }
 
-/* Has every engine that takes an order fill its room. */
-static void
-fill_all(struct round *round, bool spare)
-{
-    for (size_t i = 0; i < round->state->engine_count; i++) {
-        const struct ch_arrange_engine *engine = &round->state->engines[i];
-        if (is_open(engine) && !is_ordered(round, engine)) {
-            fill(round, engine, spare);
-        }
-    }
-}
-
 /* ---- the whole ---- */
 
 /* Engines of this data centre that are changing already. */
@@ -539,7 +514,12 @@
             restore(&round, model);
         }
     }
-    fill_all(&round, false);
+    for (size_t i = 0; i < state->engine_count; i++) {
+        const struct ch_arrange_engine *engine = &state->engines[i];
+        if (is_open(engine) && !is_ordered(&round, engine)) {
+            fill(&round, engine);
+        }
+    }
     double below = G_MAXDOUBLE;
     while (round.changing < state->most_changes) {
         const struct ch_arrange_model *model = next_busy(&round, below);
@@ -549,8 +529,4 @@
         below = pressure(model, replicas_of(&round, model->name));
         shift(&round, model);
     }
-    /* Engines that came empty, or lost what they held, would stand with half
-     * of their memory free while the rest is asked for too much: what is left
-     * of the weight store's rate is of no use to anybody else. */
-    fill_all(&round, true);
 }
