--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -94,6 +94,68 @@
     (void)data;
 }
 
+/* ---- a node without its other parts ---- */
+
+struct fixture {
+    struct ch_client client;
+    struct ch_settings settings;
+    struct ch_node node;
+};
+
+/* A node alone on a service that does as ops say. */
+static struct fixture *
+fixture_new(const struct ch_kv_ops *ops, unsigned workers)
+{
+    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
+    struct fixture *fixture = g_new0(struct fixture, 1);
+    struct ch_error error = {0};
+    fixture->settings = (struct ch_settings){
+        .name = "n1",
+        .region = "r1",
+        .data_centre = "a",
+        .peers = "127.0.0.1:0",
+        .callers = "127.0.0.1:0",
+        .peer_silent_ms = 600,
+        .idle_connection_ms = 60000,
+    };
+    ch_client_init(&fixture->client, "n1");
+    fixture->client.log_write = drop_line;
+    fixture->client.metrics = ch_metrics_new();
+    world.kv.ops = ops;
+    world.watched = 0;
+    fixture->node = (struct ch_node){
+        .client = &fixture->client,
+        .settings = &fixture->settings,
+        .dialect = &dialect,
+        .kv = &world.kv,
+        .incarnation = 1,
+        .pool = ch_pool_new(workers),
+    };
+    fixture->node.timers = ch_timers_new(fixture->node.pool);
+    fixture->node.peers = ch_peers_new(&fixture->node, &error);
+    g_assert_nonnull(fixture->node.peers);
+    return fixture;
+}
+
+/* Ends its threads; what was made for it is freed after that. */
+static void
+fixture_stop(struct fixture *fixture)
+{
+    ch_peers_stop(fixture->node.peers);
+    ch_timers_stop(fixture->node.timers);
+    ch_pool_free(fixture->node.pool);
+    ch_timers_free(fixture->node.timers);
+}
+
+/* Frees a stopped one. */
+static void
+fixture_free(struct fixture *fixture)
+{
+    ch_peers_free(fixture->node.peers);
+    ch_metrics_free(fixture->client.metrics);
+    g_free(fixture);
+}
+
 static const struct {
     const char *what;
     enum ch_code watches[3];
@@ -122,39 +184,12 @@
         .changes = fake_changes,
         .lease = fake_lease,
     };
-    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        struct ch_client client;
-        struct ch_error error = {0};
-        struct ch_settings settings = {
-            .name = "n1",
-            .region = "r1",
-            .data_centre = "a",
-            .peers = "127.0.0.1:0",
-            .callers = "127.0.0.1:0",
-            .peer_silent_ms = 600,
-            .idle_connection_ms = 60000,
-        };
         g_test_message("%s", rows[i].what);
-        ch_client_init(&client, "n1");
-        client.log_write = drop_line;
-        client.metrics = ch_metrics_new();
-        world.kv.ops = &ops;
+        struct fixture *fixture = fixture_new(&ops, 2);
         world.watches = rows[i].watches;
-        world.watched = 0;
         memset(world.steps, 0, sizeof(world.steps));
-        struct ch_node node = {
-            .client = &client,
-            .settings = &settings,
-            .dialect = &dialect,
-            .kv = &world.kv,
-            .incarnation = 1,
-            .pool = ch_pool_new(2),
-        };
-        node.timers = ch_timers_new(node.pool);
-        node.peers = ch_peers_new(&node, &error);
-        g_assert_nonnull(node.peers);
-        struct ch_roster *roster = ch_roster_new(&node, ignore, NULL);
+        struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
         ch_roster_start(roster);
         size_t count = strlen(rows[i].steps);
         pthread_mutex_lock(&world.lock);
@@ -164,13 +199,9 @@
         g_assert_true(g_str_has_prefix(world.steps, rows[i].steps));
         pthread_mutex_unlock(&world.lock);
         ch_roster_stop(roster);
-        ch_peers_stop(node.peers);
-        ch_timers_stop(node.timers);
-        ch_pool_free(node.pool);
-        ch_timers_free(node.timers);
+        fixture_stop(fixture);
         ch_roster_free(roster);
-        ch_peers_free(node.peers);
-        ch_metrics_free(client.metrics);
+        fixture_free(fixture);
     }
 }
 
@@ -208,46 +239,16 @@
 static void
 run_for_a_while(const struct ch_kv_ops *ops)
 {
-    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
-    struct ch_client client;
-    struct ch_error error = {0};
-    struct ch_settings settings = {
-        .name = "n1",
-        .region = "r1",
-        .data_centre = "a",
-        .peers = "127.0.0.1:0",
-        .callers = "127.0.0.1:0",
-        .peer_silent_ms = 600,
-        .idle_connection_ms = 60000,
-    };
-    ch_client_init(&client, "n1");
-    client.log_write = drop_line;
-    client.metrics = ch_metrics_new();
-    world.kv.ops = ops;
+    struct fixture *fixture = fixture_new(ops, 4);
     g_atomic_int_set(&world.leases, 0);
     g_atomic_int_set(&world.changes, 0);
-    struct ch_node node = {
-        .client = &client,
-        .settings = &settings,
-        .dialect = &dialect,
-        .kv = &world.kv,
-        .incarnation = 1,
-        .pool = ch_pool_new(4),
-    };
-    node.timers = ch_timers_new(node.pool);
-    node.peers = ch_peers_new(&node, &error);
-    g_assert_nonnull(node.peers);
-    struct ch_roster *roster = ch_roster_new(&node, ignore, NULL);
+    struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
     ch_roster_start(roster);
     g_usleep(3 * (gulong)G_USEC_PER_SEC);
     ch_roster_stop(roster);
-    ch_peers_stop(node.peers);
-    ch_timers_stop(node.timers);
-    ch_pool_free(node.pool);
-    ch_timers_free(node.timers);
+    fixture_stop(fixture);
     ch_roster_free(roster);
-    ch_peers_free(node.peers);
-    ch_metrics_free(client.metrics);
+    fixture_free(fixture);
 }
 
 /*
@@ -349,33 +350,9 @@
         .get = get_next,
         .watch = watch_nothing,
     };
-    struct ch_client client;
-    struct ch_error error = {0};
-    struct ch_settings settings = {
-        .name = "n1",
-        .region = "r1",
-        .data_centre = "a",
-        .peers = "127.0.0.1:0",
-        .peer_silent_ms = 600,
-        .idle_connection_ms = 60000,
-    };
-    ch_client_init(&client, "n1");
-    client.log_write = drop_line;
-    client.metrics = ch_metrics_new();
-    world.kv.ops = &ops;
-    world.watched = 0;
-    struct ch_node node = {
-        .client = &client,
-        .settings = &settings,
-        .kv = &world.kv,
-        .incarnation = 1,
-        .pool = ch_pool_new(2),
-    };
-    node.timers = ch_timers_new(node.pool);
-    node.peers = ch_peers_new(&node, &error);
-    g_assert_nonnull(node.peers);
-    struct ch_config_keeper *keeper = ch_config_keeper_new(&node);
-    node.config = keeper;
+    struct fixture *fixture = fixture_new(&ops, 2);
+    struct ch_config_keeper *keeper = ch_config_keeper_new(&fixture->node);
+    fixture->node.config = keeper;
     ch_config_keeper_start(keeper);
     uint64_t revision = 0;
     for (int64_t until = g_get_monotonic_time() + 3000000L;
@@ -389,13 +366,9 @@
     }
     g_assert_cmpuint(revision, >=, 2);
     ch_config_keeper_stop(keeper);
-    ch_peers_stop(node.peers);
-    ch_timers_stop(node.timers);
-    ch_pool_free(node.pool);
-    ch_timers_free(node.timers);
+    fixture_stop(fixture);
     ch_config_keeper_free(keeper);
-    ch_peers_free(node.peers);
-    ch_metrics_free(client.metrics);
+    fixture_free(fixture);
 }
 
 int
