Several models go, one after the other, for one that is asked for

Ruled out: the rate of the weight store (loads were left), the right to order.

Change: what has to go from an engine is a set, chosen from what is missed least; they go one after the other as long as the model is asked for that much more.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -19,6 +19,7 @@
 static const double DISPLACES = 10;
 static const double SHIFT_FROM_STORE = 0.5;
 static const double BLOCKS_ADAPTERS = 0.5;
+static const double DRAINS = 0.25;
 
 /* What is decided upon: the state, and what was ordered in this round. */
 struct round {
@@ -263,31 +264,104 @@
 
 /* ---- room ---- */
 
-/* The model on the engine that is missed least if it goes, so that at least
- * `memory_mb` are free then; 0: none may go.  most: what it may be asked for
- * at the replicas that stay. */
-static GQuark
-victim_on(const struct round *round, const struct ch_arrange_engine *engine,
-          uint32_t memory_mb, double most, double *asked)
+/* What goes from an engine, one after the other, so that a model fits. */
+struct eviction {
+    GQuark first; /* to be ordered now; 0: it fits as it is */
+    unsigned count;
+    double left; /* what is asked of the replicas that stay, at most */
+};
+
+/* A model that may go from an engine. */
+struct candidate {
+    GQuark model;
+    uint32_t memory_mb;
+    double left; /* what is asked of each replica that stays */
+};
+
+/* Orders candidates: what is missed least first. */
+static gint
+by_left(gconstpointer a, gconstpointer b)
 {
-    GQuark best = 0;
-    uint32_t room = free_of(round, engine);
+    double first = ((const struct candidate *)a)->left;
+    double second = ((const struct candidate *)b)->left;
+    return (first > second) - (first < second);
+}
+
+/* The models that may go from the engine, those that are missed least first.
+ * most: what may be asked for at the replicas that stay. */
+static GArray *
+candidates_on(const struct round *round,
+              const struct ch_arrange_engine *engine, double most)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     for (size_t i = 0; i < engine->item_count; i++) {
         const struct ch_arrange_item *item = &engine->items[i];
         const struct ch_arrange_model *model = find_model(round, item->model);
-        unsigned replicas = replicas_of(round, item->model);
         if (item->state != CH_ITEM_RESIDENT || model == NULL ||
-            !may_go(round, item->model) ||
-            room + model->memory_mb < memory_mb) {
+            !may_go(round, item->model)) {
             continue;
         }
-        double left = pressure(model, replicas - 1);
-        if (left <= most && (best == 0 || left < *asked)) {
-            best = item->model;
-            *asked = left;
+        const struct candidate candidate = {
+            .model = item->model,
+            .memory_mb = model->memory_mb,
+            .left = pressure(model, replicas_of(round, item->model) - 1),
+        };
+        if (candidate.left <= most) {
+            g_array_append_val(out, candidate);
         }
     }
-    return best;
+    g_array_sort(out, by_left);
+    return out;
+}
+
+/* Leaves those out without which there is room all the same, beginning with
+ * what is missed most. */
+static void
+leave_out(GArray *chosen, uint64_t room, uint32_t memory_mb)
+{
+    for (guint i = chosen->len; i > 0; i--) {
+        uint32_t without =
+            g_array_index(chosen, struct candidate, i - 1).memory_mb;
+        if (room - without >= memory_mb) {
+            room -= without;
+            g_array_remove_index(chosen, i - 1);
+        }
+    }
+}
+
+/*
+ * What has to go from the engine so that `memory_mb` are free; false: what may
+ * go is not enough.  Load: a large model is asked for, and only small ones can
+ * go.  Harm prevented: each of them alone makes too little room, and the
+ * engine stands idle beside the large model's queue.
+ */
+static bool
+find_room(const struct round *round, const struct ch_arrange_engine *engine,
+          uint32_t memory_mb, double most, struct eviction *out)
+{
+    *out = (struct eviction){.first = 0};
+    uint64_t room = free_of(round, engine);
+    if (room >= memory_mb) {
+        return true;
+    }
+    GArray *chosen = candidates_on(round, engine, most);
+    guint needed = 0;
+    while (needed < chosen->len && room < memory_mb) {
+        room += g_array_index(chosen, struct candidate, needed).memory_mb;
+        needed++;
+    }
+    bool enough = room >= memory_mb;
+    if (enough) {
+        g_array_set_size(chosen, needed);
+        leave_out(chosen, room, memory_mb);
+        const struct candidate *last =
+            &g_array_index(chosen, struct candidate, chosen->len - 1);
+        out->first = g_array_index(chosen, struct candidate, 0).model;
+        out->count = chosen->len;
+        out->left = last->left;
+    }
+    g_array_free(chosen, TRUE);
+    return enough;
 }
 
 /* ---- reachability ---- */
@@ -335,22 +409,18 @@
             !may_load(round, engine, model->name)) {
             continue;
         }
-        double asked = 0;
-        GQuark victim = 0;
-        if (free_of(round, engine) < model->memory_mb) {
-            victim = victim_on(round, engine, model->memory_mb, G_MAXDOUBLE,
-                               &asked);
-            if (victim == 0) {
-                continue;
-            }
+        struct eviction eviction;
+        if (!find_room(round, engine, model->memory_mb, G_MAXDOUBLE,
+                       &eviction)) {
+            continue;
         }
         double cost = (has_copy(engine, model->name) ? 0 : FROM_STORE) +
-                      (victim != 0 ? DISPLACES : 0) + asked +
-                      busy_of(round, engine, victim) +
+                      eviction.count * DISPLACES + eviction.left +
+                      busy_of(round, engine, eviction.first) +
                       blocks_adapters(round, engine);
         if (best == NULL || cost < best_cost) {
             best = engine;
-            best_victim = victim;
+            best_victim = eviction.first;
             best_cost = cost;
         }
     }
@@ -385,18 +455,18 @@
             !may_load(round, engine, model->name)) {
             continue;
         }
-        double left = 0;
-        GQuark victim = victim_on(round, engine, model->memory_mb,
-                                  asked / clear_gain, &left);
-        if (victim == 0) {
+        struct eviction eviction;
+        if (!find_room(round, engine, model->memory_mb, asked / clear_gain,
+                       &eviction)) {
             continue;
         }
         double cost = (has_copy(engine, model->name) ? 0 : SHIFT_FROM_STORE) +
-                      left + busy_of(round, engine, victim) +
+                      eviction.left + eviction.count * DRAINS +
+                      busy_of(round, engine, eviction.first) +
                       blocks_adapters(round, engine);
         if (best == NULL || cost < best_cost) {
             best = engine;
-            best_victim = victim;
+            best_victim = eviction.first;
             best_cost = cost;
         }
     }
@@ -406,6 +476,31 @@
     }
 }
 
+/* ---- room that is being made ---- */
+
+/*
+ * Load: room for one model needs more than one other to go.  Harm prevented:
+ * what went first went in vain.  The next one goes as long as the model is
+ * asked for that much more than what goes.
+ */
+static void
+make_more_room(struct round *round, const struct ch_arrange_engine *engine)
+{
+    const struct ch_arrange_model *model = find_model(round, engine->pledged);
+    if (model == NULL) {
+        return;
+    }
+    unsigned others = replicas_of(round, model->name) - 1;
+    double most =
+        others == 0 ? G_MAXDOUBLE : pressure(model, others) / clear_gain;
+    struct eviction eviction;
+    if (find_room(round, engine, model->memory_mb, most, &eviction) &&
+        eviction.first != 0) {
+        order(round, engine, eviction.first, model->name,
+              "room is being made");
+    }
+}
+
 /* ---- free room ---- */
 
 /* How much a further replica of the model on this engine is wanted. */
@@ -516,8 +611,12 @@
     }
     for (size_t i = 0; i < state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &state->engines[i];
-        if (is_open(engine) && !is_ordered(&round, engine)) {
-            fill(&round, engine);
+        if (!is_open(engine) || is_ordered(&round, engine)) {
+            continue;
+        }
+        fill(&round, engine);
+        if (engine->pledged != 0 && !is_ordered(&round, engine)) {
+            make_more_room(&round, engine);
         }
     }
     double below = G_MAXDOUBLE;
