--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -62,7 +62,23 @@
     const char *reason;
 };
 
+/* A model that is asked for more than its replicas have time for, while
+ * nothing is done for it in this round, and why: engines of this data centre
+ * by what stands in the way. */
+struct ch_arrange_short {
+    GQuark model;
+    double asked; /* engines' time */
+    unsigned replicas;
+    unsigned holding;  /* have it, or are to have it */
+    unsigned changing; /* carry out another change */
+    unsigned no_room;  /* nothing there may go for it */
+    unsigned no_load;  /* the weight store has no load left */
+};
+
 /* Appends the orders to give now: struct ch_arrange_action. */
 void ch_arrange(const struct ch_arrange_state *state, GArray *out);
+/* Appends what stays short after those orders: struct ch_arrange_short. */
+void ch_arrange_find_short(const struct ch_arrange_state *state,
+                           GArray *actions, GArray *out);
 
 #endif
--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -6,12 +6,14 @@
 #include <string.h>
 
 enum {
-    /* Microseconds to read one token of a prompt: engines of the users' sheets
-     * read 19 a millisecond. */
-    READ_TOKEN = 52,
-    /* Microseconds that a step of a batch takes: one token for each request in
-     * it.  The users' sheets say 9 to 10.5 ms, and a little for each. */
-    WRITE_TOKEN = 12 * 1000,
+    /* Until answers tell: microseconds to read one token of a prompt, and to
+     * write one that an answer may have, of which it has a quarter. */
+    USUAL_READ = 52,
+    USUAL_WRITE = 3 * 1000,
+    /* Shorter prompts say more of the way than of reading. */
+    LEAST_MEASURED = 256, /* tokens */
+    /* Of so many measurements one is of an engine with little else to do. */
+    LEAST_SAMPLES = 8,
     /* Each request that runs beside makes a step of the batch longer, and a
      * request is some hundred steps: microseconds that one more costs the
      * newcomer and its neighbours until their first tokens. */
@@ -57,9 +59,6 @@
 
 /* Of a prompt, what an engine usually has to read: the rest others share. */
 static const double usual_unknown = 0.75;
-/* Of the most that an answer may have, what it usually has: 155 tokens of 594,
- * 62 of 276 and 159 of 600 were measured for three kinds of request. */
-static const double usual_written = 0.26;
 /* Part of the last outcome in the share of failures. */
 static const double failure_weight = 0.3;
 /* Part of the last measurement in a mean. */
@@ -68,8 +67,10 @@
  * single odd one must not make either look free or lost. */
 static const double LEAST_SLOW = 0.5;
 static const double MOST_SLOW = 8;
-static const double LEAST_PACE = 0.05;
-static const double MOST_PACE = 4;
+/* Speeds follow the quickest answers: those that came while little else ran.
+ */
+static const double quicker_weight = 0.2;
+static const double slower_weight = 0.0005;
 /* Of the memory for contexts, what is filled before it counts as full: lengths
  * of answers are guesses. */
 static const double memory_fill = 0.9;
@@ -112,10 +113,18 @@
     uint64_t kept_tokens;
 };
 
+/* A time that is measured again and again. */
+struct speed {
+    double value;
+    unsigned count;
+};
+
 /* What is known of a model. */
 struct model {
-    double pace;  /* its time for a token, in usual ones: larger, longer */
-    double asked; /* engine time that requests asked for, decaying */
+    struct speed read;  /* microseconds for a token of a prompt */
+    struct speed event; /* ... between two events of an answer */
+    double events;      /* of an answer, for each token that it may have */
+    double asked;       /* engine time that requests asked for, decaying */
     int64_t asked_at;
 };
 
@@ -524,13 +533,21 @@
     return (int64_t)(hash % 64) * 1000;
 }
 
-/* A model's time for a token. */
+/* Whether enough was measured. */
+static bool
+is_known(const struct speed *speed)
+{
+    return speed->count >= LEAST_SAMPLES;
+}
+
+/* Microseconds for a token of a prompt for the model. */
 static double
-pace_of(const struct ch_balance *balance, GQuark name)
+read_of(const struct ch_balance *balance, GQuark name)
 {
     const struct model *model =
         g_hash_table_lookup(balance->models, GUINT_TO_POINTER(name));
-    return model == NULL ? 1 : model->pace;
+    return model == NULL || !is_known(&model->read) ? USUAL_READ
+                                                    : model->read.value;
 }
 
 /* What is known of a model, begun when nothing is. */
@@ -541,7 +558,6 @@
     struct model *model = g_hash_table_lookup(balance->models, key);
     if (model == NULL) {
         model = g_new0(struct model, 1);
-        model->pace = 1;
         g_hash_table_insert(balance->models, key, model);
     }
     return model;
@@ -552,8 +568,8 @@
 ch_balance_reading(const struct ch_balance *balance,
                    const struct ch_work *work)
 {
-    return (int64_t)(work->prompt_tokens * READ_TOKEN * usual_unknown *
-                     pace_of(balance, work->model));
+    return (int64_t)(work->prompt_tokens * usual_unknown *
+                     read_of(balance, work->model));
 }
 
 /* Microseconds of an engine's time that the request's answer takes: a slot of
@@ -561,10 +577,14 @@
 static int64_t
 writing(const struct ch_balance *balance, const struct ch_work *work)
 {
+    const struct model *model =
+        g_hash_table_lookup(balance->models, GUINT_TO_POINTER(work->model));
     guint slots = GPOINTER_TO_UINT(
         g_hash_table_lookup(balance->batches, GUINT_TO_POINTER(work->pool)));
-    return (int64_t)(work->output_tokens * usual_written * WRITE_TOKEN *
-                     pace_of(balance, work->model) / MAX(slots, 1));
+    double each = model == NULL || !is_known(&model->event)
+                      ? USUAL_WRITE
+                      : model->event.value * model->events;
+    return (int64_t)(work->output_tokens * each / MAX(slots, 1));
 }
 
 /* What was asked for, by now: a mean over the last ASKED. */
@@ -720,11 +740,8 @@
         if (!is_candidate(seat, work, excluded, ready)) {
             continue;
         }
-        int64_t reading =
-            work->service
-                ? 0
-                : (int64_t)((double)tokens_to_read(seat, work) * READ_TOKEN *
-                            pace_of(balance, work->model));
+        uint32_t tokens = work->service ? 0 : tokens_to_read(seat, work);
+        int64_t reading = (int64_t)(tokens * read_of(balance, work->model));
         int64_t expected = work->service
                                ? service_cost(seat, now)
                                : engine_cost(seat, work, reading, now);
@@ -743,6 +760,7 @@
             .other_region = seat->facts.region != balance->region,
             .adapter_missing =
                 work->adapter != 0 && !has(seat->adapters, work->adapter),
+            .tokens = tokens,
             .reading = reading,
             .too_dense = !work->service && is_too_dense(seat, reading, now),
             .expected = expected,
@@ -781,13 +799,22 @@
     return mean <= 0 ? last : mean + (last - mean) * mean_weight;
 }
 
-/* Lets a model's pace follow what was seen. */
+/*
+ * Lets a speed follow what was seen, near the quickest.  Load: an engine with
+ * more than it can do.  Harm prevented: its answers are slow because they wait
+ * for one another; taken for what each of them costs, a model seems to need
+ * more engines the longer it has too few, until it is given all.
+ */
 static void
-learn_pace(struct ch_balance *balance, GQuark model, double ratio)
+follow_quickest(struct speed *speed, double last)
 {
-    struct model *known = need_model(balance, model);
-    known->pace =
-        CLAMP(follow(known->pace, known->pace * ratio), LEAST_PACE, MOST_PACE);
+    if (!is_known(speed)) {
+        speed->value = speed->count == 0 ? last : MIN(speed->value, last);
+        speed->count++;
+        return;
+    }
+    double weight = last < speed->value ? quicker_weight : slower_weight;
+    speed->value += (last - speed->value) * weight;
 }
 
 /* See balance.h. */
@@ -803,14 +830,29 @@
     seat->read_at = now;
     seat->answer = follow(seat->answer, (double)took);
     double ratio = (double)took / (double)MAX(choice->expected, 1);
-    /* Part of a difference is the upstream's, part the model's. */
     seat->slow =
         CLAMP(follow(seat->slow, seat->slow * ratio), LEAST_SLOW, MOST_SLOW);
-    if (!work->service) {
-        learn_pace(balance, work->model, ratio);
+    if (choice->tokens >= LEAST_MEASURED) {
+        struct model *model = need_model(balance, work->model);
+        follow_quickest(&model->read, (double)took / choice->tokens);
     }
 }
 
+/* Learns from a whole answer how many events it has, and how long one takes.
+ */
+static void
+learn_answer(struct ch_balance *balance, const struct ch_work *work,
+             const struct ch_sample *sample)
+{
+    if (work->service || sample->token <= 0 || work->output_tokens == 0) {
+        return;
+    }
+    struct model *model = need_model(balance, work->model);
+    follow_quickest(&model->event, (double)sample->token);
+    model->events =
+        follow(model->events, (double)sample->tokens / work->output_tokens);
+}
+
 /* Whether a result says something of the upstream, and what. */
 static bool
 judges(enum ch_code code, bool *failed)
@@ -835,11 +877,15 @@
 /* See balance.h. */
 void
 ch_balance_ended(struct ch_balance *balance, const struct ch_work *work,
-                 const struct ch_choice *choice, bool begun, enum ch_code code,
-                 int64_t now)
+                 const struct ch_choice *choice, bool begun,
+                 const struct ch_sample *sample, int64_t now)
 {
     struct seat *seat = find(balance, choice->upstream);
+    enum ch_code code = sample->code;
     bool failed = false;
+    if (code == CH_OK) {
+        learn_answer(balance, work, sample);
+    }
     if (seat == NULL) {
         return;
     }
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -7,7 +7,7 @@
  * node has sent there.  No sockets, no clock, no threads.
  */
 
-#include "decide/fleet.h"
+#include "decide/policy.h"
 
 /* What is told of an upstream. */
 struct ch_seat_facts {
@@ -32,7 +32,8 @@
     GQuark data_centre;
     bool other_region;
     bool adapter_missing; /* it is to be loaded before the request goes out */
-    int64_t reading;      /* what is to be read takes there, microseconds */
+    uint32_t tokens;      /* to be read there */
+    int64_t reading;      /* ... takes so long, microseconds */
     int64_t expected;     /* until the first of the answer, microseconds */
     bool too_dense; /* it would make the streams there pause for too long: it
                        is better sent a little later */
@@ -92,7 +93,7 @@
 /* begun: ch_balance_first was called. */
 void ch_balance_ended(struct ch_balance *balance, const struct ch_work *work,
                       const struct ch_choice *choice, bool begun,
-                      enum ch_code code, int64_t now);
+                      const struct ch_sample *sample, int64_t now);
 
 /* A request comes, whatever becomes of it: what it asks of engines counts for
    its model. */
--- /dev/null
+++ b/libchestnuthitch/decide/window.c
@@ -0,0 +1,58 @@
+/* Sliding windows: a number that may be begun in any span of time. */
+
+#include "decide/window.h"
+
+/* A window in which nothing was begun yet. */
+void
+ch_window_init(struct ch_window *window, int64_t span)
+{
+    window->span = span;
+    window->begun = g_array_new(FALSE, FALSE, sizeof(int64_t));
+}
+
+/* Frees what it holds. */
+void
+ch_window_clear(struct ch_window *window)
+{
+    g_array_free(window->begun, TRUE);
+    window->begun = NULL;
+}
+
+/* See window.h.  For who takes over from another whose use is not known: it
+ * gets one after the other, and never more than the span allows both. */
+void
+ch_window_assume_used(struct ch_window *window, unsigned most, int64_t now)
+{
+    g_array_set_size(window->begun, 0);
+    for (unsigned i = 0; i < most; i++) {
+        int64_t begun = now - window->span + window->span * (i + 1) / most;
+        g_array_append_val(window->begun, begun);
+    }
+}
+
+/* Forgets what was begun before the span. */
+static void
+forget_old(struct ch_window *window, int64_t now)
+{
+    guint old = 0;
+    while (old < window->begun->len &&
+           g_array_index(window->begun, int64_t, old) + window->span <= now) {
+        old++;
+    }
+    g_array_remove_range(window->begun, 0, old);
+}
+
+/* See window.h. */
+unsigned
+ch_window_left(struct ch_window *window, unsigned most, int64_t now)
+{
+    forget_old(window, now);
+    return window->begun->len < most ? most - window->begun->len : 0;
+}
+
+/* See window.h. */
+void
+ch_window_take(struct ch_window *window, int64_t now)
+{
+    g_array_append_val(window->begun, now);
+}
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -855,7 +855,7 @@
     struct request *request = ch_table_remove(balancer->requests, handle);
     if (request != NULL) {
         ch_balance_ended(balancer->balance, &request->work, &request->choice,
-                         request->begun, sample->code, now);
+                         request->begun, sample, now);
         if (sample->code == CH_UPSTREAM_REFUSED) {
             note_refused(balancer, request);
         }
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -33,6 +33,9 @@
     TRY_STEP = 700 * 1000,
     /* Nodes of other data centres try after those of the own one. */
     TRY_FOREIGN = 2500 * 1000,
+    /* Two orders take different times on their way, so that the second load
+     * may begin sooner after the first than it was ordered. */
+    LOADS_MARGIN = 500 * 1000,
     /* An adapter that cannot be loaded within this is looked for elsewhere. */
     PREPARE_LIMIT = 500 * 1000,
 };
@@ -59,6 +62,9 @@
     duty->claim = ch_claim_new(controller->node, name,
                                (int64_t)settings->lease_ms * 1000);
     duty->heard = ch_client_now(controller->node->client) - HOLDER_SILENT;
+    ch_window_init(&duty->loads,
+                   (int64_t)settings->load_window_s * G_USEC_PER_SEC +
+                       LOADS_MARGIN);
     g_hash_table_insert(controller->duties, key, duty);
     return duty;
 }
@@ -69,6 +75,7 @@
 {
     struct duty *duty = data;
     ch_claim_free(duty->claim);
+    ch_window_clear(&duty->loads);
     g_free(duty->holder);
     g_free(duty);
 }
@@ -131,27 +138,34 @@
     return silent >= wait;
 }
 
-/* What may be loaded from the weight store by one of the data centres'
- * holders: its part of what is allowed in a window, some of it at once. */
-static void
-init_loads(struct ch_controller *controller, struct duty *duty, int64_t now)
+/* See controller_internal.h. */
+unsigned
+controller_loads_in_window(const struct ch_controller *controller,
+                           const struct ch_declaration *declaration)
 {
     const struct ch_settings *settings = controller->node->settings;
-    struct ch_config *config =
-        ch_config_keeper_current(controller->node->config);
     double rate = settings->loads_per_s;
-    for (size_t i = 0;
-         config != NULL && i < config->declaration->service_count; i++) {
-        double stated = config->declaration->services[i].loads_per_s;
+    for (size_t i = 0; i < declaration->service_count; i++) {
+        double stated = declaration->services[i].loads_per_s;
         rate = stated > 0 ? stated : rate;
     }
-    ch_config_unref(config);
-    double window = settings->load_window_s;
-    double share = rate * window * settings->load_overshoot /
+    double share = rate * settings->load_window_s * settings->load_overshoot /
                    MAX(g_hash_table_size(controller->duties), 1U);
-    /* One at once, the rest evenly. */
-    ch_bucket_init(&duty->loads, LOADS_PART * share / window, 1, now);
-    duty->loads.level = 0;
+    return 1 + (unsigned)(LOADS_PART * share);
+}
+
+/* What another holder has loaded from the weight store lately is not known. */
+static void
+init_loads(struct ch_controller *controller, struct duty *duty, int64_t now)
+{
+    struct ch_config *config =
+        ch_config_keeper_current(controller->node->config);
+    unsigned most = 1;
+    if (config != NULL) {
+        most = controller_loads_in_window(controller, config->declaration);
+        ch_config_unref(config);
+    }
+    ch_window_assume_used(&duty->loads, most, now);
 }
 
 /* What changes when the right is got or lost. */
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -8,6 +8,7 @@
  */
 
 #include "decide/arrange.h"
+#include "decide/window.h"
 #include "node/claim.h"
 #include "node/controller.h"
 #include "node/dialect.h"
@@ -95,7 +96,8 @@
     struct tell_times near; /* to nodes of this region */
     struct tell_times far;  /* to all others */
     int64_t next_arrange;
-    struct ch_bucket loads; /* of models from the weight store */
+    int64_t next_short;     /* lines on models that stay short */
+    struct ch_window loads; /* of models from the weight store */
 };
 
 /* What one node told of its requests. */
@@ -191,6 +193,10 @@
 
 struct duty *controller_duty(struct ch_controller *controller,
                              GQuark data_centre);
+/* Loads from the weight store that one of the data centres' holders may begin
+   in a window: its part of what is allowed, rounded up to one at least. */
+unsigned controller_loads_in_window(const struct ch_controller *controller,
+                                    const struct ch_declaration *declaration);
 /* Answers who waits for an adapter. */
 void controller_answer(struct ch_controller *controller,
                        const struct adapter_wait *wait, enum ch_code code);
