A model that room is made for is told as coming

Cause: what room was made for was known to its own holder alone until the load was ordered, some seconds later, so the holders of three data centres made room for the same model, and requests for it were refused after 1.5 s.

--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -198,12 +198,11 @@
 
 /* ---- telling ---- */
 
-/* The names of an engine's items of a kind. */
-static char **
-names_of(const struct controller_engine *engine, bool models,
-         enum ch_item_state state, size_t *count)
+/* Appends the names of an engine's items of a kind. */
+static void
+add_names(const struct controller_engine *engine, bool models,
+          enum ch_item_state state, GPtrArray *names)
 {
-    GPtrArray *names = g_ptr_array_new();
     for (guint i = 0; i < engine->items->len; i++) {
         const struct item *item =
             &g_array_index(engine->items, struct item, i);
@@ -211,13 +210,40 @@
             g_ptr_array_add(names, (char *)g_quark_to_string(item->name));
         }
     }
+}
+
+/* The names of an engine's items of a kind. */
+static char **
+names_of(const struct controller_engine *engine, bool models,
+         enum ch_item_state state, size_t *count)
+{
+    GPtrArray *names = g_ptr_array_new();
+    add_names(engine, models, state, names);
+    *count = names->len;
+    return (char **)g_ptr_array_free(names, FALSE);
+}
+
+/*
+ * The models that an engine is loading, or makes room for.  Load: demand that
+ * moves, seen by the holders of all data centres at once.  Harm prevented:
+ * each of them makes room for the same model, as nothing is loading it yet;
+ * and callers are refused who could wait for it.
+ */
+static char **
+coming_of(const struct controller_engine *engine, int64_t now, size_t *count)
+{
+    GPtrArray *names = g_ptr_array_new();
+    add_names(engine, true, CH_ITEM_LOADING, names);
+    if (engine->pledged != 0 && now < engine->pledged_until) {
+        g_ptr_array_add(names, (char *)g_quark_to_string(engine->pledged));
+    }
     *count = names->len;
     return (char **)g_ptr_array_free(names, FALSE);
 }
 
 /* One engine's state as a message; the names are the quarks' own. */
 static Chestnuthitch__Wire__EngineState *
-make_state(const struct controller_engine *engine)
+make_state(const struct controller_engine *engine, int64_t now)
 {
     Chestnuthitch__Wire__EngineState *state =
         g_new(Chestnuthitch__Wire__EngineState, 1);
@@ -227,7 +253,7 @@
     state->models = names_of(engine, true, CH_ITEM_RESIDENT, &state->n_models);
     state->adapters =
         names_of(engine, false, CH_ITEM_RESIDENT, &state->n_adapters);
-    state->coming = names_of(engine, true, CH_ITEM_LOADING, &state->n_coming);
+    state->coming = coming_of(engine, now, &state->n_coming);
     state->running = engine->load_running;
     state->unread_ms = (uint32_t)(engine->load_unread / 1000);
     state->busy = engine_is_busy(engine);
@@ -266,7 +292,7 @@
  * with news for nodes near or far. */
 static void
 add_states(struct ch_controller *controller, const struct duty *duty,
-           bool whole, bool near, GPtrArray *states)
+           bool whole, bool near, int64_t now, GPtrArray *states)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -278,7 +304,7 @@
             (!whole && !*news)) {
             continue;
         }
-        g_ptr_array_add(states, make_state(engine));
+        g_ptr_array_add(states, make_state(engine, now));
         engine->news_far = engine->news_far || near;
         *news = false;
     }
@@ -300,7 +326,7 @@
     struct tell_times *times = near ? &duty->near : &duty->far;
     bool whole = now >= times->next_whole;
     GPtrArray *states = g_ptr_array_new_with_free_func(free_state);
-    add_states(controller, duty, whole, near, states);
+    add_states(controller, duty, whole, near, now, states);
     if (whole || states->len > 0 || !near) {
         Chestnuthitch__Wire__Engines engines = WIRE(ENGINES__INIT);
         engines.data_centre = (char *)g_quark_to_string(duty->data_centre);
