What a lost holder told as coming is not waited for; a model goes when nothing waits

Two hazards found while reading what 'coming' does at a successor: it would keep the told load as its own, wait for room that nobody makes, and take no other change on that engine.

--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -21,6 +21,9 @@
     /* An adapter that was asked for this lately is not dropped for another:
      * its request may be on its way. */
     ADAPTER_RECENT = 1500 * 1000,
+    /* A model goes when nothing waits at its engine any more, or so much later
+     * all the same. */
+    MOST_PATIENCE = 750 * 1000,
     /* A load that no report shows as begun has failed. */
     LOAD_LOST = 1500 * 1000,
 };
@@ -645,6 +648,26 @@
     return true;
 }
 
+/*
+ * Whether the order for an item may be sent now.  Load: a model goes from an
+ * engine that has more requests than slots.  Harm prevented: the engine turns
+ * away those that wait for the model, which were sent before anybody knew that
+ * it goes; a stream among them that goes on here would be cut off.  No new
+ * ones come, so that a little patience is enough for most of them to begin.
+ */
+static bool
+is_due(const struct controller_engine *engine, const struct item *item,
+       int64_t now)
+{
+    if (item->ordered || item->told || now < item->not_before) {
+        return false;
+    }
+    if (item->state == CH_ITEM_UNLOADING && item->model == 0) {
+        return engine->waiting == 0 || now >= item->not_before + MOST_PATIENCE;
+    }
+    return item->state == CH_ITEM_LOADING || item->state == CH_ITEM_UNLOADING;
+}
+
 /* Sends the next order: adapters first, for which requests wait. */
 static void
 send_next(struct controller_engine *engine, struct duty *duty, int64_t now)
@@ -652,10 +675,8 @@
     for (int models = 0; models < 2; models++) {
         for (guint i = 0; i < engine->items->len; i++) {
             struct item *item = &g_array_index(engine->items, struct item, i);
-            bool due = !item->ordered && now >= item->not_before &&
-                       (item->state == CH_ITEM_LOADING ||
-                        item->state == CH_ITEM_UNLOADING);
-            if (!due || (item->model == 0) != (models == 1)) {
+            if (!is_due(engine, item, now) ||
+                (item->model == 0) != (models == 1)) {
                 continue;
             }
             if (item->model != 0 && !has_model(engine, item->model)) {
@@ -694,6 +715,21 @@
     return false;
 }
 
+/*
+ * Whether what is being loaded will not come: its load has failed, or another
+ * holder told of it and was lost before it ordered it.  Load: a holder is lost
+ * while it makes room for a model.  Harm prevented: its successor waits for
+ * room that nobody makes any more, and the engine takes no other change.  An
+ * engine that is not busy, and has taken no order since, is loading no model.
+ */
+static bool
+will_not_come(const struct item *item, const struct ch_report *report,
+              int64_t now)
+{
+    bool lost = item->ordered && now - item->changed > LOAD_LOST;
+    return !report->busy && (item->told || lost);
+}
+
 /* Compares one item with a report that counts as many orders as this node. */
 static void
 compare_item(struct controller_engine *engine, struct item *item,
@@ -712,7 +748,7 @@
             set_state(engine, item, CH_ITEM_RESIDENT, now);
             answer_waits(engine, item, CH_OK);
         }
-        else if (item->ordered && old && !report->busy) {
+        else if (will_not_come(item, report, now)) {
             item->state = CH_ITEM_ABSENT;
         }
         break;
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -37,6 +37,7 @@
     int64_t used;       /* an adapter was last asked for */
     int64_t not_before; /* the order for it is not sent before */
     bool ordered;       /* the order for its state was taken */
+    bool told;          /* it is to come by another holder's word */
     GArray *waits;      /* struct adapter_wait; NULL: none */
 };
 
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -14,6 +14,8 @@
     /* A model that is to go gets no new requests for this long before the
      * order for it is sent: the time in which every node has been told. */
     LEAVE_FIRST = 250 * 1000,
+    /* ... and a report is asked for so much sooner, to tell what waits. */
+    ASK_EARLIER = 50 * 1000,
     /* Room that was made for a model is kept for it this long: its victim's
      * last requests have ended by then, or something went wrong. */
     PLEDGE = 8 * 1000 * 1000,
@@ -318,6 +320,7 @@
         item->ordered = false;
         item->changed = now;
         item->not_before = now + LEAVE_FIRST;
+        engine->report_at = now + LEAVE_FIRST - ASK_EARLIER;
     }
     engine->news = true;
     engine_pump(engine, duty, now);
