One decision over the whole fleet, of which each holder orders its own engines

Cause: each data centre's holder looked for engines among its own alone, so the holders of three brought what one was short of (eight engines that came back empty all loaded the model of the moment; its demand had moved on when they had it), and took the room of what was short next. Change: demand is met over all engines by the same order of preference everywhere; what falls to another data centre's engine is counted and left to its holder, as long as that one is heard. A model may get several engines in one round, as each counts for the next.

--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -26,11 +26,16 @@
 
 /* Appends an order: to load a model, or first to unload a victim for it.  The
  * load from the weight store is counted with the first of the two, so that the
- * room is not made in vain. */
+ * room is not made in vain.  What is decided for an engine of another data
+ * centre is only counted: its own holder decides the same. */
 static void
 order(struct ch_round *round, const struct ch_arrange_engine *engine,
       GQuark victim, GQuark model, const char *reason)
 {
+    ch_round_count_order(round, engine, victim, model);
+    if (!engine->mine) {
+        return;
+    }
     const struct ch_arrange_action action = {
         .kind = victim == 0 ? CH_ACTION_LOAD : CH_ACTION_UNLOAD,
         .engine = engine->name,
@@ -45,7 +50,6 @@
     }
     round->changing++;
     g_array_append_val(round->out, action);
-    ch_round_count_order(round, engine, victim, model);
 }
 
 /* Whether room was made on the engine for another model. */
@@ -138,7 +142,7 @@
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         struct ch_eviction eviction;
-        if (!can_take(round, engine, model) ||
+        if (!engine->mine || !can_take(round, engine, model) ||
             is_pledged_to_other(engine, model->name) ||
             !ch_round_find_room(round, engine, model->memory_mb, G_MAXDOUBLE,
                                 &eviction)) {
@@ -164,14 +168,15 @@
 
 /*
  * Load: demand that moves to another model within seconds.  Harm prevented: it
- * queues at the few engines that hold the model while others stand idle.  A
- * replica that is missed much less gives way on one engine at a time, a copy
- * near by going first, since it loads in a second or two where the weight
- * store needs eight.  A copy on an engine elsewhere is not waited for: that
- * engine may have nothing that can go, and the demand grew for four seconds
- * while nobody loaded the model.  Never the last replica of anything.
+ * queues at the few engines that hold the model while others stand idle.  It
+ * comes where there is room, or a replica that is missed much less gives way,
+ * never the last one of anything; a copy near by goes first, since it loads in
+ * a second or less where the weight store needs several.  The engine is looked
+ * for in the whole fleet, and each holder orders its own: else the holders of
+ * three data centres each bring what is missing, three times as much, and take
+ * it from models that are short next.  False: no engine can take it.
  */
-static void
+static bool
 shift(struct ch_round *round, const struct ch_tally *tally)
 {
     const struct ch_arrange_model *model = tally->model;
@@ -194,8 +199,10 @@
     }
     if (best.engine != NULL) {
         order(round, best.engine, best.victim, model->name,
-              "another model is asked for more");
+              best.victim == 0 ? "there is room"
+                               : "another model is asked for more");
     }
+    return best.engine != NULL;
 }
 
 /* ---- room that is being made ---- */
@@ -206,12 +213,9 @@
  * asked for that much more than what goes.
  */
 static void
-make_more_room(struct ch_round *round, const struct ch_arrange_engine *engine)
+make_more_room(struct ch_round *round, const struct ch_arrange_engine *engine,
+               const struct ch_tally *tally)
 {
-    const struct ch_tally *tally = ch_round_tally(round, engine->pledged);
-    if (tally == NULL) {
-        return;
-    }
     const struct ch_arrange_model *model = tally->model;
     double most =
         tally->replicas < 2
@@ -256,7 +260,8 @@
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         struct ch_eviction eviction;
         bool from_store = !ch_round_has_copy(engine, model->name);
-        if (!can_take(round, engine, model) || engine->pledged != 0 ||
+        if (!engine->mine || !can_take(round, engine, model) ||
+            engine->pledged != 0 ||
             (from_store && round->loads_left <= LOADS_KEPT) ||
             ch_round_flexible(round, engine) <
                 model->memory_mb + round->largest_mb ||
@@ -315,9 +320,6 @@
     const struct ch_arrange_model *model = tally->model;
     double want = ch_round_pressure(model, tally->replicas) / CH_BUSY_REPLICA +
                   1.0 / (tally->replicas + 1);
-    if (ch_round_has_copy(engine, model->name)) {
-        want += 0.2;
-    }
     /* Apart from that in another order on each engine, so that idle models
      * spread. */
     uint64_t tie = ch_hash_pair(model->name, engine->name);
@@ -327,9 +329,8 @@
 /*
  * Load: none yet, or engines with room to spare.  Harm prevented: demand that
  * moves to a model which a single engine holds, while memory stands empty.
- * What is free is filled with the model that is asked for most, else with one
- * that few engines hold; from the weight store only what is asked for, since
- * its rate is needed when a model is lost.
+ * What is free takes what is near by, most of all what few engines hold; the
+ * weight store's rate is left for what is asked for.
  */
 static void
 fill(struct ch_round *round, const struct ch_arrange_engine *engine)
@@ -340,12 +341,8 @@
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_tally *tally = &round->tallies[i];
         const struct ch_arrange_model *model = tally->model;
-        bool busy =
-            ch_round_pressure(model, tally->replicas) > CH_BUSY_REPLICA;
-        bool quick = ch_round_has_copy(engine, model->name) ||
-                     engine->pledged == model->name;
-        if (model->memory_mb > room || (!busy && !quick) ||
-            is_pledged_to_other(engine, model->name) ||
+        if (model->memory_mb > room ||
+            !ch_round_has_copy(engine, model->name) ||
             !can_take(round, engine, model)) {
             continue;
         }
@@ -356,49 +353,82 @@
         }
     }
     if (best != 0) {
-        order(round, engine, 0, best,
-              engine->pledged != 0 ? "room was made for it" : "there is room");
+        order(round, engine, 0, best, "there is room and a copy");
+    }
+}
+
+/* Brings what room was made for, or goes on making it. */
+static void
+keep_pledge(struct ch_round *round, const struct ch_arrange_engine *engine)
+{
+    const struct ch_tally *tally = ch_round_tally(round, engine->pledged);
+    if (tally == NULL || !can_take(round, engine, tally->model)) {
+        return;
+    }
+    if (tally->model->memory_mb <= ch_round_free(round, engine)) {
+        order(round, engine, 0, engine->pledged, "room was made for it");
+    }
+    else {
+        make_more_room(round, engine, tally);
     }
 }
 
-/* Fills what is free on the engines here, and goes on making room. */
+/* Does one thing for each engine here that takes a change. */
 static void
-fill_all(struct ch_round *round)
+each_open(struct ch_round *round,
+          void (*job)(struct ch_round *round,
+                      const struct ch_arrange_engine *engine),
+          bool pledged)
 {
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &round->state->engines[i];
-        if (!ch_round_is_open(engine) || ch_round_is_ordered(round, engine)) {
-            continue;
-        }
-        fill(round, engine);
-        if (engine->pledged != 0 && !ch_round_is_ordered(round, engine)) {
-            make_more_room(round, engine);
+        if (engine->mine && ch_round_is_open(engine) &&
+            !ch_round_is_ordered(round, engine) &&
+            (engine->pledged != 0) == pledged) {
+            job(round, engine);
         }
     }
 }
 
 /* ---- the whole ---- */
 
-/* The busy model with the most requests for each replica that was not looked
- * at in this round; NULL: none. */
+/* The busy model with the most requests for each replica; NULL: none.
+ * settled: those for which nothing more can be done. */
 static const struct ch_tally *
-next_busy(const struct ch_round *round, double below)
+next_busy(const struct ch_round *round, GHashTable *settled)
 {
     const struct ch_tally *best = NULL;
-    double best_pressure = CH_BUSY_REPLICA;
+    double most = CH_BUSY_REPLICA;
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_tally *tally = &round->tallies[i];
         double asked = ch_round_pressure(tally->model, tally->replicas);
-        if (asked > best_pressure && asked < below) {
+        if (asked > most && !g_hash_table_contains(settled, tally)) {
             best = tally;
-            best_pressure = asked;
+            most = asked;
         }
     }
     return best;
 }
 
-/* See arrange.h.  What is out of reach goes first, then room that is free,
- * then what is asked for most, then what will be. */
+/* Brings what is asked for, what presses most first. */
+static void
+meet_demand(struct ch_round *round)
+{
+    GHashTable *settled = g_hash_table_new(NULL, NULL);
+    while (round->changing < round->state->most_changes) {
+        const struct ch_tally *tally = next_busy(round, settled);
+        if (tally == NULL) {
+            break;
+        }
+        if (!shift(round, tally)) {
+            g_hash_table_add(settled, (gpointer)tally);
+        }
+    }
+    g_hash_table_destroy(settled);
+}
+
+/* See arrange.h.  What is out of reach goes first, then what was begun, then
+ * what is asked for most, then what will be. */
 void
 ch_arrange(const struct ch_arrange_state *state, GArray *out)
 {
@@ -410,16 +440,9 @@
             restore(&round, &state->models[i]);
         }
     }
-    fill_all(&round);
-    double below = G_MAXDOUBLE;
-    while (round.changing < state->most_changes) {
-        const struct ch_tally *tally = next_busy(&round, below);
-        if (tally == NULL) {
-            break;
-        }
-        below = ch_round_pressure(tally->model, tally->replicas);
-        shift(&round, tally);
-    }
+    each_open(&round, keep_pledge, true);
+    meet_demand(&round);
+    each_open(&round, fill, false);
     if (round.changing < state->most_changes) {
         even_out(&round);
     }
--- a/libchestnuthitch/decide/arrange_internal.h
+++ b/libchestnuthitch/decide/arrange_internal.h
@@ -21,7 +21,7 @@
     const struct ch_arrange_model *model;
     unsigned replicas; /* engines that hold it, are loading it or make room for
                           it, and stay */
-    unsigned own;      /* resident in this data centre, on engines that stay */
+    unsigned *own;     /* resident on engines that stay, by data centre */
     GQuark keeper;     /* the data centre that keeps the last replica */
     uint64_t keeper_weight;
 };
@@ -31,6 +31,9 @@
     const struct ch_arrange_state *state;
     struct ch_tally *tallies; /* of each model, in their order */
     GHashTable *by_name;      /* GQuark to struct ch_tally */
+    GHashTable *centres;      /* GQuark of data centre to its number */
+    GHashTable *ordered;      /* GQuark of engines that were given an order */
+    unsigned *counts;         /* the tallies' own */
     uint32_t largest_mb;      /* of all models */
     uint32_t loads_left;
     uint32_t changing;
@@ -79,7 +82,7 @@
 /* Memory that is not taken by what only this engine holds. */
 uint32_t ch_round_flexible(const struct ch_round *round,
                            const struct ch_arrange_engine *engine);
-/* Whether this engine is to be changed now. */
+/* Whether this engine takes a change now. */
 bool ch_round_is_open(const struct ch_arrange_engine *engine);
 /* Whether the engine was given an order in this round. */
 bool ch_round_is_ordered(const struct ch_round *round,
--- a/libchestnuthitch/decide/arrange_short.c
+++ b/libchestnuthitch/decide/arrange_short.c
@@ -62,6 +62,7 @@
         const struct ch_arrange_action *action =
             &g_array_index(actions, struct ch_arrange_action, i);
         round.loads_left -= action->from_store ? 1 : 0;
+        g_hash_table_add(round.ordered, GUINT_TO_POINTER(action->engine));
     }
     for (size_t i = 0; i < state->model_count; i++) {
         const struct ch_arrange_model *model = &state->models[i];
--- a/libchestnuthitch/decide/arrange_view.c
+++ b/libchestnuthitch/decide/arrange_view.c
@@ -11,6 +11,33 @@
 
 /* ---- counting ---- */
 
+/* The number of an engine's data centre. */
+static guint
+centre_of(const struct ch_round *round, const struct ch_arrange_engine *engine)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(
+        round->centres, GUINT_TO_POINTER(engine->data_centre)));
+}
+
+/* Numbers the data centres, and makes the counts for them. */
+static void
+number_centres(struct ch_round *round)
+{
+    const struct ch_arrange_state *state = round->state;
+    for (size_t i = 0; i < state->engine_count; i++) {
+        gpointer key = GUINT_TO_POINTER(state->engines[i].data_centre);
+        if (!g_hash_table_contains(round->centres, key)) {
+            guint number = g_hash_table_size(round->centres);
+            g_hash_table_insert(round->centres, key, GUINT_TO_POINTER(number));
+        }
+    }
+    guint centres = g_hash_table_size(round->centres);
+    round->counts = g_new0(unsigned, state->model_count *centres + 1);
+    for (size_t i = 0; i < state->model_count; i++) {
+        round->tallies[i].own = &round->counts[i * centres];
+    }
+}
+
 /*
  * Counts an engine's replica.  Which data centre keeps the last one is decided
  * by rendezvous among those with a replica, the same everywhere: else two data
@@ -31,7 +58,7 @@
     if (item->state != CH_ITEM_RESIDENT) {
         return;
     }
-    tally->own += engine->mine ? 1 : 0;
+    tally->own[centre_of(round, engine)]++;
     uint64_t weight =
         ch_hash_pair(ch_hash_string(g_quark_to_string(item->model)),
                      ch_hash_string(g_quark_to_string(engine->data_centre)));
@@ -68,6 +95,8 @@
         .state = state,
         .tallies = g_new0(struct ch_tally, state->model_count + 1),
         .by_name = g_hash_table_new(NULL, NULL),
+        .centres = g_hash_table_new(NULL, NULL),
+        .ordered = g_hash_table_new(NULL, NULL),
         .loads_left = state->loads_left,
         .out = out,
     };
@@ -78,6 +107,7 @@
         g_hash_table_insert(round->by_name, GUINT_TO_POINTER(model->name),
                             &round->tallies[i]);
     }
+    number_centres(round);
     for (size_t i = 0; i < state->engine_count; i++) {
         const struct ch_arrange_engine *engine = &state->engines[i];
         if (!engine->leaving) {
@@ -107,8 +137,9 @@
     }
     if (goes != NULL) {
         goes->replicas--;
-        goes->own--;
+        goes->own[centre_of(round, engine)]--;
     }
+    g_hash_table_add(round->ordered, GUINT_TO_POINTER(engine->name));
 }
 
 /* Frees what it holds. */
@@ -116,6 +147,9 @@
 ch_round_clear(struct ch_round *round)
 {
     g_hash_table_destroy(round->by_name);
+    g_hash_table_destroy(round->centres);
+    g_hash_table_destroy(round->ordered);
+    g_free(round->counts);
     g_free(round->tallies);
 }
 
@@ -237,7 +271,7 @@
 bool
 ch_round_is_open(const struct ch_arrange_engine *engine)
 {
-    return engine->mine && engine->open && !engine->leaving;
+    return engine->open && !engine->leaving;
 }
 
 /* See arrange_internal.h. */
@@ -245,13 +279,8 @@
 ch_round_is_ordered(const struct ch_round *round,
                     const struct ch_arrange_engine *engine)
 {
-    for (guint i = 0; i < round->out->len; i++) {
-        if (g_array_index(round->out, struct ch_arrange_action, i).engine ==
-            engine->name) {
-            return true;
-        }
-    }
-    return false;
+    return g_hash_table_contains(round->ordered,
+                                 GUINT_TO_POINTER(engine->name));
 }
 
 /* See arrange_internal.h. */
@@ -260,7 +289,7 @@
                   const struct ch_arrange_engine *engine, GQuark model)
 {
     return engine->pledged == model || ch_round_has_copy(engine, model) ||
-           round->loads_left > 0;
+           !engine->mine || round->loads_left > 0;
 }
 
 /* ---- room ---- */
@@ -273,12 +302,14 @@
     double cost; /* ... and what else it takes from others */
 };
 
-/* Whether one replica of the model on an engine here may go. */
+/* Whether the model's replica on the engine may go. */
 static bool
-may_go(const struct ch_round *round, const struct ch_tally *tally)
+may_go(const struct ch_round *round, const struct ch_arrange_engine *engine,
+       const struct ch_tally *tally)
 {
     return tally->replicas >= 2 &&
-           (tally->own >= 2 || tally->keeper != round->state->data_centre);
+           (tally->own[centre_of(round, engine)] >= 2 ||
+            tally->keeper != engine->data_centre);
 }
 
 /* Whether the last replica of the model would be left on an engine on which
@@ -319,7 +350,7 @@
         const struct ch_arrange_item *item = &engine->items[i];
         const struct ch_tally *tally = ch_round_tally(round, item->model);
         if (item->state != CH_ITEM_RESIDENT || tally == NULL ||
-            !may_go(round, tally)) {
+            !may_go(round, engine, tally)) {
             continue;
         }
         double left = ch_round_pressure(tally->model, tally->replicas - 1);
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -374,8 +374,8 @@
                         CH_ITEM_RESIDENT, now);
     }
     for (size_t i = 0; i < told->coming_count; i++) {
-        struct item *item = engine_add_item(engine, told->coming[i], 0,
-                                            CH_ITEM_LOADING, now);
+        struct item *item =
+            engine_add_item(engine, told->coming[i], 0, CH_ITEM_LOADING, now);
         item->told = true;
     }
 }
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -19,6 +19,9 @@
     /* Room that was made for a model is kept for it this long: its victim's
      * last requests have ended by then, or something went wrong. */
     PLEDGE = 8 * 1000 * 1000,
+    /* A holder that told nothing for this long orders nothing either: it tells
+     * other regions each second. */
+    HOLDER_QUIET = 1500 * 1000,
     /* Places on an engine that stay free for adapters which are asked for. */
     SPARE_PLACES = 1,
     /* Memory of an adapter where no model states more. */
@@ -190,6 +193,23 @@
     GPtrArray *lists; /* GArray, to be freed */
 };
 
+/* Whether an engine of another data centre takes a change, as far as is known:
+ * its holder tells, and no model is on its way there. */
+static bool
+is_open_elsewhere(const struct controller_engine *engine, int64_t now)
+{
+    const struct duty *duty =
+        controller_duty(engine->controller, engine->data_centre);
+    bool open = engine->listed && duty->holder != NULL &&
+                now - duty->heard < HOLDER_QUIET;
+    for (guint i = 0; i < engine->items->len; i++) {
+        const struct item *item =
+            &g_array_index(engine->items, struct item, i);
+        open = open && (item->model != 0 || item->state == CH_ITEM_RESIDENT);
+    }
+    return open;
+}
+
 /* Adds an engine with its models. */
 static void
 add_engine(struct picture *picture, const struct controller_engine *engine,
@@ -210,7 +230,9 @@
         .service = engine->service,
         .data_centre = engine->data_centre,
         .mine = engine->data_centre == duty->data_centre,
-        .open = engine_is_open(engine, now),
+        .open = engine->data_centre == duty->data_centre
+                    ? engine_is_open(engine, now)
+                    : is_open_elsewhere(engine, now),
         .leaving = engine->leaving,
         .memory_mb = engine_memory(engine),
         .reserve_mb = engine_reserve(engine, adapter_mb),
