--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -5,11 +5,12 @@
 /* What makes one engine worse than another for a model, in engines' time that
  * is asked of it: a load of some seconds in place of one or less, a model that
  * has to go and whose requests end first, an engine that becomes one on which
- * nothing large can come any more.  To bring back what nobody holds, time is
- * all. */
-static const double FROM_STORE = 20;
-static const double DISPLACES = 10;
-static const double SHIFT_FROM_STORE = 0.5;
+ * nothing large can come any more.  To bring back what nobody holds, time
+ * counts more: the load's, and that of a model whose requests end first. */
+static const double FROM_STORE = 4;
+static const double DISPLACES = 2;
+static const double DISPLACES_BUSY = 6;
+static const double SHIFT_FROM_STORE = 1;
 static const double BLOCKS_ADAPTERS = 0.5;
 static const double DRAINS = 0.25;
 static const double FILLS_UP = 2;
@@ -152,7 +153,7 @@
                      model->memory_mb + round->largest_mb;
         double cost =
             (ch_round_has_copy(engine, model->name) ? 0 : FROM_STORE) +
-            eviction.count * DISPLACES + eviction.cost +
+            eviction.count * DISPLACES + eviction.cost * DISPLACES_BUSY +
             (fills ? FILLS_UP : 0) +
             ch_round_busy(round, engine, eviction.first) +
             blocks_adapters(round, engine);
