--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -715,6 +715,19 @@
     return false;
 }
 
+/* Tells of a change of a model that a report shows as done. */
+static void
+log_done(const struct controller_engine *engine, const struct item *item,
+         const char *what, int64_t now)
+{
+    if (item->model == 0) {
+        ch_log(engine->controller->node->client, CH_LOG_INFO, what,
+               CH_F_STR("upstream", g_quark_to_string(engine->name)),
+               CH_F_STR("model", g_quark_to_string(item->name)),
+               CH_F_INT("took_us", now - item->changed), CH_F_END);
+    }
+}
+
 /*
  * Whether what is being loaded will not come: its load has failed, or another
  * holder told of it and was lost before it ordered it.  Load: a holder is lost
@@ -745,6 +758,7 @@
         break;
     case CH_ITEM_LOADING:
         if (there) {
+            log_done(engine, item, "model-loaded", now);
             set_state(engine, item, CH_ITEM_RESIDENT, now);
             answer_waits(engine, item, CH_OK);
         }
@@ -754,6 +768,7 @@
         break;
     case CH_ITEM_UNLOADING:
         if (!there) {
+            log_done(engine, item, "model-unloaded", now);
             item->state = CH_ITEM_ABSENT;
         }
         else if (item->ordered && old && !report->busy) {
