--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -21,6 +21,8 @@
     /* Loads of the weight store that are left for what is asked for, while
      * others move for the sake of room. */
     LOADS_KEPT = 1,
+    /* Engines are looked for so often in a round. */
+    MOST_LOOKS = 64,
 };
 
 /* ---- ordering ---- */
@@ -411,12 +413,18 @@
     return best;
 }
 
-/* Brings what is asked for, what presses most first. */
+/*
+ * Brings what is asked for, what presses most first.  Load: a hundred models
+ * that are short at once, on two thousand engines.  Harm prevented: a round
+ * that takes a small host's processor for a second, while what it decides upon
+ * changes; what is left over is looked at in the next round.
+ */
 static void
 meet_demand(struct ch_round *round)
 {
     GHashTable *settled = g_hash_table_new(NULL, NULL);
-    while (round->changing < round->state->most_changes) {
+    for (int i = 0;
+         i < MOST_LOOKS && round->changing < round->state->most_changes; i++) {
         const struct ch_tally *tally = next_busy(round, settled);
         if (tally == NULL) {
             break;
