--- a/cli/main.c
+++ b/cli/main.c
@@ -17,6 +17,7 @@
     {"config", cli_config, "check, show, diff or apply a declaration"},
     {"replay", cli_replay, "run a trace through the decisions"},
     {"status", cli_status, "show nodes, upstreams and what is in force"},
+    {"explain", cli_explain, "tell from logs what became of requests"},
 };
 
 /* Writes the list of subcommands. */
--- a/libchestnuthitch/node/exchange_tell.c
+++ b/libchestnuthitch/node/exchange_tell.c
@@ -247,6 +247,7 @@
         CH_F_INT("status", exchange->status),
         CH_F_INT("attempts", exchange->calls),
         CH_F_INT("at_ms", exchange->at_wall_ms),
+        CH_F_INT("target_us", request->work.first_by - request->work.arrived),
         CH_F_INT("queued_us", since_arrival(exchange, exchange->first_grant)),
         CH_F_INT("first_us", since_arrival(exchange, exchange->first)),
         CH_F_INT("between_us", between_tokens(exchange)),
