--- /dev/null
+++ b/libchestnuthitch/decide/order.h
@@ -0,0 +1,27 @@
+#ifndef CH_DECIDE_ORDER_H
+#define CH_DECIDE_ORDER_H
+
+/*
+ * When an order to an engine is sent, and when one is given up.  No sockets,
+ * no clock, no threads.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A load that is to come to an engine. */
+struct ch_load_facts {
+    bool ordered; /* the engine took the order */
+    bool told;    /* known by another holder's word alone */
+    bool busy;    /* the engine's report says that it changes its models */
+    int64_t age;  /* microseconds since the order, or the word */
+};
+
+/* Whether a model's unload is held back, once its requests go elsewhere, at
+   `due`; waiting: requests that wait at the engine, by its last report. */
+bool ch_order_unload_waits(int64_t due, uint32_t waiting, int64_t now);
+/* Whether a load that no report lists will not come. */
+bool ch_order_load_lost(const struct ch_load_facts *load);
+
+#endif
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -21,11 +21,8 @@
     /* An adapter that was asked for this lately is not dropped for another:
      * its request may be on its way. */
     ADAPTER_RECENT = 1500 * 1000,
-    /* A model goes when nothing waits at its engine any more, or so much later
-     * all the same. */
-    MOST_PATIENCE = 750 * 1000,
-    /* A load that no report shows as begun has failed. */
-    LOAD_LOST = 1500 * 1000,
+    /* What a report does not show this long after a change is so. */
+    REPORT_LAGS = 1500 * 1000,
 };
 
 /* ---- facts ---- */
@@ -648,13 +645,7 @@
     return true;
 }
 
-/*
- * Whether the order for an item may be sent now.  Load: a model goes from an
- * engine that has more requests than slots.  Harm prevented: the engine turns
- * away those that wait for the model, which were sent before anybody knew that
- * it goes; a stream among them that goes on here would be cut off.  No new
- * ones come, so that a little patience is enough for most of them to begin.
- */
+/* Whether the order for an item may be sent now. */
 static bool
 is_due(const struct controller_engine *engine, const struct item *item,
        int64_t now)
@@ -663,7 +654,7 @@
         return false;
     }
     if (item->state == CH_ITEM_UNLOADING && item->model == 0) {
-        return engine->waiting == 0 || now >= item->not_before + MOST_PATIENCE;
+        return !ch_order_unload_waits(item->not_before, engine->waiting, now);
     }
     return item->state == CH_ITEM_LOADING || item->state == CH_ITEM_UNLOADING;
 }
@@ -728,28 +719,19 @@
     }
 }
 
-/*
- * Whether what is being loaded will not come: its load has failed, or another
- * holder told of it and was lost before it ordered it.  Load: a holder is lost
- * while it makes room for a model.  Harm prevented: its successor waits for
- * room that nobody makes any more, and the engine takes no other change.  An
- * engine that is not busy, and has taken no order since, is loading no model.
- */
-static bool
-will_not_come(const struct item *item, const struct ch_report *report,
-              int64_t now)
-{
-    bool lost = item->ordered && now - item->changed > LOAD_LOST;
-    return !report->busy && (item->told || lost);
-}
-
 /* Compares one item with a report that counts as many orders as this node. */
 static void
 compare_item(struct controller_engine *engine, struct item *item,
              const struct ch_report *report, int64_t now)
 {
     bool there = report_has(report, g_quark_to_string(item->name));
-    bool old = now - item->changed > LOAD_LOST;
+    bool old = now - item->changed > REPORT_LAGS;
+    const struct ch_load_facts load = {
+        .ordered = item->ordered,
+        .told = item->told,
+        .busy = report->busy,
+        .age = now - item->changed,
+    };
     switch (item->state) {
     case CH_ITEM_RESIDENT:
         if (!there && old) {
@@ -762,7 +744,7 @@
             set_state(engine, item, CH_ITEM_RESIDENT, now);
             answer_waits(engine, item, CH_OK);
         }
-        else if (will_not_come(item, report, now)) {
+        else if (ch_order_load_lost(&load)) {
             item->state = CH_ITEM_ABSENT;
         }
         break;
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -8,6 +8,7 @@
  */
 
 #include "decide/arrange.h"
+#include "decide/order.h"
 #include "decide/window.h"
 #include "node/claim.h"
 #include "node/controller.h"
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -383,10 +383,11 @@
         struct ch_choice choice = send_one(balance, &work, now);
         const struct ch_sample sample = {
             .code = CH_OK,
-            .token = 50 * MILLI * times,
+            .token = (int64_t)50 * MILLI * times,
             .tokens = 10,
         };
-        ch_balance_first(balance, &work, &choice, 40 * MILLI * times, now);
+        ch_balance_first(balance, &work, &choice, (int64_t)40 * MILLI * times,
+                         now);
         ch_balance_ended(balance, &work, &choice, true, &sample, now);
         if (i == 19) {
             ch_balance_each_asked(balance, now, take_asked, &calm);
