--- a/libchestnuthitch/node/claim.c
+++ b/libchestnuthitch/node/claim.c
@@ -315,6 +315,16 @@
     g_free(ending);
 }
 
+/* See claim.h. */
+int64_t
+ch_claim_age(struct ch_claim *claim)
+{
+    pthread_mutex_lock(&claim->lock);
+    int64_t age = boot_now() - claim->asked;
+    pthread_mutex_unlock(&claim->lock);
+    return age;
+}
+
 /* See claim.h. */
 void
 ch_claim_give_up(struct ch_claim *claim, int64_t after)
--- a/libchestnuthitch/node/claim.h
+++ b/libchestnuthitch/node/claim.h
@@ -27,6 +27,9 @@
 /* Whether the right is held at this moment, and its number.  To be asked right
    before each act. */
 bool ch_claim_held(struct ch_claim *claim, uint64_t *fence);
+/* Microseconds since the service was last asked to let this node keep the
+   right, and did. */
+int64_t ch_claim_age(struct ch_claim *claim);
 /* Gives the right up: another was found to have a higher one, or this node
    stops.  after: microseconds until others may have it. */
 void ch_claim_give_up(struct ch_claim *claim, int64_t after);
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -33,6 +33,9 @@
     TRY_STEP = 700 * 1000,
     /* Nodes of other data centres try after those of the own one. */
     TRY_FOREIGN = 2500 * 1000,
+    /* The service that keeps the rights is away when it did not renew one for
+     * this long: it renews each 0.7 s. */
+    SERVICE_AWAY = 1000 * 1000,
     /* Two orders take different times on their way, so that the second load
      * may begin sooner after the first than it was ordered. */
     LOADS_MARGIN = 500 * 1000,
@@ -748,6 +751,22 @@
 
 /* ---- the tick ---- */
 
+/*
+ * A stopping node gives its right up.  Load: hosts are replaced one after the
+ * other while the key-value service is away.  Harm prevented: the right is
+ * given up though nobody can take it, and no engine of the data centre is
+ * ordered until the service is back.  So it is kept as long as it lasts, and
+ * given up when the service answers.  Lock held.
+ */
+static void
+give_up(struct ch_controller *controller, struct duty *duty)
+{
+    int64_t pause = (int64_t)controller->node->settings->lease_ms * 1000;
+    if (duty->was_held && ch_claim_age(duty->claim) < SERVICE_AWAY) {
+        ch_claim_give_up(duty->claim, pause);
+    }
+}
+
 /* A duty's part of a tick.  Lock held. */
 static void
 tick_duty(struct ch_controller *controller, struct duty *duty, int64_t now)
@@ -759,6 +778,9 @@
     if (!held) {
         return;
     }
+    if (controller->draining) {
+        give_up(controller, duty);
+    }
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, controller->engines);
@@ -897,17 +919,13 @@
 void
 ch_controller_drain(struct ch_controller *controller)
 {
-    int64_t pause = (int64_t)controller->node->settings->lease_ms * 1000;
     pthread_mutex_lock(&controller->lock);
     controller->draining = true;
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, controller->duties);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct duty *duty = value;
-        if (duty->was_held) {
-            ch_claim_give_up(duty->claim, pause);
-        }
+        give_up(controller, value);
     }
     pthread_mutex_unlock(&controller->lock);
 }
