--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -168,6 +168,9 @@
 /* ---- hashing (hash.c) ---- */
 
 uint64_t ch_hash(const void *bytes, size_t length);
+/* Orders int64_t from small to large, for g_array_sort(). */
+gint ch_compare_int64(gconstpointer a, gconstpointer b);
+
 uint64_t ch_hash_string(const char *text);
 uint64_t ch_hash_pair(uint64_t a, uint64_t b);
 /* The index with the highest weight for key among names; -1 when none. */
--- /dev/null
+++ b/libchestnuthitch/base/compare.c
@@ -0,0 +1,12 @@
+/* Orders of plain values. */
+
+#include "base/base.h"
+
+/* See base.h. */
+gint
+ch_compare_int64(gconstpointer a, gconstpointer b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return (left > right) - (left < right);
+}
--- a/libchestnuthitch/decide/admit.c
+++ b/libchestnuthitch/decide/admit.c
@@ -17,15 +17,6 @@
     STALE = 10 * G_USEC_PER_SEC,
 };
 
-/* Orders times of the kind int64_t from small to large. */
-static gint
-compare_times(gconstpointer a, gconstpointer b)
-{
-    int64_t left = *(const int64_t *)a;
-    int64_t right = *(const int64_t *)b;
-    return (left > right) - (left < right);
-}
-
 /* Microseconds until the nth slot is given back (0: the first), from the
  * exact list of what runs and how long each was expected to take. */
 static int64_t
@@ -44,7 +35,7 @@
         rest = MAX(rest, granted->expected / 10);
         g_array_append_val(left, rest);
     }
-    g_array_sort(left, compare_times);
+    g_array_sort(left, ch_compare_int64);
     int64_t rounds = nth / count;
     int64_t wait = g_array_index(left, int64_t, nth % count) +
                    (int64_t)(home->rates.hold * (double)rounds);
--- a/libchestnuthitch/decide/window.c
+++ b/libchestnuthitch/decide/window.c
@@ -19,7 +19,7 @@
 }
 
 /* See window.h.  For who takes over from another whose use is not known: it
- * gets one after the other, and never more than the span allows both. */
+ * gets one after the other, as the former one's share runs out. */
 void
 ch_window_assume_used(struct ch_window *window, unsigned most, int64_t now)
 {
--- a/libchestnuthitch/explain/explain_report.c
+++ b/libchestnuthitch/explain/explain_report.c
@@ -2,6 +2,8 @@
 
 #include "explain/explain_internal.h"
 
+#include "base/base.h"
+
 #include <string.h>
 
 enum {
@@ -15,15 +17,6 @@
 
 /* ---- numbers ---- */
 
-/* Orders numbers. */
-static gint
-by_value(gconstpointer a, gconstpointer b)
-{
-    int64_t first = *(const int64_t *)a;
-    int64_t second = *(const int64_t *)b;
-    return (first > second) - (first < second);
-}
-
 /* The value below which a part of the values lies, in milliseconds; they are
  * put in order. */
 static double
@@ -32,7 +25,7 @@
     if (values->len == 0) {
         return 0;
     }
-    g_array_sort(values, by_value);
+    g_array_sort(values, ch_compare_int64);
     guint at = (guint)(part * (values->len - 1));
     return (double)g_array_index(values, int64_t, at) / 1000;
 }
