Logs: how many calls were silent at once, and whether anyone else was heard

A caller's stream was cut while its engine wrote on, and the logs of its node did not say why: a silent upstream, a link that is full and threads that have no turn look alike in the line of a single request.

The loop of calls out now writes calls-silent when calls are over their limit: how many it ends for another try, how many it waits on for, of how many open, how late it looked, and how long ago any byte came on any call. Nothing is decided by it.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -75,6 +75,7 @@
     GHashTable *running;   /* transfer to itself */
     GHashTable *suspected; /* origin to struct suspicion */
     int64_t check_at;      /* no time limit ends before this */
+    int64_t heard;         /* when a byte last came on any connection */
 };
 
 /* When a reused connection of an origin last fell silent. */
@@ -167,6 +168,7 @@
 note_byte(struct transfer *transfer)
 {
     transfer->phase = PHASE_BODY;
+    transfer->http->heard = ch_client_now(transfer->http->client);
     set_until(transfer, transfer->stall_limit);
 }
 
@@ -442,6 +444,26 @@
     return true;
 }
 
+/*
+ * Says how many calls were overdue at once, and whether this node heard anyone
+ * else meanwhile: upstreams that are silent, a link that is full and a thread
+ * that has no turn look alike to each single call.
+ */
+static void
+log_overdue(const struct ch_http *http, unsigned ended, unsigned waited_for,
+            int64_t late, int64_t now)
+{
+    if (ended + waited_for == 0) {
+        return;
+    }
+    ch_log(http->client, CH_LOG_INFO, "calls-silent", CH_F_INT("ended", ended),
+           CH_F_INT("waited_for", waited_for),
+           CH_F_INT("open", g_hash_table_size(http->running)),
+           CH_F_INT("late_us", late),
+           CH_F_INT("heard_us", http->heard == 0 ? -1 : now - http->heard),
+           CH_F_END);
+}
+
 /* Ends every transfer whose time is over, and finds when to look again. */
 static void
 end_all_overdue(struct ch_http *http)
@@ -453,17 +475,22 @@
     GPtrArray *overdue = g_ptr_array_new();
     GHashTableIter iter;
     void *key = NULL;
+    unsigned waited_for = 0;
+    int64_t late = 0;
     http->check_at = INT64_MAX;
     g_hash_table_iter_init(&iter, http->running);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         struct transfer *transfer = key;
-        if (transfer->until <= now && !waits_on(transfer, now)) {
+        bool is_overdue = transfer->until <= now;
+        late = MAX(late, now - transfer->until);
+        if (is_overdue && !waits_on(transfer, now)) {
             g_ptr_array_add(overdue, transfer);
+            continue;
         }
-        else {
-            http->check_at = MIN(http->check_at, transfer->until);
-        }
+        waited_for += is_overdue;
+        http->check_at = MIN(http->check_at, transfer->until);
     }
+    log_overdue(http, overdue->len, waited_for, late, now);
     for (guint i = 0; i < overdue->len; i++) {
         end_overdue(g_ptr_array_index(overdue, i));
     }
