Test: streams that are silent at once, more than there are tries (known red)

What callers saw: streams of one node were cut in the middle, at one instant, though their engines wrote them to the end.

In this test eight streams are silent at once and there are tries for three; the loop asks of each whether it is given up, and ends those that are after that. All eight are given up, five callers get two of five events. Seen: assertion at the first caller that was cut. Expected: those that have no try are waited for.

--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -36,6 +36,7 @@
     CROSSED,
     SILENT, /* until it is cancelled or released by the test */
     FLOODS, /* events without an end, until it is cancelled */
+    PAUSES, /* silent after two events; whole when it is resumed */
 };
 
 struct ch_homes {
@@ -94,6 +95,8 @@
     GQuark only;     /* upstream that the last request is bound to */
     struct once_job *once_job;
     struct held_call *held;
+    struct held_call *paused[MOST_CALLERS];
+    unsigned paused_count;
     int port;
 };
 
@@ -344,11 +347,27 @@
     g_assert_true(cancelled);
 }
 
+/* Sends the beginning of a stream, and leaves the rest to the test. */
+static void
+pause_call(struct held_call *call)
+{
+    struct world *world = call->world;
+    send_events(call, 2);
+    pthread_mutex_lock(&world->lock);
+    world->paused[world->paused_count++] = call;
+    notify(world);
+}
+
 static void
 run_call(void *data)
 {
     struct held_call *call = data;
+    if (call->act == PAUSES && call->resume_from == 0) {
+        pause_call(call);
+        return;
+    }
     switch (call->act) {
+    case PAUSES:
     case WHOLE:
         if (call->stream) {
             send_events(call, EVENTS);
@@ -833,6 +852,91 @@
     }
 }
 
+/* Ends the calls that are silent for too long as the loop of calls out does:
+ * all are asked for first, and those that are given up end after that. */
+static unsigned
+sweep_paused(struct world *world)
+{
+    bool ends[MOST_CALLERS] = {false};
+    unsigned ended = 0;
+    for (unsigned i = 0; i < world->paused_count; i++) {
+        struct held_call *call = world->paused[i];
+        ends[i] = !call->handlers.on_silent(call->data);
+    }
+    for (unsigned i = 0; i < world->paused_count; i++) {
+        if (ends[i]) {
+            end_call(world->paused[i], CH_UPSTREAM_STALLED, true);
+            world->paused[i] = NULL;
+            ended++;
+        }
+    }
+    return ended;
+}
+
+/* The calls that are still waited for go on after all. */
+static void
+finish_paused(struct world *world)
+{
+    for (unsigned i = 0; i < world->paused_count; i++) {
+        struct held_call *call = world->paused[i];
+        if (call != NULL) {
+            call->resume_from = 2;
+            send_events(call, EVENTS);
+            end_call(call, CH_OK, true);
+        }
+    }
+}
+
+/*
+ * Guards against streams that are cut as more fall silent at once than there
+ * are tries left: a node that stood still found all its streams silent, gave
+ * all of them up for another try, and had two tries.  What can't be tried
+ * elsewhere is waited for.
+ */
+static void
+test_silent_together(void)
+{
+    enum {
+        CALLERS = 8,
+    };
+    static const struct ch_dialect dialect = {
+        .request_id_header = "Id",
+        .read_headers = read_headers,
+    };
+    struct world *world = world_new();
+    struct ch_error error = {.code = CH_OK};
+    int callers[CALLERS];
+    ch_config_unref(world->config);
+    world->config = ch_config_new(
+        1, "t", "a", ch_declaration_parse(routed_text, "test", &error));
+    g_assert_cmpstr(error.message, ==, "");
+    world->asks_again = true;
+    world->settings.retry_slack = 54;
+    world->node.dialect = &dialect;
+    for (size_t i = 0; i < MOST_TRIES; i++) {
+        world->call_acts[i] = PAUSES;
+    }
+    world_start(world);
+    for (size_t i = 0; i < CALLERS; i++) {
+        callers[i] = ask(world, "POST /r/1", "", "");
+    }
+    wait_for(world, &world->paused_count, CALLERS);
+    unsigned ended = sweep_paused(world);
+    finish_paused(world);
+    for (size_t i = 0; i < CALLERS; i++) {
+        char *answer = hear(callers[i]);
+        g_test_message("%s", answer);
+        g_assert_nonnull(strstr(answer, "{\"n\":4}"));
+        g_assert_true(g_str_has_suffix(answer, "\r\n0\r\n\r\n"));
+        g_free(answer);
+    }
+    world_stop(world);
+    g_assert_cmpuint(ended, >, 0);
+    g_assert_cmpuint(ended, <, CALLERS);
+    g_assert_cmpuint(world->calls, ==, CALLERS + ended);
+    world_free(world);
+}
+
 /* ---- the once record's answers ---- */
 
 struct once_case {
@@ -1236,6 +1340,7 @@
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/begun", test_begun);
+    g_test_add_func("/exchange/silent-together", test_silent_together);
     g_test_add_func("/exchange/cut-by-stop", test_cut_by_stop);
     g_test_add_func("/exchange/once late", test_once_late);
     g_test_add_func("/exchange/truncated", test_truncated);
