A silent call is given up only with its other try in hand

What callers saw: streams of one node were cut in the middle, several at one instant, though their engines wrote them to the end (LOST beside a change of the configuration).

Cause: check, then act. The loop of calls out asks the owner of each silent call whether it waits on, and ends those that don't after it has asked all. The owner looked whether the budget of tries had one left, and drew it only when the call had ended. So all that were silent at once saw the same last try; the first two got it, the rest had neither their upstream nor another. They are silent at once when the node itself stands still: on a host of 0.12 core and 10 Mbit/s a configuration of some thousand paths takes link and processor for over a second.

Ruled out: the caller's side (no caller had left, 1 MB may be unsent); an ended process (none); the second upstream's refusal (none was asked).

Change: the try is drawn when the owner is asked (ch_retry_reserve) and held by the exchange until the call's end, where the decision takes it. Who gets none waits on, until the caller's deadline. So no call is given up without a try.

--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -53,27 +53,33 @@
     return work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
 }
 
+/* See policy.h. */
+bool
+ch_retry_draw(struct ch_retry_budget *budget)
+{
+    bool left = budget->level >= 1.0;
+    budget->level -= left ? 1.0 : 0.0;
+    return left;
+}
+
 /*
- * Whether a call that is silent would be tried elsewhere if it were given up.
- * Load: an upstream that is cut off, or works slowly, leaves all that it runs
- * silent at once.  Harm prevented: callers whose answers would still have come
- * are told of a failure, since no try or no budget is left for another.
+ * Load: an upstream that is cut off, or a node that stands still, leaves many
+ * calls silent at once.  Harm prevented: callers whose answers would still
+ * have come are cut off, since all calls are given up for another try and only
+ * some find one left.  So the try is drawn here, before the call is given up.
  */
 bool
-ch_retry_possible(const struct ch_retry_budget *budget,
-                  const struct ch_work *work)
+ch_retry_reserve(struct ch_retry_budget *budget, const struct ch_work *work)
 {
     return work->idempotent && work->attempt < most_attempts(work) &&
-           budget->level >= 1.0;
+           ch_retry_draw(budget);
 }
 
 /* See policy.h. */
-bool
-ch_retry_draw(struct ch_retry_budget *budget)
+void
+ch_retry_give_back(struct ch_retry_budget *budget)
 {
-    bool left = budget->level >= 1.0;
-    budget->level -= left ? 1.0 : 0.0;
-    return left;
+    budget->level = MIN(budget->most, budget->level + 1.0);
 }
 
 /*
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -290,6 +290,18 @@
 
 /* ---- the call's end ---- */
 
+/* Gives back the try for which a silent call was given up: what is decided of
+ * the call's end draws it again.  Both locks held. */
+static void
+give_back_try(struct ch_exchange *exchange)
+{
+    if (exchange->try_held) {
+        ch_retry_give_back(
+            ch_front_budget(exchange->front, exchange->request->work.pool));
+    }
+    exchange->try_held = false;
+}
+
 /* Whether a failed call is tried again, by the policy and the node's budget.
  * A non-idempotent request without a key has one dispatch and no other: there
  * is no record that would tell a repeat from a first try. */
@@ -300,14 +312,15 @@
     const struct ch_work *work = &exchange->request->work;
     bool repeatable = work->idempotent || exchange->once_created ||
                       (work->tries > 0 && !exchange->may_have_run);
-    if (exchange->abandoned || exchange->too_large || !repeatable) {
-        return CH_RETRY_NO;
-    }
+    enum ch_retry retry = CH_RETRY_NO;
     pthread_mutex_lock(&front->lock);
-    enum ch_retry retry =
-        ch_retry_decide(ch_front_budget(front, work->pool), work, end->code,
-                        end->may_have_run, exchange->request->stream,
-                        exchange->events, ch_client_now(front->node->client));
+    give_back_try(exchange);
+    if (!exchange->abandoned && !exchange->too_large && repeatable) {
+        retry = ch_retry_decide(ch_front_budget(front, work->pool), work,
+                                end->code, end->may_have_run,
+                                exchange->request->stream, exchange->events,
+                                ch_client_now(front->node->client));
+    }
     pthread_mutex_unlock(&front->lock);
     if (retry == CH_RETRY_AGAIN && exchange->stream_begun) {
         return CH_RETRY_NO;
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -202,8 +202,8 @@
 
 /*
  * An upstream that is cut off, or works slowly, may answer yet.  It is given
- * up only for another try: a caller who may have none waits for this one until
- * the deadline.
+ * up only for another try, which is held from here on: a caller who may have
+ * none waits for this one until the deadline.
  */
 static bool
 call_silent(void *data)
@@ -214,11 +214,16 @@
     if (!exchange->request->routed) {
         return false;
     }
-    pthread_mutex_lock(&front->lock);
-    bool possible =
-        ch_retry_possible(ch_front_budget(front, work->pool), work);
-    pthread_mutex_unlock(&front->lock);
-    return !possible;
+    pthread_mutex_lock(&exchange->lock);
+    if (!exchange->abandoned && !exchange->try_held) {
+        pthread_mutex_lock(&front->lock);
+        exchange->try_held =
+            ch_retry_reserve(ch_front_budget(front, work->pool), work);
+        pthread_mutex_unlock(&front->lock);
+    }
+    bool held = exchange->try_held;
+    pthread_mutex_unlock(&exchange->lock);
+    return !held;
 }
 
 /* The number of tokens in a plain answer's usage, 0 when it has none. */
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -232,10 +232,14 @@
             .attempt = retries[i].attempt,
         };
         g_test_message("%s", retries[i].what);
-        /* A silent call is given up only for a try that would then be had. */
+        /* A silent call is given up only for a try that it holds then. */
         if (retries[i].code == CH_UPSTREAM_CUT) {
-            g_assert_cmpint(ch_retry_possible(&budget, &work), ==,
-                            retries[i].expect == CH_RETRY_AGAIN);
+            bool held = ch_retry_reserve(&budget, &work);
+            g_assert_cmpint(held, ==, retries[i].expect == CH_RETRY_AGAIN);
+            g_assert_cmpfloat(budget.level, ==, retries[i].level - held);
+            if (held) {
+                ch_retry_give_back(&budget);
+            }
         }
         g_assert_cmpint(ch_retry_decide(&budget, &work, retries[i].code,
                                         retries[i].may_have_run, false, 0, 0),
