Silence is judged by the time before the connections were read

What callers saw: streams given up as silent, and other calls told as failed, though their bytes waited in the node's own sockets.

Cause: the loop of calls out reads all connections, runs what that brings, and then takes the time to find calls over their limit. On a host of 0.12 core that is busy (with a configuration of some thousand paths, for one) the thread may have no turn in between for longer than a limit: what came meanwhile is not read, and its call is ended. Found while the streams that were silent together were traced: on wrecsam-a-8 five of nine calls were ended when the last byte of any had been read 0.40 s before, in one turn of the loop.

Change: the time is taken before the connections are read. A call is overdue only if the reading after its limit brought nothing; what came later is read in the next turn, which follows at once. calls-silent says heard_us 0 for bytes of the same turn.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -460,15 +460,19 @@
            CH_F_INT("waited_for", waited_for),
            CH_F_INT("open", g_hash_table_size(http->running)),
            CH_F_INT("late_us", late),
-           CH_F_INT("heard_us", http->heard == 0 ? -1 : now - http->heard),
+           CH_F_INT("heard_us",
+                    http->heard == 0 ? -1 : MAX(now - http->heard, 0)),
            CH_F_END);
 }
 
-/* Ends every transfer whose time is over, and finds when to look again. */
+/*
+ * Ends every transfer whose time was over when the connections were last read,
+ * and finds when to look again.  Reading and its handlers may take long on a
+ * busy host: bytes that came meanwhile are read in the next turn.
+ */
 static void
-end_all_overdue(struct ch_http *http)
+end_all_overdue(struct ch_http *http, int64_t now)
 {
-    int64_t now = ch_client_now(http->client);
     if (now < http->check_at) {
         return;
     }
@@ -576,9 +580,10 @@
         int running = 0;
         begin_submitted(http);
         end_cancelled(http);
+        int64_t now = ch_client_now(http->client);
         curl_multi_perform(http->multi, &running);
         take_results(http);
-        end_all_overdue(http);
+        end_all_overdue(http, now);
         curl_multi_poll(http->multi, NULL, 0, poll_ms(http), NULL);
     }
     cancel_all(http);
--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -23,6 +23,7 @@
     CLOSES_FIRST,   /* reads it and closes; answers any after the first */
     NEVER_ANSWERS,  /* reads it and stays silent */
     STOPS_MIDWAY,   /* sends a part of the body and stays silent */
+    GOES_ON,        /* sends a part of the body, the rest when it is told */
     CUTS_MIDWAY,    /* sends a part of the body and closes */
     CUTS_CHUNKS,    /* the same, with chunks */
     ASKS_AGAIN,     /* 417, which is a reason for libcurl to send again */
@@ -43,6 +44,7 @@
     pthread_mutex_t lock;
     pthread_cond_t changed;
     unsigned posts; /* whole requests read that were no GET */
+    bool goes_on;   /* the rest of a body may be sent */
     bool stopping;
 };
 
@@ -109,6 +111,17 @@
 
 static const char good[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/* Waits until the rest of a body may be sent. */
+static void
+wait_to_go_on(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    while (!server->goes_on) {
+        pthread_cond_wait(&server->changed, &server->lock);
+    }
+    pthread_mutex_unlock(&server->lock);
+}
+
 /* Answers by the server's manner; false: close. */
 static bool
 misbehave(struct server *server, int fd, unsigned number)
@@ -124,6 +137,11 @@
     case STOPS_MIDWAY:
         send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
         return true;
+    case GOES_ON:
+        send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok");
+        wait_to_go_on(server);
+        send_text(fd, "ok");
+        return true;
     case CUTS_MIDWAY:
         send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
         return false;
@@ -623,6 +641,72 @@
     call_free(call);
 }
 
+/* ---- a loop that stands still ---- */
+
+enum {
+    STILL_LIMIT = 500 * 1000, /* of silence, microseconds */
+};
+
+struct blocker {
+    struct server *server;
+    struct call *call;
+};
+
+/* Lets the rest of the other call's body be sent, and keeps the loop from
+ * reading it for longer than that call may be silent. */
+static void
+block_loop(void *data, const char *bytes, size_t length)
+{
+    const struct blocker *blocker = data;
+    struct server *server = blocker->server;
+    pthread_mutex_lock(&server->lock);
+    server->goes_on = true;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+    g_usleep(2 * STILL_LIMIT);
+    call_data(blocker->call, bytes, length);
+}
+
+static void
+end_blocker(void *data, const struct ch_http_end *end)
+{
+    call_end(((const struct blocker *)data)->call, end);
+}
+
+/*
+ * Guards against streams that are given up as silent while their bytes wait to
+ * be read: the loop's thread had no turn for longer than the limit after it
+ * had read, and judged by the time that it was then.
+ */
+static void
+test_stands_still(void)
+{
+    static const struct ch_http_handlers blocking = {
+        .on_data = block_loop,
+        .on_end = end_blocker,
+    };
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(GOES_ON);
+    struct ch_http *http = ch_http_new(&client);
+    struct call *stream = call_new();
+    struct blocker blocker = {server, call_new()};
+    char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
+    const struct ch_http_request request = {.method = "GET", .url = url};
+    submit(http, server, "POST", small_body, true, STILL_LIMIT, stream);
+    wait_for_moment(IN_THE_BODY, server, stream);
+    ch_http_submit(http, &request, &blocking, &blocker);
+    wait_for_end(blocker.call);
+    wait_for_end(stream);
+    ch_http_free(http);
+    g_assert_cmpint(stream->end.code, ==, CH_OK);
+    g_assert_cmpstr(stream->body->str, ==, "okok");
+    server_free(server);
+    call_free(stream);
+    call_free(blocker.call);
+    g_free(url);
+}
+
 /* ---- connections that went silent ---- */
 
 /*
@@ -723,6 +807,7 @@
         g_test_add_data_func(path, &cancel_cases[i], test_cancel);
         g_free(path);
     }
+    g_test_add_func("/http/stands-still", test_stands_still);
     g_test_add_func("/http/suspected", test_suspected);
     g_test_add_func("/http/fetch", test_fetch);
     return g_test_run();
