The owner of a silent call is asked again each time the limit has passed

What callers would see: a stream whose upstream died stands still until its caller gives up, although another try could be had a second later.

Cause: an owner that waits on for a silent call was asked once, and the call then had no limit but its total one.

Change: the limit of the phase begins anew, so the owner is asked again each time that it passes, also when the call went on meanwhile and falls silent later.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -426,8 +426,16 @@
                  texts[transfer->phase]);
 }
 
-/* Whether the owner of a transfer that is overdue waits on for it; the limits
- * of its phases are then no more asked for. */
+/* The limit of the transfer's phase after it was connected. */
+static int64_t
+silence_limit(const struct transfer *transfer)
+{
+    return transfer->phase == PHASE_FIRST_BYTE ? transfer->first_byte_limit
+                                               : transfer->stall_limit;
+}
+
+/* Whether the owner of a transfer that is overdue waits on for it; it is asked
+ * again after the same time, since what it waits for may be had by then. */
 static bool
 waits_on(struct transfer *transfer, int64_t now)
 {
@@ -438,9 +446,7 @@
         !transfer->handlers.on_silent(transfer->data)) {
         return false;
     }
-    transfer->first_byte_limit = 0;
-    transfer->stall_limit = 0;
-    set_until(transfer, 0);
+    set_until(transfer, silence_limit(transfer));
     return true;
 }
 
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -56,8 +56,9 @@
     void (*on_header)(void *data, const char *name, const char *value);
     void (*on_data)(void *data, const char *bytes, size_t length);
     /* The limit to the first byte, or between two, has passed: whether the
-       call is waited for until its total limit instead of being ended.  NULL:
-       it ends. */
+       call is waited for instead of being ended.  Asked again each time that
+       the limit has passed once more, until the total limit.  NULL: it
+       ends. */
     bool (*on_silent)(void *data);
     void (*on_end)(void *data, const struct ch_http_end *end);
 };
