A try is held until a call uses it, and drawn once for each call

What callers would see: streams that wait for a try although the budget would have one.

A stream that had begun and found no upstream asked again each 0.3 s, and drew a try each time, also when nobody had taken it meanwhile; none came back. With the two tries of a node in a fleet of 64, one such stream took both and what came back after them.

Change: a try that was drawn is held by the exchange until a dispatch uses it or the course is over, when it is given back. Drawing happens in one place (ch_retry_hold), so the end of a silent call no longer gives its try back to draw it again. A call past its time is not given up for a try that would not be made. How a dispatch failed is one struct for the decision.

Tests: /exchange/try-drawn-once failed before (0.08 tries left of 3 after one resumed stream, asserted to be 2 or more). /exchange/try-given-back, /route/retries and /route/reserve-past check that a held try is neither lost nor drawn twice. /exchange/silent-together now says how many are given up: all three tries.

--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -154,23 +154,30 @@
 
 void ch_retry_budget_init(struct ch_retry_budget *budget, double share);
 void ch_retry_budget_fresh(struct ch_retry_budget *budget);
-/* Draws the try of a call that would be given up for it; false: it may have
-   none, or none is left now. */
-bool ch_retry_reserve(struct ch_retry_budget *budget,
-                      const struct ch_work *work);
-/* Gives back a reserved try, just before ch_retry_decide() draws it or when it
-   is not used. */
-void ch_retry_give_back(struct ch_retry_budget *budget);
+/* How a dispatch failed. */
+struct ch_retry_failure {
+    enum ch_code code;
+    bool may_have_run;
+    bool stream;           /* the answer may go on from an event */
+    uint32_t events_given; /* to the caller */
+};
+
+/* Draws a further try from the budget, unless one is *held that no dispatch
+   has used yet; false: none is left now. */
+bool ch_retry_hold(struct ch_retry_budget *budget, bool *held);
+/* Gives a try back that is *held. */
+void ch_retry_give_back(struct ch_retry_budget *budget, bool *held);
+/* Whether a silent call is given up for another try, which is *held then. */
+bool ch_retry_reserve(struct ch_retry_budget *budget, bool *held,
+                      const struct ch_work *work, int64_t now);
 /* Whether a request that no upstream takes now, and surely none has run since
    it was last sent, is asked for again after CH_RETRY_WAIT. */
 bool ch_retry_waits(const struct ch_work *work, enum ch_code code,
                     bool may_have_run, uint32_t events_given);
-/* Draws a further try from the budget; false: none is left now. */
-bool ch_retry_draw(struct ch_retry_budget *budget);
-/* Draws from the budget when the answer is not NO and something was sent. */
-enum ch_retry ch_retry_decide(struct ch_retry_budget *budget,
-                              const struct ch_work *work, enum ch_code code,
-                              bool may_have_run, bool stream,
-                              uint32_t events_given, int64_t now);
+/* A try is *held when the answer is not NO and something was sent. */
+enum ch_retry ch_retry_decide(struct ch_retry_budget *budget, bool *held,
+                              const struct ch_work *work,
+                              const struct ch_retry_failure *failure,
+                              int64_t now);
 
 #endif
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -53,13 +53,32 @@
     return work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
 }
 
+/* Whether the time for the whole answer is over. */
+static bool
+is_past(const struct ch_work *work, int64_t now)
+{
+    return work->whole_by > 0 && now >= work->whole_by;
+}
+
 /* See policy.h. */
 bool
-ch_retry_draw(struct ch_retry_budget *budget)
+ch_retry_hold(struct ch_retry_budget *budget, bool *held)
 {
-    bool left = budget->level >= 1.0;
-    budget->level -= left ? 1.0 : 0.0;
-    return left;
+    if (!*held && budget->level >= 1.0) {
+        budget->level -= 1.0;
+        *held = true;
+    }
+    return *held;
+}
+
+/* See policy.h. */
+void
+ch_retry_give_back(struct ch_retry_budget *budget, bool *held)
+{
+    if (*held) {
+        budget->level = MIN(budget->most, budget->level + 1.0);
+    }
+    *held = false;
 }
 
 /*
@@ -69,17 +88,11 @@
  * some find one left.  So the try is drawn here, before the call is given up.
  */
 bool
-ch_retry_reserve(struct ch_retry_budget *budget, const struct ch_work *work)
+ch_retry_reserve(struct ch_retry_budget *budget, bool *held,
+                 const struct ch_work *work, int64_t now)
 {
     return work->idempotent && work->attempt < most_attempts(work) &&
-           ch_retry_draw(budget);
-}
-
-/* See policy.h. */
-void
-ch_retry_give_back(struct ch_retry_budget *budget)
-{
-    budget->level = MIN(budget->most, budget->level + 1.0);
+           !is_past(work, now) && ch_retry_hold(budget, held);
 }
 
 /*
@@ -110,30 +123,25 @@
  * whose target for the whole answer is past is not worth a second run.
  */
 enum ch_retry
-ch_retry_decide(struct ch_retry_budget *budget, const struct ch_work *work,
-                enum ch_code code, bool may_have_run, bool stream,
-                uint32_t events_given, int64_t now)
+ch_retry_decide(struct ch_retry_budget *budget, bool *held,
+                const struct ch_work *work,
+                const struct ch_retry_failure *failure, int64_t now)
 {
-    bool sent = work->tries == 0 || code != CH_UPSTREAM_CONNECT;
-    if (!is_of_the_upstream(code) ||
+    bool sent = work->tries == 0 || failure->code != CH_UPSTREAM_CONNECT;
+    bool begun = failure->events_given > 0;
+    if (!is_of_the_upstream(failure->code) || is_past(work, now) ||
         (sent && work->attempt >= most_attempts(work))) {
         return CH_RETRY_NO;
     }
-    if (may_have_run && !work->idempotent) {
-        return CH_RETRY_NO;
-    }
-    if (work->whole_by > 0 && now >= work->whole_by) {
+    if (failure->may_have_run && !work->idempotent) {
         return CH_RETRY_NO;
     }
-    if (events_given > 0 && !stream) {
+    if (begun && !failure->stream) {
         return CH_RETRY_NO;
     }
     /* What was never sent is no load on anybody. */
-    if (!sent) {
-        return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
-    }
-    if (!ch_retry_draw(budget)) {
+    if (sent && !ch_retry_hold(budget, held)) {
         return CH_RETRY_NO;
     }
-    return events_given > 0 ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
+    return begun ? CH_RETRY_RESUME : CH_RETRY_AGAIN;
 }
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -13,6 +13,10 @@
         ch_exchange_unref(exchange);
     }
     ch_exchange_record(exchange);
+    pthread_mutex_lock(&front->lock);
+    ch_retry_give_back(ch_front_budget(front, exchange->request->work.pool),
+                       &exchange->try_held);
+    pthread_mutex_unlock(&front->lock);
     pthread_mutex_lock(&exchange->lock);
     struct ch_reply *reply = exchange->reply;
     exchange->reply = NULL;
@@ -139,16 +143,18 @@
     return true;
 }
 
-/* Whether a further try may begin now; counted if so. */
+/* Whether a further try may begin now; counted once for each call.  Lock
+ * held. */
 static bool
-draw_try(struct ch_exchange *exchange)
+hold_try(struct ch_exchange *exchange)
 {
     struct ch_front *front = exchange->front;
     pthread_mutex_lock(&front->lock);
-    bool drawn =
-        ch_retry_draw(ch_front_budget(front, exchange->request->work.pool));
+    bool held =
+        ch_retry_hold(ch_front_budget(front, exchange->request->work.pool),
+                      &exchange->try_held);
     pthread_mutex_unlock(&front->lock);
-    return drawn;
+    return held;
 }
 
 static void ask_later(struct ch_exchange *exchange);
@@ -159,7 +165,7 @@
 {
     struct ch_exchange *exchange = data;
     pthread_mutex_lock(&exchange->lock);
-    bool wait = !exchange->abandoned && !draw_try(exchange);
+    bool wait = !exchange->abandoned && !hold_try(exchange);
     if (wait) {
         ask_later(exchange);
     }
@@ -290,18 +296,6 @@
 
 /* ---- the call's end ---- */
 
-/* Gives back the try for which a silent call was given up: what is decided of
- * the call's end draws it again.  Both locks held. */
-static void
-give_back_try(struct ch_exchange *exchange)
-{
-    if (exchange->try_held) {
-        ch_retry_give_back(
-            ch_front_budget(exchange->front, exchange->request->work.pool));
-    }
-    exchange->try_held = false;
-}
-
 /* Whether a failed call is tried again, by the policy and the node's budget.
  * A non-idempotent request without a key has one dispatch and no other: there
  * is no record that would tell a repeat from a first try. */
@@ -312,15 +306,19 @@
     const struct ch_work *work = &exchange->request->work;
     bool repeatable = work->idempotent || exchange->once_created ||
                       (work->tries > 0 && !exchange->may_have_run);
-    enum ch_retry retry = CH_RETRY_NO;
-    pthread_mutex_lock(&front->lock);
-    give_back_try(exchange);
-    if (!exchange->abandoned && !exchange->too_large && repeatable) {
-        retry = ch_retry_decide(ch_front_budget(front, work->pool), work,
-                                end->code, end->may_have_run,
-                                exchange->request->stream, exchange->events,
-                                ch_client_now(front->node->client));
+    if (exchange->abandoned || exchange->too_large || !repeatable) {
+        return CH_RETRY_NO;
     }
+    const struct ch_retry_failure failure = {
+        .code = end->code,
+        .may_have_run = end->may_have_run,
+        .stream = exchange->request->stream,
+        .events_given = exchange->events,
+    };
+    pthread_mutex_lock(&front->lock);
+    enum ch_retry retry = ch_retry_decide(ch_front_budget(front, work->pool),
+                                          &exchange->try_held, work, &failure,
+                                          ch_client_now(front->node->client));
     pthread_mutex_unlock(&front->lock);
     if (retry == CH_RETRY_AGAIN && exchange->stream_begun) {
         return CH_RETRY_NO;
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -46,7 +46,7 @@
     bool whole;        /* the upstream's whole answer is there */
     bool once_created; /* this try has leave to dispatch, once */
     bool home_answered;
-    bool try_held;     /* a further try was drawn for a call given up */
+    bool try_held;     /* a further try was drawn; no call has used it yet */
     bool asked_anew;   /* the exclusions were dropped once */
     bool is_stream;    /* the answer that comes */
     bool stream_begun; /* the answer that goes to the caller */
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -215,13 +215,15 @@
         return false;
     }
     pthread_mutex_lock(&exchange->lock);
-    if (!exchange->abandoned && !exchange->try_held) {
+    /* One that is abandoned is being cancelled, or left to run to its end. */
+    bool held = false;
+    if (!exchange->abandoned) {
+        int64_t now = ch_client_now(front->node->client);
         pthread_mutex_lock(&front->lock);
-        exchange->try_held =
-            ch_retry_reserve(ch_front_budget(front, work->pool), work);
+        held = ch_retry_reserve(ch_front_budget(front, work->pool),
+                                &exchange->try_held, work, now);
         pthread_mutex_unlock(&front->lock);
     }
-    bool held = exchange->try_held;
     pthread_mutex_unlock(&exchange->lock);
     return !held;
 }
@@ -311,6 +313,7 @@
 {
     exchange->step = CH_STEP_CALL;
     exchange->calls++;
+    exchange->try_held = false;
     exchange->ran_before = exchange->may_have_run;
     exchange->may_have_run = true;
     exchange->dispatched = ch_client_now(exchange->front->node->client);
--- a/libchestnuthitch/replay/sim_entries.c
+++ b/libchestnuthitch/replay/sim_entries.c
@@ -568,9 +568,16 @@
     g_array_append_val(request->excluded, name);
     request->failed++;
     request->refusal = CH_OK;
-    enum ch_retry retry = ch_retry_decide(
-        &sim->entries[request->entry].budget, &request->work, code, ran,
-        !request->work.service, request->given, sim->now);
+    const struct ch_retry_failure failure = {
+        .code = code,
+        .may_have_run = ran,
+        .stream = !request->work.service,
+        .events_given = request->given,
+    };
+    bool held = false;
+    enum ch_retry retry =
+        ch_retry_decide(&sim->entries[request->entry].budget, &held,
+                        &request->work, &failure, sim->now);
     if (retry == CH_RETRY_NO) {
         note_key(sim, request, request->ran ? SIM_KEY_UNKNOWN : 0);
         finish(sim, request, code);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -775,7 +775,7 @@
 
 static const char routed_text[] =
     "[class advice]\nhost = h\npath = /r/\nshares = models:1\n"
-    "first-token-ms = 400\ngap-ms = 300\ntime-limit-ms = 5000\ntries = 2\n"
+    "first-token-ms = 400\ngap-ms = 300\ntime-limit-ms = 20000\ntries = 2\n"
     "stream = true\nresumable = true\nidempotent = true\n"
     "[model m01]\nmemory-mb = 1\nservices = models\n[service models]\n";
 
@@ -792,6 +792,41 @@
     return true;
 }
 
+/* A world whose classes are chosen by host and path. */
+static struct world *
+routed_world(void)
+{
+    static const struct ch_dialect dialect = {
+        .request_id_header = "Id",
+        .read_headers = read_headers,
+    };
+    struct world *world = world_new();
+    struct ch_error error = {.code = CH_OK};
+    ch_config_unref(world->config);
+    world->config = ch_config_new(
+        1, "t", "a", ch_declaration_parse(routed_text, "test", &error));
+    g_assert_cmpstr(error.message, ==, "");
+    world->asks_again = true;
+    world->settings.retry_slack = 54;
+    world->node.dialect = &dialect;
+    return world;
+}
+
+/* The tries that are left for the service's requests. */
+static double
+tries_left(struct world *world)
+{
+    struct ch_front *front = world->node.front;
+    pthread_mutex_lock(&front->lock);
+    double left = ch_front_budget(front, g_quark_from_string("models"))->level;
+    pthread_mutex_unlock(&front->lock);
+    return left;
+}
+
+enum {
+    TRIES = 3, /* of a node that has had few requests */
+};
+
 static const struct {
     const char *name;
     enum home_act home[MOST_TRIES];
@@ -819,21 +854,9 @@
 static void
 test_begun(void)
 {
-    static const struct ch_dialect dialect = {
-        .request_id_header = "Id",
-        .read_headers = read_headers,
-    };
     for (size_t i = 0; i < G_N_ELEMENTS(routed_cases); i++) {
-        struct world *world = world_new();
-        struct ch_error error = {.code = CH_OK};
+        struct world *world = routed_world();
         g_test_message("%s", routed_cases[i].name);
-        ch_config_unref(world->config);
-        world->config = ch_config_new(
-            1, "t", "a", ch_declaration_parse(routed_text, "test", &error));
-        g_assert_cmpstr(error.message, ==, "");
-        world->asks_again = true;
-        world->settings.retry_slack = 54;
-        world->node.dialect = &dialect;
         memcpy(world->home_acts, routed_cases[i].home,
                sizeof(world->home_acts));
         memcpy(world->call_acts, routed_cases[i].call,
@@ -899,20 +922,8 @@
     enum {
         CALLERS = 8,
     };
-    static const struct ch_dialect dialect = {
-        .request_id_header = "Id",
-        .read_headers = read_headers,
-    };
-    struct world *world = world_new();
-    struct ch_error error = {.code = CH_OK};
+    struct world *world = routed_world();
     int callers[CALLERS];
-    ch_config_unref(world->config);
-    world->config = ch_config_new(
-        1, "t", "a", ch_declaration_parse(routed_text, "test", &error));
-    g_assert_cmpstr(error.message, ==, "");
-    world->asks_again = true;
-    world->settings.retry_slack = 54;
-    world->node.dialect = &dialect;
     for (size_t i = 0; i < MOST_TRIES; i++) {
         world->call_acts[i] = PAUSES;
     }
@@ -931,12 +942,61 @@
         g_free(answer);
     }
     world_stop(world);
-    g_assert_cmpuint(ended, >, 0);
-    g_assert_cmpuint(ended, <, CALLERS);
+    g_assert_cmpuint(ended, ==, TRIES);
     g_assert_cmpuint(world->calls, ==, CALLERS + ended);
     world_free(world);
 }
 
+/*
+ * Guards against tries that are drawn for nothing: a stream that waited for an
+ * upstream drew one each time that it asked, although nobody had it meanwhile,
+ * and the other streams of its node had none left.
+ */
+static void
+test_try_drawn_once(void)
+{
+    struct world *world = routed_world();
+    const enum home_act acts[MOST_TRIES] = {GRANTS, REFUSES, REFUSES, GRANTS};
+    memcpy(world->home_acts, acts, sizeof(acts));
+    world->call_acts[0] = CUT;
+    world_start(world);
+    double before = tries_left(world);
+    char *answer = hear(ask(world, "POST /r/1", "", ""));
+    g_assert_nonnull(strstr(answer, "{\"n\":4}"));
+    g_free(answer);
+    world_stop(world);
+    g_assert_cmpuint(world->asked, ==, 4);
+    g_assert_cmpuint(world->calls, ==, 2);
+    g_assert_cmpfloat(tries_left(world), >=, before - 1);
+    g_assert_cmpfloat(tries_left(world), <, before);
+    world_free(world);
+}
+
+/*
+ * Guards against tries that are lost: a silent call was to be given up for
+ * another try, its caller left before that, and the try was in no hand.
+ */
+static void
+test_try_given_back(void)
+{
+    struct world *world = routed_world();
+    world->call_acts[0] = PAUSES;
+    world_start(world);
+    double before = tries_left(world);
+    int caller = ask(world, "POST /r/1", "", "");
+    wait_for(world, &world->paused_count, 1);
+    struct held_call *call = world->paused[0];
+    g_assert_false(call->handlers.on_silent(call->data));
+    g_assert_cmpfloat(tries_left(world), <, before);
+    close(caller);
+    wait_for(world, &world->cancelled, 1);
+    end_call(call, CH_CANCELLED, true);
+    world_stop(world);
+    g_assert_cmpfloat(tries_left(world), >=, before);
+    g_assert_cmpuint(world->calls, ==, 1);
+    world_free(world);
+}
+
 /* ---- the once record's answers ---- */
 
 struct once_case {
@@ -1341,6 +1401,8 @@
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/begun", test_begun);
     g_test_add_func("/exchange/silent-together", test_silent_together);
+    g_test_add_func("/exchange/try-drawn-once", test_try_drawn_once);
+    g_test_add_func("/exchange/try-given-back", test_try_given_back);
     g_test_add_func("/exchange/cut-by-stop", test_cut_by_stop);
     g_test_add_func("/exchange/once late", test_once_late);
     g_test_add_func("/exchange/truncated", test_truncated);
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -420,10 +420,14 @@
     ch_retry_budget_init(&budget, 0.1);
     unsigned retries = 0;
     for (unsigned i = 0; i < 10000; i++) {
+        const struct ch_retry_failure failure = {
+            .code = CH_UPSTREAM_CUT, .may_have_run = true, .stream = true};
         struct ch_work work = {.idempotent = true};
+        bool held = false;
         ch_retry_budget_fresh(&budget);
-        while (ch_retry_decide(&budget, &work, CH_UPSTREAM_CUT, true, true, 0,
-                               0) != CH_RETRY_NO) {
+        while (ch_retry_decide(&budget, &held, &work, &failure, 0) !=
+               CH_RETRY_NO) {
+            held = false;
             work.attempt++;
             retries++;
         }
@@ -458,9 +462,11 @@
         ch_retry_budget_init(&budget, 0.1);
         struct ch_work work = {.idempotent = cases[i].idempotent,
                                .attempt = cases[i].attempt};
-        g_assert_cmpint(ch_retry_decide(&budget, &work, cases[i].code,
-                                        cases[i].may_have_run, cases[i].stream,
-                                        cases[i].given, 0),
+        const struct ch_retry_failure failure = {
+            cases[i].code, cases[i].may_have_run, cases[i].stream,
+            cases[i].given};
+        bool held = false;
+        g_assert_cmpint(ch_retry_decide(&budget, &held, &work, &failure, 0),
                         ==, cases[i].retry);
     }
 }
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -232,21 +232,49 @@
             .attempt = retries[i].attempt,
         };
         g_test_message("%s", retries[i].what);
+        const struct ch_retry_failure failure = {
+            .code = retries[i].code,
+            .may_have_run = retries[i].may_have_run,
+        };
+        bool held = false;
         /* A silent call is given up only for a try that it holds then. */
         if (retries[i].code == CH_UPSTREAM_CUT) {
-            bool held = ch_retry_reserve(&budget, &work);
-            g_assert_cmpint(held, ==, retries[i].expect == CH_RETRY_AGAIN);
+            bool expect = retries[i].expect == CH_RETRY_AGAIN;
+            g_assert_cmpint(ch_retry_reserve(&budget, &held, &work, 0), ==,
+                            expect);
+            g_assert_cmpint(held, ==, expect);
             g_assert_cmpfloat(budget.level, ==, retries[i].level - held);
-            if (held) {
-                ch_retry_give_back(&budget);
-            }
         }
-        g_assert_cmpint(ch_retry_decide(&budget, &work, retries[i].code,
-                                        retries[i].may_have_run, false, 0, 0),
+        double left = budget.level;
+        bool costs = !held && retries[i].expect == CH_RETRY_AGAIN &&
+                     retries[i].code != CH_UPSTREAM_CONNECT;
+        g_assert_cmpint(ch_retry_decide(&budget, &held, &work, &failure, 0),
                         ==, retries[i].expect);
+        /* A held try is not drawn a second time, and is given back once. */
+        g_assert_cmpfloat(budget.level, ==, left - costs);
+        left = budget.level + held;
+        ch_retry_give_back(&budget, &held);
+        ch_retry_give_back(&budget, &held);
+        g_assert_cmpfloat(budget.level, ==, left);
     }
 }
 
+/* What is past its time is not given up for another try: none would be made.
+ */
+static void
+test_reserve_past(void)
+{
+    struct ch_retry_budget budget = {.level = 2, .share = 0.1, .most = 20};
+    const struct ch_work work = {
+        .idempotent = true, .tries = 2, .whole_by = 100};
+    bool held = false;
+    g_assert_false(ch_retry_reserve(&budget, &held, &work, 100));
+    g_assert_cmpfloat(budget.level, ==, 2);
+    g_assert_true(ch_retry_reserve(&budget, &held, &work, 99));
+    g_assert_true(ch_retry_reserve(&budget, &held, &work, 99));
+    g_assert_cmpfloat(budget.level, ==, 1);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -257,5 +285,6 @@
     g_test_add_func("/route/requests", test_requests);
     g_test_add_func("/route/deadline", test_deadline);
     g_test_add_func("/route/retries", test_retries);
+    g_test_add_func("/route/reserve-past", test_reserve_past);
     return g_test_run();
 }
