A call whose time was over before it was begun is not sent

What callers and upstreams would see: engines begin with requests that were given up in the same moment, with more time stated than is left, and their callers are told that they may have run; an order goes out when the right behind it counts as used up.

A call's total limit counts from when it is handed to the loop of calls out, and its headers are made then. When the loop had its turn only after that, the request was written first and found over its limit after.

Change: such a call ends without being sent, and says so.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -332,11 +332,17 @@
     }
 }
 
-/* Gives a transfer to libcurl. */
+/* Gives a transfer to libcurl, unless its time was over before the loop had a
+ * turn for it: its owner counts on no more being sent. */
 static void
 transfer_begin(struct transfer *transfer)
 {
     struct ch_http *http = transfer->http;
+    if (transfer->total_until != 0 &&
+        ch_client_now(http->client) >= transfer->total_until) {
+        transfer_end(transfer, CH_UPSTREAM_CONNECT, "not begun in time");
+        return;
+    }
     CURL *easy = curl_easy_init();
     if (easy == NULL) {
         transfer_end(transfer, CH_SYSTEM, "no memory for a transfer");
--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -778,6 +778,83 @@
     g_free(url);
 }
 
+struct holder {
+    struct call *call;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool released;
+};
+
+/* Keeps the loop from its work until it is released, and SHORT after that. */
+static void
+hold_loop(void *data, const char *bytes, size_t length)
+{
+    struct holder *holder = data;
+    call_data(holder->call, bytes, length);
+    pthread_mutex_lock(&holder->lock);
+    while (!holder->released) {
+        wait_once(&holder->changed, &holder->lock);
+    }
+    pthread_mutex_unlock(&holder->lock);
+    g_usleep(2 * SHORT);
+}
+
+static void
+end_holder(void *data, const struct ch_http_end *end)
+{
+    call_end(((const struct holder *)data)->call, end);
+}
+
+/*
+ * Guards against requests that go out when their time is over: the loop's
+ * thread had no turn since a call was handed to it, and the upstream began
+ * with work, or an order, that its owner had to count as given up.
+ */
+static void
+test_overdue_before_sent(void)
+{
+    static const struct ch_http_handlers holding = {
+        .on_data = hold_loop,
+        .on_end = end_holder,
+    };
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server = server_new(ANSWERS);
+    struct ch_http *http = ch_http_new(&client);
+    struct holder holder = {.call = call_new()};
+    struct call *late = call_new();
+    pthread_mutex_init(&holder.lock, NULL);
+    pthread_cond_init(&holder.changed, NULL);
+    char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
+    const struct ch_http_request get = {.method = "GET", .url = url};
+    const struct ch_http_request post = {
+        .method = "POST",
+        .url = url,
+        .connect_limit = LONG,
+        .total_limit = SHORT,
+    };
+    warm_up(http, server);
+    ch_http_submit(http, &get, &holding, &holder);
+    wait_for_moment(IN_THE_BODY, server, holder.call);
+    ch_http_submit(http, &post, &handlers, late);
+    pthread_mutex_lock(&holder.lock);
+    holder.released = true;
+    pthread_cond_broadcast(&holder.changed);
+    pthread_mutex_unlock(&holder.lock);
+    wait_for_end(late);
+    wait_for_end(holder.call);
+    ch_http_free(http);
+    g_assert_cmpint(late->end.code, ==, CH_UPSTREAM_CONNECT);
+    g_assert_false(late->end.sent);
+    g_assert_cmpuint(posts_of(server), ==, 0);
+    server_free(server);
+    call_free(late);
+    call_free(holder.call);
+    pthread_mutex_destroy(&holder.lock);
+    pthread_cond_destroy(&holder.changed);
+    g_free(url);
+}
+
 /* ---- connections that went silent ---- */
 
 /*
@@ -880,6 +957,7 @@
     }
     g_test_add_func("/http/asked-again", test_asked_again);
     g_test_add_func("/http/stands-still", test_stands_still);
+    g_test_add_func("/http/overdue-before-sent", test_overdue_before_sent);
     g_test_add_func("/http/suspected", test_suspected);
     g_test_add_func("/http/fetch", test_fetch);
     return g_test_run();
