A large value of the store may take longer than a call's limit, as long as it comes

What callers would see: on hosts with a slow link an accepted configuration is not in force, and their streams are slow, as the link is full of copies that are thrown away.

A read of the store had one second in all.

--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -28,6 +28,15 @@
 /* In place of an answer: the connection falls silent. */
 static const char silence[] = "silence";
 
+/* An answer that comes in pieces, together longer than the limit of a call. */
+static const char slow_answer[] =
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+    "{\"key\":\"k\",\"value\":\"YWI=\",\"revision\":4}";
+
+enum {
+    PIECES = 4,
+};
+
 /* Reads up to the end of a request with its stated body. */
 static void
 read_request(struct server *server, int fd)
@@ -52,6 +61,21 @@
     }
 }
 
+/* Sends an answer piece by piece, each well within the limit of a call after
+ * the one before. */
+static void
+send_slowly(int fd, const char *answer)
+{
+    size_t length = strlen(answer);
+    for (size_t i = 0; i < PIECES; i++) {
+        size_t from = length * i / PIECES;
+        size_t to = length * (i + 1) / PIECES;
+        ssize_t sent = send(fd, answer + from, to - from, MSG_NOSIGNAL);
+        (void)sent;
+        g_usleep(LIMIT / 2);
+    }
+}
+
 static void *
 run_server(void *data)
 {
@@ -66,9 +90,14 @@
             server->held = fd;
             continue;
         }
-        ssize_t sent = send(fd, server->answers[i], strlen(server->answers[i]),
-                            MSG_NOSIGNAL);
-        (void)sent;
+        if (server->answers[i] == slow_answer) {
+            send_slowly(fd, slow_answer);
+        }
+        else {
+            ssize_t sent = send(fd, server->answers[i],
+                                strlen(server->answers[i]), MSG_NOSIGNAL);
+            (void)sent;
+        }
         close(fd);
     }
     return NULL;
@@ -217,6 +246,13 @@
      4,
      0,
      "GET /api/kv-key?key=k "},
+    {"a value that comes slowly, but comes",
+     {slow_answer},
+     GET,
+     CH_OK,
+     4,
+     0,
+     NULL},
     {"no value",
      {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"},
      GET,
