A configuration is translated for the revision that comes into force alone

What callers saw: all streams of a small node pause for a second and more, over and over while a large configuration is in force, whoever's engine they are on.

Cause: the store's client translated every copy of the configuration, printed it as a record, and only then gave it to the keeper, which parsed the record before it compared the revision. A node reads a copy in each of its turns, and after each watch that failed. All of that ran on the loop of calls out, which relays the engines' streams; a copy of 4,200 paths kept it for 98 ms of processor time beside the outer JSON's 14, some 0.8 s on 0.12 of a core.

Change: struct ch_dialect has config_text. No record is printed and parsed again on the way. A copy pulled from another node is looked at in the same way before it is unpacked. What can't be read lets the next call wait as before; this was the store client's part and is now the keeper's. After a watch that failed everything is still read anew, and compared by its revision.

Tests: /roster/copies, a table of copies with equal, lower, higher revisions and an unreadable one; without the comparison 5 of 5 are translated in place of 1. /spread/needless; without it a damaged copy of the revision in force is unpacked. /store/calls: that the configuration's value is a record of ours was asserted by a word in it; it is now compared whole with what the operator wrote.

The bench now gives the least of nine runs.

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -9,6 +9,7 @@
  */
 
 #include "node/config_pack.h"
+#include "node/dialect.h"
 #include "node/kv_call.h"
 
 #include "decide/revision.h"
@@ -209,22 +210,48 @@
     take_config(keeper, ch_config_new(revision, token, author, declaration));
 }
 
-/* Takes a value of the service into force. */
-static void
+/* The record in a value of the service, or one made of what a platform keeps
+ * there; NULL with an error. */
+static struct ch_revision_record *
+read_record(const struct ch_config_keeper *keeper,
+            const struct ch_kv_answer *answer, struct ch_error *error)
+{
+    const struct ch_dialect *dialect = keeper->node->dialect;
+    if (dialect == NULL || dialect->config_text == NULL) {
+        return ch_revision_record_parse(answer->value, answer->length, error);
+    }
+    g_autofree char *text =
+        dialect->config_text(answer->value, answer->length, error);
+    return text == NULL
+               ? NULL
+               : ch_revision_record_new("operator", "operator", text, NULL, 0);
+}
+
+/*
+ * Takes a value of the service into force; false when it can't be read.
+ *
+ * Each node reads the value again and again, and a watch that failed brings it
+ * anew.  A large one takes a small node a second to translate and parse, in
+ * which its streams pause; so its revision is looked at first.
+ */
+static bool
 take_value(struct ch_config_keeper *keeper, const struct ch_kv_answer *answer)
 {
     struct ch_error error = {0};
-    struct ch_revision_record *record =
-        ch_revision_record_parse(answer->value, answer->length, &error);
+    if (!ch_revision_newer(current_revision(keeper), answer->revision)) {
+        return true;
+    }
+    struct ch_revision_record *record = read_record(keeper, answer, &error);
     if (record == NULL) {
         ch_log(keeper->node->client, CH_LOG_ERR, "config-unreadable",
                CH_F_INT("revision", answer->revision),
                CH_F_STR("message", error.message), CH_F_END);
-        return;
+        return false;
     }
     take_parts(keeper, answer->revision, record->token, record->author,
                record->text);
     ch_revision_record_free(record);
+    return true;
 }
 
 /* ---- from the service: watch, or the first read ---- */
@@ -260,11 +287,13 @@
 call_done(void *data, const struct ch_kv_answer *answer)
 {
     struct ch_config_keeper *keeper = data;
-    if (answer->code == CH_OK) {
-        take_value(keeper, answer);
+    enum ch_code code = answer->code;
+    if (code == CH_OK && !take_value(keeper, answer)) {
+        code =
+            CH_KV_UNREACHABLE; /* the next one waits, as without an answer */
     }
-    end_call(keeper, answer->code);
-    if (answer->code == CH_OK) {
+    end_call(keeper, code);
+    if (code == CH_OK) {
         begin_call(keeper);
     }
     keeper_unref(keeper);
@@ -309,7 +338,7 @@
 {
     struct ch_config_keeper *keeper = data;
     if (answer->code == CH_OK) {
-        take_value(keeper, answer);
+        (void)take_value(keeper, answer);
     }
     pthread_mutex_lock(&keeper->lock);
     keeper->reading = false;
@@ -350,6 +379,9 @@
         return;
     }
     const Chestnuthitch__Wire__ConfigPush *push = frame->config_push;
+    if (!ch_revision_newer(current_revision(keeper), push->revision)) {
+        return;
+    }
     if (push->packed.len == 0) {
         take_parts(keeper, push->revision, push->token, push->author,
                    push->text);
@@ -643,7 +675,7 @@
     enum ch_code code = answer->code;
     if (code == CH_OK) {
         struct ch_revision_record *record =
-            ch_revision_record_parse(answer->value, answer->length, NULL);
+            read_record(apply->keeper, answer, NULL);
         ch_revision_record_free(apply->read);
         apply->read = record;
         apply->read_revision = answer->revision;
--- a/libchestnuthitch/node/dialect.h
+++ b/libchestnuthitch/node/dialect.h
@@ -14,6 +14,12 @@
 struct ch_dialect {
     struct ch_kv *(*kv_new)(struct ch_client *client, struct ch_http *http,
                             const char *address, int64_t call_limit);
+    /* The declaration's INI text in the configuration's value; NULL with an
+       error.  It takes long for a large one, and is called for one that is to
+       come into force alone, never on the loop of calls out.  No such handler:
+       the value is our own record. */
+    char *(*config_text)(const char *value, size_t length,
+                         struct ch_error *error);
     /* Upstreams describe themselves in keys below this prefix. */
     const char *hosts_prefix;
     /* Reads one; false with an error for what is no upstream.  Its region is
--- a/tests/bench/bench_config.c
+++ b/tests/bench/bench_config.c
@@ -5,7 +5,6 @@
 #include "config.h"
 
 #include "base/json.h"
-#include "decide/revision.h"
 #include "json.h"
 #include "node/config_pack.h"
 
@@ -18,7 +17,9 @@
 #include <unistd.h>
 
 enum {
-    ROUNDS = 5,
+    /* The least of several is what the work takes; a mean tells of the
+     * machine as well. */
+    ROUNDS = 9,
     MODELS = 84,
     ADAPTERS = 60,
     MOST_TEXT = 8 * 1024 * 1024,
@@ -31,8 +32,7 @@
     char *body; /* the store's answer */
     char *json;
     size_t json_length;
-    char *record;
-    char *text; /* as the record has it */
+    char *text;
     struct ch_declaration *declaration;
     GBytes *packed;
 };
@@ -119,20 +119,7 @@
 translate(struct copy *copy)
 {
     struct ch_error error = {0};
-    copy->record =
-        platform_config_record(copy->json, copy->json_length, &error);
-    return copy->record != NULL;
-}
-
-static bool
-parse_record(struct copy *copy)
-{
-    struct ch_revision_record *record =
-        ch_revision_record_parse(copy->record, strlen(copy->record), NULL);
-    if (record != NULL) {
-        copy->text = g_strdup(record->text);
-    }
-    ch_revision_record_free(record);
+    copy->text = platform_config_text(copy->json, copy->json_length, &error);
     return copy->text != NULL;
 }
 
@@ -172,7 +159,6 @@
 } steps[] = {
     {"outer JSON and base64", unwrap},
     {"translation", translate},
-    {"record parse", parse_record},
     {"declaration parse", parse_declaration},
     {"packing", pack},
     {"unpacking", unpack},
@@ -201,7 +187,6 @@
 {
     g_free(copy->body);
     g_free(copy->json);
-    g_free(copy->record);
     g_free(copy->text);
     ch_declaration_free(copy->declaration);
     g_bytes_unref(copy->packed);
@@ -219,8 +204,8 @@
     }
 }
 
-/* One walk through the steps, as far as they get; the time of each is added
- * to its sum, and its peak kept.  How many were done. */
+/* One walk through the steps, as far as they get; the least time of each and
+ * its highest peak are kept.  How many were done. */
 static size_t
 walk(unsigned paths, double *us, double *peak_kb)
 {
@@ -234,7 +219,8 @@
         if (!steps[done].run(&copy)) {
             break;
         }
-        us[done] += cpu_us() - begun;
+        double us_taken = cpu_us() - begun;
+        us[done] = us[done] == 0 ? us_taken : MIN(us[done], us_taken);
         peak_kb[done] = MAX(peak_kb[done], status_kb("VmHWM:") - held);
     }
     clear_copy(&copy);
@@ -259,8 +245,8 @@
     double sum = 0;
     for (size_t i = 0; i < done; i++) {
         (void)printf("figure: config %u paths: %s %.1f ms, peak %.0f kB\n",
-                     paths, steps[i].name, us[i] / ROUNDS / 1000, peak_kb[i]);
-        sum += us[i] / ROUNDS / 1000;
+                     paths, steps[i].name, us[i] / 1000, peak_kb[i]);
+        sum += us[i] / 1000;
     }
     (void)printf("figure: config %u paths: all %.1f ms%s%s\n", paths, sum,
                  done < G_N_ELEMENTS(steps) ? ", not done: " : "",
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -371,6 +371,133 @@
     fixture_free(fixture);
 }
 
+/* ---- copies of what is in force ---- */
+
+enum {
+    COPIES = 5
+};
+
+/*
+ * All streams of a small node pause, again and again: each copy of a large
+ * configuration that it read in its turn was translated and parsed whole
+ * before it was seen to be in force already.  Its revision says so.  One that
+ * can't be read is asked for again with pauses.
+ */
+static const struct {
+    const char *what;
+    uint64_t revisions[COPIES]; /* of one copy after another */
+    const char *value;
+    int translations; /* 0: of each copy */
+    uint64_t in_force;
+    int64_t least_us; /* that the copies take */
+} copies[] = {
+    {"the same again", {5, 5, 5, 5, 5}, "good", 1, 5, 0},
+    {"one that is older", {5, 4, 4, 1, 5}, "good", 1, 5, 0},
+    {"newer ones", {5, 6, 6, 5, 8}, "good", 3, 8, 0},
+    {"not readable", {5, 5, 5, 5, 5}, "bad", 0, 0, 1500000},
+};
+
+static struct {
+    size_t row;
+    int served;
+    int translations;
+} copied;
+
+/* The row's next copy, and the last one from then on. */
+static void
+get_copy(struct ch_kv *kv, const char *key,
+         void (*done)(void *data, const struct ch_kv_answer *answer),
+         void *data)
+{
+    (void)kv, (void)key;
+    int at = g_atomic_int_add(&copied.served, 1);
+    const char *value = copies[copied.row].value;
+    const struct ch_kv_answer answer = {
+        .code = CH_OK,
+        .value = value,
+        .length = strlen(value),
+        .revision = copies[copied.row].revisions[MIN(at, COPIES - 1)],
+    };
+    done(data, &answer);
+}
+
+/* Brings a copy while none is in force, and nothing after. */
+static void
+watch_copy(struct ch_kv *kv, const char *key, uint64_t revision, int64_t wait,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    (void)wait;
+    if (revision == 0) {
+        get_copy(kv, key, done, data);
+        return;
+    }
+    const struct ch_kv_answer answer = {.code = CH_KV_MISSING};
+    done(data, &answer);
+}
+
+/* Translates and counts. */
+static char *
+count_text(const char *value, size_t length, struct ch_error *error)
+{
+    g_atomic_int_inc(&copied.translations);
+    if (length != strlen("good") || memcmp(value, "good", length) != 0) {
+        ch_error_set(error, CH_BAD_JSON, "not good");
+        return NULL;
+    }
+    return g_strdup("[class c]\nhost = h\npath = /x/\nshares = s:1\n"
+                    "answer-ms = 1000\n[service s]\n");
+}
+
+/* Runs one row; the copies come in five seconds, or the counts are wrong. */
+static void
+run_copies(size_t row)
+{
+    static const struct ch_kv_ops ops = {.get = get_copy, .watch = watch_copy};
+    static const struct ch_dialect dialect = {
+        .hosts_prefix = PREFIX,
+        .config_text = count_text,
+    };
+    copied.row = row;
+    g_atomic_int_set(&copied.served, 0);
+    g_atomic_int_set(&copied.translations, 0);
+    struct fixture *fixture = fixture_new(&ops, 1);
+    fixture->node.dialect = &dialect;
+    struct ch_config_keeper *keeper = ch_config_keeper_new(&fixture->node);
+    fixture->node.config = keeper;
+    int64_t begun = g_get_monotonic_time();
+    ch_config_keeper_start(keeper);
+    while (g_atomic_int_get(&copied.served) < COPIES &&
+           g_get_monotonic_time() < begun + 10000000L) {
+        g_usleep(1000);
+    }
+    int64_t taken = g_get_monotonic_time() - begun;
+    ch_config_keeper_stop(keeper);
+    fixture_stop(fixture);
+    struct ch_config *config = ch_config_keeper_current(keeper);
+    g_test_message("%s: %d of %d translated in %" G_GINT64_FORMAT " ms",
+                   copies[row].what, copied.translations, copied.served,
+                   taken / 1000);
+    g_assert_cmpuint(config == NULL ? 0 : config->revision, ==,
+                     copies[row].in_force);
+    g_assert_cmpint(copied.served, >=, COPIES);
+    g_assert_cmpint(copied.translations, ==,
+                    copies[row].translations == 0 ? copied.served
+                                                  : copies[row].translations);
+    g_assert_cmpint(taken, >=, copies[row].least_us);
+    ch_config_unref(config);
+    ch_config_keeper_free(keeper);
+    fixture_free(fixture);
+}
+
+static void
+test_copies(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(copies); i++) {
+        run_copies(i);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -381,5 +508,6 @@
     g_test_add_func("/roster/own-entry", test_own_entry);
     g_test_add_func("/roster/gather", test_gather);
     g_test_add_func("/roster/left-out", test_left_out);
+    g_test_add_func("/roster/copies", test_copies);
     return g_test_run();
 }
--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -424,7 +424,8 @@
             g_assert_nonnull(strstr(server.asked->str, rows[i].asked));
         }
         if (rows[i].call == GET_CONFIG) {
-            g_assert_nonnull(strstr(result.value, "\"text\""));
+            g_assert_cmpstr(result.value, ==,
+                            "{\"routes\":[],\"services\":[]}");
         }
         kv->ops->free(kv);
         ch_metrics_free(client.metrics);
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -32,6 +32,7 @@
                  const Chestnuthitch__Wire__Frame *reply);
     void *data;
     GByteArray *packed; /* of the latest reply */
+    unsigned lines;     /* of the log */
 } world;
 
 bool
@@ -119,10 +120,12 @@
     return world.now;
 }
 
+/* Counts lines in place of writing them. */
 static void
 drop_line(void *data, const char *line, size_t length)
 {
     (void)data, (void)line, (void)length;
+    world.lines++;
 }
 
 /* A node with a keeper that has revision 5. */
@@ -235,6 +238,37 @@
     node_clear(&node);
 }
 
+/* A copy that is not above the revision in force isn't even unpacked: a
+ * damaged one is told only if it could have come into force. */
+static void
+test_needless(void)
+{
+    static const struct {
+        uint64_t revision;
+        unsigned lines;
+    } pushes[] = {{4, 0}, {5, 0}, {6, 1}};
+    for (size_t i = 0; i < G_N_ELEMENTS(pushes); i++) {
+        struct ch_node node;
+        struct ch_client client;
+        struct ch_settings settings;
+        Chestnuthitch__Wire__ConfigPush push = WIRE(CONFIG_PUSH__INIT);
+        Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+        node_init(&node, &client, &settings);
+        world.lines = 0;
+        push.revision = pushes[i].revision;
+        push.packed.data = (uint8_t *)(uintptr_t)text;
+        push.packed.len = strlen(text);
+        frame.body_case = WIRE(FRAME__BODY_CONFIG_PUSH);
+        frame.config_push = &push;
+        world.push(node.config, &frame);
+        g_assert_cmpuint(world.lines, ==, pushes[i].lines);
+        struct ch_config *config = ch_config_keeper_current(node.config);
+        g_assert_cmpuint(config->revision, ==, 5);
+        ch_config_unref(config);
+        node_clear(&node);
+    }
+}
+
 /* ---- packing ---- */
 
 /* Bytes that are not what a node packs. */
@@ -269,6 +303,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/spread/pulls", test_pulls);
     g_test_add_func("/spread/arrives", test_arrives);
+    g_test_add_func("/spread/needless", test_needless);
     g_test_add_func("/spread/damaged", test_damaged);
     return g_test_run();
 }
