A node reads one copy of a configuration's revision at a time

What callers saw: all streams of a small node pause for over a second when a large configuration reaches it.

Cause: while the node reads the copy, which takes 0.12 core a second or two, each frame that comes tells it of the revision that it lacks. It pulled that from a second and, half a second later, a third node, and read the three copies side by side; a turn to read, the watch and, at the start, the question to others each could bring another one.

Change: the keeper notes the revision that is being read. Copies of it or of lower ones are left out, what frames tell is compared with it, and no watch and no turn begins meanwhile. A copy that turns out to be damaged clears the note, so that the next frame or turn brings another. Higher revisions are pulled and read at once as before; what is in force still never goes back, as that is decided when it is taken. An operator's own write is taken without the note, as its answer names what is in force.

Test: /spread/beside, a table of what is offered in the middle of reading revision 6. Without the note the row "the same" makes a pull in place of none.

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -72,6 +72,7 @@
     int references;
     bool stopped;
     struct ch_config *current;
+    uint64_t taking;       /* the highest that is being read; 0: none */
     unsigned pulls;        /* under way */
     int64_t pulled;        /* when the latest began */
     uint64_t far_revision; /* what far nodes have, and since when */
@@ -135,6 +136,48 @@
     return revision;
 }
 
+/* The revision in force, or a higher one that is being read; the lock is
+ * held. */
+static uint64_t
+known_revision(const struct ch_config_keeper *keeper)
+{
+    uint64_t current = keeper->current == NULL ? 0 : keeper->current->revision;
+    return ch_revision_newer(current, keeper->taking) ? keeper->taking
+                                                      : current;
+}
+
+/*
+ * Begins to read a copy; false for one that is needless.
+ *
+ * While a small node reads a large configuration, for a second or two, every
+ * frame that comes tells it of the revision that it lacks, and watch, turn and
+ * pull may each bring a copy.  Reading them side by side takes two and three
+ * times as long, for all of them.  A copy that is left out for one that turns
+ * out to be damaged is not lost: the next frame or turn brings it again.
+ */
+static bool
+begin_taking(struct ch_config_keeper *keeper, uint64_t revision)
+{
+    pthread_mutex_lock(&keeper->lock);
+    bool begin = ch_revision_newer(known_revision(keeper), revision);
+    if (begin) {
+        keeper->taking = revision;
+    }
+    pthread_mutex_unlock(&keeper->lock);
+    return begin;
+}
+
+/* Ends what begin_taking began; a higher one may have begun meanwhile. */
+static void
+end_taking(struct ch_config_keeper *keeper, uint64_t revision)
+{
+    pthread_mutex_lock(&keeper->lock);
+    if (keeper->taking == revision) {
+        keeper->taking = 0;
+    }
+    pthread_mutex_unlock(&keeper->lock);
+}
+
 /* Tells a few nodes of the revision that this node's frames now bear: they
  * pull it when they are behind. */
 static void
@@ -238,7 +281,7 @@
 take_value(struct ch_config_keeper *keeper, const struct ch_kv_answer *answer)
 {
     struct ch_error error = {0};
-    if (!ch_revision_newer(current_revision(keeper), answer->revision)) {
+    if (!begin_taking(keeper, answer->revision)) {
         return true;
     }
     struct ch_revision_record *record = read_record(keeper, answer, &error);
@@ -246,12 +289,14 @@
         ch_log(keeper->node->client, CH_LOG_ERR, "config-unreadable",
                CH_F_INT("revision", answer->revision),
                CH_F_STR("message", error.message), CH_F_END);
-        return false;
     }
-    take_parts(keeper, answer->revision, record->token, record->author,
-               record->text);
+    else {
+        take_parts(keeper, answer->revision, record->token, record->author,
+                   record->text);
+    }
+    end_taking(keeper, answer->revision);
     ch_revision_record_free(record);
-    return true;
+    return record != NULL;
 }
 
 /* ---- from the service: watch, or the first read ---- */
@@ -300,7 +345,7 @@
 }
 
 /* Begins a watch, or on other nodes a read while nothing is known, unless one
- * is under way or the service is given time. */
+ * is under way, a copy is being read or the service is given time. */
 static void
 begin_call(struct ch_config_keeper *keeper)
 {
@@ -310,7 +355,7 @@
     pthread_mutex_lock(&keeper->lock);
     uint64_t revision =
         keeper->current == NULL ? 0 : keeper->current->revision;
-    bool begin = !keeper->stopped && !keeper->calling &&
+    bool begin = !keeper->stopped && !keeper->calling && keeper->taking == 0 &&
                  (watcher || revision == 0) &&
                  ch_client_now(node->client) >= keeper->not_before;
     if (begin) {
@@ -356,7 +401,7 @@
     int64_t round = (int64_t)READ_EVERY * MAX(g_strv_length(live), 1U);
     pthread_mutex_lock(&keeper->lock);
     bool begin = !keeper->stopped && !keeper->reading &&
-                 keeper->current != NULL &&
+                 keeper->current != NULL && keeper->taking == 0 &&
                  ch_turn_due(&keeper->turn, round, g_random_double(), now);
     if (begin) {
         keeper->reading = true;
@@ -370,18 +415,11 @@
 
 /* ---- from other nodes: pull and push ---- */
 
-/* Takes a frame's ConfigPush into force. */
+/* Reads a ConfigPush and takes it into force. */
 static void
-take_push(struct ch_config_keeper *keeper,
-          const Chestnuthitch__Wire__Frame *frame)
+read_push(struct ch_config_keeper *keeper,
+          const Chestnuthitch__Wire__ConfigPush *push)
 {
-    if (frame->body_case != CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PUSH) {
-        return;
-    }
-    const Chestnuthitch__Wire__ConfigPush *push = frame->config_push;
-    if (!ch_revision_newer(current_revision(keeper), push->revision)) {
-        return;
-    }
     if (push->packed.len == 0) {
         take_parts(keeper, push->revision, push->token, push->author,
                    push->text);
@@ -400,6 +438,21 @@
     g_free(text);
 }
 
+/* Takes a frame's ConfigPush into force, unless it is needless. */
+static void
+take_push(struct ch_config_keeper *keeper,
+          const Chestnuthitch__Wire__Frame *frame)
+{
+    if (frame->body_case != CHESTNUTHITCH__WIRE__FRAME__BODY_CONFIG_PUSH) {
+        return;
+    }
+    uint64_t revision = frame->config_push->revision;
+    if (begin_taking(keeper, revision)) {
+        read_push(keeper, frame->config_push);
+        end_taking(keeper, revision);
+    }
+}
+
 /* The answer to a pull. */
 static void
 pull_done(void *data, enum ch_code code,
@@ -477,7 +530,7 @@
                        const char *from)
 {
     pthread_mutex_lock(&keeper->lock);
-    uint64_t known = keeper->current == NULL ? 0 : keeper->current->revision;
+    uint64_t known = known_revision(keeper);
     pthread_mutex_unlock(&keeper->lock);
     if (ch_revision_newer(known, revision) &&
         may_pull_from(keeper, revision, from)) {
@@ -552,7 +605,10 @@
 ask_others(struct ch_config_keeper *keeper)
 {
     const struct ch_node *node = keeper->node;
-    if (current_revision(keeper) != 0) {
+    pthread_mutex_lock(&keeper->lock);
+    bool known = known_revision(keeper) != 0;
+    pthread_mutex_unlock(&keeper->lock);
+    if (known) {
         return;
     }
     g_auto(GStrv) live = ch_peers_live(node->peers);
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -5,6 +5,7 @@
  */
 
 #include "node/config_pack.h"
+#include "node/dialect.h"
 #include "node/node.h"
 
 #include <string.h>
@@ -25,6 +26,7 @@
     int64_t now;
     bool near;
     const char *entry;
+    const char *watcher;
     void (*pull)(void *data, const Chestnuthitch__Wire__Frame *frame);
     void (*push)(void *data, const Chestnuthitch__Wire__Frame *frame);
     unsigned requests;
@@ -54,7 +56,7 @@
 ch_peers_home(struct ch_peers *peers, uint64_t key, const char *data_centre)
 {
     (void)peers, (void)key, (void)data_centre;
-    return g_strdup("other");
+    return g_strdup(world.watcher);
 }
 
 char **
@@ -140,6 +142,7 @@
     *node = (struct ch_node){.client = client, .settings = settings};
     world.now = START;
     world.requests = 0;
+    world.watcher = "other";
     world.packed = g_byte_array_new();
     node->config = ch_config_keeper_new(node);
     Chestnuthitch__Wire__ConfigPush push = WIRE(CONFIG_PUSH__INIT);
@@ -269,6 +272,149 @@
     }
 }
 
+/* ---- while a copy is being read ---- */
+
+/* What comes while revision 6 is being read, for which a small node takes a
+ * second, and how many pulls and lines of the log that makes. */
+static const struct {
+    const char *what;
+    uint64_t offered;
+    bool readable; /* 6 is */
+    unsigned pulls;
+    unsigned lines;
+    unsigned pulls_after; /* when 6 is told of again */
+    uint64_t in_force;
+} sides[] = {
+    {"what is in force", 5, true, 0, 0, 0, 6},
+    {"the same", 6, true, 0, 0, 0, 6},
+    {"a higher one", 7, true, 1, 1, 1, 6},
+    {"the same, which can't be read", 6, false, 0, 0, 1, 5},
+};
+
+static struct {
+    struct ch_node *node;
+    size_t row;
+    int watches;
+    unsigned pulls;
+    unsigned lines;
+    gint offered; /* the other copy was */
+} side;
+
+/* Brings revision 6 once. */
+static void
+watch_once(struct ch_kv *kv, const char *key, uint64_t revision, int64_t wait,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    (void)kv, (void)key, (void)revision, (void)wait;
+    struct ch_kv_answer answer = {.code = CH_KV_MISSING};
+    if (side.watches++ == 0) {
+        answer = (struct ch_kv_answer){
+            .code = CH_OK, .value = "v", .length = 1, .revision = 6};
+    }
+    done(data, &answer);
+}
+
+/* Brings nothing to a read in turn. */
+static void
+get_nothing(struct ch_kv *kv, const char *key,
+            void (*done)(void *data, const struct ch_kv_answer *answer),
+            void *data)
+{
+    (void)kv, (void)key;
+    const struct ch_kv_answer answer = {.code = CH_KV_MISSING};
+    done(data, &answer);
+}
+
+/* Offers another copy in the middle of reading this one. */
+static char *
+read_beside(const char *value, size_t length, struct ch_error *error)
+{
+    (void)value, (void)length;
+    Chestnuthitch__Wire__ConfigPush push = WIRE(CONFIG_PUSH__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    ch_config_keeper_learn(side.node->config, sides[side.row].offered, "n2");
+    side.pulls = world.requests;
+    world.lines = 0;
+    push.revision = sides[side.row].offered;
+    push.packed.data = (uint8_t *)(uintptr_t)text;
+    push.packed.len = strlen(text);
+    frame.body_case = WIRE(FRAME__BODY_CONFIG_PUSH);
+    frame.config_push = &push;
+    world.push(side.node->config, &frame);
+    side.lines = world.lines;
+    g_atomic_int_set(&side.offered, 1);
+    ch_error_set(error, CH_BAD_JSON, "not readable");
+    return sides[side.row].readable ? g_strdup(text) : NULL;
+}
+
+static void
+set_flag(void *data)
+{
+    g_atomic_int_set((gint *)data, 1);
+}
+
+/*
+ * All streams of a small node pause for seconds: while it read a large
+ * configuration from the service, each frame told it of the revision that it
+ * lacked, and it pulled two more copies and read them beside the first.
+ */
+static void
+run_side(size_t row)
+{
+    static const struct ch_kv_ops ops = {.get = get_nothing,
+                                         .watch = watch_once};
+    static const struct ch_dialect dialect = {.config_text = read_beside};
+    struct ch_kv kv = {.ops = &ops};
+    struct ch_node node;
+    struct ch_client client;
+    struct ch_settings settings;
+    node_init(&node, &client, &settings);
+    node.kv = &kv;
+    node.dialect = &dialect;
+    node.pool = ch_pool_new(1);
+    node.timers = ch_timers_new(node.pool);
+    world.near = true;
+    world.watcher = "n1";
+    memset(&side, 0, sizeof(side));
+    side.node = &node;
+    side.row = row;
+    ch_config_keeper_start(node.config);
+    for (int i = 0; i < 3000 && !g_atomic_int_get(&side.offered); i++) {
+        g_usleep(MILLI);
+    }
+    /* The one worker runs it when it has read the copy. */
+    gint over = 0;
+    ch_pool_submit(node.pool, set_flag, &over);
+    while (!g_atomic_int_get(&over)) {
+        g_usleep(MILLI);
+    }
+    ch_config_keeper_learn(node.config, 6, "n3");
+    ch_config_keeper_stop(node.config);
+    ch_timers_stop(node.timers);
+    ch_pool_free(node.pool);
+    ch_timers_free(node.timers);
+    g_assert_cmpuint(side.pulls, ==, sides[row].pulls);
+    g_assert_cmpuint(side.lines, ==, sides[row].lines);
+    g_assert_cmpuint(world.requests, ==, sides[row].pulls_after);
+    for (unsigned i = 0; i < world.requests; i++) {
+        world.done(world.data, CH_PEER_TIMEOUT, NULL);
+    }
+    struct ch_config *config = ch_config_keeper_current(node.config);
+    g_assert_cmpuint(config->revision, ==, sides[row].in_force);
+    ch_config_unref(config);
+    node_clear(&node);
+}
+
+static void
+test_beside(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(sides); i++) {
+        g_test_message("%s", sides[i].what);
+        run_side(i);
+    }
+}
+
 /* ---- packing ---- */
 
 /* Bytes that are not what a node packs. */
@@ -304,6 +450,7 @@
     g_test_add_func("/spread/pulls", test_pulls);
     g_test_add_func("/spread/arrives", test_arrives);
     g_test_add_func("/spread/needless", test_needless);
+    g_test_add_func("/spread/beside", test_beside);
     g_test_add_func("/spread/damaged", test_damaged);
     return g_test_run();
 }
