Reading a configuration: fewer copies, formats and hashes

What callers saw: streams of a small node pause while it reads a large configuration.

Change: keys are compared within their group alone, as a repeated group is a mistake anyway, and in one copy of the text; lines and whole numbers are put together without printf; the parser does without the immutable form; the shape passes over the plain bytes of a string at once.

What is left is json-glib's tree and GKeyFile's, which another parser alone would save; not wanted.

--- a/libchestnuthitch/base/declaration.c
+++ b/libchestnuthitch/base/declaration.c
@@ -3,7 +3,7 @@
 #include "base/base.h"
 #include "base/ini.h"
 
-#include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -688,13 +688,23 @@
 
 /* ---- canonical text ---- */
 
+/* Appends "[kind name]". */
+static void
+print_group(GString *out, const char *kind, const char *name)
+{
+    g_string_append_c(out, '[');
+    g_string_append(out, kind);
+    g_string_append_c(out, ' ');
+    g_string_append(out, name);
+    g_string_append(out, "]\n");
+}
+
 /* Appends "key = milliseconds" of a target that is stated. */
 static void
 print_target(GString *out, const char *key, int64_t target)
 {
     if (target != 0) {
-        g_string_append_printf(out, "%s = %" G_GINT64_FORMAT "\n", key,
-                               target / 1000);
+        ch_ini_put_count(out, key, (uint64_t)target / 1000);
     }
 }
 
@@ -706,7 +716,7 @@
         return;
     }
     char *joined = g_strjoinv(", ", names);
-    g_string_append_printf(out, "%s = %s\n", key, joined);
+    ch_ini_put_text(out, key, joined);
     g_free(joined);
 }
 
@@ -715,11 +725,22 @@
 print_number(GString *out, const char *key, double number)
 {
     char text[G_ASCII_DTOSTR_BUF_SIZE];
-    if (number > 0) {
-        g_string_append_printf(
-            out, "%s = %s\n", key,
-            g_ascii_formatd(text, sizeof(text), "%.10g", number));
+    if (number <= 0) {
+        return;
     }
+    if (number < 1e9 && number == floor(number)) {
+        ch_ini_put_count(out, key, (uint64_t)number);
+        return;
+    }
+    ch_ini_put_text(out, key,
+                    g_ascii_formatd(text, sizeof(text), "%.10g", number));
+}
+
+/* Appends "key = true" or "key = false". */
+static void
+print_flag(GString *out, const char *key, bool flag)
+{
+    ch_ini_put_text(out, key, yes_names[flag ? 1 : 0]);
 }
 
 /* Appends what a class that is chosen by host and path has. */
@@ -729,11 +750,11 @@
     if (class->host == NULL) {
         return;
     }
-    g_string_append_printf(out, "host = %s\npath = %s\nshares = %s\n",
-                           class->host, class->path, class->shares);
-    g_string_append_printf(out, "stream = %s\nresumable = %s\n",
-                           yes_names[class->stream ? 1 : 0],
-                           yes_names[class->resumable ? 1 : 0]);
+    ch_ini_put_text(out, "host", class->host);
+    ch_ini_put_text(out, "path", class->path);
+    ch_ini_put_text(out, "shares", class->shares);
+    print_flag(out, "stream", class->stream);
+    print_flag(out, "resumable", class->resumable);
     print_number(out, "priority", class->priority);
     print_number(out, "tries", class->tries);
     print_target(out, "gap-ms", class->gap);
@@ -744,7 +765,7 @@
 static void
 print_service(GString *out, const struct ch_service *service)
 {
-    g_string_append_printf(out, "[service %s]\n", service->name);
+    print_group(out, "service", service->name);
     print_number(out, "connections", service->connections);
     print_number(out, "batch", service->batch);
     print_number(out, "memory-mb", service->memory_mb);
@@ -780,12 +801,11 @@
     for (guint i = 0; i < raw->classes->len; i++) {
         const struct raw_class *class =
             &g_array_index(raw->classes, struct raw_class, i);
-        g_string_append_printf(out, "[class %s]\n", class->name);
+        print_group(out, "class", class->name);
         print_target(out, "first-token-ms", class->first_token);
         print_target(out, "between-tokens-ms", class->between_tokens);
         print_target(out, "answer-ms", class->whole_answer);
-        g_string_append_printf(out, "idempotent = %s\n",
-                               yes_names[class->idempotent ? 1 : 0]);
+        print_flag(out, "idempotent", class->idempotent);
         print_list(out, "models", class->models);
         print_list(out, "services", class->services);
         print_list(out, "callers", class->callers);
@@ -794,16 +814,16 @@
     }
     for (size_t i = 0; i < declaration->model_count; i++) {
         const struct ch_model *model = &declaration->models[i];
-        g_string_append_printf(out, "[model %s]\nmemory-mb = %" PRIu32 "\n",
-                               model->name, model->memory_mb);
+        print_group(out, "model", model->name);
+        ch_ini_put_count(out, "memory-mb", model->memory_mb);
         print_list(out, "adapters", model->adapters);
         print_list(out, "services",
                    g_array_index(raw->models, struct raw_model, i).services);
         print_number(out, "numbered-adapters", model->numbered_adapters);
         print_target(out, "load-ms", model->load);
         if (model->adapter_count > 0 || model->numbered_adapters > 0) {
-            g_string_append_printf(out, "adapter-memory-mb = %" PRIu32 "\n",
-                                   model->adapter_memory_mb);
+            ch_ini_put_count(out, "adapter-memory-mb",
+                             model->adapter_memory_mb);
         }
         g_string_append_c(out, '\n');
     }
--- a/libchestnuthitch/base/ini.c
+++ b/libchestnuthitch/base/ini.c
@@ -70,48 +70,53 @@
     return text;
 }
 
-/* What comes before the `=` of a line, without blanks; NULL for a line that
- * is no key.  A new string. */
+/* What was seen of a text; the names point into a copy of it. */
+struct repeats {
+    GHashTable *groups;
+    GHashTable *keys; /* of the group that is being read */
+    const char *group;
+};
+
+/* Cuts a line to what stands between its blanks. */
 static char *
-line_key(const char *line)
+bare_line(char *line)
 {
-    const char *equals = strchr(line, '=');
-    if (line[0] == '#' || line[0] == '[' || equals == NULL) {
-        return NULL;
+    while (g_ascii_isspace(*line)) {
+        line++;
     }
-    return g_strchomp(g_strndup(line, (size_t)(equals - line)));
+    return g_strchomp(line);
 }
 
-/* Notes one line's group or key in `seen`; false when it was there before. */
+/* Notes one line's group or key; false when it was there before. */
 static bool
-check_line(const struct ch_ini *ini, GHashTable *seen, char **group,
-           char *line, struct ch_error *error)
+check_line(const struct ch_ini *ini, struct repeats *seen, char *line,
+           struct ch_error *error)
 {
-    g_strstrip(line);
-    if (line[0] == '[' && strrchr(line, ']') != NULL) {
-        *strrchr(line, ']') = '\0';
-        g_free(*group);
-        *group = g_strdup(line + 1);
-        if (!g_hash_table_add(seen, g_strdup(line))) {
-            ch_ini_fail(ini, *group, NULL, CH_DUPLICATE, error,
+    line = bare_line(line);
+    char *end = line[0] == '[' ? strrchr(line, ']') : NULL;
+    if (end != NULL) {
+        *end = '\0';
+        seen->group = line + 1;
+        g_hash_table_remove_all(seen->keys);
+        if (!g_hash_table_add(seen->groups, line + 1)) {
+            ch_ini_fail(ini, seen->group, NULL, CH_DUPLICATE, error,
                         "the group stands twice");
             return false;
         }
         return true;
     }
-    char *key = line_key(line);
-    if (key == NULL || *group == NULL) {
-        g_free(key);
+    char *equals = strchr(line, '=');
+    if (line[0] == '#' || line[0] == '[' || equals == NULL ||
+        seen->group == NULL) {
         return true;
     }
-    bool fresh =
-        g_hash_table_add(seen, g_strdup_printf("[%s]%s", *group, key));
-    if (!fresh) {
-        ch_ini_fail(ini, *group, key, CH_DUPLICATE, error,
+    *equals = '\0';
+    if (!g_hash_table_add(seen->keys, g_strchomp(line))) {
+        ch_ini_fail(ini, seen->group, line, CH_DUPLICATE, error,
                     "the key stands twice");
+        return false;
     }
-    g_free(key);
-    return fresh;
+    return true;
 }
 
 /* GKeyFile merges repeated groups and lets the last of repeated keys win, so
@@ -120,17 +125,22 @@
 check_repeats(const struct ch_ini *ini, const char *text,
               struct ch_error *error)
 {
-    GHashTable *seen =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    char **lines = g_strsplit(text, "\n", -1);
-    char *group = NULL;
+    g_autofree char *copy = g_strdup(text);
+    struct repeats seen = {
+        .groups = g_hash_table_new(g_str_hash, g_str_equal),
+        .keys = g_hash_table_new(g_str_hash, g_str_equal),
+    };
     bool fine = true;
-    for (size_t i = 0; fine && lines[i] != NULL; i++) {
-        fine = check_line(ini, seen, &group, lines[i], error);
+    for (char *line = copy; fine && line != NULL;) {
+        char *end = strchr(line, '\n');
+        if (end != NULL) {
+            *end++ = '\0';
+        }
+        fine = check_line(ini, &seen, line, error);
+        line = end;
     }
-    g_free(group);
-    g_strfreev(lines);
-    g_hash_table_destroy(seen);
+    g_hash_table_destroy(seen.groups);
+    g_hash_table_destroy(seen.keys);
     return fine;
 }
 
@@ -443,3 +453,28 @@
     }
     return true;
 }
+
+/* Appends "key = text". */
+void
+ch_ini_put_text(GString *out, const char *key, const char *text)
+{
+    g_string_append(out, key);
+    g_string_append(out, " = ");
+    g_string_append(out, text);
+    g_string_append_c(out, '\n');
+}
+
+/* Appends "key = number", without printf: a configuration has tens of
+ * thousands of these. */
+void
+ch_ini_put_count(GString *out, const char *key, uint64_t number)
+{
+    char digits[24];
+    char *first = &digits[sizeof(digits) - 1];
+    *first = '\0';
+    do {
+        *--first = (char)('0' + number % 10);
+        number /= 10;
+    } while (number > 0);
+    ch_ini_put_text(out, key, first);
+}
--- a/libchestnuthitch/base/ini.h
+++ b/libchestnuthitch/base/ini.h
@@ -61,4 +61,8 @@
                  enum ch_code code, struct ch_error *error, const char *form,
                  ...) G_GNUC_PRINTF(6, 7);
 
+/* Lines as they are written. */
+void ch_ini_put_text(GString *out, const char *key, const char *text);
+void ch_ini_put_count(GString *out, const char *key, uint64_t number);
+
 #endif
--- a/libchestnuthitch/base/json.c
+++ b/libchestnuthitch/base/json.c
@@ -44,6 +44,19 @@
     return (unsigned char)byte >= ' ';
 }
 
+/* Bytes that neither end a string nor are escaped or control characters: most
+ * of what comes, and all of a value in base64. */
+static size_t
+plain_length(const char *text, size_t length)
+{
+    size_t i = 0;
+    while (i < length && text[i] != '"' && text[i] != '\\' &&
+           (unsigned char)text[i] >= ' ') {
+        i++;
+    }
+    return i;
+}
+
 /* An opening or closing bracket. */
 static bool
 bracket(struct shape *shape, char byte)
@@ -96,6 +109,12 @@
 {
     struct shape shape = {.max_depth = max_depth};
     for (size_t i = 0; i < length; i++) {
+        if (shape.in_string && !shape.escaped) {
+            i += plain_length(&text[i], length - i);
+            if (i == length) {
+                break;
+            }
+        }
         bool good = shape.in_string ? string_byte(&shape, text[i])
                                     : plain_byte(&shape, text[i]);
         if (!good) {
@@ -111,7 +130,7 @@
 ch_json_object(const char *text, size_t length, JsonParser **parser)
 {
     size_t members = 0;
-    *parser = json_parser_new_immutable();
+    *parser = json_parser_new();
     if (!ch_json_shape(text, length, MOST_DEPTH, &members) ||
         !json_parser_load_from_data(*parser, text, (gssize)length, NULL)) {
         return NULL;
--- a/tests/unit/test_declaration.c
+++ b/tests/unit/test_declaration.c
@@ -47,6 +47,12 @@
      "[service m1]: the name 'm1' is that of [model m1] too"},
     {CLASS MODEL "[model  m1]\nmemory-mb = 2\n", CH_DUPLICATE, "[model m1]"},
     {CLASS CLASS MODEL, CH_DUPLICATE, "[class c1]: the group stands twice"},
+    {CLASS MODEL " [model m1] \n", CH_DUPLICATE,
+     "f.ini: [model m1]: the group stands twice"},
+    {CLASS MODEL "  memory-mb  = 3", CH_DUPLICATE,
+     "f.ini: [model m1] memory-mb: the key stands twice"},
+    {CLASS MODEL "# memory-mb = 3\nmemory-mb=3\n", CH_DUPLICATE,
+     "f.ini: [model m1] memory-mb: the key stands twice"},
     {CLASS MODEL "[class  c1]\nanswer-ms = 1\nmodels = *\n", CH_DUPLICATE,
      "[class c1]: the group stands twice"},
     {CLASS "services = s1\n" MODEL, CH_BAD_VALUE,
@@ -95,6 +101,19 @@
      "[model m1]\nadapter-memory-mb=3\nadapters=y;x\nmemory-mb=10\n"
      "[class c1]\ncallers = b a\nidempotent = false\nmodels=*\n"
      "services=s2,s1\nbetween-tokens-ms=6\nfirst-token-ms=5\n"},
+    /* Numbers of all sizes; the same keys in two groups. */
+    {"[class c1]\nfirst-token-ms = 600000\nidempotent = true\n"
+     "services = s1\n\n"
+     "[service s1]\nconnections = 1000000\nbatch = 7\n"
+     "context-tokens = 1000000000\nloads-per-s = 1e-06\n\n"
+     "[service s2]\nconnections = 10\nmemory-mb = 999999999\n"
+     "loads-per-s = 1.4\n\n[limits]\nheader-bytes = 1000000000\n\n",
+     "[limits]\nheader-bytes=1000000000\nbody-bytes=0\n"
+     "[service s1]\nloads-per-s=0.000001\nconnections=1000000\nbatch=7\n"
+     "context-tokens=1000000000\n"
+     "[service s2]\nloads-per-s=1.40\nconnections=10\n"
+     "memory-mb=999999999\n"
+     "[class c1]\nservices=s1\nfirst-token-ms=600000\n"},
 };
 
 /* The same declaration gives the same bytes, whatever the order of the file,
