A configuration of the store's full megabyte is read

What callers saw: paths of an accepted configuration would be unknown at every node, for good: none could read it.

Cause: our text states for each class what the operator's JSON leaves out, and may be longer: 1,048,419 bytes of JSON with short routes are 1,118,903 bytes of text, 1,125,955 in the canonical form that nodes pull. Texts over 900 kB were refused, a bound meant for what an operator writes into our own record.

Change: 2 MB may be read, twice the store's value; what an operator may write through a node stays at 900 kB. A text of 2 MB goes packed between nodes, far below the frame's bound.

Test: /platform/largest-config; before: "1118903 bytes are over the limit of 921600".

--- a/libchestnuthitch/base/ini.h
+++ b/libchestnuthitch/base/ini.h
@@ -41,9 +41,12 @@
 
 enum {
     CH_INI_NAME_BYTES = 64,
-    /* One value of the key-value service holds the whole text, with its
-       envelope and what escaping adds. */
-    CH_INI_MOST_BYTES = 900 * 1024,
+    /* What is read.  A platform's value of a megabyte is at most twice as long
+       in our text, which states for each class what the value leaves out. */
+    CH_INI_MOST_BYTES = 2 * 1024 * 1024,
+    /* What an operator may write: one value of the key-value service holds the
+       whole text, with its envelope and what escaping adds. */
+    CH_INI_MOST_WRITTEN = 900 * 1024,
 };
 
 char *ch_ini_file_text(const char *path, struct ch_error *error);
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -415,7 +415,7 @@
 static void
 keep_body(struct request *request, const char *bytes, size_t length)
 {
-    if (request->body->len + length > CH_INI_MOST_BYTES) {
+    if (request->body->len + length > CH_INI_MOST_WRITTEN) {
         request->too_large = true;
         return;
     }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -50,6 +50,47 @@
     ch_declaration_free(declaration);
 }
 
+/*
+ * A configuration that the store accepted is in force nowhere: its value was
+ * within the store's megabyte, but our text of it is longer than its JSON, as
+ * it says for each route what the JSON leaves out, and was refused.
+ */
+static void
+test_largest_config(void)
+{
+    enum {
+        STORE_MOST = 1024 * 1024
+    };
+    GString *json = g_string_new("{\"routes\":[");
+    for (unsigned i = 0; json->len < STORE_MOST - 256; i++) {
+        g_string_append_printf(
+            json,
+            "%s{\"name\":\"r%u\",\"host\":\"a.example\","
+            "\"path_prefix\":\"/%u/\",\"type\":\"safe\","
+            "\"timeout_ms\":15000,\"target_latency_ms\":250,"
+            "\"service\":\"app\",\"max_attempts\":2}",
+            i == 0 ? "" : ",", i, i);
+    }
+    g_string_append(json, "],\"services\":[{\"name\":\"app\"}]}");
+    g_assert_cmpuint(json->len, <=, STORE_MOST);
+    struct ch_error error = {0};
+    g_autofree char *text = platform_config_text(json->str, json->len, &error);
+    g_assert_cmpstr(error.message, ==, "");
+    struct ch_declaration *first =
+        ch_declaration_parse(text, "config", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    /* As another node gets it. */
+    struct ch_declaration *second =
+        ch_declaration_parse(first->text, "config", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_test_message("%zu bytes of JSON, %zu of text, %zu canonical", json->len,
+                   strlen(text), strlen(first->text));
+    g_assert_cmpstr(second->text, ==, first->text);
+    ch_declaration_free(first);
+    ch_declaration_free(second);
+    g_string_free(json, TRUE);
+}
+
 /* What can't be read is an error, so that the one in force stays. */
 static void
 test_bad_config(void)
@@ -193,6 +234,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/config", test_config);
+    g_test_add_func("/platform/largest-config", test_largest_config);
     g_test_add_func("/platform/bad-config", test_bad_config);
     g_test_add_func("/platform/entries", test_entries);
     g_test_add_func("/platform/headers", test_headers);
