Limits of requests to other nodes leave out this node's own standstill

What callers would see: requests refused or sent to another home because a node that answered in time is told as late (605).

The thread of the connections between nodes took the time after it had waited for events, and ended the requests whose limit was over by then, though replies that came while it had no turn were not read yet: those after an interrupted or empty wait, and those behind more than is read of a connection at once. A pause was taken off the silences and not off the requests' limits.

Change: limits are judged by the time before the wait, and only in a turn that left nothing unread, or each 32nd, so that a peer that never stops sending holds up nobody. A pause is taken off a request's limit, which never leaves it more than its whole limit. Pings that are sent bear the time at which they are.

Why it works: what had come by the time that is judged by was read before. A reply is judged late up to one tick (50 ms) later than before.

Tests, by a clock of their own: /peers/stands-still/reply-waits, /reply-behind-others, /reply-after-pause (605 instead of 0) and /peers/limit-after-pause/asked-before (ended at once) failed three times of three before and pass three of three now, also under ThreadSanitizer (two of two). /reply-behind-others fails without the wait for what is unread, /limit-after-pause/asked-within without the bound of what is taken off (three of three each).

--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -222,6 +222,7 @@
     int64_t now = ch_client_now(peers->node->client);
     peers_refresh_revision(peers);
     struct request *request = g_new0(struct request, 1);
+    request->limit = limit;
     request->due = limit > 0 ? now + limit : 0;
     request->done = done;
     request->data = data;
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -37,7 +37,8 @@
 struct request {
     uint64_t id;
     struct connection *connection; /* NULL: to this node itself */
-    int64_t due;                   /* 0: while the connection lives */
+    int64_t limit;
+    int64_t due; /* 0: while the connection lives */
     void (*done)(void *data, enum ch_code code,
                  const Chestnuthitch__Wire__Frame *reply);
     void *data;
@@ -67,6 +68,7 @@
     uint64_t revision; /* in force here; atomic */
     unsigned ready;    /* this node may be home; atomic */
     int64_t last_tick;
+    unsigned behind; /* turns since all that had come was read */
     struct handler handlers[PEERS_BODY_CASES];
     struct handler late;
 };
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -23,6 +23,9 @@
     PING_SHARE = 4,
     /* A pause of this process longer than this is taken off the silences. */
     PAUSE = 250 * 1000,
+    /* Most turns in which limits are not looked at as more is left to read: a
+     * peer that never stops sending would hold up all of them. */
+    MOST_BEHIND = 32,
 };
 
 /* ---- what comes; the lock is held ---- */
@@ -141,8 +144,9 @@
            CH_F_END);
 }
 
-/* Reads once: a busy peer must not keep the others waiting. */
-static void
+/* Reads once: a busy peer must not keep the others waiting.  Whether more may
+ * be left. */
+static bool
 read_connection(struct ch_peers *peers, struct connection *connection,
                 int64_t now)
 {
@@ -152,16 +156,17 @@
         if (errno != EAGAIN && errno != EINTR) {
             connection->failure = CH_PEER_LOST;
         }
-        return;
+        return false;
     }
     if (count == 0) {
         connection->failure = CH_PEER_LOST;
-        return;
+        return false;
     }
     ch_metrics_count(peers->node->client->metrics,
                      CH_COUNT_FRAME_BYTES_RECEIVED, (uint64_t)count);
     ch_wire_decoder_feed(connection->decoder, bytes, (size_t)count);
     take_frames(peers, connection, now);
+    return (size_t)count == sizeof(bytes);
 }
 
 /* Whether the connection that was begun is made. */
@@ -202,13 +207,13 @@
     }
 }
 
-/* One event of a connection. */
-static void
+/* One event of a connection.  Whether more may be left to read. */
+static bool
 take_event(struct ch_peers *peers, struct connection *connection,
            uint32_t events, int64_t now)
 {
     if (connection->failure != CH_OK) {
-        return;
+        return false;
     }
     if (connection->connecting &&
         (events & (EPOLLOUT | EPOLLERR | EPOLLHUP))) {
@@ -217,10 +222,32 @@
     else if (events & EPOLLOUT) {
         connection_flush(peers, connection);
     }
-    if (!connection->connecting &&
-        (events & (EPOLLIN | EPOLLERR | EPOLLHUP))) {
-        read_connection(peers, connection, now);
+    return !connection->connecting &&
+           (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) &&
+           read_connection(peers, connection, now);
+}
+
+/* Takes what epoll told.  Whether more may be left than was read. */
+static bool
+take_events(struct ch_peers *peers, const struct epoll_event *events,
+            int count, int64_t now)
+{
+    bool left = count < 0 || count == EVENTS;
+    for (int i = 0; i < count; i++) {
+        if (events[i].data.ptr == peers) {
+            accept_connections(peers, now);
+        }
+        else if (events[i].data.ptr == &peers->wake) {
+            uint64_t drained = 0;
+            ssize_t got = read(peers->wake, &drained, sizeof(drained));
+            (void)got;
+        }
+        else {
+            left |=
+                take_event(peers, events[i].data.ptr, events[i].events, now);
+        }
     }
+    return left;
 }
 
 /* ---- the clock's part; the lock is held ---- */
@@ -251,7 +278,7 @@
     if (connection->awaited > 0 &&
         now - MAX(connection->heard, connection->pinged) >
             silent / PING_SHARE) {
-        connection_ping(peers, connection, now);
+        connection_ping(peers, connection, ch_client_now(peers->node->client));
     }
     int64_t idle = (int64_t)peers->node->settings->idle_connection_ms * 1000;
     if (connection->awaited == 0 && connection->asked == 0 &&
@@ -311,24 +338,45 @@
         struct connection *connection =
             connection_outbound(peers, names[i], now);
         if (connection != NULL) {
-            connection_ping(peers, connection, now);
+            connection_ping(peers, connection,
+                            ch_client_now(peers->node->client));
+        }
+    }
+}
+
+/*
+ * Takes a pause of this process off what was awaited meanwhile.  What began
+ * within the pause gets no more than it has without one.
+ */
+static void
+take_off_pause(struct ch_peers *peers, int64_t gap, int64_t now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    ch_members_paused(peers->members, gap);
+    for (guint i = 0; i < peers->connections->len; i++) {
+        struct connection *connection =
+            g_ptr_array_index(peers->connections, i);
+        connection->asked += connection->asked > 0 ? gap : 0;
+        connection->opened += gap;
+    }
+    g_hash_table_iter_init(&iterator, peers->requests);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct request *request = value;
+        if (request->due > 0) {
+            int64_t most = MAX(request->due, now + request->limit);
+            request->due = MIN(request->due + gap, most);
         }
     }
 }
 
-/* What is done each tick. */
+/* What is done each tick; all that had come at `now` is read. */
 static void
 tick(struct ch_peers *peers, int64_t now)
 {
     int64_t gap = now - peers->last_tick - TICK_MS * INT64_C(1000);
     if (peers->last_tick > 0 && gap > PAUSE) {
-        ch_members_paused(peers->members, gap);
-        for (guint i = 0; i < peers->connections->len; i++) {
-            struct connection *connection =
-                g_ptr_array_index(peers->connections, i);
-            connection->asked += connection->asked > 0 ? gap : 0;
-            connection->opened += gap;
-        }
+        take_off_pause(peers, gap, now);
     }
     peers->last_tick = now;
     ch_members_ready_self(peers->members, ck_pr_load_uint(&peers->ready) != 0);
@@ -352,37 +400,49 @@
     }
 }
 
-/* The thread: waits for events, then does the clock's part when it is due. */
+/*
+ * Waits for events and takes them, then does the clock's part when it is due.
+ * A thread that had no turn for a while finds replies beside limits that have
+ * passed, and would tell its callers that others were silent.  So limits are
+ * judged by the time before the wait, and only once all is read that had come
+ * by then.
+ */
+static void
+take_turn(struct ch_peers *peers)
+{
+    struct epoll_event events[EVENTS];
+    const struct ch_client *client = peers->node->client;
+    int64_t before = ch_client_now(client);
+    int count = epoll_wait(peers->epoll, events, EVENTS, TICK_MS);
+    pthread_mutex_lock(&peers->lock);
+    bool left = take_events(peers, events, count, ch_client_now(client));
+    peers->behind = left ? (peers->behind + 1) % MOST_BEHIND : 0;
+    if (peers->behind == 0 &&
+        before - peers->last_tick >= TICK_MS * INT64_C(1000)) {
+        tick(peers, before);
+    }
+    sweep_connections(peers, before);
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* Whether the thread is to end. */
+static bool
+is_stopping(struct ch_peers *peers)
+{
+    pthread_mutex_lock(&peers->lock);
+    bool stopping = peers->stopping;
+    pthread_mutex_unlock(&peers->lock);
+    return stopping;
+}
+
+/* The thread. */
 void *
 peers_run(void *data)
 {
     struct ch_peers *peers = data;
-    struct epoll_event events[EVENTS];
-    pthread_mutex_lock(&peers->lock);
-    while (!peers->stopping) {
-        pthread_mutex_unlock(&peers->lock);
+    while (!is_stopping(peers)) {
         refresh_ready(peers);
-        int count = epoll_wait(peers->epoll, events, EVENTS, TICK_MS);
-        pthread_mutex_lock(&peers->lock);
-        int64_t now = ch_client_now(peers->node->client);
-        for (int i = 0; i < count; i++) {
-            if (events[i].data.ptr == peers) {
-                accept_connections(peers, now);
-            }
-            else if (events[i].data.ptr == &peers->wake) {
-                uint64_t drained = 0;
-                ssize_t got = read(peers->wake, &drained, sizeof(drained));
-                (void)got;
-            }
-            else {
-                take_event(peers, events[i].data.ptr, events[i].events, now);
-            }
-        }
-        if (now - peers->last_tick >= TICK_MS * INT64_C(1000)) {
-            tick(peers, now);
-        }
-        sweep_connections(peers, now);
+        take_turn(peers);
     }
-    pthread_mutex_unlock(&peers->lock);
     return NULL;
 }
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -97,18 +97,27 @@
     sem_post(&outcome->done);
 }
 
-/* Sends a ConfigPull, any request, and waits for its end. */
-static struct outcome
-ask(struct end *end, const char *to, int64_t limit)
+/* Sends a ConfigPull, any request. */
+static uint64_t
+begin_ask(struct end *end, const char *to, int64_t limit,
+          struct outcome *outcome)
 {
-    struct outcome outcome = {.began = g_get_monotonic_time()};
     Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
     Chestnuthitch__Wire__ConfigPull pull = WIRE(CONFIG_PULL__INIT);
     frame.body_case = WIRE(FRAME__BODY_CONFIG_PULL);
     frame.config_pull = &pull;
-    sem_init(&outcome.done, 0, 0);
-    uint64_t id = ch_peers_request(end->node.peers, to, &frame, limit,
-                                   request_done, &outcome);
+    outcome->began = g_get_monotonic_time();
+    sem_init(&outcome->done, 0, 0);
+    return ch_peers_request(end->node.peers, to, &frame, limit, request_done,
+                            outcome);
+}
+
+/* The same, and waits for its end. */
+static struct outcome
+ask(struct end *end, const char *to, int64_t limit)
+{
+    struct outcome outcome = {0};
+    uint64_t id = begin_ask(end, to, limit, &outcome);
     while (sem_wait(&outcome.done) != 0) {
     }
     g_assert_true(outcome.code != CH_OK || outcome.id == id);
@@ -223,10 +232,254 @@
     end_free(second);
 }
 
+/* ---- a node that stands still ---- */
+
+enum {
+    MILLI = 1000,
+    FILLER = 40 * 1024,
+};
+
+/* A node's time, which goes on when it is told. */
+struct test_clock {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    pthread_t owner; /* the test's thread; all others can be held */
+    int64_t now;
+    unsigned reads; /* by others */
+    bool holds;     /* who reads it is kept waiting */
+    bool held;      /* somebody is */
+};
+
+static int64_t
+read_clock(void *data)
+{
+    struct test_clock *clock = data;
+    pthread_mutex_lock(&clock->lock);
+    if (!pthread_equal(pthread_self(), clock->owner)) {
+        clock->reads++;
+        clock->held = clock->holds;
+        pthread_cond_broadcast(&clock->changed);
+        while (clock->holds) {
+            pthread_cond_wait(&clock->changed, &clock->lock);
+        }
+        clock->held = false;
+    }
+    int64_t now = clock->now;
+    pthread_mutex_unlock(&clock->lock);
+    return now;
+}
+
+/* Lets time pass; who was held goes on. */
+static void
+pass_time(struct test_clock *clock, int64_t time)
+{
+    pthread_mutex_lock(&clock->lock);
+    clock->now += time;
+    clock->holds = false;
+    pthread_cond_broadcast(&clock->changed);
+    pthread_mutex_unlock(&clock->lock);
+}
+
+/* Has the node's loop stand still. */
+static void
+hold_loop(struct test_clock *clock)
+{
+    pthread_mutex_lock(&clock->lock);
+    clock->holds = true;
+    while (!clock->held) {
+        pthread_cond_wait(&clock->changed, &clock->lock);
+    }
+    pthread_mutex_unlock(&clock->lock);
+}
+
+/* Waits until the loop has surely done what is due by now. */
+static void
+wait_for_turns(struct test_clock *clock)
+{
+    pthread_mutex_lock(&clock->lock);
+    unsigned until = clock->reads + 8;
+    while (clock->reads < until) {
+        pthread_cond_wait(&clock->changed, &clock->lock);
+    }
+    pthread_mutex_unlock(&clock->lock);
+}
+
+/* Two nodes: the first by a clock of the test, which asks the second, which
+ * answers when it is told. */
+struct pair {
+    struct test_clock clock;
+    struct end *first;
+    struct end *second;
+    unsigned fillers; /* replies sent before the one that is awaited */
+    sem_t asked;
+    sem_t told;
+    sem_t answered;
+};
+
+static void
+wait_for(sem_t *semaphore)
+{
+    while (sem_wait(semaphore) != 0) {
+    }
+}
+
+/* Replies that nobody waits for come before the one that is awaited. */
+static void
+send_fillers(const struct pair *pair, const Chestnuthitch__Wire__Frame *frame)
+{
+    uint8_t bytes[FILLER] = {0};
+    for (unsigned i = 0; i < pair->fillers; i++) {
+        Chestnuthitch__Wire__Frame reply = WIRE(FRAME__INIT);
+        Chestnuthitch__Wire__OnceAnswer body = WIRE(ONCE_ANSWER__INIT);
+        body.body.data = bytes;
+        body.body.len = sizeof(bytes);
+        reply.body_case = WIRE(FRAME__BODY_ONCE_ANSWER);
+        reply.once_answer = &body;
+        ch_peers_reply(pair->second->node.peers, frame->from, frame->id + 1000,
+                       &reply);
+    }
+}
+
+static void
+answer_when_told(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    struct pair *pair = data;
+    sem_post(&pair->asked);
+    wait_for(&pair->told);
+    send_fillers(pair, frame);
+    answer(pair->second, frame);
+    sem_post(&pair->answered);
+}
+
+static struct pair *
+pair_new(void)
+{
+    struct pair *pair = g_new0(struct pair, 1);
+    pthread_mutex_init(&pair->clock.lock, NULL);
+    pthread_cond_init(&pair->clock.changed, NULL);
+    pair->clock.owner = pthread_self();
+    pair->clock.now = G_USEC_PER_SEC;
+    sem_init(&pair->asked, 0, 0);
+    sem_init(&pair->told, 0, 0);
+    sem_init(&pair->answered, 0, 0);
+    pair->first = end_new("e01");
+    pair->first->client.now = read_clock;
+    pair->first->client.now_data = &pair->clock;
+    pair->first->settings.peer_silent_ms = 60000;
+    pair->second = end_new("e02");
+    ch_peers_handle(pair->second->node.peers, WIRE(FRAME__BODY_CONFIG_PULL),
+                    answer_when_told, pair);
+    ch_peers_start(pair->first->node.peers);
+    ch_peers_start(pair->second->node.peers);
+    introduce(pair->first, "e02", ch_peers_port(pair->second->node.peers));
+    return pair;
+}
+
+static void
+pair_free(struct pair *pair)
+{
+    end_free(pair->first);
+    end_free(pair->second);
+    sem_destroy(&pair->asked);
+    sem_destroy(&pair->told);
+    sem_destroy(&pair->answered);
+    pthread_cond_destroy(&pair->clock.changed);
+    pthread_mutex_destroy(&pair->clock.lock);
+    g_free(pair);
+}
+
+static const struct still_case {
+    const char *name;
+    int64_t limit_ms;
+    int64_t pause_ms;
+    unsigned fillers;
+    bool held; /* the reply comes within the pause, else after it */
+} still_cases[] = {
+    {"reply-waits", 100, 200, 0, true},
+    {"reply-behind-others", 100, 200, 2, true},
+    {"reply-after-pause", 100, 60000, 0, false},
+};
+
+/*
+ * Guards against requests to other nodes that are told as late although their
+ * replies came in time: this node had no turn for longer than the limit, and
+ * took its own standstill for the other's silence.
+ */
+static void
+test_stands_still(gconstpointer data)
+{
+    const struct still_case *row = data;
+    struct pair *pair = pair_new();
+    struct outcome outcome = {0};
+    pair->fillers = row->fillers;
+    begin_ask(pair->first, "e02", row->limit_ms * MILLI, &outcome);
+    wait_for(&pair->asked);
+    wait_for_turns(&pair->clock);
+    if (row->held) {
+        hold_loop(&pair->clock);
+        sem_post(&pair->told);
+        wait_for(&pair->answered);
+        pass_time(&pair->clock, row->pause_ms * MILLI);
+    }
+    else {
+        pass_time(&pair->clock, row->pause_ms * MILLI);
+        wait_for_turns(&pair->clock);
+        sem_post(&pair->told);
+    }
+    wait_for(&outcome.done);
+    g_assert_cmpint(outcome.code, ==, CH_OK);
+    sem_destroy(&outcome.done);
+    pair_free(pair);
+}
+
+/*
+ * Guards against requests that wait for as long as a pause had lasted: what is
+ * taken off for it ends at the request's own limit.
+ */
+static void
+test_limit_after_pause(gconstpointer data)
+{
+    bool asked_before = GPOINTER_TO_INT(data);
+    struct pair *pair = pair_new();
+    struct outcome outcome = {0};
+    unsigned steps = 0;
+    if (asked_before) {
+        begin_ask(pair->first, "e02", G_USEC_PER_SEC, &outcome);
+        wait_for(&pair->asked);
+    }
+    wait_for_turns(&pair->clock);
+    pass_time(&pair->clock, (int64_t)60 * G_USEC_PER_SEC);
+    if (!asked_before) {
+        begin_ask(pair->first, "e02", G_USEC_PER_SEC, &outcome);
+    }
+    wait_for_turns(&pair->clock);
+    while (sem_trywait(&outcome.done) != 0 && steps < 10) {
+        steps++;
+        pass_time(&pair->clock, G_USEC_PER_SEC / 5);
+        wait_for_turns(&pair->clock);
+    }
+    g_assert_cmpint(outcome.code, ==, CH_PEER_TIMEOUT);
+    g_assert_cmpuint(steps, >=, 4);
+    g_assert_cmpuint(steps, <=, 6);
+    sem_post(&pair->told);
+    sem_destroy(&outcome.done);
+    pair_free(pair);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(still_cases); i++) {
+        char *path =
+            g_strdup_printf("/peers/stands-still/%s", still_cases[i].name);
+        g_test_add_data_func(path, &still_cases[i], test_stands_still);
+        g_free(path);
+    }
+    g_test_add_data_func("/peers/limit-after-pause/asked-before",
+                         GINT_TO_POINTER(true), test_limit_after_pause);
+    g_test_add_data_func("/peers/limit-after-pause/asked-within",
+                         GINT_TO_POINTER(false), test_limit_after_pause);
     g_test_add_func("/peers/request", test_request);
     g_test_add_func("/peers/silent-node", test_silent_node);
     g_test_add_func("/peers/damaged", test_damaged);
