A report's word on an engine's items is as old as its asking

What callers would see: requests for an adapter or model that wait, or go elsewhere, as it is ordered or sought again though it is there or on its way.

A report that does not list an item was held against the item's age when the report was handled, and not when it was asked for. On a node that has no turn for 1.5 s after the asking, a report from within a load, or just after it, made the item lost.

Change: what a report says of an item is a decision of its own (ch_order_report in decide/order.c), which is told when the report was asked for and not when it is handled; ages end there.

Why it works: a report says nothing for certain of what came after its asking.

Tests: /order/reports, a table of all states. With the time of handling in the place of the time of asking (1.6 s later), as it was, the case of a load that does not show yet fails (lost instead of nothing). That the controller passes on the time of asking is one line without a test of its own, as the controller has none.

--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -21,8 +21,6 @@
     /* An adapter that was asked for this lately is not dropped for another:
      * its request may be on its way. */
     ADAPTER_RECENT = 1500 * 1000,
-    /* What a report does not show this long after a change is so. */
-    REPORT_LAGS = 1500 * 1000,
 };
 
 /* ---- facts ---- */
@@ -722,40 +720,32 @@
 /* Compares one item with a report that counts as many orders as this node. */
 static void
 compare_item(struct controller_engine *engine, struct item *item,
-             const struct ch_report *report, int64_t now)
+             const struct report_job *job, int64_t now)
 {
-    bool there = report_has(report, g_quark_to_string(item->name));
-    bool old = now - item->changed > REPORT_LAGS;
-    const struct ch_load_facts load = {
+    const struct ch_report_facts facts = {
+        .state = item->state,
         .ordered = item->ordered,
         .told = item->told,
-        .busy = report->busy,
-        .age = now - item->changed,
+        .there = report_has(job->report, g_quark_to_string(item->name)),
+        .busy = job->report->busy,
+        .changed = item->changed,
+        .asked = job->asked,
     };
-    switch (item->state) {
-    case CH_ITEM_RESIDENT:
-        if (!there && old) {
-            item->state = CH_ITEM_ABSENT;
-        }
+    switch (ch_order_report(&facts)) {
+    case CH_REPORT_LOADED:
+        log_done(engine, item, "model-loaded", now);
+        set_state(engine, item, CH_ITEM_RESIDENT, now);
+        answer_waits(engine, item, CH_OK);
         break;
-    case CH_ITEM_LOADING:
-        if (there) {
-            log_done(engine, item, "model-loaded", now);
-            set_state(engine, item, CH_ITEM_RESIDENT, now);
-            answer_waits(engine, item, CH_OK);
-        }
-        else if (ch_order_load_lost(&load)) {
-            item->state = CH_ITEM_ABSENT;
-        }
+    case CH_REPORT_UNLOADED:
+        log_done(engine, item, "model-unloaded", now);
+        item->state = CH_ITEM_ABSENT;
         break;
-    case CH_ITEM_UNLOADING:
-        if (!there) {
-            log_done(engine, item, "model-unloaded", now);
-            item->state = CH_ITEM_ABSENT;
-        }
-        else if (item->ordered && old && !report->busy) {
-            item->ordered = false;
-        }
+    case CH_REPORT_LOST:
+        item->state = CH_ITEM_ABSENT;
+        break;
+    case CH_REPORT_STAYS:
+        item->ordered = false;
         break;
     default:
         break;
@@ -764,13 +754,14 @@
 
 /* Takes over what a report lists. */
 static void
-take_lists(struct controller_engine *engine, const struct ch_report *report,
+take_lists(struct controller_engine *engine, const struct report_job *job,
            int64_t now)
 {
+    const struct ch_report *report = job->report;
     char **names = g_new0(char *, report->resident_count + 1);
     for (guint i = 0; i < engine->items->len; i++) {
         compare_item(engine, &g_array_index(engine->items, struct item, i),
-                     report, now);
+                     job, now);
     }
     for (guint i = engine->items->len; i > 0; i--) {
         const struct item *item =
@@ -818,7 +809,7 @@
     }
     engine->taken = report->orders_taken;
     engine->unsure = false;
-    take_lists(engine, report, now);
+    take_lists(engine, job, now);
     /* An order that somebody else gave is under way: what it loads is in no
      * list yet, and would be loaded past.  Once it is done a report shows it;
      * one that is not busy and counts as many orders as the engine takes next
