A node that stands still learns nothing about others' connections

What upstreams would see: after a node's link or host stood still, all its calls come on new connections for as long as connections may idle, when the node has least to spare for them.

A reused connection whose call was silent for its limit made its origin suspected, also when the node heard nobody at all in that time.

Change: nothing is learned from a call when nobody was heard since the later half of its silence, and an answer that had begun at another origin, with a limit between bytes, has stopped as well. Half and not the whole, as calls are last heard at different moments before a standstill: by the whole, only the one that was heard last would not count. Answers that have begun and not all open calls, as connections that something on the way forgets while they idle leave several calls without a first byte, which is what the suspicion is for; and watches may be silent for ever.

Why it works: what forgets idle connections does not stop an answer under way at another origin, and where calls go on new connections somebody is heard soon.

Tests: /http/learning/another-answer-stopped failed three times of three before (a third connection where the second was idle), and passes three of three now, also under ThreadSanitizer (two of two). The other rows of its table passed before and keep the suspicion: each fails without the condition that it is for (two of two each).

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -49,6 +49,7 @@
     int64_t stall_limit;
     int64_t total_until; /* 0: none */
     int64_t until;       /* of the phase */
+    int64_t heard;       /* a byte last came, or the request was sent */
     enum phase phase;
     CURL *easy; /* NULL until the loop began it */
     bool fresh;
@@ -159,6 +160,7 @@
     transfer->reused = connects == 0;
     transfer->sent = true;
     transfer->phase = PHASE_FIRST_BYTE;
+    transfer->heard = ch_client_now(transfer->http->client);
     set_until(transfer, transfer->first_byte_limit);
     return CURL_PREREQFUNC_OK;
 }
@@ -168,7 +170,8 @@
 note_byte(struct transfer *transfer)
 {
     transfer->phase = PHASE_BODY;
-    transfer->http->heard = ch_client_now(transfer->http->client);
+    transfer->heard = ch_client_now(transfer->http->client);
+    transfer->http->heard = transfer->heard;
     set_until(transfer, transfer->stall_limit);
 }
 
@@ -415,6 +418,52 @@
     g_hash_table_replace(http->suspected, g_strdup(transfer->origin), found);
 }
 
+/*
+ * Whether this node may be what stands still: since the later half of a call's
+ * silence nobody was heard, and an answer that had begun elsewhere, and may
+ * not be silent for long either, has stopped as well.  Connections that
+ * something on the way forgets while they idle are no reason for that.  Half,
+ * as calls are last heard at different moments before a standstill.
+ */
+static bool
+stands_still(struct ch_http *http, const struct transfer *transfer,
+             int64_t now)
+{
+    int64_t since = now - (now - transfer->heard) / 2;
+    GHashTableIter iter;
+    void *key = NULL;
+    if (http->heard > since) {
+        return false;
+    }
+    g_hash_table_iter_init(&iter, http->running);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const struct transfer *other = key;
+        if (other->phase == PHASE_BODY && other->stall_limit > 0 &&
+            strcmp(other->origin, transfer->origin) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Notes the origins of reused connections that fell silent; see
+ * is_suspected().  A standstill of this node would have all its calls go out
+ * on new connections for as long as those may idle, when it has least to spare
+ * for them.
+ */
+static void
+learn_from(struct ch_http *http, const GPtrArray *overdue, int64_t now)
+{
+    for (guint i = 0; i < overdue->len; i++) {
+        const struct transfer *transfer = g_ptr_array_index(overdue, i);
+        if (transfer->sent && transfer->reused &&
+            !stands_still(http, transfer, now)) {
+            suspect_origin(http, transfer);
+        }
+    }
+}
+
 /* Ends a transfer whose phase has taken too long. */
 static void
 end_overdue(struct transfer *transfer)
@@ -424,9 +473,6 @@
         [PHASE_FIRST_BYTE] = "no answer in time",
         [PHASE_BODY] = "silent in the middle of the answer",
     };
-    if (transfer->sent && transfer->reused) {
-        suspect_origin(transfer->http, transfer);
-    }
     transfer_end(transfer,
                  transfer->sent ? CH_UPSTREAM_STALLED : CH_UPSTREAM_CONNECT,
                  texts[transfer->phase]);
@@ -507,6 +553,7 @@
         http->check_at = MIN(http->check_at, transfer->until);
     }
     log_overdue(http, overdue->len, waited_for, late, now);
+    learn_from(http, overdue, now);
     for (guint i = 0; i < overdue->len; i++) {
         end_overdue(g_ptr_array_index(overdue, i));
     }
--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -936,6 +936,83 @@
     server_free(server);
 }
 
+/* Connections that the server has had. */
+static unsigned
+connections_of(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    unsigned count = server->connection_count;
+    pthread_mutex_unlock(&server->lock);
+    return count;
+}
+
+static bool
+is_over(struct call *call)
+{
+    pthread_mutex_lock(&call->lock);
+    bool over = call->ends > 0;
+    pthread_mutex_unlock(&call->lock);
+    return over;
+}
+
+static const struct learning {
+    const char *name;
+    enum manner manner;       /* of the server of the other call */
+    bool same;                /* it is the silent call's own */
+    bool heard;               /* further calls to it are answered meanwhile */
+    bool may_be_silent;       /* the other call has no limit */
+    int64_t limit;            /* of the silent call */
+    unsigned new_connections; /* for the call after it */
+} learnings[] = {
+    {"another-answer-stopped", STOPS_MIDWAY, false, false, false, SHORT, 0},
+    {"others-are-heard", STOPS_MIDWAY, false, true, false, STILL_LIMIT, 1},
+    {"same-origin", STOPS_MIDWAY, true, false, false, SHORT, 1},
+    {"another-may-be-silent", STOPS_MIDWAY, false, false, true, SHORT, 1},
+    {"another-did-not-begin", NEVER_ANSWERS, false, false, false, SHORT, 1},
+};
+
+/*
+ * Guards against calls that all go out on new connections because this node
+ * stood still: it heard nobody, and took that for connections that something
+ * on the way had forgotten.
+ */
+static void
+test_learning(gconstpointer data)
+{
+    const struct learning *row = data;
+    struct ch_client client;
+    ch_client_init(&client, "test");
+    struct server *server =
+        server_new(row->same ? row->manner : NEVER_ANSWERS);
+    struct server *elsewhere = server_new(row->manner);
+    struct server *others = row->same ? server : elsewhere;
+    struct ch_http *http = ch_http_new(&client);
+    struct call *other = call_new();
+    struct call *silent = call_new();
+    submit(http, others, "POST", small_body, false,
+           row->may_be_silent ? 0 : LONG, other);
+    wait_for_moment(row->manner == STOPS_MIDWAY ? IN_THE_BODY
+                                                : BEFORE_FIRST_BYTE,
+                    others, other);
+    warm_up(http, server);
+    submit(http, server, "POST", small_body, false, row->limit, silent);
+    while (row->heard && !is_over(silent)) {
+        warm_up(http, others);
+    }
+    wait_for_end(silent);
+    g_assert_cmpint(silent->end.code, ==, CH_UPSTREAM_STALLED);
+    warm_up(http, server);
+    unsigned before = connections_of(server);
+    warm_up(http, server);
+    g_assert_cmpuint(connections_of(server), ==,
+                     before + row->new_connections);
+    ch_http_free(http);
+    server_free(server);
+    server_free(elsewhere);
+    call_free(other);
+    call_free(silent);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -959,6 +1036,11 @@
     g_test_add_func("/http/stands-still", test_stands_still);
     g_test_add_func("/http/overdue-before-sent", test_overdue_before_sent);
     g_test_add_func("/http/suspected", test_suspected);
+    for (size_t i = 0; i < G_N_ELEMENTS(learnings); i++) {
+        char *path = g_strdup_printf("/http/learning/%s", learnings[i].name);
+        g_test_add_data_func(path, &learnings[i], test_learning);
+        g_free(path);
+    }
     g_test_add_func("/http/fetch", test_fetch);
     return g_test_run();
 }
