What was heard after a pause of this process gets nothing added for it

What callers would see: requests that go to a node which died just after this one stood still, for as long as the standstill had lasted.

A pause is taken off the silences once what came meanwhile is read, and was added as well to what was heard, asked or opened after it, which then lay as far in the future.

Change: nothing is moved past the moment up to which the pause is counted; the limits of requests go by the same rule.

Test: /member/heard-after-pause failed before (not lost a silent limit after it was heard) and passes now. /member/pause states the pause's end as well and asserts what it did; /peers/limit-after-pause and /peers/stands-still pass three of three, and two of two under ThreadSanitizer.

--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -347,13 +347,15 @@
 
 /* After a pause of this process (stopped, or starved of processor time) every
  * member seems silent at once, though none was asked.  Without this the node
- * would call itself the home of everything until it had heard from each. */
+ * would call itself the home of everything until it had heard from each.  Who
+ * was heard since gets nothing added: it would count as heard for as long as
+ * the pause was, also if it died at once. */
 void
-ch_members_paused(struct ch_members *members, int64_t gap)
+ch_members_paused(struct ch_members *members, int64_t gap, int64_t now)
 {
     for (guint i = 0; i < members->list->len; i++) {
         struct ch_member *member = g_ptr_array_index(members->list, i);
-        member->heard += gap;
+        member->heard = MAX(member->heard, MIN(member->heard + gap, now));
     }
 }
 
--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -73,8 +73,9 @@
 /* The same of this node itself. */
 void ch_members_ready_self(struct ch_members *members, bool ready);
 bool ch_member_serves(const struct ch_member *member);
-/* This process did not run for `gap`: what seems silent was not asked. */
-void ch_members_paused(struct ch_members *members, int64_t gap);
+/* This process did not run for `gap`, until `now`: what seems silent was not
+   asked. */
+void ch_members_paused(struct ch_members *members, int64_t gap, int64_t now);
 
 /* Members to probe now, at most `most`; the names live until the next update.
    Called every CH_MEMBER_PERIOD or more often. */
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -344,6 +344,13 @@
     }
 }
 
+/* The start of a silence without a pause; it may have begun within it. */
+static int64_t
+without_pause(int64_t start, int64_t gap, int64_t now)
+{
+    return MAX(start, MIN(start + gap, now));
+}
+
 /*
  * Takes a pause of this process off what was awaited meanwhile.  What began
  * within the pause gets no more than it has without one.
@@ -353,19 +360,22 @@
 {
     GHashTableIter iterator;
     gpointer value = NULL;
-    ch_members_paused(peers->members, gap);
+    ch_members_paused(peers->members, gap, now);
     for (guint i = 0; i < peers->connections->len; i++) {
         struct connection *connection =
             g_ptr_array_index(peers->connections, i);
-        connection->asked += connection->asked > 0 ? gap : 0;
-        connection->opened += gap;
+        if (connection->asked > 0) {
+            connection->asked = without_pause(connection->asked, gap, now);
+        }
+        connection->opened = without_pause(connection->opened, gap, now);
     }
     g_hash_table_iter_init(&iterator, peers->requests);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct request *request = value;
         if (request->due > 0) {
-            int64_t most = MAX(request->due, now + request->limit);
-            request->due = MIN(request->due + gap, most);
+            request->due =
+                request->limit +
+                without_pause(request->due - request->limit, gap, now);
         }
     }
 }
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -174,11 +174,28 @@
     struct ch_members *members = make_members(seven, G_N_ELEMENTS(seven));
     int64_t minute = 60000 * MS;
     ch_members_heard(members, "b1", 1000 * MS);
-    ch_members_paused(members, minute);
+    ch_members_paused(members, minute, minute + 1050 * MS);
     g_assert_false(ch_members_lost(members, "b1", minute + 1100 * MS));
     ch_members_free(members);
 }
 
+/*
+ * Guards against a member that dies just after this process paused, and counts
+ * as alive for as long as the pause was: it was heard before the pause was
+ * taken off.
+ */
+static void
+test_heard_after_pause(void)
+{
+    struct ch_members *members = make_members(seven, G_N_ELEMENTS(seven));
+    int64_t minute = 60000 * MS;
+    ch_members_heard(members, "b1", minute);
+    ch_members_paused(members, minute, minute);
+    g_assert_false(ch_members_lost(members, "b1", minute + SILENT_AFTER - 1));
+    g_assert_true(ch_members_lost(members, "b1", minute + SILENT_AFTER));
+    ch_members_free(members);
+}
+
 /* A stopping node is no home, its successor by the same name is. */
 static void
 test_stopping(void)
@@ -339,6 +356,7 @@
     g_test_add_func("/member/hint", test_hint);
     g_test_add_func("/member/probe-round", test_probe_round);
     g_test_add_func("/member/pause", test_pause);
+    g_test_add_func("/member/heard-after-pause", test_heard_after_pause);
     g_test_add_func("/member/stopping", test_stopping);
     g_test_add_func("/member/unready", test_unready);
     g_test_add_func("/member/fanout", test_fanout);
