--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -796,7 +796,7 @@
         wait_once(&holder->changed, &holder->lock);
     }
     pthread_mutex_unlock(&holder->lock);
-    g_usleep(2 * (gulong)SHORT);
+    g_usleep((gulong)2 * SHORT);
 }
 
 static void
