Settings: [policy], each mechanism of placing and sending may be off

What each mechanism of the path on the platform is worth was known only from the order in which they came. Ten of them now have a key in [policy], on by default: whole-fleet, several-victims, move-apart, near-copies, pledges, adapters-ahead, wait-for-model, refuse-late, pace-prompts, learnt-speeds. Unknown keys and values are errors as in other groups, and the status shows what is on. decide/ gets a plain struct in which nothing is set by default, so that what is there today decides as before.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -193,6 +193,23 @@
     CH_PLATFORM_USERS,
 };
 
+/*
+ * Mechanisms of decision that are switched off, for experiments; all zero:
+ * none is.  Each is a key of [policy] with the same name.
+ */
+struct ch_without {
+    bool whole_fleet;     /* engines for a model are looked for everywhere */
+    bool several_victims; /* several models go for one */
+    bool move_apart;      /* last replicas that fill an engine move apart */
+    bool near_copies;     /* copies go first, and into free room */
+    bool pledges;         /* room is kept for the model it was made for */
+    bool adapters_ahead;  /* adapters that stand nowhere take free places */
+    bool wait_for_model;  /* requests wait longer for a model that is coming */
+    bool refuse_late;     /* what would begin too late is not sent */
+    bool pace_prompts;    /* prompts are kept apart on an engine */
+    bool learnt_speeds;   /* what a request takes is measured */
+};
+
 struct ch_settings {
     char *name;                 /* [node] name */
     char *region;               /* [node] region */
@@ -234,12 +251,18 @@
     unsigned idle_connection_ms; /* [timeouts] idle-connection-ms */
     unsigned drain_ms;           /* [timeouts] drain-ms, listener stays open */
     unsigned grace_ms;           /* [timeouts] grace-ms, of a stop; 0: none */
+    struct ch_without without;   /* [policy] */
 };
 
 struct ch_settings *ch_settings_load(const char *path, struct ch_error *error);
 struct ch_settings *ch_settings_parse(const char *text, const char *path,
                                       struct ch_error *error);
 void ch_settings_free(struct ch_settings *settings);
+/* Each key of [policy], and whether it is on. */
+void ch_settings_each_policy(const struct ch_settings *settings,
+                             void (*each)(void *data, const char *key,
+                                          bool on),
+                             void *data);
 
 /* ---- the operators' declaration (declaration.c) ---- */
 
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -9,8 +9,14 @@
                                           "info", "debug",   NULL};
 static const char *const platform_names[] = {"own", "users", NULL};
 static const char *const fencing_names[] = {"ignore", "refuse", NULL};
+static const char *const without_names[] = {"on", "off", NULL};
 
 #define AT(member) offsetof(struct ch_settings, member)
+#define MECHANISM(key, member)                                                \
+    {                                                                         \
+        "policy", key, CH_INI_FLAG, AT(without.member), "on", 0, 0,           \
+            without_names                                                     \
+    }
 
 /*
  * Limits keep one wrong digit from stopping the service: none lets a time-out
@@ -86,6 +92,16 @@
      NULL},
     {"timeouts", "drain-ms", CH_INI_UNSIGNED, AT(drain_ms), "3000", 0, 600000,
      NULL},
+    MECHANISM("whole-fleet", whole_fleet),
+    MECHANISM("several-victims", several_victims),
+    MECHANISM("move-apart", move_apart),
+    MECHANISM("near-copies", near_copies),
+    MECHANISM("pledges", pledges),
+    MECHANISM("adapters-ahead", adapters_ahead),
+    MECHANISM("wait-for-model", wait_for_model),
+    MECHANISM("refuse-late", refuse_late),
+    MECHANISM("pace-prompts", pace_prompts),
+    MECHANISM("learnt-speeds", learnt_speeds),
 };
 
 /* True when some row is of this group. */
@@ -247,3 +263,18 @@
     g_free(settings->hosts);
     g_free(settings);
 }
+
+/* See base.h. */
+void
+ch_settings_each_policy(const struct ch_settings *settings,
+                        void (*each)(void *data, const char *key, bool on),
+                        void *data)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (strcmp(rows[i].section, "policy") == 0) {
+            const bool *off =
+                (const void *)((const char *)settings + rows[i].offset);
+            each(data, rows[i].key, !*off);
+        }
+    }
+}
--- a/libchestnuthitch/decide/arrange.c
+++ b/libchestnuthitch/decide/arrange.c
@@ -39,13 +39,14 @@
     if (!engine->mine) {
         return;
     }
+    bool pledges = victim != 0 && !round->state->without.pledges;
     const struct ch_arrange_action action = {
         .kind = victim == 0 ? CH_ACTION_LOAD : CH_ACTION_UNLOAD,
         .engine = engine->name,
         .model = victim == 0 ? model : victim,
-        .pledged = victim == 0 ? 0 : model,
-        .from_store =
-            engine->pledged != model && !ch_round_has_copy(engine, model),
+        .pledged = pledges ? model : 0,
+        .from_store = (victim == 0 || pledges) && engine->pledged != model &&
+                      !ch_round_has_copy(engine, model),
         .reason = reason,
     };
     if (action.from_store) {
@@ -79,6 +80,16 @@
     return cost;
 }
 
+/* What a load costs that takes `from_store` more without a copy near by. */
+static double
+load_cost(const struct ch_round *round, const struct ch_arrange_engine *engine,
+          GQuark model, double from_store)
+{
+    bool alike =
+        round->state->without.near_copies || ch_round_has_copy(engine, model);
+    return alike ? 0 : from_store;
+}
+
 /* The best of several engines for a model. */
 struct pick {
     const struct ch_arrange_engine *engine; /* NULL: none */
@@ -153,12 +164,11 @@
         }
         bool fills = ch_round_flexible(round, engine) <
                      model->memory_mb + round->largest_mb;
-        double cost =
-            (ch_round_has_copy(engine, model->name) ? 0 : FROM_STORE) +
-            eviction.count * DISPLACES + eviction.cost * DISPLACES_BUSY +
-            (fills ? FILLS_UP : 0) +
-            ch_round_busy(round, engine, eviction.first) +
-            blocks_adapters(round, engine);
+        double cost = load_cost(round, engine, model->name, FROM_STORE) +
+                      eviction.count * DISPLACES +
+                      eviction.cost * DISPLACES_BUSY + (fills ? FILLS_UP : 0) +
+                      ch_round_busy(round, engine, eviction.first) +
+                      blocks_adapters(round, engine);
         consider(&best, engine, eviction.first, cost);
     }
     if (best.engine != NULL) {
@@ -189,15 +199,15 @@
         const struct ch_arrange_engine *engine = &round->state->engines[i];
         struct ch_eviction eviction;
         if (!can_take(round, engine, model) || engine->pledged != 0 ||
+            (round->state->without.whole_fleet && !engine->mine) ||
             !ch_round_find_room(round, engine, model->memory_mb,
                                 asked / CH_CLEAR_GAIN, &eviction)) {
             continue;
         }
-        double cost =
-            (ch_round_has_copy(engine, model->name) ? 0 : SHIFT_FROM_STORE) +
-            eviction.cost + eviction.count * DRAINS +
-            ch_round_busy(round, engine, eviction.first) +
-            blocks_adapters(round, engine);
+        double cost = load_cost(round, engine, model->name, SHIFT_FROM_STORE) +
+                      eviction.cost + eviction.count * DRAINS +
+                      ch_round_busy(round, engine, eviction.first) +
+                      blocks_adapters(round, engine);
         consider(&best, engine, eviction.first, cost);
     }
     if (best.engine != NULL) {
@@ -272,8 +282,8 @@
                                 &eviction)) {
             continue;
         }
-        double cost = (from_store ? SHIFT_FROM_STORE : 0) + eviction.cost +
-                      eviction.count * DRAINS +
+        double cost = load_cost(round, engine, model->name, SHIFT_FROM_STORE) +
+                      eviction.cost + eviction.count * DRAINS +
                       ch_round_busy(round, engine, eviction.first) +
                       blocks_adapters(round, engine);
         consider(best, engine, eviction.first, cost);
@@ -451,8 +461,10 @@
     }
     each_open(&round, keep_pledge, true);
     meet_demand(&round);
-    each_open(&round, fill, false);
-    if (round.changing < state->most_changes) {
+    if (!state->without.near_copies) {
+        each_open(&round, fill, false);
+    }
+    if (!state->without.move_apart && round.changing < state->most_changes) {
         even_out(&round);
     }
     ch_round_clear(&round);
--- a/libchestnuthitch/decide/arrange.h
+++ b/libchestnuthitch/decide/arrange.h
@@ -51,6 +51,7 @@
     GQuark data_centre;    /* that the deciding node orders */
     uint32_t loads_left;   /* from the weight store, now */
     uint32_t most_changes; /* engines of the data centre changed at a time */
+    struct ch_without without;
 };
 
 struct ch_arrange_action {
--- a/libchestnuthitch/decide/arrange_view.c
+++ b/libchestnuthitch/decide/arrange_view.c
@@ -383,6 +383,18 @@
     }
 }
 
+/* Leaves those out that do not make the room alone. */
+static void
+leave_out_small(GArray *chosen, uint64_t room, uint32_t memory_mb)
+{
+    for (guint i = chosen->len; i > 0; i--) {
+        if (room + g_array_index(chosen, struct candidate, i - 1).memory_mb <
+            memory_mb) {
+            g_array_remove_index(chosen, i - 1);
+        }
+    }
+}
+
 /*
  * See arrange_internal.h.  Load: a large model is asked for, and only small
  * ones can go.  Harm prevented: each of them alone makes too little room, and
@@ -399,6 +411,9 @@
         return true;
     }
     GArray *chosen = candidates_on(round, engine, most);
+    if (round->state->without.several_victims) {
+        leave_out_small(chosen, room, memory_mb);
+    }
     guint needed = 0;
     while (needed < chosen->len && room < memory_mb) {
         room += g_array_index(chosen, struct candidate, needed).memory_mb;
--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -134,6 +134,7 @@
     GHashTable *seats;   /* name to struct seat */
     GHashTable *models;  /* model to struct model */
     GHashTable *batches; /* service to the slots of its engines */
+    struct ch_without without;
 };
 
 /* ---- seats ---- */
@@ -174,6 +175,14 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_do_without(struct ch_balance *balance,
+                      const struct ch_without *without)
+{
+    balance->without = *without;
+}
+
 /* The seat of an upstream, or NULL. */
 static struct seat *
 find(const struct ch_balance *balance, GQuark upstream)
@@ -540,14 +549,22 @@
     return speed->count >= LEAST_SAMPLES;
 }
 
+/* Whether a speed is to be gone by. */
+static bool
+is_learnt(const struct ch_balance *balance, const struct speed *speed)
+{
+    return !balance->without.learnt_speeds && is_known(speed);
+}
+
 /* Microseconds for a token of a prompt for the model. */
 static double
 read_of(const struct ch_balance *balance, GQuark name)
 {
     const struct model *model =
         g_hash_table_lookup(balance->models, GUINT_TO_POINTER(name));
-    return model == NULL || !is_known(&model->read) ? USUAL_READ
-                                                    : model->read.value;
+    return model == NULL || !is_learnt(balance, &model->read)
+               ? USUAL_READ
+               : model->read.value;
 }
 
 /* What is known of a model, begun when nothing is. */
@@ -581,7 +598,7 @@
         g_hash_table_lookup(balance->models, GUINT_TO_POINTER(work->model));
     guint slots = GPOINTER_TO_UINT(
         g_hash_table_lookup(balance->batches, GUINT_TO_POINTER(work->pool)));
-    double each = model == NULL || !is_known(&model->event)
+    double each = model == NULL || !is_learnt(balance, &model->event)
                       ? USUAL_WRITE
                       : model->event.value * model->events;
     return (int64_t)(work->output_tokens * each / MAX(slots, 1));
@@ -762,7 +779,8 @@
                 work->adapter != 0 && !has(seat->adapters, work->adapter),
             .tokens = tokens,
             .reading = reading,
-            .too_dense = !work->service && is_too_dense(seat, reading, now),
+            .too_dense = !work->service && !balance->without.pace_prompts &&
+                         is_too_dense(seat, reading, now),
             .expected = expected,
         };
     }
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -45,6 +45,9 @@
 
 struct ch_balance *ch_balance_new(GQuark region, GQuark data_centre);
 void ch_balance_free(struct ch_balance *balance);
+/* What it does without from now on; at first nothing. */
+void ch_balance_do_without(struct ch_balance *balance,
+                           const struct ch_without *without);
 
 /* The upstreams, whole: who is not listed is forgotten. */
 void ch_balance_begin_update(struct ch_balance *balance);
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -222,6 +222,13 @@
     ch_config_unref(config);
 }
 
+/* Adds whether a mechanism of decision is on. */
+static void
+add_mechanism(void *data, const char *key, bool on)
+{
+    add_string(data, key, on ? "on" : "off");
+}
+
 /* The state of this node and what it knows of the others. */
 static enum MHD_Result
 get_status(struct request *request)
@@ -232,6 +239,10 @@
     add_node(builder, node);
     ch_peers_status(node->peers, builder);
     node->router->ops->status(node->router, builder);
+    json_builder_set_member_name(builder, "policy");
+    json_builder_begin_object(builder);
+    ch_settings_each_policy(node->settings, add_mechanism, builder);
+    json_builder_end_object(builder);
     json_builder_set_member_name(builder, "outcomes");
     json_builder_begin_object(builder);
     ch_metrics_each_class(node->client->metrics, add_outcomes, builder);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -340,12 +340,16 @@
     };
 }
 
-/* Whether some engine is loading the model.  Lock held. */
+/* Whether some engine is loading the model, so that it is worth a wait.  Lock
+ * held. */
 static bool
 is_coming(const struct balancer *balancer, GQuark model)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
+    if (balancer->node->settings->without.wait_for_model) {
+        return false;
+    }
     g_hash_table_iter_init(&iterator, balancer->told);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct told_engine *told = value;
@@ -454,7 +458,8 @@
     if (request->choice.code != CH_OK) {
         return wait_or_refuse(balancer, request, now);
     }
-    if (is_too_late(request, now)) {
+    if (!balancer->node->settings->without.refuse_late &&
+        is_too_late(request, now)) {
         return wait_or_refuse_late(balancer, request, now);
     }
     if (request->choice.too_dense && may_pace(request, now)) {
@@ -996,6 +1001,7 @@
     balancer->balance =
         ch_balance_new(g_quark_from_string(node->settings->region),
                        g_quark_from_string(node->settings->data_centre));
+    ch_balance_do_without(balancer->balance, &node->settings->without);
     balancer->clients = g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
     pthread_mutex_init(&balancer->lock, NULL);
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -415,6 +415,7 @@
             &duty->loads,
             controller_loads_in_window(controller, config->declaration), now),
         .most_changes = most_changes(&picture),
+        .without = controller->node->settings->without,
     };
     GArray *actions =
         g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_action));
@@ -522,6 +523,9 @@
 controller_fill_places(struct ch_controller *controller, struct duty *duty,
                        int64_t now)
 {
+    if (controller->node->settings->without.adapters_ahead) {
+        return;
+    }
     struct ch_config *config =
         ch_config_keeper_current(controller->node->config);
     GHashTableIter iterator;
