Tests: each switch of [policy] changes the decision it names, and no other

test_settings: each key switches its own member off, unknown keys and values name themselves. test_arrange, test_balance: tables with a mechanism and without it, with rows in which it has no part. test_switches: the router's waiting, refusing and pacing, and adapters ahead, with the roster, the rights and the configuration as fakes. test_admin: the status tells what is off.

--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -183,7 +183,8 @@
     fixture->settings = ch_settings_parse(
         "[node]\nname = n1\nregion = r\ndata-centre = d\n[listen]\n"
         "callers = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
-        "[platform]\nkv = 127.0.0.1:1\nhosts = 127.0.0.1:1\n",
+        "[platform]\nkv = 127.0.0.1:1\nhosts = 127.0.0.1:1\n"
+        "[policy]\nseveral-victims = off\n",
         "f.ini", &error);
     g_assert_cmpstr(error.message, ==, "");
     ch_client_init(&fixture->client, "n1");
@@ -294,6 +295,8 @@
     {"GET", "/admin/v1/status", NULL, 200, "\"revision\":7"},
     {"GET", "/admin/v1/status", NULL, 200, "\"nodes\":1"},
     {"GET", "/admin/v1/status", NULL, 200, "\"upstreams\":2"},
+    {"GET", "/admin/v1/status", NULL, 200,
+     "\"policy\":{\"whole-fleet\":\"on\",\"several-victims\":\"off\","},
     {"GET", "/nothing", NULL, 404, "UNKNOWN_PATH"},
     {"DELETE", "/admin/v1/config", NULL, 405, "BAD_METHOD"},
     {"POST", "/admin/v1/status", "x", 405, "BAD_METHOD"},
--- /dev/null
+++ b/tests/threaded/test_switches.c
@@ -0,0 +1,460 @@
+/*
+ * Mechanisms of decision that a node does without, by its settings: the router
+ * by the node's own view, and adapters ahead of requests.  The roster, the
+ * rights and the configuration are small fakes.
+ */
+
+#include "node/balancer.h"
+#include "node/controller_internal.h"
+
+#include <string.h>
+
+#define TEXT                                                                  \
+    "[class c]\nanswer-ms = 1\nidempotent = true\nmodels = *\n\n"             \
+    "[service s]\nmemory-mb = 1000\nadapter-places = 4\n\n"                   \
+    "[model m1]\nmemory-mb = 100\nservices = s\nadapter-memory-mb = 10\n"     \
+    "numbered-adapters = 2\n"
+
+enum {
+    SECOND = G_USEC_PER_SEC,
+};
+
+/* ---- the rest of the node, faked ---- */
+
+struct ch_roster {
+    void (*changed)(void *data);
+    void *data;
+};
+
+/* What the router has handed over. */
+static struct {
+    struct ch_roster roster;
+    const struct ch_controller_handlers *handlers;
+    void *data;
+} world;
+
+/* Fake: one model with adapters, one service. */
+struct ch_config *
+ch_config_keeper_current(struct ch_config_keeper *keeper)
+{
+    struct ch_error error = {0};
+    struct ch_declaration *declaration =
+        ch_declaration_parse(TEXT, "f.ini", &error);
+    (void)keeper;
+    g_assert_cmpstr(error.message, ==, "");
+    return ch_config_new(7, "token-7", "ann", declaration);
+}
+
+struct ch_roster *
+ch_roster_new(struct ch_node *node, void (*changed)(void *data), void *data)
+{
+    (void)node;
+    world.roster = (struct ch_roster){changed, data};
+    return &world.roster;
+}
+
+/* Fake: two engines, which hold nothing by the list. */
+void
+ch_roster_each(struct ch_roster *roster,
+               void (*each)(void *data, const struct ch_host *host),
+               void *data)
+{
+    char *names[] = {"e1", "e2"};
+    (void)roster;
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        const struct ch_host host = {
+            .name = names[i],
+            .kind = CH_HOST_ENGINE,
+            .address = "127.0.0.1:9",
+            .region = "r1",
+            .data_centre = "d1",
+            .service = "s",
+            .boot = 1,
+            .batch = 64,
+        };
+        each(data, &host);
+    }
+}
+
+void
+ch_roster_start(struct ch_roster *roster)
+{
+    (void)roster;
+}
+
+void
+ch_roster_leave(struct ch_roster *roster)
+{
+    (void)roster;
+}
+
+void
+ch_roster_stop(struct ch_roster *roster)
+{
+    (void)roster;
+}
+
+void
+ch_roster_free(struct ch_roster *roster)
+{
+    (void)roster;
+}
+
+bool
+ch_roster_known(struct ch_roster *roster)
+{
+    (void)roster;
+    return true;
+}
+
+struct ch_controller *
+ch_controller_new(struct ch_node *node, struct ch_roster *roster,
+                  const struct ch_controller_handlers *handlers, void *data)
+{
+    (void)node, (void)roster;
+    world.handlers = handlers;
+    world.data = data;
+    return NULL;
+}
+
+void
+ch_controller_start(struct ch_controller *controller)
+{
+    (void)controller;
+}
+
+void
+ch_controller_changed(struct ch_controller *controller)
+{
+    (void)controller;
+}
+
+void
+ch_controller_drain(struct ch_controller *controller)
+{
+    (void)controller;
+}
+
+void
+ch_controller_stop(struct ch_controller *controller)
+{
+    (void)controller;
+}
+
+void
+ch_controller_free(struct ch_controller *controller)
+{
+    (void)controller;
+}
+
+void
+ch_controller_status(struct ch_controller *controller, JsonBuilder *builder)
+{
+    (void)controller, (void)builder;
+}
+
+bool
+ch_controller_has_holder(struct ch_controller *controller, GQuark data_centre)
+{
+    (void)controller, (void)data_centre;
+    return false;
+}
+
+bool
+ch_controller_prepare(struct ch_controller *controller, GQuark upstream,
+                      GQuark data_centre, GQuark model, GQuark adapter,
+                      void (*done)(void *data, enum ch_code code,
+                                   const Chestnuthitch__Wire__Frame *),
+                      void *data)
+{
+    (void)controller, (void)upstream, (void)data_centre, (void)model;
+    (void)adapter, (void)done, (void)data;
+    return false;
+}
+
+void
+controller_answer(struct ch_controller *controller,
+                  const struct adapter_wait *wait, enum ch_code code)
+{
+    (void)controller, (void)wait, (void)code;
+}
+
+struct duty *
+controller_duty(struct ch_controller *controller, GQuark data_centre)
+{
+    (void)controller, (void)data_centre;
+    return NULL;
+}
+
+unsigned
+controller_loads_in_window(const struct ch_controller *controller,
+                           const struct ch_declaration *declaration)
+{
+    (void)controller, (void)declaration;
+    return 1;
+}
+
+/* Fake: the right is not held, so that no order is sent. */
+bool
+ch_claim_held(struct ch_claim *claim, uint64_t *fence)
+{
+    (void)claim, (void)fence;
+    return false;
+}
+
+void
+ch_claim_give_up(struct ch_claim *claim, int64_t pause)
+{
+    (void)claim, (void)pause;
+}
+
+static void
+free_upstream(struct ch_upstream *upstream)
+{
+    g_free(upstream);
+}
+
+static struct ch_upstream *
+new_upstream(struct ch_client *client, struct ch_http *http,
+             const struct ch_host *host, int64_t call_limit)
+{
+    static const struct ch_upstream_ops ops = {.free = free_upstream};
+    (void)client, (void)http, (void)host, (void)call_limit;
+    struct ch_upstream *upstream = g_new0(struct ch_upstream, 1);
+    upstream->ops = &ops;
+    return upstream;
+}
+
+static void
+drop_line(void *data, const char *line, size_t length)
+{
+    (void)data, (void)line, (void)length;
+}
+
+struct fixture {
+    struct ch_client client;
+    struct ch_settings settings;
+    struct ch_node node;
+};
+
+/* A node without these mechanisms. */
+static struct fixture *
+fixture_new(const struct ch_without *without)
+{
+    static const struct ch_dialect dialect = {.upstream_new = new_upstream};
+    struct fixture *fixture = g_new0(struct fixture, 1);
+    fixture->settings = (struct ch_settings){
+        .name = "n1",
+        .region = "r1",
+        .data_centre = "d1",
+        .without = *without,
+    };
+    ch_client_init(&fixture->client, "n1");
+    fixture->client.log_write = drop_line;
+    fixture->node = (struct ch_node){
+        .client = &fixture->client,
+        .settings = &fixture->settings,
+        .dialect = &dialect,
+        .pool = ch_pool_new(1),
+    };
+    fixture->node.timers = ch_timers_new(fixture->node.pool);
+    return fixture;
+}
+
+/* Ends its threads. */
+static void
+fixture_stop(struct fixture *fixture)
+{
+    ch_timers_stop(fixture->node.timers);
+    ch_pool_free(fixture->node.pool);
+    ch_timers_free(fixture->node.timers);
+}
+
+/* ---- requests ---- */
+
+#define WITHOUT(member) offsetof(struct ch_without, member)
+
+/* What becomes of a request for m1, which e1 has or not, and e2 is loading or
+ * not. */
+static const struct {
+    const char *what;
+    size_t mechanism;
+    unsigned unread_ms; /* at e1 */
+    unsigned age_ms;    /* of a target of a second */
+    const char *with;
+    const char *without;
+    bool second; /* after another one */
+    bool there;
+    bool coming;
+} rows[] = {
+    {"the model is coming, for longer than one waits for somebody to begin",
+     WITHOUT(wait_for_model), 0, 2000, "waits", "refused", false, false, true},
+    {"it is coming, and somebody might just have begun",
+     WITHOUT(wait_for_model), 0, 1000, "waits", "waits", false, false, true},
+    {"nobody is loading it", WITHOUT(wait_for_model), 0, 2000, "refused",
+     "refused", false, false, false},
+    {"its engine is full, another is loading it", WITHOUT(wait_for_model),
+     5000, 0, "waits", "refused", false, true, true},
+    {"its engine is full", WITHOUT(refuse_late), 5000, 0, "refused", "granted",
+     false, true, false},
+    {"its engine has time", WITHOUT(refuse_late), 0, 0, "granted", "granted",
+     false, true, false},
+    {"a second long prompt at once", WITHOUT(pace_prompts), 0, 0, "waits",
+     "granted", true, true, false},
+    {"a single one", WITHOUT(pace_prompts), 0, 0, "granted", "granted", false,
+     true, false},
+};
+
+/* What became of a request. */
+struct fate {
+    const char *is;
+};
+
+static void
+take_grant(void *data, const struct ch_grant *grant)
+{
+    (void)grant;
+    ((struct fate *)data)->is = "granted";
+}
+
+static void
+take_refusal(void *data, enum ch_code code, int64_t retry_after,
+             const char *message)
+{
+    (void)code, (void)retry_after, (void)message;
+    ((struct fate *)data)->is = "refused";
+}
+
+/* Tells the router what the two engines hold. */
+static void
+tell_engines(size_t row)
+{
+    GQuark model = g_quark_from_string("m1");
+    const struct ch_engine_told first = {
+        .upstream = g_quark_from_string("e1"),
+        .boot = 1,
+        .models = &model,
+        .model_count = rows[row].there ? 1 : 0,
+        .running = rows[row].unread_ms > 0 ? 1 : 0,
+        .unread = (int64_t)rows[row].unread_ms * 1000,
+    };
+    const struct ch_engine_told second = {
+        .upstream = g_quark_from_string("e2"),
+        .boot = 1,
+        .coming = &model,
+        .coming_count = rows[row].coming ? 1 : 0,
+    };
+    world.handlers->told(world.data, &first);
+    world.handlers->told(world.data, &second);
+    world.handlers->told_all(world.data);
+}
+
+/* Sends the row's request, or two; what became of the last at once. */
+static const char *
+send_requests(struct fixture *fixture, struct ch_router *router, size_t row)
+{
+    static const struct ch_router_handlers handlers = {take_grant,
+                                                       take_refusal};
+    const struct ch_sample sample = {.code = CH_OK};
+    uint64_t handles[2] = {0};
+    struct fate fates[2] = {{"waits"}, {"waits"}};
+    unsigned last = rows[row].second ? 1 : 0;
+    int64_t now = ch_client_now(&fixture->client);
+    int64_t arrived = now - (int64_t)rows[row].age_ms * 1000;
+    for (unsigned i = 0; i <= last; i++) {
+        const struct ch_work work = {
+            .id = i,
+            .model = g_quark_from_string("m1"),
+            .pool = g_quark_from_string("s"),
+            .prompt_tokens = 3500,
+            .output_tokens = 100,
+            .arrived = arrived,
+            .first_by = arrived + SECOND,
+            .whole_by = now + 20 * (int64_t)SECOND,
+            .idempotent = true,
+        };
+        handles[i] =
+            router->ops->request(router, &work, NULL, &handlers, &fates[i]);
+    }
+    for (unsigned i = 0; i <= last; i++) {
+        if (strcmp(fates[i].is, "waits") != 0) {
+            router->ops->release(router, handles[i], &sample);
+        }
+        else {
+            g_assert_true(router->ops->withdraw(router, handles[i]));
+        }
+    }
+    return fates[last].is;
+}
+
+/* With each mechanism, and without it. */
+static void
+test_requests(void)
+{
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(rows); i++) {
+        bool off = i % 2 == 1;
+        struct ch_without without = {0};
+        ((bool *)&without)[rows[i / 2].mechanism] = off;
+        struct fixture *fixture = fixture_new(&without);
+        struct ch_router *router = ch_balancer_new(&fixture->node);
+        world.roster.changed(world.roster.data);
+        tell_engines(i / 2);
+        const char *fate = send_requests(fixture, router, i / 2);
+        g_test_message("%s, %s: %s", rows[i / 2].what, off ? "off" : "on",
+                       fate);
+        g_assert_cmpstr(fate, ==,
+                        off ? rows[i / 2].without : rows[i / 2].with);
+        fixture_stop(fixture);
+        router->ops->free(router);
+        g_free(fixture);
+    }
+}
+
+/* ---- adapters ---- */
+
+/* How many items an engine with m1 has after a round of adapters ahead. */
+static guint
+items_after(const struct ch_without *without)
+{
+    struct fixture *fixture = fixture_new(without);
+    const struct ch_host host = {.name = "e1", .address = "127.0.0.1:9"};
+    struct ch_controller controller = {
+        .node = &fixture->node,
+        .engines = g_hash_table_new(NULL, NULL),
+    };
+    struct duty duty = {.data_centre = g_quark_from_string("d1")};
+    struct controller_engine *engine = engine_new(&controller, &host);
+    engine->service = g_quark_from_string("s");
+    engine->data_centre = duty.data_centre;
+    engine->listed = true;
+    engine->known = true;
+    engine_add_item(engine, g_quark_from_string("m1"), 0, CH_ITEM_RESIDENT, 0);
+    g_hash_table_insert(controller.engines, GUINT_TO_POINTER(engine->name),
+                        engine);
+    controller_fill_places(&controller, &duty, 1);
+    guint count = engine->items->len;
+    engine_unref(engine);
+    g_hash_table_destroy(controller.engines);
+    fixture_stop(fixture);
+    g_free(fixture);
+    return count;
+}
+
+/* An adapter that stands nowhere takes a free place, or does not. */
+static void
+test_adapters(void)
+{
+    const struct ch_without none = {0};
+    const struct ch_without off = {.adapters_ahead = true};
+    g_assert_cmpuint(items_after(&none), ==, 2);
+    g_assert_cmpuint(items_after(&off), ==, 1);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/switches/requests", test_requests);
+    g_test_add_func("/switches/adapters", test_adapters);
+    return g_test_run();
+}
--- a/tests/unit/test_arrange.c
+++ b/tests/unit/test_arrange.c
@@ -3,6 +3,7 @@
 
 #include "decide/arrange.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -11,7 +12,7 @@
 
 /* A fleet as a text of lines "NAME DATA-CENTRE MODELS COPIES"; models with
  * commas between, "-" for none, "+" after a model that is being loaded, "~"
- * after one that is being unloaded. */
+ * after one that is being unloaded; NAME:MEMORY where it is not the usual. */
 struct fleet {
     struct ch_arrange_engine engines[MOST];
     struct ch_arrange_item items[MOST][MOST];
@@ -28,12 +29,13 @@
     struct ch_arrange_engine *engine = &fleet->engines[at];
     char **models = g_strsplit(words[2], ",", -1);
     char **copies = g_strsplit(words[3], ",", -1);
+    const char *memory = strchr(words[0], ':');
     *engine = (struct ch_arrange_engine){
         .name = g_quark_from_string(words[0]),
         .service = g_quark_from_string("s"),
         .data_centre = g_quark_from_string(words[1]),
         .open = true,
-        .memory_mb = 200,
+        .memory_mb = memory == NULL ? 200 : (uint32_t)atoi(memory + 1),
         .items = fleet->items[at],
         .copies = fleet->copies[at],
     };
@@ -60,11 +62,13 @@
 }
 
 /* "ENGINE load MODEL" and "ENGINE unload MODEL for MODEL" of every action, in
- * order.  busy: the models that are asked for, with blanks between; as many
- * engines may change. */
+ * order, with "$" where the weight store is asked for a load.  busy: the
+ * models that are asked for, with blanks between; as many engines may change.
+ */
 static char *
-decide(const char *text, const char *own, const char *busy, double work,
-       const char *pledged, uint32_t loads_left)
+decide_without(const struct ch_without *without, const char *text,
+               const char *own, const char *busy, double work,
+               const char *pledged, uint32_t loads_left, const char *store)
 {
     static const char *const names[] = {"m1", "m2", "m3", "m4", "s1", "s2"};
     struct fleet fleet = {0};
@@ -102,6 +106,7 @@
         .data_centre = g_quark_from_string(own),
         .loads_left = loads_left,
         .most_changes = MAX(busy_count, 1),
+        .without = *without,
     };
     GArray *actions =
         g_array_new(FALSE, FALSE, sizeof(struct ch_arrange_action));
@@ -119,12 +124,23 @@
             g_string_append_printf(out, " for %s",
                                    g_quark_to_string(action->pledged));
         }
+        g_string_append(out, action->from_store ? store : "");
     }
     g_array_free(actions, TRUE);
     g_strfreev(lines);
     return g_string_free(out, FALSE);
 }
 
+/* The same with every mechanism, and nothing of the weight store. */
+static char *
+decide(const char *text, const char *own, const char *busy, double work,
+       const char *pledged, uint32_t loads_left)
+{
+    const struct ch_without none = {0};
+    return decide_without(&none, text, own, busy, work, pledged, loads_left,
+                          "");
+}
+
 /* m1 to m4 have 70 each, s1 and s2, where they are named, 35; an engine 200.
  */
 static const struct {
@@ -295,6 +311,60 @@
     g_assert_cmpuint(count_of(got, "load m1"), >=, 1);
 }
 
+#define WITHOUT(member) offsetof(struct ch_without, member)
+
+/* What is decided with a mechanism, and without it. */
+static const struct {
+    const char *what;
+    size_t mechanism;
+    const char *fleet;
+    const char *busy;
+    double work;
+    const char *with;
+    const char *without;
+} switches[] = {
+    {"another data centre has the better engine", WITHOUT(whole_fleet),
+     "e1 d1 m2,m3 -\ne2 d2 m2,m3 m1\ne3 d1 m1,m4 -", "m1", 0.8, "",
+     "e1 unload m2 for m1$"},
+    {"only two small ones together make the room", WITHOUT(several_victims),
+     "e1 d1 m1,s1,s2 -\ne2:150 d1 m2,s1,s2 -\ne3 d1 m3,m4 -", "m1", 2,
+     "e2:150 unload s1 for m1$", ""},
+    {"one of them alone makes it", WITHOUT(several_victims),
+     "e1 d1 m1,s1,s2 -\ne2 d1 m2,s1,s2 -\ne3 d1 m3,m4 -", "m1", 2,
+     "e2 unload s1 for m1$", "e2 unload s1 for m1$"},
+    {"two last replicas on one engine", WITHOUT(move_apart),
+     "e1 d1 m1,m2 -\ne2 d1 m3,m4 -\ne3 d1 m3,s1 -\ne4 d1 - -", NULL, 0,
+     "e4 load m1$", ""},
+    {"a copy near by, or an engine that keeps room", WITHOUT(near_copies),
+     "e1 d1 m1,s1 -\ne2 d1 m3,s2 -\ne3 d1 m2 m4\ne4 d1 - -", NULL, 0,
+     "e3 load m4", "e4 load m4$"},
+    {"free room and a copy", WITHOUT(near_copies),
+     "e1 d1 m1,s1 -\ne2 d1 m2,s2 -\ne3 d1 m3 m1\ne4 d1 m4 -", NULL, 0,
+     "e3 load m1", ""},
+    {"room is made", WITHOUT(pledges), "e1 d1 m1,m2 -\ne2 d1 m3,m1 -", NULL, 0,
+     "e1 unload m1 for m4$", "e1 unload m1"},
+};
+
+/* Each switch changes the decision that it names, and leaves it as it is where
+ * the mechanism has no part in it. */
+static void
+test_switches(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(switches); i++) {
+        for (int off = 0; off < 2; off++) {
+            struct ch_without without = {0};
+            ((bool *)&without)[switches[i].mechanism] = off == 1;
+            g_autofree char *got = decide_without(
+                &without, switches[i].fleet, "d1", switches[i].busy,
+                switches[i].work, NULL, 9, "$");
+            g_test_message("%s, %s: %s", switches[i].what,
+                           off == 1 ? "off" : "on", got);
+            g_assert_cmpstr(got, ==,
+                            off == 1 ? switches[i].without : switches[i].with);
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -305,5 +375,6 @@
     g_test_add_func("/arrange/two-in-a-round", test_two_in_a_round);
     g_test_add_func("/arrange/one-of-three", test_one_of_three);
     g_test_add_func("/arrange/empty-engines", test_empty_engines);
+    g_test_add_func("/arrange/switches", test_switches);
     return g_test_run();
 }
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -424,6 +424,73 @@
     ch_balance_free(balance);
 }
 
+/* What is decided of m1 after a burst, and after quick answers. */
+struct seen {
+    bool dense;
+    int64_t reading;
+    double asked;
+};
+
+/* A long prompt behind another at one engine; then sixty quick answers, and
+ * what a prompt is taken to take and an engine to be asked for. */
+static struct seen
+see(const struct ch_without *without)
+{
+    const struct place one[] = {{"a", "r1", "d1", "m1", NULL, false}, {0}};
+    struct ch_balance *balance = balance_of(one);
+    struct ch_work work = work_for("m1", 3500);
+    struct seen seen = {0};
+    const struct ch_sample sample = {
+        .code = CH_OK,
+        .token = (int64_t)5 * MILLI,
+        .tokens = 100,
+    };
+    if (without != NULL) {
+        ch_balance_do_without(balance, without);
+    }
+    struct ch_choice choice = send_one(balance, &work, NOW);
+    seen.dense = ch_balance_choose(balance, &work, NULL, false, NOW).too_dense;
+    for (uint64_t i = 0; i < 60; i++) {
+        ch_balance_first(balance, &work, &choice, (int64_t)90 * MILLI, NOW);
+        ch_balance_ended(balance, &work, &choice, true, &sample, NOW);
+        choice = send_one(balance, &work, NOW);
+    }
+    seen.reading = ch_balance_reading(balance, &work);
+    ch_balance_asked(balance, &work, NOW);
+    ch_balance_each_asked(balance, NOW, take_asked, &seen.asked);
+    ch_balance_free(balance);
+    return seen;
+}
+
+/* Each switch changes the decision that it names and no other. */
+static void
+test_switches(void)
+{
+    const struct ch_without none = {0};
+    const struct ch_without at_once = {.pace_prompts = true};
+    const struct ch_without usual = {.learnt_speeds = true};
+    const struct ch_without other = {.refuse_late = true, .pledges = true};
+    const struct seen with = see(NULL);
+    const struct {
+        const struct ch_without *without;
+        bool dense;
+        bool learnt;
+    } rows[] = {
+        {&none, true, true},
+        {&at_once, false, true},
+        {&usual, true, false},
+        {&other, true, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const struct seen seen = see(rows[i].without);
+        g_assert_cmpint(seen.dense, ==, rows[i].dense);
+        g_assert_cmpint(seen.reading == with.reading, ==, rows[i].learnt);
+        g_assert_cmpint(seen.asked == with.asked, ==, rows[i].learnt);
+    }
+    /* 3500 tokens, three quarters of them read, by 52 us each. */
+    g_assert_cmpint(see(&usual).reading, ==, 136500);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -438,5 +505,6 @@
     g_test_add_func("/balance/slots", test_slots);
     g_test_add_func("/balance/overload", test_overload);
     g_test_add_func("/balance/restart", test_restart);
+    g_test_add_func("/balance/switches", test_switches);
     return g_test_run();
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -40,6 +40,14 @@
     {GOOD "[limits]\nretry-share = 1e999\n", CH_BAD_VALUE, "not a number"},
     {GOOD "[upstreams]\nfencing = yes\n", CH_BAD_VALUE,
      "[upstreams] fencing: 'yes': not one of ignore, refuse"},
+    {GOOD "[policy]\npledge = off\n", CH_UNKNOWN_SETTING,
+     "f.ini: [policy] pledge: no such key in this group"},
+    {GOOD "[policy]\npledges = no\n", CH_BAD_VALUE,
+     "f.ini: [policy] pledges: 'no': not one of on, off"},
+    {GOOD "[policies]\npledges = off\n", CH_UNKNOWN_GROUP,
+     "f.ini: [policies]: no such group"},
+    {GOOD "[policy]\npledges = off\npledges = on\n", CH_DUPLICATE,
+     "f.ini: [policy] pledges: the key stands twice"},
     {GOOD "[node]\nworkers = 2\n", CH_DUPLICATE,
      "f.ini: [node]: the group stands twice"},
     {GOOD "[once]\nslots = 1\nslots = 2\n", CH_DUPLICATE,
@@ -124,6 +132,61 @@
     ch_settings_free(settings);
 }
 
+/* Every key of [policy] with its member. */
+static const struct {
+    const char *key;
+    size_t member;
+} mechanisms[] = {
+    {"whole-fleet", offsetof(struct ch_without, whole_fleet)},
+    {"several-victims", offsetof(struct ch_without, several_victims)},
+    {"move-apart", offsetof(struct ch_without, move_apart)},
+    {"near-copies", offsetof(struct ch_without, near_copies)},
+    {"pledges", offsetof(struct ch_without, pledges)},
+    {"adapters-ahead", offsetof(struct ch_without, adapters_ahead)},
+    {"wait-for-model", offsetof(struct ch_without, wait_for_model)},
+    {"refuse-late", offsetof(struct ch_without, refuse_late)},
+    {"pace-prompts", offsetof(struct ch_without, pace_prompts)},
+    {"learnt-speeds", offsetof(struct ch_without, learnt_speeds)},
+};
+
+/* Adds "KEY " of what is off, "+" of what is on. */
+static void
+add_off(void *data, const char *key, bool on)
+{
+    g_string_append_printf(data, "%s", on ? "+" : key);
+}
+
+/* Each key switches its own mechanism off and no other, and is told so; by
+ * default, and stated as on, none is off. */
+static void
+test_policy(void)
+{
+    const struct ch_without none = {0};
+    G_STATIC_ASSERT(G_N_ELEMENTS(mechanisms) == sizeof(none));
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(mechanisms); i++) {
+        const char *key = mechanisms[i / 2].key;
+        bool off = i % 2 == 1;
+        struct ch_error error = {0};
+        struct ch_without expect = none;
+        g_autoptr(GString) told = g_string_new(NULL);
+        g_autofree char *text = g_strdup_printf(GOOD "[policy]\n%s = %s\n",
+                                                key, off ? "off" : "on");
+        struct ch_settings *settings =
+            ch_settings_parse(text, "f.ini", &error);
+        g_test_message("%s %s", key, off ? "off" : "on");
+        g_assert_cmpstr(error.message, ==, "");
+        ((bool *)&expect)[mechanisms[i / 2].member] = off;
+        g_assert_cmpmem(&settings->without, sizeof(expect), &expect,
+                        sizeof(expect));
+        ch_settings_each_policy(settings, add_off, told);
+        g_assert_cmpuint(told->len, ==,
+                         G_N_ELEMENTS(mechanisms) +
+                             (off ? strlen(key) - 1 : 0));
+        g_assert_true(!off || strstr(told->str, key) != NULL);
+        ch_settings_free(settings);
+    }
+}
+
 /* The example with every default stated, its "#key = value" lines taken in. */
 static char *
 stated_example(void)
@@ -188,6 +251,7 @@
     g_test_add_func("/settings/bad", test_bad);
     g_test_add_func("/settings/defaults", test_defaults);
     g_test_add_func("/settings/values", test_values);
+    g_test_add_func("/settings/policy", test_policy);
     g_test_add_func("/settings/example-defaults", test_example_defaults);
     g_test_add_func("/settings/files", test_files);
     return g_test_run();
