Held only for a load that ends within the target; engines that are gone load nothing

Cause: a request that all engines with the model would begin with too late was held as long as anybody was loading the model, until shortly before its caller gives up. Nobody looked at when the load would end: from the weight store it takes 8.8 s there, room to be made for it first, and callers give up after 4.8. What had been loading on an engine that crashed counted for good, as its last word was kept.

Change (decide/late.c): a node learns how long a load takes from when it is first told until the model is there. A late request waits only if the first such load is likely to end within its target, else it is refused at once as not run, with when to come back. What an engine was loading ends with its entry in the list, and is not believed without news for 10 s (holders tell all each 8 s).

Why it works: who can't be served is told so while there is time for another try, and the engine that has just loaded the model is not sent, in one moment, what has waited for seconds at all nodes. More callers come back into a refusal: that is the price, and open.

Tests (test_late): loads too long for callers, engines that crash while loading. Both fail with the rule before.

--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -7,6 +7,7 @@
 #include "node/balancer.h"
 
 #include "decide/balance.h"
+#include "decide/late.h"
 #include "node/controller.h"
 #include "node/dialect.h"
 #include "node/roster.h"
@@ -29,11 +30,6 @@
      * loads in two seconds. */
     MODEL_RETRY_AFTER = 2000 * 1000,
     ADAPTER_RETRY_AFTER = 500 * 1000,
-    /* When those come back who were refused as engines are full. */
-    LEAST_BACK = 500 * 1000,
-    MOST_BACK = 3000 * 1000,
-    /* What is not sent this long before its caller gives up is not of use. */
-    LEAST_WAIT_LEFT = 300 * 1000,
     /* A request that is held for its engine to rest keeps this part of its
      * target free, and is looked at again after so long. */
     PACE_MARGIN = 4,
@@ -78,7 +74,6 @@
     int64_t at;
     GArray *models;   /* GQuark */
     GArray *adapters; /* GQuark */
-    GArray *coming;   /* GQuark */
 };
 
 struct balancer {
@@ -91,6 +86,7 @@
     GHashTable *clients;        /* GQuark to struct seat_client */
     GHashTable *listed;         /* of the update that runs: GQuark */
     GHashTable *told;           /* GQuark to struct told_engine */
+    struct ch_coming *coming;   /* models that are being loaded */
     GHashTable *used;           /* "UPSTREAM MODEL/ADAPTER" */
     struct ch_table *requests;
     bool looking; /* what waits will be looked at soon */
@@ -217,12 +213,19 @@
     g_array_free(adapters, TRUE);
 }
 
-/* Whether a client's upstream is not listed any more. */
+/* Whether a client's upstream is not listed any more: what it was loading will
+ * not come.  Lock held. */
 static gboolean
-is_unlisted(gpointer key, gpointer value, gpointer data)
+drop_unlisted(gpointer key, gpointer value, gpointer data)
 {
     (void)value;
-    return !g_hash_table_contains(data, key);
+    struct balancer *balancer = data;
+    if (g_hash_table_contains(balancer->listed, key)) {
+        return FALSE;
+    }
+    ch_coming_told(balancer->coming, GPOINTER_TO_UINT(key), NULL, 0, NULL, 0,
+                   ch_client_now(balancer->node->client));
+    return TRUE;
 }
 
 static void route_waiting(struct balancer *balancer);
@@ -241,8 +244,7 @@
     ch_balance_begin_update(balancer->balance);
     ch_roster_each(balancer->roster, take_host, &update);
     ch_balance_end_update(balancer->balance);
-    g_hash_table_foreach_remove(balancer->clients, is_unlisted,
-                                balancer->listed);
+    g_hash_table_foreach_remove(balancer->clients, drop_unlisted, balancer);
     g_hash_table_destroy(balancer->listed);
     balancer->listed = NULL;
     pthread_mutex_unlock(&balancer->lock);
@@ -340,24 +342,6 @@
     };
 }
 
-/* Whether some engine is loading the model.  Lock held. */
-static bool
-is_coming(const struct balancer *balancer, GQuark model)
-{
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, balancer->told);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct told_engine *told = value;
-        for (guint i = 0; i < told->coming->len; i++) {
-            if (g_array_index(told->coming, GQuark, i) == model) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 /*
  * What becomes of a request that no upstream can take.  One whose model is on
  * its way waits for it, as long as its caller would; one that nobody brings is
@@ -373,7 +357,7 @@
         return refuse(balancer, request, CH_NO_UPSTREAM,
                       request->choice.retry_after, request->choice.message);
     }
-    if (!is_coming(balancer, work->model)) {
+    if (ch_coming_at(balancer->coming, work->model, now) == 0) {
         limit = MIN(limit, work->arrived + WAIT_BEGIN);
     }
     limit = MIN(limit, work->whole_by - WAIT_BEGIN);
@@ -386,45 +370,21 @@
     return (struct step){.kind = STEP_NONE};
 }
 
-/* Until when it is of use to begin with a request: callers give up a stream
- * that brings nothing for four times its target. */
-static int64_t
-last_begin(const struct ch_work *work)
-{
-    int64_t target = work->first_by - work->arrived;
-    return MIN(work->arrived + WAIT_TARGETS * target, work->whole_by);
-}
-
-/* Whether the chosen engine would begin with a request when its caller has
- * given up. */
-static bool
-is_too_late(const struct request *request, int64_t now)
-{
-    const struct ch_work *work = &request->work;
-    return !work->service && work->attempt == 0 &&
-           now + request->choice.expected > last_begin(work);
-}
-
-/*
- * Load: more requests for a model than its engines can begin with before the
- * callers give up.  Harm prevented: all of them wait in one line, and the
- * engines work for callers who have gone while the next ones wait too long in
- * their turn.  What would come too late waits here if another engine is
- * loading the model, else it is refused at once, with when to come back.
- */
+/* What becomes of a request that the chosen engine would begin with too late.
+ * Lock held. */
 static struct step
 wait_or_refuse_late(struct balancer *balancer, struct request *request,
                     int64_t now)
 {
-    const struct ch_work *work = &request->work;
-    int64_t limit = last_begin(work) - LEAST_WAIT_LEFT;
-    if (is_coming(balancer, work->model) && now < limit) {
+    const struct ch_late late = ch_late_decide(
+        &request->work, request->choice.expected,
+        ch_coming_at(balancer->coming, request->work.model, now), now);
+    if (late.waits) {
         request->state = REQUEST_WAITING;
-        request->until = limit;
+        request->until = late.until;
         return (struct step){.kind = STEP_NONE};
     }
-    int64_t back = CLAMP(request->choice.expected / 2, LEAST_BACK, MOST_BACK);
-    return refuse(balancer, request, CH_LATE, back,
+    return refuse(balancer, request, CH_LATE, late.back,
                   "the model's engines are full");
 }
 
@@ -454,7 +414,7 @@
     if (request->choice.code != CH_OK) {
         return wait_or_refuse(balancer, request, now);
     }
-    if (is_too_late(request, now)) {
+    if (ch_late_is(work, request->choice.expected, now)) {
         return wait_or_refuse_late(balancer, request, now);
     }
     if (request->choice.too_dense && may_pace(request, now)) {
@@ -670,7 +630,6 @@
     struct told_engine *told = data;
     g_array_free(told->models, TRUE);
     g_array_free(told->adapters, TRUE);
-    g_array_free(told->coming, TRUE);
     g_free(told);
 }
 
@@ -695,10 +654,12 @@
     told->at = ch_client_now(balancer->node->client);
     told->models = copy_names(engine->models, engine->model_count);
     told->adapters = copy_names(engine->adapters, engine->adapter_count);
-    told->coming = copy_names(engine->coming, engine->coming_count);
     pthread_mutex_lock(&balancer->lock);
     g_hash_table_replace(balancer->told, GUINT_TO_POINTER(engine->upstream),
                          told);
+    ch_coming_told(balancer->coming, engine->upstream, engine->models,
+                   engine->model_count, engine->coming, engine->coming_count,
+                   told->at);
     ch_balance_models(balancer->balance, engine->upstream, engine->models,
                       engine->model_count);
     ch_balance_adapters(balancer->balance, engine->upstream, engine->adapters,
@@ -962,6 +923,7 @@
     ch_roster_free(balancer->roster);
     g_hash_table_destroy(balancer->told);
     g_hash_table_destroy(balancer->used);
+    ch_coming_free(balancer->coming);
     ch_balance_free(balancer->balance);
     g_hash_table_destroy(balancer->clients);
     pthread_mutex_destroy(&balancer->lock);
@@ -996,6 +958,7 @@
     balancer->balance =
         ch_balance_new(g_quark_from_string(node->settings->region),
                        g_quark_from_string(node->settings->data_centre));
+    balancer->coming = ch_coming_new();
     balancer->clients = g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
     pthread_mutex_init(&balancer->lock, NULL);
