Each try of a request is looked at for being too late, not the first alone

An engine shed their request after it had waited there for a second or more, the next one was as full, and it waited there again.

Cause: whether an engine would begin too late was looked at for attempt 0 only, so that a stream whose caller has its beginning is not refused. A later try whose caller has nothing was sent anywhere, however long the engine needs.

Change: a request says whether its caller has the beginning of the answer (ch_work.begun); only then its tries go out unlooked at.

Tests: test_late, given-back (fails with the check before); test_exchange asserts that the router is told of a stream that has begun.

--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -36,6 +36,7 @@
     int64_t whole_by; /* target for the whole answer; 0: none */
     uint32_t attempt; /* 0 for the first */
     bool idempotent;
+    bool begun;  /* the caller has the beginning of its answer */
     GQuark pool; /* the service whose upstreams may take it; 0: any */
     const struct ch_part *parts; /* the request's own; lives as long as it */
     size_t part_count;
--- a/libchestnuthitch/decide/late.c
+++ b/libchestnuthitch/decide/late.c
@@ -139,8 +139,7 @@
 bool
 ch_late_is(const struct ch_work *work, int64_t expected, int64_t now)
 {
-    return !work->service && work->attempt == 0 &&
-           now + expected > last_begin(work);
+    return !work->service && !work->begun && now + expected > last_begin(work);
 }
 
 /*
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -277,6 +277,7 @@
     exchange->home_answered = false;
     exchange->home_handle = 0;
     struct ch_work work = exchange->request->work;
+    work.begun = exchange->stream_begun;
     GArray *excluded = g_array_copy(exchange->excluded);
     /* The course may be over when the call returns. */
     ch_exchange_ref(exchange);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -93,6 +93,7 @@
     bool once_waits; /* the record's answer is held back */
     bool asks_again; /* asked for without another attempt */
     GQuark only;     /* upstream that the last request is bound to */
+    bool told_begun; /* the last request's caller has the beginning */
     struct once_job *once_job;
     struct held_call *held;
     struct held_call *paused[MOST_CALLERS];
@@ -167,6 +168,7 @@
     world->excluded = excluded == NULL ? 0 : excluded->len;
     g_assert_true(world->asks_again || work->attempt == number);
     world->only = work->only;
+    world->told_begun = work->begun;
     notify(world);
     if (act != HOLDS_BACK) {
         struct home_job *job = g_new(struct home_job, 1);
@@ -848,6 +850,7 @@
         world_stop(world);
         g_assert_cmpuint(world->calls, ==, routed_cases[i].calls);
         g_assert_cmpint(world->only != 0, ==, routed_cases[i].bound);
+        g_assert_true(world->told_begun);
         world_free(world);
     }
 }
--- a/tests/unit/test_late.c
+++ b/tests/unit/test_late.c
@@ -129,6 +129,46 @@
     ch_coming_free(coming);
 }
 
+static const struct {
+    const char *what;
+    int64_t after; /* asked so long after it came */
+    int64_t expected;
+    uint32_t attempt;
+    bool begun;
+    bool service;
+    bool late;
+} tries[] = {
+    {"first try, in time", 0, 3500 * MILLI, 0, false, false, false},
+    {"first try, too late", 0, 3700 * MILLI, 0, false, false, true},
+    {"given back after 1.5 s, in time", 1500 * MILLI, SECOND, 1, false, false,
+     false},
+    {"given back after 1.5 s to a full engine", 1500 * MILLI, 3 * SECOND, 1,
+     false, false, true},
+    {"the caller has the beginning", 1500 * MILLI, 3 * SECOND, 1, true, false,
+     false},
+    {"a plain service", 0, 3700 * MILLI, 0, false, true, false},
+};
+
+/*
+ * Load: engines of a model that are full, of which one sheds what waited there
+ * for 1.5 s.  The caller gets nothing until its deadline.  The request goes on
+ * to the next engine, which is as full, and waits there in turn; that it would
+ * be too late there was looked at for the first engine alone.
+ */
+static void
+test_given_back(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(tries); i++) {
+        g_test_message("%s", tries[i].what);
+        struct ch_work work = work_now();
+        work.attempt = tries[i].attempt;
+        work.begun = tries[i].begun;
+        work.service = tries[i].service;
+        bool late = ch_late_is(&work, tries[i].expected, NOW + tries[i].after);
+        g_assert_cmpint(late, ==, tries[i].late);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -136,5 +176,6 @@
     g_test_add_func("/late/load-too-long", test_load_too_long);
     g_test_add_func("/late/engine-gone", test_engine_gone);
     g_test_add_func("/late/coming", test_coming);
+    g_test_add_func("/late/given-back", test_given_back);
     return g_test_run();
 }
