--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -259,7 +259,7 @@
 static int64_t
 most_in(int64_t took, int64_t most)
 {
-    return most * took / (3 * G_USEC_PER_SEC);
+    return most * took / ((int64_t)3 * G_USEC_PER_SEC);
 }
 
 /*
