Tests of a held loop share what holds it

/http/stands-still and /http/overdue-before-sent each had a handler that keeps the loop from its work. One holder serves both: it is released by the test and keeps the loop a while longer.

--- a/tests/threaded/test_http.c
+++ b/tests/threaded/test_http.c
@@ -715,19 +715,74 @@
     STILL_LIMIT = 1500 * 1000, /* of silence, microseconds */
 };
 
-struct blocker {
-    struct server *server;
+/* A call whose handler keeps the loop from its work. */
+struct holder {
     struct call *call;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool released;
+    gulong rest; /* the loop is kept for so long after the release */
 };
 
-/* Lets the rest of the other call's body be sent, and keeps the loop from
- * reading it for longer than that call may be silent.  libcurl reads calls in
- * the order in which they were begun, so that one is not read after this. */
 static void
-block_loop(void *data, const char *bytes, size_t length)
+hold_loop(void *data, const char *bytes, size_t length)
+{
+    struct holder *holder = data;
+    call_data(holder->call, bytes, length);
+    pthread_mutex_lock(&holder->lock);
+    while (!holder->released) {
+        wait_once(&holder->changed, &holder->lock);
+    }
+    pthread_mutex_unlock(&holder->lock);
+    g_usleep(holder->rest);
+}
+
+static void
+end_holder(void *data, const struct ch_http_end *end)
+{
+    call_end(((const struct holder *)data)->call, end);
+}
+
+static void
+release_loop(struct holder *holder)
+{
+    pthread_mutex_lock(&holder->lock);
+    holder->released = true;
+    pthread_cond_broadcast(&holder->changed);
+    pthread_mutex_unlock(&holder->lock);
+}
+
+/* Begins a GET that holds the loop; returns once it does. */
+static void
+holder_begin(struct holder *holder, struct ch_http *http,
+             struct server *server, int64_t rest)
+{
+    static const struct ch_http_handlers holding = {
+        .on_data = hold_loop,
+        .on_end = end_holder,
+    };
+    char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
+    const struct ch_http_request get = {.method = "GET", .url = url};
+    *holder = (struct holder){.call = call_new(), .rest = (gulong)rest};
+    pthread_mutex_init(&holder->lock, NULL);
+    pthread_cond_init(&holder->changed, NULL);
+    ch_http_submit(http, &get, &holding, holder);
+    wait_for_moment(IN_THE_BODY, server, holder->call);
+    g_free(url);
+}
+
+static void
+holder_clear(struct holder *holder)
+{
+    call_free(holder->call);
+    pthread_mutex_destroy(&holder->lock);
+    pthread_cond_destroy(&holder->changed);
+}
+
+/* Has the server send the rest of a body. */
+static void
+send_rest(struct server *server)
 {
-    const struct blocker *blocker = data;
-    struct server *server = blocker->server;
     pthread_mutex_lock(&server->lock);
     server->goes_on = true;
     pthread_cond_broadcast(&server->changed);
@@ -735,14 +790,6 @@
         wait_once(&server->changed, &server->lock);
     }
     pthread_mutex_unlock(&server->lock);
-    g_usleep(STILL_LIMIT + STILL_LIMIT / 2);
-    call_data(blocker->call, bytes, length);
-}
-
-static void
-end_blocker(void *data, const struct ch_http_end *end)
-{
-    call_end(((const struct blocker *)data)->call, end);
 }
 
 /*
@@ -753,57 +800,27 @@
 static void
 test_stands_still(void)
 {
-    static const struct ch_http_handlers blocking = {
-        .on_data = block_loop,
-        .on_end = end_blocker,
-    };
     struct ch_client client;
     ch_client_init(&client, "test");
     struct server *server = server_new(GOES_ON);
     struct ch_http *http = ch_http_new(&client);
     struct call *stream = call_new();
-    struct blocker blocker = {server, call_new()};
-    char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
-    const struct ch_http_request request = {.method = "GET", .url = url};
+    struct holder holder;
     submit(http, server, "POST", small_body, true, STILL_LIMIT, stream);
     wait_for_moment(IN_THE_BODY, server, stream);
-    ch_http_submit(http, &request, &blocking, &blocker);
-    wait_for_end(blocker.call);
+    /* libcurl reads calls in the order in which they were begun, so that the
+     * stream is not read after the holder. */
+    holder_begin(&holder, http, server, STILL_LIMIT + STILL_LIMIT / 2);
+    send_rest(server);
+    release_loop(&holder);
+    wait_for_end(holder.call);
     wait_for_end(stream);
     ch_http_free(http);
     g_assert_cmpint(stream->end.code, ==, CH_OK);
     g_assert_cmpstr(stream->body->str, ==, "okok");
     server_free(server);
     call_free(stream);
-    call_free(blocker.call);
-    g_free(url);
-}
-
-struct holder {
-    struct call *call;
-    pthread_mutex_t lock;
-    pthread_cond_t changed;
-    bool released;
-};
-
-/* Keeps the loop from its work until it is released, and SHORT after that. */
-static void
-hold_loop(void *data, const char *bytes, size_t length)
-{
-    struct holder *holder = data;
-    call_data(holder->call, bytes, length);
-    pthread_mutex_lock(&holder->lock);
-    while (!holder->released) {
-        wait_once(&holder->changed, &holder->lock);
-    }
-    pthread_mutex_unlock(&holder->lock);
-    g_usleep((gulong)2 * SHORT);
-}
-
-static void
-end_holder(void *data, const struct ch_http_end *end)
-{
-    call_end(((const struct holder *)data)->call, end);
+    holder_clear(&holder);
 }
 
 /*
@@ -814,20 +831,13 @@
 static void
 test_overdue_before_sent(void)
 {
-    static const struct ch_http_handlers holding = {
-        .on_data = hold_loop,
-        .on_end = end_holder,
-    };
     struct ch_client client;
     ch_client_init(&client, "test");
     struct server *server = server_new(ANSWERS);
     struct ch_http *http = ch_http_new(&client);
-    struct holder holder = {.call = call_new()};
+    struct holder holder;
     struct call *late = call_new();
-    pthread_mutex_init(&holder.lock, NULL);
-    pthread_cond_init(&holder.changed, NULL);
     char *url = g_strdup_printf("http://127.0.0.1:%d/x", server->port);
-    const struct ch_http_request get = {.method = "GET", .url = url};
     const struct ch_http_request post = {
         .method = "POST",
         .url = url,
@@ -835,13 +845,9 @@
         .total_limit = SHORT,
     };
     warm_up(http, server);
-    ch_http_submit(http, &get, &holding, &holder);
-    wait_for_moment(IN_THE_BODY, server, holder.call);
+    holder_begin(&holder, http, server, (int64_t)2 * SHORT);
     ch_http_submit(http, &post, &handlers, late);
-    pthread_mutex_lock(&holder.lock);
-    holder.released = true;
-    pthread_cond_broadcast(&holder.changed);
-    pthread_mutex_unlock(&holder.lock);
+    release_loop(&holder);
     wait_for_end(late);
     wait_for_end(holder.call);
     ch_http_free(http);
@@ -850,9 +856,7 @@
     g_assert_cmpuint(posts_of(server), ==, 0);
     server_free(server);
     call_free(late);
-    call_free(holder.call);
-    pthread_mutex_destroy(&holder.lock);
-    pthread_cond_destroy(&holder.changed);
+    holder_clear(&holder);
     g_free(url);
 }
 
