Limits between nodes are judged when they are due again, not a tick later

What callers saw: an order of a caller whose upstream's home had just been paused was refused as not run (206), once in a whole run of the checks and then in two of six runs of test_pause: it had waited for 0.9 s, the limit for a record's answer, while the silence of the home was found after 0.8 s and some.

Cause: since limits between nodes are judged by the time before the wait for events, each was found up to a tick, 50 ms, later. The longest gap of orders in that scenario went from 0.82 s to 0.89 and 0.91 s.

Change: the wait ends when the tick is due, and one that brought nothing was over at its end, so that limits are judged by that time; else by the time before it, as before. What a pause takes off is the whole time since the last tick.

--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -384,8 +384,8 @@
 static void
 tick(struct ch_peers *peers, int64_t now)
 {
-    int64_t gap = now - peers->last_tick - TICK_MS * INT64_C(1000);
-    if (peers->last_tick > 0 && gap > PAUSE) {
+    int64_t gap = now - peers->last_tick;
+    if (peers->last_tick > 0 && gap > PAUSE + TICK_MS * INT64_C(1000)) {
         take_off_pause(peers, gap, now);
     }
     peers->last_tick = now;
@@ -410,12 +410,20 @@
     }
 }
 
+/* Milliseconds until the next tick is due. */
+static int
+until_tick(const struct ch_peers *peers, int64_t now)
+{
+    int64_t left = peers->last_tick + TICK_MS * INT64_C(1000) - now;
+    return (int)CLAMP((left + 999) / 1000, 0, TICK_MS);
+}
+
 /*
  * Waits for events and takes them, then does the clock's part when it is due.
  * A thread that had no turn for a while finds replies beside limits that have
  * passed, and would tell its callers that others were silent.  So limits are
- * judged by the time before the wait, and only once all is read that had come
- * by then.
+ * judged by a time at which all that had come is surely read: before the wait,
+ * or at the end of one that brought nothing.
  */
 static void
 take_turn(struct ch_peers *peers)
@@ -423,15 +431,19 @@
     struct epoll_event events[EVENTS];
     const struct ch_client *client = peers->node->client;
     int64_t before = ch_client_now(client);
-    int count = epoll_wait(peers->epoll, events, EVENTS, TICK_MS);
+    int wait = until_tick(peers, before);
+    int count = epoll_wait(peers->epoll, events, EVENTS, wait);
+    int64_t now = ch_client_now(client);
+    int64_t read_at =
+        count == 0 ? MIN(before + wait * INT64_C(1000), now) : before;
     pthread_mutex_lock(&peers->lock);
-    bool left = take_events(peers, events, count, ch_client_now(client));
+    bool left = take_events(peers, events, count, now);
     peers->behind = left ? (peers->behind + 1) % MOST_BEHIND : 0;
     if (peers->behind == 0 &&
-        before - peers->last_tick >= TICK_MS * INT64_C(1000)) {
-        tick(peers, before);
+        read_at - peers->last_tick >= TICK_MS * INT64_C(1000)) {
+        tick(peers, read_at);
     }
-    sweep_connections(peers, before);
+    sweep_connections(peers, read_at);
     pthread_mutex_unlock(&peers->lock);
 }
 
