Settings: the slack of repeats and the window of loads may be fractions

What callers saw: nothing was served at all.

Cause: the two settings that are filled in from the platform's bounds were read as whole numbers; its pages allow fractions.

Change: both are read as numbers. The limits stay. Others that come from bounds are shares already, or whole by their unit (lease-ms).

Test: /settings/fractions, which failed with the message above.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -237,9 +237,9 @@
     unsigned max_queue;         /* [limits] queue, for each upstream */
     unsigned max_connections;   /* [limits] connections */
     double retry_share;         /* [limits] retry-share */
-    unsigned retry_slack;       /* [limits] retry-slack, of the whole fleet */
+    double retry_slack;         /* [limits] retry-slack, of the whole fleet */
     unsigned lease_ms;          /* [upstreams] lease-ms, of a right to order */
-    unsigned load_window_s;     /* [weight-store] window-s */
+    double load_window_s;       /* [weight-store] window-s */
     double load_overshoot;      /* [weight-store] overshoot */
     double loads_per_s;         /* [weight-store] loads-per-s */
     unsigned loads_parallel;    /* [weight-store] parallel */
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -66,7 +66,7 @@
                                (int64_t)settings->lease_ms * 1000);
     duty->heard = ch_client_now(controller->node->client) - HOLDER_SILENT;
     ch_window_init(&duty->loads,
-                   (int64_t)settings->load_window_s * G_USEC_PER_SEC +
+                   (int64_t)(settings->load_window_s * G_USEC_PER_SEC) +
                        LOADS_MARGIN);
     g_hash_table_insert(controller->duties, key, duty);
     return duty;
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -187,6 +187,24 @@
     }
 }
 
+/* A fleet of another size scales the bounds: fractions of them are read.
+ * Guards against nodes that do not start as one bound is no whole number. */
+static void
+test_fractions(void)
+{
+    struct ch_error error = {0};
+    struct ch_settings *settings = ch_settings_parse(
+        GOOD "[limits]\nretry-share = 0.25\nretry-slack = 33.1578947368421\n"
+             "[weight-store]\nwindow-s = 2.5\novershoot = 1.1\n",
+        "f.ini", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_cmpfloat(settings->retry_share, ==, 0.25);
+    g_assert_cmpfloat(settings->retry_slack, ==, 33.1578947368421);
+    g_assert_cmpfloat(settings->load_window_s, ==, 2.5);
+    g_assert_cmpfloat(settings->load_overshoot, ==, 1.1);
+    ch_settings_free(settings);
+}
+
 /* The example with every default stated, its "#key = value" lines taken in. */
 static char *
 stated_example(void)
@@ -251,6 +269,7 @@
     g_test_add_func("/settings/bad", test_bad);
     g_test_add_func("/settings/defaults", test_defaults);
     g_test_add_func("/settings/values", test_values);
+    g_test_add_func("/settings/fractions", test_fractions);
     g_test_add_func("/settings/policy", test_policy);
     g_test_add_func("/settings/example-defaults", test_example_defaults);
     g_test_add_func("/settings/files", test_files);
