Frames between nodes are counted by kind, direction and way; metrics for the platform

Change: each frame is counted with its bytes by kind, by direction and by whether the other node is of another region, at /metrics (chestnuthitch_peer_frames_total, chestnuthitch_peer_bytes_total) and in `status` ("traffic").

Beside it: the events of a connection are set only when they change; each frame sent cost a system call for it.

Test: /peers/traffic.

--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -161,6 +161,7 @@
 {
     GString *text = g_string_new(NULL);
     ch_metrics_render(request->admin->node->client->metrics, text);
+    ch_peers_render(request->admin->node->peers, text);
     return send_answer(request->connection, MHD_HTTP_OK,
                        "text/plain; version=0.0.4; charset=utf-8",
                        g_string_free(text, FALSE));
--- a/libchestnuthitch/node/local.c
+++ b/libchestnuthitch/node/local.c
@@ -50,6 +50,7 @@
 {
     GString *text = g_string_new(NULL);
     ch_metrics_render(front->node->client->metrics, text);
+    ch_peers_render(front->node->peers, text);
     answer(reply, 200, "text/plain; version=0.0.4",
            g_string_free(text, FALSE));
 }
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -304,6 +304,11 @@
 /* Upstreams, homes, residents as JSON members of an open object. */
 void ch_homes_status(struct ch_homes *homes, JsonBuilder *builder);
 void ch_peers_status(struct ch_peers *peers, JsonBuilder *builder);
+/* Frames and bytes to and from other nodes, by kind: as metrics' text, and as
+   an array "traffic" of an open object. */
+void ch_peers_render(const struct ch_peers *peers, GString *out);
+void ch_peers_traffic_status(const struct ch_peers *peers,
+                             JsonBuilder *builder);
 
 /* ---- front (front.c: HTTP; exchange.c: one request's course) ---- */
 
--- a/libchestnuthitch/node/peers_connection.c
+++ b/libchestnuthitch/node/peers_connection.c
@@ -30,12 +30,17 @@
     (void)written;
 }
 
-/* Says which events the thread is to hear of. */
+/* Says which events the thread is to hear of, when they are others than
+ * before. */
 static void
 set_events(struct ch_peers *peers, struct connection *connection)
 {
     bool wants_out =
         connection->connecting || connection->out_sent < connection->out->len;
+    if (wants_out == connection->wants_out) {
+        return;
+    }
+    connection->wants_out = wants_out;
     struct epoll_event event = {
         .events = EPOLLIN | (wants_out ? EPOLLOUT : 0U),
         .data.ptr = connection,
@@ -52,6 +57,7 @@
     connection->fd = fd;
     connection->outbound = outbound;
     connection->connecting = outbound;
+    connection->wants_out = outbound;
     connection->name = g_strdup(name);
     connection->decoder = ch_wire_decoder_new();
     connection->out = g_byte_array_new();
@@ -99,6 +105,7 @@
                Chestnuthitch__Wire__Frame *frame, int64_t now)
 {
     struct ch_error error = {0};
+    guint before = connection->out->len;
     peers_stamp(peers, frame);
     if (connection->failure != CH_OK ||
         connection->out->len - connection->out_sent > MOST_WAITING ||
@@ -106,6 +113,8 @@
         return false;
     }
     ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_SENT, 1);
+    peers_count(peers, PEERS_SENT, frame->body_case, connection->other_region,
+                connection->out->len - before);
     connection->used = now;
     if (!connection->connecting) {
         connection_flush(peers, connection);
@@ -173,6 +182,8 @@
     }
     struct connection *connection =
         connection_add(peers, fd, member->name, true, now);
+    connection->other_region =
+        g_strcmp0(member->region, peers->node->settings->region) != 0;
     g_hash_table_insert(peers->outbound, connection->name, connection);
     connection_hello(peers, connection, now);
     return connection;
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -17,11 +17,25 @@
     PEERS_BODY_CASES = 32,
 };
 
+enum peers_direction {
+    PEERS_SENT,
+    PEERS_RECEIVED,
+    PEERS_DIRECTIONS,
+};
+
+/* Counted of one kind of frame; atomic. */
+struct traffic {
+    uint64_t frames;
+    uint64_t bytes;
+};
+
 struct connection {
     int fd;
     bool outbound;
     bool connecting;
-    char *name; /* NULL until an inbound one has said its name */
+    bool other_region; /* the other node is of another region */
+    bool wants_out;    /* the thread is told when more can be written */
+    char *name;        /* NULL until an inbound one has said its name */
     struct ch_wire_decoder *decoder;
     GByteArray *out;
     size_t out_sent;
@@ -70,6 +84,8 @@
     int64_t last_tick;
     unsigned behind; /* turns since all that had come was read */
     struct handler handlers[PEERS_BODY_CASES];
+    /* By kind, direction, and whether it went to another region. */
+    struct traffic traffic[PEERS_BODY_CASES][PEERS_DIRECTIONS][2];
     struct handler late;
 };
 
@@ -104,6 +120,13 @@
 /* Closes a connection, which fails the requests that wait on it. */
 void connection_drop(struct ch_peers *peers, struct connection *connection);
 
+/* ---- peers_traffic.c; no lock ---- */
+
+/* Counts a frame with the bytes that it takes on the connection. */
+void peers_count(struct ch_peers *peers, enum peers_direction direction,
+                 Chestnuthitch__Wire__Frame__BodyCase body, bool other_region,
+                 size_t bytes);
+
 /* ---- peers_loop.c ---- */
 
 /* The thread. */
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -41,6 +41,8 @@
         return;
     }
     connection->name = g_strdup(frame->from);
+    connection->other_region =
+        strcmp(frame->hello->region, peers->node->settings->region) != 0;
     g_hash_table_replace(peers->inbound, connection->name, connection);
     connection_hello(peers, connection, now);
 }
@@ -82,6 +84,9 @@
 {
     ch_metrics_count(peers->node->client->metrics, CH_COUNT_FRAMES_RECEIVED,
                      1);
+    peers_count(peers, PEERS_RECEIVED, frame->body_case,
+                connection->other_region,
+                ch_wire_decoder_length(connection->decoder));
     ch_members_heard(peers->members, frame->from, now);
     ch_members_ready(peers->members, frame->from, frame->ready);
     connection->heard = now;
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -254,4 +254,5 @@
     }
     pthread_mutex_unlock(&peers->lock);
     json_builder_end_array(builder);
+    ch_peers_traffic_status(peers, builder);
 }
--- a/libchestnuthitch/wire/frame.c
+++ b/libchestnuthitch/wire/frame.c
@@ -7,6 +7,7 @@
 struct ch_wire_decoder {
     GByteArray *bytes;
     size_t taken; /* of bytes, by frames already given out */
+    size_t last;  /* bytes of the last of them */
     bool failed;
 };
 
@@ -102,7 +103,8 @@
     if (frame == NULL) {
         return fail(decoder, error, CH_FRAME_DAMAGED, "frame does not decode");
     }
-    decoder->taken += CH_WIRE_PREFIX + length;
+    decoder->last = CH_WIRE_PREFIX + length;
+    decoder->taken += decoder->last;
     if (frame->version != CH_WIRE_VERSION) {
         ch_wire_frame_free(frame);
         return fail(decoder, error, CH_FRAME_VERSION,
@@ -118,6 +120,13 @@
     return frame;
 }
 
+/* See wire.h. */
+size_t
+ch_wire_decoder_length(const struct ch_wire_decoder *decoder)
+{
+    return decoder->last;
+}
+
 /* Frees a frame that the decoder gave. */
 void
 ch_wire_frame_free(Chestnuthitch__Wire__Frame *frame)
--- a/libchestnuthitch/wire/wire.h
+++ b/libchestnuthitch/wire/wire.h
@@ -30,6 +30,8 @@
 /* The next frame, or NULL: no whole one yet, or *error is set. */
 Chestnuthitch__Wire__Frame *
 ch_wire_decoder_next(struct ch_wire_decoder *decoder, struct ch_error *error);
+/* Bytes that the frame given last took on the connection. */
+size_t ch_wire_decoder_length(const struct ch_wire_decoder *decoder);
 void ch_wire_frame_free(Chestnuthitch__Wire__Frame *frame);
 
 #endif
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -160,6 +160,50 @@
     end_free(first);
 }
 
+/* What one kind of frame counts at an end. */
+static void
+check_traffic(const struct end *end, const char *labels, const char *frames)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_autofree char *line = g_strdup_printf(
+        "chestnuthitch_peer_frames_total{%s} %s\n", labels, frames);
+    ch_peers_render(end->node.peers, text);
+    g_test_message("%s", line);
+    g_assert_nonnull(strstr(text->str, line));
+}
+
+/* Frames are counted by kind, direction and way, at both ends alike; a reply
+ * counts as what it is. */
+static void
+test_traffic(void)
+{
+    struct end *first = end_new("e01");
+    struct end *second = end_new("e02");
+    first->settings.region = (char *)"r2";
+    ch_peers_handle(second->node.peers, WIRE(FRAME__BODY_CONFIG_PULL), answer,
+                    second);
+    ch_peers_start(first->node.peers);
+    ch_peers_start(second->node.peers);
+    introduce(first, "e02", ch_peers_port(second->node.peers));
+    for (int i = 0; i < 3; i++) {
+        g_assert_cmpint(ask(first, "e02", 0).code, ==, CH_OK);
+    }
+    check_traffic(first,
+                  "kind=\"config_pull\",direction=\"sent\","
+                  "way=\"other_region\"",
+                  "3");
+    check_traffic(first,
+                  "kind=\"done\",direction=\"received\","
+                  "way=\"other_region\"",
+                  "3");
+    check_traffic(second,
+                  "kind=\"config_pull\",direction=\"received\","
+                  "way=\"other_region\"",
+                  "3");
+    end_free(second);
+    end_free(first);
+}
+
 /* A listener whose connections are made by the kernel and never read. */
 static int
 silent_listener(uint16_t *port)
@@ -480,6 +524,7 @@
                          GINT_TO_POINTER(true), test_limit_after_pause);
     g_test_add_data_func("/peers/limit-after-pause/asked-within",
                          GINT_TO_POINTER(false), test_limit_after_pause);
+    g_test_add_func("/peers/traffic", test_traffic);
     g_test_add_func("/peers/request", test_request);
     g_test_add_func("/peers/silent-node", test_silent_node);
     g_test_add_func("/peers/damaged", test_damaged);
