--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -236,6 +236,8 @@
     size_t max_headers;         /* [limits] header-bytes */
     unsigned max_queue;         /* [limits] queue, for each upstream */
     unsigned max_connections;   /* [limits] connections */
+    double cores;               /* [node] cores, of the host, for this node */
+    double host_mbit;           /* [node] link-mbit */
     double retry_share;         /* [limits] retry-share */
     double retry_slack;         /* [limits] retry-slack, of the whole fleet */
     unsigned lease_ms;          /* [upstreams] lease-ms, of a right to order */
@@ -258,6 +260,12 @@
 struct ch_settings *ch_settings_load(const char *path, struct ch_error *error);
 struct ch_settings *ch_settings_parse(const char *text, const char *path,
                                       struct ch_error *error);
+/* The region of a data centre, by [node] data-centres; a new string, the data
+   centre's own name when it stands in none. */
+char *ch_settings_region(const struct ch_settings *settings,
+                         const char *data_centre);
+/* What this host can do for others, by its processor and its link. */
+uint32_t ch_settings_capacity(const struct ch_settings *settings);
 void ch_settings_free(struct ch_settings *settings);
 /* Each key of [policy], and whether it is on. */
 void ch_settings_each_policy(const struct ch_settings *settings,
--- a/libchestnuthitch/base/json.c
+++ b/libchestnuthitch/base/json.c
@@ -152,6 +152,17 @@
                : NULL;
 }
 
+/* See json.h. */
+int64_t
+ch_json_integer(JsonObject *object, const char *name, int64_t fallback)
+{
+    JsonNode *node = json_object_get_member(object, name);
+    return node != NULL && JSON_NODE_HOLDS_VALUE(node) &&
+                   json_node_get_value_type(node) == G_TYPE_INT64
+               ? json_node_get_int(node)
+               : fallback;
+}
+
 /* See json.h. */
 char *
 ch_json_print(JsonBuilder *builder)
--- a/libchestnuthitch/base/json.h
+++ b/libchestnuthitch/base/json.h
@@ -23,6 +23,9 @@
 const char *ch_json_text(JsonObject *object, const char *name);
 
 /* What a builder holds, as a new string; the builder is given up. */
+/* An integer member; the fallback when there is none. */
+int64_t ch_json_integer(JsonObject *object, const char *name,
+                        int64_t fallback);
 char *ch_json_print(JsonBuilder *builder);
 
 #endif
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -30,6 +30,9 @@
     {"node", "workers", CH_INI_UNSIGNED, AT(workers), "4", 1, 256, NULL},
     {"node", "log-level", CH_INI_CHOICE, AT(log_level), "info", CH_LOG_ERR, 0,
      level_names},
+    {"node", "cores", CH_INI_DOUBLE, AT(cores), "1", 0.001, 1024, NULL},
+    {"node", "link-mbit", CH_INI_DOUBLE, AT(host_mbit), "1000", 0.1, 1000000,
+     NULL},
     {"listen", "callers", CH_INI_ADDRESS, AT(callers), NULL, 0, 0, NULL},
     {"listen", "admin", CH_INI_ADDRESS, AT(admin), NULL, 0, 0, NULL},
     {"listen", "peers", CH_INI_ADDRESS, AT(peers), NULL, 0, 0, NULL},
@@ -244,6 +247,33 @@
     return settings;
 }
 
+/* The region of a data centre by the settings' table "NAME:REGION, ..."; a new
+ * string, the data centre's own name when it stands in none. */
+char *
+ch_settings_region(const struct ch_settings *settings, const char *data_centre)
+{
+    char **pairs = g_strsplit_set(
+        settings->data_centres == NULL ? "" : settings->data_centres, ", ;",
+        -1);
+    char *region = NULL;
+    size_t length = strlen(data_centre);
+    for (size_t i = 0; region == NULL && pairs[i] != NULL; i++) {
+        if (strncmp(pairs[i], data_centre, length) == 0 &&
+            pairs[i][length] == ':') {
+            region = g_strdup(pairs[i] + length + 1);
+        }
+    }
+    g_strfreev(pairs);
+    return region != NULL ? region : g_strdup(data_centre);
+}
+
+/* See base.h. */
+uint32_t
+ch_settings_capacity(const struct ch_settings *settings)
+{
+    return (uint32_t)(settings->cores * settings->host_mbit);
+}
+
 /* Frees settings; NULL is nothing. */
 void
 ch_settings_free(struct ch_settings *settings)
--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -178,6 +178,17 @@
     member->listed = true;
 }
 
+/* See member.h. */
+void
+ch_members_capacity(struct ch_members *members, const char *name,
+                    uint32_t capacity)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL) {
+        member->capacity = capacity;
+    }
+}
+
 /* Ends the update: who was not listed is forgotten.  The round of probes goes
  * on unless the members are others: begun anew at each list, it would never
  * come to an end in a fleet whose list comes more often than a round takes. */
--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -25,6 +25,7 @@
     enum ch_member_status status;
     bool leaving;    /* by the list */
     uint64_t leaves; /* incarnation that said that it stops; 0: none */
+    uint32_t capacity; /* of its host; 0: not told */
     bool unready;    /* it answers, but is not ready to be home */
     bool listed;     /* found by the update that runs now */
     uint64_t incarnation;
@@ -47,6 +48,9 @@
 void ch_members_listed(struct ch_members *members, const char *name,
                        const char *address, const char *region,
                        const char *data_centre, bool leaving, int64_t now);
+/* What a listed one's host can do. */
+void ch_members_capacity(struct ch_members *members, const char *name,
+                         uint32_t capacity);
 void ch_members_end_update(struct ch_members *members);
 
 void ch_members_heard(struct ch_members *members, const char *name,
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -18,8 +18,8 @@
 enum {
     /* A bound for orders and reports to upstreams. */
     CALL_LIMIT = 2 * 1000 * 1000,
-    /* What a holder told stands against the list for this long: three of its
-     * messages.  After it the list's word counts again. */
+    /* What a holder told stands against the list for this long, and for as
+     * long as the list's word is older. */
     TOLD_FRESH = 6 * 1000 * 1000,
     /* How long a request waits for its model, in times the target of its
      * class: callers give up a stream that brings nothing for four. */
@@ -166,7 +166,7 @@
     const struct told_engine *told = g_hash_table_lookup(
         balancer->told, GUINT_TO_POINTER(g_quark_try_string(host->name)));
     return told != NULL && told->boot == host->boot &&
-                   now - told->at < TOLD_FRESH
+                   (now - told->at < TOLD_FRESH || told->at > host->read_at)
                ? told
                : NULL;
 }
@@ -681,6 +681,27 @@
     pthread_mutex_unlock(&balancer->lock);
 }
 
+/* The loads of engines as of now, by the word of a holder. */
+static void
+engines_loaded(void *data, const GArray *loads)
+{
+    struct balancer *balancer = data;
+    int64_t now = ch_client_now(balancer->node->client);
+    pthread_mutex_lock(&balancer->lock);
+    for (guint i = 0; i < loads->len; i++) {
+        const struct ch_engine_load *load =
+            &g_array_index(loads, struct ch_engine_load, i);
+        struct told_engine *told = g_hash_table_lookup(
+            balancer->told, GUINT_TO_POINTER(load->upstream));
+        if (told != NULL) {
+            told->at = now;
+        }
+        ch_balance_all(balancer->balance, load->upstream, load->running,
+                       load->unread, now);
+    }
+    pthread_mutex_unlock(&balancer->lock);
+}
+
 /* A whole message was taken. */
 static void
 all_told(void *data)
@@ -959,6 +980,7 @@
     };
     static const struct ch_controller_handlers handlers = {
         .told = engine_told,
+        .loads = engines_loaded,
         .told_all = all_told,
         .demand = tell_demand,
         .used = tell_used,
--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -350,8 +350,8 @@
 begin_call(struct ch_config_keeper *keeper)
 {
     struct ch_node *node = keeper->node;
-    bool watcher = ch_peers_has_role(node->peers, node->settings,
-                                     "config-watch", WATCHERS, NULL);
+    bool watcher =
+        ch_peers_has_role(node->peers, "config-watch", WATCHERS, NULL);
     pthread_mutex_lock(&keeper->lock);
     uint64_t revision =
         keeper->current == NULL ? 0 : keeper->current->revision;
@@ -509,8 +509,7 @@
     const struct ch_node *node = keeper->node;
     const struct ch_settings *own = node->settings;
     if (ch_peers_is_near(node->peers, from) ||
-        ch_peers_has_role(node->peers, own, "config-entry", ENTRIES,
-                          own->region)) {
+        ch_peers_has_role(node->peers, "config-entry", ENTRIES, own->region)) {
         return true;
     }
     int64_t now = ch_client_now(node->client);
--- a/libchestnuthitch/node/controller.h
+++ b/libchestnuthitch/node/controller.h
@@ -43,6 +43,9 @@
 struct ch_controller_handlers {
     /* On a pool worker, no lock held. */
     void (*told)(void *data, const struct ch_engine_told *engine);
+    /* The loads of engines as of now, struct ch_engine_load: those told in a
+       message, and those that it left as they were. */
+    void (*loads)(void *data, const GArray *loads);
     /* All that was told in one message is told. */
     void (*told_all)(void *data);
     /* Appends struct ch_model_demand, and struct ch_engine_load. */
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -183,7 +183,7 @@
         if (item->name == name) {
             answer_waits(engine, item, CH_NO_UPSTREAM);
             g_array_remove_index(engine->items, i);
-            engine->news = true;
+            engine->news = ALL_NEWS;
             return;
         }
     }
@@ -208,7 +208,7 @@
         item->state = state;
         item->changed = now;
         item->ordered = false;
-        engine->news = true;
+        engine->news = ALL_NEWS;
     }
 }
 
@@ -223,6 +223,7 @@
     engine->controller = controller;
     engine->references = 1;
     engine->name = g_quark_from_string(host->name);
+    engine->news = ALL_NEWS;
     engine->address = g_strdup(host->address);
     engine->client = node->dialect->upstream_new(
         node->client, node->http, host, CH_CONTROLLER_CALL_LIMIT);
@@ -267,9 +268,10 @@
     g_array_set_size(engine->items, 0);
     engine->taken = 0;
     engine->known = false;
+    engine->mirrored = false;
     engine->unsure = false;
     engine->report_at = now;
-    engine->news = true;
+    engine->news = ALL_NEWS;
 }
 
 /*
@@ -301,7 +303,6 @@
         GQuark copy = g_quark_from_string(host->copies[i]);
         g_array_append_val(engine->copies, copy);
     }
-    engine->news = true;
 }
 
 /* ---- orders ---- */
@@ -775,7 +776,9 @@
     }
     guint before = engine->items->len;
     take_resident(engine, names, now);
-    engine->news = engine->news || engine->items->len != before;
+    if (engine->items->len != before) {
+        engine->news = ALL_NEWS;
+    }
     g_free(names);
 }
 
@@ -790,8 +793,6 @@
     if (report == NULL || job->boot != engine->boot) {
         return;
     }
-    engine->news = engine->news || engine->running != report->running ||
-                   engine->waiting != report->waiting;
     engine->running = report->running;
     engine->waiting = report->waiting;
     bool settled =
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -2,9 +2,11 @@
 #define CH_NODE_CONTROLLER_INTERNAL_H
 
 /*
- * What controller.c (rights, what is told and asked), controller_engine.c (one
- * engine's orders and reports) and controller_models.c (which models) share.
- * One lock guards all of it.
+ * What controller.c (rights, adapters on request), controller_tell.c (what
+ * holders tell of engines), controller_hear.c (what is taken of it),
+ * controller_demand.c (what requests ask for),
+ * controller_engine.c (one engine's orders and reports) and
+ * controller_models.c (which models) share.  One lock guards all of it.
  */
 
 #include "decide/arrange.h"
@@ -22,6 +24,23 @@
     CH_CONTROLLER_CALL_LIMIT = 1500 * 1000,
 };
 
+/* Who is told of engines.  Numbers in messages. */
+enum audience {
+    AUDIENCE_NODES, /* the nodes that this holder tells, of all engines */
+    AUDIENCE_NEAR,  /* other holders of this region, of this one's engines */
+    AUDIENCE_FAR,   /* ... of other regions */
+    AUDIENCES,
+};
+
+/* Everything of an engine is news to every audience. */
+#define ALL_NEWS ((1U << AUDIENCES) - 1)
+
+/* An engine's load as it was told. */
+struct load {
+    uint32_t running;
+    uint32_t unread_ms;
+};
+
 /* A request that waits for an adapter, by the frame that asked. */
 struct adapter_wait {
     char *from;
@@ -75,28 +94,32 @@
     bool listed;
     bool leaving;
     bool restarted; /* a report showed it; the list does not yet */
-    bool known; /* its orders and what it holds were read since its start */
-    bool news;  /* to be told */
-    bool news_far;
+    bool known;    /* its orders and what it holds were read since its start */
+    bool mirrored; /* what it holds is another holder's word */
+    bool told_busy;  /* ... and whether it takes orders */
+    unsigned news;   /* by audience, a bit each: its state is to be told */
+    uint32_t number; /* by which it is named to audiences; 0: none yet */
+    struct load told[AUDIENCES];
 };
 
-/* When what a holder knows of its engines is told next. */
+/* When an audience is told next, and the number of the last message. */
 struct tell_times {
-    int64_t next;
+    int64_t next;       /* news */
+    int64_t next_quiet; /* that there is none */
     int64_t next_whole;
+    uint64_t sequence;
 };
 
 /* A data centre's engines and the right to order them. */
 struct duty {
     GQuark data_centre;
+    GQuark region; /* of the data centre */
     struct ch_claim *claim;
     char *holder;   /* the node that told last; NULL: none */
     uint64_t fence; /* of its right */
     int64_t heard;
     bool was_held;
     int64_t held_since;
-    struct tell_times near; /* to nodes of this region */
-    struct tell_times far;  /* to all others */
     int64_t next_arrange;
     int64_t next_short;     /* lines on models that stay short */
     struct ch_window loads; /* of models from the weight store */
@@ -104,7 +127,9 @@
 
 /* What one node told of its requests. */
 struct node_demand {
-    GQuark data_centre; /* to whose holder it was told */
+    GQuark data_centre; /* to whose holder an earlier version told it; 0: of
+                           all that was told by the node */
+    bool collected;     /* the sum of what others told that holder */
     GArray *list;       /* struct ch_model_demand */
     GArray *loads;      /* struct ch_engine_load */
     int64_t at;
@@ -128,6 +153,11 @@
     bool draining;
     uint64_t timer;
     int64_t next_demand;
+    int64_t next_demand_far;
+    struct tell_times telling[AUDIENCES];
+    uint32_t last_number; /* of an engine */
+    GHashTable *tellers;  /* what other holders told, by name and audience */
+    GHashTable *used;     /* adapters in use, to be passed on */
     GHashTable *engines;  /* GQuark to struct controller_engine */
     GHashTable *duties;   /* GQuark of data centre to struct duty */
     GHashTable *demands;  /* node name to struct node_demand */
@@ -175,14 +205,6 @@
 
 /* ---- controller_models.c; lock held ---- */
 
-/* Takes a node's word on what it asks for. */
-GHashTable *controller_demands_new(void);
-void controller_take_demand(struct ch_controller *controller, const char *from,
-                            const Chestnuthitch__Wire__Demand *demand,
-                            int64_t now);
-/* Adds up what all nodes have sent to the engines of a data centre. */
-void controller_sum_loads(struct ch_controller *controller,
-                          const struct duty *duty, int64_t now);
 /* Decides on models, and begins what was decided. */
 void controller_arrange(struct ch_controller *controller, struct duty *duty,
                         int64_t now);
@@ -191,6 +213,38 @@
 void controller_fill_places(struct ch_controller *controller,
                             struct duty *duty, int64_t now);
 
+/* ---- controller_tell.c; lock held ---- */
+
+void controller_tell_init(struct ch_controller *controller);
+/* Tells all audiences what is due, where this node holds a right. */
+void controller_tell(struct ch_controller *controller, int64_t now);
+/* Whether this node has the right now. */
+bool controller_holds(const struct duty *duty);
+/* The holder that tells this node, and takes its demand; a new string, NULL:
+   none is known. */
+char *controller_teller(struct ch_controller *controller, int64_t now);
+/* The names of the other holders that were heard lately, of this region or of
+   others. */
+GPtrArray *controller_other_holders(struct ch_controller *controller,
+                                    bool near, int64_t now);
+
+/* ---- controller_hear.c ---- */
+
+void controller_hear_init(struct ch_controller *controller);
+
+/* ---- controller_demand.c ---- */
+
+void controller_demand_init(struct ch_controller *controller);
+/* Tells what requests ask for when it is due.  Lock not held. */
+void controller_demand_step(struct ch_controller *controller);
+/* What all nodes ask of each model, struct smoothed by its quark; lock held,
+   like the next. */
+GHashTable *controller_sum_demands(struct ch_controller *controller,
+                                   const struct duty *duty, int64_t now);
+/* Adds up what all nodes have sent to the engines of a data centre. */
+void controller_sum_loads(struct ch_controller *controller,
+                          const struct duty *duty, int64_t now);
+
 /* ---- controller.c; lock held ---- */
 
 struct duty *controller_duty(struct ch_controller *controller,
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -1,4 +1,4 @@
-/* What requests ask for, and which models are to come and go for it. */
+/* Which models are to come and go for what requests ask for. */
 
 #include "node/controller_internal.h"
 
@@ -6,8 +6,6 @@
 #include <string.h>
 
 enum {
-    /* A node's word holds this long; nodes tell it twice a second. */
-    DEMAND_STALE = 2 * 1000 * 1000,
     /* Demand is smoothed over this time: it moves every few seconds, and a
      * load takes one at least. */
     SMOOTH = 500 * 1000,
@@ -34,131 +32,11 @@
 
 /* ---- demand ---- */
 
-/* Frees what a node told. */
-static void
-free_demand(void *data)
-{
-    struct node_demand *demand = data;
-    g_array_free(demand->list, TRUE);
-    g_array_free(demand->loads, TRUE);
-    g_free(demand);
-}
-
-/* What nodes told, by the node's name and the data centre. */
-GHashTable *
-controller_demands_new(void)
-{
-    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
-}
-
-/* See controller_internal.h. */
-void
-controller_take_demand(struct ch_controller *controller, const char *from,
-                       const Chestnuthitch__Wire__Demand *demand, int64_t now)
-{
-    struct node_demand *told = g_new0(struct node_demand, 1);
-    told->at = now;
-    told->data_centre = g_quark_from_string(demand->data_centre);
-    told->list = g_array_new(FALSE, FALSE, sizeof(struct ch_model_demand));
-    for (size_t i = 0;
-         i < demand->n_models && i < demand->n_work && i < demand->n_backlog;
-         i++) {
-        const struct ch_model_demand model = {
-            .model = g_quark_from_string(demand->models[i]),
-            .work = demand->work[i],
-            .backlog = demand->backlog[i],
-        };
-        g_array_append_val(told->list, model);
-    }
-    told->loads = g_array_new(FALSE, FALSE, sizeof(struct ch_engine_load));
-    for (size_t i = 0; i < demand->n_loads; i++) {
-        const struct ch_engine_load load = {
-            .upstream = g_quark_from_string(demand->loads[i]->upstream),
-            .running = demand->loads[i]->running,
-            .unread = (int64_t)demand->loads[i]->unread_ms * 1000,
-        };
-        g_array_append_val(told->loads, load);
-    }
-    g_hash_table_replace(controller->demands,
-                         g_strconcat(from, " ", demand->data_centre, NULL),
-                         told);
-}
-
-/* Adds up what all nodes told lately. */
-static GHashTable *
-sum_demands(struct ch_controller *controller, const struct duty *duty,
-            int64_t now)
-{
-    GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, controller->demands);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct node_demand *told = value;
-        for (guint i = 0; told->data_centre == duty->data_centre &&
-                          now - told->at < DEMAND_STALE && i < told->list->len;
-             i++) {
-            const struct ch_model_demand *model =
-                &g_array_index(told->list, struct ch_model_demand, i);
-            gpointer key = GUINT_TO_POINTER(model->model);
-            struct smoothed *sum = g_hash_table_lookup(sums, key);
-            if (sum == NULL) {
-                sum = g_new0(struct smoothed, 1);
-                g_hash_table_insert(sums, key, sum);
-            }
-            sum->work += model->work / 1000.0;
-            sum->backlog += model->backlog / 1000.0;
-        }
-    }
-    return sums;
-}
-
-/* Adds what one node has sent to the engines.  Lock held. */
-static void
-add_loads(struct ch_controller *controller, const struct node_demand *told)
-{
-    for (guint i = 0; i < told->loads->len; i++) {
-        const struct ch_engine_load *load =
-            &g_array_index(told->loads, struct ch_engine_load, i);
-        struct controller_engine *engine = g_hash_table_lookup(
-            controller->engines, GUINT_TO_POINTER(load->upstream));
-        if (engine != NULL) {
-            engine->load_running += load->running;
-            engine->load_unread += load->unread;
-        }
-    }
-}
-
-/* See controller_internal.h. */
-void
-controller_sum_loads(struct ch_controller *controller, const struct duty *duty,
-                     int64_t now)
-{
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, controller->engines);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct controller_engine *engine = value;
-        if (engine->data_centre == duty->data_centre) {
-            engine->news = engine->news || engine->load_running > 0;
-            engine->load_running = 0;
-            engine->load_unread = 0;
-        }
-    }
-    g_hash_table_iter_init(&iterator, controller->demands);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct node_demand *told = value;
-        if (now - told->at < DEMAND_STALE) {
-            add_loads(controller, told);
-        }
-    }
-}
-
 /* Lets the smoothed demand follow what is told now. */
 static void
 smooth(struct ch_controller *controller, const struct duty *duty, int64_t now)
 {
-    GHashTable *sums = sum_demands(controller, duty, now);
+    GHashTable *sums = controller_sum_demands(controller, duty, now);
     double age = (double)(now - controller->smoothed_at) / SMOOTH;
     double weight = 1 - exp(-age);
     controller->smoothed_at = now;
@@ -344,7 +222,7 @@
         item->not_before = now + LEAVE_FIRST;
         engine->report_at = now + LEAVE_FIRST - ASK_EARLIER;
     }
-    engine->news = true;
+    engine->news = ALL_NEWS;
     engine_pump(engine, duty, now);
 }
 
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -109,13 +109,15 @@
    while it is not ready and another node still serves. */
 bool ch_peers_is_home(struct ch_peers *peers, uint64_t key, const char *region,
                       const char *data_centre, bool *becomes);
-/*
- * Whether this node is one of `count` that do something for all others: each
- * the home of a key made of the role's name and its number.  region NULL: of
- * all nodes; else of those of a region.  (peers_role.c)
- */
-bool ch_peers_has_role(struct ch_peers *peers, const struct ch_settings *own,
-                       const char *role, unsigned count, const char *region);
+/* This node's place for a duty among itself and the live nodes of a data
+   centre and a region, NULL for either: of all.  0 is the first; hosts that can
+   do more come before others.  (peers_role.c, like the next) */
+size_t ch_peers_rank(struct ch_peers *peers, uint64_t key,
+                     const char *data_centre, const char *region);
+/* Whether this node is one of the `count` first that do something for all
+   others.  region NULL: of all nodes; else of those of a region. */
+bool ch_peers_has_role(struct ch_peers *peers, const char *role,
+                       unsigned count, const char *region);
 /* Whether a node is of this node's region; true for one that is not known. */
 bool ch_peers_is_near(struct ch_peers *peers, const char *name);
 /* The same number for as long as no home can have moved. */
@@ -137,6 +139,12 @@
 /* Adds the names of the other live nodes, new strings in one order: those of
    this node's data centre, and those of others. */
 void ch_peers_others(struct ch_peers *peers, GPtrArray *near, GPtrArray *far);
+/* Calls each for every other live node, with the peers' lock held. */
+void ch_peers_each_other(struct ch_peers *peers,
+                         void (*each)(void *data, const char *name,
+                                      const char *data_centre,
+                                      const char *region),
+                         void *data);
 /* Names of the live nodes, this one among them, sorted; g_strfreev. */
 char **ch_peers_live(struct ch_peers *peers);
 
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -132,6 +132,23 @@
     pthread_mutex_unlock(&peers->lock);
 }
 
+/* See node.h. */
+void
+ch_peers_each_other(struct ch_peers *peers,
+                    void (*each)(void *data, const char *name,
+                                 const char *data_centre, const char *region),
+                    void *data)
+{
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_at(peers->members, i);
+        if (ch_member_serves(member)) {
+            each(data, member->name, member->data_centre, member->region);
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
 /* Takes the platform's list of entry hosts. */
 void
 ch_peers_list(struct ch_peers *peers, const struct ch_host_list *list)
@@ -145,6 +162,7 @@
             ch_members_listed(peers->members, host->name, host->address,
                               host->region, host->data_centre, host->leaving,
                               now);
+            ch_members_capacity(peers->members, host->name, host->capacity);
         }
     }
     ch_members_end_update(peers->members);
--- a/libchestnuthitch/node/peers_role.c
+++ b/libchestnuthitch/node/peers_role.c
@@ -1,25 +1,52 @@
 /* Which few nodes do something for all others. */
 
-#include "node/node.h"
+#include "decide/rank.h"
+#include "node/peers_internal.h"
 
-#include <stdio.h>
 #include <string.h>
 
+/* Whether a node is of a data centre and a region; NULL for either means any.
+ */
+static bool
+is_of(const char *data_centre, const char *region, const char *own_centre,
+      const char *own_region)
+{
+    return (data_centre == NULL || g_strcmp0(data_centre, own_centre) == 0) &&
+           (region == NULL || g_strcmp0(region, own_region) == 0);
+}
+
 /* See node.h. */
-bool
-ch_peers_has_role(struct ch_peers *peers, const struct ch_settings *own,
-                  const char *role, unsigned count, const char *region)
+size_t
+ch_peers_rank(struct ch_peers *peers, uint64_t key, const char *data_centre,
+              const char *region)
 {
-    for (unsigned i = 0; i < count; i++) {
-        char name[32];
-        (void)snprintf(name, sizeof(name), "%s-%u", role, i);
-        uint64_t key = ch_hash_string(name);
-        g_autofree char *home =
-            region == NULL ? ch_peers_home(peers, key, NULL)
-                           : ch_peers_upstream_home(peers, key, region, "");
-        if (g_strcmp0(home, own->name) == 0) {
-            return true;
+    const struct ch_settings *settings = peers->node->settings;
+    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
+    const struct ch_rank_node self = {
+        .hash = ch_hash_string(settings->name),
+        .capacity = ch_settings_capacity(settings),
+    };
+    g_array_append_val(nodes, self);
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_at(peers->members, i);
+        const struct ch_rank_node node = {member->hash, member->capacity};
+        if (ch_member_serves(member) &&
+            is_of(data_centre, region, member->data_centre, member->region)) {
+            g_array_append_val(nodes, node);
         }
     }
-    return false;
+    pthread_mutex_unlock(&peers->lock);
+    size_t rank = ch_rank_of((const struct ch_rank_node *)(void *)nodes->data,
+                             nodes->len, 0, key);
+    g_array_free(nodes, TRUE);
+    return rank;
+}
+
+/* See node.h. */
+bool
+ch_peers_has_role(struct ch_peers *peers, const char *role, unsigned count,
+                  const char *region)
+{
+    return ch_peers_rank(peers, ch_hash_string(role), NULL, region) < count;
 }
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -41,6 +41,11 @@
      * at each tick, a hundred nodes made most of a thousand calls a second.
      */
     OWN_PAUSE_EACH = 100 * 1000,
+    /* After a watch that brought nothing that is for all nodes, the next one
+     * begins this much later and brings what came meanwhile.  Engines change
+     * their models all the time where demand moves; three nodes that watch do
+     * not pause together, so that what is for all is seen soon. */
+    GATHER = 1000 * 1000,
     /* Nodes that watch: three, so that one lost and one paused leave one. */
     WATCHERS = 3,
     /* What is new is told at the next tick; this often when nothing is, so
@@ -53,6 +58,7 @@
      * it knows who else is there. */
     SETTLE = 1500 * 1000,
     PULL_LIMIT = 1500 * 1000,
+    MOST_CAPACITY = 1000 * 1000 * 1000,
     /*
      * Entries lapse while the service is away, and their owners write them
      * again when it is back: within two seconds, as the platform says.  Until
@@ -91,18 +97,21 @@
 struct news {
     char *key;
     uint64_t removed; /* revision; 0: the entry that is there */
+    bool for_all;     /* else it is of use to those that order engines */
 };
 
 /* What lies below one prefix. */
 struct feed {
     struct ch_roster *roster;
     char *prefix;
-    GHashTable *entries; /* key to struct entry */
-    GHashTable *removed; /* key to revision of its latest removal */
-    GArray *news;        /* struct news: not told yet */
-    uint64_t told_at;    /* revision up to which it was told */
-    int64_t tell_at;     /* next time to tell */
-    int64_t heard;       /* when a node that watches last told something */
+    GHashTable *entries;  /* key to struct entry */
+    GHashTable *removed;  /* key to revision of its latest removal */
+    GArray *news;         /* struct news: not told yet */
+    uint64_t told_at;     /* revision up to which all were told */
+    uint64_t orderers_at; /* ... those that order engines */
+    int64_t tell_at;      /* next time to tell all */
+    bool watched;         /* by this node, at the last tick */
+    int64_t heard;        /* when a node that watches last told something */
     bool pulling;
     uint64_t at; /* revision up to which it is known; 0: nothing is */
     bool known;
@@ -118,6 +127,8 @@
     struct ch_node *node;
     void (*changed)(void *data);
     void *data;
+    void (*orderers)(void *data, GPtrArray *names); /* NULL: none */
+    void *orderers_data;
     pthread_mutex_t lock;
     int references;
     bool stopped;
@@ -190,26 +201,6 @@
 
 /* ---- reading entries ---- */
 
-/* The region of a data centre by the settings' table "NAME:REGION, ..."; a new
- * string, the data centre's own name when it stands in none. */
-static char *
-region_of(const struct ch_settings *settings, const char *data_centre)
-{
-    char **pairs = g_strsplit_set(
-        settings->data_centres == NULL ? "" : settings->data_centres, ", ;",
-        -1);
-    char *region = NULL;
-    size_t length = strlen(data_centre);
-    for (size_t i = 0; region == NULL && pairs[i] != NULL; i++) {
-        if (strncmp(pairs[i], data_centre, length) == 0 &&
-            pairs[i][length] == ':') {
-            region = g_strdup(pairs[i] + length + 1);
-        }
-    }
-    g_strfreev(pairs);
-    return region != NULL ? region : g_strdup(data_centre);
-}
-
 /* Reads a node's entry. */
 static bool
 parse_node(const char *key, const char *value, size_t length,
@@ -235,6 +226,8 @@
         .address = g_strdup(address),
         .data_centre = g_strdup(data_centre),
         .region = g_strdup(region),
+        .capacity = (uint32_t)CLAMP(ch_json_integer(object, "capacity", 0), 0,
+                                    MOST_CAPACITY),
     };
     return true;
 }
@@ -256,7 +249,8 @@
         good = node->dialect->host_parse(from->key, from->value, from->length,
                                          host, &error);
         if (good) {
-            host->region = region_of(node->settings, host->data_centre);
+            host->region =
+                ch_settings_region(node->settings, host->data_centre);
         }
     }
     if (!good && g_hash_table_add(roster->strangers, g_strdup(from->key))) {
@@ -272,14 +266,14 @@
 /* Says what became of an upstream or a node.  Lock held. */
 static void
 log_entry(const struct feed *feed, const struct ch_host *host,
-          const char *what)
+          const char *what, enum ch_level level)
 {
     char *resident = host->resident == NULL
                          ? NULL
                          : g_strjoinv(" ", (char **)host->resident);
     char *copies =
         host->copies == NULL ? NULL : g_strjoinv(" ", (char **)host->copies);
-    ch_log(feed->roster->node->client, CH_LOG_INFO, "listed",
+    ch_log(feed->roster->node->client, level, "listed",
            CH_F_STR("host", host->name), CH_F_STR("state", what),
            CH_F_BOOL("leaving", host->leaving),
            CH_F_STR("data_centre", host->data_centre),
@@ -289,14 +283,42 @@
     g_free(copies);
 }
 
-/* Notes what is to be told.  Lock held. */
+/* Notes what is to be told, in place of what was of the same key.  Lock held.
+ */
 static void
-add_news(struct feed *feed, const char *key, uint64_t removed)
+add_news(struct feed *feed, const char *key, uint64_t removed, bool for_all)
 {
-    const struct news news = {g_strdup(key), removed};
+    for (guint i = 0; i < feed->news->len; i++) {
+        struct news *news = &g_array_index(feed->news, struct news, i);
+        if (strcmp(news->key, key) == 0) {
+            news->removed = removed;
+            news->for_all = news->for_all || for_all;
+            return;
+        }
+    }
+    const struct news news = {g_strdup(key), removed, for_all};
     g_array_append_val(feed->news, news);
 }
 
+/*
+ * Whether a new word on a host changes who may be used, and how: for every
+ * node.  Load: hundreds of engines whose entries change with each model and
+ * adapter that they load.  Harm prevented: each of those changes sent to each
+ * node by each that watches, which fills the link between regions and those
+ * of the nodes that watch.  What engines hold, nodes hear from those that
+ * order them.
+ */
+static bool
+is_for_all(const struct ch_host *was, const struct ch_host *is)
+{
+    return g_strcmp0(was->address, is->address) != 0 ||
+           g_strcmp0(was->data_centre, is->data_centre) != 0 ||
+           g_strcmp0(was->service, is->service) != 0 ||
+           was->kind != is->kind || was->leaving != is->leaving ||
+           was->boot != is->boot || was->batch != is->batch ||
+           was->memory_mb != is->memory_mb || was->capacity != is->capacity;
+}
+
 /* Notes the latest removal of a key.  Lock held. */
 static void
 note_removal(struct feed *feed, const char *key, uint64_t revision)
@@ -331,14 +353,16 @@
         !parse_entry(feed, from, &host)) {
         return;
     }
-    log_entry(feed, &host, "there");
+    bool for_all = known == NULL || is_for_all(&known->host, &host);
+    log_entry(feed, &host, "there", for_all ? CH_LOG_INFO : CH_LOG_DEBUG);
     struct entry *entry = g_new0(struct entry, 1);
     entry->host = host;
+    entry->host.read_at = ch_client_now(feed->roster->node->client);
     entry->revision = from->revision;
     entry->length = from->length;
     entry->value = g_memdup2(from->value, from->length);
     g_hash_table_replace(feed->entries, g_strdup(from->key), entry);
-    add_news(feed, from->key, 0);
+    add_news(feed, from->key, 0, for_all);
 }
 
 /* Takes an entry away for good.  Lock held. */
@@ -347,7 +371,7 @@
 {
     g_autofree char *copy = g_strdup(key); /* key may be the table's own */
     note_removal(feed, copy, revision);
-    add_news(feed, copy, revision);
+    add_news(feed, copy, revision, true);
     g_hash_table_remove(feed->entries, copy);
 }
 
@@ -363,7 +387,7 @@
     }
     bool lapsed = feed == &feed->roster->nodes ||
                   (feed->troubled != 0 && now - feed->troubled < feed->grace);
-    log_entry(feed, &entry->host, lapsed ? "vanished" : "gone");
+    log_entry(feed, &entry->host, lapsed ? "vanished" : "gone", CH_LOG_INFO);
     if (!lapsed) {
         drop_entry(feed, key, revision);
         return;
@@ -460,6 +484,18 @@
     g_free(list.hosts);
 }
 
+/* Whether something that is new is for all nodes.  Lock held. */
+static bool
+has_news_for_all(const struct feed *feed)
+{
+    for (guint i = 0; i < feed->news->len; i++) {
+        if (g_array_index(feed->news, struct news, i).for_all) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- calls ---- */
 
 /* True when this node is one of the few that watch. */
@@ -467,8 +503,7 @@
 is_watcher(const struct ch_roster *roster)
 {
     const struct ch_node *node = roster->node;
-    return ch_peers_has_role(node->peers, node->settings, "roster-watch",
-                             WATCHERS, NULL);
+    return ch_peers_has_role(node->peers, "roster-watch", WATCHERS, NULL);
 }
 
 static void begin_call(struct feed *feed, bool watcher);
@@ -500,6 +535,18 @@
     feed->not_before = now + feed->pause;
 }
 
+/* How long to wait after a watch that brought something.  Lock held. */
+static int64_t
+gather_time(struct feed *feed, int64_t now)
+{
+    if (!has_news_for_all(feed)) {
+        return GATHER;
+    }
+    return ch_bucket_take(&feed->watches, 1, now)
+               ? 0
+               : (int64_t)(G_USEC_PER_SEC / WATCH_RATE);
+}
+
 /* On the pool: what a range or a watch brought. */
 static void
 call_done(struct feed *feed, const struct ch_kv_range *range, bool whole)
@@ -514,10 +561,8 @@
         take_all(feed, range, now);
     }
     else if (range->code == CH_OK) {
-        if (!ch_bucket_take(&feed->watches, 1, now)) {
-            feed->not_before = now + (int64_t)(G_USEC_PER_SEC / WATCH_RATE);
-        }
         take_changes(feed, range, now);
+        feed->not_before = now + gather_time(feed, now);
     }
     if (fresh) {
         feed->at = MAX(feed->at, range->at);
@@ -557,9 +602,11 @@
     struct ch_roster *roster = feed->roster;
     int64_t now = ch_client_now(roster->node->client);
     pthread_mutex_lock(&roster->lock);
-    if (!watcher && now - feed->heard >= UNTOLD) {
+    bool begins = watcher && !feed->watched && feed->known;
+    if (begins || (!watcher && now - feed->heard >= UNTOLD)) {
         feed->at = 0; /* whatever was missed is in a range */
     }
+    feed->watched = watcher;
     uint64_t at = feed->at;
     bool begin = !roster->stopped && !feed->calling &&
                  now >= feed->not_before && (watcher || at == 0);
@@ -596,7 +643,7 @@
             const struct entry *entry =
                 g_hash_table_lookup(feed->entries, told->key);
             if (entry != NULL && entry->revision <= told->revision) {
-                log_entry(feed, &entry->host, "gone");
+                log_entry(feed, &entry->host, "gone", CH_LOG_INFO);
                 drop_entry(feed, told->key, told->revision);
             }
             continue;
@@ -783,51 +830,91 @@
     telling_clear(&telling);
 }
 
-/* Tells all live nodes what is new, or that nothing is; on nodes that watch.
- * On the others what is new was told to them.  Lock not held. */
+/* Fills in what is new: for all nodes, or for those that order engines.  Lock
+ * held. */
 static void
-tell_others(struct feed *feed, bool watcher, int64_t now)
+telling_fill(struct telling *telling, const struct feed *feed, bool for_all)
 {
-    struct ch_roster *roster = feed->roster;
-    struct telling telling;
-    pthread_mutex_lock(&roster->lock);
-    bool due = watcher && feed->known &&
-               (now >= feed->tell_at || feed->news->len > 0);
-    if (!due) {
-        if (!watcher) {
-            g_array_set_size(feed->news, 0);
-            feed->told_at = feed->at;
-        }
-        pthread_mutex_unlock(&roster->lock);
-        return;
-    }
-    telling_init(&telling, feed, feed->news->len);
+    telling_init(telling, feed, feed->news->len);
+    telling->roster.since = for_all ? feed->told_at : feed->orderers_at;
     for (guint i = 0; i < feed->news->len; i++) {
         const struct news *news = &g_array_index(feed->news, struct news, i);
         const struct entry *entry =
             news->removed != 0 ? NULL
                                : g_hash_table_lookup(feed->entries, news->key);
-        if (entry != NULL || news->removed != 0) {
-            fill_told(&telling.entries[telling.roster.n_entries++], news->key,
-                      entry, news->removed);
+        if ((entry != NULL || news->removed != 0) &&
+            (news->for_all || !for_all)) {
+            fill_told(&telling->entries[telling->roster.n_entries++],
+                      news->key, entry, news->removed);
         }
     }
-    telling.roster.since = feed->told_at;
-    feed->told_at = feed->at;
-    feed->tell_at = now + TELL_AGAIN;
+}
+
+/* Sends a message to live nodes: to those that order engines, or the others.
+ * Lock held. */
+static void
+telling_send(const struct telling *telling, const struct ch_roster *roster,
+             GPtrArray *orderers, bool for_all)
+{
     char **live = ch_peers_live(roster->node->peers);
     for (size_t i = 0; live[i] != NULL; i++) {
         Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+        bool orders = g_ptr_array_find_with_equal_func(orderers, live[i],
+                                                       g_str_equal, NULL);
         frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
-        frame.roster = &telling.roster;
-        if (strcmp(live[i], roster->node->settings->name) != 0) {
+        frame.roster = (Chestnuthitch__Wire__Roster *)&telling->roster;
+        if (orders != for_all &&
+            strcmp(live[i], roster->node->settings->name) != 0) {
             ch_peers_send(roster->node->peers, live[i], &frame);
         }
     }
     g_strfreev(live);
-    g_array_set_size(feed->news, 0);
+}
+
+/* Tells live nodes what is new, or that nothing is; on nodes that watch.  On
+ * the others what is new was told to them.  Lock held. */
+static void
+tell_news(struct feed *feed, GPtrArray *orderers, int64_t now)
+{
+    struct telling telling;
+    bool all = now >= feed->tell_at || has_news_for_all(feed);
+    if (all || feed->news->len > 0) {
+        telling_fill(&telling, feed, false);
+        telling_send(&telling, feed->roster, orderers, false);
+        telling_clear(&telling);
+        feed->orderers_at = feed->at;
+    }
+    if (all) {
+        telling_fill(&telling, feed, true);
+        telling_send(&telling, feed->roster, orderers, true);
+        telling_clear(&telling);
+        feed->told_at = feed->at;
+        feed->tell_at = now + TELL_AGAIN;
+    }
+}
+
+/* Tells others, on nodes that watch.  Lock not held. */
+static void
+tell_others(struct feed *feed, bool watcher, int64_t now)
+{
+    struct ch_roster *roster = feed->roster;
+    GPtrArray *orderers = g_ptr_array_new_with_free_func(g_free);
+    if (watcher && roster->orderers != NULL) {
+        roster->orderers(roster->orderers_data, orderers);
+    }
+    pthread_mutex_lock(&roster->lock);
+    if (!watcher) {
+        feed->told_at = feed->at;
+        feed->orderers_at = feed->at;
+    }
+    else if (feed->known) {
+        tell_news(feed, orderers, now);
+    }
+    if (!watcher || feed->known) {
+        g_array_set_size(feed->news, 0);
+    }
     pthread_mutex_unlock(&roster->lock);
-    telling_clear(&telling);
+    g_ptr_array_free(orderers, TRUE);
 }
 
 /* ---- this node's own entry ---- */
@@ -844,6 +931,8 @@
     json_builder_add_string_value(builder, settings->data_centre);
     json_builder_set_member_name(builder, "region");
     json_builder_add_string_value(builder, settings->region);
+    json_builder_set_member_name(builder, "capacity");
+    json_builder_add_int_value(builder, ch_settings_capacity(settings));
     json_builder_end_object(builder);
     return ch_json_print(builder);
 }
@@ -1031,6 +1120,24 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+/* See roster.h. */
+void
+ch_roster_set_orderers(struct ch_roster *roster,
+                       void (*names)(void *data, GPtrArray *names), void *data)
+{
+    roster->orderers = names;
+    roster->orderers_data = data;
+}
+
+/* See roster.h. */
+void
+ch_roster_refresh(struct ch_roster *roster)
+{
+    pthread_mutex_lock(&roster->lock);
+    roster->upstreams.at = 0;
+    pthread_mutex_unlock(&roster->lock);
+}
+
 /* ---- life ---- */
 
 /* An empty feed. */
--- a/libchestnuthitch/node/roster.h
+++ b/libchestnuthitch/node/roster.h
@@ -20,6 +20,16 @@
 void ch_roster_free(struct ch_roster *roster);
 /* True once the upstreams were read. */
 bool ch_roster_known(struct ch_roster *roster);
+/*
+ * Names the nodes that order engines, among them this one perhaps: they are
+ * told of every change, all others of what changes whom they may use, and
+ * how.  Before ch_roster_start; called with no lock of the roster's held.
+ */
+void ch_roster_set_orderers(struct ch_roster *roster,
+                            void (*names)(void *data, GPtrArray *names),
+                            void *data);
+/* Reads the upstreams anew, with what was not told to this node. */
+void ch_roster_refresh(struct ch_roster *roster);
 /* Calls each(data, host) for every upstream, with the roster's lock held. */
 void ch_roster_each(struct ch_roster *roster,
                     void (*each)(void *data, const struct ch_host *host),
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -126,6 +126,8 @@
     int64_t slow_for;  /* it works slowly for so long after its start */
     char **resident;   /* "model" and "model/adapter"; NULL: none */
     char **copies;     /* models of which it keeps a copy near by */
+    uint32_t capacity; /* of an entry host; 0: not told */
+    int64_t read_at;   /* when all this came, by the node's clock; 0: not kept */
 };
 
 /* Frees what a host holds, not the struct. */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &chestnuthitch__wire__engine_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__right__init
+                     (Chestnuthitch__Wire__Right         *message)
+{
+  static const Chestnuthitch__Wire__Right init_value = CHESTNUTHITCH__WIRE__RIGHT__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__right__get_packed_size
+                     (const Chestnuthitch__Wire__Right *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__right__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__right__pack
+                     (const Chestnuthitch__Wire__Right *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__right__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__right__pack_to_buffer
+                     (const Chestnuthitch__Wire__Right *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__right__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__Right *
+       chestnuthitch__wire__right__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__Right *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__right__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__right__free_unpacked
+                     (Chestnuthitch__Wire__Right *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__right__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__engines__init
                      (Chestnuthitch__Wire__Engines         *message)
 {
@@ -907,6 +952,51 @@
   assert(message->base.descriptor == &chestnuthitch__wire__engines__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__engines_pull__init
+                     (Chestnuthitch__Wire__EnginesPull         *message)
+{
+  static const Chestnuthitch__Wire__EnginesPull init_value = CHESTNUTHITCH__WIRE__ENGINES_PULL__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__engines_pull__get_packed_size
+                     (const Chestnuthitch__Wire__EnginesPull *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__engines_pull__pack
+                     (const Chestnuthitch__Wire__EnginesPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__engines_pull__pack_to_buffer
+                     (const Chestnuthitch__Wire__EnginesPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__engines_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__EnginesPull *
+       chestnuthitch__wire__engines_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__EnginesPull *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__engines_pull__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__engines_pull__free_unpacked
+                     (Chestnuthitch__Wire__EnginesPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__engines_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__prepare__init
                      (Chestnuthitch__Wire__Prepare         *message)
 {
@@ -1177,7 +1267,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__roster_pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[26] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[27] =
 {
   {
     "version",
@@ -1491,6 +1581,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engines_pull",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, engines_pull),
+    &chestnuthitch__wire__engines_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
@@ -1499,6 +1601,7 @@
   23,   /* field[23] = demand */
   20,   /* field[20] = done */
   21,   /* field[21] = engines */
+  26,   /* field[26] = engines_pull */
   10,   /* field[10] = enqueue */
   1,   /* field[1] = from */
   9,   /* field[9] = gossip */
@@ -1524,7 +1627,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -1534,7 +1637,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  26,
+  27,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -2959,7 +3062,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__once_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engine_state__field_descriptors[9] =
 {
   {
     "upstream",
@@ -3057,6 +3160,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EngineState, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__engine_state__field_indices_by_name[] = {
   3,   /* field[3] = adapters */
@@ -3064,6 +3179,7 @@
   7,   /* field[7] = busy */
   4,   /* field[4] = coming */
   2,   /* field[2] = models */
+  8,   /* field[8] = number */
   5,   /* field[5] = running */
   6,   /* field[6] = unread_ms */
   0,   /* field[0] = upstream */
@@ -3071,7 +3187,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor =
 {
@@ -3081,14 +3197,91 @@
   "Chestnuthitch__Wire__EngineState",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__EngineState),
-  8,
+  9,
   chestnuthitch__wire__engine_state__field_descriptors,
   chestnuthitch__wire__engine_state__field_indices_by_name,
   1,  chestnuthitch__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__engines__field_descriptors[4] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__right__field_descriptors[4] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Right, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Right, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Right, holder),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Right, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__right__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = fence */
+  2,   /* field[2] = holder */
+};
+static const ProtobufCIntRange chestnuthitch__wire__right__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__right__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.Right",
+  "Right",
+  "Chestnuthitch__Wire__Right",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__Right),
+  4,
+  chestnuthitch__wire__right__field_descriptors,
+  chestnuthitch__wire__right__field_indices_by_name,
+  1,  chestnuthitch__wire__right__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__right__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engines__field_descriptors[10] =
 {
   {
     "data_centre",
@@ -3138,17 +3331,95 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rights",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Engines, n_rights),
+    offsetof(Chestnuthitch__Wire__Engines, rights),
+    &chestnuthitch__wire__right__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "audience",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Engines, audience),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Engines, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbers",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__Engines, n_numbers),
+    offsetof(Chestnuthitch__Wire__Engines, numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__Engines, n_running),
+    offsetof(Chestnuthitch__Wire__Engines, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread_ms",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__Engines, n_unread_ms),
+    offsetof(Chestnuthitch__Wire__Engines, unread_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__engines__field_indices_by_name[] = {
+  5,   /* field[5] = audience */
   0,   /* field[0] = data_centre */
   2,   /* field[2] = engines */
   1,   /* field[1] = fence */
+  7,   /* field[7] = numbers */
+  4,   /* field[4] = rights */
+  8,   /* field[8] = running */
+  6,   /* field[6] = sequence */
+  9,   /* field[9] = unread_ms */
   3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange chestnuthitch__wire__engines__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__engines__descriptor =
 {
@@ -3158,13 +3429,51 @@
   "Chestnuthitch__Wire__Engines",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Engines),
-  4,
+  10,
   chestnuthitch__wire__engines__field_descriptors,
   chestnuthitch__wire__engines__field_indices_by_name,
   1,  chestnuthitch__wire__engines__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__engines__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__engines_pull__field_descriptors[1] =
+{
+  {
+    "audience",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__EnginesPull, audience),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__engines_pull__field_indices_by_name[] = {
+  0,   /* field[0] = audience */
+};
+static const ProtobufCIntRange chestnuthitch__wire__engines_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__engines_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.EnginesPull",
+  "EnginesPull",
+  "Chestnuthitch__Wire__EnginesPull",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__EnginesPull),
+  1,
+  chestnuthitch__wire__engines_pull__field_descriptors,
+  chestnuthitch__wire__engines_pull__field_indices_by_name,
+  1,  chestnuthitch__wire__engines_pull__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__engines_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__prepare__field_descriptors[3] =
 {
   {
@@ -3293,7 +3602,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__demand__field_descriptors[6] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__demand__field_descriptors[7] =
 {
   {
     "models",
@@ -3367,9 +3676,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "collected",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Demand, collected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__demand__field_indices_by_name[] = {
   2,   /* field[2] = backlog */
+  6,   /* field[6] = collected */
   5,   /* field[5] = data_centre */
   4,   /* field[4] = loads */
   0,   /* field[0] = models */
@@ -3379,7 +3701,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor =
 {
@@ -3389,7 +3711,7 @@
   "Chestnuthitch__Wire__Demand",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Demand),
-  6,
+  7,
   chestnuthitch__wire__demand__field_descriptors,
   chestnuthitch__wire__demand__field_indices_by_name,
   1,  chestnuthitch__wire__demand__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -34,7 +34,9 @@
 typedef struct Chestnuthitch__Wire__OnceAnswer Chestnuthitch__Wire__OnceAnswer;
 typedef struct Chestnuthitch__Wire__OnceFinish Chestnuthitch__Wire__OnceFinish;
 typedef struct Chestnuthitch__Wire__EngineState Chestnuthitch__Wire__EngineState;
+typedef struct Chestnuthitch__Wire__Right Chestnuthitch__Wire__Right;
 typedef struct Chestnuthitch__Wire__Engines Chestnuthitch__Wire__Engines;
+typedef struct Chestnuthitch__Wire__EnginesPull Chestnuthitch__Wire__EnginesPull;
 typedef struct Chestnuthitch__Wire__Prepare Chestnuthitch__Wire__Prepare;
 typedef struct Chestnuthitch__Wire__EngineLoad Chestnuthitch__Wire__EngineLoad;
 typedef struct Chestnuthitch__Wire__Demand Chestnuthitch__Wire__Demand;
@@ -69,7 +71,8 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_PREPARE = 26,
   CHESTNUTHITCH__WIRE__FRAME__BODY_DEMAND = 27,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER = 28,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL = 29
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL = 29,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ENGINES_PULL = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -114,6 +117,7 @@
     Chestnuthitch__Wire__Demand *demand;
     Chestnuthitch__Wire__Roster *roster;
     Chestnuthitch__Wire__RosterPull *roster_pull;
+    Chestnuthitch__Wire__EnginesPull *engines_pull;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -436,8 +440,8 @@
 
 
 /*
- * What the node with the right to order the engines of a data centre knows of
- * them; what is left out of `models` gets no new requests.
+ * What a node with the right to order engines knows of one, as its own or as
+ * another such node told it; what is left out of `models` gets no new requests.
  */
 struct  Chestnuthitch__Wire__EngineState
 {
@@ -468,30 +472,94 @@
    * takes no order now
    */
   protobuf_c_boolean busy;
+  /*
+   * the sender's own, for the loads in Engines
+   */
+  uint32_t number;
 };
 #define CHESTNUTHITCH__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
-struct  Chestnuthitch__Wire__Engines
+/*
+ * Who has the right to order the engines of a data centre.
+ */
+struct  Chestnuthitch__Wire__Right
 {
   ProtobufCMessage base;
   char *data_centre;
   /*
-   * of the right: the highest one counts
+   * the highest one counts
    */
   uint64_t fence;
+  char *holder;
+  /*
+   * since the holder was heard
+   */
+  uint32_t age_ms;
+};
+#define CHESTNUTHITCH__WIRE__RIGHT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__right__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Engines whose state is new, and the load of those where it is.
+ */
+struct  Chestnuthitch__Wire__Engines
+{
+  ProtobufCMessage base;
+  /*
+   * Of one right of the sender, for nodes of earlier versions.
+   */
+  char *data_centre;
+  uint64_t fence;
   size_t n_engines;
   Chestnuthitch__Wire__EngineState **engines;
   /*
-   * all engines of the data centre
+   * all engines of these rights
    */
   protobuf_c_boolean whole;
+  /*
+   * that the engines belong to
+   */
+  size_t n_rights;
+  Chestnuthitch__Wire__Right **rights;
+  /*
+   * enum audience
+   */
+  uint32_t audience;
+  /*
+   * of what the sender tells this audience
+   */
+  uint64_t sequence;
+  /*
+   * The loads, by the sender's numbers of the engines.
+   */
+  size_t n_numbers;
+  uint32_t *numbers;
+  size_t n_running;
+  uint32_t *running;
+  size_t n_unread_ms;
+  uint32_t *unread_ms;
 };
 #define CHESTNUTHITCH__WIRE__ENGINES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engines__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * To a node that tells of engines: something was missed, tell of all of them.
+ */
+struct  Chestnuthitch__Wire__EnginesPull
+{
+  ProtobufCMessage base;
+  uint32_t audience;
+};
+#define CHESTNUTHITCH__WIRE__ENGINES_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__engines_pull__descriptor) \
+    , 0 }
 
 
 /*
@@ -550,19 +618,20 @@
    */
   size_t n_used;
   char **used;
-  /*
-   * of the engines of this data centre
-   */
   size_t n_loads;
   Chestnuthitch__Wire__EngineLoad **loads;
   /*
-   * that the receiver orders
+   * empty but from nodes of earlier versions
    */
   char *data_centre;
+  /*
+   * the sum of what others told the sender
+   */
+  protobuf_c_boolean collected;
 };
 #define CHESTNUTHITCH__WIRE__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__demand__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -979,6 +1048,25 @@
 void   chestnuthitch__wire__engine_state__free_unpacked
                      (Chestnuthitch__Wire__EngineState *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__Right methods */
+void   chestnuthitch__wire__right__init
+                     (Chestnuthitch__Wire__Right         *message);
+size_t chestnuthitch__wire__right__get_packed_size
+                     (const Chestnuthitch__Wire__Right   *message);
+size_t chestnuthitch__wire__right__pack
+                     (const Chestnuthitch__Wire__Right   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__right__pack_to_buffer
+                     (const Chestnuthitch__Wire__Right   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__Right *
+       chestnuthitch__wire__right__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__right__free_unpacked
+                     (Chestnuthitch__Wire__Right *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__Engines methods */
 void   chestnuthitch__wire__engines__init
                      (Chestnuthitch__Wire__Engines         *message);
@@ -998,6 +1086,25 @@
 void   chestnuthitch__wire__engines__free_unpacked
                      (Chestnuthitch__Wire__Engines *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__EnginesPull methods */
+void   chestnuthitch__wire__engines_pull__init
+                     (Chestnuthitch__Wire__EnginesPull         *message);
+size_t chestnuthitch__wire__engines_pull__get_packed_size
+                     (const Chestnuthitch__Wire__EnginesPull   *message);
+size_t chestnuthitch__wire__engines_pull__pack
+                     (const Chestnuthitch__Wire__EnginesPull   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__engines_pull__pack_to_buffer
+                     (const Chestnuthitch__Wire__EnginesPull   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__EnginesPull *
+       chestnuthitch__wire__engines_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__engines_pull__free_unpacked
+                     (Chestnuthitch__Wire__EnginesPull *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__Prepare methods */
 void   chestnuthitch__wire__prepare__init
                      (Chestnuthitch__Wire__Prepare         *message);
@@ -1171,9 +1278,15 @@
 typedef void (*Chestnuthitch__Wire__EngineState_Closure)
                  (const Chestnuthitch__Wire__EngineState *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__Right_Closure)
+                 (const Chestnuthitch__Wire__Right *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__Engines_Closure)
                  (const Chestnuthitch__Wire__Engines *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__EnginesPull_Closure)
+                 (const Chestnuthitch__Wire__EnginesPull *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__Prepare_Closure)
                  (const Chestnuthitch__Wire__Prepare *message,
                   void *closure_data);
@@ -1217,7 +1330,9 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__once_answer__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__once_finish__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__right__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engines__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__engines_pull__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__prepare__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__engine_load__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__demand__descriptor;
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -172,6 +172,14 @@
     return false;
 }
 
+GHashTable *
+controller_sum_demands(struct ch_controller *controller,
+                       const struct duty *duty, int64_t now)
+{
+    (void)controller, (void)duty, (void)now;
+    return g_hash_table_new(NULL, NULL);
+}
+
 void
 controller_answer(struct ch_controller *controller,
                   const struct adapter_wait *wait, enum ch_code code)
