Routing: requests are spread by what others send, not all to the best engine

Load: some hundred nodes choose an engine by one and the same word on all of them, which is some hundred milliseconds old.

Cause: each took the engine that costs least.

Change: a request takes its part of what all arrivals until the next word would fill if each went where it is cheapest by then (decide/fill.c). How many others send is taken from what they run there and how long an answer takes. Where nothing is known of others it is the cheapest as before.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -1,6 +1,7 @@
 /* Routing by a node's own view. */
 
 #include "decide/balance.h"
+#include "decide/fill.h"
 
 #include <math.h>
 #include <string.h>
@@ -45,6 +46,8 @@
     BUSY = 1500 * 1000,
     /* Numbers of others older than this say nothing any more. */
     OTHERS_STALE = 3 * G_USEC_PER_SEC,
+    /* What others run was gathered this long before it came. */
+    OTHERS_LAG = 300 * 1000,
     /* When something is missing that is being looked after. */
     SOON = G_USEC_PER_SEC,
     /* Over this time what is asked of a model is counted: demand moves every
@@ -71,6 +74,9 @@
  */
 static const double quicker_weight = 0.2;
 static const double slower_weight = 0.0005;
+/* Of what others run on an engine, what is of the model that is asked for: an
+ * engine holds two or three. */
+static const double same_model = 0.5;
 /* Of the memory for contexts, what is filled before it counts as full: lengths
  * of answers are guesses. */
 static const double memory_fill = 0.9;
@@ -729,6 +735,93 @@
     return work->service || has(seat->models, work->model);
 }
 
+/* An upstream that may take a request. */
+struct candidate {
+    const struct seat *seat;
+    uint32_t tokens;
+    int64_t reading;
+    int64_t expected;
+};
+
+/* Looks at an upstream; its cost. */
+static double
+weigh(const struct ch_balance *balance, const struct ch_work *work,
+      struct candidate *candidate, int64_t now)
+{
+    const struct seat *seat = candidate->seat;
+    candidate->tokens = work->service ? 0 : tokens_to_read(seat, work);
+    candidate->reading =
+        (int64_t)(candidate->tokens * read_of(balance, work->model));
+    candidate->expected =
+        work->service ? service_cost(seat, now)
+                      : engine_cost(seat, work, candidate->reading, now);
+    double cost = (double)(candidate->expected + distance(balance, seat)) +
+                  failures_now(seat, now) * FAILURE;
+    uint64_t tie = ch_hash_pair(work->id, seat->facts.name);
+    return cost * (1 + alike * (double)(tie % 1024) / 1024);
+}
+
+/*
+ * Requests for the model that others send to these engines until the next word
+ * on them: of what they run there, the part that ends and is replaced
+ * meanwhile.
+ */
+static double
+others_arrivals(const struct ch_balance *balance, const struct ch_work *work,
+                const GArray *candidates, int64_t now)
+{
+    guint slots = GPOINTER_TO_UINT(
+        g_hash_table_lookup(balance->batches, GUINT_TO_POINTER(work->pool)));
+    double lasts = (double)(ch_balance_reading(balance, work) +
+                            writing(balance, work) * MAX(slots, 1));
+    double arrivals = 0;
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct seat *seat =
+            g_array_index(candidates, struct candidate, i).seat;
+        int64_t age = now - seat->others_at;
+        if (age <= OTHERS_STALE) {
+            double part = (double)(age + OTHERS_LAG) / MAX(lasts, 1);
+            arrivals += seat->others * same_model * MIN(part, 1);
+        }
+    }
+    return arrivals;
+}
+
+/* The index of the candidate that takes the request. */
+static size_t
+pick(const struct ch_balance *balance, const struct ch_work *work,
+     const GArray *candidates, const GArray *costs, int64_t now)
+{
+    double arrivals =
+        work->service ? 0 : others_arrivals(balance, work, candidates, now);
+    double each = (double)(ch_balance_reading(balance, work) + NEIGHBOUR);
+    double random =
+        (double)(ch_hash_pair(work->id, work->attempt) % 65536) / 65536;
+    return ch_fill_choose((const double *)(void *)costs->data, costs->len,
+                          each, arrivals, random);
+}
+
+/* The decision for a candidate. */
+static struct ch_choice
+choice_of(const struct ch_balance *balance, const struct ch_work *work,
+          const struct candidate *candidate, int64_t now)
+{
+    const struct seat *seat = candidate->seat;
+    return (struct ch_choice){
+        .code = CH_OK,
+        .upstream = seat->facts.name,
+        .data_centre = seat->facts.data_centre,
+        .other_region = seat->facts.region != balance->region,
+        .adapter_missing =
+            work->adapter != 0 && !has(seat->adapters, work->adapter),
+        .tokens = candidate->tokens,
+        .reading = candidate->reading,
+        .too_dense = !work->service && !balance->without.pace_prompts &&
+                     is_too_dense(seat, candidate->reading, now),
+        .expected = candidate->expected,
+    };
+}
+
 /*
  * Load: requests for models that stand on some upstreams, each with parts of
  * prompts in memory that others share, among upstreams of which some fail or
@@ -736,55 +829,41 @@
  * queues at one upstream beside an idle one, callers who pay for an upstream's
  * failures.  All of it is weighed in one measure, the time until the first of
  * the answer, so that no rule goes before another; upstreams that are alike
- * are taken in another order by each request, since all nodes decide at once
- * by views that are some hundred milliseconds old.
+ * are taken in another order by each request, and where many others send as
+ * well, each request takes its part of what they fill together (fill.h), since
+ * all nodes decide at once by views that are some hundred milliseconds old.
  */
 struct ch_choice
 ch_balance_choose(struct ch_balance *balance, const struct ch_work *work,
                   const GArray *excluded, bool ready, int64_t now)
 {
-    struct ch_choice best = {
+    struct ch_choice choice = {
         .code = CH_NO_UPSTREAM,
         .retry_after = SOON,
         .message = "no upstream can take this now",
     };
-    double best_cost = 0;
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    GArray *costs = g_array_new(FALSE, FALSE, sizeof(double));
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, balance->seats);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct seat *seat = value;
-        if (!is_candidate(seat, work, excluded, ready)) {
-            continue;
-        }
-        uint32_t tokens = work->service ? 0 : tokens_to_read(seat, work);
-        int64_t reading = (int64_t)(tokens * read_of(balance, work->model));
-        int64_t expected = work->service
-                               ? service_cost(seat, now)
-                               : engine_cost(seat, work, reading, now);
-        double cost = (double)(expected + distance(balance, seat)) +
-                      failures_now(seat, now) * FAILURE;
-        uint64_t tie = ch_hash_pair(work->id, seat->facts.name);
-        cost *= 1 + alike * (double)(tie % 1024) / 1024;
-        if (best.code == CH_OK && cost >= best_cost) {
-            continue;
+        struct candidate candidate = {.seat = value};
+        if (is_candidate(value, work, excluded, ready)) {
+            double cost = weigh(balance, work, &candidate, now);
+            g_array_append_val(candidates, candidate);
+            g_array_append_val(costs, cost);
         }
-        best_cost = cost;
-        best = (struct ch_choice){
-            .code = CH_OK,
-            .upstream = seat->facts.name,
-            .data_centre = seat->facts.data_centre,
-            .other_region = seat->facts.region != balance->region,
-            .adapter_missing =
-                work->adapter != 0 && !has(seat->adapters, work->adapter),
-            .tokens = tokens,
-            .reading = reading,
-            .too_dense = !work->service && !balance->without.pace_prompts &&
-                         is_too_dense(seat, reading, now),
-            .expected = expected,
-        };
-    }
-    return best;
+    }
+    if (candidates->len > 0) {
+        size_t at = pick(balance, work, candidates, costs, now);
+        choice =
+            choice_of(balance, work,
+                      &g_array_index(candidates, struct candidate, at), now);
+    }
+    g_array_free(candidates, TRUE);
+    g_array_free(costs, TRUE);
+    return choice;
 }
 
 /* ---- what becomes of a request ---- */
