Exchange: the last try's own failure goes to the caller; a left stream ends

Causes: - an answer of 500 and above was a failure of the upstream wherever a request may be repeated. The last try's was thrown away like the first one's. - a call that may not be repeated was left to run when its caller left, as an order has to be. A stream has no effect beyond its caller.

Change: the exchange reads such an answer whole, asks for another try, and passes it on when there is none. A stream's call is cancelled with its caller, unless its answer is kept for a repeat.

Tests: /exchange/server-error, /exchange/stream-left; both failed before.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -367,6 +367,17 @@
     return true;
 }
 
+/* Whether a whole answer tells of a failure of the upstream that another one
+ * may not show.  It is the caller's answer all the same when there is no other
+ * try. */
+static bool
+is_failure_of_upstream(const struct ch_exchange *exchange,
+                       const struct ch_call_end *end)
+{
+    return end->code == CH_OK && exchange->request->routed &&
+           !exchange->is_stream && exchange->status >= 500;
+}
+
 /* The upstream's call is over, well or not.  The grant is given back here and
  * nowhere else once it was used. */
 bool
@@ -376,16 +387,25 @@
     struct ch_node *node = exchange->front->node;
     exchange->may_have_run = exchange->ran_before || end->may_have_run;
     exchange->was_sent = end->code != CH_UPSTREAM_CONNECT;
-    struct ch_sample sample = ch_exchange_sample(exchange, end->code);
+    struct ch_call_end judged = *end;
+    if (is_failure_of_upstream(exchange, end)) {
+        judged.code = CH_UPSTREAM_ANSWER;
+        judged.may_have_run = true;
+    }
+    struct ch_sample sample = ch_exchange_sample(exchange, judged.code);
     node->router->ops->release(node->router, exchange->grant.handle, &sample);
-    if (end->code == CH_OK && !exchange->too_large) {
+    bool answers = end->code == CH_OK && !exchange->too_large;
+    if (answers && judged.code == CH_OK) {
         return take_answer(exchange);
     }
-    enum ch_retry retry = decide_retry(exchange, end);
+    enum ch_retry retry = decide_retry(exchange, &judged);
     if (retry != CH_RETRY_NO) {
         try_elsewhere(exchange, retry);
         return false;
     }
+    if (answers) {
+        return take_answer(exchange);
+    }
     if (exchange->too_large) {
         return fail(exchange, CH_UPSTREAM_ANSWER,
                     "the upstream's answer is over the limit", 0);
@@ -402,6 +422,16 @@
 
 /* ---- the caller gives up ---- */
 
+/* Whether what an upstream goes on with is of no use without the caller: work
+ * that may be done again, and a stream that nobody else will hear.  Another
+ * request's work takes effect once it is done. */
+static bool
+is_of_no_use(const struct ch_exchange *exchange)
+{
+    return exchange->request->work.idempotent ||
+           (exchange->request->stream && !exchange->once_created);
+}
+
 /*
  * Ends what is done for a caller that is gone or whose deadline has passed.
  * What may not be repeated is left to run to its end once it was dispatched:
@@ -429,7 +459,7 @@
     if (exchange->step == CH_STEP_HOME) {
         return withdraw(exchange);
     }
-    if (exchange->step == CH_STEP_CALL && exchange->request->work.idempotent) {
+    if (exchange->step == CH_STEP_CALL && is_of_no_use(exchange)) {
         exchange->grant.client->ops->cancel(exchange->grant.client,
                                             exchange->call_handle);
     }
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -393,11 +393,6 @@
     course->client = client;
     course->http = http;
     course->rules = *rules;
-    /* The upstream's word on a request that can't be repeated is all that its
-     * caller will get. */
-    if (rules->passes_headers && !call->may_repeat) {
-        course->rules.server_errors_fail = false;
-    }
     course->request_id = g_strdup(call->request_id);
     course->event_id = g_strconcat("cmpl-", call->request_id, NULL);
     course->stream_asked = call->stream;
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -34,9 +34,10 @@
     NO_CONNECT,   /* certainly not run */
     SAYS_NOT_RUN, /* 429 or 503 with X-Not-Run */
     CROSSED,
-    SILENT, /* until it is cancelled or released by the test */
-    FLOODS, /* events without an end, until it is cancelled */
-    PAUSES, /* silent after two events; whole when it is resumed */
+    SILENT,       /* until it is cancelled or released by the test */
+    FLOODS,       /* events without an end, until it is cancelled */
+    PAUSES,       /* silent after two events; whole when it is resumed */
+    SERVER_ERROR, /* a failure of its own, whole */
 };
 
 struct ch_homes {
@@ -388,6 +389,11 @@
         }
         end_call(call, CH_UPSTREAM_CUT, true);
         return;
+    case SERVER_ERROR:
+        call->handlers.on_head(call->data, 500, "text/plain");
+        call->handlers.on_data(call->data, "the upstream's word", 19);
+        end_call(call, CH_OK, true);
+        return;
     case NO_CONNECT:
         end_call(call, CH_UPSTREAM_CONNECT, false);
         return;
@@ -794,6 +800,24 @@
     return true;
 }
 
+/* Puts a configuration in force whose class may be repeated or not. */
+static void
+set_idempotent(struct world *world, const char *value)
+{
+    struct ch_error error = {0};
+    g_auto(GStrv) parts = g_strsplit(routed_text,
+                                     "resumable = true\n"
+                                     "idempotent = true",
+                                     2);
+    g_autofree char *text =
+        g_strdup_printf("%sresumable = %s\nidempotent = %s%s", parts[0], value,
+                        value, parts[1]);
+    ch_config_unref(world->config);
+    world->config =
+        ch_config_new(1, "t", "a", ch_declaration_parse(text, "test", &error));
+    g_assert_cmpstr(error.message, ==, "");
+}
+
 /* A world whose classes are chosen by host and path. */
 static struct world *
 routed_world(void)
@@ -878,6 +902,69 @@
     }
 }
 
+static const struct {
+    const char *name;
+    const char *idempotent;
+    enum call_act call[MOST_TRIES];
+    unsigned calls;
+    const char *answer; /* has this */
+} server_error_cases[] = {
+    {"fails at one, another answers", "true", CALLS(SERVER_ERROR, WHOLE), 2,
+     "{\"n\":4}"},
+    {"fails at both", "true", CALLS(SERVER_ERROR, SERVER_ERROR), 2,
+     "HTTP/1.1 500"},
+    {"may not run twice", "false", CALLS(SERVER_ERROR, WHOLE), 1,
+     "HTTP/1.1 500"},
+};
+
+/*
+ * Guards against an upstream's own failure that is told as one of the node's:
+ * a request that fails wherever it runs was tried at a second upstream, whose
+ * answer was thrown away for a 502.  The last try's answer goes to the caller
+ * as it is.
+ */
+static void
+test_server_error(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(server_error_cases); i++) {
+        struct world *world = routed_world();
+        g_test_message("%s", server_error_cases[i].name);
+        set_idempotent(world, server_error_cases[i].idempotent);
+        memcpy(world->call_acts, server_error_cases[i].call,
+               sizeof(world->call_acts));
+        world_start(world);
+        char *answer = hear(ask(world, "POST /r/1", "", ""));
+        g_test_message("%s", answer);
+        g_assert_nonnull(strstr(answer, server_error_cases[i].answer));
+        g_assert_cmpint(strstr(answer, "HTTP/1.1 500") != NULL, ==,
+                        strstr(answer, "the upstream's word") != NULL);
+        g_free(answer);
+        world_stop(world);
+        g_assert_cmpuint(world->calls, ==, server_error_cases[i].calls);
+        world_free(world);
+    }
+}
+
+/*
+ * Guards against an engine that goes on with a stream whose caller has left:
+ * one that may not be repeated was left to run to its end, like an order, and
+ * took a place that others waited for.
+ */
+static void
+test_stream_left(void)
+{
+    struct world *world = routed_world();
+    set_idempotent(world, "false");
+    world->call_acts[0] = SILENT;
+    world_start(world);
+    int fd = ask(world, "POST /r/1", "", "");
+    wait_for(world, &world->calls, 1);
+    shutdown(fd, SHUT_RDWR);
+    wait_for(world, &world->cancelled, 1);
+    close(fd);
+    world_free(world);
+}
+
 /* Ends the calls that are silent for too long as the loop of calls out does:
  * all are asked for first, and those that are given up end after that. */
 static unsigned
@@ -1403,6 +1490,8 @@
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/begun", test_begun);
+    g_test_add_func("/exchange/server-error", test_server_error);
+    g_test_add_func("/exchange/stream-left", test_stream_left);
     g_test_add_func("/exchange/silent-together", test_silent_together);
     g_test_add_func("/exchange/try-drawn-once", test_try_drawn_once);
     g_test_add_func("/exchange/try-given-back", test_try_given_back);
