Start: a node knows the others before it takes on what few do for all

Cause: a node read the list at once and found itself nearly alone, as all start within 0.3 s. So each of them had every duty that a few have: it watched both lists and the configuration, and told all that it read to all others.

Change: a node writes its own entry first and reads the others' 0.4 s later. Upstreams are read by those that watch; the others ask one of the nodes once, and are told by those that watch; one that hears nothing for 3 s reads by itself. The configuration is watched by three and read in turn by the others, as it was once it was known; who has none asks the others. Entries go packed to nodes that understand it, which are those that tell their capacity.

/roster/gather watches for five seconds in place of three, as it begins later; its bound is for three seconds and grows with the time, as before.

--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -271,7 +271,7 @@
 uint32_t
 ch_settings_capacity(const struct ch_settings *settings)
 {
-    return (uint32_t)(settings->cores * settings->host_mbit);
+    return (uint32_t)MAX(settings->cores * settings->host_mbit, 1);
 }
 
 /* Frees settings; NULL is nothing. */
--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -8,7 +8,7 @@
  * others get it from those.
  */
 
-#include "node/config_pack.h"
+#include "node/pack.h"
 #include "node/dialect.h"
 #include "node/kv_call.h"
 
@@ -61,6 +61,9 @@
      * some ten thousand paths. */
     MOST_TEXT = 8 * 1024 * 1024,
     FIRST_PAUSE = 250 * 1000,
+    /* A node that knows no list of the others after this long reads all the
+     * same: the service may answer for the configuration alone. */
+    UNLISTED = 1500 * 1000,
     /* A third of the time within which a change has to be in force; three
      * watchers make three calls a second of it. */
     MOST_PAUSE = 1000 * 1000,
@@ -85,6 +88,7 @@
     int64_t not_before;
     uint64_t timer;
     uint64_t tokens;
+    int64_t started;
 };
 
 /* ---- ownership ---- */
@@ -344,36 +348,45 @@
     keeper_unref(keeper);
 }
 
-/* Begins a watch, or on other nodes a read while nothing is known, unless one
- * is under way, a copy is being read or the service is given time. */
+/*
+ * Whether this node knows by now whether it is one of those that watch.  Load:
+ * all nodes start at once.  Harm prevented: each of them, as it knows no other
+ * yet, watches the service, which counts every call.
+ */
+static bool
+knows_its_role(const struct ch_config_keeper *keeper)
+{
+    const struct ch_node *node = keeper->node;
+    return ch_peers_listed(node->peers) ||
+           ch_client_now(node->client) - keeper->started >= UNLISTED;
+}
+
+/* Begins a watch on nodes that watch, unless one is under way, a copy is being
+ * read or the service is given time.  The others hear of a revision from
+ * those, and read in turn. */
 static void
 begin_call(struct ch_config_keeper *keeper)
 {
     struct ch_node *node = keeper->node;
     bool watcher =
+        knows_its_role(keeper) &&
         ch_peers_has_role(node->peers, "config-watch", WATCHERS, NULL);
     pthread_mutex_lock(&keeper->lock);
     uint64_t revision =
         keeper->current == NULL ? 0 : keeper->current->revision;
-    bool begin = !keeper->stopped && !keeper->calling && keeper->taking == 0 &&
-                 (watcher || revision == 0) &&
+    bool begin = watcher && !keeper->stopped && !keeper->calling &&
+                 keeper->taking == 0 &&
                  ch_client_now(node->client) >= keeper->not_before;
     if (begin) {
         keeper->calling = true;
         keeper_ref(keeper);
     }
     pthread_mutex_unlock(&keeper->lock);
-    if (!begin) {
-        return;
-    }
-    if (watcher) {
+    if (begin) {
         ch_kv_call_watch(node, CONFIG_KEY, revision,
                          g_random_int_range(LEAST_WATCH, MOST_WATCH),
                          call_done, keeper);
     }
-    else {
-        ch_kv_call_get(node, CONFIG_KEY, call_done, keeper);
-    }
 }
 
 /* What a read in turn brought.  That the service is away is said by those who
@@ -400,8 +413,8 @@
     int64_t now = ch_client_now(node->client);
     int64_t round = (int64_t)READ_EVERY * MAX(g_strv_length(live), 1U);
     pthread_mutex_lock(&keeper->lock);
-    bool begin = !keeper->stopped && !keeper->reading &&
-                 keeper->current != NULL && keeper->taking == 0 &&
+    bool begin = !keeper->stopped && !keeper->reading && keeper->taking == 0 &&
+                 knows_its_role(keeper) &&
                  ch_turn_due(&keeper->turn, round, g_random_double(), now);
     if (begin) {
         keeper->reading = true;
@@ -426,8 +439,8 @@
         return;
     }
     struct ch_error error = {0};
-    char *text = ch_config_unpack(push->packed.data, push->packed.len,
-                                  MOST_TEXT, &error);
+    char *text = ch_unpack(push->packed.data, push->packed.len, MOST_TEXT,
+                           NULL, &error);
     if (text == NULL) {
         ch_log(keeper->node->client, CH_LOG_ERR, "config-unreadable",
                CH_F_INT("revision", push->revision),
@@ -549,7 +562,8 @@
     if (packed != NULL) {
         return packed;
     }
-    packed = ch_config_pack(config->declaration->text);
+    packed =
+        ch_pack(config->declaration->text, strlen(config->declaration->text));
     pthread_mutex_lock(&keeper->lock);
     if (keeper->current == config && keeper->packed == NULL) {
         keeper->packed = g_bytes_ref(packed);
@@ -849,6 +863,7 @@
 void
 ch_config_keeper_start(struct ch_config_keeper *keeper)
 {
+    keeper->started = ch_client_now(keeper->node->client);
     ch_pool_submit(keeper->node->pool, tick, keeper_ref(keeper));
 }
 
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -110,8 +110,8 @@
 bool ch_peers_is_home(struct ch_peers *peers, uint64_t key, const char *region,
                       const char *data_centre, bool *becomes);
 /* This node's place for a duty among itself and the live nodes of a data
-   centre and a region, NULL for either: of all.  0 is the first; hosts that can
-   do more come before others.  (peers_role.c, like the next) */
+   centre and a region, NULL for either: of all.  0 is the first; hosts that
+   can do more come before others.  (peers_role.c, like the next) */
 size_t ch_peers_rank(struct ch_peers *peers, uint64_t key,
                      const char *data_centre, const char *region);
 /* Whether this node is one of the `count` first that do something for all
@@ -124,6 +124,11 @@
 uint64_t ch_peers_version(struct ch_peers *peers);
 /* The platform's list, whole. */
 void ch_peers_list(struct ch_peers *peers, const struct ch_host_list *list);
+/* Whether a list came by now: what few nodes do for all is not this node's for
+   want of knowing the others. */
+bool ch_peers_listed(struct ch_peers *peers);
+/* Whether a node unpacks messages, as all do that tell their capacity. */
+bool ch_peers_unpacks(struct ch_peers *peers, const char *name);
 /* When anything last came from the node; 0: it is not known.  incarnation
    (may be NULL): of its process. */
 int64_t ch_peers_heard(struct ch_peers *peers, const char *name,
--- a/libchestnuthitch/node/config_pack.c
+++ b/libchestnuthitch/node/pack.c
@@ -1,15 +1,13 @@
 /*
- * A configuration names the same few hosts, services and words again and
- * again, so that its text packs to a tenth.  Of one with some thousand paths
- * every node gets a copy, half of them over the link between two regions:
- * unpacked it keeps that link full for seconds, and requests that cross it
- * wait behind it.
+ * A configuration and a list of hosts name the same few words again and again,
+ * so that they pack to a tenth.  Every node gets a copy, half of them over the
+ * link between two regions: unpacked they keep that link full for seconds, and
+ * requests that cross it wait behind them.
  */
 
-#include "node/config_pack.h"
+#include "node/pack.h"
 
 #include <gio/gio.h>
-#include <string.h>
 
 enum {
     /* zlib's own balance of time and size. */
@@ -17,9 +15,9 @@
     STEP = 64 * 1024,
 };
 
-/* The text, packed. */
+/* The bytes, packed. */
 GBytes *
-ch_config_pack(const char *text)
+ch_pack(const void *bytes, size_t length)
 {
     GZlibCompressor *packer =
         g_zlib_compressor_new(G_ZLIB_COMPRESSOR_FORMAT_ZLIB, LEVEL);
@@ -27,7 +25,7 @@
     GOutputStream *stream =
         g_converter_output_stream_new(memory, G_CONVERTER(packer));
     /* Writes to memory fail only where memory ends, and then GLib aborts. */
-    g_output_stream_write_all(stream, text, strlen(text), NULL, NULL, NULL);
+    g_output_stream_write_all(stream, bytes, length, NULL, NULL, NULL);
     g_output_stream_close(stream, NULL, NULL);
     GBytes *packed =
         g_memory_output_stream_steal_as_bytes(G_MEMORY_OUTPUT_STREAM(memory));
@@ -52,24 +50,23 @@
         g_string_set_size(text, before + (gsize)MAX(count, 0));
     } while (count > 0 && text->len <= most_bytes);
     if (count < 0) {
-        ch_error_set(error, CH_FRAME_DAMAGED, "a packed configuration: %s",
+        ch_error_set(error, CH_FRAME_DAMAGED, "packed bytes: %s",
                      problem->message);
         g_error_free(problem);
         return false;
     }
     if (text->len > most_bytes) {
         ch_error_set(error, CH_FRAME_TOO_LARGE,
-                     "a packed configuration of more than %zu bytes",
-                     most_bytes);
+                     "packed bytes that unpack to more than %zu", most_bytes);
         return false;
     }
     return true;
 }
 
-/* See config_pack.h. */
+/* See pack.h. */
 char *
-ch_config_unpack(const void *bytes, size_t length, size_t most_bytes,
-                 struct ch_error *error)
+ch_unpack(const void *bytes, size_t length, size_t most_bytes,
+          size_t *unpacked, struct ch_error *error)
 {
     GZlibDecompressor *unpacker =
         g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_ZLIB);
@@ -82,5 +79,8 @@
     g_object_unref(stream);
     g_object_unref(memory);
     g_object_unref(unpacker);
+    if (unpacked != NULL) {
+        *unpacked = text->len;
+    }
     return g_string_free(text, !whole);
 }
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -81,6 +81,7 @@
     uint64_t last_id;
     uint64_t revision; /* in force here; atomic */
     unsigned ready;    /* this node may be home; atomic */
+    bool listed;       /* a list of the nodes came */
     int64_t last_tick;
     unsigned behind; /* turns since all that had come was read */
     struct handler handlers[PEERS_BODY_CASES];
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -59,6 +59,17 @@
     return near;
 }
 
+/* See node.h. */
+bool
+ch_peers_unpacks(struct ch_peers *peers, const char *name)
+{
+    pthread_mutex_lock(&peers->lock);
+    const struct ch_member *member = ch_members_find(peers->members, name);
+    bool unpacks = member != NULL && member->capacity > 0;
+    pthread_mutex_unlock(&peers->lock);
+    return unpacks;
+}
+
 /* The membership's version; see ch_members_version. */
 uint64_t
 ch_peers_version(struct ch_peers *peers)
@@ -166,7 +177,18 @@
         }
     }
     ch_members_end_update(peers->members);
+    peers->listed = true;
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* See node.h. */
+bool
+ch_peers_listed(struct ch_peers *peers)
+{
+    pthread_mutex_lock(&peers->lock);
+    bool listed = peers->listed;
     pthread_mutex_unlock(&peers->lock);
+    return listed;
 }
 
 /* When anything last came from a node, on the client's clock; 0: unknown. */
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -32,8 +32,19 @@
     /* A node that was told nothing for so long reads by itself, this often:
      * three messages that did not come. */
     UNTOLD = 3000 * 1000,
-    /* A node that has just read waits for this long before it watches: by then
-     * it knows who else is there. */
+    /*
+     * A node reads the others' entries this long after it wrote its own, and
+     * this long after its start at the latest.  Nodes that start at the same
+     * time know of one another then; before, each of them found itself alone,
+     * read and watched all that a few do for all, and told it to the others.
+     */
+    ENTER = 400 * 1000,
+    MOST_ENTER = 800 * 1000,
+    /* A node that was told of no upstreams this long after its start reads
+     * them by itself. */
+    FIRST_UNTOLD = 3000 * 1000,
+    /* A node that has just read and is not listed itself waits for this long
+     * before it watches: by then it knows who else is there. */
     SETTLE = 1500 * 1000,
     /*
      * Entries lapse while the service is away, and their owners write them
@@ -174,7 +185,8 @@
     bool fresh = range->code == CH_OK || range->code == CH_KV_MISSING;
     pthread_mutex_lock(&roster->lock);
     if (whole && range->code == CH_OK) {
-        feed->not_before = feed->known ? 0 : now + SETTLE;
+        bool alone = !feed->known && roster->listed_at == 0;
+        feed->not_before = alone ? now + SETTLE : 0;
         feed->heard = now;
         feed_take_all(feed, range, now);
     }
@@ -211,6 +223,19 @@
     call_done(data, range, false);
 }
 
+/* Whether a feed that is not known may be read now.  Lock held. */
+static bool
+may_read_first(const struct feed *feed, bool watcher, int64_t now)
+{
+    const struct ch_roster *roster = feed->roster;
+    if (feed == &roster->nodes) {
+        return (roster->listed_at != 0 && now - roster->listed_at >= ENTER) ||
+               now - roster->started >= MOST_ENTER;
+    }
+    return (roster->nodes.known && watcher) ||
+           now - roster->started >= FIRST_UNTOLD;
+}
+
 /* Begins a range while nothing is known, or where nothing was told for long;
  * on a node that watches, a watch; unless a call is under way or the service
  * is given time. */
@@ -227,7 +252,8 @@
     feed->watched = watcher;
     uint64_t at = feed->at;
     bool begin = !roster->stopped && !feed->calling &&
-                 now >= feed->not_before && (watcher || at == 0);
+                 now >= feed->not_before && (watcher || at == 0) &&
+                 (feed->known || may_read_first(feed, watcher, now));
     if (begin) {
         feed->calling = true;
         roster_ref(roster);
@@ -248,6 +274,30 @@
 
 /* ---- the tick ---- */
 
+/* Asks one of the others once for all upstreams, where somebody else watches:
+ * a node that starts in a fleet that runs knows them so at once. */
+static void
+ask_first(struct ch_roster *roster, bool watcher)
+{
+    pthread_mutex_lock(&roster->lock);
+    bool ask = roster->nodes.known && !roster->upstreams.known && !watcher &&
+               !roster->asked;
+    roster->asked = roster->asked || ask;
+    pthread_mutex_unlock(&roster->lock);
+    if (!ask) {
+        return;
+    }
+    GPtrArray *near = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *far = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_others(roster->node->peers, near, far);
+    const GPtrArray *from = near->len > 0 ? near : far;
+    if (from->len > 0) {
+        feed_pull(&roster->upstreams, g_ptr_array_index(from, 0));
+    }
+    g_ptr_array_free(near, TRUE);
+    g_ptr_array_free(far, TRUE);
+}
+
 /* Calls that wait for their time, entries that are gone for good, and this
  * node's own entry. */
 static void
@@ -258,6 +308,7 @@
     bool watcher = is_watcher(roster);
     begin_call(&roster->upstreams, watcher);
     begin_call(&roster->nodes, watcher);
+    ask_first(roster, watcher);
     roster_tell(&roster->upstreams, watcher, now);
     roster_tell(&roster->nodes, watcher, now);
     roster_keep_own(roster, now);
@@ -357,6 +408,7 @@
 void
 ch_roster_start(struct ch_roster *roster)
 {
+    roster->started = ch_client_now(roster->node->client);
     ch_pool_submit(roster->node->pool, tick, roster_ref(roster));
 }
 
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -76,6 +76,9 @@
     bool listed;
     uint64_t own_revision; /* of the entry that is in the way; 0: none */
     int64_t renewed;
+    int64_t started;
+    int64_t listed_at; /* when the entry was first written; 0: it was not */
+    bool asked;        /* another node, for all upstreams at the start */
     int64_t own_pause; /* after the last call for it; 0: it was answered */
     int64_t own_not_before;
 };
@@ -113,6 +116,8 @@
 
 /* Takes what other nodes tell, from now on. */
 void roster_tell_init(struct ch_roster *roster);
+/* Asks a node that watches, or another one, for all that is there. */
+void feed_pull(struct feed *feed, const char *from);
 /* Tells others what is due, on a node that watches. */
 void roster_tell(struct feed *feed, bool watcher, int64_t now);
 
--- a/libchestnuthitch/node/roster_own.c
+++ b/libchestnuthitch/node/roster_own.c
@@ -70,6 +70,9 @@
     pthread_mutex_lock(&roster->lock);
     end_own(roster, answer->code);
     roster->listed = answer->code == CH_OK;
+    if (roster->listed && roster->listed_at == 0) {
+        roster->listed_at = ch_client_now(roster->node->client);
+    }
     if (answer->code == CH_KV_CONFLICT) {
         roster->own_revision = answer->revision;
     }
--- a/libchestnuthitch/node/roster_tell.c
+++ b/libchestnuthitch/node/roster_tell.c
@@ -1,6 +1,8 @@
 /* What the nodes that watch tell the others. */
 
+#include "node/pack.h"
 #include "node/roster_internal.h"
+#include "wire/wire.h"
 
 #include <string.h>
 
@@ -9,15 +11,40 @@
      * that the others know that they miss nothing. */
     TELL_AGAIN = 1000 * 1000,
     PULL_LIMIT = 1500 * 1000,
+    /* Shorter messages are not worth packing. */
+    LEAST_PACKED = 600,
 };
 
-/* Takes entries that another node told; true when something is new.  Lock
- * held. */
-static bool
-take_told(struct feed *feed, const Chestnuthitch__Wire__Roster *roster,
-          int64_t now)
+/* The entries of a packed message, to be freed; NULL: it is damaged, which is
+ * logged. */
+static Chestnuthitch__Wire__Roster *
+unpack(const struct ch_roster *roster, const ProtobufCBinaryData *packed)
+{
+    struct ch_error error = {0};
+    size_t length = 0;
+    char *bytes = ch_unpack(packed->data, packed->len, CH_WIRE_MOST_BYTES,
+                            &length, &error);
+    Chestnuthitch__Wire__Roster *entries = NULL;
+    if (bytes != NULL) {
+        entries = chestnuthitch__wire__roster__unpack(NULL, length,
+                                                      (uint8_t *)bytes);
+    }
+    if (entries == NULL) {
+        ch_metrics_count(roster->node->client->metrics, CH_COUNT_FRAMES_BAD,
+                         1);
+        ch_log(roster->node->client, CH_LOG_WARNING, "bad-entries",
+               CH_F_STR("message",
+                        bytes == NULL ? error.message : "they do not decode"),
+               CH_F_END);
+    }
+    g_free(bytes);
+    return entries;
+}
+
+/* Takes the entries of a message. */
+static void
+take_entries(struct feed *feed, const Chestnuthitch__Wire__Roster *roster)
 {
-    uint64_t before = feed->changes;
     for (size_t i = 0; i < roster->n_entries; i++) {
         const Chestnuthitch__Wire__RosterEntry *told = roster->entries[i];
         if (told->removed) {
@@ -32,8 +59,33 @@
         };
         feed_put(feed, &entry);
     }
+}
+
+/* What came of a message. */
+enum taken {
+    TAKEN_NOTHING, /* new */
+    TAKEN_NEWS,
+    TAKEN_DAMAGED,
+};
+
+/* Takes what another node told.  Lock held. */
+static enum taken
+take_told(struct feed *feed, const Chestnuthitch__Wire__Roster *roster,
+          int64_t now)
+{
+    uint64_t before = feed->changes;
+    if (roster->packed.len > 0) {
+        Chestnuthitch__Wire__Roster *entries =
+            unpack(feed->roster, &roster->packed);
+        if (entries == NULL) {
+            return TAKEN_DAMAGED;
+        }
+        take_entries(feed, entries);
+        chestnuthitch__wire__roster__free_unpacked(entries, NULL);
+    }
+    take_entries(feed, roster);
     feed->heard = now;
-    return feed->changes > before;
+    return feed->changes > before ? TAKEN_NEWS : TAKEN_NOTHING;
 }
 
 /* The feed of a prefix, or NULL. */
@@ -53,27 +105,31 @@
 {
     struct feed *feed = data;
     struct ch_roster *roster = feed->roster;
+    /* A node that knows nothing yet says so by the revision. */
     bool good = code == CH_OK && reply != NULL &&
-                reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
-    bool fresh = false;
+                reply->body_case == CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER &&
+                reply->roster->at != 0;
+    enum taken taken = TAKEN_NOTHING;
     pthread_mutex_lock(&roster->lock);
     feed->pulling = false;
     if (good) {
-        fresh = take_told(feed, reply->roster,
+        taken = take_told(feed, reply->roster,
                           ch_client_now(roster->node->client));
+    }
+    if (good && taken != TAKEN_DAMAGED) {
         feed->at = MAX(feed->at, reply->roster->at);
         feed->known = true;
     }
     pthread_mutex_unlock(&roster->lock);
-    if (fresh) {
+    if (taken == TAKEN_NEWS) {
         roster_tell_users(feed);
     }
     roster_unref(roster);
 }
 
-/* Asks a node that watches for all, as something was missed. */
-static void
-begin_pull(struct feed *feed, const char *from)
+/* See roster_internal.h. */
+void
+feed_pull(struct feed *feed, const char *from)
 {
     struct ch_roster *roster = feed->roster;
     pthread_mutex_lock(&roster->lock);
@@ -90,6 +146,7 @@
         CHESTNUTHITCH__WIRE__ROSTER_PULL__INIT;
     Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
     pull.prefix = feed->prefix;
+    pull.unpacks = true;
     frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL;
     frame.roster_pull = &pull;
     ch_peers_request(roster->node->peers, from, &frame, PULL_LIMIT, pull_done,
@@ -109,17 +166,19 @@
         return;
     }
     pthread_mutex_lock(&roster->lock);
-    bool fresh = take_told(feed, told, ch_client_now(roster->node->client));
-    bool missed = !feed->known || told->since > feed->at;
+    enum taken taken =
+        take_told(feed, told, ch_client_now(roster->node->client));
+    bool missed =
+        !feed->known || told->since > feed->at || taken == TAKEN_DAMAGED;
     if (!missed) {
         feed->at = MAX(feed->at, told->at);
     }
     pthread_mutex_unlock(&roster->lock);
-    if (fresh) {
+    if (taken == TAKEN_NEWS) {
         roster_tell_users(feed);
     }
     if (missed) {
-        begin_pull(feed, frame->from);
+        feed_pull(feed, frame->from);
     }
 }
 
@@ -144,6 +203,9 @@
     Chestnuthitch__Wire__Roster roster;
     Chestnuthitch__Wire__RosterEntry *entries;
     Chestnuthitch__Wire__RosterEntry **pointers;
+    /* The same with its entries packed, for nodes that unpack it. */
+    Chestnuthitch__Wire__Roster packed;
+    GBytes *bytes; /* NULL: it is not worth it */
 };
 
 /* An empty message with room for so many entries. */
@@ -167,6 +229,32 @@
 {
     g_free(telling->entries);
     g_free(telling->pointers);
+    g_clear_pointer(&telling->bytes, g_bytes_unref);
+}
+
+/* Packs the entries once all are in. */
+static void
+telling_pack(struct telling *telling)
+{
+    Chestnuthitch__Wire__Roster entries = CHESTNUTHITCH__WIRE__ROSTER__INIT;
+    gsize packed = 0;
+    entries.n_entries = telling->roster.n_entries;
+    entries.entries = telling->roster.entries;
+    telling->bytes = NULL;
+    telling->packed = telling->roster;
+    size_t length = chestnuthitch__wire__roster__get_packed_size(&entries);
+    if (length < LEAST_PACKED) {
+        return;
+    }
+    uint8_t *bytes = g_malloc(length);
+    chestnuthitch__wire__roster__pack(&entries, bytes);
+    telling->bytes = ch_pack(bytes, length);
+    g_free(bytes);
+    telling->packed.n_entries = 0;
+    telling->packed.entries = NULL;
+    telling->packed.packed.data =
+        (uint8_t *)g_bytes_get_data(telling->bytes, &packed);
+    telling->packed.packed.len = packed;
 }
 
 /* A node asks for all that is there. */
@@ -185,12 +273,15 @@
     gpointer value = NULL;
     pthread_mutex_lock(&roster->lock);
     telling_init(&telling, feed, g_hash_table_size(feed->entries));
+    telling.roster.at = feed->known ? feed->at : 0;
     g_hash_table_iter_init(&iterator, feed->entries);
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         fill_told(&telling.entries[telling.roster.n_entries++], key, value, 0);
     }
     reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
-    reply.roster = &telling.roster;
+    telling_pack(&telling);
+    reply.roster =
+        frame->roster_pull->unpacks ? &telling.packed : &telling.roster;
     ch_peers_reply(roster->node->peers, frame->from, frame->id, &reply);
     pthread_mutex_unlock(&roster->lock);
     telling_clear(&telling);
@@ -214,6 +305,7 @@
                       news->key, entry, news->removed);
         }
     }
+    telling_pack(telling);
 }
 
 /* Sends a message to live nodes: to those that order engines, or the others.
@@ -228,7 +320,11 @@
         bool orders = g_ptr_array_find_with_equal_func(orderers, live[i],
                                                        g_str_equal, NULL);
         frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
-        frame.roster = (Chestnuthitch__Wire__Roster *)&telling->roster;
+        frame.roster =
+            (Chestnuthitch__Wire__Roster *)(ch_peers_unpacks(
+                                                roster->node->peers, live[i])
+                                                ? &telling->packed
+                                                : &telling->roster);
         if (orders != for_all &&
             strcmp(live[i], roster->node->settings->name) != 0) {
             ch_peers_send(roster->node->peers, live[i], &frame);
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -3795,7 +3795,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__roster_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[4] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[5] =
 {
   {
     "prefix",
@@ -3845,17 +3845,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__roster__field_indices_by_name[] = {
   2,   /* field[2] = at */
   3,   /* field[3] = entries */
+  4,   /* field[4] = packed */
   0,   /* field[0] = prefix */
   1,   /* field[1] = since */
 };
 static const ProtobufCIntRange chestnuthitch__wire__roster__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor =
 {
@@ -3865,14 +3878,14 @@
   "Chestnuthitch__Wire__Roster",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Roster),
-  4,
+  5,
   chestnuthitch__wire__roster__field_descriptors,
   chestnuthitch__wire__roster__field_indices_by_name,
   1,  chestnuthitch__wire__roster__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__roster__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__roster_pull__field_descriptors[1] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster_pull__field_descriptors[2] =
 {
   {
     "prefix",
@@ -3886,14 +3899,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unpacks",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RosterPull, unpacks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__roster_pull__field_indices_by_name[] = {
   0,   /* field[0] = prefix */
+  1,   /* field[1] = unpacks */
 };
 static const ProtobufCIntRange chestnuthitch__wire__roster_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__roster_pull__descriptor =
 {
@@ -3903,7 +3929,7 @@
   "Chestnuthitch__Wire__RosterPull",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__RosterPull),
-  1,
+  2,
   chestnuthitch__wire__roster_pull__field_descriptors,
   chestnuthitch__wire__roster_pull__field_indices_by_name,
   1,  chestnuthitch__wire__roster_pull__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -668,10 +668,14 @@
   uint64_t at;
   size_t n_entries;
   Chestnuthitch__Wire__RosterEntry **entries;
+  /*
+   * a Roster of the entries alone, in zlib's format
+   */
+  ProtobufCBinaryData packed;
 };
 #define CHESTNUTHITCH__WIRE__ROSTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL} }
 
 
 /*
@@ -681,10 +685,14 @@
 {
   ProtobufCMessage base;
   char *prefix;
+  /*
+   * the asker understands packed entries
+   */
+  protobuf_c_boolean unpacks;
 };
 #define CHESTNUTHITCH__WIRE__ROSTER_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster_pull__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /* Chestnuthitch__Wire__Frame methods */
--- a/tests/bench/bench_config.c
+++ b/tests/bench/bench_config.c
@@ -6,7 +6,7 @@
 
 #include "base/json.h"
 #include "json.h"
-#include "node/config_pack.h"
+#include "node/pack.h"
 
 #include <fcntl.h>
 #include <malloc.h>
@@ -138,7 +138,8 @@
 static bool
 pack(struct copy *copy)
 {
-    copy->packed = ch_config_pack(copy->declaration->text);
+    copy->packed =
+        ch_pack(copy->declaration->text, strlen(copy->declaration->text));
     return true;
 }
 
@@ -148,7 +149,7 @@
     struct ch_error error = {0};
     gsize length = 0;
     const void *bytes = g_bytes_get_data(copy->packed, &length);
-    char *text = ch_config_unpack(bytes, length, MOST_TEXT, &error);
+    char *text = ch_unpack(bytes, length, MOST_TEXT, NULL, &error);
     g_free(text);
     return text != NULL;
 }
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -235,10 +235,10 @@
     done(data, &range);
 }
 
-/* Runs a roster on such a service for three seconds; returns for how long it
+/* Runs a roster on such a service for some seconds; returns for how long it
  * was, microseconds, which is more on a busy machine. */
 static int64_t
-run_for_a_while(const struct ch_kv_ops *ops)
+run_for_a_while(const struct ch_kv_ops *ops, unsigned seconds)
 {
     struct fixture *fixture = fixture_new(ops, 4);
     g_atomic_int_set(&world.leases, 0);
@@ -246,7 +246,7 @@
     struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
     int64_t began = g_get_monotonic_time();
     ch_roster_start(roster);
-    g_usleep(3 * (gulong)G_USEC_PER_SEC);
+    g_usleep(seconds * (gulong)G_USEC_PER_SEC);
     ch_roster_stop(roster);
     fixture_stop(fixture);
     int64_t took = g_get_monotonic_time() - began;
@@ -276,7 +276,7 @@
         .changes = changes_none,
         .lease = fake_lease,
     };
-    int64_t took = run_for_a_while(&ops);
+    int64_t took = run_for_a_while(&ops, 3);
     int leases = g_atomic_int_get(&world.leases);
     g_test_message("%d leases asked for in %" G_GINT64_FORMAT " ms", leases,
                    took / 1000);
@@ -298,7 +298,7 @@
         .changes = changes_always,
         .lease = fake_lease,
     };
-    int64_t took = run_for_a_while(&ops);
+    int64_t took = run_for_a_while(&ops, 5);
     int changes = g_atomic_int_get(&world.changes);
     g_test_message("%d watches in the half of %" G_GINT64_FORMAT
                    " ms that it watches",
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -4,7 +4,7 @@
  * cases set.
  */
 
-#include "node/config_pack.h"
+#include "node/pack.h"
 #include "node/dialect.h"
 #include "node/node.h"
 
@@ -44,19 +44,19 @@
     return world.near;
 }
 
-char *
-ch_peers_upstream_home(struct ch_peers *peers, uint64_t key,
-                       const char *region, const char *data_centre)
+bool
+ch_peers_has_role(struct ch_peers *peers, const char *role, unsigned count,
+                  const char *region)
 {
-    (void)peers, (void)key, (void)region, (void)data_centre;
-    return g_strdup(world.entry);
+    (void)peers, (void)role, (void)count;
+    return strcmp(region == NULL ? world.watcher : world.entry, "n1") == 0;
 }
 
-char *
-ch_peers_home(struct ch_peers *peers, uint64_t key, const char *data_centre)
+bool
+ch_peers_listed(struct ch_peers *peers)
 {
-    (void)peers, (void)key, (void)data_centre;
-    return g_strdup(world.watcher);
+    (void)peers;
+    return true;
 }
 
 char **
@@ -423,20 +423,20 @@
 {
     struct ch_error error = {0};
     char *large = g_strnfill((gsize)2 * MOST, 'x');
-    GBytes *packed = ch_config_pack(large);
+    GBytes *packed = ch_pack(large, strlen(large));
     gsize length = 0;
     const void *bytes = g_bytes_get_data(packed, &length);
     g_assert_cmpuint(length, <, MOST / 100);
-    g_assert_null(ch_config_unpack(bytes, length, MOST, &error));
+    g_assert_null(ch_unpack(bytes, length, MOST, NULL, &error));
     g_assert_cmpint(error.code, ==, CH_FRAME_TOO_LARGE);
     error = (struct ch_error){0};
     g_assert_null(
-        ch_config_unpack(bytes, length / 2, (size_t)4 * MOST, &error));
+        ch_unpack(bytes, length / 2, (size_t)4 * MOST, NULL, &error));
     g_assert_cmpint(error.code, ==, CH_FRAME_DAMAGED);
     error = (struct ch_error){0};
-    g_assert_null(ch_config_unpack("text", 4, MOST, &error));
+    g_assert_null(ch_unpack("text", 4, MOST, NULL, &error));
     g_assert_cmpint(error.code, ==, CH_FRAME_DAMAGED);
-    char *whole = ch_config_unpack(bytes, length, (size_t)2 * MOST, &error);
+    char *whole = ch_unpack(bytes, length, (size_t)2 * MOST, NULL, &error);
     g_assert_cmpstr(whole, ==, large);
     g_free(whole);
     g_free(large);
