Rights: nobody takes one before it knows the others; loads ten times a second

Cause: a node that had just started knew no other, found itself the first in order and took the right. So a right lay with whichever node was first, far down the order that all know later; after a restart of all the first in order met a right of another node and had to wait for its lease. For the same reason small hosts had rights, although larger ones come first.

Change: a node takes a right only once it has the list of the nodes.

Beside it: nodes tell their load and holders the sum each 100 ms in place of 250 and 200; what is told is small by now, and each of some hundred nodes sends by what the others did before.

Test: /controller/claims-when-listed, which failed before.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -47,7 +47,7 @@
     /* Numbers of others older than this say nothing any more. */
     OTHERS_STALE = 3 * G_USEC_PER_SEC,
     /* What others run was gathered this long before it came. */
-    OTHERS_LAG = 300 * 1000,
+    OTHERS_LAG = 200 * 1000,
     /* When something is missing that is being looked after. */
     SOON = G_USEC_PER_SEC,
     /* Over this time what is asked of a model is counted: demand moves every
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -84,8 +84,12 @@
 
 /*
  * Whether this node is to try for the duty.  Load: the holder was killed or
- * cut off.  Harm prevented: nobody loads what requests need; all nodes asking
- * the service for it at once.
+ * cut off, or all nodes start at once.  Harm prevented: nobody loads what
+ * requests need; all nodes asking the service for it at once; a node that
+ * knows no other yet, and so finds itself the first in order, takes the duty
+ * from a host that can do more.  A later start of all would then find the
+ * right with one that is far down the order, and wait for its lease to run
+ * out.
  */
 static bool
 is_wanted(const struct ch_controller *controller, const struct duty *duty,
@@ -93,7 +97,7 @@
 {
     int64_t silent = now - duty->heard;
     if (controller->draining || controller->stopping ||
-        silent < HOLDER_SILENT) {
+        silent < HOLDER_SILENT || !ch_peers_listed(controller->node->peers)) {
         return false;
     }
     bool foreign = false;
--- a/libchestnuthitch/node/controller_demand.c
+++ b/libchestnuthitch/node/controller_demand.c
@@ -10,13 +10,13 @@
 #define WIRE(name) CHESTNUTHITCH__WIRE__##name
 
 enum {
-    /* A word on demand holds this long: nodes and near holders tell it four
+    /* A word on demand holds this long: nodes and near holders tell it ten
      * times a second. */
     DEMAND_STALE = 2 * 1000 * 1000,
     /* ... and is passed on this long, so that a node which tells another
      * holder now is not counted twice for long. */
     DEMAND_PASSED = 1000 * 1000,
-    DEMAND_PERIOD = 250 * 1000,
+    DEMAND_PERIOD = 100 * 1000,
     /* Between regions, whose link is paid by volume. */
     DEMAND_PERIOD_FAR = 500 * 1000,
 };
--- a/libchestnuthitch/node/controller_tell.c
+++ b/libchestnuthitch/node/controller_tell.c
@@ -28,7 +28,7 @@
     int quiet_ms;
     int whole_ms;
 } periods[AUDIENCES] = {
-    [AUDIENCE_NODES] = {200, 800, 16000},
+    [AUDIENCE_NODES] = {100, 800, 16000},
     [AUDIENCE_NEAR] = {100, 400, 4000},
     [AUDIENCE_FAR] = {1000, 1000, 8000},
 };
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -127,6 +127,18 @@
     g_atomic_int_inc(&seen.messages);
 }
 
+static void
+no_demand(void *data, GArray *out, GArray *loads)
+{
+    (void)data, (void)out, (void)loads;
+}
+
+static void
+no_used(void *data, GPtrArray *out)
+{
+    (void)data, (void)out;
+}
+
 static void
 take_pull(void *data, const Chestnuthitch__Wire__Frame *frame)
 {
@@ -361,10 +373,70 @@
     }
 }
 
+/* ---- the right to order ---- */
+
+static int claims;
+
+/* Counts those that look for a right, and answers nothing. */
+static void
+count_look(struct ch_kv *kv, const char *key,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    const struct ch_kv_answer answer = {.code = CH_KV_UNREACHABLE};
+    (void)kv, (void)key;
+    g_atomic_int_inc(&claims);
+    done(data, &answer);
+}
+
+/*
+ * Guards against rights that go to whichever node starts first: before it knew
+ * the others each found itself the first in order.  A small host had the right
+ * then, and when all were restarted at once nobody could order engines until
+ * its lease had run out.
+ */
+static void
+test_claims_when_listed(void)
+{
+    static const struct ch_kv_ops ops = {.get = count_look};
+    static const struct ch_controller_handlers handlers = {
+        .told = take_told,
+        .loads = take_loads,
+        .told_all = take_all,
+        .demand = no_demand,
+        .used = no_used,
+    };
+    struct ch_kv kv = {.ops = &ops};
+    struct end *node = end_new("n1");
+    const struct ch_host_list nobody = {0};
+    node->node.kv = &kv;
+    node->node.timers = ch_timers_new(node->node.pool);
+    claims = 0;
+    struct ch_controller *controller =
+        ch_controller_new(&node->node, NULL, &handlers, NULL);
+    ch_peers_start(node->node.peers);
+    ch_controller_changed(controller);
+    ch_controller_start(controller);
+    g_usleep(3 * SETTLE_US);
+    g_assert_cmpint(g_atomic_int_get(&claims), ==, 0);
+    ch_peers_list(node->node.peers, &nobody);
+    await(&claims, 1);
+    g_assert_cmpint(g_atomic_int_get(&claims), >=, 1);
+    ch_controller_stop(controller);
+    ch_peers_stop(node->node.peers);
+    ch_timers_stop(node->node.timers);
+    ch_pool_free(node->node.pool);
+    ch_controller_free(controller);
+    ch_timers_free(node->node.timers);
+    ch_peers_free(node->node.peers);
+    g_free(node);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/controller/told", test_told);
+    g_test_add_func("/controller/claims-when-listed", test_claims_when_listed);
     return g_test_run();
 }
