--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -43,24 +43,38 @@
     (void)roster;
 }
 
-/* One engine, e1, in the data centre a. */
+/* Two engines: e1 in the data centre a, e2 in b. */
 void
 ch_roster_each(struct ch_roster *roster,
                void (*each)(void *data, const struct ch_host *host),
                void *data)
 {
-    const struct ch_host host = {
-        .name = (char *)"e1",
-        .kind = CH_HOST_ENGINE,
-        .address = (char *)"127.0.0.1:9",
-        .region = (char *)"r1",
-        .data_centre = (char *)"a",
-        .service = (char *)"s",
-        .boot = 1,
-        .batch = 64,
-    };
+    char *names[][2] = {{"e1", "a"}, {"e2", "b"}};
     (void)roster;
-    each(data, &host);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        const struct ch_host host = {
+            .name = names[i][0],
+            .kind = CH_HOST_ENGINE,
+            .address = (char *)"127.0.0.1:9",
+            .region = (char *)"r1",
+            .data_centre = names[i][1],
+            .service = (char *)"s",
+            .boot = 1,
+            .batch = 64,
+        };
+        each(data, &host);
+    }
+}
+
+/* No engine answers. */
+static void
+no_report(struct ch_upstream *upstream,
+          void (*done)(void *data, enum ch_code code,
+                       struct ch_report *report),
+          void *data)
+{
+    (void)upstream;
+    done(data, CH_UPSTREAM_CONNECT, NULL);
 }
 
 static void
@@ -73,7 +87,10 @@
 fake_upstream(struct ch_client *client, struct ch_http *http,
               const struct ch_host *host, int64_t call_limit)
 {
-    static const struct ch_upstream_ops ops = {.free = free_upstream};
+    static const struct ch_upstream_ops ops = {
+        .free = free_upstream,
+        .report = no_report,
+    };
     struct ch_upstream *upstream = g_new0(struct ch_upstream, 1);
     (void)client, (void)http, (void)host, (void)call_limit;
     upstream->ops = &ops;
@@ -171,20 +188,33 @@
     return end;
 }
 
+/* Tells an end of some others. */
 static void
-introduce(struct end *end, const struct end *other)
-{
-    g_autofree char *address =
-        g_strdup_printf("127.0.0.1:%u", ch_peers_port(other->node.peers));
-    struct ch_host host = {
-        .name = other->settings.name,
-        .kind = CH_HOST_ENTRY,
-        .address = address,
-        .region = (char *)"r1",
-        .data_centre = (char *)"a",
-    };
-    struct ch_host_list list = {.hosts = &host, .count = 1};
+introduce_all(struct end *end, struct end *const *others, size_t count)
+{
+    struct ch_host hosts[2] = {{0}};
+    struct ch_host_list list = {.hosts = hosts, .count = count};
+    g_assert_cmpuint(count, <=, G_N_ELEMENTS(hosts));
+    for (size_t i = 0; i < count; i++) {
+        hosts[i] = (struct ch_host){
+            .name = others[i]->settings.name,
+            .kind = CH_HOST_ENTRY,
+            .address = g_strdup_printf("127.0.0.1:%u",
+                                       ch_peers_port(others[i]->node.peers)),
+            .region = others[i]->settings.region,
+            .data_centre = others[i]->settings.data_centre,
+        };
+    }
     ch_peers_list(end->node.peers, &list);
+    for (size_t i = 0; i < count; i++) {
+        g_free(hosts[i].address);
+    }
+}
+
+static void
+introduce(struct end *end, struct end *other)
+{
+    introduce_all(end, &other, 1);
 }
 
 static void
@@ -268,9 +298,9 @@
      2},
 };
 
-/* Sends one message. */
+/* Sends one message of the holder of a data centre. */
 static void
-tell(struct end *teller, const struct step *step)
+tell_of(struct end *teller, const struct step *step, const char *centre)
 {
     Chestnuthitch__Wire__Right right = WIRE(RIGHT__INIT);
     Chestnuthitch__Wire__Right *rights[] = {&right};
@@ -281,7 +311,7 @@
     uint32_t number = 1;
     uint32_t running = step->load;
     uint32_t unread = 0;
-    right.data_centre = (char *)"a";
+    right.data_centre = (char *)centre;
     right.fence = step->fence;
     right.holder = teller->settings.name;
     state.upstream = (char *)"e1";
@@ -340,7 +370,7 @@
     introduce(node, teller);
     introduce(teller, node);
     for (int i = 0; i < MOST_STEPS && test->steps[i].fence != 0; i++) {
-        tell(teller, &test->steps[i]);
+        tell_of(teller, &test->steps[i], "a");
         await(&seen.messages, i + 1);
     }
     await(&seen.pulls, test->pulls);
@@ -432,11 +462,182 @@
     g_free(node);
 }
 
+/* ---- what requests ask for ---- */
+
+/* A service that gives each lease and takes each write. */
+static void
+get_none(struct ch_kv *kv, const char *key,
+         void (*done)(void *data, const struct ch_kv_answer *answer),
+         void *data)
+{
+    const struct ch_kv_answer answer = {.code = CH_KV_MISSING};
+    (void)kv, (void)key;
+    done(data, &answer);
+}
+
+static void
+give_lease(struct ch_kv *kv, int64_t ttl,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    const struct ch_kv_answer answer = {.code = CH_OK, .revision = 7};
+    (void)kv, (void)ttl;
+    done(data, &answer);
+}
+
+static void
+take_write(struct ch_kv *kv, const char *key, const void *value, size_t length,
+           uint64_t revision, uint64_t lease,
+           void (*done)(void *data, const struct ch_kv_answer *answer),
+           void *data)
+{
+    const struct ch_kv_answer answer = {.code = CH_OK, .revision = 9};
+    (void)kv, (void)value, (void)length, (void)revision, (void)lease;
+    const struct ch_kv_answer other = {.code = CH_KV_CONFLICT, .revision = 3};
+    done(data, strcmp(key, "orders/a") == 0 ? &answer : &other);
+}
+
+static void
+renew_lease(struct ch_kv *kv, uint64_t lease,
+            void (*done)(void *data, const struct ch_kv_answer *answer),
+            void *data)
+{
+    const struct ch_kv_answer answer = {.code = CH_OK};
+    (void)kv, (void)lease;
+    done(data, &answer);
+}
+
+/* What reached the other holder. */
+static struct {
+    int right; /* messages with what is asked for below */
+    int wrong; /* with what it told itself, or of others' engines */
+} passed;
+
+static void
+take_passed(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const Chestnuthitch__Wire__Demand *demand = frame->demand;
+    (void)data;
+    bool right = demand->collected && demand->n_models == 1 &&
+                 strcmp(demand->models[0], "m1") == 0 &&
+                 demand->work[0] == 500 && demand->n_loads == 1 &&
+                 strcmp(demand->loads[0]->upstream, "e2") == 0 &&
+                 demand->loads[0]->running == 3;
+    bool wrong = false;
+    for (size_t i = 0; i < demand->n_models; i++) {
+        wrong = wrong || strcmp(demand->models[i], "m9") == 0;
+    }
+    for (size_t i = 0; i < demand->n_loads; i++) {
+        wrong = wrong || strcmp(demand->loads[i]->upstream, "e1") == 0;
+    }
+    g_atomic_int_add(&passed.right, right ? 1 : 0);
+    g_atomic_int_add(&passed.wrong, wrong ? 1 : 0);
+}
+
+/* Sends a demand for one model, and a load of each engine. */
+static void
+ask_for(struct end *from, const char *model, bool collected)
+{
+    Chestnuthitch__Wire__EngineLoad rows[2] = {
+        WIRE(ENGINE_LOAD__INIT),
+        WIRE(ENGINE_LOAD__INIT),
+    };
+    Chestnuthitch__Wire__EngineLoad *loads[] = {&rows[0], &rows[1]};
+    Chestnuthitch__Wire__Demand demand = WIRE(DEMAND__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    char *models[] = {(char *)model};
+    uint32_t work = 500;
+    uint32_t backlog = 0;
+    rows[0].upstream = (char *)"e1";
+    rows[0].running = 2;
+    rows[1].upstream = (char *)"e2";
+    rows[1].running = 3;
+    demand.n_models = demand.n_work = demand.n_backlog = 1;
+    demand.models = models;
+    demand.work = &work;
+    demand.backlog = &backlog;
+    demand.n_loads = 2;
+    demand.loads = loads;
+    demand.collected = collected;
+    frame.body_case = WIRE(FRAME__BODY_DEMAND);
+    frame.demand = &demand;
+    ch_peers_send(from->node.peers, "n1", &frame);
+}
+
+/*
+ * Load: hundreds of nodes whose requests ask for models that every holder
+ * decides upon.  Harm prevented: each of them tells each holder; or a sum that
+ * is told on and on between holders, so that demand grows by itself.  The
+ * holder of a data centre passes on what its nodes told, once, and to each
+ * holder the loads of that one's engines alone.
+ */
+static void
+test_demand_passed_once(void)
+{
+    static const struct ch_kv_ops ops = {
+        .get = get_none,
+        .lease = give_lease,
+        .put_leased = take_write,
+        .renew = renew_lease,
+    };
+    static const struct ch_controller_handlers handlers = {
+        .told = take_told,
+        .loads = take_loads,
+        .told_all = take_all,
+        .demand = no_demand,
+        .used = no_used,
+    };
+    static const struct step word = {
+        .sequence = 1, .fence = 5, .whole = true, .state = false};
+    struct ch_kv kv = {.ops = &ops};
+    struct end *node = end_new("n1");
+    struct end *near = end_new("n2");
+    struct end *holder = end_new("n3");
+    struct end *const others[] = {near, holder};
+    holder->settings.data_centre = (char *)"b";
+    node->node.kv = &kv;
+    node->node.timers = ch_timers_new(node->node.pool);
+    memset(&passed, 0, sizeof(passed));
+    struct ch_controller *controller =
+        ch_controller_new(&node->node, NULL, &handlers, NULL);
+    ch_controller_changed(controller);
+    ch_peers_handle(holder->node.peers, WIRE(FRAME__BODY_DEMAND), take_passed,
+                    NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        ch_peers_start(others[i]->node.peers);
+        introduce(others[i], node);
+    }
+    ch_peers_start(node->node.peers);
+    introduce_all(node, others, G_N_ELEMENTS(others));
+    ch_controller_start(controller);
+    int64_t until = g_get_monotonic_time() + WAIT_US;
+    while (g_atomic_int_get(&passed.right) < 3 &&
+           g_get_monotonic_time() < until) {
+        tell_of(holder, &word, "b");
+        ask_for(holder, "m9", true);
+        ask_for(near, "m1", false);
+        g_usleep(50 * 1000);
+    }
+    g_assert_cmpint(g_atomic_int_get(&passed.right), >=, 3);
+    g_assert_cmpint(g_atomic_int_get(&passed.wrong), ==, 0);
+    ch_controller_stop(controller);
+    ch_peers_stop(node->node.peers);
+    ch_timers_stop(node->node.timers);
+    ch_pool_free(node->node.pool);
+    ch_controller_free(controller);
+    ch_timers_free(node->node.timers);
+    ch_peers_free(node->node.peers);
+    g_free(node);
+    end_free(near);
+    end_free(holder);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/controller/told", test_told);
     g_test_add_func("/controller/claims-when-listed", test_claims_when_listed);
+    g_test_add_func("/controller/demand-passed-once", test_demand_passed_once);
     return g_test_run();
 }
