Retry: an upstream that refused, not run, takes none of a request's tries

Cause: a refusal that says "not run" counted as a try. A class's tries bound on how many upstreams a request runs.

Change: such refusals are counted by themselves, three at most in one course, out of the same budget of repeats. A stream whose caller has the beginning waits at the one that refused it, as before.

Test: /exchange/refused, which failed on the code before.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -796,7 +796,9 @@
         work->service ? 0 : others_arrivals(balance, work, candidates, now);
     double each = (double)(ch_balance_reading(balance, work) + NEIGHBOUR);
     double random =
-        (double)(ch_hash_pair(work->id, work->attempt) % 65536) / 65536;
+        (double)(ch_hash_pair(work->id, work->attempt + work->refusals) %
+                 65536) /
+        65536;
     return ch_fill_choose((const double *)(void *)costs->data, costs->len,
                           each, arrivals, random);
 }
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -31,10 +31,11 @@
     uint32_t output_tokens; /* most that may come */
     uint64_t prefix;        /* hash of the prompt's first part; 0: none */
     int64_t arrived;
-    int64_t first_by; /* target for the first token, or a service's answer */
-    int64_t between;  /* target between tokens; 0: none */
-    int64_t whole_by; /* target for the whole answer; 0: none */
-    uint32_t attempt; /* 0 for the first */
+    int64_t first_by;  /* target for the first token, or a service's answer */
+    int64_t between;   /* target between tokens; 0: none */
+    int64_t whole_by;  /* target for the whole answer; 0: none */
+    uint32_t attempt;  /* 0 for the first */
+    uint32_t refusals; /* of upstreams that did not run it */
     bool idempotent;
     bool begun;  /* the caller has the beginning of its answer */
     GQuark pool; /* the service whose upstreams may take it; 0: any */
--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -162,6 +162,10 @@
     uint32_t events_given; /* to the caller */
 };
 
+/* Whether an upstream refused, without running it, a request of a class that
+   states its tries and whose answer has not begun: that is none of them. */
+bool ch_retry_is_refusal(const struct ch_work *work,
+                         const struct ch_retry_failure *failure);
 /* Draws a further try from the budget, unless one is *held that no dispatch
    has used yet; false: none is left now. */
 bool ch_retry_hold(struct ch_retry_budget *budget, bool *held);
@@ -174,6 +178,7 @@
    it was last sent, is asked for again after CH_RETRY_WAIT. */
 bool ch_retry_waits(const struct ch_work *work, enum ch_code code,
                     bool may_have_run, uint32_t events_given);
+
 /* A try is *held when the answer is not NO and something was sent. */
 enum ch_retry ch_retry_decide(struct ch_retry_budget *budget, bool *held,
                               const struct ch_work *work,
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -7,6 +7,10 @@
      * for one that died while the second was reached, two; more would only
      * follow a fault of the request itself from upstream to upstream. */
     MOST_ATTEMPTS = 2,
+    /* Upstreams that may refuse a request of a class with stated tries, in one
+     * course; the last of them ends it.  A view that is some hundred
+     * milliseconds old is wrong more than once where many send at once. */
+    MOST_REFUSALS = 3,
     /* A node that has seen little traffic may still retry this often. */
     SMALLEST_BUDGET = 3,
 };
@@ -53,6 +57,21 @@
     return work->tries > 0 ? work->tries - 1 : MOST_ATTEMPTS;
 }
 
+/*
+ * Whether the upstream that failed was the last that may be asked.  Load: many
+ * nodes fill an engine at once, or a model goes while requests for it are on
+ * their way.  Harm prevented: the caller is refused beside engines with places
+ * free.  What surely was not run takes none of the tries, which bound on how
+ * many upstreams a request may run.
+ */
+static bool
+was_last(const struct ch_work *work, const struct ch_retry_failure *failure)
+{
+    return ch_retry_is_refusal(work, failure)
+               ? work->refusals + 1 >= MOST_REFUSALS
+               : work->attempt >= most_attempts(work);
+}
+
 /* Whether the time for the whole answer is over. */
 static bool
 is_past(const struct ch_work *work, int64_t now)
@@ -60,6 +79,15 @@
     return work->whole_by > 0 && now >= work->whole_by;
 }
 
+/* See policy.h. */
+bool
+ch_retry_is_refusal(const struct ch_work *work,
+                    const struct ch_retry_failure *failure)
+{
+    return work->tries > 0 && failure->code == CH_UPSTREAM_REFUSED &&
+           !failure->may_have_run && failure->events_given == 0;
+}
+
 /* See policy.h. */
 bool
 ch_retry_hold(struct ch_retry_budget *budget, bool *held)
@@ -130,7 +158,7 @@
     bool sent = work->tries == 0 || failure->code != CH_UPSTREAM_CONNECT;
     bool begun = failure->events_given > 0;
     if (!is_of_the_upstream(failure->code) || is_past(work, now) ||
-        (sent && work->attempt >= most_attempts(work))) {
+        (sent && was_last(work, failure))) {
         return CH_RETRY_NO;
     }
     if (failure->may_have_run && !work->idempotent) {
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -570,7 +570,7 @@
         g_array_append_vals(request->excluded, excluded->data, excluded->len);
     }
     pthread_mutex_lock(&balancer->lock);
-    if (!work->service && work->attempt == 0) {
+    if (!work->service && work->attempt == 0 && work->refusals == 0) {
         ch_balance_asked(balancer->balance, work, now);
     }
     uint64_t handle = ch_table_add(balancer->requests, request);
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -297,6 +297,18 @@
 
 /* ---- the call's end ---- */
 
+/* A call's end as the policy sees it. */
+static struct ch_retry_failure
+failure_of(const struct ch_exchange *exchange, const struct ch_call_end *end)
+{
+    return (struct ch_retry_failure){
+        .code = end->code,
+        .may_have_run = end->may_have_run,
+        .stream = exchange->request->stream,
+        .events_given = exchange->events,
+    };
+}
+
 /* Whether a failed call is tried again, by the policy and the node's budget.
  * A non-idempotent request without a key has one dispatch and no other: there
  * is no record that would tell a repeat from a first try. */
@@ -310,12 +322,7 @@
     if (exchange->abandoned || exchange->too_large || !repeatable) {
         return CH_RETRY_NO;
     }
-    const struct ch_retry_failure failure = {
-        .code = end->code,
-        .may_have_run = end->may_have_run,
-        .stream = exchange->request->stream,
-        .events_given = exchange->events,
-    };
+    const struct ch_retry_failure failure = failure_of(exchange, end);
     pthread_mutex_lock(&front->lock);
     enum ch_retry retry = ch_retry_decide(ch_front_budget(front, work->pool),
                                           &exchange->try_held, work, &failure,
@@ -329,7 +336,8 @@
 
 /* Goes back to the homes for another upstream.  Lock held. */
 static void
-try_elsewhere(struct ch_exchange *exchange, enum ch_retry retry)
+try_elsewhere(struct ch_exchange *exchange, enum ch_retry retry,
+              const struct ch_call_end *end)
 {
     struct ch_metrics *metrics = exchange->front->node->client->metrics;
     ch_metrics_count(metrics, CH_COUNT_RETRIES, 1);
@@ -341,8 +349,12 @@
     }
     GQuark failed = exchange->grant.upstream;
     g_array_append_val(exchange->excluded, failed);
-    bool counts = exchange->request->work.tries == 0 || exchange->was_sent;
-    exchange->request->work.attempt += counts ? 1 : 0;
+    struct ch_work *work = &exchange->request->work;
+    const struct ch_retry_failure failure = failure_of(exchange, end);
+    bool refused = ch_retry_is_refusal(work, &failure);
+    bool counts = work->tries == 0 || exchange->was_sent;
+    work->refusals += refused ? 1 : 0;
+    work->attempt += counts && !refused ? 1 : 0;
     exchange->step = CH_STEP_HOME;
     exchange->home_handle = 0;
     exchange->home_answered = false;
@@ -400,7 +412,7 @@
     }
     enum ch_retry retry = decide_retry(exchange, &judged);
     if (retry != CH_RETRY_NO) {
-        try_elsewhere(exchange, retry);
+        try_elsewhere(exchange, retry, &judged);
         return false;
     }
     if (answers) {
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -362,7 +362,7 @@
         .body_length = request->length,
         .stream = request->stream,
         .may_repeat = request->work.idempotent,
-        .fresh = request->work.attempt > 0,
+        .fresh = request->work.attempt > 0 || request->work.refusals > 0,
         .resume_from = exchange->events,
         .resume_id = exchange->last_event,
         .headers = request->headers,
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -902,6 +902,54 @@
     }
 }
 
+static const struct {
+    const char *name;
+    const char *idempotent;
+    enum call_act call[MOST_TRIES];
+    unsigned calls;
+    bool whole;
+} refused_cases[] = {
+    {"refused twice, then whole", "true",
+     CALLS(SAYS_NOT_RUN, SAYS_NOT_RUN, WHOLE), 3, true},
+    {"refused three times: no fourth upstream", "true",
+     CALLS(SAYS_NOT_RUN, SAYS_NOT_RUN, SAYS_NOT_RUN, WHOLE), 3, false},
+    {"refused, then cut, then whole", "true", CALLS(SAYS_NOT_RUN, CUT, WHOLE),
+     3, true},
+    {"refused, then cut twice: it ran on two", "true",
+     CALLS(SAYS_NOT_RUN, CUT, CUT, WHOLE), 3, false},
+    {"not to run twice: refused twice, then whole", "false",
+     CALLS(SAYS_NOT_RUN, SAYS_NOT_RUN, WHOLE), 3, true},
+    {"not to run twice: refused, then cut", "false",
+     CALLS(SAYS_NOT_RUN, CUT, WHOLE), 2, false},
+};
+
+/*
+ * Guards against callers who are refused beside engines with places free: an
+ * engine that had been filled by others meanwhile, or had just given up the
+ * model, used up a try of the class although it ran nothing.
+ */
+static void
+test_refused(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(refused_cases); i++) {
+        struct world *world = routed_world();
+        g_test_message("%s", refused_cases[i].name);
+        set_idempotent(world, refused_cases[i].idempotent);
+        memcpy(world->call_acts, refused_cases[i].call,
+               sizeof(world->call_acts));
+        world_start(world);
+        char *answer = hear(ask(world, "POST /r/1", "", ""));
+        bool whole = strstr(answer, "{\"n\":4}") != NULL &&
+                     g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+        g_test_message("%s", answer);
+        g_assert_cmpint(whole, ==, refused_cases[i].whole);
+        g_free(answer);
+        world_stop(world);
+        g_assert_cmpuint(world->calls, ==, refused_cases[i].calls);
+        world_free(world);
+    }
+}
+
 static const struct {
     const char *name;
     const char *idempotent;
@@ -1490,6 +1538,7 @@
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/begun", test_begun);
+    g_test_add_func("/exchange/refused", test_refused);
     g_test_add_func("/exchange/server-error", test_server_error);
     g_test_add_func("/exchange/stream-left", test_stream_left);
     g_test_add_func("/exchange/silent-together", test_silent_together);
