Upstream: a status that promises "not run" is not passed on without the word

429, 503, 408 and 421 tell callers that nothing was run. An answer with one of them from an upstream that does not say so went on to callers of requests that may not be repeated, and since the last try's own failure is passed on it would have for others too. It counts as an answer that can't be used.

--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -119,6 +119,14 @@
     return course->id_missing && course->rules.passes_headers;
 }
 
+/* Whether callers take a status as a promise that nothing was run: it is not
+ * passed on from an upstream that does not promise it. */
+static bool
+says_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Notes why the answer can't be passed on, if it can't. */
 static void
 find_fault_of_head(struct course *course)
@@ -138,6 +146,10 @@
                        course->status);
         fail(course, CH_UPSTREAM_ANSWER, text);
     }
+    else if (course->rules.passes_headers && says_not_run(course->status)) {
+        fail(course, CH_UPSTREAM_ANSWER,
+             "the upstream does not say whether it ran the request");
+    }
     else if (course->rules.proof_header != NULL && !course->proven &&
              course->status < 300) {
         fail(course, CH_UPSTREAM_ANSWER, "the answer bears no signature");
