Start: a node that returns reads at once, and learns from those that find it

Causes: the wait for the others' entries is for a fleet that starts for the first time; a host whose earlier process is still listed finds the others listed too. And who does not know the list knew nobody to ask, although the others probe each member and open connections to it.

Change: who finds its own earlier entry reads the list at once, and the configuration by itself when nobody had it for 0.3 s. A connection's first frame says where its sender listens; a node without a list takes it for a member, and asks it for the list, the upstreams and the configuration.

Test: /roster/starts-without-service.

--- a/libchestnuthitch/node/config_keeper.c
+++ b/libchestnuthitch/node/config_keeper.c
@@ -61,6 +61,8 @@
      * some ten thousand paths. */
     MOST_TEXT = 8 * 1024 * 1024,
     FIRST_PAUSE = 250 * 1000,
+    /* A node that returns has asked others for so long before it reads. */
+    FIRST_READ = 300 * 1000,
     /* A node that knows no list of the others after this long reads all the
      * same: the service may answer for the configuration alone. */
     UNLISTED = 1500 * 1000,
@@ -83,7 +85,8 @@
     GBytes *packed;      /* the text in force; NULL: not packed yet */
     struct ch_turn turn; /* to read; see READ_EVERY */
     bool reading;
-    bool calling; /* a watch or read of the service is under way */
+    bool read_first; /* a node that returns has read by itself */
+    bool calling;    /* a watch or read of the service is under way */
     int64_t pause;
     int64_t not_before;
     uint64_t timer;
@@ -404,6 +407,22 @@
     keeper_unref(keeper);
 }
 
+/*
+ * Whether a node whose host was in the fleet before reads by itself, once.
+ * Load: all hosts were without power, and nobody knows the configuration.
+ * Harm prevented: callers are refused until it has come round from the few
+ * that watch.  Where others know it, they have been asked by then.  Lock held.
+ */
+static bool
+reads_first(struct ch_config_keeper *keeper, int64_t now)
+{
+    bool reads = g_atomic_int_get(&keeper->node->returns) != 0 &&
+                 keeper->current == NULL && !keeper->read_first &&
+                 now - keeper->started >= FIRST_READ;
+    keeper->read_first = keeper->read_first || reads;
+    return reads;
+}
+
 /* Reads the configuration if it is this node's turn; see READ_EVERY. */
 static void
 read_in_turn(struct ch_config_keeper *keeper)
@@ -415,7 +434,8 @@
     pthread_mutex_lock(&keeper->lock);
     bool begin = !keeper->stopped && !keeper->reading && keeper->taking == 0 &&
                  knows_its_role(keeper) &&
-                 ch_turn_due(&keeper->turn, round, g_random_double(), now);
+                 (reads_first(keeper, now) ||
+                  ch_turn_due(&keeper->turn, round, g_random_double(), now));
     if (begin) {
         keeper->reading = true;
         keeper_ref(keeper);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -46,6 +46,7 @@
     struct ch_router *router;
     struct ch_front *front;
     struct ch_admin *admin;
+    int returns; /* an earlier process of this host is listed still; atomic */
 };
 
 /* Starts everything; NULL with an error.  settings and dialect (NULL: our own
--- a/libchestnuthitch/node/peers_connection.c
+++ b/libchestnuthitch/node/peers_connection.c
@@ -136,6 +136,7 @@
     hello.region = peers->node->settings->region;
     hello.data_centre = peers->node->settings->data_centre;
     hello.incarnation = peers->node->incarnation;
+    hello.address = peers->node->settings->peers;
     frame.body_case = WIRE(FRAME__BODY_HELLO);
     frame.hello = &hello;
     connection_put(peers, connection, &frame, now);
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -30,11 +30,30 @@
 
 /* ---- what comes; the lock is held ---- */
 
+/*
+ * Takes a node that came by itself for a member until a list comes.  Load: a
+ * host is restarted while the service that keeps the list is away.  Harm
+ * prevented: the node knows nobody to ask for the configuration and the
+ * upstreams, and refuses its callers until the service is back.
+ */
+static void
+learn_member(struct ch_peers *peers, const Chestnuthitch__Wire__Frame *frame,
+             int64_t now)
+{
+    const Chestnuthitch__Wire__Hello *hello = frame->hello;
+    if (peers->listed || !ch_address_check(hello->address, NULL)) {
+        return;
+    }
+    ch_members_listed(peers->members, frame->from, hello->address,
+                      hello->region, hello->data_centre, false, now);
+}
+
 /* An inbound connection says whose it is. */
 static void
 take_hello(struct ch_peers *peers, struct connection *connection,
            const Chestnuthitch__Wire__Frame *frame, int64_t now)
 {
+    learn_member(peers, frame, now);
     ch_members_incarnation(peers->members, frame->from,
                            frame->hello->incarnation);
     if (connection->outbound || connection->name != NULL) {
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -37,9 +37,16 @@
      * this long after its start at the latest.  Nodes that start at the same
      * time know of one another then; before, each of them found itself alone,
      * read and watched all that a few do for all, and told it to the others.
+     * One whose earlier process is still listed need not wait: so are those of
+     * the others.
      */
     ENTER = 400 * 1000,
     MOST_ENTER = 800 * 1000,
+    /* The service is taken to be away when it gave no list this long after the
+     * start. */
+    SERVICE_LATE = 1000 * 1000,
+    /* Others are asked this often for what is not known. */
+    ASK_AGAIN = 500 * 1000,
     /* A node that was told of no upstreams this long after its start reads
      * them by itself. */
     FIRST_UNTOLD = 3000 * 1000,
@@ -229,7 +236,8 @@
 {
     const struct ch_roster *roster = feed->roster;
     if (feed == &roster->nodes) {
-        return (roster->listed_at != 0 && now - roster->listed_at >= ENTER) ||
+        return roster->returns ||
+               (roster->listed_at != 0 && now - roster->listed_at >= ENTER) ||
                now - roster->started >= MOST_ENTER;
     }
     return (roster->nodes.known && watcher) ||
@@ -274,17 +282,34 @@
 
 /* ---- the tick ---- */
 
-/* Asks one of the others once for all upstreams, where somebody else watches:
- * a node that starts in a fleet that runs knows them so at once. */
+/* What is to be asked of another node, as it is not known here; NULL: nothing.
+ * Who watches reads the service, unless that does not answer.  Lock held. */
+static struct feed *
+feed_to_ask(struct ch_roster *roster, bool watcher, int64_t now)
+{
+    bool late = now - roster->started >= SERVICE_LATE;
+    if (roster->stopped || now < roster->ask_at) {
+        return NULL;
+    }
+    if (!roster->nodes.known) {
+        return late ? &roster->nodes : NULL;
+    }
+    return !roster->upstreams.known && (late || !watcher) ? &roster->upstreams
+                                                          : NULL;
+}
+
+/* Asks one of the others for what this node does not know: one that starts in
+ * a fleet that runs knows it so at once, and while the service is away. */
 static void
-ask_first(struct ch_roster *roster, bool watcher)
+ask_first(struct ch_roster *roster, bool watcher, int64_t now)
 {
     pthread_mutex_lock(&roster->lock);
-    bool ask = roster->nodes.known && !roster->upstreams.known && !watcher &&
-               !roster->asked;
-    roster->asked = roster->asked || ask;
+    struct feed *feed = feed_to_ask(roster, watcher, now);
+    if (feed != NULL) {
+        roster->ask_at = now + ASK_AGAIN;
+    }
     pthread_mutex_unlock(&roster->lock);
-    if (!ask) {
+    if (feed == NULL) {
         return;
     }
     GPtrArray *near = g_ptr_array_new_with_free_func(g_free);
@@ -292,7 +317,8 @@
     ch_peers_others(roster->node->peers, near, far);
     const GPtrArray *from = near->len > 0 ? near : far;
     if (from->len > 0) {
-        feed_pull(&roster->upstreams, g_ptr_array_index(from, 0));
+        guint at = (guint)g_random_int_range(0, (gint32)from->len);
+        feed_pull(feed, g_ptr_array_index(from, at));
     }
     g_ptr_array_free(near, TRUE);
     g_ptr_array_free(far, TRUE);
@@ -308,7 +334,7 @@
     bool watcher = is_watcher(roster);
     begin_call(&roster->upstreams, watcher);
     begin_call(&roster->nodes, watcher);
-    ask_first(roster, watcher);
+    ask_first(roster, watcher, now);
     roster_tell(&roster->upstreams, watcher, now);
     roster_tell(&roster->nodes, watcher, now);
     roster_keep_own(roster, now);
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -78,7 +78,8 @@
     int64_t renewed;
     int64_t started;
     int64_t listed_at; /* when the entry was first written; 0: it was not */
-    bool asked;        /* another node, for all upstreams at the start */
+    int64_t ask_at;    /* others are asked no sooner for what is not known */
+    bool returns;      /* an earlier process of this host left its entry */
     int64_t own_pause; /* after the last call for it; 0: it was answered */
     int64_t own_not_before;
 };
--- a/libchestnuthitch/node/roster_own.c
+++ b/libchestnuthitch/node/roster_own.c
@@ -75,6 +75,8 @@
     }
     if (answer->code == CH_KV_CONFLICT) {
         roster->own_revision = answer->revision;
+        roster->returns = true;
+        g_atomic_int_set(&roster->node->returns, 1);
     }
     else if (answer->code == CH_KV_MISSING) {
         roster->lease = 0;
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1644,7 +1644,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__hello__field_descriptors[4] =
 {
   {
     "region",
@@ -1682,8 +1682,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__hello__field_indices_by_name[] = {
+  3,   /* field[3] = address */
   1,   /* field[1] = data_centre */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = region */
@@ -1691,7 +1704,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__hello__descriptor =
 {
@@ -1701,7 +1714,7 @@
   "Chestnuthitch__Wire__Hello",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Hello),
-  3,
+  4,
   chestnuthitch__wire__hello__field_descriptors,
   chestnuthitch__wire__hello__field_indices_by_name,
   1,  chestnuthitch__wire__hello__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -137,10 +137,14 @@
    * start time of the process, microseconds
    */
   uint64_t incarnation;
+  /*
+   * of the sender's listener for other nodes
+   */
+  char *address;
 };
 #define CHESTNUTHITCH__WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Chestnuthitch__Wire__Ping
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -102,15 +102,15 @@
     struct ch_node node;
 };
 
-/* A node alone on a service that does as ops say. */
+/* A node of that name on a service that does as ops say. */
 static struct fixture *
-fixture_new(const struct ch_kv_ops *ops, unsigned workers)
+fixture_named(const char *name, const struct ch_kv_ops *ops, unsigned workers)
 {
     static const struct ch_dialect dialect = {.hosts_prefix = PREFIX};
     struct fixture *fixture = g_new0(struct fixture, 1);
     struct ch_error error = {0};
     fixture->settings = (struct ch_settings){
-        .name = "n1",
+        .name = (char *)name,
         .region = "r1",
         .data_centre = "a",
         .peers = "127.0.0.1:0",
@@ -118,7 +118,7 @@
         .peer_silent_ms = 600,
         .idle_connection_ms = 60000,
     };
-    ch_client_init(&fixture->client, "n1");
+    ch_client_init(&fixture->client, name);
     fixture->client.log_write = drop_line;
     fixture->client.metrics = ch_metrics_new();
     world.kv.ops = ops;
@@ -137,6 +137,13 @@
     return fixture;
 }
 
+/* A node alone. */
+static struct fixture *
+fixture_new(const struct ch_kv_ops *ops, unsigned workers)
+{
+    return fixture_named("n1", ops, workers);
+}
+
 /* Ends its threads; what was made for it is freed after that. */
 static void
 fixture_stop(struct fixture *fixture)
@@ -307,6 +314,96 @@
     g_assert_cmpint(changes, <=, most_in(took, 18));
 }
 
+/* ---- a start while the service is away ---- */
+
+/* No list is to be had. */
+static void
+range_none(struct ch_kv *kv, const char *prefix,
+           void (*done)(void *data, const struct ch_kv_range *range),
+           void *data)
+{
+    (void)kv, (void)prefix;
+    const struct ch_kv_range range = {.code = CH_KV_UNREACHABLE};
+    done(data, &range);
+}
+
+/* Answers with a list that is known: itself among the nodes, no upstreams. */
+static void
+answer_pull(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const struct fixture *other = data;
+    Chestnuthitch__Wire__Frame reply = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    Chestnuthitch__Wire__Roster roster = CHESTNUTHITCH__WIRE__ROSTER__INIT;
+    Chestnuthitch__Wire__RosterEntry entry =
+        CHESTNUTHITCH__WIRE__ROSTER_ENTRY__INIT;
+    Chestnuthitch__Wire__RosterEntry *entries[] = {&entry};
+    g_autofree char *value =
+        g_strdup_printf("{\"address\": \"%s\", \"data_centre\": \"a\", "
+                        "\"region\": \"r1\"}",
+                        other->settings.peers);
+    entry.key = (char *)"nodes/n2";
+    entry.value.data = (uint8_t *)value;
+    entry.value.len = strlen(value);
+    entry.revision = 4;
+    roster.prefix = frame->roster_pull->prefix;
+    roster.at = 5;
+    roster.entries = entries;
+    roster.n_entries = strcmp(roster.prefix, "nodes/") == 0 ? 1 : 0;
+    reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    reply.roster = &roster;
+    ch_peers_reply(other->node.peers, frame->from, frame->id, &reply);
+}
+
+/*
+ * Callers are refused by each host that is restarted while the service is
+ * away, until it is back: the node knew nobody whom it could ask.  The others
+ * find it by themselves, and say where they are.
+ */
+static void
+test_starts_without_service(void)
+{
+    static const struct ch_kv_ops ops = {
+        .range = range_none,
+        .changes = changes_none,
+        .lease = fake_lease,
+    };
+    struct fixture *fixture = fixture_new(&ops, 4);
+    struct fixture *other = fixture_named("n2", &ops, 2);
+    g_autofree char *own =
+        g_strdup_printf("127.0.0.1:%u", ch_peers_port(fixture->node.peers));
+    g_autofree char *others =
+        g_strdup_printf("127.0.0.1:%u", ch_peers_port(other->node.peers));
+    fixture->settings.peers = own;
+    other->settings.peers = others;
+    const struct ch_host host = {
+        .name = (char *)"n1",
+        .kind = CH_HOST_ENTRY,
+        .address = own,
+        .region = (char *)"r1",
+        .data_centre = (char *)"a",
+    };
+    const struct ch_host_list list = {(struct ch_host *)&host, 1};
+    struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
+    ch_peers_handle(other->node.peers,
+                    CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL, answer_pull,
+                    other);
+    ch_peers_start(fixture->node.peers);
+    ch_peers_start(other->node.peers);
+    ch_roster_start(roster);
+    ch_peers_list(other->node.peers, &list);
+    int64_t until = g_get_monotonic_time() + 10 * (int64_t)G_USEC_PER_SEC;
+    while (!ch_roster_known(roster) && g_get_monotonic_time() < until) {
+        g_usleep(10000);
+    }
+    g_assert_true(ch_roster_known(roster));
+    ch_roster_stop(roster);
+    fixture_stop(other);
+    fixture_stop(fixture);
+    ch_roster_free(roster);
+    fixture_free(other);
+    fixture_free(fixture);
+}
+
 /* ---- a change that no watch brings ---- */
 
 /* The configuration, at a revision that grows with each read. */
@@ -521,6 +618,8 @@
     g_test_add_func("/roster/watches", test_watches);
     g_test_add_func("/roster/own-entry", test_own_entry);
     g_test_add_func("/roster/gather", test_gather);
+    g_test_add_func("/roster/starts-without-service",
+                    test_starts_without_service);
     g_test_add_func("/roster/left-out", test_left_out);
     g_test_add_func("/roster/copies", test_copies);
     return g_test_run();
