--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -119,6 +119,9 @@
 
 /* Calls the upstream of the grant.  Lock held. */
 void ch_exchange_call(struct ch_exchange *exchange);
+/* Microseconds that a call may take by its caller's deadline; 0: the caller
+   stated none. */
+int64_t ch_exchange_time_left(const struct ch_request *request, int64_t now);
 /* The request's id as its caller knows it. */
 const char *ch_exchange_id(const struct ch_exchange *exchange);
 /* What the home learns from the call.  Lock held. */
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -337,6 +337,17 @@
                : ch_reply_id(exchange->reply);
 }
 
+/* See exchange.h.  Leave may come after the deadline and before its timer has
+ * run: a call that began then with no time stated would have no limit. */
+int64_t
+ch_exchange_time_left(const struct ch_request *request, int64_t now)
+{
+    if (!request->routed || request->deadline == 0) {
+        return 0;
+    }
+    return MAX(request->deadline - now, 1);
+}
+
 /* Calls the granted upstream.  A second try goes out on a fresh connection:
  * the first may have failed because kept-alive ones have gone silent. */
 void
@@ -367,8 +378,7 @@
         .resume_id = exchange->last_event,
         .headers = request->headers,
         .header_count = request->header_count,
-        .time_left =
-            request->routed ? request->deadline - exchange->dispatched : 0,
+        .time_left = ch_exchange_time_left(request, exchange->dispatched),
         .priority = exchange->grant.priority,
         .connect_limit = (int64_t)settings->connect_ms * 1000,
         .first_byte_limit = first_byte_limit(exchange),
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -168,6 +168,20 @@
            CH_F_END);
 }
 
+/*
+ * Bytes came, if no whole frame yet.  Load: a large frame, as a configuration
+ * of some thousand paths, on a slow link.  Harm prevented: the connection is
+ * taken for silent in the middle of it, and the frame begun anew each time.
+ */
+static void
+note_bytes(struct connection *connection, int64_t now)
+{
+    if (connection->asked > 0) {
+        connection->asked = now;
+    }
+    connection->heard = now;
+}
+
 /* Reads once: a busy peer must not keep the others waiting.  Whether more may
  * be left. */
 static bool
@@ -188,6 +202,7 @@
     }
     ch_metrics_count(peers->node->client->metrics,
                      CH_COUNT_FRAME_BYTES_RECEIVED, (uint64_t)count);
+    note_bytes(connection, now);
     ch_wire_decoder_feed(connection->decoder, bytes, (size_t)count);
     take_frames(peers, connection, now);
     return (size_t)count == sizeof(bytes);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -3,6 +3,7 @@
  * caller, with homes, once records and upstreams that do as they are told.
  */
 
+#include "node/exchange.h"
 #include "node/dialect.h"
 #include "node/front.h"
 #include "node/listener.h"
@@ -915,6 +916,8 @@
      CALLS(SAYS_NOT_RUN, SAYS_NOT_RUN, SAYS_NOT_RUN, WHOLE), 3, false},
     {"refused, then cut, then whole", "true", CALLS(SAYS_NOT_RUN, CUT, WHOLE),
      3, true},
+    {"given up before it began, refused, then whole", "true",
+     CALLS(CROSSED, SAYS_NOT_RUN, WHOLE), 3, true},
     {"refused, then cut twice: it ran on two", "true",
      CALLS(SAYS_NOT_RUN, CUT, CUT, WHOLE), 3, false},
     {"not to run twice: refused twice, then whole", "false",
@@ -1013,6 +1016,36 @@
     world_free(world);
 }
 
+static const struct {
+    const char *name;
+    bool routed;
+    int64_t deadline;
+    int64_t now;
+    int64_t left;
+} time_cases[] = {
+    {"our own interface", false, 500, 100, 0},
+    {"no deadline", true, 0, 100, 0},
+    {"before it", true, 500, 100, 400},
+    {"at it", true, 500, 500, 1},
+    {"after it", true, 500, 900, 1},
+};
+
+/* Guards against a call without a limit: leave for it came after its caller's
+ * deadline, whose timer had not run yet. */
+static void
+test_time_left(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(time_cases); i++) {
+        const struct ch_request request = {
+            .routed = time_cases[i].routed,
+            .deadline = time_cases[i].deadline,
+        };
+        g_test_message("%s", time_cases[i].name);
+        g_assert_cmpint(ch_exchange_time_left(&request, time_cases[i].now), ==,
+                        time_cases[i].left);
+    }
+}
+
 /* Ends the calls that are silent for too long as the loop of calls out does:
  * all are asked for first, and those that are given up end after that. */
 static unsigned
@@ -1538,6 +1571,7 @@
     ADD_TABLE("/exchange/give up/", give_up_cases, test_give_up)
     ADD_TABLE("/exchange/bounds/", bounds_cases, test_bounds)
     g_test_add_func("/exchange/begun", test_begun);
+    g_test_add_func("/exchange/time-left", test_time_left);
     g_test_add_func("/exchange/refused", test_refused);
     g_test_add_func("/exchange/server-error", test_server_error);
     g_test_add_func("/exchange/stream-left", test_stream_left);
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -1,6 +1,7 @@
 /* Nodes talking over real connections on loopback. */
 
 #include "node/node.h"
+#include "wire/wire.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -244,6 +245,70 @@
     end_free(end);
 }
 
+struct slow_peer {
+    int listener;
+    GByteArray *bytes;
+    int pieces;
+    int pause_ms;
+};
+
+/* Takes one connection and sends its bytes in pieces, whatever it is asked. */
+static void *
+run_slow_peer(void *data)
+{
+    const struct slow_peer *peer = data;
+    int fd = accept(peer->listener, NULL, NULL);
+    size_t piece = peer->bytes->len / (size_t)peer->pieces + 1;
+    for (size_t at = 0; at < peer->bytes->len; at += piece) {
+        size_t length = MIN(piece, peer->bytes->len - at);
+        g_usleep((gulong)peer->pause_ms * 1000);
+        if (send(fd, peer->bytes->data + at, length, MSG_NOSIGNAL) < 0) {
+            break;
+        }
+    }
+    g_usleep(300 * 1000);
+    close(fd);
+    return NULL;
+}
+
+/*
+ * Guards against a large frame on a slow link that is taken for silence: only
+ * whole frames counted as a sign of life, so that an answer which took longer
+ * than the limit of silence was cut off and asked for again without end.
+ */
+static void
+test_slow_frame(void)
+{
+    struct end *end = end_new("e01");
+    struct slow_peer peer = {.pieces = 8, .pause_ms = 250};
+    uint16_t port = 0;
+    pthread_t thread;
+    Chestnuthitch__Wire__Frame reply = WIRE(FRAME__INIT);
+    Chestnuthitch__Wire__ConfigPush push = WIRE(CONFIG_PUSH__INIT);
+    g_autofree char *text = g_strnfill((gsize)200 * 1024, 'x');
+    push.text = text;
+    reply.version = CH_WIRE_VERSION;
+    reply.from = (char *)"e02";
+    reply.id = 1;
+    reply.reply = true;
+    reply.body_case = WIRE(FRAME__BODY_CONFIG_PUSH);
+    reply.config_push = &push;
+    peer.bytes = g_byte_array_new();
+    g_assert_true(ch_wire_encode(&reply, peer.bytes, NULL));
+    peer.listener = silent_listener(&port);
+    g_assert_cmpint(pthread_create(&thread, NULL, run_slow_peer, &peer), ==,
+                    0);
+    ch_peers_start(end->node.peers);
+    introduce(end, "e02", port);
+    struct outcome outcome = ask(end, "e02", 0);
+    g_assert_cmpint(outcome.code, ==, CH_OK);
+    g_assert_cmpint(outcome.took, >, 1500 * 1000);
+    pthread_join(thread, NULL);
+    close(peer.listener);
+    g_byte_array_free(peer.bytes, TRUE);
+    end_free(end);
+}
+
 /* Bytes that are no frame close that connection and harm nothing else. */
 static void
 test_damaged(void)
@@ -527,6 +592,7 @@
     g_test_add_func("/peers/traffic", test_traffic);
     g_test_add_func("/peers/request", test_request);
     g_test_add_func("/peers/silent-node", test_silent_node);
+    g_test_add_func("/peers/slow-frame", test_slow_frame);
     g_test_add_func("/peers/damaged", test_damaged);
     return g_test_run();
 }
