--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -23,11 +23,11 @@
     char *region;
     char *data_centre;
     enum ch_member_status status;
-    bool leaving;    /* by the list */
-    uint64_t leaves; /* incarnation that said that it stops; 0: none */
+    bool leaving;      /* by the list */
+    uint64_t leaves;   /* incarnation that said that it stops; 0: none */
     uint32_t capacity; /* of its host; 0: not told */
-    bool unready;    /* it answers, but is not ready to be home */
-    bool listed;     /* found by the update that runs now */
+    bool unready;      /* it answers, but is not ready to be home */
+    bool listed;       /* found by the update that runs now */
     uint64_t incarnation;
     uint64_t hash;      /* of the name, for rendezvous */
     int64_t heard;      /* last time that anything came from it */
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -127,7 +127,7 @@
     char **resident;   /* "model" and "model/adapter"; NULL: none */
     char **copies;     /* models of which it keeps a copy near by */
     uint32_t capacity; /* of an entry host; 0: not told */
-    int64_t read_at;   /* when all this came, by the node's clock; 0: not kept */
+    int64_t read_at; /* when all this came, by the node's clock; 0: not kept */
 };
 
 /* Frees what a host holds, not the struct. */
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -226,6 +226,20 @@
     g_free(end);
 }
 
+/* Ends a node whose controller has begun. */
+static void
+stop_controller(struct end *node, struct ch_controller *controller)
+{
+    ch_controller_stop(controller);
+    ch_peers_stop(node->node.peers);
+    ch_timers_stop(node->node.timers);
+    ch_pool_free(node->node.pool);
+    ch_controller_free(controller);
+    ch_timers_free(node->node.timers);
+    ch_peers_free(node->node.peers);
+    g_free(node);
+}
+
 /* ---- messages ---- */
 
 /* One message of the teller. */
@@ -452,14 +466,7 @@
     ch_peers_list(node->node.peers, &nobody);
     await(&claims, 1);
     g_assert_cmpint(g_atomic_int_get(&claims), >=, 1);
-    ch_controller_stop(controller);
-    ch_peers_stop(node->node.peers);
-    ch_timers_stop(node->node.timers);
-    ch_pool_free(node->node.pool);
-    ch_controller_free(controller);
-    ch_timers_free(node->node.timers);
-    ch_peers_free(node->node.peers);
-    g_free(node);
+    stop_controller(node, controller);
 }
 
 /* ---- what requests ask for ---- */
@@ -620,14 +627,7 @@
     }
     g_assert_cmpint(g_atomic_int_get(&passed.right), >=, 3);
     g_assert_cmpint(g_atomic_int_get(&passed.wrong), ==, 0);
-    ch_controller_stop(controller);
-    ch_peers_stop(node->node.peers);
-    ch_timers_stop(node->node.timers);
-    ch_pool_free(node->node.pool);
-    ch_controller_free(controller);
-    ch_timers_free(node->node.timers);
-    ch_peers_free(node->node.peers);
-    g_free(node);
+    stop_controller(node, controller);
     end_free(near);
     end_free(holder);
 }
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -5,6 +5,7 @@
 
 #include "decide/revision.h"
 #include "node/dialect.h"
+#include "node/pack.h"
 #include "node/roster.h"
 
 #include <pthread.h>
@@ -404,6 +405,101 @@
     fixture_free(fixture);
 }
 
+/* ---- packed entries ---- */
+
+static const struct packed_case {
+    const char *what;
+    size_t cut; /* bytes left out at the end */
+    bool known; /* the list, by this message */
+    uint64_t bad;
+} packed_cases[] = {
+    {"whole", 0, true, 0},
+    {"cut off", 9, false, 1},
+};
+
+/* Sends all nodes, packed: n2 alone. */
+static void
+send_packed(struct fixture *from, size_t cut)
+{
+    Chestnuthitch__Wire__Roster entries = CHESTNUTHITCH__WIRE__ROSTER__INIT;
+    Chestnuthitch__Wire__Roster told = CHESTNUTHITCH__WIRE__ROSTER__INIT;
+    Chestnuthitch__Wire__RosterEntry entry =
+        CHESTNUTHITCH__WIRE__ROSTER_ENTRY__INIT;
+    Chestnuthitch__Wire__RosterEntry *one[] = {&entry};
+    Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    uint8_t bytes[512];
+    gsize length = 0;
+    entry.key = (char *)"nodes/n3";
+    entry.value.data = (uint8_t *)"{\"address\": \"127.0.0.1:9\", "
+                                  "\"data_centre\": \"a\", "
+                                  "\"region\": \"r1\"}";
+    entry.value.len = strlen((const char *)entry.value.data);
+    entry.revision = 4;
+    entries.entries = one;
+    entries.n_entries = 1;
+    g_autoptr(GBytes) packed =
+        ch_pack(bytes, chestnuthitch__wire__roster__pack(&entries, bytes));
+    told.prefix = (char *)"nodes/";
+    told.at = 5;
+    told.packed.data = (uint8_t *)g_bytes_get_data(packed, &length);
+    told.packed.len = length - cut;
+    frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    frame.roster = &told;
+    ch_peers_send(from->node.peers, "n1", &frame);
+}
+
+/*
+ * A list that was damaged on its way changes nothing that is known, and is
+ * counted.
+ */
+static void
+test_packed(void)
+{
+    static const struct ch_kv_ops ops = {
+        .range = range_none,
+        .changes = changes_none,
+        .lease = fake_lease,
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(packed_cases); i++) {
+        struct fixture *fixture = fixture_new(&ops, 2);
+        struct fixture *other = fixture_named("n2", &ops, 2);
+        g_autofree char *own = g_strdup_printf(
+            "127.0.0.1:%u", ch_peers_port(fixture->node.peers));
+        const struct ch_host host = {
+            .name = (char *)"n1",
+            .kind = CH_HOST_ENTRY,
+            .address = own,
+            .region = (char *)"r1",
+            .data_centre = (char *)"a",
+        };
+        const struct ch_host_list list = {(struct ch_host *)&host, 1};
+        struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
+        g_test_message("%s", packed_cases[i].what);
+        ch_peers_start(fixture->node.peers);
+        ch_peers_start(other->node.peers);
+        ch_peers_list(other->node.peers, &list);
+        send_packed(other, packed_cases[i].cut);
+        for (int waited = 0; waited < 300; waited++) {
+            if (ch_peers_listed(fixture->node.peers) ||
+                ch_metrics_read(fixture->client.metrics, CH_COUNT_FRAMES_BAD) >
+                    0) {
+                break;
+            }
+            g_usleep(10000);
+        }
+        g_assert_cmpint(ch_peers_listed(fixture->node.peers), ==,
+                        packed_cases[i].known);
+        g_assert_cmpuint(
+            ch_metrics_read(fixture->client.metrics, CH_COUNT_FRAMES_BAD), ==,
+            packed_cases[i].bad);
+        fixture_stop(other);
+        fixture_stop(fixture);
+        ch_roster_free(roster);
+        fixture_free(other);
+        fixture_free(fixture);
+    }
+}
+
 /* ---- a change that no watch brings ---- */
 
 /* The configuration, at a revision that grows with each read. */
@@ -620,6 +716,7 @@
     g_test_add_func("/roster/gather", test_gather);
     g_test_add_func("/roster/starts-without-service",
                     test_starts_without_service);
+    g_test_add_func("/roster/packed", test_packed);
     g_test_add_func("/roster/left-out", test_left_out);
     g_test_add_func("/roster/copies", test_copies);
     return g_test_run();
