--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -461,7 +461,7 @@
     ch_peers_start(node->node.peers);
     ch_controller_changed(controller);
     ch_controller_start(controller);
-    g_usleep(3 * SETTLE_US);
+    g_usleep((gulong)3 * SETTLE_US);
     g_assert_cmpint(g_atomic_int_get(&claims), ==, 0);
     ch_peers_list(node->node.peers, &nobody);
     await(&claims, 1);
@@ -623,7 +623,7 @@
         tell_of(holder, &word, "b");
         ask_for(holder, "m9", true);
         ask_for(near, "m1", false);
-        g_usleep(50 * 1000);
+        g_usleep((gulong)50 * 1000);
     }
     g_assert_cmpint(g_atomic_int_get(&passed.right), >=, 3);
     g_assert_cmpint(g_atomic_int_get(&passed.wrong), ==, 0);
