--- a/libchestnuthitch/node/roster_tell.c
+++ b/libchestnuthitch/node/roster_tell.c
@@ -229,7 +229,8 @@
 {
     g_free(telling->entries);
     g_free(telling->pointers);
-    g_clear_pointer(&telling->bytes, g_bytes_unref);
+    g_bytes_unref(telling->bytes);
+    telling->bytes = NULL;
 }
 
 /* Packs the entries once all are in. */
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -266,7 +266,7 @@
             break;
         }
     }
-    g_usleep(300 * 1000);
+    g_usleep((gulong)300 * 1000);
     close(fd);
     return NULL;
 }
@@ -302,7 +302,7 @@
     introduce(end, "e02", port);
     struct outcome outcome = ask(end, "e02", 0);
     g_assert_cmpint(outcome.code, ==, CH_OK);
-    g_assert_cmpint(outcome.took, >, 1500 * 1000);
+    g_assert_cmpint(outcome.took, >, (int64_t)1500 * 1000);
     pthread_join(thread, NULL);
     close(peer.listener);
     g_byte_array_free(peer.bytes, TRUE);
