--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -35,8 +35,8 @@
     /*
      * A node reads the others' entries this long after it wrote its own, and
      * this long after its start at the latest.  Nodes that start at the same
-     * time know of one another then; before, each of them found itself alone,
-     * read and watched all that a few do for all, and told it to the others.
+     * time know of one another then; without the wait each of them finds
+     * itself alone, and reads, watches and tells all that a few do for all.
      * One whose earlier process is still listed need not wait: so are those of
      * the others.
      */
