Controller: whether any right is held is asked in one place

controller_tell() and the passing on of demand each walked the rights for it. Behaviour as before; test_controller (address and thread builds) and test_switches pass, linter and format clean for the files.

--- a/libchestnuthitch/node/controller_demand.c
+++ b/libchestnuthitch/node/controller_demand.c
@@ -452,27 +452,12 @@
     g_ptr_array_free(holders, TRUE);
 }
 
-/* Whether this node holds any right. */
-static bool
-holds_any(struct ch_controller *controller)
-{
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, controller->duties);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        if (controller_holds(value)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Passes on what is due.  What nobody takes is not kept for ever. */
 static void
 pass_due(struct ch_controller *controller, int64_t now)
 {
     g_hash_table_foreach_remove(controller->demands, is_stale, &now);
-    if (!holds_any(controller)) {
+    if (!controller_holds_any(controller)) {
         g_hash_table_remove_all(controller->used);
         return;
     }
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -224,6 +224,8 @@
 void controller_tell(struct ch_controller *controller, int64_t now);
 /* Whether this node has the right now. */
 bool controller_holds(const struct duty *duty);
+/* ... any right. */
+bool controller_holds_any(struct ch_controller *controller);
 /* The holder that tells this node, and takes its demand; a new string, NULL:
    none is known. */
 char *controller_teller(struct ch_controller *controller, int64_t now);
--- a/libchestnuthitch/node/controller_tell.c
+++ b/libchestnuthitch/node/controller_tell.c
@@ -43,6 +43,21 @@
     return duty->was_held && ch_claim_held(duty->claim, &fence);
 }
 
+/* See controller_internal.h. */
+bool
+controller_holds_any(struct ch_controller *controller)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, controller->duties);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (controller_holds(value)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The rights whose holders are known and were heard lately. */
 static GArray *
 list_rights(struct ch_controller *controller, int64_t now)
@@ -429,18 +444,13 @@
 void
 controller_tell(struct ch_controller *controller, int64_t now)
 {
-    bool holds = false;
     bool due = false;
     GHashTableIter iterator;
     gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, controller->duties);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        holds = holds || controller_holds(value);
-    }
     for (int i = 0; i < AUDIENCES; i++) {
         due = due || now >= controller->telling[i].next;
     }
-    if (!holds || !due) {
+    if (!due || !controller_holds_any(controller)) {
         return;
     }
     g_hash_table_iter_init(&iterator, controller->duties);
