Access keys and teams: a request belongs to the team of its key

Cause: nothing read the Authorization header, and it was forwarded like any other; the operators' tenants were not decoded.

Change: the declaration has teams ([team X], [access], a class's public flag). A request is refused with 401 (116 missing, 117 malformed or sent twice, 118 unknown) before anything else is done for it, or belongs to a team: the upstream is told the team, whatever the caller wrote, the team's priority replaces the class's, and at-most-once records and crash observations are the team's own. Headers that carry the key under another name are not passed on either.

Weighed: keys compared as they are written (they would be in the text that every node holds, and a search would take longer for a right beginning); digests won.

Tests: tables of credentials, teams, forwarded headers, declarations and configurations.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -219,6 +219,7 @@
     bool refuse_late;    /* refuse requests that would start too late */
     bool defer_prompts;  /* space the prompts sent to an engine */
     bool measured_service_times; /* measure service times of requests */
+    bool quota_pools; /* share teams' quotas between nodes by demand */
 };
 
 struct ch_settings {
@@ -253,6 +254,9 @@
     unsigned crash_limit; /* [limits] crashes of upstreams */
     unsigned max_crash_requests; /* [limits] crash-requests */
     unsigned crash_retention_s;  /* [limits] crash-keep-s */
+    double quota_window_s;       /* [quota] window-s */
+    double quota_overshoot;      /* [quota] overshoot */
+    double quota_slack;          /* [quota] slack, in requests or tokens */
     unsigned lease_ms;     /* [upstreams] lease-ms: lease to order engines */
     double load_window_s;  /* [weight-store] window-s */
     double load_overshoot; /* [weight-store] overshoot */
@@ -311,6 +315,7 @@
     unsigned max_attempts; /* max upstreams that one request is sent to */
     struct ch_service_share *shares; /* by service */
     size_t share_count;
+    bool public; /* needs no access key */
 };
 
 /* A service's share of a class's requests. */
@@ -357,6 +362,26 @@
     size_t class_index; /* used when the request names no class */
 };
 
+/* The priority of a team that declares none. */
+#define CH_TEAM_NO_PRIORITY 1001
+
+/* A team: who calls, by access key, and how much of the service it may use. */
+struct ch_team {
+    char *name;
+    char **key_digests;    /* SHA-256 of the access keys, in hexadecimal */
+    unsigned priority;     /* replaces that of the class; 0 is the highest */
+    bool counts_tokens;    /* the quota is in tokens, else in requests */
+    double quota_per_s;    /* 0: no quota */
+    double quota_burst;    /* beyond quota_per_s, once */
+    unsigned plain_tokens; /* of a request that states no tokens */
+};
+
+/* The digest of an access key, and whose it is. */
+struct ch_team_key {
+    const char *digest; /* owned by the team */
+    size_t team_index;
+};
+
 /* An adapter's name and where it is declared. */
 struct ch_adapter {
     const char *name; /* owned by the model */
@@ -364,7 +389,7 @@
     int adapter_index; /* in the model's adapters */
 };
 
-/* Classes, models, services and callers are each sorted by name. */
+/* Classes, models, services, callers and teams are each sorted by name. */
 struct ch_declaration {
     struct ch_class *classes;
     size_t class_count;
@@ -374,6 +399,12 @@
     size_t service_count;
     struct ch_caller *callers;
     size_t caller_count;
+    struct ch_team *teams;
+    size_t team_count;
+    struct ch_team_key *team_keys; /* of all teams, sorted by digest */
+    size_t team_key_count;
+    bool requires_keys;   /* requests of classes that aren't public need an
+                             access key */
     char *canonical_text; /* canonical INI: equal declarations give equal bytes
                            */
     struct ch_adapter *adapters; /* of all models, sorted by name */
@@ -385,12 +416,13 @@
  * Groups: [class X] first-token-ms, between-tokens-ms, answer-ms, models,
  * services, idempotent, callers, and for a class that is selected by host and
  * path: host, path, shares, stream, resumable, priority, tries, gap-ms,
- * time-limit-ms; [model X] memory-mb, adapters, adapter-memory-mb, services,
- * numbered-adapters, load-ms; [service X] connections, batch, memory-mb,
- * context-tokens, adapter-places, loads-per-s; [limits] of callers.  The same
- * file may hold site groups, which the platform declares and only replay reads
- * (region, data-centre, upstream, entry, weight-store, link, engine); they are
- * left out of the canonical text.
+ * time-limit-ms, public; [team X] keys, priority, quota-unit, quota-per-s,
+ * quota-burst, plain-tokens; [access] require-keys; [model X] memory-mb,
+ * adapters, adapter-memory-mb, services, numbered-adapters, load-ms; [service
+ * X] connections, batch, memory-mb, context-tokens, adapter-places,
+ * loads-per-s; [limits] of callers.  The same file may hold site groups, which
+ * the platform declares and only replay reads (region, data-centre, upstream,
+ * entry, weight-store, link, engine); they are left out of the canonical text.
  */
 struct ch_declaration *ch_declaration_parse(const char *text, const char *path,
                                             struct ch_error *error);
@@ -407,6 +439,9 @@
    the model; -1 when no adapter has that name. */
 int ch_declaration_find_adapter(const struct ch_declaration *declaration,
                                 const char *name, int *adapter);
+/* The team that holds an access key, by the key's digest; -1: none. */
+int ch_declaration_find_team_by_key(const struct ch_declaration *declaration,
+                                    const char *digest);
 int ch_declaration_find_caller_class(const struct ch_declaration *declaration,
                                      const char *caller);
 /* The class of the host with the longest path prefix that matches path; -1
--- a/libchestnuthitch/base/declaration.c
+++ b/libchestnuthitch/base/declaration.c
@@ -1,6 +1,7 @@
 /* Strict reader of an operator's declaration: classes, models and services. */
 
 #include "base/base.h"
+#include "base/declaration_internal.h"
 #include "base/ini.h"
 
 #include <math.h>
@@ -26,6 +27,7 @@
     unsigned tries;
     int64_t gap;
     int64_t time_limit;
+    bool public;
 };
 
 /* A model as read from the file, before names are resolved to indexes. */
@@ -39,20 +41,30 @@
     int64_t load;
 };
 
+/* The group [access]. */
+struct parsed_access {
+    bool requires_keys;
+};
+
 /* The groups of the file by kind, each array sorted by name. */
 struct parsed {
     GArray *classes;  /* struct parsed_class */
     GArray *models;   /* struct parsed_model */
     GArray *services; /* struct ch_service */
+    GArray *teams;    /* struct ch_team */
     struct ch_caller_limits limits;
+    struct parsed_access access;
 };
 
 static const char *const flag_names[] = {"false", "true", NULL};
+static const char *const unit_names[] = {"requests", "tokens", NULL};
 
 #define CLASS(member) offsetof(struct parsed_class, member)
 #define MODEL(member) offsetof(struct parsed_model, member)
 #define SERVICE(member) offsetof(struct ch_service, member)
 #define LIMIT(member) offsetof(struct ch_caller_limits, member)
+#define TEAM(member) offsetof(struct ch_team, member)
+#define ACCESS(member) offsetof(struct parsed_access, member)
 
 /*
  * Latency targets range from 1 ms to 10 minutes for the first token and to 1
@@ -89,6 +101,7 @@
     {"class", "gap-ms", CH_INI_MILLISECONDS, CLASS(gap), "", 1, 600000, NULL},
     {"class", "time-limit-ms", CH_INI_MILLISECONDS, CLASS(time_limit), "", 1,
      86400000, NULL},
+    {"class", "public", CH_INI_FLAG, CLASS(public), "false", 0, 0, flag_names},
     {"model", "services", CH_INI_LIST, MODEL(services), "", 0, 0, NULL},
     {"model", "numbered-adapters", CH_INI_UNSIGNED, MODEL(numbered_adapters),
      "0", 0, 100000, NULL},
@@ -114,6 +127,19 @@
      86400000, NULL},
     {"limits", "idle-ms", CH_INI_MILLISECONDS, LIMIT(idle_time), "", 0,
      86400000, NULL},
+    {"team", "keys", CH_INI_DIGESTS, TEAM(key_digests), "", 0, 0, NULL},
+    {"team", "priority", CH_INI_UNSIGNED, TEAM(priority),
+     G_STRINGIFY(CH_TEAM_NO_PRIORITY), 0, CH_TEAM_NO_PRIORITY, NULL},
+    {"team", "quota-unit", CH_INI_FLAG, TEAM(counts_tokens), "requests", 0, 0,
+     unit_names},
+    {"team", "quota-per-s", CH_INI_DOUBLE, TEAM(quota_per_s), "0", 0, 1e12,
+     NULL},
+    {"team", "quota-burst", CH_INI_DOUBLE, TEAM(quota_burst), "0", 0, 1e12,
+     NULL},
+    {"team", "plain-tokens", CH_INI_UNSIGNED, TEAM(plain_tokens), "0", 0, 1e9,
+     NULL},
+    {"access", "require-keys", CH_INI_FLAG, ACCESS(requires_keys), "false", 0,
+     0, flag_names},
 };
 
 /* Groups that describe the platform.  For a replay they are in the same file;
@@ -130,6 +156,7 @@
     /* Several times the number in the largest planned deployment. */
     MAX_MODELS = 8192,
     MAX_SERVICES = 1024,
+    MAX_TEAMS = 8192,
 };
 
 /* ---- parsing ---- */
@@ -163,9 +190,9 @@
     g_free(service->name);
 }
 
-/* Compares by name: the first member of every entry is its name. */
-static int
-compare_by_name(const void *a, const void *b)
+/* See declaration_internal.h. */
+int
+declaration_compare_by_name(const void *a, const void *b)
 {
     return strcmp(*(char *const *)a, *(char *const *)b);
 }
@@ -176,10 +203,13 @@
     parsed->classes = g_array_new(FALSE, TRUE, sizeof(struct parsed_class));
     parsed->models = g_array_new(FALSE, TRUE, sizeof(struct parsed_model));
     parsed->services = g_array_new(FALSE, TRUE, sizeof(struct ch_service));
+    parsed->teams = g_array_new(FALSE, TRUE, sizeof(struct ch_team));
+    parsed->access = (struct parsed_access){false};
     parsed->limits = (struct ch_caller_limits){0};
     g_array_set_clear_func(parsed->classes, clear_class);
     g_array_set_clear_func(parsed->models, clear_model);
     g_array_set_clear_func(parsed->services, clear_service);
+    g_array_set_clear_func(parsed->teams, declaration_team_clear);
 }
 
 static void
@@ -188,6 +218,7 @@
     g_array_free(parsed->classes, TRUE);
     g_array_free(parsed->models, TRUE);
     g_array_free(parsed->services, TRUE);
+    g_array_free(parsed->teams, TRUE);
 }
 
 /* Returns the NAME of "[SECTION NAME]" as a new string, or NULL with an error.
@@ -235,6 +266,17 @@
                              entry, error);
 }
 
+/* Reads a group of which there is one, without a name. */
+static bool
+read_single(const struct ch_ini *ini, const char *group, void *destination,
+            struct ch_error *error)
+{
+    return ch_ini_check_keys(ini, group, group, rows, G_N_ELEMENTS(rows),
+                             error) &&
+           ch_ini_read_group(ini, group, group, rows, G_N_ELEMENTS(rows),
+                             destination, error);
+}
+
 /* Reads one group; its first word gives the kind. */
 static bool
 read_group(const struct ch_ini *ini, const char *group, struct parsed *parsed,
@@ -254,11 +296,14 @@
         ok = read_entry(ini, group, section, parsed->services, MAX_SERVICES,
                         error);
     }
+    else if (strcmp(section, "team") == 0) {
+        ok = read_entry(ini, group, section, parsed->teams, MAX_TEAMS, error);
+    }
     else if (strcmp(group, "limits") == 0) {
-        ok = ch_ini_check_keys(ini, group, section, rows, G_N_ELEMENTS(rows),
-                               error) &&
-             ch_ini_read_group(ini, group, section, rows, G_N_ELEMENTS(rows),
-                               &parsed->limits, error);
+        ok = read_single(ini, group, &parsed->limits, error);
+    }
+    else if (strcmp(group, "access") == 0) {
+        ok = read_single(ini, group, &parsed->access, error);
     }
     else if (!g_strv_contains(platform_sections, section)) {
         ch_ini_set_error(ini, group, NULL, CH_UNKNOWN_GROUP, error,
@@ -286,9 +331,10 @@
                          "there is no class");
         ok = false;
     }
-    g_array_sort(parsed->classes, compare_by_name);
-    g_array_sort(parsed->models, compare_by_name);
-    g_array_sort(parsed->services, compare_by_name);
+    g_array_sort(parsed->classes, declaration_compare_by_name);
+    g_array_sort(parsed->models, declaration_compare_by_name);
+    g_array_sort(parsed->services, declaration_compare_by_name);
+    g_array_sort(parsed->teams, declaration_compare_by_name);
     return ok;
 }
 
@@ -381,15 +427,15 @@
     return ok;
 }
 
-/* Index of a name in a sorted array of entries whose first member is their
- * name, or -1. */
-static int
-find_name(const void *entries, size_t count, size_t size, const char *name)
+/* See declaration_internal.h. */
+int
+declaration_find_name(const void *entries, size_t count, size_t size,
+                      const char *name)
 {
     const char *const key = name;
-    const char *found =
-        count == 0 ? NULL
-                   : bsearch(&key, entries, count, size, compare_by_name);
+    const char *found = count == 0 ? NULL
+                                   : bsearch(&key, entries, count, size,
+                                             declaration_compare_by_name);
     return found == NULL
                ? -1
                : (int)((size_t)(found - (const char *)entries) / size);
@@ -415,7 +461,8 @@
     }
     size_t size = g_array_get_element_size((GArray *)entries);
     for (size_t i = 0; names[i] != NULL; i++) {
-        int index = find_name(entries->data, entries->len, size, names[i]);
+        int index =
+            declaration_find_name(entries->data, entries->len, size, names[i]);
         if (index < 0) {
             ch_ini_set_error(ini, group, key, CH_BAD_VALUE, error,
                              "'%s' is not declared", names[i]);
@@ -552,8 +599,8 @@
     char *name = g_strndup(text, (size_t)(colon - text));
     share->weight = (unsigned)weight;
     share->service_index =
-        find_name(parsed->services->data, parsed->services->len,
-                  sizeof(struct ch_service), name);
+        declaration_find_name(parsed->services->data, parsed->services->len,
+                              sizeof(struct ch_service), name);
     if (share->service_index < 0) {
         ch_ini_set_error(ini, group, "shares", CH_BAD_VALUE, error,
                          "'%s' is not declared", name);
@@ -617,7 +664,7 @@
     }
     if (index > 0) {
         qsort(declaration->adapters, index, sizeof(struct ch_adapter),
-              compare_by_name);
+              declaration_compare_by_name);
     }
 }
 
@@ -633,6 +680,7 @@
     class->token_target = from->between_tokens;
     class->response_target = from->whole_answer;
     class->idempotent = from->idempotent;
+    class->public = from->public;
     class->allows_every_model = is_wildcard(from->models);
     class->allowed_models = g_new0(uint8_t, MAX(parsed->models->len, 1));
     class->allowed_services = g_new0(uint8_t, MAX(parsed->services->len, 1));
@@ -686,7 +734,7 @@
             g_array_append_val(callers, caller);
         }
     }
-    g_array_sort(callers, compare_by_name);
+    g_array_sort(callers, declaration_compare_by_name);
     declaration->caller_count = callers->len;
     declaration->callers =
         (struct ch_caller *)(void *)g_array_free(callers, FALSE);
@@ -825,6 +873,9 @@
         append_milliseconds(out, "between-tokens-ms", class->between_tokens);
         append_milliseconds(out, "answer-ms", class->whole_answer);
         append_flag(out, "idempotent", class->idempotent);
+        if (class->public) {
+            append_flag(out, "public", true);
+        }
         append_list(out, "models", class->models);
         append_list(out, "services", class->services);
         append_list(out, "callers", class->callers);
@@ -851,6 +902,12 @@
         append_service(out, &declaration->services[i]);
     }
     append_limits(out, &declaration->limits);
+    if (parsed->access.requires_keys) {
+        g_string_append(out, "[access]\n");
+        append_flag(out, "require-keys", true);
+        g_string_append_c(out, '\n');
+    }
+    declaration_teams_format(out, declaration);
     return g_string_free(out, FALSE);
 }
 
@@ -877,7 +934,10 @@
         build_adapters(declaration);
         ok = build_model_services(&ini, declaration, &parsed, error) &&
              build_classes(&ini, declaration, &parsed, error) &&
-             build_callers(&ini, declaration, &parsed, error);
+             build_callers(&ini, declaration, &parsed, error) &&
+             declaration_teams_build(&ini, declaration, parsed.teams, error);
+        declaration->requires_keys =
+            parsed.access.requires_keys || declaration->team_count > 0;
     }
     if (ok) {
         declaration->canonical_text = format_declaration(declaration, &parsed);
@@ -931,6 +991,7 @@
     for (size_t i = 0; i < declaration->caller_count; i++) {
         g_free(declaration->callers[i].name);
     }
+    declaration_teams_free(declaration);
     g_free(declaration->classes);
     g_free(declaration->models);
     g_free(declaration->services);
@@ -945,8 +1006,9 @@
 ch_declaration_find_class(const struct ch_declaration *declaration,
                           const char *name)
 {
-    return find_name(declaration->classes, declaration->class_count,
-                     sizeof(struct ch_class), name);
+    return declaration_find_name(declaration->classes,
+                                 declaration->class_count,
+                                 sizeof(struct ch_class), name);
 }
 
 /* Index of a model, or -1; the name of an adapter gives -1. */
@@ -954,8 +1016,8 @@
 ch_declaration_find_model(const struct ch_declaration *declaration,
                           const char *name)
 {
-    return find_name(declaration->models, declaration->model_count,
-                     sizeof(struct ch_model), name);
+    return declaration_find_name(declaration->models, declaration->model_count,
+                                 sizeof(struct ch_model), name);
 }
 
 /* Index of a service, or -1. */
@@ -963,8 +1025,9 @@
 ch_declaration_find_service(const struct ch_declaration *declaration,
                             const char *name)
 {
-    return find_name(declaration->services, declaration->service_count,
-                     sizeof(struct ch_service), name);
+    return declaration_find_name(declaration->services,
+                                 declaration->service_count,
+                                 sizeof(struct ch_service), name);
 }
 
 /* Index of the model that an adapter belongs to, or -1.  *adapter (unless
@@ -973,8 +1036,9 @@
 ch_declaration_find_adapter(const struct ch_declaration *declaration,
                             const char *name, int *adapter)
 {
-    int index = find_name(declaration->adapters, declaration->adapter_count,
-                          sizeof(struct ch_adapter), name);
+    int index = declaration_find_name(declaration->adapters,
+                                      declaration->adapter_count,
+                                      sizeof(struct ch_adapter), name);
     if (index < 0) {
         return -1;
     }
@@ -989,8 +1053,9 @@
 ch_declaration_find_caller_class(const struct ch_declaration *declaration,
                                  const char *caller)
 {
-    int index = find_name(declaration->callers, declaration->caller_count,
-                          sizeof(struct ch_caller), caller);
+    int index =
+        declaration_find_name(declaration->callers, declaration->caller_count,
+                              sizeof(struct ch_caller), caller);
     return index < 0 ? -1 : (int)declaration->callers[index].class_index;
 }
 
--- a/libchestnuthitch/base/ini.c
+++ b/libchestnuthitch/base/ini.c
@@ -340,6 +340,33 @@
     return *reason == NULL;
 }
 
+/* Whether text is a SHA-256 digest in lower-case hexadecimal. */
+static bool
+is_digest(const char *text)
+{
+    return strlen(text) == 64 && strspn(text, "0123456789abcdef") == 64;
+}
+
+/* Stores a sorted list of digests. */
+static bool
+store_digests(const char *text, void *destination, char **reason)
+{
+    if (!store_list(text, destination, reason)) {
+        g_free(*reason);
+        *reason = g_strdup("a digest is listed twice or malformed");
+        return false;
+    }
+    char **digests = *(char ***)destination;
+    for (size_t i = 0; digests[i] != NULL; i++) {
+        if (!is_digest(digests[i])) {
+            *reason = g_strdup("an entry is not a SHA-256 digest of 64 "
+                               "characters 0-9 a-f");
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 store_address(const struct ch_ini_row *row, const char *text,
               void *destination, char **reason)
@@ -397,6 +424,8 @@
         return store_choice(row, text, destination, reason);
     case CH_INI_LIST:
         return store_list(text, destination, reason);
+    case CH_INI_DIGESTS:
+        return store_digests(text, destination, reason);
     case CH_INI_TEXT:
         return store_text(text, false, destination, reason);
     case CH_INI_SHARES:
@@ -425,7 +454,7 @@
         return false;
     }
     if (text == NULL && row->default_text[0] == '\0' &&
-        row->type != CH_INI_LIST) {
+        row->type != CH_INI_LIST && row->type != CH_INI_DIGESTS) {
         return true;
     }
     if (text == NULL) {
@@ -436,7 +465,8 @@
     bool ok =
         store_value(row, text, (char *)destination + row->offset, &reason);
     if (!ok) {
-        char *value = escape_excerpt(text);
+        char *value = row->type == CH_INI_DIGESTS ? g_strdup("...")
+                                                  : escape_excerpt(text);
         ch_ini_set_error(ini, group, row->key, CH_BAD_VALUE, error, "'%s': %s",
                          value, reason);
         g_free(value);
--- a/libchestnuthitch/base/ini.h
+++ b/libchestnuthitch/base/ini.h
@@ -21,6 +21,9 @@
     CH_INI_CHOICE,       /* int: min + index in the choices */
     CH_INI_FLAG,         /* bool: true for the second of two choices */
     CH_INI_LIST,         /* char **: sorted names, or only "*" */
+    CH_INI_DIGESTS,      /* char **: sorted SHA-256 digests in hexadecimal;
+                            errors don't quote the value, which may be a
+                            secret written by mistake */
     CH_INI_TEXT,         /* char *: printable ASCII without spaces */
     CH_INI_SHARES,       /* char *: "NAME:NUMBER, ...", not parsed here */
 };
--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -18,7 +18,7 @@
     PROBE_INTERVAL_US = 1000 * 1000,
 };
 
-/* The digest by which two requests are the same: of host, path, caller and
+/* The digest by which two requests are the same: of host, path, owner and
  * body. */
 static struct ch_digest
 compute_digest(const struct ch_request *request)
@@ -27,7 +27,7 @@
     const struct ch_digest_part parts[] = {
         {host, strlen(host)},
         {request->path, strlen(request->path)},
-        {request->caller, strlen(request->caller)},
+        {request->owner, strlen(request->owner)},
         {request->body, request->body_length},
     };
     return ch_digest_compute(parts, G_N_ELEMENTS(parts));
--- a/libchestnuthitch/node/dialect.h
+++ b/libchestnuthitch/node/dialect.h
@@ -33,6 +33,8 @@
     /* The header with the caller's own request ID, in requests and responses.
      */
     const char *request_id_header;
+    /* Scheme of the Authorization header with an access key. */
+    const char *key_scheme;
     /* Fills in the input from the headers; false with *fault. The strings
      * point into the headers. */
     bool (*read_headers)(const struct ch_http_header *headers, size_t count,
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -401,6 +401,7 @@
         .remaining_time =
             ch_exchange_get_time_left(request, exchange->dispatched_at),
         .priority = exchange->grant.priority,
+        .team = request->team,
         .connect_timeout = (int64_t)settings->connect_ms * 1000,
         .first_byte_timeout = first_byte_limit(exchange),
         .stall_timeout = request->stall_limit > 0
--- a/libchestnuthitch/node/exchange_respond.c
+++ b/libchestnuthitch/node/exchange_respond.c
@@ -239,6 +239,7 @@
     ch_log(exchange->frontend->node->client, CH_LOG_INFO, "request",
            CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
            CH_F_STR("caller", request->caller),
+           CH_F_STR("team", request->team ? request->team : ""),
            CH_F_STR("class", request->class_name),
            CH_F_STR("model", request->model),
            CH_F_STR("adapter", request->adapter ? request->adapter : ""),
--- a/libchestnuthitch/node/frontend.c
+++ b/libchestnuthitch/node/frontend.c
@@ -165,6 +165,21 @@
 
 /* ---- one complete request ---- */
 
+static bool
+is_access_refusal(enum ch_code code)
+{
+    return code == CH_KEY_MISSING || code == CH_KEY_MALFORMED ||
+           code == CH_KEY_UNKNOWN;
+}
+
+/* Scheme of the Authorization header with an access key. */
+static const char *
+get_key_scheme(const struct ch_frontend *frontend)
+{
+    const struct ch_dialect *dialect = frontend->node->dialect;
+    return dialect == NULL ? CH_INCOMING_KEY_SCHEME : dialect->key_scheme;
+}
+
 /* Refuses a request for which no exchange was started. */
 static void
 refuse(struct ch_frontend *frontend, struct ch_response *response,
@@ -186,11 +201,16 @@
         .outcome = CH_NOT_RUN,
         .code = code,
         .retry_after = retry_after,
+        .challenge = is_access_refusal(code) ? get_key_scheme(frontend) : NULL,
         .body = json,
         .body_length = strlen(json),
     };
     ch_response_send(response, &data);
     ch_metrics_add_count(frontend->node->client->metrics, CH_COUNT_REFUSED, 1);
+    if (is_access_refusal(code)) {
+        ch_metrics_add_count(frontend->node->client->metrics,
+                             CH_COUNT_KEYS_REFUSED, 1);
+    }
     ch_log(frontend->node->client, CH_LOG_INFO, "refused",
            CH_F_STR("request_id", ch_response_get_id(response)),
            CH_F_INT("code", code), CH_F_STR("name", ch_code_get_name(code)),
--- a/libchestnuthitch/node/incoming_request.c
+++ b/libchestnuthitch/node/incoming_request.c
@@ -187,6 +187,21 @@
     return true;
 }
 
+/* Reads the Authorization headers. */
+static struct ch_credential
+read_credential(const struct ch_incoming_request *incoming, const char *scheme)
+{
+    struct ch_credential credential = {.state = CH_CREDENTIAL_ABSENT};
+    for (guint i = 0; i < incoming->all_headers->len; i++) {
+        const struct ch_http_header *header =
+            &g_array_index(incoming->all_headers, struct ch_http_header, i);
+        if (strcasecmp(header->name, "Authorization") == 0) {
+            ch_credential_add(&credential, scheme, header->value);
+        }
+    }
+    return credential;
+}
+
 /* See incoming_request.h. */
 void
 ch_incoming_request_get_input(const struct ch_incoming_request *incoming,
@@ -200,6 +215,7 @@
         .deadline_ms = incoming->headers[CH_INCOMING_DEADLINE],
         .key = incoming->headers[CH_INCOMING_KEY],
         .content_type = incoming->headers[CH_INCOMING_CONTENT_TYPE],
+        .credential = read_credential(incoming, CH_INCOMING_KEY_SCHEME),
         .body = incoming->body->data,
         .body_length = incoming->body->len,
     };
@@ -216,6 +232,7 @@
     input->method = incoming->method;
     input->uri = incoming->uri;
     input->content_type = incoming->headers[CH_INCOMING_CONTENT_TYPE];
+    input->credential = read_credential(incoming, dialect->key_scheme);
     input->body = incoming->body->data;
     input->body_length = incoming->body->len;
     input->forwarded_headers =
--- a/libchestnuthitch/node/incoming_request.h
+++ b/libchestnuthitch/node/incoming_request.h
@@ -13,6 +13,9 @@
     CH_INCOMING_MEMORY_BYTES = 8 * 1024,
 };
 
+/* Scheme of the Authorization header with an access key. */
+#define CH_INCOMING_KEY_SCHEME "Bearer"
+
 enum ch_incoming_header {
     CH_INCOMING_CALLER,
     CH_INCOMING_CLASS,
@@ -29,8 +32,7 @@
     char *uri;
     char *method;
     char *headers[CH_INCOMING_HEADER_COUNT]; /* NULL: not sent */
-    /* struct ch_http_header; all headers, for requests whose class is chosen
-     * by host and path. The library owns the strings. */
+    /* struct ch_http_header; all headers. The library owns the strings. */
     GArray *all_headers;
     int repeated_header; /* an enum ch_incoming_header that was sent twice; -1:
                           * none
--- a/libchestnuthitch/node/request.c
+++ b/libchestnuthitch/node/request.c
@@ -41,6 +41,8 @@
     g_free(request->key);
     g_free(request->body);
     g_free(request->caller);
+    g_free(request->team);
+    g_free(request->owner);
     g_free(request->tenant);
     g_free(request->class_name);
     g_free(request->model);
@@ -389,7 +391,10 @@
     }
     const struct ch_class *class =
         choose_class(request, declaration, input, fault);
-    if (class == NULL) {
+    const struct ch_team *team = NULL;
+    if (class == NULL ||
+        !ch_request_set_team(request, declaration, class, &input->credential,
+                             &team, fault)) {
         return false;
     }
     if (request->kind == CH_REQUEST_MODEL_CALL &&
@@ -400,6 +405,8 @@
         !resolve_service(request, declaration, class, fault)) {
         return false;
     }
+    ch_request_set_quota_cost(request, team,
+                              request->kind == CH_REQUEST_MODEL_CALL);
     ch_request_copy_body(request, input);
     set_targets(request, now);
     return true;
--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -6,6 +6,7 @@
  * sockets here: the HTTP listener fills in struct ch_request_input.
  */
 
+#include "access/access.h"
 #include "base/base.h"
 #include "decide/fleet.h"
 #include "net/net.h"
@@ -32,6 +33,7 @@
     const char *deadline_ms;
     const char *key;
     const char *content_type;
+    struct ch_credential credential;
     const void *body;
     size_t body_length;
     /* Of a request whose class is chosen by host and path. */
@@ -41,6 +43,7 @@
     const char *resume_id;  /* ID of the last event that the caller received */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
+    bool states_tokens; /* the caller stated both numbers of tokens */
     struct ch_prompt_part parts[CH_REQUEST_MAX_PARTS];
     size_t part_count;
     GArray *forwarded_headers; /* struct ch_http_header, forwarded to the
@@ -62,7 +65,12 @@
     char *body;
     size_t body_length;
     char *caller;
-    char *tenant; /* the caller when it is declared, else "other" */
+    char *team;   /* that holds the access key; NULL: no key is needed */
+    char *owner;  /* team and caller: whose at-most-once records and crash
+                     observations the request shares */
+    char *tenant; /* in metrics: the team, or the caller when it is declared,
+                     else "other" */
+    double quota_cost; /* in the unit of the team's quota; 0: no quota */
     char *class_name;
     int64_t first_token_target; /* the class's target for the first token */
     int64_t token_target;
@@ -106,6 +114,18 @@
 ch_request_parse_routed(const struct ch_declaration *declaration,
                         const struct ch_request_input *input, int64_t now,
                         struct ch_fault *fault);
+/* Sets the team by the access key, and what depends on the team; false with
+ * *fault when the class may not be used with this key. *team is NULL when none
+ * is known. Defined in request_team.c, like ch_request_set_quota_cost(). */
+bool ch_request_set_team(struct ch_request *request,
+                         const struct ch_declaration *declaration,
+                         const struct ch_class *class,
+                         const struct ch_credential *credential,
+                         const struct ch_team **team, struct ch_fault *fault);
+/* Sets what the request takes of the team's quota. states_tokens: its numbers
+ * of tokens are known. */
+void ch_request_set_quota_cost(struct ch_request *request,
+                               const struct ch_team *team, bool states_tokens);
 /* Whether the URI is valid and can be forwarded; false with *fault. */
 bool ch_request_check_uri(const char *uri, struct ch_fault *fault);
 /* Copies method, content type and body, and computes the fingerprint over
--- a/libchestnuthitch/node/request_route.c
+++ b/libchestnuthitch/node/request_route.c
@@ -196,20 +196,37 @@
     return true;
 }
 
-/* Copies what is forwarded to the upstream unchanged. */
+/* Copies the headers that are forwarded to the upstream. Where access keys are
+ * in use, those that carry one are left out. */
 static void
-copy_forwarded(struct ch_request *request,
-               const struct ch_request_input *input)
+copy_headers(struct ch_request *request,
+             const struct ch_declaration *declaration,
+             const struct ch_request_input *input)
 {
-    request->header_count = input->forwarded_headers->len;
     request->headers =
         g_new0(struct ch_http_header, input->forwarded_headers->len + 1);
     for (guint i = 0; i < input->forwarded_headers->len; i++) {
         const struct ch_http_header *header =
             &g_array_index(input->forwarded_headers, struct ch_http_header, i);
-        request->headers[i].name = g_strdup(header->name);
-        request->headers[i].value = g_strdup(header->value);
+        if (declaration->requires_keys &&
+            !ch_access_may_forward(&input->credential, header->name,
+                                   header->value)) {
+            continue;
+        }
+        struct ch_http_header *copy =
+            &request->headers[request->header_count++];
+        copy->name = g_strdup(header->name);
+        copy->value = g_strdup(header->value);
     }
+}
+
+/* Copies what is forwarded to the upstream unchanged. */
+static void
+copy_forwarded(struct ch_request *request,
+               const struct ch_declaration *declaration,
+               const struct ch_request_input *input)
+{
+    copy_headers(request, declaration, input);
     request->resume_id = g_strdup(input->resume_id);
     request->host = g_strdup(input->host);
     request->parts = g_memdup2(input->parts, sizeof(struct ch_prompt_part) *
@@ -240,11 +257,16 @@
     request->request_id = g_strdup(input->request_id);
     const struct ch_class *class =
         choose_class(request, declaration, input, fault);
-    if (class == NULL || !parse_deadline(request, input, now, fault) ||
+    const struct ch_team *team = NULL;
+    if (class == NULL ||
+        !ch_request_set_team(request, declaration, class, &input->credential,
+                             &team, fault) ||
+        !parse_deadline(request, input, now, fault) ||
         !resolve_service(request, declaration, class, input, fault)) {
         return false;
     }
-    copy_forwarded(request, input);
+    copy_forwarded(request, declaration, input);
+    ch_request_set_quota_cost(request, team, input->states_tokens);
     ch_request_copy_body(request, input);
     set_times(request, class, now);
     return true;
--- a/libchestnuthitch/node/response.c
+++ b/libchestnuthitch/node/response.c
@@ -337,11 +337,15 @@
 add_headers(struct MHD_Response *library_response,
             const struct ch_response *response, bool stopping)
 {
+    const struct ch_response_data *data = &response->data;
+    if (data->challenge != NULL) {
+        MHD_add_response_header(library_response, "WWW-Authenticate",
+                                data->challenge);
+    }
     if (response->id_header != NULL) {
         add_forwarded_headers(library_response, response, stopping);
         return;
     }
-    const struct ch_response_data *data = &response->data;
     char number[24];
     MHD_add_response_header(library_response, "Chestnuthitch-Request-Id",
                             response->id);
--- a/libchestnuthitch/node/response.h
+++ b/libchestnuthitch/node/response.h
@@ -28,10 +28,12 @@
     int status;
     const char *content_type; /* NULL: not sent */
     enum ch_outcome outcome;
-    enum ch_code code;   /* OK: the header is omitted */
-    int64_t retry_after; /* microseconds, for Retry-After; 0: none */
-    const char *allow;   /* Allow header of status 405; NULL: none */
-    char *body;          /* g_malloc'ed, or NULL */
+    enum ch_code code;     /* OK: the header is omitted */
+    int64_t retry_after;   /* microseconds, for Retry-After; 0: none */
+    const char *challenge; /* WWW-Authenticate of status 401, a static string;
+                              NULL: none */
+    const char *allow;     /* Allow header of status 405; NULL: none */
+    char *body;            /* g_malloc'ed, or NULL */
     size_t body_length;
     /* The upstream's headers, sent instead of Chestnuthitch's; copied. */
     const struct ch_http_header *headers;
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -515,7 +515,7 @@
 {
     char priority[16];
     char resume[16];
-    struct ch_http_header headers[5];
+    struct ch_http_header headers[6];
     size_t count = 0;
     (void)snprintf(priority, sizeof(priority), "%u", call->priority);
     (void)snprintf(resume, sizeof(resume), "%u", call->resume_from);
@@ -533,6 +533,9 @@
         headers[count++] =
             (struct ch_http_header){"Idempotency-Key", call->idempotency_key};
     }
+    if (call->team != NULL) {
+        headers[count++] = (struct ch_http_header){"X-Team", call->team};
+    }
     return ch_call_start_with_headers(client, http, address, rules, call,
                                       headers, count, handlers, data);
 }
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -23,6 +23,7 @@
     uint32_t resume_from;      /* token events that the caller already has */
     const char *last_event_id; /* last event that the caller has; or NULL */
     uint32_t priority;
+    const char *team; /* whose request it is; NULL: not known */
     /* The caller's headers, to be forwarded; NULL: none. */
     const struct ch_http_header *headers;
     size_t header_count;
--- a/tests/unit/test_declaration.c
+++ b/tests/unit/test_declaration.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define MODEL "[model m1]\nmemory-mb = 10\n"
+#define DIGEST                                                                \
+    "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
 #define CLASS "[class c1]\nanswer-ms = 100\nmodels = m1\n"
 
 struct bad_case {
@@ -73,6 +75,26 @@
     {CLASS "callers = a\n" MODEL
            "[class c2]\nanswer-ms = 1\nmodels = *\ncallers = a\n",
      CH_DUPLICATE, "callers: 'a' is also a caller of class c"},
+    {CLASS MODEL "[team a b]\n", CH_BAD_VALUE, "not [team NAME]"},
+    {CLASS MODEL "[team a]\n[team  a]\n", CH_DUPLICATE,
+     "[team a]: there are two teams of this name"},
+    {CLASS MODEL "[team a]\nkeys = " DIGEST "\n[team b]\nkeys = " DIGEST "\n",
+     CH_DUPLICATE, "keys: team a has one of these keys too"},
+    {CLASS MODEL "[team a]\nkeys = " DIGEST " " DIGEST "\n", CH_BAD_VALUE,
+     "keys: '...': a digest is listed twice"},
+    {CLASS MODEL "[team a]\nkeys = my-secret\n", CH_BAD_VALUE,
+     "[team a] keys: '...': an entry is not a SHA-256 digest"},
+    {CLASS MODEL "[team a]\nkeys = my/secret\n", CH_BAD_VALUE,
+     "[team a] keys: '...': a digest is listed twice or malformed"},
+    {CLASS MODEL "[team a]\npriority = 2000\n", CH_BAD_VALUE, "priority"},
+    {CLASS MODEL "[team a]\nquota-unit = bytes\n", CH_BAD_VALUE,
+     "quota-unit: 'bytes': not one of requests, tokens"},
+    {CLASS MODEL "[team a]\nquota-per-s = -1\n", CH_BAD_VALUE, "quota-per-s"},
+    {CLASS MODEL "[team a]\nquota-per-s = nan\n", CH_BAD_VALUE, "quota-per-s"},
+    {CLASS MODEL "[access]\nrequire-keys = perhaps\n", CH_BAD_VALUE,
+     "require-keys"},
+    {CLASS MODEL "[access]\nkeys = none\n", CH_UNKNOWN_SETTING,
+     "[access] keys: no such key"},
 };
 
 /* Each kind of invalid input gives its error code and a message that names the
@@ -88,6 +110,7 @@
         g_assert_null(declaration);
         g_assert_cmpint(error.code, ==, bad_cases[i].code);
         g_assert_nonnull(strstr(error.message, bad_cases[i].message));
+        g_assert_null(strstr(error.message, "secret"));
     }
 }
 
@@ -118,6 +141,17 @@
      "[service s2]\nloads-per-s=1.40\nconnections=10\n"
      "memory-mb=999999999\n"
      "[class c1]\nservices=s1\nfirst-token-ms=600000\n"},
+    {"[class c1]\nanswer-ms = 100\nidempotent = true\npublic = true\n"
+     "models = m1\n\n[model m1]\nmemory-mb = 10\n\n"
+     "[access]\nrequire-keys = true\n\n"
+     "[team a]\nkeys = " DIGEST "\npriority = 0\nquota-unit = tokens\n"
+     "quota-per-s = 2700.5\nquota-burst = 10\nplain-tokens = 200\n\n"
+     "[team b]\n\n",
+     CLASS "public=true\n" MODEL
+           "[team b]\nquota-unit=requests\nquota-per-s=0\n"
+           "[access]\nrequire-keys=true\n"
+           "[team a]\nplain-tokens=200\nquota-burst=10.0\npriority=0\n"
+           "quota-per-s=2700.5\nquota-unit=tokens\nkeys=" DIGEST "\n"},
 };
 
 /* The canonical text doesn't depend on the order of the file, and parsing the
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -3,6 +3,7 @@
 
 #include "platform_dialect.h"
 
+#include "access/access.h"
 #include "config.h"
 
 #include <string.h>
@@ -51,6 +52,69 @@
     ch_declaration_free(declaration);
 }
 
+#define ROUTES                                                                \
+    "\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","       \
+    "\"type\":\"safe\",\"target_latency_ms\":9,\"service\":\"s\","            \
+    "\"public\":true}],\"services\":[{\"name\":\"s\"}]"
+
+/* Tenants become teams, and their keys digests: no key is in the text. */
+static void
+test_tenants(void)
+{
+    static const char json[] =
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"secret-1\","
+        "\"secret-2\"],\"priority\":0,\"unit\":\"tokens\","
+        "\"plain_tokens\":200,\"rate_per_s\":197998,\"burst\":2.5},"
+        "{\"name\":\"t2\",\"api_keys\":[]}]}";
+    struct ch_error error = {0};
+    g_autofree char *text = platform_config_to_ini(json, strlen(json), &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_null(strstr(text, "secret"));
+    struct ch_declaration *declaration =
+        ch_declaration_parse(text, "config", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    g_assert_true(declaration->requires_keys);
+    g_assert_true(declaration->classes[0].public);
+    g_assert_cmpuint(declaration->team_count, ==, 2);
+    const struct ch_team *team = &declaration->teams[0];
+    g_assert_true(team->counts_tokens);
+    g_assert_cmpuint(team->priority, ==, 0);
+    g_assert_cmpuint(team->plain_tokens, ==, 200);
+    g_assert_cmpfloat(team->quota_per_s, ==, 197998);
+    g_assert_cmpfloat(team->quota_burst, ==, 2.5);
+    g_assert_cmpuint(declaration->teams[1].priority, ==, CH_TEAM_NO_PRIORITY);
+    g_assert_cmpfloat(declaration->teams[1].quota_per_s, ==, 0);
+    char digest[CH_ACCESS_DIGEST_SIZE];
+    ch_access_digest_key("secret-2", digest);
+    g_assert_cmpint(ch_declaration_find_team_by_key(declaration, digest), ==,
+                    0);
+    ch_declaration_free(declaration);
+}
+
+/* An empty list of tenants lets nobody in; without a list no key is needed. */
+static void
+test_no_tenants(void)
+{
+    static const struct {
+        const char *json;
+        bool requires_keys;
+    } cases[] = {
+        {"{" ROUTES "}", false},
+        {"{" ROUTES ",\"tenants\":[]}", true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ch_error error = {0};
+        g_autofree char *text = platform_config_to_ini(
+            cases[i].json, strlen(cases[i].json), &error);
+        struct ch_declaration *declaration =
+            ch_declaration_parse(text, "config", &error);
+        g_assert_cmpstr(error.message, ==, "");
+        g_assert_cmpint(declaration->requires_keys, ==,
+                        cases[i].requires_keys);
+        ch_declaration_free(declaration);
+    }
+}
+
 /*
  * Guards against a configuration that the store accepts but no node applies.
  * Its JSON is within the store's limit of 1 MB, but the converted text is
@@ -111,6 +175,20 @@
         "\"backends\":[{\"service\":\"s\"}]}],\"services\":[]}",
         "{\"routes\":[{\"name\":\"a\",\"host\":\"h\\n[x]\",\"path_prefix\":"
         "\"/\",\"service\":\"s\"}],\"services\":[]}",
+        "{" ROUTES ",\"tenants\":{}}",
+        "{" ROUTES ",\"tenants\":[\"t\"]}",
+        "{" ROUTES ",\"tenants\":[{\"api_keys\":[]}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t t\",\"api_keys\":[]}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\"}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":\"k\"}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[7]}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"\"]}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[],"
+        "\"unit\":\"bytes\"}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[],"
+        "\"rate_per_s\":-1}]}",
+        "{" ROUTES ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[],"
+        "\"burst\":\"9\"}]}",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
         struct ch_error error = {0};
@@ -185,6 +263,7 @@
         {"Kv-From", "x"},
         {"Kv-Backup", "x"},
         {"Request-Priority", "0"},
+        {"Tenant", "t"},
         {"Connection", "close, X-Mine"},
         {"X-Mine", "1"},
         {"X-Other", "2"},
@@ -243,6 +322,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/config", test_config_conversion);
+    g_test_add_func("/platform/tenants", test_tenants);
+    g_test_add_func("/platform/no-tenants", test_no_tenants);
     g_test_add_func("/platform/largest-config",
                     test_largest_config_round_trip);
     g_test_add_func("/platform/bad-config", test_invalid_configs);
--- a/tests/unit/test_request.c
+++ b/tests/unit/test_request.c
@@ -298,6 +298,103 @@
     ch_declaration_free(declaration);
 }
 
+/* ---- requests whose class is chosen by host and path, with teams ---- */
+
+#define ROUTED                                                                \
+    "[service orders]\n"                                                      \
+    "[class closed]\nhost = h\npath = /c/\nshares = orders:1\n"               \
+    "answer-ms = 100\npriority = 3\n"                                         \
+    "[class open]\nhost = h\npath = /o/\nshares = orders:1\n"                 \
+    "answer-ms = 100\npriority = 3\npublic = true\n"
+struct team_case {
+    const char *name;
+    const char *team_lines; /* of [team bands] */
+    const char *uri;
+    const char *authorization; /* NULL: none */
+    uint32_t prompt_tokens;
+    bool states_tokens;
+    enum ch_code code;
+    const char *team;
+    const char *owner;
+    unsigned priority;
+    double cost;
+};
+
+static const struct team_case team_cases[] = {
+    {"no key", "", "/c/x", NULL, 0, false, CH_KEY_MISSING, NULL, NULL, 0, 0},
+    {"unknown key", "", "/c/x", "Token no", 0, false, CH_KEY_UNKNOWN, NULL,
+     NULL, 0, 0},
+    {"a path before a key", "", "/z/x", "Token no", 0, false, CH_UNKNOWN_PATH,
+     NULL, NULL, 0, 0},
+    {"known", "", "/c/x", "Token key-of-bands", 0, false, CH_OK, "bands",
+     "bands\t", 3, 0},
+    {"priority", "priority = 0\n", "/c/x", "Token key-of-bands", 0, false,
+     CH_OK, "bands", "bands\t", 0, 0},
+    {"a quota of requests", "quota-per-s = 5\n", "/c/x", "Token key-of-bands",
+     900, true, CH_OK, "bands", "bands\t", 3, 1},
+    {"a quota of tokens", "quota-per-s = 5\nquota-unit = tokens\n", "/c/x",
+     "Token key-of-bands", 900, true, CH_OK, "bands", "bands\t", 3, 980},
+    {"a quota of tokens, none stated",
+     "quota-per-s = 5\nquota-unit = tokens\nplain-tokens = 200\n", "/c/x",
+     "Token key-of-bands", 0, false, CH_OK, "bands", "bands\t", 3, 200},
+    {"public without a key", "", "/o/x", NULL, 0, false, CH_OK, NULL, "", 3,
+     0},
+    {"public with a key", "quota-per-s = 5\n", "/o/x", "Token key-of-bands", 0,
+     false, CH_OK, "bands", "bands\t", 3, 1},
+};
+
+static void
+test_team(gconstpointer data)
+{
+    const struct team_case *row = data;
+    struct ch_error error = {.code = CH_OK};
+    char digest[CH_ACCESS_DIGEST_SIZE];
+    ch_access_digest_key("key-of-bands", digest);
+    g_autofree char *text = g_strconcat(ROUTED "[team bands]\nkeys = ", digest,
+                                        "\n", row->team_lines, NULL);
+    struct ch_declaration *declaration =
+        ch_declaration_parse(text, "test", &error);
+    g_assert_cmpstr(error.message, ==, "");
+    const struct ch_http_header headers[] = {
+        {"Host", "h"},
+        {"Authorization", row->authorization},
+        {"X-Copy", "key-of-bands"},
+    };
+    struct ch_request_input input = {
+        .method = "POST",
+        .uri = row->uri,
+        .host = "h",
+        .request_id = "i1",
+        .body = "x",
+        .body_length = 1,
+        .prompt_tokens = row->prompt_tokens,
+        .output_tokens = row->states_tokens ? 80 : 0,
+        .states_tokens = row->states_tokens,
+        .forwarded_headers =
+            g_array_new(FALSE, FALSE, sizeof(struct ch_http_header)),
+    };
+    if (row->authorization != NULL) {
+        ch_credential_add(&input.credential, "Token", row->authorization);
+        g_array_append_vals(input.forwarded_headers, headers, 3);
+    }
+    struct ch_fault fault = {.error.code = CH_OK};
+    struct ch_request *request =
+        ch_request_parse_routed(declaration, &input, NOW, &fault);
+    g_assert_cmpint(fault.error.code, ==, row->code);
+    g_assert_cmpint(request != NULL, ==, row->code == CH_OK);
+    if (request != NULL) {
+        g_assert_cmpstr(request->team, ==, row->team);
+        g_assert_cmpstr(request->owner, ==, row->owner);
+        g_assert_cmpuint(request->info.priority, ==, row->priority);
+        g_assert_cmpfloat(request->quota_cost, ==, row->cost);
+        g_assert_cmpuint(request->header_count, ==,
+                         row->authorization == NULL ? 0 : 1);
+        ch_request_free(request);
+    }
+    g_array_free(input.forwarded_headers, TRUE);
+    ch_declaration_free(declaration);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -312,6 +409,11 @@
         g_test_add_data_func(path, &valid_cases[i], test_valid);
         g_free(path);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(team_cases); i++) {
+        char *path = g_strdup_printf("/request/team/%s", team_cases[i].name);
+        g_test_add_data_func(path, &team_cases[i], test_team);
+        g_free(path);
+    }
     g_test_add_func("/request/depth", test_depth);
     g_test_add_func("/request/fingerprint", test_fingerprint);
     return g_test_run();
