--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -80,6 +80,12 @@
      "1024", 16, 65536, NULL},
     {"limits", "crash-keep-s", CH_INI_UNSIGNED, SETTING(crash_retention_s),
      "3600", 60, 2592000, NULL},
+    {"quota", "window-s", CH_INI_DOUBLE, SETTING(quota_window_s), "8", 0.1,
+     3600, NULL},
+    {"quota", "overshoot", CH_INI_DOUBLE, SETTING(quota_overshoot), "0.1", 0,
+     10, NULL},
+    {"quota", "slack", CH_INI_DOUBLE, SETTING(quota_slack), "20", 0, 1e9,
+     NULL},
     {"weight-store", "loads-per-s", CH_INI_DOUBLE, SETTING(loads_per_s), "1.5",
      0.001, 10000, NULL},
     {"weight-store", "parallel", CH_INI_UNSIGNED, SETTING(max_parallel_loads),
@@ -116,6 +122,7 @@
     POLICY_SWITCH("refuse-late", refuse_late),
     POLICY_SWITCH("pace-prompts", defer_prompts),
     POLICY_SWITCH("learnt-speeds", measured_service_times),
+    POLICY_SWITCH("quota-pools", quota_pools),
 };
 
 static bool
--- a/libchestnuthitch/decide/rank.c
+++ b/libchestnuthitch/decide/rank.c
@@ -9,6 +9,16 @@
     return node->capacity >= max_capacity / 2;
 }
 
+static uint32_t
+get_max_capacity(const struct ch_rank_node *nodes, size_t count)
+{
+    uint32_t max_capacity = 0;
+    for (size_t i = 0; i < count; i++) {
+        max_capacity = MAX(max_capacity, nodes[i].capacity);
+    }
+    return max_capacity;
+}
+
 /*
  * See rank.h.  For fleets in which most hosts have a tenth of a core and a
  * slow link, a few have several times that, and a role sends to all other
@@ -20,11 +30,8 @@
 ch_rank_for_role(const struct ch_rank_node *nodes, size_t count, size_t self,
                  uint64_t key)
 {
-    uint32_t max_capacity = 0;
+    uint32_t max_capacity = get_max_capacity(nodes, count);
     size_t rank = 0;
-    for (size_t i = 0; i < count; i++) {
-        max_capacity = MAX(max_capacity, nodes[i].capacity);
-    }
     bool self_is_large = is_large(&nodes[self], max_capacity);
     uint64_t weight = ch_hash_pair(key, nodes[self].hash);
     for (size_t i = 0; i < count; i++) {
@@ -37,3 +44,24 @@
     }
     return rank;
 }
+
+/* See rank.h. */
+size_t
+ch_rank_find_first(const struct ch_rank_node *nodes, size_t count,
+                   uint64_t key)
+{
+    uint32_t max_capacity = get_max_capacity(nodes, count);
+    size_t first = 0;
+    bool first_is_large = is_large(&nodes[0], max_capacity);
+    for (size_t i = 1; i < count; i++) {
+        bool large = is_large(&nodes[i], max_capacity);
+        if (large != first_is_large
+                ? large
+                : ch_hash_pair(key, nodes[i].hash) >
+                      ch_hash_pair(key, nodes[first].hash)) {
+            first = i;
+            first_is_large = large;
+        }
+    }
+    return first;
+}
--- a/libchestnuthitch/decide/rank.h
+++ b/libchestnuthitch/decide/rank.h
@@ -14,6 +14,9 @@
     uint32_t capacity; /* of its host, in any unit; 0: unknown */
 };
 
+/* The index of the node that ranks first for the role; count must not be 0. */
+size_t ch_rank_find_first(const struct ch_rank_node *nodes, size_t count,
+                          uint64_t key);
 /* The rank of nodes[self] for the role with the given key; 0 is the first. */
 size_t ch_rank_for_role(const struct ch_rank_node *nodes, size_t count,
                         size_t self, uint64_t key);
--- a/libchestnuthitch/explain/explain.c
+++ b/libchestnuthitch/explain/explain.c
@@ -118,6 +118,9 @@
         return CH_EXPLAIN_FULL;
     case CH_NO_UPSTREAM:
         return CH_EXPLAIN_NO_REPLICA;
+    case CH_QUOTA_USED:
+        return CH_EXPLAIN_OVER_QUOTA;
+    case CH_QUOTA_UNAVAILABLE:
     case CH_STOPPING:
     case CH_NOT_READY:
     case CH_ONCE_UNAVAILABLE:
--- a/libchestnuthitch/explain/explain_internal.h
+++ b/libchestnuthitch/explain/explain_internal.h
@@ -11,6 +11,7 @@
     CH_EXPLAIN_SERVED,
     CH_EXPLAIN_FULL,       /* rejected: the replicas are full */
     CH_EXPLAIN_NO_REPLICA, /* rejected: no replica */
+    CH_EXPLAIN_OVER_QUOTA, /* rejected: its team's quota is used up */
     CH_EXPLAIN_REFUSED, /* rejected for another reason, or by the upstream */
     CH_EXPLAIN_ENGINE_FAILED, /* failed as its upstream failed */
     CH_EXPLAIN_TIMED_OUT,     /* its deadline passed */
--- a/libchestnuthitch/explain/explain_report.c
+++ b/libchestnuthitch/explain/explain_report.c
@@ -12,7 +12,8 @@
 };
 
 static const char *const outcome_names[CH_EXPLAIN_OUTCOME_COUNT] = {
-    "served", "full", "absent", "refused", "engine", "time", "gone", "other",
+    "served", "full", "absent", "quota", "refused",
+    "engine", "time", "gone",   "other",
 };
 
 /* ---- numbers ---- */
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -3,6 +3,7 @@
 #include "node/exchange.h"
 
 #include "node/crash_guard.h"
+#include "node/quota_manager.h"
 
 enum {
     /* A request that crashed upstreams is likely to crash others if it is
@@ -11,6 +12,17 @@
     BARRED_RETRY_AFTER_US = 60 * 1000 * 1000,
 };
 
+/* Gives back the cost of a request that no upstream ran. */
+static void
+give_back_quota(const struct ch_exchange *exchange)
+{
+    if (exchange->quota_taken && !exchange->call_may_have_run) {
+        ch_quota_manager_give_back(exchange->frontend->node->quota,
+                                   exchange->request->team,
+                                   exchange->request->quota_cost);
+    }
+}
+
 /* Finishes the exchange: writes the log, returns an unused retry to the
  * budget, and drops the response, which also breaks the reference cycle
  * between the exchange and its response. */
@@ -23,6 +35,7 @@
         ch_exchange_unref(exchange);
     }
     ch_exchange_write_log(exchange);
+    give_back_quota(exchange);
     pthread_mutex_lock(&front->lock);
     ch_retry_put_back(ch_frontend_get_retry_budget(
                           front, exchange->request->info.required_service),
@@ -66,7 +79,7 @@
     const struct ch_request *request = exchange->request;
     bool whole = exchange->response_complete;
     ch_once_manager_finish(
-        exchange->frontend->node->once, request->caller, request->key,
+        exchange->frontend->node->once, request->owner, request->key,
         exchange->once_attempt, !whole, whole ? exchange->status : 0,
         whole ? exchange->content_type : NULL,
         whole ? exchange->body->data : NULL, whole ? exchange->body->len : 0,
@@ -488,6 +501,7 @@
     struct ch_node *node = exchange->frontend->node;
     exchange->may_have_run =
         exchange->may_have_run_before || end->may_have_run;
+    exchange->call_may_have_run |= end->may_have_run;
     exchange->was_connected = end->code != CH_UPSTREAM_CONNECT;
     struct ch_call_result effective_end = *end;
     if (is_upstream_failure(exchange, end)) {
@@ -710,15 +724,14 @@
     }
 }
 
-/* First step, on the pool: gets the at-most-once record before anything else,
- * so that a request whose key has run is never queued. */
+/* Gets the at-most-once record before anything else, so that a request whose
+ * key has run is never queued. */
 static void
-begin_exchange(void *data)
+begin_admitted(struct ch_exchange *exchange)
 {
-    struct ch_exchange *exchange = data;
     const struct ch_request *request = exchange->request;
-    if (!request->info.idempotent && request->key != NULL) {
-        ch_once_manager_begin(exchange->frontend->node->once, request->caller,
+    if (ch_exchange_first_step(request) == CH_EXCHANGE_STEP_ONCE) {
+        ch_once_manager_begin(exchange->frontend->node->once, request->owner,
                               request->key, request->fingerprint,
                               handle_once_begun, exchange);
         return;
@@ -726,6 +739,47 @@
     request_grant(exchange);
 }
 
+/* The team's quota has credit for the request, or not. */
+static void
+handle_quota(void *data, enum ch_code code, int64_t retry_after)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->quota_taken = code == CH_OK;
+    if (exchange->abandoned) {
+        over = end_without_response(exchange);
+    }
+    else if (code != CH_OK) {
+        over = fail(exchange, code, NULL, retry_after);
+    }
+    else {
+        exchange->step = ch_exchange_first_step(exchange->request);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+    else {
+        begin_admitted(exchange);
+    }
+}
+
+/* First step, on the pool: a request beyond its team's quota takes nothing
+ * else. */
+static void
+begin_exchange(void *data)
+{
+    struct ch_exchange *exchange = data;
+    const struct ch_request *request = exchange->request;
+    if (request->quota_cost > 0) {
+        ch_quota_manager_take(exchange->frontend->node->quota, request->team,
+                              request->quota_cost, handle_quota, exchange);
+        return;
+    }
+    begin_admitted(exchange);
+}
+
 /* Starts the timer if the caller states a deadline. */
 static void
 start_deadline_timer(struct ch_exchange *exchange)
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -2,9 +2,10 @@
 #define CH_NODE_EXCHANGE_H
 
 /*
- * Handles one request from arrival to response: the at-most-once record (if
- * the request's class asks for it), a grant from the router, the call to the
- * upstream, possibly a retry at another upstream, the response.
+ * Handles one request from arrival to response: credit of its team's quota (if
+ * there is one), the at-most-once record (if the request's class asks for it),
+ * a grant from the router, the call to the upstream, possibly a retry at
+ * another upstream, the response.
  *
  * Every handler takes the exchange's lock, so that handlers run one at a time
  * on whatever thread they are called. A running exchange holds one reference
@@ -24,6 +25,7 @@
 };
 
 enum ch_exchange_step {
+    CH_EXCHANGE_STEP_QUOTA, /* waiting for credit of the team's quota */
     CH_EXCHANGE_STEP_ONCE,  /* waiting for the at-most-once record */
     CH_EXCHANGE_STEP_ROUTE, /* waiting for a grant from the router */
     CH_EXCHANGE_STEP_CALL,  /* the upstream has the request */
@@ -41,8 +43,10 @@
     uint64_t timer; /* handle of the deadline timer; 0: none */
 
     /* State flags. */
-    bool responded; /* the caller was sent its result, or disconnected */
-    bool abandoned; /* given up: nothing more is done for the caller */
+    bool responded;   /* the caller was sent its result, or disconnected */
+    bool abandoned;   /* given up: nothing more is done for the caller */
+    bool quota_taken; /* the cost was taken from the team's quota */
+    bool call_may_have_run; /* an upstream may have run a call */
     bool may_have_run;
     bool was_connected;       /* the last call was connected */
     bool may_have_run_before; /* may_have_run before the present call */
@@ -104,6 +108,8 @@
 struct ch_exchange *ch_exchange_new(struct ch_frontend *frontend,
                                     struct ch_request *request,
                                     struct ch_response *response);
+/* The step that follows the quota. */
+enum ch_exchange_step ch_exchange_first_step(const struct ch_request *request);
 struct ch_exchange *ch_exchange_ref(struct ch_exchange *exchange);
 void ch_exchange_unref(void *exchange);
 
--- a/libchestnuthitch/node/exchange_lifetime.c
+++ b/libchestnuthitch/node/exchange_lifetime.c
@@ -11,6 +11,15 @@
     g_free((char *)header->value);
 }
 
+/* See exchange.h. */
+enum ch_exchange_step
+ch_exchange_first_step(const struct ch_request *request)
+{
+    return !request->info.idempotent && request->key != NULL
+               ? CH_EXCHANGE_STEP_ONCE
+               : CH_EXCHANGE_STEP_ROUTE;
+}
+
 /* Takes ownership of request. The new exchange has not begun. */
 struct ch_exchange *
 ch_exchange_new(struct ch_frontend *front, struct ch_request *request,
@@ -30,9 +39,8 @@
     exchange->arrived_at = request->info.arrived_at;
     exchange->arrived_wall_ms = g_get_real_time() / 1000;
     exchange->code = CH_SYSTEM;
-    exchange->step = !request->info.idempotent && request->key != NULL
-                         ? CH_EXCHANGE_STEP_ONCE
-                         : CH_EXCHANGE_STEP_ROUTE;
+    exchange->step = request->quota_cost > 0 ? CH_EXCHANGE_STEP_QUOTA
+                                             : ch_exchange_first_step(request);
     pthread_mutex_init(&exchange->lock, NULL);
     return exchange;
 }
--- a/libchestnuthitch/node/homes_recur.c
+++ b/libchestnuthitch/node/homes_recur.c
@@ -112,6 +112,9 @@
 {
     struct list_job *job = data;
     struct ch_homes *homes = job->homes;
+    if (job->code == CH_OK) {
+        ch_peers_confirm_listed(homes->node->peers);
+    }
     if (job->list != NULL) {
         struct effects effects;
         effects_init(&effects);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -4,6 +4,7 @@
 #include "node/balancer.h"
 #include "node/crash_guard.h"
 #include "node/homes_internal.h"
+#include "node/quota_manager.h"
 
 #include <ck_pr.h>
 #include <time.h>
@@ -24,6 +25,7 @@
     ch_once_manager_free(node->once);
     ch_ledger_manager_free(node->ledger);
     ch_crash_guard_free(node->crash_guard);
+    ch_quota_manager_free(node->quota);
     if (node->router != NULL) {
         node->router->ops->free(node->router);
     }
@@ -65,6 +67,7 @@
     }
     node->crash_guard = ch_crash_guard_new(node);
     node->config = ch_config_manager_new(node);
+    node->quota = ch_quota_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
         node->router = ch_balancer_new(node);
@@ -112,6 +115,7 @@
     ch_peers_start(node->peers);
     ch_config_manager_start(node->config);
     ch_crash_guard_start(node->crash_guard);
+    ch_quota_manager_start(node->quota);
     node->router->ops->start(node->router);
     /* Stored atomically: the front end's threads may call ch_node_is_ready()
      * before this assignment. */
@@ -131,6 +135,7 @@
 {
     ch_log(node->client, CH_LOG_NOTICE, "stopping", CH_F_END);
     node->router->ops->drain(node->router);
+    ch_quota_manager_drain(node->quota);
     if (node->frontend != NULL) {
         ch_frontend_stop(node->frontend);
     }
@@ -142,6 +147,7 @@
     if (node->ledger != NULL) {
         ch_ledger_manager_stop(node->ledger);
     }
+    ch_quota_manager_stop(node->quota);
     ch_config_manager_stop(node->config);
     ch_crash_guard_stop(node->crash_guard);
     stop_threads(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < peers < pool, timers, http < metrics. No handler of another
- * package is called with a lock held.
+ * < crashes < quota < peers < pool, timers, http < metrics. No handler of
+ * another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -29,6 +29,7 @@
 
 struct ch_crash_guard;
 struct ch_dialect;
+struct ch_quota_manager;
 struct ch_router;
 
 struct ch_node {
@@ -46,6 +47,7 @@
     struct ch_once_manager *once;
     struct ch_ledger_manager *ledger;
     struct ch_crash_guard *crash_guard;
+    struct ch_quota_manager *quota;
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
@@ -130,6 +132,21 @@
  * that few nodes do for all. region: the nodes to rank (NULL: all nodes). */
 bool ch_peers_has_role(struct ch_peers *peers, const char *role,
                        unsigned count, const char *region);
+/* The node that ranks first for a role among the live nodes of a region; a new
+ * string, or NULL without a live node there. include_self: this node counts
+ * if it is in the region. Defined in peers_role.c. */
+char *ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
+                                const char *region, bool include_self);
+/* Numbers of nodes, this one included. */
+struct ch_peers_counts {
+    size_t listed; /* in the host list; 0: no list has arrived yet */
+    size_t live;
+    size_t live_in_region;
+    bool self_listed;     /* the list names this node */
+    int64_t confirmed_at; /* see ch_peers_confirm_listed(); 0: never */
+};
+void ch_peers_count(struct ch_peers *peers, const char *region,
+                    struct ch_peers_counts *counts);
 /* Whether a node is in this node's region; true when the node or its region is
  * unknown. */
 bool ch_peers_is_same_region(struct ch_peers *peers, const char *name);
@@ -138,6 +155,8 @@
 /* Updates the known nodes from a complete host list of the platform. */
 void ch_peers_update_list(struct ch_peers *peers,
                           const struct ch_host_list *list);
+/* Records that the platform has just confirmed that this node is listed. */
+void ch_peers_confirm_listed(struct ch_peers *peers);
 /* Whether any host list has arrived. Until then this node does not know the
  * others, so it must not take a role because it ranks first or seems to be
  * alone. */
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -85,6 +85,9 @@
     uint64_t config_revision; /* of the configuration in force here; atomic */
     unsigned ready;           /* this node may be a home node; atomic */
     bool members_listed;      /* a host list was received */
+    bool self_listed;         /* the last host list names this node */
+    int64_t confirmed_at;     /* when the platform last confirmed that this
+                                 node is listed; 0: it has not */
     int64_t last_tick_at;
     unsigned polls_behind; /* consecutive polls that left data unread */
     struct frame_handler handlers[PEERS_BODY_CASE_COUNT];
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -60,6 +60,29 @@
     return is_near;
 }
 
+/* See node.h. */
+void
+ch_peers_count(struct ch_peers *peers, const char *region,
+               struct ch_peers_counts *counts)
+{
+    *counts = (struct ch_peers_counts){.live = 1};
+    counts->live_in_region =
+        strcmp(region, peers->node->settings->region) == 0 ? 1 : 0;
+    pthread_mutex_lock(&peers->lock);
+    size_t count = ch_members_get_count(peers->members);
+    counts->listed = peers->members_listed ? count + 1 : 0;
+    counts->self_listed = peers->self_listed;
+    counts->confirmed_at = peers->confirmed_at;
+    for (size_t i = 0; i < count; i++) {
+        const struct ch_member *member = ch_members_get(peers->members, i);
+        bool live = ch_member_is_available(member);
+        counts->live += live ? 1 : 0;
+        counts->live_in_region +=
+            live && g_strcmp0(region, member->region) == 0 ? 1 : 0;
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
 /* See node.h. */
 bool
 ch_peers_can_decompress(struct ch_peers *peers, const char *name)
@@ -173,8 +196,10 @@
     int64_t now = ch_client_get_time(peers->node->client);
     pthread_mutex_lock(&peers->lock);
     ch_members_begin_update(peers->members);
+    peers->self_listed = false;
     for (size_t i = 0; i < list->count; i++) {
         const struct ch_host *host = &list->hosts[i];
+        peers->self_listed |= peers_is_self(peers, host->name);
         if (host->kind == CH_HOST_ENTRY) {
             ch_members_update_member(peers->members, host->name, host->address,
                                      host->region, host->data_centre,
@@ -188,6 +213,15 @@
     pthread_mutex_unlock(&peers->lock);
 }
 
+/* See node.h. */
+void
+ch_peers_confirm_listed(struct ch_peers *peers)
+{
+    pthread_mutex_lock(&peers->lock);
+    peers->confirmed_at = ch_client_get_time(peers->node->client);
+    pthread_mutex_unlock(&peers->lock);
+}
+
 /* See node.h. */
 bool
 ch_peers_has_list(struct ch_peers *peers)
--- a/libchestnuthitch/node/peers_role.c
+++ b/libchestnuthitch/node/peers_role.c
@@ -43,6 +43,45 @@
     return rank;
 }
 
+/* See node.h. */
+char *
+ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
+                          const char *region, bool include_self)
+{
+    const struct ch_settings *settings = peers->node->settings;
+    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
+    GPtrArray *names = g_ptr_array_new();
+    if (include_self && g_strcmp0(region, settings->region) == 0) {
+        const struct ch_rank_node self = {
+            .hash = ch_hash_string(settings->name),
+            .capacity = ch_settings_get_capacity(settings),
+        };
+        g_array_append_val(nodes, self);
+        g_ptr_array_add(names, settings->name);
+    }
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_get_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_get(peers->members, i);
+        const struct ch_rank_node node = {member->name_hash, member->capacity};
+        if (ch_member_is_available(member) &&
+            g_strcmp0(region, member->region) == 0) {
+            g_array_append_val(nodes, node);
+            g_ptr_array_add(names, member->name);
+        }
+    }
+    char *holder = NULL;
+    if (nodes->len > 0) {
+        size_t first = ch_rank_find_first(
+            (const struct ch_rank_node *)(void *)nodes->data, nodes->len,
+            ch_hash_string(role));
+        holder = g_strdup(g_ptr_array_index(names, first));
+    }
+    pthread_mutex_unlock(&peers->lock);
+    g_ptr_array_free(names, TRUE);
+    g_array_free(nodes, TRUE);
+    return holder;
+}
+
 /* See node.h. */
 bool
 ch_peers_has_role(struct ch_peers *peers, const char *role, unsigned count,
--- /dev/null
+++ b/libchestnuthitch/node/quota_internal.h
@@ -0,0 +1,72 @@
+#ifndef CH_NODE_QUOTA_INTERNAL_H
+#define CH_NODE_QUOTA_INTERNAL_H
+
+/* Shared by quota_manager.c (teams, settling), quota_take.c (requests) and
+ * quota_pools.c (messages to and from pools). */
+
+#include "node/quota_manager.h"
+#include "quota/quota.h"
+
+#include <pthread.h>
+
+enum {
+    /* Amounts in messages are thousandths of the unit. */
+    QUOTA_WIRE_SCALE = 1000,
+};
+
+struct quota_team {
+    uint64_t id; /* hash of the name */
+    char *name;
+    struct ch_quota_limits limits;
+    struct ch_quota_credit credit;
+    struct ch_quota_pool pool; /* holds something only where this node keeps
+                                  or kept the team's pool */
+    bool declared;             /* found by the update in progress */
+};
+
+struct quota_region {
+    char *name;
+    int64_t silent_until; /* its pools did not answer in time */
+};
+
+struct ch_quota_manager {
+    struct ch_node *node;
+    pthread_mutex_t lock;
+    int references;
+    bool leaving; /* keeps no pools any more */
+    bool stopped;
+    uint64_t timer;
+    uint64_t revision;  /* of the configuration that the teams are from */
+    GHashTable *teams;  /* id to struct quota_team */
+    GPtrArray *regions; /* struct quota_region, this node's own first; fixed */
+    struct ch_quota_share share_state;
+    double share;       /* this node's share of each rate */
+    double region_part; /* of all nodes, those that answer in this region */
+};
+
+struct ch_quota_manager *quota_manager_ref(struct ch_quota_manager *manager);
+void quota_manager_unref(struct ch_quota_manager *manager);
+/* Updates the teams if the configuration in force has changed. Lock not held.
+ */
+void quota_manager_refresh(struct ch_quota_manager *manager);
+/* The team, or NULL when it has no quota. Lock held. */
+struct quota_team *quota_manager_find(struct ch_quota_manager *manager,
+                                      uint64_t id);
+/* The node that keeps the pool of a team in a region, a new string; NULL:
+ * none. Lock not held. */
+char *quota_manager_find_pool(struct ch_quota_manager *manager, uint64_t team,
+                              const char *region);
+
+/* ---- quota_pools.c ---- */
+
+/* Registers the handlers of messages. */
+void quota_pools_init(struct ch_quota_manager *manager);
+/* Withdraws at this node's own pool. Lock held. */
+struct ch_quota_answer quota_pools_withdraw(struct ch_quota_manager *manager,
+                                            uint64_t team, double cost,
+                                            double extra, int64_t now);
+/* Moves to the pools of this region what this node does not need, or all that
+ * it has. Lock not held. */
+void quota_pools_settle(struct ch_quota_manager *manager, bool all);
+
+#endif
--- a/libchestnuthitch/node/roster_own.c
+++ b/libchestnuthitch/node/roster_own.c
@@ -84,6 +84,9 @@
         roster->kv_lease_id = 0;
     }
     pthread_mutex_unlock(&roster->lock);
+    if (answer->code == CH_OK) {
+        ch_peers_confirm_listed(roster->node->peers);
+    }
     roster_unref(roster);
 }
 
@@ -104,7 +107,11 @@
     else if (answer->code == CH_KV_MISSING) {
         roster->kv_lease_id = 0;
     }
+    bool listed = roster->own_entry_listed && answer->code == CH_OK;
     pthread_mutex_unlock(&roster->lock);
+    if (listed) {
+        ch_peers_confirm_listed(roster->node->peers);
+    }
     roster_unref(roster);
 }
 
--- /dev/null
+++ b/libchestnuthitch/quota/credit.c
@@ -0,0 +1,61 @@
+/* The credit of one team at one node. */
+
+#include "quota/quota.h"
+
+enum {
+    /* A node keeps a reserve for a team's next request for this long after the
+     * last one. */
+    RESERVE_US = 1000 * 1000,
+};
+
+/* Part of a team's capacity that may lie in the reserves of all nodes. */
+static const double RESERVE_PART = 0.25;
+
+/* See quota.h. */
+double
+ch_quota_credit_get_reserve(const struct ch_quota_limits *limits, double share)
+{
+    return RESERVE_PART * limits->capacity * share;
+}
+
+/* See quota.h. Credit that was withdrawn or given back may exceed what a node
+ * may earn; nothing is added to it then. */
+void
+ch_quota_credit_earn(struct ch_quota_credit *credit,
+                     const struct ch_quota_limits *limits, double share,
+                     int64_t now)
+{
+    double limit = limits->capacity * share;
+    if (credit->earned_at != 0 && credit->amount < limit) {
+        double seconds =
+            (double)(now - credit->earned_at) / (double)G_USEC_PER_SEC;
+        credit->amount =
+            MIN(credit->amount + limits->rate * share * seconds, limit);
+    }
+    credit->earned_at = now;
+}
+
+/* See quota.h. */
+bool
+ch_quota_credit_take(struct ch_quota_credit *credit, double cost, int64_t now)
+{
+    credit->used_at = now;
+    if (credit->amount < cost) {
+        return false;
+    }
+    credit->amount -= cost;
+    return true;
+}
+
+/* See quota.h. */
+double
+ch_quota_credit_take_surplus(struct ch_quota_credit *credit,
+                             const struct ch_quota_limits *limits,
+                             double share, int64_t now)
+{
+    bool in_use = credit->used_at != 0 && now - credit->used_at < RESERVE_US;
+    double reserve = in_use ? ch_quota_credit_get_reserve(limits, share) : 0;
+    double surplus = MAX(credit->amount - reserve, 0);
+    credit->amount -= surplus;
+    return surplus;
+}
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1447,7 +1447,142 @@
   assert(message->base.descriptor == &chestnuthitch__wire__crashes_pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[29] =
+void   chestnuthitch__wire__quota_deposit__init
+                     (Chestnuthitch__Wire__QuotaDeposit         *message)
+{
+  static const Chestnuthitch__Wire__QuotaDeposit init_value = CHESTNUTHITCH__WIRE__QUOTA_DEPOSIT__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__quota_deposit__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaDeposit *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_deposit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__quota_deposit__pack
+                     (const Chestnuthitch__Wire__QuotaDeposit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_deposit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__quota_deposit__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaDeposit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_deposit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__QuotaDeposit *
+       chestnuthitch__wire__quota_deposit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__QuotaDeposit *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__quota_deposit__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__quota_deposit__free_unpacked
+                     (Chestnuthitch__Wire__QuotaDeposit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_deposit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__quota_withdraw__init
+                     (Chestnuthitch__Wire__QuotaWithdraw         *message)
+{
+  static const Chestnuthitch__Wire__QuotaWithdraw init_value = CHESTNUTHITCH__WIRE__QUOTA_WITHDRAW__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__quota_withdraw__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaWithdraw *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_withdraw__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__quota_withdraw__pack
+                     (const Chestnuthitch__Wire__QuotaWithdraw *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_withdraw__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__quota_withdraw__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaWithdraw *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_withdraw__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__QuotaWithdraw *
+       chestnuthitch__wire__quota_withdraw__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__QuotaWithdraw *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__quota_withdraw__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__quota_withdraw__free_unpacked
+                     (Chestnuthitch__Wire__QuotaWithdraw *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_withdraw__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__quota_grant__init
+                     (Chestnuthitch__Wire__QuotaGrant         *message)
+{
+  static const Chestnuthitch__Wire__QuotaGrant init_value = CHESTNUTHITCH__WIRE__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__quota_grant__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__quota_grant__pack
+                     (const Chestnuthitch__Wire__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__quota_grant__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__QuotaGrant *
+       chestnuthitch__wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__QuotaGrant *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__quota_grant__free_unpacked
+                     (Chestnuthitch__Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[32] =
 {
   {
     "version",
@@ -1797,6 +1932,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_deposit",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, quota_deposit),
+    &chestnuthitch__wire__quota_deposit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_withdraw",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, quota_withdraw),
+    &chestnuthitch__wire__quota_withdraw__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, quota_grant),
+    &chestnuthitch__wire__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
@@ -1820,6 +1991,9 @@
   7,   /* field[7] = ping */
   8,   /* field[8] = pong */
   22,   /* field[22] = prepare */
+  29,   /* field[29] = quota_deposit */
+  31,   /* field[31] = quota_grant */
+  30,   /* field[30] = quota_withdraw */
   5,   /* field[5] = ready */
   12,   /* field[12] = refuse */
   13,   /* field[13] = release */
@@ -1833,7 +2007,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 29 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -1843,7 +2017,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  29,
+  32,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -4417,3 +4591,169 @@
   (ProtobufCMessageInit) chestnuthitch__wire__crashes_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__quota_deposit__field_descriptors[2] =
+{
+  {
+    "teams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__QuotaDeposit, n_teams),
+    offsetof(Chestnuthitch__Wire__QuotaDeposit, teams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "amounts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Chestnuthitch__Wire__QuotaDeposit, n_amounts),
+    offsetof(Chestnuthitch__Wire__QuotaDeposit, amounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__quota_deposit__field_indices_by_name[] = {
+  1,   /* field[1] = amounts */
+  0,   /* field[0] = teams */
+};
+static const ProtobufCIntRange chestnuthitch__wire__quota_deposit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__quota_deposit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.QuotaDeposit",
+  "QuotaDeposit",
+  "Chestnuthitch__Wire__QuotaDeposit",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__QuotaDeposit),
+  2,
+  chestnuthitch__wire__quota_deposit__field_descriptors,
+  chestnuthitch__wire__quota_deposit__field_indices_by_name,
+  1,  chestnuthitch__wire__quota_deposit__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__quota_deposit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__quota_withdraw__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "extra",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, extra),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__quota_withdraw__field_indices_by_name[] = {
+  1,   /* field[1] = cost */
+  2,   /* field[2] = extra */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange chestnuthitch__wire__quota_withdraw__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.QuotaWithdraw",
+  "QuotaWithdraw",
+  "Chestnuthitch__Wire__QuotaWithdraw",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__QuotaWithdraw),
+  3,
+  chestnuthitch__wire__quota_withdraw__field_descriptors,
+  chestnuthitch__wire__quota_withdraw__field_indices_by_name,
+  1,  chestnuthitch__wire__quota_withdraw__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__quota_withdraw__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__quota_grant__field_descriptors[2] =
+{
+  {
+    "amount",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaGrant, amount),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaGrant, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__quota_grant__field_indices_by_name[] = {
+  0,   /* field[0] = amount */
+  1,   /* field[1] = retry_after_ms */
+};
+static const ProtobufCIntRange chestnuthitch__wire__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.QuotaGrant",
+  "QuotaGrant",
+  "Chestnuthitch__Wire__QuotaGrant",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__QuotaGrant),
+  2,
+  chestnuthitch__wire__quota_grant__field_descriptors,
+  chestnuthitch__wire__quota_grant__field_indices_by_name,
+  1,  chestnuthitch__wire__quota_grant__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -47,6 +47,9 @@
 typedef struct Chestnuthitch__Wire__CrashRelease Chestnuthitch__Wire__CrashRelease;
 typedef struct Chestnuthitch__Wire__Crashes Chestnuthitch__Wire__Crashes;
 typedef struct Chestnuthitch__Wire__CrashesPull Chestnuthitch__Wire__CrashesPull;
+typedef struct Chestnuthitch__Wire__QuotaDeposit Chestnuthitch__Wire__QuotaDeposit;
+typedef struct Chestnuthitch__Wire__QuotaWithdraw Chestnuthitch__Wire__QuotaWithdraw;
+typedef struct Chestnuthitch__Wire__QuotaGrant Chestnuthitch__Wire__QuotaGrant;
 
 
 /* --- enums --- */
@@ -78,13 +81,16 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL = 29,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ENGINES_PULL = 30,
   CHESTNUTHITCH__WIRE__FRAME__BODY_CRASHES = 31,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_CRASHES_PULL = 32
+  CHESTNUTHITCH__WIRE__FRAME__BODY_CRASHES_PULL = 32,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_DEPOSIT = 33,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_WITHDRAW = 34,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_GRANT = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
 /*
- * Every frame carries the sender's configuration revision, so that whoever is
- * behind learns of it from any traffic.
+ * Every frame carries the sender's configuration revision, so that a node with
+ * an older revision learns of the newer one from any traffic.
  */
 struct  Chestnuthitch__Wire__Frame
 {
@@ -92,13 +98,13 @@
   uint32_t version;
   char *from;
   /*
-   * of the exchange; a reply bears what it answers
+   * of the exchange; a reply has the id of its request
    */
   uint64_t id;
   protobuf_c_boolean reply;
   uint64_t config_revision;
   /*
-   * the sender may be home: it knows what a home must know
+   * the sender has the state that a home node needs
    */
   protobuf_c_boolean ready;
   Chestnuthitch__Wire__Frame__BodyCase body_case;
@@ -126,6 +132,9 @@
     Chestnuthitch__Wire__EnginesPull *engines_pull;
     Chestnuthitch__Wire__Crashes *crashes;
     Chestnuthitch__Wire__CrashesPull *crashes_pull;
+    Chestnuthitch__Wire__QuotaDeposit *quota_deposit;
+    Chestnuthitch__Wire__QuotaWithdraw *quota_withdraw;
+    Chestnuthitch__Wire__QuotaGrant *quota_grant;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -134,7 +143,7 @@
 
 
 /*
- * First frame of a connection, both ways.
+ * First frame of a connection, in both directions.
  */
 struct  Chestnuthitch__Wire__Hello
 {
@@ -142,7 +151,7 @@
   char *region;
   char *data_centre;
   /*
-   * start time of the process, microseconds
+   * start time of the process, in microseconds
    */
   uint64_t incarnation;
   /*
@@ -183,7 +192,8 @@
 
 
 /*
- * What a home knows of one upstream, newest by (incarnation, sequence).
+ * State of one upstream at its home node; the highest (incarnation, sequence)
+ * is the newest.
  */
 struct  Chestnuthitch__Wire__UpstreamState
 {
@@ -195,13 +205,16 @@
   uint32_t running;
   uint32_t queued;
   /*
-   * predicted wait of a request that comes now
+   * predicted wait of a request that arrives now
    */
   uint64_t wait_us;
   /*
-   * not resident and not reserved
+   * memory that is neither resident nor reserved
    */
   uint32_t free_mb;
+  /*
+   * draining
+   */
   protobuf_c_boolean leaving;
   protobuf_c_boolean down;
   /*
@@ -212,11 +225,11 @@
   size_t n_loading;
   char **loading;
   /*
-   * measured time for one token at this batch
+   * measured time per token at this batch size
    */
   uint64_t token_us;
   /*
-   * most requests at once
+   * maximum number of concurrent requests
    */
   uint32_t batch;
   /*
@@ -259,14 +272,14 @@
 
 
 /*
- * An entry node asks the home of an upstream for leave to dispatch.
+ * An entry node asks an upstream's home node for a grant to dispatch a request.
  */
 struct  Chestnuthitch__Wire__Enqueue
 {
   ProtobufCMessage base;
   char *upstream;
   /*
-   * or the plain service's name
+   * or the name of a service without models
    */
   char *model;
   char *adapter;
@@ -276,14 +289,17 @@
   uint32_t output_tokens;
   uint64_t prefix;
   /*
-   * until the target for the first answer is missed
+   * until the target time of the first token is missed
    */
   uint64_t left_us;
+  /*
+   * target time between tokens
+   */
   uint64_t between_us;
   protobuf_c_boolean service;
   uint32_t attempt;
   /*
-   * until the target for the whole answer; 0: none
+   * until the target time of the whole response; 0: none
    */
   uint64_t whole_us;
   protobuf_c_boolean idempotent;
@@ -297,7 +313,7 @@
 {
   ProtobufCMessage base;
   /*
-   * given back by Release
+   * returned by Release
    */
   uint64_t grant;
   uint32_t priority;
@@ -331,11 +347,11 @@
   uint64_t grant;
   uint32_t code;
   /*
-   * dispatch to first byte
+   * from dispatch to the first byte
    */
   uint64_t first_us;
   /*
-   * mean between tokens
+   * mean time between tokens
    */
   uint64_t token_us;
   uint32_t tokens;
@@ -350,7 +366,7 @@
   ProtobufCMessage base;
   char *upstream;
   /*
-   * id of the Enqueue that is no longer wanted
+   * id of the Enqueue frame to withdraw
    */
   uint64_t enqueue;
 };
@@ -359,6 +375,9 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Asks for the configuration if its revision is higher than `above`.
+ */
 struct  Chestnuthitch__Wire__ConfigPull
 {
   ProtobufCMessage base;
@@ -373,14 +392,17 @@
 {
   ProtobufCMessage base;
   uint64_t revision;
+  /*
+   * write ID of the revision
+   */
   char *token;
   char *author;
   /*
-   * As it is, from nodes of earlier versions.
+   * Uncompressed, from nodes of earlier versions.
    */
   char *text;
   /*
-   * The text in zlib's format.
+   * The text, compressed in zlib's format.
    */
   ProtobufCBinaryData packed;
 };
@@ -390,7 +412,7 @@
 
 
 /*
- * At-most-once records, at the home of the key's slot.
+ * At-most-once records, kept by the home node of the key's slot.
  */
 struct  Chestnuthitch__Wire__OnceBegin
 {
@@ -400,7 +422,7 @@
   char *key;
   ProtobufCBinaryData fingerprint;
   /*
-   * unique mark of this try
+   * unique ID of this attempt
    */
   uint64_t attempt;
 };
@@ -421,7 +443,7 @@
   ProtobufCBinaryData body;
   uint32_t code;
   /*
-   * body is the whole kept answer
+   * body is the whole stored response
    */
   protobuf_c_boolean kept;
 };
@@ -442,7 +464,7 @@
   ProtobufCBinaryData body;
   protobuf_c_boolean kept;
   /*
-   * the upstream certainly did not run it
+   * the upstream certainly did not execute it
    */
   protobuf_c_boolean not_run;
 };
@@ -452,13 +474,17 @@
 
 
 /*
- * What a node with the right to order engines knows of one, as its own or as
- * another such node told it; what is left out of `models` gets no new requests.
+ * Status of one engine, from a node that holds a lease to order engines: of an
+ * engine that it controls, or as received from another lease holder.  A model
+ * that is not in `models` gets no new requests.
  */
 struct  Chestnuthitch__Wire__EngineState
 {
   ProtobufCMessage base;
   char *upstream;
+  /*
+   * boot ID
+   */
   uint64_t boot;
   size_t n_models;
   char **models;
@@ -468,20 +494,20 @@
   size_t n_adapters;
   char **adapters;
   /*
-   * models that are being loaded
+   * pending loads of models
    */
   size_t n_coming;
   char **coming;
   /*
-   * requests of all nodes, as they tell them
+   * requests of all nodes, as they report them
    */
   uint32_t running;
   /*
-   * of engine time, to read what has not begun
+   * prefill backlog, in engine time
    */
   uint32_t unread_ms;
   /*
-   * takes no order now
+   * accepts no order now
    */
   protobuf_c_boolean busy;
   /*
@@ -495,19 +521,19 @@
 
 
 /*
- * Who has the right to order the engines of a data centre.
+ * The lease to order the engines of a data centre.
  */
 struct  Chestnuthitch__Wire__Right
 {
   ProtobufCMessage base;
   char *data_centre;
   /*
-   * the highest one counts
+   * fencing token; the highest is valid
    */
   uint64_t fence;
   char *holder;
   /*
-   * since the holder was heard
+   * since the lease holder was last heard from
    */
   uint32_t age_ms;
 };
@@ -517,24 +543,24 @@
 
 
 /*
- * Engines whose state is new, and the load of those where it is.
+ * Engines whose status changed, and the loads of engines whose load changed.
  */
 struct  Chestnuthitch__Wire__Engines
 {
   ProtobufCMessage base;
   /*
-   * Of one right of the sender, for nodes of earlier versions.
+   * One lease of the sender, for nodes of earlier versions.
    */
   char *data_centre;
   uint64_t fence;
   size_t n_engines;
   Chestnuthitch__Wire__EngineState **engines;
   /*
-   * all engines of these rights
+   * full status: all engines under these leases
    */
   protobuf_c_boolean whole;
   /*
-   * that the engines belong to
+   * leases that the engines belong to
    */
   size_t n_rights;
   Chestnuthitch__Wire__Right **rights;
@@ -543,11 +569,11 @@
    */
   uint32_t audience;
   /*
-   * of what the sender tells this audience
+   * number of the message to this audience
    */
   uint64_t sequence;
   /*
-   * The loads, by the sender's numbers of the engines.
+   * The loads, by the sender's engine numbers (EngineState.number).
    */
   size_t n_numbers;
   uint32_t *numbers;
@@ -562,7 +588,8 @@
 
 
 /*
- * To a node that tells of engines: something was missed, tell of all of them.
+ * To a node that publishes engine status, after a lost message: requests the
+ * full status.
  */
 struct  Chestnuthitch__Wire__EnginesPull
 {
@@ -575,7 +602,8 @@
 
 
 /*
- * To that node: load an adapter, so that a request can go out.
+ * To the lease holder that controls an engine: load an adapter, so that a
+ * request can be dispatched.
  */
 struct  Chestnuthitch__Wire__Prepare
 {
@@ -593,7 +621,7 @@
 
 
 /*
- * What a node has sent to one engine.
+ * The load that a node's requests put on one engine.
  */
 struct  Chestnuthitch__Wire__EngineLoad
 {
@@ -608,7 +636,7 @@
 
 
 /*
- * What a node's requests ask for, by model, and where they run.
+ * The demand of a node's requests by model, and the engines that they run on.
  */
 struct  Chestnuthitch__Wire__Demand
 {
@@ -616,28 +644,28 @@
   size_t n_models;
   char **models;
   /*
-   * ms of engine time that it asks for a second
+   * demand: ms of engine time per second
    */
   size_t n_work;
   uint32_t *work;
   /*
-   * ms of engine time that have not begun
+   * ms of engine time not yet begun
    */
   size_t n_backlog;
   uint32_t *backlog;
   /*
-   * "UPSTREAM MODEL/ADAPTER", since the last
+   * "UPSTREAM MODEL/ADAPTER" since the last
    */
   size_t n_used;
   char **used;
   size_t n_loads;
   Chestnuthitch__Wire__EngineLoad **loads;
   /*
-   * empty but from nodes of earlier versions
+   * set only by nodes of earlier versions
    */
   char *data_centre;
   /*
-   * the sum of what others told the sender
+   * sum of what other nodes sent
    */
   protobuf_c_boolean collected;
 };
@@ -647,7 +675,7 @@
 
 
 /*
- * An entry of the roster as it lies in the key-value service, or its removal.
+ * An entry of the roster as stored in the key-value store, or its removal.
  */
 struct  Chestnuthitch__Wire__RosterEntry
 {
@@ -666,22 +694,22 @@
 
 
 /*
- * From one of the few nodes that watch the service: what has changed below a
- * prefix after one revision up to another.
+ * From one of the few watchers of the key-value store: the changes below a
+ * prefix after revision `since`, up to and including revision `at`.
  */
 struct  Chestnuthitch__Wire__Roster
 {
   ProtobufCMessage base;
   char *prefix;
   /*
-   * 0: all that is there
+   * 0: all entries
    */
   uint64_t since;
   uint64_t at;
   size_t n_entries;
   Chestnuthitch__Wire__RosterEntry **entries;
   /*
-   * a Roster of the entries alone, in zlib's format
+   * a Roster with only the entries, in zlib's format
    */
   ProtobufCBinaryData packed;
 };
@@ -691,14 +719,14 @@
 
 
 /*
- * To such a node: all that is there below a prefix.
+ * To a watcher: requests all entries below a prefix.
  */
 struct  Chestnuthitch__Wire__RosterPull
 {
   ProtobufCMessage base;
   char *prefix;
   /*
-   * the asker understands packed entries
+   * the sender can decompress packed entries
    */
   protobuf_c_boolean unpacks;
 };
@@ -708,7 +736,7 @@
 
 
 /*
- * A request was on an upstream when that ended.
+ * A request was on an upstream when the upstream crashed.
  */
 struct  Chestnuthitch__Wire__CrashRun
 {
@@ -719,13 +747,16 @@
   ProtobufCBinaryData digest;
   uint64_t fingerprint;
   char *upstream;
+  /*
+   * boot ID of the crashed engine
+   */
   uint64_t boot;
   /*
-   * since the upstream ended
+   * since the upstream crashed
    */
   uint32_t age_ms;
   /*
-   * nothing of an answer had come
+   * no part of a response had arrived
    */
   protobuf_c_boolean fresh;
 };
@@ -735,7 +766,8 @@
 
 
 /*
- * An operator released a request: what was known of it before counts no more.
+ * An operator released a request: earlier crash observations of it no longer
+ * count.
  */
 struct  Chestnuthitch__Wire__CrashRelease
 {
@@ -749,7 +781,7 @@
 
 
 /*
- * What is new of requests on upstreams that ended.
+ * New observations of requests on crashed upstreams.
  */
 struct  Chestnuthitch__Wire__Crashes
 {
@@ -757,18 +789,18 @@
   size_t n_runs;
   Chestnuthitch__Wire__CrashRun **runs;
   /*
-   * digests of requests that were answered
+   * digests of harmless, answered requests
    */
   size_t n_sound;
   ProtobufCBinaryData *sound;
   size_t n_released;
   Chestnuthitch__Wire__CrashRelease **released;
   /*
-   * of all that the sender knows; 0: not stated
+   * checksum of all that the sender knows; 0: not given
    */
   uint64_t sum;
   /*
-   * all that the sender knows
+   * the message has all that the sender knows
    */
   protobuf_c_boolean whole;
 };
@@ -778,7 +810,7 @@
 
 
 /*
- * To a node: tell all that is known of such requests.
+ * Requests all crash observations that the receiver knows.
  */
 struct  Chestnuthitch__Wire__CrashesPull
 {
@@ -789,6 +821,58 @@
      }
 
 
+/*
+ * To the pool of a region: credit that the sender does not need.  Teams are
+ * named by the hash of their name; amounts are thousandths of the unit.
+ */
+struct  Chestnuthitch__Wire__QuotaDeposit
+{
+  ProtobufCMessage base;
+  size_t n_teams;
+  uint64_t *teams;
+  size_t n_amounts;
+  uint64_t *amounts;
+};
+#define CHESTNUTHITCH__WIRE__QUOTA_DEPOSIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__quota_deposit__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * To the pool of a region: asks for the credit that a request costs.
+ */
+struct  Chestnuthitch__Wire__QuotaWithdraw
+{
+  ProtobufCMessage base;
+  uint64_t team;
+  /*
+   * thousandths of the unit
+   */
+  uint64_t cost;
+  /*
+   * taken as well if the pool has enough
+   */
+  uint64_t extra;
+};
+#define CHESTNUTHITCH__WIRE__QUOTA_WITHDRAW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__quota_withdraw__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__QuotaGrant
+{
+  ProtobufCMessage base;
+  /*
+   * 0: refused
+   */
+  uint64_t amount;
+  uint32_t retry_after_ms;
+};
+#define CHESTNUTHITCH__WIRE__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__quota_grant__descriptor) \
+    , 0, 0 }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -1397,6 +1481,63 @@
 void   chestnuthitch__wire__crashes_pull__free_unpacked
                      (Chestnuthitch__Wire__CrashesPull *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__QuotaDeposit methods */
+void   chestnuthitch__wire__quota_deposit__init
+                     (Chestnuthitch__Wire__QuotaDeposit         *message);
+size_t chestnuthitch__wire__quota_deposit__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaDeposit   *message);
+size_t chestnuthitch__wire__quota_deposit__pack
+                     (const Chestnuthitch__Wire__QuotaDeposit   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__quota_deposit__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaDeposit   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__QuotaDeposit *
+       chestnuthitch__wire__quota_deposit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__quota_deposit__free_unpacked
+                     (Chestnuthitch__Wire__QuotaDeposit *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__QuotaWithdraw methods */
+void   chestnuthitch__wire__quota_withdraw__init
+                     (Chestnuthitch__Wire__QuotaWithdraw         *message);
+size_t chestnuthitch__wire__quota_withdraw__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaWithdraw   *message);
+size_t chestnuthitch__wire__quota_withdraw__pack
+                     (const Chestnuthitch__Wire__QuotaWithdraw   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__quota_withdraw__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaWithdraw   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__QuotaWithdraw *
+       chestnuthitch__wire__quota_withdraw__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__quota_withdraw__free_unpacked
+                     (Chestnuthitch__Wire__QuotaWithdraw *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__QuotaGrant methods */
+void   chestnuthitch__wire__quota_grant__init
+                     (Chestnuthitch__Wire__QuotaGrant         *message);
+size_t chestnuthitch__wire__quota_grant__get_packed_size
+                     (const Chestnuthitch__Wire__QuotaGrant   *message);
+size_t chestnuthitch__wire__quota_grant__pack
+                     (const Chestnuthitch__Wire__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__quota_grant__pack_to_buffer
+                     (const Chestnuthitch__Wire__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__QuotaGrant *
+       chestnuthitch__wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__quota_grant__free_unpacked
+                     (Chestnuthitch__Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -1495,6 +1636,15 @@
 typedef void (*Chestnuthitch__Wire__CrashesPull_Closure)
                  (const Chestnuthitch__Wire__CrashesPull *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__QuotaDeposit_Closure)
+                 (const Chestnuthitch__Wire__QuotaDeposit *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__QuotaWithdraw_Closure)
+                 (const Chestnuthitch__Wire__QuotaWithdraw *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__QuotaGrant_Closure)
+                 (const Chestnuthitch__Wire__QuotaGrant *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1533,6 +1683,9 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crash_release__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crashes__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crashes_pull__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_deposit__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -4,6 +4,7 @@
 
 #include "node/node.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_quota.h"
 
 #include <curl/curl.h>
 #include <json-glib/json-glib.h>
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -9,6 +9,7 @@
 #include "node/frontend.h"
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_quota.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -1764,6 +1765,90 @@
         g_free(path);                                                         \
     }
 
+/* ---- quotas ---- */
+
+static const char team_text[] = "[model m01]\nmemory-mb = 1\n"
+                                "[class advice]\nmodels = m01\n"
+                                "first-token-ms = 400\ncallers = cardiff\n"
+                                "[team bands]\nquota-per-s = 5\nkeys = ";
+
+static const struct {
+    const char *name;
+    const char *authorization; /* header line; "" for none */
+    enum ch_code quota;
+    enum router_action router;
+    enum upstream_action upstream;
+    const char *status;
+    int taken;
+    int given_back;
+    bool asks_router;
+} quota_cases[] = {
+    {"no key", "", CH_OK, GRANTS, COMPLETES, "401", 0, 0, false},
+    {"unknown key", "Authorization: Bearer no\r\n", CH_OK, GRANTS, COMPLETES,
+     "401", 0, 0, false},
+    {"two keys",
+     "Authorization: Bearer key-of-bands\r\n"
+     "Authorization: Bearer key-of-bands\r\n",
+     CH_OK, GRANTS, COMPLETES, "401", 0, 0, false},
+    {"credit", "Authorization: Bearer key-of-bands\r\n", CH_OK, GRANTS,
+     COMPLETES, "200", 1, 0, true},
+    {"no credit", "Authorization: Bearer key-of-bands\r\n", CH_QUOTA_USED,
+     GRANTS, COMPLETES, "429", 1, 0, false},
+    {"no pool answers", "Authorization: Bearer key-of-bands\r\n",
+     CH_QUOTA_UNAVAILABLE, GRANTS, COMPLETES, "503", 1, 0, false},
+    {"refused by the router", "Authorization: Bearer key-of-bands\r\n", CH_OK,
+     REFUSES, COMPLETES, "503", 1, 1, true},
+    {"refused by the upstream", "Authorization: Bearer key-of-bands\r\n",
+     CH_OK, GRANTS, REFUSED_NOT_RUN, "503", 1, 1, true},
+    {"interrupted, may have run", "Authorization: Bearer key-of-bands\r\n",
+     CH_OK, GRANTS, INTERRUPTED, "502", 1, 0, true},
+};
+
+/* A request beyond its team's quota is refused before a router is asked, with
+ * the time to come back; the cost of one that did not run is given back. */
+static void
+test_quota(void)
+{
+    char digest[CH_ACCESS_DIGEST_SIZE];
+    ch_access_digest_key("key-of-bands", digest);
+    g_autofree char *text = g_strconcat(team_text, digest, "\n", NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(quota_cases); i++) {
+        struct fixture *fixture = fixture_new();
+        struct ch_quota_manager quota = {.code = quota_cases[i].quota};
+        struct ch_error error = {.code = CH_OK};
+        g_test_message("%s", quota_cases[i].name);
+        ch_config_unref(fixture->config);
+        fixture->config = ch_config_new(
+            1, "t", "a", ch_declaration_parse(text, "test", &error));
+        g_assert_cmpstr(error.message, ==, "");
+        fixture->node.quota = &quota;
+        fixture->router_actions[0] = quota_cases[i].router;
+        for (size_t j = 0; j < MAX_ACTIONS; j++) {
+            fixture->upstream_actions[j] = quota_cases[i].upstream;
+        }
+        fixture_start(fixture);
+        g_autofree char *headers =
+            g_strconcat("Chestnuthitch-Caller: cardiff\r\n",
+                        quota_cases[i].authorization, NULL);
+        g_autofree char *response = read_response(send_request(
+            fixture, "POST /v1/completions", headers, plain_call));
+        fixture_stop(fixture);
+        g_test_message("%s", response);
+        g_assert_true(g_str_has_prefix(response + strlen("HTTP/1.1 "),
+                                       quota_cases[i].status));
+        g_assert_cmpint(strstr(response, "WWW-Authenticate: Bearer") != NULL,
+                        ==, strcmp(quota_cases[i].status, "401") == 0);
+        g_assert_cmpint(strstr(response, "\"retry_after_ms\":700") != NULL, ==,
+                        quota_cases[i].quota != CH_OK);
+        g_assert_null(strstr(response, "key-of-bands"));
+        g_assert_cmpint(quota.taken, ==, quota_cases[i].taken);
+        g_assert_cmpint(quota.given_back, ==, quota_cases[i].given_back);
+        g_assert_cmpint(fixture->router_requests > 0, ==,
+                        quota_cases[i].asks_router);
+        fixture_free(fixture);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1789,6 +1874,7 @@
     g_test_add_func("/exchange/truncated", test_truncated);
     g_test_add_func("/exchange/full", test_too_many_connections);
     g_test_add_func("/exchange/not ready", test_not_ready);
+    g_test_add_func("/exchange/quota", test_quota);
     g_test_add_func("/exchange/stop", test_stop);
     return g_test_run();
 }
--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -7,6 +7,7 @@
 #include "node/frontend.h"
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_quota.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -8,6 +8,7 @@
 #include "node/balancer.h"
 #include "node/controller_internal.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_quota.h"
 
 #include <string.h>
 
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -20,18 +20,23 @@
                                 "\"first_us\":80000,\"target_us\":400000,"
                                 "\"total_us\":3000000}"},
      "00:00:00  m1                     1       1       1       0       0     "
-     "  0       0       0       0       0       80       80\n"},
+     "  0       0       0       0       0       0       80       80\n"},
     {"refusals and failures by their cause",
      {HEAD("01.000", "request") ",\"model\":\"m1\",\"code\":201}",
       HEAD("01.100", "request") ",\"model\":\"m1\",\"code\":203}",
       HEAD("01.200", "request") ",\"model\":\"m1\",\"code\":303}",
       HEAD("01.300", "request") ",\"model\":\"m1\",\"code\":311}"},
      "00:00:00  m1                     4       0       0       1       1     "
-     "  0       1       0       1       0        0        0\n"},
+     "  0       0       1       0       1       0        0        0\n"},
     {"refused, as upstreams crashed while running the request",
      {HEAD("01.000", "request") ",\"model\":\"m1\",\"code\":208}"},
      "00:00:00  m1                     1       0       0       0       0     "
-     "  1       0       0       0       0        0        0\n"},
+     "  0       1       0       0       0       0        0        0\n"},
+    {"refused, as the team's quota was used up, and as no pool answered",
+     {HEAD("01.000", "request") ",\"model\":\"m1\",\"code\":209}",
+      HEAD("01.100", "request") ",\"model\":\"m1\",\"code\":210}"},
+     "00:00:00  m1                     2       0       0       0       0     "
+     "  1       1       0       0       0       0        0        0\n"},
     {"a change of models: memory is freed, then the load from the store",
      {HEAD("01.000", "model-move") ",\"upstream\":\"e1\",\"model\":\"m1\","
                                    "\"action\":\"unload\","
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -155,6 +155,7 @@
     {"pace-prompts", offsetof(struct ch_disabled_features, defer_prompts)},
     {"learnt-speeds",
      offsetof(struct ch_disabled_features, measured_service_times)},
+    {"quota-pools", offsetof(struct ch_disabled_features, quota_pools)},
 };
 
 /* Appends the key of a disabled feature, "+" for an enabled one. */
