Quotas: nodes that start again have credit at once

Cause, by the logs: a process earned nothing until its own entry was written and its configuration known, 0.3 to 2.5 s after its start, and had none of the credit that the process before it had.

Change: it earns from the moment at which the list names its host, also for teams that the configuration names later; the entry of the process before it counts as confirmed for 5 s; and it begins with a part of the tolerance, if the process before it had started two windows earlier at least.

--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -142,8 +142,10 @@
     size_t listed; /* in the host list; 0: no list has arrived yet */
     size_t live;
     size_t live_in_region;
-    bool self_listed;     /* the list names this node */
-    int64_t confirmed_at; /* see ch_peers_confirm_listed(); 0: never */
+    bool self_listed;        /* the list names this node */
+    bool confirmed;          /* see ch_peers_confirm_listed() */
+    int64_t predecessor_age; /* how long before this process the one before it
+                                on this host started; 0: not known */
 };
 void ch_peers_count(struct ch_peers *peers, const char *region,
                     struct ch_peers_counts *counts);
@@ -155,7 +157,8 @@
 /* Updates the known nodes from a complete host list of the platform. */
 void ch_peers_update_list(struct ch_peers *peers,
                           const struct ch_host_list *list);
-/* Records that the platform has just confirmed that this node is listed. */
+/* Records that the platform has just confirmed that this node is listed. It
+ * counts as confirmed until shortly before its entry would expire. */
 void ch_peers_confirm_listed(struct ch_peers *peers);
 /* Whether any host list has arrived. Until then this node does not know the
  * others, so it must not take a role because it ranks first or seems to be
--- a/libchestnuthitch/node/once_manager.c
+++ b/libchestnuthitch/node/once_manager.c
@@ -26,6 +26,10 @@
      * and 60 ms between regions.
      */
     BEGIN_TIMEOUT_US = 900 * 1000,
+    /* A home node that has fallen silent is noticed about as late. Then the
+     * caller waits for this many times the silence limit more, in which
+     * another home node is asked. */
+    SILENT_HOME_EXTENSION = 2,
     /* Home nodes that are asked one after another when a connection is
      * lost. */
     BEGIN_MAX_ATTEMPTS = 3,
@@ -64,6 +68,9 @@
     uint32_t slot;
     unsigned attempts_made;
     int64_t last_asked_at; /* when the latest home node was asked */
+    char *home;            /* the latest home node; NULL: none was asked */
+    bool extended;         /* the timeout was extended, as the home node was
+                              silent */
     bool may_be_written;   /* the attempt may have been written to the log */
     bool finished;
     uint64_t timer;
@@ -129,6 +136,7 @@
     manager_drop_reference(begin->manager);
     g_free(begin->caller);
     g_free(begin->key);
+    g_free(begin->home);
     g_free(begin);
 }
 
@@ -348,13 +356,54 @@
     begin_end(begin, &answer);
 }
 
-/* Ends a begin that got no result within BEGIN_TIMEOUT_US. */
+/* The time of an extended timeout, and the longest of a request to a home
+ * node. */
+static int64_t
+get_extension(const struct ch_once_manager *manager)
+{
+    return SILENT_HOME_EXTENSION * 1000 *
+           (int64_t)manager->node->settings->peer_timeout_ms;
+}
+
+/* Whether nothing has come from the home node since it was asked. */
+static bool
+is_home_silent(struct begin *begin)
+{
+    struct ch_once_manager *manager = begin->manager;
+    pthread_mutex_lock(&manager->lock);
+    g_autofree char *home = g_strdup(begin->home);
+    int64_t asked_at = begin->last_asked_at;
+    pthread_mutex_unlock(&manager->lock);
+    return home != NULL &&
+           ch_peers_get_last_heard(manager->node->peers, home, NULL) <
+               asked_at;
+}
+
+/*
+ * Ends a begin that got no result within BEGIN_TIMEOUT_US. While the home node
+ * is silent the begin goes on: the request would be refused although another
+ * home node serves it as soon as the silence is noticed.
+ */
 static void
 begin_handle_timeout(void *data)
 {
     struct begin *begin = data;
-    begin_end_state(begin, CH_ONCE_REFUSED);
-    begin_drop_reference(begin);
+    struct ch_once_manager *manager = begin->manager;
+    bool silent = is_home_silent(begin);
+    pthread_mutex_lock(&manager->lock);
+    bool extend =
+        silent && !begin->extended && !begin->finished && !manager->stopped;
+    if (extend) {
+        begin->extended = true;
+        begin->timer =
+            ch_timers_add(manager->node->timers, get_extension(manager),
+                          begin_handle_timeout, begin);
+    }
+    pthread_mutex_unlock(&manager->lock);
+    if (!extend) {
+        begin_end_state(begin, CH_ONCE_REFUSED);
+        begin_drop_reference(begin);
+    }
 }
 
 /* ---- reading the log when the home node's connection was lost ---- */
@@ -541,7 +590,12 @@
     frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ONCE_BEGIN;
     frame.once_begin = &body;
     g_autofree char *home = ch_once_slot_find_home(node, begin->slot);
-    ch_peers_request(node->peers, home, &frame, BEGIN_TIMEOUT_US,
+    pthread_mutex_lock(&begin->manager->lock);
+    g_free(begin->home);
+    begin->home = g_strdup(home);
+    pthread_mutex_unlock(&begin->manager->lock);
+    ch_peers_request(node->peers, home, &frame,
+                     BEGIN_TIMEOUT_US + get_extension(begin->manager),
                      handle_home_reply, begin_add_reference(begin));
 }
 
@@ -628,7 +682,7 @@
 /* ---- interface to the node ---- */
 
 /* Begins an attempt for a caller's key; see node.h. The result comes within
- * BEGIN_TIMEOUT_US. */
+ * BEGIN_TIMEOUT_US, or later if a home node is silent. */
 void
 ch_once_manager_begin(struct ch_once_manager *manager, const char *caller,
                       const char *key, uint64_t fingerprint,
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -86,8 +86,9 @@
     unsigned ready;           /* this node may be a home node; atomic */
     bool members_listed;      /* a host list was received */
     bool self_listed;         /* the last host list names this node */
-    int64_t confirmed_at;     /* when the platform last confirmed that this
-                                 node is listed; 0: it has not */
+    uint64_t predecessor_started_ms; /* wall clock, of the process before this
+                                        one on this host; 0: not known */
+    int64_t confirmed_until; /* see ch_peers_confirm_listed(); 0: never */
     int64_t last_tick_at;
     unsigned polls_behind; /* consecutive polls that left data unread */
     struct frame_handler handlers[PEERS_BODY_CASE_COUNT];
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -4,6 +4,17 @@
 
 #include <string.h>
 
+enum {
+    /*
+     * The entry of a node expires 30 s after its last confirmation. From then
+     * on other nodes take over what is shared between the listed nodes, so
+     * this node must have given up its part before.
+     */
+    CONFIRMED_US = 25 * 1000 * 1000,
+    /* A node writes its entry anew within some calls of its start. */
+    PREDECESSOR_CONFIRMS_US = 5 * 1000 * 1000,
+};
+
 /* The name of the home node, or this node's own name when home is NULL. */
 static const char *
 home_or_self(const struct ch_peers *peers, const char *home)
@@ -72,7 +83,13 @@
     size_t count = ch_members_get_count(peers->members);
     counts->listed = peers->members_listed ? count + 1 : 0;
     counts->self_listed = peers->self_listed;
-    counts->confirmed_at = peers->confirmed_at;
+    counts->confirmed =
+        ch_client_get_time(peers->node->client) < peers->confirmed_until;
+    counts->predecessor_age =
+        peers->predecessor_started_ms == 0
+            ? 0
+            : (int64_t)(peers->node->incarnation -
+                        peers->predecessor_started_ms * 1000);
     for (size_t i = 0; i < count; i++) {
         const struct ch_member *member = ch_members_get(peers->members, i);
         bool live = ch_member_is_available(member);
@@ -189,6 +206,20 @@
     pthread_mutex_unlock(&peers->lock);
 }
 
+/* An entry of this host that an earlier process wrote tells when that one
+ * started. It is valid until this process has written its own. Lock held. */
+static void
+note_own_entry(struct ch_peers *peers, const struct ch_host *host, int64_t now)
+{
+    bool is_predecessor =
+        host->boot_id != 0 && host->boot_id < peers->node->incarnation / 1000;
+    if (is_predecessor && peers->predecessor_started_ms == 0) {
+        peers->predecessor_started_ms = host->boot_id;
+        peers->confirmed_until =
+            MAX(peers->confirmed_until, now + PREDECESSOR_CONFIRMS_US);
+    }
+}
+
 /* Updates the members from the host list; only entry hosts count. */
 void
 ch_peers_update_list(struct ch_peers *peers, const struct ch_host_list *list)
@@ -199,7 +230,10 @@
     peers->self_listed = false;
     for (size_t i = 0; i < list->count; i++) {
         const struct ch_host *host = &list->hosts[i];
-        peers->self_listed |= peers_is_self(peers, host->name);
+        if (peers_is_self(peers, host->name)) {
+            peers->self_listed = true;
+            note_own_entry(peers, host, now);
+        }
         if (host->kind == CH_HOST_ENTRY) {
             ch_members_update_member(peers->members, host->name, host->address,
                                      host->region, host->data_centre,
@@ -217,8 +251,9 @@
 void
 ch_peers_confirm_listed(struct ch_peers *peers)
 {
+    int64_t now = ch_client_get_time(peers->node->client);
     pthread_mutex_lock(&peers->lock);
-    peers->confirmed_at = ch_client_get_time(peers->node->client);
+    peers->confirmed_until = now + CONFIRMED_US;
     pthread_mutex_unlock(&peers->lock);
 }
 
--- a/libchestnuthitch/node/quota_internal.h
+++ b/libchestnuthitch/node/quota_internal.h
@@ -20,6 +20,7 @@
     struct ch_quota_limits limits;
     struct ch_quota_credit credit;
     struct ch_quota_pool pool; /* open only where this node keeps it */
+    bool begun;                /* credit was earned, or given at the start */
     bool declared;             /* found by the update in progress */
 };
 
@@ -39,6 +40,8 @@
     GHashTable *teams;  /* id to struct quota_team */
     GPtrArray *regions; /* struct quota_region, this node's own first; fixed */
     struct ch_quota_share share_state;
+    int64_t begun_at; /* when this node first earned; 0: not yet */
+    bool begins_with_credit;
     double share;       /* this node's share of each rate */
     double region_part; /* of all nodes, those that answer in this region */
 };
--- a/libchestnuthitch/node/quota_manager.c
+++ b/libchestnuthitch/node/quota_manager.c
@@ -4,6 +4,12 @@
 
 #include <string.h>
 
+enum {
+    /* Teams that become known later than this after the first credit were
+     * there, or not, while this process ran. */
+    BEGIN_US = 10 * 1000 * 1000,
+};
+
 /* ---- ownership ---- */
 
 static void
@@ -52,16 +58,22 @@
     return g_hash_table_lookup(manager->teams, &id);
 }
 
-/* Takes over a team's quota; what it has left stays. Lock held. */
-static void
-update_team(struct ch_quota_manager *manager, const struct ch_team *declared)
+static struct ch_quota_rule
+get_rule(const struct ch_quota_manager *manager)
 {
     const struct ch_settings *settings = manager->node->settings;
-    const struct ch_quota_rule rule = {
+    return (struct ch_quota_rule){
         .window_s = settings->quota_window_s,
         .overshoot = settings->quota_overshoot,
         .slack = settings->quota_slack,
     };
+}
+
+/* Takes over a team's quota; what it has left stays. Lock held. */
+static void
+update_team(struct ch_quota_manager *manager, const struct ch_team *declared)
+{
+    const struct ch_quota_rule rule = get_rule(manager);
     uint64_t id = ch_hash_string(declared->name);
     struct quota_team *team = quota_manager_find(manager, id);
     if (team == NULL) {
@@ -130,6 +142,44 @@
 
 /* ---- periodic work ---- */
 
+/* Decides, when this node first earns, whether it begins with credit. Lock
+ * held. */
+static void
+note_begin(struct ch_quota_manager *manager, int64_t predecessor_age,
+           int64_t now)
+{
+    if (manager->begun_at == 0 && manager->share > 0) {
+        const struct ch_quota_rule rule = get_rule(manager);
+        manager->begun_at = now;
+        manager->begins_with_credit =
+            ch_quota_may_begin_with_credit(&rule, predecessor_age);
+        ch_log(manager->node->client, CH_LOG_INFO, "quota-begun",
+               CH_F_NUM("share", manager->share),
+               CH_F_BOOL("with_credit", manager->begins_with_credit),
+               CH_F_END);
+    }
+    else if (now - manager->begun_at > BEGIN_US) {
+        manager->begins_with_credit = false;
+    }
+}
+
+/* Gives a team its credit of a node that starts again. A team that is known
+ * soon after the start was there before: only the configuration came later.
+ * Lock held. */
+static void
+begin_team(const struct ch_quota_manager *manager, struct quota_team *team,
+           int64_t now)
+{
+    if (!team->begun && manager->begun_at != 0) {
+        team->begun = true;
+        team->credit.earned_at =
+            now - manager->begun_at <= BEGIN_US ? manager->begun_at : now;
+        team->credit.amount += manager->begins_with_credit
+                                   ? team->limits.restart * manager->share
+                                   : 0;
+    }
+}
+
 /* Updates this node's share from the nodes that it knows, and earns credit.
  * Lock not held. */
 static void
@@ -144,7 +194,7 @@
         .live = counts.live,
         .live_in_region = counts.live_in_region,
         .self_listed = counts.self_listed,
-        .confirmed_at = counts.confirmed_at,
+        .confirmed = counts.confirmed,
     };
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -155,9 +205,11 @@
         members.listed == 0
             ? 0
             : (double)members.live_in_region / (double)members.listed;
+    note_begin(manager, counts.predecessor_age, now);
     g_hash_table_iter_init(&iterator, manager->teams);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct quota_team *team = value;
+        begin_team(manager, team, now);
         ch_quota_credit_earn(&team->credit, &team->limits, manager->share,
                              now);
     }
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -83,6 +83,8 @@
         .region = g_strdup(region),
         .capacity = (uint32_t)CLAMP(ch_json_get_integer(object, "capacity", 0),
                                     0, MAX_CAPACITY),
+        .boot_id =
+            (uint64_t)MAX(ch_json_get_integer(object, "started_ms", 0), 0),
     };
     return true;
 }
--- a/libchestnuthitch/node/roster_own.c
+++ b/libchestnuthitch/node/roster_own.c
@@ -25,8 +25,9 @@
 
 /* The entry's value; a new string. */
 static char *
-own_entry_to_json(const struct ch_settings *settings)
+own_entry_to_json(const struct ch_node *node)
 {
+    const struct ch_settings *settings = node->settings;
     JsonBuilder *builder = json_builder_new_immutable();
     json_builder_begin_object(builder);
     json_builder_set_member_name(builder, "address");
@@ -37,6 +38,8 @@
     json_builder_add_string_value(builder, settings->region);
     json_builder_set_member_name(builder, "capacity");
     json_builder_add_int_value(builder, ch_settings_get_capacity(settings));
+    json_builder_set_member_name(builder, "started_ms");
+    json_builder_add_int_value(builder, (int64_t)(node->incarnation / 1000));
     json_builder_end_object(builder);
     return ch_json_to_string(builder);
 }
@@ -147,7 +150,7 @@
     else if (!is_listed) {
         g_autofree char *key =
             g_strconcat(NODES_PREFIX, node->settings->name, NULL);
-        g_autofree char *value = own_entry_to_json(node->settings);
+        g_autofree char *value = own_entry_to_json(node);
         ch_kv_call_put_leased(node, key, value, strlen(value), revision,
                               kv_lease_id, handle_own_write, roster);
     }
--- a/libchestnuthitch/quota/quota.h
+++ b/libchestnuthitch/quota/quota.h
@@ -30,11 +30,18 @@
     double rate;     /* earned by all nodes together, a second */
     double capacity; /* unspent credit of all nodes together */
     double debt;     /* that all pools together may run into */
+    double restart;  /* given to all nodes together when they start again */
 };
 
 void ch_quota_limits_init(struct ch_quota_limits *limits, double per_s,
                           double burst, const struct ch_quota_rule *rule);
 
+/* Whether a process may begin with its share of limits->restart, if the one
+ * before it on its host started this long before it; 0: there was none, or it
+ * is not known. Defined in share.c. */
+bool ch_quota_may_begin_with_credit(const struct ch_quota_rule *rule,
+                                    int64_t predecessor_age);
+
 /* ---- the share of one node (share.c) ---- */
 
 /* Nodes as one node knows them, itself included. */
@@ -43,7 +50,7 @@
     size_t live;   /* that answer */
     size_t live_in_region;
     bool self_listed;
-    int64_t confirmed_at; /* when the platform last confirmed that; 0: never */
+    bool confirmed; /* the platform confirmed that lately */
 };
 
 struct ch_quota_share {
--- a/libchestnuthitch/quota/share.c
+++ b/libchestnuthitch/quota/share.c
@@ -3,11 +3,6 @@
 #include "quota/quota.h"
 
 enum {
-    /*
-     * The entry of a node expires 30 s after its last confirmation. From then
-     * on the other nodes earn its share, so it must have given it up before.
-     */
-    MAX_UNCONFIRMED_US = 25 * 1000 * 1000,
     /* How long nodes that are listed no more are taken into account. */
     MAX_LISTED_US = 60 * 60 * 1000 * 1000LL,
     /* Teams whose pools are on one node of each region. */
@@ -19,10 +14,14 @@
 };
 
 /* Parts of the tolerance of a quota that are used: for unspent credit beyond
- * the burst, and for the debt of pools. The rest is for nodes that do not know
- * yet how many nodes there are. */
+ * the burst, for the debt of pools, and for nodes that start again. The rest
+ * is for nodes that do not know yet how many nodes there are. */
 static const double CAPACITY_PART = 0.7;
 static const double DEBT_PART = 0.15;
+static const double RESTART_PART = 0.15;
+/* A process that began with credit is followed by another such one no sooner
+ * than this many windows later. */
+static const double RESTART_WINDOWS = 2;
 
 /*
  * Load: a team whose requests cost about as much as its burst, over many
@@ -39,6 +38,21 @@
     limits->rate = per_s;
     limits->capacity = burst + CAPACITY_PART * tolerance;
     limits->debt = DEBT_PART * tolerance;
+    limits->restart = RESTART_PART * tolerance;
+}
+
+/*
+ * Load: all processes are killed at once and start again, and their callers
+ * return. Harm prevented: requests refused until credit has been earned anew,
+ * as the credit that the processes had is lost. Limit: once in two windows for
+ * each host, so that any window has one such credit only.
+ */
+bool
+ch_quota_may_begin_with_credit(const struct ch_quota_rule *rule,
+                               int64_t predecessor_age)
+{
+    return (double)predecessor_age >=
+           RESTART_WINDOWS * rule->window_s * G_USEC_PER_SEC;
 }
 
 /* Updates the largest number of nodes that were listed lately. */
@@ -66,15 +80,13 @@
  */
 static double
 get_share(const struct ch_quota_share *share,
-          const struct ch_quota_members *members, int64_t now)
+          const struct ch_quota_members *members)
 {
     if (members->listed == 0 || !members->self_listed) {
         return 0;
     }
     double most = (double)share->max_listed;
-    bool confirmed = members->confirmed_at != 0 &&
-                     now - members->confirmed_at < MAX_UNCONFIRMED_US;
-    if (confirmed) {
+    if (members->confirmed) {
         return 1 / MAX((double)members->listed, most / 2);
     }
     double live = (double)members->live;
@@ -88,7 +100,7 @@
                       const struct ch_quota_members *members, int64_t now)
 {
     update_max_listed(share, members->listed, now);
-    share->value = get_share(share, members, now);
+    share->value = get_share(share, members);
     return share->value;
 }
 
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -18,6 +18,7 @@
      * expires after that. */
     CONFIRM_S = 8,
     EXPIRY_S = 30,
+    CONFIRMED_S = 25, /* a node counts as confirmed for so long */
 };
 
 static const struct ch_quota_rule rule = {WINDOW_S, 0.1, 11000};
@@ -26,8 +27,6 @@
 
 enum {
     NOW = 1000 * 1000 * 1000,
-    FRESH = NOW - SECOND,
-    STALE = NOW - 25 * SECOND,
 };
 
 static const struct {
@@ -37,24 +36,24 @@
     double before; /* the share until now */
     double share;
 } share_cases[] = {
-    {"no list yet", 0, {0, 1, 1, false, 0}, 1, 0},
-    {"alone", 0, {1, 1, 1, true, FRESH}, 1, 1},
-    {"all answer", 75, {75, 75, 38, true, FRESH}, 1, 1 / 75.0},
-    {"not listed", 75, {74, 75, 38, false, FRESH}, 1, 0},
-    {"some do not answer", 75, {75, 40, 20, true, FRESH}, 1, 1 / 75.0},
-    {"some listed no more", 75, {60, 60, 30, true, FRESH}, 1, 1 / 60.0},
-    {"most listed no more", 75, {10, 10, 5, true, FRESH}, 1, 1 / 37.5},
-    {"a platform that is away", 75, {75, 75, 38, true, STALE}, 1, 1 / 75.0},
+    {"no list yet", 0, {0, 1, 1, false, false}, 1, 0},
+    {"alone", 0, {1, 1, 1, true, true}, 1, 1},
+    {"all answer", 75, {75, 75, 38, true, true}, 1, 1 / 75.0},
+    {"not listed", 75, {74, 75, 38, false, true}, 1, 0},
+    {"some do not answer", 75, {75, 40, 20, true, true}, 1, 1 / 75.0},
+    {"some listed no more", 75, {60, 60, 30, true, true}, 1, 1 / 60.0},
+    {"most listed no more", 75, {10, 10, 5, true, true}, 1, 1 / 37.5},
+    {"a platform that is away", 75, {75, 75, 38, true, false}, 1, 1 / 75.0},
     {"the same, one lost",
      75,
-     {75, 74, 38, true, STALE},
+     {75, 74, 38, true, false},
      1,
      (1 - 2 / 75.0) / 74},
-    {"heard again", 75, {75, 75, 38, true, STALE}, 0.001, 0.001},
-    {"confirmed again", 75, {75, 75, 38, true, FRESH}, 0.001, 1 / 75.0},
-    {"cut off with a third", 75, {75, 25, 13, true, STALE}, 1, 0},
-    {"cut off alone", 75, {75, 1, 1, true, STALE}, 1, 0},
-    {"never confirmed", 75, {75, 1, 1, true, 0}, 1, 0},
+    {"heard again", 75, {75, 75, 38, true, false}, 0.001, 0.001},
+    {"confirmed again", 75, {75, 75, 38, true, true}, 0.001, 1 / 75.0},
+    {"cut off with a third", 75, {75, 25, 13, true, false}, 1, 0},
+    {"cut off alone", 75, {75, 1, 1, true, false}, 1, 0},
+    {"never confirmed", 75, {75, 1, 1, true, false}, 1, 0},
 };
 
 static void
@@ -83,9 +82,9 @@
         for (size_t side = 0; side <= NODES - confirmed; side++) {
             size_t rest = NODES - confirmed - side;
             const struct ch_quota_members members[] = {
-                {confirmed, confirmed, 1, true, FRESH},
-                {NODES, side, 1, true, STALE},
-                {NODES, rest, 1, true, STALE},
+                {confirmed, confirmed, 1, true, true},
+                {NODES, side, 1, true, false},
+                {NODES, rest, 1, true, false},
             };
             double sum = 0;
             for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
@@ -128,7 +127,7 @@
 static void
 test_pool(void)
 {
-    const struct ch_quota_limits limits = {1000, 1000, 100};
+    const struct ch_quota_limits limits = {1000, 1000, 100, 0};
     for (size_t i = 0; i < G_N_ELEMENTS(pool_cases); i++) {
         struct ch_quota_pool pool = {true, pool_cases[i].level, 0, 0};
         g_test_message("%s", pool_cases[i].name);
@@ -148,7 +147,7 @@
 static void
 test_returns_spread(void)
 {
-    const struct ch_quota_limits limits = {1000, 1000, 0};
+    const struct ch_quota_limits limits = {1000, 1000, 0, 0};
     struct ch_quota_pool pool = {.open = true};
     int64_t last = 0;
     for (unsigned i = 0; i < 20; i++) {
@@ -169,7 +168,7 @@
 static void
 test_begins_in_debt(void)
 {
-    const struct ch_quota_limits limits = {1000, 1000, 100};
+    const struct ch_quota_limits limits = {1000, 1000, 100, 0};
     struct ch_quota_pool pool = {0};
     ch_quota_pool_deposit(&pool, &limits, 0.5, 30);
     g_assert_cmpfloat(pool.level, ==, -20);
@@ -185,8 +184,8 @@
 static void
 test_lowered(void)
 {
-    const struct ch_quota_limits high = {1000, 10000, 0};
-    const struct ch_quota_limits low = {10, 100, 0};
+    const struct ch_quota_limits high = {1000, 10000, 0, 0};
+    const struct ch_quota_limits low = {10, 100, 0, 0};
     struct ch_quota_pool pool = {0};
     ch_quota_pool_deposit(&pool, &high, 1, 20000);
     g_assert_cmpfloat(pool.level, ==, 7500);
@@ -199,7 +198,7 @@
 static void
 test_credit(void)
 {
-    const struct ch_quota_limits limits = {1000, 4000, 0};
+    const struct ch_quota_limits limits = {1000, 4000, 0, 0};
     struct ch_quota_credit credit = {0};
     ch_quota_credit_earn(&credit, &limits, 0.1, 5 * SECOND);
     g_assert_cmpfloat(credit.amount, ==, 0); /* nothing before its start */
@@ -229,6 +228,8 @@
     unsigned part; /* nodes with the same number reach each other; those of
                       part 0 reach the platform */
     bool up;
+    int64_t started_at;
+    bool begins_with_credit;
     int64_t confirmed_at;
     struct ch_quota_share share_state;
     double share;
@@ -287,7 +288,8 @@
     bool keeps_list = self->part != 0;
     struct ch_quota_members members = {
         .self_listed = keeps_list || is_listed(fleet, self),
-        .confirmed_at = self->confirmed_at,
+        .confirmed =
+            fleet->now - self->confirmed_at < CONFIRMED_S * (int64_t)SECOND,
     };
     for (unsigned i = 0; i < fleet->node_count; i++) {
         const struct node *node = &fleet->nodes[i];
@@ -326,6 +328,10 @@
     const struct ch_quota_members members = get_members(fleet, node);
     node->share =
         ch_quota_share_update(&node->share_state, &members, fleet->now);
+    if (node->begins_with_credit && node->share > 0) {
+        node->begins_with_credit = false;
+        node->credit.amount += fleet->limits.restart * node->share;
+    }
     ch_quota_credit_earn(&node->credit, &fleet->limits, node->share,
                          fleet->now);
     struct node *pool = find_pool(fleet, node, node->region);
@@ -422,10 +428,13 @@
     }
 }
 
-/* A killed process keeps nothing. */
+/* A killed process keeps nothing; the next one starts at once, or later. */
 static void
-kill_node(struct node *node)
+kill_node(const struct fleet *fleet, struct node *node)
 {
+    node->begins_with_credit =
+        ch_quota_may_begin_with_credit(&rule, fleet->now - node->started_at);
+    node->started_at = fleet->now;
     memset(&node->credit, 0, sizeof(node->credit));
     memset(&node->pool, 0, sizeof(node->pool));
     memset(&node->share_state, 0, sizeof(node->share_state));
@@ -474,12 +483,14 @@
 static void
 kill_all(struct fleet *fleet, unsigned step)
 {
-    if (step != 15 * STEPS_PER_SECOND && step != 16 * STEPS_PER_SECOND) {
-        return;
-    }
     for (unsigned i = 0; i < fleet->node_count; i++) {
-        kill_node(&fleet->nodes[i]);
-        fleet->nodes[i].up = step == 16 * STEPS_PER_SECOND;
+        if (step == 15 * STEPS_PER_SECOND) {
+            kill_node(fleet, &fleet->nodes[i]);
+            fleet->nodes[i].up = false;
+        }
+        if (step == 16 * STEPS_PER_SECOND) {
+            fleet->nodes[i].up = true;
+        }
     }
 }
 
@@ -491,7 +502,7 @@
         for (unsigned region = 0; region < MAX_REGIONS; region++) {
             struct node *pool = &fleet->nodes[region];
             pool->up = !pool->up;
-            kill_node(pool);
+            kill_node(fleet, pool);
         }
     }
 }
@@ -614,11 +625,11 @@
             node->part = 0;
         }
         else if (kind == 2 && hit) {
-            kill_node(node);
+            kill_node(fleet, node);
             node->up = !node->up;
         }
         else if (kind == 3) {
-            kill_node(node);
+            kill_node(fleet, node);
             node->up = true;
         }
     }
