Lease holders of thousands of engines: rarer full status and idle reports

Cause, by reading: a lease holder fetches the report of each of its thousand engines each second, on a new connection as 256 are kept, and sends the full status of 3000 engines, some 450 kB, to each of a hundred nodes each 16 s, and to other holders each 4 and 8 s.

Change: both periods grow with the engines, beyond 100 of one holder for reports of engines that nobody uses, and beyond 300 for the full status. Nothing changes on the other deployments, which have fewer.

--- a/libchestnuthitch/decide/publisher.c
+++ b/libchestnuthitch/decide/publisher.c
@@ -2,6 +2,20 @@
 
 #include "decide/publisher.h"
 
+enum {
+    MAX_ENGINES_AT_FULL_PERIOD = 300,
+    MAX_ENGINES_AT_REPORT_PERIOD = 100,
+};
+
+/* A period that grows with the engines beyond the number that it suits. */
+static int64_t
+scale_period(int64_t period, size_t engine_count, size_t suited_count)
+{
+    return engine_count <= suited_count
+               ? period
+               : period * (int64_t)engine_count / (int64_t)suited_count;
+}
+
 /* The rendezvous weight of a lease's holder for a data centre. */
 static uint64_t
 weight_of(const struct ch_publisher_lease *lease, GQuark data_centre)
@@ -52,3 +66,26 @@
     }
     return best == NULL ? 0 : best->holder;
 }
+
+/*
+ * Load: thousands of engines, whose full status is some hundred kilobytes, to
+ * a hundred nodes. Harm prevented: the lease holder does little else than send
+ * it, and its callers, its configuration and its own orders wait. Changes are
+ * sent when they occur, and a node that missed a message asks for the full
+ * status, so the regular one may be rare.
+ */
+int64_t
+ch_publisher_get_full_period(int64_t period, size_t engine_count)
+{
+    return scale_period(period, engine_count, MAX_ENGINES_AT_FULL_PERIOD);
+}
+
+/*
+ * Load: a lease holder with a thousand engines. Harm prevented: it spends most
+ * of its processor time on the reports of engines that nobody uses.
+ */
+int64_t
+ch_publisher_get_report_period(int64_t period, size_t engine_count)
+{
+    return scale_period(period, engine_count, MAX_ENGINES_AT_REPORT_PERIOD);
+}
--- a/libchestnuthitch/decide/publisher.h
+++ b/libchestnuthitch/decide/publisher.h
@@ -23,4 +23,11 @@
 GQuark ch_publisher_choose(const struct ch_publisher_lease *leases,
                            size_t count, GQuark data_centre, GQuark region);
 
+/* Time between two messages with the full status to one audience; period: as
+ * suits some hundred engines. */
+int64_t ch_publisher_get_full_period(int64_t period, size_t engine_count);
+/* Time between two reports that a lease holder fetches from an idle engine;
+ * period: as suits a hundred engines. */
+int64_t ch_publisher_get_report_period(int64_t period, size_t engine_count);
+
 #endif
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -382,13 +382,16 @@
     }
     GHashTableIter iterator;
     gpointer value = NULL;
+    size_t engine_count = 0;
     g_hash_table_iter_init(&iterator, controller->engines);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controller_engine *engine = value;
         if (engine->data_centre == centre->data_centre) {
+            engine_count++;
             engine_send_due(engine, centre, now);
         }
     }
+    centre->engine_count = engine_count;
     if (now >= centre->next_placement_at) {
         centre->next_placement_at = now + PLACEMENT_PERIOD_US;
         controller_place_models(controller, centre, now);
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -1,5 +1,6 @@
 /* One engine: the items it holds, the next order, and its reports. */
 
+#include "decide/publisher.h"
 #include "node/controller_internal.h"
 
 #include <string.h>
@@ -10,7 +11,7 @@
     REPORT_SETTLE_US = 700 * 1000,
     /* Between reports, while the engine changes its models and otherwise. */
     REPORT_PERIOD_CHANGING_US = 300 * 1000,
-    REPORT_PERIOD_IDLE_US = 1000 * 1000,
+    REPORT_PERIOD_US = 1000 * 1000,
     /* Delay after an order that the engine refused because of another one. */
     REFUSED_ORDER_DELAY_US = 250 * 1000,
     /* Delay after the worker could not be reached, or another worker answered
@@ -913,17 +914,32 @@
     return false;
 }
 
+/* Whether requests run or wait at the engine. */
+static bool
+is_in_use(const struct controller_engine *engine)
+{
+    return engine->total_running > 0 || engine->running > 0 ||
+           engine->waiting > 0;
+}
+
 /* Requests a report when one is due. */
 static void
-request_report(struct controller_engine *engine, int64_t now)
+request_report(struct controller_engine *engine,
+               const struct centre_state *centre, int64_t now)
 {
     if (engine->report_in_flight || now < engine->next_report_at) {
         return;
     }
-    bool soon = is_changing(engine) || !engine->state_known;
+    int64_t period = REPORT_PERIOD_US;
+    if (is_changing(engine) || !engine->state_known) {
+        period = REPORT_PERIOD_CHANGING_US;
+    }
+    else if (!is_in_use(engine)) {
+        period = ch_publisher_get_report_period(REPORT_PERIOD_US,
+                                                centre->engine_count);
+    }
     engine->report_in_flight = true;
-    engine->next_report_at =
-        now + (soon ? REPORT_PERIOD_CHANGING_US : REPORT_PERIOD_IDLE_US);
+    engine->next_report_at = now + period;
     struct report_job *job = g_new0(struct report_job, 1);
     job->controller = engine->controller;
     job->engine = engine;
@@ -971,7 +987,7 @@
         return;
     }
     expire_waiters(engine, now);
-    request_report(engine, now);
+    request_report(engine, centre, now);
     if (!engine->listed || engine->draining || engine->order_in_flight ||
         !engine->state_known || now < engine->orders_blocked_until ||
         engine_is_busy(engine)) {
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -128,7 +128,8 @@
  * and the limit of loads. */
 struct centre_state {
     GQuark data_centre;
-    GQuark region; /* of the data centre */
+    size_t engine_count; /* at the last tick as lease holder */
+    GQuark region;       /* of the data centre */
     struct ch_lease *lease;
     char *holder;           /* the lease holder last heard of; NULL: none */
     uint64_t fencing_token; /* of the holder's lease */
--- a/libchestnuthitch/node/controller_publish.c
+++ b/libchestnuthitch/node/controller_publish.c
@@ -457,7 +457,10 @@
             now + INT64_C(1000) * periods[audience].heartbeat_ms;
     }
     if (message.full) {
-        times->next_full_at = now + INT64_C(1000) * periods[audience].full_ms;
+        times->next_full_at =
+            now + ch_publisher_get_full_period(
+                      INT64_C(1000) * periods[audience].full_ms,
+                      g_hash_table_size(controller->engines));
     }
     message_clear(&message);
 }
--- a/tests/unit/test_publisher.c
+++ b/tests/unit/test_publisher.c
@@ -127,11 +127,39 @@
                      holder_name(0));
 }
 
+static const struct {
+    const char *name;
+    size_t engines;
+    int64_t full_ms;   /* for a period of 16 s */
+    int64_t report_ms; /* for a period of 1 s */
+} period_cases[] = {
+    {"no engines", 0, 16000, 1000},     {"small", 12, 16000, 1000},
+    {"grown", 112, 16000, 1120},        {"large", 300, 16000, 3000},
+    {"thousands", 3000, 160000, 30000},
+};
+
+/* Guards against a lease holder of a thousand engines that has no time for
+ * anything but their reports and their full status. */
+static void
+test_periods(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(period_cases); i++) {
+        g_test_message("%s", period_cases[i].name);
+        g_assert_cmpint(ch_publisher_get_full_period(16000 * 1000,
+                                                     period_cases[i].engines),
+                        ==, period_cases[i].full_ms * 1000);
+        g_assert_cmpint(ch_publisher_get_report_period(
+                            1000 * 1000, period_cases[i].engines),
+                        ==, period_cases[i].report_ms * 1000);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/tell/fleets", test_nodes_per_publisher);
     g_test_add_func("/tell/edges", test_edge_cases);
+    g_test_add_func("/tell/periods", test_periods);
     return g_test_run();
 }
