--- a/cli/config.c
+++ b/cli/config.c
@@ -2,6 +2,8 @@
 
 #include "admin_client.h"
 
+#include "access/access.h"
+
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -257,6 +259,31 @@
     return status;
 }
 
+/* Prints the digest of the access key on standard input, so that the key is on
+ * no command line. */
+static int
+run_digest(const struct options *options,
+           const struct ch_declaration *declaration)
+{
+    (void)options;
+    (void)declaration;
+    char key[CH_ACCESS_MAX_KEY_BYTES + 2];
+    char digest[CH_ACCESS_DIGEST_SIZE];
+    if (fgets(key, sizeof(key), stdin) == NULL) {
+        print_error("no access key on standard input");
+        return CLI_BAD_INPUT;
+    }
+    g_strchomp(key);
+    if (!ch_access_is_key(key)) {
+        print_error("not an access key: 1 to 200 printable ASCII characters "
+                    "without blanks");
+        return CLI_BAD_INPUT;
+    }
+    ch_access_digest_key(key, digest);
+    printf("%s\n", digest);
+    return CLI_OK;
+}
+
 struct verb {
     const char *name;
     bool needs_file;
@@ -266,10 +293,9 @@
 };
 
 static const struct verb verbs[] = {
-    {"check", true, false, run_check},
-    {"show", false, true, run_show},
-    {"diff", true, true, run_diff},
-    {"apply", true, true, run_apply},
+    {"check", true, false, run_check},    {"show", false, true, run_show},
+    {"diff", true, true, run_diff},       {"apply", true, true, run_apply},
+    {"digest", false, false, run_digest},
 };
 
 /* Returns the verb that the command line names, or NULL if it is unknown or
--- a/libchestnuthitch/access/access.c
+++ b/libchestnuthitch/access/access.c
@@ -19,6 +19,19 @@
     g_strlcpy(digest, text, CH_ACCESS_DIGEST_SIZE);
 }
 
+/* See access.h. */
+bool
+ch_access_is_key(const char *text)
+{
+    size_t bytes = strlen(text);
+    for (size_t i = 0; i < bytes; i++) {
+        if (!g_ascii_isgraph(text[i])) {
+            return false;
+        }
+    }
+    return bytes > 0 && bytes <= CH_ACCESS_MAX_KEY_BYTES;
+}
+
 /* Finds the key in "SCHEME KEY"; NULL when the value is malformed. */
 static const char *
 find_key(const char *scheme, const char *value)
@@ -28,13 +41,7 @@
         return NULL;
     }
     const char *key = value + length + strspn(value + length, " ");
-    size_t bytes = strlen(key);
-    for (size_t i = 0; i < bytes; i++) {
-        if (!g_ascii_isgraph(key[i])) {
-            return NULL;
-        }
-    }
-    return bytes > 0 && bytes <= CH_ACCESS_MAX_KEY_BYTES ? key : NULL;
+    return ch_access_is_key(key) ? key : NULL;
 }
 
 /* See access.h. */
--- a/libchestnuthitch/access/access.h
+++ b/libchestnuthitch/access/access.h
@@ -26,6 +26,9 @@
     const char *key; /* points into the header; NULL: none */
 };
 
+/* Whether text can be a key: 1 to CH_ACCESS_MAX_KEY_BYTES bytes of printable
+ * ASCII without blanks. */
+bool ch_access_is_key(const char *text);
 /* Computes the digest of a key. */
 void ch_access_digest_key(const char *key, char digest[CH_ACCESS_DIGEST_SIZE]);
 /* Takes the value of one more Authorization header, "SCHEME KEY". A second
