Balance: the wait for a slot is learnt, not 100 ms for each request

Load: engines of 12 slots on which an answer takes 1.8 s. Each request beyond the slots waits 150 ms, where 100 ms were assumed; on engines of 64 slots it is 28 ms. So requests were sent to engines where they would start too late, or kept from engines where they would not.

Change: the wait is what an answer takes of the engine's time, from measured answers; the constant is gone. test_balance /balance/slot-wait fails without it (104 ms where 28 are right).

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -35,8 +35,6 @@
      * another request wait for its turn, or preempts one in the middle of its
      * stream. */
     MEMORY_FULL_COST_US = 2 * G_USEC_PER_SEC,
-    /* Each request beyond the slots waits for a running one to end. */
-    SLOT_WAIT_US = 100 * 1000,
     /* Cost of an upstream at which all recent requests failed. A failure costs
      * a caller its target, so that such an upstream is chosen only if the
      * others are worse by this much. */
@@ -714,7 +712,8 @@
 
 /* Expected time until an engine's first token. */
 static int64_t
-estimate_first_token(const struct upstream_state *state,
+estimate_first_token(const struct ch_balance *balance,
+                     const struct upstream_state *state,
                      const struct ch_request_info *request,
                      int64_t prefill_time, int64_t now)
 {
@@ -723,7 +722,7 @@
     int64_t cost = MIN_FIRST_TOKEN_US + prefill_backlog + prefill_time +
                    (int64_t)count_running(state, now) * BATCH_NEIGHBOUR_US;
     cost = (int64_t)((double)cost * state->slowdown);
-    cost += estimate_slot_wait(state, now, SLOT_WAIT_US);
+    cost += estimate_slot_wait(state, now, estimate_decode(balance, request));
     uint64_t needed_tokens = state->used_context_tokens +
                              request->prompt_tokens +
                              request->max_output_tokens;
@@ -825,8 +824,8 @@
     candidate->expected_latency =
         request->is_service
             ? estimate_service_response(state, now)
-            : estimate_first_token(state, request, candidate->prefill_time,
-                                   now);
+            : estimate_first_token(balance, state, request,
+                                   candidate->prefill_time, now);
     double cost = (double)(candidate->expected_latency +
                            estimate_network_cost(balance, state)) +
                   estimate_failure_rate(state, now) * FAILURE_COST_US;
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -385,6 +385,64 @@
     }
 }
 
+/* Guards against requests that wait too long at engines with few slots, where
+ * each request beyond them waits for longer: their latency seems acceptable,
+ * and they are neither sent elsewhere nor refused in time. */
+static void
+test_slot_wait(void)
+{
+    static const struct {
+        uint32_t slots;
+        int64_t min_ms; /* for each request beyond the slots */
+        int64_t max_ms;
+    } rows[] = {{64, 25, 70}, {12, 150, 230}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const struct test_upstream alone[] = {
+            {"a", "r1", "d1", "m1", NULL, false}, {0}};
+        struct ch_balance *balance = create_balance(alone);
+        const GQuark model = g_quark_from_string("m1");
+        const struct ch_upstream_info facts = {
+            .name = g_quark_from_string("a"),
+            .service = g_quark_from_string("s"),
+            .region = g_quark_from_string("r1"),
+            .data_centre = g_quark_from_string("d1"),
+            .engine = true,
+            .slots = rows[i].slots,
+            .resident_models = &model,
+            .resident_model_count = 1,
+        };
+        struct ch_request_info request = build_request("m1", 50);
+        int64_t last = 0;
+        ch_balance_update_upstream(balance, &facts);
+        request.max_output_tokens = 172;
+        /* 43 events at 42 ms take a slot for 1.8 s. */
+        const struct ch_timing_sample sample = {
+            .code = CH_OK,
+            .token_time = (int64_t)42 * MILLI,
+            .token_count = 43,
+        };
+        for (uint64_t id = 0; id < 60; id++) {
+            request.id = id;
+            struct ch_upstream_choice choice =
+                send_one(balance, &request, NOW);
+            ch_balance_record_end(balance, &request, &choice, true, &sample,
+                                  NOW);
+        }
+        for (uint32_t sent = 0; sent < rows[i].slots + 8; sent++) {
+            request.id = sent;
+            struct ch_upstream_choice choice =
+                send_one(balance, &request, NOW);
+            int64_t step = choice.expected_latency - last;
+            if (sent > rows[i].slots) {
+                g_assert_cmpint(step, >=, rows[i].min_ms * MILLI);
+                g_assert_cmpint(step, <=, rows[i].max_ms * MILLI);
+            }
+            last = choice.expected_latency;
+        }
+        ch_balance_free(balance);
+    }
+}
+
 /* A model with too few engines: its responses become slower and slower because
  * they wait for one another. Its measured demand must not grow with them, else
  * the model seems to need the whole fleet and takes it from all other models.
@@ -534,6 +592,7 @@
     g_test_add_func("/balance/pacing", test_pacing);
     g_test_add_func("/balance/pace", test_pace);
     g_test_add_func("/balance/slots", test_slots);
+    g_test_add_func("/balance/slot-wait", test_slot_wait);
     g_test_add_func("/balance/overload", test_overload);
     g_test_add_func("/balance/restart", test_restart);
     g_test_add_func("/balance/switches", test_switches);
