Placement: a slow load needs more demand than a quick one

The replica came when the demand had gone, and another model had been evicted for it, whose next callers waited for a load in turn.

Change: a replica from the weight store is added for a higher load the longer it takes (0.5 of an engine for a load of 2 s, 1 engine for 8.6 s, never more than 1: replicas that are fully busy always justify another). Engines with a local copy are used as before.

The limit of 2 is not kept: a model whose one replica has work for two engines would stay without another for as long as the demand lasts, on a deployment without local copies.

--- a/libchestnuthitch/decide/placement.c
+++ b/libchestnuthitch/decide/placement.c
@@ -31,6 +31,13 @@
  * elsewhere. */
 static const double MAX_IDLE_LOAD = 0.25;
 
+/* A replica from the weight store is added for a higher load the longer it
+ * takes: more by this for each second beyond those that a local copy takes,
+ * but always when the replicas that exist are fully busy. */
+static const double STORE_LOAD_PER_SECOND = 0.075;
+static const double LOCAL_LOAD_SECONDS = 2;
+static const double MAX_STORE_LOAD = 1;
+
 enum {
     /* Loads from the weight store that are kept for models in demand when a
      * model is moved to free memory. */
@@ -113,6 +120,23 @@
     return is_local ? 0 : store_cost;
 }
 
+/*
+ * Whether demand of this height is worth a load of the model on the engine.
+ * Load: demand moves to another model within seconds and moves on as soon, and
+ * a load from the weight store takes longer than that. Harm prevented: another
+ * model is evicted for a replica that comes when the demand has gone.
+ */
+static bool
+is_load_worth(const struct ch_placement_engine *engine,
+              const struct ch_placement_model *model, double load_per_replica)
+{
+    double seconds = (double)model->load_time / G_USEC_PER_SEC;
+    double min_load = CH_SCALE_UP_LOAD + MAX(seconds - LOCAL_LOAD_SECONDS, 0) *
+                                             STORE_LOAD_PER_SECOND;
+    return load_per_replica >= MIN(min_load, MAX_STORE_LOAD) ||
+           ch_placement_has_local_copy(engine, model->name);
+}
+
 /* The best engine found so far for a model. */
 struct candidate_engine {
     const struct ch_placement_engine *engine; /* NULL: none */
@@ -235,6 +259,7 @@
         struct ch_eviction eviction;
         if (!can_take_load(round, engine, model) ||
             engine->reserved_for != 0 ||
+            !is_load_worth(engine, model, load_per_replica) ||
             (round->state->disabled.fleet_wide_search &&
              !engine->controlled) ||
             !ch_placement_find_evictions(
--- a/libchestnuthitch/decide/placement.h
+++ b/libchestnuthitch/decide/placement.h
@@ -37,6 +37,7 @@
     double demand;     /* smoothed demand of the fleet, in engines: 1 keeps one
                         engine fully busy */
     double backlog_s;  /* seconds of work that has not started */
+    int64_t load_time; /* from the weight store; 0: not known */
     bool has_adapters; /* has adapters; an engine that loads a model can't load
                       adapters meanwhile */
     const GQuark *services; /* whose engines may hold the model */
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -155,6 +155,7 @@
     const struct ch_placement_model entry = {
         .name = name,
         .memory_mb = model->memory_mb,
+        .load_time = model->load_time,
         .demand = average == NULL ? 0 : average->demand,
         .backlog_s = average == NULL ? 0 : average->backlog_s,
         .services = (const GQuark *)(void *)services->data,
--- a/libchestnuthitch/node/once_manager.c
+++ b/libchestnuthitch/node/once_manager.c
@@ -361,8 +361,8 @@
 static int64_t
 get_extension(const struct ch_once_manager *manager)
 {
-    return SILENT_HOME_EXTENSION * 1000 *
-           (int64_t)manager->node->settings->peer_timeout_ms;
+    return (int64_t)SILENT_HOME_EXTENSION * 1000 *
+           manager->node->settings->peer_timeout_ms;
 }
 
 /* Whether nothing has come from the home node since it was asked. */
@@ -374,9 +374,8 @@
     g_autofree char *home = g_strdup(begin->home);
     int64_t asked_at = begin->last_asked_at;
     pthread_mutex_unlock(&manager->lock);
-    return home != NULL &&
-           ch_peers_get_last_heard(manager->node->peers, home, NULL) <
-               asked_at;
+    return home != NULL && ch_peers_get_last_heard(manager->node->peers, home,
+                                                   NULL) < asked_at;
 }
 
 /*
--- a/libchestnuthitch/quota/share.c
+++ b/libchestnuthitch/quota/share.c
@@ -4,7 +4,7 @@
 
 enum {
     /* How long nodes that are listed no more are taken into account. */
-    MAX_LISTED_US = 60 * 60 * 1000 * 1000LL,
+    MAX_LISTED_US = (int64_t)60 * 60 * G_USEC_PER_SEC,
     /* Teams whose pools are on one node of each region. */
     TEAMS_PER_GROUP = 4,
     MAX_GROUPS = 64,
--- a/tests/failure/test_teams.c
+++ b/tests/failure/test_teams.c
@@ -339,8 +339,9 @@
         harness_sleep_ms(5);
     }
     unsigned largest = count_largest_window(sent_at_ms, admitted);
-    double limit = (QUOTA_PER_S * QUOTA_WINDOW_MS / 1000 + QUOTA_PER_S) * 1.1 +
-                   QUOTA_SLACK;
+    double limit =
+        (QUOTA_PER_S * QUOTA_WINDOW_MS / 1000. + QUOTA_PER_S) * 1.1 +
+        QUOTA_SLACK;
     g_print("figure: quota over kills: %u admitted, %u refused, %u at most in "
             "a window of %.0f\n",
             admitted, refused, largest, limit);
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -122,6 +122,7 @@
     return (struct ch_request){
         .path = (char *)"/p",
         .caller = (char *)"c",
+        .owner = (char *)"a\tc",
         .body = (char *)body,
         .body_length = strlen(body),
         .fingerprint = ch_hash_string(body),
@@ -278,7 +279,7 @@
     send_host_list(nodes, NODE_COUNT + 1);
     wait_for_barred_state(nodes[NODE_COUNT], &request, true);
     const struct ch_digest_part parts[] = {
-        {"", 0}, {"/p", 2}, {"c", 1}, {request.body, request.body_length}};
+        {"", 0}, {"/p", 2}, {"a\tc", 3}, {request.body, request.body_length}};
     digest = ch_digest_compute(parts, G_N_ELEMENTS(parts));
     g_assert_true(ch_crash_guard_release(nodes[1]->node.crash_guard, &digest));
     for (unsigned i = 0; i <= NODE_COUNT; i++) {
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -1775,33 +1775,33 @@
 static const struct {
     const char *name;
     const char *authorization; /* header line; "" for none */
+    const char *status;
     enum ch_code quota;
     enum router_action router;
     enum upstream_action upstream;
-    const char *status;
     int taken;
     int given_back;
     bool asks_router;
 } quota_cases[] = {
-    {"no key", "", CH_OK, GRANTS, COMPLETES, "401", 0, 0, false},
-    {"unknown key", "Authorization: Bearer no\r\n", CH_OK, GRANTS, COMPLETES,
-     "401", 0, 0, false},
+    {"no key", "", "401", CH_OK, GRANTS, COMPLETES, 0, 0, false},
+    {"unknown key", "Authorization: Bearer no\r\n", "401", CH_OK, GRANTS,
+     COMPLETES, 0, 0, false},
     {"two keys",
      "Authorization: Bearer key-of-bands\r\n"
      "Authorization: Bearer key-of-bands\r\n",
-     CH_OK, GRANTS, COMPLETES, "401", 0, 0, false},
-    {"credit", "Authorization: Bearer key-of-bands\r\n", CH_OK, GRANTS,
-     COMPLETES, "200", 1, 0, true},
-    {"no credit", "Authorization: Bearer key-of-bands\r\n", CH_QUOTA_USED,
-     GRANTS, COMPLETES, "429", 1, 0, false},
-    {"no pool answers", "Authorization: Bearer key-of-bands\r\n",
-     CH_QUOTA_UNAVAILABLE, GRANTS, COMPLETES, "503", 1, 0, false},
-    {"refused by the router", "Authorization: Bearer key-of-bands\r\n", CH_OK,
-     REFUSES, COMPLETES, "503", 1, 1, true},
+     "401", CH_OK, GRANTS, COMPLETES, 0, 0, false},
+    {"credit", "Authorization: Bearer key-of-bands\r\n", "200", CH_OK, GRANTS,
+     COMPLETES, 1, 0, true},
+    {"no credit", "Authorization: Bearer key-of-bands\r\n", "429",
+     CH_QUOTA_USED, GRANTS, COMPLETES, 1, 0, false},
+    {"no pool answers", "Authorization: Bearer key-of-bands\r\n", "503",
+     CH_QUOTA_UNAVAILABLE, GRANTS, COMPLETES, 1, 0, false},
+    {"refused by the router", "Authorization: Bearer key-of-bands\r\n", "503",
+     CH_OK, REFUSES, COMPLETES, 1, 1, true},
     {"refused by the upstream", "Authorization: Bearer key-of-bands\r\n",
-     CH_OK, GRANTS, REFUSED_NOT_RUN, "503", 1, 1, true},
+     "503", CH_OK, GRANTS, REFUSED_NOT_RUN, 1, 1, true},
     {"interrupted, may have run", "Authorization: Bearer key-of-bands\r\n",
-     CH_OK, GRANTS, INTERRUPTED, "502", 1, 0, true},
+     "502", CH_OK, GRANTS, INTERRUPTED, 1, 0, true},
 };
 
 /* A request beyond its team's quota is refused before a router is asked, with
--- a/tests/unit/test_access.c
+++ b/tests/unit/test_access.c
@@ -104,40 +104,40 @@
     const char *name;
     const char *key_of_a;
     const char *key_of_b;
-    bool requires_keys;
     const char *class;
     const char *sent; /* Authorization; NULL: none */
     const char *team; /* NULL: none */
     enum ch_code code;
+    bool requires_keys;
 };
 
 static const struct team_case team_cases[] = {
-    {"known", "k1", "k2", false, "closed", "Token k1", "a", CH_OK},
-    {"of the other team", "k1", "k2", false, "closed", "Token k2", "b", CH_OK},
-    {"unknown", "k1", "k2", false, "closed", "Token k3", NULL, CH_KEY_UNKNOWN},
-    {"in other letters", "k1", "k2", false, "closed", "Token K1", NULL,
-     CH_KEY_UNKNOWN},
-    {"a part of a key", "k12", "k2", false, "closed", "Token k1", NULL,
-     CH_KEY_UNKNOWN},
-    {"none", "k1", "k2", false, "closed", NULL, NULL, CH_KEY_MISSING},
-    {"malformed", "k1", "k2", false, "closed", "Basic k1", NULL,
-     CH_KEY_MALFORMED},
-    {"moved to the other team", NULL, "k1", false, "closed", "Token k1", "b",
-     CH_OK},
-    {"last key of a team taken away", NULL, "k2", false, "closed", "Token k1",
-     NULL, CH_KEY_UNKNOWN},
-    {"added again", "k1", NULL, false, "closed", "Token k1", "a", CH_OK},
-    {"team taken away", "-", "k2", false, "closed", "Token k1", NULL,
-     CH_KEY_UNKNOWN},
-    {"all teams taken away", "-", "-", true, "closed", "Token k1", NULL,
-     CH_KEY_UNKNOWN},
-    {"all teams taken away, no key", "-", "-", true, "closed", NULL, NULL,
-     CH_KEY_MISSING},
-    {"keys not in use", "-", "-", false, "closed", "Token k1", NULL, CH_OK},
-    {"public, none", "k1", "k2", false, "open", NULL, NULL, CH_OK},
-    {"public, known", "k1", "k2", false, "open", "Token k1", "a", CH_OK},
-    {"public, unknown", "k1", "k2", false, "open", "Token k3", NULL, CH_OK},
-    {"public, malformed", "k1", "k2", false, "open", "k1", NULL, CH_OK},
+    {"known", "k1", "k2", "closed", "Token k1", "a", CH_OK, false},
+    {"of the other team", "k1", "k2", "closed", "Token k2", "b", CH_OK, false},
+    {"unknown", "k1", "k2", "closed", "Token k3", NULL, CH_KEY_UNKNOWN, false},
+    {"in other letters", "k1", "k2", "closed", "Token K1", NULL,
+     CH_KEY_UNKNOWN, false},
+    {"a part of a key", "k12", "k2", "closed", "Token k1", NULL,
+     CH_KEY_UNKNOWN, false},
+    {"none", "k1", "k2", "closed", NULL, NULL, CH_KEY_MISSING, false},
+    {"malformed", "k1", "k2", "closed", "Basic k1", NULL, CH_KEY_MALFORMED,
+     false},
+    {"moved to the other team", NULL, "k1", "closed", "Token k1", "b", CH_OK,
+     false},
+    {"last key of a team taken away", NULL, "k2", "closed", "Token k1", NULL,
+     CH_KEY_UNKNOWN, false},
+    {"added again", "k1", NULL, "closed", "Token k1", "a", CH_OK, false},
+    {"team taken away", "-", "k2", "closed", "Token k1", NULL, CH_KEY_UNKNOWN,
+     false},
+    {"all teams taken away", "-", "-", "closed", "Token k1", NULL,
+     CH_KEY_UNKNOWN, true},
+    {"all teams taken away, no key", "-", "-", "closed", NULL, NULL,
+     CH_KEY_MISSING, true},
+    {"keys not in use", "-", "-", "closed", "Token k1", NULL, CH_OK, false},
+    {"public, none", "k1", "k2", "open", NULL, NULL, CH_OK, false},
+    {"public, known", "k1", "k2", "open", "Token k1", "a", CH_OK, false},
+    {"public, unknown", "k1", "k2", "open", "Token k3", NULL, CH_OK, false},
+    {"public, malformed", "k1", "k2", "open", "k1", NULL, CH_OK, false},
 };
 
 static void
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -75,7 +75,7 @@
 decide_without(const struct ch_disabled_features *without, const char *text,
                const char *controlled_centre, const char *busy, double work,
                const char *reserved_for, uint32_t loads_left,
-               const char *store)
+               int64_t load_time, const char *store)
 {
     static const char *const names[] = {"m1", "m2", "m3", "m4", "s1", "s2"};
     struct fleet fleet = {0};
@@ -100,6 +100,7 @@
         models[count++] = (struct ch_placement_model){
             .name = g_quark_from_string(names[i]),
             .memory_mb = small ? 35 : 70,
+            .load_time = load_time,
             .demand = is_busy ? work * (1 - 0.05 * (double)i) : 0.01,
             .services = &service,
             .service_count = 1,
@@ -146,7 +147,7 @@
 {
     const struct ch_disabled_features none = {0};
     return decide_without(&none, text, controlled_centre, busy, work,
-                          reserved_for, loads_left, "");
+                          reserved_for, loads_left, 0, "");
 }
 
 /* Memory: 70 for each of m1 to m4, 35 for each of s1 and s2, which exist only
@@ -370,7 +371,7 @@
             ((bool *)&without)[switches[i].mechanism] = off == 1;
             g_autofree char *got = decide_without(
                 &without, switches[i].fleet, "d1", switches[i].busy,
-                switches[i].work, NULL, 9, "$");
+                switches[i].work, NULL, 9, 0, "$");
             g_test_message("%s, %s: %s", switches[i].description,
                            off == 1 ? "off" : "on", got);
             g_assert_cmpstr(got, ==,
@@ -379,6 +380,39 @@
     }
 }
 
+static const struct {
+    const char *description;
+    const char *copies; /* of the engine with free memory */
+    double work;
+    int64_t load_ms;
+    const char *expect;
+} load_cases[] = {
+    {"quick load, half an engine of load", "-", 0.7, 1400, "e2 load m1$"},
+    {"slow load, half an engine of load", "-", 0.7, 8600, ""},
+    {"slow load, a whole engine of load", "-", 1.2, 8600, "e2 load m1$"},
+    {"very slow load, a whole engine of load", "-", 1.2, 60000, "e2 load m1$"},
+    {"slow load, half an engine of load, a local copy", "m1", 0.7, 8600,
+     "e2 load m1"},
+    {"load time not stated", "-", 0.7, 0, "e2 load m1$"},
+};
+
+/* Guards against replicas that come when the demand has moved on: the longer a
+ * load from the weight store takes, the more demand it needs. */
+static void
+test_slow_loads(void)
+{
+    const struct ch_disabled_features none = {0};
+    for (size_t i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+        g_autofree char *fleet = g_strdup_printf(
+            "e1 d1 m1,m2 -\ne2 d1 m3 %s\ne3 d1 m4,m2 -", load_cases[i].copies);
+        g_autofree char *got =
+            decide_without(&none, fleet, "d1", "m1", load_cases[i].work, NULL,
+                           9, load_cases[i].load_ms * 1000, "$");
+        g_test_message("%s: %s", load_cases[i].description, got);
+        g_assert_cmpstr(got, ==, load_cases[i].expect);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -390,5 +424,6 @@
     g_test_add_func("/arrange/one-of-three", test_single_new_replica);
     g_test_add_func("/arrange/empty-engines", test_empty_engines);
     g_test_add_func("/arrange/switches", test_switches);
+    g_test_add_func("/placement/slow-loads", test_slow_loads);
     return g_test_run();
 }
--- a/tests/unit/test_publisher.c
+++ b/tests/unit/test_publisher.c
@@ -145,12 +145,13 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(period_cases); i++) {
         g_test_message("%s", period_cases[i].name);
-        g_assert_cmpint(ch_publisher_get_full_period(16000 * 1000,
-                                                     period_cases[i].engines),
-                        ==, period_cases[i].full_ms * 1000);
-        g_assert_cmpint(ch_publisher_get_report_period(
-                            1000 * 1000, period_cases[i].engines),
-                        ==, period_cases[i].report_ms * 1000);
+        g_assert_cmpint(
+            ch_publisher_get_full_period(16 * (int64_t)G_USEC_PER_SEC,
+                                         period_cases[i].engines),
+            ==, period_cases[i].full_ms * 1000);
+        g_assert_cmpint(
+            ch_publisher_get_report_period(1000000, period_cases[i].engines),
+            ==, period_cases[i].report_ms * 1000);
     }
 }
 
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -113,10 +113,10 @@
     /* rate 1000, capacity 750, debt 100 */
     {"enough", 500, 200, 0, 200, 0},
     {"all of it", 200, 200, 0, 200, 0},
-    {"empty", 0, 200, 0, 0, 200 * 1000},
-    {"in debt", -50, 200, 0, 0, 250 * 1000},
+    {"empty", 0, 200, 0, 0, 200000},
+    {"in debt", -50, 200, 0, 0, 250000},
     {"a debt within the limit", 150, 200, 0, 200, 0},
-    {"a debt beyond the limit", 50, 200, 0, 0, 150 * 1000},
+    {"a debt beyond the limit", 50, 200, 0, 0, 150000},
     {"more than the pool holds", 750, 2000, 0, 2000, 0},
     {"more than the pool holds, not full", 700, 2000, 0, 0, SECOND},
     {"extra from a full pool", 750, 100, 50, 150, 0},
@@ -154,13 +154,13 @@
         struct ch_quota_answer answer =
             ch_quota_pool_withdraw(&pool, &limits, 1, 100, 0, SECOND);
         g_assert_cmpfloat(answer.amount, ==, 0);
-        g_assert_cmpint(answer.retry_after - last, >=, 99 * 1000);
+        g_assert_cmpint(answer.retry_after - last, >=, 99000);
         last = answer.retry_after;
     }
     /* Credit earned meanwhile shortens the line. */
-    struct ch_quota_answer later =
-        ch_quota_pool_withdraw(&pool, &limits, 1, 100, 0, 11 * SECOND);
-    g_assert_cmpint(later.retry_after, <, 200 * 1000);
+    struct ch_quota_answer later = ch_quota_pool_withdraw(
+        &pool, &limits, 1, 100, 0, 11 * (int64_t)SECOND);
+    g_assert_cmpint(later.retry_after, <, 200000);
 }
 
 /* Guards against a debt that is forgiven whenever the node that keeps a pool
@@ -200,24 +200,26 @@
 {
     const struct ch_quota_limits limits = {1000, 4000, 0, 0};
     struct ch_quota_credit credit = {0};
-    ch_quota_credit_earn(&credit, &limits, 0.1, 5 * SECOND);
+    ch_quota_credit_earn(&credit, &limits, 0.1, 5 * (int64_t)SECOND);
     g_assert_cmpfloat(credit.amount, ==, 0); /* nothing before its start */
-    ch_quota_credit_earn(&credit, &limits, 0.1, 6 * SECOND);
+    ch_quota_credit_earn(&credit, &limits, 0.1, 6 * (int64_t)SECOND);
     g_assert_cmpfloat_with_epsilon(credit.amount, 100, 1e-6);
-    ch_quota_credit_earn(&credit, &limits, 0.1, 60 * SECOND);
+    ch_quota_credit_earn(&credit, &limits, 0.1, 60 * (int64_t)SECOND);
     g_assert_cmpfloat_with_epsilon(credit.amount, 400, 1e-6);
-    g_assert_false(ch_quota_credit_take(&credit, 401, 60 * SECOND));
-    g_assert_true(ch_quota_credit_take(&credit, 200, 60 * SECOND));
+    g_assert_false(ch_quota_credit_take(&credit, 401, 60 * (int64_t)SECOND));
+    g_assert_true(ch_quota_credit_take(&credit, 200, 60 * (int64_t)SECOND));
     /* Just used: a reserve stays. Unused for long: nothing does. */
     g_assert_cmpfloat_with_epsilon(
-        ch_quota_credit_take_surplus(&credit, &limits, 0.1, 60 * SECOND), 100,
-        1e-6);
+        ch_quota_credit_take_surplus(&credit, &limits, 0.1,
+                                     60 * (int64_t)SECOND),
+        100, 1e-6);
     g_assert_cmpfloat_with_epsilon(
-        ch_quota_credit_take_surplus(&credit, &limits, 0.1, 70 * SECOND), 100,
-        1e-6);
+        ch_quota_credit_take_surplus(&credit, &limits, 0.1,
+                                     70 * (int64_t)SECOND),
+        100, 1e-6);
     /* What is given back is not lost, whatever the node may earn. */
     credit.amount += 5000;
-    ch_quota_credit_earn(&credit, &limits, 0.1, 71 * SECOND);
+    ch_quota_credit_earn(&credit, &limits, 0.1, 71 * (int64_t)SECOND);
     g_assert_cmpfloat_with_epsilon(credit.amount, 5000, 1e-6);
 }
 
--- a/tests/unit/test_request.c
+++ b/tests/unit/test_request.c
@@ -312,35 +312,35 @@
     const char *uri;
     const char *authorization; /* NULL: none */
     uint32_t prompt_tokens;
-    bool states_tokens;
     enum ch_code code;
     const char *team;
     const char *owner;
-    unsigned priority;
     double cost;
+    unsigned priority;
+    bool states_tokens;
 };
 
 static const struct team_case team_cases[] = {
-    {"no key", "", "/c/x", NULL, 0, false, CH_KEY_MISSING, NULL, NULL, 0, 0},
-    {"unknown key", "", "/c/x", "Token no", 0, false, CH_KEY_UNKNOWN, NULL,
-     NULL, 0, 0},
-    {"a path before a key", "", "/z/x", "Token no", 0, false, CH_UNKNOWN_PATH,
-     NULL, NULL, 0, 0},
-    {"known", "", "/c/x", "Token key-of-bands", 0, false, CH_OK, "bands",
-     "bands\t", 3, 0},
-    {"priority", "priority = 0\n", "/c/x", "Token key-of-bands", 0, false,
-     CH_OK, "bands", "bands\t", 0, 0},
+    {"no key", "", "/c/x", NULL, 0, CH_KEY_MISSING, NULL, NULL, 0, 0, false},
+    {"unknown key", "", "/c/x", "Token no", 0, CH_KEY_UNKNOWN, NULL, NULL, 0,
+     0, false},
+    {"a path before a key", "", "/z/x", "Token no", 0, CH_UNKNOWN_PATH, NULL,
+     NULL, 0, 0, false},
+    {"known", "", "/c/x", "Token key-of-bands", 0, CH_OK, "bands", "bands\t",
+     0, 3, false},
+    {"priority", "priority = 0\n", "/c/x", "Token key-of-bands", 0, CH_OK,
+     "bands", "bands\t", 0, 0, false},
     {"a quota of requests", "quota-per-s = 5\n", "/c/x", "Token key-of-bands",
-     900, true, CH_OK, "bands", "bands\t", 3, 1},
+     900, CH_OK, "bands", "bands\t", 1, 3, true},
     {"a quota of tokens", "quota-per-s = 5\nquota-unit = tokens\n", "/c/x",
-     "Token key-of-bands", 900, true, CH_OK, "bands", "bands\t", 3, 980},
+     "Token key-of-bands", 900, CH_OK, "bands", "bands\t", 980, 3, true},
     {"a quota of tokens, none stated",
      "quota-per-s = 5\nquota-unit = tokens\nplain-tokens = 200\n", "/c/x",
-     "Token key-of-bands", 0, false, CH_OK, "bands", "bands\t", 3, 200},
-    {"public without a key", "", "/o/x", NULL, 0, false, CH_OK, NULL, "", 3,
-     0},
+     "Token key-of-bands", 0, CH_OK, "bands", "bands\t", 200, 3, false},
+    {"public without a key", "", "/o/x", NULL, 0, CH_OK, NULL, "", 0, 3,
+     false},
     {"public with a key", "quota-per-s = 5\n", "/o/x", "Token key-of-bands", 0,
-     false, CH_OK, "bands", "bands\t", 3, 1},
+     CH_OK, "bands", "bands\t", 1, 3, false},
 };
 
 static void
