A path or key that a newer configuration may add is refused with 503, not 404

A client takes 404 and 401 for final.

Cause: a node that has no configuration answers 503, but one with an old one answered by it, although each message of the other nodes names the newer revision.

A missing or malformed key still gets 401.

Tests: /front/behind (five cases), /spread/arrives (behind from the message until the copy is in force).

--- a/libchestnuthitch/node/config_manager.c
+++ b/libchestnuthitch/node/config_manager.c
@@ -78,6 +78,9 @@
     /* A third of the time within which a change has to be in force; three
      * watchers make three calls a second with it. */
     MAX_BACKOFF_US = 1000 * 1000,
+    /* Other nodes name their revision in every message, so that one which is
+     * named no more was a mistake. */
+    NOTED_US = 5 * 1000 * 1000,
 };
 
 struct ch_config_manager {
@@ -92,6 +95,9 @@
     uint64_t remote_revision;  /* newest revision in other regions, and since
                                   when it is known */
     int64_t remote_since;
+    uint64_t noted_revision; /* newest revision at other nodes, and when it was
+                                named last */
+    int64_t noted_at;
     GBytes *compressed;           /* text in force; NULL: not compressed yet */
     struct ch_poll_schedule turn; /* of reads; see READ_PERIOD_US */
     bool read_in_progress;
@@ -587,8 +593,13 @@
 ch_config_manager_note_revision(struct ch_config_manager *manager,
                                 uint64_t revision, const char *from)
 {
+    int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
     uint64_t known = known_revision(manager);
+    if (!ch_revision_is_newer(revision, manager->noted_revision)) {
+        manager->noted_revision = revision;
+        manager->noted_at = now;
+    }
     pthread_mutex_unlock(&manager->lock);
     if (ch_revision_is_newer(known, revision) &&
         may_pull_from(manager, revision, from)) {
@@ -596,6 +607,21 @@
     }
 }
 
+/* See node.h. */
+bool
+ch_config_manager_is_behind(struct ch_config_manager *manager)
+{
+    int64_t now = ch_client_get_time(manager->node->client);
+    pthread_mutex_lock(&manager->lock);
+    uint64_t current =
+        manager->current == NULL ? 0 : manager->current->revision;
+    bool behind = ch_revision_is_newer(current, manager->parsing_revision) ||
+                  (ch_revision_is_newer(current, manager->noted_revision) &&
+                   now - manager->noted_at < NOTED_US);
+    pthread_mutex_unlock(&manager->lock);
+    return behind;
+}
+
 /* The compressed text of the config, compressed once for all nodes that ask; a
  * new reference. */
 static GBytes *
--- a/libchestnuthitch/node/frontend.c
+++ b/libchestnuthitch/node/frontend.c
@@ -245,6 +245,27 @@
     return request;
 }
 
+/*
+ * Refuses a request that the configuration in force does not allow. A path or
+ * key that is not known may have been added by a newer configuration, which
+ * this node is still reading: its caller is told to return.
+ */
+static void
+refuse_by_config(struct ch_frontend *frontend, struct ch_response *response,
+                 const struct ch_fault *fault)
+{
+    struct ch_fault behind = {.error.code = CH_OK};
+    bool may_be_added = fault->error.code == CH_UNKNOWN_PATH ||
+                        fault->error.code == CH_KEY_UNKNOWN;
+    if (may_be_added && ch_config_manager_is_behind(frontend->node->config)) {
+        ch_fault_set(&behind, CH_NOT_READY, "",
+                     "this node is reading a newer configuration");
+        refuse(frontend, response, &behind, NOT_READY_RETRY_AFTER_US);
+        return;
+    }
+    refuse(frontend, response, fault, 0);
+}
+
 /* Parses a request by the configuration in force, and starts its exchange or
  * answers it. */
 static void
@@ -264,7 +285,7 @@
         request = ch_request_parse(config->declaration, &input, now, &fault);
     }
     if (request == NULL) {
-        refuse(frontend, incoming->response, &fault, 0);
+        refuse_by_config(frontend, incoming->response, &fault);
         return;
     }
     if (request->kind == CH_REQUEST_MODEL_LIST) {
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -211,6 +211,9 @@
  * from that node. */
 void ch_config_manager_note_revision(struct ch_config_manager *manager,
                                      uint64_t revision, const char *from);
+/* Whether a newer configuration than the one in force here is known to exist:
+ * it is being parsed, or another node named its revision lately. */
+bool ch_config_manager_is_behind(struct ch_config_manager *manager);
 /* Writes a new declaration by compare-and-swap against revision `base`. The
  * error code is OK, KV_CONFLICT (config is then the one in force),
  * KV_UNREACHABLE, KV_AMBIGUOUS or the code of the declaration's fault. */
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -314,6 +314,13 @@
     return config == NULL ? NULL : ch_config_ref(config);
 }
 
+bool
+ch_config_manager_is_behind(struct ch_config_manager *manager)
+{
+    (void)manager;
+    return false;
+}
+
 /* ---- fake upstreams ---- */
 
 static void
--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -29,6 +29,7 @@
     struct ch_node node;
     pthread_mutex_t lock;
     unsigned router_requests; /* requests that reached the router */
+    bool behind;              /* a newer configuration is known */
 } world;
 
 struct ch_config *
@@ -37,6 +38,13 @@
     return manager->config == NULL ? NULL : ch_config_ref(manager->config);
 }
 
+bool
+ch_config_manager_is_behind(struct ch_config_manager *manager)
+{
+    (void)manager;
+    return world.behind;
+}
+
 char **
 ch_peers_list_live(struct ch_peers *peers)
 {
@@ -107,17 +115,20 @@
 
 static const struct ch_dialect dialect = {
     .request_id_header = "Id",
+    .key_scheme = "Bearer",
     .read_headers = fake_read,
 };
 
-/* A configuration with one plain service at /x/. */
+/* A configuration with one plain service, at /x/ and, with a key, at /k/. */
 static struct ch_config *
 make_config(void)
 {
     struct ch_error error = {0};
     struct ch_declaration *declaration = ch_declaration_parse(
         "[class c]\nhost = h\npath = /x/\nshares = s:1\nanswer-ms = 1000\n"
-        "[service s]\n",
+        "public = true\n"
+        "[class k]\nhost = h\npath = /k/\nshares = s:1\nanswer-ms = 1000\n"
+        "[service s]\n[access]\nrequire-keys = true\n",
         "f.ini", &error);
     g_assert_cmpstr(error.message, ==, "");
     return ch_config_new(1, "t", "a", declaration);
@@ -332,6 +343,48 @@
     stop();
 }
 
+static const struct {
+    const char *what;
+    const char *bytes;
+    bool behind;
+    const char *status;
+} behind_cases[] = {
+    {"unknown path", "POST /y/ HTTP/1.1\r\nHost: h\r\nId: i\r\n", false,
+     "HTTP/1.1 404"},
+    {"unknown path, a newer configuration",
+     "POST /y/ HTTP/1.1\r\nHost: h\r\nId: i\r\n", true, "HTTP/1.1 503"},
+    {"unknown key",
+     "POST /k/ HTTP/1.1\r\nHost: h\r\nId: i\r\n"
+     "Authorization: Bearer k\r\n",
+     false, "HTTP/1.1 401"},
+    {"unknown key, a newer configuration",
+     "POST /k/ HTTP/1.1\r\nHost: h\r\nId: i\r\nAuthorization: Bearer k\r\n",
+     true, "HTTP/1.1 503"},
+    {"no key, a newer configuration",
+     "POST /k/ HTTP/1.1\r\nHost: h\r\nId: i\r\n", true, "HTTP/1.1 401"},
+};
+
+/* Guards against paths and keys that were just added and are refused for good
+ * by a node that is still reading the configuration with them. */
+static void
+test_behind(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(behind_cases); i++) {
+        start(make_config());
+        world.behind = behind_cases[i].behind;
+        g_autofree char *bytes = g_strconcat(
+            behind_cases[i].bytes,
+            "Connection: close\r\nContent-Length: 0\r\n\r\n", NULL);
+        g_autofree char *received = exchange(bytes, strlen(bytes));
+        g_test_message("%s: %s", behind_cases[i].what, received);
+        g_assert_true(g_str_has_prefix(received, behind_cases[i].status));
+        g_assert_cmpint(strstr(received, "Retry-After: ") != NULL, ==,
+                        strstr(behind_cases[i].status, "503") != NULL);
+        world.behind = false;
+        stop();
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -339,5 +392,6 @@
     g_test_add_func("/front/smuggled", test_smuggling);
     g_test_add_func("/front/answers", test_responses);
     g_test_add_func("/front/no-config", test_no_config);
+    g_test_add_func("/front/behind", test_behind);
     return g_test_run();
 }
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -233,7 +233,9 @@
     frame.config_pull = &pull;
     environment.pull(node.config, &frame);
     environment.is_local = true;
+    g_assert_false(ch_config_manager_is_behind(node.config));
     ch_config_manager_note_revision(node.config, 6, "n2");
+    g_assert_true(ch_config_manager_is_behind(node.config));
     push.revision = 6;
     push.packed.data = environment.packed->data;
     push.packed.len = environment.packed->len;
@@ -242,6 +244,7 @@
     environment.done(environment.data, CH_OK, &frame);
     struct ch_config *config = ch_config_manager_get_current(node.config);
     g_assert_cmpuint(config->revision, ==, 6);
+    g_assert_false(ch_config_manager_is_behind(node.config));
     g_assert_cmpstr(config->declaration->canonical_text, ==,
                     first->declaration->canonical_text);
     ch_config_unref(first);
