--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -42,7 +42,10 @@
 ch_config_manager_is_behind(struct ch_config_manager *manager)
 {
     (void)manager;
-    return world.behind;
+    pthread_mutex_lock(&world.lock);
+    bool behind = world.behind;
+    pthread_mutex_unlock(&world.lock);
+    return behind;
 }
 
 char **
@@ -364,6 +367,14 @@
      "POST /k/ HTTP/1.1\r\nHost: h\r\nId: i\r\n", true, "HTTP/1.1 401"},
 };
 
+static void
+set_behind(bool behind)
+{
+    pthread_mutex_lock(&world.lock);
+    world.behind = behind;
+    pthread_mutex_unlock(&world.lock);
+}
+
 /* Guards against paths and keys that were just added and are refused for good
  * by a node that is still reading the configuration with them. */
 static void
@@ -371,7 +382,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(behind_cases); i++) {
         start(make_config());
-        world.behind = behind_cases[i].behind;
+        set_behind(behind_cases[i].behind);
         g_autofree char *bytes = g_strconcat(
             behind_cases[i].bytes,
             "Connection: close\r\nContent-Length: 0\r\n\r\n", NULL);
@@ -380,7 +391,7 @@
         g_assert_true(g_str_has_prefix(received, behind_cases[i].status));
         g_assert_cmpint(strstr(received, "Retry-After: ") != NULL, ==,
                         strstr(behind_cases[i].status, "503") != NULL);
-        world.behind = false;
+        set_behind(false);
         stop();
     }
 }
