--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -281,6 +281,9 @@
    name if it isn't listed there; a new string. */
 char *ch_settings_get_region(const struct ch_settings *settings,
                              const char *data_centre);
+/* The regions of [node] data-centres, this host's own first and each once;
+   free them with g_strfreev(). */
+char **ch_settings_list_regions(const struct ch_settings *settings);
 /* The capacity that this host offers to the other nodes, from its cores and
    its link. */
 uint32_t ch_settings_get_capacity(const struct ch_settings *settings);
--- a/libchestnuthitch/base/declaration.c
+++ b/libchestnuthitch/base/declaration.c
@@ -4,7 +4,6 @@
 #include "base/declaration_internal.h"
 #include "base/ini.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -787,22 +786,6 @@
     g_free(joined);
 }
 
-/* Appends "key = number" unless it is 0. */
-static void
-append_number(GString *out, const char *key, double number)
-{
-    char text[G_ASCII_DTOSTR_BUF_SIZE];
-    if (number <= 0) {
-        return;
-    }
-    if (number < 1e9 && number == floor(number)) {
-        ch_ini_append_count(out, key, (uint64_t)number);
-        return;
-    }
-    ch_ini_append_text(out, key,
-                       g_ascii_formatd(text, sizeof(text), "%.10g", number));
-}
-
 static void
 append_flag(GString *out, const char *key, bool flag)
 {
@@ -821,8 +804,8 @@
     ch_ini_append_text(out, "shares", class->shares);
     append_flag(out, "stream", class->stream);
     append_flag(out, "resumable", class->resumable);
-    append_number(out, "priority", class->priority);
-    append_number(out, "tries", class->tries);
+    ch_ini_append_number(out, "priority", class->priority);
+    ch_ini_append_number(out, "tries", class->tries);
     append_milliseconds(out, "gap-ms", class->gap);
     append_milliseconds(out, "time-limit-ms", class->time_limit);
 }
@@ -831,12 +814,12 @@
 append_service(GString *out, const struct ch_service *service)
 {
     append_group(out, "service", service->name);
-    append_number(out, "connections", service->max_connections);
-    append_number(out, "batch", service->max_batch);
-    append_number(out, "memory-mb", service->memory_mb);
-    append_number(out, "context-tokens", service->context_tokens);
-    append_number(out, "adapter-places", service->adapter_slots);
-    append_number(out, "loads-per-s", service->loads_per_s);
+    ch_ini_append_number(out, "connections", service->max_connections);
+    ch_ini_append_number(out, "batch", service->max_batch);
+    ch_ini_append_number(out, "memory-mb", service->memory_mb);
+    ch_ini_append_number(out, "context-tokens", service->context_tokens);
+    ch_ini_append_number(out, "adapter-places", service->adapter_slots);
+    ch_ini_append_number(out, "loads-per-s", service->loads_per_s);
     g_string_append_c(out, '\n');
 }
 
@@ -849,8 +832,8 @@
         return;
     }
     g_string_append(out, "[limits]\n");
-    append_number(out, "header-bytes", (double)limits->header_bytes);
-    append_number(out, "body-bytes", (double)limits->body_bytes);
+    ch_ini_append_number(out, "header-bytes", (double)limits->header_bytes);
+    ch_ini_append_number(out, "body-bytes", (double)limits->body_bytes);
     append_milliseconds(out, "header-ms", limits->header_time);
     append_milliseconds(out, "idle-ms", limits->idle_time);
     g_string_append_c(out, '\n');
@@ -890,7 +873,8 @@
         append_list(
             out, "services",
             g_array_index(parsed->models, struct parsed_model, i).services);
-        append_number(out, "numbered-adapters", model->numbered_adapter_count);
+        ch_ini_append_number(out, "numbered-adapters",
+                             model->numbered_adapter_count);
         append_milliseconds(out, "load-ms", model->load_time);
         if (model->adapter_count > 0 || model->numbered_adapter_count > 0) {
             ch_ini_append_count(out, "adapter-memory-mb",
--- a/libchestnuthitch/base/declaration_team.c
+++ b/libchestnuthitch/base/declaration_team.c
@@ -88,17 +88,6 @@
            check_keys(ini, declaration, error);
 }
 
-/* Appends "key = number" unless the number is 0. */
-static void
-append_amount(GString *out, const char *key, double number)
-{
-    char text[G_ASCII_DTOSTR_BUF_SIZE];
-    if (number > 0) {
-        ch_ini_append_text(
-            out, key, g_ascii_formatd(text, sizeof(text), "%.10g", number));
-    }
-}
-
 /* See declaration_internal.h. */
 void
 declaration_teams_format(GString *out,
@@ -117,9 +106,9 @@
         if (team->counts_tokens) {
             ch_ini_append_text(out, "quota-unit", "tokens");
         }
-        append_amount(out, "quota-per-s", team->quota_per_s);
-        append_amount(out, "quota-burst", team->quota_burst);
-        append_amount(out, "plain-tokens", team->plain_tokens);
+        ch_ini_append_number(out, "quota-per-s", team->quota_per_s);
+        ch_ini_append_number(out, "quota-burst", team->quota_burst);
+        ch_ini_append_number(out, "plain-tokens", team->plain_tokens);
         g_string_append_c(out, '\n');
     }
 }
--- a/libchestnuthitch/base/ini.c
+++ b/libchestnuthitch/base/ini.c
@@ -515,3 +515,19 @@
     } while (number > 0);
     ch_ini_append_text(out, key, first_digit);
 }
+
+/* See ini.h. */
+void
+ch_ini_append_number(GString *out, const char *key, double number)
+{
+    char text[G_ASCII_DTOSTR_BUF_SIZE];
+    if (number <= 0) {
+        return;
+    }
+    if (number < 1e9 && number == floor(number)) {
+        ch_ini_append_count(out, key, (uint64_t)number);
+        return;
+    }
+    ch_ini_append_text(out, key,
+                       g_ascii_formatd(text, sizeof(text), "%.10g", number));
+}
--- a/libchestnuthitch/base/ini.h
+++ b/libchestnuthitch/base/ini.h
@@ -89,5 +89,7 @@
 /* Append the line "key = text" or "key = number". */
 void ch_ini_append_text(GString *out, const char *key, const char *text);
 void ch_ini_append_count(GString *out, const char *key, uint64_t number);
+/* Leaves a number of 0 or less out. */
+void ch_ini_append_number(GString *out, const char *key, double number);
 
 #endif
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -269,6 +269,15 @@
     return settings;
 }
 
+/* The entries "NAME:REGION" of the setting data-centres; some may be empty. */
+static char **
+split_data_centres(const struct ch_settings *settings)
+{
+    return g_strsplit_set(
+        settings->data_centres == NULL ? "" : settings->data_centres, ", ;",
+        -1);
+}
+
 /* Returns the region of a data centre as a new string, from the setting
  * data-centres ("NAME:REGION, ...").  A data centre that isn't listed there is
  * a region of its own name. */
@@ -276,9 +285,7 @@
 ch_settings_get_region(const struct ch_settings *settings,
                        const char *data_centre)
 {
-    char **pairs = g_strsplit_set(
-        settings->data_centres == NULL ? "" : settings->data_centres, ", ;",
-        -1);
+    char **pairs = split_data_centres(settings);
     char *region = NULL;
     size_t length = strlen(data_centre);
     for (size_t i = 0; region == NULL && pairs[i] != NULL; i++) {
@@ -291,6 +298,25 @@
     return region != NULL ? region : g_strdup(data_centre);
 }
 
+/* See base.h. */
+char **
+ch_settings_list_regions(const struct ch_settings *settings)
+{
+    GPtrArray *regions = g_ptr_array_new();
+    char **pairs = split_data_centres(settings);
+    g_ptr_array_add(regions, g_strdup(settings->region));
+    for (size_t i = 0; pairs[i] != NULL; i++) {
+        const char *colon = strchr(pairs[i], ':');
+        if (colon != NULL && !g_ptr_array_find_with_equal_func(
+                                 regions, colon + 1, g_str_equal, NULL)) {
+            g_ptr_array_add(regions, g_strdup(colon + 1));
+        }
+    }
+    g_strfreev(pairs);
+    g_ptr_array_add(regions, NULL);
+    return (char **)g_ptr_array_free(regions, FALSE);
+}
+
 /* See base.h. */
 uint32_t
 ch_settings_get_capacity(const struct ch_settings *settings)
--- a/libchestnuthitch/decide/publisher.c
+++ b/libchestnuthitch/decide/publisher.c
@@ -11,9 +11,8 @@
 static int64_t
 scale_period(int64_t period, size_t engine_count, size_t suited_count)
 {
-    return engine_count <= suited_count
-               ? period
-               : period * (int64_t)engine_count / (int64_t)suited_count;
+    return period * (int64_t)MAX(engine_count, suited_count) /
+           (int64_t)suited_count;
 }
 
 /* The rendezvous weight of a lease's holder for a data centre. */
--- a/libchestnuthitch/decide/rank.c
+++ b/libchestnuthitch/decide/rank.c
@@ -20,25 +20,33 @@
 }
 
 /*
- * See rank.h.  For fleets in which most hosts have a tenth of a core and a
- * slow link, a few have several times that, and a role sends to all other
- * nodes.  On a small host the role would fill the link and delay the requests
- * of callers and all other messages of the node.  So larger hosts come first;
- * among hosts of similar capacity the rendezvous weight decides.
+ * Whether one node ranks before another. For fleets in which most hosts have a
+ * tenth of a core and a slow link, a few have several times that, and a role
+ * sends to all other nodes.  On a small host the role would fill the link and
+ * delay the requests of callers and all other messages of the node.  So larger
+ * hosts come first; among hosts of similar capacity the rendezvous weight
+ * decides.
  */
+static bool
+is_before(const struct ch_rank_node *node, const struct ch_rank_node *other,
+          uint32_t max_capacity, uint64_t key)
+{
+    bool node_is_large = is_large(node, max_capacity);
+    return node_is_large != is_large(other, max_capacity)
+               ? node_is_large
+               : ch_hash_pair(key, node->hash) >
+                     ch_hash_pair(key, other->hash);
+}
+
+/* See rank.h. */
 size_t
 ch_rank_for_role(const struct ch_rank_node *nodes, size_t count, size_t self,
                  uint64_t key)
 {
     uint32_t max_capacity = get_max_capacity(nodes, count);
     size_t rank = 0;
-    bool self_is_large = is_large(&nodes[self], max_capacity);
-    uint64_t weight = ch_hash_pair(key, nodes[self].hash);
     for (size_t i = 0; i < count; i++) {
-        bool other_is_large = is_large(&nodes[i], max_capacity);
-        if (i != self && (other_is_large != self_is_large
-                              ? other_is_large
-                              : ch_hash_pair(key, nodes[i].hash) > weight)) {
+        if (is_before(&nodes[i], &nodes[self], max_capacity, key)) {
             rank++;
         }
     }
@@ -52,15 +60,9 @@
 {
     uint32_t max_capacity = get_max_capacity(nodes, count);
     size_t first = 0;
-    bool first_is_large = is_large(&nodes[0], max_capacity);
     for (size_t i = 1; i < count; i++) {
-        bool large = is_large(&nodes[i], max_capacity);
-        if (large != first_is_large
-                ? large
-                : ch_hash_pair(key, nodes[i].hash) >
-                      ch_hash_pair(key, nodes[first].hash)) {
+        if (is_before(&nodes[i], &nodes[first], max_capacity, key)) {
             first = i;
-            first_is_large = large;
         }
     }
     return first;
--- a/libchestnuthitch/node/home_queue.c
+++ b/libchestnuthitch/node/home_queue.c
@@ -215,15 +215,11 @@
     view->draining = view->draining || upstream->draining;
 }
 
-/* Makes this node the home of an upstream. */
-void
-home_open(struct ch_homes *homes, struct upstream *upstream, int64_t now,
-          struct effects *effects)
+/* See homes_internal.h. */
+struct ch_upstream_config
+home_get_config(const struct ch_homes *homes, const struct upstream *upstream)
 {
-    if (upstream->home != NULL) {
-        return;
-    }
-    struct ch_upstream_config config = {
+    return (struct ch_upstream_config){
         .name = upstream->name,
         .service = upstream->service,
         .capacity_mb = upstream->capacity_mb,
@@ -232,6 +228,17 @@
         .max_queue = homes->node->settings->max_queue_length,
         .draining = upstream->draining,
     };
+}
+
+/* Makes this node the home of an upstream. */
+void
+home_open(struct ch_homes *homes, struct upstream *upstream, int64_t now,
+          struct effects *effects)
+{
+    if (upstream->home != NULL) {
+        return;
+    }
+    struct ch_upstream_config config = home_get_config(homes, upstream);
     upstream->home = ch_home_new(homes->policy, &config, now);
     g_array_set_size(upstream->known_items, 0);
     upstream->ledger_read = false;
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -212,6 +212,10 @@
 void home_enqueue(struct ch_homes *homes, struct upstream *upstream,
                   struct ch_request_info *info, struct ticket *ticket,
                   uint64_t *handle, int64_t now, struct effects *effects);
+/* What the host list states of an upstream, for its home; the strings stay the
+ * upstream's. */
+struct ch_upstream_config home_get_config(const struct ch_homes *homes,
+                                          const struct upstream *upstream);
 void home_open(struct ch_homes *homes, struct upstream *upstream, int64_t now,
                struct effects *effects);
 void home_close(struct ch_homes *homes, struct upstream *upstream,
--- a/libchestnuthitch/node/peers_role.c
+++ b/libchestnuthitch/node/peers_role.c
@@ -14,28 +14,51 @@
            (region == NULL || g_strcmp0(region, node_region) == 0);
 }
 
-/* See node.h. */
-size_t
-ch_peers_get_rank(struct ch_peers *peers, uint64_t key,
-                  const char *data_centre, const char *region)
+/* Appends this node; names may be NULL. */
+static void
+append_self(const struct ch_peers *peers, GArray *nodes, GPtrArray *names)
 {
     const struct ch_settings *settings = peers->node->settings;
-    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
     const struct ch_rank_node self = {
         .hash = ch_hash_string(settings->name),
         .capacity = ch_settings_get_capacity(settings),
     };
     g_array_append_val(nodes, self);
-    pthread_mutex_lock(&peers->lock);
+    if (names != NULL) {
+        g_ptr_array_add(names, settings->name);
+    }
+}
+
+/* Appends the live nodes of a data centre and a region (NULL: of any), without
+ * this one; names may be NULL, and those in it are the members'. Lock held. */
+static void
+append_members(const struct ch_peers *peers, const char *data_centre,
+               const char *region, GArray *nodes, GPtrArray *names)
+{
     for (size_t i = 0; i < ch_members_get_count(peers->members); i++) {
         const struct ch_member *member = ch_members_get(peers->members, i);
         const struct ch_rank_node node = {member->name_hash, member->capacity};
-        if (ch_member_is_available(member) &&
-            is_located_in(data_centre, region, member->data_centre,
-                          member->region)) {
-            g_array_append_val(nodes, node);
+        if (!ch_member_is_available(member) ||
+            !is_located_in(data_centre, region, member->data_centre,
+                           member->region)) {
+            continue;
+        }
+        g_array_append_val(nodes, node);
+        if (names != NULL) {
+            g_ptr_array_add(names, member->name);
         }
     }
+}
+
+/* See node.h. */
+size_t
+ch_peers_get_rank(struct ch_peers *peers, uint64_t key,
+                  const char *data_centre, const char *region)
+{
+    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
+    append_self(peers, nodes, NULL);
+    pthread_mutex_lock(&peers->lock);
+    append_members(peers, data_centre, region, nodes, NULL);
     pthread_mutex_unlock(&peers->lock);
     size_t rank = ch_rank_for_role(
         (const struct ch_rank_node *)(void *)nodes->data, nodes->len, 0, key);
@@ -48,27 +71,14 @@
 ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
                           const char *region, bool include_self)
 {
-    const struct ch_settings *settings = peers->node->settings;
     GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
     GPtrArray *names = g_ptr_array_new();
-    if (include_self && g_strcmp0(region, settings->region) == 0) {
-        const struct ch_rank_node self = {
-            .hash = ch_hash_string(settings->name),
-            .capacity = ch_settings_get_capacity(settings),
-        };
-        g_array_append_val(nodes, self);
-        g_ptr_array_add(names, settings->name);
+    if (include_self &&
+        g_strcmp0(region, peers->node->settings->region) == 0) {
+        append_self(peers, nodes, names);
     }
     pthread_mutex_lock(&peers->lock);
-    for (size_t i = 0; i < ch_members_get_count(peers->members); i++) {
-        const struct ch_member *member = ch_members_get(peers->members, i);
-        const struct ch_rank_node node = {member->name_hash, member->capacity};
-        if (ch_member_is_available(member) &&
-            g_strcmp0(region, member->region) == 0) {
-            g_array_append_val(nodes, node);
-            g_ptr_array_add(names, member->name);
-        }
-    }
+    append_members(peers, NULL, region, nodes, names);
     char *holder = NULL;
     if (nodes->len > 0) {
         size_t first = ch_rank_find_first(
--- a/libchestnuthitch/node/quota_manager.c
+++ b/libchestnuthitch/node/quota_manager.c
@@ -2,8 +2,6 @@
 
 #include "node/quota_internal.h"
 
-#include <string.h>
-
 enum {
     /* Teams that become known later than this after the first credit were
      * there, or not, while this process ran. */
@@ -274,37 +272,18 @@
 
 /* ---- lifetime ---- */
 
-/* Adds a region unless it is there. */
-static void
-add_region(GPtrArray *regions, const char *name)
-{
-    for (guint i = 0; i < regions->len; i++) {
-        const struct quota_region *known = g_ptr_array_index(regions, i);
-        if (strcmp(known->name, name) == 0) {
-            return;
-        }
-    }
-    struct quota_region *region = g_new0(struct quota_region, 1);
-    region->name = g_strdup(name);
-    g_ptr_array_add(regions, region);
-}
-
-/* All regions of the settings, this node's own first. */
+/* The regions that may have pools, this node's own first. */
 static GPtrArray *
 list_regions(const struct ch_settings *settings)
 {
     GPtrArray *regions = g_ptr_array_new_with_free_func(free_region);
-    add_region(regions, settings->region);
-    char **pairs = g_strsplit_set(
-        settings->data_centres == NULL ? "" : settings->data_centres, ", ;",
-        -1);
-    for (size_t i = 0; pairs[i] != NULL; i++) {
-        const char *colon = strchr(pairs[i], ':');
-        if (colon != NULL) {
-            add_region(regions, colon + 1);
-        }
+    char **names = ch_settings_list_regions(settings);
+    for (size_t i = 0; names[i] != NULL; i++) {
+        struct quota_region *region = g_new0(struct quota_region, 1);
+        region->name = names[i];
+        g_ptr_array_add(regions, region);
     }
-    g_strfreev(pairs);
+    g_free(names);
     return regions;
 }
 
--- a/libchestnuthitch/node/quota_take.c
+++ b/libchestnuthitch/node/quota_take.c
@@ -177,11 +177,11 @@
              take->answered ? take->retry_after : UNAVAILABLE_RETRY_AFTER_US);
 }
 
-/* Takes the cost from this node's credit. *limits is set if the team has a
- * quota; true when nothing more is to be asked. */
+/* Takes the cost from this node's credit; true when nothing more is to be
+ * asked. Else *extra is what this node may withdraw beside the cost. */
 static bool
 take_here(struct ch_quota_manager *manager, uint64_t id, double cost,
-          struct ch_quota_limits *limits, double *share)
+          double *extra)
 {
     int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
@@ -191,8 +191,7 @@
         ch_quota_credit_earn(&team->credit, &team->limits, manager->share,
                              now);
         taken = ch_quota_credit_take(&team->credit, cost, now);
-        *limits = team->limits;
-        *share = manager->share;
+        *extra = ch_quota_credit_get_reserve(&team->limits, manager->share);
     }
     pthread_mutex_unlock(&manager->lock);
     return taken;
@@ -206,11 +205,10 @@
                                    int64_t retry_after),
                       void *data)
 {
-    struct ch_quota_limits limits = {0};
-    double share = 0;
+    double extra = 0;
     uint64_t id = ch_hash_string(name);
     quota_manager_refresh(manager);
-    if (take_here(manager, id, cost, &limits, &share)) {
+    if (take_here(manager, id, cost, &extra)) {
         done(data, CH_OK, 0);
         return;
     }
@@ -219,7 +217,7 @@
         .manager = quota_manager_ref(manager),
         .team = id,
         .cost = cost,
-        .extra = ch_quota_credit_get_reserve(&limits, share),
+        .extra = extra,
         .done = done,
         .data = data,
     };
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -251,15 +251,7 @@
     if (upstream->home == NULL) {
         return;
     }
-    struct ch_upstream_config config = {
-        .name = upstream->name,
-        .service = upstream->service,
-        .capacity_mb = upstream->capacity_mb,
-        .accelerators = upstream->accelerators,
-        .batch = upstream->max_batch,
-        .max_queue = homes->node->settings->max_queue_length,
-        .draining = upstream->draining,
-    };
+    struct ch_upstream_config config = home_get_config(homes, upstream);
     ch_home_set_config(upstream->home, &config);
 }
 
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -2,6 +2,7 @@
  * forwarding demand. */
 
 #include "node/controller_internal.h"
+#include "threaded/test_node.h"
 
 #include <semaphore.h>
 #include <string.h>
@@ -99,12 +100,6 @@
     return upstream;
 }
 
-static void
-no_log(void *data, const char *line, size_t length)
-{
-    (void)data, (void)line, (void)length;
-}
-
 /* ---- nodes, and what they receive ---- */
 
 struct test_node {
@@ -170,23 +165,9 @@
 {
     static const struct ch_dialect dialect = {.upstream_new = fake_upstream};
     struct test_node *node = g_new0(struct test_node, 1);
-    struct ch_error error = {0};
-    ch_client_init(&node->client, name);
-    node->client.log_write = no_log;
-    node->settings.name = (char *)name;
-    node->settings.region = (char *)"r1";
-    node->settings.data_centre = (char *)"a";
-    node->settings.peers = (char *)"127.0.0.1:0";
-    node->settings.peer_timeout_ms = 600;
-    node->settings.idle_connection_ms = 60000;
+    test_node_set_up(&node->node, &node->client, &node->settings, name, 1);
     node->settings.lease_ms = 3000;
-    node->node.client = &node->client;
-    node->node.settings = &node->settings;
     node->node.dialect = &dialect;
-    node->node.incarnation = 1;
-    node->node.pool = ch_pool_new(1);
-    node->node.peers = ch_peers_new(&node->node, &error);
-    g_assert_nonnull(node->node.peers);
     return node;
 }
 
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -1,6 +1,7 @@
 /* Nodes that exchange crash observations over real connections on loopback. */
 
 #include "node/crash_guard.h"
+#include "threaded/test_node.h"
 
 #include <string.h>
 
@@ -21,40 +22,17 @@
     char address[32];
 };
 
-/* Drops log lines, as the tests check outcomes. */
-static void
-no_log(void *data, const char *line, size_t length)
-{
-    (void)data;
-    (void)line;
-    (void)length;
-}
-
 /* Creates a node with its pool, timers, peers and crash guard. */
 static struct test_node *
 test_node_new(const char *name)
 {
     struct test_node *node = g_new0(struct test_node, 1);
-    struct ch_error error = {0};
-    ch_client_init(&node->client, name);
-    node->client.log_write = no_log;
+    test_node_set_up(&node->node, &node->client, &node->settings, name, 2);
     node->client.metrics = ch_metrics_new();
-    node->settings.name = (char *)name;
-    node->settings.region = (char *)"r1";
-    node->settings.data_centre = (char *)"a";
-    node->settings.peers = (char *)"127.0.0.1:0";
-    node->settings.peer_timeout_ms = 600;
-    node->settings.idle_connection_ms = 60000;
     node->settings.crash_limit = 3;
     node->settings.max_crash_requests = 64;
     node->settings.crash_retention_s = 3600;
-    node->node.client = &node->client;
-    node->node.settings = &node->settings;
-    node->node.incarnation = 1;
-    node->node.pool = ch_pool_new(2);
     node->node.timers = ch_timers_new(node->node.pool);
-    node->node.peers = ch_peers_new(&node->node, &error);
-    g_assert_nonnull(node->node.peers);
     node->node.crash_guard = ch_crash_guard_new(&node->node);
     (void)g_snprintf(node->address, sizeof(node->address), "127.0.0.1:%u",
                      ch_peers_get_port(node->node.peers));
--- a/tests/threaded/test_keepers.c
+++ b/tests/threaded/test_keepers.c
@@ -3,6 +3,7 @@
  * unavailable. */
 
 #include "node/node.h"
+#include "threaded/test_node.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -176,39 +177,17 @@
     struct ch_node node;
 };
 
-static void
-no_log(void *data, const char *line, size_t length)
-{
-    (void)data;
-    (void)line;
-    (void)length;
-}
-
 static void
 test_node_init(struct test_node *node, const char *name, struct fake_kv *fake)
 {
-    struct ch_error error = {0};
     *node = (struct test_node){0};
-    ch_client_init(&node->client, name);
-    node->client.log_write = no_log;
+    test_node_set_up(&node->node, &node->client, &node->settings, name, 4);
     node->client.metrics = ch_metrics_new();
-    node->settings.name = (char *)name;
-    node->settings.region = (char *)"r1";
-    node->settings.data_centre = (char *)"a";
-    node->settings.peers = (char *)"127.0.0.1:0";
-    node->settings.peer_timeout_ms = 600;
-    node->settings.idle_connection_ms = 60000;
     node->settings.once_slots = 4;
     node->settings.once_batch_delay_ms = 1;
     node->settings.once_retention_s = 3600;
-    node->node.client = &node->client;
-    node->node.settings = &node->settings;
-    node->node.incarnation = 1;
     node->node.kv = &fake->kv;
-    node->node.pool = ch_pool_new(4);
     node->node.timers = ch_timers_new(node->node.pool);
-    node->node.peers = ch_peers_new(&node->node, &error);
-    g_assert_nonnull(node->node.peers);
 }
 
 static void
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -2,6 +2,7 @@
 
 #include "node/node.h"
 #include "wire/wire.h"
+#include "threaded/test_node.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -26,36 +27,14 @@
     int64_t started_at;
 };
 
-/* Discards log lines: the tests check results. */
-static void
-discard_log(void *data, const char *line, size_t length)
-{
-    (void)data;
-    (void)line;
-    (void)length;
-}
-
 /* A node with only a pool and its peers. */
 static struct test_node *
 test_node_new(const char *name)
 {
     struct test_node *test_node = g_new0(struct test_node, 1);
-    struct ch_error error = {0};
-    ch_client_init(&test_node->client, name);
-    test_node->client.log_write = discard_log;
+    test_node_set_up(&test_node->node, &test_node->client,
+                     &test_node->settings, name, 2);
     test_node->client.metrics = ch_metrics_new();
-    test_node->settings.name = (char *)name;
-    test_node->settings.region = (char *)"r1";
-    test_node->settings.data_centre = (char *)"a";
-    test_node->settings.peers = (char *)"127.0.0.1:0";
-    test_node->settings.peer_timeout_ms = 600;
-    test_node->settings.idle_connection_ms = 60000;
-    test_node->node.client = &test_node->client;
-    test_node->node.settings = &test_node->settings;
-    test_node->node.incarnation = 1;
-    test_node->node.pool = ch_pool_new(2);
-    test_node->node.peers = ch_peers_new(&test_node->node, &error);
-    g_assert_nonnull(test_node->node.peers);
     return test_node;
 }
 
