Upstream limits: nodes log and count what they hear and send

Callers saw nothing of it yet. An upstream that named a limit went on getting as much as before, and no log or metric said which node had heard of the limit, or what it sent there: requests of callers, reports or orders.

Responses of every kind (to requests, orders and reports; refusals and errors too) are read for the header that names a limit. Each node keeps what it heard of each upstream, writes upstream-limit, upstream-limited-calls (sums over 4 s, by kind of call) and upstream-limit-lifted, has five counters and the member limits of its status. What is sent where has not changed.

A value that is no decimal number is logged and says nothing; of several values the lowest holds. A response that says the opposite of the last one counts only if its request was sent after that one was received, so that slow responses don't bring a limit back or end it.

Tests: /limit/reading, /limit/order-of-responses, /upstream/limit/*.

--- a/libchestnuthitch/net/http_fetch.c
+++ b/libchestnuthitch/net/http_fetch.c
@@ -8,13 +8,25 @@
 struct fetch {
     GString *body;
     char *etag;
+    char *kept_header; /* NULL: none */
+    char *kept_values;
     size_t max_bytes;
     bool too_large;
     void (*done)(void *data, const struct ch_http_response *answer);
     void *data;
 };
 
-/* Stores the ETag, the only header that users of a fetch need. */
+/* See net.h. */
+void
+ch_http_append_value(char **values, const char *value)
+{
+    char *joined = *values == NULL ? g_strdup(value)
+                                   : g_strconcat(*values, ",", value, NULL);
+    g_free(*values);
+    *values = joined;
+}
+
+/* Stores the headers that users of a fetch need. */
 static void
 fetch_header(void *data, const char *name, const char *value)
 {
@@ -23,6 +35,10 @@
         g_free(fetch->etag);
         fetch->etag = g_strdup(value);
     }
+    if (fetch->kept_header != NULL &&
+        strcasecmp(name, fetch->kept_header) == 0) {
+        ch_http_append_value(&fetch->kept_values, value);
+    }
 }
 
 /*
@@ -50,6 +66,7 @@
         .body = fetch->body->str,
         .body_length = fetch->body->len,
         .etag = fetch->etag,
+        .kept_values = fetch->kept_values,
     };
     if (fetch->too_large && result->code == CH_OK) {
         response.result.code = CH_UPSTREAM_ANSWER;
@@ -60,6 +77,8 @@
     fetch->done(fetch->data, &response);
     g_string_free(fetch->body, TRUE);
     g_free(fetch->etag);
+    g_free(fetch->kept_header);
+    g_free(fetch->kept_values);
     g_free(fetch);
 }
 
@@ -77,6 +96,7 @@
     };
     struct fetch *fetch = g_new0(struct fetch, 1);
     fetch->body = g_string_new(NULL);
+    fetch->kept_header = g_strdup(request->kept_header);
     fetch->max_bytes = max_bytes;
     fetch->done = done;
     fetch->data = data;
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -45,6 +45,8 @@
      * established, and that connection is closed.
      */
     bool connect_only;
+    /* ch_http_fetch() keeps the values of this header; NULL: of none. */
+    const char *kept_header;
 };
 
 struct ch_http_result {
@@ -87,12 +89,18 @@
 /* Connections idle for longer than this are not reused. */
 void ch_http_set_idle_timeout(struct ch_http *http, int64_t timeout);
 
+/* Appends a value of a header that may come more than once, after a comma as
+ * in RFC 9110, 5.3. Frees *values (NULL: none yet) and replaces it. */
+void ch_http_append_value(char **values, const char *value);
+
 /* A complete response collected in memory, for calls to the platform. */
 struct ch_http_response {
     struct ch_http_result result;
     char *body; /* NUL-terminated */
     size_t body_length;
-    char *etag; /* NULL if the response had no ETag */
+    char *etag;        /* NULL if the response had no ETag */
+    char *kept_values; /* of the request's kept_header, separated by commas;
+                          NULL: the response had none */
 };
 
 /*
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -12,6 +12,7 @@
 #include "node/controller.h"
 #include "node/crash_guard.h"
 #include "node/dialect.h"
+#include "node/limit_manager.h"
 #include "node/roster.h"
 
 #include <pthread.h>
@@ -135,6 +136,8 @@
     client->address = g_strdup(host->address);
     client->client = node->dialect->upstream_new(
         node->client, node->http, host, UPSTREAM_ORDER_TIMEOUT_US);
+    client->client->limit_listener =
+        ch_limit_manager_get_listener(node->limits, name);
     g_hash_table_replace(balancer->clients, key, client);
 }
 
@@ -216,6 +219,8 @@
         .resident_model_count = models->len,
     };
     ensure_client(balancer, upstream.name, host);
+    ch_limit_manager_update_upstream(balancer->node->limits, upstream.name,
+                                     upstream.boot_id);
     const struct ch_crash_listed_upstream listed = {
         upstream.name, upstream.boot_id, upstream.draining};
     g_array_append_val(update->listed, listed);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -4,6 +4,7 @@
 #include "node/balancer.h"
 #include "node/crash_guard.h"
 #include "node/homes_internal.h"
+#include "node/limit_manager.h"
 #include "node/quota_manager.h"
 
 #include <ck_pr.h>
@@ -26,6 +27,7 @@
     ch_ledger_manager_free(node->ledger);
     ch_crash_guard_free(node->crash_guard);
     ch_quota_manager_free(node->quota);
+    ch_limit_manager_free(node->limits);
     if (node->router != NULL) {
         node->router->ops->free(node->router);
     }
@@ -68,6 +70,7 @@
     node->crash_guard = ch_crash_guard_new(node);
     node->config = ch_config_manager_new(node);
     node->quota = ch_quota_manager_new(node);
+    node->limits = ch_limit_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
         node->router = ch_balancer_new(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < peers < pool, timers, http < metrics. No handler of
- * another package is called with a lock held.
+ * < crashes < quota < limits < peers < pool, timers, http < metrics. No
+ * handler of another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -29,6 +29,7 @@
 
 struct ch_crash_guard;
 struct ch_dialect;
+struct ch_limit_manager;
 struct ch_quota_manager;
 struct ch_router;
 
@@ -48,6 +49,7 @@
     struct ch_ledger_manager *ledger;
     struct ch_crash_guard *crash_guard;
     struct ch_quota_manager *quota;
+    struct ch_limit_manager *limits;
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -1,6 +1,7 @@
 /* Upstreams of the host list, with the state that their homes publish. */
 
 #include "node/homes_internal.h"
+#include "node/limit_manager.h"
 
 #include <string.h>
 
@@ -129,14 +130,17 @@
 static struct ch_upstream *
 make_client(struct ch_homes *homes, const struct ch_host *host)
 {
-    const struct ch_settings *settings = homes->node->settings;
-    int64_t limit = (int64_t)settings->first_byte_ms * 1000;
-    if (host->kind == CH_HOST_SERVICE) {
-        return ch_upstream_service_new(homes->node->client, homes->node->http,
-                                       host->address, limit);
-    }
-    return ch_upstream_engine_new(homes->node->client, homes->node->http,
-                                  host->address, limit);
+    struct ch_node *node = homes->node;
+    int64_t timeout = (int64_t)node->settings->first_byte_ms * 1000;
+    struct ch_upstream *client =
+        host->kind == CH_HOST_SERVICE
+            ? ch_upstream_service_new(node->client, node->http, host->address,
+                                      timeout)
+            : ch_upstream_engine_new(node->client, node->http, host->address,
+                                     timeout);
+    client->limit_listener = ch_limit_manager_get_listener(
+        node->limits, g_quark_from_string(host->name));
+    return client;
 }
 
 /* Creates a newly listed upstream. */
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -19,6 +19,8 @@
     struct ch_http *http;
     uint64_t handle; /* atomic: set once ch_http_submit() has returned */
     struct ch_call_rules rules;
+    struct ch_limit_listener limit_listener;
+    int64_t sent_at;
     struct ch_call_handlers handlers;
     void *data;
     char *request_id;
@@ -33,7 +35,8 @@
     bool is_framed;     /* Content-Length or chunks: its end can be detected */
     bool has_signature; /* the signature header was received */
     char *content_type;
-    GArray *headers; /* struct ch_http_header, to be forwarded */
+    char *limit_values; /* of the header that names a limit; NULL: none */
+    GArray *headers;    /* struct ch_http_header, to be forwarded */
     /* Progress of the response. */
     bool headers_checked; /* check_headers() has run */
     bool is_stream;
@@ -67,6 +70,7 @@
     g_free(exchange->request_id);
     g_free(exchange->event_id);
     g_free(exchange->content_type);
+    g_free(exchange->limit_values);
     g_free(exchange);
 }
 
@@ -169,6 +173,18 @@
     }
 }
 
+/* See upstream.h. */
+void
+ch_upstream_report_limit(const struct ch_limit_listener *listener,
+                         const char *values, bool succeeded, int64_t sent_at)
+{
+    if (listener->handle != NULL) {
+        const struct ch_limit_reading reading = ch_limit_read(values);
+        listener->handle(listener->data, listener->upstream, &reading,
+                         succeeded, sent_at);
+    }
+}
+
 bool
 ch_call_is_stream(bool asked, int status, const char *content_type)
 {
@@ -189,6 +205,12 @@
     }
     exchange->headers_checked = true;
     check_response_headers(exchange);
+    if (exchange->id_matches || is_refusal_without_id(exchange)) {
+        ch_upstream_report_limit(
+            &exchange->limit_listener, exchange->limit_values,
+            exchange->failure == CH_OK && exchange->status < 300,
+            exchange->sent_at);
+    }
     if (exchange->failure != CH_OK) {
         return;
     }
@@ -339,6 +361,10 @@
     else if (strcasecmp(name, exchange->rules.not_run_header) == 0) {
         exchange->not_run = strcmp(value, "1") == 0;
     }
+    else if (exchange->rules.limit_header != NULL &&
+             strcasecmp(name, exchange->rules.limit_header) == 0) {
+        ch_http_append_value(&exchange->limit_values, value);
+    }
     else if (strcasecmp(name, "Content-Type") == 0) {
         g_free(exchange->content_type);
         exchange->content_type = g_strdup(value);
@@ -463,6 +489,7 @@
 ch_call_start_with_headers(struct ch_client *client, struct ch_http *http,
                            const char *address,
                            const struct ch_call_rules *rules,
+                           const struct ch_limit_listener *listener,
                            const struct ch_call *call,
                            const struct ch_http_header *headers, size_t count,
                            const struct ch_call_handlers *handlers, void *data)
@@ -476,6 +503,8 @@
     };
     struct call_exchange *exchange =
         call_exchange_new(client, http, rules, call);
+    exchange->limit_listener = *listener;
+    exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
     exchange->data = data;
     char *url = g_strdup_printf("http://%s%s", address, call->path);
@@ -510,6 +539,7 @@
 uint64_t
 ch_call_start(struct ch_client *client, struct ch_http *http,
               const char *address, const struct ch_call_rules *rules,
+              const struct ch_limit_listener *listener,
               const struct ch_call *call,
               const struct ch_call_handlers *handlers, void *data)
 {
@@ -536,6 +566,6 @@
     if (call->team != NULL) {
         headers[count++] = (struct ch_http_header){"X-Team", call->team};
     }
-    return ch_call_start_with_headers(client, http, address, rules, call,
-                                      headers, count, handlers, data);
+    return ch_call_start_with_headers(client, http, address, rules, listener,
+                                      call, headers, count, handlers, data);
 }
--- a/libchestnuthitch/upstream/call.h
+++ b/libchestnuthitch/upstream/call.h
@@ -12,6 +12,8 @@
 struct ch_call_rules {
     const char *id_header;      /* the request's id, in both directions */
     const char *not_run_header; /* "1" in a response: it was not run */
+    const char *limit_header;   /* of a response: calls a second that are taken
+                                   from all nodes together; NULL: none */
     /*
      * Header of every response to a request that was run; NULL: none. A
      * success without this header does not come from the upstream.
@@ -37,25 +39,30 @@
     bool check_event_ids;
 };
 
+#define CH_CALL_DEFAULT_LIMIT_HEADER "X-Limit-Per-Second"
+
 /*
  * Rules common to the engines and services that use this project's own
  * interface.
  */
 #define CH_CALL_DEFAULT_RULES                                                 \
-    .id_header = "X-Request-Id", .not_run_header = "X-Not-Run"
+    .id_header = "X-Request-Id", .not_run_header = "X-Not-Run",               \
+    .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER
 
 /*
- * Copies the rules and the call; neither they nor the upstream need to outlive
- * this function. Returns a handle for ch_http_cancel().
+ * Copies the rules, the call and the listener; neither they nor the upstream
+ * need to outlive this function. Returns a handle for ch_http_cancel().
  */
 uint64_t ch_call_start(struct ch_client *client, struct ch_http *http,
                        const char *address, const struct ch_call_rules *rules,
+                       const struct ch_limit_listener *listener,
                        const struct ch_call *call,
                        const struct ch_call_handlers *handlers, void *data);
 /* As ch_call_start(), with these headers instead of the generated ones. */
 uint64_t ch_call_start_with_headers(
     struct ch_client *client, struct ch_http *http, const char *address,
-    const struct ch_call_rules *rules, const struct ch_call *call,
+    const struct ch_call_rules *rules,
+    const struct ch_limit_listener *listener, const struct ch_call *call,
     const struct ch_http_header *headers, size_t count,
     const struct ch_call_handlers *handlers, void *data);
 
--- a/libchestnuthitch/upstream/control.c
+++ b/libchestnuthitch/upstream/control.c
@@ -8,8 +8,35 @@
     MAX_ORDER_RESPONSE_BYTES = 64 * 1024,
 };
 
+/* What both kinds of calls need when their response has come. */
+struct limit_context {
+    struct ch_limit_listener listener;
+    int64_t sent_at;
+};
+
+static struct limit_context
+limit_context_init(const struct ch_control_peer *peer)
+{
+    return (struct limit_context){peer->limit_listener,
+                                  ch_client_get_time(peer->client)};
+}
+
+/* Tells the listener what a response says of a limit. */
+static void
+report_limit(const struct limit_context *limit,
+             const struct ch_http_response *response)
+{
+    if (response->result.status != 0) {
+        ch_upstream_report_limit(&limit->listener, response->kept_values,
+                                 response->result.code == CH_OK &&
+                                     response->result.status < 300,
+                                 limit->sent_at);
+    }
+}
+
 /* An order whose response is awaited. */
 struct order_context {
+    struct limit_context limit;
     enum ch_code (*code_of)(int status);
     void (*done)(void *data, enum ch_code code);
     void *data;
@@ -25,6 +52,7 @@
 {
     struct order_context *context = data;
     enum ch_code code = response->result.code;
+    report_limit(&context->limit, response);
     if (code == CH_OK) {
         code = context->code_of(response->result.status);
     }
@@ -36,21 +64,23 @@
 }
 
 void
-ch_control_send_order(struct ch_http *http,
+ch_control_send_order(const struct ch_control_peer *peer,
                       const struct ch_http_request *request,
                       enum ch_code (*code_of)(int status),
                       void (*done)(void *data, enum ch_code code), void *data)
 {
     struct order_context *context = g_new0(struct order_context, 1);
+    context->limit = limit_context_init(peer);
     context->code_of = code_of;
     context->done = done;
     context->data = data;
-    ch_http_fetch(http, request, MAX_ORDER_RESPONSE_BYTES,
+    ch_http_fetch(peer->http, request, MAX_ORDER_RESPONSE_BYTES,
                   handle_order_response, context);
 }
 
 /* A report whose response is awaited. */
 struct report_context {
+    struct limit_context limit;
     struct ch_engine_report *(*read)(const char *text, size_t length,
                                      struct ch_error *error);
     void (*done)(void *data, enum ch_code code,
@@ -65,6 +95,7 @@
     struct report_context *context = data;
     struct ch_error error = {.code = response->result.code};
     struct ch_engine_report *report = NULL;
+    report_limit(&context->limit, response);
     if (error.code == CH_OK && response->result.status != 200) {
         ch_error_set(&error, CH_UPSTREAM_ANSWER, "report: status %d",
                      response->result.status);
@@ -78,7 +109,7 @@
 
 void
 ch_control_fetch_report(
-    struct ch_http *http, const struct ch_http_request *request,
+    const struct ch_control_peer *peer, const struct ch_http_request *request,
     struct ch_engine_report *(*read)(const char *text, size_t length,
                                      struct ch_error *error),
     void (*done)(void *data, enum ch_code code,
@@ -86,9 +117,10 @@
     void *data)
 {
     struct report_context *context = g_new0(struct report_context, 1);
+    context->limit = limit_context_init(peer);
     context->read = read;
     context->done = done;
     context->data = data;
-    ch_http_fetch(http, request, MAX_REPORT_BYTES, handle_report_response,
-                  context);
+    ch_http_fetch(peer->http, request, MAX_REPORT_BYTES,
+                  handle_report_response, context);
 }
--- a/libchestnuthitch/upstream/control.h
+++ b/libchestnuthitch/upstream/control.h
@@ -8,12 +8,19 @@
 
 #include "upstream/upstream.h"
 
+/* How a call for an order or a report is made, beside the request. */
+struct ch_control_peer {
+    struct ch_client *client;
+    struct ch_http *http;
+    struct ch_limit_listener limit_listener;
+};
+
 /*
  * Sends an order. code_of maps the status of a response to a code; for a
  * status that is not defined for orders, it is unknown whether the order was
  * taken.
  */
-void ch_control_send_order(struct ch_http *http,
+void ch_control_send_order(const struct ch_control_peer *peer,
                            const struct ch_http_request *request,
                            enum ch_code (*code_of)(int status),
                            void (*done)(void *data, enum ch_code code),
@@ -24,7 +31,7 @@
  * *error on failure.
  */
 void ch_control_fetch_report(
-    struct ch_http *http, const struct ch_http_request *request,
+    const struct ch_control_peer *peer, const struct ch_http_request *request,
     struct ch_engine_report *(*read)(const char *text, size_t length,
                                      struct ch_error *error),
     void (*done)(void *data, enum ch_code code,
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -27,7 +27,7 @@
     };
     struct engine *engine = (struct engine *)upstream;
     return ch_call_start(engine->client, engine->http, engine->address, &rules,
-                         call, handlers, data);
+                         &upstream->limit_listener, call, handlers, data);
 }
 
 /* Ends a call; the closed connection notifies the engine. */
@@ -101,9 +101,11 @@
         .stall_timeout = engine->control_timeout,
         .total_timeout = engine->control_timeout,
         .fresh_connection = true,
+        .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
     };
-    ch_control_send_order(engine->http, &request, map_order_status, done,
-                          data);
+    const struct ch_control_peer peer = {engine->client, engine->http,
+                                         upstream->limit_listener};
+    ch_control_send_order(&peer, &request, map_order_status, done, data);
     g_free(url);
     g_free(body);
 }
@@ -123,9 +125,12 @@
         .first_byte_timeout = engine->control_timeout,
         .stall_timeout = engine->control_timeout,
         .total_timeout = engine->control_timeout,
+        .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
     };
-    ch_control_fetch_report(engine->http, &request, ch_engine_report_parse,
-                            done, data);
+    const struct ch_control_peer peer = {engine->client, engine->http,
+                                         upstream->limit_listener};
+    ch_control_fetch_report(&peer, &request, ch_engine_report_parse, done,
+                            data);
     g_free(url);
 }
 
--- a/libchestnuthitch/upstream/service.c
+++ b/libchestnuthitch/upstream/service.c
@@ -21,7 +21,8 @@
     };
     struct service *service = (struct service *)upstream;
     return ch_call_start(service->client, service->http, service->address,
-                         &rules, call, handlers, data);
+                         &rules, &upstream->limit_listener, call, handlers,
+                         data);
 }
 
 /* Ends a call by closing its connection. */
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -6,6 +6,7 @@
  * that an upstream with another protocol needs only one new file.
  */
 
+#include "limit/limit.h"
 #include "net/net.h"
 
 /* ---- a request to an upstream ---- */
@@ -144,10 +145,30 @@
     void (*free)(struct ch_upstream *upstream);
 };
 
+/*
+ * Is told of the limits that the upstream names, in responses of any kind.
+ * handle runs on the HTTP loop's thread, also for calls that outlive the
+ * client of the upstream. succeeded: the upstream did what it was asked.
+ */
+struct ch_limit_listener {
+    void (*handle)(void *data, GQuark upstream,
+                   const struct ch_limit_reading *reading, bool succeeded,
+                   int64_t sent_at);
+    void *data;
+    GQuark upstream;
+};
+
 struct ch_upstream {
     const struct ch_upstream_ops *ops;
+    struct ch_limit_listener limit_listener; /* handle may be NULL */
 };
 
+/* Calls the listener, if there is one, with the header's values in a response
+ * (NULL: none). */
+void ch_upstream_report_limit(const struct ch_limit_listener *listener,
+                              const char *values, bool succeeded,
+                              int64_t sent_at);
+
 /* control_timeout applies to orders and reports. */
 struct ch_upstream *ch_upstream_engine_new(struct ch_client *client,
                                            struct ch_http *http,
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -207,6 +207,7 @@
     ch_peers_stop(node->node.peers);
     ch_pool_free(node->node.pool);
     ch_peers_free(node->node.peers);
+    ch_limit_manager_free(node->node.limits);
     g_free(node);
 }
 
@@ -221,6 +222,7 @@
     ch_controller_free(controller);
     ch_timers_free(node->node.timers);
     ch_peers_free(node->node.peers);
+    ch_limit_manager_free(node->node.limits);
     g_free(node);
 }
 
@@ -386,6 +388,7 @@
     ch_pool_free(node->node.pool);
     ch_controller_free(controller);
     ch_peers_free(node->node.peers);
+    ch_limit_manager_free(node->node.limits);
     g_free(node);
 }
 
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -52,6 +52,7 @@
     ch_timers_free(node->node.timers);
     ch_crash_guard_free(node->node.crash_guard);
     ch_peers_free(node->node.peers);
+    ch_limit_manager_free(node->node.limits);
     ch_metrics_free(node->client.metrics);
     g_free(node);
 }
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -7,6 +7,7 @@
 #include "node/exchange.h"
 #include "node/dialect.h"
 #include "node/frontend.h"
+#include "node/limit_manager.h"
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
 #include "threaded/fake_quota.h"
@@ -562,6 +563,7 @@
     node->incarnation = 1;
     node->pool = ch_pool_new(4);
     node->timers = ch_timers_new(node->pool);
+    node->limits = ch_limit_manager_new(node);
     fixture->fake_router.router.ops = &router_ops;
     node->router = &fixture->fake_router.router;
     node->once = &fixture->once;
@@ -592,6 +594,7 @@
     }
     ch_timers_free(fixture->node.timers);
     ch_frontend_free(fixture->node.frontend);
+    ch_limit_manager_free(fixture->node.limits);
     g_assert_cmpuint(fixture->granted, ==, fixture->released);
     if (fixture->config != NULL) {
         ch_config_unref(fixture->config);
--- a/tests/threaded/test_homes.c
+++ b/tests/threaded/test_homes.c
@@ -1,6 +1,7 @@
 /* Tests how a node's requests are granted, with a clock that the test
  * moves. */
 
+#include "node/limit_manager.h"
 #include "node/node.h"
 
 #include <ck_pr.h>
@@ -104,6 +105,7 @@
     node->http = ch_http_new(&world->client);
     node->peers = ch_peers_new(node, &error);
     g_assert_nonnull(node->peers);
+    node->limits = ch_limit_manager_new(node);
     node->homes = ch_homes_new(node);
     ch_peers_start(node->peers);
     ch_homes_start(node->homes);
@@ -124,6 +126,7 @@
     ch_pool_free(node->pool);
     ch_timers_free(node->timers);
     ch_homes_free(node->homes);
+    ch_limit_manager_free(node->limits);
     ch_peers_free(node->peers);
     ch_metrics_free(world->client.metrics);
     g_free(world);
--- a/tests/threaded/test_keepers.c
+++ b/tests/threaded/test_keepers.c
@@ -198,6 +198,7 @@
     ch_pool_free(node->node.pool);
     ch_timers_free(node->node.timers);
     ch_peers_free(node->node.peers);
+    ch_limit_manager_free(node->node.limits);
     ch_metrics_free(node->client.metrics);
 }
 
--- a/tests/threaded/test_node.h
+++ b/tests/threaded/test_node.h
@@ -4,7 +4,7 @@
 /* A node with a pool of threads and peers, for tests of what builds on them.
  */
 
-#include "node/node.h"
+#include "node/limit_manager.h"
 
 /* Discards log lines: the tests check results. */
 static inline void
@@ -37,6 +37,7 @@
     node->pool = ch_pool_new(threads);
     node->peers = ch_peers_new(node, &error);
     g_assert_nonnull(node->peers);
+    node->limits = ch_limit_manager_new(node);
 }
 
 #endif
--- a/tests/threaded/test_peers.c
+++ b/tests/threaded/test_peers.c
@@ -44,6 +44,7 @@
     ch_peers_stop(test_node->node.peers);
     ch_pool_free(test_node->node.pool);
     ch_peers_free(test_node->node.peers);
+    ch_limit_manager_free(test_node->node.limits);
     ch_metrics_free(test_node->client.metrics);
     g_free(test_node);
 }
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -474,10 +474,161 @@
     result_clear(&result);
 }
 
+/* ---- limits ---- */
+
+enum limit_call {
+    LIMIT_REQUEST,
+    LIMIT_ORDER,
+    LIMIT_REPORT,
+};
+
+#define LIMITED "X-Limit-Per-Second: 1.5\r\n"
+#define EMPTY "Content-Length: 0\r\n\r\n"
+
+static const struct limit_case {
+    const char *name;
+    enum limit_call call;
+    const char *response;
+    unsigned heard; /* calls of the listener */
+    enum ch_limit_reading_kind kind;
+    bool succeeded;
+} limit_cases[] = {
+    {"response", LIMIT_REQUEST, OWN_HEAD LIMITED EMPTY, 1, CH_LIMIT_NAMED,
+     true},
+    {"response, none named", LIMIT_REQUEST, OWN_HEAD EMPTY, 1, CH_LIMIT_ABSENT,
+     true},
+    {"response, twice", LIMIT_REQUEST,
+     OWN_HEAD "X-Limit-Per-Second: 3\r\n" LIMITED EMPTY, 1, CH_LIMIT_NAMED,
+     true},
+    {"response, no number", LIMIT_REQUEST,
+     OWN_HEAD "X-Limit-Per-Second: nan\r\n" EMPTY, 1, CH_LIMIT_UNREADABLE,
+     true},
+    {"response of another", LIMIT_REQUEST, HEAD_OF("200", "r8") LIMITED EMPTY,
+     0, CH_LIMIT_ABSENT, false},
+    {"refusal", LIMIT_REQUEST,
+     HEAD_OF("503", "r7") "X-Not-Run: 1\r\n" LIMITED EMPTY, 1, CH_LIMIT_NAMED,
+     false},
+    {"error", LIMIT_REQUEST, HEAD_OF("500", "r7") LIMITED EMPTY, 1,
+     CH_LIMIT_NAMED, false},
+    {"no response", LIMIT_REQUEST, "", 0, CH_LIMIT_ABSENT, false},
+    {"order", LIMIT_ORDER, OWN_HEAD LIMITED EMPTY, 1, CH_LIMIT_NAMED, true},
+    {"order, refused", LIMIT_ORDER, HEAD_OF("409", "r7") LIMITED EMPTY, 1,
+     CH_LIMIT_NAMED, false},
+    {"order, no response", LIMIT_ORDER, "", 0, CH_LIMIT_ABSENT, false},
+    {"report", LIMIT_REPORT, OWN_HEAD LIMITED "Content-Length: 2\r\n\r\n{}", 1,
+     CH_LIMIT_NAMED, true},
+    {"report, none named", LIMIT_REPORT,
+     OWN_HEAD "Content-Length: 2\r\n\r\n{}", 1, CH_LIMIT_ABSENT, true},
+};
+
+/* What the listener was told; the HTTP loop is joined before it is read. */
+struct heard {
+    unsigned count;
+    GQuark upstream;
+    struct ch_limit_reading reading;
+    bool succeeded;
+};
+
+static void
+record_limit(void *data, GQuark upstream,
+             const struct ch_limit_reading *reading, bool succeeded,
+             int64_t sent_at)
+{
+    struct heard *heard = data;
+    g_assert_cmpint(sent_at, >, 0);
+    heard->count++;
+    heard->upstream = upstream;
+    heard->reading = *reading;
+    heard->succeeded = succeeded;
+}
+
+static void
+start_limit_call(struct ch_upstream *engine, enum limit_call kind,
+                 struct result *result)
+{
+    static const struct ch_call_handlers handlers = {
+        .on_response = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
+    const struct ch_call call = {
+        .request_id = "r7",
+        .method = "POST",
+        .path = "/v1/completions",
+        .connect_timeout = TIMEOUT_US,
+        .first_byte_timeout = TIMEOUT_US,
+        .stall_timeout = TIMEOUT_US,
+    };
+    const struct ch_order order = {
+        .id = "o1",
+        .action = CH_ORDER_LOAD,
+        .model = "m01",
+    };
+    switch (kind) {
+    case LIMIT_REQUEST:
+        engine->ops->call(engine, &call, &handlers, result);
+        return;
+    case LIMIT_ORDER:
+        engine->ops->send_order(engine, &order, order_done, result);
+        return;
+    default:
+        engine->ops->fetch_report(engine, report_done, result);
+        return;
+    }
+}
+
+/* Guards against limits that are heard in responses to callers' requests
+ * alone: refusals, errors, and responses to orders and reports name them
+ * too. */
+static void
+test_limit(gconstpointer data)
+{
+    const struct limit_case *row = data;
+    struct heard heard = {0};
+    struct ch_client client;
+    struct server server;
+    struct result result;
+    char address[32];
+    ch_client_init(&client, "test");
+    client.metrics = ch_metrics_new();
+    server_start(&server, row->response, false);
+    result_init(&result);
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", server.port);
+    struct ch_http *http = ch_http_new(&client);
+    struct ch_upstream *engine =
+        ch_upstream_engine_new(&client, http, address, TIMEOUT_US);
+    engine->limit_listener = (struct ch_limit_listener){
+        record_limit, &heard, g_quark_from_string("e1")};
+    start_limit_call(engine, row->call, &result);
+    result_wait(&result);
+    ch_http_free(http);
+    engine->ops->free(engine);
+    server_join(&server);
+    ch_metrics_free(client.metrics);
+    g_string_free(server.request, TRUE);
+    result_clear(&result);
+    g_assert_cmpuint(heard.count, ==, row->heard);
+    if (row->heard == 0) {
+        return;
+    }
+    g_assert_cmpstr(g_quark_to_string(heard.upstream), ==, "e1");
+    g_assert_cmpint(heard.reading.kind, ==, row->kind);
+    g_assert_true(heard.succeeded == row->succeeded);
+    if (row->kind == CH_LIMIT_NAMED) {
+        g_assert_cmpfloat_with_epsilon(heard.reading.per_s, 1.5, 1e-9);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(limit_cases); i++) {
+        char *path =
+            g_strconcat("/upstream/limit/", limit_cases[i].name, NULL);
+        g_test_add_data_func(path, &limit_cases[i], test_limit);
+        g_free(path);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(call_cases); i++) {
         char *path = g_strconcat("/upstream/call/", call_cases[i].name, NULL);
         g_test_add_data_func(path, &call_cases[i], test_call);
