A failing test: an upstream that names a limit gets more than it takes

Seven nodes, with a stand-in upstream that names a limit in every response and records each arrival. In any 4 s, from 4 s after it began, it may get 1.5 times what it named, and 5 calls: 11.6 at 1.1 a second, 17 at 2. Values that can't be read change nothing, as they should.

--- a/tests/standin/exchange.c
+++ b/tests/standin/exchange.c
@@ -162,6 +162,44 @@
     return MHD_YES;
 }
 
+/* Writes the member "arrivals", in milliseconds of CLOCK_MONOTONIC. */
+static void
+record_arrivals(const struct standin *standin, JsonBuilder *out)
+{
+    json_builder_set_member_name(out, "arrivals");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < standin->arrivals->len; i++) {
+        json_builder_add_int_value(
+            out, g_array_index(standin->arrivals, int64_t, i) / 1000);
+    }
+    json_builder_end_array(out);
+}
+
+/* Whether this stand-in is an upstream. */
+static bool
+is_upstream(const struct standin *standin)
+{
+    return standin->mode == &mode_engine || standin->mode == &mode_service;
+}
+
+/* Adds the header by which an upstream names its limit, while one is set. */
+static void
+name_limit(struct exchange *exchange)
+{
+    const struct standin *standin = exchange->standin;
+    char text[32];
+    if (standin->faults[FAULT_limit_garbage] != 0) {
+        exchange_add_header(exchange, "X-Limit-Per-Second", "nan");
+        exchange_add_header(exchange, "X-Limit-Per-Second", "-1");
+        exchange_add_header(exchange, "X-Limit-Per-Second", "");
+    }
+    else if (standin->faults[FAULT_limit_millis] > 0) {
+        (void)g_snprintf(text, sizeof text, "%.3f",
+                         (double)standin->faults[FAULT_limit_millis] / 1000);
+        exchange_add_header(exchange, "X-Limit-Per-Second", text);
+    }
+}
+
 /* Handles requests under /control/: faults, the record, and the mode's own
  * paths. */
 static void
@@ -183,6 +221,9 @@
         JsonBuilder *out = json_builder_new();
         json_builder_begin_object(out);
         standin->mode->record(standin, out);
+        if (is_upstream(standin)) {
+            record_arrivals(standin, out);
+        }
         json_builder_end_object(out);
         exchange_reply_json(exchange, 200, out);
         return;
@@ -204,6 +245,8 @@
     struct standin *standin = exchange->standin;
     bool reused = exchange->client->request_count > 1;
     bool post = strcmp(exchange->method, "POST") == 0;
+    int64_t now = monotonic_now_us();
+    g_array_append_val(standin->arrivals, now);
     if (fault_consume(standin, FAULT_silent_next)) {
         exchange->client->silent = true;
         return;
@@ -271,6 +314,9 @@
         exchange_suspend(exchange);
         return MHD_YES;
     }
+    if (!exchange->client->control) {
+        name_limit(exchange);
+    }
     return MHD_queue_response(exchange->connection, exchange->status,
                               exchange->response);
 }
--- a/tests/standin/loop.c
+++ b/tests/standin/loop.c
@@ -275,6 +275,7 @@
     struct epoll_event events[8];
     standin->timers = g_sequence_new(NULL);
     standin->connections = g_hash_table_new(NULL, NULL);
+    standin->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
     standin->daemons = g_ptr_array_new();
     standin->port = read_options(standin);
     standin->mode->start(standin);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -28,12 +28,15 @@
                            after they ran */                                  \
     FAULT(refuse)       /* next N requests: 503 and X-Not-Run */              \
     /* engine, service */                                                     \
-    FAULT(answer_ms)    /* service: time to a response */                     \
-    FAULT(leaving)      /* 1: reported as draining; 2: not in the report */   \
-    FAULT(token_us)     /* engine: time per token */                          \
-    FAULT(slow_percent) /* engine: percentage of token_us, 100 is normal */   \
-    FAULT(load_ms)      /* engine: load time after the store's transfer */    \
-    FAULT(fencing)      /* engine: 1: rejects old fencing numbers */          \
+    FAULT(answer_ms)     /* service: time to a response */                    \
+    FAULT(limit_millis)  /* names this limit, in thousandths of calls a       \
+                            second, in every response; 0: none */             \
+    FAULT(limit_garbage) /* 1: names values that are no numbers instead */    \
+    FAULT(leaving)       /* 1: reported as draining; 2: not in the report */  \
+    FAULT(token_us)      /* engine: time per token */                         \
+    FAULT(slow_percent)  /* engine: percentage of token_us, 100 is normal */  \
+    FAULT(load_ms)       /* engine: load time after the store's transfer */   \
+    FAULT(fencing)       /* engine: 1: rejects old fencing numbers */         \
     FAULT(memory_mb)                                                          \
     FAULT(crossed)       /* next N responses: as for another request */       \
     FAULT(cut)           /* next N responses: connection closed half-way */   \
@@ -118,6 +121,8 @@
     GHashTable *connections; /* open connections: struct client_connection to
                           the MHD_Connection */
     GPtrArray *daemons;
+    GArray *arrivals; /* int64_t: when each call came, in microseconds of
+                         CLOCK_MONOTONIC; without control calls */
     int64_t response_delay_us;   /* delay of the latest delayed response */
     bool connection_resumed;     /* a connection was resumed since the last
                          MHD_run;     MHD_get_timeout does not report that */
