--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -102,9 +102,10 @@
 struct upstream_state {
     struct ch_upstream_info facts;
     bool listed;
-    bool busy;        /* accepts no orders now */
-    GArray *models;   /* GQuark */
-    GArray *adapters; /* GQuark: "model/adapter" */
+    bool busy;             /* accepts no orders now */
+    int64_t limited_until; /* see ch_balance_set_limited_until() */
+    GArray *models;        /* GQuark */
+    GArray *adapters;      /* GQuark: "model/adapter" */
     /* Requests of this node. */
     uint32_t running;
     int64_t prefill_backlog;      /* of prompts that have no response yet */
@@ -363,6 +364,17 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_set_limited_until(struct ch_balance *balance, GQuark upstream,
+                             int64_t until)
+{
+    struct upstream_state *state = find_state(balance, upstream);
+    if (state != NULL) {
+        state->limited_until = until;
+    }
+}
+
 /* See balance.h. */
 void
 ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
@@ -865,6 +877,30 @@
     return arrivals;
 }
 
+/* Leaves out the candidates whose limit is used up, if there are others;
+ * returns true if there are none. */
+static bool
+remove_limited(GArray *candidates, GArray *costs, int64_t now)
+{
+    guint kept = 0;
+    for (guint i = 0; i < candidates->len; i++) {
+        struct candidate candidate =
+            g_array_index(candidates, struct candidate, i);
+        double cost = g_array_index(costs, double, i);
+        if (candidate.state->limited_until <= now) {
+            g_array_index(candidates, struct candidate, kept) = candidate;
+            g_array_index(costs, double, kept) = cost;
+            kept++;
+        }
+    }
+    if (kept == 0) {
+        return candidates->len > 0;
+    }
+    g_array_set_size(candidates, kept);
+    g_array_set_size(costs, kept);
+    return false;
+}
+
 /* Returns the index of the chosen candidate. `random` differs for each request
  * and each of its attempts. */
 static size_t
@@ -945,12 +981,14 @@
             g_array_append_val(costs, cost);
         }
     }
+    bool all_limited = remove_limited(candidates, costs, now);
     if (candidates->len > 0) {
         size_t index =
             choose_candidate(balance, request, candidates, costs, now);
         choice = make_choice(
             balance, request,
             &g_array_index(candidates, struct candidate, index), now);
+        choice.is_last_resort = all_limited;
     }
     g_array_free(candidates, TRUE);
     g_array_free(costs, TRUE);
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -34,6 +34,8 @@
     uint64_t boot_id; /* boot ID of the upstream */
     GQuark data_centre;
     bool other_region;
+    bool is_last_resort;  /* the limits of all that can take the request were
+                             used up lately */
     bool adapter_missing; /* load the adapter before the request is sent */
     uint32_t
         prefill_tokens;   /* prompt tokens that the upstream has not cached */
@@ -76,6 +78,10 @@
 /* busy: the upstream accepts no orders now, such as one to load an adapter. */
 void ch_balance_set_busy(struct ch_balance *balance, GQuark upstream,
                          bool busy);
+/* Until this time the upstream's own limit permits no call; it is chosen only
+ * where no other upstream can take the request. */
+void ch_balance_set_limited_until(struct ch_balance *balance, GQuark upstream,
+                                  int64_t until);
 /* Records that the upstream no longer has the model, or never had it; holds
  * until the next update of its models. */
 void ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
--- a/libchestnuthitch/decide/retry.c
+++ b/libchestnuthitch/decide/retry.c
@@ -136,7 +136,8 @@
                     bool may_have_run, uint32_t events_given)
 {
     bool no_upstream_free = code == CH_UPSTREAM_REFUSED || code == CH_LATE ||
-                            code == CH_NO_UPSTREAM;
+                            code == CH_NO_UPSTREAM ||
+                            code == CH_UPSTREAM_LIMITED;
     return request->max_attempts > 0 && request->idempotent &&
            events_given > 0 && !may_have_run && no_upstream_free;
 }
--- a/libchestnuthitch/limit/limit.h
+++ b/libchestnuthitch/limit/limit.h
@@ -9,7 +9,7 @@
  * threads.
  */
 
-#include "base/base.h"
+#include "decide/fleet.h"
 
 /* ---- what a response says (reading.c) ---- */
 
@@ -57,4 +57,35 @@
                        const struct ch_limit_observation *observation);
 bool ch_limit_state_is_limited(const struct ch_limit_state *state);
 
+/* ---- the count of one upstream's calls (counter.c) ---- */
+
+/*
+ * One node counts the calls of all nodes to an upstream with a limit; the
+ * others ask it for permission before each call. Nodes that are cut off from
+ * each other may each have a counter, so a counter gives out no more than the
+ * part of the limit that belongs to the nodes which its node hears.
+ */
+struct ch_limit_counter {
+    bool open;
+    struct ch_token_bucket bucket;
+    double promised; /* refused calls that were given a time to return */
+    int64_t promised_at;
+};
+
+struct ch_limit_permission {
+    bool granted;
+    int64_t retry_after; /* when refused: microseconds until a call may go */
+};
+
+/* The part of a limit that a counter gives out: of the listed nodes, those
+ * that its node hears, itself included. 0 while the list is not known. */
+double ch_limit_get_part(size_t live, size_t listed);
+/* Asks for one call now. reserve: if it is refused, retry_after is a time that
+ * no other refused call was given. */
+struct ch_limit_permission
+ch_limit_counter_take(struct ch_limit_counter *counter, double per_s,
+                      double part, bool reserve, int64_t now);
+/* Ends the count, as another node counts. */
+void ch_limit_counter_close(struct ch_limit_counter *counter);
+
 #endif
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -42,6 +42,9 @@
      * recheck time. */
     DEFER_MARGIN_DIVISOR = 4,
     DEFER_RECHECK_US = 15 * 1000,
+    /* How long an upstream is passed over after its limit refused a call. The
+     * time that such a refusal states may lie behind those of other calls. */
+    MAX_LIMITED_US = 1000 * 1000,
     /* Limit of engines that are asked in vain to load a request's adapter. */
     MAX_ADAPTER_LOADS = 2,
 };
@@ -136,8 +139,8 @@
     client->address = g_strdup(host->address);
     client->client = node->dialect->upstream_new(
         node->client, node->http, host, UPSTREAM_ORDER_TIMEOUT_US);
-    client->client->limit_listener =
-        ch_limit_manager_get_listener(node->limits, name);
+    client->client->limit_listener = ch_limit_manager_get_listener(
+        node->limits, name, g_quark_from_string(host->region));
     g_hash_table_replace(balancer->clients, key, client);
 }
 
@@ -370,6 +373,7 @@
                 .address = request->client->address,
                 .priority = request->info.priority,
                 .other_region = choice->other_region,
+                .is_last_resort = choice->is_last_resort,
                 .expected_latency = choice->expected_latency,
             },
     };
@@ -909,6 +913,11 @@
         if (sample->code == CH_UPSTREAM_REFUSED) {
             record_refused_adapter(balancer, request);
         }
+        if (sample->code == CH_UPSTREAM_LIMITED) {
+            ch_balance_set_limited_until(
+                balancer->balance, request->choice.upstream,
+                now + MIN(sample->retry_after, MAX_LIMITED_US));
+        }
         free_request(request);
     }
     pthread_mutex_unlock(&balancer->lock);
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -231,8 +231,8 @@
     engine->address = g_strdup(host->address);
     engine->client = node->dialect->upstream_new(
         node->client, node->http, host, CH_CONTROLLER_CALL_TIMEOUT_US);
-    engine->client->limit_listener =
-        ch_limit_manager_get_listener(node->limits, engine->name);
+    engine->client->limit_listener = ch_limit_manager_get_listener(
+        node->limits, engine->name, g_quark_from_string(host->region));
     engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
     engine->local_copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
     g_array_set_clear_func(engine->items, clear_item);
@@ -561,8 +561,6 @@
         .adapter = slash == NULL ? NULL : slash + 1,
         .expected_orders_taken = (int64_t)engine->orders_taken,
     };
-    ch_limit_manager_count_call(controller->node->limits, engine->name,
-                                CH_LIMITED_ORDER);
     engine->client->ops->send_order(engine->client, &order,
                                     submit_order_result, job);
 }
@@ -952,8 +950,6 @@
     job->requested_at = now;
     engine->references++;
     engine->controller->jobs++;
-    ch_limit_manager_count_call(engine->controller->node->limits, engine->name,
-                                CH_LIMITED_REPORT);
     engine->client->ops->fetch_report(engine->client, submit_report, job);
 }
 
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -3,6 +3,7 @@
 #include "node/exchange.h"
 
 #include "node/crash_guard.h"
+#include "node/limit_manager.h"
 #include "node/quota_manager.h"
 
 enum {
@@ -142,45 +143,18 @@
     return true;
 }
 
-/* Lock held. */
+/* Releases a grant without a call. retry_after: when the upstream's limit may
+ * permit one, for the code CH_UPSTREAM_LIMITED. Lock held. */
 static void
-release_unused_grant(struct ch_exchange *exchange)
+release_unused_grant(struct ch_exchange *exchange, enum ch_code code,
+                     int64_t retry_after)
 {
-    const struct ch_timing_sample sample = {.code = CH_CANCELLED};
+    const struct ch_timing_sample sample = {.code = code,
+                                            .retry_after = retry_after};
     struct ch_router *router = exchange->frontend->node->router;
     router->ops->release(router, exchange->grant.handle, &sample);
 }
 
-/* The router granted an upstream. A grant that comes after the caller gave up
- * is released unused. */
-static void
-handle_grant(void *data, const struct ch_grant *grant)
-{
-    struct ch_exchange *exchange = data;
-    struct ch_frontend *front = exchange->frontend;
-    bool over = false;
-    pthread_mutex_lock(&exchange->lock);
-    exchange->router_replied = true;
-    exchange->grant = *grant;
-    if (exchange->first_granted_at == 0) {
-        exchange->first_granted_at = ch_client_get_time(front->node->client);
-    }
-    if (exchange->abandoned) {
-        release_unused_grant(exchange);
-        over = end_without_response(exchange);
-    }
-    else if (refuse_if_barred(exchange, &over)) {
-        release_unused_grant(exchange);
-    }
-    else {
-        ch_exchange_call_upstream(exchange);
-    }
-    pthread_mutex_unlock(&exchange->lock);
-    if (over) {
-        ch_exchange_finish(exchange);
-    }
-}
-
 static void request_grant(void *data);
 
 /*
@@ -193,7 +167,8 @@
 drop_exclusions(struct ch_exchange *exchange, enum ch_code code)
 {
     if (exchange->abandoned || exchange->exclusions_dropped ||
-        exchange->excluded->len == 0 || code != CH_NO_UPSTREAM) {
+        exchange->limit_refused || exchange->excluded->len == 0 ||
+        code != CH_NO_UPSTREAM) {
         return false;
     }
     exchange->exclusions_dropped = true;
@@ -243,6 +218,7 @@
     exchange->step = CH_EXCHANGE_STEP_ROUTE;
     exchange->router_handle = 0;
     exchange->router_replied = true;
+    exchange->limit_refused = false;
     g_array_set_size(exchange->excluded, 0);
     ch_timers_add(exchange->frontend->node->timers, CH_RETRY_DELAY_US,
                   request_grant_again, exchange);
@@ -256,14 +232,132 @@
                          bool may_have_run)
 {
     const struct ch_request_info *info = &exchange->request->info;
-    bool upstream_gone =
-        info->required_upstream != 0 && code == CH_NO_UPSTREAM;
+    bool upstream_gone = info->required_upstream != 0 &&
+                         code == CH_NO_UPSTREAM && !exchange->limit_refused;
     return !exchange->abandoned && exchange->stream_started &&
            !upstream_gone &&
            ch_retry_is_delayed(info, code, may_have_run,
                                exchange->events_delivered);
 }
 
+/* Ends the search for an upstream: nothing can take the request now. It is
+ * refused at once, unless the caller has the start of a stream. Lock held;
+ * returns true when the exchange can be finished. */
+static bool
+end_routing(struct ch_exchange *exchange, enum ch_code code,
+            int64_t retry_after, const char *message)
+{
+    if (should_wait_for_upstream(exchange, code, false)) {
+        request_grant_later(exchange);
+        return false;
+    }
+    if (!exchange->limit_refused) {
+        return fail(exchange, code, message, retry_after);
+    }
+    int64_t limit_retry_after = exchange->limit_retry_after;
+    return fail(exchange, CH_UPSTREAM_LIMITED, NULL,
+                retry_after > 0 ? MIN(retry_after, limit_retry_after)
+                                : limit_retry_after);
+}
+
+static bool
+is_excluded(const struct ch_exchange *exchange, GQuark upstream)
+{
+    for (guint i = 0; i < exchange->excluded->len; i++) {
+        if (g_array_index(exchange->excluded, GQuark, i) == upstream) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The limit of the granted upstream permits no call now: asks the router for
+ * another one. A router that offers the same one again has no other. Lock
+ * held; returns true when the exchange can be finished. */
+static bool
+handle_limit_refusal(struct ch_exchange *exchange, int64_t retry_after)
+{
+    release_unused_grant(exchange, CH_UPSTREAM_LIMITED, retry_after);
+    exchange->limit_retry_after =
+        exchange->limit_refused ? MIN(exchange->limit_retry_after, retry_after)
+                                : retry_after;
+    exchange->limit_refused = true;
+    if (is_excluded(exchange, exchange->grant.upstream)) {
+        return end_routing(exchange, CH_UPSTREAM_LIMITED, 0, NULL);
+    }
+    g_array_append_val(exchange->excluded, exchange->grant.upstream);
+    ch_pool_submit(exchange->frontend->node->pool, request_grant, exchange);
+    return false;
+}
+
+/* The upstream's limit permits the call, or not. */
+static void
+handle_permission(void *data, bool granted, int64_t retry_after)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->abandoned) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        over = end_without_response(exchange);
+    }
+    else if (granted) {
+        ch_exchange_call_upstream(exchange);
+    }
+    else {
+        over = handle_limit_refusal(exchange, retry_after);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+}
+
+/* Calls the granted upstream, after permission if it has a limit. Lock
+ * held. */
+static void
+call_within_limit(struct ch_exchange *exchange)
+{
+    struct ch_limit_manager *limits = exchange->frontend->node->limits;
+    if (!ch_limit_manager_is_limited(limits, exchange->grant.upstream)) {
+        ch_exchange_call_upstream(exchange);
+        return;
+    }
+    ch_limit_manager_take(limits, exchange->grant.upstream, CH_LIMITED_REQUEST,
+                          exchange->grant.is_last_resort, handle_permission,
+                          exchange);
+}
+
+/* The router granted an upstream. A grant that comes after the caller gave up
+ * is released unused. */
+static void
+handle_grant(void *data, const struct ch_grant *grant)
+{
+    struct ch_exchange *exchange = data;
+    struct ch_frontend *front = exchange->frontend;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->router_replied = true;
+    exchange->grant = *grant;
+    if (exchange->first_granted_at == 0) {
+        exchange->first_granted_at = ch_client_get_time(front->node->client);
+    }
+    if (exchange->abandoned) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        over = end_without_response(exchange);
+    }
+    else if (refuse_if_barred(exchange, &over)) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+    }
+    else {
+        call_within_limit(exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+}
+
 /* The router refused the request, or no upstream serves it. The refusal is
  * final and sent at once, unless the caller has the start of a stream. */
 static void
@@ -278,11 +372,8 @@
         ch_pool_submit(exchange->frontend->node->pool, request_grant,
                        exchange);
     }
-    else if (should_wait_for_upstream(exchange, code, false)) {
-        request_grant_later(exchange);
-    }
     else {
-        over = fail(exchange, code, message, retry_after);
+        over = end_routing(exchange, code, retry_after, message);
     }
     pthread_mutex_unlock(&exchange->lock);
     if (over) {
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -54,6 +54,7 @@
     bool once_record_created; /* this attempt may dispatch, once */
     bool router_replied;
     bool retry_taken;        /* a retry was taken, not yet used by a call */
+    bool limit_refused;      /* the limit of an upstream refused the call */
     bool exclusions_dropped; /* excluded upstreams were allowed again, once */
     bool is_stream;          /* the response being received is a stream */
     bool stream_started;     /* a stream to the caller has started */
@@ -64,8 +65,9 @@
     uint64_t once_attempt;
     uint64_t router_handle;
     struct ch_grant grant;
-    GArray *excluded;       /* GQuark: upstreams that are not to be tried */
-    unsigned routing_round; /* number of requests to the router */
+    GArray *excluded;          /* GQuark: upstreams that are not to be tried */
+    int64_t limit_retry_after; /* the soonest of those refusals */
+    unsigned routing_round;    /* number of requests to the router */
 
     /* The call and its response. */
     unsigned call_count;
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -4,7 +4,6 @@
 #include "node/exchange.h"
 
 #include "node/crash_guard.h"
-#include "node/limit_manager.h"
 
 #include <string.h>
 
@@ -412,8 +411,6 @@
     call.total_timeout =
         call.remaining_time > 0 ? call.remaining_time + DEADLINE_MARGIN_US : 0;
     struct ch_upstream *client = exchange->grant.client;
-    ch_limit_manager_count_call(exchange->frontend->node->limits,
-                                exchange->grant.upstream, CH_LIMITED_REQUEST);
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
 }
--- a/libchestnuthitch/node/home_report.c
+++ b/libchestnuthitch/node/home_report.c
@@ -2,7 +2,6 @@
  * homes. */
 
 #include "node/homes_internal.h"
-#include "node/limit_manager.h"
 
 enum {
     /* Consecutive failed reports after which an engine counts as down: a
@@ -133,8 +132,6 @@
     for (guint i = 0; i < jobs->len; i++) {
         struct report_job *job = g_ptr_array_index(jobs, i);
         struct ch_upstream *client = job->upstream->client;
-        ch_limit_manager_count_call(homes->node->limits, job->upstream->name,
-                                    CH_LIMITED_REPORT);
         client->ops->fetch_report(client, submit_report_result, job);
     }
     g_ptr_array_free(jobs, TRUE);
--- a/libchestnuthitch/node/ledger_orders.c
+++ b/libchestnuthitch/node/ledger_orders.c
@@ -1,7 +1,6 @@
 /* Sends the orders that a ledger's writes have recorded to the engine. */
 
 #include "node/ledger_internal.h"
-#include "node/limit_manager.h"
 
 #include <string.h>
 
@@ -163,8 +162,6 @@
             continue;
         }
         count_order(ledger->context->node, &pending->order);
-        ch_limit_manager_count_call(ledger->context->node->limits,
-                                    ledger->upstream, CH_LIMITED_ORDER);
         engine->ops->send_order(engine, &pending->order, submit_order_reply,
                                 sent_order);
     }
--- a/libchestnuthitch/node/limit_manager.c
+++ b/libchestnuthitch/node/limit_manager.c
@@ -1,40 +1,19 @@
 /* The limits that upstreams named, as this node knows them. */
 
-#include "node/limit_manager.h"
-
-#include <pthread.h>
+#include "node/limit_internal.h"
 
 enum {
     /* An upstream of which nothing was heard for this long is forgotten. */
     FORGET_US = 10 * 60 * G_USEC_PER_SEC,
     /* Calls to a limited upstream are logged in sums over this time. */
     LOG_WINDOW_US = 4 * G_USEC_PER_SEC,
+    TICK_US = 1000 * 1000,
 };
 
-/* Calls sent since a point in time. */
-struct call_counts {
-    int64_t since;
-    uint64_t counts[CH_LIMITED_CALLS];
-};
-
-struct limited_upstream {
-    GQuark name;
-    uint64_t boot_id; /* 0: not known */
-    int64_t boot_changed_at;
-    int64_t last_observed_at;
-    struct ch_limit_state state;
-    struct call_counts total;  /* since the limit was set */
-    struct call_counts window; /* since the last log line */
-};
-
-struct ch_limit_manager {
-    struct ch_node *node;
-    pthread_mutex_t lock;
-    GHashTable *upstreams; /* GQuark to struct limited_upstream */
-};
-
-static void
-count_event(const struct ch_limit_manager *manager, enum ch_counter counter)
+/* See limit_internal.h. */
+void
+limit_manager_count_event(const struct ch_limit_manager *manager,
+                          enum ch_counter counter)
 {
     if (manager->node->client->metrics != NULL) {
         ch_metrics_add_count(manager->node->client->metrics, counter, 1);
@@ -46,7 +25,7 @@
 static void
 log_calls(const struct ch_limit_manager *manager, const char *event,
           const struct limited_upstream *upstream,
-          const struct call_counts *calls, int64_t now)
+          const struct limit_calls *calls, int64_t now)
 {
     ch_log(manager->node->client, CH_LOG_INFO, event,
            CH_F_STR("upstream", g_quark_to_string(upstream->name)),
@@ -64,17 +43,17 @@
             struct limited_upstream *upstream, enum ch_limit_change change,
             const char *source, int64_t now)
 {
-    const struct call_counts none = {.since = now};
+    const struct limit_calls none = {.since = now};
     switch (change) {
     case CH_LIMIT_SET:
         upstream->total = none;
         upstream->window = none;
-        count_event(manager, CH_COUNT_LIMITS_HEARD);
+        limit_manager_count_event(manager, CH_COUNT_LIMITS_HEARD);
         break;
     case CH_LIMIT_REVISED:
         break;
     case CH_LIMIT_LIFTED:
-        count_event(manager, CH_COUNT_LIMITS_LIFTED);
+        limit_manager_count_event(manager, CH_COUNT_LIMITS_LIFTED);
         log_calls(manager, "upstream-limit-lifted", upstream, &upstream->total,
                   now);
         return;
@@ -99,9 +78,10 @@
     return *now - upstream->last_observed_at > FORGET_US;
 }
 
-/* The upstream, added if it is not known yet. Lock held. */
-static struct limited_upstream *
-find_or_add(struct ch_limit_manager *manager, GQuark name, int64_t now)
+/* See limit_internal.h. */
+struct limited_upstream *
+limit_manager_find_or_add(struct ch_limit_manager *manager, GQuark name,
+                          GQuark region, int64_t now)
 {
     struct limited_upstream *upstream =
         g_hash_table_lookup(manager->upstreams, GUINT_TO_POINTER(name));
@@ -109,15 +89,17 @@
         g_hash_table_foreach_remove(manager->upstreams, is_forgotten, &now);
         upstream = g_new0(struct limited_upstream, 1);
         upstream->name = name;
+        upstream->region = region;
+        upstream->last_observed_at = now;
         g_hash_table_insert(manager->upstreams, GUINT_TO_POINTER(name),
                             upstream);
     }
     return upstream;
 }
 
-/* The upstream if it has a limit, else NULL. Lock held. */
-static struct limited_upstream *
-find_limited(struct ch_limit_manager *manager, GQuark name)
+/* See limit_internal.h. */
+struct limited_upstream *
+limit_manager_find_limited(struct ch_limit_manager *manager, GQuark name)
 {
     struct limited_upstream *upstream =
         g_hash_table_lookup(manager->upstreams, GUINT_TO_POINTER(name));
@@ -126,57 +108,105 @@
                : NULL;
 }
 
-/* Takes over an observation; source: "response", or the node that told it.
- * Lock held. */
-static void
-observe(struct ch_limit_manager *manager, struct limited_upstream *upstream,
-        const struct ch_limit_observation *observation, const char *source,
-        int64_t now)
+/* See limit_internal.h. */
+enum ch_limit_change
+limit_manager_observe(struct ch_limit_manager *manager,
+                      struct limited_upstream *upstream,
+                      const struct ch_limit_observation *observation,
+                      const char *source, int64_t now)
 {
     if (observation->sent_at < upstream->boot_changed_at) {
-        return;
+        return CH_LIMIT_UNCHANGED;
     }
     upstream->last_observed_at = now;
-    note_change(manager, upstream,
-                ch_limit_state_observe(&upstream->state, observation), source,
-                now);
+    enum ch_limit_change change =
+        ch_limit_state_observe(&upstream->state, observation);
+    note_change(manager, upstream, change, source, now);
+    return change;
 }
 
-/* Handles what a response says; on the HTTP loop's thread. */
+/* Tells others of a change; on a pool worker. */
+struct change_job {
+    struct ch_limit_manager *manager;
+    GQuark upstream;
+};
+
 static void
-handle_reading(void *data, GQuark name, const struct ch_limit_reading *reading,
-               bool succeeded, int64_t sent_at)
+run_change(void *data)
+{
+    struct change_job *job = data;
+    limit_spread_change(job->manager, job->upstream);
+    g_free(job);
+}
+
+/* Takes over what a response says. */
+static enum ch_limit_change
+observe_reading(struct ch_limit_manager *manager,
+                const struct ch_limit_listener *listener,
+                const struct ch_limit_reading *reading, bool succeeded,
+                int64_t sent_at)
 {
-    struct ch_limit_manager *manager = data;
     int64_t now = ch_client_get_time(manager->node->client);
-    if (reading->kind == CH_LIMIT_UNREADABLE) {
-        ch_log(manager->node->client, CH_LOG_WARNING,
-               "upstream-limit-unreadable",
-               CH_F_STR("upstream", g_quark_to_string(name)), CH_F_END);
-        return;
-    }
     const struct ch_limit_observation observation = {
         .named = reading->kind == CH_LIMIT_NAMED,
         .per_s = reading->per_s,
         .sent_at = sent_at,
         .received_at = now,
     };
+    enum ch_limit_change change = CH_LIMIT_UNCHANGED;
     pthread_mutex_lock(&manager->lock);
-    struct limited_upstream *upstream = observation.named
-                                            ? find_or_add(manager, name, now)
-                                            : find_limited(manager, name);
+    struct limited_upstream *upstream =
+        observation.named
+            ? limit_manager_find_or_add(manager, listener->upstream,
+                                        listener->region, now)
+            : limit_manager_find_limited(manager, listener->upstream);
     if (upstream != NULL && (observation.named || succeeded)) {
-        observe(manager, upstream, &observation, "response", now);
+        change = limit_manager_observe(manager, upstream, &observation,
+                                       "response", now);
     }
     pthread_mutex_unlock(&manager->lock);
+    return change;
+}
+
+/* Handles what a response says; on the HTTP loop's thread. */
+static void
+handle_reading(const struct ch_limit_listener *listener,
+               const struct ch_limit_reading *reading, bool succeeded,
+               int64_t sent_at)
+{
+    struct ch_limit_manager *manager = listener->data;
+    if (reading->kind == CH_LIMIT_UNREADABLE) {
+        ch_log(manager->node->client, CH_LOG_WARNING,
+               "upstream-limit-unreadable",
+               CH_F_STR("upstream", g_quark_to_string(listener->upstream)),
+               CH_F_END);
+        return;
+    }
+    if (observe_reading(manager, listener, reading, succeeded, sent_at) !=
+        CH_LIMIT_UNCHANGED) {
+        struct change_job *job = g_new(struct change_job, 1);
+        *job = (struct change_job){manager, listener->upstream};
+        ch_pool_submit(manager->node->pool, run_change, job);
+    }
 }
 
 /* See limit_manager.h. */
 struct ch_limit_listener
 ch_limit_manager_get_listener(struct ch_limit_manager *manager,
-                              GQuark upstream)
+                              GQuark upstream, GQuark region)
 {
-    return (struct ch_limit_listener){handle_reading, manager, upstream};
+    return (struct ch_limit_listener){handle_reading, manager, upstream,
+                                      region};
+}
+
+/* See limit_manager.h. */
+bool
+ch_limit_manager_is_limited(struct ch_limit_manager *manager, GQuark upstream)
+{
+    pthread_mutex_lock(&manager->lock);
+    bool limited = limit_manager_find_limited(manager, upstream) != NULL;
+    pthread_mutex_unlock(&manager->lock);
+    return limited;
 }
 
 /* See limit_manager.h. */
@@ -203,28 +233,53 @@
 
 /* ---- calls ---- */
 
-/* See limit_manager.h. */
+/* See limit_internal.h. */
 void
-ch_limit_manager_count_call(struct ch_limit_manager *manager, GQuark name,
-                            enum ch_limited_call kind)
+limit_manager_count_call(struct ch_limit_manager *manager,
+                         struct limited_upstream *upstream,
+                         enum ch_limited_call kind)
 {
     static const enum ch_counter counters[CH_LIMITED_CALLS] = {
         [CH_LIMITED_REQUEST] = CH_COUNT_LIMITED_REQUESTS,
         [CH_LIMITED_REPORT] = CH_COUNT_LIMITED_REPORTS,
         [CH_LIMITED_ORDER] = CH_COUNT_LIMITED_ORDERS,
     };
+    upstream->total.counts[kind]++;
+    upstream->window.counts[kind]++;
+    limit_manager_count_event(manager, counters[kind]);
+}
+
+/* Logs the calls of each upstream's window that is over. */
+static void
+log_windows(struct ch_limit_manager *manager)
+{
     int64_t now = ch_client_get_time(manager->node->client);
+    GHashTableIter iterator;
+    gpointer value = NULL;
     pthread_mutex_lock(&manager->lock);
-    struct limited_upstream *upstream = find_limited(manager, name);
-    if (upstream != NULL) {
-        if (now - upstream->window.since >= LOG_WINDOW_US) {
+    g_hash_table_iter_init(&iterator, manager->upstreams);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct limited_upstream *upstream = value;
+        if (ch_limit_state_is_limited(&upstream->state) &&
+            now - upstream->window.since >= LOG_WINDOW_US) {
             log_calls(manager, "upstream-limited-calls", upstream,
                       &upstream->window, now);
-            upstream->window = (struct call_counts){.since = now};
+            upstream->window = (struct limit_calls){.since = now};
         }
-        upstream->total.counts[kind]++;
-        upstream->window.counts[kind]++;
-        count_event(manager, counters[kind]);
+    }
+    pthread_mutex_unlock(&manager->lock);
+}
+
+/* Logs, and tells others of limits, until the stop. */
+static void
+tick(void *data)
+{
+    struct ch_limit_manager *manager = data;
+    log_windows(manager);
+    limit_spread_refresh(manager);
+    pthread_mutex_lock(&manager->lock);
+    if (!manager->stopped) {
+        ch_timers_add(manager->node->timers, TICK_US, tick, manager);
     }
     pthread_mutex_unlock(&manager->lock);
 }
@@ -285,7 +340,25 @@
     return manager;
 }
 
-/* Frees the manager, which may be NULL, after the threads have ended. */
+/* See limit_manager.h. */
+void
+ch_limit_manager_start(struct ch_limit_manager *manager)
+{
+    limit_spread_init(manager);
+    limit_take_init(manager);
+    ch_timers_add(manager->node->timers, TICK_US, tick, manager);
+}
+
+/* See limit_manager.h. */
+void
+ch_limit_manager_stop(struct ch_limit_manager *manager)
+{
+    pthread_mutex_lock(&manager->lock);
+    manager->stopped = true;
+    pthread_mutex_unlock(&manager->lock);
+}
+
+/* See limit_manager.h. */
 void
 ch_limit_manager_free(struct ch_limit_manager *manager)
 {
--- a/libchestnuthitch/node/limit_manager.h
+++ b/libchestnuthitch/node/limit_manager.h
@@ -2,8 +2,9 @@
 #define CH_NODE_LIMIT_MANAGER_H
 
 /*
- * Limits that upstreams name, at one node: which are in force, and what this
- * node sends to those upstreams meanwhile. See limit/limit.h.
+ * Limits that upstreams name, at one node: which are in force, and permission
+ * for each call to such an upstream. One node of the upstream's region counts
+ * the calls of all nodes. See limit/limit.h.
  */
 
 #include "node/node.h"
@@ -17,18 +18,34 @@
 };
 
 struct ch_limit_manager *ch_limit_manager_new(struct ch_node *node);
+/* Registers the handlers of messages and starts the periodic work; to be
+ * called before ch_peers_start(). */
+void ch_limit_manager_start(struct ch_limit_manager *manager);
+/* Ends the periodic work; calls in progress run to their end. */
+void ch_limit_manager_stop(struct ch_limit_manager *manager);
+/* To be called once all threads have ended; manager may be NULL. */
 void ch_limit_manager_free(struct ch_limit_manager *manager);
-/* The listener for a client of this upstream; the manager outlives all
- * calls. */
+/* The listener for a client of an upstream in a region; the manager outlives
+ * all calls. */
 struct ch_limit_listener
 ch_limit_manager_get_listener(struct ch_limit_manager *manager,
-                              GQuark upstream);
+                              GQuark upstream, GQuark region);
 /* Records the present boot of an upstream; a new one has no limit. */
 void ch_limit_manager_update_upstream(struct ch_limit_manager *manager,
                                       GQuark upstream, uint64_t boot_id);
-/* Counts a call that is about to be sent. */
-void ch_limit_manager_count_call(struct ch_limit_manager *manager,
-                                 GQuark upstream, enum ch_limited_call kind);
+/* Whether calls to the upstream need permission. */
+bool ch_limit_manager_is_limited(struct ch_limit_manager *manager,
+                                 GQuark upstream);
+/*
+ * Asks for permission to call an upstream once, at once. done runs exactly
+ * once, on a pool worker; retry_after (microseconds) is set when permission is
+ * refused. reserve: as for ch_limit_counter_take().
+ */
+void ch_limit_manager_take(struct ch_limit_manager *manager, GQuark upstream,
+                           enum ch_limited_call kind, bool reserve,
+                           void (*done)(void *data, bool granted,
+                                        int64_t retry_after),
+                           void *data);
 /* Adds the limits in force as the member "limits" of an open object. */
 void ch_limit_manager_write_status(struct ch_limit_manager *manager,
                                    JsonBuilder *builder);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -115,6 +115,7 @@
         free_node(node);
         return NULL;
     }
+    ch_limit_manager_start(node->limits);
     ch_peers_start(node->peers);
     ch_config_manager_start(node->config);
     ch_crash_guard_start(node->crash_guard);
@@ -151,6 +152,7 @@
         ch_ledger_manager_stop(node->ledger);
     }
     ch_quota_manager_stop(node->quota);
+    ch_limit_manager_stop(node->limits);
     ch_config_manager_stop(node->config);
     ch_crash_guard_stop(node->crash_guard);
     stop_threads(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -307,6 +307,8 @@
     const char *address; /* "ip:port", valid until release; NULL: unknown */
     uint32_t priority;
     bool other_region;
+    /* Only upstreams whose limit was used up lately can take the request. */
+    bool is_last_resort;
     int64_t token_time; /* measured time of a token there; 0: none yet */
     /* Predicted time until the first byte of the response, from the upstream's
      * known load; 0: its load is unknown. */
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -139,7 +139,8 @@
             : ch_upstream_engine_new(node->client, node->http, host->address,
                                      timeout);
     client->limit_listener = ch_limit_manager_get_listener(
-        node->limits, g_quark_from_string(host->name));
+        node->limits, g_quark_from_string(host->name),
+        g_quark_from_string(host->region));
     return client;
 }
 
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -180,8 +180,7 @@
 {
     if (listener->handle != NULL) {
         const struct ch_limit_reading reading = ch_limit_read(values);
-        listener->handle(listener->data, listener->upstream, &reading,
-                         succeeded, sent_at);
+        listener->handle(listener, &reading, succeeded, sent_at);
     }
 }
 
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -151,11 +151,12 @@
  * client of the upstream. succeeded: the upstream did what it was asked.
  */
 struct ch_limit_listener {
-    void (*handle)(void *data, GQuark upstream,
+    void (*handle)(const struct ch_limit_listener *listener,
                    const struct ch_limit_reading *reading, bool succeeded,
                    int64_t sent_at);
     void *data;
     GQuark upstream;
+    GQuark region; /* of the upstream */
 };
 
 struct ch_upstream {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1582,7 +1582,187 @@
   assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[32] =
+void   chestnuthitch__wire__limit_state__init
+                     (Chestnuthitch__Wire__LimitState         *message)
+{
+  static const Chestnuthitch__Wire__LimitState init_value = CHESTNUTHITCH__WIRE__LIMIT_STATE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__limit_state__get_packed_size
+                     (const Chestnuthitch__Wire__LimitState *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__limit_state__pack
+                     (const Chestnuthitch__Wire__LimitState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__limit_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__LimitState *
+       chestnuthitch__wire__limit_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__LimitState *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__limit_state__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__limit_state__free_unpacked
+                     (Chestnuthitch__Wire__LimitState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__limit_states__init
+                     (Chestnuthitch__Wire__LimitStates         *message)
+{
+  static const Chestnuthitch__Wire__LimitStates init_value = CHESTNUTHITCH__WIRE__LIMIT_STATES__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__limit_states__get_packed_size
+                     (const Chestnuthitch__Wire__LimitStates *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_states__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__limit_states__pack
+                     (const Chestnuthitch__Wire__LimitStates *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_states__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__limit_states__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitStates *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_states__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__LimitStates *
+       chestnuthitch__wire__limit_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__LimitStates *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__limit_states__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__limit_states__free_unpacked
+                     (Chestnuthitch__Wire__LimitStates *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_states__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__limit_take__init
+                     (Chestnuthitch__Wire__LimitTake         *message)
+{
+  static const Chestnuthitch__Wire__LimitTake init_value = CHESTNUTHITCH__WIRE__LIMIT_TAKE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__limit_take__get_packed_size
+                     (const Chestnuthitch__Wire__LimitTake *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_take__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__limit_take__pack
+                     (const Chestnuthitch__Wire__LimitTake *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_take__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__limit_take__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitTake *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_take__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__LimitTake *
+       chestnuthitch__wire__limit_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__LimitTake *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__limit_take__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__limit_take__free_unpacked
+                     (Chestnuthitch__Wire__LimitTake *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_take__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__limit_permission__init
+                     (Chestnuthitch__Wire__LimitPermission         *message)
+{
+  static const Chestnuthitch__Wire__LimitPermission init_value = CHESTNUTHITCH__WIRE__LIMIT_PERMISSION__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__limit_permission__get_packed_size
+                     (const Chestnuthitch__Wire__LimitPermission *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__limit_permission__pack
+                     (const Chestnuthitch__Wire__LimitPermission *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__limit_permission__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitPermission *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__LimitPermission *
+       chestnuthitch__wire__limit_permission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__LimitPermission *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__limit_permission__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__limit_permission__free_unpacked
+                     (Chestnuthitch__Wire__LimitPermission *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[35] =
 {
   {
     "version",
@@ -1968,6 +2148,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_states",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, limit_states),
+    &chestnuthitch__wire__limit_states__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_take",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, limit_take),
+    &chestnuthitch__wire__limit_take__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_permission",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, limit_permission),
+    &chestnuthitch__wire__limit_permission__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
@@ -1985,6 +2201,9 @@
   11,   /* field[11] = grant */
   6,   /* field[6] = hello */
   2,   /* field[2] = id */
+  34,   /* field[34] = limit_permission */
+  32,   /* field[32] = limit_states */
+  33,   /* field[33] = limit_take */
   18,   /* field[18] = once_answer */
   17,   /* field[17] = once_begin */
   19,   /* field[19] = once_finish */
@@ -2007,7 +2226,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 32 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2017,7 +2236,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  32,
+  35,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -4757,3 +4976,272 @@
   (ProtobufCMessageInit) chestnuthitch__wire__quota_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_state__field_descriptors[7] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, named),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, sent_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "received_age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitState, received_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__limit_state__field_indices_by_name[] = {
+  2,   /* field[2] = boot_id */
+  3,   /* field[3] = named */
+  4,   /* field[4] = per_s */
+  6,   /* field[6] = received_age_us */
+  1,   /* field[1] = region */
+  5,   /* field[5] = sent_age_us */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__limit_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__limit_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.LimitState",
+  "LimitState",
+  "Chestnuthitch__Wire__LimitState",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__LimitState),
+  7,
+  chestnuthitch__wire__limit_state__field_descriptors,
+  chestnuthitch__wire__limit_state__field_indices_by_name,
+  1,  chestnuthitch__wire__limit_state__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__limit_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_states__field_descriptors[1] =
+{
+  {
+    "states",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__LimitStates, n_states),
+    offsetof(Chestnuthitch__Wire__LimitStates, states),
+    &chestnuthitch__wire__limit_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__limit_states__field_indices_by_name[] = {
+  0,   /* field[0] = states */
+};
+static const ProtobufCIntRange chestnuthitch__wire__limit_states__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.LimitStates",
+  "LimitStates",
+  "Chestnuthitch__Wire__LimitStates",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__LimitStates),
+  1,
+  chestnuthitch__wire__limit_states__field_descriptors,
+  chestnuthitch__wire__limit_states__field_indices_by_name,
+  1,  chestnuthitch__wire__limit_states__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__limit_states__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_take__field_descriptors[2] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitTake, state),
+    &chestnuthitch__wire__limit_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserve",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitTake, reserve),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__limit_take__field_indices_by_name[] = {
+  1,   /* field[1] = reserve */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange chestnuthitch__wire__limit_take__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__limit_take__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.LimitTake",
+  "LimitTake",
+  "Chestnuthitch__Wire__LimitTake",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__LimitTake),
+  2,
+  chestnuthitch__wire__limit_take__field_descriptors,
+  chestnuthitch__wire__limit_take__field_indices_by_name,
+  1,  chestnuthitch__wire__limit_take__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__limit_take__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_permission__field_descriptors[3] =
+{
+  {
+    "granted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitPermission, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitPermission, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__LimitPermission, state),
+    &chestnuthitch__wire__limit_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__limit_permission__field_indices_by_name[] = {
+  0,   /* field[0] = granted */
+  1,   /* field[1] = retry_after_ms */
+  2,   /* field[2] = state */
+};
+static const ProtobufCIntRange chestnuthitch__wire__limit_permission__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.LimitPermission",
+  "LimitPermission",
+  "Chestnuthitch__Wire__LimitPermission",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__LimitPermission),
+  3,
+  chestnuthitch__wire__limit_permission__field_descriptors,
+  chestnuthitch__wire__limit_permission__field_indices_by_name,
+  1,  chestnuthitch__wire__limit_permission__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__limit_permission__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -50,6 +50,10 @@
 typedef struct Chestnuthitch__Wire__QuotaDeposit Chestnuthitch__Wire__QuotaDeposit;
 typedef struct Chestnuthitch__Wire__QuotaWithdraw Chestnuthitch__Wire__QuotaWithdraw;
 typedef struct Chestnuthitch__Wire__QuotaGrant Chestnuthitch__Wire__QuotaGrant;
+typedef struct Chestnuthitch__Wire__LimitState Chestnuthitch__Wire__LimitState;
+typedef struct Chestnuthitch__Wire__LimitStates Chestnuthitch__Wire__LimitStates;
+typedef struct Chestnuthitch__Wire__LimitTake Chestnuthitch__Wire__LimitTake;
+typedef struct Chestnuthitch__Wire__LimitPermission Chestnuthitch__Wire__LimitPermission;
 
 
 /* --- enums --- */
@@ -84,7 +88,10 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_CRASHES_PULL = 32,
   CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_DEPOSIT = 33,
   CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_WITHDRAW = 34,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_GRANT = 35
+  CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_GRANT = 35,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_STATES = 36,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_TAKE = 37,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_PERMISSION = 38
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -135,6 +142,9 @@
     Chestnuthitch__Wire__QuotaDeposit *quota_deposit;
     Chestnuthitch__Wire__QuotaWithdraw *quota_withdraw;
     Chestnuthitch__Wire__QuotaGrant *quota_grant;
+    Chestnuthitch__Wire__LimitStates *limit_states;
+    Chestnuthitch__Wire__LimitTake *limit_take;
+    Chestnuthitch__Wire__LimitPermission *limit_permission;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -873,6 +883,75 @@
     , 0, 0 }
 
 
+/*
+ * What the sender knows of the limit of an upstream: its last observation, with
+ * ages in microseconds at the time of sending.
+ */
+struct  Chestnuthitch__Wire__LimitState
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *region;
+  /*
+   * 0: not known
+   */
+  uint64_t boot_id;
+  /*
+   * false: the limit has ended
+   */
+  protobuf_c_boolean named;
+  double per_s;
+  uint64_t sent_age_us;
+  uint64_t received_age_us;
+};
+#define CHESTNUTHITCH__WIRE__LIMIT_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__LimitStates
+{
+  ProtobufCMessage base;
+  size_t n_states;
+  Chestnuthitch__Wire__LimitState **states;
+};
+#define CHESTNUTHITCH__WIRE__LIMIT_STATES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_states__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * To the node that counts the calls to an upstream: asks for one call.
+ */
+struct  Chestnuthitch__Wire__LimitTake
+{
+  ProtobufCMessage base;
+  Chestnuthitch__Wire__LimitState *state;
+  /*
+   * a refusal reserves a time to return
+   */
+  protobuf_c_boolean reserve;
+};
+#define CHESTNUTHITCH__WIRE__LIMIT_TAKE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_take__descriptor) \
+    , NULL, 0 }
+
+
+struct  Chestnuthitch__Wire__LimitPermission
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean granted;
+  uint32_t retry_after_ms;
+  /*
+   * as the counting node knows it; unset: not at all
+   */
+  Chestnuthitch__Wire__LimitState *state;
+};
+#define CHESTNUTHITCH__WIRE__LIMIT_PERMISSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_permission__descriptor) \
+    , 0, 0, NULL }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -1538,6 +1617,82 @@
 void   chestnuthitch__wire__quota_grant__free_unpacked
                      (Chestnuthitch__Wire__QuotaGrant *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__LimitState methods */
+void   chestnuthitch__wire__limit_state__init
+                     (Chestnuthitch__Wire__LimitState         *message);
+size_t chestnuthitch__wire__limit_state__get_packed_size
+                     (const Chestnuthitch__Wire__LimitState   *message);
+size_t chestnuthitch__wire__limit_state__pack
+                     (const Chestnuthitch__Wire__LimitState   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__limit_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitState   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__LimitState *
+       chestnuthitch__wire__limit_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__limit_state__free_unpacked
+                     (Chestnuthitch__Wire__LimitState *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__LimitStates methods */
+void   chestnuthitch__wire__limit_states__init
+                     (Chestnuthitch__Wire__LimitStates         *message);
+size_t chestnuthitch__wire__limit_states__get_packed_size
+                     (const Chestnuthitch__Wire__LimitStates   *message);
+size_t chestnuthitch__wire__limit_states__pack
+                     (const Chestnuthitch__Wire__LimitStates   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__limit_states__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitStates   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__LimitStates *
+       chestnuthitch__wire__limit_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__limit_states__free_unpacked
+                     (Chestnuthitch__Wire__LimitStates *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__LimitTake methods */
+void   chestnuthitch__wire__limit_take__init
+                     (Chestnuthitch__Wire__LimitTake         *message);
+size_t chestnuthitch__wire__limit_take__get_packed_size
+                     (const Chestnuthitch__Wire__LimitTake   *message);
+size_t chestnuthitch__wire__limit_take__pack
+                     (const Chestnuthitch__Wire__LimitTake   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__limit_take__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitTake   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__LimitTake *
+       chestnuthitch__wire__limit_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__limit_take__free_unpacked
+                     (Chestnuthitch__Wire__LimitTake *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__LimitPermission methods */
+void   chestnuthitch__wire__limit_permission__init
+                     (Chestnuthitch__Wire__LimitPermission         *message);
+size_t chestnuthitch__wire__limit_permission__get_packed_size
+                     (const Chestnuthitch__Wire__LimitPermission   *message);
+size_t chestnuthitch__wire__limit_permission__pack
+                     (const Chestnuthitch__Wire__LimitPermission   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__limit_permission__pack_to_buffer
+                     (const Chestnuthitch__Wire__LimitPermission   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__LimitPermission *
+       chestnuthitch__wire__limit_permission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__limit_permission__free_unpacked
+                     (Chestnuthitch__Wire__LimitPermission *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -1645,6 +1800,18 @@
 typedef void (*Chestnuthitch__Wire__QuotaGrant_Closure)
                  (const Chestnuthitch__Wire__QuotaGrant *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__LimitState_Closure)
+                 (const Chestnuthitch__Wire__LimitState *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__LimitStates_Closure)
+                 (const Chestnuthitch__Wire__LimitStates *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__LimitTake_Closure)
+                 (const Chestnuthitch__Wire__LimitTake *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__LimitPermission_Closure)
+                 (const Chestnuthitch__Wire__LimitPermission *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1686,6 +1853,10 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_deposit__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_state__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_take__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -2,9 +2,9 @@
  * node's other components: the response to each call, and that no pending call
  * is aborted by a stop. */
 
-#include "node/limit_manager.h"
 #include "node/node.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_limits.h"
 #include "threaded/fake_quota.h"
 
 #include <curl/curl.h>
@@ -201,7 +201,6 @@
     fixture->node.config = &fixture->manager;
     fixture->router.ops = &router_ops;
     fixture->node.router = &fixture->router;
-    fixture->node.limits = ch_limit_manager_new(&fixture->node);
     fixture->admin = ch_admin_new(&fixture->node, &error);
     g_assert_cmpstr(error.message, ==, "");
     const char *address_start = strstr(fixture->log->str, "\"admin\":\"");
@@ -240,7 +239,6 @@
 tear_down(struct fixture *fixture)
 {
     ch_admin_free(fixture->admin);
-    ch_limit_manager_free(fixture->node.limits);
     (void)join_manager(fixture);
     pthread_mutex_destroy(&fixture->manager.lock);
     ch_settings_free(fixture->settings);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -7,9 +7,9 @@
 #include "node/exchange.h"
 #include "node/dialect.h"
 #include "node/frontend.h"
-#include "node/limit_manager.h"
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_limits.h"
 #include "threaded/fake_quota.h"
 
 #include <arpa/inet.h>
@@ -181,6 +181,10 @@
     fixture->excluded_count = excluded == NULL ? 0 : excluded->len;
     g_assert_true(fixture->allows_same_attempt || info->attempt == number);
     fixture->last_required = info->required_upstream;
+    if (excluded != NULL && excluded->len > 0 &&
+        fixture->node.limits != NULL) {
+        action = REFUSES; /* the only upstream is excluded */
+    }
     fixture->stream_had_started = info->answer_started;
     unlock_and_notify(fixture);
     if (action != KEEPS_WAITING) {
@@ -563,7 +567,6 @@
     node->incarnation = 1;
     node->pool = ch_pool_new(4);
     node->timers = ch_timers_new(node->pool);
-    node->limits = ch_limit_manager_new(node);
     fixture->fake_router.router.ops = &router_ops;
     node->router = &fixture->fake_router.router;
     node->once = &fixture->once;
@@ -594,7 +597,6 @@
     }
     ch_timers_free(fixture->node.timers);
     ch_frontend_free(fixture->node.frontend);
-    ch_limit_manager_free(fixture->node.limits);
     g_assert_cmpuint(fixture->granted, ==, fixture->released);
     if (fixture->config != NULL) {
         ch_config_unref(fixture->config);
@@ -1814,6 +1816,59 @@
      "502", CH_OK, GRANTS, INTERRUPTED, 1, 0, true},
 };
 
+/* ---- limits of upstreams ---- */
+
+static const struct {
+    const char *name;
+    bool limited;
+    int refusals;
+    const char *status;
+    int taken;
+    unsigned calls;
+    unsigned router_requests;
+} limit_cases[] = {
+    {"no limit", false, 0, "200", 0, 1, 1},
+    {"permitted", true, 0, "200", 1, 1, 1},
+    {"not permitted, no other upstream", true, 1, "503", 1, 0, 2},
+};
+
+/* Guards against calls to an upstream with a limit without permission, and
+ * callers that are rejected without the time at which a call may go. */
+static void
+test_limit(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(limit_cases); i++) {
+        struct fixture *fixture = fixture_new();
+        struct ch_limit_manager limits = {
+            .node = &fixture->node,
+            .limited = limit_cases[i].limited,
+            .refusals = limit_cases[i].refusals,
+            .retry_after = 700000,
+        };
+        g_test_message("%s", limit_cases[i].name);
+        fixture->node.limits = &limits;
+        fixture->allows_same_attempt = true;
+        fixture_start(fixture);
+        g_autofree char *response = read_response(
+            send_request(fixture, "POST /v1/completions",
+                         "Chestnuthitch-Caller: cardiff\r\n", plain_call));
+        fixture_stop(fixture);
+        g_test_message("%s", response);
+        g_assert_true(g_str_has_prefix(response + strlen("HTTP/1.1 "),
+                                       limit_cases[i].status));
+        bool refused = limit_cases[i].refusals > 0;
+        g_assert_true((strstr(response, "\"retry_after_ms\":700") != NULL) ==
+                      refused);
+        g_assert_true((strstr(response, "UPSTREAM_LIMITED") != NULL) ==
+                      refused);
+        g_assert_cmpint(limits.taken, ==, limit_cases[i].taken);
+        g_assert_cmpuint(fixture->calls, ==, limit_cases[i].calls);
+        g_assert_cmpuint(fixture->router_requests, ==,
+                         limit_cases[i].router_requests);
+        fixture_free(fixture);
+    }
+}
+
 /* A request beyond its team's quota is refused before a router is asked, with
  * the time to come back; the cost of one that did not run is given back. */
 static void
@@ -1885,6 +1940,7 @@
     g_test_add_func("/exchange/full", test_too_many_connections);
     g_test_add_func("/exchange/not ready", test_not_ready);
     g_test_add_func("/exchange/quota", test_quota);
+    g_test_add_func("/exchange/limit", test_limit);
     g_test_add_func("/exchange/stop", test_stop);
     return g_test_run();
 }
--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -5,9 +5,9 @@
  */
 
 #include "node/frontend.h"
-#include "node/limit_manager.h"
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_limits.h"
 #include "threaded/fake_quota.h"
 
 #include <arpa/inet.h>
@@ -175,7 +175,6 @@
     };
     world.node.pool = ch_pool_new(2);
     world.node.timers = ch_timers_new(world.node.pool);
-    world.node.limits = ch_limit_manager_new(&world.node);
     world.node.frontend = ch_frontend_new(&world.node, &error);
     g_assert_cmpstr(error.message, ==, "");
     world.router_requests = 0;
@@ -188,7 +187,6 @@
     ch_timers_stop(world.node.timers);
     ch_pool_free(world.node.pool);
     ch_timers_free(world.node.timers);
-    ch_limit_manager_free(world.node.limits);
     ch_frontend_free(world.node.frontend);
     ch_metrics_free(world.client.metrics);
     ch_config_unref(world.manager.config);
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -7,8 +7,8 @@
 
 #include "node/balancer.h"
 #include "node/controller_internal.h"
-#include "node/limit_manager.h"
 #include "threaded/fake_crashes.h"
+#include "threaded/fake_limits.h"
 #include "threaded/fake_quota.h"
 
 #include <string.h>
@@ -272,7 +272,6 @@
         .pool = ch_pool_new(1),
     };
     fixture->node.timers = ch_timers_new(fixture->node.pool);
-    fixture->node.limits = ch_limit_manager_new(&fixture->node);
     return fixture;
 }
 
@@ -282,7 +281,6 @@
     ch_timers_stop(fixture->node.timers);
     ch_pool_free(fixture->node.pool);
     ch_timers_free(fixture->node.timers);
-    ch_limit_manager_free(fixture->node.limits);
 }
 
 /* ---- requests ---- */
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -530,14 +530,14 @@
 };
 
 static void
-record_limit(void *data, GQuark upstream,
+record_limit(const struct ch_limit_listener *listener,
              const struct ch_limit_reading *reading, bool succeeded,
              int64_t sent_at)
 {
-    struct heard *heard = data;
+    struct heard *heard = listener->data;
     g_assert_cmpint(sent_at, >, 0);
     heard->count++;
-    heard->upstream = upstream;
+    heard->upstream = listener->upstream;
     heard->reading = *reading;
     heard->succeeded = succeeded;
 }
@@ -598,7 +598,7 @@
     struct ch_upstream *engine =
         ch_upstream_engine_new(&client, http, address, TIMEOUT_US);
     engine->limit_listener = (struct ch_limit_listener){
-        record_limit, &heard, g_quark_from_string("e1")};
+        record_limit, &heard, g_quark_from_string("e1"), 0};
     start_limit_call(engine, row->call, &result);
     result_wait(&result);
     ch_http_free(http);
