Reports and orders count against the limit of an engine too

An engine that named 1 request a second got 13 calls in 4 s where 11 are allowed, of which callers' requests were 6: the holder of the lease to order it asked for a report each second, and sent two orders for adapters. In our own test an only engine that names 2 a second got 49 calls in 4 s (17 allowed) while requests already kept to the limit.

Cause: an order or a report is a call like any other to the upstream, and only requests asked for permission.

Reports and orders now ask as well. A limited engine is asked for a report each 10 s, or each second while its models change; a report that is not permitted is put off until it may go. An order that is not permitted counts as not sent: its waiters are told at once, and it is sent later. The lease is checked again at the moment of sending, as permission may come late.

--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -13,6 +13,8 @@
     /* Between reports, while the engine changes its models and otherwise. */
     REPORT_PERIOD_CHANGING_US = 300 * 1000,
     REPORT_PERIOD_US = 1000 * 1000,
+    /* Of an engine with a limit, against which its reports count. */
+    REPORT_PERIOD_LIMITED_US = 10 * 1000 * 1000,
     /* Delay after an order that the engine refused because of another one. */
     REFUSED_ORDER_DELAY_US = 250 * 1000,
     /* Delay after the worker could not be reached, or another worker answered
@@ -319,6 +321,7 @@
     struct controller_engine *engine;
     uint64_t boot;
     enum ch_code code;
+    int64_t retry_after; /* of an order that was not sent */
 };
 
 /* Counts an accepted order in the metrics. */
@@ -442,6 +445,16 @@
     item->load_started_at = now;
 }
 
+/* Handles an order that was not sent: the engine's limit does not permit it,
+ * or the lease is not held any more. */
+static void
+handle_unsent_order(struct controller_engine *engine, int64_t retry_after,
+                    int64_t now)
+{
+    engine->orders_blocked_until = now + retry_after;
+    engine_fail_waiters(engine, CH_NO_UPSTREAM);
+}
+
 /* Handles an order that was refused or whose outcome is unknown. */
 static void
 handle_failed_order(struct controller_engine *engine, enum ch_code code,
@@ -491,7 +504,12 @@
     }
     else if (job->code != CH_OK && job->code != CH_ORDER_HOLDS) {
         handle_refused_order(engine, item, now);
-        handle_failed_order(engine, job->code, now);
+        if (job->code == CH_UPSTREAM_LIMITED || job->code == CH_NOT_READY) {
+            handle_unsent_order(engine, job->retry_after, now);
+        }
+        else {
+            handle_failed_order(engine, job->code, now);
+        }
     }
     engine_send_due(engine, centre, now);
 }
@@ -530,14 +548,64 @@
     ch_pool_submit(job->controller->node->pool, run_order_result, job);
 }
 
-/* Sends an order, if the lease is held at this very moment. */
+/* Sends the order of a job, if the lease is held at this very moment and the
+ * engine is still the one that the order was meant for. False: nothing was
+ * sent. */
+static bool
+dispatch_order(struct order_job *job, int64_t now)
+{
+    struct ch_controller *controller = job->controller;
+    struct controller_engine *engine = job->engine;
+    const struct centre_state *centre =
+        controller_get_centre(controller, engine->data_centre);
+    const struct item *item = engine_find_item(engine, engine->order_item);
+    uint64_t fencing_token = 0;
+    if (item == NULL || job->boot != engine->boot_id ||
+        !ch_lease_is_held(centre->lease, &fencing_token)) {
+        return false;
+    }
+    const char *name = g_quark_to_string(item->name);
+    const char *slash = strchr(name, '/');
+    engine->last_order_at = now;
+    ch_metrics_add_count(controller->node->client->metrics, CH_COUNT_ORDERS,
+                         1);
+    struct ch_order order = {
+        .fencing_token = fencing_token,
+        .action = engine->order_action,
+        .model = slash == NULL ? name : g_quark_to_string(item->model),
+        .adapter = slash == NULL ? NULL : slash + 1,
+        .expected_orders_taken = (int64_t)engine->orders_taken,
+    };
+    engine->client->ops->send_order(engine->client, &order,
+                                    submit_order_result, job);
+    return true;
+}
+
+/* The engine's limit permits an order, or not; on the pool. */
+static void
+handle_order_permission(void *data, bool granted, int64_t retry_after)
+{
+    struct order_job *job = data;
+    struct ch_controller *controller = job->controller;
+    pthread_mutex_lock(&controller->lock);
+    bool sent =
+        granted &&
+        dispatch_order(job, ch_client_get_time(controller->node->client));
+    pthread_mutex_unlock(&controller->lock);
+    if (!sent) {
+        job->code = granted ? CH_NOT_READY : CH_UPSTREAM_LIMITED;
+        job->retry_after = retry_after;
+        run_order_result(job);
+    }
+}
+
+/* Sends an order, after permission if the engine has a limit. */
 static void
 send_order(struct controller_engine *engine, struct centre_state *centre,
            struct item *item, enum ch_order_action action, int64_t now)
 {
     struct ch_controller *controller = engine->controller;
-    const char *name = g_quark_to_string(item->name);
-    const char *slash = strchr(name, '/');
+    struct ch_limit_manager *limits = controller->node->limits;
     uint64_t fencing_token = 0;
     if (!ch_lease_is_held(centre->lease, &fencing_token)) {
         return;
@@ -545,24 +613,20 @@
     engine->order_in_flight = true;
     engine->order_item = item->name;
     engine->order_action = action;
-    engine->last_order_at = now;
     struct order_job *job = g_new0(struct order_job, 1);
     job->controller = controller;
     job->engine = engine;
     job->boot = engine->boot_id;
     engine->references++;
     controller->jobs++;
-    ch_metrics_add_count(controller->node->client->metrics, CH_COUNT_ORDERS,
-                         1);
-    struct ch_order order = {
-        .fencing_token = fencing_token,
-        .action = action,
-        .model = slash == NULL ? name : g_quark_to_string(item->model),
-        .adapter = slash == NULL ? NULL : slash + 1,
-        .expected_orders_taken = (int64_t)engine->orders_taken,
-    };
-    engine->client->ops->send_order(engine->client, &order,
-                                    submit_order_result, job);
+    if (ch_limit_manager_is_limited(limits, engine->name)) {
+        ch_limit_manager_take(limits, engine->name, CH_LIMITED_ORDER, false,
+                              handle_order_permission, job);
+        return;
+    }
+    if (!dispatch_order(job, now)) {
+        submit_order_result(job, CH_NOT_READY);
+    }
 }
 
 /* See controller_internal.h. */
@@ -925,6 +989,51 @@
            engine->waiting > 0;
 }
 
+/* Ends a job for which nothing was sent. Lock held. */
+static void
+drop_job(struct ch_controller *controller, struct controller_engine *engine)
+{
+    engine_unref(engine);
+    controller->jobs--;
+    pthread_cond_broadcast(&controller->idle);
+}
+
+/* The engine's limit permits a report, or not; on the pool. */
+static void
+handle_report_permission(void *data, bool granted, int64_t retry_after)
+{
+    struct report_job *job = data;
+    struct ch_controller *controller = job->controller;
+    struct controller_engine *engine = job->engine;
+    if (granted) {
+        engine->client->ops->fetch_report(engine->client, submit_report, job);
+        return;
+    }
+    pthread_mutex_lock(&controller->lock);
+    engine->report_in_flight = false;
+    engine->next_report_at =
+        ch_client_get_time(controller->node->client) + retry_after;
+    drop_job(controller, engine);
+    pthread_mutex_unlock(&controller->lock);
+    g_free(job);
+}
+
+/* Time until the next report of an engine. */
+static int64_t
+get_report_period(const struct controller_engine *engine,
+                  const struct centre_state *centre, bool limited)
+{
+    if (is_changing(engine) || !engine->state_known) {
+        return limited ? REPORT_PERIOD_US : REPORT_PERIOD_CHANGING_US;
+    }
+    if (limited) {
+        return REPORT_PERIOD_LIMITED_US;
+    }
+    return is_in_use(engine) ? REPORT_PERIOD_US
+                             : ch_publisher_get_report_period(
+                                   REPORT_PERIOD_US, centre->engine_count);
+}
+
 /* Requests a report when one is due. */
 static void
 request_report(struct controller_engine *engine,
@@ -933,16 +1042,10 @@
     if (engine->report_in_flight || now < engine->next_report_at) {
         return;
     }
-    int64_t period = REPORT_PERIOD_US;
-    if (is_changing(engine) || !engine->state_known) {
-        period = REPORT_PERIOD_CHANGING_US;
-    }
-    else if (!is_in_use(engine)) {
-        period = ch_publisher_get_report_period(REPORT_PERIOD_US,
-                                                centre->engine_count);
-    }
+    struct ch_limit_manager *limits = engine->controller->node->limits;
+    bool limited = ch_limit_manager_is_limited(limits, engine->name);
     engine->report_in_flight = true;
-    engine->next_report_at = now + period;
+    engine->next_report_at = now + get_report_period(engine, centre, limited);
     struct report_job *job = g_new0(struct report_job, 1);
     job->controller = engine->controller;
     job->engine = engine;
@@ -950,6 +1053,11 @@
     job->requested_at = now;
     engine->references++;
     engine->controller->jobs++;
+    if (limited) {
+        ch_limit_manager_take(limits, engine->name, CH_LIMITED_REPORT, false,
+                              handle_report_permission, job);
+        return;
+    }
     engine->client->ops->fetch_report(engine->client, submit_report, job);
 }
 
--- a/libchestnuthitch/node/home_report.c
+++ b/libchestnuthitch/node/home_report.c
@@ -2,11 +2,14 @@
  * homes. */
 
 #include "node/homes_internal.h"
+#include "node/limit_manager.h"
 
 enum {
     /* Consecutive failed reports after which an engine counts as down: a
      * single report may be lost with a connection that went silent. */
     FAILED_REPORTS_FOR_DOWN = 2,
+    /* Of an engine with a limit, against which its reports count. */
+    REPORT_PERIOD_LIMITED_US = 10 * 1000 * 1000,
 };
 
 struct report_job {
@@ -99,6 +102,50 @@
     g_ptr_array_add(jobs, job);
 }
 
+/* The engine's limit permits a report, or not; on the pool. */
+static void
+handle_report_permission(void *data, bool granted, int64_t retry_after)
+{
+    struct report_job *job = data;
+    struct ch_homes *homes = job->homes;
+    struct upstream *upstream = job->upstream;
+    if (granted) {
+        upstream->client->ops->fetch_report(upstream->client,
+                                            submit_report_result, job);
+        return;
+    }
+    pthread_mutex_lock(&homes->lock);
+    upstream->report_in_flight = false;
+    upstream->fast_reports_until = 0;
+    upstream->next_report_at =
+        ch_client_get_time(homes->node->client) + retry_after;
+    upstream_unref(upstream);
+    homes->pending_jobs--;
+    pthread_cond_broadcast(&homes->idle);
+    pthread_mutex_unlock(&homes->lock);
+    g_free(job);
+}
+
+/* Calls an engine for its report, after permission if it has a limit. */
+static void
+call_for_report(struct report_job *job)
+{
+    struct ch_homes *homes = job->homes;
+    struct ch_upstream *client = job->upstream->client;
+    if (!ch_limit_manager_is_limited(homes->node->limits,
+                                     job->upstream->name)) {
+        client->ops->fetch_report(client, submit_report_result, job);
+        return;
+    }
+    pthread_mutex_lock(&homes->lock);
+    job->upstream->next_report_at =
+        ch_client_get_time(homes->node->client) + REPORT_PERIOD_LIMITED_US;
+    pthread_mutex_unlock(&homes->lock);
+    ch_limit_manager_take(homes->node->limits, job->upstream->name,
+                          CH_LIMITED_REPORT, false, handle_report_permission,
+                          job);
+}
+
 /* Runs one home's part of a tick. */
 static void
 tick_home(struct ch_homes *homes, struct upstream *upstream, int64_t now,
@@ -130,9 +177,7 @@
     }
     pthread_mutex_unlock(&homes->lock);
     for (guint i = 0; i < jobs->len; i++) {
-        struct report_job *job = g_ptr_array_index(jobs, i);
-        struct ch_upstream *client = job->upstream->client;
-        client->ops->fetch_report(client, submit_report_result, job);
+        call_for_report(g_ptr_array_index(jobs, i));
     }
     g_ptr_array_free(jobs, TRUE);
 }
--- a/libchestnuthitch/node/ledger_orders.c
+++ b/libchestnuthitch/node/ledger_orders.c
@@ -1,6 +1,7 @@
 /* Sends the orders that a ledger's writes have recorded to the engine. */
 
 #include "node/ledger_internal.h"
+#include "node/limit_manager.h"
 
 #include <string.h>
 
@@ -20,8 +21,24 @@
     char order[40];
     char *item;
     enum ch_action_kind kind;
+    /* A copy while the order waits for permission; NULL: it does not. */
+    struct outgoing_order *waiting;
 };
 
+/* Copies an order with its names. */
+static struct outgoing_order *
+copy_outgoing(const struct outgoing_order *from)
+{
+    struct outgoing_order *copy = g_new(struct outgoing_order, 1);
+    *copy = *from;
+    copy->model = g_strdup(from->model);
+    copy->adapter = g_strdup(from->adapter);
+    copy->item = g_strdup(from->item);
+    copy->order.model = copy->model;
+    copy->order.adapter = copy->adapter;
+    return copy;
+}
+
 /* Schedules the next send of an item's order, with a doubled delay of at least
  * min_delay.  Lock held. */
 void
@@ -131,17 +148,57 @@
     }
 }
 
-/*
- * Sends the orders recorded by a successful write.  Without the engine (closed
- * meanwhile) each counts as a send that has ended: the ledger has the order as
- * sent, and the next home sends it again.
- */
-void
-ledger_send_orders(struct ch_upstream_ledger *ledger, GPtrArray *orders)
+/* Sends an order. Without the engine (closed meanwhile) it counts as a send
+ * that has ended: the ledger has the order as sent, and the next home sends it
+ * again. */
+static void
+dispatch_order(struct sent_order *sent_order, const struct ch_order *order)
 {
+    struct ch_upstream_ledger *ledger = sent_order->ledger;
     pthread_mutex_lock(&ledger->lock);
     struct ch_upstream *engine = ledger->engine;
     ledger->sending_threads++;
+    pthread_mutex_unlock(&ledger->lock);
+    if (engine == NULL) {
+        submit_order_reply(sent_order, CH_UPSTREAM_CONNECT);
+    }
+    else {
+        count_order(ledger->context->node, order);
+        engine->ops->send_order(engine, order, submit_order_reply, sent_order);
+    }
+    pthread_mutex_lock(&ledger->lock);
+    ledger->sending_threads--;
+    pthread_cond_broadcast(&ledger->idle);
+    pthread_mutex_unlock(&ledger->lock);
+}
+
+/* The engine's limit permits an order, or not. */
+static void
+handle_order_permission(void *data, bool granted, int64_t retry_after)
+{
+    struct sent_order *sent_order = data;
+    struct outgoing_order *outgoing = sent_order->waiting;
+    struct ch_upstream_ledger *ledger =
+        ch_upstream_ledger_ref(sent_order->ledger);
+    (void)retry_after; /* the ledger has delays of its own */
+    sent_order->waiting = NULL;
+    if (granted) {
+        dispatch_order(sent_order, &outgoing->order);
+    }
+    else {
+        submit_order_reply(sent_order, CH_UPSTREAM_LIMITED);
+    }
+    ledger_outgoing_free(outgoing);
+    ch_upstream_ledger_unref(ledger);
+}
+
+/* Sends the orders recorded by a successful write, after permission if the
+ * engine has a limit. */
+void
+ledger_send_orders(struct ch_upstream_ledger *ledger, GPtrArray *orders)
+{
+    struct ch_limit_manager *limits = ledger->context->node->limits;
+    pthread_mutex_lock(&ledger->lock);
     for (guint i = 0; i < orders->len; i++) {
         const struct outgoing_order *pending = g_ptr_array_index(orders, i);
         g_hash_table_add(ledger->in_flight, g_strdup(pending->order.id));
@@ -157,18 +214,14 @@
                                : CH_ACTION_UNLOAD;
         g_strlcpy(sent_order->order, pending->order.id,
                   sizeof(sent_order->order));
-        if (engine == NULL) {
-            submit_order_reply(sent_order, CH_UPSTREAM_CONNECT);
+        if (!ch_limit_manager_is_limited(limits, ledger->upstream)) {
+            dispatch_order(sent_order, &pending->order);
             continue;
         }
-        count_order(ledger->context->node, &pending->order);
-        engine->ops->send_order(engine, &pending->order, submit_order_reply,
-                                sent_order);
+        sent_order->waiting = copy_outgoing(pending);
+        ch_limit_manager_take(limits, ledger->upstream, CH_LIMITED_ORDER,
+                              false, handle_order_permission, sent_order);
     }
-    pthread_mutex_lock(&ledger->lock);
-    ledger->sending_threads--;
-    pthread_cond_broadcast(&ledger->idle);
-    pthread_mutex_unlock(&ledger->lock);
 }
 
 /* Adds an entry's order to those sent after the write. */
