Limits: calls that only one upstream can take go first, and changes reach all nodes

An upstream with the only copy of one model and a copy of a much asked one would give its few calls to whoever asks first, and the requests that nobody else can take would be rejected.

A test of three nodes found that a node may not hear of a limit: a node told the one that it took for the counting node, which took another one for it and passed nothing on.

A request that is routed again after a refusal by a limit no longer counts twice in the demand for its model.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -981,6 +981,7 @@
             g_array_append_val(costs, cost);
         }
     }
+    bool only_one = candidates->len == 1;
     bool all_limited = remove_limited(candidates, costs, now);
     if (candidates->len > 0) {
         size_t index =
@@ -988,7 +989,7 @@
         choice = make_choice(
             balance, request,
             &g_array_index(candidates, struct candidate, index), now);
-        choice.is_last_resort = all_limited;
+        choice.is_last_resort = only_one || all_limited;
     }
     g_array_free(candidates, TRUE);
     g_array_free(costs, TRUE);
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -34,8 +34,8 @@
     uint64_t boot_id; /* boot ID of the upstream */
     GQuark data_centre;
     bool other_region;
-    bool is_last_resort;  /* the limits of all that can take the request were
-                             used up lately */
+    bool is_last_resort;  /* no other upstream can take the request: there is
+                             none, or their limits were used up lately */
     bool adapter_missing; /* load the adapter before the request is sent */
     uint32_t
         prefill_tokens;   /* prompt tokens that the upstream has not cached */
--- a/libchestnuthitch/limit/counter.c
+++ b/libchestnuthitch/limit/counter.c
@@ -15,6 +15,13 @@
  * time. */
 static const double BURST_CALLS = 2;
 static const double BURST_S = 0.5;
+/*
+ * Credit that other calls leave for those of last resort. Load: an upstream
+ * with the only copy of one model and a copy of another one that is asked for
+ * more. Harm prevented: requests for the second take every call, and those for
+ * the first are rejected.
+ */
+static const double LAST_RESORT_CALLS = 1;
 
 /* See limit.h. */
 double
@@ -48,27 +55,27 @@
  * all but one of them are refused again.
  */
 static int64_t
-get_retry_after(struct ch_limit_counter *counter, bool reserve, int64_t now)
+get_retry_after(struct ch_limit_counter *counter, double missing,
+                bool last_resort, int64_t now)
 {
     double rate = counter->bucket.rate_per_s;
     double seconds =
         (double)(now - counter->promised_at) / (double)G_USEC_PER_SEC;
     counter->promised = MAX(counter->promised - rate * seconds, 0);
     counter->promised_at = now;
-    double missing =
-        1 - counter->bucket.tokens + (reserve ? counter->promised : 0);
-    double wait_us = missing / rate * G_USEC_PER_SEC;
+    double before = last_resort ? counter->promised : 0;
+    double wait_us = (missing + before) / rate * G_USEC_PER_SEC;
     if (wait_us >= MAX_RETRY_AFTER_US) {
         return MAX_RETRY_AFTER_US;
     }
-    counter->promised += reserve ? 1 : 0;
+    counter->promised += last_resort ? 1 : 0;
     return MAX((int64_t)wait_us, MIN_RETRY_AFTER_US);
 }
 
 /* See limit.h. */
 struct ch_limit_permission
 ch_limit_counter_take(struct ch_limit_counter *counter, double per_s,
-                      double part, bool reserve, int64_t now)
+                      double part, bool last_resort, int64_t now)
 {
     double rate = MAX(per_s, MIN_PER_S) * part;
     if (rate <= 0) {
@@ -76,11 +83,13 @@
     }
     double capacity = MAX((BURST_CALLS + BURST_S * per_s) * part, 1);
     update_bucket(counter, rate, capacity, now);
-    if (ch_token_bucket_take(&counter->bucket, 1, now)) {
+    double needed = last_resort ? 1 : MIN(1 + LAST_RESORT_CALLS, capacity);
+    double missing = needed - counter->bucket.tokens;
+    if (missing <= 0 && ch_token_bucket_take(&counter->bucket, 1, now)) {
         return (struct ch_limit_permission){.granted = true};
     }
     return (struct ch_limit_permission){
-        .retry_after = get_retry_after(counter, reserve, now),
+        .retry_after = get_retry_after(counter, missing, last_resort, now),
     };
 }
 
--- a/libchestnuthitch/limit/limit.h
+++ b/libchestnuthitch/limit/limit.h
@@ -80,11 +80,12 @@
 /* The part of a limit that a counter gives out: of the listed nodes, those
  * that its node hears, itself included. 0 while the list is not known. */
 double ch_limit_get_part(size_t live, size_t listed);
-/* Asks for one call now. reserve: if it is refused, retry_after is a time that
- * no other refused call was given. */
+/* Asks for one call now. last_resort: no other upstream can take the call; it
+ * goes before others, and if it is refused, retry_after is a time that no
+ * other refused call was given. */
 struct ch_limit_permission
 ch_limit_counter_take(struct ch_limit_counter *counter, double per_s,
-                      double part, bool reserve, int64_t now);
+                      double part, bool last_resort, int64_t now);
 /* Ends the count, as another node counts. */
 void ch_limit_counter_close(struct ch_limit_counter *counter);
 
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -619,7 +619,8 @@
         g_array_append_vals(request->excluded, excluded->data, excluded->len);
     }
     pthread_mutex_lock(&balancer->lock);
-    if (!info->is_service && info->attempt == 0 && info->refusals == 0) {
+    if (!info->is_service && info->attempt == 0 && info->refusals == 0 &&
+        request->excluded->len == 0) {
         ch_balance_record_demand(balancer->balance, info, now);
     }
     uint64_t handle = ch_table_add(balancer->requests, request);
--- a/libchestnuthitch/node/limit_manager.h
+++ b/libchestnuthitch/node/limit_manager.h
@@ -39,10 +39,10 @@
 /*
  * Asks for permission to call an upstream once, at once. done runs exactly
  * once, on a pool worker; retry_after (microseconds) is set when permission is
- * refused. reserve: as for ch_limit_counter_take().
+ * refused. last_resort: as for ch_limit_counter_take().
  */
 void ch_limit_manager_take(struct ch_limit_manager *manager, GQuark upstream,
-                           enum ch_limited_call kind, bool reserve,
+                           enum ch_limited_call kind, bool last_resort,
                            void (*done)(void *data, bool granted,
                                         int64_t retry_after),
                            void *data);
--- a/libchestnuthitch/node/limit_spread.c
+++ b/libchestnuthitch/node/limit_spread.c
@@ -129,7 +129,9 @@
     g_ptr_array_free(others, TRUE);
 }
 
-/* Handles what another node tells. The counting node passes a change on. */
+/* Handles what another node tells. A change is passed on, by the counting node
+ * to all, and by others to the counting node: nodes that don't know the same
+ * live nodes may take different ones for it. */
 static void
 handle_states(void *data, const Chestnuthitch__Wire__Frame *frame)
 {
@@ -149,7 +151,7 @@
         }
         g_autofree char *counter =
             limit_spread_find_counter(manager, name, region);
-        if (g_strcmp0(counter, manager->node->settings->name) == 0) {
+        if (g_strcmp0(counter, frame->from) != 0) {
             limit_spread_change(manager, name);
         }
     }
--- a/libchestnuthitch/node/limit_take.c
+++ b/libchestnuthitch/node/limit_take.c
@@ -20,7 +20,7 @@
     struct ch_limit_manager *manager;
     GQuark upstream;
     enum ch_limited_call kind;
-    bool reserve;
+    bool last_resort;
     struct ch_limit_permission permission;
     void (*done)(void *data, bool granted, int64_t retry_after);
     void *data;
@@ -51,7 +51,7 @@
 
 /* Asks this node's own count; an upstream without a limit takes any call. */
 static struct ch_limit_permission
-count_here(struct ch_limit_manager *manager, GQuark name, bool reserve)
+count_here(struct ch_limit_manager *manager, GQuark name, bool last_resort)
 {
     int64_t now = ch_client_get_time(manager->node->client);
     struct ch_peers_counts counts;
@@ -64,7 +64,7 @@
     if (upstream != NULL) {
         permission = ch_limit_counter_take(
             &upstream->counter, upstream->state.last.per_s,
-            ch_limit_get_part(counts.live, counts.listed), reserve, now);
+            ch_limit_get_part(counts.live, counts.listed), last_resort, now);
     }
     pthread_mutex_unlock(&manager->lock);
     return permission;
@@ -105,7 +105,7 @@
     Chestnuthitch__Wire__LimitTake body = WIRE(LIMIT_TAKE__INIT);
     Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
     body.state = state;
-    body.reserve = take->reserve;
+    body.last_resort = take->last_resort;
     frame.body_case = WIRE(FRAME__BODY_LIMIT_TAKE);
     frame.limit_take = &body;
     ch_peers_request(take->manager->node->peers, counter, &frame,
@@ -138,7 +138,7 @@
         limit_spread_change(manager, name);
     }
     const struct ch_limit_permission permission =
-        count_here(manager, name, frame->limit_take->reserve);
+        count_here(manager, name, frame->limit_take->last_resort);
     body.granted = permission.granted;
     body.retry_after_ms = (uint32_t)((permission.retry_after + 999) / 1000);
     reply.body_case = WIRE(FRAME__BODY_LIMIT_PERMISSION);
@@ -149,7 +149,7 @@
 /* See limit_manager.h. */
 void
 ch_limit_manager_take(struct ch_limit_manager *manager, GQuark name,
-                      enum ch_limited_call kind, bool reserve,
+                      enum ch_limited_call kind, bool last_resort,
                       void (*done)(void *data, bool granted,
                                    int64_t retry_after),
                       void *data)
@@ -159,7 +159,7 @@
         .manager = manager,
         .upstream = name,
         .kind = kind,
-        .reserve = reserve,
+        .last_resort = last_resort,
         .permission = {.granted = true},
         .done = done,
         .data = data,
@@ -183,7 +183,7 @@
         return;
     }
     if (upstream != NULL) {
-        take->permission = count_here(manager, name, reserve);
+        take->permission = count_here(manager, name, last_resort);
     }
     ch_pool_submit(manager->node->pool, take_end, take);
 }
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -307,7 +307,7 @@
     const char *address; /* "ip:port", valid until release; NULL: unknown */
     uint32_t priority;
     bool other_region;
-    /* Only upstreams whose limit was used up lately can take the request. */
+    /* No other upstream can take the request; see ch_limit_counter_take(). */
     bool is_last_resort;
     int64_t token_time; /* measured time of a token there; 0: none yet */
     /* Predicted time until the first byte of the response, from the upstream's
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -5145,12 +5145,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reserve",
+    "last_resort",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Chestnuthitch__Wire__LimitTake, reserve),
+    offsetof(Chestnuthitch__Wire__LimitTake, last_resort),
     NULL,
     NULL,
     0,             /* flags */
@@ -5158,7 +5158,7 @@
   },
 };
 static const unsigned chestnuthitch__wire__limit_take__field_indices_by_name[] = {
-  1,   /* field[1] = reserve */
+  1,   /* field[1] = last_resort */
   0,   /* field[0] = state */
 };
 static const ProtobufCIntRange chestnuthitch__wire__limit_take__number_ranges[1 + 1] =
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -928,9 +928,9 @@
   ProtobufCMessage base;
   Chestnuthitch__Wire__LimitState *state;
   /*
-   * a refusal reserves a time to return
+   * no other upstream can take the call
    */
-  protobuf_c_boolean reserve;
+  protobuf_c_boolean last_resort;
 };
 #define CHESTNUTHITCH__WIRE__LIMIT_TAKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_take__descriptor) \
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -580,11 +580,65 @@
     g_assert_cmpint(run_scenario(&default_speeds).prefill_time, ==, 136500);
 }
 
+/* Guards against requests that are offered to an upstream whose limit is used
+ * up while others can take them, and against those that only it can take being
+ * refused without asking. */
+static void
+test_limited(void)
+{
+    static const struct {
+        const char *what;
+        const char *model;
+        const char *excluded;
+        int64_t limited_until[3]; /* of a, b and c */
+        const char *expect;
+        bool is_last_resort;
+    } rows[] = {
+        {"no limit", "m1", NULL, {0, 0, 0}, "a", false},
+        {"used up", "m1", NULL, {NOW + 1, 0, 0}, "b", false},
+        {"over", "m1", NULL, {NOW, 0, 0}, "a", false},
+        {"all used up", "m1", NULL, {NOW + 1, NOW + 1, 0}, "a", true},
+        {"the other refused", "m1", "b", {0, 0, 0}, "a", true},
+        {"the only one", "m2", NULL, {0, 0, 0}, "c", true},
+        {"the only one, used up", "m2", NULL, {0, 0, NOW + 1}, "c", true},
+    };
+    static const struct test_upstream upstreams[] = {
+        {"a", "r1", "d1", "m1", NULL, false},
+        {"b", "r2", "d9", "m1", NULL, false},
+        {"c", "r1", "d1", "m2", NULL, false},
+        {NULL, NULL, NULL, NULL, NULL, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct ch_balance *balance = create_balance(upstreams);
+        GArray *excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+        for (size_t j = 0; j < 3; j++) {
+            ch_balance_set_limited_until(
+                balance, g_quark_from_string(upstreams[j].name),
+                rows[i].limited_until[j]);
+        }
+        if (rows[i].excluded != NULL) {
+            GQuark name = g_quark_from_string(rows[i].excluded);
+            g_array_append_val(excluded, name);
+        }
+        struct ch_request_info request = build_request(rows[i].model, 1000);
+        struct ch_upstream_choice choice =
+            ch_balance_choose(balance, &request, excluded, false, NOW);
+        g_test_message("%s", rows[i].what);
+        g_assert_cmpint(choice.code, ==, CH_OK);
+        g_assert_cmpstr(g_quark_to_string(choice.upstream), ==,
+                        rows[i].expect);
+        g_assert_true(choice.is_last_resort == rows[i].is_last_resort);
+        g_array_free(excluded, TRUE);
+        ch_balance_free(balance);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/balance/choice", test_choice);
+    g_test_add_func("/balance/limited", test_limited);
     g_test_add_func("/balance/burst", test_burst);
     g_test_add_func("/balance/shared-parts", test_shared_parts);
     g_test_add_func("/balance/failing", test_failing);
