--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -69,6 +69,8 @@
     }
 }
 
+static int reports; /* asked of engines; atomic */
+
 /* No engine replies. */
 static void
 no_report(struct ch_upstream *upstream,
@@ -77,6 +79,7 @@
           void *data)
 {
     (void)upstream;
+    g_atomic_int_inc(&reports);
     done(data, CH_UPSTREAM_CONNECT, NULL);
 }
 
@@ -624,6 +627,68 @@
     test_node_free(remote_holder);
 }
 
+/* ---- limits of engines ---- */
+
+enum {
+    LIMIT_TEST_US = 3 * 1000 * 1000,
+    /* One a second in that time, and a burst. */
+    MAX_LIMITED_REPORTS = 6,
+};
+
+/* The reports that a lease holder asks of its engine in a while, with a limit
+ * that the engine named (NULL: none). */
+static int
+count_reports(const char *limit)
+{
+    static const struct ch_kv_ops ops = {
+        .get = find_no_key,
+        .create_lease = grant_lease,
+        .put_with_lease = accept_write,
+        .renew_lease = renew_lease,
+    };
+    static const struct ch_controller_handlers handlers = {
+        .engine_status = record_engine_status,
+        .engine_loads = record_loads,
+        .status_complete = record_status_complete,
+        .collect_demand = no_demand,
+        .collect_used_adapters = no_used_adapters,
+    };
+    struct ch_kv kv = {.ops = &ops};
+    struct test_node *node = test_node_new("n1");
+    node->node.kv = &kv;
+    node->node.timers = ch_timers_new(node->node.pool);
+    const struct ch_limit_listener listener = ch_limit_manager_get_listener(
+        node->node.limits, g_quark_from_string("e1"),
+        g_quark_from_string("r1"));
+    const struct ch_limit_reading reading = ch_limit_read(limit);
+    struct ch_controller *controller =
+        ch_controller_new(&node->node, NULL, &handlers, NULL);
+    ch_controller_refresh(controller);
+    ch_peers_start(node->node.peers);
+    set_known_node(node, node);
+    listener.handle(&listener, &reading, true,
+                    ch_client_get_time(&node->client));
+    g_atomic_int_set(&reports, 0);
+    ch_controller_start(controller);
+    g_usleep(LIMIT_TEST_US);
+    int count = g_atomic_int_get(&reports);
+    stop_controller(node, controller);
+    return count;
+}
+
+/* Guards against a lease holder whose reports alone use up what an engine in
+ * need takes from all nodes. */
+static void
+test_limited_reports(void)
+{
+    int unlimited = count_reports(NULL);
+    int limited = count_reports("1");
+    g_test_message("%d reports, %d with a limit", unlimited, limited);
+    g_assert_cmpint(unlimited, >, MAX_LIMITED_REPORTS);
+    g_assert_cmpint(limited, <=, MAX_LIMITED_REPORTS);
+    g_assert_cmpint(limited, >, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -633,5 +698,6 @@
                     test_lease_needs_host_list);
     g_test_add_func("/controller/demand-passed-once",
                     test_demand_forwarded_once);
+    g_test_add_func("/controller/limited-reports", test_limited_reports);
     return g_test_run();
 }
