Only responses to requests end a limit

Found by reading: a report or an order is answered without the header if an upstream names its limit to requests alone, and each such answer would have ended the limit for all nodes, until the next response to a request named it again.

Responses to reports and orders still name a limit, but one without the header says nothing. The line upstream-limit-lifted states the limit that has ended.

--- a/libchestnuthitch/limit/limit.h
+++ b/libchestnuthitch/limit/limit.h
@@ -34,7 +34,7 @@
  * them between sent_at and received_at. */
 struct ch_limit_observation {
     bool named;
-    double per_s;
+    double per_s;        /* once it has ended: the last one */
     int64_t sent_at;     /* of the request with the latest such response */
     int64_t received_at; /* of the latest such response */
 };
--- a/libchestnuthitch/limit/state.c
+++ b/libchestnuthitch/limit/state.c
@@ -47,6 +47,8 @@
     if (observation->sent_at < state->last.received_at) {
         return CH_LIMIT_UNCHANGED;
     }
+    double per_s = observation->named ? observation->per_s : state->last.per_s;
     state->last = *observation;
+    state->last.per_s = per_s;
     return observation->named ? CH_LIMIT_SET : CH_LIMIT_LIFTED;
 }
--- a/libchestnuthitch/upstream/control.c
+++ b/libchestnuthitch/upstream/control.c
@@ -21,16 +21,15 @@
                                   ch_client_get_time(peer->client)};
 }
 
-/* Tells the listener what a response says of a limit. */
+/* Tells the listener of a limit that a response names. One that names none
+ * says nothing: an upstream may name its limit to requests alone. */
 static void
 report_limit(const struct limit_context *limit,
              const struct ch_http_response *response)
 {
-    if (response->result.status != 0) {
+    if (response->kept_values != NULL) {
         ch_upstream_report_limit(&limit->listener, response->kept_values,
-                                 response->result.code == CH_OK &&
-                                     response->result.status < 300,
-                                 limit->sent_at);
+                                 false, limit->sent_at);
     }
 }
 
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -148,7 +148,8 @@
 /*
  * Is told of the limits that the upstream names, in responses of any kind.
  * handle runs on the HTTP loop's thread, also for calls that outlive the
- * client of the upstream. succeeded: the upstream did what it was asked.
+ * client of the upstream. succeeded: the upstream served a request, so that a
+ * response without a limit shows that there is none.
  */
 struct ch_limit_listener {
     void (*handle)(const struct ch_limit_listener *listener,
