--- a/tests/bench/bench_limit.c
+++ b/tests/bench/bench_limit.c
@@ -26,7 +26,7 @@
     int64_t start = fleet->now;
     fleet_hear(fleet, 0);
     fleet->messages = 0;
-    fleet_run(fleet, RUN_S * G_USEC_PER_SEC, 4 * per_s + 2);
+    fleet_run(fleet, (int64_t)RUN_S * G_USEC_PER_SEC, 4 * per_s + 2);
     unsigned most = fleet_find_most(fleet, start + FLEET_WINDOW_US, false);
     printf("figure: %-7s limit %4.1f nodes %3u: most %3u of %5.1f%s, used "
            "%3.0f in 100, %6.1f messages/s\n",
--- a/tests/threaded/test_limits.c
+++ b/tests/threaded/test_limits.c
@@ -152,7 +152,7 @@
                                   NULL);
             asked++;
         }
-        g_usleep(5 * POLL_PERIOD_US);
+        g_usleep((gulong)5 * POLL_PERIOD_US);
     }
     int64_t deadline = g_get_monotonic_time() + TIMEOUT_US;
     while (g_atomic_int_get(&seen.granted) + g_atomic_int_get(&seen.refused) <
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -487,40 +487,37 @@
 
 static const struct limit_case {
     const char *name;
-    enum limit_call call;
     const char *response;
+    enum limit_call call;
     unsigned heard; /* calls of the listener */
     enum ch_limit_reading_kind kind;
     bool succeeded;
 } limit_cases[] = {
-    {"response", LIMIT_REQUEST, OWN_HEAD LIMITED EMPTY, 1, CH_LIMIT_NAMED,
-     true},
-    {"response, none named", LIMIT_REQUEST, OWN_HEAD EMPTY, 1, CH_LIMIT_ABSENT,
+    {"response", OWN_HEAD LIMITED EMPTY, LIMIT_REQUEST, 1, CH_LIMIT_NAMED,
      true},
-    {"response, twice", LIMIT_REQUEST,
-     OWN_HEAD "X-Limit-Per-Second: 3\r\n" LIMITED EMPTY, 1, CH_LIMIT_NAMED,
+    {"response, none named", OWN_HEAD EMPTY, LIMIT_REQUEST, 1, CH_LIMIT_ABSENT,
      true},
-    {"response, no number", LIMIT_REQUEST,
-     OWN_HEAD "X-Limit-Per-Second: nan\r\n" EMPTY, 1, CH_LIMIT_UNREADABLE,
-     true},
-    {"response of another", LIMIT_REQUEST, HEAD_OF("200", "r8") LIMITED EMPTY,
+    {"response, twice", OWN_HEAD "X-Limit-Per-Second: 3\r\n" LIMITED EMPTY,
+     LIMIT_REQUEST, 1, CH_LIMIT_NAMED, true},
+    {"response, no number", OWN_HEAD "X-Limit-Per-Second: nan\r\n" EMPTY,
+     LIMIT_REQUEST, 1, CH_LIMIT_UNREADABLE, true},
+    {"response of another", HEAD_OF("200", "r8") LIMITED EMPTY, LIMIT_REQUEST,
      0, CH_LIMIT_ABSENT, false},
-    {"refusal", LIMIT_REQUEST,
-     HEAD_OF("503", "r7") "X-Not-Run: 1\r\n" LIMITED EMPTY, 1, CH_LIMIT_NAMED,
-     false},
-    {"error", LIMIT_REQUEST, HEAD_OF("500", "r7") LIMITED EMPTY, 1,
+    {"refusal", HEAD_OF("503", "r7") "X-Not-Run: 1\r\n" LIMITED EMPTY,
+     LIMIT_REQUEST, 1, CH_LIMIT_NAMED, false},
+    {"error", HEAD_OF("500", "r7") LIMITED EMPTY, LIMIT_REQUEST, 1,
      CH_LIMIT_NAMED, false},
-    {"no response", LIMIT_REQUEST, "", 0, CH_LIMIT_ABSENT, false},
-    {"order", LIMIT_ORDER, OWN_HEAD LIMITED EMPTY, 1, CH_LIMIT_NAMED, false},
-    {"order, none named", LIMIT_ORDER, OWN_HEAD EMPTY, 0, CH_LIMIT_ABSENT,
+    {"no response", "", LIMIT_REQUEST, 0, CH_LIMIT_ABSENT, false},
+    {"order", OWN_HEAD LIMITED EMPTY, LIMIT_ORDER, 1, CH_LIMIT_NAMED, false},
+    {"order, none named", OWN_HEAD EMPTY, LIMIT_ORDER, 0, CH_LIMIT_ABSENT,
      false},
-    {"order, refused", LIMIT_ORDER, HEAD_OF("409", "r7") LIMITED EMPTY, 1,
+    {"order, refused", HEAD_OF("409", "r7") LIMITED EMPTY, LIMIT_ORDER, 1,
      CH_LIMIT_NAMED, false},
-    {"order, no response", LIMIT_ORDER, "", 0, CH_LIMIT_ABSENT, false},
-    {"report", LIMIT_REPORT, OWN_HEAD LIMITED "Content-Length: 2\r\n\r\n{}", 1,
+    {"order, no response", "", LIMIT_ORDER, 0, CH_LIMIT_ABSENT, false},
+    {"report", OWN_HEAD LIMITED "Content-Length: 2\r\n\r\n{}", LIMIT_REPORT, 1,
      CH_LIMIT_NAMED, false},
-    {"report, none named", LIMIT_REPORT,
-     OWN_HEAD "Content-Length: 2\r\n\r\n{}", 0, CH_LIMIT_ABSENT, false},
+    {"report, none named", OWN_HEAD "Content-Length: 2\r\n\r\n{}",
+     LIMIT_REPORT, 0, CH_LIMIT_ABSENT, false},
 };
 
 /* What the listener was told; the HTTP loop is joined before it is read. */
--- a/tests/unit/test_limit.c
+++ b/tests/unit/test_limit.c
@@ -139,24 +139,24 @@
         const char *name;
         double per_s;
         double part;
-        bool last_resort;
-        int64_t idle; /* from the first call until the next ones */
+        int64_t idle;        /* from the first call until the next ones */
+        int64_t retry_after; /* of the call after those */
         unsigned granted;
-        int64_t retry_after; /* of the next call */
+        bool last_resort;
     } rows[] = {
-        {"at the beginning", 2, 1, false, 0, 0, SECOND},
-        {"at the beginning, last resort", 2, 1, true, 0, 0, SECOND},
-        {"after a second", 2, 1, false, SECOND, 1, SECOND / 2},
-        {"after a second, last resort", 2, 1, true, SECOND, 2, SECOND / 2},
-        {"no more than a burst", 2, 1, false, SECONDS(60), 2, SECOND / 2},
-        {"no more than a burst, last resort", 2, 1, true, SECONDS(60), 3,
-         SECOND / 2},
-        {"a larger limit has a larger burst", 40, 1, true, SECONDS(60), 22,
-         50000},
-        {"half of the nodes", 2, 0.5, false, SECONDS(60), 1, SECOND},
-        {"below one a second", 0.5, 1, true, SECONDS(2), 1, SECONDS(2)},
-        {"0 a second", 0, 1, true, SECONDS(5), 1, SECONDS(5)},
-        {"no list of nodes", 2, 0, false, SECOND, 0, SECONDS(10)},
+        {"at the beginning", 2, 1, 0, SECOND, 0, false},
+        {"at the beginning, last resort", 2, 1, 0, SECOND, 0, true},
+        {"after a second", 2, 1, SECOND, SECOND / 2, 1, false},
+        {"after a second, last resort", 2, 1, SECOND, SECOND / 2, 2, true},
+        {"no more than a burst", 2, 1, SECONDS(60), SECOND / 2, 2, false},
+        {"no more than a burst, last resort", 2, 1, SECONDS(60), SECOND / 2, 3,
+         true},
+        {"a larger limit has a larger burst", 40, 1, SECONDS(60), 50000, 22,
+         true},
+        {"half of the nodes", 2, 0.5, SECONDS(60), SECOND, 1, false},
+        {"below one a second", 0.5, 1, SECONDS(2), SECONDS(2), 1, true},
+        {"0 a second", 0, 1, SECONDS(5), SECONDS(5), 1, true},
+        {"no list of nodes", 2, 0, SECOND, SECONDS(10), 0, false},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         struct ch_limit_counter counter = {0};
