--- a/libchestnuthitch/node/limit_manager.c
+++ b/libchestnuthitch/node/limit_manager.c
@@ -36,8 +36,8 @@
            CH_F_INT("orders", calls->counts[CH_LIMITED_ORDER]), CH_F_END);
 }
 
-/* Logs and counts a change of a limit. per_s: the value before a revision.
- * Lock held. */
+/* Logs and counts a change of a limit; source as for
+ * limit_manager_observe(). Lock held. */
 static void
 note_change(struct ch_limit_manager *manager,
             struct limited_upstream *upstream, enum ch_limit_change change,
