One end of a controller's job, one check of exclusions, one store in a test

What it had written beside its twin is one piece now, without a change of behaviour:

- controller_engine.c ended its jobs by the same three lines in four places, one of them new (drop_job); all call end_job.
- exchange.c searched the excluded upstreams as route.c does; it calls ch_route_is_excluded.
- test_controller.c had the same key-value store twice and the same handlers three times; the assertions are as they were.
- The comment on NODES_PER_REFRESH said at least where it is at most.

--- a/libchestnuthitch/decide/policy.h
+++ b/libchestnuthitch/decide/policy.h
@@ -29,6 +29,10 @@
                                 const struct ch_request_info *request,
                                 const GArray *excluded, int64_t now);
 
+/* Whether an upstream is among those that a request must not go to (NULL:
+ * none). */
+bool ch_route_is_excluded(const GArray *excluded, GQuark name);
+
 /* Like ch_route_choose(), for a request that has already failed.  The first
  * `failed` names in excluded are upstreams that failed while they had the
  * request; the others only refused it.  See route.c. */
--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -44,8 +44,9 @@
            view->token_time <= request->token_target * 5 / 4;
 }
 
-static bool
-is_excluded(const GArray *excluded, GQuark name)
+/* See policy.h. */
+bool
+ch_route_is_excluded(const GArray *excluded, GQuark name)
 {
     for (guint i = 0; excluded != NULL && i < excluded->len; i++) {
         if (g_array_index(excluded, GQuark, i) == name) {
@@ -168,7 +169,7 @@
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
         if ((view->region == fleet->region) != local ||
-            is_excluded(excluded, view->name) ||
+            ch_route_is_excluded(excluded, view->name) ||
             !ch_upstream_view_serves(view, request) ||
             !would_meet_target(policy, fleet, view, request, now)) {
             continue;
@@ -212,7 +213,7 @@
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
         if (view->down || view->draining || view->service != 0 ||
-            is_excluded(excluded, view->name) ||
+            ch_route_is_excluded(excluded, view->name) ||
             !ch_upstream_view_is_loading(view, request->model)) {
             continue;
         }
@@ -342,7 +343,8 @@
         }
     }
     g_hash_table_unref(replicas);
-    if (best >= 0 && is_excluded(excluded, fleet->upstreams[best].name)) {
+    if (best >= 0 &&
+        ch_route_is_excluded(excluded, fleet->upstreams[best].name)) {
         return -1;
     }
     return best;
@@ -360,7 +362,7 @@
     int64_t best_wait = 0;
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (is_excluded(excluded, view->name) ||
+        if (ch_route_is_excluded(excluded, view->name) ||
             !ch_upstream_view_serves(view, request)) {
             continue;
         }
@@ -465,7 +467,7 @@
              bool local)
 {
     if ((view->region == fleet->region) != local || view->down ||
-        view->draining || is_excluded(excluded, view->name)) {
+        view->draining || ch_route_is_excluded(excluded, view->name)) {
         return false;
     }
     return request->is_service ? view->service == request->model
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -341,6 +341,15 @@
     ch_metrics_add_count(metrics, counter, 1);
 }
 
+/* Ends a job, which may free the engine. Lock held. */
+static void
+end_job(struct ch_controller *controller, struct controller_engine *engine)
+{
+    engine_unref(engine);
+    controller->jobs--;
+    pthread_cond_broadcast(&controller->idle);
+}
+
 /* Marks adapters as resident when their load time has passed. Runs on the
  * pool. */
 static void
@@ -359,9 +368,7 @@
             reply_waiters(engine, item, CH_OK);
         }
     }
-    engine_unref(engine);
-    controller->jobs--;
-    pthread_cond_broadcast(&controller->idle);
+    end_job(controller, engine);
     pthread_mutex_unlock(&controller->lock);
     g_free(job);
 }
@@ -532,9 +539,7 @@
            CH_F_INT("code", job->code),
            CH_F_INT("took_us", now - job->engine->last_order_at), CH_F_END);
     handle_order_result(job, now);
-    engine_unref(job->engine);
-    controller->jobs--;
-    pthread_cond_broadcast(&controller->idle);
+    end_job(controller, job->engine);
     pthread_mutex_unlock(&controller->lock);
     g_free(job);
 }
@@ -949,9 +954,7 @@
     engine_send_due(
         job->engine,
         controller_get_centre(controller, job->engine->data_centre), now);
-    engine_unref(job->engine);
-    controller->jobs--;
-    pthread_cond_broadcast(&controller->idle);
+    end_job(controller, job->engine);
     pthread_mutex_unlock(&controller->lock);
     ch_engine_report_free(job->report);
     g_free(job);
@@ -989,15 +992,6 @@
            engine->waiting > 0;
 }
 
-/* Ends a job for which nothing was sent. Lock held. */
-static void
-drop_job(struct ch_controller *controller, struct controller_engine *engine)
-{
-    engine_unref(engine);
-    controller->jobs--;
-    pthread_cond_broadcast(&controller->idle);
-}
-
 /* The engine's limit permits a report, or not; on the pool. */
 static void
 handle_report_permission(void *data, bool granted, int64_t retry_after)
@@ -1013,7 +1007,7 @@
     engine->report_in_flight = false;
     engine->next_report_at =
         ch_client_get_time(controller->node->client) + retry_after;
-    drop_job(controller, engine);
+    end_job(controller, engine);
     pthread_mutex_unlock(&controller->lock);
     g_free(job);
 }
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -260,17 +260,6 @@
                                 : limit_retry_after);
 }
 
-static bool
-is_excluded(const struct ch_exchange *exchange, GQuark upstream)
-{
-    for (guint i = 0; i < exchange->excluded->len; i++) {
-        if (g_array_index(exchange->excluded, GQuark, i) == upstream) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* The limit of the granted upstream permits no call now: asks the router for
  * another one. A router that offers the same one again has no other. Lock
  * held; returns true when the exchange can be finished. */
@@ -282,7 +271,7 @@
         exchange->limit_refused ? MIN(exchange->limit_retry_after, retry_after)
                                 : retry_after;
     exchange->limit_refused = true;
-    if (is_excluded(exchange, exchange->grant.upstream)) {
+    if (ch_route_is_excluded(exchange->excluded, exchange->grant.upstream)) {
         return end_routing(exchange, CH_UPSTREAM_LIMITED, 0, NULL);
     }
     g_array_append_val(exchange->excluded, exchange->grant.upstream);
--- a/libchestnuthitch/node/limit_spread.c
+++ b/libchestnuthitch/node/limit_spread.c
@@ -8,9 +8,8 @@
 #define WIRE(name) CHESTNUTHITCH__WIRE__##name
 
 enum {
-    /* Nodes that one refresh goes to, at least; larger fleets are told in
-     * turn, so that the counting node of a fleet of hundreds sends a few kB a
-     * second. */
+    /* Nodes that one refresh goes to, at most; those of a larger fleet are
+     * told in turn, so that the counting node sends a few kB a second. */
     NODES_PER_REFRESH = 64,
 };
 
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -411,6 +411,14 @@
 
 /* ---- the lease to order engines ---- */
 
+static const struct ch_controller_handlers recording_handlers = {
+    .engine_status = record_engine_status,
+    .engine_loads = record_loads,
+    .status_complete = record_status_complete,
+    .collect_demand = no_demand,
+    .collect_used_adapters = no_used_adapters,
+};
+
 static int lease_lookups;
 
 /* Counts the lookups of a lease; every lookup fails. */
@@ -435,13 +443,6 @@
 test_lease_needs_host_list(void)
 {
     static const struct ch_kv_ops ops = {.get = count_lookup};
-    static const struct ch_controller_handlers handlers = {
-        .engine_status = record_engine_status,
-        .engine_loads = record_loads,
-        .status_complete = record_status_complete,
-        .collect_demand = no_demand,
-        .collect_used_adapters = no_used_adapters,
-    };
     struct ch_kv kv = {.ops = &ops};
     struct test_node *node = test_node_new("n1");
     const struct ch_host_list nobody = {0};
@@ -449,7 +450,7 @@
     node->node.timers = ch_timers_new(node->node.pool);
     lease_lookups = 0;
     struct ch_controller *controller =
-        ch_controller_new(&node->node, NULL, &handlers, NULL);
+        ch_controller_new(&node->node, NULL, &recording_handlers, NULL);
     ch_peers_start(node->node.peers);
     ch_controller_refresh(controller);
     ch_controller_start(controller);
@@ -507,6 +508,13 @@
     done(data, &answer);
 }
 
+static const struct ch_kv_ops lease_kv_ops = {
+    .get = find_no_key,
+    .create_lease = grant_lease,
+    .put_with_lease = accept_write,
+    .renew_lease = renew_lease,
+};
+
 /* What the other lease holder received. */
 static struct {
     int expected;   /* messages with the demand below */
@@ -576,22 +584,9 @@
 static void
 test_demand_forwarded_once(void)
 {
-    static const struct ch_kv_ops ops = {
-        .get = find_no_key,
-        .create_lease = grant_lease,
-        .put_with_lease = accept_write,
-        .renew_lease = renew_lease,
-    };
-    static const struct ch_controller_handlers handlers = {
-        .engine_status = record_engine_status,
-        .engine_loads = record_loads,
-        .status_complete = record_status_complete,
-        .collect_demand = no_demand,
-        .collect_used_adapters = no_used_adapters,
-    };
     static const struct step status = {
         .sequence = 1, .fence = 5, .whole = true, .state = false};
-    struct ch_kv kv = {.ops = &ops};
+    struct ch_kv kv = {.ops = &lease_kv_ops};
     struct test_node *node = test_node_new("n1");
     struct test_node *local_node = test_node_new("n2");
     struct test_node *remote_holder = test_node_new("n3");
@@ -601,7 +596,7 @@
     node->node.timers = ch_timers_new(node->node.pool);
     memset(&forwarded, 0, sizeof(forwarded));
     struct ch_controller *controller =
-        ch_controller_new(&node->node, NULL, &handlers, NULL);
+        ch_controller_new(&node->node, NULL, &recording_handlers, NULL);
     ch_controller_refresh(controller);
     ch_peers_set_handler(remote_holder->node.peers, WIRE(FRAME__BODY_DEMAND),
                          record_forwarded, NULL);
@@ -640,20 +635,7 @@
 static int
 count_reports(const char *limit)
 {
-    static const struct ch_kv_ops ops = {
-        .get = find_no_key,
-        .create_lease = grant_lease,
-        .put_with_lease = accept_write,
-        .renew_lease = renew_lease,
-    };
-    static const struct ch_controller_handlers handlers = {
-        .engine_status = record_engine_status,
-        .engine_loads = record_loads,
-        .status_complete = record_status_complete,
-        .collect_demand = no_demand,
-        .collect_used_adapters = no_used_adapters,
-    };
-    struct ch_kv kv = {.ops = &ops};
+    struct ch_kv kv = {.ops = &lease_kv_ops};
     struct test_node *node = test_node_new("n1");
     node->node.kv = &kv;
     node->node.timers = ch_timers_new(node->node.pool);
@@ -662,7 +644,7 @@
         g_quark_from_string("r1"));
     const struct ch_limit_reading reading = ch_limit_read(limit);
     struct ch_controller *controller =
-        ch_controller_new(&node->node, NULL, &handlers, NULL);
+        ch_controller_new(&node->node, NULL, &recording_handlers, NULL);
     ch_controller_refresh(controller);
     ch_peers_start(node->node.peers);
     set_known_node(node, node);
