Paths to upstreams: nodes log, count and show which they cannot connect to

Callers of nodes without a path to upstreams got 503 and 504, and no log or metric told that the path was missing: 'request' counts calls and 'calls-silent' names no upstream.

Each call, order and report now tells how its new connection ended. Two other nodes are asked about an upstream to which a connection failed. A node that reaches none of several upstreams while others reach one counts as cut off. Logs 'path' (state, evidence), 'cut-off-from-upstreams', 'upstreams-reached-again'; counters PATH_CUTS, PATH_LOST, PATH_PROBES; 'paths' and 'cut_off_for_ms' in the status. Nothing acts on it yet.

The harness can give each node its own way to each upstream and cut it: in silence, by resets, or for new connections alone.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -62,8 +62,10 @@
     bool reused;    /* on a connection used by an earlier request */
     bool cancelled; /* cancelled by a handler: the connection must be closed */
     bool connection_refused; /* nothing accepts connections at the address */
-    bool headers_done;       /* the final headers are complete */
-    int status;              /* final status; 0: none yet */
+    int64_t started_at;      /* see struct ch_http_result */
+    int64_t connected_at;
+    bool headers_done; /* the final headers are complete */
+    int status;        /* final status; 0: none yet */
     char error_text[CURL_ERROR_SIZE];
 };
 
@@ -145,6 +147,8 @@
         .status = transfer->status,
         .sent = transfer->sent,
         .connection_refused = transfer->connection_refused,
+        .started_at = transfer->started_at,
+        .connected_at = transfer->connected_at,
     };
     (void)snprintf(end.message, sizeof(end.message), "%s", message);
     if (transfer->handlers.on_end != NULL) {
@@ -179,6 +183,7 @@
     transfer->sent = true;
     transfer->phase = PHASE_FIRST_BYTE;
     transfer->last_received_at = ch_client_get_time(transfer->http->client);
+    transfer->connected_at = transfer->reused ? 0 : transfer->last_received_at;
     set_phase_timeout(transfer, transfer->first_byte_timeout);
     return CURL_PREREQFUNC_OK;
 }
@@ -375,6 +380,7 @@
         return;
     }
     transfer->easy = easy;
+    transfer->started_at = ch_client_get_time(http->client);
     g_hash_table_add(http->running, transfer);
     set_common_options(easy, transfer);
     set_request_options(easy, transfer);
@@ -430,6 +436,9 @@
                                : curl_easy_strerror(result);
         transfer->connection_refused =
             !transfer->sent && result == CURLE_COULDNT_CONNECT;
+        if (transfer->connect_only && result == CURLE_OK) {
+            transfer->connected_at = ch_client_get_time(http->client);
+        }
         transfer_end(transfer, convert_result(transfer, result),
                      result == CURLE_OK ? "" : text);
     }
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -54,6 +54,9 @@
     int status;              /* 0: no status line was received */
     bool sent;               /* some byte of the request may have been sent */
     bool connection_refused; /* nothing accepts connections at that address */
+    int64_t started_at;      /* when the connection was looked for; 0: never */
+    int64_t connected_at; /* when a new connection was established; 0: the call
+                             used a kept one, or none */
     char message[160];
 };
 
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -3,6 +3,7 @@
 
 #include "node/crash_guard.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 #include "node/quota_manager.h"
 #include "base/json.h"
 #include "base/ini.h"
@@ -251,6 +252,7 @@
     ch_crash_guard_write_status(node->crash_guard, builder);
     ch_quota_manager_write_status(node->quota, builder);
     ch_limit_manager_write_status(node->limits, builder);
+    ch_path_manager_write_status(node->paths, builder);
     json_builder_set_member_name(builder, "policy");
     json_builder_begin_object(builder);
     ch_settings_foreach_policy(node->settings, add_mechanism, builder);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -13,6 +13,7 @@
 #include "node/crash_guard.h"
 #include "node/dialect.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 #include "node/roster.h"
 
 #include <pthread.h>
@@ -141,6 +142,8 @@
         node->client, node->http, host, UPSTREAM_ORDER_TIMEOUT_US);
     client->client->limit_listener = ch_limit_manager_get_listener(
         node->limits, name, g_quark_from_string(host->region));
+    client->client->path_listener =
+        ch_path_manager_get_listener(node->paths, host);
     g_hash_table_replace(balancer->clients, key, client);
 }
 
@@ -252,6 +255,7 @@
     ch_pending_loads_update(balancer->loading_models, GPOINTER_TO_UINT(key),
                             NULL, 0, NULL, 0,
                             ch_client_get_time(balancer->node->client));
+    ch_path_manager_forget(balancer->node->paths, GPOINTER_TO_UINT(key));
     return TRUE;
 }
 
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -3,6 +3,7 @@
 #include "decide/publisher.h"
 #include "node/controller_internal.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 
 #include <string.h>
 
@@ -235,6 +236,8 @@
         node->client, node->http, host, CH_CONTROLLER_CALL_TIMEOUT_US);
     engine->client->limit_listener = ch_limit_manager_get_listener(
         node->limits, engine->name, g_quark_from_string(host->region));
+    engine->client->path_listener =
+        ch_path_manager_get_listener(node->paths, host);
     engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
     engine->local_copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
     g_array_set_clear_func(engine->items, clear_item);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -5,6 +5,7 @@
 #include "node/crash_guard.h"
 #include "node/homes_internal.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 #include "node/quota_manager.h"
 
 #include <ck_pr.h>
@@ -28,6 +29,7 @@
     ch_crash_guard_free(node->crash_guard);
     ch_quota_manager_free(node->quota);
     ch_limit_manager_free(node->limits);
+    ch_path_manager_free(node->paths);
     if (node->router != NULL) {
         node->router->ops->free(node->router);
     }
@@ -71,6 +73,7 @@
     node->config = ch_config_manager_new(node);
     node->quota = ch_quota_manager_new(node);
     node->limits = ch_limit_manager_new(node);
+    node->paths = ch_path_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
         node->router = ch_balancer_new(node);
@@ -116,6 +119,7 @@
         return NULL;
     }
     ch_limit_manager_start(node->limits);
+    ch_path_manager_start(node->paths);
     ch_peers_start(node->peers);
     ch_config_manager_start(node->config);
     ch_crash_guard_start(node->crash_guard);
@@ -153,6 +157,7 @@
     }
     ch_quota_manager_stop(node->quota);
     ch_limit_manager_stop(node->limits);
+    ch_path_manager_stop(node->paths);
     ch_config_manager_stop(node->config);
     ch_crash_guard_stop(node->crash_guard);
     stop_threads(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,7 +12,7 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < peers < pool, timers, http < metrics. No
+ * < crashes < quota < limits < paths < peers < pool, timers, http < metrics. No
  * handler of another package is called with a lock held.
  */
 
@@ -30,6 +30,7 @@
 struct ch_crash_guard;
 struct ch_dialect;
 struct ch_limit_manager;
+struct ch_path_manager;
 struct ch_quota_manager;
 struct ch_router;
 
@@ -50,6 +51,7 @@
     struct ch_crash_guard *crash_guard;
     struct ch_quota_manager *quota;
     struct ch_limit_manager *limits;
+    struct ch_path_manager *paths; /* NULL: every path is open */
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
--- /dev/null
+++ b/libchestnuthitch/node/path_probe.c
@@ -0,0 +1,236 @@
+/* Connections that are opened to learn whether an upstream can be reached, and
+ * what nodes tell each other of it. */
+
+#include "node/path_internal.h"
+
+#include <string.h>
+
+#define WIRE(name) CHESTNUTHITCH__WIRE__##name
+
+enum {
+    /* Some round trips between regions. */
+    PROBE_TIMEOUT_US = 400 * 1000,
+    /* Time for a node to answer: its own probe and the way there. */
+    ASK_TIMEOUT_US = 700 * 1000,
+    /* A connection that was established so recently answers for the present.
+     */
+    FRESH_US = 300 * 1000,
+    /* A node that has connected to no upstream for this long may be cut off
+     * without knowing yet: a failure says nothing about the upstream then. */
+    WITNESS_US = 1000 * 1000,
+    /* Nodes that are asked about one upstream at a time. */
+    ASKED_NODES = 2,
+};
+
+/* A connection that is being opened. */
+struct probe {
+    struct ch_path_manager *manager;
+    GQuark upstream;
+    char *asked_by; /* the node that gets the result; NULL: this one */
+    uint64_t frame_id;
+};
+
+static void
+send_view(struct ch_path_manager *manager, const char *to, uint64_t frame_id,
+          enum path_view view)
+{
+    Chestnuthitch__Wire__PathView body = WIRE(PATH_VIEW__INIT);
+    Chestnuthitch__Wire__Frame reply = WIRE(FRAME__INIT);
+    body.result = view;
+    reply.body_case = WIRE(FRAME__BODY_PATH_VIEW);
+    reply.path_view = &body;
+    ch_peers_reply(manager->node->peers, to, frame_id, &reply);
+}
+
+static enum path_view
+get_view(const struct ch_path_sample *sample)
+{
+    switch (sample->evidence) {
+    case CH_PATH_CONNECTED:
+        return PATH_VIEW_REACHED;
+    case CH_PATH_REFUSED:
+        return PATH_VIEW_REFUSED;
+    default:
+        return PATH_VIEW_TIMED_OUT;
+    }
+}
+
+/* What this node tells others. One that may be cut off itself can't tell that
+ * an upstream is down. */
+static enum path_view
+get_view_for_others(struct ch_path_manager *manager,
+                    const struct ch_path_sample *sample)
+{
+    enum path_view view = get_view(sample);
+    pthread_mutex_lock(&manager->lock);
+    bool is_witness = ch_path_tracker_get_cut_since(manager->tracker) == 0 &&
+                      sample->ended_at - ch_path_tracker_get_last_connected_at(
+                                             manager->tracker) <
+                          WITNESS_US;
+    pthread_mutex_unlock(&manager->lock);
+    return view == PATH_VIEW_REACHED || is_witness ? view : PATH_VIEW_UNKNOWN;
+}
+
+/* Handles the end of a probe; on the HTTP loop's thread. */
+static void
+handle_probe_end(void *data, const struct ch_http_result *result)
+{
+    struct probe *probe = data;
+    struct ch_path_manager *manager = probe->manager;
+    int64_t now = ch_client_get_time(manager->node->client);
+    struct ch_path_sample sample;
+    bool known =
+        path_manager_read_result(result, probe->upstream, now, &sample);
+    if (known) {
+        path_manager_record(manager, &sample);
+    }
+    if (probe->asked_by != NULL) {
+        send_view(manager, probe->asked_by, probe->frame_id,
+                  known ? get_view_for_others(manager, &sample)
+                        : PATH_VIEW_UNKNOWN);
+    }
+    g_free(probe->asked_by);
+    g_free(probe);
+}
+
+/* Opens the connection of a probe, or ends it as unknown if the upstream is
+ * not listed. */
+static void
+start_probe(struct probe *probe)
+{
+    static const struct ch_http_handlers handlers = {.on_end =
+                                                         handle_probe_end};
+    struct ch_path_manager *manager = probe->manager;
+    pthread_mutex_lock(&manager->lock);
+    const struct path_upstream *upstream = g_hash_table_lookup(
+        manager->upstreams, GUINT_TO_POINTER(probe->upstream));
+    g_autofree char *url =
+        upstream == NULL ? NULL
+                         : g_strdup_printf("http://%s/", upstream->address);
+    pthread_mutex_unlock(&manager->lock);
+    if (url == NULL) {
+        const struct ch_http_result none = {.code = CH_CANCELLED};
+        handle_probe_end(probe, &none);
+        return;
+    }
+    const struct ch_http_request request = {
+        .method = "GET",
+        .url = url,
+        .connect_timeout = PROBE_TIMEOUT_US,
+        .total_timeout = PROBE_TIMEOUT_US,
+        .connect_only = true,
+    };
+    path_manager_count(manager, CH_COUNT_PATH_PROBES);
+    ch_http_submit(manager->node->http, &request, &handlers, probe);
+}
+
+/* See path_internal.h. */
+void
+path_probe_open(struct ch_path_manager *manager, GQuark upstream)
+{
+    struct probe *probe = g_new0(struct probe, 1);
+    probe->manager = manager;
+    probe->upstream = upstream;
+    start_probe(probe);
+}
+
+/* ---- what other nodes tell ---- */
+
+/* A question to another node. */
+struct question {
+    struct ch_path_manager *manager;
+    GQuark upstream;
+};
+
+static void
+handle_answer(void *data, enum ch_code code,
+              const Chestnuthitch__Wire__Frame *reply)
+{
+    struct question *question = data;
+    if (code == CH_OK && reply != NULL &&
+        reply->body_case == WIRE(FRAME__BODY_PATH_VIEW) &&
+        reply->path_view->result <= PATH_VIEW_TIMED_OUT) {
+        path_manager_record_view(question->manager, question->upstream,
+                                 (enum path_view)reply->path_view->result,
+                                 reply->from);
+    }
+    g_free(question);
+}
+
+/* Asks one node. */
+static void
+send_question(struct ch_path_manager *manager, const char *node,
+              GQuark upstream)
+{
+    Chestnuthitch__Wire__PathProbe body = WIRE(PATH_PROBE__INIT);
+    Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    body.upstream = (char *)g_quark_to_string(upstream);
+    frame.body_case = WIRE(FRAME__BODY_PATH_PROBE);
+    frame.path_probe = &body;
+    struct question *question = g_new(struct question, 1);
+    *question = (struct question){manager, upstream};
+    ch_peers_request(manager->node->peers, node, &frame, ASK_TIMEOUT_US,
+                     handle_answer, question);
+}
+
+/* See path_internal.h. Nodes are drawn at random, since most of them may be
+ * cut off as well. */
+void
+path_probe_ask(struct ch_path_manager *manager, GQuark upstream)
+{
+    uint64_t draw = ch_hash_pair(
+        (uint64_t)ch_client_get_time(manager->node->client), upstream);
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_list_others(manager->node->peers, names, names);
+    for (unsigned i = 0; i < ASKED_NODES && names->len > 0; i++) {
+        guint chosen = (guint)(ch_hash_pair(draw, i) % names->len);
+        send_question(manager, g_ptr_array_index(names, chosen), upstream);
+        g_ptr_array_remove_index_fast(names, chosen);
+    }
+    g_ptr_array_free(names, TRUE);
+}
+
+/* Whether what is known answers for the present; *view is then set. */
+static bool
+find_fresh_view(struct ch_path_manager *manager, GQuark upstream,
+                enum path_view *view)
+{
+    int64_t now = ch_client_get_time(manager->node->client);
+    pthread_mutex_lock(&manager->lock);
+    bool is_cut = ch_path_tracker_get_cut_since(manager->tracker) != 0;
+    bool is_fresh =
+        ch_path_tracker_get_state(manager->tracker, upstream) ==
+            CH_PATH_OPEN &&
+        now - ch_path_tracker_get_connected_at(manager->tracker, upstream) <
+            FRESH_US;
+    pthread_mutex_unlock(&manager->lock);
+    *view = is_cut ? PATH_VIEW_UNKNOWN : PATH_VIEW_REACHED;
+    return is_cut || is_fresh;
+}
+
+/* Answers a node that asks whether this one reaches an upstream. */
+static void
+handle_path_probe(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    struct ch_path_manager *manager = data;
+    GQuark upstream = g_quark_try_string(frame->path_probe->upstream);
+    enum path_view view = PATH_VIEW_UNKNOWN;
+    if (upstream == 0 || find_fresh_view(manager, upstream, &view)) {
+        send_view(manager, frame->from, frame->id, view);
+        return;
+    }
+    struct probe *probe = g_new0(struct probe, 1);
+    probe->manager = manager;
+    probe->upstream = upstream;
+    probe->asked_by = g_strdup(frame->from);
+    probe->frame_id = frame->id;
+    start_probe(probe);
+}
+
+/* See path_internal.h. */
+void
+path_probe_init(struct ch_path_manager *manager)
+{
+    ch_peers_set_handler(manager->node->peers, WIRE(FRAME__BODY_PATH_PROBE),
+                         handle_path_probe, manager);
+}
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -15,7 +15,7 @@
 #include <pthread.h>
 
 enum {
-    PEERS_BODY_CASE_COUNT = 40,
+    PEERS_BODY_CASE_COUNT = 48,
 };
 
 enum peers_direction {
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -2,6 +2,7 @@
 
 #include "node/homes_internal.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 
 #include <string.h>
 
@@ -141,6 +142,7 @@
     client->limit_listener = ch_limit_manager_get_listener(
         node->limits, g_quark_from_string(host->name),
         g_quark_from_string(host->region));
+    client->path_listener = ch_path_manager_get_listener(node->paths, host);
     return client;
 }
 
@@ -300,6 +302,7 @@
     for (guint i = homes->upstreams->len; i > 0; i--) {
         struct upstream *upstream = g_ptr_array_index(homes->upstreams, i - 1);
         if (!upstream->listed) {
+            ch_path_manager_forget(homes->node->paths, upstream->name);
             home_close(homes, upstream, effects);
             g_ptr_array_remove_index(homes->upstreams, i - 1);
             upstream_unref(upstream);
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -20,6 +20,7 @@
     uint64_t handle; /* atomic: set once ch_http_submit() has returned */
     struct ch_call_rules rules;
     struct ch_limit_listener limit_listener;
+    struct ch_path_listener path_listener;
     int64_t sent_at;
     struct ch_call_handlers handlers;
     void *data;
@@ -184,6 +185,16 @@
     }
 }
 
+/* See upstream.h. */
+void
+ch_upstream_report_path(const struct ch_path_listener *listener,
+                        const struct ch_http_result *result)
+{
+    if (listener->handle != NULL) {
+        listener->handle(listener, result);
+    }
+}
+
 bool
 ch_call_is_stream(bool asked, int status, const char *content_type)
 {
@@ -440,6 +451,7 @@
 handle_end(void *data, const struct ch_http_result *end)
 {
     struct call_exchange *exchange = data;
+    ch_upstream_report_path(&exchange->path_listener, end);
     if (!exchange->end_reported) {
         if (end->code == CH_OK) {
             check_headers(exchange);
@@ -488,7 +500,7 @@
 ch_call_start_with_headers(struct ch_client *client, struct ch_http *http,
                            const char *address,
                            const struct ch_call_rules *rules,
-                           const struct ch_limit_listener *listener,
+                           const struct ch_upstream *upstream,
                            const struct ch_call *call,
                            const struct ch_http_header *headers, size_t count,
                            const struct ch_call_handlers *handlers, void *data)
@@ -502,7 +514,8 @@
     };
     struct call_exchange *exchange =
         call_exchange_new(client, http, rules, call);
-    exchange->limit_listener = *listener;
+    exchange->limit_listener = upstream->limit_listener;
+    exchange->path_listener = upstream->path_listener;
     exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
     exchange->data = data;
@@ -538,8 +551,7 @@
 uint64_t
 ch_call_start(struct ch_client *client, struct ch_http *http,
               const char *address, const struct ch_call_rules *rules,
-              const struct ch_limit_listener *listener,
-              const struct ch_call *call,
+              const struct ch_upstream *upstream, const struct ch_call *call,
               const struct ch_call_handlers *handlers, void *data)
 {
     char priority[16];
@@ -565,6 +577,6 @@
     if (call->team != NULL) {
         headers[count++] = (struct ch_http_header){"X-Team", call->team};
     }
-    return ch_call_start_with_headers(client, http, address, rules, listener,
+    return ch_call_start_with_headers(client, http, address, rules, upstream,
                                       call, headers, count, handlers, data);
 }
--- a/libchestnuthitch/upstream/call.h
+++ b/libchestnuthitch/upstream/call.h
@@ -50,20 +50,19 @@
     .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER
 
 /*
- * Copies the rules, the call and the listener; neither they nor the upstream
- * need to outlive this function. Returns a handle for ch_http_cancel().
+ * Copies the rules, the call and the upstream's listeners; none of them needs
+ * to outlive this function. Returns a handle for ch_http_cancel().
  */
 uint64_t ch_call_start(struct ch_client *client, struct ch_http *http,
                        const char *address, const struct ch_call_rules *rules,
-                       const struct ch_limit_listener *listener,
+                       const struct ch_upstream *upstream,
                        const struct ch_call *call,
                        const struct ch_call_handlers *handlers, void *data);
 /* As ch_call_start(), with these headers instead of the generated ones. */
 uint64_t ch_call_start_with_headers(
     struct ch_client *client, struct ch_http *http, const char *address,
-    const struct ch_call_rules *rules,
-    const struct ch_limit_listener *listener, const struct ch_call *call,
-    const struct ch_http_header *headers, size_t count,
-    const struct ch_call_handlers *handlers, void *data);
+    const struct ch_call_rules *rules, const struct ch_upstream *upstream,
+    const struct ch_call *call, const struct ch_http_header *headers,
+    size_t count, const struct ch_call_handlers *handlers, void *data);
 
 #endif
--- a/libchestnuthitch/upstream/control.c
+++ b/libchestnuthitch/upstream/control.c
@@ -9,33 +9,37 @@
 };
 
 /* What both kinds of calls need when their response has come. */
-struct limit_context {
-    struct ch_limit_listener listener;
+struct control_context {
+    struct ch_limit_listener limit_listener;
+    struct ch_path_listener path_listener;
     int64_t sent_at;
 };
 
-static struct limit_context
-limit_context_init(const struct ch_control_peer *peer)
+static struct control_context
+control_context_init(const struct ch_control_peer *peer)
 {
-    return (struct limit_context){peer->limit_listener,
-                                  ch_client_get_time(peer->client)};
+    return (struct control_context){peer->limit_listener, peer->path_listener,
+                                    ch_client_get_time(peer->client)};
 }
 
-/* Tells the listener of a limit that a response names. One that names none
- * says nothing: an upstream may name its limit to requests alone. */
+/* Tells the listeners how the call ended, and of a limit that the response
+ * names. One that names none says nothing: an upstream may name its limit to
+ * requests alone. */
 static void
-report_limit(const struct limit_context *limit,
-             const struct ch_http_response *response)
+report_response(const struct control_context *context,
+                const struct ch_http_response *response)
 {
+    ch_upstream_report_path(&context->path_listener, &response->result);
     if (response->kept_values != NULL) {
-        ch_upstream_report_limit(&limit->listener, response->kept_values,
-                                 false, limit->sent_at);
+        ch_upstream_report_limit(&context->limit_listener,
+                                 response->kept_values, false,
+                                 context->sent_at);
     }
 }
 
 /* An order whose response is awaited. */
 struct order_context {
-    struct limit_context limit;
+    struct control_context control;
     enum ch_code (*code_of)(int status);
     void (*done)(void *data, enum ch_code code);
     void *data;
@@ -51,7 +55,7 @@
 {
     struct order_context *context = data;
     enum ch_code code = response->result.code;
-    report_limit(&context->limit, response);
+    report_response(&context->control, response);
     if (code == CH_OK) {
         code = context->code_of(response->result.status);
     }
@@ -69,7 +73,7 @@
                       void (*done)(void *data, enum ch_code code), void *data)
 {
     struct order_context *context = g_new0(struct order_context, 1);
-    context->limit = limit_context_init(peer);
+    context->control = control_context_init(peer);
     context->code_of = code_of;
     context->done = done;
     context->data = data;
@@ -79,7 +83,7 @@
 
 /* A report whose response is awaited. */
 struct report_context {
-    struct limit_context limit;
+    struct control_context control;
     struct ch_engine_report *(*read)(const char *text, size_t length,
                                      struct ch_error *error);
     void (*done)(void *data, enum ch_code code,
@@ -94,7 +98,7 @@
     struct report_context *context = data;
     struct ch_error error = {.code = response->result.code};
     struct ch_engine_report *report = NULL;
-    report_limit(&context->limit, response);
+    report_response(&context->control, response);
     if (error.code == CH_OK && response->result.status != 200) {
         ch_error_set(&error, CH_UPSTREAM_ANSWER, "report: status %d",
                      response->result.status);
@@ -116,7 +120,7 @@
     void *data)
 {
     struct report_context *context = g_new0(struct report_context, 1);
-    context->limit = limit_context_init(peer);
+    context->control = control_context_init(peer);
     context->read = read;
     context->done = done;
     context->data = data;
--- a/libchestnuthitch/upstream/control.h
+++ b/libchestnuthitch/upstream/control.h
@@ -13,6 +13,7 @@
     struct ch_client *client;
     struct ch_http *http;
     struct ch_limit_listener limit_listener;
+    struct ch_path_listener path_listener;
 };
 
 /*
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -27,7 +27,7 @@
     };
     struct engine *engine = (struct engine *)upstream;
     return ch_call_start(engine->client, engine->http, engine->address, &rules,
-                         &upstream->limit_listener, call, handlers, data);
+                         upstream, call, handlers, data);
 }
 
 /* Ends a call; the closed connection notifies the engine. */
@@ -104,7 +104,8 @@
         .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
     };
     const struct ch_control_peer peer = {engine->client, engine->http,
-                                         upstream->limit_listener};
+                                         upstream->limit_listener,
+                                         upstream->path_listener};
     ch_control_send_order(&peer, &request, map_order_status, done, data);
     g_free(url);
     g_free(body);
@@ -128,7 +129,8 @@
         .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
     };
     const struct ch_control_peer peer = {engine->client, engine->http,
-                                         upstream->limit_listener};
+                                         upstream->limit_listener,
+                                         upstream->path_listener};
     ch_control_fetch_report(&peer, &request, ch_engine_report_parse, done,
                             data);
     g_free(url);
--- a/libchestnuthitch/upstream/service.c
+++ b/libchestnuthitch/upstream/service.c
@@ -21,8 +21,7 @@
     };
     struct service *service = (struct service *)upstream;
     return ch_call_start(service->client, service->http, service->address,
-                         &rules, &upstream->limit_listener, call, handlers,
-                         data);
+                         &rules, upstream, call, handlers, data);
 }
 
 /* Ends a call by closing its connection. */
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -160,11 +160,28 @@
     GQuark region; /* of the upstream */
 };
 
+/*
+ * Is told how each direct call to the upstream ended, of requests, orders and
+ * reports: what it shows about the path to the upstream. handle runs on the
+ * HTTP loop's thread, also for calls that outlive the client of the upstream.
+ */
+struct ch_path_listener {
+    void (*handle)(const struct ch_path_listener *listener,
+                   const struct ch_http_result *result);
+    void *data;
+    GQuark upstream;
+};
+
 struct ch_upstream {
     const struct ch_upstream_ops *ops;
     struct ch_limit_listener limit_listener; /* handle may be NULL */
+    struct ch_path_listener path_listener;   /* likewise */
 };
 
+/* Calls the listener, if there is one. */
+void ch_upstream_report_path(const struct ch_path_listener *listener,
+                             const struct ch_http_result *result);
+
 /* Calls the listener, if there is one, with the header's values in a response
  * (NULL: none). */
 void ch_upstream_report_limit(const struct ch_limit_listener *listener,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1762,7 +1762,97 @@
   assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[35] =
+void   chestnuthitch__wire__path_probe__init
+                     (Chestnuthitch__Wire__PathProbe         *message)
+{
+  static const Chestnuthitch__Wire__PathProbe init_value = CHESTNUTHITCH__WIRE__PATH_PROBE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__path_probe__get_packed_size
+                     (const Chestnuthitch__Wire__PathProbe *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__path_probe__pack
+                     (const Chestnuthitch__Wire__PathProbe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__path_probe__pack_to_buffer
+                     (const Chestnuthitch__Wire__PathProbe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__PathProbe *
+       chestnuthitch__wire__path_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__PathProbe *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__path_probe__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__path_probe__free_unpacked
+                     (Chestnuthitch__Wire__PathProbe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__path_probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__path_view__init
+                     (Chestnuthitch__Wire__PathView         *message)
+{
+  static const Chestnuthitch__Wire__PathView init_value = CHESTNUTHITCH__WIRE__PATH_VIEW__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__path_view__get_packed_size
+                     (const Chestnuthitch__Wire__PathView *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__path_view__pack
+                     (const Chestnuthitch__Wire__PathView *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__path_view__pack_to_buffer
+                     (const Chestnuthitch__Wire__PathView *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__PathView *
+       chestnuthitch__wire__path_view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__PathView *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__path_view__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__path_view__free_unpacked
+                     (Chestnuthitch__Wire__PathView *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[37] =
 {
   {
     "version",
@@ -2184,6 +2274,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "path_probe",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, path_probe),
+    &chestnuthitch__wire__path_probe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path_view",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, path_view),
+    &chestnuthitch__wire__path_view__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   15,   /* field[15] = config_pull */
@@ -2207,6 +2321,8 @@
   18,   /* field[18] = once_answer */
   17,   /* field[17] = once_begin */
   19,   /* field[19] = once_finish */
+  35,   /* field[35] = path_probe */
+  36,   /* field[36] = path_view */
   7,   /* field[7] = ping */
   8,   /* field[8] = pong */
   22,   /* field[22] = prepare */
@@ -2226,7 +2342,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 35 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2236,7 +2352,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  35,
+  37,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -5245,3 +5361,79 @@
   (ProtobufCMessageInit) chestnuthitch__wire__limit_permission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__path_probe__field_descriptors[1] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PathProbe, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__path_probe__field_indices_by_name[] = {
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__path_probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__path_probe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.PathProbe",
+  "PathProbe",
+  "Chestnuthitch__Wire__PathProbe",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__PathProbe),
+  1,
+  chestnuthitch__wire__path_probe__field_descriptors,
+  chestnuthitch__wire__path_probe__field_indices_by_name,
+  1,  chestnuthitch__wire__path_probe__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__path_probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__path_view__field_descriptors[1] =
+{
+  {
+    "result",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PathView, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__path_view__field_indices_by_name[] = {
+  0,   /* field[0] = result */
+};
+static const ProtobufCIntRange chestnuthitch__wire__path_view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__path_view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.PathView",
+  "PathView",
+  "Chestnuthitch__Wire__PathView",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__PathView),
+  1,
+  chestnuthitch__wire__path_view__field_descriptors,
+  chestnuthitch__wire__path_view__field_indices_by_name,
+  1,  chestnuthitch__wire__path_view__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__path_view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -54,6 +54,8 @@
 typedef struct Chestnuthitch__Wire__LimitStates Chestnuthitch__Wire__LimitStates;
 typedef struct Chestnuthitch__Wire__LimitTake Chestnuthitch__Wire__LimitTake;
 typedef struct Chestnuthitch__Wire__LimitPermission Chestnuthitch__Wire__LimitPermission;
+typedef struct Chestnuthitch__Wire__PathProbe Chestnuthitch__Wire__PathProbe;
+typedef struct Chestnuthitch__Wire__PathView Chestnuthitch__Wire__PathView;
 
 
 /* --- enums --- */
@@ -91,7 +93,9 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_QUOTA_GRANT = 35,
   CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_STATES = 36,
   CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_TAKE = 37,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_PERMISSION = 38
+  CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_PERMISSION = 38,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_PROBE = 39,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_VIEW = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -145,6 +149,8 @@
     Chestnuthitch__Wire__LimitStates *limit_states;
     Chestnuthitch__Wire__LimitTake *limit_take;
     Chestnuthitch__Wire__LimitPermission *limit_permission;
+    Chestnuthitch__Wire__PathProbe *path_probe;
+    Chestnuthitch__Wire__PathView *path_view;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -952,6 +958,32 @@
     , 0, 0, NULL }
 
 
+/*
+ * Asks whether the receiver can connect to an upstream.
+ */
+struct  Chestnuthitch__Wire__PathProbe
+{
+  ProtobufCMessage base;
+  char *upstream;
+};
+#define CHESTNUTHITCH__WIRE__PATH_PROBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__path_probe__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+struct  Chestnuthitch__Wire__PathView
+{
+  ProtobufCMessage base;
+  /*
+   * enum ch_path_view
+   */
+  uint32_t result;
+};
+#define CHESTNUTHITCH__WIRE__PATH_VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__path_view__descriptor) \
+    , 0 }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -1693,6 +1725,44 @@
 void   chestnuthitch__wire__limit_permission__free_unpacked
                      (Chestnuthitch__Wire__LimitPermission *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__PathProbe methods */
+void   chestnuthitch__wire__path_probe__init
+                     (Chestnuthitch__Wire__PathProbe         *message);
+size_t chestnuthitch__wire__path_probe__get_packed_size
+                     (const Chestnuthitch__Wire__PathProbe   *message);
+size_t chestnuthitch__wire__path_probe__pack
+                     (const Chestnuthitch__Wire__PathProbe   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__path_probe__pack_to_buffer
+                     (const Chestnuthitch__Wire__PathProbe   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__PathProbe *
+       chestnuthitch__wire__path_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__path_probe__free_unpacked
+                     (Chestnuthitch__Wire__PathProbe *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__PathView methods */
+void   chestnuthitch__wire__path_view__init
+                     (Chestnuthitch__Wire__PathView         *message);
+size_t chestnuthitch__wire__path_view__get_packed_size
+                     (const Chestnuthitch__Wire__PathView   *message);
+size_t chestnuthitch__wire__path_view__pack
+                     (const Chestnuthitch__Wire__PathView   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__path_view__pack_to_buffer
+                     (const Chestnuthitch__Wire__PathView   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__PathView *
+       chestnuthitch__wire__path_view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__path_view__free_unpacked
+                     (Chestnuthitch__Wire__PathView *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -1812,6 +1882,12 @@
 typedef void (*Chestnuthitch__Wire__LimitPermission_Closure)
                  (const Chestnuthitch__Wire__LimitPermission *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__PathProbe_Closure)
+                 (const Chestnuthitch__Wire__PathProbe *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__PathView_Closure)
+                 (const Chestnuthitch__Wire__PathView *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1857,6 +1933,8 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_take__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_probe__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_view__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -68,7 +68,10 @@
     g_key_file_set_value(file, "listen", "admin", node->admin_address);
     g_key_file_set_value(file, "listen", "peers", listen);
     g_key_file_set_value(file, "platform", "kv", fleet->kv.address);
-    g_key_file_set_value(file, "platform", "hosts", fleet->host_list.address);
+    g_key_file_set_value(file, "platform", "hosts",
+                         fleet->config.separate_paths
+                             ? node->host_list.address
+                             : fleet->host_list.address);
     if (!g_key_file_save_to_file(file, node->settings_path, NULL)) {
         g_error("harness: cannot write %s", node->settings_path);
     }
@@ -76,7 +79,35 @@
     g_key_file_unref(file);
 }
 
-/* Reserves a node's ports, writes its settings file and starts its relay. */
+/* Starts a node's own host list, and a relay to each upstream. */
+static void
+start_paths(struct harness_fleet *fleet, struct harness_node *node)
+{
+    harness_standin_start(&node->host_list, fleet->build_directory, "hosts",
+                          NULL);
+    g_assert_cmpuint(fleet->upstream_count, <=, HARNESS_MAX_PATHS);
+    for (unsigned i = 0; i < fleet->upstream_count; i++) {
+        char *target =
+            g_strdup_printf("target=%s", fleet->upstreams[i].standin.address);
+        const char *const args[] = {target, NULL};
+        harness_standin_start(&node->paths[i], fleet->build_directory, "relay",
+                              args);
+        g_free(target);
+    }
+}
+
+void
+harness_node_cut_paths(struct harness_fleet *fleet, struct harness_node *node,
+                       const char *form)
+{
+    char *path = g_strconcat("cut?form=", form, NULL);
+    for (unsigned i = 0; i < fleet->upstream_count; i++) {
+        g_free(harness_call_control(&node->paths[i], path, ""));
+    }
+    g_free(path);
+}
+
+/* Reserves a node's ports, writes its settings file and starts its relays. */
 static void
 prepare_node(struct harness_fleet *fleet, unsigned i)
 {
@@ -96,6 +127,9 @@
         g_strdup_printf("%s/%s.ini", fleet->directory, node->name);
     node->log_path =
         g_strdup_printf("%s/%s.log", fleet->directory, node->name);
+    if (fleet->config.separate_paths) {
+        start_paths(fleet, node);
+    }
     write_settings(fleet, node);
     if (fleet->config.use_relays) {
         char *target = g_strdup_printf("target=%s", node->peer_address);
@@ -166,8 +200,12 @@
     json_builder_end_object(out);
 }
 
-void
-harness_fleet_publish_hosts(struct harness_fleet *fleet)
+/* Sends a host list to the stand-in that serves it. paths: relays that stand
+ * for the upstreams; NULL: none. */
+static void
+publish_list(const struct harness_fleet *fleet,
+             const struct harness_standin *host_list,
+             const struct harness_standin *paths)
 {
     JsonBuilder *out = json_builder_new();
     json_builder_begin_object(out);
@@ -184,7 +222,8 @@
         const struct harness_upstream *upstream = &fleet->upstreams[i];
         const char *texts[] = {upstream->name,
                                upstream->service ? "service" : "engine",
-                               upstream->standin.address,
+                               paths == NULL ? upstream->standin.address
+                                             : paths[i].address,
                                upstream->region,
                                upstream->data_centre,
                                upstream->service};
@@ -195,12 +234,24 @@
     json_builder_end_object(out);
     JsonNode *root = json_builder_get_root(out);
     char *text = json_to_string(root, FALSE);
-    g_free(harness_call_control(&fleet->host_list, "hosts", text));
+    g_free(harness_call_control(host_list, "hosts", text));
     g_free(text);
     json_node_unref(root);
     g_object_unref(out);
 }
 
+void
+harness_fleet_publish_hosts(struct harness_fleet *fleet)
+{
+    publish_list(fleet, &fleet->host_list, NULL);
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        const struct harness_node *node = &fleet->nodes[i];
+        if (node->host_list.pid != 0) {
+            publish_list(fleet, &node->host_list, node->paths);
+        }
+    }
+}
+
 struct harness_fleet *
 harness_fleet_prepare(const char *build,
                       const struct harness_fleet_config *shape)
@@ -362,6 +413,10 @@
     }
     for (unsigned i = 0; i < fleet->node_count; i++) {
         harness_standin_stop(&fleet->nodes[i].relay);
+        harness_standin_stop(&fleet->nodes[i].host_list);
+        for (unsigned k = 0; k < HARNESS_MAX_PATHS; k++) {
+            harness_standin_stop(&fleet->nodes[i].paths[k]);
+        }
     }
     if (failed == 0 && g_getenv("HARNESS_KEEP") == NULL) {
         remove_files(fleet);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -15,6 +15,7 @@
 
 enum {
     HARNESS_MAX_PROCESSES = 128, /* processes of each kind */
+    HARNESS_MAX_PATHS = 8,       /* upstreams of a fleet with separate paths */
     HARNESS_READY_TIMEOUT_MS = 20 * 1000,
 };
 
@@ -82,6 +83,9 @@
     char caller_address[32];
     char peer_address[32];        /* as published in the host list */
     struct harness_standin relay; /* between other nodes and its peer port */
+    /* With separate paths: its own host list, and a relay to each upstream. */
+    struct harness_standin host_list;
+    struct harness_standin paths[HARNESS_MAX_PATHS];
     const char *region;
     const char *data_centre;
 };
@@ -100,9 +104,10 @@
     unsigned node_count;
     unsigned engine_count;
     unsigned service_count;
-    bool use_relays;           /* a relay in front of each node's peer port */
-    unsigned engine_batch;     /* 0: 64 */
-    unsigned engine_memory_mb; /* in the host list; 0: 40000 */
+    bool use_relays;       /* a relay in front of each node's peer port */
+    bool separate_paths;   /* a relay between each node and each upstream */
+    unsigned engine_batch; /* 0: 64 */
+    unsigned engine_memory_mb;    /* in the host list; 0: 40000 */
     const char *declaration_path; /* NULL: examples/small.ini */
     const char *engine_args[8];   /* NAME=VALUE, after the defaults */
     const char *settings[16]; /* "group.key=value", override the defaults */
@@ -137,6 +142,10 @@
 unsigned harness_fleet_stop(struct harness_fleet *fleet);
 /* Sends the fleet's present host list to the stand-in that serves it. */
 void harness_fleet_publish_hosts(struct harness_fleet *fleet);
+/* Cuts the paths between a node and all upstreams, or opens them again, of a
+ * fleet with separate paths. form: see tests/standin/relay.c. */
+void harness_node_cut_paths(struct harness_fleet *fleet,
+                            struct harness_node *node, const char *form);
 /* Starts a node's process, also again after it has ended. */
 void harness_node_start(struct harness_fleet *fleet,
                         struct harness_node *node);
