--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -40,6 +40,7 @@
     {"listen", "callers", CH_INI_ADDRESS, SETTING(callers), NULL, 0, 0, NULL},
     {"listen", "admin", CH_INI_ADDRESS, SETTING(admin), NULL, 0, 0, NULL},
     {"listen", "peers", CH_INI_ADDRESS, SETTING(peers), NULL, 0, 0, NULL},
+    {"listen", "relay", CH_INI_ADDRESS, SETTING(relay), "", 0, 0, NULL},
     {"listen", "ready-path", CH_INI_TEXT, SETTING(ready_path), "/readyz", 0, 0,
      NULL},
     {"platform", "kind", CH_INI_CHOICE, SETTING(platform), "own",
@@ -217,10 +218,11 @@
 check_listeners(const struct ch_ini *ini, const struct ch_settings *settings,
                 struct ch_error *error)
 {
-    const char *const keys[] = {"callers", "admin", "peers"};
+    const char *const keys[] = {"callers", "admin", "peers", "relay"};
     const char *const values[] = {settings->callers, settings->admin,
-                                  settings->peers};
-    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+                                  settings->peers, settings->relay};
+    size_t count = G_N_ELEMENTS(keys) - (settings->relay == NULL ? 1 : 0);
+    for (size_t i = 0; i < count; i++) {
         for (size_t j = 0; j < i; j++) {
             if (addresses_clash(values[i], values[j])) {
                 ch_ini_set_error(ini, "listen", keys[i], CH_DUPLICATE, error,
--- a/libchestnuthitch/decide/member.c
+++ b/libchestnuthitch/decide/member.c
@@ -336,6 +336,26 @@
     }
 }
 
+void
+ch_members_set_no_path(struct ch_members *members, const char *name,
+                       bool no_path)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL) {
+        member->no_path = no_path;
+    }
+}
+
+void
+ch_members_set_relay_port(struct ch_members *members, const char *name,
+                          uint16_t port)
+{
+    struct ch_member *member = find_member(members, name);
+    if (member != NULL) {
+        member->relay_port = port;
+    }
+}
+
 /* Each frame from a node says whether it is ready to be a home node. */
 void
 ch_members_set_ready(struct ch_members *members, const char *name, bool ready)
--- a/libchestnuthitch/decide/member.h
+++ b/libchestnuthitch/decide/member.h
@@ -28,6 +28,8 @@
     uint64_t stopping_incarnation; /* incarnation that announced its stop; 0:
                                       none */
     uint32_t capacity;             /* of its host, in any unit; 0: not known */
+    bool no_path;                  /* it is cut off from the upstreams */
+    uint16_t relay_port;           /* where it relays calls; 0: not known */
     bool not_ready; /* answers, but is not ready to be a home node */
     bool listed;    /* found in the host list by the update in progress */
     uint64_t incarnation;
@@ -88,6 +90,12 @@
 /* Sets whether a member says that it is ready to be a home node. */
 void ch_members_set_ready(struct ch_members *members, const char *name,
                           bool ready);
+/* Sets whether a member says that it is cut off from the upstreams. */
+void ch_members_set_no_path(struct ch_members *members, const char *name,
+                            bool no_path);
+/* Sets the port at which a member relays calls; 0: none. */
+void ch_members_set_relay_port(struct ch_members *members, const char *name,
+                               uint16_t port);
 /* Sets whether this node is ready to be a home node. */
 void ch_members_set_self_ready(struct ch_members *members, bool ready);
 /* True when the member may be a home node, apart from its readiness. */
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -225,6 +225,8 @@
         .resident_model_count = models->len,
     };
     ensure_client(balancer, upstream.name, host);
+    ch_path_manager_set_draining(balancer->node->paths, upstream.name,
+                                 host->draining);
     ch_limit_manager_update_upstream(balancer->node->limits, upstream.name,
                                      upstream.boot_id);
     const struct ch_crash_listed_upstream listed = {
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -4,6 +4,7 @@
 
 #include "node/crash_guard.h"
 #include "node/limit_manager.h"
+#include "node/path_manager.h"
 #include "node/quota_manager.h"
 
 enum {
@@ -11,6 +12,8 @@
      * repeated soon, so its caller is asked to wait until an operator can
      * act. */
     BARRED_RETRY_AFTER_US = 60 * 1000 * 1000,
+    /* Nodes that may fail to relay one request. */
+    MAX_FAILED_RELAYS = 6,
 };
 
 /* Gives back the cost of a request that no upstream ran. */
@@ -562,6 +565,9 @@
     if (end->code == CH_OK) {
         ch_crash_guard_record_complete(crashes, exchange->request);
     }
+    else if (end->relay_result == CH_RELAY_LOST) {
+        return; /* the relaying node may have ended, not the upstream */
+    }
     else if (end->connection_refused) {
         ch_crash_guard_record_refused(crashes, grant->upstream);
     }
@@ -572,6 +578,41 @@
     }
 }
 
+/* Ends the use of the node that relayed the call, if one did. Lock held. */
+static void
+release_relay(struct ch_exchange *exchange, const struct ch_call_result *end)
+{
+    if (exchange->relay == 0) {
+        return;
+    }
+    ch_path_manager_release_relay(exchange->frontend->node->paths,
+                                  exchange->relay, exchange->grant.upstream,
+                                  end->relay_result);
+    if (ch_relay_result_is_about_node(end->relay_result)) {
+        g_array_append_val(exchange->failed_relays, exchange->relay);
+    }
+}
+
+/*
+ * Whether the same upstream is called again, by another node: this node, or
+ * the one that should have relayed the call, has no path to it. Nothing was
+ * sent to the upstream, so this is no second attempt. Lock held.
+ */
+static bool
+should_call_by_other_node(const struct ch_exchange *exchange,
+                          const struct ch_call_result *end)
+{
+    bool is_path_missing =
+        exchange->relay == 0
+            ? end->code == CH_UPSTREAM_CONNECT
+            : ch_relay_result_is_about_node(end->relay_result);
+    return is_path_missing && !end->may_have_run && !exchange->abandoned &&
+           exchange->failed_relays->len < MAX_FAILED_RELAYS &&
+           ch_path_manager_has_relay(exchange->frontend->node->paths,
+                                     exchange->grant.upstream,
+                                     exchange->failed_relays);
+}
+
 /* Handles the end of a call, successful or not. A grant that was used is
  * released here and nowhere else. */
 bool
@@ -579,10 +620,15 @@
                             const struct ch_call_result *end)
 {
     struct ch_node *node = exchange->frontend->node;
+    release_relay(exchange, end);
     exchange->may_have_run =
         exchange->may_have_run_before || end->may_have_run;
     exchange->call_may_have_run |= end->may_have_run;
     exchange->was_connected = end->code != CH_UPSTREAM_CONNECT;
+    if (should_call_by_other_node(exchange, end)) {
+        ch_exchange_call_upstream(exchange);
+        return false;
+    }
     struct ch_call_result effective_end = *end;
     if (is_upstream_failure(exchange, end)) {
         effective_end.code = CH_UPSTREAM_ANSWER;
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -68,10 +68,12 @@
     GArray *excluded;          /* GQuark: upstreams that are not to be tried */
     int64_t limit_retry_after; /* the soonest of those refusals */
     unsigned routing_round;    /* number of requests to the router */
+    GArray *failed_relays;     /* GQuark: nodes that did not relay the call */
 
     /* The call and its response. */
     unsigned call_count;
     uint64_t call_handle;
+    GQuark relay; /* by which node the present call goes; 0: directly */
     char *content_type;
     GArray *headers; /* struct ch_http_header: passed on to the caller */
     char
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -4,6 +4,7 @@
 #include "node/exchange.h"
 
 #include "node/crash_guard.h"
+#include "node/path_manager.h"
 
 #include <string.h>
 
@@ -367,6 +368,18 @@
     return MAX(request->deadline - now, 1);
 }
 
+/* Sets by which node the present call goes, if this one has no path to the
+ * upstream. */
+static bool
+choose_relay(struct ch_exchange *exchange, struct ch_path_relay *relay)
+{
+    struct ch_node *node = exchange->frontend->node;
+    bool is_relayed = ch_path_manager_choose_relay(
+        node->paths, exchange->grant.upstream, exchange->failed_relays, relay);
+    exchange->relay = is_relayed ? relay->name : 0;
+    return is_relayed;
+}
+
 /* Calls the granted upstream. A retry uses a fresh connection: the first call
  * may have failed because the kept-alive connections have gone silent. */
 void
@@ -410,6 +423,14 @@
     };
     call.total_timeout =
         call.remaining_time > 0 ? call.remaining_time + DEADLINE_MARGIN_US : 0;
+    struct ch_path_relay relay;
+    const struct ch_call_relay call_relay = {
+        .address = relay.address,
+        .upstream = g_quark_to_string(exchange->grant.upstream),
+    };
+    if (choose_relay(exchange, &relay)) {
+        call.relay = &call_relay;
+    }
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
--- a/libchestnuthitch/node/exchange_lifetime.c
+++ b/libchestnuthitch/node/exchange_lifetime.c
@@ -31,6 +31,7 @@
     exchange->request = request;
     exchange->response = ch_response_ref(response);
     exchange->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    exchange->failed_relays = g_array_new(FALSE, FALSE, sizeof(GQuark));
     exchange->headers =
         g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
     g_array_set_clear_func(exchange->headers, clear_header);
@@ -63,6 +64,7 @@
     }
     ch_request_free(exchange->request);
     g_array_free(exchange->excluded, TRUE);
+    g_array_free(exchange->failed_relays, TRUE);
     g_byte_array_free(exchange->body, TRUE);
     g_array_free(exchange->headers, TRUE);
     g_free(exchange->last_event_id);
--- a/libchestnuthitch/node/exchange_respond.c
+++ b/libchestnuthitch/node/exchange_respond.c
@@ -252,6 +252,9 @@
                     exchange->grant.upstream == 0
                         ? ""
                         : g_quark_to_string(exchange->grant.upstream)),
+           CH_F_STR("relay", exchange->relay == 0
+                                 ? ""
+                                 : g_quark_to_string(exchange->relay)),
            CH_F_INT("code", exchange->code),
            CH_F_STR("outcome", ch_outcome_get_name(exchange->outcome)),
            CH_F_INT("status", exchange->status),
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -7,6 +7,7 @@
 #include "node/limit_manager.h"
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
+#include "node/relay_server.h"
 
 #include <ck_pr.h>
 #include <time.h>
@@ -23,6 +24,7 @@
 {
     ch_frontend_free(node->frontend);
     ch_admin_free(node->admin);
+    ch_relay_server_free(node->relay_server);
     ch_config_manager_free(node->config);
     ch_once_manager_free(node->once);
     ch_ledger_manager_free(node->ledger);
@@ -118,6 +120,14 @@
         free_node(node);
         return NULL;
     }
+    if (settings->relay != NULL) {
+        node->relay_server = ch_relay_server_new(node, error);
+        if (node->relay_server == NULL) {
+            stop_threads(node);
+            free_node(node);
+            return NULL;
+        }
+    }
     ch_limit_manager_start(node->limits);
     ch_path_manager_start(node->paths);
     ch_peers_start(node->peers);
@@ -142,11 +152,13 @@
 ch_node_stop(struct ch_node *node)
 {
     ch_log(node->client, CH_LOG_NOTICE, "stopping", CH_F_END);
+    ch_relay_server_drain(node->relay_server);
     node->router->ops->drain(node->router);
     ch_quota_manager_drain(node->quota);
     if (node->frontend != NULL) {
         ch_frontend_stop(node->frontend);
     }
+    ch_relay_server_stop(node->relay_server);
     if (node->admin != NULL) {
         ch_admin_stop(node->admin);
     }
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < paths < peers < pool, timers, http < metrics. No
- * handler of another package is called with a lock held.
+ * < crashes < quota < limits < paths < peers < pool, timers, http < metrics.
+ * No handler of another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -32,6 +32,7 @@
 struct ch_limit_manager;
 struct ch_path_manager;
 struct ch_quota_manager;
+struct ch_relay_server;
 struct ch_router;
 
 struct ch_node {
@@ -55,6 +56,7 @@
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
+    struct ch_relay_server *relay_server; /* NULL: relays no calls */
     struct ch_frontend *frontend;
     struct ch_admin *admin;
     int predecessor_listed; /* atomic: the host list still names an earlier
@@ -196,6 +198,29 @@
                                          const char *data_centre,
                                          const char *region),
                             void *data);
+/* A live node that relays calls. */
+struct ch_peers_relay {
+    const char *name;
+    const char *address; /* ip:port of its peers listener */
+    uint16_t port;       /* where it relays calls, at the same IP address */
+    const char *data_centre;
+    const char *region;
+    uint32_t capacity;
+};
+/* Calls each() for every other live node that relays calls and is not cut off
+ * from the upstreams itself, with the peers' lock held. */
+void ch_peers_foreach_relay(struct ch_peers *peers,
+                            void (*each)(void *data,
+                                         const struct ch_peers_relay *relay),
+                            void *data);
+/* Sets the port at which this node relays calls; before ch_peers_start(). */
+void ch_peers_set_relay_port(struct ch_peers *peers, uint16_t port);
+/* Sets whether this node is cut off from the upstreams. It is then no home
+ * node while another node is ready. */
+void ch_peers_set_no_path(struct ch_peers *peers, bool no_path);
+/* Sends a ping to all other live nodes, with the state of this one; the
+ * answers bring theirs. */
+void ch_peers_ping_all(struct ch_peers *peers);
 /* Sorted names of all live nodes including this one; free with g_strfreev().
  */
 char **ch_peers_list_live(struct ch_peers *peers);
--- a/libchestnuthitch/node/path_internal.h
+++ b/libchestnuthitch/node/path_internal.h
@@ -24,6 +24,7 @@
     char address[PATH_ADDRESS_SIZE]; /* ip:port */
     GQuark region;
     GQuark data_centre;
+    bool draining;
     int64_t probed_at; /* when a connection was last opened for a call that
                           went silent, or for another node */
 };
@@ -32,7 +33,14 @@
     struct ch_node *node;
     pthread_mutex_t lock;
     struct ch_path_tracker *tracker;
-    GHashTable *upstreams; /* GQuark to struct path_upstream */
+    GHashTable *upstreams;  /* GQuark to struct path_upstream */
+    GHashTable *relays;     /* GQuark to struct relay_state */
+    GHashTable *lost_pairs; /* relay and upstream to when the pair may be used
+                               again */
+    GArray *candidates;     /* struct relay_candidate */
+    int64_t candidates_read_at;
+    uint64_t draw;     /* of the last choice */
+    int64_t pinged_at; /* when the other nodes were told of the cut */
     bool ticking;
     bool stopped;
 };
@@ -53,6 +61,11 @@
                               GQuark upstream, int64_t now,
                               struct ch_path_sample *sample);
 
+/* ---- path_relay.c ---- */
+
+void path_relay_init(struct ch_path_manager *manager);
+void path_relay_clear(struct ch_path_manager *manager);
+
 /* ---- path_probe.c; lock not held ---- */
 
 void path_probe_init(struct ch_path_manager *manager);
--- a/libchestnuthitch/node/path_manager.c
+++ b/libchestnuthitch/node/path_manager.c
@@ -8,6 +8,9 @@
     TICK_US = 100 * 1000,
     /* Between two probes of one upstream for calls that went silent. */
     SILENCE_PROBE_PERIOD_US = 1000 * 1000,
+    /* A node that is cut off tells all others this often, and learns from
+     * their answers which of them relay calls. */
+    PING_PERIOD_US = 2 * 1000 * 1000,
 };
 
 /* See path_internal.h. */
@@ -117,6 +120,16 @@
     ch_pool_submit(manager->node->pool, run_ask, job);
 }
 
+/* Tells the other nodes whether this one is cut off; on a pool worker. */
+static void
+tell_others(void *data)
+{
+    struct ch_path_manager *manager = data;
+    struct ch_peers *peers = manager->node->peers;
+    ch_peers_set_no_path(peers, ch_path_manager_get_cut_since(manager) != 0);
+    ch_peers_ping_all(peers);
+}
+
 /* Logs and counts what has changed. Lock held. */
 static void
 note_change(struct ch_path_manager *manager, GQuark upstream,
@@ -138,6 +151,8 @@
     }
     if (change != CH_PATH_UNCHANGED) {
         log_cut(manager, change, cut_since, now);
+        manager->pinged_at = now;
+        ch_pool_submit(manager->node->pool, tell_others, manager);
     }
     if (after != CH_PATH_OPEN) {
         start_ticking(manager);
@@ -272,6 +287,7 @@
     g_strlcpy(upstream->address, host->address, sizeof(upstream->address));
     upstream->region = g_quark_from_string(host->region);
     upstream->data_centre = g_quark_from_string(host->data_centre);
+    upstream->draining = host->draining;
     pthread_mutex_lock(&manager->lock);
     g_hash_table_replace(manager->upstreams, GUINT_TO_POINTER(name), upstream);
     pthread_mutex_unlock(&manager->lock);
@@ -304,6 +320,18 @@
     return since;
 }
 
+/* See path_manager.h. */
+void
+ch_path_manager_record_result(struct ch_path_manager *manager, GQuark upstream,
+                              const struct ch_http_result *result)
+{
+    int64_t now = ch_client_get_time(manager->node->client);
+    struct ch_path_sample sample;
+    if (path_manager_read_result(result, upstream, now, &sample)) {
+        path_manager_record(manager, &sample);
+    }
+}
+
 /* ---- periodic work ---- */
 
 /* Probes paths as long as one is not open. */
@@ -318,11 +346,17 @@
         manager->stopped ? 0
                          : ch_path_tracker_select_probe(manager->tracker, now);
     ch_path_tracker_foreach(manager->tracker, count_state, counts);
+    bool is_cut = ch_path_tracker_get_cut_since(manager->tracker) != 0;
+    if (is_cut && !manager->stopped &&
+        now - manager->pinged_at >= PING_PERIOD_US) {
+        manager->pinged_at = now;
+        ch_pool_submit(manager->node->pool, tell_others, manager);
+    }
     manager->ticking = false;
     if (counts[CH_PATH_DOUBTFUL] + counts[CH_PATH_LOST] +
                 counts[CH_PATH_DOWN] >
             0 ||
-        ch_path_tracker_get_cut_since(manager->tracker) != 0) {
+        is_cut) {
         start_ticking(manager);
     }
     pthread_mutex_unlock(&manager->lock);
@@ -387,6 +421,7 @@
     manager->node = node;
     manager->tracker = ch_path_tracker_new();
     manager->upstreams = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    path_relay_init(manager);
     pthread_mutex_init(&manager->lock, NULL);
     return manager;
 }
@@ -416,6 +451,7 @@
     }
     ch_path_tracker_free(manager->tracker);
     g_hash_table_destroy(manager->upstreams);
+    path_relay_clear(manager);
     pthread_mutex_destroy(&manager->lock);
     g_free(manager);
 }
--- a/libchestnuthitch/node/path_probe.c
+++ b/libchestnuthitch/node/path_probe.c
@@ -20,13 +20,27 @@
     WITNESS_US = 1000 * 1000,
     /* Nodes that are asked about one upstream at a time. */
     ASKED_NODES = 2,
+    /* Upstreams to which a connection is opened after another one refused. */
+    CHECK_PROBES = 2,
+};
+
+/* Whether an upstream that refused a connection has crashed, as long as
+ * connections to others are being opened to learn it; see
+ * ch_path_manager_check_refusal(). Used on the HTTP loop's thread only. */
+struct check {
+    int references;
+    GQuark upstream;
+    bool has_path; /* a connection to another upstream was established */
+    void (*done)(void *data, bool crashed);
+    void *data;
 };
 
 /* A connection that is being opened. */
 struct probe {
     struct ch_path_manager *manager;
     GQuark upstream;
-    char *asked_by; /* the node that gets the result; NULL: this one */
+    struct check *check; /* NULL: none waits for the probe */
+    char *asked_by;      /* the node that gets the result; NULL: this one */
     uint64_t frame_id;
 };
 
@@ -71,6 +85,21 @@
     return view == PATH_VIEW_REACHED || is_witness ? view : PATH_VIEW_UNKNOWN;
 }
 
+/* Ends one of the probes of a check. */
+static void
+check_unref(struct ch_path_manager *manager, struct check *check)
+{
+    if (!g_atomic_int_dec_and_test(&check->references)) {
+        return;
+    }
+    pthread_mutex_lock(&manager->lock);
+    bool is_lost = ch_path_tracker_get_state(manager->tracker,
+                                             check->upstream) == CH_PATH_LOST;
+    pthread_mutex_unlock(&manager->lock);
+    check->done(check->data, check->has_path && !is_lost);
+    g_free(check);
+}
+
 /* Handles the end of a probe; on the HTTP loop's thread. */
 static void
 handle_probe_end(void *data, const struct ch_http_result *result)
@@ -89,6 +118,10 @@
                   known ? get_view_for_others(manager, &sample)
                         : PATH_VIEW_UNKNOWN);
     }
+    if (probe->check != NULL) {
+        probe->check->has_path |= result->connected_at != 0;
+        check_unref(manager, probe->check);
+    }
     g_free(probe->asked_by);
     g_free(probe);
 }
@@ -134,6 +167,60 @@
     start_probe(probe);
 }
 
+/* Some listed upstreams other than one, new array of GQuark. */
+static GArray *
+choose_others(struct ch_path_manager *manager, GQuark upstream)
+{
+    GArray *chosen = g_array_new(FALSE, FALSE, sizeof(GQuark));
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    pthread_mutex_lock(&manager->lock);
+    g_hash_table_iter_init(&iterator, manager->upstreams);
+    while (chosen->len < CHECK_PROBES &&
+           g_hash_table_iter_next(&iterator, &key, NULL)) {
+        GQuark name = GPOINTER_TO_UINT(key);
+        if (name != upstream) {
+            g_array_append_val(chosen, name);
+        }
+    }
+    pthread_mutex_unlock(&manager->lock);
+    return chosen;
+}
+
+/*
+ * See path_manager.h. A node whose path is cut by resets sees all upstreams
+ * refuse connections, so a refusal shows a crash only if the node has a path
+ * to another upstream at the same time.
+ */
+void
+ch_path_manager_check_refusal(struct ch_path_manager *manager, GQuark upstream,
+                              void (*done)(void *data, bool crashed),
+                              void *data)
+{
+    if (manager == NULL || ch_path_manager_get_cut_since(manager) != 0) {
+        done(data, manager == NULL);
+        return;
+    }
+    GArray *others = choose_others(manager, upstream);
+    struct check *check = g_new0(struct check, 1);
+    *check = (struct check){
+        .references = (int)others->len + 1,
+        .upstream = upstream,
+        .has_path = others->len == 0,
+        .done = done,
+        .data = data,
+    };
+    for (guint i = 0; i < others->len; i++) {
+        struct probe *probe = g_new0(struct probe, 1);
+        probe->manager = manager;
+        probe->upstream = g_array_index(others, GQuark, i);
+        probe->check = check;
+        start_probe(probe);
+    }
+    g_array_free(others, TRUE);
+    check_unref(manager, check);
+}
+
 /* ---- what other nodes tell ---- */
 
 /* A question to another node. */
--- a/libchestnuthitch/node/peers.c
+++ b/libchestnuthitch/node/peers.c
@@ -151,7 +151,8 @@
     frame->version = CH_WIRE_VERSION;
     frame->from = (char *)peers->node->settings->name;
     frame->config_revision = ck_pr_load_64(&peers->config_revision);
-    frame->ready = ck_pr_load_uint(&peers->ready) != 0;
+    frame->no_path = ck_pr_load_uint(&peers->no_path) != 0;
+    frame->ready = ck_pr_load_uint(&peers->ready) != 0 && !frame->no_path;
 }
 
 bool
--- a/libchestnuthitch/node/peers_connection.c
+++ b/libchestnuthitch/node/peers_connection.c
@@ -2,6 +2,7 @@
 
 #include "node/peers_internal.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -141,6 +142,7 @@
     hello.data_centre = peers->node->settings->data_centre;
     hello.incarnation = peers->node->incarnation;
     hello.address = peers->node->settings->peers;
+    hello.relay_port = ck_pr_load_uint(&peers->relay_port);
     frame.body_case = WIRE(FRAME__BODY_HELLO);
     frame.hello = &hello;
     connection_send_frame(peers, connection, &frame, now);
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -84,6 +84,8 @@
     uint64_t last_request_id;
     uint64_t config_revision; /* of the configuration in force here; atomic */
     unsigned ready;           /* this node may be a home node; atomic */
+    unsigned no_path;         /* it is cut off from the upstreams; atomic */
+    unsigned relay_port;      /* of this node, 0: none; atomic */
     bool members_listed;      /* a host list was received */
     bool self_listed;         /* the last host list names this node */
     uint64_t predecessor_started_ms; /* wall clock, of the process before this
--- a/libchestnuthitch/node/peers_loop.c
+++ b/libchestnuthitch/node/peers_loop.c
@@ -60,6 +60,10 @@
     add_unlisted_member(peers, frame, now);
     ch_members_set_incarnation(peers->members, frame->from,
                                frame->hello->incarnation);
+    if (frame->hello->relay_port <= UINT16_MAX) {
+        ch_members_set_relay_port(peers->members, frame->from,
+                                  (uint16_t)frame->hello->relay_port);
+    }
     if (connection->outbound || connection->name != NULL) {
         return;
     }
@@ -115,6 +119,7 @@
                       ch_wire_decoder_get_frame_length(connection->decoder));
     ch_members_record_message(peers->members, frame->from, now);
     ch_members_set_ready(peers->members, frame->from, frame->ready);
+    ch_members_set_no_path(peers->members, frame->from, frame->no_path);
     connection->last_received_at = now;
     connection->unanswered_ping_at = 0;
     if (connection->name != NULL &&
@@ -456,7 +461,8 @@
     }
     peers->last_tick_at = now;
     ch_members_set_self_ready(peers->members,
-                              ck_pr_load_uint(&peers->ready) != 0);
+                              ck_pr_load_uint(&peers->ready) != 0 &&
+                                  ck_pr_load_uint(&peers->no_path) == 0);
     for (guint i = 0; i < peers->connections->len; i++) {
         check_connection(peers, g_ptr_array_index(peers->connections, i), now);
     }
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -2,6 +2,7 @@
 
 #include "node/peers_internal.h"
 
+#include <ck_pr.h>
 #include <string.h>
 
 enum {
@@ -206,6 +207,62 @@
     pthread_mutex_unlock(&peers->lock);
 }
 
+/* See node.h. */
+void
+ch_peers_foreach_relay(struct ch_peers *peers,
+                       void (*each)(void *data,
+                                    const struct ch_peers_relay *relay),
+                       void *data)
+{
+    pthread_mutex_lock(&peers->lock);
+    for (size_t i = 0; i < ch_members_get_count(peers->members); i++) {
+        const struct ch_member *member = ch_members_get(peers->members, i);
+        if (ch_member_is_available(member) && !member->no_path &&
+            member->relay_port != 0) {
+            const struct ch_peers_relay relay = {
+                .name = member->name,
+                .address = member->address,
+                .port = member->relay_port,
+                .data_centre = member->data_centre,
+                .region = member->region,
+                .capacity = member->capacity,
+            };
+            each(data, &relay);
+        }
+    }
+    pthread_mutex_unlock(&peers->lock);
+}
+
+/* See node.h. */
+void
+ch_peers_set_relay_port(struct ch_peers *peers, uint16_t port)
+{
+    ck_pr_store_uint(&peers->relay_port, port);
+}
+
+/* See node.h. */
+void
+ch_peers_set_no_path(struct ch_peers *peers, bool no_path)
+{
+    ck_pr_store_uint(&peers->no_path, no_path);
+}
+
+/* See node.h. */
+void
+ch_peers_ping_all(struct ch_peers *peers)
+{
+    Chestnuthitch__Wire__Ping ping = CHESTNUTHITCH__WIRE__PING__INIT;
+    Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_PING;
+    frame.ping = &ping;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_list_others(peers, names, names);
+    for (guint i = 0; i < names->len; i++) {
+        ch_peers_send(peers, g_ptr_array_index(names, i), &frame);
+    }
+    g_ptr_array_free(names, TRUE);
+}
+
 /* An entry of this host that an earlier process wrote tells when that one
  * started. It is valid until this process has written its own. Lock held. */
 static void
--- a/libchestnuthitch/node/response.c
+++ b/libchestnuthitch/node/response.c
@@ -175,24 +175,40 @@
     pthread_mutex_unlock(&response->lock);
 }
 
-/* See response.h. */
-void
-ch_response_start_stream(struct ch_response *response,
-                         const struct ch_http_header *headers, size_t count)
+/* Starts a response whose body is added later. */
+static void
+start_body(struct ch_response *response, int status, const char *content_type,
+           const struct ch_http_header *headers, size_t count)
 {
     pthread_mutex_lock(&response->lock);
     if (!response->answered) {
         response->answered = true;
         response->streams = true;
-        response->data.status = 200;
+        response->data.status = status;
         response->data.outcome = CH_RAN;
-        response->data.content_type = g_strdup("text/event-stream");
+        response->data.content_type = g_strdup(content_type);
         copy_headers(response, headers, count);
         resume_connection(response);
     }
     pthread_mutex_unlock(&response->lock);
 }
 
+/* See response.h. */
+void
+ch_response_start_stream(struct ch_response *response,
+                         const struct ch_http_header *headers, size_t count)
+{
+    start_body(response, 200, "text/event-stream", headers, count);
+}
+
+/* See response.h. */
+void
+ch_response_start_forward(struct ch_response *response, int status,
+                          const struct ch_http_header *headers, size_t count)
+{
+    start_body(response, status, NULL, headers, count);
+}
+
 /* Aborts the stream. The socket is shut down because the library may be
  * waiting for a caller that does not read, and would not notice the flag. Lock
  * held. */
--- a/libchestnuthitch/node/response.h
+++ b/libchestnuthitch/node/response.h
@@ -79,6 +79,11 @@
 void ch_response_start_stream(struct ch_response *response,
                               const struct ch_http_header *headers,
                               size_t count);
+/* Starts a response of another server, whose status and headers (copied) are
+ * sent as they are; its body follows as the events of a stream do. */
+void ch_response_start_forward(struct ch_response *response, int status,
+                               const struct ch_http_header *headers,
+                               size_t count);
 /* Closes the connection without ending the stream, so that the caller does not
  * take the part sent for a complete response. */
 void ch_response_abort(struct ch_response *response);
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -281,6 +281,8 @@
               compare_upstreams);
     }
     apply_host_data(upstream, host);
+    ch_path_manager_set_draining(homes->node->paths, upstream->name,
+                                 host->draining);
     update_home(homes, upstream);
 }
 
--- a/libchestnuthitch/path/choose.c
+++ b/libchestnuthitch/path/choose.c
@@ -5,7 +5,7 @@
 enum {
     /* Nodes near by relay a call if they have at least this part (one divided
      * by the divisor) of the capacity of those that come next. */
-    MIN_NEAR_DIVISOR = 4,
+    MIN_NEAR_DIVISOR = 2,
 };
 
 enum nearness {
@@ -40,7 +40,8 @@
 {
     enum nearness limit = NEAR_CENTRE;
     while (limit < ANYWHERE &&
-           total[limit] * MIN_NEAR_DIVISOR < total[limit + 1]) {
+           (total[limit] == 0 ||
+            total[limit] * MIN_NEAR_DIVISOR < total[limit + 1])) {
         limit++;
     }
     return limit;
--- a/libchestnuthitch/path/tracker.c
+++ b/libchestnuthitch/path/tracker.c
@@ -87,8 +87,10 @@
     path->failed_since = 0;
 }
 
-/* Ends the cut. Each path counts as open until it fails: probing them one by
- * one would take long in a large fleet. */
+/* Ends the cut. Paths of which nothing else is known count as open until they
+ * fail: probing them one by one would take long in a large fleet. Those that
+ * are known to be lost are probed, since a node may have lost the paths to the
+ * upstreams of one service alone. */
 static enum ch_path_change
 end_cut(struct ch_path_tracker *tracker, int64_t now)
 {
@@ -96,7 +98,10 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, tracker->paths);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        open_path(value);
+        struct path *path = value;
+        if (path->state != CH_PATH_LOST) {
+            open_path(path);
+        }
     }
     tracker->cut_since = 0;
     tracker->restored_at = now;
@@ -224,7 +229,7 @@
 {
     struct path *path = find_path(tracker, upstream);
     if (path == NULL || path->state == CH_PATH_OPEN ||
-        tracker->cut_since != 0 ||
+        path->state == CH_PATH_LOST || tracker->cut_since != 0 ||
         (path->asked_at != 0 && now - path->asked_at < VIEW_PERIOD_US)) {
         return false;
     }
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -13,6 +13,12 @@
 #include <string.h>
 #include <strings.h>
 
+enum {
+    /* To another node; some round trips between regions. Another one is tried
+     * after it, so it is short. */
+    RELAY_CONNECT_TIMEOUT_US = 300 * 1000,
+};
+
 struct call_exchange {
     int references;
     struct ch_client *client;
@@ -28,6 +34,8 @@
     char *event_id;
     bool stream_expected;
     bool is_head_request;
+    bool is_relayed;
+    enum ch_relay_result relay_result;
     /* From the response's status line and headers. */
     int status;
     bool id_matches;
@@ -146,8 +154,12 @@
 static void
 check_response_headers(struct call_exchange *exchange)
 {
-    if (is_refusal(exchange) &&
-        (exchange->id_matches || is_refusal_without_id(exchange))) {
+    if (exchange->relay_result != CH_RELAY_NONE) {
+        fail(exchange, ch_relay_result_get_code(exchange->relay_result),
+             ch_relay_result_get_name(exchange->relay_result));
+    }
+    else if (is_refusal(exchange) &&
+             (exchange->id_matches || is_refusal_without_id(exchange))) {
         fail(exchange, CH_UPSTREAM_REFUSED,
              "the upstream refused the request");
     }
@@ -267,7 +279,7 @@
 may_have_run(const struct call_exchange *exchange,
              const struct ch_http_result *end)
 {
-    if (!end->sent) {
+    if (!end->sent || ch_relay_result_is_unsent(exchange->relay_result)) {
         return false;
     }
     return !(exchange->failure == CH_UPSTREAM_REFUSED &&
@@ -282,7 +294,8 @@
         .code = exchange->failure,
         .status = exchange->status,
         .may_have_run = may_have_run(exchange, end),
-        .connection_refused = end->connection_refused,
+        .connection_refused = end->connection_refused && !exchange->is_relayed,
+        .relay_result = exchange->relay_result,
         .event_count = exchange->event_count,
     };
     memcpy(result.message, exchange->message, sizeof(result.message));
@@ -356,7 +369,11 @@
 {
     struct call_exchange *exchange = data;
     store_header(exchange, name, value);
-    if (strcasecmp(name, exchange->rules.id_header) == 0) {
+    if (exchange->is_relayed &&
+        strcasecmp(name, CH_RELAY_RESULT_HEADER) == 0) {
+        exchange->relay_result = ch_relay_result_parse(value);
+    }
+    else if (strcasecmp(name, exchange->rules.id_header) == 0) {
         exchange->id_missing = false;
         exchange->id_matches = strcmp(value, exchange->request_id) == 0;
         if (!exchange->id_matches && !exchange->headers_checked) {
@@ -446,12 +463,26 @@
     }
 }
 
+/* Records what the end of the connection with the relaying node shows. */
+static void
+check_relay(struct call_exchange *exchange, const struct ch_http_result *end)
+{
+    if (exchange->is_relayed && exchange->relay_result == CH_RELAY_NONE &&
+        end->code != CH_OK && end->code != CH_CANCELLED) {
+        exchange->relay_result =
+            end->sent ? CH_RELAY_LOST : CH_RELAY_UNREACHABLE;
+    }
+}
+
 /* Handles the end of the HTTP call. */
 static void
 handle_end(void *data, const struct ch_http_result *end)
 {
     struct call_exchange *exchange = data;
-    ch_upstream_report_path(&exchange->path_listener, end);
+    if (!exchange->is_relayed) {
+        ch_upstream_report_path(&exchange->path_listener, end);
+    }
+    check_relay(exchange, end);
     if (!exchange->end_reported) {
         if (end->code == CH_OK) {
             check_headers(exchange);
@@ -479,6 +510,7 @@
     exchange->event_id = g_strconcat("cmpl-", call->request_id, NULL);
     exchange->stream_expected = call->stream;
     exchange->is_head_request = strcmp(call->method, "HEAD") == 0;
+    exchange->is_relayed = call->relay != NULL;
     exchange->failure = CH_OK;
     exchange->headers =
         g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
@@ -496,6 +528,27 @@
            exchange->handlers.on_stall(exchange->data);
 }
 
+/* The headers of a call that goes by another node; the strings live as long as
+ * the call's and time_ms. */
+static GArray *
+add_relay_headers(const struct ch_call *call,
+                  const struct ch_http_header *headers, size_t count,
+                  const char *time_ms)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
+    const struct ch_http_header upstream = {CH_RELAY_UPSTREAM_HEADER,
+                                            call->relay->upstream};
+    const struct ch_http_header time = {CH_RELAY_TIME_HEADER, time_ms};
+    const struct ch_http_header fresh = {CH_RELAY_FRESH_HEADER, "1"};
+    g_array_append_vals(all, headers, (guint)count);
+    g_array_append_val(all, upstream);
+    g_array_append_val(all, time);
+    if (!call->may_repeat || call->fresh_connection) {
+        g_array_append_val(all, fresh);
+    }
+    return all;
+}
+
 uint64_t
 ch_call_start_with_headers(struct ch_client *client, struct ch_http *http,
                            const char *address,
@@ -519,15 +572,27 @@
     exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
     exchange->data = data;
-    char *url = g_strdup_printf("http://%s%s", address, call->path);
+    bool is_relayed = call->relay != NULL;
+    char time_ms[24];
+    (void)snprintf(time_ms, sizeof(time_ms), "%" G_GINT64_FORMAT,
+                   call->total_timeout / 1000);
+    GArray *relay_headers =
+        is_relayed ? add_relay_headers(call, headers, count, time_ms) : NULL;
+    char *url = g_strdup_printf("http://%s%s",
+                                is_relayed ? call->relay->address : address,
+                                call->path);
     struct ch_http_request request = {
         .method = call->method,
         .url = url,
-        .headers = headers,
-        .header_count = count,
+        .headers =
+            is_relayed
+                ? (const struct ch_http_header *)(void *)relay_headers->data
+                : headers,
+        .header_count = is_relayed ? relay_headers->len : count,
         .body = call->body,
         .body_length = call->body_length,
-        .connect_timeout = call->connect_timeout,
+        .connect_timeout =
+            is_relayed ? RELAY_CONNECT_TIMEOUT_US : call->connect_timeout,
         .first_byte_timeout = call->first_byte_timeout,
         .stall_timeout = call->stall_timeout,
         .total_timeout = call->total_timeout,
@@ -545,6 +610,9 @@
     ck_pr_store_64(&exchange->handle, handle);
     call_exchange_unref(exchange);
     g_free(url);
+    if (is_relayed) {
+        g_array_free(relay_headers, TRUE);
+    }
     return handle;
 }
 
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -8,10 +8,18 @@
 
 #include "limit/limit.h"
 #include "net/net.h"
+#include "upstream/relay.h"
 
 /* ---- a request to an upstream ---- */
 
+/* By which node a call goes. */
+struct ch_call_relay {
+    const char *address;  /* ip:port of its relay listener */
+    const char *upstream; /* name of the upstream */
+};
+
 struct ch_call {
+    const struct ch_call_relay *relay; /* NULL: the call goes directly */
     const char *request_id; /* sent as X-Request-Id, checked in the response */
     const char *method;
     const char *path; /* with its query string */
@@ -41,7 +49,8 @@
     int status;
     bool may_have_run; /* false: certainly not run, safe to retry elsewhere */
     bool connection_refused; /* nothing accepts connections at the upstream */
-    uint32_t event_count;    /* token events forwarded */
+    enum ch_relay_result relay_result; /* of a call by another node */
+    uint32_t event_count;              /* token events forwarded */
     char message[160];
 };
 
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1852,7 +1852,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[37] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[38] =
 {
   {
     "version",
@@ -1926,6 +1926,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "no_path",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Frame, no_path),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "hello",
     10,
@@ -2300,49 +2312,50 @@
   },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
-  15,   /* field[15] = config_pull */
-  16,   /* field[16] = config_push */
+  16,   /* field[16] = config_pull */
+  17,   /* field[17] = config_push */
   4,   /* field[4] = config_revision */
-  27,   /* field[27] = crashes */
-  28,   /* field[28] = crashes_pull */
-  23,   /* field[23] = demand */
-  20,   /* field[20] = done */
-  21,   /* field[21] = engines */
-  26,   /* field[26] = engines_pull */
-  10,   /* field[10] = enqueue */
+  28,   /* field[28] = crashes */
+  29,   /* field[29] = crashes_pull */
+  24,   /* field[24] = demand */
+  21,   /* field[21] = done */
+  22,   /* field[22] = engines */
+  27,   /* field[27] = engines_pull */
+  11,   /* field[11] = enqueue */
   1,   /* field[1] = from */
-  9,   /* field[9] = gossip */
-  11,   /* field[11] = grant */
-  6,   /* field[6] = hello */
+  10,   /* field[10] = gossip */
+  12,   /* field[12] = grant */
+  7,   /* field[7] = hello */
   2,   /* field[2] = id */
-  34,   /* field[34] = limit_permission */
-  32,   /* field[32] = limit_states */
-  33,   /* field[33] = limit_take */
-  18,   /* field[18] = once_answer */
-  17,   /* field[17] = once_begin */
-  19,   /* field[19] = once_finish */
-  35,   /* field[35] = path_probe */
-  36,   /* field[36] = path_view */
-  7,   /* field[7] = ping */
-  8,   /* field[8] = pong */
-  22,   /* field[22] = prepare */
-  29,   /* field[29] = quota_deposit */
-  31,   /* field[31] = quota_grant */
-  30,   /* field[30] = quota_withdraw */
+  35,   /* field[35] = limit_permission */
+  33,   /* field[33] = limit_states */
+  34,   /* field[34] = limit_take */
+  6,   /* field[6] = no_path */
+  19,   /* field[19] = once_answer */
+  18,   /* field[18] = once_begin */
+  20,   /* field[20] = once_finish */
+  36,   /* field[36] = path_probe */
+  37,   /* field[37] = path_view */
+  8,   /* field[8] = ping */
+  9,   /* field[9] = pong */
+  23,   /* field[23] = prepare */
+  30,   /* field[30] = quota_deposit */
+  32,   /* field[32] = quota_grant */
+  31,   /* field[31] = quota_withdraw */
   5,   /* field[5] = ready */
-  12,   /* field[12] = refuse */
-  13,   /* field[13] = release */
+  13,   /* field[13] = refuse */
+  14,   /* field[14] = release */
   3,   /* field[3] = reply */
-  24,   /* field[24] = roster */
-  25,   /* field[25] = roster_pull */
+  25,   /* field[25] = roster */
+  26,   /* field[26] = roster_pull */
   0,   /* field[0] = version */
-  14,   /* field[14] = withdraw */
+  15,   /* field[15] = withdraw */
 };
 static const ProtobufCIntRange chestnuthitch__wire__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 6 },
-  { 0, 37 }
+  { 10, 7 },
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2352,14 +2365,14 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  37,
+  38,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__hello__field_descriptors[5] =
 {
   {
     "region",
@@ -2409,17 +2422,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_port",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Hello, relay_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__hello__field_indices_by_name[] = {
   3,   /* field[3] = address */
   1,   /* field[1] = data_centre */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = region */
+  4,   /* field[4] = relay_port */
 };
 static const ProtobufCIntRange chestnuthitch__wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__hello__descriptor =
 {
@@ -2429,7 +2455,7 @@
   "Chestnuthitch__Wire__Hello",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Hello),
-  4,
+  5,
   chestnuthitch__wire__hello__field_descriptors,
   chestnuthitch__wire__hello__field_indices_by_name,
   1,  chestnuthitch__wire__hello__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -118,6 +118,10 @@
    * the sender has the state that a home node needs
    */
   protobuf_c_boolean ready;
+  /*
+   * the sender is cut off from the upstreams
+   */
+  protobuf_c_boolean no_path;
   Chestnuthitch__Wire__Frame__BodyCase body_case;
   union {
     Chestnuthitch__Wire__Hello *hello;
@@ -155,7 +159,7 @@
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, CHESTNUTHITCH__WIRE__FRAME__BODY__NOT_SET, {0} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, CHESTNUTHITCH__WIRE__FRAME__BODY__NOT_SET, {0} }
 
 
 /*
@@ -174,10 +178,14 @@
    * of the sender's listener for other nodes
    */
   char *address;
+  /*
+   * of its listener for calls that it relays; 0: none
+   */
+  uint32_t relay_port;
 };
 #define CHESTNUTHITCH__WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Chestnuthitch__Wire__Ping
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -67,6 +67,7 @@
     g_key_file_set_value(file, "listen", "callers", node->caller_address);
     g_key_file_set_value(file, "listen", "admin", node->admin_address);
     g_key_file_set_value(file, "listen", "peers", listen);
+    g_key_file_set_value(file, "listen", "relay", "127.0.0.1:0");
     g_key_file_set_value(file, "platform", "kv", fleet->kv.address);
     g_key_file_set_value(file, "platform", "hosts",
                          fleet->config.separate_paths
--- /dev/null
+++ b/tests/threaded/fake_paths.h
@@ -0,0 +1,95 @@
+#ifndef FAKE_PATHS_H
+#define FAKE_PATHS_H
+
+/* Paths for tests of a single node: calls go by other nodes as the test
+ * states. A node without a manager (NULL) reaches every upstream. */
+
+#include "node/path_manager.h"
+
+struct ch_path_manager {
+    struct ch_path_relay relay; /* address empty: every path is open */
+    int relayed;                /* calls for which the relay was chosen */
+    enum ch_relay_result last_result;
+};
+
+struct ch_path_listener
+ch_path_manager_get_listener(struct ch_path_manager *manager,
+                             const struct ch_host *host)
+{
+    (void)manager;
+    return (struct ch_path_listener){.upstream =
+                                         g_quark_from_string(host->name)};
+}
+
+void
+ch_path_manager_forget(struct ch_path_manager *manager, GQuark upstream)
+{
+    (void)manager;
+    (void)upstream;
+}
+
+void
+ch_path_manager_set_draining(struct ch_path_manager *manager, GQuark upstream,
+                             bool draining)
+{
+    (void)manager;
+    (void)upstream;
+    (void)draining;
+}
+
+int64_t
+ch_path_manager_get_cut_since(struct ch_path_manager *manager)
+{
+    (void)manager;
+    return 0;
+}
+
+bool
+ch_path_manager_has_relay(struct ch_path_manager *manager, GQuark upstream,
+                          const GArray *failed)
+{
+    (void)upstream;
+    return manager != NULL && manager->relay.address[0] != '\0' &&
+           failed->len == 0;
+}
+
+bool
+ch_path_manager_choose_relay(struct ch_path_manager *manager, GQuark upstream,
+                             const GArray *failed, struct ch_path_relay *relay)
+{
+    if (!ch_path_manager_has_relay(manager, upstream, failed)) {
+        return false;
+    }
+    *relay = manager->relay;
+    g_atomic_int_inc(&manager->relayed);
+    return true;
+}
+
+void
+ch_path_manager_release_relay(struct ch_path_manager *manager, GQuark relay,
+                              GQuark upstream, enum ch_relay_result result)
+{
+    (void)relay;
+    (void)upstream;
+    manager->last_result = result;
+}
+
+void
+ch_path_manager_check_refusal(struct ch_path_manager *manager, GQuark upstream,
+                              void (*done)(void *data, bool crashed),
+                              void *data)
+{
+    (void)manager;
+    (void)upstream;
+    done(data, true);
+}
+
+void
+ch_path_manager_write_status(struct ch_path_manager *manager,
+                             JsonBuilder *builder)
+{
+    (void)manager;
+    (void)builder;
+}
+
+#endif
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -5,6 +5,7 @@
 #include "node/node.h"
 #include "threaded/fake_crashes.h"
 #include "threaded/fake_limits.h"
+#include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
 
 #include <curl/curl.h>
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -10,6 +10,7 @@
 #include "node/listener.h"
 #include "threaded/fake_crashes.h"
 #include "threaded/fake_limits.h"
+#include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
 
 #include <arpa/inet.h>
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -9,6 +9,7 @@
 #include "node/controller_internal.h"
 #include "threaded/fake_crashes.h"
 #include "threaded/fake_limits.h"
+#include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
 
 #include <string.h>
--- a/tests/unit/test_path.c
+++ b/tests/unit/test_path.c
@@ -126,6 +126,16 @@
      {CH_PATH_OPEN, CH_PATH_OPEN},
      4000,
      false},
+    {"return-of-another-service",
+     {{REFUSES, 0, 1000},
+      {REFUSES, 1, 1000},
+      {REACHED, 0, 1010},
+      {CONNECTS, 2, 2000},
+      {CONNECTS, 3, 2200}},
+     NOT_CUT,
+     {CH_PATH_LOST, CH_PATH_OPEN},
+     4000,
+     true},
 };
 
 static GQuark
@@ -310,6 +320,128 @@
     }
 }
 
+/* ---- choice of the relaying node ---- */
+
+enum {
+    MAX_NODES = 300,
+    CALLS = 30,
+    /* Nodes near by are preferred if they have half of the capacity of those
+     * in the region, and these if they have half of all. */
+    MAX_RATIO = 4,
+    FEW_CALLS = 4, /* are no load */
+};
+
+struct choice_case {
+    const char *name;
+    unsigned nodes; /* in six data centres of two regions, in turn */
+    unsigned cut;   /* the first ones by data centre */
+    bool by_centre; /* whole data centres are cut, else nodes in turn */
+};
+
+static const struct choice_case choice_cases[] = {
+    {"one-of-7", 7, 1, false},
+    {"half-of-7", 7, 3, false},
+    {"all-but-one-of-7", 7, 6, false},
+    {"centre-of-7", 7, 2, true},
+    {"one-of-75", 75, 1, false},
+    {"half-of-75", 75, 37, false},
+    {"centre-of-75", 75, 13, true},
+    {"region-of-75", 75, 39, true},
+    {"all-but-one-of-75", 75, 74, false},
+    {"one-of-300", 300, 1, false},
+    {"half-of-300", 300, 150, false},
+    {"centre-of-300", 300, 50, true},
+    {"region-of-300", 300, 150, true},
+    {"all-but-one-of-300", 300, 299, false},
+};
+
+static struct ch_path_place
+get_place(unsigned centre)
+{
+    static const char *const centres[] = {"a", "b", "c", "d", "e", "f"};
+    return (struct ch_path_place){
+        g_quark_from_static_string(centres[centre]),
+        g_quark_from_static_string(centre < 3 ? "r1" : "r2"),
+    };
+}
+
+/* The data centre of a node: in turn, or the first ones filled first. */
+static unsigned
+get_centre(const struct choice_case *row, unsigned node)
+{
+    return row->by_centre ? node * 6 / row->nodes : node % 6;
+}
+
+/* Guards against one node getting the calls of many that are cut off: each cut
+ * node has some calls under way, and knows of its own alone. */
+static void
+test_choice(gconstpointer data)
+{
+    const struct choice_case *row = data;
+    struct ch_path_relay_candidate candidates[MAX_NODES];
+    unsigned loads[MAX_NODES] = {0};
+    unsigned count = row->nodes - row->cut;
+    unsigned largest = 0;
+    for (unsigned i = 0; i < row->cut; i++) {
+        const struct ch_path_place from = get_place(get_centre(row, i));
+        for (unsigned k = 0; k < count; k++) {
+            const struct ch_path_place place =
+                get_place(get_centre(row, row->cut + k));
+            candidates[k] = (struct ch_path_relay_candidate){
+                place.data_centre, place.region, 100, 0};
+        }
+        for (unsigned call = 0; call < CALLS; call++) {
+            const struct ch_path_place to = get_place((call + i) % 6);
+            size_t chosen = ch_path_choose_relay(candidates, count, &from, &to,
+                                                 ch_hash_pair(i, call));
+            g_assert_cmpuint(chosen, <, count);
+            candidates[chosen].outstanding++;
+            loads[chosen]++;
+        }
+    }
+    for (unsigned k = 0; k < count; k++) {
+        largest = MAX(largest, loads[k]);
+    }
+    double ratio = (double)largest * count / (row->cut * CALLS);
+    g_test_message("figure: %s: largest load %.2f of the mean", row->name,
+                   ratio);
+    g_assert_true(ratio <= MAX_RATIO || largest <= FEW_CALLS);
+}
+
+/* Guards against no node being found although one in another region relays. */
+static void
+test_far_candidate(void)
+{
+    const struct ch_path_place from = get_place(0);
+    const struct ch_path_place far = get_place(5);
+    const struct ch_path_relay_candidate candidate = {far.data_centre,
+                                                      far.region, 0, 7};
+    for (uint64_t draw = 0; draw < 100; draw++) {
+        g_assert_cmpuint(
+            ch_path_choose_relay(&candidate, 1, &from, &from, draw), ==, 0);
+    }
+    g_assert_cmpuint(ch_path_choose_relay(&candidate, 0, &from, &from, 1), ==,
+                     0);
+}
+
+/* A node that relays is near, as long as there are enough. */
+static void
+test_near_candidates(void)
+{
+    const struct ch_path_place from = get_place(0);
+    const struct ch_path_place to = get_place(1);
+    struct ch_path_relay_candidate candidates[6];
+    for (unsigned i = 0; i < 6; i++) {
+        const struct ch_path_place place = get_place(i);
+        candidates[i] = (struct ch_path_relay_candidate){place.data_centre,
+                                                         place.region, 5, 0};
+    }
+    for (uint64_t draw = 0; draw < 200; draw++) {
+        g_assert_cmpuint(ch_path_choose_relay(candidates, 6, &from, &to, draw),
+                         <, 2);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -319,6 +451,13 @@
             g_strconcat("/path/tracker/", tracker_cases[i].name, NULL);
         g_test_add_data_func(path, &tracker_cases[i], test_tracker);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(choice_cases); i++) {
+        g_autofree char *path =
+            g_strconcat("/path/choice/", choice_cases[i].name, NULL);
+        g_test_add_data_func(path, &choice_cases[i], test_choice);
+    }
+    g_test_add_func("/path/far-candidate", test_far_candidate);
+    g_test_add_func("/path/near-candidates", test_near_candidates);
     g_test_add_func("/path/short-attempt", test_short_attempt);
     g_test_add_func("/path/gradual-return", test_gradual_return);
     g_test_add_func("/path/probes", test_probes);
