A lease holder that is cut off from the engines hands the lease over

Now a node that is cut off takes no lease, and gives up those it has after 2 s, if another node has a path.

--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -1,6 +1,7 @@
 /* Leases to order engines, and loading of adapters on request. */
 
 #include "node/controller_internal.h"
+#include "node/path_manager.h"
 
 #include <string.h>
 
@@ -28,6 +29,9 @@
     /* If an adapter cannot be loaded within this time, the request looks for
      * another engine. */
     PREPARE_TIMEOUT_US = 500 * 1000,
+    /* A lease holder that is cut off from the engines for this long hands the
+     * lease over. */
+    CUT_HANDOVER_US = 2000 * 1000,
 };
 
 /* Part of the weight store's load rate that is used. */
@@ -104,6 +108,7 @@
 {
     int64_t silence = now - centre->heard_at;
     if (controller->draining || controller->stopping ||
+        ch_path_manager_get_cut_since(controller->node->paths) != 0 ||
         silence < HOLDER_SILENCE_US ||
         !ch_peers_has_list(controller->node->peers)) {
         return false;
@@ -364,6 +369,21 @@
     }
 }
 
+/*
+ * Whether this node cannot order engines, as it is cut off from them. Load:
+ * cuts of some seconds, of single nodes or of a whole data centre. Harm
+ * prevented: no engine gets orders, and all nodes are told of loads that stand
+ * still, while another node could do both. A handover takes some seconds
+ * itself, so short cuts don't lead to one, nor do cuts of all nodes.
+ */
+static bool
+must_hand_over(const struct ch_controller *controller, int64_t now)
+{
+    int64_t since = ch_path_manager_get_cut_since(controller->node->paths);
+    return since != 0 && now - since > CUT_HANDOVER_US &&
+           ch_path_manager_knows_relay(controller->node->paths);
+}
+
 /* Does the periodic work for one data centre. Lock held. */
 static void
 run_centre(struct ch_controller *controller, struct centre_state *centre,
@@ -377,7 +397,7 @@
     if (!held) {
         return;
     }
-    if (controller->draining) {
+    if (controller->draining || must_hand_over(controller, now)) {
         release_lease(controller, centre);
     }
     GHashTableIter iterator;
