A refusal counts as a crash only while other upstreams can be reached

Where the path is cut by resets, all calls of a node end cut and all upstreams refuse its connections: evidence that its callers' requests crash upstreams, which all nodes would have taken over. Now two other upstreams are connected to first; if neither can be reached, or another node reaches the upstream, nothing is recorded.

--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -2,6 +2,7 @@
  * that crash them. */
 
 #include "node/crash_internal.h"
+#include "node/path_manager.h"
 
 #include <ck_pr.h>
 #include <string.h>
@@ -291,13 +292,10 @@
     }
 }
 
-/* See crash_guard.h. */
-void
-ch_crash_guard_record_refused(struct ch_crash_guard *guard, GQuark upstream)
+/* Records that the upstream has crashed. */
+static void
+record_crash(struct ch_crash_guard *guard, GQuark upstream)
 {
-    if (!may_have_suspects(guard)) {
-        return;
-    }
     GArray *observations =
         g_array_new(FALSE, FALSE, sizeof(struct ch_crash_observation));
     pthread_mutex_lock(&guard->lock);
@@ -308,6 +306,61 @@
     pthread_mutex_unlock(&guard->lock);
 }
 
+/* A refusal of which it is being found out whether the upstream crashed. */
+struct refusal {
+    struct ch_crash_guard *guard;
+    GQuark upstream;
+};
+
+/* Ends a job that the stop of the guard waits for. */
+static void
+end_job(struct ch_crash_guard *guard)
+{
+    pthread_mutex_lock(&guard->lock);
+    guard->pending_jobs--;
+    pthread_cond_broadcast(&guard->idle);
+    pthread_mutex_unlock(&guard->lock);
+}
+
+/* Records a crash, unless this node lost its path to the upstream: then the
+ * request that was cut says nothing. */
+static void
+handle_refusal_checked(void *data, bool crashed)
+{
+    struct refusal *refusal = data;
+    struct ch_crash_guard *guard = refusal->guard;
+    if (crashed) {
+        record_crash(guard, refusal->upstream);
+    }
+    else {
+        ch_log(guard->node->client, CH_LOG_INFO, "refusal-is-no-crash",
+               CH_F_STR("upstream", g_quark_to_string(refusal->upstream)),
+               CH_F_END);
+    }
+    end_job(guard);
+    g_free(refusal);
+}
+
+/* See crash_guard.h. */
+void
+ch_crash_guard_record_refused(struct ch_crash_guard *guard, GQuark upstream)
+{
+    if (!may_have_suspects(guard)) {
+        return;
+    }
+    pthread_mutex_lock(&guard->lock);
+    bool is_stopping = guard->stopping;
+    guard->pending_jobs += is_stopping ? 0 : 1;
+    pthread_mutex_unlock(&guard->lock);
+    if (is_stopping) {
+        return;
+    }
+    struct refusal *refusal = g_new(struct refusal, 1);
+    *refusal = (struct refusal){guard, upstream};
+    ch_path_manager_check_refusal(guard->node->paths, upstream,
+                                  handle_refusal_checked, refusal);
+}
+
 /* See crash_guard.h. */
 void
 ch_crash_guard_record_response(struct ch_crash_guard *guard, GQuark upstream,
