--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -232,12 +232,12 @@
     char *callers;      /* [listen] callers = ip:port */
     char *admin;        /* [listen] admin */
     char *peers;        /* [listen] peers */
-    char *relay; /* [listen] relay: NULL: relays no calls */
-    char *ready_path; /* [listen] ready-path, in addition to /readyz */
-    int platform;     /* [platform] kind, enum ch_platform_kind */
-    char *kv;         /* [platform] kv = ip:port */
-    char *hosts;      /* [platform] hosts = ip:port */
-    bool fencing;     /* [upstreams] fencing = refuse | ignore */
+    char *relay;        /* [listen] relay; NULL: relays no calls */
+    char *ready_path;   /* [listen] ready-path, in addition to /readyz */
+    int platform;       /* [platform] kind, enum ch_platform_kind */
+    char *kv;           /* [platform] kv = ip:port */
+    char *hosts;        /* [platform] hosts = ip:port */
+    bool fencing;       /* [upstreams] fencing = refuse | ignore */
     unsigned report_period_ms;    /* [upstreams] report-ms */
     unsigned host_list_period_ms; /* [platform] list-ms */
     unsigned kv_timeout_ms;       /* [platform] kv-timeout-ms */
--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -241,7 +241,8 @@
     self.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    /* Another thread may poll the socket, which keeps it open after close(). */
+    /* Another thread may poll the socket, which keeps it open after close().
+     */
     (void)shutdown(relay->socket, SHUT_RDWR);
     (void)close(relay->socket);
     if (bind(fd, (struct sockaddr *)&self, sizeof self) != 0) {
