A relayed call is not cancelled once it has ended

When a node stopped, its HTTP client was freed while libmicrohttpd's thread reported the end of a relayed call's connection, which cancelled the call there.

--- a/libchestnuthitch/node/path_probe.c
+++ b/libchestnuthitch/node/path_probe.c
@@ -26,11 +26,12 @@
 
 /* Whether an upstream that refused a connection has crashed, as long as
  * connections to others are being opened to learn it; see
- * ch_path_manager_check_refusal(). Used on the HTTP loop's thread only. */
+ * ch_path_manager_check_refusal(). */
 struct check {
     int references;
     GQuark upstream;
-    bool has_path; /* a connection to another upstream was established */
+    int has_path; /* atomic: a connection to another upstream was
+                     established */
     void (*done)(void *data, bool crashed);
     void *data;
 };
@@ -85,21 +86,29 @@
     return view == PATH_VIEW_REACHED || is_witness ? view : PATH_VIEW_UNKNOWN;
 }
 
-/* Ends one of the probes of a check. */
+/* Drops references to a check; the last one ends it. */
 static void
-check_unref(struct ch_path_manager *manager, struct check *check)
+check_drop(struct ch_path_manager *manager, struct check *check, int count)
 {
-    if (!g_atomic_int_dec_and_test(&check->references)) {
+    if (g_atomic_int_add(&check->references, -count) != count) {
         return;
     }
     pthread_mutex_lock(&manager->lock);
     bool is_lost = ch_path_tracker_get_state(manager->tracker,
                                              check->upstream) == CH_PATH_LOST;
     pthread_mutex_unlock(&manager->lock);
-    check->done(check->data, check->has_path && !is_lost);
+    check->done(check->data,
+                g_atomic_int_get(&check->has_path) != 0 && !is_lost);
     g_free(check);
 }
 
+static void
+probe_free(struct probe *probe)
+{
+    g_free(probe->asked_by);
+    g_free(probe);
+}
+
 /* Handles the end of a probe; on the HTTP loop's thread. */
 static void
 handle_probe_end(void *data, const struct ch_http_result *result)
@@ -119,17 +128,17 @@
                         : PATH_VIEW_UNKNOWN);
     }
     if (probe->check != NULL) {
-        probe->check->has_path |= result->connected_at != 0;
-        check_unref(manager, probe->check);
+        if (result->connected_at != 0) {
+            g_atomic_int_set(&probe->check->has_path, 1);
+        }
+        check_drop(manager, probe->check, 1);
     }
-    g_free(probe->asked_by);
-    g_free(probe);
+    probe_free(probe);
 }
 
-/* Opens the connection of a probe, or ends it as unknown if the upstream is
- * not listed. */
-static void
-start_probe(struct probe *probe)
+/* Opens the connection of a probe; false if the upstream is not listed. */
+static bool
+probe_start(struct probe *probe)
 {
     static const struct ch_http_handlers handlers = {.on_end =
                                                          handle_probe_end};
@@ -142,9 +151,7 @@
                          : g_strdup_printf("http://%s/", upstream->address);
     pthread_mutex_unlock(&manager->lock);
     if (url == NULL) {
-        const struct ch_http_result none = {.code = CH_CANCELLED};
-        handle_probe_end(probe, &none);
-        return;
+        return false;
     }
     const struct ch_http_request request = {
         .method = "GET",
@@ -155,6 +162,7 @@
     };
     path_manager_count(manager, CH_COUNT_PATH_PROBES);
     ch_http_submit(manager->node->http, &request, &handlers, probe);
+    return true;
 }
 
 /* See path_internal.h. */
@@ -164,7 +172,9 @@
     struct probe *probe = g_new0(struct probe, 1);
     probe->manager = manager;
     probe->upstream = upstream;
-    start_probe(probe);
+    if (!probe_start(probe)) {
+        probe_free(probe);
+    }
 }
 
 /* Some listed upstreams other than one, new array of GQuark. */
@@ -210,15 +220,19 @@
         .done = done,
         .data = data,
     };
+    int dropped = 1; /* this function's reference */
     for (guint i = 0; i < others->len; i++) {
         struct probe *probe = g_new0(struct probe, 1);
         probe->manager = manager;
         probe->upstream = g_array_index(others, GQuark, i);
         probe->check = check;
-        start_probe(probe);
+        if (!probe_start(probe)) {
+            probe_free(probe);
+            dropped++;
+        }
     }
     g_array_free(others, TRUE);
-    check_unref(manager, check);
+    check_drop(manager, check, dropped);
 }
 
 /* ---- what other nodes tell ---- */
@@ -311,7 +325,10 @@
     probe->upstream = upstream;
     probe->asked_by = g_strdup(frame->from);
     probe->frame_id = frame->id;
-    start_probe(probe);
+    if (!probe_start(probe)) {
+        send_view(manager, frame->from, frame->id, PATH_VIEW_UNKNOWN);
+        probe_free(probe);
+    }
 }
 
 /* See path_internal.h. */
--- a/libchestnuthitch/node/path_relay.c
+++ b/libchestnuthitch/node/path_relay.c
@@ -328,16 +328,13 @@
     pthread_mutex_lock(&manager->lock);
     const struct path_upstream *upstream =
         g_hash_table_lookup(manager->upstreams, GUINT_TO_POINTER(name));
-    if (ch_path_tracker_get_cut_since(manager->tracker) != 0) {
+    if (ch_path_tracker_get_cut_since(manager->tracker) != 0 ||
+        ch_path_tracker_get_state(manager->tracker, name) == CH_PATH_LOST) {
         result = CH_RELAY_NO_PATH;
     }
     else if (upstream == NULL) {
         result = CH_RELAY_UNKNOWN_UPSTREAM;
     }
-    else if (ch_path_tracker_get_state(manager->tracker, name) ==
-             CH_PATH_LOST) {
-        result = CH_RELAY_NO_PATH;
-    }
     else if (upstream->draining) {
         result = CH_RELAY_DRAINING;
     }
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -54,7 +54,8 @@
     struct ch_response *response;
     GQuark upstream;
     pthread_mutex_t lock;
-    uint64_t handle; /* of the call to the upstream; 0: not known yet */
+    uint64_t handle; /* of the call to the upstream; 0: none is under way */
+    bool is_ended;   /* the call to the upstream has ended */
     bool is_gone;    /* the other node has closed its connection */
     /* Used on the HTTP loop's thread only. */
     int status;
@@ -152,6 +153,17 @@
     }
 }
 
+/* Cancels the call to the upstream if it is under way. The HTTP client exists
+ * until all calls have ended; the lock keeps this one from ending. Lock held.
+ */
+static void
+cancel_call(const struct relayed_call *call)
+{
+    if (call->handle != 0) {
+        ch_http_cancel(call->server->node->http, call->handle);
+    }
+}
+
 static void
 handle_data(void *data, const char *bytes, size_t length)
 {
@@ -159,11 +171,8 @@
     start_response(call);
     if (!ch_response_add_event(call->response, bytes, length)) {
         pthread_mutex_lock(&call->lock);
-        uint64_t handle = call->handle;
+        cancel_call(call);
         pthread_mutex_unlock(&call->lock);
-        if (handle != 0) {
-            ch_http_cancel(call->server->node->http, handle);
-        }
     }
 }
 
@@ -192,6 +201,10 @@
 {
     struct relayed_call *call = data;
     struct ch_relay_server *server = call->server;
+    pthread_mutex_lock(&call->lock);
+    call->handle = 0;
+    call->is_ended = true;
+    pthread_mutex_unlock(&call->lock);
     ch_path_manager_record_result(server->node->paths, call->upstream, end);
     if (end->code == CH_OK) {
         start_response(call);
@@ -218,11 +231,8 @@
     struct relayed_call *call = data;
     pthread_mutex_lock(&call->lock);
     call->is_gone = true;
-    uint64_t handle = call->handle;
+    cancel_call(call);
     pthread_mutex_unlock(&call->lock);
-    if (handle != 0) {
-        ch_http_cancel(call->server->node->http, handle);
-    }
 }
 
 /* ---- requests ---- */
@@ -302,12 +312,11 @@
     uint64_t handle =
         ch_http_submit(call->server->node->http, &request, &handlers, call);
     pthread_mutex_lock(&call->lock);
-    call->handle = handle;
-    bool is_gone = call->is_gone;
-    pthread_mutex_unlock(&call->lock);
-    if (is_gone) {
-        ch_http_cancel(call->server->node->http, handle);
+    call->handle = call->is_ended ? 0 : handle;
+    if (call->is_gone) {
+        cancel_call(call);
     }
+    pthread_mutex_unlock(&call->lock);
     g_array_free(headers, TRUE);
 }
 
@@ -497,10 +506,17 @@
         return NULL;
     }
     ch_peers_set_relay_port(node->peers,
-                            (uint16_t)ch_listener_get_port(server->listener));
+                            (uint16_t)ch_relay_server_get_port(server));
     return server;
 }
 
+/* See relay_server.h. */
+int
+ch_relay_server_get_port(const struct ch_relay_server *server)
+{
+    return ch_listener_get_port(server->listener);
+}
+
 /* See relay_server.h. */
 void
 ch_relay_server_drain(struct ch_relay_server *server)
--- a/libchestnuthitch/node/relay_server.h
+++ b/libchestnuthitch/node/relay_server.h
@@ -15,6 +15,8 @@
 /* Listens at the address in the settings; NULL with *error. */
 struct ch_relay_server *ch_relay_server_new(struct ch_node *node,
                                             struct ch_error *error);
+/* The port in use, also when the kernel chose it. */
+int ch_relay_server_get_port(const struct ch_relay_server *server);
 /* Refuses further calls, since this node stops; server may be NULL, here and
  * below. */
 void ch_relay_server_drain(struct ch_relay_server *server);
