--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -27,7 +27,7 @@
     /* To an upstream; some round trips between regions. */
     CONNECT_TIMEOUT_US = 400 * 1000,
     MAX_CALL_MS = 10 * 60 * 1000,
-    STOP_POLL_MS = 20,
+    STOP_POLL_US = 20 * 1000,
     /* Part of the grace period that stays after relayed calls are cut. */
     STOP_RESERVE_MS = 1500,
 };
@@ -551,8 +551,8 @@
             ? MAX_CALL_MS
             : MAX(grace_ms - server->limits.drain_ms - STOP_RESERVE_MS, 0);
     while (count_calls(server) > 0 && left_ms > 0) {
-        g_usleep(STOP_POLL_MS * 1000);
-        left_ms -= STOP_POLL_MS;
+        g_usleep(STOP_POLL_US);
+        left_ms -= STOP_POLL_US / 1000;
     }
     unsigned calls = count_calls(server);
     if (calls > 0) {
