--- a/tests/threaded/fake_paths.h
+++ b/tests/threaded/fake_paths.h
@@ -10,6 +10,8 @@
     struct ch_path_relay relay; /* address empty: every path is open */
     int relayed;                /* calls for which the relay was chosen */
     enum ch_relay_result last_result;
+    int64_t cut_since; /* atomic */
+    bool knows_relay;
 };
 
 struct ch_path_listener
@@ -40,8 +42,15 @@
 int64_t
 ch_path_manager_get_cut_since(struct ch_path_manager *manager)
 {
-    (void)manager;
-    return 0;
+    return manager == NULL
+               ? 0
+               : __atomic_load_n(&manager->cut_since, __ATOMIC_SEQ_CST);
+}
+
+bool
+ch_path_manager_knows_relay(struct ch_path_manager *manager)
+{
+    return manager != NULL && manager->knows_relay;
 }
 
 bool
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -2,6 +2,7 @@
  * forwarding demand. */
 
 #include "node/controller_internal.h"
+#include "threaded/fake_paths.h"
 #include "threaded/test_node.h"
 
 #include <semaphore.h>
@@ -671,6 +672,76 @@
     g_assert_cmpint(limited, >, 0);
 }
 
+/* ---- lease holders that are cut off from the engines ---- */
+
+enum {
+    /* Until a lease that is handed over has been given up. */
+    HANDOVER_US = 1500 * 1000,
+    SHORT_LEASE_MS = 500,
+};
+
+struct handover_case {
+    const char *name;
+    int64_t cut_for; /* microseconds; 0: not cut off */
+    bool knows_relay;
+    bool hands_over;
+};
+
+static const struct handover_case handover_cases[] = {
+    {"not-cut", 0, true, false},
+    {"cut-for-long", 10 * 1000 * 1000, true, true},
+    {"cut-for-a-moment", 10 * 1000, true, false},
+    {"all-cut", 10 * 1000 * 1000, false, false},
+};
+
+static int ended_leases; /* atomic */
+
+static void
+end_lease(struct ch_kv *kv, uint64_t lease,
+          void (*done)(void *data, const struct ch_kv_result *answer),
+          void *data)
+{
+    const struct ch_kv_result answer = {.code = CH_OK};
+    (void)kv, (void)lease;
+    g_atomic_int_inc(&ended_leases);
+    done(data, &answer);
+}
+
+/* Guards against a lease holder that cannot reach the engines keeping the
+ * lease, so that nobody orders them. */
+static void
+test_handover(gconstpointer data)
+{
+    const struct handover_case *row = data;
+    struct ch_kv_ops ops = lease_kv_ops;
+    struct ch_kv kv = {.ops = &ops};
+    struct ch_path_manager paths = {.knows_relay = row->knows_relay};
+    struct test_node *node = test_node_new("n1");
+    ops.end_lease = end_lease;
+    node->node.paths = &paths;
+    node->settings.lease_ms = SHORT_LEASE_MS;
+    node->node.kv = &kv;
+    node->node.timers = ch_timers_new(node->node.pool);
+    struct ch_controller *controller =
+        ch_controller_new(&node->node, NULL, &recording_handlers, NULL);
+    ch_controller_refresh(controller);
+    ch_peers_start(node->node.peers);
+    set_known_node(node, node);
+    g_atomic_int_set(&reports, 0);
+    g_atomic_int_set(&ended_leases, 0);
+    ch_controller_start(controller);
+    await(&reports, 1);
+    g_assert_cmpint(g_atomic_int_get(&reports), >=, 1);
+    if (row->cut_for > 0) {
+        int64_t since = ch_client_get_time(&node->client) - row->cut_for;
+        __atomic_store_n(&paths.cut_since, since, __ATOMIC_SEQ_CST);
+    }
+    g_usleep(HANDOVER_US);
+    g_assert_cmpint(g_atomic_int_get(&ended_leases), ==,
+                    row->hands_over ? 1 : 0);
+    stop_controller(node, controller);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -681,5 +752,10 @@
     g_test_add_func("/controller/demand-passed-once",
                     test_demand_forwarded_once);
     g_test_add_func("/controller/limited-reports", test_limited_reports);
+    for (size_t i = 0; i < G_N_ELEMENTS(handover_cases); i++) {
+        g_autofree char *path =
+            g_strconcat("/controller/handover/", handover_cases[i].name, NULL);
+        g_test_add_data_func(path, &handover_cases[i], test_handover);
+    }
     return g_test_run();
 }
