--- a/tests/threaded/test_paths.c
+++ b/tests/threaded/test_paths.c
@@ -153,7 +153,7 @@
     ch_path_manager_start(node->node.paths);
     ch_peers_start(node->node.peers);
     (void)g_snprintf(node->relay_address, sizeof(node->relay_address),
-                     "127.0.0.1:%u",
+                     "127.0.0.1:%d",
                      ch_relay_server_get_port(node->node.relay_server));
     return node;
 }
