A caller's header does not choose the upstream of a relayed call

Callers' headers are passed on, and the relaying node takes the upstream's name from a header: one that a caller had sent came first, so that it could have a request sent to any listed upstream, past its class. No caller saw this; found by reading. Headers of relaying are left out of what a caller sent. /paths/relay/caller-headers failed before (0 of 1 calls at the chosen upstream) and passes now.

--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -540,7 +540,12 @@
                                             call->relay->upstream};
     const struct ch_http_header time = {CH_RELAY_TIME_HEADER, time_ms};
     const struct ch_http_header fresh = {CH_RELAY_FRESH_HEADER, "1"};
-    g_array_append_vals(all, headers, (guint)count);
+    for (size_t i = 0; i < count; i++) {
+        /* A caller must not choose the upstream. */
+        if (!ch_relay_is_own_header(headers[i].name)) {
+            g_array_append_val(all, headers[i]);
+        }
+    }
     g_array_append_val(all, upstream);
     g_array_append_val(all, time);
     if (!call->may_repeat || call->fresh_connection) {
--- a/tests/threaded/test_paths.c
+++ b/tests/threaded/test_paths.c
@@ -395,6 +395,52 @@
     upstream_stop(&upstream);
 }
 
+/* Guards against a caller choosing the upstream of a relayed call by a header
+ * of its own. */
+static void
+test_caller_headers(void)
+{
+    static const struct ch_call_rules rules = {CH_CALL_DEFAULT_RULES};
+    static const struct ch_call_handlers handlers = {
+        .on_response = handle_response,
+        .on_data = handle_data,
+        .on_end = handle_end,
+    };
+    static const struct ch_http_header headers[] = {
+        {CH_RELAY_UPSTREAM_HEADER, "w2"}, {"X-Request-Id", "r1"}};
+    struct upstream upstreams[2] = {{0}, {0}};
+    struct test_call call = {.body = g_string_new(NULL)};
+    pthread_mutex_init(&call.lock, NULL);
+    upstream_start(&upstreams[0], RESPONDS);
+    upstream_start(&upstreams[1], RESPONDS);
+    struct test_node *from = test_node_new("n1");
+    struct test_node *relay = test_node_new("n2");
+    list_upstream(relay, "w1", upstreams[0].address, false);
+    list_upstream(relay, "w2", upstreams[1].address, false);
+    const struct ch_call_relay by = {relay->relay_address, "w1"};
+    const struct ch_upstream upstream = {0};
+    const struct ch_call request = {
+        .relay = &by,
+        .request_id = "r1",
+        .method = "GET",
+        .path = "/",
+        .first_byte_timeout = TIMEOUT_US,
+        .stall_timeout = TIMEOUT_US,
+    };
+    ch_call_start_with_headers(&from->client, from->node.http, "192.0.2.1:9",
+                               &rules, &upstream, &request, headers,
+                               G_N_ELEMENTS(headers), &handlers, &call);
+    wait_for_end(&call);
+    g_assert_cmpint(call.result.code, ==, CH_OK);
+    g_assert_cmpint(g_atomic_int_get(&upstreams[0].requests), ==, 1);
+    g_assert_cmpint(g_atomic_int_get(&upstreams[1].requests), ==, 0);
+    clear_call(&call);
+    test_node_free(from);
+    test_node_free(relay);
+    upstream_stop(&upstreams[0]);
+    upstream_stop(&upstreams[1]);
+}
+
 /* ---- refused connections ---- */
 
 struct verdict {
@@ -467,6 +513,7 @@
         g_test_add_data_func(path, &relay_cases[i], test_relay);
     }
     g_test_add_func("/paths/relay/cancel", test_cancel);
+    g_test_add_func("/paths/relay/caller-headers", test_caller_headers);
     for (size_t i = 0; i < G_N_ELEMENTS(refusal_cases); i++) {
         g_autofree char *path =
             g_strconcat("/paths/refusal/", refusal_cases[i].name, NULL);
