The watch of disconnects finds the responses itself

The callers' listener and the relay listener each kept a table of responses beside the watch, with the same lookup and the same callback.

--- a/libchestnuthitch/node/disconnect.c
+++ b/libchestnuthitch/node/disconnect.c
@@ -13,13 +13,29 @@
 };
 
 struct ch_disconnect_watch {
-    void (*disconnected)(void *data, uint64_t handle);
-    void *data;
+    pthread_mutex_t lock;
+    struct ch_table *responses; /* guarded by lock */
     pthread_t thread;
     int epoll_fd;
     int stop_fd; /* an eventfd, in the set with handle 0 */
 };
 
+/* Tells a response, unless it has been removed, that its caller is gone. */
+static void
+report_disconnect(struct ch_disconnect_watch *watch, uint64_t handle)
+{
+    pthread_mutex_lock(&watch->lock);
+    struct ch_response *response = ch_table_get(watch->responses, handle);
+    if (response != NULL) {
+        ch_response_ref(response);
+    }
+    pthread_mutex_unlock(&watch->lock);
+    if (response != NULL) {
+        ch_response_handle_disconnect(response);
+        ch_response_unref(response);
+    }
+}
+
 /* Waits for sockets whose peer has closed. */
 static void *
 run_watch(void *data)
@@ -36,19 +52,18 @@
             if (events[i].data.u64 == 0) {
                 return NULL;
             }
-            watch->disconnected(watch->data, events[i].data.u64);
+            report_disconnect(watch, events[i].data.u64);
         }
     }
 }
 
 /* Starts the thread; aborts the process when there are no resources for it. */
 struct ch_disconnect_watch *
-ch_disconnect_watch_new(void (*disconnected)(void *data, uint64_t handle),
-                        void *data)
+ch_disconnect_watch_new(void)
 {
     struct ch_disconnect_watch *watch = g_new0(struct ch_disconnect_watch, 1);
-    watch->disconnected = disconnected;
-    watch->data = data;
+    watch->responses = ch_table_new();
+    pthread_mutex_init(&watch->lock, NULL);
     watch->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     watch->stop_fd = eventfd(0, EFD_CLOEXEC);
     if (watch->epoll_fd < 0 || watch->stop_fd < 0) {
@@ -63,7 +78,7 @@
     return watch;
 }
 
-/* Stops the thread; disconnected does not run afterwards. */
+/* Stops the thread; no response is told of anything afterwards. */
 void
 ch_disconnect_watch_free(struct ch_disconnect_watch *watch)
 {
@@ -74,26 +89,38 @@
     pthread_join(watch->thread, NULL);
     close(watch->stop_fd);
     close(watch->epoll_fd);
+    ch_table_free(watch->responses);
+    pthread_mutex_destroy(&watch->lock);
     g_free(watch);
 }
 
-/* Watches a socket until it is removed; handle must not be 0. A caller that
- * closes only its sending side is reported as disconnected too: it can't be
- * told from one that has closed its connection. */
-void
-ch_disconnect_watch_add(struct ch_disconnect_watch *watch, int fd,
-                        uint64_t handle)
+/* See disconnect.h. A caller that closes only its sending side is reported as
+ * disconnected too: it can't be told from one that has closed its connection.
+ */
+uint64_t
+ch_disconnect_watch_add(struct ch_disconnect_watch *watch,
+                        struct ch_response *response)
 {
+    pthread_mutex_lock(&watch->lock);
+    uint64_t handle = ch_table_add(watch->responses, response);
+    pthread_mutex_unlock(&watch->lock);
     struct epoll_event event = {
         .events = EPOLLRDHUP | EPOLLONESHOT,
         .data.u64 = handle,
     };
-    epoll_ctl(watch->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+    epoll_ctl(watch->epoll_fd, EPOLL_CTL_ADD, ch_response_get_fd(response),
+              &event);
+    return handle;
 }
 
 /* Ends the watch of a socket; must be called before the socket is closed. */
 void
-ch_disconnect_watch_remove(struct ch_disconnect_watch *watch, int fd)
+ch_disconnect_watch_remove(struct ch_disconnect_watch *watch,
+                           const struct ch_response *response, uint64_t handle)
 {
-    epoll_ctl(watch->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+    epoll_ctl(watch->epoll_fd, EPOLL_CTL_DEL, ch_response_get_fd(response),
+              NULL);
+    pthread_mutex_lock(&watch->lock);
+    ch_table_remove(watch->responses, handle);
+    pthread_mutex_unlock(&watch->lock);
 }
--- a/libchestnuthitch/node/disconnect.h
+++ b/libchestnuthitch/node/disconnect.h
@@ -6,18 +6,19 @@
  * its last bytes, the library misses the close and waits for the rest of the
  * request until its idle timeout. */
 
-#include "base/base.h"
+#include "node/response.h"
 
 struct ch_disconnect_watch;
 
-/* disconnected(data, handle) runs on the watch's own thread, once for each
- * socket added. */
-struct ch_disconnect_watch *
-ch_disconnect_watch_new(void (*disconnected)(void *data, uint64_t handle),
-                        void *data);
+struct ch_disconnect_watch *ch_disconnect_watch_new(void);
 void ch_disconnect_watch_free(struct ch_disconnect_watch *watch);
-void ch_disconnect_watch_add(struct ch_disconnect_watch *watch, int fd,
-                             uint64_t handle);
-void ch_disconnect_watch_remove(struct ch_disconnect_watch *watch, int fd);
+/* Watches the connection of a response, whose ch_response_handle_disconnect()
+ * runs on the watch's own thread, at most once. The response must exist until
+ * it is removed. Returns a handle. */
+uint64_t ch_disconnect_watch_add(struct ch_disconnect_watch *watch,
+                                 struct ch_response *response);
+void ch_disconnect_watch_remove(struct ch_disconnect_watch *watch,
+                                const struct ch_response *response,
+                                uint64_t handle);
 
 #endif
--- a/libchestnuthitch/node/frontend.c
+++ b/libchestnuthitch/node/frontend.c
@@ -347,12 +347,9 @@
     }
     pthread_mutex_lock(&frontend->lock);
     frontend->incoming++;
-    incoming->response_handle =
-        ch_table_add(frontend->responses, incoming->response);
     pthread_mutex_unlock(&frontend->lock);
-    ch_disconnect_watch_add(frontend->disconnect_watch,
-                            ch_response_get_fd(incoming->response),
-                            incoming->response_handle);
+    incoming->watch_handle = ch_disconnect_watch_add(
+        frontend->disconnect_watch, incoming->response);
     return incoming;
 }
 
@@ -427,11 +424,8 @@
     if (incoming == NULL) {
         return;
     }
-    ch_disconnect_watch_remove(frontend->disconnect_watch,
-                               ch_response_get_fd(incoming->response));
-    pthread_mutex_lock(&frontend->lock);
-    ch_table_remove(frontend->responses, incoming->response_handle);
-    pthread_mutex_unlock(&frontend->lock);
+    ch_disconnect_watch_remove(frontend->disconnect_watch, incoming->response,
+                               incoming->watch_handle);
     if (!incoming->complete) {
         ch_log(frontend->node->client, CH_LOG_INFO, "request-cut-short",
                CH_F_STR("request_id", ch_response_get_id(incoming->response)),
@@ -449,24 +443,6 @@
     pthread_mutex_unlock(&frontend->lock);
 }
 
-/* The caller has closed its connection. */
-static void
-handle_disconnect(void *data, uint64_t response_handle)
-{
-    struct ch_frontend *frontend = data;
-    pthread_mutex_lock(&frontend->lock);
-    struct ch_response *response =
-        ch_table_get(frontend->responses, response_handle);
-    if (response != NULL) {
-        ch_response_ref(response);
-    }
-    pthread_mutex_unlock(&frontend->lock);
-    if (response != NULL) {
-        ch_response_handle_disconnect(response);
-        ch_response_unref(response);
-    }
-}
-
 static void log_library_message(void *data, const char *form,
                                 va_list arguments) G_GNUC_PRINTF(2, 0);
 
@@ -583,15 +559,13 @@
     frontend->node = node;
     frontend->id_prefix =
         ch_hash_pair(ch_hash_string(node->settings->name), node->incarnation);
-    frontend->responses = ch_table_new();
     pthread_mutex_init(&frontend->lock, NULL);
     pthread_cond_init(&frontend->count_lowered, NULL);
     ch_retry_budget_init(&frontend->retry_budget, node->settings->retry_share);
     frontend->exchanges = g_hash_table_new(NULL, NULL);
     frontend->service_retry_budgets =
         g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    frontend->disconnect_watch =
-        ch_disconnect_watch_new(handle_disconnect, frontend);
+    frontend->disconnect_watch = ch_disconnect_watch_new();
     frontend->daemon = start_daemon(frontend);
     if (frontend->daemon == NULL) {
         ch_error_set(error, CH_SYSTEM, "cannot serve HTTP: %s",
@@ -755,7 +729,6 @@
         MHD_stop_daemon(frontend->daemon);
     }
     ch_disconnect_watch_free(frontend->disconnect_watch);
-    ch_table_free(frontend->responses);
     if (frontend->service_retry_budgets != NULL) {
         g_hash_table_destroy(frontend->service_retry_budgets);
     }
--- a/libchestnuthitch/node/frontend.h
+++ b/libchestnuthitch/node/frontend.h
@@ -25,7 +25,6 @@
     uint64_t id_prefix; /* differs between nodes and between their restarts */
     pthread_mutex_t lock;
     pthread_cond_t count_lowered; /* signalled when a count below goes down */
-    struct ch_table *responses;   /* responses to the open requests */
     size_t incoming;              /* requests of which a part has arrived */
     size_t accepted;       /* complete requests without a response yet */
     GHashTable *exchanges; /* a set of running exchanges */
--- a/libchestnuthitch/node/incoming_request.h
+++ b/libchestnuthitch/node/incoming_request.h
@@ -27,8 +27,8 @@
 
 struct ch_incoming_request {
     struct ch_response *response;
-    uint64_t number;          /* the request's number in this process */
-    uint64_t response_handle; /* of the response in the front end's table */
+    uint64_t number;       /* the request's number in this process */
+    uint64_t watch_handle; /* of the response in the watch of disconnects */
     char *uri;
     char *method;
     char *headers[CH_INCOMING_HEADER_COUNT]; /* NULL: not sent */
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -39,7 +39,6 @@
     struct ch_listener *listener;
     struct ch_disconnect_watch *disconnect_watch;
     pthread_mutex_t lock;
-    struct ch_table *responses;
     uint64_t last_number;
     unsigned calls; /* under way */
     bool draining;
@@ -373,13 +372,8 @@
         ch_incoming_request_new(connection, uri, "", number);
     ch_response_use_caller_id(incoming->response, CH_RELAY_RESULT_HEADER,
                               NULL);
-    pthread_mutex_lock(&server->lock);
-    incoming->response_handle =
-        ch_table_add(server->responses, incoming->response);
-    pthread_mutex_unlock(&server->lock);
-    ch_disconnect_watch_add(server->disconnect_watch,
-                            ch_response_get_fd(incoming->response),
-                            incoming->response_handle);
+    incoming->watch_handle =
+        ch_disconnect_watch_add(server->disconnect_watch, incoming->response);
     return incoming;
 }
 
@@ -423,34 +417,13 @@
     if (incoming == NULL) {
         return;
     }
-    ch_disconnect_watch_remove(server->disconnect_watch,
-                               ch_response_get_fd(incoming->response));
-    pthread_mutex_lock(&server->lock);
-    ch_table_remove(server->responses, incoming->response_handle);
-    pthread_mutex_unlock(&server->lock);
+    ch_disconnect_watch_remove(server->disconnect_watch, incoming->response,
+                               incoming->watch_handle);
     ch_response_detach(incoming->response);
     ch_incoming_request_free(incoming);
     *request = NULL;
 }
 
-/* The other node has closed its connection while its request waits. */
-static void
-handle_disconnect(void *data, uint64_t response_handle)
-{
-    struct ch_relay_server *server = data;
-    pthread_mutex_lock(&server->lock);
-    struct ch_response *response =
-        ch_table_get(server->responses, response_handle);
-    if (response != NULL) {
-        ch_response_ref(response);
-    }
-    pthread_mutex_unlock(&server->lock);
-    if (response != NULL) {
-        ch_response_handle_disconnect(response);
-        ch_response_unref(response);
-    }
-}
-
 static void
 handle_new_connection(void *data, int fd, const struct sockaddr_in *from)
 {
@@ -488,10 +461,8 @@
     server->node = node;
     server->limits = *node->settings;
     server->limits.max_header_bytes += MORE_HEADER_BYTES;
-    server->responses = ch_table_new();
     pthread_mutex_init(&server->lock, NULL);
-    server->disconnect_watch =
-        ch_disconnect_watch_new(handle_disconnect, server);
+    server->disconnect_watch = ch_disconnect_watch_new();
     server->daemon = start_daemon(server);
     if (server->daemon == NULL) {
         ch_error_set(error, CH_SYSTEM, "cannot relay calls: %s",
@@ -576,7 +547,6 @@
         MHD_stop_daemon(server->daemon);
     }
     ch_disconnect_watch_free(server->disconnect_watch);
-    ch_table_free(server->responses);
     pthread_mutex_destroy(&server->lock);
     g_free(server);
 }
