One choice of the node that relays a call again; what stood there twice

After a call that was not sent, the node was chosen to see whether there is one, and chosen again for the call: two choices that may differ. The lookup in a list of names is ch_route_is_excluded(). Names of this node's place are made once.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -594,13 +594,13 @@
 }
 
 /*
- * Whether the same upstream is called again, by another node: this node, or
- * the one that should have relayed the call, has no path to it. Nothing was
- * sent to the upstream, so this is no second attempt. Lock held.
+ * Calls the same upstream again, by another node, if this node or the one that
+ * should have relayed the call has no path to it; false: nothing was called.
+ * Nothing was sent to the upstream, so this is no second attempt. Lock held.
  */
 static bool
-should_call_by_other_node(const struct ch_exchange *exchange,
-                          const struct ch_call_result *end)
+call_by_other_node(struct ch_exchange *exchange,
+                   const struct ch_call_result *end)
 {
     bool is_path_missing =
         exchange->relay == 0
@@ -608,9 +608,7 @@
             : ch_relay_result_is_about_node(end->relay_result);
     return is_path_missing && !end->may_have_run && !exchange->abandoned &&
            exchange->failed_relays->len < MAX_FAILED_RELAYS &&
-           ch_path_manager_has_relay(exchange->frontend->node->paths,
-                                     exchange->grant.upstream,
-                                     exchange->failed_relays);
+           ch_exchange_call_by_other_node(exchange);
 }
 
 /* Handles the end of a call, successful or not. A grant that was used is
@@ -625,8 +623,7 @@
         exchange->may_have_run_before || end->may_have_run;
     exchange->call_may_have_run |= end->may_have_run;
     exchange->was_connected = end->code != CH_UPSTREAM_CONNECT;
-    if (should_call_by_other_node(exchange, end)) {
-        ch_exchange_call_upstream(exchange);
+    if (call_by_other_node(exchange, end)) {
         return false;
     }
     struct ch_call_result effective_end = *end;
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -139,6 +139,8 @@
 
 /* Calls the upstream of the grant. Lock held. */
 void ch_exchange_call_upstream(struct ch_exchange *exchange);
+/* Calls it by another node; false: there is none. Lock held. */
+bool ch_exchange_call_by_other_node(struct ch_exchange *exchange);
 /* Microseconds that a call may take before its caller's deadline; 0: the
  * caller stated none. */
 int64_t ch_exchange_get_time_left(const struct ch_request *request,
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -368,22 +368,11 @@
     return MAX(request->deadline - now, 1);
 }
 
-/* Sets by which node the present call goes, if this one has no path to the
- * upstream. */
-static bool
-choose_relay(struct ch_exchange *exchange, struct ch_path_relay *relay)
-{
-    struct ch_node *node = exchange->frontend->node;
-    bool is_relayed = ch_path_manager_choose_relay(
-        node->paths, exchange->grant.upstream, exchange->failed_relays, relay);
-    exchange->relay = is_relayed ? relay->name : 0;
-    return is_relayed;
-}
-
-/* Calls the granted upstream. A retry uses a fresh connection: the first call
- * may have failed because the kept-alive connections have gone silent. */
-void
-ch_exchange_call_upstream(struct ch_exchange *exchange)
+/* Calls the granted upstream, by another node (relay) or directly (NULL). A
+ * retry uses a fresh connection: the first call may have failed because the
+ * kept-alive connections have gone silent. */
+static void
+call_upstream(struct ch_exchange *exchange, const struct ch_path_relay *relay)
 {
     static const struct ch_call_handlers handlers = {
         .on_headers = handle_headers,
@@ -423,19 +412,48 @@
     };
     call.total_timeout =
         call.remaining_time > 0 ? call.remaining_time + DEADLINE_MARGIN_US : 0;
-    struct ch_path_relay relay;
     const struct ch_call_relay call_relay = {
-        .address = relay.address,
+        .address = relay == NULL ? NULL : relay->address,
         .upstream = g_quark_to_string(exchange->grant.upstream),
     };
-    if (choose_relay(exchange, &relay)) {
+    if (relay != NULL) {
         call.relay = &call_relay;
     }
+    exchange->relay = relay == NULL ? 0 : relay->name;
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
 }
 
+/* Chooses by which node the call goes; false: it goes directly. */
+static bool
+choose_relay(const struct ch_exchange *exchange, struct ch_path_relay *relay)
+{
+    return ch_path_manager_choose_relay(exchange->frontend->node->paths,
+                                        exchange->grant.upstream,
+                                        exchange->failed_relays, relay);
+}
+
+/* See exchange.h. */
+void
+ch_exchange_call_upstream(struct ch_exchange *exchange)
+{
+    struct ch_path_relay relay;
+    call_upstream(exchange, choose_relay(exchange, &relay) ? &relay : NULL);
+}
+
+/* See exchange.h. */
+bool
+ch_exchange_call_by_other_node(struct ch_exchange *exchange)
+{
+    struct ch_path_relay relay;
+    if (!choose_relay(exchange, &relay)) {
+        return false;
+    }
+    call_upstream(exchange, &relay);
+    return true;
+}
+
 /* All tokens of a plain model response arrive at once, so the time of one
  * token is computed from the whole. */
 struct ch_timing_sample
--- a/libchestnuthitch/node/path_internal.h
+++ b/libchestnuthitch/node/path_internal.h
@@ -32,6 +32,7 @@
 struct ch_path_manager {
     struct ch_node *node;
     pthread_mutex_t lock;
+    struct ch_path_place place; /* of this node */
     struct ch_path_tracker *tracker;
     GHashTable *upstreams;  /* GQuark to struct path_upstream */
     GHashTable *relays;     /* GQuark to struct relay_state */
--- a/libchestnuthitch/node/path_manager.h
+++ b/libchestnuthitch/node/path_manager.h
@@ -44,9 +44,6 @@
 void ch_path_manager_release_relay(struct ch_path_manager *manager,
                                    GQuark relay, GQuark upstream,
                                    enum ch_relay_result result);
-/* Whether a call to the upstream would go by another node now. */
-bool ch_path_manager_has_relay(struct ch_path_manager *manager,
-                               GQuark upstream, const GArray *failed);
 /* Whether any other node relays calls now. */
 bool ch_path_manager_knows_relay(struct ch_path_manager *manager);
 /* The address of a listed upstream to which this node has a path; otherwise
--- a/libchestnuthitch/node/path_relay.c
+++ b/libchestnuthitch/node/path_relay.c
@@ -31,6 +31,11 @@
 void
 path_relay_init(struct ch_path_manager *manager)
 {
+    manager->place = (struct ch_path_place){
+        .data_centre =
+            g_quark_from_string(manager->node->settings->data_centre),
+        .region = g_quark_from_string(manager->node->settings->region),
+    };
     manager->relays = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     manager->lost_pairs =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -91,17 +96,6 @@
     return g_hash_table_lookup(manager->relays, GUINT_TO_POINTER(relay));
 }
 
-static bool
-contains(const GArray *names, GQuark name)
-{
-    for (guint i = 0; i < names->len; i++) {
-        if (g_array_index(names, GQuark, i) == name) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Identifies a relaying node and an upstream. */
 static int64_t
 get_pair(GQuark relay, GQuark upstream)
@@ -145,7 +139,7 @@
         const struct relay_candidate *candidate =
             &g_array_index(manager->candidates, struct relay_candidate, i);
         const struct relay_state *state = find_state(manager, candidate->name);
-        if (contains(failed, candidate->name) ||
+        if (ch_route_is_excluded(failed, candidate->name) ||
             is_pair_lost(manager, candidate->name, upstream, now) ||
             (state != NULL && state->suspect_until > now)) {
             continue;
@@ -163,13 +157,8 @@
 choose_candidate(struct ch_path_manager *manager, GQuark upstream,
                  const GArray *failed, int64_t now)
 {
-    const struct ch_settings *settings = manager->node->settings;
     const struct path_upstream *known =
         g_hash_table_lookup(manager->upstreams, GUINT_TO_POINTER(upstream));
-    const struct ch_path_place from = {
-        .data_centre = g_quark_from_string(settings->data_centre),
-        .region = g_quark_from_string(settings->region),
-    };
     const struct ch_path_place to = {
         .data_centre = known == NULL ? 0 : known->data_centre,
         .region = known == NULL ? 0 : known->region,
@@ -179,7 +168,7 @@
     manager->draw = ch_hash_pair(manager->draw, 1);
     size_t chosen = ch_path_choose_relay(
         (const struct ch_path_relay_candidate *)(void *)usable->data,
-        usable->len, &from, &to, manager->draw);
+        usable->len, &manager->place, &to, manager->draw);
     const struct relay_candidate *candidate =
         chosen >= usable->len
             ? NULL
@@ -269,23 +258,6 @@
     }
 }
 
-/* See path_manager.h. */
-bool
-ch_path_manager_has_relay(struct ch_path_manager *manager, GQuark upstream,
-                          const GArray *failed)
-{
-    if (manager == NULL) {
-        return false;
-    }
-    int64_t now = ch_client_get_time(manager->node->client);
-    pthread_mutex_lock(&manager->lock);
-    bool has_relay = ch_path_tracker_needs_relay(manager->tracker, upstream,
-                                                 manager->draw, now) &&
-                     choose_candidate(manager, upstream, failed, now) != NULL;
-    pthread_mutex_unlock(&manager->lock);
-    return has_relay;
-}
-
 /* See path_manager.h. */
 bool
 ch_path_manager_knows_relay(struct ch_path_manager *manager)
