A node whose paths are in doubt asks again without another failure

Cause: other nodes were asked only when a connection failed. One node's questions all went to nodes that were cut off too; as it took all upstreams for bad it sent nothing more, so that it never asked again. Its paths stood in doubt for 5.1 s, and it refused as the home of upstreams for all others.

--- a/libchestnuthitch/node/path_manager.c
+++ b/libchestnuthitch/node/path_manager.c
@@ -334,7 +334,7 @@
 
 /* ---- periodic work ---- */
 
-/* Probes paths as long as one is not open. */
+/* Probes paths, and asks about them, as long as one is not open. */
 static void
 tick(void *data)
 {
@@ -345,6 +345,10 @@
     GQuark upstream =
         manager->stopped ? 0
                          : ch_path_tracker_select_probe(manager->tracker, now);
+    GQuark question =
+        manager->stopped
+            ? 0
+            : ch_path_tracker_select_question(manager->tracker, now);
     ch_path_tracker_foreach(manager->tracker, count_state, counts);
     bool is_cut = ch_path_tracker_get_cut_since(manager->tracker) != 0;
     if (is_cut && !manager->stopped &&
@@ -363,6 +367,9 @@
     if (upstream != 0) {
         path_probe_open(manager, upstream);
     }
+    if (question != 0) {
+        path_probe_ask(manager, question);
+    }
 }
 
 /* ---- status ---- */
--- a/libchestnuthitch/path/path.h
+++ b/libchestnuthitch/path/path.h
@@ -70,6 +70,10 @@
  * once in a while only. */
 bool ch_path_tracker_needs_view(struct ch_path_tracker *tracker,
                                 GQuark upstream, int64_t now);
+/* The upstream of which another node is to be asked again now, although no
+ * connection has failed since; 0: none. */
+GQuark ch_path_tracker_select_question(struct ch_path_tracker *tracker,
+                                       int64_t now);
 /* The upstream to which a connection is to be opened now, to learn whether the
  * path is back; 0: none. */
 GQuark ch_path_tracker_select_probe(struct ch_path_tracker *tracker,
--- a/libchestnuthitch/path/tracker.c
+++ b/libchestnuthitch/path/tracker.c
@@ -16,6 +16,8 @@
     RESTORING_CONNECTIONS = 2,
     PROBE_PERIOD_US = 200 * 1000,
     VIEW_PERIOD_US = 500 * 1000,
+    /* The same for an upstream that other nodes did not reach either. */
+    DOWN_VIEW_PERIOD_US = 2000 * 1000,
     /* For how long one node that reaches an upstream outweighs others that
      * don't. */
     VIEW_VALID_US = 1000 * 1000,
@@ -237,6 +239,42 @@
     return true;
 }
 
+/*
+ * See path.h. Load: most nodes are cut off, so that those which were asked
+ * know nothing, or did not know yet that they are cut off. Harm prevented: a
+ * node that sends no more calls, since it takes all upstreams for bad, never
+ * learns that it is the node, and refuses as a home for all others.
+ */
+GQuark
+ch_path_tracker_select_question(struct ch_path_tracker *tracker, int64_t now)
+{
+    GQuark selected = 0;
+    struct path *oldest = NULL;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    if (tracker->cut_since != 0) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iterator, tracker->paths);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct path *path = value;
+        int64_t period =
+            path->state == CH_PATH_DOWN ? DOWN_VIEW_PERIOD_US : VIEW_PERIOD_US;
+        bool is_open_question =
+            path->state == CH_PATH_DOUBTFUL || path->state == CH_PATH_DOWN;
+        if (is_open_question && now - path->asked_at >= period &&
+            (oldest == NULL || path->asked_at < oldest->asked_at)) {
+            oldest = path;
+            selected = GPOINTER_TO_UINT(key);
+        }
+    }
+    if (oldest != NULL) {
+        oldest->asked_at = now;
+    }
+    return selected;
+}
+
 /*
  * See path.h. Load: a cut of many nodes that heals at once. Harm prevented: a
  * new connection takes an upstream's time, so nodes that all probe all
--- a/tests/unit/test_path.c
+++ b/tests/unit/test_path.c
@@ -281,6 +281,44 @@
     ch_path_tracker_free(tracker);
 }
 
+struct again_case {
+    const char *name;
+    struct step steps[MAX_STEPS];
+    unsigned least; /* questions in two seconds without another failure */
+    unsigned most;
+};
+
+static const struct again_case again_cases[] = {
+    {"open", {{CONNECTS, 0, 1000}}, 0, 0},
+    {"doubtful", {{TIMES_OUT, 0, 1000}}, 3, 5},
+    {"down", {{REFUSES, 0, 1000}, {NOT_REACHED, 0, 1010}}, 1, 2},
+    {"lost", {{TIMES_OUT, 0, 1000}, {REACHED, 0, 1010}}, 0, 0},
+    {"cut",
+     {{REFUSES, 0, 1000}, {REFUSES, 1, 1000}, {REACHED, 0, 1010}},
+     0,
+     0},
+};
+
+/* Guards against a node that is cut off not learning so, as the nodes that it
+ * asked could not tell and it sends no more calls. */
+static void
+test_asks_again(gconstpointer data)
+{
+    const struct again_case *row = data;
+    struct ch_path_tracker *tracker = ch_path_tracker_new();
+    unsigned questions = 0;
+    for (size_t i = 0; i < MAX_STEPS && row->steps[i].kind != END; i++) {
+        apply_step(tracker, &row->steps[i]);
+    }
+    for (int64_t at_ms = 1100; at_ms < 3100; at_ms += 10) {
+        questions +=
+            ch_path_tracker_select_question(tracker, at_ms * MS) != 0 ? 1 : 0;
+    }
+    g_assert_cmpuint(questions, >=, row->least);
+    g_assert_cmpuint(questions, <=, row->most);
+    ch_path_tracker_free(tracker);
+}
+
 /* Any order of events ends open once connections succeed again, and a node
  * that connects elsewhere all the while never counts as cut off. */
 static void
@@ -461,6 +499,11 @@
     }
     g_test_add_func("/path/far-candidate", test_far_candidate);
     g_test_add_func("/path/near-candidates", test_near_candidates);
+    for (size_t i = 0; i < G_N_ELEMENTS(again_cases); i++) {
+        g_autofree char *path =
+            g_strconcat("/path/asks-again/", again_cases[i].name, NULL);
+        g_test_add_data_func(path, &again_cases[i], test_asks_again);
+    }
     g_test_add_func("/path/short-attempt", test_short_attempt);
     g_test_add_func("/path/gradual-return", test_gradual_return);
     g_test_add_func("/path/probes", test_probes);
