--- a/libchestnuthitch/net/http_fetch.c
+++ b/libchestnuthitch/net/http_fetch.c
@@ -1,4 +1,5 @@
-/* Collects complete responses in memory, for calls to the platform. */
+/* Collects complete responses in memory, for calls to the platform, and opens
+ * connections without a call. */
 
 #include "net/net.h"
 
@@ -102,3 +103,21 @@
     fetch->data = data;
     return ch_http_submit(http, request, &handlers, fetch);
 }
+
+/* See net.h. */
+void
+ch_http_probe(struct ch_http *http, const char *address, int64_t timeout,
+              void (*on_end)(void *data, const struct ch_http_result *result),
+              void *data)
+{
+    const struct ch_http_handlers handlers = {.on_end = on_end};
+    g_autofree char *url = g_strdup_printf("http://%s/", address);
+    const struct ch_http_request request = {
+        .method = "GET",
+        .url = url,
+        .connect_timeout = timeout,
+        .total_timeout = timeout,
+        .connect_only = true,
+    };
+    ch_http_submit(http, &request, &handlers, data);
+}
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -92,6 +92,19 @@
 /* Connections idle for longer than this are not reused. */
 void ch_http_set_idle_timeout(struct ch_http *http, int64_t timeout);
 
+/* An array of struct ch_http_header that owns its strings. */
+GArray *ch_http_headers_new(void);
+void ch_http_headers_add(GArray *headers, const char *name, const char *value);
+/* Whether a header applies to one connection only (RFC 9110, 7.6.1), or
+ * describes the framing of the body. */
+bool ch_http_is_hop_header(const char *name);
+/* Opens a new connection to "ip:port" and closes it again. The result is OK,
+ * with connected_at, once it is established. */
+void ch_http_probe(struct ch_http *http, const char *address, int64_t timeout,
+                   void (*on_end)(void *data,
+                                  const struct ch_http_result *result),
+                   void *data);
+
 /* Appends a value of a header that may come more than once, after a comma as
  * in RFC 9110, 5.3. Frees *values (NULL: none yet) and replaces it. */
 void ch_http_append_value(char **values, const char *value);
--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -180,6 +180,16 @@
     crash_guard_update_has_suspects(guard);
 }
 
+/* Ends a job that the stop of the guard waits for. */
+static void
+end_job(struct ch_crash_guard *guard)
+{
+    pthread_mutex_lock(&guard->lock);
+    guard->pending_jobs--;
+    pthread_cond_broadcast(&guard->idle);
+    pthread_mutex_unlock(&guard->lock);
+}
+
 /* A connection that is opened to learn whether an upstream crashed. */
 struct probe {
     struct ch_crash_guard *guard;
@@ -196,10 +206,7 @@
     if (end->connection_refused) {
         ch_crash_guard_record_refused(guard, probe->upstream);
     }
-    pthread_mutex_lock(&guard->lock);
-    guard->pending_jobs--;
-    pthread_cond_broadcast(&guard->idle);
-    pthread_mutex_unlock(&guard->lock);
+    end_job(guard);
     g_free(probe);
 }
 
@@ -224,20 +231,11 @@
 static void
 open_probe(struct ch_crash_guard *guard, const struct ch_grant *grant)
 {
-    static const struct ch_http_handlers handlers = {.on_end =
-                                                         handle_probe_end};
     struct probe *probe = g_new0(struct probe, 1);
     probe->guard = guard;
     probe->upstream = grant->upstream;
-    g_autofree char *url = g_strdup_printf("http://%s/", grant->address);
-    const struct ch_http_request request = {
-        .method = "GET",
-        .url = url,
-        .connect_timeout = PROBE_TIMEOUT_US,
-        .total_timeout = PROBE_TIMEOUT_US,
-        .connect_only = true,
-    };
-    ch_http_submit(guard->node->http, &request, &handlers, probe);
+    ch_http_probe(guard->node->http, grant->address, PROBE_TIMEOUT_US,
+                  handle_probe_end, probe);
 }
 
 /* Whether the end of an upstream may be a crash. An upstream that is draining,
@@ -312,16 +310,6 @@
     GQuark upstream;
 };
 
-/* Ends a job that the stop of the guard waits for. */
-static void
-end_job(struct ch_crash_guard *guard)
-{
-    pthread_mutex_lock(&guard->lock);
-    guard->pending_jobs--;
-    pthread_cond_broadcast(&guard->idle);
-    pthread_mutex_unlock(&guard->lock);
-}
-
 /* Records a crash, unless this node lost its path to the upstream: then the
  * request that was cut says nothing. */
 static void
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -41,9 +41,8 @@
     struct ch_exchange *exchange = data;
     pthread_mutex_lock(&exchange->lock);
     for (size_t i = 0; !exchange->stream_started && i < count; i++) {
-        const struct ch_http_header copy = {g_strdup(headers[i].name),
-                                            g_strdup(headers[i].value)};
-        g_array_append_val(exchange->headers, copy);
+        ch_http_headers_add(exchange->headers, headers[i].name,
+                            headers[i].value);
     }
     pthread_mutex_unlock(&exchange->lock);
 }
--- a/libchestnuthitch/node/exchange_lifetime.c
+++ b/libchestnuthitch/node/exchange_lifetime.c
@@ -3,14 +3,6 @@
 
 #include "node/exchange.h"
 
-static void
-clear_header(void *data)
-{
-    struct ch_http_header *header = data;
-    g_free((char *)header->name);
-    g_free((char *)header->value);
-}
-
 /* See exchange.h. */
 enum ch_exchange_step
 ch_exchange_first_step(const struct ch_request *request)
@@ -32,9 +24,7 @@
     exchange->response = ch_response_ref(response);
     exchange->excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
     exchange->failed_relays = g_array_new(FALSE, FALSE, sizeof(GQuark));
-    exchange->headers =
-        g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
-    g_array_set_clear_func(exchange->headers, clear_header);
+    exchange->headers = ch_http_headers_new();
     exchange->last_event_id = g_strdup(request->resume_id);
     exchange->body = g_byte_array_new();
     exchange->arrived_at = request->info.arrived_at;
--- a/libchestnuthitch/node/path_manager.c
+++ b/libchestnuthitch/node/path_manager.c
@@ -252,20 +252,29 @@
     return needed;
 }
 
+/* See path_manager.h. */
+void
+ch_path_manager_record_result(struct ch_path_manager *manager, GQuark upstream,
+                              const struct ch_http_result *result)
+{
+    int64_t now = ch_client_get_time(manager->node->client);
+    struct ch_path_sample sample;
+    if (path_manager_read_result(result, upstream, now, &sample)) {
+        path_manager_record(manager, &sample);
+    }
+}
+
 /* Handles the end of a call; on the HTTP loop's thread. */
 static void
 handle_call_end(const struct ch_path_listener *listener,
                 const struct ch_http_result *result)
 {
     struct ch_path_manager *manager = listener->data;
-    int64_t now = ch_client_get_time(manager->node->client);
-    struct ch_path_sample sample;
-    if (path_manager_read_result(result, listener->upstream, now, &sample)) {
-        path_manager_record(manager, &sample);
-    }
+    ch_path_manager_record_result(manager, listener->upstream, result);
     if (!is_doubtful_end(result)) {
         return;
     }
+    int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
     bool probes = needs_silence_probe(manager, listener->upstream, now);
     pthread_mutex_unlock(&manager->lock);
@@ -320,18 +329,6 @@
     return since;
 }
 
-/* See path_manager.h. */
-void
-ch_path_manager_record_result(struct ch_path_manager *manager, GQuark upstream,
-                              const struct ch_http_result *result)
-{
-    int64_t now = ch_client_get_time(manager->node->client);
-    struct ch_path_sample sample;
-    if (path_manager_read_result(result, upstream, now, &sample)) {
-        path_manager_record(manager, &sample);
-    }
-}
-
 /* ---- periodic work ---- */
 
 /* Probes paths, and asks about them, as long as one is not open. */
--- a/libchestnuthitch/node/path_probe.c
+++ b/libchestnuthitch/node/path_probe.c
@@ -140,28 +140,19 @@
 static bool
 probe_start(struct probe *probe)
 {
-    static const struct ch_http_handlers handlers = {.on_end =
-                                                         handle_probe_end};
     struct ch_path_manager *manager = probe->manager;
     pthread_mutex_lock(&manager->lock);
     const struct path_upstream *upstream = g_hash_table_lookup(
         manager->upstreams, GUINT_TO_POINTER(probe->upstream));
-    g_autofree char *url =
-        upstream == NULL ? NULL
-                         : g_strdup_printf("http://%s/", upstream->address);
+    g_autofree char *address =
+        upstream == NULL ? NULL : g_strdup(upstream->address);
     pthread_mutex_unlock(&manager->lock);
-    if (url == NULL) {
+    if (address == NULL) {
         return false;
     }
-    const struct ch_http_request request = {
-        .method = "GET",
-        .url = url,
-        .connect_timeout = PROBE_TIMEOUT_US,
-        .total_timeout = PROBE_TIMEOUT_US,
-        .connect_only = true,
-    };
     path_manager_count(manager, CH_COUNT_PATH_PROBES);
-    ch_http_submit(manager->node->http, &request, &handlers, probe);
+    ch_http_probe(manager->node->http, address, PROBE_TIMEOUT_US,
+                  handle_probe_end, probe);
     return true;
 }
 
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -10,10 +10,8 @@
 
 #include <errno.h>
 #include <pthread.h>
-#include <stdio.h>
 #include <string.h>
 #include <strings.h>
-#include <time.h>
 
 enum {
     /* Calls that are relayed at a time: each may leave up to
@@ -36,13 +34,12 @@
     struct ch_node *node;
     struct ch_settings limits; /* a copy, for the sizes of requests */
     struct MHD_Daemon *daemon;
-    struct ch_listener *listener;
+    struct ch_listener *listener; /* NULL once closed */
     struct ch_disconnect_watch *disconnect_watch;
     pthread_mutex_t lock;
     uint64_t last_number;
     unsigned calls; /* under way */
     bool draining;
-    bool is_closed;
 };
 
 /* A call that is being relayed. The HTTP loop and the watcher of the response
@@ -62,14 +59,6 @@
     bool is_started;
 };
 
-static void
-clear_header(void *data)
-{
-    struct ch_http_header *header = data;
-    g_free((char *)header->name);
-    g_free((char *)header->value);
-}
-
 static void
 relayed_call_unref(void *data)
 {
@@ -105,21 +94,12 @@
 }
 
 /* Whether a header of a message is to be passed on: not those of one
- * connection (RFC 9110, 7.6.1), of the framing, and of relaying itself. */
+ * connection, and of relaying itself. */
 static bool
 is_passed_on(const char *name)
 {
-    static const char *const names[] = {
-        "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
-        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
-        "Expect",
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (strcasecmp(names[i], name) == 0) {
-            return false;
-        }
-    }
-    return !ch_relay_is_own_header(name);
+    return !ch_http_is_hop_header(name) && strcasecmp(name, "Expect") != 0 &&
+           !ch_relay_is_own_header(name);
 }
 
 static void
@@ -134,8 +114,7 @@
 {
     struct relayed_call *call = data;
     if (is_passed_on(name) && strcasecmp(name, "Date") != 0) {
-        const struct ch_http_header header = {g_strdup(name), g_strdup(value)};
-        g_array_append_val(call->headers, header);
+        ch_http_headers_add(call->headers, name, value);
     }
 }
 
@@ -349,8 +328,7 @@
     call->server = server;
     call->upstream = upstream;
     call->response = ch_response_ref(incoming->response);
-    call->headers = g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
-    g_array_set_clear_func(call->headers, clear_header);
+    call->headers = ch_http_headers_new();
     pthread_mutex_init(&call->lock, NULL);
     ch_response_set_watcher(incoming->response, &watcher, call);
     submit(call, incoming, address);
@@ -513,7 +491,7 @@
 void
 ch_relay_server_stop(struct ch_relay_server *server)
 {
-    if (server == NULL || server->is_closed) {
+    if (server == NULL || server->listener == NULL) {
         return;
     }
     int64_t grace_ms = server->limits.grace_ms;
@@ -532,7 +510,6 @@
     }
     ch_listener_free(server->listener);
     server->listener = NULL;
-    server->is_closed = true;
 }
 
 /* See relay_server.h. */
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -58,15 +58,6 @@
     bool end_reported; /* on_end was called */
 };
 
-/* Frees the strings of a header to be forwarded. */
-static void
-clear_header(void *data)
-{
-    struct ch_http_header *header = data;
-    g_free((char *)header->name);
-    g_free((char *)header->value);
-}
-
 /* Releases a reference; the last one frees the exchange. */
 static void
 call_exchange_unref(struct call_exchange *exchange)
@@ -322,42 +313,16 @@
     }
 }
 
-/*
- * Whether a header applies to one connection only (RFC 9110, 7.6.1), or
- * describes the framing of the body, which the listener generates anew.
- */
-static bool
-is_hop_header(const char *name)
-{
-    static const char *const names[] = {
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "TE",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
-        "Trailer",
-        "Date",
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (strcasecmp(name, names[i]) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Stores a header to be forwarded to the caller. */
+/* Stores a header to be forwarded to the caller. The listener generates the
+ * framing and the date anew. */
 static void
 store_header(struct call_exchange *exchange, const char *name,
              const char *value)
 {
-    if (!exchange->rules.forward_headers || is_hop_header(name)) {
-        return;
+    if (exchange->rules.forward_headers && !ch_http_is_hop_header(name) &&
+        strcasecmp(name, "Date") != 0) {
+        ch_http_headers_add(exchange->headers, name, value);
     }
-    const struct ch_http_header header = {g_strdup(name), g_strdup(value)};
-    g_array_append_val(exchange->headers, header);
 }
 
 /*
@@ -512,9 +477,7 @@
     exchange->is_head_request = strcmp(call->method, "HEAD") == 0;
     exchange->is_relayed = call->relay != NULL;
     exchange->failure = CH_OK;
-    exchange->headers =
-        g_array_new(FALSE, FALSE, sizeof(struct ch_http_header));
-    g_array_set_clear_func(exchange->headers, clear_header);
+    exchange->headers = ch_http_headers_new();
     ch_sse_init(&exchange->sse);
     return exchange;
 }
