--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -933,6 +933,7 @@
         .code = CH_OK,
         .upstream = state->facts.name,
         .boot_id = state->facts.boot_id,
+        .version = state->facts.version,
         .data_centre = state->facts.data_centre,
         .other_region = state->facts.region != balance->region,
         .adapter_missing = request->adapter != 0 &&
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -16,6 +16,7 @@
     GQuark service;
     GQuark region;
     GQuark data_centre;
+    GQuark version; /* of its software; 0: not known */
     bool engine;
     bool draining;
     uint64_t boot_id;
@@ -32,6 +33,7 @@
                           refused with this code */
     GQuark upstream;
     uint64_t boot_id; /* boot ID of the upstream */
+    GQuark version;   /* of its software; 0: not known */
     GQuark data_centre;
     bool other_region;
     bool is_last_resort;  /* no other upstream can take the request: there is
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -215,6 +215,7 @@
         .service = g_quark_from_string(host->service),
         .region = g_quark_from_string(host->region),
         .data_centre = g_quark_from_string(host->data_centre),
+        .version = g_quark_from_string(host->version),
         .engine = host->kind == CH_HOST_ENGINE,
         .draining = host->draining,
         .boot_id = host->boot_id,
@@ -375,6 +376,7 @@
                 .handle = request->handle,
                 .upstream = choice->upstream,
                 .boot_id = choice->boot_id,
+                .version = choice->version,
                 .client = request->client->client,
                 .address = request->client->address,
                 .priority = request->info.priority,
@@ -943,6 +945,8 @@
     json_builder_add_string_value(builder, host->address);
     json_builder_set_member_name(builder, "data_centre");
     json_builder_add_string_value(builder, host->data_centre);
+    json_builder_set_member_name(builder, "version");
+    json_builder_add_string_value(builder, host->version);
     json_builder_set_member_name(builder, "leaving");
     json_builder_add_boolean_value(builder, host->draining);
     json_builder_set_member_name(builder, "resident");
--- a/libchestnuthitch/node/effects.c
+++ b/libchestnuthitch/node/effects.c
@@ -77,6 +77,7 @@
     effect->grant = (struct ch_grant){
         .handle = request->handle,
         .upstream = request->upstream->name,
+        .version = request->upstream->version,
         .client = request->upstream->client,
         .address = request->upstream->address,
         .priority = priority,
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -931,6 +931,10 @@
     struct ch_exchange *exchange = ch_exchange_new(front, request, response);
     ch_response_set_watcher(response, &watcher, ch_exchange_ref(exchange));
     ch_frontend_add_exchange(front, exchange);
+    if (request->resume_id != NULL) {
+        ch_metrics_add_count(front->node->client->metrics,
+                             CH_COUNT_STREAMS_TAKEN_UP, 1);
+    }
     pthread_mutex_lock(&front->lock);
     ch_retry_budget_add_request(
         ch_frontend_get_retry_budget(front, request->info.required_service));
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -33,6 +33,13 @@
     CH_EXCHANGE_STEP_DONE,
 };
 
+/* Where the events of a stream come from. */
+struct ch_stream_place {
+    GQuark upstream;
+    GQuark version;   /* of its software; 0: not known */
+    uint64_t boot_id; /* 0: not known */
+};
+
 struct ch_exchange {
     int references;
     enum ch_exchange_step step;
@@ -74,6 +81,7 @@
     unsigned call_count;
     uint64_t call_handle;
     GQuark relay; /* by which node the present call goes; 0: directly */
+    struct ch_stream_place began_at; /* all 0: not begun, or not known */
     char *content_type;
     GArray *headers; /* struct ch_http_header: passed on to the caller */
     char
--- a/libchestnuthitch/node/exchange_respond.c
+++ b/libchestnuthitch/node/exchange_respond.c
@@ -252,6 +252,7 @@
                     exchange->grant.upstream == 0
                         ? ""
                         : g_quark_to_string(exchange->grant.upstream)),
+           CH_F_STR("version", g_quark_to_string(exchange->grant.version)),
            CH_F_STR("relay", exchange->relay == 0
                                  ? ""
                                  : g_quark_to_string(exchange->relay)),
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -33,6 +33,7 @@
     uint32_t accelerators;
     uint32_t max_batch;
     GQuark service;
+    GQuark version; /* of its software; 0: not known */
     /* Version of the state in the fleet view. */
     uint64_t incarnation;
     uint64_t sequence;
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -330,6 +330,7 @@
     uint64_t handle; /* of the request; to be passed to release */
     GQuark upstream;
     uint64_t boot_id;           /* of the upstream; 0: unknown */
+    GQuark version;             /* of its software; 0: unknown */
     struct ch_upstream *client; /* valid until release */
     const char *address; /* "ip:port", valid until release; NULL: unknown */
     uint32_t priority;
--- a/libchestnuthitch/node/request.c
+++ b/libchestnuthitch/node/request.c
@@ -49,6 +49,7 @@
     g_free(request->adapter);
     g_free(request->request_id);
     g_free(request->resume_id);
+    g_free(request->resumes);
     g_free(request->host);
     for (size_t i = 0; i < request->header_count; i++) {
         g_free((char *)request->headers[i].name);
--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -41,6 +41,8 @@
     const char *request_id; /* the caller's own */
     const char *model;      /* "model" or "model/adapter" */
     const char *resume_id;  /* ID of the last event that the caller received */
+    const char *resumes; /* ID of the request that brought the stream's first
+                            event */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     bool states_tokens; /* the caller stated both numbers of tokens */
@@ -85,6 +87,7 @@
     bool routed;
     char *request_id;
     char *resume_id;
+    char *resumes; /* NULL: none, or not a valid request ID */
     char *host;
     struct ch_http_header *headers; /* forwarded to the upstream */
     size_t header_count;
--- a/libchestnuthitch/node/request_route.c
+++ b/libchestnuthitch/node/request_route.c
@@ -196,6 +196,13 @@
     return true;
 }
 
+static bool
+is_request_id(const char *text)
+{
+    return text != NULL && text[0] != '\0' &&
+           strlen(text) <= CH_REQUEST_MAX_NAME_BYTES;
+}
+
 /* Copies the headers that are forwarded to the upstream. Where access keys are
  * in use, those that carry one are left out. */
 static void
@@ -228,6 +235,8 @@
 {
     copy_headers(request, declaration, input);
     request->resume_id = g_strdup(input->resume_id);
+    request->resumes =
+        is_request_id(input->resumes) ? g_strdup(input->resumes) : NULL;
     request->host = g_strdup(input->host);
     request->parts = g_memdup2(input->parts, sizeof(struct ch_prompt_part) *
                                                  MAX(input->part_count, 1));
@@ -247,8 +256,7 @@
     if (!ch_request_check_uri(input->uri, fault)) {
         return false;
     }
-    if (input->request_id == NULL || input->request_id[0] == '\0' ||
-        strlen(input->request_id) > CH_REQUEST_MAX_NAME_BYTES) {
+    if (!is_request_id(input->request_id)) {
         ch_fault_set(fault, CH_BAD_FIELD, "request id",
                      "the request has no id of 1 to %d bytes",
                      CH_REQUEST_MAX_NAME_BYTES);
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -137,8 +137,11 @@
            CH_F_STR("host", host->name), CH_F_STR("state", state),
            CH_F_BOOL("leaving", host->draining),
            CH_F_STR("data_centre", host->data_centre),
-           CH_F_STR("service", host->service), CH_F_STR("resident", resident),
-           CH_F_STR("copies", local_copies), CH_F_END);
+           CH_F_STR("service", host->service),
+           CH_F_STR("version", host->version),
+           CH_F_INT("boot", (int64_t)host->boot_id),
+           CH_F_STR("resident", resident), CH_F_STR("copies", local_copies),
+           CH_F_END);
     g_free(resident);
     g_free(local_copies);
 }
@@ -176,6 +179,7 @@
     return g_strcmp0(old_host->address, new_host->address) != 0 ||
            g_strcmp0(old_host->data_centre, new_host->data_centre) != 0 ||
            g_strcmp0(old_host->service, new_host->service) != 0 ||
+           g_strcmp0(old_host->version, new_host->version) != 0 ||
            old_host->kind != new_host->kind ||
            old_host->draining != new_host->draining ||
            old_host->boot_id != new_host->boot_id ||
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -174,6 +174,7 @@
     upstream->max_batch = host->max_batch;
     upstream->service =
         host->service != NULL ? g_quark_from_string(host->service) : 0;
+    upstream->version = g_quark_from_string(host->version);
 }
 
 /* Whether the host list still means the same process.  A host with another
--- a/libchestnuthitch/platform/hosts.c
+++ b/libchestnuthitch/platform/hosts.c
@@ -137,6 +137,16 @@
     return service != NULL;
 }
 
+/* See platform.h. A longer text would cost memory and log lines at every node
+ * for as long as the upstream is listed. */
+bool
+ch_host_is_version(const char *text)
+{
+    return text != NULL && text[0] != '\0' &&
+           strlen(text) <= CH_HOST_MAX_VERSION_BYTES &&
+           g_utf8_validate(text, -1, NULL);
+}
+
 /* Parses one host; false with an error. */
 static bool
 parse_host(JsonNode *node, struct ch_host *host, struct ch_error *error)
@@ -146,6 +156,8 @@
         return false;
     }
     JsonObject *object = json_node_get_object(node);
+    const char *version = ch_json_get_string(object, "version");
+    host->version = ch_host_is_version(version) ? g_strdup(version) : NULL;
     return parse_strings(object, host, error) &&
            parse_kind_and_state(object, host, error) &&
            parse_count(object, "memory_mb", &host->memory_mb, error) &&
@@ -213,6 +225,7 @@
     g_free(host->region);
     g_free(host->data_centre);
     g_free(host->service);
+    g_free(host->version);
     g_strfreev(host->resident_items);
     g_strfreev(host->local_copies);
 }
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -123,6 +123,7 @@
     char *region;
     char *data_centre;
     char *service; /* a plain service's name; else NULL */
+    char *version; /* of the upstream's software; NULL: not known */
     uint32_t memory_mb;
     uint32_t accelerators;
     uint32_t max_batch; /* maximum concurrent requests; 0: not stated */
@@ -140,6 +141,12 @@
                           not   recorded */
 };
 
+enum {
+    CH_HOST_MAX_VERSION_BYTES = 64,
+};
+
+/* Whether a text names a version of an upstream's software. */
+bool ch_host_is_version(const char *text);
 /* Frees the members of a host, not the struct. */
 void ch_host_clear(struct ch_host *host);
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -247,6 +247,43 @@
     }
 }
 
+/* Guards against an entry without a usable version that hides the upstream, or
+ * that makes two upstreams look alike. */
+static void
+test_versions(void)
+{
+    static const struct {
+        const char *member;
+        const char *version; /* NULL: not known */
+    } cases[] = {
+        {",\"version\":\"v1.2\"", "v1.2"},
+        {"", NULL},
+        {",\"version\":\"\"", NULL},
+        {",\"version\":7", NULL},
+        {",\"version\":null", NULL},
+        {",\"version\":[\"v1\"]", NULL},
+        {",\"version\":\"0123456789012345678901234567890123456789"
+         "012345678901234567890123\"",
+         "0123456789012345678901234567890123456789"
+         "012345678901234567890123"},
+        {",\"version\":\"0123456789012345678901234567890123456789"
+         "0123456789012345678901234\"",
+         NULL},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ch_host host = {0};
+        struct ch_error error = {0};
+        g_autofree char *entry = g_strdup_printf(
+            "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+            "\"state\":\"ready\",\"slots\":64%s}",
+            cases[i].member);
+        g_assert_true(platform_host_parse("servers/i-1", entry, strlen(entry),
+                                          &host, &error));
+        g_assert_cmpstr(host.version, ==, cases[i].version);
+        ch_host_clear(&host);
+    }
+}
+
 /* The values read from a caller's headers, and which headers are forwarded. */
 static void
 test_request_headers(void)
@@ -266,11 +303,13 @@
         {"Tenant", "t"},
         {"Connection", "close, X-Mine"},
         {"X-Mine", "1"},
+        {"Last-Event-Id", "12"},
         {"X-Other", "2"},
+        {"Resumes", "i0"},
     };
-    static const char *const forwarded[] = {"Host",          "request-id",
-                                            "Model",         "Token-Usage",
-                                            "Prompt-Prefix", "X-Other"};
+    static const char *const forwarded[] = {
+        "Host",          "request-id", "Model",  "Token-Usage",
+        "Prompt-Prefix", "X-Other",    "Resumes"};
     struct ch_request_input *input = g_new0(struct ch_request_input, 1);
     struct ch_fault fault = {.error.code = CH_OK};
     input->forwarded_headers =
@@ -278,6 +317,8 @@
     g_assert_true(
         platform_headers_read(headers, G_N_ELEMENTS(headers), input, &fault));
     g_assert_cmpstr(input->request_id, ==, "i1");
+    g_assert_cmpstr(input->resume_id, ==, "12");
+    g_assert_cmpstr(input->resumes, ==, "i0");
     g_assert_cmpuint(input->prompt_tokens, ==, 1460);
     g_assert_cmpuint(input->output_tokens, ==, 80);
     g_assert_cmpuint(input->part_count, ==, 2);
@@ -328,6 +369,7 @@
                     test_largest_config_round_trip);
     g_test_add_func("/platform/bad-config", test_invalid_configs);
     g_test_add_func("/platform/entries", test_host_entries);
+    g_test_add_func("/platform/host/versions", test_versions);
     g_test_add_func("/platform/headers", test_request_headers);
     g_test_add_func("/platform/bad-headers", test_invalid_request_headers);
     return g_test_run();
