Failing test: streams of callers while upstreams of two software versions serve

Seven nodes as processes on a stand-in of the users' platform (metadata store and workers in one process), workers of versions v1 and v1.2 that write different text, 28 callers that take broken streams up at other nodes with Resumes and Last-Event-Id. Twelve cases: upstreams crash, releases both ways, nodes killed (one, three, all), frozen, stopped, cut off, an upstream that starts again under its name, a version that is gone, entries without a version, callers without Resumes. Asked for: no stream with events of two versions, none with gaps; of 12 or more streams taken up at least half as large a share goes on as of new ones begins.

--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -68,11 +68,18 @@
     g_key_file_set_value(file, "listen", "admin", node->admin_address);
     g_key_file_set_value(file, "listen", "peers", listen);
     g_key_file_set_value(file, "listen", "relay", "127.0.0.1:0");
-    g_key_file_set_value(file, "platform", "kv", fleet->kv.address);
-    g_key_file_set_value(file, "platform", "hosts",
-                         fleet->config.separate_paths
-                             ? node->host_list.address
-                             : fleet->host_list.address);
+    const char *kv = fleet->kv.address;
+    const char *hosts = fleet->config.separate_paths
+                            ? node->host_list.address
+                            : fleet->host_list.address;
+    if (fleet->config.users_platform) {
+        kv = hosts = node->store_path.address;
+        g_key_file_set_value(file, "platform", "kind", "users");
+        g_key_file_set_value(file, "node", "data-centres",
+                             "caerdydd:de-cymru");
+    }
+    g_key_file_set_value(file, "platform", "kv", kv);
+    g_key_file_set_value(file, "platform", "hosts", hosts);
     if (!g_key_file_save_to_file(file, node->settings_path, NULL)) {
         g_error("harness: cannot write %s", node->settings_path);
     }
@@ -131,6 +138,9 @@
     if (fleet->config.separate_paths) {
         start_paths(fleet, node);
     }
+    if (fleet->config.users_platform) {
+        harness_users_prepare_node(fleet, node);
+    }
     write_settings(fleet, node);
     if (fleet->config.use_relays) {
         char *target = g_strdup_printf("target=%s", node->peer_address);
@@ -266,10 +276,15 @@
         fleet->config.declaration_path = "examples/small.ini";
     }
     fleet->directory = g_dir_make_tmp("chestnuthitch-XXXXXX", NULL);
-    harness_standin_start(&fleet->kv, build, "kv", NULL);
-    harness_standin_start(&fleet->host_list, build, "hosts", NULL);
-    harness_standin_start(&fleet->weight_store, build, "weights",
-                          weight_store_args);
+    if (shape->users_platform) {
+        harness_users_start(fleet);
+    }
+    else {
+        harness_standin_start(&fleet->kv, build, "kv", NULL);
+        harness_standin_start(&fleet->host_list, build, "hosts", NULL);
+        harness_standin_start(&fleet->weight_store, build, "weights",
+                              weight_store_args);
+    }
     for (unsigned i = 0; i < shape->engine_count; i++) {
         start_upstream(fleet, NULL, i);
     }
@@ -280,7 +295,9 @@
         prepare_node(fleet, i);
         fleet->node_count++;
     }
-    harness_fleet_publish_hosts(fleet);
+    if (!shape->users_platform) {
+        harness_fleet_publish_hosts(fleet);
+    }
     return fleet;
 }
 
@@ -301,7 +318,9 @@
 {
     int64_t deadline = harness_now_ms() + limit_ms;
     do {
-        int status = harness_get(node->caller_address, "/readyz", NULL);
+        const char *address = node->store_path.pid != 0 ? node->admin_address
+                                                        : node->caller_address;
+        int status = harness_get(address, "/readyz", NULL);
         if (status == 200 ? ready : (status != 0 && !ready)) {
             return true;
         }
@@ -409,12 +428,14 @@
     harness_standin_stop(&fleet->kv);
     harness_standin_stop(&fleet->host_list);
     harness_standin_stop(&fleet->weight_store);
+    harness_standin_stop(&fleet->users);
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
         harness_standin_stop(&fleet->upstreams[i].standin);
     }
     for (unsigned i = 0; i < fleet->node_count; i++) {
         harness_standin_stop(&fleet->nodes[i].relay);
         harness_standin_stop(&fleet->nodes[i].host_list);
+        harness_standin_stop(&fleet->nodes[i].store_path);
         for (unsigned k = 0; k < HARNESS_MAX_PATHS; k++) {
             harness_standin_stop(&fleet->nodes[i].paths[k]);
         }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -86,6 +86,8 @@
     /* With separate paths: its own host list, and a relay to each upstream. */
     struct harness_standin host_list;
     struct harness_standin paths[HARNESS_MAX_PATHS];
+    /* On the users' platform: between the node and the store. */
+    struct harness_standin store_path;
     const char *region;
     const char *data_centre;
 };
@@ -101,6 +103,9 @@
 };
 
 struct harness_fleet_config {
+    /* On the users' platform (users.c): the host list, the weight store, the
+     * declaration and the upstreams are those of its stand-in. */
+    bool users_platform;
     unsigned node_count;
     unsigned engine_count;
     unsigned service_count;
@@ -120,6 +125,7 @@
     struct harness_standin kv;
     struct harness_standin host_list;
     struct harness_standin weight_store;
+    struct harness_standin users; /* the users' platform */
     struct harness_upstream upstreams[HARNESS_MAX_PROCESSES * 2];
     unsigned upstream_count;
     struct harness_node nodes[HARNESS_MAX_PROCESSES];
@@ -181,6 +187,55 @@
 struct harness_node *harness_find_node(struct harness_fleet *fleet,
                                        const char *name);
 
+/* ---- the users' platform (users.c) ---- */
+
+/* Starts the stand-in; relays to it are started with each node. */
+void harness_users_start(struct harness_fleet *fleet);
+/* Starts the relays of a node, which must have its addresses. */
+void harness_users_prepare_node(struct harness_fleet *fleet,
+                                struct harness_node *node);
+/* Starts a worker, also again, with these resident models ("A,B"). version:
+ * "" for none in its entry. */
+void harness_users_start_worker(struct harness_fleet *fleet, const char *name,
+                                const char *version, const char *models);
+/* action: crash, drain, remove; see tests/standin/users.h. */
+void harness_users_change_worker(struct harness_fleet *fleet, const char *name,
+                                 const char *action);
+/* Puts the operators' configuration into the store. */
+void harness_users_put_config(struct harness_fleet *fleet, const char *json);
+/* Cuts the path from a node to the store, or from other nodes to it; form: see
+ * tests/standin/relay.c. */
+void harness_users_cut_store(const struct harness_node *node,
+                             const char *form);
+void harness_users_cut_peers(const struct harness_node *node,
+                             const char *form);
+
+/* A caller's request for a stream. */
+struct harness_stream_call {
+    const char *address;
+    const char *host;
+    const char *path;
+    const char *request_id;
+    const char *resumes;       /* NULL: not sent */
+    const char *last_event_id; /* NULL: not sent */
+    const char *model;
+    unsigned events; /* of the whole stream */
+    int64_t deadline_ms;
+};
+
+struct harness_stream {
+    bool complete; /* according to its framing */
+    int status;    /* 0: no response */
+    double retry_after_s;
+    GString *body;
+};
+
+/* Requests a stream and waits for its end; to be freed with
+ * harness_stream_free(). */
+struct harness_stream *
+harness_request_stream(const struct harness_stream_call *call);
+void harness_stream_free(struct harness_stream *stream);
+
 /* ---- callers (call.c) ---- */
 
 struct harness_call {
@@ -397,6 +452,9 @@
  * faulty node. */
 unsigned
 harness_count_unrelated_failures(const struct harness_scenario_state *scene);
+/* Runs this program again for each path of a test, each in its own process and
+ * on its own ports, some at a time. Returns the exit status of main(). */
+int harness_run_in_parallel(const char *program, char **paths);
 /* main() of a failure test: each scenario is the test /failure/THEME/NAME.
  * Without arguments, scenarios run in parallel, each in its own process. */
 int harness_main(int argc, char **argv, const char *theme,
--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -238,15 +238,12 @@
 
 /* Starts this program again to run one scenario. */
 static void
-job_start(struct job *job, const char *program, const char *theme,
-          const struct harness_scenario *scenario)
+job_start(struct job *job, const char *program, const char *path)
 {
-    char *path = g_strdup_printf("/failure/%s/%s", theme, scenario->name);
     const char *argv[] = {program, "-p", path, NULL};
     int fd = g_file_open_tmp("chestnuthitch-log-XXXXXX", &job->log, NULL);
     (void)close(fd);
     job->pid = harness_spawn(argv, job->log, NULL);
-    g_free(path);
 }
 
 /* Prints the output of a job that has ended. */
@@ -269,21 +266,21 @@
 }
 
 /*
- * Runs the scenarios in parallel, each in its own process and on its own
- * ports, since they wait most of the time while the fault lasts. Only a few
- * run at once, so that the load of the machine itself doesn't affect callers.
+ * See harness.h. The scenarios wait most of the time while the fault lasts.
+ * Only a few run at once, so that the load of the machine itself doesn't
+ * affect callers.
  */
-static int
-run_parallel(const char *program, const char *theme,
-             const struct harness_scenario *scenarios, size_t count)
+int
+harness_run_in_parallel(const char *program, char **paths)
 {
+    size_t count = g_strv_length(paths);
     struct job *jobs = g_new0(struct job, count);
     size_t started = 0;
     size_t ended_count = 0;
     int failed = 0;
     while (ended_count < count) {
         while (started < count && started - ended_count < MAX_PARALLEL_JOBS) {
-            job_start(&jobs[started], program, theme, &scenarios[started]);
+            job_start(&jobs[started], program, paths[started]);
             started++;
         }
         harness_sleep_ms(20);
@@ -306,15 +303,16 @@
 harness_main(int argc, char **argv, const char *theme,
              const struct harness_scenario *scenarios, size_t count)
 {
+    g_auto(GStrv) paths = g_new0(char *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        paths[i] = g_strdup_printf("/failure/%s/%s", theme, scenarios[i].name);
+    }
     if (argc == 1) {
-        return run_parallel(argv[0], theme, scenarios, count);
+        return harness_run_in_parallel(argv[0], paths);
     }
     g_test_init(&argc, &argv, NULL);
     for (size_t i = 0; i < count; i++) {
-        char *path =
-            g_strdup_printf("/failure/%s/%s", theme, scenarios[i].name);
-        g_test_add_data_func(path, &scenarios[i], harness_scenario_run);
-        g_free(path);
+        g_test_add_data_func(paths[i], &scenarios[i], harness_scenario_run);
     }
     return g_test_run();
 }
--- a/tests/standin/loop.c
+++ b/tests/standin/loop.c
@@ -132,9 +132,9 @@
     return fd;
 }
 
-/* Starts a daemon on a port and adds it to the event loop. */
-static struct MHD_Daemon *
-open_daemon(struct standin *standin, uint16_t *port)
+/* See standin.h. */
+struct MHD_Daemon *
+standin_open_daemon(struct standin *standin, uint16_t *port)
 {
     struct MHD_Daemon *daemon =
         exchange_daemon(standin, standin_socket(port, true));
@@ -175,6 +175,25 @@
     }
 }
 
+/* See standin.h. */
+void
+standin_close_daemon(struct standin *standin, struct MHD_Daemon *daemon)
+{
+    GHashTableIter iter;
+    gpointer connection;
+    (void)close(MHD_quiesce_daemon(daemon));
+    g_hash_table_iter_init(&iter, standin->connections);
+    while (g_hash_table_iter_next(&iter, NULL, &connection)) {
+        if (MHD_get_connection_info(connection, MHD_CONNECTION_INFO_DAEMON)
+                ->daemon == daemon) {
+            (void)shutdown(MHD_get_connection_info(
+                               connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                               ->connect_fd,
+                           SHUT_RDWR);
+        }
+    }
+}
+
 /* Starts or stops listening on the simulated service's port. */
 void
 standin_listen(struct standin *standin, bool on)
@@ -183,7 +202,7 @@
         return;
     }
     if (on) {
-        standin->listener = open_daemon(standin, &standin->port);
+        standin->listener = standin_open_daemon(standin, &standin->port);
         return;
     }
     (void)close(MHD_quiesce_daemon(standin->listener));
@@ -261,9 +280,9 @@
     watch_fd(standin, standin->signal_fd);
     watch_fd(standin, standin->job_pipe[0]);
     if (standin->mode->handle != NULL) {
-        standin->listener = open_daemon(standin, &standin->port);
+        standin->listener = standin_open_daemon(standin, &standin->port);
     }
-    (void)open_daemon(standin, &control);
+    (void)standin_open_daemon(standin, &control);
     (void)printf("listening %u\ncontrol %u\n", standin->port, control);
     (void)fflush(stdout);
 }
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 static const struct mode *const known_modes[] = {
-    &mode_kv,     &mode_hosts,   &mode_weights,
-    &mode_engine, &mode_service, &mode_relay,
+    &mode_kv,      &mode_hosts, &mode_weights, &mode_engine,
+    &mode_service, &mode_relay, &mode_users,
 };
 
 int
@@ -22,7 +22,7 @@
     if (standin.mode == NULL) {
         (void)fprintf(stderr,
                       "usage: standin kv|hosts|weights|engine|service|relay"
-                      " [NAME=VALUE...]\n");
+                      "|users [NAME=VALUE...]\n");
         return 2;
     }
     standin.options =
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -141,7 +141,7 @@
 };
 
 extern const struct mode mode_kv, mode_hosts, mode_weights, mode_engine,
-    mode_service, mode_relay;
+    mode_service, mode_relay, mode_users;
 
 /* ---- loop.c ---- */
 
@@ -163,6 +163,12 @@
 int standin_run(struct standin *standin);
 /* Starts or stops listening; stopping closes the open connections. */
 void standin_listen(struct standin *standin, bool on);
+/* Starts a listening daemon on a port, and adds it to the event loop.  For
+   port 0 the kernel chooses a port, which is stored there. */
+struct MHD_Daemon *standin_open_daemon(struct standin *standin,
+                                       uint16_t *port);
+/* Ends a daemon's listening and closes its connections. */
+void standin_close_daemon(struct standin *standin, struct MHD_Daemon *daemon);
 /* Closes the open connections, or lets them stall for good, but for control
    connections. */
 void standin_close_connections(struct standin *standin, bool silent);
--- /dev/null
+++ b/tests/standin/users_worker.c
@@ -0,0 +1,557 @@
+/* The workers of the users' platform: streams whose text depends on the
+ * version of the worker's software, orders and reports. */
+
+#include "users.h"
+
+#include <string.h>
+
+enum {
+    DEFAULT_EVENTS = 40,
+    MAX_EVENTS = 10000,
+    SLOTS = 64,
+    /* The entry of a crashed worker lapses after this time. */
+    LAPSE_US = 3 * 400 * 1000,
+};
+
+struct worker {
+    struct users *users;
+    char *name;
+    char *service;
+    char *zone;
+    char *version;
+    uint16_t port;
+    struct MHD_Daemon *daemon; /* NULL: it does not run */
+    int64_t born_ms;
+    bool draining;
+    bool listed;
+    GPtrArray *models; /* names of resident models */
+    unsigned loading;
+    int64_t sequence; /* orders accepted */
+    unsigned running;
+    unsigned boot; /* counts its starts */
+    struct timer *lapse;
+};
+
+/* One run of a request. */
+struct users_run {
+    char *request_id;
+    char *resumes;
+    char *worker;
+    char *version;
+    unsigned first; /* number of its first event */
+};
+
+/* A streamed response. */
+struct stream {
+    struct exchange *exchange;
+    struct worker *worker;
+    char *version;
+    unsigned boot;
+    unsigned next;
+    unsigned total;
+    int64_t due;
+    bool finished;
+    GString *ready;
+};
+
+/* Filled as workers run requests; entries stay until the process ends. */
+static GPtrArray *runs;
+
+/* ---- entries ---- */
+
+static void
+write_models(const struct worker *worker, JsonBuilder *out)
+{
+    json_builder_set_member_name(out, "models");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < worker->models->len; i++) {
+        json_builder_begin_object(out);
+        json_text(out, "name", g_ptr_array_index(worker->models, i));
+        json_number(out, "version", 1);
+        json_builder_set_member_name(out, "adapters");
+        json_builder_begin_array(out);
+        json_builder_end_array(out);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
+}
+
+static void
+put_entry(struct worker *worker)
+{
+    g_autofree char *key = g_strconcat("servers/", worker->name, NULL);
+    g_autofree char *address =
+        g_strdup_printf("127.0.0.1:%u", (unsigned)worker->port);
+    JsonBuilder *out = json_builder_new();
+    json_builder_begin_object(out);
+    json_text(out, "service", worker->service);
+    json_text(out, "address", address);
+    json_text(out, "zone", worker->zone);
+    if (worker->version[0] != '\0') {
+        json_text(out, "version", worker->version);
+    }
+    json_number(out, "slots", SLOTS);
+    json_text(out, "state", worker->draining ? "draining" : "ready");
+    json_number(out, "cold_remaining_ms", 0);
+    json_text(out, "stage", "both");
+    write_models(worker, out);
+    json_number(out, "sequence", worker->sequence);
+    json_number(out, "born", worker->born_ms);
+    json_builder_end_object(out);
+    JsonNode *root = json_builder_get_root(out);
+    g_autofree char *text = json_to_string(root, FALSE);
+    users_put(worker->users, key, text, strlen(text), 0);
+    worker->listed = true;
+    json_node_unref(root);
+    g_object_unref(out);
+}
+
+static void
+remove_entry(struct worker *worker)
+{
+    g_autofree char *key = g_strconcat("servers/", worker->name, NULL);
+    if (worker->listed) {
+        users_put(worker->users, key, NULL, 0, 0);
+        worker->listed = false;
+    }
+}
+
+/* ---- streams ---- */
+
+static struct worker *
+find_worker(struct users *users, const char *name)
+{
+    for (guint i = 0; i < users->workers->len; i++) {
+        struct worker *worker = g_ptr_array_index(users->workers, i);
+        if (strcmp(worker->name, name) == 0) {
+            return worker;
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_model(const struct worker *worker, const char *name)
+{
+    for (guint i = 0; i < worker->models->len; i++) {
+        if (strcmp(g_ptr_array_index(worker->models, i), name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+end_stream(struct exchange *exchange, bool whole)
+{
+    struct stream *stream = exchange->mode_data;
+    (void)whole;
+    if (stream->boot == stream->worker->boot) {
+        stream->worker->running--;
+    }
+    g_string_free(stream->ready, TRUE);
+    g_free(stream->version);
+    g_free(stream);
+}
+
+static int64_t
+event_time_us(const struct stream *stream)
+{
+    return stream->exchange->standin->faults[FAULT_token_us];
+}
+
+/* Callback of libmicrohttpd: supplies the next event when it is due. */
+static ssize_t
+read_stream(void *data, uint64_t position, char *buffer, size_t most)
+{
+    struct stream *stream = data;
+    (void)position;
+    if (stream->ready->len == 0) {
+        if (stream->next > stream->total) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        int64_t left = stream->due - monotonic_now_us();
+        if (left > 0) {
+            exchange_suspend(stream->exchange);
+            stream->exchange->timer =
+                timer_add(stream->exchange->standin, left, exchange_resume,
+                          stream->exchange);
+            return 0;
+        }
+        g_string_append_printf(stream->ready, "id: %u\ndata: %s/%u\n\n",
+                               stream->next, stream->version, stream->next);
+        stream->next++;
+        stream->due += event_time_us(stream);
+    }
+    size_t length = MIN(most, stream->ready->len);
+    memcpy(buffer, stream->ready->str, length);
+    g_string_erase(stream->ready, 0, (gssize)length);
+    return (ssize_t)length;
+}
+
+static void
+record_run(const struct exchange *exchange, const struct worker *worker,
+           unsigned first)
+{
+    struct users_run *run = g_new0(struct users_run, 1);
+    run->request_id = g_strdup(exchange_header(exchange, "Request-Id"));
+    run->resumes = g_strdup(exchange_header(exchange, "Resumes"));
+    run->worker = g_strdup(worker->name);
+    run->version = g_strdup(worker->version);
+    run->first = first;
+    g_ptr_array_add(runs, run);
+}
+
+/* The number of events that the request asks for. */
+static unsigned
+parse_event_count(const struct exchange *exchange)
+{
+    const char *usage = exchange_header(exchange, "Token-Usage");
+    const char *comma = usage == NULL ? NULL : strchr(usage, ',');
+    uint64_t count =
+        comma == NULL ? DEFAULT_EVENTS : g_ascii_strtoull(comma + 1, NULL, 10);
+    return (unsigned)CLAMP(count, 1, MAX_EVENTS);
+}
+
+static void
+begin_stream(struct exchange *exchange, struct worker *worker)
+{
+    const char *last = exchange_header(exchange, "Last-Event-Id");
+    struct stream *stream = g_new0(struct stream, 1);
+    stream->exchange = exchange;
+    stream->worker = worker;
+    /* Two workers without a version may run different software. */
+    stream->version = worker->version[0] != '\0'
+                          ? g_strdup(worker->version)
+                          : g_strconcat("unknown-", worker->name, NULL);
+    stream->boot = worker->boot;
+    stream->next =
+        last == NULL ? 1 : (unsigned)g_ascii_strtoull(last, NULL, 10) + 1;
+    stream->total = parse_event_count(exchange);
+    stream->ready = g_string_new(NULL);
+    stream->due = monotonic_now_us() + event_time_us(stream);
+    exchange->mode_data = stream;
+    exchange->on_end = end_stream;
+    worker->running++;
+    record_run(exchange, worker, stream->next);
+    exchange->status = 200;
+    exchange->response = MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, 1024, read_stream, stream, NULL);
+    exchange_add_header(exchange, "Content-Type", "text/event-stream");
+    exchange_add_header(exchange, "Server-Signature", worker->name);
+    exchange_add_header(exchange, "Weight-Versions", "1");
+    exchange_add_header(exchange, "Request-Id",
+                        exchange_header(exchange, "Request-Id"));
+}
+
+static void
+reject(struct exchange *exchange, int status, const char *text)
+{
+    const char *id = exchange_header(exchange, "Request-Id");
+    exchange_reply_text(exchange, status, text);
+    exchange_add_header(exchange, "Not-Executed", "1");
+    if (id != NULL) {
+        exchange_add_header(exchange, "Request-Id", id);
+    }
+}
+
+static void
+handle_stream(struct exchange *exchange, struct worker *worker)
+{
+    const char *model = exchange_header(exchange, "Model");
+    if (exchange_header(exchange, "Request-Id") == NULL) {
+        reject(exchange, 400, "no request id\n");
+    }
+    else if (model == NULL || !has_model(worker, model)) {
+        reject(exchange, 421, "the model is not resident\n");
+    }
+    else if (worker->running >= SLOTS) {
+        reject(exchange, 503, "full\n");
+    }
+    else {
+        begin_stream(exchange, worker);
+    }
+}
+
+/* ---- orders and reports ---- */
+
+static void
+write_report(struct exchange *exchange, const struct worker *worker)
+{
+    JsonBuilder *out = json_builder_new();
+    json_builder_begin_object(out);
+    json_text(out, "stage", "both");
+    write_models(worker, out);
+    json_builder_set_member_name(out, "busy");
+    json_builder_add_boolean_value(out, worker->loading > 0);
+    json_number(out, "sequence", worker->sequence);
+    json_number(out, "queued", 0);
+    json_number(out, "running", worker->running);
+    json_number(out, "kv_used", 0);
+    json_number(out, "kv_total", 100000);
+    json_number(out, "born", worker->born_ms);
+    json_builder_set_member_name(out, "pending");
+    json_builder_begin_array(out);
+    json_builder_end_array(out);
+    json_builder_end_object(out);
+    exchange_reply_json(exchange, 200, out);
+}
+
+/* A load that is under way. */
+struct load {
+    struct worker *worker;
+    unsigned boot;
+    char *model;
+};
+
+static void
+finish_load(void *data)
+{
+    struct load *load = data;
+    struct worker *worker = load->worker;
+    if (worker->boot == load->boot && worker->daemon != NULL) {
+        worker->loading--;
+        if (!has_model(worker, load->model)) {
+            g_ptr_array_add(worker->models, g_strdup(load->model));
+        }
+        if (worker->listed) {
+            put_entry(worker);
+        }
+    }
+    g_free(load->model);
+    g_free(load);
+}
+
+static void
+begin_load(struct worker *worker, const char *model)
+{
+    struct load *load = g_new0(struct load, 1);
+    load->worker = worker;
+    load->boot = worker->boot;
+    load->model = g_strdup(model);
+    worker->loading++;
+    (void)timer_add(worker->users->standin,
+                    worker->users->standin->faults[FAULT_load_ms] * 1000,
+                    finish_load, load);
+}
+
+static void
+unload(struct worker *worker, const char *model)
+{
+    for (guint i = worker->models->len; i > 0; i--) {
+        if (strcmp(g_ptr_array_index(worker->models, i - 1), model) == 0) {
+            g_ptr_array_remove_index(worker->models, i - 1);
+        }
+    }
+    put_entry(worker);
+}
+
+/* Carries out an order; returns the status of the response. */
+static int
+carry_out_order(struct worker *worker, JsonObject *order)
+{
+    const char *operation =
+        json_object_get_string_member_with_default(order, "operation", "");
+    const char *model =
+        json_object_get_string_member_with_default(order, "model", "");
+    if (json_object_get_int_member_with_default(
+            order, "precondition", worker->sequence) != worker->sequence ||
+        worker->loading > 0) {
+        return 409;
+    }
+    worker->sequence++;
+    if (strcmp(operation, "load") == 0) {
+        begin_load(worker, model);
+    }
+    else {
+        unload(worker, model);
+    }
+    return 202;
+}
+
+static void
+handle_order(struct exchange *exchange, struct worker *worker)
+{
+    JsonParser *parser = json_parser_new();
+    int status = 400;
+    if (json_parser_load_from_data(parser, exchange->body->str,
+                                   (gssize)exchange->body->len, NULL) &&
+        JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
+        status = carry_out_order(
+            worker, json_node_get_object(json_parser_get_root(parser)));
+    }
+    exchange_reply_text(exchange, status, "");
+    g_object_unref(parser);
+}
+
+/* See users.h. */
+bool
+users_handle_worker(struct exchange *exchange)
+{
+    struct users *users = exchange->standin->mode_data;
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        exchange->connection, MHD_CONNECTION_INFO_DAEMON);
+    struct worker *worker = NULL;
+    for (guint i = 0; i < users->workers->len; i++) {
+        struct worker *candidate = g_ptr_array_index(users->workers, i);
+        worker = candidate->daemon == info->daemon ? candidate : worker;
+    }
+    if (worker == NULL) {
+        return false;
+    }
+    const char *expected = exchange_header(exchange, "Expect-Instance");
+    if (expected != NULL && strcmp(expected, worker->name) != 0) {
+        reject(exchange, 421, "another instance\n");
+    }
+    else if (strcmp(exchange->path, "/api/report") == 0) {
+        write_report(exchange, worker);
+    }
+    else if (strcmp(exchange->path, "/api/order") == 0) {
+        handle_order(exchange, worker);
+    }
+    else {
+        handle_stream(exchange, worker);
+    }
+    return true;
+}
+
+/* ---- control ---- */
+
+static char *
+copy_query(const struct exchange *exchange, const char *name)
+{
+    const char *text = exchange_query(exchange, name);
+    return g_strdup(text == NULL ? "" : text);
+}
+
+static struct worker *
+add_worker(struct users *users, const char *name)
+{
+    struct worker *worker = g_new0(struct worker, 1);
+    worker->users = users;
+    worker->name = g_strdup(name);
+    worker->models = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(users->workers, worker);
+    return worker;
+}
+
+static void
+stop_worker(struct worker *worker)
+{
+    if (worker->daemon != NULL) {
+        standin_close_daemon(worker->users->standin, worker->daemon);
+        worker->daemon = NULL;
+    }
+}
+
+static void
+start_worker(struct worker *worker, const struct exchange *exchange)
+{
+    stop_worker(worker);
+    timer_cancel(worker->users->standin, worker->lapse);
+    worker->lapse = NULL;
+    g_free(worker->service);
+    g_free(worker->zone);
+    g_free(worker->version);
+    worker->service = copy_query(exchange, "service");
+    worker->zone = copy_query(exchange, "zone");
+    worker->version = copy_query(exchange, "version");
+    g_autofree char *models = copy_query(exchange, "models");
+    char **names = g_strsplit(models, ",", -1);
+    g_ptr_array_set_size(worker->models, 0);
+    for (size_t i = 0; names[i] != NULL; i++) {
+        if (names[i][0] != '\0') {
+            g_ptr_array_add(worker->models, g_strdup(names[i]));
+        }
+    }
+    g_strfreev(names);
+    worker->born_ms = g_get_real_time() / 1000;
+    worker->draining = false;
+    worker->loading = 0;
+    worker->sequence = 0;
+    worker->running = 0;
+    worker->boot++;
+    worker->daemon =
+        standin_open_daemon(worker->users->standin, &worker->port);
+    put_entry(worker);
+}
+
+static void
+lapse(void *data)
+{
+    struct worker *worker = data;
+    worker->lapse = NULL;
+    remove_entry(worker);
+}
+
+static void
+crash_worker(struct worker *worker)
+{
+    stop_worker(worker);
+    if (worker->lapse == NULL) {
+        worker->lapse =
+            timer_add(worker->users->standin, LAPSE_US, lapse, worker);
+    }
+}
+
+/* See users.h. */
+bool
+users_control_worker(struct exchange *exchange)
+{
+    struct users *users = exchange->standin->mode_data;
+    const char *name = exchange_query(exchange, "name");
+    const char *action = exchange_query(exchange, "action");
+    if (strcmp(exchange->path, "/control/worker") != 0 || name == NULL ||
+        action == NULL) {
+        return false;
+    }
+    struct worker *worker = find_worker(users, name);
+    if (worker == NULL) {
+        worker = add_worker(users, name);
+    }
+    if (strcmp(action, "start") == 0) {
+        start_worker(worker, exchange);
+    }
+    else if (strcmp(action, "crash") == 0) {
+        crash_worker(worker);
+    }
+    else if (strcmp(action, "drain") == 0) {
+        worker->draining = true;
+        put_entry(worker);
+    }
+    else if (strcmp(action, "remove") == 0) {
+        remove_entry(worker);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+/* See users.h. */
+void
+users_record_workers(struct users *users, JsonBuilder *out)
+{
+    (void)users;
+    json_builder_set_member_name(out, "runs");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < runs->len; i++) {
+        const struct users_run *run = g_ptr_array_index(runs, i);
+        json_builder_begin_object(out);
+        json_text(out, "request_id", run->request_id);
+        json_text(out, "resumes", run->resumes == NULL ? "" : run->resumes);
+        json_text(out, "worker", run->worker);
+        json_text(out, "version", run->version);
+        json_number(out, "first", run->first);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
+}
+
+/* See users.h. */
+void
+users_init_workers(struct users *users)
+{
+    users->workers = g_ptr_array_new();
+    runs = g_ptr_array_new();
+}
