--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -555,16 +555,23 @@
 int
 main(int argc, char **argv)
 {
-    g_auto(GStrv) paths = g_new0(char *, G_N_ELEMENTS(scenarios) + 1);
+    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
     for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
         paths[i] = g_strdup_printf("/failure/versions/%s", scenarios[i].name);
     }
+    int status = 0;
     if (argc == 1) {
-        return harness_run_in_parallel(argv[0], paths);
+        status = harness_run_in_parallel(argv[0], paths);
+    }
+    else {
+        g_test_init(&argc, &argv, NULL);
+        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
+        }
+        status = g_test_run();
     }
-    g_test_init(&argc, &argv, NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
+        g_free(paths[i]);
     }
-    return g_test_run();
+    return status;
 }
--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -303,16 +303,22 @@
 harness_main(int argc, char **argv, const char *theme,
              const struct harness_scenario *scenarios, size_t count)
 {
-    g_auto(GStrv) paths = g_new0(char *, count + 1);
+    char **paths = g_new0(char *, count + 1);
     for (size_t i = 0; i < count; i++) {
         paths[i] = g_strdup_printf("/failure/%s/%s", theme, scenarios[i].name);
     }
+    int status = 0;
     if (argc == 1) {
-        return harness_run_in_parallel(argv[0], paths);
+        status = harness_run_in_parallel(argv[0], paths);
     }
-    g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < count; i++) {
-        g_test_add_data_func(paths[i], &scenarios[i], harness_scenario_run);
+    else {
+        g_test_init(&argc, &argv, NULL);
+        for (size_t i = 0; i < count; i++) {
+            g_test_add_data_func(paths[i], &scenarios[i],
+                                 harness_scenario_run);
+        }
+        status = g_test_run();
     }
-    return g_test_run();
+    g_strfreev(paths);
+    return status;
 }
