--- a/tests/standin/users_store.c
+++ b/tests/standin/users_store.c
@@ -200,28 +200,36 @@
 
 /* ---- writes ---- */
 
+static struct users_item *
+item_new(const char *value, size_t length, uint64_t revision, uint64_t lease)
+{
+    struct users_item *item = g_new0(struct users_item, 1);
+    item->value = g_string_new_len(value, (gssize)length);
+    item->revision = revision;
+    item->lease = lease;
+    return item;
+}
+
 /* See users.h. */
 void
 users_put(struct users *users, const char *key, const char *value,
           size_t length, uint64_t lease)
 {
-    struct users_event event = {
+    const struct users_event event = {
         .key = g_strdup(key),
+        .value =
+            value == NULL ? NULL : g_string_new_len(value, (gssize)length),
         .revision = ++users->revision,
         .lease = lease,
     };
+    g_array_append_val(users->events, event);
     if (value == NULL) {
         (void)g_tree_remove(users->items, key);
     }
     else {
-        struct users_item *item = g_new0(struct users_item, 1);
-        item->value = g_string_new_len(value, (gssize)length);
-        item->revision = users->revision;
-        item->lease = lease;
-        event.value = g_string_new_len(value, (gssize)length);
-        g_tree_replace(users->items, g_strdup(key), item);
+        g_tree_replace(users->items, g_strdup(key),
+                       item_new(value, length, users->revision, lease));
     }
-    g_array_append_val(users->events, event);
     if (users->events->len > MAX_EVENTS) {
         g_array_remove_range(users->events, 0, MAX_EVENTS / 2);
     }
