A stream goes on only at the software version that began it, within one response

Callers saw streams whose beginning one software version wrote and whose rest another one did. Cause: whatever upstream had the model took the rest after a failure; nothing compared versions.

From the first event on a request requires the version of the upstream that sent it: the balancer, the estimate of when a model is ready, and the routes to homes pass over all others. An upstream whose version is not known takes no begun stream, and a stream that began at one goes on nowhere. Host lists of our own interface that state no versions mean one version.

New cases: /balance/versions, /exchange/unknown-version, /exchange/begun, /late/some.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -436,6 +436,14 @@
 }
 
 /* Upstreams of the current list. */
+uint64_t
+ch_balance_get_version(const struct ch_balance *balance, GQuark upstream)
+{
+    const struct upstream_state *state = find_state(balance, upstream);
+    return state == NULL ? CH_VERSION_NOT_KNOWN : state->facts.version_id;
+}
+
+/* See balance.h. */
 size_t
 ch_balance_count_upstreams(const struct ch_balance *balance)
 {
@@ -801,6 +809,10 @@
         state->facts.service != request->required_service) {
         return false;
     }
+    if (request->required_version != 0 &&
+        state->facts.version_id != request->required_version) {
+        return false;
+    }
     if (request->required_upstream != 0 &&
         state->facts.name != request->required_upstream) {
         return false;
@@ -811,6 +823,27 @@
     return request->is_service || contains_name(state->models, request->model);
 }
 
+/* Whether no upstream that is not draining runs the software that the request
+ * requires, so that waiting for one is in vain. */
+static bool
+is_version_gone(const struct ch_balance *balance,
+                const struct ch_request_info *request)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->upstreams);
+    while (request->required_version != 0 &&
+           g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct upstream_state *state = value;
+        if (!state->facts.draining &&
+            state->facts.service == request->required_service &&
+            state->facts.version_id == request->required_version) {
+            return false;
+        }
+    }
+    return request->required_version != 0;
+}
+
 /* An upstream that may take the request, with its estimates. */
 struct candidate {
     const struct upstream_state *state;
@@ -934,6 +967,7 @@
         .upstream = state->facts.name,
         .boot_id = state->facts.boot_id,
         .version = state->facts.version,
+        .version_id = state->facts.version_id,
         .data_centre = state->facts.data_centre,
         .other_region = state->facts.region != balance->region,
         .adapter_missing = request->adapter != 0 &&
@@ -982,6 +1016,10 @@
             g_array_append_val(costs, cost);
         }
     }
+    if (candidates->len == 0 && is_version_gone(balance, request)) {
+        choice.code = CH_VERSION_GONE;
+        choice.message = "no upstream runs the stream's version any more";
+    }
     bool only_one = candidates->len == 1;
     bool all_limited = remove_limited(candidates, costs, now);
     if (candidates->len > 0) {
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -16,7 +16,8 @@
     GQuark service;
     GQuark region;
     GQuark data_centre;
-    GQuark version; /* of its software; 0: not known */
+    GQuark version;      /* of its software; 0: not known */
+    uint64_t version_id; /* of its software */
     bool engine;
     bool draining;
     uint64_t boot_id;
@@ -34,6 +35,7 @@
     GQuark upstream;
     uint64_t boot_id; /* boot ID of the upstream */
     GQuark version;   /* of its software; 0: not known */
+    uint64_t version_id;
     GQuark data_centre;
     bool other_region;
     bool is_last_resort;  /* no other upstream can take the request: there is
@@ -106,6 +108,10 @@
                                            int64_t prefill_backlog),
                             void *data);
 
+/* The version of an upstream's software; CH_VERSION_NOT_KNOWN also where the
+ * upstream is not listed. */
+uint64_t ch_balance_get_version(const struct ch_balance *balance,
+                                GQuark upstream);
 /* Chooses an upstream by the expected latency. excluded: GQuarks of upstreams
  * that this request must not go to; NULL: none. adapter_ready: consider only
  * upstreams that already have the request's adapter. */
--- a/libchestnuthitch/decide/fleet.c
+++ b/libchestnuthitch/decide/fleet.c
@@ -2,6 +2,17 @@
 
 #include "decide/fleet.h"
 
+/* See fleet.h. */
+uint64_t
+ch_version_get_id(const char *text)
+{
+    if (text == NULL) {
+        return CH_VERSION_NOT_KNOWN;
+    }
+    uint64_t id = ch_hash_string(text);
+    return id == CH_VERSION_NOT_KNOWN ? 1 : id;
+}
+
 /* Whether a list of struct ch_item contains the item; list may be NULL. */
 static bool
 list_has(const GArray *list, GQuark item)
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -10,6 +10,16 @@
 
 #include "base/base.h"
 
+/* ---- versions of the upstreams' software ---- */
+
+enum {
+    CH_VERSION_NOT_KNOWN = 0,
+};
+
+/* The ID of a version: the same for equal texts. NULL: CH_VERSION_NOT_KNOWN.
+ */
+uint64_t ch_version_get_id(const char *text);
+
 /* ---- requests ---- */
 
 /* A part of a prompt that other requests may share, in the prompt's order. */
@@ -49,6 +59,9 @@
     uint32_t priority;     /* of the request's class; 0 goes first */
     GQuark required_upstream; /* the sole upstream that may take the request;
                                  0: any may */
+    /* Sole version of upstreams' software that may take the request; 0: any.
+     * What two versions generate does not fit together in one stream. */
+    uint64_t required_version;
 };
 
 /* ---- upstreams, as known to a node ---- */
@@ -63,6 +76,7 @@
     uint16_t region;      /* index into the fleet's regions */
     uint16_t data_centre; /* index into the fleet's data centres */
     GQuark service;       /* name of a plain service; 0: an engine */
+    uint64_t version_id;  /* of its software */
     bool draining;
     bool down;
     uint32_t accelerators;
--- a/libchestnuthitch/decide/late.c
+++ b/libchestnuthitch/decide/late.c
@@ -113,17 +113,38 @@
     }
 }
 
+static bool
+may_use_any(const void *data, GQuark upstream)
+{
+    (void)data;
+    (void)upstream;
+    return true;
+}
+
 /* See late.h. */
 int64_t
 ch_pending_loads_estimate_ready(const struct ch_pending_loads *pending,
                                 GQuark model, int64_t now)
+{
+    return ch_pending_loads_estimate_ready_on(pending, model, may_use_any,
+                                              NULL, now);
+}
+
+/* See late.h. */
+int64_t
+ch_pending_loads_estimate_ready_on(const struct ch_pending_loads *pending,
+                                   GQuark model,
+                                   bool (*may_use)(const void *data,
+                                                   GQuark upstream),
+                                   const void *data, int64_t now)
 {
     int64_t first_ready_at = 0;
     for (guint i = 0; i < pending->loads->len; i++) {
         const struct pending_load *load =
             &g_array_index(pending->loads, struct pending_load, i);
         if (load->model != model ||
-            now - load->reported_at > REPORT_STALE_US) {
+            now - load->reported_at > REPORT_STALE_US ||
+            !may_use(data, load->upstream)) {
             continue;
         }
         int64_t mean_load_time = (int64_t)pending->mean_load_time;
--- a/libchestnuthitch/decide/late.h
+++ b/libchestnuthitch/decide/late.h
@@ -26,6 +26,12 @@
 int64_t ch_pending_loads_estimate_ready(const struct ch_pending_loads *pending,
                                         GQuark model, int64_t now);
 
+/* As above, by the engines alone for which may_use() returns true. */
+int64_t ch_pending_loads_estimate_ready_on(
+    const struct ch_pending_loads *pending, GQuark model,
+    bool (*may_use)(const void *data, GQuark upstream), const void *data,
+    int64_t now);
+
 /* The decision on a request that would start too late. */
 struct ch_late_decision {
     bool should_wait;    /* else it is refused at once */
--- a/libchestnuthitch/decide/route.c
+++ b/libchestnuthitch/decide/route.c
@@ -24,13 +24,24 @@
     NO_UPSTREAM_RETRY_AFTER_US = G_USEC_PER_SEC,
 };
 
+/* Whether the upstream is listed for new requests, with software that may take
+ * this one. */
+static bool
+may_take(const struct ch_upstream_view *view,
+         const struct ch_request_info *request)
+{
+    return !view->down && !view->draining &&
+           (request->required_version == 0 ||
+            view->version_id == request->required_version);
+}
+
 /* Whether the upstream can serve the request as it is: it is the service, or
  * has the model and is at most a quarter slower per token than the target. */
 bool
 ch_upstream_view_serves(const struct ch_upstream_view *view,
                         const struct ch_request_info *request)
 {
-    if (view->down || view->draining) {
+    if (!may_take(view, request)) {
         return false;
     }
     if (request->is_service) {
@@ -212,7 +223,7 @@
     int best = -1;
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (view->down || view->draining || view->service != 0 ||
+        if (!may_take(view, request) || view->service != 0 ||
             ch_route_is_excluded(excluded, view->name) ||
             !ch_upstream_view_is_loading(view, request->model)) {
             continue;
@@ -326,7 +337,7 @@
     GHashTable *replicas = count_replicas(fleet);
     for (size_t i = 0; i < fleet->count; i++) {
         const struct ch_upstream_view *view = &fleet->upstreams[i];
-        if (view->down || view->draining || view->service != 0 ||
+        if (!may_take(view, request) || view->service != 0 ||
             ch_upstream_view_has_item(view, request->model) ||
             is_loading_model(view) ||
             view->capacity_mb < request->model_mb + request->adapter_mb) {
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -216,6 +216,7 @@
         .region = g_quark_from_string(host->region),
         .data_centre = g_quark_from_string(host->data_centre),
         .version = g_quark_from_string(host->version),
+        .version_id = ch_version_get_id(host->version),
         .engine = host->kind == CH_HOST_ENGINE,
         .draining = host->draining,
         .boot_id = host->boot_id,
@@ -377,6 +378,7 @@
                 .upstream = choice->upstream,
                 .boot_id = choice->boot_id,
                 .version = choice->version,
+                .version_id = choice->version_id,
                 .client = request->client->client,
                 .address = request->client->address,
                 .priority = request->info.priority,
@@ -387,17 +389,36 @@
     };
 }
 
-/* Time at which an engine that is loading the model is expected to have it; 0:
- * no engine is loading it, or requests are not to wait for models. Lock
- * held. */
+struct required_version {
+    const struct ch_balance *balance;
+    uint64_t version; /* 0: any */
+};
+
+/* For ch_pending_loads_estimate_ready_on(): whether the upstream runs the
+ * software that the request requires. */
+static bool
+runs_required_version(const void *data, GQuark upstream)
+{
+    const struct required_version *required = data;
+    return required->version == 0 ||
+           ch_balance_get_version(required->balance, upstream) ==
+               required->version;
+}
+
+/* Time at which an engine that is loading the request's model is expected to
+ * have it; 0: no engine is loading it, or requests are not to wait for models.
+ * Lock held. */
 static int64_t
-estimate_model_ready(const struct balancer *balancer, GQuark model,
-                     int64_t now)
+estimate_model_ready(const struct balancer *balancer,
+                     const struct ch_request_info *info, int64_t now)
 {
+    const struct required_version required = {balancer->balance,
+                                              info->required_version};
     return balancer->node->settings->disabled_features.wait_for_model
                ? 0
-               : ch_pending_loads_estimate_ready(balancer->loading_models,
-                                                 model, now);
+               : ch_pending_loads_estimate_ready_on(
+                     balancer->loading_models, info->model,
+                     runs_required_version, &required, now);
 }
 
 /*
@@ -413,11 +434,12 @@
     int64_t limit =
         info->arrived_at +
         MODEL_WAIT_TARGETS * (info->first_token_deadline - info->arrived_at);
-    if (info->is_service || request->excluded->len > 0) {
-        return refuse(balancer, request, CH_NO_UPSTREAM,
+    if (info->is_service || request->excluded->len > 0 ||
+        request->choice.code == CH_VERSION_GONE) {
+        return refuse(balancer, request, request->choice.code,
                       request->choice.retry_after, request->choice.message);
     }
-    if (estimate_model_ready(balancer, info->model, now) == 0) {
+    if (estimate_model_ready(balancer, info, now) == 0) {
         limit = MIN(limit, info->arrived_at + LOAD_START_WAIT_US);
     }
     limit = MIN(limit, info->answer_deadline - LOAD_START_WAIT_US);
@@ -438,7 +460,7 @@
 {
     const struct ch_late_decision late = ch_late_decide(
         &request->info, request->choice.expected_latency,
-        estimate_model_ready(balancer, request->info.model, now), now);
+        estimate_model_ready(balancer, &request->info, now), now);
     if (late.should_wait) {
         request->state = REQUEST_WAITING_FOR_MODEL;
         request->wait_limit = late.wait_until;
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -484,6 +484,9 @@
         return CH_RETRY_NO;
     }
     const struct ch_retry_failure failure = describe_failure(exchange, end);
+    if (failure.events_delivered > 0 && info->required_version == 0) {
+        return CH_RETRY_NO; /* it is not known what fits the events so far */
+    }
     pthread_mutex_lock(&front->lock);
     enum ch_retry retry = ch_retry_decide(
         ch_frontend_get_retry_budget(front, info->required_service),
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -164,12 +164,14 @@
 }
 
 /* Records where the stream's first event comes from, unless an earlier request
- * of the caller began the stream. Lock held. */
+ * of the caller began the stream. From now on only upstreams with the same
+ * software may take the request. Lock held. */
 static void
 record_begin(struct ch_exchange *exchange)
 {
     if (exchange->request->resume_id == NULL) {
         exchange->began_at = get_place(exchange);
+        exchange->request->info.required_version = exchange->grant.version_id;
     }
 }
 
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -33,7 +33,8 @@
     uint32_t accelerators;
     uint32_t max_batch;
     GQuark service;
-    GQuark version; /* of its software; 0: not known */
+    GQuark version;      /* of its software; 0: not known */
+    uint64_t version_id; /* of its software */
     /* Version of the state in the fleet view. */
     uint64_t incarnation;
     uint64_t sequence;
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -331,6 +331,7 @@
     GQuark upstream;
     uint64_t boot_id;           /* of the upstream; 0: unknown */
     GQuark version;             /* of its software; 0: unknown */
+    uint64_t version_id;        /* of its software */
     struct ch_upstream *client; /* valid until release */
     const char *address; /* "ip:port", valid until release; NULL: unknown */
     uint32_t priority;
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -175,6 +175,9 @@
     upstream->service =
         host->service != NULL ? g_quark_from_string(host->service) : 0;
     upstream->version = g_quark_from_string(host->version);
+    /* Where a host list states no versions, all upstreams run the same. */
+    upstream->version_id =
+        ch_version_get_id(host->version == NULL ? "" : host->version);
 }
 
 /* Whether the host list still means the same process.  A host with another
@@ -236,6 +239,7 @@
             init_view(homes, upstream, view);
         }
         view->service = upstream->service;
+        view->version_id = upstream->version_id;
         view->accelerators = upstream->accelerators;
         view->capacity_mb = upstream->capacity_mb;
         view->max_batch =
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -89,6 +89,8 @@
     enum upstream_action upstream_actions[MAX_ACTIONS];
     struct ch_once_result once_result;
     unsigned router_requests;
+    const char *granted_version; /* of upstreams; NULL: not known */
+    uint64_t last_required_version;
     unsigned granted;
     unsigned released;
     unsigned withdrawn;
@@ -155,6 +157,8 @@
         const struct ch_grant grant = {
             .handle = job->handle,
             .upstream = g_quark_from_string("w01"),
+            .version = g_quark_from_string(job->fixture->granted_version),
+            .version_id = ch_version_get_id(job->fixture->granted_version),
             .client = &job->fixture->upstream,
             .priority = 3,
         };
@@ -182,6 +186,7 @@
     fixture->excluded_count = excluded == NULL ? 0 : excluded->len;
     g_assert_true(fixture->allows_same_attempt || info->attempt == number);
     fixture->last_required = info->required_upstream;
+    fixture->last_required_version = info->required_version;
     if (excluded != NULL && excluded->len > 0 &&
         fixture->node.limits != NULL) {
         action = REFUSES; /* the only upstream is excluded */
@@ -526,6 +531,7 @@
     struct fixture *fixture = g_new0(struct fixture, 1);
     struct ch_error error = {.code = CH_OK};
     fixture->upstream.ops = &ops;
+    fixture->granted_version = "v1";
     ch_client_init(&fixture->client, "n1");
     fixture->client.log_write = discard_log;
     fixture->client.metrics = ch_metrics_new();
@@ -957,11 +963,31 @@
         g_assert_cmpuint(fixture->calls, ==, started_stream_cases[i].calls);
         g_assert_cmpint(fixture->last_required != 0, ==,
                         started_stream_cases[i].bound_to_upstream);
+        g_assert_cmpuint(fixture->last_required_version, ==,
+                         ch_version_get_id("v1"));
         g_assert_true(fixture->stream_had_started);
         fixture_free(fixture);
     }
 }
 
+/* Guards against a stream that goes on although the version of the software
+ * that began it is not known. */
+static void
+test_stream_of_unknown_version(void)
+{
+    struct fixture *fixture = routed_fixture();
+    fixture->granted_version = NULL;
+    fixture->upstream_actions[0] = INTERRUPTED;
+    fixture->upstream_actions[1] = COMPLETES;
+    fixture_start(fixture);
+    char *response = read_response(send_request(fixture, "POST /r/1", "", ""));
+    g_assert_null(strstr(response, "{\"n\":4}"));
+    g_free(response);
+    fixture_stop(fixture);
+    g_assert_cmpuint(fixture->calls, ==, 1);
+    fixture_free(fixture);
+}
+
 static const struct {
     const char *name;
     const char *idempotent;
@@ -1924,6 +1950,8 @@
     ADD_CASES("/exchange/give up/", give_up_cases, test_give_up)
     ADD_CASES("/exchange/bounds/", rejected_cases, test_rejected)
     g_test_add_func("/exchange/begun", test_started_stream);
+    g_test_add_func("/exchange/unknown-version",
+                    test_stream_of_unknown_version);
     g_test_add_func("/exchange/time-left", test_time_left);
     g_test_add_func("/exchange/refused", test_refused);
     g_test_add_func("/exchange/server-error", test_upstream_failure);
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -18,6 +18,7 @@
     const char *models; /* separated by spaces */
     const char *adapters;
     bool leaving;
+    const char *version; /* of its software; NULL: not known */
 };
 
 /* Creates the balance of a node in region "r1", data centre "d1", with these
@@ -42,6 +43,7 @@
             .data_centre = g_quark_from_string(upstreams[i].data_centre),
             .engine = true,
             .draining = upstreams[i].leaving,
+            .version_id = ch_version_get_id(upstreams[i].version),
             .slots = 64,
             .context_tokens = 100000,
             .adapter_slots = 8,
@@ -101,48 +103,48 @@
     const char *expect;
 } choice_cases[] = {
     {.what = "only one upstream has the model",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false},
-                   {"b", "r1", "d1", "m2", NULL, false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL},
+                   {"b", "r1", "d1", "m2", NULL, false, NULL}},
      .model = "m2",
      .expect = "b"},
     {.what = "no engine holds the model",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL}},
      .model = "m2",
      .expect = ""},
     {.what = "a draining upstream gets no requests",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, true},
-                   {"b", "r2", "d9", "m1", NULL, false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, true, NULL},
+                   {"b", "r2", "d9", "m1", NULL, false, NULL}},
      .model = "m1",
      .expect = "b"},
     {.what = "the node's own data centre before another",
-     .upstreams = {{"a", "r1", "d2", "m1", NULL, false},
-                   {"b", "r1", "d1", "m1", NULL, false}},
+     .upstreams = {{"a", "r1", "d2", "m1", NULL, false, NULL},
+                   {"b", "r1", "d1", "m1", NULL, false, NULL}},
      .model = "m1",
      .expect = "b"},
     {.what = "the node's own region before another",
-     .upstreams = {{"a", "r2", "d9", "m1", NULL, false},
-                   {"b", "r1", "d2", "m1", NULL, false}},
+     .upstreams = {{"a", "r2", "d9", "m1", NULL, false, NULL},
+                   {"b", "r1", "d2", "m1", NULL, false, NULL}},
      .model = "m1",
      .expect = "b"},
     {.what = "an upstream that failed this request is not asked again",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false},
-                   {"b", "r2", "d9", "m1", NULL, false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL},
+                   {"b", "r2", "d9", "m1", NULL, false, NULL}},
      .model = "m1",
      .excluded = "a",
      .expect = "b"},
     {.what = "the upstream with the adapter, though the bytes are billed",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false},
-                   {"b", "r1", "d2", "m1", "m1/a1", false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL},
+                   {"b", "r1", "d2", "m1", "m1/a1", false, NULL}},
      .model = "m1/a1",
      .expect = "b"},
     {.what = "an adapter is loaded here instead of using the link each time",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false},
-                   {"b", "r2", "d9", "m1", "m1/a1", false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL},
+                   {"b", "r2", "d9", "m1", "m1/a1", false, NULL}},
      .model = "m1/a1",
      .expect = "a"},
     {.what = "only an upstream that has the adapter, without loading it",
-     .upstreams = {{"a", "r1", "d1", "m1", NULL, false},
-                   {"b", "r2", "d9", "m1", "m1/a1", false}},
+     .upstreams = {{"a", "r1", "d1", "m1", NULL, false, NULL},
+                   {"b", "r2", "d9", "m1", "m1/a1", false, NULL}},
      .model = "m1/a1",
      .adapter_ready = true,
      .expect = "b"},
@@ -170,8 +172,8 @@
 }
 
 static const struct test_upstream two_upstreams[] = {
-    {"a", "r1", "d1", "m1", NULL, false},
-    {"b", "r1", "d1", "m1", NULL, false},
+    {"a", "r1", "d1", "m1", NULL, false, NULL},
+    {"b", "r1", "d1", "m1", NULL, false, NULL},
     {0}};
 
 /* Sends a request to the upstream that is chosen for it, and returns the
@@ -292,7 +294,7 @@
 test_pacing(void)
 {
     const struct test_upstream one_upstream[] = {
-        {"a", "r1", "d1", "m1", NULL, false}, {0}};
+        {"a", "r1", "d1", "m1", NULL, false, NULL}, {0}};
     struct ch_balance *balance = create_balance(one_upstream);
     struct ch_request_info request = build_request("m1", 3500);
     struct ch_upstream_choice choice =
@@ -398,7 +400,7 @@
     } rows[] = {{64, 25, 70}, {12, 150, 230}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         const struct test_upstream alone[] = {
-            {"a", "r1", "d1", "m1", NULL, false}, {0}};
+            {"a", "r1", "d1", "m1", NULL, false, NULL}, {0}};
         struct ch_balance *balance = create_balance(alone);
         const GQuark model = g_quark_from_string("m1");
         const struct ch_upstream_info facts = {
@@ -484,7 +486,7 @@
 test_restart(void)
 {
     const struct test_upstream upstreams[] = {
-        {"a", "r1", "d1", "m1", "m1/a1", false}, {0}};
+        {"a", "r1", "d1", "m1", "m1/a1", false, NULL}, {0}};
     struct ch_balance *balance = create_balance(upstreams);
     struct ch_request_info request = build_request("m1/a1", 100);
     GQuark model = g_quark_from_string("m1");
@@ -519,7 +521,7 @@
 run_scenario(const struct ch_disabled_features *without)
 {
     const struct test_upstream one_upstream[] = {
-        {"a", "r1", "d1", "m1", NULL, false}, {0}};
+        {"a", "r1", "d1", "m1", NULL, false, NULL}, {0}};
     struct ch_balance *balance = create_balance(one_upstream);
     struct ch_request_info request = build_request("m1", 3500);
     struct decisions decisions = {0};
@@ -603,10 +605,10 @@
         {"the only one, used up", "m2", NULL, {0, 0, NOW + 1}, "c", true},
     };
     static const struct test_upstream upstreams[] = {
-        {"a", "r1", "d1", "m1", NULL, false},
-        {"b", "r2", "d9", "m1", NULL, false},
-        {"c", "r1", "d1", "m2", NULL, false},
-        {NULL, NULL, NULL, NULL, NULL, false},
+        {"a", "r1", "d1", "m1", NULL, false, NULL},
+        {"b", "r2", "d9", "m1", NULL, false, NULL},
+        {"c", "r1", "d1", "m2", NULL, false, NULL},
+        {NULL, NULL, NULL, NULL, NULL, false, NULL},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         struct ch_balance *balance = create_balance(upstreams);
@@ -633,6 +635,90 @@
     }
 }
 
+static const struct {
+    const char *what;
+    struct test_upstream upstreams[4];
+    const char *version; /* that the stream requires */
+    const char *excluded;
+    const char *expect; /* "": refused */
+    enum ch_code code;
+} version_cases[] = {
+    {"only an upstream with the version that began the stream",
+     {{"a", "r1", "d1", "m", NULL, false, "v1.2"},
+      {"b", "r2", "d9", "m", NULL, false, "v1"}},
+     "v1",
+     NULL,
+     "b",
+     CH_OK},
+    {"none of the version has the model: it may come",
+     {{"a", "r1", "d1", "m", NULL, false, "v1.2"},
+      {"b", "r1", "d1", "", NULL, false, "v1"}},
+     "v1",
+     NULL,
+     "",
+     CH_NO_UPSTREAM},
+    {"the one with the version has failed: it is still there",
+     {{"a", "r1", "d1", "m", NULL, false, "v1.2"},
+      {"b", "r1", "d1", "m", NULL, false, "v1"}},
+     "v1",
+     "b",
+     "",
+     CH_NO_UPSTREAM},
+    {"the last one with the version is draining: told at once",
+     {{"a", "r1", "d1", "m", NULL, false, "v1.2"},
+      {"b", "r1", "d1", "m", NULL, true, "v1"}},
+     "v1",
+     NULL,
+     "",
+     CH_VERSION_GONE},
+    {"an upstream whose version is not known takes no begun stream",
+     {{"a", "r1", "d1", "m", NULL, false, NULL}},
+     "v1",
+     NULL,
+     "",
+     CH_VERSION_GONE},
+    {"a version that is a prefix of another one",
+     {{"a", "r1", "d1", "m", NULL, false, "v1.20"},
+      {"b", "r2", "d9", "m", NULL, false, "v1.2"}},
+     "v1.2",
+     NULL,
+     "b",
+     CH_OK},
+    {"a new stream goes to any version",
+     {{"a", "r1", "d1", "m", NULL, false, NULL}},
+     NULL,
+     NULL,
+     "a",
+     CH_OK},
+};
+
+/* Guards against a stream that goes on at another software version than the
+ * one that began it, and against waiting for a version that is gone. */
+static void
+test_versions(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(version_cases); i++) {
+        struct ch_balance *balance =
+            create_balance(version_cases[i].upstreams);
+        struct ch_request_info request = build_request("m", 1000);
+        GArray *excluded = g_array_new(FALSE, FALSE, sizeof(GQuark));
+        GQuark failed = g_quark_from_string(version_cases[i].excluded);
+        if (failed != 0) {
+            g_array_append_val(excluded, failed);
+        }
+        request.required_version = ch_version_get_id(version_cases[i].version);
+        g_test_message("%s", version_cases[i].what);
+        struct ch_upstream_choice choice =
+            ch_balance_choose(balance, &request, excluded, false, NOW);
+        g_assert_cmpint(choice.code, ==, version_cases[i].code);
+        g_assert_cmpstr(
+            choice.code == CH_OK ? g_quark_to_string(choice.upstream) : "", ==,
+            version_cases[i].expect);
+        g_array_free(excluded, TRUE);
+        ch_balance_free(balance);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -650,5 +736,6 @@
     g_test_add_func("/balance/overload", test_overload);
     g_test_add_func("/balance/restart", test_restart);
     g_test_add_func("/balance/switches", test_switches);
+    g_test_add_func("/balance/versions", test_versions);
     return g_test_run();
 }
--- a/tests/unit/test_late.c
+++ b/tests/unit/test_late.c
@@ -142,6 +142,32 @@
     ch_pending_loads_free(pending);
 }
 
+/* For ch_pending_loads_estimate_ready_on(). */
+static bool
+is_this_one(const void *data, GQuark upstream)
+{
+    return upstream == *(const GQuark *)data;
+}
+
+/* Guards against a stream that waits for a load at upstreams which may not
+ * take it. */
+static void
+test_loads_on_some(void)
+{
+    GQuark model = g_quark_from_string("m");
+    GQuark loading = g_quark_from_string("w1");
+    GQuark idle = g_quark_from_string("w2");
+    struct ch_pending_loads *pending = ch_pending_loads_new();
+    report(pending, "w1", NULL, "m", NOW);
+    g_assert_cmpint(ch_pending_loads_estimate_ready_on(
+                        pending, model, is_this_one, &loading, NOW),
+                    >, NOW);
+    g_assert_cmpint(ch_pending_loads_estimate_ready_on(
+                        pending, model, is_this_one, &idle, NOW),
+                    ==, 0);
+    ch_pending_loads_free(pending);
+}
+
 static const struct {
     const char *what;
     int64_t after; /* time since the request arrived */
@@ -190,6 +216,7 @@
     g_test_add_func("/late/load-too-long", test_load_too_long);
     g_test_add_func("/late/engine-gone", test_engine_gone);
     g_test_add_func("/late/coming", test_first_pending_load);
+    g_test_add_func("/late/some", test_loads_on_some);
     g_test_add_func("/late/given-back", test_retry_is_late);
     return g_test_run();
 }
