--- a/libchestnuthitch/decide/rank.c
+++ b/libchestnuthitch/decide/rank.c
@@ -67,3 +67,28 @@
     }
     return first;
 }
+
+/* See rank.h. */
+size_t
+ch_rank_find_top(const struct ch_rank_node *nodes, size_t count, uint64_t key,
+                 size_t *top, size_t max)
+{
+    uint32_t max_capacity = get_max_capacity(nodes, count);
+    size_t found = 0;
+    for (size_t i = 0; i < count; i++) {
+        size_t place = found;
+        while (place > 0 && is_before(&nodes[i], &nodes[top[place - 1]],
+                                      max_capacity, key)) {
+            place--;
+        }
+        if (place == max) {
+            continue;
+        }
+        found = MIN(found + 1, max);
+        for (size_t j = found - 1; j > place; j--) {
+            top[j] = top[j - 1];
+        }
+        top[place] = i;
+    }
+    return found;
+}
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -5,6 +5,7 @@
 #include "node/limit_manager.h"
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
+#include "node/stream_manager.h"
 #include "base/json.h"
 #include "base/ini.h"
 
@@ -252,6 +253,9 @@
     ch_crash_guard_write_status(node->crash_guard, builder);
     ch_quota_manager_write_status(node->quota, builder);
     ch_limit_manager_write_status(node->limits, builder);
+    if (node->streams != NULL) {
+        ch_stream_manager_write_status(node->streams, builder);
+    }
     ch_path_manager_write_status(node->paths, builder);
     json_builder_set_member_name(builder, "policy");
     json_builder_begin_object(builder);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -15,6 +15,7 @@
 #include "node/limit_manager.h"
 #include "node/path_manager.h"
 #include "node/roster.h"
+#include "node/stream_manager.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -153,6 +154,7 @@
     struct balancer *balancer;
     struct ch_config *config; /* NULL: none yet */
     GArray *listed;           /* struct ch_crash_listed_upstream */
+    GArray *versions;         /* struct ch_stream_origin */
 };
 
 /* Splits the names of an upstream's resident items into models and
@@ -234,6 +236,9 @@
     const struct ch_crash_listed_upstream listed = {
         upstream.name, upstream.boot_id, upstream.draining};
     g_array_append_val(update->listed, listed);
+    const struct ch_stream_origin version = {ch_hash_string(host->service),
+                                             upstream.version_id};
+    g_array_append_val(update->versions, version);
     g_hash_table_add(balancer->listed_upstreams,
                      GUINT_TO_POINTER(upstream.name));
     ch_balance_update_upstream(balancer->balance, &upstream);
@@ -275,6 +280,7 @@
         .config = ch_config_manager_get_current(balancer->node->config),
         .listed =
             g_array_new(FALSE, FALSE, sizeof(struct ch_crash_listed_upstream)),
+        .versions = g_array_new(FALSE, FALSE, sizeof(struct ch_stream_origin)),
     };
     pthread_mutex_lock(&balancer->lock);
     balancer->listed_upstreams = g_hash_table_new(NULL, NULL);
@@ -291,6 +297,11 @@
         (const struct ch_crash_listed_upstream *)(void *)update.listed->data,
         update.listed->len);
     g_array_free(update.listed, TRUE);
+    ch_stream_manager_update_versions(
+        balancer->node->streams,
+        (const struct ch_stream_origin *)(void *)update.versions->data,
+        update.versions->len);
+    g_array_free(update.versions, TRUE);
     ch_controller_refresh(balancer->controller);
     route_waiting(balancer);
 }
@@ -996,6 +1007,14 @@
 
 /* ---- lifecycle ---- */
 
+/* How old the list of upstreams is; see ch_stream_manager_set_list_age(). */
+static int64_t
+get_list_age(void *data)
+{
+    const struct balancer *balancer = data;
+    return ch_roster_get_age(balancer->roster);
+}
+
 /* See struct ch_router_ops. */
 static void
 balancer_start(struct ch_router *router)
@@ -1100,6 +1119,9 @@
     balancer->adapters_in_use =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     balancer->roster = ch_roster_new(node, handle_roster_change, balancer);
+    if (node->streams != NULL) {
+        ch_stream_manager_set_list_age(node->streams, get_list_age, balancer);
+    }
     balancer->controller =
         ch_controller_new(node, balancer->roster, &handlers, balancer);
     return &balancer->router;
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -6,12 +6,16 @@
 #include "node/limit_manager.h"
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
+#include "node/stream_manager.h"
 
 enum {
     /* A request that crashed upstreams is likely to crash others if it is
      * repeated soon, so its caller is asked to wait until an operator can
      * act. */
     BARRED_RETRY_AFTER_US = 60 * 1000 * 1000,
+    /* The node that knows where a stream began may be paused, or come back
+     * after a cut. */
+    ORIGIN_RETRY_AFTER_US = 500 * 1000,
     /* Nodes that may fail to relay one request. */
     MAX_FAILED_RELAYS = 6,
 };
@@ -850,12 +854,127 @@
     }
 }
 
+/* The service at which the stream began, if the class of the request may use
+ * it; 0: it may not. Without a record it is certain only where the class has
+ * one service. */
+static GQuark
+find_origin_service(const struct ch_class *class,
+                    const struct ch_declaration *declaration,
+                    const struct ch_stream_result *result)
+{
+    if (result->finding == CH_STREAM_SOLE && class->share_count != 1) {
+        return 0;
+    }
+    for (size_t i = 0; i < class->share_count; i++) {
+        const char *name =
+            declaration->services[class->shares[i].service_index].name;
+        bool is_used = class->shares[i].weight > 0 || class->share_count == 1;
+        if (is_used && ch_hash_string(name) == result->origin.service) {
+            return g_quark_from_string(name);
+        }
+    }
+    return 0;
+}
+
+/* Binds the request to the service and version at which its stream began;
+ * false if it may not go there by the configuration in force. Lock held. */
+static bool
+bind_to_origin(struct ch_exchange *exchange,
+               const struct ch_stream_result *result)
+{
+    struct ch_request *request = exchange->request;
+    struct ch_config *config =
+        ch_config_manager_get_current(exchange->frontend->node->config);
+    GQuark service = 0;
+    if (config != NULL) {
+        const struct ch_declaration *declaration = config->declaration;
+        int index =
+            ch_declaration_find_class(declaration, request->class_name);
+        service = index < 0 ? 0
+                            : find_origin_service(&declaration->classes[index],
+                                                  declaration, result);
+        ch_config_unref(config);
+    }
+    if (service == 0) {
+        return false;
+    }
+    request->info.required_service = service;
+    request->info.required_version = result->origin.version;
+    exchange->stream_record = result->record;
+    return true;
+}
+
+/* Refuses a stream that may go on nowhere. Lock held; returns true when the
+ * exchange can be finished. */
+static bool
+refuse_stream(struct ch_exchange *exchange, enum ch_code code,
+              const char *message)
+{
+    ch_log(exchange->frontend->node->client, CH_LOG_INFO,
+           "stream-not-taken-up",
+           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
+           CH_F_STR("resumes", exchange->request->resumes),
+           CH_F_STR("finding",
+                    ch_stream_finding_get_name(exchange->stream_finding)),
+           CH_F_STR("source", g_quark_to_string(exchange->stream_source)),
+           CH_F_STR("message", message), CH_F_END);
+    return fail(exchange, code, message, ORIGIN_RETRY_AFTER_US);
+}
+
+/* Lock held; returns true when the exchange can be finished. */
+static bool
+handle_origin(struct ch_exchange *exchange,
+              const struct ch_stream_result *result)
+{
+    exchange->stream_finding = result->finding;
+    exchange->stream_source = g_quark_from_string(result->source);
+    if (exchange->abandoned) {
+        return end_without_response(exchange);
+    }
+    if (!ch_stream_finding_is_origin(result->finding)) {
+        return refuse_stream(exchange, CH_ORIGIN_UNKNOWN, NULL);
+    }
+    if (result->origin.version == CH_VERSION_NOT_KNOWN) {
+        return refuse_stream(exchange, CH_ORIGIN_UNKNOWN,
+                             "the upstream that began the stream states no "
+                             "version");
+    }
+    if (!bind_to_origin(exchange, result)) {
+        return refuse_stream(exchange, CH_ORIGIN_UNKNOWN,
+                             "the class does not use the service that began "
+                             "the stream, or uses several");
+    }
+    exchange->step = CH_EXCHANGE_STEP_ROUTE;
+    return false;
+}
+
+/* See exchange.h. */
+void
+ch_exchange_handle_origin(struct ch_exchange *exchange,
+                          const struct ch_stream_result *result)
+{
+    pthread_mutex_lock(&exchange->lock);
+    bool over = handle_origin(exchange, result);
+    bool routes = exchange->step == CH_EXCHANGE_STEP_ROUTE;
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+    else if (routes) {
+        request_grant(exchange);
+    }
+}
+
 /* Gets the at-most-once record before anything else, so that a request whose
  * key has run is never queued. */
 static void
 begin_admitted(struct ch_exchange *exchange)
 {
     const struct ch_request *request = exchange->request;
+    if (ch_exchange_takes_up_stream(exchange)) {
+        ch_exchange_find_origin(exchange);
+        return;
+    }
     if (ch_exchange_first_step(request) == CH_EXCHANGE_STEP_ONCE) {
         ch_once_manager_begin(exchange->frontend->node->once, request->owner,
                               request->key, request->fingerprint,
@@ -880,7 +999,9 @@
         over = fail(exchange, code, NULL, retry_after);
     }
     else {
-        exchange->step = ch_exchange_first_step(exchange->request);
+        exchange->step = ch_exchange_takes_up_stream(exchange)
+                             ? CH_EXCHANGE_STEP_ORIGIN
+                             : ch_exchange_first_step(exchange->request);
     }
     pthread_mutex_unlock(&exchange->lock);
     if (over) {
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -14,6 +14,7 @@
  */
 
 #include "node/frontend.h"
+#include "resume/resume.h"
 
 enum {
     /* Limit of a plain response, which is one that is not a stream. It is
@@ -25,11 +26,12 @@
 };
 
 enum ch_exchange_step {
-    CH_EXCHANGE_STEP_QUOTA, /* waiting for credit of the team's quota */
-    CH_EXCHANGE_STEP_ONCE,  /* waiting for the at-most-once record */
-    CH_EXCHANGE_STEP_ROUTE, /* waiting for a grant from the router */
-    CH_EXCHANGE_STEP_CALL,  /* the upstream has the request */
-    CH_EXCHANGE_STEP_STORE, /* waiting for the response to be stored */
+    CH_EXCHANGE_STEP_QUOTA,  /* waiting for credit of the team's quota */
+    CH_EXCHANGE_STEP_ORIGIN, /* waiting for where the stream began */
+    CH_EXCHANGE_STEP_ONCE,   /* waiting for the at-most-once record */
+    CH_EXCHANGE_STEP_ROUTE,  /* waiting for a grant from the router */
+    CH_EXCHANGE_STEP_CALL,   /* the upstream has the request */
+    CH_EXCHANGE_STEP_STORE,  /* waiting for the response to be stored */
     CH_EXCHANGE_STEP_DONE,
 };
 
@@ -40,6 +42,8 @@
     uint64_t boot_id; /* 0: not known */
 };
 
+struct ch_stream_result;
+
 struct ch_exchange {
     int references;
     enum ch_exchange_step step;
@@ -82,6 +86,11 @@
     uint64_t call_handle;
     GQuark relay; /* by which node the present call goes; 0: directly */
     struct ch_stream_place began_at; /* all 0: not begun, or not known */
+    /* Of the stream: as written to other nodes, or as found there; key 0: the
+     * stream has no record. */
+    struct ch_stream_record stream_record;
+    enum ch_stream_finding stream_finding; /* if an earlier request began it */
+    GQuark stream_source;                  /* the node that knew; 0: none */
     char *content_type;
     GArray *headers; /* struct ch_http_header: passed on to the caller */
     char
@@ -125,8 +134,28 @@
 struct ch_exchange *ch_exchange_ref(struct ch_exchange *exchange);
 void ch_exchange_unref(void *exchange);
 
+/* ---- exchange_stream.c ---- */
+
+/* Whether the request takes up a stream that an earlier one began. */
+bool ch_exchange_takes_up_stream(const struct ch_exchange *exchange);
+/* Asks where the stream began; ch_exchange_handle_origin() follows, on the
+ * pool. Lock not held. */
+void ch_exchange_find_origin(struct ch_exchange *exchange);
+/* Records where the stream's first event comes from; only the same software
+ * may go on with it. Lock held. */
+void ch_exchange_record_begin(struct ch_exchange *exchange);
+/* Writes the record of the stream that the present call may begin, or renews
+ * that of a stream taken up. Lock held. */
+void ch_exchange_write_stream_record(struct ch_exchange *exchange);
+/* Logs and counts a call that goes on with a stream. Lock held. */
+void ch_exchange_log_going_on(const struct ch_exchange *exchange);
+
 /* ---- exchange.c; internal; lock held unless stated otherwise ---- */
 
+/* Goes on with a stream whose origin was asked for; lock not held. */
+void ch_exchange_handle_origin(struct ch_exchange *exchange,
+                               const struct ch_stream_result *result);
+
 /* Handles the end of a call; returns true when the exchange can be
  * finished. */
 bool ch_exchange_handle_call_end(struct ch_exchange *exchange,
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -152,57 +152,6 @@
     return true;
 }
 
-/* Where the present call goes. */
-static struct ch_stream_place
-get_place(const struct ch_exchange *exchange)
-{
-    return (struct ch_stream_place){
-        .upstream = exchange->grant.upstream,
-        .version = exchange->grant.version,
-        .boot_id = exchange->grant.boot_id,
-    };
-}
-
-/* Records where the stream's first event comes from, unless an earlier request
- * of the caller began the stream. From now on only upstreams with the same
- * software may take the request. Lock held. */
-static void
-record_begin(struct ch_exchange *exchange)
-{
-    if (exchange->request->resume_id == NULL) {
-        exchange->began_at = get_place(exchange);
-        exchange->request->info.required_version = exchange->grant.version_id;
-    }
-}
-
-/* Logs and counts a call that goes on with a stream, and one that does so at
- * another version of the software. Lock held. */
-static void
-log_going_on(const struct ch_exchange *exchange)
-{
-    const struct ch_client *client = exchange->frontend->node->client;
-    const struct ch_stream_place *began = &exchange->began_at;
-    const struct ch_stream_place here = get_place(exchange);
-    bool taken_up = exchange->request->resume_id != NULL;
-    if (!taken_up && !exchange->stream_started) {
-        return;
-    }
-    if (began->upstream != 0 && began->version != here.version) {
-        ch_metrics_add_count(client->metrics, CH_COUNT_VERSIONS_MIXED, 1);
-    }
-    ch_log(client, CH_LOG_INFO, "stream-goes-on",
-           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
-           CH_F_STR("resumes", exchange->request->resumes),
-           CH_F_BOOL("new_request", taken_up && !exchange->stream_started),
-           CH_F_STR("after_event", exchange->last_event_id),
-           CH_F_STR("began_upstream", g_quark_to_string(began->upstream)),
-           CH_F_STR("began_version", g_quark_to_string(began->version)),
-           CH_F_INT("began_boot", (int64_t)began->boot_id),
-           CH_F_STR("upstream", g_quark_to_string(here.upstream)),
-           CH_F_STR("version", g_quark_to_string(here.version)),
-           CH_F_INT("boot", (int64_t)here.boot_id), CH_F_END);
-}
-
 /* Forwards one event to the caller. Lock held. */
 static void
 forward_event(struct ch_exchange *exchange, const char *bytes, size_t length)
@@ -224,7 +173,7 @@
     }
     if (!exchange->stream_started) {
         exchange->stream_started = true;
-        record_begin(exchange);
+        ch_exchange_record_begin(exchange);
         ch_response_start_stream(
             exchange->response,
             (const struct ch_http_header *)(void *)exchange->headers->data,
@@ -471,7 +420,8 @@
         call.relay = &call_relay;
     }
     exchange->relay = relay == NULL ? 0 : relay->name;
-    log_going_on(exchange);
+    ch_exchange_write_stream_record(exchange);
+    ch_exchange_log_going_on(exchange);
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
--- a/libchestnuthitch/node/exchange_lifetime.c
+++ b/libchestnuthitch/node/exchange_lifetime.c
@@ -30,8 +30,13 @@
     exchange->arrived_at = request->info.arrived_at;
     exchange->arrived_wall_ms = g_get_real_time() / 1000;
     exchange->code = CH_SYSTEM;
-    exchange->step = request->quota_cost > 0 ? CH_EXCHANGE_STEP_QUOTA
-                                             : ch_exchange_first_step(request);
+    exchange->step = ch_exchange_first_step(request);
+    if (ch_exchange_takes_up_stream(exchange)) {
+        exchange->step = CH_EXCHANGE_STEP_ORIGIN;
+    }
+    if (request->quota_cost > 0) {
+        exchange->step = CH_EXCHANGE_STEP_QUOTA;
+    }
     pthread_mutex_init(&exchange->lock, NULL);
     return exchange;
 }
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -8,6 +8,7 @@
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
 #include "node/relay_server.h"
+#include "node/stream_manager.h"
 
 #include <ck_pr.h>
 #include <time.h>
@@ -32,6 +33,7 @@
     ch_quota_manager_free(node->quota);
     ch_limit_manager_free(node->limits);
     ch_path_manager_free(node->paths);
+    ch_stream_manager_free(node->streams);
     if (node->router != NULL) {
         node->router->ops->free(node->router);
     }
@@ -78,6 +80,7 @@
     node->paths = ch_path_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
+        node->streams = ch_stream_manager_new(node);
         node->router = ch_balancer_new(node);
         return true;
     }
@@ -130,6 +133,9 @@
     }
     ch_limit_manager_start(node->limits);
     ch_path_manager_start(node->paths);
+    if (node->streams != NULL) {
+        ch_stream_manager_start(node->streams);
+    }
     ch_peers_start(node->peers);
     ch_config_manager_start(node->config);
     ch_crash_guard_start(node->crash_guard);
@@ -155,6 +161,9 @@
     ch_relay_server_drain(node->relay_server);
     node->router->ops->drain(node->router);
     ch_quota_manager_drain(node->quota);
+    if (node->streams != NULL) {
+        ch_stream_manager_drain(node->streams);
+    }
     if (node->frontend != NULL) {
         ch_frontend_stop(node->frontend);
     }
@@ -170,6 +179,9 @@
     ch_quota_manager_stop(node->quota);
     ch_limit_manager_stop(node->limits);
     ch_path_manager_stop(node->paths);
+    if (node->streams != NULL) {
+        ch_stream_manager_stop(node->streams);
+    }
     ch_config_manager_stop(node->config);
     ch_crash_guard_stop(node->crash_guard);
     stop_threads(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < paths < peers < pool, timers, http < metrics.
- * No handler of another package is called with a lock held.
+ * < crashes < quota < limits < paths < streams < peers < pool, timers, http <
+ * metrics. No handler of another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -34,6 +34,7 @@
 struct ch_quota_manager;
 struct ch_relay_server;
 struct ch_router;
+struct ch_stream_manager;
 
 struct ch_node {
     struct ch_client *client;
@@ -52,7 +53,9 @@
     struct ch_crash_guard *crash_guard;
     struct ch_quota_manager *quota;
     struct ch_limit_manager *limits;
-    struct ch_path_manager *paths; /* NULL: every path is open */
+    struct ch_path_manager *paths;     /* NULL: every path is open */
+    struct ch_stream_manager *streams; /* NULL where no caller takes up a
+                                          stream of an earlier request */
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
@@ -143,6 +146,15 @@
  * if it is in the region. Defined in peers_role.c. */
 char *ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
                                 const char *region, bool include_self);
+/* Adds the names, as new strings, of the live nodes that rank first for the
+ * records of a shard of the streams, in order; this node may be among them.
+ * Defined in peers_role.c. */
+void ch_peers_list_stream_holders(struct ch_peers *peers, unsigned shard,
+                                  size_t max, GPtrArray *names);
+bool ch_peers_is_live(struct ch_peers *peers, const char *name);
+/* Whether all nodes of the first list started together with this one, which
+ * had no earlier process on its host. *known: a list has arrived. */
+bool ch_peers_is_new_fleet(struct ch_peers *peers, bool *known);
 /* Numbers of nodes, this one included. */
 struct ch_peers_counts {
     size_t listed; /* in the host list; 0: no list has arrived yet */
--- a/libchestnuthitch/node/peers_internal.h
+++ b/libchestnuthitch/node/peers_internal.h
@@ -88,6 +88,7 @@
     unsigned relay_port;      /* of this node, 0: none; atomic */
     bool members_listed;      /* a host list was received */
     bool self_listed;         /* the last host list names this node */
+    bool is_new_fleet;        /* see ch_peers_is_new_fleet() */
     uint64_t predecessor_started_ms; /* wall clock, of the process before this
                                         one on this host; 0: not known */
     int64_t confirmed_until; /* see ch_peers_confirm_listed(); 0: never */
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -12,6 +12,8 @@
      * this node must have given up its part before.
      */
     CONFIRMED_US = 25 * 1000 * 1000,
+    /* Nodes that start together do so within this time by their clocks. */
+    START_TOGETHER_MS = 3 * 1000,
     /* A node writes its entry anew within some calls of its start. */
     PREDECESSOR_CONFIRMS_US = 5 * 1000 * 1000,
 };
@@ -277,6 +279,23 @@
     }
 }
 
+/* Whether no listed process is older than this one. Lock held. */
+static bool
+is_new_fleet(const struct ch_peers *peers, const struct ch_host_list *list)
+{
+    uint64_t own_start = peers->node->incarnation / 1000;
+    for (size_t i = 0; i < list->count; i++) {
+        const struct ch_host *host = &list->hosts[i];
+        uint64_t margin =
+            peers_is_self(peers, host->name) ? 0 : START_TOGETHER_MS;
+        if (host->kind == CH_HOST_ENTRY &&
+            host->boot_id + margin < own_start) {
+            return false;
+        }
+    }
+    return peers->predecessor_started_ms == 0;
+}
+
 /* Updates the members from the host list; only entry hosts count. */
 void
 ch_peers_update_list(struct ch_peers *peers, const struct ch_host_list *list)
@@ -300,6 +319,9 @@
         }
     }
     ch_members_end_update(peers->members);
+    if (!peers->members_listed) {
+        peers->is_new_fleet = is_new_fleet(peers, list);
+    }
     peers->members_listed = true;
     pthread_mutex_unlock(&peers->lock);
 }
@@ -314,6 +336,28 @@
     pthread_mutex_unlock(&peers->lock);
 }
 
+/* See node.h. */
+bool
+ch_peers_is_new_fleet(struct ch_peers *peers, bool *known)
+{
+    pthread_mutex_lock(&peers->lock);
+    bool is_new = peers->is_new_fleet;
+    *known = peers->members_listed;
+    pthread_mutex_unlock(&peers->lock);
+    return is_new;
+}
+
+/* See node.h. */
+bool
+ch_peers_is_live(struct ch_peers *peers, const char *name)
+{
+    pthread_mutex_lock(&peers->lock);
+    const struct ch_member *member = ch_members_find(peers->members, name);
+    bool live = member != NULL && ch_member_is_available(member);
+    pthread_mutex_unlock(&peers->lock);
+    return live;
+}
+
 /* See node.h. */
 bool
 ch_peers_has_list(struct ch_peers *peers)
--- a/libchestnuthitch/node/peers_role.c
+++ b/libchestnuthitch/node/peers_role.c
@@ -2,6 +2,7 @@
 
 #include "decide/rank.h"
 #include "node/peers_internal.h"
+#include "resume/resume.h"
 
 #include <string.h>
 
@@ -100,3 +101,26 @@
     return ch_peers_get_rank(peers, ch_hash_string(role), NULL, region) <
            count;
 }
+
+/* See node.h. */
+void
+ch_peers_list_stream_holders(struct ch_peers *peers, unsigned shard,
+                             size_t max, GPtrArray *names)
+{
+    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
+    GPtrArray *all = g_ptr_array_new();
+    size_t *chosen = g_new(size_t, max);
+    append_self(peers, nodes, all);
+    pthread_mutex_lock(&peers->lock);
+    append_members(peers, NULL, NULL, nodes, all);
+    size_t count = ch_stream_choose_holders(
+        (const struct ch_rank_node *)(void *)nodes->data, nodes->len, shard,
+        chosen, max);
+    for (size_t i = 0; i < count; i++) {
+        g_ptr_array_add(names, g_strdup(g_ptr_array_index(all, chosen[i])));
+    }
+    pthread_mutex_unlock(&peers->lock);
+    g_free(chosen);
+    g_ptr_array_free(all, TRUE);
+    g_array_free(nodes, TRUE);
+}
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -210,6 +210,7 @@
     }
     if (is_current) {
         list->revision = MAX(list->revision, range->revision);
+        list->confirmed_at = now;
     }
     record_call_result(list, range->code, now);
     pthread_mutex_unlock(&roster->lock);
@@ -382,6 +383,17 @@
     return known;
 }
 
+/* See roster.h. */
+int64_t
+ch_roster_get_age(struct ch_roster *roster)
+{
+    int64_t now = ch_client_get_time(roster->node->client);
+    pthread_mutex_lock(&roster->lock);
+    int64_t confirmed_at = roster->upstreams.confirmed_at;
+    pthread_mutex_unlock(&roster->lock);
+    return confirmed_at == 0 ? G_MAXINT64 : MAX(now - confirmed_at, 0);
+}
+
 /* See roster.h. */
 void
 ch_roster_foreach(struct ch_roster *roster,
--- a/libchestnuthitch/node/roster.h
+++ b/libchestnuthitch/node/roster.h
@@ -30,6 +30,9 @@
 void ch_roster_set_lease_holders(struct ch_roster *roster,
                                  void (*names)(void *data, GPtrArray *names),
                                  void *data);
+/* Time since the store confirmed the list of upstreams, to this node or to one
+ * that told this node of it; G_MAXINT64: never. */
+int64_t ch_roster_get_age(struct ch_roster *roster);
 /* Reads the upstreams again, to include changes that were not sent to this
    node. */
 void ch_roster_refresh(struct ch_roster *roster);
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -49,6 +49,7 @@
     int64_t next_publish_at;     /* next time to publish to all nodes */
     bool was_watcher;            /* this node was a watcher at the last tick */
     int64_t last_update_at; /* last message received, or successful read */
+    int64_t confirmed_at;   /* see ch_roster_get_age(); 0: never */
     bool pull_in_flight;
     uint64_t revision; /* revision up to which changes are known; 0: unknown */
     bool known;
--- a/libchestnuthitch/node/roster_publish.c
+++ b/libchestnuthitch/node/roster_publish.c
@@ -91,6 +91,9 @@
     }
     apply_entries(list, roster);
     list->last_update_at = now;
+    if (roster->at != 0) { /* else the sender's own calls fail */
+        list->confirmed_at = now;
+    }
     return list->change_count > previous_changes ? APPLY_CHANGED
                                                  : APPLY_UNCHANGED;
 }
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1852,7 +1852,187 @@
   assert(message->base.descriptor == &chestnuthitch__wire__path_view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[38] =
+void   chestnuthitch__wire__stream_record__init
+                     (Chestnuthitch__Wire__StreamRecord         *message)
+{
+  static const Chestnuthitch__Wire__StreamRecord init_value = CHESTNUTHITCH__WIRE__STREAM_RECORD__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stream_record__get_packed_size
+                     (const Chestnuthitch__Wire__StreamRecord *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stream_record__pack
+                     (const Chestnuthitch__Wire__StreamRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stream_record__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StreamRecord *
+       chestnuthitch__wire__stream_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StreamRecord *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stream_record__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stream_record__free_unpacked
+                     (Chestnuthitch__Wire__StreamRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__stream_records__init
+                     (Chestnuthitch__Wire__StreamRecords         *message)
+{
+  static const Chestnuthitch__Wire__StreamRecords init_value = CHESTNUTHITCH__WIRE__STREAM_RECORDS__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stream_records__get_packed_size
+                     (const Chestnuthitch__Wire__StreamRecords *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stream_records__pack
+                     (const Chestnuthitch__Wire__StreamRecords *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stream_records__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamRecords *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StreamRecords *
+       chestnuthitch__wire__stream_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StreamRecords *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stream_records__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stream_records__free_unpacked
+                     (Chestnuthitch__Wire__StreamRecords *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__stream_query__init
+                     (Chestnuthitch__Wire__StreamQuery         *message)
+{
+  static const Chestnuthitch__Wire__StreamQuery init_value = CHESTNUTHITCH__WIRE__STREAM_QUERY__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stream_query__get_packed_size
+                     (const Chestnuthitch__Wire__StreamQuery *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stream_query__pack
+                     (const Chestnuthitch__Wire__StreamQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stream_query__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StreamQuery *
+       chestnuthitch__wire__stream_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StreamQuery *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stream_query__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stream_query__free_unpacked
+                     (Chestnuthitch__Wire__StreamQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__stream_reply__init
+                     (Chestnuthitch__Wire__StreamReply         *message)
+{
+  static const Chestnuthitch__Wire__StreamReply init_value = CHESTNUTHITCH__WIRE__STREAM_REPLY__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stream_reply__get_packed_size
+                     (const Chestnuthitch__Wire__StreamReply *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stream_reply__pack
+                     (const Chestnuthitch__Wire__StreamReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stream_reply__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StreamReply *
+       chestnuthitch__wire__stream_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StreamReply *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stream_reply__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stream_reply__free_unpacked
+                     (Chestnuthitch__Wire__StreamReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[41] =
 {
   {
     "version",
@@ -2310,6 +2490,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_records",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, stream_records),
+    &chestnuthitch__wire__stream_records__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_query",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, stream_query),
+    &chestnuthitch__wire__stream_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_reply",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, stream_reply),
+    &chestnuthitch__wire__stream_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   16,   /* field[16] = config_pull */
@@ -2348,6 +2564,9 @@
   3,   /* field[3] = reply */
   25,   /* field[25] = roster */
   26,   /* field[26] = roster_pull */
+  39,   /* field[39] = stream_query */
+  38,   /* field[38] = stream_records */
+  40,   /* field[40] = stream_reply */
   0,   /* field[0] = version */
   15,   /* field[15] = withdraw */
 };
@@ -2355,7 +2574,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 38 }
+  { 0, 41 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2365,7 +2584,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  38,
+  41,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -5463,3 +5682,285 @@
   (ProtobufCMessageInit) chestnuthitch__wire__path_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_record__field_descriptors[7] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, writer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ambiguous",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, ambiguous),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, ttl_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stream_record__field_indices_by_name[] = {
+  5,   /* field[5] = ambiguous */
+  0,   /* field[0] = key */
+  4,   /* field[4] = sequence */
+  1,   /* field[1] = service */
+  6,   /* field[6] = ttl_ms */
+  2,   /* field[2] = version */
+  3,   /* field[3] = writer */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stream_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stream_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StreamRecord",
+  "StreamRecord",
+  "Chestnuthitch__Wire__StreamRecord",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StreamRecord),
+  7,
+  chestnuthitch__wire__stream_record__field_descriptors,
+  chestnuthitch__wire__stream_record__field_indices_by_name,
+  1,  chestnuthitch__wire__stream_record__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stream_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_records__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__StreamRecords, n_records),
+    offsetof(Chestnuthitch__Wire__StreamRecords, records),
+    &chestnuthitch__wire__stream_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stream_records__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stream_records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stream_records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StreamRecords",
+  "StreamRecords",
+  "Chestnuthitch__Wire__StreamRecords",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StreamRecords),
+  1,
+  chestnuthitch__wire__stream_records__field_descriptors,
+  chestnuthitch__wire__stream_records__field_indices_by_name,
+  1,  chestnuthitch__wire__stream_records__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stream_records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_query__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamQuery, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamQuery, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stream_query__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stream_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stream_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StreamQuery",
+  "StreamQuery",
+  "Chestnuthitch__Wire__StreamQuery",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StreamQuery),
+  2,
+  chestnuthitch__wire__stream_query__field_descriptors,
+  chestnuthitch__wire__stream_query__field_indices_by_name,
+  1,  chestnuthitch__wire__stream_query__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stream_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_reply__field_descriptors[4] =
+{
+  {
+    "record",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamReply, record),
+    &chestnuthitch__wire__stream_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__StreamReply, n_versions),
+    offsetof(Chestnuthitch__Wire__StreamReply, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "covers_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamReply, covers_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stream_reply__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = covers_ms */
+  0,   /* field[0] = record */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stream_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stream_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StreamReply",
+  "StreamReply",
+  "Chestnuthitch__Wire__StreamReply",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StreamReply),
+  4,
+  chestnuthitch__wire__stream_reply__field_descriptors,
+  chestnuthitch__wire__stream_reply__field_indices_by_name,
+  1,  chestnuthitch__wire__stream_reply__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stream_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -56,6 +56,10 @@
 typedef struct Chestnuthitch__Wire__LimitPermission Chestnuthitch__Wire__LimitPermission;
 typedef struct Chestnuthitch__Wire__PathProbe Chestnuthitch__Wire__PathProbe;
 typedef struct Chestnuthitch__Wire__PathView Chestnuthitch__Wire__PathView;
+typedef struct Chestnuthitch__Wire__StreamRecord Chestnuthitch__Wire__StreamRecord;
+typedef struct Chestnuthitch__Wire__StreamRecords Chestnuthitch__Wire__StreamRecords;
+typedef struct Chestnuthitch__Wire__StreamQuery Chestnuthitch__Wire__StreamQuery;
+typedef struct Chestnuthitch__Wire__StreamReply Chestnuthitch__Wire__StreamReply;
 
 
 /* --- enums --- */
@@ -95,7 +99,10 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_TAKE = 37,
   CHESTNUTHITCH__WIRE__FRAME__BODY_LIMIT_PERMISSION = 38,
   CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_PROBE = 39,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_VIEW = 40
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_VIEW = 40,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_RECORDS = 41,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_QUERY = 42,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -155,6 +162,9 @@
     Chestnuthitch__Wire__LimitPermission *limit_permission;
     Chestnuthitch__Wire__PathProbe *path_probe;
     Chestnuthitch__Wire__PathView *path_view;
+    Chestnuthitch__Wire__StreamRecords *stream_records;
+    Chestnuthitch__Wire__StreamQuery *stream_query;
+    Chestnuthitch__Wire__StreamReply *stream_reply;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -992,6 +1002,100 @@
     , 0 }
 
 
+/*
+ * Where a stream began; IDs are hashes.
+ */
+struct  Chestnuthitch__Wire__StreamRecord
+{
+  ProtobufCMessage base;
+  /*
+   * of the request that brought its first event
+   */
+  uint64_t key;
+  uint64_t service;
+  /*
+   * of the upstream's software; 0: not known
+   */
+  uint64_t version;
+  /*
+   * process that served that request
+   */
+  uint64_t writer;
+  /*
+   * of the writer
+   */
+  uint32_t sequence;
+  protobuf_c_boolean ambiguous;
+  /*
+   * from the sending on
+   */
+  uint32_t ttl_ms;
+};
+#define CHESTNUTHITCH__WIRE__STREAM_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stream_record__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * To nodes that keep records.
+ */
+struct  Chestnuthitch__Wire__StreamRecords
+{
+  ProtobufCMessage base;
+  size_t n_records;
+  Chestnuthitch__Wire__StreamRecord **records;
+};
+#define CHESTNUTHITCH__WIRE__STREAM_RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stream_records__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Asks where a stream began.
+ */
+struct  Chestnuthitch__Wire__StreamQuery
+{
+  ProtobufCMessage base;
+  /*
+   * 0: the caller named no request
+   */
+  uint64_t key;
+  /*
+   * to which the request would go
+   */
+  uint64_t service;
+};
+#define CHESTNUTHITCH__WIRE__STREAM_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stream_query__descriptor) \
+    , 0, 0 }
+
+
+struct  Chestnuthitch__Wire__StreamReply
+{
+  ProtobufCMessage base;
+  /*
+   * unset: there is none
+   */
+  Chestnuthitch__Wire__StreamRecord *record;
+  /*
+   * run by the service lately
+   */
+  size_t n_versions;
+  uint64_t *versions;
+  /*
+   * for how long the sender has known all of them
+   */
+  uint32_t covers_ms;
+  /*
+   * since its list of upstreams was confirmed
+   */
+  uint32_t age_ms;
+};
+#define CHESTNUTHITCH__WIRE__STREAM_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stream_reply__descriptor) \
+    , NULL, 0,NULL, 0, 0 }
+
+
 /* Chestnuthitch__Wire__Frame methods */
 void   chestnuthitch__wire__frame__init
                      (Chestnuthitch__Wire__Frame         *message);
@@ -1771,6 +1875,82 @@
 void   chestnuthitch__wire__path_view__free_unpacked
                      (Chestnuthitch__Wire__PathView *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StreamRecord methods */
+void   chestnuthitch__wire__stream_record__init
+                     (Chestnuthitch__Wire__StreamRecord         *message);
+size_t chestnuthitch__wire__stream_record__get_packed_size
+                     (const Chestnuthitch__Wire__StreamRecord   *message);
+size_t chestnuthitch__wire__stream_record__pack
+                     (const Chestnuthitch__Wire__StreamRecord   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stream_record__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StreamRecord *
+       chestnuthitch__wire__stream_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stream_record__free_unpacked
+                     (Chestnuthitch__Wire__StreamRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StreamRecords methods */
+void   chestnuthitch__wire__stream_records__init
+                     (Chestnuthitch__Wire__StreamRecords         *message);
+size_t chestnuthitch__wire__stream_records__get_packed_size
+                     (const Chestnuthitch__Wire__StreamRecords   *message);
+size_t chestnuthitch__wire__stream_records__pack
+                     (const Chestnuthitch__Wire__StreamRecords   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stream_records__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamRecords   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StreamRecords *
+       chestnuthitch__wire__stream_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stream_records__free_unpacked
+                     (Chestnuthitch__Wire__StreamRecords *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StreamQuery methods */
+void   chestnuthitch__wire__stream_query__init
+                     (Chestnuthitch__Wire__StreamQuery         *message);
+size_t chestnuthitch__wire__stream_query__get_packed_size
+                     (const Chestnuthitch__Wire__StreamQuery   *message);
+size_t chestnuthitch__wire__stream_query__pack
+                     (const Chestnuthitch__Wire__StreamQuery   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stream_query__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StreamQuery *
+       chestnuthitch__wire__stream_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stream_query__free_unpacked
+                     (Chestnuthitch__Wire__StreamQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StreamReply methods */
+void   chestnuthitch__wire__stream_reply__init
+                     (Chestnuthitch__Wire__StreamReply         *message);
+size_t chestnuthitch__wire__stream_reply__get_packed_size
+                     (const Chestnuthitch__Wire__StreamReply   *message);
+size_t chestnuthitch__wire__stream_reply__pack
+                     (const Chestnuthitch__Wire__StreamReply   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stream_reply__pack_to_buffer
+                     (const Chestnuthitch__Wire__StreamReply   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StreamReply *
+       chestnuthitch__wire__stream_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stream_reply__free_unpacked
+                     (Chestnuthitch__Wire__StreamReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Chestnuthitch__Wire__Frame_Closure)
@@ -1896,6 +2076,18 @@
 typedef void (*Chestnuthitch__Wire__PathView_Closure)
                  (const Chestnuthitch__Wire__PathView *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__StreamRecord_Closure)
+                 (const Chestnuthitch__Wire__StreamRecord *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__StreamRecords_Closure)
+                 (const Chestnuthitch__Wire__StreamRecords *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__StreamQuery_Closure)
+                 (const Chestnuthitch__Wire__StreamQuery *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__StreamReply_Closure)
+                 (const Chestnuthitch__Wire__StreamReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1943,6 +2135,10 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_probe__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_view__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_record__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_records__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_query__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -101,7 +101,11 @@
         if (state->version[0] == '\0') {
             g_strlcpy(state->version, version, sizeof state->version);
         }
-        state->joined |= strcmp(state->version, version) != 0;
+        if (strcmp(state->version, version) != 0 && !state->joined) {
+            state->joined = true;
+            g_print("# stream %s: %s from event %u on, began at %s\n",
+                    state->first_id, version, id, state->version);
+        }
         state->gap |= id != state->last_event + 1;
         state->last_event = id;
         count++;
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -227,6 +227,7 @@
     bool complete; /* according to its framing */
     int status;    /* 0: no response */
     double retry_after_s;
+    int64_t last_data_ms; /* of its begin, while there is none */
     GString *body;
 };
 
--- a/tests/harness/users.c
+++ b/tests/harness/users.c
@@ -84,14 +84,33 @@
 
 /* ---- callers ---- */
 
+enum {
+    /* A stream that brings nothing for this long is given up. */
+    MAX_SILENCE_MS = 2000,
+};
+
 static size_t
 on_data(char *bytes, size_t size, size_t count, void *data)
 {
     struct harness_stream *stream = data;
+    stream->last_data_ms = harness_now_ms();
     g_string_append_len(stream->body, bytes, (gssize)(size * count));
     return size * count;
 }
 
+/* For CURLOPT_XFERINFOFUNCTION: not 0 ends the transfer. */
+static int
+on_progress(void *data, curl_off_t total, curl_off_t now, curl_off_t up_total,
+            curl_off_t up_now)
+{
+    const struct harness_stream *stream = data;
+    (void)total;
+    (void)now;
+    (void)up_total;
+    (void)up_now;
+    return harness_now_ms() - stream->last_data_ms > MAX_SILENCE_MS;
+}
+
 static size_t
 on_header(char *line, size_t size, size_t count, void *data)
 {
@@ -141,13 +160,14 @@
     CURL *curl = curl_easy_init();
     long status = 0;
     stream->body = g_string_new(NULL);
+    stream->last_data_ms = harness_now_ms();
     curl_easy_setopt(curl, CURLOPT_URL, url);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->deadline_ms);
-    /* A stream that brings nothing for two seconds is given up. */
-    curl_easy_setopt(curl, CURLOPT_LOW_SPEED_LIMIT, 1L);
-    curl_easy_setopt(curl, CURLOPT_LOW_SPEED_TIME, 2L);
+    curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
+    curl_easy_setopt(curl, CURLOPT_XFERINFODATA, stream);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, "{}");
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -7,6 +7,7 @@
 #include "threaded/fake_limits.h"
 #include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
+#include "threaded/fake_streams.h"
 
 #include <curl/curl.h>
 #include <json-glib/json-glib.h>
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -12,6 +12,7 @@
 #include "threaded/fake_limits.h"
 #include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
+#include "threaded/fake_streams.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -847,7 +848,15 @@
 read_headers(const struct ch_http_header *headers, size_t count,
              struct ch_request_input *input, struct ch_fault *fault)
 {
-    (void)headers, (void)count, (void)fault;
+    (void)fault;
+    for (size_t i = 0; i < count; i++) {
+        if (g_ascii_strcasecmp(headers[i].name, "Last-Event-Id") == 0) {
+            input->resume_id = headers[i].value;
+        }
+        if (g_ascii_strcasecmp(headers[i].name, "Resumes") == 0) {
+            input->resumes = headers[i].value;
+        }
+    }
     input->host = "h";
     input->request_id = "r1";
     input->model = "m01";
@@ -988,6 +997,92 @@
     fixture_free(fixture);
 }
 
+/* Guards against a stream of which no other node knows at which version it
+ * began. */
+static void
+test_stream_record(void)
+{
+    struct fixture *fixture = routed_fixture();
+    struct ch_stream_manager streams = {.node = &fixture->node};
+    fixture->node.streams = &streams;
+    fixture_start(fixture);
+    g_free(read_response(send_request(fixture, "POST /r/1", "", "")));
+    fixture_stop(fixture);
+    g_assert_cmpint(streams.asked, ==, 0);
+    g_assert_cmpint(streams.written, ==, 1);
+    g_assert_cmpuint(streams.last.key, ==, ch_stream_get_key("", "r1"));
+    g_assert_cmpuint(streams.last.origin.version, ==, ch_version_get_id("v1"));
+    g_assert_cmpuint(streams.last.origin.service, ==,
+                     ch_hash_string("models"));
+    fixture_free(fixture);
+}
+
+static const struct {
+    const char *name;
+    const char *headers;
+    enum ch_stream_finding finding;
+    const char *service;
+    const char *version; /* NULL: the record says that it is not known */
+    const char *code;    /* "": the stream goes on */
+} taken_up_cases[] = {
+    {"a record names the version", "Last-Event-Id: 2\r\nResumes: r0\r\n",
+     CH_STREAM_FOUND, "models", "v1", ""},
+    {"the only version for long", "Last-Event-Id: 2\r\n", CH_STREAM_SOLE,
+     "models", "v1", ""},
+    {"several versions, no record", "Last-Event-Id: 2\r\nResumes: r0\r\n",
+     CH_STREAM_SEVERAL, "models", "v1", "212"},
+    {"records that differ", "Last-Event-Id: 2\r\nResumes: r0\r\n",
+     CH_STREAM_AMBIGUOUS, "models", "v1", "212"},
+    {"began at an unknown version", "Last-Event-Id: 2\r\nResumes: r0\r\n",
+     CH_STREAM_FOUND, "models", NULL, "212"},
+    {"began at another service", "Last-Event-Id: 2\r\nResumes: r0\r\n",
+     CH_STREAM_FOUND, "orders", "v1", "212"},
+};
+
+/* Guards against a caller's stream that goes on at another version or service
+ * than the one that began it, and against one that is held while it may go on
+ * nowhere. */
+static void
+test_taken_up(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(taken_up_cases); i++) {
+        struct fixture *fixture = routed_fixture();
+        const struct ch_stream_origin origin = {
+            ch_hash_string(taken_up_cases[i].service),
+            ch_version_get_id(taken_up_cases[i].version)};
+        struct ch_stream_manager streams = {
+            .node = &fixture->node,
+            .result = {.finding = taken_up_cases[i].finding, .origin = origin},
+        };
+        if (taken_up_cases[i].finding == CH_STREAM_FOUND) {
+            streams.result.record = (struct ch_stream_record){
+                .key = ch_stream_get_key("", "r0"), .origin = origin};
+        }
+        fixture->node.streams = &streams;
+        g_test_message("%s", taken_up_cases[i].name);
+        fixture_start(fixture);
+        char *response = read_response(
+            send_request(fixture, "POST /r/1", taken_up_cases[i].headers, ""));
+        fixture_stop(fixture);
+        bool goes_on = taken_up_cases[i].code[0] == '\0';
+        g_assert_cmpint(streams.asked, ==, 1);
+        g_assert_cmpint(fixture->router_requests > 0, ==, goes_on);
+        if (goes_on) {
+            g_assert_cmpuint(fixture->last_required_version, ==,
+                             ch_version_get_id("v1"));
+            g_assert_cmpint(streams.written, ==,
+                            taken_up_cases[i].finding == CH_STREAM_FOUND);
+        }
+        else {
+            g_assert_nonnull(strstr(response, "503"));
+            g_assert_nonnull(strstr(response, taken_up_cases[i].code));
+            g_assert_nonnull(strstr(response, "Retry-After"));
+        }
+        g_free(response);
+        fixture_free(fixture);
+    }
+}
+
 static const struct {
     const char *name;
     const char *idempotent;
@@ -1952,6 +2047,8 @@
     g_test_add_func("/exchange/begun", test_started_stream);
     g_test_add_func("/exchange/unknown-version",
                     test_stream_of_unknown_version);
+    g_test_add_func("/exchange/stream-record", test_stream_record);
+    g_test_add_func("/exchange/taken-up", test_taken_up);
     g_test_add_func("/exchange/time-left", test_time_left);
     g_test_add_func("/exchange/refused", test_refused);
     g_test_add_func("/exchange/server-error", test_upstream_failure);
--- a/tests/threaded/test_front.c
+++ b/tests/threaded/test_front.c
@@ -10,6 +10,7 @@
 #include "threaded/fake_limits.h"
 #include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
+#include "threaded/fake_streams.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -11,6 +11,7 @@
 #include "threaded/fake_limits.h"
 #include "threaded/fake_paths.h"
 #include "threaded/fake_quota.h"
+#include "threaded/fake_streams.h"
 
 #include <string.h>
 
@@ -105,6 +106,13 @@
     (void)roster;
 }
 
+int64_t
+ch_roster_get_age(struct ch_roster *roster)
+{
+    (void)roster;
+    return 0;
+}
+
 bool
 ch_roster_is_known(struct ch_roster *roster)
 {
