A begun stream goes to the process that wrote it, not to what starts again under its name

Callers' streams would go on at another version where an upstream starts again under its name with other software: nodes knew the version of the name, by an entry that may be a heartbeat old.

- A report names its process (born).
A lease holder that sees a later one than the list's entry discards what it knew of the engine and publishes under the new boot; before, it went on under the old one until the entry came.
- A node takes no status of an engine for a boot that its own list doesn't name.
- An upstream to which a connection was lost since its entry arrived, or whose entry comes from a list older than 6 s, may be another process.
Before a begun stream goes on there, an engine is asked for its report; a plain service, which has none, is passed over until its entry comes anew.

The stand-in's workers hold nothing when they start again under a name, as the platform's do; before, they came back with their models loaded, which made a window of milliseconds that no node can see and that the platform doesn't have. The cases same-name and no-version are as strict as before otherwise.

New: /controller/reported-restart, /balance/restart-suspected, /exchange/process-checked.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -104,6 +104,7 @@
     bool listed;
     bool busy;             /* accepts no orders now */
     int64_t limited_until; /* see ch_balance_set_limited_until() */
+    int64_t lost_at;       /* when a connection to it was last lost */
     GArray *models;        /* GQuark */
     GArray *adapters;      /* GQuark: "model/adapter" */
     /* Requests of this node. */
@@ -437,6 +438,14 @@
 
 /* Upstreams of the current list. */
 uint64_t
+ch_balance_get_boot(const struct ch_balance *balance, GQuark upstream)
+{
+    const struct upstream_state *state = find_state(balance, upstream);
+    return state == NULL ? 0 : state->facts.boot_id;
+}
+
+/* See balance.h. */
+uint64_t
 ch_balance_get_version(const struct ch_balance *balance, GQuark upstream)
 {
     const struct upstream_state *state = find_state(balance, upstream);
@@ -795,6 +804,14 @@
            estimate_slot_wait(state, now, (int64_t)(response_time / slots));
 }
 
+/* Whether another process may run under the upstream's name than the one that
+ * its entry describes. */
+static bool
+may_have_restarted(const struct upstream_state *state)
+{
+    return state->lost_at > state->facts.confirmed_at;
+}
+
 /* Whether the request may go to the upstream at all. */
 static bool
 is_candidate(const struct upstream_state *state,
@@ -810,8 +827,9 @@
         return false;
     }
     if (request->required_version != 0 &&
-        state->facts.version_id != request->required_version) {
-        return false;
+        (state->facts.version_id != request->required_version ||
+         (!state->facts.engine && may_have_restarted(state)))) {
+        return false; /* only an engine can be asked which process it is */
     }
     if (request->required_upstream != 0 &&
         state->facts.name != request->required_upstream) {
@@ -968,6 +986,7 @@
         .boot_id = state->facts.boot_id,
         .version = state->facts.version,
         .version_id = state->facts.version_id,
+        .may_have_restarted = may_have_restarted(state),
         .data_centre = state->facts.data_centre,
         .other_region = state->facts.region != balance->region,
         .adapter_missing = request->adapter != 0 &&
@@ -1181,6 +1200,9 @@
     if (!is_about_upstream(code, &failed)) {
         return;
     }
+    if (code == CH_UPSTREAM_CONNECT || code == CH_UPSTREAM_CUT) {
+        state->lost_at = now;
+    }
     double rate = estimate_failure_rate(state, now);
     state->failure_rate =
         rate + ((failed ? 1 : 0) - rate) * failure_sample_weight;
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -21,6 +21,7 @@
     bool engine;
     bool draining;
     uint64_t boot_id;
+    int64_t confirmed_at;    /* when the list's entry of this boot arrived */
     uint32_t slots;          /* max. requests at once */
     uint32_t context_tokens; /* memory for prompts and responses; 0: unknown */
     uint32_t adapter_slots;
@@ -38,6 +39,9 @@
     uint64_t version_id;
     GQuark data_centre;
     bool other_region;
+    /* A connection to the upstream was lost since its entry arrived: another
+     * process may have taken its name. */
+    bool may_have_restarted;
     bool is_last_resort;  /* no other upstream can take the request: there is
                              none, or their limits were used up lately */
     bool adapter_missing; /* load the adapter before the request is sent */
@@ -108,6 +112,9 @@
                                            int64_t prefill_backlog),
                             void *data);
 
+/* The boot ID in an upstream's entry; 0: not known. */
+uint64_t ch_balance_get_boot(const struct ch_balance *balance,
+                             GQuark upstream);
 /* The version of an upstream's software; CH_VERSION_NOT_KNOWN also where the
  * upstream is not listed. */
 uint64_t ch_balance_get_version(const struct ch_balance *balance,
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -47,6 +47,9 @@
     /* How long an upstream is passed over after its limit refused a call. The
      * time that such a refusal states may lie behind those of other calls. */
     MAX_LIMITED_US = 1000 * 1000,
+    /* A list that was confirmed longer ago than this may lack the restart of
+     * an upstream under its name. */
+    MAX_LIST_AGE_US = 6 * 1000 * 1000,
     /* Limit of engines that are asked in vain to load a request's adapter. */
     MAX_ADAPTER_LOADS = 2,
 };
@@ -222,6 +225,7 @@
         .engine = host->kind == CH_HOST_ENGINE,
         .draining = host->draining,
         .boot_id = host->boot_id,
+        .confirmed_at = host->received_at,
         .slots = host->max_batch,
         .context_tokens = service == NULL ? 0 : service->context_tokens,
         .adapter_slots = service == NULL ? 0 : service->adapter_slots,
@@ -390,6 +394,9 @@
                 .boot_id = choice->boot_id,
                 .version = choice->version,
                 .version_id = choice->version_id,
+                .may_have_restarted =
+                    choice->may_have_restarted ||
+                    ch_roster_get_age(balancer->roster) > MAX_LIST_AGE_US,
                 .client = request->client->client,
                 .address = request->client->address,
                 .priority = request->info.priority,
@@ -746,11 +753,28 @@
     return copy;
 }
 
+/* Whether a status is of another process than the list's entry: of an engine
+ * that has started again under its name, with other software perhaps. Lock
+ * held. */
+static bool
+is_of_other_process(const struct balancer *balancer,
+                    const struct ch_engine_status *engine)
+{
+    uint64_t listed = ch_balance_get_boot(balancer->balance, engine->upstream);
+    return listed != 0 && engine->boot_id != 0 && listed != engine->boot_id;
+}
+
 /* Handles a lease holder's status of one engine. */
 static void
 handle_engine_status(void *data, const struct ch_engine_status *engine)
 {
     struct balancer *balancer = data;
+    pthread_mutex_lock(&balancer->lock);
+    bool is_of_other = is_of_other_process(balancer, engine);
+    pthread_mutex_unlock(&balancer->lock);
+    if (is_of_other) {
+        return;
+    }
     struct received_status *status = g_new0(struct received_status, 1);
     status->engine_boot_id = engine->boot_id;
     status->received_time = ch_client_get_time(balancer->node->client);
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -919,6 +919,11 @@
     if (report == NULL || job->boot != engine->boot_id) {
         return;
     }
+    if (engine->boot_id != 0 && report->started > engine->boot_id) {
+        /* The report precedes the list's entry of the restart. */
+        reset_engine(engine, now);
+        engine->boot_id = report->started;
+    }
     engine->running = report->running;
     engine->waiting = report->waiting;
     bool settled =
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -324,6 +324,84 @@
                           exchange);
 }
 
+/* ---- whether the upstream is still the process that its entry describes ----
+ */
+
+/* The granted upstream may not take the stream: asks the router for another
+ * one. A router that offers the same one again has no other. Lock held;
+ * returns true when the exchange can be finished. */
+static bool
+pass_over_upstream(struct ch_exchange *exchange)
+{
+    release_unused_grant(exchange, CH_CANCELLED, 0);
+    if (ch_route_is_excluded(exchange->excluded, exchange->grant.upstream)) {
+        return end_routing(exchange, CH_NO_UPSTREAM,
+                           CH_EXCHANGE_RETRY_AFTER_US,
+                           "no upstream is certain to fit the stream");
+    }
+    exchange->exclusions_dropped = true;
+    g_array_append_val(exchange->excluded, exchange->grant.upstream);
+    ch_pool_submit(exchange->frontend->node->pool, request_grant, exchange);
+    return false;
+}
+
+/* Handles the report of the granted upstream. */
+static void
+handle_process_report(void *data, enum ch_code code,
+                      struct ch_engine_report *report)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    bool same = code == CH_OK && report != NULL &&
+                report->started == exchange->grant.boot_id;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->abandoned) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        over = end_without_response(exchange);
+    }
+    else if (same) {
+        call_within_limit(exchange);
+    }
+    else {
+        over = pass_over_upstream(exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    ch_engine_report_free(report);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+}
+
+/* Whether the call goes on with a stream at an upstream that may have started
+ * again under its name, with other software. Lock held. */
+static bool
+must_check_process(const struct ch_exchange *exchange)
+{
+    return exchange->grant.may_have_restarted &&
+           exchange->request->info.required_version != 0;
+}
+
+/* Calls the granted upstream once it is certain to be the right process. Lock
+ * held; returns true when the exchange can be finished. */
+static bool
+call_checked(struct ch_exchange *exchange)
+{
+    struct ch_upstream *client = exchange->grant.client;
+    if (!must_check_process(exchange)) {
+        call_within_limit(exchange);
+        return false;
+    }
+    if (client->ops->fetch_report == NULL ||
+        ch_limit_manager_is_limited(exchange->frontend->node->limits,
+                                    exchange->grant.upstream)) {
+        return pass_over_upstream(exchange);
+    }
+    ch_metrics_add_count(exchange->frontend->node->client->metrics,
+                         CH_COUNT_PROCESSES_CHECKED, 1);
+    client->ops->fetch_report(client, handle_process_report, exchange);
+    return false;
+}
+
 /* The router granted an upstream. A grant that comes after the caller gave up
  * is released unused. */
 static void
@@ -346,7 +424,7 @@
         release_unused_grant(exchange, CH_CANCELLED, 0);
     }
     else {
-        call_within_limit(exchange);
+        over = call_checked(exchange);
     }
     pthread_mutex_unlock(&exchange->lock);
     if (over) {
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -341,9 +341,12 @@
 struct ch_grant {
     uint64_t handle; /* of the request; to be passed to release */
     GQuark upstream;
-    uint64_t boot_id;           /* of the upstream; 0: unknown */
-    GQuark version;             /* of its software; 0: unknown */
-    uint64_t version_id;        /* of its software */
+    uint64_t boot_id;    /* of the upstream; 0: unknown */
+    GQuark version;      /* of its software; 0: unknown */
+    uint64_t version_id; /* of its software */
+    /* Another process may run under its name than boot_id and version_id
+     * describe. */
+    bool may_have_restarted;
     struct ch_upstream *client; /* valid until release */
     const char *address; /* "ip:port", valid until release; NULL: unknown */
     uint32_t priority;
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -110,7 +110,9 @@
 };
 
 struct ch_engine_report {
-    char *boot_id; /* changes when the engine restarts with empty memory */
+    char *boot_id;    /* changes when the engine restarts with empty memory */
+    uint64_t started; /* identifies its process, as its entry's boot ID does;
+                         0: not reported */
     uint32_t memory_mb;
     struct ch_resident_item *resident_items;
     size_t resident_item_count;
--- a/tests/standin/users.h
+++ b/tests/standin/users.h
@@ -38,8 +38,8 @@
 /*
  * Handles control calls: "worker" with name=, action= and, where it starts,
  * service=, zone=, version=, models=A,B:
- *   start    listens at its own port with an empty memory but for the models,
- *            and writes its entry; also again under the same name
+ *   start    listens at its own port with these models in memory, and writes
+ *            its entry; under a name that it had before, with none
  *   crash    ends at once, without a word; its entry lapses later
  *   drain    reports that it leaves, and serves on
  *   remove   removes its entry, and serves on
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -459,7 +459,8 @@
     g_autofree char *models = copy_query(exchange, "models");
     char **names = g_strsplit(models, ",", -1);
     g_ptr_array_set_size(worker->models, 0);
-    for (size_t i = 0; names[i] != NULL; i++) {
+    /* A worker that starts again under its name holds nothing. */
+    for (size_t i = 0; worker->boot == 0 && names[i] != NULL; i++) {
         if (names[i][0] != '\0') {
             g_ptr_array_add(worker->models, g_strdup(names[i]));
         }
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -71,8 +71,9 @@
 }
 
 static int reports; /* asked of engines; atomic */
+/* The start of the process that e1's reports are of; 0: no engine replies. */
+static int reported_start;
 
-/* No engine replies. */
 static void
 no_report(struct ch_upstream *upstream,
           void (*done)(void *data, enum ch_code code,
@@ -81,7 +82,14 @@
 {
     (void)upstream;
     g_atomic_int_inc(&reports);
-    done(data, CH_UPSTREAM_CONNECT, NULL);
+    if (reported_start == 0) {
+        done(data, CH_UPSTREAM_CONNECT, NULL);
+        return;
+    }
+    struct ch_engine_report *report = g_new0(struct ch_engine_report, 1);
+    report->boot_id = g_strdup("");
+    report->started = (uint64_t)reported_start;
+    done(data, CH_OK, report);
 }
 
 static void
@@ -117,13 +125,17 @@
     int messages;
     int states;
     int full_requests;
+    int boot;         /* of e1 in its last status */
     uint32_t running; /* requests on e1 in the last loads; 0 until then */
 } seen;
 
 static void
 record_engine_status(void *data, const struct ch_engine_status *engine)
 {
-    (void)data, (void)engine;
+    (void)data;
+    if (engine->upstream == g_quark_from_string("e1")) {
+        g_atomic_int_set(&seen.boot, (int)engine->boot_id);
+    }
     g_atomic_int_inc(&seen.states);
 }
 
@@ -623,6 +635,34 @@
     test_node_free(remote_holder);
 }
 
+/* ---- engines that start again under their names ---- */
+
+/*
+ * Guards against a status that names the process before a restart: nodes would
+ * take what the new process holds for the old one's, and send it streams that
+ * other software began.
+ */
+static void
+test_reported_restart(void)
+{
+    struct ch_kv kv = {.ops = &lease_kv_ops};
+    struct test_node *node = test_node_new("n1");
+    node->node.kv = &kv;
+    node->node.timers = ch_timers_new(node->node.pool);
+    struct ch_controller *controller =
+        ch_controller_new(&node->node, NULL, &recording_handlers, NULL);
+    ch_controller_refresh(controller);
+    ch_peers_start(node->node.peers);
+    set_known_node(node, node);
+    reported_start = 5; /* the list says 1 */
+    g_atomic_int_set(&seen.boot, 0);
+    ch_controller_start(controller);
+    await(&seen.boot, 5);
+    g_assert_cmpint(g_atomic_int_get(&seen.boot), ==, 5);
+    stop_controller(node, controller);
+    reported_start = 0;
+}
+
 /* ---- limits of engines ---- */
 
 enum {
@@ -748,6 +788,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/controller/reported-restart", test_reported_restart);
     g_test_add_func("/controller/told", test_engine_status);
     g_test_add_func("/controller/claims-when-listed",
                     test_lease_needs_host_list);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -91,6 +91,9 @@
     struct ch_once_result once_result;
     unsigned router_requests;
     const char *granted_version; /* of upstreams; NULL: not known */
+    bool may_have_restarted;     /* the upstream, as the router knows */
+    uint64_t reported_start;     /* of its process; 0: no report */
+    int process_reports;         /* atomic: reports asked for */
     uint64_t last_required_version;
     unsigned granted;
     unsigned released;
@@ -160,6 +163,8 @@
             .upstream = g_quark_from_string("w01"),
             .version = g_quark_from_string(job->fixture->granted_version),
             .version_id = ch_version_get_id(job->fixture->granted_version),
+            .boot_id = 3,
+            .may_have_restarted = job->fixture->may_have_restarted,
             .client = &job->fixture->upstream,
             .priority = 3,
         };
@@ -522,12 +527,48 @@
                                        "idempotent = false\n"
                                        "callers = llanelli\n";
 
+struct report_job {
+    const struct fixture *fixture;
+    void (*done)(void *data, enum ch_code code,
+                 struct ch_engine_report *report);
+    void *data;
+};
+
+static void
+run_report_job(void *data)
+{
+    struct report_job *job = data;
+    struct ch_engine_report *report = NULL;
+    if (job->fixture->reported_start != 0) {
+        report = g_new0(struct ch_engine_report, 1);
+        report->boot_id = g_strdup("");
+        report->started = job->fixture->reported_start;
+    }
+    job->done(job->data, report == NULL ? CH_UPSTREAM_CONNECT : CH_OK, report);
+    g_free(job);
+}
+
+/* The upstream's report, or none. */
+static void
+upstream_report(struct ch_upstream *upstream,
+                void (*done)(void *data, enum ch_code code,
+                             struct ch_engine_report *report),
+                void *data)
+{
+    struct fixture *fixture = (struct fixture *)upstream;
+    struct report_job *job = g_new(struct report_job, 1);
+    *job = (struct report_job){fixture, done, data};
+    g_atomic_int_inc(&fixture->process_reports);
+    ch_pool_submit(fixture->node.pool, run_report_job, job);
+}
+
 static struct fixture *
 fixture_new(void)
 {
     static const struct ch_upstream_ops ops = {
         .call = upstream_call,
         .cancel = upstream_cancel,
+        .fetch_report = upstream_report,
     };
     struct fixture *fixture = g_new0(struct fixture, 1);
     struct ch_error error = {.code = CH_OK};
@@ -997,6 +1038,50 @@
     fixture_free(fixture);
 }
 
+static const struct {
+    const char *name;
+    bool may_have_restarted;
+    uint64_t reported_start;
+    int reports;
+    bool goes_on;
+} process_cases[] = {
+    {"no connection was lost", false, 9, 0, true},
+    {"the same process answers", true, 3, 1, true},
+    {"another process has its name", true, 9, 2, false},
+    {"no report", true, 0, 2, false},
+};
+
+/* Guards against a stream that goes on at an upstream which has started again
+ * under its name, with other software. */
+static void
+test_process_checked(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(process_cases); i++) {
+        struct fixture *fixture = routed_fixture();
+        const struct ch_stream_origin origin = {ch_hash_string("models"),
+                                                ch_version_get_id("v1")};
+        struct ch_stream_manager streams = {
+            .node = &fixture->node,
+            .result = {.finding = CH_STREAM_SOLE, .origin = origin},
+        };
+        fixture->node.streams = &streams;
+        fixture->may_have_restarted = process_cases[i].may_have_restarted;
+        fixture->reported_start = process_cases[i].reported_start;
+        g_test_message("%s", process_cases[i].name);
+        fixture_start(fixture);
+        char *response = read_response(
+            send_request(fixture, "POST /r/1", "Last-Event-Id: 2\r\n", ""));
+        fixture_stop(fixture);
+        g_assert_cmpint(fixture->process_reports, ==,
+                        process_cases[i].reports);
+        g_assert_cmpint(fixture->calls > 0, ==, process_cases[i].goes_on);
+        g_assert_cmpint(strstr(response, "503") == NULL, ==,
+                        process_cases[i].goes_on);
+        g_free(response);
+        fixture_free(fixture);
+    }
+}
+
 /* Guards against a stream of which no other node knows at which version it
  * began. */
 static void
@@ -2049,6 +2134,7 @@
                     test_stream_of_unknown_version);
     g_test_add_func("/exchange/stream-record", test_stream_record);
     g_test_add_func("/exchange/taken-up", test_taken_up);
+    g_test_add_func("/exchange/process-checked", test_process_checked);
     g_test_add_func("/exchange/time-left", test_time_left);
     g_test_add_func("/exchange/refused", test_refused);
     g_test_add_func("/exchange/server-error", test_upstream_failure);
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -719,6 +719,56 @@
     }
 }
 
+/* Guards against a stream that goes on at another process than the one that
+ * the list describes: a connection was lost since, and the upstream's name may
+ * stand for other software now. An engine can be asked; a plain service is
+ * passed over. */
+static void
+test_restart_suspected(void)
+{
+    static const struct test_upstream upstreams[] = {
+        {"a", "r1", "d1", "m", NULL, false, "v1"},
+        {NULL, NULL, NULL, NULL, NULL, false, NULL},
+    };
+    for (int engine = 0; engine < 2; engine++) {
+        struct ch_balance *balance = create_balance(upstreams);
+        struct ch_upstream_info facts = {
+            .name = g_quark_from_string("a"),
+            .service = g_quark_from_string("s"),
+            .region = g_quark_from_string("r1"),
+            .data_centre = g_quark_from_string("d1"),
+            .version_id = ch_version_get_id("v1"),
+            .engine = engine != 0,
+            .boot_id = 3,
+            .confirmed_at = NOW - SECOND,
+            .slots = 64,
+        };
+        GQuark model = g_quark_from_string("m");
+        facts.resident_models = &model;
+        facts.resident_model_count = 1;
+        ch_balance_update_upstream(balance, &facts);
+        struct ch_request_info request = build_request("m", 1000);
+        request.is_service = engine == 0;
+        request.required_version = ch_version_get_id("v1");
+        struct ch_upstream_choice choice =
+            ch_balance_choose(balance, &request, NULL, false, NOW);
+        g_assert_cmpint(choice.code, ==, CH_OK);
+        g_assert_false(choice.may_have_restarted);
+        const struct ch_timing_sample cut = {.code = CH_UPSTREAM_CUT};
+        ch_balance_record_sent(balance, &request, &choice, NOW);
+        ch_balance_record_end(balance, &request, &choice, false, &cut, NOW);
+        choice = ch_balance_choose(balance, &request, NULL, false, NOW);
+        g_assert_cmpint(choice.code == CH_OK, ==, engine != 0);
+        g_assert_cmpint(choice.may_have_restarted, ==, engine != 0);
+        facts.confirmed_at = NOW + SECOND;
+        ch_balance_update_upstream(balance, &facts);
+        choice = ch_balance_choose(balance, &request, NULL, false, NOW);
+        g_assert_cmpint(choice.code, ==, CH_OK);
+        g_assert_false(choice.may_have_restarted);
+        ch_balance_free(balance);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -737,5 +787,6 @@
     g_test_add_func("/balance/restart", test_restart);
     g_test_add_func("/balance/switches", test_switches);
     g_test_add_func("/balance/versions", test_versions);
+    g_test_add_func("/balance/restart-suspected", test_restart_suspected);
     return g_test_run();
 }
