While versions of the software mix, a model has a second engine at each version

A stream goes on only at the version that began it. Where one engine of that version holds its model, the streams end with that engine: a load takes longer than their callers wait.

The balancer counts an engine that is the sole one of its version with the model as 60 ms dearer for a stream that could be resumed, where another version has two. A lease holder adds, for models in demand, a second replica at a version that has one, on engines of that version, by the same rules as any replica: never for a last replica nor for one that is asked for as much. Nothing changes where engines run one version.

New: /balance/shared-versions, /placement/versions.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -45,6 +45,9 @@
     /* An adapter loads in 6 to 19 ms; the rest is the delay of the load order.
      */
     ADAPTER_LOAD_US = 60 * 1000,
+    /* Cost of the sole engine of its version with the model: its streams are
+     * lost with it. Much less than a queue there or elsewhere. */
+    LONE_VERSION_COST_US = 60 * 1000,
     /* An engine that is loading or unloading models accepts no other order for
      * a second or more. */
     BUSY_ENGINE_COST_US = 1500 * 1000,
@@ -952,6 +955,42 @@
     return false;
 }
 
+/* Whether another candidate runs the same version. */
+static bool
+has_twin(const GArray *candidates, guint index)
+{
+    uint64_t version = g_array_index(candidates, struct candidate, index)
+                           .state->facts.version_id;
+    for (guint i = 0; i < candidates->len; i++) {
+        if (i != index && g_array_index(candidates, struct candidate, i)
+                                  .state->facts.version_id == version) {
+            return version != CH_VERSION_NOT_KNOWN;
+        }
+    }
+    return false;
+}
+
+/* Makes upstreams dearer at which a new stream could not go on elsewhere, if
+ * there are others: the sole ones of their version with the model. */
+static void
+prefer_shared_versions(const struct ch_request_info *request,
+                       const GArray *candidates, GArray *costs)
+{
+    bool any_twin = false;
+    for (guint i = 0; i < candidates->len && !any_twin; i++) {
+        any_twin = has_twin(candidates, i);
+    }
+    if (!any_twin || request->is_service || request->required_version != 0 ||
+        !request->idempotent) {
+        return;
+    }
+    for (guint i = 0; i < candidates->len; i++) {
+        if (!has_twin(candidates, i)) {
+            g_array_index(costs, double, i) += LONE_VERSION_COST_US;
+        }
+    }
+}
+
 /* Returns the index of the chosen candidate. `random` differs for each request
  * and each of its attempts. */
 static size_t
@@ -1039,6 +1078,7 @@
         choice.code = CH_VERSION_GONE;
         choice.message = "no upstream runs the stream's version any more";
     }
+    prefer_shared_versions(request, candidates, costs);
     bool only_one = candidates->len == 1;
     bool all_limited = remove_limited(candidates, costs, now);
     if (candidates->len > 0) {
--- a/libchestnuthitch/decide/placement.c
+++ b/libchestnuthitch/decide/placement.c
@@ -31,6 +31,9 @@
  * elsewhere. */
 static const double MAX_IDLE_LOAD = 0.25;
 
+/* A model with less demand has hardly a stream that could be cut. */
+static const double MIN_PAIRED_DEMAND = 0.1;
+
 /* A replica from the weight store is added for a higher load the longer it
  * takes: more by this for each second beyond those that a local copy takes,
  * but always when the replicas that exist are fully busy. */
@@ -283,6 +286,122 @@
     return best.engine != NULL;
 }
 
+/* ---- versions of the engines' software ---- */
+
+/* Whether engines that may hold the model run several versions. */
+static bool
+has_several_versions(const struct ch_placement_round *round,
+                     const struct ch_placement_model *model)
+{
+    uint64_t first = CH_VERSION_NOT_KNOWN;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_placement_engine *engine = &round->state->engines[i];
+        if (engine->draining || engine->version_id == CH_VERSION_NOT_KNOWN ||
+            !ch_placement_is_eligible(engine, model)) {
+            continue;
+        }
+        if (first != CH_VERSION_NOT_KNOWN && engine->version_id != first) {
+            return true;
+        }
+        first = engine->version_id;
+    }
+    return false;
+}
+
+/* The replicas of a model on engines of one version. */
+static unsigned
+count_at_version(const struct ch_placement_round *round,
+                 const struct ch_placement_model *model, uint64_t version_id)
+{
+    unsigned count = 0;
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_placement_engine *engine = &round->state->engines[i];
+        const struct ch_placement_item *item =
+            ch_placement_find_item(engine, model->name);
+        bool held = item != NULL && item->state != CH_ITEM_UNLOADING;
+        count += !engine->draining && engine->version_id == version_id &&
+                 (held || engine->reserved_for == model->name);
+    }
+    return count;
+}
+
+/* Looks for an engine of the version that takes a second replica. */
+static void
+find_second_engine(const struct ch_placement_round *round,
+                   const struct ch_placement_model *model, uint64_t version_id,
+                   struct candidate_engine *best)
+{
+    double load = ch_placement_load_per_replica(
+        model, ch_placement_count_replicas(round, model->name));
+    for (size_t i = 0; i < round->state->engine_count; i++) {
+        const struct ch_placement_engine *engine = &round->state->engines[i];
+        struct ch_eviction eviction;
+        if (engine->version_id != version_id ||
+            !can_take_load(round, engine, model) ||
+            engine->reserved_for != 0 ||
+            !ch_placement_find_evictions(round, engine, model->memory_mb,
+                                         load / CH_MIN_EVICTION_GAIN,
+                                         &eviction)) {
+            continue;
+        }
+        double cost =
+            compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
+            eviction.cost + eviction.victim_count * EVICTION_COST +
+            ch_placement_engine_load(round, engine, eviction.first_victim) +
+            adapter_blocking_cost(round, engine);
+        keep_cheaper(best, engine, eviction.first_victim, cost);
+    }
+}
+
+/*
+ * For engines whose software is replaced bit by bit while streams run. A
+ * stream goes on only at the version that began it. If one engine of the
+ * version holds the model and is lost, its streams end, as a load takes longer
+ * than their callers wait. So a model that is asked for gets a second replica
+ * at each version that has one; not for its last replica of another model, nor
+ * for one that is asked for as much.
+ */
+static void
+add_second_at_versions(struct ch_placement_round *round,
+                       const struct ch_replica_count *count)
+{
+    const struct ch_placement_model *model = count->model;
+    for (size_t i = 0;
+         i < round->state->engine_count &&
+         round->changing_engines < round->state->max_changing_engines;
+         i++) {
+        const struct ch_placement_engine *engine = &round->state->engines[i];
+        struct candidate_engine best = {NULL, 0, 0};
+        if (engine->draining || engine->version_id == CH_VERSION_NOT_KNOWN ||
+            ch_placement_find_item(engine, model->name) == NULL ||
+            count_at_version(round, model, engine->version_id) != 1) {
+            continue;
+        }
+        find_second_engine(round, model, engine->version_id, &best);
+        if (best.engine != NULL) {
+            add_order(round, best.engine, best.victim, model->name,
+                      "second replica at the version of a running one");
+        }
+    }
+}
+
+/* Adds second replicas for models in demand while several versions run. */
+static void
+pair_versions(struct ch_placement_round *round)
+{
+    unsigned searches = 0;
+    for (size_t i = 0;
+         i < round->state->model_count && searches < MAX_ENGINE_SEARCHES;
+         i++) {
+        const struct ch_replica_count *count = &round->replica_counts[i];
+        if (count->model->demand >= MIN_PAIRED_DEMAND &&
+            has_several_versions(round, count->model)) {
+            searches++;
+            add_second_at_versions(round, count);
+        }
+    }
+}
+
 /* ---- reserved memory ---- */
 
 /*
@@ -551,6 +670,7 @@
     }
     for_each_available(&round, fulfil_reservation, true);
     scale_up(&round);
+    pair_versions(&round);
     if (!state->disabled.local_copies_first) {
         for_each_available(&round, fill_free_memory, false);
     }
--- a/libchestnuthitch/decide/placement.h
+++ b/libchestnuthitch/decide/placement.h
@@ -18,6 +18,7 @@
 struct ch_placement_engine {
     GQuark name;
     GQuark service;
+    uint64_t version_id; /* of its software */
     GQuark data_centre;
     bool controlled;     /* the deciding node may order it */
     bool accepts_orders; /* accepts an order now */
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -308,6 +308,7 @@
     engine->listed = true;
     engine->draining = host->draining;
     engine->service = g_quark_from_string(host->service);
+    engine->version_id = ch_version_get_id(host->version);
     engine->data_centre = g_quark_from_string(host->data_centre);
     g_array_set_size(engine->local_copies, 0);
     for (size_t i = 0;
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -78,6 +78,7 @@
     char *address;
     struct ch_upstream *client;
     uint64_t boot_id;
+    uint64_t version_id;   /* of its software */
     uint64_t orders_taken; /* number of orders that the engine has accepted */
     GArray *items;         /* struct item */
     GArray *local_copies;  /* GQuark */
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -116,6 +116,7 @@
     const struct ch_placement_engine entry = {
         .name = engine->name,
         .service = engine->service,
+        .version_id = engine->version_id,
         .data_centre = engine->data_centre,
         .controlled = engine->data_centre == centre->data_centre,
         .accepts_orders = engine->data_centre == centre->data_centre
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -719,6 +719,58 @@
     }
 }
 
+static const struct {
+    const char *what;
+    struct test_upstream upstreams[4];
+    bool resumable;
+    const char *expect;
+} twin_cases[] = {
+    {"where a second upstream of the version has the model",
+     {{"a", "r1", "d1", "m", NULL, false, "v1"},
+      {"b", "r1", "d2", "m", NULL, false, "v2"},
+      {"c", "r1", "d2", "m", NULL, false, "v2"}},
+     true,
+     "bc"},
+    {"a stream that can't go on anywhere takes the nearest",
+     {{"a", "r1", "d1", "m", NULL, false, "v1"},
+      {"b", "r1", "d2", "m", NULL, false, "v2"},
+      {"c", "r1", "d2", "m", NULL, false, "v2"}},
+     false,
+     "a"},
+    {"all are alone: the nearest",
+     {{"a", "r1", "d1", "m", NULL, false, "v1"},
+      {"b", "r1", "d2", "m", NULL, false, "v2"}},
+     true,
+     "a"},
+    {"one version: the nearest",
+     {{"a", "r1", "d1", "m", NULL, false, "v1"},
+      {"b", "r1", "d2", "m", NULL, false, "v1"}},
+     true,
+     "a"},
+    {"the others are in another region: not worth the way",
+     {{"a", "r1", "d1", "m", NULL, false, "v1"},
+      {"b", "r2", "d9", "m", NULL, false, "v2"},
+      {"c", "r2", "d9", "m", NULL, false, "v2"}},
+     true,
+     "a"},
+};
+
+/* Guards against streams that end with their engine while another version has
+ * several engines with the model. */
+static void
+test_shared_versions(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(twin_cases); i++) {
+        struct ch_balance *balance = create_balance(twin_cases[i].upstreams);
+        struct ch_request_info request = build_request("m", 1000);
+        request.idempotent = twin_cases[i].resumable;
+        g_test_message("%s", twin_cases[i].what);
+        g_assert_nonnull(strstr(twin_cases[i].expect,
+                                choose_name(balance, &request, NULL, false)));
+        ch_balance_free(balance);
+    }
+}
+
 /* Guards against a stream that goes on at another process than the one that
  * the list describes: a connection was lost since, and the upstream's name may
  * stand for other software now. An engine can be asked; a plain service is
@@ -787,6 +839,7 @@
     g_test_add_func("/balance/restart", test_restart);
     g_test_add_func("/balance/switches", test_switches);
     g_test_add_func("/balance/versions", test_versions);
+    g_test_add_func("/balance/shared-versions", test_shared_versions);
     g_test_add_func("/balance/restart-suspected", test_restart_suspected);
     return g_test_run();
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -13,7 +13,7 @@
  * A fleet as text: lines "NAME DATA-CENTRE MODELS LOCAL-COPIES".  Lists are
  * separated by commas, "-" is an empty list; "+" follows a model that is being
  * loaded, "~" a model that is being unloaded; NAME:MEMORY sets the engine's
- * memory.
+ * memory, NAME@VERSION its software ("?": not known).
  */
 struct fleet {
     struct ch_placement_engine engines[MAX_ENGINES];
@@ -31,8 +31,11 @@
     char **models = g_strsplit(fields[2], ",", -1);
     char **copies = g_strsplit(fields[3], ",", -1);
     const char *memory = strchr(fields[0], ':');
+    char **name = g_strsplit(fields[0], "@", 2);
+    const char *version = name[1] == NULL ? "v1" : name[1];
     *engine = (struct ch_placement_engine){
-        .name = g_quark_from_string(fields[0]),
+        .name = g_quark_from_string(name[0]),
+        .version_id = ch_version_get_id(version[0] == '?' ? NULL : version),
         .service = g_quark_from_string("s"),
         .data_centre = g_quark_from_string(fields[1]),
         .accepts_orders = true,
@@ -60,6 +63,7 @@
             g_quark_from_string(copies[i]);
     }
     g_strfreev(fields);
+    g_strfreev(name);
     g_strfreev(models);
     g_strfreev(copies);
 }
@@ -413,6 +417,46 @@
     }
 }
 
+static const struct {
+    const char *description;
+    const char *fleet;
+    const char *expect;
+} version_cases[] = {
+    {"one replica at the version, and room at another engine of it",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 m3,m4 -\ne3@v1 d1 m2 -", "e3 load m1"},
+    {"in place of a replica that is hardly asked for",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 m3 -\ne3@v1 d1 m4,m2 -",
+     "e3 unload m2 for m1"},
+    {"room at an engine of another version alone",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 m3 -\ne3@v2 d1 m4 -", ""},
+    {"two replicas at the version",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 m1,m4 -\ne3@v1 d1 m1,m3 -", ""},
+    {"one at each version",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 m1,m4 -\n"
+     "e3@v1 d1 m3 -\ne4@v2 d1 m3 -",
+     "e3 load m1"},
+    {"one version alone", "e1 d1 m1,m2 -\ne2 d1 m3,m4 -\ne3 d1 m2 -", ""},
+    {"versions that are not known",
+     "e1@? d1 m1,m2 -\ne2@? d1 m3,m4 -\ne3@? d1 m2 -", ""},
+    {"no room but that of last replicas",
+     "e1@v1 d1 m1,m2 -\ne2@v2 d1 s1 -\ne3@v1 d1 m3,m4 -", ""},
+};
+
+/* Guards against streams that end with the only engine of their version that
+ * holds their model, though others of that version have room. */
+static void
+test_versions(void)
+{
+    /* Replicas that are moved for other reasons are left out. */
+    const struct ch_disabled_features without = {.spread_last_replicas = true};
+    for (size_t i = 0; i < G_N_ELEMENTS(version_cases); i++) {
+        g_autofree char *got = decide_without(&without, version_cases[i].fleet,
+                                              "d1", "m1", 0.3, NULL, 9, 0, "");
+        g_test_message("%s: %s", version_cases[i].description, got);
+        g_assert_cmpstr(got, ==, version_cases[i].expect);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -425,5 +469,6 @@
     g_test_add_func("/arrange/empty-engines", test_empty_engines);
     g_test_add_func("/arrange/switches", test_switches);
     g_test_add_func("/placement/slow-loads", test_slow_loads);
+    g_test_add_func("/placement/versions", test_versions);
     return g_test_run();
 }
