An entry that is missing from the store is used no longer because connections were reset

Only an outage of a second or more gives grace (entries expire after three heartbeats), counted from the outage's end; the end that was set when an entry was first missed stays; another node's copy of a missing entry doesn't make it present, only the store's answer does. decide/absence.c is pure; /absence/cases has the removal told, reads after a reset, after an outage, both, and resets in series. With the old rule (grace after any failure, anew at each read) the rows for resets end 2.2 s later or never.

--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -197,6 +197,8 @@
     int64_t now = ch_client_get_time(roster->node->client);
     bool is_current = range->code == CH_OK || range->code == CH_KV_MISSING;
     pthread_mutex_lock(&roster->lock);
+    ch_store_contact_record(
+        &list->contact, is_current || range->code == CH_KV_HISTORY_GONE, now);
     if (is_full_read && range->code == CH_OK) {
         bool read_before_listed = !list->known && roster->first_listed_at == 0;
         list->next_call_at =
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -210,15 +210,17 @@
 }
 
 /* See roster_internal.h. An unreadable entry is ignored and the previous entry
- * of its key kept, since another program may have written over it. Lock held.
- */
+ * of its key kept, since another program may have written over it. What
+ * another node still lists may be missing in the store. Lock held. */
 void
-roster_list_put(struct roster_list *list, const struct ch_kv_entry *source)
+roster_list_put(struct roster_list *list, const struct ch_kv_entry *source,
+                bool by_store)
 {
     struct ch_host host = {0};
     struct roster_entry *previous =
         g_hash_table_lookup(list->entries, source->key);
-    if (previous != NULL && previous->revision == source->revision) {
+    if (by_store && previous != NULL &&
+        previous->revision == source->revision) {
         previous->remove_at = 0; /* the entry was not deleted after all */
     }
     if (knows_revision(list, source->key, source->revision) ||
@@ -258,17 +260,21 @@
     if (entry == NULL || entry->revision > revision) {
         return;
     }
-    bool may_return = list == &list->roster->nodes ||
-                      (list->last_failure_at != 0 &&
-                       now - list->last_failure_at < list->removal_grace);
-    log_entry(list, &entry->host, may_return ? "vanished" : "gone",
-              CH_LOG_INFO);
-    if (!may_return) {
+    int64_t end = ch_absence_get_end(&list->contact, entry->remove_at,
+                                     list->removal_grace, now);
+    if (list == &list->roster->nodes && entry->remove_at == 0) {
+        end = now + list->removal_grace;
+    }
+    if (entry->remove_at == 0 || end <= now) {
+        log_entry(list, &entry->host, end > now ? "vanished" : "gone",
+                  CH_LOG_INFO);
+    }
+    if (end <= now) {
         remove_for_good(list, key, revision);
         return;
     }
     if (entry->remove_at == 0) {
-        entry->remove_at = now + list->removal_grace;
+        entry->remove_at = end;
         entry->deleted_revision = revision;
     }
 }
@@ -307,7 +313,7 @@
     GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < range->count; i++) {
         g_hash_table_add(present, range->entries[i].key);
-        roster_list_put(list, &range->entries[i]);
+        roster_list_put(list, &range->entries[i], true);
     }
     GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iterator;
@@ -338,7 +344,7 @@
             handle_deletion(list, entry->key, entry->revision, now);
         }
         else {
-            roster_list_put(list, entry);
+            roster_list_put(list, entry, true);
         }
     }
 }
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -8,6 +8,7 @@
  * of it.
  */
 
+#include "decide/absence.h"
 #include "decide/fleet.h"
 #include "node/dialect.h"
 #include "node/roster.h"
@@ -59,6 +60,7 @@
     struct ch_token_bucket
         watch_bucket;        /* limits watches that return changes */
     int64_t last_failure_at; /* when the store last failed; 0: never */
+    struct ch_store_contact contact;
     int64_t removal_grace; /* time that an entry stays in use after its key is
                               gone */
 };
@@ -108,8 +110,10 @@
 void roster_list_init(struct roster_list *list, struct ch_roster *roster,
                       const char *prefix, int64_t grace);
 void roster_list_clear(struct roster_list *list);
-/* Adds or replaces an entry, unless a later revision of its key is known. */
-void roster_list_put(struct roster_list *list, const struct ch_kv_entry *from);
+/* Adds or replaces an entry, unless a later revision of its key is known.
+ * by_store: the store itself lists it now, so that it is not missing. */
+void roster_list_put(struct roster_list *list, const struct ch_kv_entry *from,
+                     bool by_store);
 /* Applies another node's message that an entry was removed for good. */
 void roster_list_apply_removal(struct roster_list *list, const char *key,
                                uint64_t revision);
--- a/libchestnuthitch/node/roster_publish.c
+++ b/libchestnuthitch/node/roster_publish.c
@@ -63,7 +63,7 @@
             .length = wire_entry->value.len,
             .revision = wire_entry->revision,
         };
-        roster_list_put(list, &entry);
+        roster_list_put(list, &entry, false);
     }
 }
 
