The record of a stream names its upstream and its age, for logs

A line 'stream-goes-on' of a stream that a caller took up told by whose record, but not at which upstream the stream began, nor how old the record is: the node that served the first attempt may have ended without a line of its own.

--- a/libchestnuthitch/node/exchange_stream.c
+++ b/libchestnuthitch/node/exchange_stream.c
@@ -58,6 +58,8 @@
         .writer = ch_hash_pair(node->incarnation,
                                ch_hash_string(node->settings->name)),
         .sequence = exchange->call_count,
+        .upstream = exchange->grant.upstream,
+        .written_at = ch_client_get_time(node->client),
     };
 }
 
@@ -141,12 +143,14 @@
     const struct ch_client *client = exchange->frontend->node->client;
     const struct ch_stream_place *began = &exchange->began_at;
     const struct ch_stream_place here = get_place(exchange);
+    const struct ch_stream_record *record = &exchange->stream_record;
     uint64_t required = exchange->request->info.required_version;
+    uint64_t here_id = exchange->grant.version_id;
     bool taken_up = ch_exchange_takes_up_stream(exchange);
     if (!taken_up && !exchange->stream_started) {
         return;
     }
-    if (required != 0 && required != exchange->grant.version_id) {
+    if (required != 0 && required != here_id) {
         ch_metrics_add_count(client->metrics, CH_COUNT_VERSIONS_MIXED, 1);
     }
     ch_log(client, CH_LOG_INFO, "stream-goes-on",
@@ -156,8 +160,18 @@
            CH_F_STR("after_event", exchange->last_event_id),
            CH_F_STR("known_by", get_known_by(exchange)),
            CH_F_STR("source", g_quark_to_string(exchange->stream_source)),
-           CH_F_STR("began_upstream", g_quark_to_string(began->upstream)),
-           CH_F_STR("began_version", g_quark_to_string(began->version)),
+           CH_F_INT("known_for_ms",
+                    record->key == 0
+                        ? -1
+                        : (ch_client_get_time(client) - record->written_at) /
+                              1000),
+           CH_F_STR("began_upstream",
+                    g_quark_to_string(taken_up ? record->upstream
+                                               : began->upstream)),
+           CH_F_STR("began_version",
+                    g_quark_to_string(taken_up && required == here_id
+                                          ? here.version
+                                          : began->version)),
            CH_F_INT("began_boot", (int64_t)began->boot_id),
            CH_F_STR("upstream", g_quark_to_string(here.upstream)),
            CH_F_STR("version", g_quark_to_string(here.version)),
--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -68,6 +68,12 @@
     to->sequence = record->sequence;
     to->ambiguous = record->ambiguous;
     to->ttl_ms = (uint32_t)(MAX(record->expires_at - now, 0) / 1000);
+    to->age_ms =
+        (uint32_t)(CLAMP(now - record->written_at, 0, CH_STREAM_LIFE_US) /
+                   1000);
+    if (record->upstream != 0) {
+        to->upstream = (char *)g_quark_to_string(record->upstream);
+    }
 }
 
 /* A record that another node told; its life is bounded. */
@@ -82,6 +88,10 @@
         .ambiguous = from->ambiguous,
         .expires_at =
             now + MIN((int64_t)from->ttl_ms * 1000, CH_STREAM_LIFE_US),
+        .upstream = from->upstream[0] == '\0'
+                        ? 0
+                        : g_quark_from_string(from->upstream),
+        .written_at = now - (int64_t)from->age_ms * 1000,
     };
 }
 
--- a/libchestnuthitch/resume/records.c
+++ b/libchestnuthitch/resume/records.c
@@ -57,6 +57,8 @@
     if (record->sequence > known->sequence) {
         known->origin = record->origin;
         known->sequence = record->sequence;
+        known->upstream = record->upstream;
+        known->written_at = record->written_at;
     }
 }
 
--- a/libchestnuthitch/resume/resume.h
+++ b/libchestnuthitch/resume/resume.h
@@ -49,6 +49,10 @@
     /* Two writers named different origins: nothing fits for certain. */
     bool ambiguous;
     int64_t expires_at;
+    /* For logs: the upstream of that call (0: not known), and when the record
+     * was written. */
+    GQuark upstream;
+    int64_t written_at;
 };
 
 /* The key of the stream that the owner's request began. */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -5682,7 +5682,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__path_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_record__field_descriptors[9] =
 {
   {
     "key",
@@ -5768,20 +5768,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StreamRecord, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__stream_record__field_indices_by_name[] = {
+  8,   /* field[8] = age_ms */
   5,   /* field[5] = ambiguous */
   0,   /* field[0] = key */
   4,   /* field[4] = sequence */
   1,   /* field[1] = service */
   6,   /* field[6] = ttl_ms */
+  7,   /* field[7] = upstream */
   2,   /* field[2] = version */
   3,   /* field[3] = writer */
 };
 static const ProtobufCIntRange chestnuthitch__wire__stream_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__stream_record__descriptor =
 {
@@ -5791,7 +5817,7 @@
   "Chestnuthitch__Wire__StreamRecord",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__StreamRecord),
-  7,
+  9,
   chestnuthitch__wire__stream_record__field_descriptors,
   chestnuthitch__wire__stream_record__field_indices_by_name,
   1,  chestnuthitch__wire__stream_record__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -1030,10 +1030,18 @@
    * from the sending on
    */
   uint32_t ttl_ms;
+  /*
+   * that the request went to
+   */
+  char *upstream;
+  /*
+   * since the record was written
+   */
+  uint32_t age_ms;
 };
 #define CHESTNUTHITCH__WIRE__STREAM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stream_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/bench/bench_resume.c
+++ b/tests/bench/bench_resume.c
@@ -38,6 +38,8 @@
     record.key = record.service = record.version = record.writer = UINT64_MAX;
     record.sequence = 1;
     record.ttl_ms = 20000;
+    record.upstream = (char *)"i-82b8372235";
+    record.age_ms = 900;
     return record;
 }
 
