--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -1040,15 +1040,15 @@
 
 static const struct {
     const char *name;
-    bool may_have_restarted;
     uint64_t reported_start;
     int reports;
+    bool may_have_restarted;
     bool goes_on;
 } process_cases[] = {
-    {"no connection was lost", false, 9, 0, true},
-    {"the same process answers", true, 3, 1, true},
-    {"another process has its name", true, 9, 2, false},
-    {"no report", true, 0, 2, false},
+    {"no connection was lost", 9, 0, false, true},
+    {"the same process answers", 3, 1, true, true},
+    {"another process has its name", 9, 2, true, false},
+    {"no report", 0, 2, true, false},
 };
 
 /* Guards against a stream that goes on at an upstream which has started again
--- a/tests/unit/test_resume.c
+++ b/tests/unit/test_resume.c
@@ -210,15 +210,15 @@
 
 static const struct {
     const char *what;
+    const char *version;
     struct answer own;
-    unsigned asked;
-    unsigned failed;
     struct answer answers[3];
-    unsigned answer_count;
     size_t listed;
     size_t live;
+    unsigned answer_count;
+    unsigned asked;
+    unsigned failed;
     enum ch_stream_finding finding;
-    const char *version;
 } lookup_cases[] = {
     {.what = "one of three has a record",
      .own = {NULL, {"v1", "v2"}, LONG, 0},
@@ -586,7 +586,7 @@
         .origin = {ch_hash_string("s"), version_id(version)},
         .writer = node + 1,
         .sequence = 1,
-        .expires_at = sim->now + 30 * SECOND,
+        .expires_at = sim->now + (int64_t)30 * SECOND,
     };
     unsigned holders[CH_STREAM_COPIES];
     ch_stream_records_put(sim->nodes[node].records, &record, sim->now);
@@ -736,7 +736,7 @@
         break;
     case 3:
         self->frozen_until =
-            sim->now + g_rand_int_range(sim->random, 1, 30) * STEP_US;
+            sim->now + (int64_t)g_rand_int_range(sim->random, 1, 30) * STEP_US;
         break;
     case 4:
         if (g_rand_int_range(sim->random, 0, 4) == 0) {
