--- a/libchestnuthitch/decide/placement.c
+++ b/libchestnuthitch/decide/placement.c
@@ -170,6 +170,28 @@
            ch_placement_may_start_load(round, engine, model->name);
 }
 
+/* Keeps the engine if a further replica there, after the evictions that it
+ * takes, is cheaper than at the best one so far. max_load: highest load per
+ * replica that an eviction may leave. */
+static void
+consider_engine(const struct ch_placement_round *round,
+                const struct ch_placement_engine *engine,
+                const struct ch_placement_model *model, double max_load,
+                struct candidate_engine *best)
+{
+    struct ch_eviction eviction;
+    if (!ch_placement_find_evictions(round, engine, model->memory_mb, max_load,
+                                     &eviction)) {
+        return;
+    }
+    double cost =
+        compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
+        eviction.cost + eviction.victim_count * EVICTION_COST +
+        ch_placement_engine_load(round, engine, eviction.first_victim) +
+        adapter_blocking_cost(round, engine);
+    keep_cheaper(best, engine, eviction.first_victim, cost);
+}
+
 /* ---- restoring models without replicas ---- */
 
 /* Whether this data centre is the one that restores a model which no engine
@@ -259,23 +281,15 @@
     struct candidate_engine best = {NULL, 0, 0};
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_placement_engine *engine = &round->state->engines[i];
-        struct ch_eviction eviction;
         if (!can_take_load(round, engine, model) ||
             engine->reserved_for != 0 ||
             !is_load_worth(engine, model, load_per_replica) ||
             (round->state->disabled.fleet_wide_search &&
-             !engine->controlled) ||
-            !ch_placement_find_evictions(
-                round, engine, model->memory_mb,
-                load_per_replica / CH_MIN_EVICTION_GAIN, &eviction)) {
+             !engine->controlled)) {
             continue;
         }
-        double cost =
-            compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
-            eviction.cost + eviction.victim_count * EVICTION_COST +
-            ch_placement_engine_load(round, engine, eviction.first_victim) +
-            adapter_blocking_cost(round, engine);
-        keep_cheaper(&best, engine, eviction.first_victim, cost);
+        consider_engine(round, engine, model,
+                        load_per_replica / CH_MIN_EVICTION_GAIN, &best);
     }
     if (best.engine != NULL) {
         add_order(round, best.engine, best.victim, model->name,
@@ -335,21 +349,11 @@
         model, ch_placement_count_replicas(round, model->name));
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_placement_engine *engine = &round->state->engines[i];
-        struct ch_eviction eviction;
-        if (engine->version_id != version_id ||
-            !can_take_load(round, engine, model) ||
-            engine->reserved_for != 0 ||
-            !ch_placement_find_evictions(round, engine, model->memory_mb,
-                                         load / CH_MIN_EVICTION_GAIN,
-                                         &eviction)) {
-            continue;
+        if (engine->version_id == version_id &&
+            can_take_load(round, engine, model) && engine->reserved_for == 0) {
+            consider_engine(round, engine, model, load / CH_MIN_EVICTION_GAIN,
+                            best);
         }
-        double cost =
-            compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
-            eviction.cost + eviction.victim_count * EVICTION_COST +
-            ch_placement_engine_load(round, engine, eviction.first_victim) +
-            adapter_blocking_cost(round, engine);
-        keep_cheaper(best, engine, eviction.first_victim, cost);
     }
 }
 
@@ -462,23 +466,15 @@
 {
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_placement_engine *engine = &round->state->engines[i];
-        struct ch_eviction eviction;
         bool from_store = !ch_placement_has_local_copy(engine, model->name);
         if (!engine->controlled || !can_take_load(round, engine, model) ||
             engine->reserved_for != 0 ||
             (from_store && round->store_loads_left <= RESERVED_STORE_LOADS) ||
             ch_placement_reclaimable_mb(round, engine) <
-                model->memory_mb + round->largest_model_mb ||
-            !ch_placement_find_evictions(round, engine, model->memory_mb,
-                                         MAX_IDLE_LOAD, &eviction)) {
+                model->memory_mb + round->largest_model_mb) {
             continue;
         }
-        double cost =
-            compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
-            eviction.cost + eviction.victim_count * EVICTION_COST +
-            ch_placement_engine_load(round, engine, eviction.first_victim) +
-            adapter_blocking_cost(round, engine);
-        keep_cheaper(best, engine, eviction.first_victim, cost);
+        consider_engine(round, engine, model, MAX_IDLE_LOAD, best);
     }
 }
 
