--- a/libchestnuthitch/node/home_queue.c
+++ b/libchestnuthitch/node/home_queue.c
@@ -212,6 +212,7 @@
     ch_home_get_view(upstream->home, now, view);
     view->region = region;
     view->data_centre = data_centre;
+    view->version_id = upstream->version_id;
     view->draining = view->draining || upstream->draining;
 }
 
