A search for a stream's origin lists the nodes to ask once

ch_stream_manager_find() made a list and freed it to make another one; it asks for none where the record is here. A comment in the header spoke of an argument that doesn't exist. Behaviour as before: /failure/versions/three-nodes-killed passes, none of 253 streams joined.

--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -517,12 +517,9 @@
     struct search *search = search_new(manager, key, service);
     search->done = done;
     search->data = data;
-    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-    if (!search->lookup.has_record) {
-        g_ptr_array_free(names, TRUE);
-        names =
-            find_holders(manager, ch_stream_get_shard(key), CH_STREAM_ASKED);
-    }
+    GPtrArray *names =
+        find_holders(manager, ch_stream_get_shard(key),
+                     search->lookup.has_record ? 0 : CH_STREAM_ASKED);
     search->lookup.asked = names->len;
     search->references += (int)names->len;
     for (guint i = 0; i < names->len; i++) {
--- a/libchestnuthitch/node/stream_manager.h
+++ b/libchestnuthitch/node/stream_manager.h
@@ -23,8 +23,7 @@
 /* To be called once all threads have ended; manager may be NULL. */
 void ch_stream_manager_free(struct ch_stream_manager *manager);
 
-/* Takes over what the listed upstreams run; list_age: since the list was
- * confirmed is asked for by ch_roster_get_age(). */
+/* Takes over what the listed upstreams run. */
 void ch_stream_manager_update_versions(struct ch_stream_manager *manager,
                                        const struct ch_stream_origin *listed,
                                        size_t count);
