Logs and counters tell which calls an upstream rejected for want of room

Change: a line upstream-full for each such call (upstream, attempt, refusals, relaying node) and three counters. No decision is changed.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -696,6 +696,33 @@
            ch_exchange_call_by_other_node(exchange);
 }
 
+/* Whether the upstream rejected the call for want of room. */
+static bool
+is_upstream_full(const struct ch_call_result *end)
+{
+    return end->code == CH_UPSTREAM_REFUSED && end->status == 503;
+}
+
+/* Logs and counts a call that the upstream had no room for. Lock held. */
+static void
+note_upstream_full(const struct ch_exchange *exchange)
+{
+    struct ch_client *client = exchange->frontend->node->client;
+    const struct ch_request_info *info = &exchange->request->info;
+    bool is_retry = info->attempt > 0 || info->refusals > 0;
+    ch_metrics_add_count(client->metrics, CH_COUNT_UPSTREAM_FULL, 1);
+    ch_metrics_add_count(client->metrics, CH_COUNT_UPSTREAM_FULL_RETRIES,
+                         is_retry ? 1 : 0);
+    ch_metrics_add_count(client->metrics, CH_COUNT_UPSTREAM_FULL_RELAYED,
+                         exchange->relay != 0 ? 1 : 0);
+    ch_log(client, CH_LOG_INFO, "upstream-full",
+           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
+           CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
+           CH_F_INT("attempt", info->attempt),
+           CH_F_INT("refusals", info->refusals),
+           CH_F_STR("relay", g_quark_to_string(exchange->relay)), CH_F_END);
+}
+
 /* Handles the end of a call, successful or not. A grant that was used is
  * released here and nowhere else. */
 bool
@@ -704,6 +731,9 @@
 {
     struct ch_node *node = exchange->frontend->node;
     release_relay(exchange, end);
+    if (is_upstream_full(end)) {
+        note_upstream_full(exchange);
+    }
     exchange->may_have_run =
         exchange->may_have_run_before || end->may_have_run;
     exchange->call_may_have_run |= end->may_have_run;
