--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -33,10 +33,17 @@
                             second, in every response; 0: none */             \
     FAULT(limit_garbage) /* 1: names values that are no numbers instead */    \
     FAULT(leaving)       /* 1: reported as draining; 2: not in the report */  \
-    FAULT(token_us)      /* engine: time per token */                         \
-    FAULT(slow_percent)  /* engine: percentage of token_us, 100 is normal */  \
-    FAULT(load_ms)       /* engine: load time after the store's transfer */   \
-    FAULT(fencing)       /* engine: 1: rejects old fencing numbers */         \
+    /* worker of the users' platform */                                       \
+    FAULT(slots)   /* requests that run at once; 0: 64 */                     \
+    FAULT(queue)   /* requests that may wait for a slot */                    \
+    FAULT(brittle) /* N + 1: names N rejections a second, and falls over      \
+                      beyond them; 0: none */                                 \
+    FAULT(fall_ms) /* downtime after that */                                  \
+    /* engine, service */                                                     \
+    FAULT(token_us)     /* engine: time per token */                          \
+    FAULT(slow_percent) /* engine: percentage of token_us, 100 is normal */   \
+    FAULT(load_ms)      /* engine: load time after the store's transfer */    \
+    FAULT(fencing)      /* engine: 1: rejects old fencing numbers */          \
     FAULT(memory_mb)                                                          \
     FAULT(crossed)       /* next N responses: as for another request */       \
     FAULT(cut)           /* next N responses: connection closed half-way */   \
--- a/tests/standin/users.h
+++ b/tests/standin/users.h
@@ -46,7 +46,8 @@
  * False: another path.
  */
 bool users_control_worker(struct exchange *exchange);
-/* Writes the member "runs": what the workers ran. */
+/* Writes the members "runs", what the workers ran, and "workers", their use
+ * and their falls. */
 void users_record_workers(struct users *users, JsonBuilder *out);
 /* Creates the workers' state. */
 void users_init_workers(struct users *users);
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -8,7 +8,7 @@
 enum {
     DEFAULT_EVENTS = 40,
     MAX_EVENTS = 10000,
-    SLOTS = 64,
+    DEFAULT_SLOTS = 64,
     /* The entry of a crashed worker lapses after this time. */
     LAPSE_US = 3 * 400 * 1000,
 };
@@ -28,6 +28,12 @@
     unsigned loading;
     int64_t sequence; /* orders accepted */
     unsigned running;
+    int64_t running_since; /* this number of them */
+    int64_t slot_us;       /* slots in use, times how long */
+    GQueue *waiting;       /* struct exchange */
+    GArray *rejections;    /* int64_t: when, for want of room */
+    unsigned rejected;
+    unsigned falls;
     unsigned boot; /* counts its starts */
     struct timer *lapse;
 };
@@ -54,9 +60,39 @@
     GString *ready;
 };
 
+/* A fall of a worker under its rejections. */
+struct fall {
+    struct worker *worker;
+    unsigned boot;
+};
+
 /* Filled as workers run requests; entries stay until the process ends. */
 static GPtrArray *runs;
 
+/* ---- room ---- */
+
+static int64_t
+get_fault(const struct worker *worker, enum fault fault)
+{
+    return worker->users->standin->faults[fault];
+}
+
+static unsigned
+get_slots(const struct worker *worker)
+{
+    int64_t slots = get_fault(worker, FAULT_slots);
+    return slots == 0 ? DEFAULT_SLOTS : (unsigned)slots;
+}
+
+static void
+change_running(struct worker *worker, int change)
+{
+    int64_t now = monotonic_now_us();
+    worker->slot_us += worker->running * (now - worker->running_since);
+    worker->running_since = now;
+    worker->running = (unsigned)((int)worker->running + change);
+}
+
 /* ---- entries ---- */
 
 static void
@@ -90,7 +126,7 @@
     if (worker->version[0] != '\0') {
         json_text(out, "version", worker->version);
     }
-    json_number(out, "slots", SLOTS);
+    json_number(out, "slots", get_slots(worker));
     json_text(out, "state", worker->draining ? "draining" : "ready");
     json_number(out, "cold_remaining_ms", 0);
     json_text(out, "stage", "both");
@@ -141,13 +177,16 @@
     return false;
 }
 
+static void admit_waiting(struct worker *worker);
+
 static void
 end_stream(struct exchange *exchange, bool whole)
 {
     struct stream *stream = exchange->mode_data;
     (void)whole;
     if (stream->boot == stream->worker->boot) {
-        stream->worker->running--;
+        change_running(stream->worker, -1);
+        admit_waiting(stream->worker);
     }
     g_string_free(stream->ready, TRUE);
     g_free(stream->version);
@@ -213,6 +252,17 @@
     return (unsigned)CLAMP(count, 1, MAX_EVENTS);
 }
 
+static void
+add_brittle_header(struct exchange *exchange, const struct worker *worker)
+{
+    char text[24];
+    int64_t brittle = get_fault(worker, FAULT_brittle);
+    if (brittle > 0) {
+        (void)g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, brittle - 1);
+        exchange_add_header(exchange, "Server-Brittle", text);
+    }
+}
+
 static void
 begin_stream(struct exchange *exchange, struct worker *worker)
 {
@@ -232,7 +282,7 @@
     stream->due = monotonic_now_us() + event_time_us(stream);
     exchange->mode_data = stream;
     exchange->on_end = end_stream;
-    worker->running++;
+    change_running(worker, 1);
     record_run(exchange, worker, stream->next);
     exchange->status = 200;
     exchange->response = MHD_create_response_from_callback(
@@ -240,36 +290,119 @@
     exchange_add_header(exchange, "Content-Type", "text/event-stream");
     exchange_add_header(exchange, "Server-Signature", worker->name);
     exchange_add_header(exchange, "Weight-Versions", "1");
+    add_brittle_header(exchange, worker);
     exchange_add_header(exchange, "Request-Id",
                         exchange_header(exchange, "Request-Id"));
 }
 
 static void
-reject(struct exchange *exchange, int status, const char *text)
+reject(struct exchange *exchange, const struct worker *worker, int status,
+       const char *text)
 {
     const char *id = exchange_header(exchange, "Request-Id");
     exchange_reply_text(exchange, status, text);
     exchange_add_header(exchange, "Not-Executed", "1");
+    add_brittle_header(exchange, worker);
     if (id != NULL) {
         exchange_add_header(exchange, "Request-Id", id);
     }
 }
 
+static void crash_worker(struct worker *worker);
+static void restart_worker(struct worker *worker);
+
+/* The worker is back after its fall. */
+static void
+end_fall(void *data)
+{
+    struct fall *fall = data;
+    if (fall->worker->boot == fall->boot) {
+        restart_worker(fall->worker);
+    }
+    g_free(fall);
+}
+
+static void
+begin_fall(void *data)
+{
+    struct fall *fall = data;
+    struct worker *worker = fall->worker;
+    if (worker->boot != fall->boot || worker->daemon == NULL) {
+        g_free(fall);
+        return;
+    }
+    worker->falls++;
+    crash_worker(worker);
+    (void)timer_add(worker->users->standin,
+                    get_fault(worker, FAULT_fall_ms) * 1000, end_fall, fall);
+}
+
+/* Rejects for want of room; beyond what a brittle worker bears in a second, it
+ * falls over. */
+static void
+reject_full(struct exchange *exchange, struct worker *worker)
+{
+    int64_t now = monotonic_now_us();
+    int64_t brittle = get_fault(worker, FAULT_brittle);
+    reject(exchange, worker, 503, "full\n");
+    if (brittle == 0) {
+        return;
+    }
+    worker->rejected++;
+    g_array_append_val(worker->rejections, now);
+    while (g_array_index(worker->rejections, int64_t, 0) <
+           now - G_USEC_PER_SEC) {
+        g_array_remove_index(worker->rejections, 0);
+    }
+    if (worker->rejections->len >= brittle) {
+        struct fall *fall = g_new0(struct fall, 1);
+        *fall = (struct fall){worker, worker->boot};
+        g_array_set_size(worker->rejections, 0);
+        (void)timer_add(worker->users->standin, 0, begin_fall, fall);
+    }
+}
+
+/* A waiting request whose caller has left, or whose worker has ended. */
+static void
+end_waiting(struct exchange *exchange, bool whole)
+{
+    struct worker *worker = exchange->mode_data;
+    (void)whole;
+    g_queue_remove(worker->waiting, exchange);
+}
+
+/* Begins the requests that wait, as far as there are slots. */
+static void
+admit_waiting(struct worker *worker)
+{
+    while (worker->running < get_slots(worker) &&
+           !g_queue_is_empty(worker->waiting)) {
+        struct exchange *exchange = g_queue_pop_head(worker->waiting);
+        begin_stream(exchange, worker);
+        exchange_resume(exchange);
+    }
+}
+
 static void
 handle_stream(struct exchange *exchange, struct worker *worker)
 {
     const char *model = exchange_header(exchange, "Model");
     if (exchange_header(exchange, "Request-Id") == NULL) {
-        reject(exchange, 400, "no request id\n");
+        reject(exchange, worker, 400, "no request id\n");
     }
     else if (model == NULL || !has_model(worker, model)) {
-        reject(exchange, 421, "the model is not resident\n");
+        reject(exchange, worker, 421, "the model is not resident\n");
     }
-    else if (worker->running >= SLOTS) {
-        reject(exchange, 503, "full\n");
+    else if (worker->running < get_slots(worker)) {
+        begin_stream(exchange, worker);
+    }
+    else if (worker->waiting->length < get_fault(worker, FAULT_queue)) {
+        exchange->mode_data = worker;
+        exchange->on_end = end_waiting;
+        g_queue_push_tail(worker->waiting, exchange);
     }
     else {
-        begin_stream(exchange, worker);
+        reject_full(exchange, worker);
     }
 }
 
@@ -285,7 +418,7 @@
     json_builder_set_member_name(out, "busy");
     json_builder_add_boolean_value(out, worker->loading > 0);
     json_number(out, "sequence", worker->sequence);
-    json_number(out, "queued", 0);
+    json_number(out, "queued", worker->waiting->length);
     json_number(out, "running", worker->running);
     json_number(out, "kv_used", 0);
     json_number(out, "kv_total", 100000);
@@ -401,7 +534,7 @@
     }
     const char *expected = exchange_header(exchange, "Expect-Instance");
     if (expected != NULL && strcmp(expected, worker->name) != 0) {
-        reject(exchange, 421, "another instance\n");
+        reject(exchange, worker, 421, "another instance\n");
     }
     else if (strcmp(exchange->path, "/api/report") == 0) {
         write_report(exchange, worker);
@@ -431,6 +564,8 @@
     worker->users = users;
     worker->name = g_strdup(name);
     worker->models = g_ptr_array_new_with_free_func(g_free);
+    worker->waiting = g_queue_new();
+    worker->rejections = g_array_new(FALSE, FALSE, sizeof(int64_t));
     g_ptr_array_add(users->workers, worker);
     return worker;
 }
@@ -444,12 +579,30 @@
     }
 }
 
+/* Starts the worker's process; one that starts again holds nothing. */
 static void
-start_worker(struct worker *worker, const struct exchange *exchange)
+restart_worker(struct worker *worker)
 {
     stop_worker(worker);
     timer_cancel(worker->users->standin, worker->lapse);
     worker->lapse = NULL;
+    if (worker->boot > 0) {
+        g_ptr_array_set_size(worker->models, 0);
+    }
+    worker->born_ms = g_get_real_time() / 1000;
+    worker->draining = false;
+    worker->loading = 0;
+    worker->sequence = 0;
+    change_running(worker, -(int)worker->running);
+    worker->boot++;
+    worker->daemon =
+        standin_open_daemon(worker->users->standin, &worker->port);
+    put_entry(worker);
+}
+
+static void
+start_worker(struct worker *worker, const struct exchange *exchange)
+{
     g_free(worker->service);
     g_free(worker->zone);
     g_free(worker->version);
@@ -458,23 +611,13 @@
     worker->version = copy_query(exchange, "version");
     g_autofree char *models = copy_query(exchange, "models");
     char **names = g_strsplit(models, ",", -1);
-    g_ptr_array_set_size(worker->models, 0);
-    /* A worker that starts again under its name holds nothing. */
     for (size_t i = 0; worker->boot == 0 && names[i] != NULL; i++) {
         if (names[i][0] != '\0') {
             g_ptr_array_add(worker->models, g_strdup(names[i]));
         }
     }
     g_strfreev(names);
-    worker->born_ms = g_get_real_time() / 1000;
-    worker->draining = false;
-    worker->loading = 0;
-    worker->sequence = 0;
-    worker->running = 0;
-    worker->boot++;
-    worker->daemon =
-        standin_open_daemon(worker->users->standin, &worker->port);
-    put_entry(worker);
+    restart_worker(worker);
 }
 
 static void
@@ -533,7 +676,6 @@
 void
 users_record_workers(struct users *users, JsonBuilder *out)
 {
-    (void)users;
     json_builder_set_member_name(out, "runs");
     json_builder_begin_array(out);
     for (guint i = 0; i < runs->len; i++) {
@@ -547,6 +689,20 @@
         json_builder_end_object(out);
     }
     json_builder_end_array(out);
+    json_builder_set_member_name(out, "workers");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < users->workers->len; i++) {
+        struct worker *worker = g_ptr_array_index(users->workers, i);
+        change_running(worker, 0);
+        json_builder_begin_object(out);
+        json_text(out, "name", worker->name);
+        json_number(out, "slots", get_slots(worker));
+        json_number(out, "slot_us", worker->slot_us);
+        json_number(out, "rejected", worker->rejected);
+        json_number(out, "falls", worker->falls);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
 }
 
 /* See users.h. */
