Failing test of brittle upstreams: callers' requests differ in their bodies

The callers of the test all sent the same bytes, so after the first falls the crash guard barred the one request that they shared, and nothing more was sent: 4 falls and then silence, which hid what the report says (they kept falling over). Each request now has a body of its own; bounds and checks are the same.

--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -93,6 +93,7 @@
         .path = PATH,
         .request_id = id,
         .model = g_rand_boolean(random) ? "m1" : "m2",
+        .body = id, /* a request of its own, not a repeat of another one */
         .events = EVENTS,
         .deadline_ms = DEADLINE_MS,
     };
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -219,7 +219,9 @@
     const char *resumes;       /* NULL: not sent */
     const char *last_event_id; /* NULL: not sent */
     const char *model;
-    unsigned events; /* of the whole stream */
+    const char *prompt_prefix; /* NULL: not sent */
+    const char *body;          /* NULL: "{}" */
+    unsigned events;           /* of the whole stream */
     int64_t deadline_ms;
 };
 
--- a/tests/harness/users.c
+++ b/tests/harness/users.c
@@ -146,6 +146,7 @@
     headers = add_header(headers, "Last-Event-Id", call->last_event_id);
     headers = add_header(headers, "Model", call->model);
     headers = add_header(headers, "Token-Usage", usage);
+    headers = add_header(headers, "Prompt-Prefix", call->prompt_prefix);
     headers = add_header(headers, "Deadline-Ms", deadline);
     return curl_slist_append(headers, "Expect:");
 }
@@ -169,7 +170,8 @@
     curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
     curl_easy_setopt(curl, CURLOPT_XFERINFODATA, stream);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, "{}");
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
+                     call->body == NULL ? "{}" : call->body);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, stream);
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
