--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -126,6 +126,16 @@
     g_free(client);
 }
 
+/* Handles what a response says of the rejections that its upstream bears. */
+static void
+handle_brittle(const struct ch_limit_listener *listener,
+               const struct ch_limit_reading *reading, bool succeeded,
+               int64_t sent_at)
+{
+    ch_slots_handle_reading(listener->data, listener->upstream, reading,
+                            succeeded, sent_at);
+}
+
 /* Ensures that a listed upstream has a client. A changed address means another
  * process, which gets a new client. Lock held. */
 static void
@@ -146,6 +156,11 @@
         node->client, node->http, host, UPSTREAM_ORDER_TIMEOUT_US);
     client->client->limit_listener = ch_limit_manager_get_listener(
         node->limits, name, g_quark_from_string(host->region));
+    client->client->brittle_listener = (struct ch_limit_listener){
+        .handle = handle_brittle,
+        .data = node->slots,
+        .upstream = name,
+    };
     client->client->path_listener =
         ch_path_manager_get_listener(node->paths, host);
     g_hash_table_replace(balancer->clients, key, client);
@@ -237,6 +252,15 @@
                                  host->draining);
     ch_limit_manager_update_upstream(balancer->node->limits, upstream.name,
                                      upstream.boot_id);
+    const struct ch_slots_upstream slots = {
+        .name = upstream.name,
+        .service = upstream.service,
+        .region = upstream.region,
+        .boot_id = upstream.boot_id,
+        .slots = upstream.slots,
+        .tokens = upstream.engine ? upstream.context_tokens : 0,
+    };
+    ch_slots_update_upstream(balancer->node->slots, &slots);
     const struct ch_crash_listed_upstream listed = {
         upstream.name, upstream.boot_id, upstream.draining};
     g_array_append_val(update->listed, listed);
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -18,6 +18,8 @@
     ORIGIN_RETRY_AFTER_US = 500 * 1000,
     /* Nodes that may fail to relay one request. */
     MAX_FAILED_RELAYS = 6,
+    /* Upstreams that are asked for a free slot before one is waited for. */
+    MAX_SLOT_REFUSALS = 3,
 };
 
 /* Gives back the cost of a request that no upstream ran. */
@@ -150,6 +152,27 @@
     return true;
 }
 
+/* The tokens that the request takes of an engine's memory. */
+static uint32_t
+get_slot_tokens(const struct ch_exchange *exchange)
+{
+    const struct ch_request_info *info = &exchange->request->info;
+    return info->is_service ? 0
+                            : info->prompt_tokens + info->max_output_tokens;
+}
+
+/* Gives back the slot of the granted upstream, if one is held. Lock held. */
+static void
+release_slot(struct ch_exchange *exchange, enum ch_slots_end end)
+{
+    if (exchange->slot_held) {
+        exchange->slot_held = false;
+        ch_slots_release(exchange->frontend->node->slots,
+                         exchange->grant.upstream, get_slot_tokens(exchange),
+                         end);
+    }
+}
+
 /* Releases a grant without a call. retry_after: when the upstream's limit may
  * permit one, for the code CH_UPSTREAM_LIMITED. Lock held. */
 static void
@@ -159,6 +182,7 @@
     const struct ch_timing_sample sample = {.code = code,
                                             .retry_after = retry_after};
     struct ch_router *router = exchange->frontend->node->router;
+    release_slot(exchange, CH_SLOTS_ENDED);
     router->ops->release(router, exchange->grant.handle, &sample);
 }
 
@@ -226,6 +250,8 @@
     exchange->router_handle = 0;
     exchange->router_replied = true;
     exchange->limit_refused = false;
+    exchange->slot_refusals = 0;
+    exchange->slot_waited = false;
     g_array_set_size(exchange->excluded, 0);
     ch_timers_add(exchange->frontend->node->timers, CH_RETRY_DELAY_US,
                   request_grant_again, exchange);
@@ -324,6 +350,97 @@
                           exchange);
 }
 
+/* ---- slots of brittle upstreams ---- */
+
+/* Allows the upstreams again that had no free slot. Lock held. */
+static void
+drop_slot_exclusions(struct ch_exchange *exchange)
+{
+    if (exchange->slot_refusals > 0) {
+        g_array_set_size(exchange->excluded, exchange->excluded_before);
+        exchange->slot_refusals = 0;
+    }
+}
+
+/* How long a slot may be waited for so that the response still meets its
+ * target; 0: not at all. */
+static int64_t
+get_slot_wait(const struct ch_exchange *exchange)
+{
+    int64_t now = ch_client_get_time(exchange->frontend->node->client);
+    int64_t time_left = exchange->request->info.first_token_deadline - now -
+                        exchange->grant.expected_latency;
+    return exchange->slot_waited ? MAX(time_left, 0) : 0;
+}
+
+/* The granted upstream has no free slot: asks the router for another one, and
+ * waits once several have none. Lock held; returns true when the exchange can
+ * be finished. */
+static bool
+handle_slot_refusal(struct ch_exchange *exchange, int64_t retry_after)
+{
+    release_unused_grant(exchange, CH_UPSTREAM_LIMITED, retry_after);
+    exchange->limit_retry_after =
+        exchange->limit_refused ? MIN(exchange->limit_retry_after, retry_after)
+                                : retry_after;
+    exchange->limit_refused = true;
+    if (exchange->slot_waited) {
+        return end_routing(exchange, CH_UPSTREAM_LIMITED, 0, NULL);
+    }
+    if (exchange->slot_refusals++ == 0) {
+        exchange->excluded_before = exchange->excluded->len;
+    }
+    g_array_append_val(exchange->excluded, exchange->grant.upstream);
+    if (exchange->slot_refusals >= MAX_SLOT_REFUSALS) {
+        drop_slot_exclusions(exchange);
+        exchange->slot_waited = true;
+    }
+    ch_pool_submit(exchange->frontend->node->pool, request_grant, exchange);
+    return false;
+}
+
+/* The granted upstream has a slot for the call, or not. */
+static void
+handle_slot(void *data, bool granted, int64_t retry_after)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    exchange->slot_held = granted;
+    if (exchange->abandoned) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        over = end_without_response(exchange);
+    }
+    else if (granted) {
+        drop_slot_exclusions(exchange);
+        call_within_limit(exchange);
+    }
+    else {
+        over = handle_slot_refusal(exchange, retry_after);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+}
+
+/* Calls the granted upstream, after permission if it is brittle. Lock held. */
+static void
+call_with_slot(struct ch_exchange *exchange)
+{
+    struct ch_slots *slots = exchange->frontend->node->slots;
+    GQuark upstream = exchange->grant.upstream;
+    uint32_t tokens = get_slot_tokens(exchange);
+    if (ch_slots_needs_permission(slots, upstream)) {
+        ch_slots_ask(slots, upstream, tokens, get_slot_wait(exchange),
+                     handle_slot, exchange);
+        return;
+    }
+    ch_slots_hold(slots, upstream, tokens);
+    exchange->slot_held = true;
+    call_within_limit(exchange);
+}
+
 /* ---- whether the upstream is still the process that its entry describes ----
  */
 
@@ -360,7 +477,7 @@
         over = end_without_response(exchange);
     }
     else if (same) {
-        call_within_limit(exchange);
+        call_with_slot(exchange);
     }
     else {
         over = pass_over_upstream(exchange);
@@ -388,7 +505,7 @@
 {
     struct ch_upstream *client = exchange->grant.client;
     if (!must_check_process(exchange)) {
-        call_within_limit(exchange);
+        call_with_slot(exchange);
         return false;
     }
     if (client->ops->fetch_report == NULL ||
@@ -442,7 +559,12 @@
     bool over = false;
     pthread_mutex_lock(&exchange->lock);
     exchange->router_replied = true;
-    if (drop_exclusions(exchange, code)) {
+    bool waits = exchange->slot_refusals > 0 && !exchange->abandoned;
+    if (waits) {
+        drop_slot_exclusions(exchange);
+        exchange->slot_waited = true;
+    }
+    if (waits || drop_exclusions(exchange, code)) {
         ch_pool_submit(exchange->frontend->node->pool, request_grant,
                        exchange);
     }
@@ -700,7 +822,8 @@
 static bool
 is_upstream_full(const struct ch_call_result *end)
 {
-    return end->code == CH_UPSTREAM_REFUSED && end->status == 503;
+    return end->code == CH_UPSTREAM_REFUSED && end->status == 503 &&
+           end->relay_result == CH_RELAY_NONE;
 }
 
 /* Logs and counts a call that the upstream had no room for. Lock held. */
@@ -723,6 +846,18 @@
            CH_F_STR("relay", g_quark_to_string(exchange->relay)), CH_F_END);
 }
 
+/* How the call gives its slot back. An upstream that has not sent a complete
+ * response may go on with the request for a while. */
+static enum ch_slots_end
+get_slot_end(const struct ch_call_result *end)
+{
+    if (is_upstream_full(end)) {
+        return CH_SLOTS_REJECTED;
+    }
+    return end->code == CH_OK || !end->may_have_run ? CH_SLOTS_ENDED
+                                                    : CH_SLOTS_CUT;
+}
+
 /* Handles the end of a call, successful or not. A grant that was used is
  * released here and nowhere else. */
 bool
@@ -747,6 +882,7 @@
         effective_end.may_have_run = true;
     }
     report_crash_evidence(exchange, end);
+    release_slot(exchange, get_slot_end(end));
     struct ch_timing_sample sample =
         ch_exchange_get_timing_sample(exchange, effective_end.code);
     node->router->ops->release(node->router, exchange->grant.handle, &sample);
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -66,6 +66,8 @@
     bool router_replied;
     bool retry_taken;        /* a retry was taken, not yet used by a call */
     bool limit_refused;      /* the limit of an upstream refused the call */
+    bool slot_held;          /* a slot of the granted upstream */
+    bool slot_waited;        /* a slot was waited for */
     bool exclusions_dropped; /* excluded upstreams were allowed again, once */
     bool is_stream;          /* the response being received is a stream */
     bool stream_started;     /* a stream to the caller has started */
@@ -78,6 +80,8 @@
     struct ch_grant grant;
     GArray *excluded;          /* GQuark: upstreams that are not to be tried */
     int64_t limit_retry_after; /* the soonest of those refusals */
+    unsigned slot_refusals;    /* by upstreams without a free slot, in a row */
+    guint excluded_before;     /* length of `excluded` before these */
     unsigned routing_round;    /* number of requests to the router */
     GArray *failed_relays;     /* GQuark: nodes that did not relay the call */
 
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -32,6 +32,7 @@
     ch_crash_guard_free(node->crash_guard);
     ch_quota_manager_free(node->quota);
     ch_limit_manager_free(node->limits);
+    ch_slots_free(node->slots);
     ch_path_manager_free(node->paths);
     ch_stream_manager_free(node->streams);
     if (node->router != NULL) {
@@ -77,6 +78,7 @@
     node->config = ch_config_manager_new(node);
     node->quota = ch_quota_manager_new(node);
     node->limits = ch_limit_manager_new(node);
+    node->slots = ch_node_create_slots(node);
     node->paths = ch_path_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
@@ -132,6 +134,7 @@
         }
     }
     ch_limit_manager_start(node->limits);
+    ch_slots_start(node->slots);
     ch_path_manager_start(node->paths);
     if (node->streams != NULL) {
         ch_stream_manager_start(node->streams);
@@ -178,6 +181,7 @@
     }
     ch_quota_manager_stop(node->quota);
     ch_limit_manager_stop(node->limits);
+    ch_slots_stop(node->slots);
     ch_path_manager_stop(node->paths);
     if (node->streams != NULL) {
         ch_stream_manager_stop(node->streams);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < paths < streams < peers < pool, timers, http <
- * metrics. No handler of another package is called with a lock held.
+ * < crashes < quota < limits < slots < paths < streams < peers < pool, timers,
+ * http < metrics. No handler of another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -22,6 +22,7 @@
 #include "decide/policy.h"
 #include "net/net.h"
 #include "platform/platform.h"
+#include "slots/slots.h"
 #include "upstream/upstream.h"
 #include "wire/wire.h"
 
@@ -53,6 +54,7 @@
     struct ch_crash_guard *crash_guard;
     struct ch_quota_manager *quota;
     struct ch_limit_manager *limits;
+    struct ch_slots *slots;            /* NULL: no upstream is brittle */
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
                                           stream of an earlier request */
@@ -75,6 +77,10 @@
 /* Stops gracefully: returns once every accepted request has its response. */
 void ch_node_stop(struct ch_node *node);
 
+/* Creates the count of brittle upstreams' slots and sets its handlers of
+ * frames (slots_peers.c). */
+struct ch_slots *ch_node_create_slots(struct ch_node *node);
+
 /* ---- peers (peers.c): frames to and from other nodes ---- */
 
 struct ch_peers;
--- /dev/null
+++ b/libchestnuthitch/node/slots_peers.c
@@ -0,0 +1,81 @@
+/* How the slots of brittle upstreams reach other nodes. */
+
+#include "node/node.h"
+
+#define WIRE(name) CHESTNUTHITCH__WIRE__##name
+
+static char *
+find_counter(void *data, GQuark upstream, GQuark region)
+{
+    const struct ch_node *node = data;
+    return ch_peers_find_upstream_home(
+        node->peers, ch_hash_string(g_quark_to_string(upstream)),
+        region == 0 ? "" : g_quark_to_string(region), NULL);
+}
+
+static size_t
+count_listed(void *data)
+{
+    const struct ch_node *node = data;
+    struct ch_peers_counts counts;
+    ch_peers_count(node->peers, node->settings->region, &counts);
+    return counts.listed;
+}
+
+static GPtrArray *
+list_live(void *data)
+{
+    const struct ch_node *node = data;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_list_others(node->peers, names, names);
+    return names;
+}
+
+static void
+send_frame(void *data, const char *to, Chestnuthitch__Wire__Frame *frame)
+{
+    const struct ch_node *node = data;
+    ch_peers_send(node->peers, to, frame);
+}
+
+static void
+request(void *data, const char *to, Chestnuthitch__Wire__Frame *frame,
+        int64_t limit,
+        void (*done)(void *data, enum ch_code code,
+                     const Chestnuthitch__Wire__Frame *reply),
+        void *done_data)
+{
+    const struct ch_node *node = data;
+    ch_peers_request(node->peers, to, frame, limit, done, done_data);
+}
+
+static void
+reply(void *data, const char *to, uint64_t id,
+      Chestnuthitch__Wire__Frame *frame)
+{
+    const struct ch_node *node = data;
+    ch_peers_reply(node->peers, to, id, frame);
+}
+
+/* See node.h. */
+struct ch_slots *
+ch_node_create_slots(struct ch_node *node)
+{
+    const struct ch_slots_peers peers = {
+        .data = node,
+        .self = node->settings->name,
+        .find_counter = find_counter,
+        .count_listed = count_listed,
+        .list_live = list_live,
+        .send = send_frame,
+        .request = request,
+        .reply = reply,
+    };
+    struct ch_slots *slots =
+        ch_slots_new(node->client, node->pool, node->timers, &peers);
+    ch_peers_set_handler(node->peers, WIRE(FRAME__BODY_SLOT_ASK),
+                         ch_slots_handle_ask, slots);
+    ch_peers_set_handler(node->peers, WIRE(FRAME__BODY_SLOT_STATES),
+                         ch_slots_handle_states, slots);
+    return slots;
+}
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -26,6 +26,7 @@
     uint64_t handle; /* atomic: set once ch_http_submit() has returned */
     struct ch_call_rules rules;
     struct ch_limit_listener limit_listener;
+    struct ch_limit_listener brittle_listener;
     struct ch_path_listener path_listener;
     int64_t sent_at;
     struct ch_call_handlers handlers;
@@ -44,8 +45,9 @@
     bool is_framed;     /* Content-Length or chunks: its end can be detected */
     bool has_signature; /* the signature header was received */
     char *content_type;
-    char *limit_values; /* of the header that names a limit; NULL: none */
-    GArray *headers;    /* struct ch_http_header, to be forwarded */
+    char *limit_values;   /* of the header that names a limit; NULL: none */
+    char *brittle_values; /* likewise, of rules.brittle_header */
+    GArray *headers;      /* struct ch_http_header, to be forwarded */
     /* Progress of the response. */
     bool headers_checked; /* check_headers() has run */
     bool is_stream;
@@ -71,6 +73,7 @@
     g_free(exchange->event_id);
     g_free(exchange->content_type);
     g_free(exchange->limit_values);
+    g_free(exchange->brittle_values);
     g_free(exchange);
 }
 
@@ -219,10 +222,13 @@
     exchange->headers_checked = true;
     check_response_headers(exchange);
     if (exchange->id_matches || is_refusal_without_id(exchange)) {
-        ch_upstream_report_limit(
-            &exchange->limit_listener, exchange->limit_values,
-            exchange->failure == CH_OK && exchange->status < 300,
-            exchange->sent_at);
+        bool succeeded = exchange->failure == CH_OK && exchange->status < 300;
+        ch_upstream_report_limit(&exchange->limit_listener,
+                                 exchange->limit_values, succeeded,
+                                 exchange->sent_at);
+        ch_upstream_report_limit(&exchange->brittle_listener,
+                                 exchange->brittle_values, succeeded,
+                                 exchange->sent_at);
     }
     if (exchange->failure != CH_OK) {
         return;
@@ -353,6 +359,10 @@
     else if (strcasecmp(name, exchange->rules.not_run_header) == 0) {
         exchange->not_run = strcmp(value, "1") == 0;
     }
+    else if (exchange->rules.brittle_header != NULL &&
+             strcasecmp(name, exchange->rules.brittle_header) == 0) {
+        ch_http_append_value(&exchange->brittle_values, value);
+    }
     else if (exchange->rules.limit_header != NULL &&
              strcasecmp(name, exchange->rules.limit_header) == 0) {
         ch_http_append_value(&exchange->limit_values, value);
@@ -536,6 +546,7 @@
     struct call_exchange *exchange =
         call_exchange_new(client, http, rules, call);
     exchange->limit_listener = upstream->limit_listener;
+    exchange->brittle_listener = upstream->brittle_listener;
     exchange->path_listener = upstream->path_listener;
     exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
--- a/libchestnuthitch/upstream/call.h
+++ b/libchestnuthitch/upstream/call.h
@@ -14,6 +14,8 @@
     const char *not_run_header; /* "1" in a response: it was not run */
     const char *limit_header;   /* of a response: calls a second that are taken
                                    from all nodes together; NULL: none */
+    const char *brittle_header; /* of a response: rejections a second that the
+                                   upstream bears; NULL: none */
     /*
      * Header of every response to a request that was run; NULL: none. A
      * success without this header does not come from the upstream.
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -186,7 +186,9 @@
 struct ch_upstream {
     const struct ch_upstream_ops *ops;
     struct ch_limit_listener limit_listener; /* handle may be NULL */
-    struct ch_path_listener path_listener;   /* likewise */
+    /* Likewise; is told of the rejections a second that the upstream bears. */
+    struct ch_limit_listener brittle_listener;
+    struct ch_path_listener path_listener; /* likewise */
 };
 
 /* Calls the listener, if there is one. */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1762,6 +1762,186 @@
   assert(message->base.descriptor == &chestnuthitch__wire__limit_permission__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__slot_state__init
+                     (Chestnuthitch__Wire__SlotState         *message)
+{
+  static const Chestnuthitch__Wire__SlotState init_value = CHESTNUTHITCH__WIRE__SLOT_STATE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__slot_state__get_packed_size
+                     (const Chestnuthitch__Wire__SlotState *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__slot_state__pack
+                     (const Chestnuthitch__Wire__SlotState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__slot_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__SlotState *
+       chestnuthitch__wire__slot_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__SlotState *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__slot_state__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__slot_state__free_unpacked
+                     (Chestnuthitch__Wire__SlotState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__slot_states__init
+                     (Chestnuthitch__Wire__SlotStates         *message)
+{
+  static const Chestnuthitch__Wire__SlotStates init_value = CHESTNUTHITCH__WIRE__SLOT_STATES__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__slot_states__get_packed_size
+                     (const Chestnuthitch__Wire__SlotStates *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_states__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__slot_states__pack
+                     (const Chestnuthitch__Wire__SlotStates *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_states__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__slot_states__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotStates *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_states__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__SlotStates *
+       chestnuthitch__wire__slot_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__SlotStates *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__slot_states__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__slot_states__free_unpacked
+                     (Chestnuthitch__Wire__SlotStates *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_states__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__slot_ask__init
+                     (Chestnuthitch__Wire__SlotAsk         *message)
+{
+  static const Chestnuthitch__Wire__SlotAsk init_value = CHESTNUTHITCH__WIRE__SLOT_ASK__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__slot_ask__get_packed_size
+                     (const Chestnuthitch__Wire__SlotAsk *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__slot_ask__pack
+                     (const Chestnuthitch__Wire__SlotAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__slot_ask__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__SlotAsk *
+       chestnuthitch__wire__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__SlotAsk *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__slot_ask__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__slot_ask__free_unpacked
+                     (Chestnuthitch__Wire__SlotAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__slot_permission__init
+                     (Chestnuthitch__Wire__SlotPermission         *message)
+{
+  static const Chestnuthitch__Wire__SlotPermission init_value = CHESTNUTHITCH__WIRE__SLOT_PERMISSION__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__slot_permission__get_packed_size
+                     (const Chestnuthitch__Wire__SlotPermission *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_permission__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__slot_permission__pack
+                     (const Chestnuthitch__Wire__SlotPermission *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_permission__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__slot_permission__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotPermission *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_permission__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__SlotPermission *
+       chestnuthitch__wire__slot_permission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__SlotPermission *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__slot_permission__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__slot_permission__free_unpacked
+                     (Chestnuthitch__Wire__SlotPermission *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__slot_permission__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__path_probe__init
                      (Chestnuthitch__Wire__PathProbe         *message)
 {
@@ -2032,7 +2212,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[41] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[44] =
 {
   {
     "version",
@@ -2526,6 +2706,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_ask",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, slot_ask),
+    &chestnuthitch__wire__slot_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_permission",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, slot_permission),
+    &chestnuthitch__wire__slot_permission__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_states",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, slot_states),
+    &chestnuthitch__wire__slot_states__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   16,   /* field[16] = config_pull */
@@ -2564,6 +2780,9 @@
   3,   /* field[3] = reply */
   25,   /* field[25] = roster */
   26,   /* field[26] = roster_pull */
+  41,   /* field[41] = slot_ask */
+  42,   /* field[42] = slot_permission */
+  43,   /* field[43] = slot_states */
   39,   /* field[39] = stream_query */
   38,   /* field[38] = stream_records */
   40,   /* field[40] = stream_reply */
@@ -2574,7 +2793,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 41 }
+  { 0, 44 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2584,7 +2803,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  41,
+  44,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -5606,6 +5825,418 @@
   (ProtobufCMessageInit) chestnuthitch__wire__limit_permission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__slot_state__field_descriptors[14] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejections_per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, rejections_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, sent_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "received_age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, received_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, since_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, rejected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_grant",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, last_grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told_at",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotState, told_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__slot_state__field_indices_by_name[] = {
+  2,   /* field[2] = boot_id */
+  3,   /* field[3] = brittle */
+  8,   /* field[8] = calls */
+  11,   /* field[11] = epoch */
+  12,   /* field[12] = last_grant */
+  6,   /* field[6] = received_age_us */
+  1,   /* field[1] = region */
+  10,   /* field[10] = rejected */
+  4,   /* field[4] = rejections_per_s */
+  5,   /* field[5] = sent_age_us */
+  7,   /* field[7] = since_age_us */
+  9,   /* field[9] = tokens */
+  13,   /* field[13] = told_at */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__slot_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__slot_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.SlotState",
+  "SlotState",
+  "Chestnuthitch__Wire__SlotState",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__SlotState),
+  14,
+  chestnuthitch__wire__slot_state__field_descriptors,
+  chestnuthitch__wire__slot_state__field_indices_by_name,
+  1,  chestnuthitch__wire__slot_state__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__slot_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__slot_states__field_descriptors[3] =
+{
+  {
+    "states",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__SlotStates, n_states),
+    offsetof(Chestnuthitch__Wire__SlotStates, states),
+    &chestnuthitch__wire__slot_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_announcement",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotStates, is_announcement),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaves",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotStates, leaves),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__slot_states__field_indices_by_name[] = {
+  1,   /* field[1] = is_announcement */
+  2,   /* field[2] = leaves */
+  0,   /* field[0] = states */
+};
+static const ProtobufCIntRange chestnuthitch__wire__slot_states__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__slot_states__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.SlotStates",
+  "SlotStates",
+  "Chestnuthitch__Wire__SlotStates",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__SlotStates),
+  3,
+  chestnuthitch__wire__slot_states__field_descriptors,
+  chestnuthitch__wire__slot_states__field_indices_by_name,
+  1,  chestnuthitch__wire__slot_states__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__slot_states__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__slot_ask__field_descriptors[3] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotAsk, state),
+    &chestnuthitch__wire__slot_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotAsk, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__slot_ask__field_indices_by_name[] = {
+  0,   /* field[0] = state */
+  1,   /* field[1] = tokens */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange chestnuthitch__wire__slot_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__slot_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.SlotAsk",
+  "SlotAsk",
+  "Chestnuthitch__Wire__SlotAsk",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__SlotAsk),
+  3,
+  chestnuthitch__wire__slot_ask__field_descriptors,
+  chestnuthitch__wire__slot_ask__field_indices_by_name,
+  1,  chestnuthitch__wire__slot_ask__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__slot_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__slot_permission__field_descriptors[4] =
+{
+  {
+    "grant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotPermission, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotPermission, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotPermission, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__SlotPermission, state),
+    &chestnuthitch__wire__slot_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__slot_permission__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  0,   /* field[0] = grant */
+  2,   /* field[2] = retry_after_ms */
+  3,   /* field[3] = state */
+};
+static const ProtobufCIntRange chestnuthitch__wire__slot_permission__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__slot_permission__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.SlotPermission",
+  "SlotPermission",
+  "Chestnuthitch__Wire__SlotPermission",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__SlotPermission),
+  4,
+  chestnuthitch__wire__slot_permission__field_descriptors,
+  chestnuthitch__wire__slot_permission__field_indices_by_name,
+  1,  chestnuthitch__wire__slot_permission__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__slot_permission__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__path_probe__field_descriptors[1] =
 {
   {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -54,6 +54,10 @@
 typedef struct Chestnuthitch__Wire__LimitStates Chestnuthitch__Wire__LimitStates;
 typedef struct Chestnuthitch__Wire__LimitTake Chestnuthitch__Wire__LimitTake;
 typedef struct Chestnuthitch__Wire__LimitPermission Chestnuthitch__Wire__LimitPermission;
+typedef struct Chestnuthitch__Wire__SlotState Chestnuthitch__Wire__SlotState;
+typedef struct Chestnuthitch__Wire__SlotStates Chestnuthitch__Wire__SlotStates;
+typedef struct Chestnuthitch__Wire__SlotAsk Chestnuthitch__Wire__SlotAsk;
+typedef struct Chestnuthitch__Wire__SlotPermission Chestnuthitch__Wire__SlotPermission;
 typedef struct Chestnuthitch__Wire__PathProbe Chestnuthitch__Wire__PathProbe;
 typedef struct Chestnuthitch__Wire__PathView Chestnuthitch__Wire__PathView;
 typedef struct Chestnuthitch__Wire__StreamRecord Chestnuthitch__Wire__StreamRecord;
@@ -102,7 +106,10 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_VIEW = 40,
   CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_RECORDS = 41,
   CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_QUERY = 42,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43
+  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_SLOT_ASK = 44,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_SLOT_PERMISSION = 45,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_SLOT_STATES = 46
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -165,6 +172,9 @@
     Chestnuthitch__Wire__StreamRecords *stream_records;
     Chestnuthitch__Wire__StreamQuery *stream_query;
     Chestnuthitch__Wire__StreamReply *stream_reply;
+    Chestnuthitch__Wire__SlotAsk *slot_ask;
+    Chestnuthitch__Wire__SlotPermission *slot_permission;
+    Chestnuthitch__Wire__SlotStates *slot_states;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -976,6 +986,113 @@
     , 0, 0, NULL }
 
 
+/*
+ * What the sender knows of a brittle upstream, and its own calls there. Ages
+ * are as in LimitState.
+ */
+struct  Chestnuthitch__Wire__SlotState
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *region;
+  /*
+   * 0: not known
+   */
+  uint64_t boot_id;
+  /*
+   * false: it is not, or no longer
+   */
+  protobuf_c_boolean brittle;
+  double rejections_per_s;
+  uint64_t sent_age_us;
+  uint64_t received_age_us;
+  /*
+   * since it was first known to be brittle
+   */
+  uint64_t since_age_us;
+  /*
+   * of the sender, outstanding
+   */
+  uint32_t calls;
+  uint64_t tokens;
+  /*
+   * for want of room, since the sender's start
+   */
+  uint32_t rejected;
+  /*
+   * of the counter that gave last_grant
+   */
+  uint64_t epoch;
+  /*
+   * all up to this number were received
+   */
+  uint64_t last_grant;
+  /*
+   * grows with each message of the sender
+   */
+  uint64_t told_at;
+};
+#define CHESTNUTHITCH__WIRE__SLOT_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__slot_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__SlotStates
+{
+  ProtobufCMessage base;
+  size_t n_states;
+  Chestnuthitch__Wire__SlotState **states;
+  /*
+   * the sender counts: tell it your calls
+   */
+  protobuf_c_boolean is_announcement;
+  /*
+   * the sender tells another counter from now on
+   */
+  protobuf_c_boolean leaves;
+};
+#define CHESTNUTHITCH__WIRE__SLOT_STATES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__slot_states__descriptor) \
+    , 0,NULL, 0, 0 }
+
+
+/*
+ * To the node that counts the calls to a brittle upstream: asks for one slot.
+ */
+struct  Chestnuthitch__Wire__SlotAsk
+{
+  ProtobufCMessage base;
+  Chestnuthitch__Wire__SlotState *state;
+  uint32_t tokens;
+  /*
+   * how long the call may wait for a slot
+   */
+  uint32_t wait_ms;
+};
+#define CHESTNUTHITCH__WIRE__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__slot_ask__descriptor) \
+    , NULL, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__SlotPermission
+{
+  ProtobufCMessage base;
+  /*
+   * counts the node's permissions; 0: refused
+   */
+  uint64_t grant;
+  uint64_t epoch;
+  uint32_t retry_after_ms;
+  /*
+   * as the counting node knows it
+   */
+  Chestnuthitch__Wire__SlotState *state;
+};
+#define CHESTNUTHITCH__WIRE__SLOT_PERMISSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__slot_permission__descriptor) \
+    , 0, 0, 0, NULL }
+
+
 /*
  * Asks whether the receiver can connect to an upstream.
  */
@@ -1845,6 +1962,82 @@
 void   chestnuthitch__wire__limit_permission__free_unpacked
                      (Chestnuthitch__Wire__LimitPermission *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__SlotState methods */
+void   chestnuthitch__wire__slot_state__init
+                     (Chestnuthitch__Wire__SlotState         *message);
+size_t chestnuthitch__wire__slot_state__get_packed_size
+                     (const Chestnuthitch__Wire__SlotState   *message);
+size_t chestnuthitch__wire__slot_state__pack
+                     (const Chestnuthitch__Wire__SlotState   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__slot_state__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotState   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__SlotState *
+       chestnuthitch__wire__slot_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__slot_state__free_unpacked
+                     (Chestnuthitch__Wire__SlotState *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__SlotStates methods */
+void   chestnuthitch__wire__slot_states__init
+                     (Chestnuthitch__Wire__SlotStates         *message);
+size_t chestnuthitch__wire__slot_states__get_packed_size
+                     (const Chestnuthitch__Wire__SlotStates   *message);
+size_t chestnuthitch__wire__slot_states__pack
+                     (const Chestnuthitch__Wire__SlotStates   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__slot_states__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotStates   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__SlotStates *
+       chestnuthitch__wire__slot_states__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__slot_states__free_unpacked
+                     (Chestnuthitch__Wire__SlotStates *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__SlotAsk methods */
+void   chestnuthitch__wire__slot_ask__init
+                     (Chestnuthitch__Wire__SlotAsk         *message);
+size_t chestnuthitch__wire__slot_ask__get_packed_size
+                     (const Chestnuthitch__Wire__SlotAsk   *message);
+size_t chestnuthitch__wire__slot_ask__pack
+                     (const Chestnuthitch__Wire__SlotAsk   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__slot_ask__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__SlotAsk *
+       chestnuthitch__wire__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__slot_ask__free_unpacked
+                     (Chestnuthitch__Wire__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__SlotPermission methods */
+void   chestnuthitch__wire__slot_permission__init
+                     (Chestnuthitch__Wire__SlotPermission         *message);
+size_t chestnuthitch__wire__slot_permission__get_packed_size
+                     (const Chestnuthitch__Wire__SlotPermission   *message);
+size_t chestnuthitch__wire__slot_permission__pack
+                     (const Chestnuthitch__Wire__SlotPermission   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__slot_permission__pack_to_buffer
+                     (const Chestnuthitch__Wire__SlotPermission   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__SlotPermission *
+       chestnuthitch__wire__slot_permission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__slot_permission__free_unpacked
+                     (Chestnuthitch__Wire__SlotPermission *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__PathProbe methods */
 void   chestnuthitch__wire__path_probe__init
                      (Chestnuthitch__Wire__PathProbe         *message);
@@ -2078,6 +2271,18 @@
 typedef void (*Chestnuthitch__Wire__LimitPermission_Closure)
                  (const Chestnuthitch__Wire__LimitPermission *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__SlotState_Closure)
+                 (const Chestnuthitch__Wire__SlotState *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__SlotStates_Closure)
+                 (const Chestnuthitch__Wire__SlotStates *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__SlotAsk_Closure)
+                 (const Chestnuthitch__Wire__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__SlotPermission_Closure)
+                 (const Chestnuthitch__Wire__SlotPermission *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__PathProbe_Closure)
                  (const Chestnuthitch__Wire__PathProbe *message,
                   void *closure_data);
@@ -2141,6 +2346,10 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_take__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__slot_state__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__slot_states__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__slot_permission__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_probe__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_view__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_record__descriptor;
--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -200,8 +200,7 @@
     };
     struct harness_fleet *fleet =
         harness_fleet_prepare(harness_get_build_directory(), &shape);
-    harness_set_faults(&fleet->users, "slots=%d&queue=%d&fall_ms=%d", SLOTS,
-                       USUAL_QUEUE, FALL_MS);
+    harness_set_faults(&fleet->users, "slots=%d&queue=%d", SLOTS, USUAL_QUEUE);
     harness_users_put_config(fleet, config);
     for (unsigned i = 0; i < WORKERS; i++) {
         char name[16];
@@ -274,7 +273,7 @@
     harness_set_faults(&fleet->users, "brittle=%u", scenario->rejections + 1);
     harness_sleep_ms(SETTLE_MS);
     struct use begin = read_use(fleet);
-    harness_set_faults(&fleet->users, "queue=0");
+    harness_set_faults(&fleet->users, "queue=0&fall_ms=%d", FALL_MS);
     scenario->faults(fleet);
     struct use end = read_use(fleet);
     g_print(
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -38,7 +38,7 @@
     FAULT(queue)   /* requests that may wait for a slot */                    \
     FAULT(brittle) /* N + 1: names N rejections a second, and falls over      \
                       beyond them; 0: none */                                 \
-    FAULT(fall_ms) /* downtime after that */                                  \
+    FAULT(fall_ms) /* downtime after that; 0: it does not fall yet */         \
     /* engine, service */                                                     \
     FAULT(token_us)     /* engine: time per token */                          \
     FAULT(slow_percent) /* engine: percentage of token_us, 100 is normal */   \
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -354,7 +354,8 @@
            now - G_USEC_PER_SEC) {
         g_array_remove_index(worker->rejections, 0);
     }
-    if (worker->rejections->len >= brittle) {
+    if (worker->rejections->len >= brittle &&
+        get_fault(worker, FAULT_fall_ms) > 0) {
         struct fall *fall = g_new0(struct fall, 1);
         *fall = (struct fall){worker, worker->boot};
         g_array_set_size(worker->rejections, 0);
