--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -12,6 +12,7 @@
 
 #define HOST "fit.example"
 #define PATH "/fit/"
+#define ORDERS_PATH "/orders/"
 #define MODELS "m1,m2"
 
 enum {
@@ -19,7 +20,8 @@
     WORKERS = 4,
     SLOTS = 4, /* of each worker */
     CALLERS = 48,
-    EVENTS = 30, /* at 20 ms each */
+    EVENTS = 30,     /* at 20 ms each */
+    ANSWER_MS = 500, /* of the plain service */
     DEADLINE_MS = 8 * 1000,
     MAX_PAUSE_MS = 300, /* of a caller that was rejected */
     USUAL_QUEUE = 16,
@@ -37,14 +39,19 @@
     "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
     "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
     "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300}],\"services\":[{\"name\":\"engines\","
+    "\"target_gap_ms\":300},{\"name\":\"r2\",\"host\":\"" HOST "\","
+    "\"path_prefix\":\"" ORDERS_PATH "\",\"type\":\"safe\","
+    "\"timeout_ms\":6000,\"target_latency_ms\":1000,\"priority\":1,"
+    "\"service\":\"orders\",\"max_attempts\":2}],\"services\":[{\"name\":"
+    "\"engines\","
     "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
     "\"slots\":4,\"kv_capacity\":200000,\"weights_mb\":40000,"
     "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
     "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
     "\"adapter_mb\":10},"
     "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}}],\"limits\":{\"max_header_bytes\":16384,"
+    "\"adapter_mb\":10}]}},{\"name\":\"orders\",\"health_path\":\"/healthz\","
+    "\"max_connections\":300}],\"limits\":{\"max_header_bytes\":16384,"
     "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
     "\"idle_timeout_ms\":15000}}";
 
@@ -52,6 +59,7 @@
 
 struct callers {
     struct harness_fleet *fleet;
+    bool is_plain;
     pthread_mutex_t lock;
     bool stopped;
     unsigned last_id;
@@ -87,12 +95,13 @@
 {
     const struct harness_node *node =
         &callers->fleet->nodes[g_rand_int_range(random, 0, NODES)];
+    const char *model = g_rand_boolean(random) ? "m1" : "m2";
     const struct harness_stream_call call = {
         .address = node->caller_address,
         .host = HOST,
-        .path = PATH,
+        .path = callers->is_plain ? ORDERS_PATH : PATH,
         .request_id = id,
-        .model = g_rand_boolean(random) ? "m1" : "m2",
+        .model = callers->is_plain ? NULL : model,
         .body = id, /* a request of its own, not a repeat of another one */
         .events = EVENTS,
         .deadline_ms = DEADLINE_MS,
@@ -157,6 +166,7 @@
     unsigned rejections; /* N, which the upstreams name */
     void (*faults)(struct harness_fleet *fleet); /* takes FAULT_MS */
     bool use_is_bounded;                         /* the slots must be used */
+    bool is_plain; /* a plain service instead of engines */
 };
 
 static void
@@ -184,15 +194,16 @@
 }
 
 static const struct scenario scenarios[] = {
-    {"overload", 3, wait_only, true},
-    {"none-bears-a-rejection", 0, wait_only, true},
-    {"nodes-lost-and-paused", 3, lose_nodes, false},
+    {"overload", 3, wait_only, true, false},
+    {"none-bears-a-rejection", 0, wait_only, true, false},
+    {"nodes-lost-and-paused", 3, lose_nodes, false, false},
+    {"plain-service", 3, wait_only, true, true},
 };
 
 /* ---- runs ---- */
 
 static struct harness_fleet *
-start_fleet(void)
+start_fleet(bool is_plain)
 {
     const struct harness_fleet_config shape = {
         .users_platform = true,
@@ -200,12 +211,18 @@
     };
     struct harness_fleet *fleet =
         harness_fleet_prepare(harness_get_build_directory(), &shape);
-    harness_set_faults(&fleet->users, "slots=%d&queue=%d", SLOTS, USUAL_QUEUE);
+    harness_set_faults(&fleet->users, "slots=%d&queue=%d&answer_ms=%d", SLOTS,
+                       USUAL_QUEUE, ANSWER_MS);
     harness_users_put_config(fleet, config);
     for (unsigned i = 0; i < WORKERS; i++) {
         char name[16];
         (void)g_snprintf(name, sizeof name, "e%u", i + 1);
-        harness_users_start_worker(fleet, name, "v1", MODELS);
+        if (is_plain) {
+            harness_users_start_service(fleet, name);
+        }
+        else {
+            harness_users_start_worker(fleet, name, "v1", MODELS);
+        }
     }
     for (unsigned i = 0; i < fleet->node_count; i++) {
         harness_node_start(fleet, &fleet->nodes[i]);
@@ -259,8 +276,8 @@
 run_scenario(gconstpointer data)
 {
     const struct scenario *scenario = data;
-    struct harness_fleet *fleet = start_fleet();
-    struct callers callers = {.fleet = fleet};
+    struct harness_fleet *fleet = start_fleet(scenario->is_plain);
+    struct callers callers = {.fleet = fleet, .is_plain = scenario->is_plain};
     struct caller caller[CALLERS];
     GThread *threads[CALLERS];
     g_print("# logs in %s\n", fleet->directory);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -198,6 +198,9 @@
  * "" for none in its entry. */
 void harness_users_start_worker(struct harness_fleet *fleet, const char *name,
                                 const char *version, const char *models);
+/* Starts a worker of the plain service "orders". */
+void harness_users_start_service(struct harness_fleet *fleet,
+                                 const char *name);
 /* action: crash, drain, remove; see tests/standin/users.h. */
 void harness_users_change_worker(struct harness_fleet *fleet, const char *name,
                                  const char *action);
--- a/tests/harness/users.c
+++ b/tests/harness/users.c
@@ -37,17 +37,30 @@
     g_free(harness_call_control(&fleet->users, path, ""));
 }
 
-void
-harness_users_start_worker(struct harness_fleet *fleet, const char *name,
-                           const char *version, const char *models)
+static void
+start_worker(struct harness_fleet *fleet, const char *service,
+             const char *name, const char *version, const char *models)
 {
     g_autofree char *path = g_strdup_printf(
-        "worker?name=%s&action=start&service=engines&zone=caerdydd&version=%s"
+        "worker?name=%s&action=start&service=%s&zone=caerdydd&version=%s"
         "&models=%s",
-        name, version, models);
+        name, service, version, models);
     g_free(harness_call_control(&fleet->users, path, ""));
 }
 
+void
+harness_users_start_worker(struct harness_fleet *fleet, const char *name,
+                           const char *version, const char *models)
+{
+    start_worker(fleet, "engines", name, version, models);
+}
+
+void
+harness_users_start_service(struct harness_fleet *fleet, const char *name)
+{
+    start_worker(fleet, "orders", name, "v1", "");
+}
+
 void
 harness_users_change_worker(struct harness_fleet *fleet, const char *name,
                             const char *action)
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -60,6 +60,12 @@
     GString *ready;
 };
 
+/* A response of a plain service. */
+struct plain {
+    struct worker *worker;
+    unsigned boot;
+};
+
 /* A fall of a worker under its rejections. */
 struct fall {
     struct worker *worker;
@@ -308,6 +314,61 @@
     }
 }
 
+/* ---- plain services ---- */
+
+static void
+end_plain(struct exchange *exchange, bool whole)
+{
+    struct plain *plain = exchange->mode_data;
+    (void)whole;
+    if (plain->boot == plain->worker->boot) {
+        change_running(plain->worker, -1);
+        admit_waiting(plain->worker);
+    }
+    g_free(plain);
+}
+
+static void
+respond_plain(void *data)
+{
+    struct exchange *exchange = data;
+    const struct plain *plain = exchange->mode_data;
+    exchange->timer = NULL;
+    exchange_reply_text(exchange, 200, "done\n");
+    exchange_add_header(exchange, "Server-Signature", plain->worker->name);
+    exchange_add_header(exchange, "Request-Id",
+                        exchange_header(exchange, "Request-Id"));
+    add_brittle_header(exchange, plain->worker);
+    exchange_resume(exchange);
+}
+
+static void
+begin_plain(struct exchange *exchange, struct worker *worker)
+{
+    struct plain *plain = g_new0(struct plain, 1);
+    *plain = (struct plain){worker, worker->boot};
+    exchange->mode_data = plain;
+    exchange->on_end = end_plain;
+    change_running(worker, 1);
+    record_run(exchange, worker, 0);
+    exchange->timer = timer_add(worker->users->standin,
+                                get_fault(worker, FAULT_answer_ms) * 1000,
+                                respond_plain, exchange);
+}
+
+/* Begins a request that has a slot; one that names no model is of a plain
+ * service. Returns whether its response has begun. */
+static bool
+begin_request(struct exchange *exchange, struct worker *worker)
+{
+    if (exchange_header(exchange, "Model") == NULL) {
+        begin_plain(exchange, worker);
+        return false;
+    }
+    begin_stream(exchange, worker);
+    return true;
+}
+
 static void crash_worker(struct worker *worker);
 static void restart_worker(struct worker *worker);
 
@@ -379,23 +440,24 @@
     while (worker->running < get_slots(worker) &&
            !g_queue_is_empty(worker->waiting)) {
         struct exchange *exchange = g_queue_pop_head(worker->waiting);
-        begin_stream(exchange, worker);
-        exchange_resume(exchange);
+        if (begin_request(exchange, worker)) {
+            exchange_resume(exchange);
+        }
     }
 }
 
 static void
-handle_stream(struct exchange *exchange, struct worker *worker)
+handle_request(struct exchange *exchange, struct worker *worker)
 {
     const char *model = exchange_header(exchange, "Model");
     if (exchange_header(exchange, "Request-Id") == NULL) {
         reject(exchange, worker, 400, "no request id\n");
     }
-    else if (model == NULL || !has_model(worker, model)) {
+    else if (model != NULL && !has_model(worker, model)) {
         reject(exchange, worker, 421, "the model is not resident\n");
     }
     else if (worker->running < get_slots(worker)) {
-        begin_stream(exchange, worker);
+        (void)begin_request(exchange, worker);
     }
     else if (worker->waiting->length < get_fault(worker, FAULT_queue)) {
         exchange->mode_data = worker;
@@ -544,7 +606,7 @@
         handle_order(exchange, worker);
     }
     else {
-        handle_stream(exchange, worker);
+        handle_request(exchange, worker);
     }
     return true;
 }
