Logs name the parts of the prompts of calls that were cut

What was missing: no line named the parts of a request, so that the common part of the requests under which upstreams ended could not be found (hypotheses 1 to 3 of docs/incidents/crashing-prompt-parts.md).

Change: a line call-cut for each call that its upstream cut: request, upstream, boot, whether anything of the answer had come, and the parts in order. No decision is changed.

--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -248,6 +248,26 @@
                                  GUINT_TO_POINTER(upstream));
 }
 
+/* Logs a call that was cut, with the parts of its prompt. */
+static void
+log_interrupted(const struct ch_crash_guard *guard,
+                const struct ch_request *request, const struct ch_grant *grant,
+                bool before_response)
+{
+    GString *parts = g_string_new(NULL);
+    for (size_t i = 0; i < request->info.part_count; i++) {
+        g_string_append_printf(parts, "%s%016" G_GINT64_MODIFIER "x",
+                               i == 0 ? "" : " ", request->info.parts[i].id);
+    }
+    ch_log(guard->node->client, CH_LOG_INFO, "call-cut",
+           CH_F_STR("request_id", request->request_id),
+           CH_F_STR("upstream", g_quark_to_string(grant->upstream)),
+           CH_F_INT("boot", grant->boot_id),
+           CH_F_INT("fresh", before_response), CH_F_STR("parts", parts->str),
+           CH_F_END);
+    g_string_free(parts, TRUE);
+}
+
 /* See crash_guard.h. */
 void
 ch_crash_guard_record_interrupted(struct ch_crash_guard *guard,
@@ -258,6 +278,7 @@
     if (guard == NULL) {
         return;
     }
+    log_interrupted(guard, request, grant, before_response);
     const struct ch_crash_observation observation = {
         .digest = compute_digest(request),
         .fingerprint = request->fingerprint,
