Failing test: prompt parts that crash upstreams, no two requests alike

Seven nodes as processes on the stand-in of the users' platform, six workers that end as they begin to write an answer on a marked part and are back, empty, after a second. Sound callers share the first and the third part. Judged by the stand-in's record: requests with the part that arrive later than 4 s after the fifth crash, also after all nodes were killed at once; and by callers: sound requests begun at the first attempt before, and from 8 s after the fifth crash.

--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -38,7 +38,10 @@
     FAULT(queue)   /* requests that may wait for a slot */                    \
     FAULT(brittle) /* N + 1: names N rejections a second, and falls over      \
                       beyond them; 0: none */                                 \
-    FAULT(fall_ms) /* downtime after that; 0: it does not fall yet */         \
+    FAULT(crash_percent) /* of requests with a part whose ID begins with      \
+                            CRASH_PART, but for the last part: the worker     \
+                            ends as it begins to write, for crash_ms */       \
+    FAULT(fall_ms)       /* downtime after that; 0: it does not fall yet */   \
     /* engine, service */                                                     \
     FAULT(token_us)     /* engine: time per token */                          \
     FAULT(slow_percent) /* engine: percentage of token_us, 100 is normal */   \
@@ -73,6 +76,7 @@
 };
 
 #define CRASH_MARK "crash-upstream"
+#define CRASH_PART "dead"
 
 enum {
     FAULT_ALWAYS = 1000000,
--- a/tests/standin/users.h
+++ b/tests/standin/users.h
@@ -46,7 +46,8 @@
  * False: another path.
  */
 bool users_control_worker(struct exchange *exchange);
-/* Writes the members "runs", what the workers ran, and "workers", their use
+/* Writes the members "runs", what the workers ran, "part_arrivals", requests
+ * with a part that crashes workers and the crashes, and "workers", their use
  * and their falls. */
 void users_record_workers(struct users *users, JsonBuilder *out);
 /* Creates the workers' state. */
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -3,6 +3,7 @@
 
 #include "users.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -72,8 +73,15 @@
     unsigned boot;
 };
 
+/* A request with a part that crashes workers. */
+struct part_arrival {
+    int64_t at;
+    bool crashed;
+};
+
 /* Filled as workers run requests; entries stay until the process ends. */
 static GPtrArray *runs;
+static GArray *part_arrivals; /* struct part_arrival */
 
 /* ---- room ---- */
 
@@ -269,9 +277,74 @@
     }
 }
 
+static void crash_worker(struct worker *worker);
+static void restart_worker(struct worker *worker);
+
+/* The worker is back after its end. */
+static void
+end_fall(void *data)
+{
+    struct fall *fall = data;
+    if (fall->worker->boot == fall->boot) {
+        restart_worker(fall->worker);
+    }
+    g_free(fall);
+}
+
+/* Ends a worker, which is back after a time. */
+static void
+end_for(struct fall *fall, enum fault time)
+{
+    crash_worker(fall->worker);
+    (void)timer_add(fall->worker->users->standin,
+                    get_fault(fall->worker, time) * 1000, end_fall, fall);
+}
+
+static struct fall *
+fall_new(struct worker *worker)
+{
+    struct fall *fall = g_new0(struct fall, 1);
+    *fall = (struct fall){worker, worker->boot};
+    return fall;
+}
+
+/* Whether the prompt has a part, but for the last one, that crashes workers.
+ */
+static bool
+has_crash_part(const struct exchange *exchange)
+{
+    const char *text = exchange_header(exchange, "Prompt-Prefix");
+    char **parts = g_strsplit(text == NULL ? "" : text, ",", -1);
+    bool found = false;
+    for (size_t i = 0; parts[i] != NULL && parts[i + 1] != NULL; i++) {
+        found |= g_str_has_prefix(parts[i], CRASH_PART);
+    }
+    g_strfreev(parts);
+    return found;
+}
+
+static void
+crash_by_part(void *data)
+{
+    struct fall *fall = data;
+    struct worker *worker = fall->worker;
+    if (worker->boot != fall->boot || worker->daemon == NULL) {
+        g_free(fall);
+        return;
+    }
+    const struct part_arrival crash = {monotonic_now_us(), true};
+    g_array_append_val(part_arrivals, crash);
+    end_for(fall, FAULT_crash_ms);
+}
+
 static void
 begin_stream(struct exchange *exchange, struct worker *worker)
 {
+    if (has_crash_part(exchange) &&
+        rand() % 100 < get_fault(worker, FAULT_crash_percent)) {
+        (void)timer_add(exchange->standin, get_fault(worker, FAULT_token_us),
+                        crash_by_part, fall_new(worker));
+    }
     const char *last = exchange_header(exchange, "Last-Event-Id");
     struct stream *stream = g_new0(struct stream, 1);
     stream->exchange = exchange;
@@ -369,20 +442,6 @@
     return true;
 }
 
-static void crash_worker(struct worker *worker);
-static void restart_worker(struct worker *worker);
-
-/* The worker is back after its fall. */
-static void
-end_fall(void *data)
-{
-    struct fall *fall = data;
-    if (fall->worker->boot == fall->boot) {
-        restart_worker(fall->worker);
-    }
-    g_free(fall);
-}
-
 static void
 begin_fall(void *data)
 {
@@ -393,9 +452,7 @@
         return;
     }
     worker->falls++;
-    crash_worker(worker);
-    (void)timer_add(worker->users->standin,
-                    get_fault(worker, FAULT_fall_ms) * 1000, end_fall, fall);
+    end_for(fall, FAULT_fall_ms);
 }
 
 /* Rejects for want of room; beyond what a brittle worker bears in a second, it
@@ -417,10 +474,9 @@
     }
     if (worker->rejections->len >= brittle &&
         get_fault(worker, FAULT_fall_ms) > 0) {
-        struct fall *fall = g_new0(struct fall, 1);
-        *fall = (struct fall){worker, worker->boot};
         g_array_set_size(worker->rejections, 0);
-        (void)timer_add(worker->users->standin, 0, begin_fall, fall);
+        (void)timer_add(worker->users->standin, 0, begin_fall,
+                        fall_new(worker));
     }
 }
 
@@ -450,6 +506,10 @@
 handle_request(struct exchange *exchange, struct worker *worker)
 {
     const char *model = exchange_header(exchange, "Model");
+    if (has_crash_part(exchange)) {
+        const struct part_arrival arrival = {monotonic_now_us(), false};
+        g_array_append_val(part_arrivals, arrival);
+    }
     if (exchange_header(exchange, "Request-Id") == NULL) {
         reject(exchange, worker, 400, "no request id\n");
     }
@@ -752,6 +812,17 @@
         json_builder_end_object(out);
     }
     json_builder_end_array(out);
+    json_builder_set_member_name(out, "part_arrivals");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < part_arrivals->len; i++) {
+        const struct part_arrival *arrival =
+            &g_array_index(part_arrivals, struct part_arrival, i);
+        json_builder_begin_object(out);
+        json_number(out, "at_ms", arrival->at / 1000);
+        json_number(out, "crashed", arrival->crashed);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
     json_builder_set_member_name(out, "workers");
     json_builder_begin_array(out);
     for (guint i = 0; i < users->workers->len; i++) {
@@ -774,4 +845,5 @@
 {
     users->workers = g_ptr_array_new();
     runs = g_ptr_array_new();
+    part_arrivals = g_array_new(FALSE, FALSE, sizeof(struct part_arrival));
 }
