--- a/libchestnuthitch/crash/crash.h
+++ b/libchestnuthitch/crash/crash.h
@@ -2,10 +2,11 @@
 #define CH_CRASH_H
 
 /*
- * Requests that crash the upstreams that run them: records which requests were
- * running on an upstream when it crashed, and decides which requests are
- * barred (no longer sent to any upstream).  No sockets, clock or threads;
- * times are arguments, in microseconds.
+ * Requests that crash the upstreams that run them, and parts of prompts that
+ * do so whatever else the request holds: records which requests and parts were
+ * on an upstream when it crashed, and decides which of them are barred (no
+ * longer sent to any upstream).  No sockets, clock or threads; times are
+ * arguments, in microseconds.
  */
 
 #include "base/base.h"
@@ -38,9 +39,11 @@
 
 /* ---- crash observations (table.c) ---- */
 
-/* A request was running on an upstream when the upstream's process ended. */
+/* A request, or a part of its prompt, was on an upstream when the upstream's
+   process ended. */
 struct ch_crash_observation {
     struct ch_digest digest;
+    uint64_t part; /* ID of the part; 0: a request */
     /* A hash that costs less than the digest and is known of every request. */
     uint64_t fingerprint;
     GQuark upstream;
@@ -59,14 +62,20 @@
     CH_CRASH_UNKNOWN,   /* no evidence against it */
     CH_CRASH_SUSPECTED, /* it was running on an upstream that crashed */
     CH_CRASH_BARRED,    /* it is no longer sent to any upstream */
-    CH_CRASH_HARMLESS,  /* got a complete response: not the cause */
+    CH_CRASH_HARMLESS,  /* got a complete response, or responses to prompts
+                           with the part began: not the cause */
 };
 
 struct ch_crash_assessment {
     struct ch_digest digest;
     uint64_t fingerprint;
+    uint64_t part; /* 0: a request */
     enum ch_crash_state state;
-    unsigned crashes;             /* upstreams that crashed while running it */
+    unsigned crashes;   /* upstreams that crashed while running it; of a part,
+                           before the response began */
+    unsigned begun;     /* responses that began, to prompts with the part */
+    bool is_restored;   /* barred by a stored record */
+    int64_t decided_at; /* of a part, the crash that bars it */
     unsigned unexplained_crashes; /* crashes that nothing else explains */
     int64_t last_evidence_at;
 };
@@ -88,6 +97,28 @@
 void ch_crash_table_restore_barred(struct ch_crash_table *table,
                                    const struct ch_digest *digest,
                                    uint64_t fingerprint, int64_t now);
+/* The same for a part of prompts. */
+void ch_crash_table_restore_barred_part(struct ch_crash_table *table,
+                                        const struct ch_digest *digest,
+                                        uint64_t fingerprint, uint64_t part,
+                                        int64_t now);
+/* Sets how many responses to prompts with the part have begun lately at
+   another node, or at this one.  A lower number than before has no effect. */
+void ch_crash_table_report_begun(struct ch_crash_table *table,
+                                 const struct ch_digest *digest, GQuark node,
+                                 unsigned count);
+void ch_crash_table_set_own_begun(struct ch_crash_table *table,
+                                  const struct ch_digest *digest,
+                                  unsigned count);
+/* Collects the counts of this node (struct ch_crash_begun) that other nodes
+   may need to tell that a part is not the cause. */
+void ch_crash_table_collect_begun(struct ch_crash_table *table, GArray *out);
+/* Calls the callback for each part. */
+void ch_crash_table_foreach_part(
+    const struct ch_crash_table *table,
+    void (*callback)(void *data, const struct ch_digest *digest,
+                     uint64_t fingerprint),
+    void *data);
 /* Releases a request: evidence up to `at` no longer counts.  True when that is
    new. */
 bool ch_crash_table_release(struct ch_crash_table *table,
@@ -120,6 +151,26 @@
 bool ch_crash_table_find_release(const struct ch_crash_table *table,
                                  const struct ch_digest *digest, int64_t *at);
 
+/* Responses to prompts with a part that have begun. */
+struct ch_crash_begun {
+    struct ch_digest digest;
+    unsigned count;
+};
+
+/* ---- which parts of prompts began lately (begun.c) ---- */
+
+struct ch_begun_parts;
+
+struct ch_begun_parts *ch_begun_parts_new(void);
+void ch_begun_parts_free(struct ch_begun_parts *parts);
+/* Counts a response that began, to a prompt with the part. */
+void ch_begun_parts_add(struct ch_begun_parts *parts, uint64_t fingerprint,
+                        int64_t now);
+/* How many began in the last one to two minutes; fewer if so many parts were
+   seen that the older ones were dropped. */
+unsigned ch_begun_parts_count(struct ch_begun_parts *parts,
+                              uint64_t fingerprint, int64_t now);
+
 /* ---- assessment of a request (assess.c) ---- */
 
 struct ch_crash_assessment
--- a/libchestnuthitch/crash/crash_internal.h
+++ b/libchestnuthitch/crash/crash_internal.h
@@ -22,6 +22,12 @@
 struct crash_suspect {
     struct ch_digest digest;
     uint64_t fingerprint;
+    uint64_t part; /* 0: a request */
+    /* Of a part: responses that began, by node and at this one, and how many
+     * of the latter the other nodes were told. */
+    GHashTable *begun_elsewhere; /* GQuark to a count; NULL: none */
+    unsigned own_begun;
+    unsigned own_begun_told;
     GArray *involvements; /* of struct crash_involvement */
     bool harmless;
     bool restored; /* read as barred from a stored record */
@@ -39,4 +45,13 @@
     GPtrArray *crashes;      /* of struct upstream_crash, owned */
 };
 
+/* ---- assess.c ---- */
+
+/* Responses to prompts with the part that began, at all nodes. */
+unsigned crash_suspect_count_begun(const struct crash_suspect *suspect);
+/* How many the other nodes are told of: enough to tell that the part is not
+ * the cause, also after some more crashes. */
+unsigned crash_suspect_get_begun_told(const struct ch_crash_table *table,
+                                      const struct crash_suspect *suspect);
+
 #endif
--- a/libchestnuthitch/crash/table.c
+++ b/libchestnuthitch/crash/table.c
@@ -33,6 +33,9 @@
 {
     struct crash_suspect *suspect = data;
     g_array_free(suspect->involvements, TRUE);
+    if (suspect->begun_elsewhere != NULL) {
+        g_hash_table_destroy(suspect->begun_elsewhere);
+    }
     g_free(suspect);
 }
 
@@ -249,6 +252,17 @@
     make_room(table, suspect);
 }
 
+/* See crash.h. */
+void
+ch_crash_table_restore_barred_part(struct ch_crash_table *table,
+                                   const struct ch_digest *digest,
+                                   uint64_t fingerprint, uint64_t part,
+                                   int64_t now)
+{
+    find_or_add_suspect(table, digest, fingerprint, now)->part = part;
+    ch_crash_table_restore_barred(table, digest, fingerprint, now);
+}
+
 /* See crash.h. */
 bool
 ch_crash_table_add(struct ch_crash_table *table,
@@ -257,6 +271,7 @@
     struct crash_suspect *suspect =
         find_or_add_suspect(table, &observation->digest,
                             observation->fingerprint, observation->ended_at);
+    suspect->part = observation->part;
     bool is_new =
         add_involvement(suspect, find_or_add_crash(table, observation),
                         observation->before_response);
@@ -280,6 +295,83 @@
     return true;
 }
 
+/* ---- responses that began ---- */
+
+/* See crash.h. */
+void
+ch_crash_table_report_begun(struct ch_crash_table *table,
+                            const struct ch_digest *digest, GQuark node,
+                            unsigned count)
+{
+    struct crash_suspect *suspect =
+        g_hash_table_lookup(table->suspects, digest);
+    gpointer key = GUINT_TO_POINTER(node);
+    if (suspect == NULL || suspect->part == 0) {
+        return;
+    }
+    if (suspect->begun_elsewhere == NULL) {
+        suspect->begun_elsewhere = g_hash_table_new(NULL, NULL);
+    }
+    unsigned before =
+        GPOINTER_TO_UINT(g_hash_table_lookup(suspect->begun_elsewhere, key));
+    g_hash_table_replace(suspect->begun_elsewhere, key,
+                         GUINT_TO_POINTER(MAX(before, count)));
+}
+
+/* See crash.h. */
+void
+ch_crash_table_set_own_begun(struct ch_crash_table *table,
+                             const struct ch_digest *digest, unsigned count)
+{
+    struct crash_suspect *suspect =
+        g_hash_table_lookup(table->suspects, digest);
+    if (suspect != NULL && suspect->part != 0) {
+        suspect->own_begun = MAX(suspect->own_begun, count);
+    }
+}
+
+/* See crash.h. What the others know already is enough for most parts, so that
+ * few nodes send anything. */
+void
+ch_crash_table_collect_begun(struct ch_crash_table *table, GArray *out)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, table->suspects);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct crash_suspect *suspect = value;
+        unsigned known = crash_suspect_count_begun(suspect) -
+                         suspect->own_begun + suspect->own_begun_told;
+        if (suspect->part != 0 &&
+            suspect->own_begun > suspect->own_begun_told &&
+            known < crash_suspect_get_begun_told(table, suspect)) {
+            const struct ch_crash_begun begun = {suspect->digest,
+                                                 suspect->own_begun};
+            suspect->own_begun_told = suspect->own_begun;
+            g_array_append_val(out, begun);
+        }
+    }
+}
+
+/* See crash.h. */
+void
+ch_crash_table_foreach_part(const struct ch_crash_table *table,
+                            void (*callback)(void *data,
+                                             const struct ch_digest *digest,
+                                             uint64_t fingerprint),
+                            void *data)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, table->suspects);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct crash_suspect *suspect = value;
+        if (suspect->part != 0) {
+            callback(data, &suspect->digest, suspect->fingerprint);
+        }
+    }
+}
+
 /* See crash.h. */
 bool
 ch_crash_table_release(struct ch_crash_table *table,
@@ -392,6 +484,7 @@
                 suspect->involvements, struct crash_involvement, i);
             const struct ch_crash_observation observation = {
                 .digest = suspect->digest,
+                .part = suspect->part,
                 .fingerprint = suspect->fingerprint,
                 .upstream = involvement->crash->upstream,
                 .boot_id = involvement->crash->boot_id,
--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -17,6 +17,14 @@
      * minimum time between two such probes of one upstream. */
     PROBE_TIMEOUT_US = 500 * 1000,
     PROBE_INTERVAL_US = 1000 * 1000,
+    /* Time for the periodic work of the other nodes to tell of responses to
+     * prompts with a part, before the part is barred. */
+    PART_SETTLE_US = 600 * 1000,
+    /* From this many crashes on, a request with a part that may be the cause
+     * is not sent to a second upstream. */
+    PART_SUSPECT_CRASHES = 2,
+    /* A part is recorded once it has been barred for this long. */
+    PART_RECORD_DELAY_US = 1000 * 1000,
 };
 
 /* The digest by which two requests are the same: of host, path, owner and
@@ -34,6 +42,45 @@
     return ch_digest_compute(parts, G_N_ELEMENTS(parts));
 }
 
+/* The parts of a prompt that other requests may share: the last one is the
+ * request's own. */
+static size_t
+count_shared_parts(const struct ch_request *request)
+{
+    return request->info.part_count == 0 ? 0 : request->info.part_count - 1;
+}
+
+/* The ID of a part, never 0. */
+static uint64_t
+get_part_id(const struct ch_request *request, size_t index)
+{
+    return MAX(request->info.parts[index].id, 1);
+}
+
+/* Identifies a part of a team's prompts: what one team names can't bar another
+ * team's requests. */
+static uint64_t
+get_part_fingerprint(const struct ch_request *request, size_t index)
+{
+    const char *team = request->team == NULL ? "" : request->team;
+    return ch_hash_pair(ch_hash_string(team), get_part_id(request, index));
+}
+
+/* The same as a digest. */
+static struct ch_digest
+compute_part_digest(const struct ch_request *request, size_t index)
+{
+    static const char kind[] = "prompt part";
+    const char *team = request->team == NULL ? "" : request->team;
+    uint64_t id = GUINT64_TO_BE(get_part_id(request, index));
+    const struct ch_digest_part parts[] = {
+        {kind, strlen(kind)},
+        {team, strlen(team)},
+        {&id, sizeof(id)},
+    };
+    return ch_digest_compute(parts, G_N_ELEMENTS(parts));
+}
+
 /* Whether anything is known or suspected. Nearly always nothing is, and then a
  * call costs no more than this check. */
 static bool
@@ -90,14 +137,26 @@
     pthread_mutex_unlock(&guard->lock);
 }
 
-/* Logs, once, that a request is barred; queues its record and ends its
- * exchanges. Lock held. */
+/* Whether a request or part is barred now. The other nodes first have time to
+ * tell of responses to prompts with a part. */
+static bool
+is_barred_now(const struct ch_crash_guard *guard,
+              const struct ch_crash_assessment *assessment)
+{
+    return assessment->state == CH_CRASH_BARRED &&
+           (assessment->part == 0 || assessment->is_restored ||
+            ch_client_get_time(guard->node->client) - assessment->decided_at >=
+                PART_SETTLE_US);
+}
+
+/* Logs, once, that a request or part is barred; queues its record and ends
+ * its exchanges. Lock held. */
 static void
 report_barred(struct ch_crash_guard *guard,
               const struct ch_crash_assessment *assessment)
 {
     char digest_text[CH_DIGEST_TEXT_SIZE];
-    if (assessment->state != CH_CRASH_BARRED ||
+    if (!is_barred_now(guard, assessment) ||
         find_barred(guard, &assessment->digest) >= 0) {
         return;
     }
@@ -107,11 +166,16 @@
     g_array_append_val(guard->barred, assessment->digest);
     ch_digest_format(&assessment->digest, digest_text);
     ch_metrics_add_count(guard->node->client->metrics, CH_COUNT_CRASHERS, 1);
-    ch_log(guard->node->client, CH_LOG_WARNING, "request-barred",
+    ch_log(guard->node->client, CH_LOG_WARNING,
+           assessment->part == 0 ? "request-barred" : "prompt-part-barred",
            CH_F_STR("digest", digest_text),
            CH_F_INT("crashes", assessment->crashes),
-           CH_F_INT("sure", assessment->unexplained_crashes), CH_F_END);
-    crash_record_schedule_write(guard, assessment);
+           CH_F_INT("sure", assessment->unexplained_crashes),
+           CH_F_INT("begun", assessment->begun),
+           CH_F_INT("restored", assessment->is_restored), CH_F_END);
+    if (assessment->part == 0) {
+        crash_record_schedule_write(guard, assessment);
+    }
     if (!guard->stopping) {
         guard->pending_jobs++;
         ch_pool_submit(guard->node->pool, abandon_barred, guard);
@@ -127,13 +191,15 @@
 {
     char digest_text[CH_DIGEST_TEXT_SIZE];
     ch_digest_format(&observation->digest, digest_text);
-    ch_log(guard->node->client, CH_LOG_NOTICE, "request-on-crash",
+    ch_log(guard->node->client, CH_LOG_NOTICE,
+           observation->part == 0 ? "request-on-crash" : "part-on-crash",
            CH_F_STR("digest", digest_text),
            CH_F_STR("upstream", g_quark_to_string(observation->upstream)),
            CH_F_INT("boot", observation->boot_id),
            CH_F_INT("fresh", observation->before_response),
            CH_F_INT("crashes", assessment->crashes),
            CH_F_INT("sure", assessment->unexplained_crashes),
+           CH_F_INT("begun", assessment->begun),
            CH_F_STR("from", from == NULL ? guard->node->settings->name : from),
            CH_F_END);
 }
@@ -151,12 +217,16 @@
      * are of requests that were on one of them; these are not logged. */
     unsigned crashes =
         ch_crash_table_count_crashes(guard->table, &observation->digest);
-    if (from != NULL && crashes < MIN(guard->node->settings->crash_limit, 2)) {
+    bool is_part = observation->part != 0;
+    if ((from != NULL || is_part) &&
+        crashes < MIN(guard->node->settings->crash_limit, 2)) {
         return true;
     }
     const struct ch_crash_assessment assessment =
         ch_crash_table_assess(guard->table, &observation->digest);
-    log_observation(guard, observation, &assessment, from);
+    if (!is_part || assessment.state != CH_CRASH_HARMLESS) {
+        log_observation(guard, observation, &assessment, from);
+    }
     report_barred(guard, &assessment);
     return true;
 }
@@ -268,6 +338,24 @@
     g_string_free(parts, TRUE);
 }
 
+/* Adds the parts of the prompt of a call that was cut before its response
+ * began. Lock held. */
+static void
+add_interrupted_parts(struct ch_crash_guard *guard,
+                      const struct ch_request *request,
+                      const struct ch_crash_observation *observation)
+{
+    for (size_t i = 0;
+         observation->before_response && i < count_shared_parts(request);
+         i++) {
+        struct ch_crash_observation part = *observation;
+        part.digest = compute_part_digest(request, i);
+        part.fingerprint = get_part_fingerprint(request, i);
+        part.part = get_part_id(request, i);
+        ch_interrupted_calls_add(guard->interrupted_calls, &part);
+    }
+}
+
 /* See crash_guard.h. */
 void
 ch_crash_guard_record_interrupted(struct ch_crash_guard *guard,
@@ -293,6 +381,7 @@
         GArray *observations =
             g_array_new(FALSE, FALSE, sizeof(struct ch_crash_observation));
         ch_interrupted_calls_add(guard->interrupted_calls, &observation);
+        add_interrupted_parts(guard, request, &observation);
         if (ch_crash_table_has_crash(guard->table, observation.upstream,
                                      observation.boot_id)) {
             ch_interrupted_calls_note_crash(guard->interrupted_calls,
@@ -421,10 +510,90 @@
     }
 }
 
+/* ---- parts of prompts ---- */
+
+/* See crash_guard.h. */
+void
+ch_crash_guard_record_begun(struct ch_crash_guard *guard,
+                            const struct ch_request *request)
+{
+    size_t count = count_shared_parts(request);
+    if (guard == NULL || count == 0) {
+        return;
+    }
+    int64_t now = ch_client_get_time(guard->node->client);
+    pthread_mutex_lock(&guard->begun_lock);
+    for (size_t i = 0; i < count; i++) {
+        ch_begun_parts_add(guard->begun_parts,
+                           get_part_fingerprint(request, i), now);
+    }
+    pthread_mutex_unlock(&guard->begun_lock);
+}
+
+static void
+update_part(void *data, const struct ch_digest *digest, uint64_t fingerprint)
+{
+    struct ch_crash_guard *guard = data;
+    pthread_mutex_lock(&guard->begun_lock);
+    unsigned count =
+        ch_begun_parts_count(guard->begun_parts, fingerprint,
+                             ch_client_get_time(guard->node->client));
+    pthread_mutex_unlock(&guard->begun_lock);
+    ch_crash_table_set_own_begun(guard->table, digest, count);
+}
+
+/* See crash_internal.h. */
+void
+crash_guard_update_own_begun(struct ch_crash_guard *guard)
+{
+    ch_crash_table_foreach_part(guard->table, update_part, guard);
+}
+
+/* Assesses a part of the request's prompt; false when nothing is known of
+ * it. */
+static bool
+assess_part(struct ch_crash_guard *guard, const struct ch_request *request,
+            size_t index, struct ch_crash_assessment *assessment)
+{
+    uint64_t fingerprint = get_part_fingerprint(request, index);
+    pthread_mutex_lock(&guard->lock);
+    bool is_known = ch_crash_table_has_fingerprint(guard->table, fingerprint);
+    pthread_mutex_unlock(&guard->lock);
+    if (!is_known) {
+        return false;
+    }
+    const struct ch_digest digest = compute_part_digest(request, index);
+    pthread_mutex_lock(&guard->lock);
+    update_part(guard, &digest, fingerprint);
+    *assessment = ch_crash_table_assess(guard->table, &digest);
+    report_barred(guard, assessment);
+    pthread_mutex_unlock(&guard->lock);
+    return true;
+}
+
 /* See crash_guard.h. */
 bool
-ch_crash_guard_is_barred(struct ch_crash_guard *guard,
-                         const struct ch_request *request)
+ch_crash_guard_has_suspected_part(struct ch_crash_guard *guard,
+                                  const struct ch_request *request)
+{
+    struct ch_crash_assessment assessment;
+    for (size_t i = 0;
+         may_have_suspects(guard) && i < count_shared_parts(request); i++) {
+        if (assess_part(guard, request, i, &assessment) &&
+            assessment.state != CH_CRASH_HARMLESS &&
+            assessment.crashes >= PART_SUSPECT_CRASHES) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- the check before dispatch ---- */
+
+/* Whether the request itself is barred. */
+static bool
+is_request_barred(struct ch_crash_guard *guard,
+                  const struct ch_request *request)
 {
     if (!may_be_in_table(guard, request)) {
         return false;
@@ -438,6 +607,38 @@
     return assessment.state == CH_CRASH_BARRED;
 }
 
+/* Whether a part of the request's prompt is barred. */
+static bool
+is_part_barred(struct ch_crash_guard *guard, const struct ch_request *request)
+{
+    struct ch_crash_assessment assessment;
+    for (size_t i = 0;
+         may_have_suspects(guard) && i < count_shared_parts(request); i++) {
+        if (assess_part(guard, request, i, &assessment) &&
+            is_barred_now(guard, &assessment)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* See crash_guard.h. */
+bool
+ch_crash_guard_is_barred(struct ch_crash_guard *guard,
+                         const struct ch_request *request)
+{
+    return is_request_barred(guard, request) || is_part_barred(guard, request);
+}
+
+/* See crash_guard.h. */
+bool
+ch_crash_guard_is_barred_by_part(struct ch_crash_guard *guard,
+                                 const struct ch_request *request)
+{
+    return !is_request_barred(guard, request) &&
+           is_part_barred(guard, request);
+}
+
 /* See crash_guard.h. */
 void
 ch_crash_guard_update_upstreams(
@@ -532,12 +733,17 @@
     json_builder_begin_object(builder);
     json_builder_set_member_name(builder, "digest");
     json_builder_add_string_value(builder, digest_text);
+    json_builder_set_member_name(builder, "kind");
+    json_builder_add_string_value(
+        builder, assessment->part == 0 ? "request" : "prompt-part");
     json_builder_set_member_name(builder, "state");
     json_builder_add_string_value(builder, names[assessment->state]);
     json_builder_set_member_name(builder, "crashes");
     json_builder_add_int_value(builder, assessment->crashes);
     json_builder_set_member_name(builder, "sure");
     json_builder_add_int_value(builder, assessment->unexplained_crashes);
+    json_builder_set_member_name(builder, "begun");
+    json_builder_add_int_value(builder, assessment->begun);
     json_builder_set_member_name(builder, "last_ms_ago");
     json_builder_add_int_value(
         builder, (status->now - assessment->last_evidence_at) / 1000);
@@ -572,6 +778,66 @@
            *(const int64_t *)data;
 }
 
+static void
+collect_part(void *data, const struct ch_digest *digest, uint64_t fingerprint)
+{
+    (void)fingerprint;
+    g_array_append_val((GArray *)data, *digest);
+}
+
+/* Whether a barred part is to be recorded: responses that other nodes told of
+ * did not clear it. */
+static bool
+is_to_be_recorded(const struct ch_crash_guard *guard,
+                  const struct ch_crash_assessment *assessment)
+{
+    return is_barred_now(guard, assessment) && !assessment->is_restored &&
+           ch_client_get_time(guard->node->client) - assessment->decided_at >=
+               PART_SETTLE_US + PART_RECORD_DELAY_US;
+}
+
+/* Records a part, once. Lock held. */
+static void
+record_part(struct ch_crash_guard *guard,
+            const struct ch_crash_assessment *assessment)
+{
+    for (guint i = 0; i < guard->recorded_parts->len; i++) {
+        if (ch_digest_equal(
+                &g_array_index(guard->recorded_parts, struct ch_digest, i),
+                &assessment->digest)) {
+            return;
+        }
+    }
+    if (guard->recorded_parts->len >=
+        guard->node->settings->max_crash_requests) {
+        g_array_remove_index(guard->recorded_parts, 0);
+    }
+    g_array_append_val(guard->recorded_parts, assessment->digest);
+    crash_record_schedule_write(guard, assessment);
+}
+
+/* Reports and records the parts that are barred from now on, and those that
+ * responses have cleared. Lock held. */
+static void
+update_barred_parts(struct ch_crash_guard *guard)
+{
+    GArray *parts = g_array_new(FALSE, FALSE, sizeof(struct ch_digest));
+    crash_guard_update_own_begun(guard);
+    ch_crash_table_foreach_part(guard->table, collect_part, parts);
+    for (guint i = 0; i < parts->len; i++) {
+        const struct ch_crash_assessment assessment = ch_crash_table_assess(
+            guard->table, &g_array_index(parts, struct ch_digest, i));
+        report_barred(guard, &assessment);
+        if (is_to_be_recorded(guard, &assessment)) {
+            record_part(guard, &assessment);
+        }
+        if (assessment.state == CH_CRASH_HARMLESS) {
+            crash_guard_remove_barred(guard, &assessment.digest);
+        }
+    }
+    g_array_free(parts, TRUE);
+}
+
 /* Runs the periodic work, on the pool. */
 static void
 tick(void *data)
@@ -581,6 +847,7 @@
     pthread_mutex_lock(&guard->lock);
     ch_interrupted_calls_expire(guard->interrupted_calls, now);
     ch_crash_table_expire(guard->table, now);
+    update_barred_parts(guard);
     g_hash_table_foreach_remove(guard->last_probe_at, is_stale_probe, &now);
     crash_guard_update_has_suspects(guard);
     pthread_mutex_unlock(&guard->lock);
@@ -613,8 +880,12 @@
     guard->node = node;
     guard->table = ch_crash_table_new(&limits);
     guard->interrupted_calls = ch_interrupted_calls_new();
+    guard->begun_parts = ch_begun_parts_new();
+    pthread_mutex_init(&guard->begun_lock, NULL);
     guard->last_probe_at = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     guard->barred = g_array_new(FALSE, FALSE, sizeof(struct ch_digest));
+    guard->recorded_parts =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_digest));
     guard->unwritten_records =
         g_array_new(FALSE, FALSE, sizeof(struct ch_crash_assessment));
     guard->unsent_observations =
@@ -660,11 +931,14 @@
     }
     ch_crash_table_free(guard->table);
     ch_interrupted_calls_free(guard->interrupted_calls);
+    ch_begun_parts_free(guard->begun_parts);
+    pthread_mutex_destroy(&guard->begun_lock);
     if (guard->active_upstreams != NULL) {
         g_hash_table_destroy(guard->active_upstreams);
     }
     g_hash_table_destroy(guard->last_probe_at);
     g_array_free(guard->barred, TRUE);
+    g_array_free(guard->recorded_parts, TRUE);
     g_array_free(guard->unwritten_records, TRUE);
     g_array_free(guard->unsent_observations, TRUE);
     g_array_free(guard->unsent_harmless, TRUE);
--- a/libchestnuthitch/node/crash_guard.h
+++ b/libchestnuthitch/node/crash_guard.h
@@ -20,9 +20,18 @@
    or did not come in time. A node that starts accepts no requests before. */
 bool ch_crash_guard_is_ready(struct ch_crash_guard *guard);
 
-/* Whether the request must not be sent to any upstream. */
+/* Whether the request must not be sent to any upstream: it, or a part of its
+   prompt, is barred. */
 bool ch_crash_guard_is_barred(struct ch_crash_guard *guard,
                               const struct ch_request *request);
+/* Whether only a part of its prompt is barred: once its response has begun, it
+   may go on. */
+bool ch_crash_guard_is_barred_by_part(struct ch_crash_guard *guard,
+                                      const struct ch_request *request);
+/* Whether a part of its prompt may crash upstreams, so that it is not sent to
+   a second one after a crash. */
+bool ch_crash_guard_has_suspected_part(struct ch_crash_guard *guard,
+                                       const struct ch_request *request);
 
 /* ---- observations of calls ---- */
 
@@ -39,6 +48,9 @@
 /* The upstream responded to a call that was sent at sent_at. */
 void ch_crash_guard_record_response(struct ch_crash_guard *guard,
                                     GQuark upstream, int64_t sent_at);
+/* The request's response began. */
+void ch_crash_guard_record_begun(struct ch_crash_guard *guard,
+                                 const struct ch_request *request);
 /* The request got a complete response. */
 void ch_crash_guard_record_complete(struct ch_crash_guard *guard,
                                     const struct ch_request *request);
--- a/libchestnuthitch/node/crash_internal.h
+++ b/libchestnuthitch/node/crash_internal.h
@@ -25,6 +25,11 @@
     GHashTable *last_probe_at;    /* GQuark of an upstream to when it was last
                               probed    (int64_t) */
     GArray *barred; /* struct ch_digest: reported as barred in the log */
+    GArray *recorded_parts; /* struct ch_digest: whose record was queued */
+    /* Parts of prompts to which responses began at this node; guarded by
+     * begun_lock, so that calls seldom wait for other work. */
+    struct ch_begun_parts *begun_parts;
+    pthread_mutex_t begun_lock;
     /* Changes that were not sent to the other nodes yet. */
     GArray *unsent_observations; /* struct ch_crash_observation */
     GArray *unsent_harmless;     /* struct ch_digest */
@@ -65,6 +70,8 @@
    it is barred again. */
 void crash_guard_remove_barred(struct ch_crash_guard *guard,
                                const struct ch_digest *digest);
+/* Sets how many responses have begun at this node, for each suspected part. */
+void crash_guard_update_own_begun(struct ch_crash_guard *guard);
 /* Updates has_suspects. */
 void crash_guard_update_has_suspects(struct ch_crash_guard *guard);
 
--- a/libchestnuthitch/node/crash_publish.c
+++ b/libchestnuthitch/node/crash_publish.c
@@ -36,6 +36,7 @@
     GPtrArray *observations; /* CrashRun */
     GArray *harmless;        /* ProtobufCBinaryData */
     GPtrArray *releases;     /* CrashRelease */
+    GPtrArray *begun;        /* CrashBegun */
     int64_t now;
 };
 
@@ -46,6 +47,7 @@
     message->observations = g_ptr_array_new_with_free_func(g_free);
     message->harmless = g_array_new(FALSE, FALSE, sizeof(ProtobufCBinaryData));
     message->releases = g_ptr_array_new_with_free_func(g_free);
+    message->begun = g_ptr_array_new_with_free_func(g_free);
     message->now = now;
 }
 
@@ -56,6 +58,7 @@
     g_ptr_array_free(message->observations, TRUE);
     g_array_free(message->harmless, TRUE);
     g_ptr_array_free(message->releases, TRUE);
+    g_ptr_array_free(message->begun, TRUE);
 }
 
 /* A digest in the type of the protocol; its bytes are not copied. */
@@ -88,6 +91,7 @@
     row->boot = observation->boot_id;
     row->age_ms = age_ms(message, observation->ended_at);
     row->fresh = observation->before_response;
+    row->part = observation->part;
     g_ptr_array_add(message->observations, row);
 }
 
@@ -112,6 +116,20 @@
     g_ptr_array_add(message->releases, row);
 }
 
+/* Adds how many responses to prompts with a part began; the digest must
+ * outlive the message. */
+static void
+message_add_begun(struct message *message, const struct ch_digest *digest,
+                  unsigned count)
+{
+    Chestnuthitch__Wire__CrashBegun *row =
+        g_new(Chestnuthitch__Wire__CrashBegun, 1);
+    chestnuthitch__wire__crash_begun__init(row);
+    row->digest = wire_digest(digest);
+    row->count = count;
+    g_ptr_array_add(message->begun, row);
+}
+
 static void
 message_send(struct ch_crash_guard *guard, struct message *message,
              char **names, size_t count)
@@ -125,6 +143,9 @@
     message->crashes.n_released = message->releases->len;
     message->crashes.released =
         (Chestnuthitch__Wire__CrashRelease **)message->releases->pdata;
+    message->crashes.n_begun = message->begun->len;
+    message->crashes.begun =
+        (Chestnuthitch__Wire__CrashBegun **)message->begun->pdata;
     for (size_t i = 0; i < count; i++) {
         Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
         frame.body_case = WIRE(FRAME__BODY_CRASHES);
@@ -251,6 +272,32 @@
     g_ptr_array_free(others, TRUE);
 }
 
+/* Tells all other nodes of responses that began here, to prompts with parts
+ * that they may take for the cause of crashes. */
+static void
+send_begun(struct ch_crash_guard *guard, int64_t now)
+{
+    struct message message;
+    GArray *begun = g_array_new(FALSE, FALSE, sizeof(struct ch_crash_begun));
+    message_init(&message, now);
+    pthread_mutex_lock(&guard->lock);
+    crash_guard_update_own_begun(guard);
+    ch_crash_table_collect_begun(guard->table, begun);
+    pthread_mutex_unlock(&guard->lock);
+    for (guint i = 0; i < begun->len; i++) {
+        const struct ch_crash_begun *row =
+            &g_array_index(begun, struct ch_crash_begun, i);
+        message_add_begun(&message, &row->digest, row->count);
+    }
+    if (begun->len > 0) {
+        GPtrArray *others = list_other_nodes(guard);
+        message_send(guard, &message, (char **)others->pdata, others->len);
+        g_ptr_array_free(others, TRUE);
+    }
+    message_clear(&message);
+    g_array_free(begun, TRUE);
+}
+
 /* See crash_internal.h. */
 void
 crash_publish_tick(struct ch_crash_guard *guard, int64_t now)
@@ -266,6 +313,7 @@
         guard->last_checksum_at = now;
     }
     pthread_mutex_unlock(&guard->lock);
+    send_begun(guard, now);
     if (should_request || is_due) {
         contact_few_nodes(guard, checksum, should_request, now);
     }
@@ -309,7 +357,11 @@
         const struct ch_crash_assessment *assessment =
             &g_array_index(state.assessments, struct ch_crash_assessment, i);
         int64_t released_at = 0;
-        if (assessment->state == CH_CRASH_HARMLESS) {
+        if (assessment->part != 0) {
+            message_add_begun(&message, &assessment->digest,
+                              assessment->begun);
+        }
+        else if (assessment->state == CH_CRASH_HARMLESS) {
             message_add_harmless(&message, &assessment->digest);
         }
         if (ch_crash_table_find_release(guard->table, &assessment->digest,
@@ -355,6 +407,7 @@
         .boot_id = row->boot,
         .ended_at = now - (int64_t)row->age_ms * 1000,
         .before_response = row->fresh,
+        .part = row->part,
     };
     if (!parse_digest(&row->digest, &observation.digest) ||
         row->upstream[0] == '\0') {
@@ -387,6 +440,13 @@
             crash_guard_remove_barred(guard, &digest);
         }
     }
+    for (size_t i = 0; i < crashes->n_begun; i++) {
+        if (parse_digest(&crashes->begun[i]->digest, &digest)) {
+            ch_crash_table_report_begun(guard->table, &digest,
+                                        g_quark_from_string(frame->from),
+                                        crashes->begun[i]->count);
+        }
+    }
     for (size_t i = 0; i < crashes->n_released; i++) {
         const Chestnuthitch__Wire__CrashRelease *row = crashes->released[i];
         if (parse_digest(&row->digest, &digest)) {
--- a/libchestnuthitch/node/crash_record.c
+++ b/libchestnuthitch/node/crash_record.c
@@ -32,29 +32,40 @@
     (void)g_snprintf(key, CRASH_RECORD_KEY_SIZE, KEY_PREFIX "%s", text);
 }
 
-/* Writes the record's value, "FINGERPRINT SECONDS"; seconds is the time of day
- * at which the request was barred, since 1970. */
+/* Writes the record's value, "FINGERPRINT SECONDS", or "FINGERPRINT SECONDS
+ * PART" of a part of prompts; seconds is the time of day at which it was
+ * barred, since 1970. */
 static void
-format_value(uint64_t fingerprint, int64_t seconds, char value[MAX_VALUE_SIZE])
+format_value(const struct ch_crash_assessment *assessment, int64_t seconds,
+             char value[MAX_VALUE_SIZE])
 {
-    (void)g_snprintf(value, MAX_VALUE_SIZE,
-                     "%016" G_GINT64_MODIFIER "x %" G_GINT64_FORMAT,
-                     fingerprint, seconds);
+    int length = g_snprintf(value, MAX_VALUE_SIZE,
+                            "%016" G_GINT64_MODIFIER "x %" G_GINT64_FORMAT,
+                            assessment->fingerprint, seconds);
+    if (assessment->part != 0) {
+        (void)g_snprintf(value + length, MAX_VALUE_SIZE - (gulong)length,
+                         " %016" G_GINT64_MODIFIER "x", assessment->part);
+    }
 }
 
 /* Parses a record; false for an entry that is no valid record. */
 static bool
 parse_record(const struct ch_kv_entry *entry, struct ch_digest *digest,
-             uint64_t *fingerprint, int64_t *seconds)
+             uint64_t *fingerprint, int64_t *seconds, uint64_t *part)
 {
+    guint64 parsed_part = 0;
     guint64 parsed_fingerprint = 0;
     guint64 parsed_seconds = 0;
     if (entry->value == NULL || !g_str_has_prefix(entry->key, KEY_PREFIX) ||
         !ch_digest_parse(entry->key + strlen(KEY_PREFIX), digest)) {
         return false;
     }
-    char **parts = g_strsplit(entry->value, " ", 3);
-    bool valid = g_strv_length(parts) == 2 &&
+    char **parts = g_strsplit(entry->value, " ", 4);
+    guint length = g_strv_length(parts);
+    bool valid = (length == 2 ||
+                  (length == 3 &&
+                   g_ascii_string_to_unsigned(parts[2], 16, 1, G_MAXUINT64,
+                                              &parsed_part, NULL))) &&
                  g_ascii_string_to_unsigned(parts[0], 16, 0, G_MAXUINT64,
                                             &parsed_fingerprint, NULL) &&
                  g_ascii_string_to_unsigned(parts[1], 10, 0, G_MAXINT64,
@@ -62,6 +73,7 @@
     g_strfreev(parts);
     *fingerprint = parsed_fingerprint;
     *seconds = (int64_t)parsed_seconds;
+    *part = parsed_part;
     return valid;
 }
 
@@ -138,8 +150,7 @@
     struct record_call *call = begin_call(guard, &assessment.digest);
     guard->write_in_flight = true;
     pthread_mutex_unlock(&guard->lock);
-    format_value(assessment.fingerprint, g_get_real_time() / G_USEC_PER_SEC,
-                 value);
+    format_value(&assessment, g_get_real_time() / G_USEC_PER_SEC, value);
     ch_kv_call_put(node, call->key, value, strlen(value), 0, handle_write,
                    call);
 }
@@ -211,7 +222,9 @@
         struct ch_digest digest;
         uint64_t fingerprint = 0;
         int64_t seconds = 0;
-        if (!parse_record(&entries[i], &digest, &fingerprint, &seconds)) {
+        uint64_t part = 0;
+        if (!parse_record(&entries[i], &digest, &fingerprint, &seconds,
+                          &part)) {
             ch_log(guard->node->client, CH_LOG_WARNING, "crash-record-bad",
                    CH_F_STR("key", entries[i].key), CH_F_END);
             continue;
@@ -221,7 +234,14 @@
             continue;
         }
         pthread_mutex_lock(&guard->lock);
-        ch_crash_table_restore_barred(guard->table, &digest, fingerprint, now);
+        if (part != 0) {
+            ch_crash_table_restore_barred_part(guard->table, &digest,
+                                               fingerprint, part, now);
+        }
+        else {
+            ch_crash_table_restore_barred(guard->table, &digest, fingerprint,
+                                          now);
+        }
         crash_guard_update_has_suspects(guard);
         pthread_mutex_unlock(&guard->lock);
     }
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -687,6 +687,11 @@
                                  exchange->request)) {
         return CH_RETRY_NO;
     }
+    if (end->code == CH_UPSTREAM_CUT && exchange->events_delivered == 0 &&
+        ch_crash_guard_has_suspected_part(front->node->crash_guard,
+                                          exchange->request)) {
+        return CH_RETRY_NO;
+    }
     const struct ch_retry_failure failure = describe_failure(exchange, end);
     if (failure.events_delivered > 0 && info->required_version == 0) {
         return CH_RETRY_NO; /* it is not known what fits the events so far */
@@ -1000,7 +1005,11 @@
     struct ch_crash_guard *crashes = exchange->frontend->node->crash_guard;
     bool over = false;
     pthread_mutex_lock(&exchange->lock);
-    if (ch_crash_guard_is_barred(crashes, exchange->request)) {
+    bool has_begun = exchange->step == CH_EXCHANGE_STEP_CALL &&
+                     exchange->call_first_data_at != 0;
+    bool goes_on = has_begun && ch_crash_guard_is_barred_by_part(
+                                    crashes, exchange->request);
+    if (!goes_on && ch_crash_guard_is_barred(crashes, exchange->request)) {
         over = ch_exchange_abandon(exchange, CH_CRASHES_UPSTREAMS,
                                    "upstreams crashed under this request");
     }
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -71,6 +71,10 @@
         ch_crash_guard_record_response(exchange->frontend->node->crash_guard,
                                        exchange->grant.upstream,
                                        exchange->dispatched_at);
+        if (exchange->status < 300) {
+            ch_crash_guard_record_begun(exchange->frontend->node->crash_guard,
+                                        exchange->request);
+        }
         if (router->ops->record_first_byte != NULL) {
             router->ops->record_first_byte(router, exchange->grant.handle);
         }
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &chestnuthitch__wire__crash_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__crash_begun__init
+                     (Chestnuthitch__Wire__CrashBegun         *message)
+{
+  static const Chestnuthitch__Wire__CrashBegun init_value = CHESTNUTHITCH__WIRE__CRASH_BEGUN__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__crash_begun__get_packed_size
+                     (const Chestnuthitch__Wire__CrashBegun *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__crash_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__crash_begun__pack
+                     (const Chestnuthitch__Wire__CrashBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__crash_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__crash_begun__pack_to_buffer
+                     (const Chestnuthitch__Wire__CrashBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__crash_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__CrashBegun *
+       chestnuthitch__wire__crash_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__CrashBegun *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__crash_begun__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__crash_begun__free_unpacked
+                     (Chestnuthitch__Wire__CrashBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__crash_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__crash_release__init
                      (Chestnuthitch__Wire__CrashRelease         *message)
 {
@@ -5128,7 +5173,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__roster_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_run__field_descriptors[6] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_run__field_descriptors[7] =
 {
   {
     "digest",
@@ -5202,6 +5247,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__CrashRun, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__crash_run__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
@@ -5209,12 +5266,13 @@
   0,   /* field[0] = digest */
   1,   /* field[1] = fingerprint */
   5,   /* field[5] = fresh */
+  6,   /* field[6] = part */
   2,   /* field[2] = upstream */
 };
 static const ProtobufCIntRange chestnuthitch__wire__crash_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__crash_run__descriptor =
 {
@@ -5224,13 +5282,64 @@
   "Chestnuthitch__Wire__CrashRun",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__CrashRun),
-  6,
+  7,
   chestnuthitch__wire__crash_run__field_descriptors,
   chestnuthitch__wire__crash_run__field_indices_by_name,
   1,  chestnuthitch__wire__crash_run__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__crash_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_begun__field_descriptors[2] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__CrashBegun, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__CrashBegun, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__crash_begun__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = digest */
+};
+static const ProtobufCIntRange chestnuthitch__wire__crash_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__crash_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.CrashBegun",
+  "CrashBegun",
+  "Chestnuthitch__Wire__CrashBegun",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__CrashBegun),
+  2,
+  chestnuthitch__wire__crash_begun__field_descriptors,
+  chestnuthitch__wire__crash_begun__field_indices_by_name,
+  1,  chestnuthitch__wire__crash_begun__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__crash_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_release__field_descriptors[2] =
 {
   {
@@ -5282,7 +5391,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__crash_release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__crashes__field_descriptors[5] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__crashes__field_descriptors[6] =
 {
   {
     "runs",
@@ -5344,8 +5453,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Crashes, n_begun),
+    offsetof(Chestnuthitch__Wire__Crashes, begun),
+    &chestnuthitch__wire__crash_begun__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__crashes__field_indices_by_name[] = {
+  5,   /* field[5] = begun */
   2,   /* field[2] = released */
   0,   /* field[0] = runs */
   1,   /* field[1] = sound */
@@ -5355,7 +5477,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__crashes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__crashes__descriptor =
 {
@@ -5365,7 +5487,7 @@
   "Chestnuthitch__Wire__Crashes",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Crashes),
-  5,
+  6,
   chestnuthitch__wire__crashes__field_descriptors,
   chestnuthitch__wire__crashes__field_indices_by_name,
   1,  chestnuthitch__wire__crashes__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Chestnuthitch__Wire__Roster Chestnuthitch__Wire__Roster;
 typedef struct Chestnuthitch__Wire__RosterPull Chestnuthitch__Wire__RosterPull;
 typedef struct Chestnuthitch__Wire__CrashRun Chestnuthitch__Wire__CrashRun;
+typedef struct Chestnuthitch__Wire__CrashBegun Chestnuthitch__Wire__CrashBegun;
 typedef struct Chestnuthitch__Wire__CrashRelease Chestnuthitch__Wire__CrashRelease;
 typedef struct Chestnuthitch__Wire__Crashes Chestnuthitch__Wire__Crashes;
 typedef struct Chestnuthitch__Wire__CrashesPull Chestnuthitch__Wire__CrashesPull;
@@ -803,10 +804,31 @@
    * no part of a response had arrived
    */
   protobuf_c_boolean fresh;
+  /*
+   * ID of a part of the prompt; 0: the request itself
+   */
+  uint64_t part;
 };
 #define CHESTNUTHITCH__WIRE__CRASH_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__crash_run__descriptor) \
-    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Responses that began at the sender, to prompts with a part.
+ */
+struct  Chestnuthitch__Wire__CrashBegun
+{
+  ProtobufCMessage base;
+  /*
+   * of the part
+   */
+  ProtobufCBinaryData digest;
+  uint32_t count;
+};
+#define CHESTNUTHITCH__WIRE__CRASH_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__crash_begun__descriptor) \
+    , {0,NULL}, 0 }
 
 
 /*
@@ -847,10 +869,12 @@
    * the message has all that the sender knows
    */
   protobuf_c_boolean whole;
+  size_t n_begun;
+  Chestnuthitch__Wire__CrashBegun **begun;
 };
 #define CHESTNUTHITCH__WIRE__CRASHES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__crashes__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -1772,6 +1796,25 @@
 void   chestnuthitch__wire__crash_run__free_unpacked
                      (Chestnuthitch__Wire__CrashRun *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__CrashBegun methods */
+void   chestnuthitch__wire__crash_begun__init
+                     (Chestnuthitch__Wire__CrashBegun         *message);
+size_t chestnuthitch__wire__crash_begun__get_packed_size
+                     (const Chestnuthitch__Wire__CrashBegun   *message);
+size_t chestnuthitch__wire__crash_begun__pack
+                     (const Chestnuthitch__Wire__CrashBegun   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__crash_begun__pack_to_buffer
+                     (const Chestnuthitch__Wire__CrashBegun   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__CrashBegun *
+       chestnuthitch__wire__crash_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__crash_begun__free_unpacked
+                     (Chestnuthitch__Wire__CrashBegun *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__CrashRelease methods */
 void   chestnuthitch__wire__crash_release__init
                      (Chestnuthitch__Wire__CrashRelease         *message);
@@ -2241,6 +2284,9 @@
 typedef void (*Chestnuthitch__Wire__CrashRun_Closure)
                  (const Chestnuthitch__Wire__CrashRun *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__CrashBegun_Closure)
+                 (const Chestnuthitch__Wire__CrashBegun *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__CrashRelease_Closure)
                  (const Chestnuthitch__Wire__CrashRelease *message,
                   void *closure_data);
@@ -2336,6 +2382,7 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__roster_pull__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crash_run__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__crash_begun__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crash_release__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crashes__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__crashes_pull__descriptor;
--- a/tests/threaded/fake_crashes.h
+++ b/tests/threaded/fake_crashes.h
@@ -26,6 +26,33 @@
            g_atomic_int_add(&guard->check_count, 1) >= guard->allowed_checks;
 }
 
+/* Bars no part of a prompt. */
+bool
+ch_crash_guard_is_barred_by_part(struct ch_crash_guard *guard,
+                                 const struct ch_request *request)
+{
+    (void)guard;
+    (void)request;
+    return false;
+}
+
+bool
+ch_crash_guard_has_suspected_part(struct ch_crash_guard *guard,
+                                  const struct ch_request *request)
+{
+    (void)guard;
+    (void)request;
+    return false;
+}
+
+void
+ch_crash_guard_record_begun(struct ch_crash_guard *guard,
+                            const struct ch_request *request)
+{
+    (void)guard;
+    (void)request;
+}
+
 void
 ch_crash_guard_record_interrupted(struct ch_crash_guard *guard,
                                   const struct ch_request *request,
