Test of responses that end with their connection: no fault found

New on the users' pages: an answer, a stream too, may come with neither length nor chunks and end with its connection; a stream that ends inside an event has been broken off. A table over the platform's client, on the code as it is: plain and stream, closed, reset, closed within an event: all as the page says.

--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -1,5 +1,6 @@
 /* Tests the clients of engines and services against faulty responses. */
 
+#include "platform_dialect.h"
 #include "upstream/upstream.h"
 
 #include <arpa/inet.h>
@@ -12,6 +13,7 @@
 enum {
     MAX_WAIT_S = 20,
     TIMEOUT_US = 300 * 1000,
+    RESET_DELAY_US = 50 * 1000,
 };
 
 /*
@@ -24,6 +26,7 @@
     pthread_t thread;
     const char *response;
     bool leaves_open;
+    bool resets;      /* its connections, instead of closing them */
     GString *request; /* the last one received */
     int open_fd;
 };
@@ -66,10 +69,14 @@
         (void)sent;
         if (server->leaves_open) {
             server->open_fd = fd;
+            continue;
         }
-        else {
-            close(fd);
+        if (server->resets) {
+            const struct linger linger = {1, 0};
+            usleep(RESET_DELAY_US); /* the bytes arrive first */
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
         }
+        close(fd);
     }
 }
 
@@ -619,6 +626,90 @@
     }
 }
 
+/* ---- responses that end with their connection ---- */
+
+#define WORKER_HEAD                                                           \
+    "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\nServer-Signature: s\r\n"            \
+    "Connection: close\r\n"
+#define WORKER_STREAM WORKER_HEAD "Content-Type: text/event-stream\r\n\r\n"
+#define WORKER_EVENT "id: 1\ndata: a\n\n"
+
+struct close_case {
+    const char *name;
+    const char *response;
+    bool stream;
+    bool resets;
+    enum ch_code code;
+    const char *forwarded;
+};
+
+/* Guards against a response with neither length nor chunks that is taken for
+ * broken off though its connection ended, or for whole though the connection
+ * was reset or the stream ended within an event. */
+static const struct close_case close_cases[] = {
+    {"plain, closed", WORKER_HEAD "\r\nok", false, false, CH_OK, "ok"},
+    {"plain, reset", WORKER_HEAD "\r\nok", false, true, CH_UPSTREAM_CUT, "ok"},
+    {"stream, closed after an event", WORKER_STREAM WORKER_EVENT, true, false,
+     CH_OK, WORKER_EVENT},
+    {"stream, reset after an event", WORKER_STREAM WORKER_EVENT, true, true,
+     CH_UPSTREAM_CUT, WORKER_EVENT},
+    {"stream, closed within a line", WORKER_STREAM WORKER_EVENT "id: 2\ndat",
+     true, false, CH_UPSTREAM_CUT, WORKER_EVENT},
+    {"stream, closed between the lines of an event",
+     WORKER_STREAM WORKER_EVENT "id: 2\ndata: b\n", true, false,
+     CH_UPSTREAM_CUT, WORKER_EVENT},
+    {"stream, closed before an event", WORKER_STREAM "id: 1\n", true, false,
+     CH_UPSTREAM_CUT, ""},
+};
+
+static void
+test_close(gconstpointer data)
+{
+    const struct close_case *row = data;
+    struct ch_client client;
+    struct server server;
+    struct result result;
+    char address[32];
+    ch_client_init(&client, "test");
+    client.metrics = ch_metrics_new();
+    server_start(&server, row->response, false);
+    server.resets = row->resets;
+    result_init(&result);
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", server.port);
+    struct ch_host host = {
+        .name = (char *)"w1", .kind = CH_HOST_ENGINE, .address = address};
+    struct ch_http *http = ch_http_new(&client);
+    struct ch_upstream *upstream =
+        platform_worker_new(&client, http, &host, TIMEOUT_US);
+    static const struct ch_call_handlers handlers = {
+        .on_response = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
+    const struct ch_call call = {
+        .request_id = "r7",
+        .method = "POST",
+        .path = "/fit/",
+        .body = "{}",
+        .body_length = 2,
+        .stream = row->stream,
+        .connect_timeout = TIMEOUT_US,
+        .first_byte_timeout = TIMEOUT_US,
+        .stall_timeout = TIMEOUT_US,
+    };
+    upstream->ops->call(upstream, &call, &handlers, &result);
+    upstream->ops->free(upstream);
+    result_wait(&result);
+    ch_http_free(http);
+    server_join(&server);
+    g_assert_cmpstr(ch_code_get_name(result.end.code), ==,
+                    ch_code_get_name(row->code));
+    g_assert_cmpstr(result.forwarded->str, ==, row->forwarded);
+    g_string_free(server.request, TRUE);
+    ch_metrics_free(client.metrics);
+    result_clear(&result);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -634,6 +725,12 @@
         g_test_add_data_func(path, &call_cases[i], test_call);
         g_free(path);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(close_cases); i++) {
+        char *path =
+            g_strconcat("/upstream/close/", close_cases[i].name, NULL);
+        g_test_add_data_func(path, &close_cases[i], test_close);
+        g_free(path);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(control_cases); i++) {
         char *path =
             g_strconcat("/upstream/control/", control_cases[i].name, NULL);
