An upstream that was idle when its service became brittle counts as brittle

Cause, found by reading: an upstream that had responded before, and had no call since its service became brittle, was not known to be brittle at any node. The first calls of all nodes to it needed no permission until its first response.

Change: an upstream whose last response without the header was sent before the service became brittle is taken for brittle, as one that has just started is.

Evidence: /slots-node/service (a node that is alone, with threads) failed before: the second upstream of the service needed no permission. A case of processes, an-idle-upstream, did not show the fault at seven nodes (0 rejections in the window before and after), as the stand-in's first response comes in milliseconds; it stays. test_brittle on this state: five cases, no call rejected, no fall, 93 to 98 in 100 used, 49 with nodes lost.

--- a/libchestnuthitch/slots/manager.c
+++ b/libchestnuthitch/slots/manager.c
@@ -6,8 +6,9 @@
     /* Nodes send as before for this long, so that the counting node hears of
      * all calls in progress before it gives out slots. */
     ONSET_US = 1500 * 1000,
-    /* An upstream that has not responded since its start is taken for brittle
-     * while another one of its service said so in this time. */
+    /* An upstream that has not responded since its start, or since its service
+     * became brittle, is taken for brittle while another one of its service
+     * said so in this time. */
     SERVICE_MEMORY_US = 10 * 1000 * 1000,
     TICK_US = 500 * 1000,
     /* For this long after its start a node asks the counting nodes of
@@ -87,8 +88,10 @@
     if (ch_limit_state_is_limited(&upstream->state)) {
         return true;
     }
-    return !upstream->has_responded &&
-           find_brittle_service(slots, upstream->info.service, now) != NULL;
+    const struct slots_service *service =
+        find_brittle_service(slots, upstream->info.service, now);
+    return service != NULL && (!upstream->has_responded ||
+                               upstream->state.last.sent_at < service->since);
 }
 
 /* See slots_internal.h. */
--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -27,6 +27,7 @@
     USUAL_QUEUE = 16,
     FALL_MS = 1500,
     WARM_UP_MS = 2000,
+    DRAIN_MS = 2500, /* until the requests for one model have ended */
     /* Upstreams may let fewer wait from this long after they first said that
      * they are brittle. */
     SETTLE_MS = 4000,
@@ -60,6 +61,7 @@
 struct callers {
     struct harness_fleet *fleet;
     bool is_plain;
+    const char *model; /* NULL: both models in turn; guarded by lock */
     pthread_mutex_t lock;
     bool stopped;
     unsigned last_id;
@@ -96,6 +98,9 @@
     const struct harness_node *node =
         &callers->fleet->nodes[g_rand_int_range(random, 0, NODES)];
     const char *model = g_rand_boolean(random) ? "m1" : "m2";
+    pthread_mutex_lock(&callers->lock);
+    model = callers->model == NULL ? model : callers->model;
+    pthread_mutex_unlock(&callers->lock);
     const struct harness_stream_call call = {
         .address = node->caller_address,
         .host = HOST,
@@ -167,6 +172,9 @@
     unsigned rejections; /* N, which the upstreams name */
     bool use_is_bounded; /* the slots must be used */
     bool is_plain;       /* a plain service instead of engines */
+    /* The last worker alone holds a model that is not asked for from before
+     * the upstreams are brittle until they may let fewer wait. */
+    bool has_idle;
 };
 
 static void
@@ -194,16 +202,17 @@
 }
 
 static const struct scenario scenarios[] = {
-    {"overload", wait_only, 3, true, false},
-    {"none-bears-a-rejection", wait_only, 0, true, false},
-    {"nodes-lost-and-paused", lose_nodes, 3, false, false},
-    {"plain-service", wait_only, 3, true, true},
+    {"overload", wait_only, 3, true, false, false},
+    {"none-bears-a-rejection", wait_only, 0, true, false, false},
+    {"nodes-lost-and-paused", lose_nodes, 3, false, false, false},
+    {"plain-service", wait_only, 3, true, true, false},
+    {"an-idle-upstream", wait_only, 3, false, false, true},
 };
 
 /* ---- runs ---- */
 
 static struct harness_fleet *
-start_fleet(bool is_plain)
+start_fleet(const struct scenario *scenario)
 {
     const struct harness_fleet_config shape = {
         .users_platform = true,
@@ -217,11 +226,13 @@
     for (unsigned i = 0; i < WORKERS; i++) {
         char name[16];
         (void)g_snprintf(name, sizeof name, "e%u", i + 1);
-        if (is_plain) {
+        if (scenario->is_plain) {
             harness_users_start_service(fleet, name);
         }
         else {
-            harness_users_start_worker(fleet, name, "v1", MODELS);
+            const char *one = i < WORKERS - 1 ? "m1" : "m2";
+            harness_users_start_worker(fleet, name, "v1",
+                                       scenario->has_idle ? one : MODELS);
         }
     }
     for (unsigned i = 0; i < fleet->node_count; i++) {
@@ -272,11 +283,19 @@
     return sum;
 }
 
+static void
+set_model(struct callers *callers, const char *model)
+{
+    pthread_mutex_lock(&callers->lock);
+    callers->model = model;
+    pthread_mutex_unlock(&callers->lock);
+}
+
 static void
 run_scenario(gconstpointer data)
 {
     const struct scenario *scenario = data;
-    struct harness_fleet *fleet = start_fleet(scenario->is_plain);
+    struct harness_fleet *fleet = start_fleet(scenario);
     struct callers callers = {.fleet = fleet, .is_plain = scenario->is_plain};
     struct caller caller[CALLERS];
     GThread *threads[CALLERS];
@@ -287,10 +306,13 @@
         threads[i] = g_thread_new("caller", run_caller, &caller[i]);
     }
     harness_sleep_ms(WARM_UP_MS);
+    set_model(&callers, scenario->has_idle ? "m1" : NULL);
+    harness_sleep_ms(scenario->has_idle ? DRAIN_MS : 0);
     harness_set_faults(&fleet->users, "brittle=%u", scenario->rejections + 1);
     harness_sleep_ms(SETTLE_MS);
     struct use begin = read_use(fleet);
     harness_set_faults(&fleet->users, "queue=0&fall_ms=%d", FALL_MS);
+    set_model(&callers, scenario->has_idle ? "m2" : NULL);
     scenario->faults(fleet);
     struct use end = read_use(fleet);
     g_print(
