A part of prompts that crashes upstreams is barred for all teams

Change: the key is the part's ID. A team that names another one's part falsely has to end three upstreams under it, and the other's begun responses clear it.

Evidence: /crashes/parts-of-teams (three nodes with threads, three teams) failed before: the part was not barred within the test's time.

--- a/libchestnuthitch/node/crash_guard.c
+++ b/libchestnuthitch/node/crash_guard.c
@@ -57,13 +57,15 @@
     return MAX(request->info.parts[index].id, 1);
 }
 
-/* Identifies a part of a team's prompts: what one team names can't bar another
- * team's requests. */
+/* Identifies a part. Its ID stands for its text, which crashes upstreams
+ * whatever else the request holds: so it is the same for all teams, classes
+ * and models. A part that one team names falsely is cleared by the responses
+ * that begin to the others. */
 static uint64_t
 get_part_fingerprint(const struct ch_request *request, size_t index)
 {
-    const char *team = request->team == NULL ? "" : request->team;
-    return ch_hash_pair(ch_hash_string(team), get_part_id(request, index));
+    static const char kind[] = "prompt part";
+    return ch_hash_pair(ch_hash_string(kind), get_part_id(request, index));
 }
 
 /* The same as a digest. */
@@ -71,11 +73,9 @@
 compute_part_digest(const struct ch_request *request, size_t index)
 {
     static const char kind[] = "prompt part";
-    const char *team = request->team == NULL ? "" : request->team;
     uint64_t id = GUINT64_TO_BE(get_part_id(request, index));
     const struct ch_digest_part parts[] = {
         {kind, strlen(kind)},
-        {team, strlen(team)},
         {&id, sizeof(id)},
     };
     return ch_digest_compute(parts, G_N_ELEMENTS(parts));
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -339,6 +339,71 @@
     }
 }
 
+/* ---- parts of prompts ---- */
+
+enum {
+    POPULAR_PART = 1,
+    CRASHING_PART,
+    OWN_PART,
+    POPULAR_COUNT = 40, /* responses that began, at one node */
+};
+
+/* A request of a team, with these parts in its prompt. */
+static struct ch_request
+make_request_with_parts(const char *body, const char *team,
+                        const struct ch_prompt_part *parts, size_t count)
+{
+    struct ch_request request = make_request(body);
+    request.team = (char *)team;
+    request.info.parts = parts;
+    request.info.part_count = count;
+    return request;
+}
+
+/* Guards against a part that has to crash upstreams for each team anew, and
+ * against a popular part that is barred with it because its responses began at
+ * another node. */
+static void
+test_parts_of_teams(void)
+{
+    static const char *const upstreams[NODE_COUNT] = {"u1", "u2", "u3"};
+    static const char *const teams[NODE_COUNT] = {"a", "b", NULL};
+    static const char *const bodies[NODE_COUNT] = {"one", "two", "three"};
+    static const struct ch_prompt_part crashing[] = {
+        {POPULAR_PART, 10}, {CRASHING_PART, 10}, {OWN_PART, 10}};
+    static const struct ch_prompt_part harmless[] = {{POPULAR_PART, 10},
+                                                     {CRASHING_PART, 10}};
+    struct test_node *nodes[NODE_COUNT];
+    start_three_nodes(nodes);
+    /* The crashing part as the last one is the request's own. */
+    const struct ch_request popular =
+        make_request_with_parts("popular", "d", harmless, 2);
+    const struct ch_request other =
+        make_request_with_parts("four", "d", crashing, 3);
+    for (unsigned i = 0; i < POPULAR_COUNT; i++) {
+        ch_crash_guard_record_begun(nodes[0]->node.crash_guard, &popular);
+    }
+    for (unsigned i = 0; i < NODE_COUNT; i++) {
+        const struct ch_request request =
+            make_request_with_parts(bodies[i], teams[i], crashing, 3);
+        g_assert_false(
+            ch_crash_guard_is_barred(nodes[i]->node.crash_guard, &other));
+        report_crash(nodes[i], &request, upstreams[i]);
+    }
+    for (unsigned i = 0; i < NODE_COUNT; i++) {
+        wait_for_barred_state(nodes[i], &other, true);
+        g_assert_true(ch_crash_guard_is_barred_by_part(
+            nodes[i]->node.crash_guard, &other));
+        g_assert_false(
+            ch_crash_guard_is_barred(nodes[i]->node.crash_guard, &popular));
+        g_assert_false(ch_crash_guard_has_suspected_part(
+            nodes[i]->node.crash_guard, &popular));
+    }
+    for (unsigned i = 0; i < NODE_COUNT; i++) {
+        test_node_free(nodes[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -351,5 +416,6 @@
     g_test_add_func("/crashes/joins-and-release", test_join_and_release);
     g_test_add_func("/crashes/answered-elsewhere", test_answered_elsewhere);
     g_test_add_func("/crashes/messages", test_messages);
+    g_test_add_func("/crashes/parts-of-teams", test_parts_of_teams);
     return g_test_run();
 }
