Logs and counters of what upstreams say in their responses of calls to come

Each node now reads the header of a draining upstream and Retry-After of 429 and 503 in responses to requests, orders, reports and relayed calls, and keeps what it read (libchestnuthitch/notices). Nothing is decided by it yet.

A call for an order or a report may keep several headers of its response, in place of one.

--- a/libchestnuthitch/net/http_fetch.c
+++ b/libchestnuthitch/net/http_fetch.c
@@ -9,8 +9,8 @@
 struct fetch {
     GString *body;
     char *etag;
-    char *kept_header; /* NULL: none */
-    char *kept_values;
+    const char *const *kept_names; /* NULL: none */
+    GArray *kept;                  /* struct ch_http_header */
     size_t max_bytes;
     bool too_large;
     void (*done)(void *data, const struct ch_http_response *answer);
@@ -36,9 +36,11 @@
         g_free(fetch->etag);
         fetch->etag = g_strdup(value);
     }
-    if (fetch->kept_header != NULL &&
-        strcasecmp(name, fetch->kept_header) == 0) {
-        ch_http_append_value(&fetch->kept_values, value);
+    const char *const *kept = fetch->kept_names;
+    for (; kept != NULL && *kept != NULL; kept++) {
+        if (strcasecmp(name, *kept) == 0) {
+            ch_http_headers_add(fetch->kept, name, value);
+        }
     }
 }
 
@@ -67,7 +69,9 @@
         .body = fetch->body->str,
         .body_length = fetch->body->len,
         .etag = fetch->etag,
-        .kept_values = fetch->kept_values,
+        .kept_headers =
+            (const struct ch_http_header *)(void *)fetch->kept->data,
+        .kept_header_count = fetch->kept->len,
     };
     if (fetch->too_large && result->code == CH_OK) {
         response.result.code = CH_UPSTREAM_ANSWER;
@@ -78,8 +82,7 @@
     fetch->done(fetch->data, &response);
     g_string_free(fetch->body, TRUE);
     g_free(fetch->etag);
-    g_free(fetch->kept_header);
-    g_free(fetch->kept_values);
+    g_array_free(fetch->kept, TRUE);
     g_free(fetch);
 }
 
@@ -97,7 +100,8 @@
     };
     struct fetch *fetch = g_new0(struct fetch, 1);
     fetch->body = g_string_new(NULL);
-    fetch->kept_header = g_strdup(request->kept_header);
+    fetch->kept_names = request->kept_headers;
+    fetch->kept = ch_http_headers_new();
     fetch->max_bytes = max_bytes;
     fetch->done = done;
     fetch->data = data;
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -45,8 +45,9 @@
      * established, and that connection is closed.
      */
     bool connect_only;
-    /* ch_http_fetch() keeps the values of this header; NULL: of none. */
-    const char *kept_header;
+    /* ch_http_fetch() keeps these headers; ended by NULL; NULL: none. The
+     * names must outlive the call. */
+    const char *const *kept_headers;
 };
 
 struct ch_http_result {
@@ -114,9 +115,10 @@
     struct ch_http_result result;
     char *body; /* NUL-terminated */
     size_t body_length;
-    char *etag;        /* NULL if the response had no ETag */
-    char *kept_values; /* of the request's kept_header, separated by commas;
-                          NULL: the response had none */
+    char *etag; /* NULL if the response had no ETag */
+    /* Of the request's kept_headers those that came, in this order. */
+    const struct ch_http_header *kept_headers;
+    size_t kept_header_count;
 };
 
 /*
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -254,6 +254,7 @@
     ch_quota_manager_write_status(node->quota, builder);
     ch_limit_manager_write_status(node->limits, builder);
     ch_slots_write_status(node->slots, builder);
+    ch_notices_write_status(node->notices, builder);
     if (node->streams != NULL) {
         ch_stream_manager_write_status(node->streams, builder);
     }
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -163,6 +163,8 @@
     };
     client->client->path_listener =
         ch_path_manager_get_listener(node->paths, host);
+    client->client->notice_listener = ch_node_get_notice_listener(
+        node, name, g_quark_from_string(host->region));
     g_hash_table_replace(balancer->clients, key, client);
 }
 
@@ -252,6 +254,8 @@
                                  host->draining);
     ch_limit_manager_update_upstream(balancer->node->limits, upstream.name,
                                      upstream.boot_id);
+    ch_notices_update_upstream(balancer->node->notices, upstream.name,
+                               upstream.region, upstream.boot_id);
     const struct ch_slots_upstream slots = {
         .name = upstream.name,
         .service = upstream.service,
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -238,6 +238,8 @@
         node->limits, engine->name, g_quark_from_string(host->region));
     engine->client->path_listener =
         ch_path_manager_get_listener(node->paths, host);
+    engine->client->notice_listener = ch_node_get_notice_listener(
+        node, engine->name, g_quark_from_string(host->region));
     engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
     engine->local_copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
     g_array_set_clear_func(engine->items, clear_item);
@@ -585,6 +587,8 @@
         .adapter = slash == NULL ? NULL : slash + 1,
         .expected_orders_taken = (int64_t)engine->orders_taken,
     };
+    ch_notices_count_call(controller->node->notices, engine->name,
+                          CH_NOTICES_ORDER);
     engine->client->ops->send_order(engine->client, &order,
                                     submit_order_result, job);
     return true;
@@ -1001,6 +1005,16 @@
            engine->waiting > 0;
 }
 
+/* Calls the engine for its report. */
+static void
+call_for_report(struct report_job *job)
+{
+    struct controller_engine *engine = job->engine;
+    ch_notices_count_call(job->controller->node->notices, engine->name,
+                          CH_NOTICES_REPORT);
+    engine->client->ops->fetch_report(engine->client, submit_report, job);
+}
+
 /* The engine's limit permits a report, or not; on the pool. */
 static void
 handle_report_permission(void *data, bool granted, int64_t retry_after)
@@ -1009,7 +1023,7 @@
     struct ch_controller *controller = job->controller;
     struct controller_engine *engine = job->engine;
     if (granted) {
-        engine->client->ops->fetch_report(engine->client, submit_report, job);
+        call_for_report(job);
         return;
     }
     pthread_mutex_lock(&controller->lock);
@@ -1061,7 +1075,7 @@
                               handle_report_permission, job);
         return;
     }
-    engine->client->ops->fetch_report(engine->client, submit_report, job);
+    call_for_report(job);
 }
 
 /* ---- entry points ---- */
--- a/libchestnuthitch/node/dialect.h
+++ b/libchestnuthitch/node/dialect.h
@@ -33,6 +33,8 @@
     /* The header with the caller's own request ID, in requests and responses.
      */
     const char *request_id_header;
+    /* "1" in a response of an upstream: it drains. */
+    const char *draining_header;
     /* Scheme of the Authorization header with an access key. */
     const char *key_scheme;
     /* Fills in the input from the headers; false with *fault. The strings
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -515,6 +515,8 @@
     }
     ch_metrics_add_count(exchange->frontend->node->client->metrics,
                          CH_COUNT_PROCESSES_CHECKED, 1);
+    ch_notices_count_call(exchange->frontend->node->notices,
+                          exchange->grant.upstream, CH_NOTICES_REPORT);
     client->ops->fetch_report(client, handle_process_report, exchange);
     return false;
 }
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -426,6 +426,8 @@
     exchange->relay = relay == NULL ? 0 : relay->name;
     ch_exchange_write_stream_record(exchange);
     ch_exchange_log_going_on(exchange);
+    ch_notices_count_call(exchange->frontend->node->notices,
+                          exchange->grant.upstream, CH_NOTICES_REQUEST);
     struct ch_upstream *client = exchange->grant.client;
     exchange->call_handle =
         client->ops->call(client, &call, &handlers, exchange);
--- a/libchestnuthitch/node/home_report.c
+++ b/libchestnuthitch/node/home_report.c
@@ -102,6 +102,16 @@
     g_ptr_array_add(jobs, job);
 }
 
+/* Calls the engine for its report. */
+static void
+fetch_report(struct report_job *job)
+{
+    struct ch_upstream *client = job->upstream->client;
+    ch_notices_count_call(job->homes->node->notices, job->upstream->name,
+                          CH_NOTICES_REPORT);
+    client->ops->fetch_report(client, submit_report_result, job);
+}
+
 /* The engine's limit permits a report, or not; on the pool. */
 static void
 handle_report_permission(void *data, bool granted, int64_t retry_after)
@@ -110,8 +120,7 @@
     struct ch_homes *homes = job->homes;
     struct upstream *upstream = job->upstream;
     if (granted) {
-        upstream->client->ops->fetch_report(upstream->client,
-                                            submit_report_result, job);
+        fetch_report(job);
         return;
     }
     pthread_mutex_lock(&homes->lock);
@@ -131,10 +140,9 @@
 call_for_report(struct report_job *job)
 {
     struct ch_homes *homes = job->homes;
-    struct ch_upstream *client = job->upstream->client;
     if (!ch_limit_manager_is_limited(homes->node->limits,
                                      job->upstream->name)) {
-        client->ops->fetch_report(client, submit_report_result, job);
+        fetch_report(job);
         return;
     }
     pthread_mutex_lock(&homes->lock);
--- a/libchestnuthitch/node/ledger_orders.c
+++ b/libchestnuthitch/node/ledger_orders.c
@@ -164,6 +164,8 @@
     }
     else {
         count_order(ledger->context->node, order);
+        ch_notices_count_call(ledger->context->node->notices, ledger->upstream,
+                              CH_NOTICES_ORDER);
         engine->ops->send_order(engine, order, submit_order_reply, sent_order);
     }
     pthread_mutex_lock(&ledger->lock);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -22,6 +22,7 @@
 #include "decide/policy.h"
 #include "net/net.h"
 #include "platform/platform.h"
+#include "notices/notices.h"
 #include "slots/slots.h"
 #include "upstream/upstream.h"
 #include "wire/wire.h"
@@ -55,6 +56,7 @@
     struct ch_quota_manager *quota;
     struct ch_limit_manager *limits;
     struct ch_slots *slots;            /* NULL: no upstream is brittle */
+    struct ch_notices *notices;        /* NULL: upstreams say nothing */
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
                                           stream of an earlier request */
@@ -79,6 +81,12 @@
 
 /* Creates the count of brittle upstreams' slots (slots_peers.c). */
 struct ch_slots *ch_node_create_slots(struct ch_node *node);
+/* Creates the knowledge of upstreams' notices (notices_node.c). */
+struct ch_notices *ch_node_create_notices(struct ch_node *node);
+/* The listener for a client of an upstream in a region. */
+struct ch_notice_listener
+ch_node_get_notice_listener(const struct ch_node *node, GQuark upstream,
+                            GQuark region);
 
 /* ---- peers (peers.c): frames to and from other nodes ---- */
 
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -7,6 +7,7 @@
 #include "node/incoming_request.h"
 #include "node/listener.h"
 #include "node/path_manager.h"
+#include "upstream/call.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -49,6 +50,8 @@
     struct ch_relay_server *server;
     struct ch_response *response;
     GQuark upstream;
+    int64_t sent_at;
+    struct ch_notice_reader notice_reader; /* used by the HTTP loop */
     pthread_mutex_t lock;
     uint64_t handle; /* of the call to the upstream; 0: none is under way */
     bool is_ended;   /* the call to the upstream has ended */
@@ -113,16 +116,28 @@
 handle_header(void *data, const char *name, const char *value)
 {
     struct relayed_call *call = data;
+    ch_notice_reader_add(&call->notice_reader, name, value, g_get_real_time());
     if (is_passed_on(name) && strcasecmp(name, "Date") != 0) {
         ch_http_headers_add(call->headers, name, value);
     }
 }
 
+/* Records what the response says of calls to come from this node. */
+static void
+record_notice(const struct relayed_call *call)
+{
+    const struct ch_notice notice =
+        ch_notice_reader_get(&call->notice_reader, call->status);
+    ch_notices_observe(call->server->node->notices, call->upstream, 0, &notice,
+                       call->sent_at);
+}
+
 /* Sends the head of the upstream's response, once. */
 static void
 start_response(struct relayed_call *call)
 {
     if (!call->is_started) {
+        record_notice(call);
         call->is_started = true;
         ch_response_start_forward(
             call->response, call->status,
@@ -327,6 +342,11 @@
     call->references = 3; /* the loop's, the watcher's, this function's */
     call->server = server;
     call->upstream = upstream;
+    call->sent_at = ch_client_get_time(server->node->client);
+    call->notice_reader.draining_header =
+        server->node->dialect == NULL ? CH_CALL_DEFAULT_DRAINING_HEADER
+                                      : server->node->dialect->draining_header;
+    ch_notices_count_call(server->node->notices, upstream, CH_NOTICES_REQUEST);
     call->response = ch_response_ref(incoming->response);
     call->headers = ch_http_headers_new();
     pthread_mutex_init(&call->lock, NULL);
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -143,6 +143,9 @@
         node->limits, g_quark_from_string(host->name),
         g_quark_from_string(host->region));
     client->path_listener = ch_path_manager_get_listener(node->paths, host);
+    client->notice_listener =
+        ch_node_get_notice_listener(node, g_quark_from_string(host->name),
+                                    g_quark_from_string(host->region));
     return client;
 }
 
--- /dev/null
+++ b/libchestnuthitch/notices/state.c
@@ -0,0 +1,79 @@
+/* What a node knows of the drain and the wait of one upstream. */
+
+#include "notices/notices.h"
+
+/* See notices.h. */
+bool
+ch_notice_state_observe_drain(struct ch_notice_state *state, uint64_t boot_id,
+                              int64_t now)
+{
+    bool is_older = state->boot_id != 0 && boot_id != 0 &&
+                    boot_id < MAX(state->boot_id, state->draining_boot);
+    if (is_older || (state->draining && state->draining_boot == boot_id)) {
+        return false;
+    }
+    state->draining = true;
+    state->draining_boot = boot_id;
+    state->drain_heard_at = now;
+    return true;
+}
+
+/* See notices.h. A response to a call that was sent before the listed process
+ * was known may be of the one before. */
+unsigned
+ch_notice_state_observe(struct ch_notice_state *state,
+                        const struct ch_notice *notice, int64_t sent_at,
+                        int64_t now)
+{
+    unsigned changes = CH_NOTICE_UNCHANGED;
+    if (sent_at < state->boot_changed_at) {
+        return changes;
+    }
+    if (notice->draining &&
+        ch_notice_state_observe_drain(state, state->boot_id, now)) {
+        changes |= CH_NOTICE_DRAINS;
+    }
+    if (notice->wait > 0 && now + notice->wait > state->wait_until) {
+        if (state->wait_until <= now) {
+            state->wait_begun_at = now;
+            changes |= CH_NOTICE_WAITS;
+        }
+        state->wait_until = now + notice->wait;
+        state->return_period = 0;
+        state->return_calls = 0;
+    }
+    return changes;
+}
+
+/* See notices.h. */
+void
+ch_notice_state_set_boot(struct ch_notice_state *state, uint64_t boot_id,
+                         int64_t now)
+{
+    if (state->boot_id == boot_id) {
+        return;
+    }
+    if (state->boot_id != 0) {
+        state->boot_changed_at = now;
+        state->wait_until = 0;
+    }
+    state->boot_id = boot_id;
+    if (state->draining && state->draining_boot == 0) {
+        state->draining_boot = boot_id;
+    }
+}
+
+/* See notices.h. */
+bool
+ch_notice_state_is_draining(const struct ch_notice_state *state,
+                            uint64_t boot_id)
+{
+    return state->draining && state->draining_boot == boot_id;
+}
+
+/* See notices.h. */
+bool
+ch_notice_state_is_waiting(const struct ch_notice_state *state, int64_t now)
+{
+    return now < state->wait_until;
+}
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -28,6 +28,8 @@
     struct ch_limit_listener limit_listener;
     struct ch_limit_listener brittle_listener;
     struct ch_path_listener path_listener;
+    struct ch_notice_listener notice_listener;
+    struct ch_notice_reader notice_reader;
     int64_t sent_at;
     struct ch_call_handlers handlers;
     void *data;
@@ -201,6 +203,16 @@
     }
 }
 
+/* See upstream.h. */
+void
+ch_upstream_report_notice(const struct ch_notice_listener *listener,
+                          const struct ch_notice *notice, int64_t sent_at)
+{
+    if (listener->handle != NULL && !ch_notice_is_empty(notice)) {
+        listener->handle(listener, notice, sent_at);
+    }
+}
+
 bool
 ch_call_is_stream(bool asked, int status, const char *content_type)
 {
@@ -209,6 +221,19 @@
            g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
 }
 
+/* Tells the listener what the response says of calls to come. A response of a
+ * relaying node says nothing of the upstream. */
+static void
+report_notice(const struct call_exchange *exchange)
+{
+    const struct ch_notice notice =
+        ch_notice_reader_get(&exchange->notice_reader, exchange->status);
+    if (exchange->relay_result == CH_RELAY_NONE) {
+        ch_upstream_report_notice(&exchange->notice_listener, &notice,
+                                  exchange->sent_at);
+    }
+}
+
 /*
  * Checks the complete status line and headers, once; forwards them if the
  * response belongs to this request.
@@ -229,6 +254,7 @@
         ch_upstream_report_limit(&exchange->brittle_listener,
                                  exchange->brittle_values, succeeded,
                                  exchange->sent_at);
+        report_notice(exchange);
     }
     if (exchange->failure != CH_OK) {
         return;
@@ -340,6 +366,8 @@
 {
     struct call_exchange *exchange = data;
     store_header(exchange, name, value);
+    ch_notice_reader_add(&exchange->notice_reader, name, value,
+                         g_get_real_time());
     if (exchange->is_relayed &&
         strcasecmp(name, CH_RELAY_RESULT_HEADER) == 0) {
         exchange->relay_result = ch_relay_result_parse(value);
@@ -548,6 +576,8 @@
     exchange->limit_listener = upstream->limit_listener;
     exchange->brittle_listener = upstream->brittle_listener;
     exchange->path_listener = upstream->path_listener;
+    exchange->notice_listener = upstream->notice_listener;
+    exchange->notice_reader.draining_header = rules->draining_header;
     exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
     exchange->data = data;
--- a/libchestnuthitch/upstream/call.h
+++ b/libchestnuthitch/upstream/call.h
@@ -16,6 +16,8 @@
                                    from all nodes together; NULL: none */
     const char *brittle_header; /* of a response: rejections a second that the
                                    upstream bears; NULL: none */
+    const char *draining_header; /* "1" in a response: the upstream drains;
+                                    NULL: none */
     /*
      * Header of every response to a request that was run; NULL: none. A
      * success without this header does not come from the upstream.
@@ -42,6 +44,7 @@
 };
 
 #define CH_CALL_DEFAULT_LIMIT_HEADER "X-Limit-Per-Second"
+#define CH_CALL_DEFAULT_DRAINING_HEADER "X-Draining"
 
 /*
  * Rules common to the engines and services that use this project's own
@@ -49,7 +52,8 @@
  */
 #define CH_CALL_DEFAULT_RULES                                                 \
     .id_header = "X-Request-Id", .not_run_header = "X-Not-Run",               \
-    .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER
+    .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER,                             \
+    .draining_header = CH_CALL_DEFAULT_DRAINING_HEADER
 
 /*
  * Copies the rules, the call and the upstream's listeners; none of them needs
--- a/libchestnuthitch/upstream/control.c
+++ b/libchestnuthitch/upstream/control.c
@@ -2,6 +2,8 @@
 
 #include "upstream/control.h"
 
+#include <strings.h>
+
 enum {
     /* A report has some hundred items and orders of a hundred bytes each. */
     MAX_REPORT_BYTES = 1024 * 1024,
@@ -12,29 +14,53 @@
 struct control_context {
     struct ch_limit_listener limit_listener;
     struct ch_path_listener path_listener;
+    struct ch_notice_listener notice_listener;
+    const char *limit_header;
+    const char *draining_header;
     int64_t sent_at;
 };
 
 static struct control_context
 control_context_init(const struct ch_control_peer *peer)
 {
-    return (struct control_context){peer->limit_listener, peer->path_listener,
-                                    ch_client_get_time(peer->client)};
+    return (struct control_context){
+        .limit_listener = peer->upstream->limit_listener,
+        .path_listener = peer->upstream->path_listener,
+        .notice_listener = peer->upstream->notice_listener,
+        .limit_header = peer->limit_header,
+        .draining_header = peer->draining_header,
+        .sent_at = ch_client_get_time(peer->client),
+    };
 }
 
-/* Tells the listeners how the call ended, and of a limit that the response
- * names. One that names none says nothing: an upstream may name its limit to
+/* Tells the listeners how the call ended, and what the response says. One that
+ * names no limit says nothing of it: an upstream may name its limit to
  * requests alone. */
 static void
 report_response(const struct control_context *context,
                 const struct ch_http_response *response)
 {
+    struct ch_notice_reader reader = {.draining_header =
+                                          context->draining_header};
+    char *limit_values = NULL;
     ch_upstream_report_path(&context->path_listener, &response->result);
-    if (response->kept_values != NULL) {
-        ch_upstream_report_limit(&context->limit_listener,
-                                 response->kept_values, false,
+    for (size_t i = 0; i < response->kept_header_count; i++) {
+        const struct ch_http_header *header = &response->kept_headers[i];
+        ch_notice_reader_add(&reader, header->name, header->value,
+                             g_get_real_time());
+        if (strcasecmp(header->name, context->limit_header) == 0) {
+            ch_http_append_value(&limit_values, header->value);
+        }
+    }
+    if (limit_values != NULL) {
+        ch_upstream_report_limit(&context->limit_listener, limit_values, false,
                                  context->sent_at);
     }
+    const struct ch_notice notice =
+        ch_notice_reader_get(&reader, response->result.status);
+    ch_upstream_report_notice(&context->notice_listener, &notice,
+                              context->sent_at);
+    g_free(limit_values);
 }
 
 /* An order whose response is awaited. */
--- a/libchestnuthitch/upstream/control.h
+++ b/libchestnuthitch/upstream/control.h
@@ -8,12 +8,14 @@
 
 #include "upstream/upstream.h"
 
-/* How a call for an order or a report is made, beside the request. */
+/* How a call for an order or a report is made, beside the request, which has
+ * to keep the headers that are read here. */
 struct ch_control_peer {
     struct ch_client *client;
     struct ch_http *http;
-    struct ch_limit_listener limit_listener;
-    struct ch_path_listener path_listener;
+    const struct ch_upstream *upstream; /* its listeners are copied */
+    const char *limit_header;
+    const char *draining_header;
 };
 
 /*
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -7,6 +7,10 @@
 
 #include <string.h>
 
+static const char *const kept_headers[] = {CH_CALL_DEFAULT_LIMIT_HEADER,
+                                           CH_CALL_DEFAULT_DRAINING_HEADER,
+                                           "Retry-After", NULL};
+
 struct engine {
     struct ch_upstream base;
     struct ch_client *client;
@@ -101,11 +105,11 @@
         .stall_timeout = engine->control_timeout,
         .total_timeout = engine->control_timeout,
         .fresh_connection = true,
-        .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
+        .kept_headers = kept_headers,
     };
-    const struct ch_control_peer peer = {engine->client, engine->http,
-                                         upstream->limit_listener,
-                                         upstream->path_listener};
+    const struct ch_control_peer peer = {
+        engine->client, engine->http, upstream, CH_CALL_DEFAULT_LIMIT_HEADER,
+        CH_CALL_DEFAULT_DRAINING_HEADER};
     ch_control_send_order(&peer, &request, map_order_status, done, data);
     g_free(url);
     g_free(body);
@@ -126,11 +130,11 @@
         .first_byte_timeout = engine->control_timeout,
         .stall_timeout = engine->control_timeout,
         .total_timeout = engine->control_timeout,
-        .kept_header = CH_CALL_DEFAULT_LIMIT_HEADER,
+        .kept_headers = kept_headers,
     };
-    const struct ch_control_peer peer = {engine->client, engine->http,
-                                         upstream->limit_listener,
-                                         upstream->path_listener};
+    const struct ch_control_peer peer = {
+        engine->client, engine->http, upstream, CH_CALL_DEFAULT_LIMIT_HEADER,
+        CH_CALL_DEFAULT_DRAINING_HEADER};
     ch_control_fetch_report(&peer, &request, ch_engine_report_parse, done,
                             data);
     g_free(url);
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -8,6 +8,7 @@
 
 #include "limit/limit.h"
 #include "net/net.h"
+#include "notices/notices.h"
 #include "upstream/relay.h"
 
 /* ---- a request to an upstream ---- */
@@ -183,14 +184,34 @@
     GQuark upstream;
 };
 
+/*
+ * Is told of responses of any kind that say that the upstream drains, or ask
+ * this node to wait. handle runs on the HTTP loop's thread, also for calls
+ * that outlive the client of the upstream.
+ */
+struct ch_notice_listener {
+    void (*handle)(const struct ch_notice_listener *listener,
+                   const struct ch_notice *notice, int64_t sent_at);
+    void *data;
+    GQuark upstream;
+    GQuark region; /* of the upstream */
+};
+
 struct ch_upstream {
     const struct ch_upstream_ops *ops;
     struct ch_limit_listener limit_listener; /* handle may be NULL */
     /* Likewise; is told of the rejections a second that the upstream bears. */
     struct ch_limit_listener brittle_listener;
-    struct ch_path_listener path_listener; /* likewise */
+    struct ch_path_listener path_listener;     /* likewise */
+    struct ch_notice_listener notice_listener; /* likewise */
 };
 
+/* Calls the listener, if there is one, with what a response says; one that
+ * says nothing is left out. */
+void ch_upstream_report_notice(const struct ch_notice_listener *listener,
+                               const struct ch_notice *notice,
+                               int64_t sent_at);
+
 /* Calls the listener, if there is one. */
 void ch_upstream_report_path(const struct ch_path_listener *listener,
                              const struct ch_http_result *result);
