Failing test: upstreams whose responses say that they leave, or ask to wait

Seven nodes as processes and four upstreams; the upstreams' own record judges, per upstream and node.

The store is silent while an upstream leaves, so that the response is the only news.

--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -201,7 +201,8 @@
 /* Starts a worker of the plain service "orders". */
 void harness_users_start_service(struct harness_fleet *fleet,
                                  const char *name);
-/* action: crash, drain, remove; see tests/standin/users.h. */
+/* action: crash, drain, remove, leave, wait&ms=N; see tests/standin/users.h.
+ */
 void harness_users_change_worker(struct harness_fleet *fleet, const char *name,
                                  const char *action);
 /* Puts the operators' configuration into the store. */
@@ -242,6 +243,42 @@
 harness_request_stream(const struct harness_stream_call *call);
 void harness_stream_free(struct harness_stream *stream);
 
+/* Waits until all nodes are ready. */
+void harness_users_wait_ready(const struct harness_fleet *fleet);
+
+/* Callers in a loop, each request by a random node; its ID begins with the
+ * node's name and '-'. */
+struct harness_users_load {
+    struct harness_fleet *fleet;
+    unsigned caller_count;
+    const char *host;
+    const char *path;
+    const char *const
+        *models; /* chosen at random, ended by NULL; NULL: none */
+    unsigned events;
+    int64_t deadline_ms;
+    int64_t max_pause_ms; /* of a caller that was rejected */
+};
+
+struct harness_users_results {
+    unsigned whole;
+    unsigned rejected;
+    unsigned rejected_late; /* after more than a second */
+    unsigned rejected_without_time;
+    unsigned other;
+};
+
+struct harness_users_run;
+
+struct harness_users_run *
+harness_users_load_start(const struct harness_users_load *load);
+/* The results so far. */
+struct harness_users_results
+harness_users_load_get(struct harness_users_run *run);
+/* Ends the load when the requests in flight have ended, and frees run. */
+struct harness_users_results
+harness_users_load_stop(struct harness_users_run *run);
+
 /* ---- callers (call.c) ---- */
 
 struct harness_call {
--- /dev/null
+++ b/tests/harness/users_load.c
@@ -0,0 +1,148 @@
+/* Callers of a fleet on the users' platform, in a loop. */
+
+#include "harness/harness.h"
+
+#include <pthread.h>
+
+enum {
+    /* A request that cannot be served is rejected at once. */
+    LATE_MS = 1000,
+};
+
+struct harness_users_run {
+    struct harness_users_load load;
+    pthread_mutex_t lock;
+    bool stopped;
+    unsigned last_id;
+    struct harness_users_results results;
+    GPtrArray *threads;
+};
+
+void
+harness_users_wait_ready(const struct harness_fleet *fleet)
+{
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        if (!harness_node_wait_ready(&fleet->nodes[i], true,
+                                     HARNESS_READY_TIMEOUT_MS)) {
+            g_error("%s is not ready, see %s", fleet->nodes[i].name,
+                    fleet->nodes[i].log_path);
+        }
+    }
+}
+
+/* Counts the result of one request; returns how long its caller pauses. */
+static int64_t
+count_result(struct harness_users_run *run,
+             const struct harness_stream *stream, int64_t took_ms)
+{
+    struct harness_users_results *results = &run->results;
+    bool whole = stream->status == 200 && stream->complete;
+    bool rejected = stream->status == 503;
+    pthread_mutex_lock(&run->lock);
+    results->whole += whole;
+    results->rejected += rejected;
+    results->rejected_late += rejected && took_ms > LATE_MS;
+    results->rejected_without_time += rejected && stream->retry_after_s <= 0;
+    results->other += !whole && !rejected;
+    pthread_mutex_unlock(&run->lock);
+    return whole ? 0
+                 : MIN((int64_t)(stream->retry_after_s * 1000) + 1,
+                       run->load.max_pause_ms);
+}
+
+static const char *
+choose_model(const struct harness_users_load *load, GRand *random)
+{
+    gint32 count = 0;
+    while (load->models != NULL && load->models[count] != NULL) {
+        count++;
+    }
+    return count == 0 ? NULL
+                      : load->models[g_rand_int_range(random, 0, count)];
+}
+
+static void
+request_once(struct harness_users_run *run, GRand *random, unsigned number)
+{
+    const struct harness_users_load *load = &run->load;
+    const struct harness_node *node = &load->fleet->nodes[g_rand_int_range(
+        random, 0, (gint32)load->fleet->node_count)];
+    g_autofree char *id = g_strdup_printf("%s-%08x", node->name, number);
+    const struct harness_stream_call call = {
+        .address = node->caller_address,
+        .host = load->host,
+        .path = load->path,
+        .request_id = id,
+        .model = choose_model(load, random),
+        .body = id,
+        .events = load->events,
+        .deadline_ms = load->deadline_ms,
+    };
+    int64_t sent_at = harness_now_ms();
+    struct harness_stream *stream = harness_request_stream(&call);
+    int64_t pause = count_result(run, stream, harness_now_ms() - sent_at);
+    harness_stream_free(stream);
+    harness_sleep_ms(pause);
+}
+
+static gpointer
+run_caller(gpointer data)
+{
+    struct harness_users_run *run = data;
+    GRand *random = NULL;
+    while (true) {
+        pthread_mutex_lock(&run->lock);
+        bool stopped = run->stopped;
+        unsigned number = ++run->last_id;
+        pthread_mutex_unlock(&run->lock);
+        if (stopped) {
+            break;
+        }
+        if (random == NULL) {
+            random = g_rand_new_with_seed(number);
+        }
+        request_once(run, random, number);
+    }
+    if (random != NULL) {
+        g_rand_free(random);
+    }
+    return NULL;
+}
+
+struct harness_users_run *
+harness_users_load_start(const struct harness_users_load *load)
+{
+    struct harness_users_run *run = g_new0(struct harness_users_run, 1);
+    run->load = *load;
+    run->threads = g_ptr_array_new();
+    pthread_mutex_init(&run->lock, NULL);
+    for (unsigned i = 0; i < load->caller_count; i++) {
+        g_ptr_array_add(run->threads, g_thread_new("caller", run_caller, run));
+    }
+    return run;
+}
+
+struct harness_users_results
+harness_users_load_get(struct harness_users_run *run)
+{
+    pthread_mutex_lock(&run->lock);
+    struct harness_users_results results = run->results;
+    pthread_mutex_unlock(&run->lock);
+    return results;
+}
+
+struct harness_users_results
+harness_users_load_stop(struct harness_users_run *run)
+{
+    pthread_mutex_lock(&run->lock);
+    run->stopped = true;
+    pthread_mutex_unlock(&run->lock);
+    for (guint i = 0; i < run->threads->len; i++) {
+        (void)g_thread_join(g_ptr_array_index(run->threads, i));
+    }
+    struct harness_users_results results = run->results;
+    g_ptr_array_free(run->threads, TRUE);
+    pthread_mutex_destroy(&run->lock);
+    g_free(run);
+    return results;
+}
--- a/tests/standin/users.h
+++ b/tests/standin/users.h
@@ -43,12 +43,15 @@
  *   crash    ends at once, without a word; its entry lapses later
  *   drain    reports that it leaves, and serves on
  *   remove   removes its entry, and serves on
+ *   leave    says in its responses alone that it leaves, and serves on
+ *   wait     rejects all calls and asks to wait for ms= (0: no more)
  * False: another path.
  */
 bool users_control_worker(struct exchange *exchange);
 /* Writes the members "runs", what the workers ran, "part_arrivals", requests
- * with a part that crashes workers and the crashes, and "workers", their use
- * and their falls. */
+ * with a part that crashes workers and the crashes, "noticed_calls", calls to
+ * workers that leave or ask to wait, and "workers", their use and their falls.
+ */
 void users_record_workers(struct users *users, JsonBuilder *out);
 /* Creates the workers' state. */
 void users_init_workers(struct users *users);
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -35,7 +35,9 @@
     GArray *rejections;    /* int64_t: when, for want of room */
     unsigned rejected;
     unsigned falls;
-    unsigned boot; /* counts its starts */
+    bool leaves;     /* says in its responses that it leaves */
+    int64_t wait_ms; /* rejects all, and asks to wait so long; 0: no */
+    unsigned boot;   /* counts its starts */
     struct timer *lapse;
 };
 
@@ -79,8 +81,17 @@
     bool crashed;
 };
 
+/* A call to a worker that leaves or asks to wait. */
+struct noticed_call {
+    int64_t at;
+    const struct worker *worker;
+    char *request_id; /* NULL: a report or an order */
+    int64_t wait_ms;
+};
+
 /* Filled as workers run requests; entries stay until the process ends. */
 static GPtrArray *runs;
+static GArray *noticed_calls; /* struct noticed_call */
 static GArray *part_arrivals; /* struct part_arrival */
 
 /* ---- room ---- */
@@ -277,6 +288,35 @@
     }
 }
 
+/* Says in the response that was set that the worker leaves, or asks to wait.
+ */
+static void
+add_notice(struct exchange *exchange, const struct worker *worker)
+{
+    char text[24];
+    if (worker->leaves) {
+        exchange_add_header(exchange, "Server-Leaving", "1");
+    }
+    if (worker->wait_ms > 0) {
+        (void)g_snprintf(text, sizeof text, "%.3f",
+                         (double)worker->wait_ms / 1000);
+        exchange_add_header(exchange, "Retry-After", text);
+    }
+}
+
+static void
+record_noticed_call(const struct exchange *exchange,
+                    const struct worker *worker)
+{
+    const struct noticed_call call = {
+        .at = monotonic_now_us(),
+        .worker = worker,
+        .request_id = g_strdup(exchange_header(exchange, "Request-Id")),
+        .wait_ms = worker->wait_ms,
+    };
+    g_array_append_val(noticed_calls, call);
+}
+
 static void crash_worker(struct worker *worker);
 static void restart_worker(struct worker *worker);
 
@@ -370,6 +410,7 @@
     exchange_add_header(exchange, "Server-Signature", worker->name);
     exchange_add_header(exchange, "Weight-Versions", "1");
     add_brittle_header(exchange, worker);
+    add_notice(exchange, worker);
     exchange_add_header(exchange, "Request-Id",
                         exchange_header(exchange, "Request-Id"));
 }
@@ -382,6 +423,7 @@
     exchange_reply_text(exchange, status, text);
     exchange_add_header(exchange, "Not-Executed", "1");
     add_brittle_header(exchange, worker);
+    add_notice(exchange, worker);
     if (id != NULL) {
         exchange_add_header(exchange, "Request-Id", id);
     }
@@ -412,6 +454,7 @@
     exchange_add_header(exchange, "Request-Id",
                         exchange_header(exchange, "Request-Id"));
     add_brittle_header(exchange, plain->worker);
+    add_notice(exchange, plain->worker);
     exchange_resume(exchange);
 }
 
@@ -655,12 +698,19 @@
     if (worker == NULL) {
         return false;
     }
+    if (worker->leaves || worker->wait_ms > 0) {
+        record_noticed_call(exchange, worker);
+    }
     const char *expected = exchange_header(exchange, "Expect-Instance");
     if (expected != NULL && strcmp(expected, worker->name) != 0) {
         reject(exchange, worker, 421, "another instance\n");
     }
+    else if (worker->wait_ms > 0) {
+        reject(exchange, worker, 503, "wait\n");
+    }
     else if (strcmp(exchange->path, "/api/report") == 0) {
         write_report(exchange, worker);
+        add_notice(exchange, worker);
     }
     else if (strcmp(exchange->path, "/api/order") == 0) {
         handle_order(exchange, worker);
@@ -789,6 +839,13 @@
     else if (strcmp(action, "remove") == 0) {
         remove_entry(worker);
     }
+    else if (strcmp(action, "leave") == 0) {
+        worker->leaves = true;
+    }
+    else if (strcmp(action, "wait") == 0) {
+        const char *ms = exchange_query(exchange, "ms");
+        worker->wait_ms = ms == NULL ? 0 : g_ascii_strtoll(ms, NULL, 10);
+    }
     else {
         return false;
     }
@@ -823,6 +880,20 @@
         json_builder_end_object(out);
     }
     json_builder_end_array(out);
+    json_builder_set_member_name(out, "noticed_calls");
+    json_builder_begin_array(out);
+    for (guint i = 0; i < noticed_calls->len; i++) {
+        const struct noticed_call *call =
+            &g_array_index(noticed_calls, struct noticed_call, i);
+        json_builder_begin_object(out);
+        json_number(out, "at_ms", call->at / 1000);
+        json_text(out, "worker", call->worker->name);
+        json_text(out, "request_id",
+                  call->request_id == NULL ? "" : call->request_id);
+        json_number(out, "wait_ms", call->wait_ms);
+        json_builder_end_object(out);
+    }
+    json_builder_end_array(out);
     json_builder_set_member_name(out, "workers");
     json_builder_begin_array(out);
     for (guint i = 0; i < users->workers->len; i++) {
@@ -846,4 +917,5 @@
     users->workers = g_ptr_array_new();
     runs = g_ptr_array_new();
     part_arrivals = g_array_new(FALSE, FALSE, sizeof(struct part_arrival));
+    noticed_calls = g_array_new(FALSE, FALSE, sizeof(struct noticed_call));
 }
