A node sends nothing more to an upstream whose response said that it drains

What callers saw: requests still reached an upstream 3.4 s and more after one of its responses had told the very node that sent them that it leaves. The store was away, and the list of upstreams was the only way in which a node learnt it.

What a node has heard is kept in one place, libchestnuthitch/notices, by process of the upstream: an older entry or a list read anew does not end it, a later process does. Whoever asks for the upstreams gets it with the list (balancer, placement, crash guard, paths; homes likewise), so that models are placed anew at once. Right before a request is sent it is asked once more, since the request may have waited for a slot, a limit or a home; relayed calls ask at both nodes.

Headers are taken over as soon as they are complete, and of interim responses: a stream's first event may come seconds later, or never.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -198,7 +198,8 @@
     set_phase_timeout(transfer, transfer->stall_timeout);
 }
 
-/* Parses a status line. Interim (1xx) responses are skipped. */
+/* Parses a status line. Of interim (1xx) responses the owner gets the headers
+ * alone. */
 static void
 parse_status_line(struct transfer *transfer, const char *line, size_t length)
 {
@@ -213,17 +214,21 @@
     }
 }
 
-/* Splits a header line and passes it to the owner. */
+/* Splits a header line and passes it to the owner's handler, if there is one.
+ */
 static void
-parse_header_line(struct transfer *transfer, const char *line, size_t length)
+parse_header_line(const struct transfer *transfer, const char *line,
+                  size_t length,
+                  void (*handler)(void *data, const char *name,
+                                  const char *value))
 {
     const char *colon = memchr(line, ':', length);
-    if (colon == NULL || transfer->handlers.on_header == NULL) {
+    if (colon == NULL || handler == NULL) {
         return;
     }
     char *name = g_strndup(line, (size_t)(colon - line));
     char *value = g_strndup(colon + 1, (size_t)(line + length - colon - 1));
-    transfer->handlers.on_header(transfer->data, name, g_strstrip(value));
+    handler(transfer->data, name, g_strstrip(value));
     g_free(name);
     g_free(value);
 }
@@ -244,13 +249,18 @@
         return length;
     }
     if (transfer->status == 0) {
+        parse_header_line(transfer, line, length,
+                          transfer->handlers.on_interim_header);
         return length;
     }
     if (line[0] == '\r' || line[0] == '\n') {
         transfer->headers_done = true;
+        if (transfer->handlers.on_headers_end != NULL) {
+            transfer->handlers.on_headers_end(transfer->data);
+        }
         return length;
     }
-    parse_header_line(transfer, line, length);
+    parse_header_line(transfer, line, length, transfer->handlers.on_header);
     return transfer->cancelled ? 0 : length;
 }
 
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -68,6 +68,9 @@
 struct ch_http_handlers {
     void (*on_status)(void *data, int status);
     void (*on_header)(void *data, const char *name, const char *value);
+    /* Of an interim (1xx) response. */
+    void (*on_interim_header)(void *data, const char *name, const char *value);
+    void (*on_headers_end)(void *data); /* all on_header calls are done */
     void (*on_data)(void *data, const char *bytes, size_t length);
     /*
      * Called when the timeout for the first byte, or between two bytes, has
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -163,8 +163,8 @@
     };
     client->client->path_listener =
         ch_path_manager_get_listener(node->paths, host);
-    client->client->notice_listener = ch_node_get_notice_listener(
-        node, name, g_quark_from_string(host->region));
+    client->client->notice_listener = ch_notices_get_listener(
+        node->notices, name, g_quark_from_string(host->region));
     g_hash_table_replace(balancer->clients, key, client);
 }
 
@@ -1171,6 +1171,8 @@
     balancer->adapters_in_use =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     balancer->roster = ch_roster_new(node, handle_roster_change, balancer);
+    ch_notices_set_drain_handler(node->notices, handle_roster_change,
+                                 balancer);
     if (node->streams != NULL) {
         ch_stream_manager_set_list_age(node->streams, get_list_age, balancer);
     }
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -238,8 +238,8 @@
         node->limits, engine->name, g_quark_from_string(host->region));
     engine->client->path_listener =
         ch_path_manager_get_listener(node->paths, host);
-    engine->client->notice_listener = ch_node_get_notice_listener(
-        node, engine->name, g_quark_from_string(host->region));
+    engine->client->notice_listener = ch_notices_get_listener(
+        node->notices, engine->name, g_quark_from_string(host->region));
     engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
     engine->local_copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
     g_array_set_clear_func(engine->items, clear_item);
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -22,6 +22,9 @@
     MAX_SLOT_REFUSALS = 3,
 };
 
+static const char UNCERTAIN_MESSAGE[] =
+    "no upstream is certain to fit the stream";
+
 /* Gives back the cost of a request that no upstream ran. */
 static void
 give_back_quota(const struct ch_exchange *exchange)
@@ -312,6 +315,38 @@
     return false;
 }
 
+/* The granted upstream may not take the request: asks the router for another
+ * one. A router that offers the same one again has no other. Lock held;
+ * returns true when the exchange can be finished. */
+static bool
+pass_over_upstream(struct ch_exchange *exchange, const char *message)
+{
+    release_unused_grant(exchange, CH_CANCELLED, 0);
+    if (ch_route_is_excluded(exchange->excluded, exchange->grant.upstream)) {
+        return end_routing(exchange, CH_NO_UPSTREAM,
+                           CH_EXCHANGE_RETRY_AFTER_US, message);
+    }
+    exchange->exclusions_dropped = true;
+    g_array_append_val(exchange->excluded, exchange->grant.upstream);
+    ch_pool_submit(exchange->frontend->node->pool, request_grant, exchange);
+    return false;
+}
+
+/* Calls the granted upstream, unless a response has said since it was chosen
+ * that it takes no more requests. Lock held; returns true when the exchange
+ * can be finished. */
+static bool
+call_unless_noticed(struct ch_exchange *exchange)
+{
+    struct ch_notices *notices = exchange->frontend->node->notices;
+    if (ch_notices_may_call(notices, exchange->grant.upstream) ==
+        CH_NOTICES_DRAINS) {
+        return pass_over_upstream(exchange, "the upstreams are draining");
+    }
+    ch_exchange_call_upstream(exchange);
+    return false;
+}
+
 /* The upstream's limit permits the call, or not. */
 static void
 handle_permission(void *data, bool granted, int64_t retry_after)
@@ -324,7 +359,7 @@
         over = end_without_response(exchange);
     }
     else if (granted) {
-        ch_exchange_call_upstream(exchange);
+        over = call_unless_noticed(exchange);
     }
     else {
         over = handle_limit_refusal(exchange, retry_after);
@@ -335,19 +370,19 @@
     }
 }
 
-/* Calls the granted upstream, after permission if it has a limit. Lock
- * held. */
-static void
+/* Calls the granted upstream, after permission if it has a limit. Lock held;
+ * returns true when the exchange can be finished. */
+static bool
 call_within_limit(struct ch_exchange *exchange)
 {
     struct ch_limit_manager *limits = exchange->frontend->node->limits;
     if (!ch_limit_manager_is_limited(limits, exchange->grant.upstream)) {
-        ch_exchange_call_upstream(exchange);
-        return;
+        return call_unless_noticed(exchange);
     }
     ch_limit_manager_take(limits, exchange->grant.upstream, CH_LIMITED_REQUEST,
                           exchange->grant.is_last_resort, handle_permission,
                           exchange);
+    return false;
 }
 
 /* ---- slots of brittle upstreams ---- */
@@ -413,7 +448,7 @@
     }
     else if (granted) {
         drop_slot_exclusions(exchange);
-        call_within_limit(exchange);
+        over = call_within_limit(exchange);
     }
     else {
         over = handle_slot_refusal(exchange, retry_after);
@@ -424,8 +459,9 @@
     }
 }
 
-/* Calls the granted upstream, after permission if it is brittle. Lock held. */
-static void
+/* Calls the granted upstream, after permission if it is brittle. Lock held;
+ * returns true when the exchange can be finished. */
+static bool
 call_with_slot(struct ch_exchange *exchange)
 {
     struct ch_slots *slots = exchange->frontend->node->slots;
@@ -434,34 +470,16 @@
     if (ch_slots_needs_permission(slots, upstream)) {
         ch_slots_ask(slots, upstream, tokens, get_slot_wait(exchange),
                      handle_slot, exchange);
-        return;
+        return false;
     }
     ch_slots_hold(slots, upstream, tokens);
     exchange->slot_held = true;
-    call_within_limit(exchange);
+    return call_within_limit(exchange);
 }
 
 /* ---- whether the upstream is still the process that its entry describes ----
  */
 
-/* The granted upstream may not take the stream: asks the router for another
- * one. A router that offers the same one again has no other. Lock held;
- * returns true when the exchange can be finished. */
-static bool
-pass_over_upstream(struct ch_exchange *exchange)
-{
-    release_unused_grant(exchange, CH_CANCELLED, 0);
-    if (ch_route_is_excluded(exchange->excluded, exchange->grant.upstream)) {
-        return end_routing(exchange, CH_NO_UPSTREAM,
-                           CH_EXCHANGE_RETRY_AFTER_US,
-                           "no upstream is certain to fit the stream");
-    }
-    exchange->exclusions_dropped = true;
-    g_array_append_val(exchange->excluded, exchange->grant.upstream);
-    ch_pool_submit(exchange->frontend->node->pool, request_grant, exchange);
-    return false;
-}
-
 /* Handles the report of the granted upstream. */
 static void
 handle_process_report(void *data, enum ch_code code,
@@ -477,10 +495,10 @@
         over = end_without_response(exchange);
     }
     else if (same) {
-        call_with_slot(exchange);
+        over = call_with_slot(exchange);
     }
     else {
-        over = pass_over_upstream(exchange);
+        over = pass_over_upstream(exchange, UNCERTAIN_MESSAGE);
     }
     pthread_mutex_unlock(&exchange->lock);
     ch_engine_report_free(report);
@@ -505,13 +523,12 @@
 {
     struct ch_upstream *client = exchange->grant.client;
     if (!must_check_process(exchange)) {
-        call_with_slot(exchange);
-        return false;
+        return call_with_slot(exchange);
     }
     if (client->ops->fetch_report == NULL ||
         ch_limit_manager_is_limited(exchange->frontend->node->limits,
                                     exchange->grant.upstream)) {
-        return pass_over_upstream(exchange);
+        return pass_over_upstream(exchange, UNCERTAIN_MESSAGE);
     }
     ch_metrics_add_count(exchange->frontend->node->client->metrics,
                          CH_COUNT_PROCESSES_CHECKED, 1);
--- a/libchestnuthitch/node/homes.c
+++ b/libchestnuthitch/node/homes.c
@@ -558,6 +558,7 @@
                          settings->region_link_mbit_per_s * 1e6 / 8,
                          settings->region_link_mbit_per_s * 1e6 / 4, now);
     home_register_handlers(homes);
+    ch_notices_set_drain_handler(node->notices, homes_update_draining, homes);
     gossip_register_handlers(homes);
     ch_peers_set_late_reply_handler(node->peers, release_late_grant, homes);
     return homes;
--- a/libchestnuthitch/node/homes_internal.h
+++ b/libchestnuthitch/node/homes_internal.h
@@ -25,7 +25,8 @@
     struct ch_upstream *client;
     int references;
     bool listed;
-    bool draining;    /* according to the host list */
+    bool listed_draining;
+    bool draining;    /* according to the host list, or to its responses */
     bool ledger_read; /* since this node became home */
     bool report_in_flight;
     bool unpublished; /* changed since it was last sent to other nodes */
@@ -184,6 +185,8 @@
 void upstream_list_update(struct ch_homes *homes,
                           const struct ch_host_list *list,
                           struct effects *effects);
+/* Takes over which upstreams drain according to their responses. */
+void upstream_list_update_draining(struct ch_homes *homes);
 struct upstream *upstream_list_find(const struct ch_homes *homes, GQuark name);
 struct upstream *upstream_list_find_name(const struct ch_homes *homes,
                                          const char *name);
@@ -287,6 +290,8 @@
 
 void homes_run_tick(void *data);
 void homes_fetch_host_list(void *data);
+/* Takes over which upstreams drain according to their responses; once. */
+void homes_update_draining(void *data);
 
 /* ---- gossip.c ---- */
 
--- a/libchestnuthitch/node/homes_recur.c
+++ b/libchestnuthitch/node/homes_recur.c
@@ -103,6 +103,16 @@
     pthread_mutex_unlock(&homes->lock);
 }
 
+/* See homes_internal.h. */
+void
+homes_update_draining(void *data)
+{
+    struct ch_homes *homes = data;
+    pthread_mutex_lock(&homes->lock);
+    upstream_list_update_draining(homes);
+    pthread_mutex_unlock(&homes->lock);
+}
+
 /* Runs on the pool: applies the host list.  When the fetch failed, the
  * previous list stays in force, since an unreachable list says nothing about
  * the hosts.  An unchanged list is not applied again: that would assign the
@@ -128,6 +138,7 @@
         ch_log(homes->node->client, CH_LOG_WARNING, "list-unreachable",
                CH_F_INT("code", job->code), CH_F_END);
     }
+    homes_update_draining(homes);
     ch_host_list_free(job->list);
     g_free(job);
     schedule_list_fetch(homes);
--- a/libchestnuthitch/node/limit_spread.c
+++ b/libchestnuthitch/node/limit_spread.c
@@ -139,6 +139,7 @@
         ch_slots_handle_states(manager->node->slots, frame);
         return;
     }
+    ch_notices_handle_drains(manager->node->notices, frame);
     int64_t now = ch_client_get_time(manager->node->client);
     for (size_t i = 0; i < frame->limit_states->n_states; i++) {
         enum ch_limit_change change = CH_LIMIT_UNCHANGED;
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -81,12 +81,8 @@
 
 /* Creates the count of brittle upstreams' slots (slots_peers.c). */
 struct ch_slots *ch_node_create_slots(struct ch_node *node);
-/* Creates the knowledge of upstreams' notices (notices_node.c). */
+/* Creates the knowledge of upstreams' notices (notices_peers.c). */
 struct ch_notices *ch_node_create_notices(struct ch_node *node);
-/* The listener for a client of an upstream in a region. */
-struct ch_notice_listener
-ch_node_get_notice_listener(const struct ch_node *node, GQuark upstream,
-                            GQuark region);
 
 /* ---- peers (peers.c): frames to and from other nodes ---- */
 
--- a/libchestnuthitch/node/notices_node.c
+++ b/libchestnuthitch/node/notices_peers.c
@@ -1,5 +1,4 @@
-/* How what upstreams say of calls to come reaches this node's knowledge of it,
- * and other nodes. */
+/* How what upstreams say of calls to come reaches other nodes. */
 
 #include "node/node.h"
 
@@ -41,20 +40,3 @@
     };
     return ch_notices_new(node->client, node->pool, node->timers, &peers);
 }
-
-static void
-handle_notice(const struct ch_notice_listener *listener,
-              const struct ch_notice *notice, int64_t sent_at)
-{
-    ch_notices_observe(listener->data, listener->upstream, listener->region,
-                       notice, sent_at);
-}
-
-/* See node.h. */
-struct ch_notice_listener
-ch_node_get_notice_listener(const struct ch_node *node, GQuark upstream,
-                            GQuark region)
-{
-    return (struct ch_notice_listener){handle_notice, node->notices, upstream,
-                                       region};
-}
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -124,8 +124,9 @@
 
 /* Records what the response says of calls to come from this node. */
 static void
-record_notice(const struct relayed_call *call)
+handle_headers_end(void *data)
 {
+    const struct relayed_call *call = data;
     const struct ch_notice notice =
         ch_notice_reader_get(&call->notice_reader, call->status);
     ch_notices_observe(call->server->node->notices, call->upstream, 0, &notice,
@@ -137,7 +138,6 @@
 start_response(struct relayed_call *call)
 {
     if (!call->is_started) {
-        record_notice(call);
         call->is_started = true;
         ch_response_start_forward(
             call->response, call->status,
@@ -268,6 +268,7 @@
     static const struct ch_http_handlers handlers = {
         .on_status = handle_status,
         .on_header = handle_header,
+        .on_headers_end = handle_headers_end,
         .on_data = handle_data,
         .on_stall = handle_stall,
         .on_end = handle_end,
@@ -329,6 +330,11 @@
             ? CH_RELAY_UNKNOWN_UPSTREAM
             : ch_path_manager_find_upstream(server->node->paths, upstream,
                                             address, sizeof(address));
+    if (result == CH_RELAY_NONE &&
+        ch_notices_may_call(server->node->notices, upstream) ==
+            CH_NOTICES_DRAINS) {
+        result = CH_RELAY_DRAINING;
+    }
     if (result == CH_RELAY_NONE) {
         result = admit(server);
     }
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -408,7 +408,12 @@
     g_hash_table_iter_init(&iterator, roster->upstreams.entries);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct roster_entry *entry = value;
-        each(data, &entry->host);
+        struct ch_host host = entry->host; /* borrows the strings */
+        host.draining = host.draining ||
+                        ch_notices_is_draining(roster->node->notices,
+                                               g_quark_from_string(host.name),
+                                               host.boot_id);
+        each(data, &host);
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/libchestnuthitch/node/roster.h
+++ b/libchestnuthitch/node/roster.h
@@ -36,7 +36,8 @@
 /* Reads the upstreams again, to include changes that were not sent to this
    node. */
 void ch_roster_refresh(struct ch_roster *roster);
-/* Calls each(data, host) for every upstream, with the roster's lock held. */
+/* Calls each(data, host) for every upstream, with the roster's lock held. An
+ * upstream drains if its entry or a response of it says so. */
 void ch_roster_foreach(struct ch_roster *roster,
                        void (*each)(void *data, const struct ch_host *host),
                        void *data);
--- a/libchestnuthitch/node/upstream_list.c
+++ b/libchestnuthitch/node/upstream_list.c
@@ -144,8 +144,8 @@
         g_quark_from_string(host->region));
     client->path_listener = ch_path_manager_get_listener(node->paths, host);
     client->notice_listener =
-        ch_node_get_notice_listener(node, g_quark_from_string(host->name),
-                                    g_quark_from_string(host->region));
+        ch_notices_get_listener(node->notices, g_quark_from_string(host->name),
+                                g_quark_from_string(host->region));
     return client;
 }
 
@@ -171,7 +171,7 @@
 apply_host_data(struct upstream *upstream, const struct ch_host *host)
 {
     upstream->listed = true;
-    upstream->draining = host->draining;
+    upstream->listed_draining = host->draining;
     upstream->capacity_mb = host->memory_mb;
     upstream->accelerators = MAX(host->accelerators, 1);
     upstream->max_batch = host->max_batch;
@@ -270,6 +270,34 @@
     ch_home_set_config(upstream->home, &config);
 }
 
+/* An upstream drains if the list says so, or a response of it did. */
+static void
+apply_draining(const struct ch_homes *homes, struct upstream *upstream)
+{
+    upstream->draining =
+        upstream->listed_draining ||
+        ch_notices_is_draining(homes->node->notices, upstream->name, 0);
+    ch_path_manager_set_draining(homes->node->paths, upstream->name,
+                                 upstream->draining);
+}
+
+/* See homes_internal.h. */
+void
+upstream_list_update_draining(struct ch_homes *homes)
+{
+    for (guint i = 0; i < homes->upstreams->len; i++) {
+        struct upstream *upstream = g_ptr_array_index(homes->upstreams, i);
+        struct ch_upstream_view *view =
+            upstream_list_get_view(homes, upstream);
+        bool was_draining = upstream->draining;
+        apply_draining(homes, upstream);
+        if (upstream->draining != was_draining) {
+            view->draining = upstream->draining;
+            update_home(homes, upstream);
+        }
+    }
+}
+
 /* Applies one upstream of the host list, new or known. */
 static void
 apply_host(struct ch_homes *homes, const struct ch_host *host,
@@ -289,8 +317,7 @@
               compare_upstreams);
     }
     apply_host_data(upstream, host);
-    ch_path_manager_set_draining(homes->node->paths, upstream->name,
-                                 host->draining);
+    apply_draining(homes, upstream);
     update_home(homes, upstream);
 }
 
--- a/libchestnuthitch/notices/manager.c
+++ b/libchestnuthitch/notices/manager.c
@@ -58,8 +58,9 @@
     return upstream;
 }
 
-static struct notices_upstream *
-find(const struct ch_notices *notices, GQuark name)
+/* See notices_internal.h. */
+struct notices_upstream *
+notices_find(const struct ch_notices *notices, GQuark name)
 {
     return g_hash_table_lookup(notices->upstreams, GUINT_TO_POINTER(name));
 }
@@ -91,6 +92,49 @@
         CH_F_END);
 }
 
+/* Tells others of a drain, and the user of this one; on a pool worker. */
+struct drain_job {
+    struct ch_notices *notices;
+    GQuark upstream;
+};
+
+static void
+run_drain(void *data)
+{
+    struct drain_job *job = data;
+    notices_tell_drain(job->notices, job->upstream);
+    notices_report_drain(job->notices);
+    g_free(job);
+}
+
+static void
+submit_drain(struct ch_notices *notices, GQuark upstream)
+{
+    struct drain_job *job = g_new(struct drain_job, 1);
+    *job = (struct drain_job){notices, upstream};
+    ch_pool_submit(notices->pool, run_drain, job);
+}
+
+/* See notices_internal.h. */
+void
+notices_report_drain(struct ch_notices *notices)
+{
+    if (notices->handle_drain != NULL) {
+        notices->handle_drain(notices->handler_data);
+    }
+}
+
+/* See notices.h. */
+void
+ch_notices_set_drain_handler(struct ch_notices *notices,
+                             void (*handle)(void *data), void *data)
+{
+    if (notices != NULL) {
+        notices->handle_drain = handle;
+        notices->handler_data = data;
+    }
+}
+
 /* See notices.h. */
 void
 ch_notices_update_upstream(struct ch_notices *notices, GQuark name,
@@ -132,6 +176,63 @@
         note_wait(notices, upstream);
     }
     pthread_mutex_unlock(&notices->lock);
+    if ((changes & CH_NOTICE_DRAINS) != 0) {
+        submit_drain(notices, name);
+    }
+}
+
+static void
+handle_notice(const struct ch_notice_listener *listener,
+              const struct ch_notice *notice, int64_t sent_at)
+{
+    ch_notices_observe(listener->data, listener->upstream, listener->region,
+                       notice, sent_at);
+}
+
+/* See notices.h. */
+struct ch_notice_listener
+ch_notices_get_listener(struct ch_notices *notices, GQuark upstream,
+                        GQuark region)
+{
+    return (struct ch_notice_listener){handle_notice, notices, upstream,
+                                       region};
+}
+
+/* See notices.h. */
+bool
+ch_notices_is_draining(struct ch_notices *notices, GQuark name,
+                       uint64_t boot_id)
+{
+    if (notices == NULL) {
+        return false;
+    }
+    int64_t now = ch_client_get_time(notices->client);
+    pthread_mutex_lock(&notices->lock);
+    const struct notices_upstream *upstream = notices_find(notices, name);
+    bool draining = upstream != NULL && ch_notice_state_is_draining(
+                                            &upstream->state, boot_id, now);
+    pthread_mutex_unlock(&notices->lock);
+    return draining;
+}
+
+/* See notices.h. */
+enum ch_notices_answer
+ch_notices_may_call(struct ch_notices *notices, GQuark name)
+{
+    enum ch_notices_answer answer = CH_NOTICES_MAY_CALL;
+    if (notices == NULL) {
+        return answer;
+    }
+    int64_t now = ch_client_get_time(notices->client);
+    pthread_mutex_lock(&notices->lock);
+    const struct notices_upstream *upstream = notices_find(notices, name);
+    if (upstream != NULL &&
+        ch_notice_state_is_draining(&upstream->state, upstream->state.boot_id,
+                                    now)) {
+        answer = CH_NOTICES_DRAINS;
+    }
+    pthread_mutex_unlock(&notices->lock);
+    return answer;
 }
 
 /* See notices.h. */
@@ -144,12 +245,12 @@
     }
     int64_t now = ch_client_get_time(notices->client);
     pthread_mutex_lock(&notices->lock);
-    struct notices_upstream *upstream = find(notices, name);
+    struct notices_upstream *upstream = notices_find(notices, name);
     if (upstream != NULL) {
         const struct ch_notice_state *state = &upstream->state;
         upstream->last_used_at = now;
         upstream->calls[kind]++;
-        if (ch_notice_state_is_draining(state, state->boot_id)) {
+        if (ch_notice_state_is_draining(state, state->boot_id, now)) {
             count_event(notices, CH_COUNT_CALLS_AFTER_DRAIN);
         }
         if (ch_notice_state_is_waiting(state, now)) {
@@ -194,6 +295,7 @@
         ch_timers_add(notices->timers, TICK_US, tick, notices);
     }
     pthread_mutex_unlock(&notices->lock);
+    notices_refresh_drains(notices);
 }
 
 /* ---- status ---- */
@@ -208,7 +310,7 @@
     json_builder_add_string_value(builder, g_quark_to_string(upstream->name));
     json_builder_set_member_name(builder, "draining");
     json_builder_add_boolean_value(
-        builder, ch_notice_state_is_draining(state, state->boot_id));
+        builder, ch_notice_state_is_draining(state, state->boot_id, now));
     json_builder_set_member_name(builder, "wait_ms");
     json_builder_add_int_value(builder,
                                MAX(state->wait_until - now, 0) / 1000);
@@ -231,7 +333,7 @@
             const struct notices_upstream *upstream = value;
             const struct ch_notice_state *state = &upstream->state;
             if (ch_notice_state_is_waiting(state, now) ||
-                ch_notice_state_is_draining(state, state->boot_id)) {
+                ch_notice_state_is_draining(state, state->boot_id, now)) {
                 write_upstream(upstream, now, builder);
             }
         }
--- a/libchestnuthitch/notices/notices.h
+++ b/libchestnuthitch/notices/notices.h
@@ -41,6 +41,19 @@
 /* Whether a response says anything of calls to come. */
 bool ch_notice_is_empty(const struct ch_notice *notice);
 
+/*
+ * Is told of responses of any kind that say that the upstream drains, or ask
+ * this node to wait. handle runs on the HTTP loop's thread, also for calls
+ * that outlive the client of the upstream.
+ */
+struct ch_notice_listener {
+    void (*handle)(const struct ch_notice_listener *listener,
+                   const struct ch_notice *notice, int64_t sent_at);
+    void *data;
+    GQuark upstream;
+    GQuark region; /* of the upstream */
+};
+
 /* ---- what a node knows of one upstream (state.c) ---- */
 
 struct ch_notice_state {
@@ -73,9 +86,11 @@
 /* Records the listed process. Another one has said nothing yet. */
 void ch_notice_state_set_boot(struct ch_notice_state *state, uint64_t boot_id,
                               int64_t now);
-/* Whether the process of this boot ID (0: not known) said that it drains. */
+/* Whether the process of this boot ID (0: not known) said that it drains. Of a
+ * process that is not known, that holds for a minute: it may have started
+ * again. */
 bool ch_notice_state_is_draining(const struct ch_notice_state *state,
-                                 uint64_t boot_id);
+                                 uint64_t boot_id, int64_t now);
 bool ch_notice_state_is_waiting(const struct ch_notice_state *state,
                                 int64_t now);
 
@@ -118,10 +133,34 @@
 /* Records the listed process of an upstream. */
 void ch_notices_update_upstream(struct ch_notices *notices, GQuark upstream,
                                 GQuark region, uint64_t boot_id);
+/* The listener for a client of an upstream; the manager outlives all calls. */
+struct ch_notice_listener ch_notices_get_listener(struct ch_notices *notices,
+                                                  GQuark upstream,
+                                                  GQuark region);
 /* Takes over what a response to a call sent at sent_at says. */
 void ch_notices_observe(struct ch_notices *notices, GQuark upstream,
                         GQuark region, const struct ch_notice *notice,
                         int64_t sent_at);
+/* handle is called on a pool worker when an upstream is heard to drain; set it
+ * before ch_notices_start(). */
+void ch_notices_set_drain_handler(struct ch_notices *notices,
+                                  void (*handle)(void *data), void *data);
+/* Whether a process of an upstream was heard to drain; boot_id 0: not known.
+ */
+bool ch_notices_is_draining(struct ch_notices *notices, GQuark upstream,
+                            uint64_t boot_id);
+/* To be asked right before a request is sent: it may have waited since its
+ * upstream was chosen. */
+enum ch_notices_answer {
+    CH_NOTICES_MAY_CALL,
+    CH_NOTICES_DRAINS,
+};
+enum ch_notices_answer ch_notices_may_call(struct ch_notices *notices,
+                                           GQuark upstream);
+/* Takes over the drains that another node tells in a LimitStates, which nodes
+ * of an earlier version know. */
+void ch_notices_handle_drains(struct ch_notices *notices,
+                              const Chestnuthitch__Wire__Frame *frame);
 /* Counts a call that is about to be sent. */
 void ch_notices_count_call(struct ch_notices *notices, GQuark upstream,
                            enum ch_notices_call kind);
--- a/libchestnuthitch/notices/notices_internal.h
+++ b/libchestnuthitch/notices/notices_internal.h
@@ -24,8 +24,19 @@
     pthread_mutex_t lock;
     GHashTable *upstreams; /* GQuark to struct notices_upstream */
     bool stopped;
+    unsigned refresh_round;
+    void (*handle_drain)(void *data); /* set before the start; may be NULL */
+    void *handler_data;
 };
 
+/* ---- manager.c ---- */
+
+/* The upstream, or NULL. Lock held. */
+struct notices_upstream *notices_find(const struct ch_notices *notices,
+                                      GQuark name);
+/* Tells the user of this node that an upstream drains. Lock not held. */
+void notices_report_drain(struct ch_notices *notices);
+
 /* The upstream, added if it is not known yet. Lock held. */
 struct notices_upstream *notices_find_or_add(struct ch_notices *notices,
                                              GQuark name, GQuark region,
@@ -35,4 +46,13 @@
 void notices_note_drain(const struct ch_notices *notices,
                         struct notices_upstream *upstream, const char *source);
 
+/* ---- messages.c; lock not held ---- */
+
+/* Tells others of a drain: the node that passes it on, or all if this is that
+ * node. */
+void notices_tell_drain(struct ch_notices *notices, GQuark upstream);
+/* Tells some of the others, in turn, of the drains that this node passes on.
+ */
+void notices_refresh_drains(struct ch_notices *notices);
+
 #endif
--- a/libchestnuthitch/notices/state.c
+++ b/libchestnuthitch/notices/state.c
@@ -2,6 +2,10 @@
 
 #include "notices/notices.h"
 
+enum {
+    UNKNOWN_DRAIN_US = 60 * 1000 * 1000,
+};
+
 /* See notices.h. */
 bool
 ch_notice_state_observe_drain(struct ch_notice_state *state, uint64_t boot_id,
@@ -9,7 +13,10 @@
 {
     bool is_older = state->boot_id != 0 && boot_id != 0 &&
                     boot_id < MAX(state->boot_id, state->draining_boot);
-    if (is_older || (state->draining && state->draining_boot == boot_id)) {
+    if (is_older) {
+        return false;
+    }
+    if (ch_notice_state_is_draining(state, boot_id, now)) {
         return false;
     }
     state->draining = true;
@@ -29,9 +36,11 @@
     if (sent_at < state->boot_changed_at) {
         return changes;
     }
-    if (notice->draining &&
-        ch_notice_state_observe_drain(state, state->boot_id, now)) {
-        changes |= CH_NOTICE_DRAINS;
+    if (notice->draining) {
+        changes |= ch_notice_state_observe_drain(state, state->boot_id, now)
+                       ? CH_NOTICE_DRAINS
+                       : CH_NOTICE_UNCHANGED;
+        state->drain_heard_at = now;
     }
     if (notice->wait > 0 && now + notice->wait > state->wait_until) {
         if (state->wait_until <= now) {
@@ -66,9 +75,10 @@
 /* See notices.h. */
 bool
 ch_notice_state_is_draining(const struct ch_notice_state *state,
-                            uint64_t boot_id)
+                            uint64_t boot_id, int64_t now)
 {
-    return state->draining && state->draining_boot == boot_id;
+    return state->draining && state->draining_boot == boot_id &&
+           (boot_id != 0 || now - state->drain_heard_at < UNKNOWN_DRAIN_US);
 }
 
 /* See notices.h. */
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -221,19 +221,6 @@
            g_ascii_strncasecmp(content_type, type, sizeof(type) - 1) == 0;
 }
 
-/* Tells the listener what the response says of calls to come. A response of a
- * relaying node says nothing of the upstream. */
-static void
-report_notice(const struct call_exchange *exchange)
-{
-    const struct ch_notice notice =
-        ch_notice_reader_get(&exchange->notice_reader, exchange->status);
-    if (exchange->relay_result == CH_RELAY_NONE) {
-        ch_upstream_report_notice(&exchange->notice_listener, &notice,
-                                  exchange->sent_at);
-    }
-}
-
 /*
  * Checks the complete status line and headers, once; forwards them if the
  * response belongs to this request.
@@ -254,7 +241,6 @@
         ch_upstream_report_limit(&exchange->brittle_listener,
                                  exchange->brittle_values, succeeded,
                                  exchange->sent_at);
-        report_notice(exchange);
     }
     if (exchange->failure != CH_OK) {
         return;
@@ -407,6 +393,30 @@
     }
 }
 
+/* Tells the listener what the response says of calls to come, as soon as its
+ * headers are complete: a stream's first event may come seconds later. A
+ * response of a relaying node says nothing of the upstream. */
+static void
+handle_headers_end(void *data)
+{
+    const struct call_exchange *exchange = data;
+    const struct ch_notice notice =
+        ch_notice_reader_get(&exchange->notice_reader, exchange->status);
+    if (exchange->relay_result == CH_RELAY_NONE &&
+        (exchange->id_matches || exchange->id_missing)) {
+        ch_upstream_report_notice(&exchange->notice_listener, &notice,
+                                  exchange->sent_at);
+    }
+}
+
+static void
+handle_interim_header(void *data, const char *name, const char *value)
+{
+    struct call_exchange *exchange = data;
+    ch_notice_reader_add(&exchange->notice_reader, name, value,
+                         g_get_real_time());
+}
+
 /*
  * Handles bytes of the body. The end marker ends a stream at once: an upstream
  * that then leaves the connection open must not keep the caller waiting.
@@ -567,6 +577,8 @@
     static const struct ch_http_handlers http_handlers = {
         .on_status = handle_status,
         .on_header = handle_header,
+        .on_interim_header = handle_interim_header,
+        .on_headers_end = handle_headers_end,
         .on_data = handle_body,
         .on_stall = handle_stall,
         .on_end = handle_end,
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -184,19 +184,6 @@
     GQuark upstream;
 };
 
-/*
- * Is told of responses of any kind that say that the upstream drains, or ask
- * this node to wait. handle runs on the HTTP loop's thread, also for calls
- * that outlive the client of the upstream.
- */
-struct ch_notice_listener {
-    void (*handle)(const struct ch_notice_listener *listener,
-                   const struct ch_notice *notice, int64_t sent_at);
-    void *data;
-    GQuark upstream;
-    GQuark region; /* of the upstream */
-};
-
 struct ch_upstream {
     const struct ch_upstream_ops *ops;
     struct ch_limit_listener limit_listener; /* handle may be NULL */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1717,6 +1717,51 @@
   assert(message->base.descriptor == &chestnuthitch__wire__limit_states__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__drain_notice__init
+                     (Chestnuthitch__Wire__DrainNotice         *message)
+{
+  static const Chestnuthitch__Wire__DrainNotice init_value = CHESTNUTHITCH__WIRE__DRAIN_NOTICE__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__drain_notice__get_packed_size
+                     (const Chestnuthitch__Wire__DrainNotice *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__drain_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__drain_notice__pack
+                     (const Chestnuthitch__Wire__DrainNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__drain_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__drain_notice__pack_to_buffer
+                     (const Chestnuthitch__Wire__DrainNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__drain_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__DrainNotice *
+       chestnuthitch__wire__drain_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__DrainNotice *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__drain_notice__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__drain_notice__free_unpacked
+                     (Chestnuthitch__Wire__DrainNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__drain_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__limit_take__init
                      (Chestnuthitch__Wire__LimitTake         *message)
 {
@@ -5755,7 +5800,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__limit_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_states__field_descriptors[2] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_states__field_descriptors[3] =
 {
   {
     "states",
@@ -5781,15 +5826,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drains",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__LimitStates, n_drains),
+    offsetof(Chestnuthitch__Wire__LimitStates, drains),
+    &chestnuthitch__wire__drain_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__limit_states__field_indices_by_name[] = {
+  2,   /* field[2] = drains */
   1,   /* field[1] = slots */
   0,   /* field[0] = states */
 };
 static const ProtobufCIntRange chestnuthitch__wire__limit_states__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor =
 {
@@ -5799,13 +5857,77 @@
   "Chestnuthitch__Wire__LimitStates",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__LimitStates),
-  2,
+  3,
   chestnuthitch__wire__limit_states__field_descriptors,
   chestnuthitch__wire__limit_states__field_indices_by_name,
   1,  chestnuthitch__wire__limit_states__number_ranges,
   (ProtobufCMessageInit) chestnuthitch__wire__limit_states__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__drain_notice__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__DrainNotice, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__DrainNotice, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__DrainNotice, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__drain_notice__field_indices_by_name[] = {
+  2,   /* field[2] = boot_id */
+  1,   /* field[1] = region */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange chestnuthitch__wire__drain_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__drain_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.DrainNotice",
+  "DrainNotice",
+  "Chestnuthitch__Wire__DrainNotice",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__DrainNotice),
+  3,
+  chestnuthitch__wire__drain_notice__field_descriptors,
+  chestnuthitch__wire__drain_notice__field_indices_by_name,
+  1,  chestnuthitch__wire__drain_notice__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__drain_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_take__field_descriptors[3] =
 {
   {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -53,6 +53,7 @@
 typedef struct Chestnuthitch__Wire__QuotaGrant Chestnuthitch__Wire__QuotaGrant;
 typedef struct Chestnuthitch__Wire__LimitState Chestnuthitch__Wire__LimitState;
 typedef struct Chestnuthitch__Wire__LimitStates Chestnuthitch__Wire__LimitStates;
+typedef struct Chestnuthitch__Wire__DrainNotice Chestnuthitch__Wire__DrainNotice;
 typedef struct Chestnuthitch__Wire__LimitTake Chestnuthitch__Wire__LimitTake;
 typedef struct Chestnuthitch__Wire__LimitPermission Chestnuthitch__Wire__LimitPermission;
 typedef struct Chestnuthitch__Wire__SlotState Chestnuthitch__Wire__SlotState;
@@ -970,10 +971,33 @@
    * unset: the message is about limits
    */
   Chestnuthitch__Wire__SlotStates *slots;
+  size_t n_drains;
+  Chestnuthitch__Wire__DrainNotice **drains;
 };
 #define CHESTNUTHITCH__WIRE__LIMIT_STATES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__limit_states__descriptor) \
-    , 0,NULL, NULL }
+    , 0,NULL, NULL, 0,NULL }
+
+
+/*
+ * A process of an upstream said in a response that it drains.
+ */
+struct  Chestnuthitch__Wire__DrainNotice
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * of the upstream; empty: not known
+   */
+  char *region;
+  /*
+   * 0: not known
+   */
+  uint64_t boot_id;
+};
+#define CHESTNUTHITCH__WIRE__DRAIN_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__drain_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -1973,6 +1997,25 @@
 void   chestnuthitch__wire__limit_states__free_unpacked
                      (Chestnuthitch__Wire__LimitStates *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__DrainNotice methods */
+void   chestnuthitch__wire__drain_notice__init
+                     (Chestnuthitch__Wire__DrainNotice         *message);
+size_t chestnuthitch__wire__drain_notice__get_packed_size
+                     (const Chestnuthitch__Wire__DrainNotice   *message);
+size_t chestnuthitch__wire__drain_notice__pack
+                     (const Chestnuthitch__Wire__DrainNotice   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__drain_notice__pack_to_buffer
+                     (const Chestnuthitch__Wire__DrainNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__DrainNotice *
+       chestnuthitch__wire__drain_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__drain_notice__free_unpacked
+                     (Chestnuthitch__Wire__DrainNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__LimitTake methods */
 void   chestnuthitch__wire__limit_take__init
                      (Chestnuthitch__Wire__LimitTake         *message);
@@ -2317,6 +2360,9 @@
 typedef void (*Chestnuthitch__Wire__LimitStates_Closure)
                  (const Chestnuthitch__Wire__LimitStates *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__DrainNotice_Closure)
+                 (const Chestnuthitch__Wire__DrainNotice *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__LimitTake_Closure)
                  (const Chestnuthitch__Wire__LimitTake *message,
                   void *closure_data);
@@ -2397,6 +2443,7 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_state__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__drain_notice__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_take__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_permission__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__slot_state__descriptor;
--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -549,7 +549,7 @@
 }
 
 static void
-start_limit_call(struct ch_upstream *engine, enum limit_call kind,
+start_limit_call(struct ch_upstream *engine, enum limit_call kind, bool stream,
                  struct result *result)
 {
     static const struct ch_call_handlers handlers = {
@@ -561,6 +561,7 @@
         .request_id = "r7",
         .method = "POST",
         .path = "/v1/completions",
+        .stream = stream,
         .connect_timeout = TIMEOUT_US,
         .first_byte_timeout = TIMEOUT_US,
         .stall_timeout = TIMEOUT_US,
@@ -606,7 +607,7 @@
         ch_upstream_engine_new(&client, http, address, TIMEOUT_US);
     engine->limit_listener = (struct ch_limit_listener){
         record_limit, &heard, g_quark_from_string("e1"), 0};
-    start_limit_call(engine, row->call, &result);
+    start_limit_call(engine, row->call, false, &result);
     result_wait(&result);
     ch_http_free(http);
     engine->ops->free(engine);
@@ -662,54 +663,129 @@
      CH_UPSTREAM_CUT, ""},
 };
 
+/* Sends a request, a report or an order to a worker that responds so, and
+ * waits for the result. */
 static void
-test_close(gconstpointer data)
+call_worker(const char *response, enum limit_call kind, bool stream,
+            bool resets, const struct ch_notice_listener *listener,
+            struct result *result)
 {
-    const struct close_case *row = data;
     struct ch_client client;
     struct server server;
-    struct result result;
     char address[32];
     ch_client_init(&client, "test");
     client.metrics = ch_metrics_new();
-    server_start(&server, row->response, false);
-    server.resets = row->resets;
-    result_init(&result);
+    server_start(&server, response, false);
+    server.resets = resets;
+    result_init(result);
     (void)snprintf(address, sizeof(address), "127.0.0.1:%d", server.port);
     struct ch_host host = {
         .name = (char *)"w1", .kind = CH_HOST_ENGINE, .address = address};
     struct ch_http *http = ch_http_new(&client);
     struct ch_upstream *upstream =
         platform_worker_new(&client, http, &host, TIMEOUT_US);
-    static const struct ch_call_handlers handlers = {
-        .on_response = on_head,
-        .on_data = on_data,
-        .on_end = on_end,
-    };
-    const struct ch_call call = {
-        .request_id = "r7",
-        .method = "POST",
-        .path = "/fit/",
-        .body = "{}",
-        .body_length = 2,
-        .stream = row->stream,
-        .connect_timeout = TIMEOUT_US,
-        .first_byte_timeout = TIMEOUT_US,
-        .stall_timeout = TIMEOUT_US,
-    };
-    upstream->ops->call(upstream, &call, &handlers, &result);
-    upstream->ops->free(upstream);
-    result_wait(&result);
+    upstream->notice_listener = *listener;
+    start_limit_call(upstream, kind, stream, result);
+    result_wait(result);
     ch_http_free(http);
+    upstream->ops->free(upstream);
     server_join(&server);
+    g_string_free(server.request, TRUE);
+    ch_metrics_free(client.metrics);
+}
+
+static void
+test_close(gconstpointer data)
+{
+    const struct close_case *row = data;
+    const struct ch_notice_listener no_listener = {0};
+    struct result result;
+    call_worker(row->response, LIMIT_REQUEST, row->stream, row->resets,
+                &no_listener, &result);
     g_assert_cmpstr(ch_code_get_name(result.end.code), ==,
                     ch_code_get_name(row->code));
     g_assert_cmpstr(result.forwarded->str, ==, row->forwarded);
-    g_string_free(server.request, TRUE);
-    ch_metrics_free(client.metrics);
     result_clear(&result);
 }
 
+/* ---- notices ---- */
+
+#define LEAVING "Server-Leaving: 1\r\n"
+#define WAIT "Retry-After: 3\r\n"
+
+static const struct notice_case {
+    const char *name;
+    const char *response;
+    enum limit_call call;
+    bool stream;
+    bool resets;
+    bool draining;
+    int64_t wait;
+} notice_cases[] = {
+    {"none", WORKER_HEAD "\r\nok", LIMIT_REQUEST, false, false, false, 0},
+    {"success", WORKER_HEAD LEAVING "\r\nok", LIMIT_REQUEST, false, false,
+     true, 0},
+    {"stream",
+     WORKER_HEAD LEAVING
+     "Content-Type: text/event-stream\r\n\r\n" WORKER_EVENT,
+     LIMIT_REQUEST, true, false, true, 0},
+    {"stream reset before its first event",
+     WORKER_HEAD LEAVING "Content-Type: text/event-stream\r\n\r\n",
+     LIMIT_REQUEST, true, true, true, 0},
+    {"interim response",
+     "HTTP/1.1 103 Early Hints\r\n" LEAVING "\r\n" WORKER_HEAD "\r\nok",
+     LIMIT_REQUEST, false, false, true, 0},
+    {"rejection that asks to wait",
+     "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\nNot-Executed: 1\r\n" WAIT
+     "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, false, 3000000},
+    {"503 that does not say whether it ran",
+     "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\n" WAIT
+     "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, false, 3000000},
+    {"rejection of a worker that leaves",
+     "HTTP/1.1 421 Not here\r\nRequest-Id: r7\r\n" LEAVING
+     "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, true, 0},
+    {"another request's response",
+     "HTTP/1.1 503 Busy\r\nRequest-Id: r8\r\n" LEAVING WAIT
+     "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, false, 0},
+    {"report", "HTTP/1.1 200 OK\r\n" LEAVING "Content-Length: 2\r\n\r\n{}",
+     LIMIT_REPORT, false, false, true, 0},
+    {"rejected report",
+     "HTTP/1.1 503 Busy\r\n" WAIT "Content-Length: 0\r\n\r\n", LIMIT_REPORT,
+     false, false, false, 3000000},
+    {"rejected order",
+     "HTTP/1.1 503 Busy\r\n" LEAVING WAIT "Content-Length: 0\r\n\r\n",
+     LIMIT_ORDER, false, false, true, 3000000},
+};
+
+static void
+record_notice(const struct ch_notice_listener *listener,
+              const struct ch_notice *notice, int64_t sent_at)
+{
+    struct ch_notice *heard = listener->data;
+    g_assert_cmpint(sent_at, >, 0);
+    *heard = *notice;
+}
+
+/* Guards against an upstream that is called on after a response of it, of
+ * whatever kind, has said that it leaves or asked to wait. */
+static void
+test_notice(gconstpointer data)
+{
+    const struct notice_case *row = data;
+    struct ch_notice heard = {0};
+    const struct ch_notice_listener listener = {record_notice, &heard, 0, 0};
+    struct result result;
+    call_worker(row->response, row->call, row->stream, row->resets, &listener,
+                &result);
+    result_clear(&result);
+    g_assert_cmpint(heard.draining, ==, row->draining);
+    g_assert_cmpint(heard.wait, ==, row->wait);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -731,6 +807,12 @@
         g_test_add_data_func(path, &close_cases[i], test_close);
         g_free(path);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(notice_cases); i++) {
+        char *path =
+            g_strconcat("/upstream/notice/", notice_cases[i].name, NULL);
+        g_test_add_data_func(path, &notice_cases[i], test_notice);
+        g_free(path);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(control_cases); i++) {
         char *path =
             g_strconcat("/upstream/control/", control_cases[i].name, NULL);
--- a/tests/unit/test_notices.c
+++ b/tests/unit/test_notices.c
@@ -149,8 +149,9 @@
                 break;
             }
         }
-        g_assert_cmpint(ch_notice_state_is_draining(&state, rows[i].boot), ==,
-                        rows[i].draining);
+        g_assert_cmpint(ch_notice_state_is_draining(&state, rows[i].boot,
+                                                    INT64_C(600) * S),
+                        ==, rows[i].draining);
     }
 }
 
