--- a/libchestnuthitch/node/config_manager.c
+++ b/libchestnuthitch/node/config_manager.c
@@ -89,6 +89,7 @@
     int references;
     bool stopped;
     struct ch_config *current;
+    uint64_t passed_over;      /* the last value that counted as older */
     uint64_t parsing_revision; /* highest one being parsed; 0: none */
     unsigned pulls;            /* in progress */
     int64_t last_pull_at;      /* when the latest pull began */
@@ -296,6 +297,29 @@
                : ch_revision_record_new("operator", "operator", text, NULL, 0);
 }
 
+/* Logs a value of the key-value store that counts as older than the one in
+ * force, once for each. */
+static void
+log_passed_over(struct ch_config_manager *manager, uint64_t revision)
+{
+    const struct ch_node *node = manager->node;
+    uint64_t current = current_revision(manager);
+    pthread_mutex_lock(&manager->lock);
+    bool is_new = revision < current && manager->passed_over != revision;
+    manager->passed_over = revision;
+    pthread_mutex_unlock(&manager->lock);
+    if (!is_new) {
+        return;
+    }
+    if (node->client->metrics != NULL) {
+        ch_metrics_add_count(node->client->metrics, CH_COUNT_STORE_PASSED_OVER,
+                             1);
+    }
+    ch_log(node->client, CH_LOG_NOTICE, "config-passed-over",
+           CH_F_INT("revision", revision), CH_F_INT("in_force", current),
+           CH_F_END);
+}
+
 /*
  * Puts a value of the key-value store into force; false when it can't be
  * parsed.
@@ -310,6 +334,7 @@
 {
     struct ch_error error = {0};
     if (!begin_applying(manager, answer->revision)) {
+        log_passed_over(manager, answer->revision);
         return true;
     }
     struct ch_revision_record *record = parse_record(manager, answer, &error);
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -209,6 +209,28 @@
            (removed != NULL && *removed >= revision);
 }
 
+/* Logs an entry of the store that counts as older than the known one and says
+ * something else. Lock held. */
+static void
+log_passed_over(const struct roster_list *list,
+                const struct roster_entry *known,
+                const struct ch_kv_entry *source)
+{
+    const struct ch_client *client = list->roster->node->client;
+    if (known == NULL ||
+        (known->length == source->length &&
+         memcmp(known->value, source->value, source->length) == 0)) {
+        return;
+    }
+    if (client->metrics != NULL) {
+        ch_metrics_add_count(client->metrics, CH_COUNT_STORE_PASSED_OVER, 1);
+    }
+    ch_log(client, CH_LOG_DEBUG, "entry-passed-over",
+           CH_F_STR("key", source->key),
+           CH_F_INT("revision", (int64_t)source->revision),
+           CH_F_INT("known", (int64_t)known->revision), CH_F_END);
+}
+
 /* See roster_internal.h. An unreadable entry is ignored and the previous entry
  * of its key kept, since another program may have written over it. What
  * another node still lists may be missing in the store. Lock held. */
@@ -223,8 +245,13 @@
         previous->revision == source->revision) {
         previous->remove_at = 0; /* the entry was not deleted after all */
     }
-    if (knows_revision(list, source->key, source->revision) ||
-        !parse_entry(list, source, &host)) {
+    if (knows_revision(list, source->key, source->revision)) {
+        if (by_store) {
+            log_passed_over(list, previous, source);
+        }
+        return;
+    }
+    if (!parse_entry(list, source, &host)) {
         return;
     }
     bool for_all = previous == NULL || needs_all_nodes(&previous->host, &host);
