Failing test: a store that comes back from a copy

Seven nodes as processes, four engines, the stand-in store with an era in all responses: it loses 20 configurations and 20 writes of an entry, its revisions and lease IDs go back and are given out again, watches from later revisions get 410. The stand-in's engines compare fencing tokens now.

The nodes that watch call the store 1,320 to 1,370 times a second, as an average of all nodes: each refused watch is followed by a read and the same watch.

--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -201,8 +201,8 @@
 /* Starts a worker of the plain service "orders". */
 void harness_users_start_service(struct harness_fleet *fleet,
                                  const char *name);
-/* action: crash, drain, remove, leave, wait&ms=N; see tests/standin/users.h.
- */
+/* action: crash, drain, remove, write, leave, wait&ms=N; see
+ * tests/standin/users.h. */
 void harness_users_change_worker(struct harness_fleet *fleet, const char *name,
                                  const char *action);
 /* Puts the operators' configuration into the store. */
--- a/tests/standin/users.h
+++ b/tests/standin/users.h
@@ -22,10 +22,12 @@
     GArray *events;     /* struct users_event, oldest first */
     GHashTable *leases; /* ID to struct users_lease */
     uint64_t last_lease;
-    GPtrArray *watches;  /* struct exchange */
-    GPtrArray *workers;  /* struct worker */
-    GHashTable *aliases; /* in values served to nodes: text to its
-                            replacement */
+    uint64_t era;
+    struct users_copy *copy; /* NULL: none was saved */
+    GPtrArray *watches;      /* struct exchange */
+    GPtrArray *workers;      /* struct worker */
+    GHashTable *aliases;     /* in values served to nodes: text to its
+                                replacement */
 };
 
 /* Writes a value, or removes the key if value is NULL. */
@@ -43,6 +45,7 @@
  *   crash    ends at once, without a word; its entry lapses later
  *   drain    reports that it leaves, and serves on
  *   remove   removes its entry, and serves on
+ *   write    writes its entry again
  *   leave    says in its responses alone that it leaves, and serves on
  *   wait     rejects all calls and asks to wait for ms= (0: no more)
  * False: another path.
--- a/tests/standin/users_store.c
+++ b/tests/standin/users_store.c
@@ -29,6 +29,14 @@
     uint64_t after;
 };
 
+/* What a copy of the store holds. */
+struct users_copy {
+    GTree *items;
+    uint64_t revision;
+    uint64_t last_lease;
+    GArray *leases; /* uint64_t */
+};
+
 /* ---- items ---- */
 
 static void
@@ -96,6 +104,8 @@
 
 /* ---- watches ---- */
 
+static void add_era(struct exchange *exchange);
+
 static bool
 has_event(const struct users *users, const struct watch *watch)
 {
@@ -155,6 +165,7 @@
     exchange->timer = NULL;
     if (g_ptr_array_remove_fast(watch->users->watches, exchange)) {
         reply_watch(exchange);
+        add_era(exchange);
         exchange_resume(exchange);
     }
 }
@@ -178,9 +189,19 @@
     return text == NULL ? 0 : g_ascii_strtoull(text, NULL, 10);
 }
 
+static void
+reply_history_gone(struct exchange *exchange)
+{
+    exchange_reply_text(exchange, 410, "no such history\n");
+}
+
 static void
 handle_watch(struct users *users, struct exchange *exchange)
 {
+    if (query_number(exchange, "after") > users->revision) {
+        reply_history_gone(exchange);
+        return;
+    }
     struct watch *watch = g_new0(struct watch, 1);
     const char *prefix = exchange_query(exchange, "path_prefix");
     uint64_t wait_ms = MIN(query_number(exchange, "wait_ms"), MAX_WAIT_MS);
@@ -509,9 +530,151 @@
     g_object_unref(parser);
 }
 
-/* See users.h. */
-void
-users_handle_store(struct exchange *exchange)
+/* ---- copies ---- */
+
+static gboolean
+copy_item(gpointer key, gpointer value, gpointer data)
+{
+    const struct users_item *item = value;
+    g_tree_replace(data, g_strdup(key),
+                   item_new(item->value->str, item->value->len, item->revision,
+                            item->lease));
+    return FALSE;
+}
+
+static GTree *
+copy_items(GTree *items)
+{
+    GTree *copy = g_tree_new_full(compare_keys, NULL, g_free, item_free);
+    g_tree_foreach(items, copy_item, copy);
+    return copy;
+}
+
+static void
+save_copy(struct users *users)
+{
+    struct users_copy *copy = g_new0(struct users_copy, 1);
+    GHashTableIter iterator;
+    gpointer id = NULL;
+    copy->items = copy_items(users->items);
+    copy->revision = users->revision;
+    copy->last_lease = users->last_lease;
+    copy->leases = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_hash_table_iter_init(&iterator, users->leases);
+    while (g_hash_table_iter_next(&iterator, &id, NULL)) {
+        g_array_append_vals(copy->leases, id, 1);
+    }
+    users->copy = copy;
+}
+
+static bool
+is_in_copy(const struct users_copy *copy, uint64_t lease)
+{
+    bool found = false;
+    for (guint i = 0; i < copy->leases->len; i++) {
+        found |= g_array_index(copy->leases, uint64_t, i) == lease;
+    }
+    return found;
+}
+
+/* Ends the leases that the copy does not have, or all. */
+static void
+drop_leases(struct users *users, bool keep)
+{
+    GList *leases = g_hash_table_get_values(users->leases);
+    for (GList *at = leases; at != NULL; at = at->next) {
+        struct users_lease *lease = at->data;
+        if (!keep || !is_in_copy(users->copy, lease->id)) {
+            timer_cancel(users->standin, lease->timer);
+            end_lease(users, lease);
+        }
+    }
+    g_list_free(leases);
+}
+
+/* Answers the watches that wait with 410. */
+static void
+cut_watches(struct users *users)
+{
+    while (users->watches->len > 0) {
+        struct exchange *exchange = g_ptr_array_index(users->watches, 0);
+        (void)g_ptr_array_remove_index_fast(users->watches, 0);
+        timer_cancel(users->standin, exchange->timer);
+        exchange->timer = NULL;
+        reply_history_gone(exchange);
+        add_era(exchange);
+        exchange_resume(exchange);
+    }
+}
+
+static gboolean
+collect_leased_without_lease(gpointer key, gpointer value, gpointer data)
+{
+    const struct users_item *item = value;
+    const struct users *users = ((void **)data)[0];
+    GPtrArray *keys = ((void **)data)[1];
+    if (item->lease != 0 &&
+        g_hash_table_lookup(users->leases, &item->lease) == NULL) {
+        g_ptr_array_add(keys, g_strdup(key));
+    }
+    return FALSE;
+}
+
+/* Comes back from the saved copy, in the next era. */
+static void
+restore_copy(struct users *users, bool keep_leases)
+{
+    cut_watches(users);
+    drop_leases(users, keep_leases);
+    g_tree_destroy(users->items);
+    users->items = copy_items(users->copy->items);
+    users->revision = users->copy->revision;
+    users->last_lease = users->copy->last_lease;
+    guint kept = 0;
+    while (kept < users->events->len &&
+           g_array_index(users->events, struct users_event, kept).revision <=
+               users->revision) {
+        kept++;
+    }
+    g_array_set_size(users->events, kept);
+    users->era++;
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    void *search[] = {users, keys};
+    g_tree_foreach(users->items, collect_leased_without_lease, search);
+    for (guint i = 0; i < keys->len; i++) {
+        (void)g_tree_remove(users->items, g_ptr_array_index(keys, i));
+    }
+    g_ptr_array_free(keys, TRUE);
+}
+
+/* Handles /control/save-copy and /control/restore-copy, with leases=1 where
+ * the leases of the copy go on. */
+static bool
+control_copy(struct users *users, const struct exchange *exchange)
+{
+    if (strcmp(exchange->path, "/control/save-copy") == 0) {
+        save_copy(users);
+        return true;
+    }
+    if (strcmp(exchange->path, "/control/restore-copy") == 0 &&
+        users->copy != NULL) {
+        restore_copy(users, exchange_query(exchange, "leases") != NULL);
+        return true;
+    }
+    return false;
+}
+
+static void
+add_era(struct exchange *exchange)
+{
+    const struct users *users = exchange->standin->mode_data;
+    char text[24];
+    (void)g_snprintf(text, sizeof text, "%" G_GUINT64_FORMAT, users->era);
+    exchange_add_header(exchange, "Store-Era", text);
+}
+
+static void
+handle_call(struct exchange *exchange)
 {
     struct users *users = exchange->standin->mode_data;
     const char *path = exchange->path;
@@ -539,6 +702,16 @@
     }
 }
 
+/* See users.h. */
+void
+users_handle_store(struct exchange *exchange)
+{
+    handle_call(exchange);
+    if (exchange->response != NULL) {
+        add_era(exchange);
+    }
+}
+
 static void
 users_handle(struct exchange *exchange)
 {
@@ -564,7 +737,7 @@
 }
 
 /* Handles POST /control/put?key=KEY with a value, /control/alias?from=&to=,
- * and the workers' own calls. */
+ * copies, and the workers' own calls. */
 static bool
 users_control(struct exchange *exchange)
 {
@@ -580,7 +753,7 @@
                              g_strdup(exchange_query(exchange, "to")));
         return true;
     }
-    return users_control_worker(exchange);
+    return control_copy(users, exchange) || users_control_worker(exchange);
 }
 
 static void
--- a/tests/standin/users_worker.c
+++ b/tests/standin/users_worker.c
@@ -28,6 +28,9 @@
     GPtrArray *models; /* names of resident models */
     unsigned loading;
     int64_t sequence; /* orders accepted */
+    int64_t writes;   /* of its entry, since its start */
+    int64_t fence;    /* the highest fencing token seen */
+    unsigned fenced;  /* orders with a lower one */
     unsigned running;
     int64_t running_since; /* this number of them */
     int64_t slot_us;       /* slots in use, times how long */
@@ -48,6 +51,7 @@
     char *worker;
     char *version;
     unsigned first; /* number of its first event */
+    int64_t at;
 };
 
 /* A streamed response. */
@@ -156,7 +160,7 @@
     json_number(out, "cold_remaining_ms", 0);
     json_text(out, "stage", "both");
     write_models(worker, out);
-    json_number(out, "sequence", worker->sequence);
+    json_number(out, "sequence", ++worker->writes);
     json_number(out, "born", worker->born_ms);
     json_builder_end_object(out);
     JsonNode *root = json_builder_get_root(out);
@@ -263,6 +267,7 @@
     run->worker = g_strdup(worker->name);
     run->version = g_strdup(worker->version);
     run->first = first;
+    run->at = monotonic_now_us();
     g_ptr_array_add(runs, run);
 }
 
@@ -653,6 +658,13 @@
         json_object_get_string_member_with_default(order, "operation", "");
     const char *model =
         json_object_get_string_member_with_default(order, "model", "");
+    int64_t fence = json_object_get_int_member_with_default(
+        order, "fencing_token", worker->fence);
+    if (fence < worker->fence) {
+        worker->fenced++;
+        return 412;
+    }
+    worker->fence = fence;
     if (json_object_get_int_member_with_default(
             order, "precondition", worker->sequence) != worker->sequence ||
         worker->loading > 0) {
@@ -680,6 +692,7 @@
             worker, json_node_get_object(json_parser_get_root(parser)));
     }
     exchange_reply_text(exchange, status, "");
+    add_notice(exchange, worker);
     g_object_unref(parser);
 }
 
@@ -766,6 +779,8 @@
     worker->draining = false;
     worker->loading = 0;
     worker->sequence = 0;
+    worker->writes = 0;
+    worker->fence = 0;
     change_running(worker, -(int)worker->running);
     worker->boot++;
     worker->daemon =
@@ -839,6 +854,9 @@
     else if (strcmp(action, "remove") == 0) {
         remove_entry(worker);
     }
+    else if (strcmp(action, "write") == 0) {
+        put_entry(worker);
+    }
     else if (strcmp(action, "leave") == 0) {
         worker->leaves = true;
     }
@@ -866,6 +884,7 @@
         json_text(out, "worker", run->worker);
         json_text(out, "version", run->version);
         json_number(out, "first", run->first);
+        json_number(out, "at_ms", run->at / 1000);
         json_builder_end_object(out);
     }
     json_builder_end_array(out);
@@ -905,6 +924,7 @@
         json_number(out, "slot_us", worker->slot_us);
         json_number(out, "rejected", worker->rejected);
         json_number(out, "falls", worker->falls);
+        json_number(out, "fenced", worker->fenced);
         json_builder_end_object(out);
     }
     json_builder_end_array(out);
