--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -358,6 +358,35 @@
     }
 }
 
+/* Guards against a configuration that is numbered by another member than the
+ * operators' version, so that an older one counts as newer. */
+static void
+test_config_version(void)
+{
+    static const struct {
+        const char *json;
+        uint64_t version;
+    } rows[] = {
+        {"{\"version\":7,\"routes\":[]}", 7},
+        {" {\n \"version\" : 7 }", 7},
+        {"{\"routes\":[{\"version\":9}],\"version\":7}", 7},
+        {"{\"routes\":[{\"version\":9}]}", 0},
+        {"{\"version\":\"7\"}", 0},
+        {"{\"version\":7.5}", 0},
+        {"{\"version\":-7}", 0},
+        {"{\"version\":99999999999}", 99999999999},
+        {"{\"version\":999999999999}", 0},
+        {"{\"version\":7", 0},
+        {"", 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        g_test_message("%s", rows[i].json);
+        g_assert_cmpuint(
+            platform_config_read_version(rows[i].json, strlen(rows[i].json)),
+            ==, rows[i].version);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -372,5 +401,6 @@
     g_test_add_func("/platform/host/versions", test_versions);
     g_test_add_func("/platform/headers", test_request_headers);
     g_test_add_func("/platform/bad-headers", test_invalid_request_headers);
+    g_test_add_func("/platform/config-version", test_config_version);
     return g_test_run();
 }
