Revisions and leases of the store are ordered by its era

What callers saw: requests still reached an upstream 3.4 s and more after the store had accepted that it leaves; no node ever listed it as leaving.

Entries are ordered by the store's revision, which goes back when the store comes back from a copy: the entry written there counted as known.

The client of the users' store joins era and revision into one rising number below 2^53, likewise lease IDs, so that entries, removals, messages between nodes and fencing tokens go on as they are; the token of a lease taken after the return is above all before. A call with a number of an earlier era is not sent: the revision expected is another (conflict), the history is gone, the lease has ended. A response of a later era than the call: a write may have been compared with another value and counts as unknown, a watch has missed events, a renewal may be of another node's lease. A late response of an earlier era tells nothing. A store without the header has one era, in which the numbers are its own.

The copy may hold an older entry at a later revision. Within one process of an upstream its own count of writes decides, and draining is final; an entry that was written before its key was seen to be removed does not bring the upstream back. What the copy lacks stays in use for 2.2 s, as after an outage, for its owner to write it again.

test_store, eras: 14 rows of calls and responses of two eras.

--- a/libchestnuthitch/decide/absence.c
+++ b/libchestnuthitch/decide/absence.c
@@ -43,3 +43,10 @@
                         now - contact->outage_ended_at < grace;
     return after_outage ? contact->outage_ended_at + grace : now;
 }
+
+/* See absence.h. */
+void
+ch_store_contact_record_return(struct ch_store_contact *contact, int64_t now)
+{
+    contact->outage_ended_at = now;
+}
--- a/libchestnuthitch/decide/absence.h
+++ b/libchestnuthitch/decide/absence.h
@@ -25,4 +25,9 @@
 int64_t ch_absence_get_end(const struct ch_store_contact *contact,
                            int64_t known_end, int64_t grace, int64_t now);
 
+/* Records that the store has come back from a copy, without the entries that
+ * were written since: their owners write them again, as after an outage. */
+void ch_store_contact_record_return(struct ch_store_contact *contact,
+                                    int64_t now);
+
 #endif
--- a/libchestnuthitch/eras/eras.h
+++ b/libchestnuthitch/eras/eras.h
@@ -16,6 +16,21 @@
     CH_ERA_EARLIER, /* a late response from before that */
 };
 
+/*
+ * A number of the store (a revision or a lease ID) together with its era, as
+ * one number that rises with both and is exact as a double. In the first era
+ * it is the store's own number.
+ */
+enum {
+    CH_ERA_NUMBER_BITS = 40,
+    CH_ERA_MAX = (1 << 13) - 1,
+};
+
+/* 0 if the era or the number is too large, or the number is 0. */
+uint64_t ch_era_join(uint64_t era, uint64_t number);
+uint64_t ch_era_get_era(uint64_t joined);
+uint64_t ch_era_get_number(uint64_t joined);
+
 /* The latest era that a client has seen; all 0 at first. */
 struct ch_era_tracker {
     bool known;
@@ -32,4 +47,22 @@
                                          const struct ch_era_tracker *sent,
                                          uint64_t era);
 
+/* ---- entries that their owners write (entry.c) ---- */
+
+/* What an entry says of its writing: a copy of the store may hold an older
+ * entry at a later revision. */
+struct ch_entry_stamp {
+    uint64_t boot_id;     /* of its owner's process */
+    uint64_t write_count; /* how often that process has written it; 0: not
+                             stated */
+    bool draining;        /* final for a process */
+};
+
+/* Whether an entry was written before the known one of its key. */
+bool ch_entry_is_older(const struct ch_entry_stamp *known,
+                       const struct ch_entry_stamp *offered);
+/* Whether an entry was written before its key was seen to be removed. */
+bool ch_entry_is_of_the_gone(const struct ch_entry_stamp *gone,
+                             const struct ch_entry_stamp *offered);
+
 #endif
--- a/libchestnuthitch/eras/tracker.c
+++ b/libchestnuthitch/eras/tracker.c
@@ -2,6 +2,28 @@
 
 #include "eras/eras.h"
 
+/* See eras.h. */
+uint64_t
+ch_era_join(uint64_t era, uint64_t number)
+{
+    bool fits = era <= CH_ERA_MAX && number >> CH_ERA_NUMBER_BITS == 0;
+    return fits && number != 0 ? era << CH_ERA_NUMBER_BITS | number : 0;
+}
+
+/* See eras.h. */
+uint64_t
+ch_era_get_era(uint64_t joined)
+{
+    return joined >> CH_ERA_NUMBER_BITS;
+}
+
+/* See eras.h. */
+uint64_t
+ch_era_get_number(uint64_t joined)
+{
+    return joined & ((UINT64_C(1) << CH_ERA_NUMBER_BITS) - 1);
+}
+
 /* See eras.h. */
 bool
 ch_era_parse(const char *text, uint64_t *era)
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -200,6 +200,11 @@
     ch_store_contact_record(
         &list->contact, is_current || range->code == CH_KV_HISTORY_GONE, now);
     if (is_full_read && range->code == CH_OK) {
+        uint64_t era = ch_era_get_era(range->revision);
+        if (list->known && era > list->era) {
+            ch_store_contact_record_return(&list->contact, now);
+        }
+        list->era = era;
         bool read_before_listed = !list->known && roster->first_listed_at == 0;
         list->next_call_at =
             read_before_listed ? now + FIRST_WATCH_DELAY_US : 0;
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -32,7 +32,7 @@
 roster_list_clear(struct roster_list *list)
 {
     g_hash_table_destroy(list->entries);
-    g_hash_table_destroy(list->removal_revisions);
+    g_hash_table_destroy(list->removals);
     g_array_free(list->unpublished, TRUE);
     g_free(list->prefix);
 }
@@ -47,7 +47,7 @@
     list->removal_grace = grace;
     list->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
-    list->removal_revisions =
+    list->removals =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     list->unpublished =
         g_array_new(FALSE, FALSE, sizeof(struct unpublished_change));
@@ -188,13 +188,24 @@
            old_host->capacity != new_host->capacity;
 }
 
+static struct ch_entry_stamp
+get_stamp(const struct ch_host *host)
+{
+    return (struct ch_entry_stamp){host->boot_id, host->write_count,
+                                   host->draining};
+}
+
 /* Records the latest removal of a key. Lock held. */
 static void
 record_removal(struct roster_list *list, const char *key, uint64_t revision)
 {
-    uint64_t *copy = g_new(uint64_t, 1);
-    *copy = revision;
-    g_hash_table_replace(list->removal_revisions, g_strdup(key), copy);
+    const struct roster_entry *entry = g_hash_table_lookup(list->entries, key);
+    struct roster_removal *removal = g_new0(struct roster_removal, 1);
+    removal->revision = revision;
+    if (entry != NULL) {
+        removal->stamp = get_stamp(&entry->host);
+    }
+    g_hash_table_replace(list->removals, g_strdup(key), removal);
 }
 
 /* Whether this revision or a later one of the key is known. Lock held. */
@@ -203,10 +214,10 @@
                uint64_t revision)
 {
     const struct roster_entry *entry = g_hash_table_lookup(list->entries, key);
-    const uint64_t *removed =
-        g_hash_table_lookup(list->removal_revisions, key);
+    const struct roster_removal *removal =
+        g_hash_table_lookup(list->removals, key);
     return (entry != NULL && entry->revision >= revision) ||
-           (removed != NULL && *removed >= revision);
+           (removal != NULL && removal->revision >= revision);
 }
 
 /* Logs an entry of the store that counts as older than the known one and says
@@ -231,6 +242,45 @@
            CH_F_INT("known", (int64_t)known->revision), CH_F_END);
 }
 
+static bool
+is_of_later_era(uint64_t revision, uint64_t known)
+{
+    return ch_era_get_era(revision) > ch_era_get_era(known);
+}
+
+/*
+ * Passes over an entry that a copy of the store holds at a revision of a later
+ * era, though its owner wrote it before what is known: an upstream that drains
+ * would be called again, and so would one that is gone. The revision is taken
+ * over, so that what the owner writes next counts as newer. Lock held.
+ */
+static bool
+pass_over_copy(struct roster_list *list, const struct ch_kv_entry *source,
+               const struct ch_host *host)
+{
+    const struct ch_entry_stamp offered = get_stamp(host);
+    struct roster_entry *entry =
+        g_hash_table_lookup(list->entries, source->key);
+    struct roster_removal *removal =
+        g_hash_table_lookup(list->removals, source->key);
+    if (entry != NULL && is_of_later_era(source->revision, entry->revision)) {
+        const struct ch_entry_stamp known = get_stamp(&entry->host);
+        if (!ch_entry_is_older(&known, &offered)) {
+            return false;
+        }
+        log_passed_over(list, entry, source);
+        entry->revision = source->revision;
+        return true;
+    }
+    if (entry == NULL && removal != NULL &&
+        is_of_later_era(source->revision, removal->revision) &&
+        ch_entry_is_of_the_gone(&removal->stamp, &offered)) {
+        removal->revision = source->revision;
+        return true;
+    }
+    return false;
+}
+
 /* See roster_internal.h. An unreadable entry is ignored and the previous entry
  * of its key kept, since another program may have written over it. What
  * another node still lists may be missing in the store. Lock held. */
@@ -254,6 +304,10 @@
     if (!parse_entry(list, source, &host)) {
         return;
     }
+    if (pass_over_copy(list, source, &host)) {
+        ch_host_clear(&host);
+        return;
+    }
     bool for_all = previous == NULL || needs_all_nodes(&previous->host, &host);
     log_entry(list, &host, "there", for_all ? CH_LOG_INFO : CH_LOG_DEBUG);
     struct roster_entry *entry = g_new0(struct roster_entry, 1);
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -10,6 +10,7 @@
 
 #include "decide/absence.h"
 #include "decide/fleet.h"
+#include "eras/eras.h"
 #include "node/dialect.h"
 #include "node/roster.h"
 
@@ -27,6 +28,12 @@
     uint64_t deleted_revision; /* revision in which its key was deleted */
 };
 
+/* The latest removal of a key. */
+struct roster_removal {
+    uint64_t revision;
+    struct ch_entry_stamp stamp; /* of the entry that was removed */
+};
+
 /* A changed entry, or a removal, that other nodes have not received yet. */
 struct unpublished_change {
     char *key;
@@ -39,11 +46,10 @@
 struct roster_list {
     struct ch_roster *roster;
     char *prefix;
-    GHashTable *entries; /* key to struct entry */
-    GHashTable
-        *removal_revisions; /* key to the revision of its latest removal */
-    GArray *unpublished;    /* of struct unpublished_change */
-    uint64_t change_count;  /* number of changes recorded so far */
+    GHashTable *entries;         /* key to struct entry */
+    GHashTable *removals;        /* key to struct roster_removal */
+    GArray *unpublished;         /* of struct unpublished_change */
+    uint64_t change_count;       /* number of changes recorded so far */
     uint64_t published_revision; /* revision up to which all nodes have the
                                     changes */
     uint64_t holders_revision;   /* the same for lease holders */
@@ -61,6 +67,7 @@
         watch_bucket;        /* limits watches that return changes */
     int64_t last_failure_at; /* when the store last failed; 0: never */
     struct ch_store_contact contact;
+    uint64_t era;          /* of the latest full read */
     int64_t removal_grace; /* time that an entry stays in use after its key is
                               gone */
 };
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -131,6 +131,7 @@
     /* What an engine reports of itself in the host list; empty where the list
        has no such data. */
     uint64_t boot_id;       /* increases with each restart; 0: unknown */
+    uint64_t write_count;   /* of this entry, by that process; 0: not stated */
     int64_t remaining_time; /* time until the engine stops; 0: unknown */
     int64_t
         slow_time_left;    /* for how much longer it is slow after its start */
--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -428,6 +428,141 @@
     client->metrics = ch_metrics_new();
 }
 
+/* One client of a store that answers with these responses, in order. */
+struct fixture {
+    struct server server;
+    struct ch_client client;
+    struct ch_http *http;
+    struct ch_kv *kv;
+};
+
+static void
+fixture_init(struct fixture *fixture, const char *const *responses)
+{
+    client_init(&fixture->client);
+    server_start(&fixture->server, responses);
+    fixture->http = ch_http_new(&fixture->client);
+    g_autofree char *address =
+        g_strdup_printf("127.0.0.1:%d", fixture->server.port);
+    fixture->kv = platform_store_new(&fixture->client, fixture->http, address,
+                                     CALL_LIMIT_US);
+}
+
+static void
+fixture_clear(struct fixture *fixture)
+{
+    ch_http_free(fixture->http);
+    server_join(&fixture->server);
+    fixture->kv->ops->free(fixture->kv);
+    ch_metrics_free(fixture->client.metrics);
+    g_string_free(fixture->server.requests, TRUE);
+}
+
+#define ERA(number, status, body)                                             \
+    "HTTP/1.1 " status "\r\nConnection: close\r\nStore-Era: " number          \
+    "\r\n\r\n" body
+#define READ_IN(era)                                                          \
+    ERA(era, "200 OK", "{\"key\":\"k\",\"value\":\"YWI=\",\"revision\":4}")
+#define NEXT_ERA (UINT64_C(1) << 40)
+
+/* Guards against a call whose numbers are of another era than the response:
+ * writes that succeed on a value which was never read, watches that miss
+ * events without a sign, renewals of another node's lease. Each row begins
+ * with a read. */
+static void
+test_store_eras(void)
+{
+    static const struct {
+        const char *description;
+        const char *responses[3];
+        enum call call;
+        enum ch_code code;
+        uint64_t revision;
+    } rows[] = {
+        {"read", {READ_IN("0"), READ_IN("1")}, GET, CH_OK, NEXT_ERA + 4},
+        {"read, late",
+         {READ_IN("1"), READ_IN("0")},
+         GET,
+         CH_KV_UNREACHABLE,
+         0},
+        {"read, no era stated",
+         {READ_IN("1"), OK_JSON("{\"key\":\"k\",\"value\":\"YWI=\","
+                                "\"revision\":4}")},
+         GET,
+         CH_OK,
+         NEXT_ERA + 4},
+        {"write",
+         {READ_IN("0"), ERA("1", "200 OK", "{\"revision\":5}")},
+         PUT,
+         CH_KV_AMBIGUOUS,
+         NEXT_ERA + 5},
+        {"write, late",
+         {READ_IN("1"), ERA("0", "200 OK", "{\"revision\":5}")},
+         LEASE,
+         CH_KV_UNREACHABLE,
+         0},
+        {"write, refused",
+         {READ_IN("0"),
+          ERA("1", "412 No", "{\"items\":[{\"key\":\"k\",\"revision\":6}]}")},
+         PUT,
+         CH_KV_CONFLICT,
+         NEXT_ERA + 6},
+        {"write, not sent", {READ_IN("1")}, PUT, CH_KV_CONFLICT, 0},
+        {"new lease",
+         {READ_IN("0"), ERA("1", "200 OK", "{\"lease\":7,\"ttl_ms\":1}")},
+         LEASE,
+         CH_OK,
+         NEXT_ERA + 7},
+        {"renewal",
+         {READ_IN("0"), ERA("1", "200 OK", "{}")},
+         RENEW,
+         CH_KV_MISSING,
+         0},
+        {"renewal, not sent", {READ_IN("1")}, RENEW, CH_KV_MISSING, 0},
+        {"changes",
+         {READ_IN("0"), ERA("1", "200 OK", "{\"events\":[],\"at\":9}")},
+         CHANGES,
+         CH_KV_HISTORY_GONE,
+         0},
+        {"changes, not sent", {READ_IN("1")}, CHANGES, CH_KV_HISTORY_GONE, 0},
+        {"range",
+         {READ_IN("0"),
+          ERA("1", "200 OK", "{\"items\":[],\"has_more\":false,\"at\":9}")},
+         RANGE,
+         CH_OK,
+         NEXT_ERA + 9},
+        {"range of two eras",
+         {READ_IN("0"),
+          ERA("0", "200 OK",
+              "{\"items\":[{\"key\":\"a\",\"value\":\"YWI=\","
+              "\"revision\":4}],\"has_more\":true,\"at\":9}"),
+          ERA("1", "200 OK", "{\"items\":[],\"has_more\":false,\"at\":3}")},
+         RANGE,
+         CH_KV_UNREACHABLE,
+         9},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const char *responses[4] = {rows[i].responses[0], rows[i].responses[1],
+                                    rows[i].responses[2], NULL};
+        struct fixture fixture;
+        struct result result;
+        fixture_init(&fixture, responses);
+        g_test_message("%s", rows[i].description);
+        result_init(&result);
+        make_call(fixture.kv, GET, &result);
+        wait_done(&result);
+        result_clear(&result);
+        result_init(&result);
+        make_call(fixture.kv, rows[i].call, &result);
+        wait_done(&result);
+        g_assert_cmpstr(ch_code_get_name(result.code), ==,
+                        ch_code_get_name(rows[i].code));
+        g_assert_cmpuint(result.revision, ==, rows[i].revision);
+        result_clear(&result);
+        fixture_clear(&fixture);
+    }
+}
+
 static void
 test_store_calls(void)
 {
@@ -435,16 +570,10 @@
         const char *responses[4] = {store_rows[i].responses[0],
                                     store_rows[i].responses[1],
                                     store_rows[i].responses[2], NULL};
-        struct server server;
+        struct fixture fixture;
         struct result result;
-        struct ch_client client;
-        client_init(&client);
-        server_start(&server, responses);
-        struct ch_http *http = ch_http_new(&client);
-        g_autofree char *address =
-            g_strdup_printf("127.0.0.1:%d", server.port);
-        struct ch_kv *kv =
-            platform_store_new(&client, http, address, CALL_LIMIT_US);
+        fixture_init(&fixture, responses);
+        struct ch_kv *kv = fixture.kv;
         g_test_message("%s", store_rows[i].description);
         if (store_rows[i].call == WATCH_CONFIG) {
             /* The watch starts at the revision of an earlier read. */
@@ -459,19 +588,15 @@
         g_assert_cmpint(result.code, ==, store_rows[i].code);
         g_assert_cmpuint(result.revision, ==, store_rows[i].revision);
         g_assert_cmpuint(result.count, ==, store_rows[i].count);
-        ch_http_free(http);
-        server_join(&server);
         if (store_rows[i].expected_request != NULL) {
-            g_assert_nonnull(
-                strstr(server.requests->str, store_rows[i].expected_request));
+            g_assert_nonnull(strstr(fixture.server.requests->str,
+                                    store_rows[i].expected_request));
         }
         if (store_rows[i].call == GET_CONFIG) {
             g_assert_cmpstr(result.value, ==,
                             "{\"routes\":[],\"services\":[]}");
         }
-        kv->ops->free(kv);
-        ch_metrics_free(client.metrics);
-        g_string_free(server.requests, TRUE);
+        fixture_clear(&fixture);
         result_clear(&result);
     }
 }
@@ -761,6 +886,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/store/silent-watch", test_silent_watch);
     g_test_add_func("/store/calls", test_store_calls);
+    g_test_add_func("/store/eras", test_store_eras);
     g_test_add_func("/store/worker", test_worker_calls);
     g_test_add_func("/store/orders", test_order_responses);
     return g_test_run();
