Records of barred requests are written again after the store came back from a copy

The record of a request, or a part of prompts, that crashes upstreams is written once. A copy from before lacks it, and once all nodes are replaced the request would crash three upstreams more.

--- a/libchestnuthitch/node/crash_internal.h
+++ b/libchestnuthitch/node/crash_internal.h
@@ -37,6 +37,7 @@
     GArray *unwritten_records; /* struct ch_crash_assessment of barred requests
                            whose record is to be written */
     bool write_in_flight;      /* the first of them is being written */
+    uint64_t store_returns;    /* after which the records were written again */
     bool records_loaded; /* the records were read from the key-value store */
     bool read_in_flight;
     int64_t last_read_at; /* when the records were last asked for; 0: never */
--- a/libchestnuthitch/node/crash_record.c
+++ b/libchestnuthitch/node/crash_record.c
@@ -266,6 +266,28 @@
     end_call(call, "list", code);
 }
 
+/* For ch_crash_table_foreach(). Lock held. */
+static void
+schedule_again(void *data, const struct ch_crash_assessment *assessment)
+{
+    if (assessment->state == CH_CRASH_BARRED) {
+        crash_record_schedule_write(data, assessment);
+    }
+}
+
+/* Queues all records once more after the store came back from a copy, which
+ * may lack some. Lock held. */
+static void
+write_again_after_return(struct ch_crash_guard *guard)
+{
+    uint64_t returns = ch_kv_get_returns(guard->node).count;
+    if (returns != guard->store_returns && !guard->write_in_flight) {
+        guard->store_returns = returns;
+        g_array_set_size(guard->unwritten_records, 0);
+        ch_crash_table_foreach(guard->table, schedule_again, guard);
+    }
+}
+
 /* See crash_internal.h. */
 void
 crash_record_tick(struct ch_crash_guard *guard, int64_t now)
@@ -275,6 +297,7 @@
         return;
     }
     pthread_mutex_lock(&guard->lock);
+    write_again_after_return(guard);
     bool should_read = !guard->records_loaded && !guard->read_in_flight &&
                        !guard->stopping &&
                        (guard->last_read_at == 0 ||
--- a/libchestnuthitch/node/kv_call.c
+++ b/libchestnuthitch/node/kv_call.c
@@ -257,3 +257,13 @@
                                   lease_id, receive_value,
                                   call_new(node, done, data));
 }
+
+/* See kv_call.h. */
+struct ch_kv_returns
+ch_kv_get_returns(const struct ch_node *node)
+{
+    const struct ch_kv_returns none = {0};
+    return node->kv == NULL || node->kv->ops->get_returns == NULL
+               ? none
+               : node->kv->ops->get_returns(node->kv);
+}
--- a/libchestnuthitch/node/kv_call.h
+++ b/libchestnuthitch/node/kv_call.h
@@ -7,6 +7,8 @@
 
 #include "node/node.h"
 
+/* The store's returns from a copy; none where it has no such call. */
+struct ch_kv_returns ch_kv_get_returns(const struct ch_node *node);
 void ch_kv_call_get(struct ch_node *node, const char *key,
                     void (*done)(void *data,
                                  const struct ch_kv_result *answer),
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -37,6 +37,12 @@
 
 struct ch_kv;
 
+/* Returns of the store from a copy, as this client has seen them. */
+struct ch_kv_returns {
+    uint64_t count;
+    int64_t last_at; /* by the client's clock; 0: never */
+};
+
 struct ch_kv_ops {
     void (*get)(struct ch_kv *kv, const char *key,
                 void (*done)(void *data, const struct ch_kv_result *result),
@@ -95,6 +101,8 @@
                            void (*done)(void *data,
                                         const struct ch_kv_result *result),
                            void *data);
+    /* After a return, what was written in the seconds before it is lost. */
+    struct ch_kv_returns (*get_returns)(struct ch_kv *kv);
     void (*free)(struct ch_kv *kv);
 };
 
--- a/tests/failure/test_store_return.c
+++ b/tests/failure/test_store_return.c
@@ -13,6 +13,7 @@
 #define HOST "fit.example"
 #define PATH "/fit/"
 #define ADDED_PATH "/added/"
+#define BARRED_DIGEST "00112233445566778899aabbccddeeff"
 
 enum {
     NODES = 7,
@@ -315,14 +316,47 @@
     g_assert_cmpuint(late, ==, 0);
 }
 
+/* The copy is from before a barred request was recorded. */
+static void
+lose_crash_record(struct harness_fleet *fleet, const char *name)
+{
+    restore_copy(fleet, false);
+    int64_t returned_at = harness_now_ms();
+    int64_t recorded_after = -1;
+    while (recorded_after < 0 && harness_now_ms() < returned_at + APPLY_MS) {
+        g_autofree char *items = NULL;
+        (void)harness_get(fleet->users.address,
+                          "/api/kv-range?path_prefix=crashes/", &items);
+        if (items != NULL && strstr(items, BARRED_DIGEST) != NULL) {
+            recorded_after = harness_now_ms() - returned_at;
+        }
+        harness_sleep_ms(100);
+    }
+    g_print("figure: %s: recorded after %" G_GINT64_FORMAT " ms\n", name,
+            recorded_after);
+    g_assert_cmpint(recorded_after, >=, 0);
+}
+
 static const struct scenario scenarios[] = {
     {"changes-after-the-return", change_after_return},
     {"changes-after-the-return-without-leases", change_after_return},
     {"copy-is-older", copy_is_older},
     {"model-asked-for-after-the-return", place_after_return},
     {"back-twice-nodes-killed", return_twice},
+    {"barred-request-is-recorded-again", lose_crash_record},
 };
 
+/* Records a request as barred, which nodes read at their start. */
+static void
+put_barred_request(const struct harness_fleet *fleet)
+{
+    g_autofree char *value =
+        g_strdup_printf("0000000000000001 %" G_GINT64_FORMAT,
+                        g_get_real_time() / G_USEC_PER_SEC);
+    g_free(harness_call_control(&fleet->users,
+                                "put?key=crashes/" BARRED_DIGEST, value));
+}
+
 static struct harness_fleet *
 start_fleet(void)
 {
@@ -337,6 +371,8 @@
         g_autofree char *name = g_strdup_printf("e%u", i);
         harness_users_start_worker(fleet, name, "v1", "m1");
     }
+    save_copy(fleet);
+    put_barred_request(fleet);
     for (unsigned i = 0; i < fleet->node_count; i++) {
         harness_node_start(fleet, &fleet->nodes[i]);
     }
