A lease taken after the store came back from a copy is used once its holder has stopped

The store loses the leases of the last seconds, and the key of one is free while its holder, if it is cut off from the store, still uses it: two nodes would order the engines of one data centre, and not all engines compare fencing tokens. Found by reading, not seen. Whoever takes such a lease and did not hold it before waits until the use of the earlier one has ended, 6.2 s after it saw the return at the latest; the holder itself goes on at once with a higher token.

A node that starts in these seconds does not know of the return: open.

--- a/libchestnuthitch/node/lease.c
+++ b/libchestnuthitch/node/lease.c
@@ -39,7 +39,10 @@
     int64_t call_sent_at; /* when the call in flight was sent */
     bool held;
     uint64_t fencing_token;
-    char *write_id; /* value of the write in flight, to recognise it */
+    bool was_holder;     /* until the store came back from a copy */
+    uint64_t returns;    /* of the store, when the lease was acquired */
+    int64_t usable_from; /* an earlier holder may use the lease until then */
+    char *write_id;      /* value of the write in flight, to recognise it */
     uint64_t write_count;
     int64_t next_attempt_at;
     uint64_t replaced_revision; /* revision of the key of an earlier process;
@@ -95,8 +98,9 @@
 ch_lease_is_held(struct ch_lease *lease, uint64_t *fencing_token)
 {
     pthread_mutex_lock(&lease->lock);
-    bool held =
-        lease->held && get_boottime_us() - lease->renewed_at < LEASE_USE_US;
+    int64_t now = get_boottime_us();
+    bool held = lease->held && now - lease->renewed_at < LEASE_USE_US &&
+                now >= lease->usable_from;
     *fencing_token = lease->fencing_token;
     pthread_mutex_unlock(&lease->lock);
     return held;
@@ -126,6 +130,23 @@
 
 /* ---- acquiring and renewing ---- */
 
+/*
+ * When the lease may be used. A store that comes back from a copy has lost the
+ * leases of the last seconds, and the key is free while its holder, if it is
+ * cut off, still uses the lease. The holder itself goes on at once.
+ */
+static int64_t
+get_usable_from(const struct ch_lease *lease,
+                const struct ch_kv_returns *returns)
+{
+    if (returns->last_at == 0 || lease->was_holder) {
+        return 0;
+    }
+    int64_t age = ch_client_get_time(lease->node->client) - returns->last_at;
+    int64_t left = LEASE_USE_US + CLOCK_MARGIN_US - age;
+    return left > 0 ? get_boottime_us() + left : 0;
+}
+
 /* Records that this attempt wrote the key, unless the lease was released
  * meanwhile. Lock held. */
 static void
@@ -134,6 +155,10 @@
     if (lease->released) {
         return;
     }
+    const struct ch_kv_returns returns = ch_kv_get_returns(lease->node);
+    lease->usable_from = get_usable_from(lease, &returns);
+    lease->returns = returns.count;
+    lease->was_holder = false;
     lease->fencing_token = revision;
     set_held(lease, true, "the key was free");
 }
@@ -233,6 +258,9 @@
     bool from_earlier = is_from_earlier_process(lease, answer);
     bool proceed =
         !lease->released && (from_earlier || answer->code == CH_KV_MISSING);
+    if (answer->code == CH_OK && !from_earlier) {
+        lease->was_holder = false;
+    }
     if (proceed) {
         lease->replaced_revision = from_earlier ? answer->revision : 0;
         lease->call_sent_at = get_boottime_us();
@@ -261,6 +289,11 @@
         lease->renewed_at = lease->call_sent_at;
     }
     else if (answer->code == CH_KV_MISSING) {
+        lease->was_holder =
+            lease->held &&
+            get_boottime_us() - lease->renewed_at < LEASE_USE_US &&
+            get_boottime_us() >= lease->usable_from &&
+            ch_kv_get_returns(lease->node).count > lease->returns;
         schedule_retry(lease, "the lease has ended");
     }
     pthread_mutex_unlock(&lease->lock);
