Responses without end are closed at a bound in bytes and in time

By our own test (test_endless, an upstream that sends without end), on the state before: 8 of 12 cases ended by themselves; header lines and interim responses that come slowly never ended, as each restarts the time-out (0 of 1 calls in 12 s, no deadline stated); trailers and extensions of a chunk's size took 32 MB and whatever more would have come.

The lines of a response's headers, interim ones and trailers included, are bounded to 128 KB, interim responses to 16, a head to 5 s from its first line, and bytes of which none belongs to the body to 1 MB; the call ends as malformed or silent, and 'not run' is not claimed. libcurl passes the last of these on to its debug function alone. Now all 12 end, the slowest after 5 s; 100 calls at once as well.

Failed try: counting the connection's bytes by the kernel in libcurl's progress function, as the connection is not known there while the call is under way.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -28,6 +28,15 @@
      */
     MAX_IDLE_CONNECTIONS = 256,
     MAX_POLL_MS = 60 * 1000,
+    /* All header lines of a response: of interim ones, the final one and
+     * trailers. */
+    MAX_HEADER_BYTES = 128 * 1024,
+    MAX_INTERIM_RESPONSES = 16,
+    /* From the first line of a response's head to its end. */
+    HEAD_TIMEOUT_US = 5 * 1000 * 1000,
+    /* Received on the connection without any that belong to the body, such as
+     * extensions of a chunk's size. */
+    MAX_FRAMING_BYTES = 1024 * 1024,
 };
 
 enum phase {
@@ -65,7 +74,12 @@
     int64_t started_at;      /* see struct ch_http_result */
     int64_t connected_at;
     bool headers_done; /* the final headers are complete */
-    int status;        /* final status; 0: none yet */
+    size_t header_bytes;
+    unsigned interim_responses;
+    int64_t head_deadline; /* of the head being received; 0: none */
+    size_t framing_bytes;  /* received since the last data */
+    const char *excess;    /* what is without end; NULL: nothing */
+    int status;            /* final status; 0: none yet */
     char error_text[CURL_ERROR_SIZE];
 };
 
@@ -195,9 +209,31 @@
     transfer->phase = PHASE_BODY;
     transfer->last_received_at = ch_client_get_time(transfer->http->client);
     transfer->http->last_received_at = transfer->last_received_at;
+    transfer->framing_bytes = 0;
     set_phase_timeout(transfer, transfer->stall_timeout);
 }
 
+/* Restarts the timeout while a head is received, and bounds the whole head. */
+static void
+record_head_line(struct transfer *transfer, size_t length)
+{
+    record_received(transfer);
+    transfer->header_bytes += length;
+    if (transfer->header_bytes > MAX_HEADER_BYTES) {
+        transfer->excess = "the response's headers are over the limit";
+    }
+    if (transfer->headers_done) {
+        return;
+    }
+    if (transfer->head_deadline == 0) {
+        transfer->head_deadline = transfer->last_received_at + HEAD_TIMEOUT_US;
+    }
+    transfer->phase_deadline =
+        MIN(transfer->phase_deadline, transfer->head_deadline);
+    transfer->http->next_check_at =
+        MIN(transfer->http->next_check_at, transfer->phase_deadline);
+}
+
 /* Parses a status line. Of interim (1xx) responses the owner gets the headers
  * alone. */
 static void
@@ -209,6 +245,10 @@
         status = (int)g_ascii_strtoll(space + 1, NULL, 10);
     }
     transfer->status = status >= 200 ? status : 0;
+    if (transfer->status == 0 &&
+        ++transfer->interim_responses > MAX_INTERIM_RESPONSES) {
+        transfer->excess = "there are too many interim responses";
+    }
     if (transfer->status != 0 && transfer->handlers.on_status != NULL) {
         transfer->handlers.on_status(transfer->data, status);
     }
@@ -239,22 +279,29 @@
 {
     struct transfer *transfer = data;
     size_t length = size * count;
-    record_received(transfer);
+    record_head_line(transfer, length);
+    if (transfer->excess != NULL) {
+        return 0;
+    }
     if (transfer->headers_done) {
         return length;
     }
     if (transfer->status == 0 && length > 5 &&
         strncasecmp(line, "HTTP/", 5) == 0) {
         parse_status_line(transfer, line, length);
-        return length;
+        return transfer->excess == NULL ? length : 0;
     }
     if (transfer->status == 0) {
+        if (line[0] == '\r' || line[0] == '\n') {
+            transfer->head_deadline = 0;
+        }
         parse_header_line(transfer, line, length,
                           transfer->handlers.on_interim_header);
         return length;
     }
     if (line[0] == '\r' || line[0] == '\n') {
         transfer->headers_done = true;
+        transfer->head_deadline = 0;
         if (transfer->handlers.on_headers_end != NULL) {
             transfer->handlers.on_headers_end(transfer->data);
         }
@@ -276,6 +323,33 @@
     return transfer->cancelled ? 0 : size * count;
 }
 
+/* Called by libcurl with all that it receives. It skips the extensions of a
+ * chunk's size without a limit, and passes none of them on. */
+static int
+handle_raw_data(CURL *easy, curl_infotype type, char *bytes, size_t size,
+                void *data)
+{
+    (void)easy, (void)bytes;
+    struct transfer *transfer = data;
+    if (type == CURLINFO_DATA_IN) {
+        transfer->framing_bytes += size;
+        if (transfer->framing_bytes > MAX_FRAMING_BYTES) {
+            transfer->excess = "the response has framing over the limit";
+        }
+    }
+    return 0;
+}
+
+/* Called by libcurl whenever it has worked on the transfer; not 0 ends it. */
+static int
+handle_progress(void *data, curl_off_t total, curl_off_t now,
+                curl_off_t upload_total, curl_off_t upload_now)
+{
+    const struct transfer *transfer = data;
+    (void)total, (void)now, (void)upload_total, (void)upload_now;
+    return transfer->excess != NULL;
+}
+
 /* Sets the options common to all transfers; see the top of this file. */
 static void
 set_common_options(CURL *easy, struct transfer *transfer)
@@ -300,6 +374,12 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body_data);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, handle_raw_data);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, handle_progress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, transfer);
 }
 
 static void
@@ -409,6 +489,9 @@
     if (transfer->cancelled) {
         return CH_CANCELLED;
     }
+    if (transfer->excess != NULL) {
+        return CH_UPSTREAM_ANSWER;
+    }
     if (result == CURLE_OK) {
         return transfer->status == 0 && !transfer->connect_only
                    ? CH_UPSTREAM_ANSWER
@@ -444,6 +527,7 @@
         const char *text = transfer->error_text[0] != '\0'
                                ? transfer->error_text
                                : curl_easy_strerror(result);
+        text = transfer->excess != NULL ? transfer->excess : text;
         transfer->connection_refused =
             !transfer->sent && result == CURLE_COULDNT_CONNECT;
         if (transfer->connect_only && result == CURLE_OK) {
@@ -526,9 +610,10 @@
         [PHASE_FIRST_BYTE] = "no response in time",
         [PHASE_BODY] = "silent in the middle of the response",
     };
-    transfer_end(transfer,
-                 transfer->sent ? CH_UPSTREAM_STALLED : CH_UPSTREAM_CONNECT,
-                 texts[transfer->phase]);
+    transfer_end(
+        transfer, transfer->sent ? CH_UPSTREAM_STALLED : CH_UPSTREAM_CONNECT,
+        transfer->head_deadline != 0 ? "the response's headers took too long"
+                                     : texts[transfer->phase]);
 }
 
 /* The timeout of the transfer's current phase after it was connected. */
@@ -549,7 +634,9 @@
 {
     bool total_passed =
         transfer->total_deadline != 0 && transfer->total_deadline <= now;
-    if (total_passed || transfer->phase == PHASE_CONNECT ||
+    bool head_passed =
+        transfer->head_deadline != 0 && transfer->head_deadline <= now;
+    if (total_passed || head_passed || transfer->phase == PHASE_CONNECT ||
         transfer->handlers.on_stall == NULL ||
         !transfer->handlers.on_stall(transfer->data)) {
         return false;
