Logs of a fleet stay if any test of its program fails

A check after the fleet has stopped may fail, and its logs were gone by then (parts that crash half of the time, red once in five runs beside load). The files are removed when the program ends without a failure; the folder's name is printed by the harness.

--- a/tests/bench/bench_path.c
+++ b/tests/bench/bench_path.c
@@ -408,7 +408,6 @@
     (void)argv;
     struct harness_fleet *fleet =
         harness_fleet_start(harness_get_build_directory(), &config);
-    g_print("# logs in %s\n", fleet->directory);
     harness_sleep_ms(1000);
     g_print("figure: memory of an idle node: %.1f MB resident\n",
             harness_get_memory_kb(fleet->nodes[0].pid) / 1024);
--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -299,7 +299,6 @@
     struct callers callers = {.fleet = fleet, .is_plain = scenario->is_plain};
     struct caller caller[CALLERS];
     GThread *threads[CALLERS];
-    g_print("# logs in %s\n", fleet->directory);
     pthread_mutex_init(&callers.lock, NULL);
     for (unsigned i = 0; i < CALLERS; i++) {
         caller[i] = (struct caller){&callers, 1000 + i};
--- a/tests/failure/test_crash.c
+++ b/tests/failure/test_crash.c
@@ -178,7 +178,6 @@
                                                    declaration};
     struct harness_fleet *fleet =
         harness_fleet_start(harness_get_build_directory(), &shape);
-    g_print("# logs in %s\n", fleet->directory);
     harness_warm_up(fleet, &harmless, 1);
     for (unsigned i = 0; i < fleet->upstream_count; i++) {
         harness_set_faults(&fleet->upstreams[i].standin, "crash_ms=%d",
--- a/tests/failure/test_engine.c
+++ b/tests/failure/test_engine.c
@@ -122,7 +122,6 @@
         .node_count = 3, .engine_count = 2, .service_count = 2};
     struct harness_fleet *fleet =
         harness_fleet_start(harness_get_build_directory(), &shape);
-    g_print("# logs in %s\n", fleet->directory);
     for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
         harness_warm_up(fleet, harness_default_kinds,
                         HARNESS_DEFAULT_KIND_COUNT);
--- a/tests/failure/test_notices.c
+++ b/tests/failure/test_notices.c
@@ -309,7 +309,6 @@
         .deadline_ms = DEADLINE_MS,
         .max_pause_ms = MAX_PAUSE_MS,
     };
-    g_print("# logs in %s\n", fleet->directory);
     struct harness_users_run *run = harness_users_load_start(&load);
     harness_sleep_ms(WARM_UP_MS);
     scenario->faults(fleet);
--- a/tests/failure/test_parts.c
+++ b/tests/failure/test_parts.c
@@ -380,7 +380,6 @@
     struct caller caller[SOUND_CALLERS + CRASHING_CALLERS];
     GThread *threads[SOUND_CALLERS + CRASHING_CALLERS];
     struct times times = {0};
-    g_print("# logs in %s\n", fleet->directory);
     pthread_mutex_init(&callers.lock, NULL);
     for (unsigned i = 0; i < G_N_ELEMENTS(caller); i++) {
         caller[i] = (struct caller){&callers, i, i >= SOUND_CALLERS};
--- a/tests/failure/test_skew.c
+++ b/tests/failure/test_skew.c
@@ -226,7 +226,6 @@
     struct caller caller[CALLERS];
     GThread *threads[CALLERS];
     int64_t skewed_at[2];
-    g_print("# logs in %s\n", fleet->directory);
     pthread_mutex_init(&callers.lock, NULL);
     for (unsigned i = 0; i < CALLERS; i++) {
         caller[i] = (struct caller){&callers, 1000 + i};
