Leases of the store are kept by an ID of the client's own

The users' store gives out lease IDs too large to be joined with an era; each was taken for no lease, and no node could hold one.

The client keeps the store's ID and era of each lease under an ID of its own, which nothing else sees. test_store has a lease with the largest number that JSON has exactly.

--- a/libchestnuthitch/eras/eras.h
+++ b/libchestnuthitch/eras/eras.h
@@ -17,9 +17,9 @@
 };
 
 /*
- * A number of the store (a revision or a lease ID) together with its era, as
- * one number that rises with both and is exact as a double. In the first era
- * it is the store's own number.
+ * A revision of the store together with its era, as one number that rises with
+ * both and is exact as a double. In the first era it is the store's own
+ * number.
  */
 enum {
     CH_ERA_NUMBER_BITS = 40,
--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -216,6 +216,10 @@
     "{\"key\":\"op/config\",\"value\":"                                       \
     "\"eyJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119\",\"revision\":9,\"at\":12}"
 
+enum {
+    FIRST_LEASE = 1, /* the client's own ID of the first one */
+};
+
 enum call {
     GET,
     GET_CONFIG,
@@ -326,16 +330,24 @@
      {OK_JSON("{\"lease\":77,\"ttl_ms\":3000}")},
      LEASE,
      CH_OK,
-     77,
+     FIRST_LEASE,
      0,
      "{\"ttl_ms\":3000}"},
     {"a lease that has ended",
-     {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"},
+     {OK_JSON("{\"lease\":77,\"ttl_ms\":3000}"),
+      "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"},
      RENEW,
      CH_KV_MISSING,
      0,
      0,
      "POST /api/kv-keep/77 "},
+    {"a lease whose ID is as large as a number of JSON can be",
+     {OK_JSON("{\"lease\":9007199254740991,\"ttl_ms\":3000}"), OK_JSON("{}")},
+     RENEW,
+     CH_OK,
+     0,
+     0,
+     "POST /api/kv-keep/9007199254740991 "},
     {"a range of two pages",
      {OK_JSON("{\"items\":[{\"key\":\"p/a\",\"value\":\"\",\"revision\":1}],"
               "\"has_more\":true,\"at\":20}"),
@@ -403,7 +415,7 @@
         kv->ops->create_lease(kv, 3000000, record_kv_result, result);
         return;
     case RENEW:
-        kv->ops->renew_lease(kv, 77, record_kv_result, result);
+        kv->ops->renew_lease(kv, FIRST_LEASE, record_kv_result, result);
         return;
     case RANGE:
         kv->ops->range(kv, "p/", record_range, result);
@@ -501,13 +513,18 @@
      {READ_IN("0"), ERA("1", "200 OK", "{\"lease\":7,\"ttl_ms\":1}")},
      LEASE,
      CH_OK,
-     NEXT_ERA + 7},
+     FIRST_LEASE},
     {"renewal",
-     {READ_IN("0"), ERA("1", "200 OK", "{}")},
+     {ERA("0", "200 OK", "{\"lease\":7,\"ttl_ms\":1}"),
+      ERA("1", "200 OK", "{}")},
+     RENEW,
+     CH_KV_MISSING,
+     0},
+    {"renewal, not sent",
+     {ERA("0", "200 OK", "{\"lease\":7,\"ttl_ms\":1}"), READ_IN("1")},
      RENEW,
      CH_KV_MISSING,
      0},
-    {"renewal, not sent", {READ_IN("1")}, RENEW, CH_KV_MISSING, 0},
     {"changes",
      {READ_IN("0"), ERA("1", "200 OK", "{\"events\":[],\"at\":9}")},
      CHANGES,
@@ -547,9 +564,16 @@
         fixture_init(&fixture, responses);
         g_test_message("%s", era_rows[i].description);
         result_init(&result);
-        make_call(fixture.kv, GET, &result);
+        make_call(fixture.kv, era_rows[i].call == RENEW ? LEASE : GET,
+                  &result);
         wait_done(&result);
         result_clear(&result);
+        if (era_rows[i].call == RENEW && strstr(responses[1], "value")) {
+            result_init(&result);
+            make_call(fixture.kv, GET, &result);
+            wait_done(&result);
+            result_clear(&result);
+        }
         result_init(&result);
         make_call(fixture.kv, era_rows[i].call, &result);
         wait_done(&result);
@@ -573,10 +597,13 @@
         fixture_init(&fixture, responses);
         struct ch_kv *kv = fixture.kv;
         g_test_message("%s", store_rows[i].description);
-        if (store_rows[i].call == WATCH_CONFIG) {
-            /* The watch starts at the revision of an earlier read. */
+        if (store_rows[i].call == WATCH_CONFIG ||
+            store_rows[i].call == RENEW) {
+            /* The watch starts at the revision of an earlier read, and a
+             * renewal is of a lease that was granted. */
             result_init(&result);
-            make_call(kv, GET_CONFIG, &result);
+            make_call(kv, store_rows[i].call == RENEW ? LEASE : GET_CONFIG,
+                      &result);
             wait_done(&result);
             result_clear(&result);
         }
