Responses that began are counted once for each part of prompts

Cause: a node that sends all that it knows of crashes told the sum of all nodes' counts as its own, and the receiver counted the others' part again. Under load nodes ask for all more often.

--- a/libchestnuthitch/crash/crash.h
+++ b/libchestnuthitch/crash/crash.h
@@ -151,12 +151,18 @@
 bool ch_crash_table_find_release(const struct ch_crash_table *table,
                                  const struct ch_digest *digest, int64_t *at);
 
-/* Responses to prompts with a part that have begun. */
+/* Responses to prompts with a part that have begun at one node. */
 struct ch_crash_begun {
     struct ch_digest digest;
     unsigned count;
+    GQuark node; /* 0: this node */
 };
 
+/* Lists all counts that this node knows, of each node by itself: a node that
+ * took a sum for one node's count would count the others twice. */
+void ch_crash_table_list_begun(const struct ch_crash_table *table,
+                               GArray *out);
+
 /* ---- which parts of prompts began lately (begun.c) ---- */
 
 struct ch_begun_parts;
--- a/libchestnuthitch/crash/table.c
+++ b/libchestnuthitch/crash/table.c
@@ -346,13 +346,44 @@
             suspect->own_begun > suspect->own_begun_told &&
             known < crash_suspect_get_begun_told(table, suspect)) {
             const struct ch_crash_begun begun = {suspect->digest,
-                                                 suspect->own_begun};
+                                                 suspect->own_begun, 0};
             suspect->own_begun_told = suspect->own_begun;
             g_array_append_val(out, begun);
         }
     }
 }
 
+/* See crash.h. */
+void
+ch_crash_table_list_begun(const struct ch_crash_table *table, GArray *out)
+{
+    GHashTableIter suspects;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&suspects, table->suspects);
+    while (g_hash_table_iter_next(&suspects, NULL, &value)) {
+        const struct crash_suspect *suspect = value;
+        const struct ch_crash_begun own = {suspect->digest, suspect->own_begun,
+                                           0};
+        if (suspect->part == 0) {
+            continue;
+        }
+        g_array_append_val(out, own);
+        GHashTableIter nodes;
+        gpointer node = NULL;
+        gpointer count = NULL;
+        if (suspect->begun_elsewhere == NULL) {
+            continue;
+        }
+        g_hash_table_iter_init(&nodes, suspect->begun_elsewhere);
+        while (g_hash_table_iter_next(&nodes, &node, &count)) {
+            const struct ch_crash_begun begun = {suspect->digest,
+                                                 GPOINTER_TO_UINT(count),
+                                                 GPOINTER_TO_UINT(node)};
+            g_array_append_val(out, begun);
+        }
+    }
+}
+
 /* See crash.h. */
 void
 ch_crash_table_foreach_part(const struct ch_crash_table *table,
--- a/libchestnuthitch/node/crash_publish.c
+++ b/libchestnuthitch/node/crash_publish.c
@@ -116,17 +116,19 @@
     g_ptr_array_add(message->releases, row);
 }
 
-/* Adds how many responses to prompts with a part began; the digest must
+/* Adds how many responses to prompts with a part began at a node; begun must
  * outlive the message. */
 static void
-message_add_begun(struct message *message, const struct ch_digest *digest,
-                  unsigned count)
+message_add_begun(struct message *message, const struct ch_crash_begun *begun)
 {
     Chestnuthitch__Wire__CrashBegun *row =
         g_new(Chestnuthitch__Wire__CrashBegun, 1);
     chestnuthitch__wire__crash_begun__init(row);
-    row->digest = wire_digest(digest);
-    row->count = count;
+    row->digest = wire_digest(&begun->digest);
+    row->count = begun->count;
+    if (begun->node != 0) {
+        row->node = (char *)g_quark_to_string(begun->node);
+    }
     g_ptr_array_add(message->begun, row);
 }
 
@@ -285,9 +287,8 @@
     ch_crash_table_collect_begun(guard->table, begun);
     pthread_mutex_unlock(&guard->lock);
     for (guint i = 0; i < begun->len; i++) {
-        const struct ch_crash_begun *row =
-            &g_array_index(begun, struct ch_crash_begun, i);
-        message_add_begun(&message, &row->digest, row->count);
+        message_add_begun(&message,
+                          &g_array_index(begun, struct ch_crash_begun, i));
     }
     if (begun->len > 0) {
         GPtrArray *others = list_other_nodes(guard);
@@ -347,21 +348,23 @@
         g_array_new(FALSE, FALSE, sizeof(struct ch_crash_observation)),
         g_array_new(FALSE, FALSE, sizeof(struct ch_crash_assessment)),
     };
+    GArray *begun = g_array_new(FALSE, FALSE, sizeof(struct ch_crash_begun));
     struct message message;
     message_init(&message, ch_client_get_time(guard->node->client));
     message.crashes.whole = true;
     pthread_mutex_lock(&guard->lock);
     ch_crash_table_foreach_observation(guard->table, copy_observation, &state);
     ch_crash_table_foreach(guard->table, copy_assessment, &state);
+    ch_crash_table_list_begun(guard->table, begun);
+    for (guint i = 0; i < begun->len; i++) {
+        message_add_begun(&message,
+                          &g_array_index(begun, struct ch_crash_begun, i));
+    }
     for (guint i = 0; i < state.assessments->len; i++) {
         const struct ch_crash_assessment *assessment =
             &g_array_index(state.assessments, struct ch_crash_assessment, i);
         int64_t released_at = 0;
-        if (assessment->part != 0) {
-            message_add_begun(&message, &assessment->digest,
-                              assessment->begun);
-        }
-        else if (assessment->state == CH_CRASH_HARMLESS) {
+        if (assessment->part == 0 && assessment->state == CH_CRASH_HARMLESS) {
             message_add_harmless(&message, &assessment->digest);
         }
         if (ch_crash_table_find_release(guard->table, &assessment->digest,
@@ -378,6 +381,7 @@
     char *name = frame->from;
     message_send(guard, &message, &name, 1);
     message_clear(&message);
+    g_array_free(begun, TRUE);
     g_array_free(state.observations, TRUE);
     g_array_free(state.assessments, TRUE);
 }
@@ -441,10 +445,12 @@
         }
     }
     for (size_t i = 0; i < crashes->n_begun; i++) {
-        if (parse_digest(&crashes->begun[i]->digest, &digest)) {
+        const Chestnuthitch__Wire__CrashBegun *row = crashes->begun[i];
+        const char *node = row->node[0] == '\0' ? frame->from : row->node;
+        if (parse_digest(&row->digest, &digest) &&
+            strcmp(node, guard->node->settings->name) != 0) {
             ch_crash_table_report_begun(guard->table, &digest,
-                                        g_quark_from_string(frame->from),
-                                        crashes->begun[i]->count);
+                                        g_quark_from_string(node), row->count);
         }
     }
     for (size_t i = 0; i < crashes->n_released; i++) {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -5295,7 +5295,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__crash_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_begun__field_descriptors[2] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__crash_begun__field_descriptors[3] =
 {
   {
     "digest",
@@ -5321,15 +5321,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "node",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__CrashBegun, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__crash_begun__field_indices_by_name[] = {
   1,   /* field[1] = count */
   0,   /* field[0] = digest */
+  2,   /* field[2] = node */
 };
 static const ProtobufCIntRange chestnuthitch__wire__crash_begun__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__crash_begun__descriptor =
 {
@@ -5339,7 +5352,7 @@
   "Chestnuthitch__Wire__CrashBegun",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__CrashBegun),
-  2,
+  3,
   chestnuthitch__wire__crash_begun__field_descriptors,
   chestnuthitch__wire__crash_begun__field_indices_by_name,
   1,  chestnuthitch__wire__crash_begun__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -820,10 +820,14 @@
    */
   ProtobufCBinaryData digest;
   uint32_t count;
+  /*
+   * at which they began; empty: the sender
+   */
+  char *node;
 };
 #define CHESTNUTHITCH__WIRE__CRASH_BEGUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__crash_begun__descriptor) \
-    , {0,NULL}, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -404,6 +404,69 @@
     }
 }
 
+/* The most responses that a node's status counts as begun, of any part. */
+static unsigned
+find_most_begun(struct test_node *node)
+{
+    unsigned most = 0;
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    ch_crash_guard_write_status(node->node.crash_guard, builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    JsonArray *suspects = json_object_get_array_member(
+        json_node_get_object(root), "crash_suspects");
+    for (guint i = 0; i < json_array_get_length(suspects); i++) {
+        most = MAX(most,
+                   (unsigned)json_object_get_int_member(
+                       json_array_get_object_element(suspects, i), "begun"));
+    }
+    json_node_unref(root);
+    g_object_unref(builder);
+    return most;
+}
+
+/* Guards against a part that is cleared by responses which are counted more
+ * than once: a node that sends all that it knows told the sum of all nodes as
+ * its own. One response begins at each node before and after another node
+ * joins. */
+static void
+test_begun_counted_once(void)
+{
+    static const struct ch_prompt_part parts[] = {{CRASHING_PART, 10},
+                                                  {OWN_PART, 10}};
+    struct test_node *nodes[NODE_COUNT + 1];
+    const struct ch_request request =
+        make_request_with_parts("one", "a", parts, 2);
+    start_three_nodes(nodes);
+    report_crash(nodes[0], &request, "u1");
+    for (unsigned round = 1; round <= 2; round++) {
+        for (unsigned i = 0; i < NODE_COUNT; i++) {
+            ch_crash_guard_record_begun(nodes[i]->node.crash_guard, &request);
+        }
+        int64_t deadline = g_get_monotonic_time() + TIMEOUT_US;
+        for (unsigned i = 0; i < NODE_COUNT + round - 1; i++) {
+            while (find_most_begun(nodes[i]) < round * NODE_COUNT) {
+                g_assert_cmpint(g_get_monotonic_time(), <, deadline);
+                g_usleep(POLL_PERIOD_US);
+            }
+        }
+        if (round == 1) {
+            nodes[NODE_COUNT] = test_node_new("n4");
+            send_host_list(nodes, NODE_COUNT + 1);
+            while (find_most_begun(nodes[NODE_COUNT]) == 0) {
+                g_assert_cmpint(g_get_monotonic_time(), <, deadline);
+                g_usleep(POLL_PERIOD_US);
+            }
+        }
+    }
+    const unsigned begun = 2 * NODE_COUNT;
+    for (unsigned i = 0; i <= NODE_COUNT; i++) {
+        g_assert_cmpuint(find_most_begun(nodes[i]), ==, begun);
+        test_node_free(nodes[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -417,5 +480,6 @@
     g_test_add_func("/crashes/answered-elsewhere", test_answered_elsewhere);
     g_test_add_func("/crashes/messages", test_messages);
     g_test_add_func("/crashes/parts-of-teams", test_parts_of_teams);
+    g_test_add_func("/crashes/begun-counted-once", test_begun_counted_once);
     return g_test_run();
 }
