Tests on the users' platform share their configuration, start and callers

What test_brittle, test_parts, test_versions, test_skew and the two new tests repeated of each other is in the harness: the operators' configuration, the start of all nodes, main() of named cases, callers in a loop.

--- a/tests/failure/test_brittle.c
+++ b/tests/failure/test_brittle.c
@@ -10,9 +10,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
-#define ORDERS_PATH "/orders/"
 #define MODELS "m1,m2"
 
 enum {
@@ -35,108 +32,9 @@
     MIN_SLOTS_USED_PERCENT = 90,
 };
 
-static const char config[] =
-    "{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300},{\"name\":\"r2\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" ORDERS_PATH "\",\"type\":\"safe\","
-    "\"timeout_ms\":6000,\"target_latency_ms\":1000,\"priority\":1,"
-    "\"service\":\"orders\",\"max_attempts\":2}],\"services\":[{\"name\":"
-    "\"engines\","
-    "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
-    "\"slots\":4,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}},{\"name\":\"orders\",\"health_path\":\"/healthz\","
-    "\"max_connections\":300}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
-/* ---- callers ---- */
-
-struct callers {
-    struct harness_fleet *fleet;
-    bool is_plain;
-    const char *model; /* NULL: both models in turn; guarded by lock */
-    pthread_mutex_t lock;
-    bool stopped;
-    unsigned last_id;
-    unsigned whole;
-    unsigned rejected;
-    unsigned other;
-};
-
-struct caller {
-    struct callers *callers;
-    guint32 seed;
-};
-
-/* Counts the result of one request; returns how long its caller pauses. */
-static int64_t
-count_result(struct callers *callers, const struct harness_stream *stream)
-{
-    bool whole = stream->status == 200 && stream->complete;
-    bool rejected = stream->status == 503;
-    pthread_mutex_lock(&callers->lock);
-    callers->whole += whole;
-    callers->rejected += rejected;
-    callers->other += !whole && !rejected;
-    pthread_mutex_unlock(&callers->lock);
-    if (whole) {
-        return 0;
-    }
-    return MIN((int64_t)(stream->retry_after_s * 1000) + 1, MAX_PAUSE_MS);
-}
-
-static void
-request_stream(struct callers *callers, GRand *random, const char *id)
-{
-    const struct harness_node *node =
-        &callers->fleet->nodes[g_rand_int_range(random, 0, NODES)];
-    const char *model = g_rand_boolean(random) ? "m1" : "m2";
-    pthread_mutex_lock(&callers->lock);
-    model = callers->model == NULL ? model : callers->model;
-    pthread_mutex_unlock(&callers->lock);
-    const struct harness_stream_call call = {
-        .address = node->caller_address,
-        .host = HOST,
-        .path = callers->is_plain ? ORDERS_PATH : PATH,
-        .request_id = id,
-        .model = callers->is_plain ? NULL : model,
-        .body = id, /* a request of its own, not a repeat of another one */
-        .events = EVENTS,
-        .deadline_ms = DEADLINE_MS,
-    };
-    struct harness_stream *stream = harness_request_stream(&call);
-    int64_t pause = count_result(callers, stream);
-    harness_stream_free(stream);
-    harness_sleep_ms(pause);
-}
-
-static gpointer
-run_caller(gpointer data)
-{
-    struct caller *caller = data;
-    struct callers *callers = caller->callers;
-    GRand *random = g_rand_new_with_seed(caller->seed);
-    while (true) {
-        char id[32];
-        pthread_mutex_lock(&callers->lock);
-        bool stopped = callers->stopped;
-        (void)g_snprintf(id, sizeof id, "%08x", ++callers->last_id);
-        pthread_mutex_unlock(&callers->lock);
-        if (stopped) {
-            break;
-        }
-        request_stream(callers, random, id);
-    }
-    g_rand_free(random);
-    return NULL;
-}
+static const char *const both_models[] = {"m1", "m2", NULL};
+static const char *const first_model[] = {"m1", NULL};
+static const char *const second_model[] = {"m2", NULL};
 
 /* ---- the upstreams' own record ---- */
 
@@ -222,7 +120,9 @@
         harness_fleet_prepare(harness_get_build_directory(), &shape);
     harness_set_faults(&fleet->users, "slots=%d&queue=%d&answer_ms=%d", SLOTS,
                        USUAL_QUEUE, ANSWER_MS);
-    harness_users_put_config(fleet, config);
+    const struct harness_users_config config = {.slots = SLOTS,
+                                                .orders = "safe"};
+    harness_users_put_standard_config(fleet, &config);
     for (unsigned i = 0; i < WORKERS; i++) {
         char name[16];
         (void)g_snprintf(name, sizeof name, "e%u", i + 1);
@@ -235,24 +135,16 @@
                                        scenario->has_idle ? one : MODELS);
         }
     }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        if (!harness_node_wait_ready(&fleet->nodes[i], true,
-                                     HARNESS_READY_TIMEOUT_MS)) {
-            g_error("%s is not ready, see %s", fleet->nodes[i].name,
-                    fleet->nodes[i].log_path);
-        }
-    }
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
 /* Of the time in which the upstreams may let fewer wait: what they rejected,
  * how often they fell over, and how much of their slots was used. */
 static void
-check(const struct scenario *scenario, const struct callers *callers,
-      const struct use *begin, const struct use *end)
+check(const struct scenario *scenario,
+      const struct harness_users_results *callers, const struct use *begin,
+      const struct use *end)
 {
     int64_t allowed = 2 + WORKERS / 10;
     int64_t falls = end->falls - begin->falls;
@@ -283,35 +175,33 @@
     return sum;
 }
 
-static void
-set_model(struct callers *callers, const char *model)
-{
-    pthread_mutex_lock(&callers->lock);
-    callers->model = model;
-    pthread_mutex_unlock(&callers->lock);
-}
-
 static void
 run_scenario(gconstpointer data)
 {
     const struct scenario *scenario = data;
     struct harness_fleet *fleet = start_fleet(scenario);
-    struct callers callers = {.fleet = fleet, .is_plain = scenario->is_plain};
-    struct caller caller[CALLERS];
-    GThread *threads[CALLERS];
-    pthread_mutex_init(&callers.lock, NULL);
-    for (unsigned i = 0; i < CALLERS; i++) {
-        caller[i] = (struct caller){&callers, 1000 + i};
-        threads[i] = g_thread_new("caller", run_caller, &caller[i]);
-    }
+    const char *const *models = scenario->is_plain ? NULL : both_models;
+    const struct harness_users_load load = {
+        .fleet = fleet,
+        .caller_count = CALLERS,
+        .path = scenario->is_plain ? HARNESS_USERS_ORDERS_PATH
+                                   : HARNESS_USERS_PATH,
+        .models = models,
+        .events = EVENTS,
+        .deadline_ms = DEADLINE_MS,
+        .max_pause_ms = MAX_PAUSE_MS,
+    };
+    struct harness_users_run *run = harness_users_load_start(&load);
     harness_sleep_ms(WARM_UP_MS);
-    set_model(&callers, scenario->has_idle ? "m1" : NULL);
+    harness_users_load_set_models(run,
+                                  scenario->has_idle ? first_model : models);
     harness_sleep_ms(scenario->has_idle ? DRAIN_MS : 0);
     harness_set_faults(&fleet->users, "brittle=%u", scenario->rejections + 1);
     harness_sleep_ms(SETTLE_MS);
     struct use begin = read_use(fleet);
     harness_set_faults(&fleet->users, "queue=0&fall_ms=%d", FALL_MS);
-    set_model(&callers, scenario->has_idle ? "m2" : NULL);
+    harness_users_load_set_models(run,
+                                  scenario->has_idle ? second_model : models);
     scenario->faults(fleet);
     struct use end = read_use(fleet);
     g_print(
@@ -320,37 +210,15 @@
         scenario->name, sum_counter(fleet, "upstream_full"),
         sum_counter(fleet, "upstream_full_retries"),
         sum_counter(fleet, "upstream_full_relayed"));
-    pthread_mutex_lock(&callers.lock);
-    callers.stopped = true;
-    pthread_mutex_unlock(&callers.lock);
-    for (unsigned i = 0; i < CALLERS; i++) {
-        (void)g_thread_join(threads[i]);
-    }
+    const struct harness_users_results results = harness_users_load_stop(run);
     g_assert_cmpuint(harness_fleet_stop(fleet), ==, 0);
-    check(scenario, &callers, &begin, &end);
-    pthread_mutex_destroy(&callers.lock);
+    check(scenario, &results, &begin, &end);
 }
 
 int
 main(int argc, char **argv)
 {
-    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        paths[i] = g_strdup_printf("/failure/brittle/%s", scenarios[i].name);
-    }
-    int status = 0;
-    if (argc == 1) {
-        status = harness_run_in_parallel(argv[0], paths);
-    }
-    else {
-        g_test_init(&argc, &argv, NULL);
-        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
-        }
-        status = g_test_run();
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_free(paths[i]);
-    }
-    return status;
+    return harness_run_cases(argc, argv, "brittle", scenarios,
+                             sizeof(scenarios[0]), G_N_ELEMENTS(scenarios),
+                             run_scenario);
 }
--- a/tests/failure/test_notices.c
+++ b/tests/failure/test_notices.c
@@ -9,10 +9,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
-#define ORDERS_PATH "/orders/"
-
 enum {
     NODES = 7,
     WORKERS = 4,
@@ -29,27 +25,6 @@
     MIN_SERVED_PERCENT = 90,
 };
 
-static const char config[] =
-    "{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300},{\"name\":\"r2\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" ORDERS_PATH "\",\"type\":\"safe\","
-    "\"timeout_ms\":6000,\"target_latency_ms\":1000,\"priority\":1,"
-    "\"service\":\"orders\",\"max_attempts\":2}],\"services\":[{\"name\":"
-    "\"engines\","
-    "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
-    "\"slots\":64,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}},{\"name\":\"orders\",\"health_path\":\"/healthz\","
-    "\"max_connections\":300}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
 static const char *const models[] = {"m1", "m2", NULL};
 
 struct scenario {
@@ -246,7 +221,8 @@
     struct harness_fleet *fleet =
         harness_fleet_prepare(harness_get_build_directory(), &shape);
     harness_set_faults(&fleet->users, "answer_ms=%d", ANSWER_MS);
-    harness_users_put_config(fleet, config);
+    const struct harness_users_config config = {.orders = "safe"};
+    harness_users_put_standard_config(fleet, &config);
     for (unsigned i = 1; i <= WORKERS; i++) {
         g_autofree char *name = g_strdup_printf("e%u", i);
         if (scenario->is_plain) {
@@ -256,10 +232,7 @@
             harness_users_start_worker(fleet, name, "v1", "m1,m2");
         }
     }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    harness_users_wait_ready(fleet);
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
@@ -302,8 +275,8 @@
     const struct harness_users_load load = {
         .fleet = fleet,
         .caller_count = CALLERS,
-        .host = HOST,
-        .path = scenario->is_plain ? ORDERS_PATH : PATH,
+        .path = scenario->is_plain ? HARNESS_USERS_ORDERS_PATH
+                                   : HARNESS_USERS_PATH,
         .models = scenario->is_plain ? NULL : models,
         .events = EVENTS,
         .deadline_ms = DEADLINE_MS,
@@ -320,23 +293,7 @@
 int
 main(int argc, char **argv)
 {
-    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        paths[i] = g_strdup_printf("/failure/notices/%s", scenarios[i].name);
-    }
-    int status = 0;
-    if (argc == 1) {
-        status = harness_run_in_parallel(argv[0], paths);
-    }
-    else {
-        g_test_init(&argc, &argv, NULL);
-        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
-        }
-        status = g_test_run();
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_free(paths[i]);
-    }
-    return status;
+    return harness_run_cases(argc, argv, "notices", scenarios,
+                             sizeof(scenarios[0]), G_N_ELEMENTS(scenarios),
+                             run_scenario);
 }
--- a/tests/failure/test_parts.c
+++ b/tests/failure/test_parts.c
@@ -11,8 +11,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
 #define MODELS "m1,m2"
 #define FIRST_PART "f1:350"
 #define CRASH_PART "dead01:100"
@@ -40,22 +38,6 @@
     MAX_LATE_SENDS = 3,
 };
 
-static const char config[] =
-    "{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":6000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":2,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300}],\"services\":[{\"name\":\"engines\","
-    "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
-    "\"slots\":64,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
 /* ---- callers ---- */
 
 /* A sound request's first attempt. */
@@ -90,8 +72,8 @@
         &callers->fleet->nodes[g_rand_int_range(random, 0, NODES)];
     const struct harness_stream_call call = {
         .address = node->caller_address,
-        .host = HOST,
-        .path = PATH,
+        .host = HARNESS_USERS_HOST,
+        .path = HARNESS_USERS_PATH,
         .request_id = id,
         .model = g_rand_boolean(random) ? "m1" : "m2",
         .prompt_prefix = prefix,
@@ -293,18 +275,6 @@
 
 /* ---- runs ---- */
 
-static void
-wait_ready(const struct harness_fleet *fleet)
-{
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        if (!harness_node_wait_ready(&fleet->nodes[i], true,
-                                     HARNESS_READY_TIMEOUT_MS)) {
-            g_error("%s is not ready, see %s", fleet->nodes[i].name,
-                    fleet->nodes[i].log_path);
-        }
-    }
-}
-
 static struct harness_fleet *
 start_fleet(const struct scenario *scenario)
 {
@@ -316,16 +286,15 @@
         harness_fleet_prepare(harness_get_build_directory(), &shape);
     harness_set_faults(&fleet->users, "crash_percent=%u&crash_ms=%d",
                        scenario->crash_percent, CRASH_MS);
-    harness_users_put_config(fleet, config);
+    const struct harness_users_config config = {.timeout_ms = 6000,
+                                                .max_attempts = 2};
+    harness_users_put_standard_config(fleet, &config);
     for (unsigned i = 0; i < WORKERS; i++) {
         char name[16];
         (void)g_snprintf(name, sizeof name, "e%u", i + 1);
         harness_users_start_worker(fleet, name, "v1", MODELS);
     }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    wait_ready(fleet);
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
@@ -412,23 +381,7 @@
 int
 main(int argc, char **argv)
 {
-    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        paths[i] = g_strdup_printf("/failure/parts/%s", scenarios[i].name);
-    }
-    int status = 0;
-    if (argc == 1) {
-        status = harness_run_in_parallel(argv[0], paths);
-    }
-    else {
-        g_test_init(&argc, &argv, NULL);
-        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
-        }
-        status = g_test_run();
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_free(paths[i]);
-    }
-    return status;
+    return harness_run_cases(argc, argv, "parts", scenarios,
+                             sizeof(scenarios[0]), G_N_ELEMENTS(scenarios),
+                             run_scenario);
 }
--- a/tests/failure/test_skew.c
+++ b/tests/failure/test_skew.c
@@ -9,9 +9,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
-#define ORDERS_PATH "/orders/"
 #define MODELS "m1,m2"
 
 enum {
@@ -33,27 +30,6 @@
     SETTLE_MS = 4000,
 };
 
-static const char config[] =
-    "{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":6000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":2,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300},{\"name\":\"r2\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" ORDERS_PATH "\",\"type\":\"unsafe\","
-    "\"timeout_ms\":6000,\"target_latency_ms\":300,\"priority\":1,"
-    "\"service\":\"orders\",\"max_attempts\":2}],\"services\":["
-    "{\"name\":\"engines\",\"health_path\":\"/healthz\","
-    "\"max_connections\":300,\"engine\":{"
-    "\"slots\":16,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}},{\"name\":\"orders\",\"health_path\":\"/healthz\","
-    "\"max_connections\":100}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
 /* ---- callers ---- */
 
 /* A request's first attempt that a node read. */
@@ -84,8 +60,8 @@
     const char *model = g_rand_boolean(random) ? "m1" : "m2";
     const struct harness_stream_call call = {
         .address = callers->fleet->nodes[node].caller_address,
-        .host = HOST,
-        .path = is_stream ? PATH : ORDERS_PATH,
+        .host = HARNESS_USERS_HOST,
+        .path = is_stream ? HARNESS_USERS_PATH : HARNESS_USERS_ORDERS_PATH,
         .request_id = id,
         .model = is_stream ? model : NULL,
         .body = id,
@@ -190,7 +166,13 @@
         harness_fleet_prepare(harness_get_build_directory(), &shape);
     harness_set_faults(&fleet->users, "slots=16&queue=16&answer_ms=%d",
                        ANSWER_MS);
-    harness_users_put_config(fleet, config);
+    const struct harness_users_config config = {.slots = 16,
+                                                .timeout_ms = 6000,
+                                                .max_attempts = 2,
+                                                .orders = "unsafe",
+                                                .orders_target_ms = 300,
+                                                .orders_connections = 100};
+    harness_users_put_standard_config(fleet, &config);
     for (unsigned i = 0; i < ENGINES + SERVICES; i++) {
         char name[16];
         (void)g_snprintf(name, sizeof name, "u%u", i + 1);
@@ -201,16 +183,7 @@
             harness_users_start_service(fleet, name);
         }
     }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        if (!harness_node_wait_ready(&fleet->nodes[i], true,
-                                     HARNESS_READY_TIMEOUT_MS)) {
-            g_error("%s is not ready, see %s", fleet->nodes[i].name,
-                    fleet->nodes[i].log_path);
-        }
-    }
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
--- a/tests/failure/test_store_return.c
+++ b/tests/failure/test_store_return.c
@@ -10,8 +10,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
 #define ADDED_PATH "/added/"
 #define BARRED_DIGEST "00112233445566778899aabbccddeeff"
 
@@ -37,24 +35,9 @@
     MAX_CALLS_PER_NODE_S = 2000 / 320,
 };
 
-static const char config_head[] =
-    "{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300}%s],\"services\":[{\"name\":\"engines\","
-    "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
-    "\"slots\":64,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}%s]}}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
 static const char added_route[] =
-    ",{\"name\":\"r2\",\"host\":\"" HOST "\",\"path_prefix\":\"" ADDED_PATH
+    ",{\"name\":\"r2\",\"host\":\"" HARNESS_USERS_HOST
+    "\",\"path_prefix\":\"" ADDED_PATH
     "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
     "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
     "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
@@ -72,10 +55,12 @@
 static void
 put_config(struct harness_fleet *fleet, int version, bool with_added)
 {
-    g_autofree char *text =
-        g_strdup_printf(config_head, version, with_added ? added_route : "",
-                        with_added ? added_model : "");
-    harness_users_put_config(fleet, text);
+    const struct harness_users_config config = {
+        .version = version,
+        .routes = with_added ? added_route : NULL,
+        .models = with_added ? added_model : NULL,
+    };
+    harness_users_put_standard_config(fleet, &config);
 }
 
 static void
@@ -113,7 +98,7 @@
     g_autofree char *id = g_strdup_printf("added-%u", ++last);
     const struct harness_stream_call call = {
         .address = node->caller_address,
-        .host = HOST,
+        .host = HARNESS_USERS_HOST,
         .path = ADDED_PATH,
         .request_id = id,
         .model = "m1",
@@ -264,8 +249,8 @@
     while (served_after < 0 && harness_now_ms() < returned_at + GIVE_UP_MS) {
         const struct harness_stream_call call = {
             .address = fleet->nodes[0].caller_address,
-            .host = HOST,
-            .path = PATH,
+            .host = HARNESS_USERS_HOST,
+            .path = HARNESS_USERS_PATH,
             .request_id = "place",
             .model = "m3",
             .events = 1,
@@ -374,10 +359,7 @@
     }
     save_copy(fleet);
     put_barred_request(fleet);
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    harness_users_wait_ready(fleet);
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
@@ -389,8 +371,7 @@
     const struct harness_users_load load = {
         .fleet = fleet,
         .caller_count = CALLERS,
-        .host = HOST,
-        .path = PATH,
+        .path = HARNESS_USERS_PATH,
         .models = models,
         .events = EVENTS,
         .deadline_ms = DEADLINE_MS,
@@ -409,24 +390,7 @@
 int
 main(int argc, char **argv)
 {
-    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        paths[i] =
-            g_strdup_printf("/failure/store-return/%s", scenarios[i].name);
-    }
-    int status = 0;
-    if (argc == 1) {
-        status = harness_run_in_parallel(argv[0], paths);
-    }
-    else {
-        g_test_init(&argc, &argv, NULL);
-        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
-        }
-        status = g_test_run();
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_free(paths[i]);
-    }
-    return status;
+    return harness_run_cases(argc, argv, "store-return", scenarios,
+                             sizeof(scenarios[0]), G_N_ELEMENTS(scenarios),
+                             run_scenario);
 }
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -12,8 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HOST "fit.example"
-#define PATH "/fit/"
 #define BOTH_MODELS "m1,m2"
 
 enum {
@@ -29,22 +27,6 @@
     MIN_TAKEN_UP = 12,
 };
 
-static const char config[] =
-    "{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"" HOST "\","
-    "\"path_prefix\":\"" PATH "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300}],\"services\":[{\"name\":\"engines\","
-    "\"health_path\":\"/healthz\",\"max_connections\":300,\"engine\":{"
-    "\"slots\":64,\"kv_capacity\":200000,\"weights_mb\":40000,"
-    "\"adapter_slots\":4,\"loads_per_s\":5,\"models\":["
-    "{\"name\":\"m1\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10},"
-    "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
-    "\"adapter_mb\":10}]}}],\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-    "\"idle_timeout_ms\":15000}}";
-
 /* ---- callers ---- */
 
 struct counts {
@@ -130,8 +112,8 @@
                 random, 0, (gint32)callers->fleet->node_count)];
         const struct harness_stream_call call = {
             .address = node->caller_address,
-            .host = HOST,
-            .path = PATH,
+            .host = HARNESS_USERS_HOST,
+            .path = HARNESS_USERS_PATH,
             .request_id = id,
             .resumes = takes_up && callers->resumes ? state->first_id : NULL,
             .last_event_id = takes_up ? last : NULL,
@@ -475,21 +457,13 @@
     };
     struct harness_fleet *fleet =
         harness_fleet_prepare(harness_get_build_directory(), &shape);
-    harness_users_put_config(fleet, config);
+    const struct harness_users_config config = {.version = 3};
+    harness_users_put_standard_config(fleet, &config);
     harness_users_start_worker(fleet, "e1", "v1", BOTH_MODELS);
     harness_users_start_worker(fleet, "e2", "v1", BOTH_MODELS);
     harness_users_start_worker(fleet, "e3", "v1.2", BOTH_MODELS);
     harness_users_start_worker(fleet, "e4", "v1.2", BOTH_MODELS);
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        harness_node_start(fleet, &fleet->nodes[i]);
-    }
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        if (!harness_node_wait_ready(&fleet->nodes[i], true,
-                                     HARNESS_READY_TIMEOUT_MS)) {
-            g_error("%s is not ready, see %s", fleet->nodes[i].name,
-                    fleet->nodes[i].log_path);
-        }
-    }
+    harness_users_start_nodes(fleet);
     return fleet;
 }
 
@@ -558,23 +532,7 @@
 int
 main(int argc, char **argv)
 {
-    char *paths[G_N_ELEMENTS(scenarios) + 1] = {NULL};
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        paths[i] = g_strdup_printf("/failure/versions/%s", scenarios[i].name);
-    }
-    int status = 0;
-    if (argc == 1) {
-        status = harness_run_in_parallel(argv[0], paths);
-    }
-    else {
-        g_test_init(&argc, &argv, NULL);
-        for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-            g_test_add_data_func(paths[i], &scenarios[i], run_scenario);
-        }
-        status = g_test_run();
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        g_free(paths[i]);
-    }
-    return status;
+    return harness_run_cases(argc, argv, "versions", scenarios,
+                             sizeof(scenarios[0]), G_N_ELEMENTS(scenarios),
+                             run_scenario);
 }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -245,6 +245,29 @@
 
 /* Waits until all nodes are ready. */
 void harness_users_wait_ready(const struct harness_fleet *fleet);
+/* Starts all nodes and waits until they are ready. */
+void harness_users_start_nodes(struct harness_fleet *fleet);
+
+#define HARNESS_USERS_HOST "fit.example"
+#define HARNESS_USERS_PATH "/fit/"           /* of streams */
+#define HARNESS_USERS_ORDERS_PATH "/orders/" /* of a plain service */
+
+/* The operators' configuration of the tests: streams of the models m1 and m2,
+ * and a plain service. */
+struct harness_users_config {
+    int version;            /* 0: 3 */
+    int slots;              /* of an engine; 0: 64 */
+    int timeout_ms;         /* of a stream; 0: 15000 */
+    int max_attempts;       /* of a stream; 0: 3 */
+    const char *orders;     /* type of the plain service's route; NULL: none */
+    int orders_target_ms;   /* 0: 1000 */
+    int orders_connections; /* 0: 300 */
+    const char *routes;     /* more, each after a comma; NULL: none */
+    const char *models;     /* likewise */
+};
+void
+harness_users_put_standard_config(struct harness_fleet *fleet,
+                                  const struct harness_users_config *config);
 
 /* Callers in a loop, each request by a random node; its ID begins with the
  * node's name and '-'. */
@@ -272,9 +295,9 @@
 
 struct harness_users_run *
 harness_users_load_start(const struct harness_users_load *load);
-/* The results so far. */
-struct harness_users_results
-harness_users_load_get(struct harness_users_run *run);
+/* Changes the models that are asked for. */
+void harness_users_load_set_models(struct harness_users_run *run,
+                                   const char *const *models);
 /* Ends the load when the requests in flight have ended, and frees run. */
 struct harness_users_results
 harness_users_load_stop(struct harness_users_run *run);
@@ -498,6 +521,12 @@
 /* Runs this program again for each path of a test, each in its own process and
  * on its own ports, some at a time. Returns the exit status of main(). */
 int harness_run_in_parallel(const char *program, char **paths);
+/* main() of a failure test of own cases, each of which begins with its name:
+ * each is the test /failure/THEME/NAME, run by run(case). Without arguments,
+ * they run in parallel, each in its own process. */
+int harness_run_cases(int argc, char **argv, const char *theme,
+                      const void *cases, size_t size, size_t count,
+                      void (*run)(gconstpointer one));
 /* main() of a failure test: each scenario is the test /failure/THEME/NAME.
  * Without arguments, scenarios run in parallel, each in its own process. */
 int harness_main(int argc, char **argv, const char *theme,
--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -322,3 +322,29 @@
     g_strfreev(paths);
     return status;
 }
+
+int
+harness_run_cases(int argc, char **argv, const char *theme, const void *cases,
+                  size_t size, size_t count, void (*run)(gconstpointer one))
+{
+    char **paths = g_new0(char *, count + 1);
+    int status = 0;
+    for (size_t i = 0; i < count; i++) {
+        const char *const *name =
+            (const void *)((const char *)cases + i * size);
+        paths[i] = g_strdup_printf("/failure/%s/%s", theme, *name);
+    }
+    if (argc == 1) {
+        status = harness_run_in_parallel(argv[0], paths);
+    }
+    else {
+        g_test_init(&argc, &argv, NULL);
+        for (size_t i = 0; i < count; i++) {
+            g_test_add_data_func(paths[i], (const char *)cases + i * size,
+                                 run);
+        }
+        status = g_test_run();
+    }
+    g_strfreev(paths);
+    return status;
+}
--- a/tests/harness/users_load.c
+++ b/tests/harness/users_load.c
@@ -1,4 +1,5 @@
-/* Callers of a fleet on the users' platform, in a loop. */
+/* The configuration, the start and the callers of a fleet on the users'
+ * platform. */
 
 #include "harness/harness.h"
 
@@ -30,6 +31,74 @@
     }
 }
 
+void
+harness_users_start_nodes(struct harness_fleet *fleet)
+{
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        harness_node_start(fleet, &fleet->nodes[i]);
+    }
+    harness_users_wait_ready(fleet);
+}
+
+static int
+or_default(int value, int otherwise)
+{
+    return value == 0 ? otherwise : value;
+}
+
+/* The route of the plain service, with a comma before; a new string. */
+static char *
+format_orders(const struct harness_users_config *config)
+{
+    return g_strdup_printf(
+        ",{\"name\":\"r2\",\"host\":\"" HARNESS_USERS_HOST
+        "\",\"path_prefix\":\"" HARNESS_USERS_ORDERS_PATH
+        "\",\"type\":\"%s\",\"timeout_ms\":6000,"
+        "\"target_latency_ms\":%d,\"priority\":1,\"service\":\"orders\","
+        "\"max_attempts\":2}",
+        config->orders, or_default(config->orders_target_ms, 1000));
+}
+
+void
+harness_users_put_standard_config(struct harness_fleet *fleet,
+                                  const struct harness_users_config *config)
+{
+    g_autofree char *orders =
+        config->orders == NULL ? g_strdup("") : format_orders(config);
+    g_autofree char *service =
+        config->orders == NULL
+            ? g_strdup("")
+            : g_strdup_printf(",{\"name\":\"orders\","
+                              "\"health_path\":\"/healthz\","
+                              "\"max_connections\":%d}",
+                              or_default(config->orders_connections, 300));
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":%d,\"routes\":[{\"name\":\"r1\","
+        "\"host\":\"" HARNESS_USERS_HOST
+        "\",\"path_prefix\":\"" HARNESS_USERS_PATH
+        "\",\"type\":\"streaming\",\"timeout_ms\":%d,"
+        "\"target_latency_ms\":1000,\"priority\":1,"
+        "\"service\":\"engines\",\"max_attempts\":%d,\"sticky\":true,"
+        "\"resumable\":true,\"target_gap_ms\":300}%s%s],"
+        "\"services\":[{\"name\":\"engines\","
+        "\"health_path\":\"/healthz\",\"max_connections\":300,"
+        "\"engine\":{\"slots\":%d,\"kv_capacity\":200000,"
+        "\"weights_mb\":40000,\"adapter_slots\":4,\"loads_per_s\":5,"
+        "\"models\":[{\"name\":\"m1\",\"weights_mb\":10000,"
+        "\"load_s\":0.3,\"adapters\":0,\"adapter_mb\":10},"
+        "{\"name\":\"m2\",\"weights_mb\":10000,\"load_s\":0.3,"
+        "\"adapters\":0,\"adapter_mb\":10}%s]}}%s],"
+        "\"limits\":{\"max_header_bytes\":16384,"
+        "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
+        "\"idle_timeout_ms\":15000}}",
+        or_default(config->version, 3), or_default(config->timeout_ms, 15000),
+        or_default(config->max_attempts, 3), orders,
+        config->routes == NULL ? "" : config->routes,
+        or_default(config->slots, 64),
+        config->models == NULL ? "" : config->models, service);
+    harness_users_put_config(fleet, text);
+}
+
 /* Counts the result of one request; returns how long its caller pauses. */
 static int64_t
 count_result(struct harness_users_run *run,
@@ -51,14 +120,16 @@
 }
 
 static const char *
-choose_model(const struct harness_users_load *load, GRand *random)
+choose_model(struct harness_users_run *run, GRand *random)
 {
     gint32 count = 0;
-    while (load->models != NULL && load->models[count] != NULL) {
+    pthread_mutex_lock(&run->lock);
+    const char *const *models = run->load.models;
+    pthread_mutex_unlock(&run->lock);
+    while (models != NULL && models[count] != NULL) {
         count++;
     }
-    return count == 0 ? NULL
-                      : load->models[g_rand_int_range(random, 0, count)];
+    return count == 0 ? NULL : models[g_rand_int_range(random, 0, count)];
 }
 
 static void
@@ -70,10 +141,10 @@
     g_autofree char *id = g_strdup_printf("%s-%08x", node->name, number);
     const struct harness_stream_call call = {
         .address = node->caller_address,
-        .host = load->host,
+        .host = HARNESS_USERS_HOST,
         .path = load->path,
         .request_id = id,
-        .model = choose_model(load, random),
+        .model = choose_model(run, random),
         .body = id,
         .events = load->events,
         .deadline_ms = load->deadline_ms,
@@ -122,13 +193,13 @@
     return run;
 }
 
-struct harness_users_results
-harness_users_load_get(struct harness_users_run *run)
+void
+harness_users_load_set_models(struct harness_users_run *run,
+                              const char *const *models)
 {
     pthread_mutex_lock(&run->lock);
-    struct harness_users_results results = run->results;
+    run->load.models = models;
     pthread_mutex_unlock(&run->lock);
-    return results;
 }
 
 struct harness_users_results
