--- a/libchestnuthitch/eras/entry.c
+++ b/libchestnuthitch/eras/entry.c
@@ -17,11 +17,11 @@
 
 /* See eras.h. */
 bool
-ch_entry_is_of_the_gone(const struct ch_entry_stamp *gone,
-                        const struct ch_entry_stamp *offered)
+ch_entry_precedes_removal(const struct ch_entry_stamp *removed,
+                          const struct ch_entry_stamp *offered)
 {
-    if (gone->write_count == 0 || gone->boot_id != offered->boot_id) {
-        return offered->boot_id < gone->boot_id;
+    if (removed->write_count == 0 || removed->boot_id != offered->boot_id) {
+        return offered->boot_id < removed->boot_id;
     }
-    return offered->write_count <= gone->write_count;
+    return offered->write_count <= removed->write_count;
 }
--- a/libchestnuthitch/eras/eras.h
+++ b/libchestnuthitch/eras/eras.h
@@ -62,7 +62,7 @@
 bool ch_entry_is_older(const struct ch_entry_stamp *known,
                        const struct ch_entry_stamp *offered);
 /* Whether an entry was written before its key was seen to be removed. */
-bool ch_entry_is_of_the_gone(const struct ch_entry_stamp *gone,
-                             const struct ch_entry_stamp *offered);
+bool ch_entry_precedes_removal(const struct ch_entry_stamp *removed,
+                               const struct ch_entry_stamp *offered);
 
 #endif
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -274,7 +274,7 @@
     }
     if (entry == NULL && removal != NULL &&
         is_of_later_era(source->revision, removal->revision) &&
-        ch_entry_is_of_the_gone(&removal->stamp, &offered)) {
+        ch_entry_precedes_removal(&removal->stamp, &offered)) {
         removal->revision = source->revision;
         return true;
     }
--- a/libchestnuthitch/notices/manager.c
+++ b/libchestnuthitch/notices/manager.c
@@ -94,7 +94,7 @@
         CH_F_END);
 }
 
-/* Tells others of a drain, and the user of this one; on a pool worker. */
+/* Tells other nodes of a drain, and this one's handler; on a pool worker. */
 struct drain_job {
     struct ch_notices *notices;
     GQuark upstream;
--- a/libchestnuthitch/notices/notices_internal.h
+++ b/libchestnuthitch/notices/notices_internal.h
@@ -34,7 +34,7 @@
 /* The upstream, or NULL. Lock held. */
 struct notices_upstream *notices_find(const struct ch_notices *notices,
                                       GQuark name);
-/* Tells the user of this node that an upstream drains. Lock not held. */
+/* Calls the handler of drains. Lock not held. */
 void notices_report_drain(struct ch_notices *notices);
 
 /* The upstream, added if it is not known yet. Lock held. */
--- a/tests/unit/test_eras.c
+++ b/tests/unit/test_eras.c
@@ -73,7 +73,7 @@
         struct ch_entry_stamp known;
         struct ch_entry_stamp offered;
         bool is_older;
-        bool is_of_the_gone; /* if the known one was removed */
+        bool precedes_removal; /* if the known one was removed */
     } rows[] = {
         {{5, 9, false}, {5, 9, false}, false, true},
         {{5, 9, false}, {5, 8, false}, true, true},
@@ -91,8 +91,8 @@
         g_assert_cmpint(ch_entry_is_older(&rows[i].known, &rows[i].offered),
                         ==, rows[i].is_older);
         g_assert_cmpint(
-            ch_entry_is_of_the_gone(&rows[i].known, &rows[i].offered), ==,
-            rows[i].is_of_the_gone);
+            ch_entry_precedes_removal(&rows[i].known, &rows[i].offered), ==,
+            rows[i].precedes_removal);
     }
 }
 
