--- a/libchestnuthitch/node/slots_peers.c
+++ b/libchestnuthitch/node/upstream_peers.c
@@ -1,9 +1,10 @@
-/* How the slots of brittle upstreams reach other nodes. */
+/* How the slots of brittle upstreams, and what upstreams say of calls to come,
+ * reach other nodes. */
 
 #include "node/node.h"
 
 static char *
-find_counter(void *data, GQuark upstream, GQuark region)
+find_home(void *data, GQuark upstream, GQuark region)
 {
     const struct ch_node *node = data;
     return ch_peers_find_upstream_home(
@@ -62,7 +63,7 @@
     const struct ch_slots_peers peers = {
         .data = node,
         .self = node->settings->name,
-        .find_counter = find_counter,
+        .find_counter = find_home,
         .count_listed = count_listed,
         .list_live = list_live,
         .send = send_frame,
@@ -71,3 +72,17 @@
     };
     return ch_slots_new(node->client, node->pool, node->timers, &peers);
 }
+
+/* See node.h. */
+struct ch_notices *
+ch_node_create_notices(struct ch_node *node)
+{
+    const struct ch_notices_peers peers = {
+        .data = node,
+        .self = node->settings->name,
+        .find_teller = find_home,
+        .list_live = list_live,
+        .send = send_frame,
+    };
+    return ch_notices_new(node->client, node->pool, node->timers, &peers);
+}
--- a/tests/threaded/test_crashes.c
+++ b/tests/threaded/test_crashes.c
@@ -135,11 +135,17 @@
     }
 }
 
-/* The sum of crashes in a node's status, over all requests. */
-static unsigned
-count_crashes(struct test_node *node)
+/* The sum and the greatest of a number in a node's status, over all requests
+ * and parts. */
+struct status_figures {
+    unsigned sum;
+    unsigned most;
+};
+
+static struct status_figures
+read_status(struct test_node *node, const char *member)
 {
-    unsigned crashes = 0;
+    struct status_figures figures = {0};
     JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     ch_crash_guard_write_status(node->node.crash_guard, builder);
@@ -148,12 +154,14 @@
     JsonArray *suspects = json_object_get_array_member(
         json_node_get_object(root), "crash_suspects");
     for (guint i = 0; i < json_array_get_length(suspects); i++) {
-        crashes += (unsigned)json_object_get_int_member(
-            json_array_get_object_element(suspects, i), "crashes");
+        unsigned value = (unsigned)json_object_get_int_member(
+            json_array_get_object_element(suspects, i), member);
+        figures.sum += value;
+        figures.most = MAX(figures.most, value);
     }
     json_node_unref(root);
     g_object_unref(builder);
-    return crashes;
+    return figures;
 }
 
 /* Guards against a request that continues to crash upstreams because each node
@@ -200,7 +208,7 @@
     for (unsigned i = 0; i < G_N_ELEMENTS(upstreams); i++) {
         report_crash(nodes[0], &request, upstreams[i]);
     }
-    g_assert_cmpuint(count_crashes(nodes[0]), ==, 1);
+    g_assert_cmpuint(read_status(nodes[0], "crashes").sum, ==, 1);
     g_assert_false(
         ch_crash_guard_is_barred(nodes[0]->node.crash_guard, &request));
     for (unsigned i = 0; i < NODE_COUNT; i++) {
@@ -325,12 +333,12 @@
     send_observation(nodes[1], "u1", CH_DIGEST_BYTES + 1, 1, 0);
     send_observation(nodes[1], "", CH_DIGEST_BYTES, 1, 0);
     g_usleep(QUIET_PERIOD_US);
-    g_assert_cmpuint(count_crashes(nodes[0]), ==, 0);
+    g_assert_cmpuint(read_status(nodes[0], "crashes").sum, ==, 0);
     send_observation(nodes[1], "u1", CH_DIGEST_BYTES, 1, 0);
     send_observation(nodes[1], "u1", CH_DIGEST_BYTES, 1, 5);
     send_observation(nodes[1], "u1", CH_DIGEST_BYTES, 2, 1);
     int64_t deadline = g_get_monotonic_time() + TIMEOUT_US;
-    while (count_crashes(nodes[0]) != 2) {
+    while (read_status(nodes[0], "crashes").sum != 2) {
         g_assert_cmpint(g_get_monotonic_time(), <, deadline);
         g_usleep(POLL_PERIOD_US);
     }
@@ -404,28 +412,6 @@
     }
 }
 
-/* The most responses that a node's status counts as begun, of any part. */
-static unsigned
-find_most_begun(struct test_node *node)
-{
-    unsigned most = 0;
-    JsonBuilder *builder = json_builder_new();
-    json_builder_begin_object(builder);
-    ch_crash_guard_write_status(node->node.crash_guard, builder);
-    json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    JsonArray *suspects = json_object_get_array_member(
-        json_node_get_object(root), "crash_suspects");
-    for (guint i = 0; i < json_array_get_length(suspects); i++) {
-        most = MAX(most,
-                   (unsigned)json_object_get_int_member(
-                       json_array_get_object_element(suspects, i), "begun"));
-    }
-    json_node_unref(root);
-    g_object_unref(builder);
-    return most;
-}
-
 /* Guards against a part that is cleared by responses which are counted more
  * than once: a node that sends all that it knows told the sum of all nodes as
  * its own. One response begins at each node before and after another node
@@ -446,7 +432,7 @@
         }
         int64_t deadline = g_get_monotonic_time() + TIMEOUT_US;
         for (unsigned i = 0; i < NODE_COUNT + round - 1; i++) {
-            while (find_most_begun(nodes[i]) < round * NODE_COUNT) {
+            while (read_status(nodes[i], "begun").most < round * NODE_COUNT) {
                 g_assert_cmpint(g_get_monotonic_time(), <, deadline);
                 g_usleep(POLL_PERIOD_US);
             }
@@ -454,7 +440,7 @@
         if (round == 1) {
             nodes[NODE_COUNT] = test_node_new("n4");
             send_host_list(nodes, NODE_COUNT + 1);
-            while (find_most_begun(nodes[NODE_COUNT]) == 0) {
+            while (read_status(nodes[NODE_COUNT], "begun").most == 0) {
                 g_assert_cmpint(g_get_monotonic_time(), <, deadline);
                 g_usleep(POLL_PERIOD_US);
             }
@@ -462,7 +448,7 @@
     }
     const unsigned begun = 2 * NODE_COUNT;
     for (unsigned i = 0; i <= NODE_COUNT; i++) {
-        g_assert_cmpuint(find_most_begun(nodes[i]), ==, begun);
+        g_assert_cmpuint(read_status(nodes[i], "begun").most, ==, begun);
         test_node_free(nodes[i]);
     }
 }
--- a/tests/threaded/test_store.c
+++ b/tests/threaded/test_store.c
@@ -548,10 +548,21 @@
      9},
 };
 
+/* Makes a call that a row's own call needs before it. */
+static void
+make_earlier_call(struct ch_kv *kv, enum call call)
+{
+    struct result result;
+    result_init(&result);
+    make_call(kv, call, &result);
+    wait_done(&result);
+    result_clear(&result);
+}
+
 /* Guards against a call whose numbers are of another era than the response:
  * writes that succeed on a value which was never read, watches that miss
  * events without a sign, renewals of another node's lease. Each row begins
- * with a read. */
+ * with a read, or with the grant of the lease that it renews. */
 static void
 test_store_eras(void)
 {
@@ -563,16 +574,9 @@
         struct result result;
         fixture_init(&fixture, responses);
         g_test_message("%s", era_rows[i].description);
-        result_init(&result);
-        make_call(fixture.kv, era_rows[i].call == RENEW ? LEASE : GET,
-                  &result);
-        wait_done(&result);
-        result_clear(&result);
+        make_earlier_call(fixture.kv, era_rows[i].call == RENEW ? LEASE : GET);
         if (era_rows[i].call == RENEW && strstr(responses[1], "value")) {
-            result_init(&result);
-            make_call(fixture.kv, GET, &result);
-            wait_done(&result);
-            result_clear(&result);
+            make_earlier_call(fixture.kv, GET);
         }
         result_init(&result);
         make_call(fixture.kv, era_rows[i].call, &result);
@@ -601,11 +605,8 @@
             store_rows[i].call == RENEW) {
             /* The watch starts at the revision of an earlier read, and a
              * renewal is of a lease that was granted. */
-            result_init(&result);
-            make_call(kv, store_rows[i].call == RENEW ? LEASE : GET_CONFIG,
-                      &result);
-            wait_done(&result);
-            result_clear(&result);
+            make_earlier_call(kv, store_rows[i].call == RENEW ? LEASE
+                                                              : GET_CONFIG);
         }
         result_init(&result);
         make_call(kv, store_rows[i].call, &result);
@@ -648,10 +649,7 @@
     struct ch_http *http = ch_http_new(&client);
     g_autofree char *address = g_strdup_printf("127.0.0.1:%d", server.port);
     struct ch_kv *kv = platform_store_new(&client, http, address, 4000000L);
-    result_init(&result);
-    make_call(kv, GET_CONFIG, &result);
-    wait_done(&result);
-    result_clear(&result);
+    make_earlier_call(kv, GET_CONFIG);
     result_init(&result);
     int64_t started_at = g_get_monotonic_time();
     make_call(kv, WATCH_CONFIG, &result);
--- a/tests/unit/test_notices.c
+++ b/tests/unit/test_notices.c
@@ -6,7 +6,6 @@
 #define S INT64_C(1000000) /* one second */
 #define HOUR (3600 * S)
 
-/* 2026-01-01 00:00:00 UTC */
 static const int64_t WALL_TIME = INT64_C(1767225600) * G_USEC_PER_SEC;
 
 /* Guards against a Retry-After that is misread, so that an upstream is called
