--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -219,7 +219,19 @@
     bool refuse_late;    /* refuse requests that would start too late */
     bool defer_prompts;  /* space the prompts sent to an engine */
     bool measured_service_times; /* measure service times of requests */
-    bool quota_pools; /* share teams' quotas between nodes by demand */
+    bool quota_pools;   /* share teams' quotas between nodes by demand */
+    bool upstream_pace; /* use the load and pace that upstreams state */
+    bool stream_pauses; /* count the pauses that a prompt causes */
+    bool room_shares;   /* admit by rank and team while room is short */
+    bool quota_ranks;   /* give a team's credit to its urgent requests first */
+    bool fast_engines;  /* place busy models on engines that are fast */
+};
+
+enum ch_overload_control {
+    CH_OVERLOAD_AUTO, /* by the platform's terms; of an upstream, also while it
+                         states its pace */
+    CH_OVERLOAD_ON,
+    CH_OVERLOAD_OFF,
 };
 
 struct ch_settings {
@@ -271,7 +283,11 @@
     unsigned peer_timeout_ms;    /* [timeouts] peer-silent-ms */
     unsigned idle_connection_ms; /* [timeouts] idle-connection-ms */
     unsigned drain_ms;           /* [timeouts] drain-ms: listener stays open */
-    unsigned grace_ms; /* [timeouts] grace-ms of a shutdown; 0: none */
+    unsigned grace_ms;       /* [timeouts] grace-ms of a shutdown; 0: none */
+    int overload_control;    /* [overload] control, enum ch_overload_control */
+    char *overload_terms;    /* [overload] terms, as the platform states them,
+                                separated by commas */
+    char *overload_on_terms; /* [overload] on-terms */
     struct ch_disabled_features disabled_features; /* [policy] */
 };
 
@@ -288,6 +304,9 @@
 /* The capacity that this host offers to the other nodes, from its cores and
    its link. */
 uint32_t ch_settings_get_capacity(const struct ch_settings *settings);
+/* Whether requests are admitted by rank and team while room is short, and the
+   pauses of streams are counted, also where upstreams state no pace. */
+bool ch_settings_controls_overload(const struct ch_settings *settings);
 void ch_settings_free(struct ch_settings *settings);
 /* Calls each(data, key, on) for every key of [policy]. */
 void ch_settings_foreach_policy(const struct ch_settings *settings,
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -10,6 +10,7 @@
 static const char *const platform_names[] = {"own", "users", NULL};
 static const char *const fencing_names[] = {"ignore", "refuse", NULL};
 static const char *const switch_names[] = {"on", "off", NULL};
+static const char *const overload_names[] = {"auto", "on", "off", NULL};
 
 #define SETTING(member) offsetof(struct ch_settings, member)
 #define POLICY_SWITCH(key, member)                                            \
@@ -113,6 +114,12 @@
      3600000, NULL},
     {"timeouts", "drain-ms", CH_INI_UNSIGNED, SETTING(drain_ms), "3000", 0,
      600000, NULL},
+    {"overload", "control", CH_INI_CHOICE, SETTING(overload_control), "auto",
+     CH_OVERLOAD_AUTO, 0, overload_names},
+    {"overload", "terms", CH_INI_TEXT, SETTING(overload_terms), "", 0, 0,
+     NULL},
+    {"overload", "on-terms", CH_INI_TEXT, SETTING(overload_on_terms), "", 0, 0,
+     NULL},
     POLICY_SWITCH("whole-fleet", fleet_wide_search),
     POLICY_SWITCH("several-victims", several_evictions),
     POLICY_SWITCH("move-apart", spread_last_replicas),
@@ -124,6 +131,11 @@
     POLICY_SWITCH("pace-prompts", defer_prompts),
     POLICY_SWITCH("learnt-speeds", measured_service_times),
     POLICY_SWITCH("quota-pools", quota_pools),
+    POLICY_SWITCH("upstream-pace", upstream_pace),
+    POLICY_SWITCH("stream-pauses", stream_pauses),
+    POLICY_SWITCH("room-shares", room_shares),
+    POLICY_SWITCH("quota-ranks", quota_ranks),
+    POLICY_SWITCH("fast-engines", fast_engines),
 };
 
 static bool
@@ -326,6 +338,36 @@
     return (uint32_t)MAX(settings->cores * settings->host_link_mbit_per_s, 1);
 }
 
+/* Whether the platform's terms include one of those that call for the control
+ * of overload. */
+static bool
+has_overload_term(const struct ch_settings *settings)
+{
+    if (settings->overload_terms == NULL ||
+        settings->overload_on_terms == NULL) {
+        return false;
+    }
+    char **terms = g_strsplit(settings->overload_terms, ",", -1);
+    char **wanted = g_strsplit(settings->overload_on_terms, ",", -1);
+    bool found = false;
+    for (size_t i = 0; wanted[i] != NULL && !found; i++) {
+        found = wanted[i][0] != '\0' &&
+                g_strv_contains((const char *const *)terms, wanted[i]);
+    }
+    g_strfreev(terms);
+    g_strfreev(wanted);
+    return found;
+}
+
+/* See base.h. */
+bool
+ch_settings_controls_overload(const struct ch_settings *settings)
+{
+    return settings->overload_control == CH_OVERLOAD_ON ||
+           (settings->overload_control == CH_OVERLOAD_AUTO &&
+            has_overload_term(settings));
+}
+
 /* Frees settings, which may be NULL. */
 void
 ch_settings_free(struct ch_settings *settings)
@@ -343,6 +385,8 @@
     g_free(settings->ready_path);
     g_free(settings->kv);
     g_free(settings->hosts);
+    g_free(settings->overload_terms);
+    g_free(settings->overload_on_terms);
     g_free(settings);
 }
 
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -56,7 +56,12 @@
     size_t part_count;
     uint32_t max_attempts; /* limit on the upstreams that may run the request;
                        0: the policy's */
-    uint32_t priority;     /* of the request's class; 0 goes first */
+    uint32_t priority;     /* of the request's team, else of its class; 0 goes
+                              first */
+    uint32_t class_priority;  /* of the request's class */
+    int64_t event_gap_target; /* longest pause between events; 0: none */
+    uint32_t expected_output_tokens; /* that the caller expects; 0: not
+                                        stated */
     GQuark required_upstream; /* the sole upstream that may take the request;
                                  0: any may */
     /* Sole version of upstreams' software that may take the request; 0: any.
--- a/libchestnuthitch/node/request_route.c
+++ b/libchestnuthitch/node/request_route.c
@@ -80,6 +80,8 @@
     request->info.idempotent = class->idempotent;
     request->info.max_attempts = MAX(class->max_attempts, 1);
     request->info.priority = class->priority;
+    request->info.class_priority = class->priority;
+    request->info.event_gap_target = class->event_gap_target;
     return class;
 }
 
@@ -244,6 +246,7 @@
     request->info.part_count = input->part_count;
     request->info.prompt_tokens = input->prompt_tokens;
     request->info.max_output_tokens = input->output_tokens;
+    request->info.expected_output_tokens = input->expected_tokens;
 }
 
 /* Fills in the request; false with *fault at the first fault found. */
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1627,6 +1627,231 @@
   assert(message->base.descriptor == &chestnuthitch__wire__quota_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__pace_readings__init
+                     (Chestnuthitch__Wire__PaceReadings         *message)
+{
+  static const Chestnuthitch__Wire__PaceReadings init_value = CHESTNUTHITCH__WIRE__PACE_READINGS__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__pace_readings__get_packed_size
+                     (const Chestnuthitch__Wire__PaceReadings *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__pace_readings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__pace_readings__pack
+                     (const Chestnuthitch__Wire__PaceReadings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__pace_readings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__pace_readings__pack_to_buffer
+                     (const Chestnuthitch__Wire__PaceReadings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__pace_readings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__PaceReadings *
+       chestnuthitch__wire__pace_readings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__PaceReadings *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__pace_readings__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__pace_readings__free_unpacked
+                     (Chestnuthitch__Wire__PaceReadings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__pace_readings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__room_demand__init
+                     (Chestnuthitch__Wire__RoomDemand         *message)
+{
+  static const Chestnuthitch__Wire__RoomDemand init_value = CHESTNUTHITCH__WIRE__ROOM_DEMAND__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__room_demand__get_packed_size
+                     (const Chestnuthitch__Wire__RoomDemand *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__room_demand__pack
+                     (const Chestnuthitch__Wire__RoomDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__room_demand__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RoomDemand *
+       chestnuthitch__wire__room_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RoomDemand *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__room_demand__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__room_demand__free_unpacked
+                     (Chestnuthitch__Wire__RoomDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__room_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__room_report__init
+                     (Chestnuthitch__Wire__RoomReport         *message)
+{
+  static const Chestnuthitch__Wire__RoomReport init_value = CHESTNUTHITCH__WIRE__ROOM_REPORT__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__room_report__get_packed_size
+                     (const Chestnuthitch__Wire__RoomReport *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__room_report__pack
+                     (const Chestnuthitch__Wire__RoomReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__room_report__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RoomReport *
+       chestnuthitch__wire__room_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RoomReport *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__room_report__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__room_report__free_unpacked
+                     (Chestnuthitch__Wire__RoomReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__room_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__room_level__init
+                     (Chestnuthitch__Wire__RoomLevel         *message)
+{
+  static const Chestnuthitch__Wire__RoomLevel init_value = CHESTNUTHITCH__WIRE__ROOM_LEVEL__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__room_level__get_packed_size
+                     (const Chestnuthitch__Wire__RoomLevel *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_level__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__room_level__pack
+                     (const Chestnuthitch__Wire__RoomLevel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_level__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__room_level__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomLevel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_level__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RoomLevel *
+       chestnuthitch__wire__room_level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RoomLevel *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__room_level__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__room_level__free_unpacked
+                     (Chestnuthitch__Wire__RoomLevel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__room_level__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__room_levels__init
+                     (Chestnuthitch__Wire__RoomLevels         *message)
+{
+  static const Chestnuthitch__Wire__RoomLevels init_value = CHESTNUTHITCH__WIRE__ROOM_LEVELS__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__room_levels__get_packed_size
+                     (const Chestnuthitch__Wire__RoomLevels *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_levels__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__room_levels__pack
+                     (const Chestnuthitch__Wire__RoomLevels *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_levels__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__room_levels__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomLevels *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__room_levels__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__RoomLevels *
+       chestnuthitch__wire__room_levels__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__RoomLevels *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__room_levels__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__room_levels__free_unpacked
+                     (Chestnuthitch__Wire__RoomLevels *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__room_levels__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__limit_state__init
                      (Chestnuthitch__Wire__LimitState         *message)
 {
@@ -2302,7 +2527,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[41] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[44] =
 {
   {
     "version",
@@ -2796,6 +3021,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace_readings",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, pace_readings),
+    &chestnuthitch__wire__pace_readings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room_report",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, room_report),
+    &chestnuthitch__wire__room_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room_levels",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, room_levels),
+    &chestnuthitch__wire__room_levels__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   16,   /* field[16] = config_pull */
@@ -2820,6 +3081,7 @@
   19,   /* field[19] = once_answer */
   18,   /* field[18] = once_begin */
   20,   /* field[20] = once_finish */
+  41,   /* field[41] = pace_readings */
   36,   /* field[36] = path_probe */
   37,   /* field[37] = path_view */
   8,   /* field[8] = ping */
@@ -2832,6 +3094,8 @@
   13,   /* field[13] = refuse */
   14,   /* field[14] = release */
   3,   /* field[3] = reply */
+  43,   /* field[43] = room_levels */
+  42,   /* field[42] = room_report */
   25,   /* field[25] = roster */
   26,   /* field[26] = roster_pull */
   39,   /* field[39] = stream_query */
@@ -2844,7 +3108,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 41 }
+  { 0, 44 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -2854,7 +3118,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  41,
+  44,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -5582,7 +5846,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__quota_deposit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__quota_withdraw__field_descriptors[3] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__quota_withdraw__field_descriptors[5] =
 {
   {
     "team",
@@ -5620,16 +5884,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rank",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, n_asked),
+    offsetof(Chestnuthitch__Wire__QuotaWithdraw, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__quota_withdraw__field_indices_by_name[] = {
+  4,   /* field[4] = asked */
   1,   /* field[1] = cost */
   2,   /* field[2] = extra */
+  3,   /* field[3] = rank */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange chestnuthitch__wire__quota_withdraw__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor =
 {
@@ -5639,7 +5929,7 @@
   "Chestnuthitch__Wire__QuotaWithdraw",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__QuotaWithdraw),
-  3,
+  5,
   chestnuthitch__wire__quota_withdraw__field_descriptors,
   chestnuthitch__wire__quota_withdraw__field_indices_by_name,
   1,  chestnuthitch__wire__quota_withdraw__number_ranges,
@@ -5697,6 +5987,430 @@
   (ProtobufCMessageInit) chestnuthitch__wire__quota_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__pace_readings__field_descriptors[7] =
+{
+  {
+    "upstreams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_upstreams),
+    offsetof(Chestnuthitch__Wire__PaceReadings, upstreams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_running),
+    offsetof(Chestnuthitch__Wire__PaceReadings, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_waiting),
+    offsetof(Chestnuthitch__Wire__PaceReadings, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_slots),
+    offsetof(Chestnuthitch__Wire__PaceReadings, slots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_percent),
+    offsetof(Chestnuthitch__Wire__PaceReadings, percent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__PaceReadings, n_age_ms),
+    offsetof(Chestnuthitch__Wire__PaceReadings, age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed_on",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PaceReadings, passed_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__pace_readings__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
+  6,   /* field[6] = passed_on */
+  4,   /* field[4] = percent */
+  1,   /* field[1] = running */
+  3,   /* field[3] = slots */
+  0,   /* field[0] = upstreams */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange chestnuthitch__wire__pace_readings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__pace_readings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.PaceReadings",
+  "PaceReadings",
+  "Chestnuthitch__Wire__PaceReadings",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__PaceReadings),
+  7,
+  chestnuthitch__wire__pace_readings__field_descriptors,
+  chestnuthitch__wire__pace_readings__field_indices_by_name,
+  1,  chestnuthitch__wire__pace_readings__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__pace_readings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__room_demand__field_descriptors[5] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomDemand, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__RoomDemand, n_ranks),
+    offsetof(Chestnuthitch__Wire__RoomDemand, ranks),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__RoomDemand, n_teams),
+    offsetof(Chestnuthitch__Wire__RoomDemand, teams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__RoomDemand, n_work),
+    offsetof(Chestnuthitch__Wire__RoomDemand, work),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomDemand, room),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__room_demand__field_indices_by_name[] = {
+  0,   /* field[0] = model */
+  1,   /* field[1] = ranks */
+  4,   /* field[4] = room */
+  2,   /* field[2] = teams */
+  3,   /* field[3] = work */
+};
+static const ProtobufCIntRange chestnuthitch__wire__room_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__room_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RoomDemand",
+  "RoomDemand",
+  "Chestnuthitch__Wire__RoomDemand",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RoomDemand),
+  5,
+  chestnuthitch__wire__room_demand__field_descriptors,
+  chestnuthitch__wire__room_demand__field_indices_by_name,
+  1,  chestnuthitch__wire__room_demand__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__room_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__room_report__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__RoomReport, n_demands),
+    offsetof(Chestnuthitch__Wire__RoomReport, demands),
+    &chestnuthitch__wire__room_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__room_report__field_indices_by_name[] = {
+  1,   /* field[1] = demands */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange chestnuthitch__wire__room_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__room_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RoomReport",
+  "RoomReport",
+  "Chestnuthitch__Wire__RoomReport",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RoomReport),
+  2,
+  chestnuthitch__wire__room_report__field_descriptors,
+  chestnuthitch__wire__room_report__field_indices_by_name,
+  1,  chestnuthitch__wire__room_report__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__room_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__room_level__field_descriptors[6] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomLevel, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ranks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__RoomLevel, n_ranks),
+    offsetof(Chestnuthitch__Wire__RoomLevel, ranks),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__RoomLevel, n_teams),
+    offsetof(Chestnuthitch__Wire__RoomLevel, teams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Chestnuthitch__Wire__RoomLevel, n_admitted),
+    offsetof(Chestnuthitch__Wire__RoomLevel, admitted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomLevel, room),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomLevel, members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__room_level__field_indices_by_name[] = {
+  3,   /* field[3] = admitted */
+  5,   /* field[5] = members */
+  0,   /* field[0] = model */
+  1,   /* field[1] = ranks */
+  4,   /* field[4] = room */
+  2,   /* field[2] = teams */
+};
+static const ProtobufCIntRange chestnuthitch__wire__room_level__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__room_level__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RoomLevel",
+  "RoomLevel",
+  "Chestnuthitch__Wire__RoomLevel",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RoomLevel),
+  6,
+  chestnuthitch__wire__room_level__field_descriptors,
+  chestnuthitch__wire__room_level__field_indices_by_name,
+  1,  chestnuthitch__wire__room_level__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__room_level__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__room_levels__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomLevels, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "levels",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__RoomLevels, n_levels),
+    offsetof(Chestnuthitch__Wire__RoomLevels, levels),
+    &chestnuthitch__wire__room_level__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__RoomLevels, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__room_levels__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = levels */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange chestnuthitch__wire__room_levels__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__room_levels__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.RoomLevels",
+  "RoomLevels",
+  "Chestnuthitch__Wire__RoomLevels",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__RoomLevels),
+  3,
+  chestnuthitch__wire__room_levels__field_descriptors,
+  chestnuthitch__wire__room_levels__field_indices_by_name,
+  1,  chestnuthitch__wire__room_levels__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__room_levels__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__limit_state__field_descriptors[7] =
 {
   {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -51,6 +51,11 @@
 typedef struct Chestnuthitch__Wire__QuotaDeposit Chestnuthitch__Wire__QuotaDeposit;
 typedef struct Chestnuthitch__Wire__QuotaWithdraw Chestnuthitch__Wire__QuotaWithdraw;
 typedef struct Chestnuthitch__Wire__QuotaGrant Chestnuthitch__Wire__QuotaGrant;
+typedef struct Chestnuthitch__Wire__PaceReadings Chestnuthitch__Wire__PaceReadings;
+typedef struct Chestnuthitch__Wire__RoomDemand Chestnuthitch__Wire__RoomDemand;
+typedef struct Chestnuthitch__Wire__RoomReport Chestnuthitch__Wire__RoomReport;
+typedef struct Chestnuthitch__Wire__RoomLevel Chestnuthitch__Wire__RoomLevel;
+typedef struct Chestnuthitch__Wire__RoomLevels Chestnuthitch__Wire__RoomLevels;
 typedef struct Chestnuthitch__Wire__LimitState Chestnuthitch__Wire__LimitState;
 typedef struct Chestnuthitch__Wire__LimitStates Chestnuthitch__Wire__LimitStates;
 typedef struct Chestnuthitch__Wire__DrainNotice Chestnuthitch__Wire__DrainNotice;
@@ -108,7 +113,10 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_PATH_VIEW = 40,
   CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_RECORDS = 41,
   CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_QUERY = 42,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43
+  CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PACE_READINGS = 44,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_REPORT = 45,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_LEVELS = 46
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -171,6 +179,9 @@
     Chestnuthitch__Wire__StreamRecords *stream_records;
     Chestnuthitch__Wire__StreamQuery *stream_query;
     Chestnuthitch__Wire__StreamReply *stream_reply;
+    Chestnuthitch__Wire__PaceReadings *pace_readings;
+    Chestnuthitch__Wire__RoomReport *room_report;
+    Chestnuthitch__Wire__RoomLevels *room_levels;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -920,10 +931,20 @@
    * taken as well if the pool has enough
    */
   uint64_t extra;
+  /*
+   * priority of the request's class; 0 is the most urgent
+   */
+  uint32_t rank;
+  /*
+   * By rank: what the sender's callers asked for since its last question about
+   * this team, in thousandths of the unit, this request included.
+   */
+  size_t n_asked;
+  uint64_t *asked;
 };
 #define CHESTNUTHITCH__WIRE__QUOTA_WITHDRAW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__quota_withdraw__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL }
 
 
 struct  Chestnuthitch__Wire__QuotaGrant
@@ -940,6 +961,144 @@
     , 0, 0 }
 
 
+/*
+ * What upstreams state of their load in responses. The lists have one entry for
+ * each upstream.
+ */
+struct  Chestnuthitch__Wire__PaceReadings
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of their names
+   */
+  size_t n_upstreams;
+  uint64_t *upstreams;
+  size_t n_running;
+  uint32_t *running;
+  size_t n_waiting;
+  uint32_t *waiting;
+  size_t n_slots;
+  uint32_t *slots;
+  /*
+   * how long work takes; 100: as usual, 0: not stated
+   */
+  size_t n_percent;
+  uint32_t *percent;
+  /*
+   * at the time of sending
+   */
+  size_t n_age_ms;
+  uint32_t *age_ms;
+  /*
+   * the sender was told of these by other nodes
+   */
+  protobuf_c_boolean passed_on;
+};
+#define CHESTNUTHITCH__WIRE__PACE_READINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__pace_readings__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * What one node's callers ask of the engines of one model.
+ */
+struct  Chestnuthitch__Wire__RoomDemand
+{
+  ProtobufCMessage base;
+  char *model;
+  /*
+   * the lists below have one entry for each
+   */
+  size_t n_ranks;
+  uint32_t *ranks;
+  /*
+   * rank and team; 0: no team
+   */
+  size_t n_teams;
+  uint64_t *teams;
+  /*
+   * ms of engine time per second
+   */
+  size_t n_work;
+  uint32_t *work;
+  /*
+   * ms of engine time per second that the
+   */
+  uint32_t room;
+};
+#define CHESTNUTHITCH__WIRE__ROOM_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__room_demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * To the node that counts the demand for a service's models: what the sender's
+ * callers ask for, of the models that lack room.
+ */
+struct  Chestnuthitch__Wire__RoomReport
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_demands;
+  Chestnuthitch__Wire__RoomDemand **demands;
+};
+#define CHESTNUTHITCH__WIRE__ROOM_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__room_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * How much of the demand for one model is admitted.
+ */
+struct  Chestnuthitch__Wire__RoomLevel
+{
+  ProtobufCMessage base;
+  char *model;
+  /*
+   * the lists below have one entry for each
+   */
+  size_t n_ranks;
+  uint32_t *ranks;
+  /*
+   * rank and team
+   */
+  size_t n_teams;
+  uint64_t *teams;
+  /*
+   * thousandths of the demand
+   */
+  size_t n_admitted;
+  uint32_t *admitted;
+  /*
+   * ms of engine time per second
+   */
+  uint32_t room;
+  /*
+   * nodes that reported demand
+   */
+  uint32_t members;
+};
+#define CHESTNUTHITCH__WIRE__ROOM_LEVEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__room_level__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__RoomLevels
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * models that are not listed have room
+   */
+  size_t n_levels;
+  Chestnuthitch__Wire__RoomLevel **levels;
+  uint32_t age_ms;
+};
+#define CHESTNUTHITCH__WIRE__ROOM_LEVELS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__room_levels__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
 /*
  * What the sender knows of the limit of an upstream: its last observation, with
  * ages in microseconds at the time of sending.
@@ -1963,6 +2122,101 @@
 void   chestnuthitch__wire__quota_grant__free_unpacked
                      (Chestnuthitch__Wire__QuotaGrant *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__PaceReadings methods */
+void   chestnuthitch__wire__pace_readings__init
+                     (Chestnuthitch__Wire__PaceReadings         *message);
+size_t chestnuthitch__wire__pace_readings__get_packed_size
+                     (const Chestnuthitch__Wire__PaceReadings   *message);
+size_t chestnuthitch__wire__pace_readings__pack
+                     (const Chestnuthitch__Wire__PaceReadings   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__pace_readings__pack_to_buffer
+                     (const Chestnuthitch__Wire__PaceReadings   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__PaceReadings *
+       chestnuthitch__wire__pace_readings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__pace_readings__free_unpacked
+                     (Chestnuthitch__Wire__PaceReadings *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RoomDemand methods */
+void   chestnuthitch__wire__room_demand__init
+                     (Chestnuthitch__Wire__RoomDemand         *message);
+size_t chestnuthitch__wire__room_demand__get_packed_size
+                     (const Chestnuthitch__Wire__RoomDemand   *message);
+size_t chestnuthitch__wire__room_demand__pack
+                     (const Chestnuthitch__Wire__RoomDemand   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__room_demand__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RoomDemand *
+       chestnuthitch__wire__room_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__room_demand__free_unpacked
+                     (Chestnuthitch__Wire__RoomDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RoomReport methods */
+void   chestnuthitch__wire__room_report__init
+                     (Chestnuthitch__Wire__RoomReport         *message);
+size_t chestnuthitch__wire__room_report__get_packed_size
+                     (const Chestnuthitch__Wire__RoomReport   *message);
+size_t chestnuthitch__wire__room_report__pack
+                     (const Chestnuthitch__Wire__RoomReport   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__room_report__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomReport   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RoomReport *
+       chestnuthitch__wire__room_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__room_report__free_unpacked
+                     (Chestnuthitch__Wire__RoomReport *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RoomLevel methods */
+void   chestnuthitch__wire__room_level__init
+                     (Chestnuthitch__Wire__RoomLevel         *message);
+size_t chestnuthitch__wire__room_level__get_packed_size
+                     (const Chestnuthitch__Wire__RoomLevel   *message);
+size_t chestnuthitch__wire__room_level__pack
+                     (const Chestnuthitch__Wire__RoomLevel   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__room_level__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomLevel   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RoomLevel *
+       chestnuthitch__wire__room_level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__room_level__free_unpacked
+                     (Chestnuthitch__Wire__RoomLevel *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__RoomLevels methods */
+void   chestnuthitch__wire__room_levels__init
+                     (Chestnuthitch__Wire__RoomLevels         *message);
+size_t chestnuthitch__wire__room_levels__get_packed_size
+                     (const Chestnuthitch__Wire__RoomLevels   *message);
+size_t chestnuthitch__wire__room_levels__pack
+                     (const Chestnuthitch__Wire__RoomLevels   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__room_levels__pack_to_buffer
+                     (const Chestnuthitch__Wire__RoomLevels   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__RoomLevels *
+       chestnuthitch__wire__room_levels__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__room_levels__free_unpacked
+                     (Chestnuthitch__Wire__RoomLevels *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__LimitState methods */
 void   chestnuthitch__wire__limit_state__init
                      (Chestnuthitch__Wire__LimitState         *message);
@@ -2358,6 +2612,21 @@
 typedef void (*Chestnuthitch__Wire__QuotaGrant_Closure)
                  (const Chestnuthitch__Wire__QuotaGrant *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__PaceReadings_Closure)
+                 (const Chestnuthitch__Wire__PaceReadings *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__RoomDemand_Closure)
+                 (const Chestnuthitch__Wire__RoomDemand *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__RoomReport_Closure)
+                 (const Chestnuthitch__Wire__RoomReport *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__RoomLevel_Closure)
+                 (const Chestnuthitch__Wire__RoomLevel *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__RoomLevels_Closure)
+                 (const Chestnuthitch__Wire__RoomLevels *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__LimitState_Closure)
                  (const Chestnuthitch__Wire__LimitState *message,
                   void *closure_data);
@@ -2445,6 +2714,11 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_deposit__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__pace_readings__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_demand__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_report__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_level__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_levels__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_state__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__limit_states__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__drain_notice__descriptor;
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -156,6 +156,11 @@
     {"learnt-speeds",
      offsetof(struct ch_disabled_features, measured_service_times)},
     {"quota-pools", offsetof(struct ch_disabled_features, quota_pools)},
+    {"upstream-pace", offsetof(struct ch_disabled_features, upstream_pace)},
+    {"stream-pauses", offsetof(struct ch_disabled_features, stream_pauses)},
+    {"room-shares", offsetof(struct ch_disabled_features, room_shares)},
+    {"quota-ranks", offsetof(struct ch_disabled_features, quota_ranks)},
+    {"fast-engines", offsetof(struct ch_disabled_features, fast_engines)},
 };
 
 /* Appends the key of a disabled feature, "+" for an enabled one. */
