--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -47,7 +47,7 @@
     uint32_t output_tokens;
     uint32_t expected_tokens; /* of the response, as the caller estimates; 0:
                                  not stated */
-    bool states_tokens;  /* the caller stated both numbers of tokens */
+    bool states_tokens;       /* the caller stated both numbers of tokens */
     struct ch_prompt_part parts[CH_REQUEST_MAX_PARTS];
     size_t part_count;
     GArray *forwarded_headers; /* struct ch_http_header, forwarded to the
