--- a/libchestnuthitch/pace/pace.h
+++ b/libchestnuthitch/pace/pace.h
@@ -92,15 +92,15 @@
     const char *self;        /* name of this node */
     const char *data_centre; /* of this node */
     const char *region;      /* of this node */
-    /* The node that passes on the readings of a data centre's nodes, a new
+    /* The node that forwards the readings of a data centre's nodes, a new
      * string; NULL: none. */
-    char *(*find_teller)(void *data, const char *data_centre);
+    char *(*find_aggregator)(void *data, const char *data_centre);
     /* The other nodes of this node's data centre that it hears, as new
      * strings. */
     GPtrArray *(*list_neighbours)(void *data);
-    /* The tellers of the other data centres of this region (near) or of other
+    /* The aggregators of the other data centres of this region (near) or of other
      * regions, as new strings. */
-    GPtrArray *(*list_tellers)(void *data, bool near);
+    GPtrArray *(*list_aggregators)(void *data, bool near);
     void (*send)(void *data, const char *to,
                  Chestnuthitch__Wire__Frame *frame);
 };
