--- a/libchestnuthitch/pace/pace.h
+++ b/libchestnuthitch/pace/pace.h
@@ -98,8 +98,8 @@
     /* The other nodes of this node's data centre that it hears, as new
      * strings. */
     GPtrArray *(*list_neighbours)(void *data);
-    /* The aggregators of the other data centres of this region (near) or of other
-     * regions, as new strings. */
+    /* The aggregators of the other data centres of this region (near) or of
+     * other regions, as new strings. */
     GPtrArray *(*list_aggregators)(void *data, bool near);
     void (*send)(void *data, const char *to,
                  Chestnuthitch__Wire__Frame *frame);
