--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -12,6 +12,7 @@
      * that on average. */
     DEFAULT_PREFILL_US_PER_TOKEN = 52,
     DEFAULT_DECODE_US_PER_TOKEN = 3 * 1000,
+    DEFAULT_EVENT_US = 40 * 1000,
     /* The first token of a shorter prompt depends more on the network than on
      * the prefill, so that it isn't used to measure prefill speed. */
     MIN_MEASURED_TOKENS = 256,
@@ -159,6 +160,7 @@
     /* Service to the slots of each of its engines. */
     GHashTable *slots_by_service;
     struct ch_disabled_features without;
+    bool controls_overload;
 };
 
 /* ---- upstreams ---- */
@@ -207,6 +209,13 @@
     balance->without = *without;
 }
 
+/* See balance.h. */
+void
+ch_balance_control_overload(struct ch_balance *balance, bool on)
+{
+    balance->controls_overload = on;
+}
+
 /* Returns NULL for an unknown upstream. */
 static struct upstream_state *
 find_state(const struct ch_balance *balance, GQuark upstream)
@@ -1013,12 +1022,41 @@
                           cost_per_request, arrivals, random);
 }
 
+/* Time between two events of the model's streams, without prompts. */
+static int64_t
+get_event_time(const struct ch_balance *balance, GQuark name)
+{
+    const struct model_stats *model =
+        g_hash_table_lookup(balance->models, GUINT_TO_POINTER(name));
+    return model == NULL ||
+                   !is_measurement_used(balance, &model->time_per_event)
+               ? DEFAULT_EVENT_US
+               : (int64_t)model->time_per_event.value;
+}
+
+/* How the request's prompt is spaced from others at the engine. */
+static struct ch_prefill_rule
+make_prefill_rule(const struct ch_balance *balance,
+                  const struct ch_request_info *request,
+                  const struct candidate *candidate)
+{
+    if (request->is_service || !balance->controls_overload ||
+        balance->without.stream_pauses) {
+        return (struct ch_prefill_rule){0};
+    }
+    return ch_prefill_rule_new(candidate->prefill_time, 1,
+                               get_event_time(balance, request->model),
+                               request->event_gap_target);
+}
+
 static struct ch_upstream_choice
 make_choice(const struct ch_balance *balance,
             const struct ch_request_info *request,
             const struct candidate *candidate, int64_t now)
 {
     const struct upstream_state *state = candidate->state;
+    const struct ch_prefill_rule prefill =
+        make_prefill_rule(balance, request, candidate);
     return (struct ch_upstream_choice){
         .code = CH_OK,
         .upstream = state->facts.name,
@@ -1027,12 +1065,14 @@
         .version_id = state->facts.version_id,
         .may_have_restarted = may_have_restarted(state),
         .data_centre = state->facts.data_centre,
+        .region = state->facts.region,
+        .prefill = prefill,
         .other_region = state->facts.region != balance->region,
         .adapter_missing = request->adapter != 0 &&
                            !contains_name(state->adapters, request->adapter),
         .prefill_tokens = candidate->tokens,
         .prefill_time = candidate->prefill_time,
-        .should_defer = !request->is_service &&
+        .should_defer = !request->is_service && prefill.cost == 0 &&
                         !balance->without.defer_prompts &&
                         is_burst_too_long(state, candidate->prefill_time, now),
         .expected_latency = candidate->expected_latency,
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -9,6 +9,7 @@
  */
 
 #include "decide/policy.h"
+#include "prefill/prefill.h"
 
 /* An upstream as the list of upstreams describes it. */
 struct ch_upstream_info {
@@ -53,6 +54,9 @@
     /* Sending now would make the streams at the engine pause for too long: the
      * request is better sent a little later. */
     bool should_defer;
+    GQuark region;
+    /* How its prompt is spaced from those before it; cost 0: it is not. */
+    struct ch_prefill_rule prefill;
     int64_t retry_after; /* of a refusal */
     const char *message;
 };
@@ -66,6 +70,9 @@
 void ch_balance_disable_features(struct ch_balance *balance,
                                  const struct ch_disabled_features *without);
 
+/* Whether pauses of streams are counted also where upstreams state no pace. */
+void ch_balance_control_overload(struct ch_balance *balance, bool on);
+
 /* Replaces the list of upstreams: call begin, then
  * ch_balance_update_upstream() for each upstream, then end. An upstream that
  * was not updated in between is forgotten. */
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -431,6 +431,8 @@
                 .other_region = choice->other_region,
                 .is_last_resort = choice->is_last_resort,
                 .expected_latency = choice->expected_latency,
+                .region = choice->region,
+                .prefill = choice->prefill,
             },
     };
 }
@@ -1178,6 +1180,8 @@
                        g_quark_from_string(node->settings->data_centre));
     ch_balance_disable_features(balancer->balance,
                                 &node->settings->disabled_features);
+    ch_balance_control_overload(
+        balancer->balance, ch_settings_controls_overload(node->settings));
     balancer->loading_models = ch_pending_loads_new();
     balancer->clients = g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -20,6 +20,8 @@
     MAX_FAILED_RELAYS = 6,
     /* Upstreams that are asked for a free slot before one is waited for. */
     MAX_SLOT_REFUSALS = 3,
+    /* Engines that are asked to take a prompt in time. */
+    MAX_PREFILL_REFUSALS = 2,
 };
 
 static const char UNCERTAIN_MESSAGE[] =
@@ -255,6 +257,7 @@
     exchange->limit_refused = false;
     exchange->slot_refusals = 0;
     exchange->slot_waited = false;
+    exchange->prefill_refusals = 0;
     g_array_set_size(exchange->excluded, 0);
     ch_timers_add(exchange->frontend->node->timers, CH_RETRY_DELAY_US,
                   request_grant_again, exchange);
@@ -486,6 +489,76 @@
     return call_within_limit(exchange);
 }
 
+/* ---- prompts spaced at their engine ---- */
+
+/* How long the prompt may wait for those before it so that its first token
+ * still meets the target. */
+static int64_t
+get_prefill_wait(const struct ch_exchange *exchange)
+{
+    const struct ch_request_info *info = &exchange->request->info;
+    int64_t now = ch_client_get_time(exchange->frontend->node->client);
+    return info->answer_started
+               ? 0
+               : MAX(info->first_token_deadline - now -
+                         exchange->grant.expected_latency,
+                     0);
+}
+
+/* The engine's home permits the prompt, or it would have to wait for too long:
+ * then the router chooses another engine, which passes this one over. */
+static void
+handle_prefill(void *data, bool granted, int64_t wait)
+{
+    struct ch_exchange *exchange = data;
+    bool over = false;
+    pthread_mutex_lock(&exchange->lock);
+    if (exchange->abandoned) {
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        over = end_without_response(exchange);
+    }
+    else if (granted) {
+        over = call_with_slot(exchange);
+    }
+    else {
+        exchange->prefill_refusals++;
+        release_unused_grant(exchange, CH_UPSTREAM_LIMITED, wait);
+        ch_pool_submit(exchange->frontend->node->pool, request_grant,
+                       exchange);
+    }
+    pthread_mutex_unlock(&exchange->lock);
+    if (over) {
+        ch_exchange_finish(exchange);
+    }
+}
+
+/* Calls the granted upstream once its home permits the prompt, if prompts are
+ * spaced there. A prompt that no engine takes in time is sent all the same.
+ * Lock held; returns true when the exchange can be finished. */
+static bool
+call_spaced(struct ch_exchange *exchange)
+{
+    struct ch_node *node = exchange->frontend->node;
+    const struct ch_prefill_ask ask = {
+        .upstream = exchange->grant.upstream,
+        .region = exchange->grant.region,
+        .rule = exchange->grant.prefill,
+        .max_wait = get_prefill_wait(exchange),
+        .forced = exchange->request->info.answer_started ||
+                  exchange->prefill_refusals >= MAX_PREFILL_REFUSALS,
+    };
+    if (node->prefill == NULL || ask.rule.cost == 0 ||
+        ch_slots_needs_permission(node->slots, ask.upstream)) {
+        return call_with_slot(exchange);
+    }
+    if (ask.forced) {
+        ch_metrics_add_count(node->client->metrics, CH_COUNT_PREFILL_FORCED,
+                             1);
+    }
+    ch_prefill_ask(node->prefill, &ask, handle_prefill, exchange);
+    return false;
+}
+
 /* ---- whether the upstream is still the process that its entry describes ----
  */
 
@@ -504,7 +577,7 @@
         over = end_without_response(exchange);
     }
     else if (same) {
-        over = call_with_slot(exchange);
+        over = call_spaced(exchange);
     }
     else {
         over = pass_over_upstream(exchange, UNCERTAIN_MESSAGE);
@@ -533,7 +606,7 @@
     struct ch_node *node = exchange->frontend->node;
     struct ch_upstream *client = exchange->grant.client;
     if (!must_check_process(exchange)) {
-        return call_with_slot(exchange);
+        return call_spaced(exchange);
     }
     int64_t wait =
         ch_notices_get_wait(node->notices, exchange->grant.upstream);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -33,6 +33,7 @@
     ch_quota_manager_free(node->quota);
     ch_limit_manager_free(node->limits);
     ch_slots_free(node->slots);
+    ch_prefill_free(node->prefill);
     ch_notices_free(node->notices);
     ch_path_manager_free(node->paths);
     ch_stream_manager_free(node->streams);
@@ -80,6 +81,7 @@
     node->quota = ch_quota_manager_new(node);
     node->limits = ch_limit_manager_new(node);
     node->slots = ch_node_create_slots(node);
+    node->prefill = ch_node_create_prefill(node);
     node->notices = ch_node_create_notices(node);
     node->paths = ch_path_manager_new(node);
     node->once = ch_once_manager_new(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -23,6 +23,7 @@
 #include "net/net.h"
 #include "platform/platform.h"
 #include "notices/notices.h"
+#include "prefill/prefill.h"
 #include "slots/slots.h"
 #include "upstream/upstream.h"
 #include "wire/wire.h"
@@ -56,6 +57,7 @@
     struct ch_quota_manager *quota;
     struct ch_limit_manager *limits;
     struct ch_slots *slots;            /* NULL: no upstream is brittle */
+    struct ch_prefill *prefill;        /* NULL: prompts are not spaced */
     struct ch_notices *notices;        /* NULL: upstreams say nothing */
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
@@ -81,6 +83,7 @@
 
 /* Creates the count of brittle upstreams' slots (slots_peers.c). */
 struct ch_slots *ch_node_create_slots(struct ch_node *node);
+struct ch_prefill *ch_node_create_prefill(struct ch_node *node);
 /* Creates the knowledge of upstreams' notices (notices_peers.c). */
 struct ch_notices *ch_node_create_notices(struct ch_node *node);
 
@@ -366,6 +369,9 @@
     /* Predicted time until the first byte of the response, from the upstream's
      * known load; 0: its load is unknown. */
     int64_t expected_latency;
+    GQuark region; /* of the upstream */
+    /* How its prompt is spaced from those before it; cost 0: it is not. */
+    struct ch_prefill_rule prefill;
 };
 
 /* Exactly one of the two handlers runs, once, on a pool worker. */
--- a/libchestnuthitch/node/upstream_peers.c
+++ b/libchestnuthitch/node/upstream_peers.c
@@ -73,6 +73,35 @@
     return ch_slots_new(node->client, node->pool, node->timers, &peers);
 }
 
+/* Handles the question of another node when a prompt may be sent. */
+static void
+handle_prefill_ask(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    ch_prefill_handle_ask(data, frame);
+}
+
+/* See node.h. */
+struct ch_prefill *
+ch_node_create_prefill(struct ch_node *node)
+{
+    const struct ch_prefill_peers peers = {
+        .data = node,
+        .self = node->settings->name,
+        .find_home = find_home,
+        .request = request,
+        .reply = reply,
+    };
+    if (node->settings->disabled_features.stream_pauses) {
+        return NULL;
+    }
+    struct ch_prefill *prefill =
+        ch_prefill_new(node->client, node->pool, node->timers, &peers);
+    ch_peers_set_handler(node->peers,
+                         CHESTNUTHITCH__WIRE__FRAME__BODY_PREFILL_ASK,
+                         handle_prefill_ask, prefill);
+    return prefill;
+}
+
 /* See node.h. */
 struct ch_notices *
 ch_node_create_notices(struct ch_node *node)
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -1672,6 +1672,96 @@
   assert(message->base.descriptor == &chestnuthitch__wire__pace_readings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__prefill_ask__init
+                     (Chestnuthitch__Wire__PrefillAsk         *message)
+{
+  static const Chestnuthitch__Wire__PrefillAsk init_value = CHESTNUTHITCH__WIRE__PREFILL_ASK__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__prefill_ask__get_packed_size
+                     (const Chestnuthitch__Wire__PrefillAsk *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__prefill_ask__pack
+                     (const Chestnuthitch__Wire__PrefillAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__prefill_ask__pack_to_buffer
+                     (const Chestnuthitch__Wire__PrefillAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__PrefillAsk *
+       chestnuthitch__wire__prefill_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__PrefillAsk *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__prefill_ask__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__prefill_ask__free_unpacked
+                     (Chestnuthitch__Wire__PrefillAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__prefill_reply__init
+                     (Chestnuthitch__Wire__PrefillReply         *message)
+{
+  static const Chestnuthitch__Wire__PrefillReply init_value = CHESTNUTHITCH__WIRE__PREFILL_REPLY__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__prefill_reply__get_packed_size
+                     (const Chestnuthitch__Wire__PrefillReply *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__prefill_reply__pack
+                     (const Chestnuthitch__Wire__PrefillReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__prefill_reply__pack_to_buffer
+                     (const Chestnuthitch__Wire__PrefillReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__PrefillReply *
+       chestnuthitch__wire__prefill_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__PrefillReply *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__prefill_reply__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__prefill_reply__free_unpacked
+                     (Chestnuthitch__Wire__PrefillReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__prefill_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__room_demand__init
                      (Chestnuthitch__Wire__RoomDemand         *message)
 {
@@ -2527,7 +2617,7 @@
   assert(message->base.descriptor == &chestnuthitch__wire__stream_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[44] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__frame__field_descriptors[46] =
 {
   {
     "version",
@@ -3057,6 +3147,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefill_ask",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, prefill_ask),
+    &chestnuthitch__wire__prefill_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_reply",
+    48,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__Frame, body_case),
+    offsetof(Chestnuthitch__Wire__Frame, prefill_reply),
+    &chestnuthitch__wire__prefill_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__frame__field_indices_by_name[] = {
   16,   /* field[16] = config_pull */
@@ -3086,6 +3200,8 @@
   37,   /* field[37] = path_view */
   8,   /* field[8] = ping */
   9,   /* field[9] = pong */
+  44,   /* field[44] = prefill_ask */
+  45,   /* field[45] = prefill_reply */
   23,   /* field[23] = prepare */
   30,   /* field[30] = quota_deposit */
   32,   /* field[32] = quota_grant */
@@ -3108,7 +3224,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 44 }
+  { 0, 46 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__frame__descriptor =
 {
@@ -3118,7 +3234,7 @@
   "Chestnuthitch__Wire__Frame",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Frame),
-  44,
+  46,
   chestnuthitch__wire__frame__field_descriptors,
   chestnuthitch__wire__frame__field_indices_by_name,
   2,  chestnuthitch__wire__frame__number_ranges,
@@ -6103,6 +6219,160 @@
   (ProtobufCMessageInit) chestnuthitch__wire__pace_readings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__prefill_ask__field_descriptors[6] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, cost_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, capacity_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permille",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forced",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillAsk, forced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__prefill_ask__field_indices_by_name[] = {
+  2,   /* field[2] = capacity_us */
+  1,   /* field[1] = cost_us */
+  5,   /* field[5] = forced */
+  3,   /* field[3] = permille */
+  0,   /* field[0] = upstream */
+  4,   /* field[4] = wait_ms */
+};
+static const ProtobufCIntRange chestnuthitch__wire__prefill_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__prefill_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.PrefillAsk",
+  "PrefillAsk",
+  "Chestnuthitch__Wire__PrefillAsk",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__PrefillAsk),
+  6,
+  chestnuthitch__wire__prefill_ask__field_descriptors,
+  chestnuthitch__wire__prefill_ask__field_indices_by_name,
+  1,  chestnuthitch__wire__prefill_ask__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__prefill_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__prefill_reply__field_descriptors[2] =
+{
+  {
+    "granted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__PrefillReply, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__prefill_reply__field_indices_by_name[] = {
+  0,   /* field[0] = granted */
+  1,   /* field[1] = wait_us */
+};
+static const ProtobufCIntRange chestnuthitch__wire__prefill_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__prefill_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.PrefillReply",
+  "PrefillReply",
+  "Chestnuthitch__Wire__PrefillReply",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__PrefillReply),
+  2,
+  chestnuthitch__wire__prefill_reply__field_descriptors,
+  chestnuthitch__wire__prefill_reply__field_indices_by_name,
+  1,  chestnuthitch__wire__prefill_reply__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__prefill_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__room_demand__field_descriptors[5] =
 {
   {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -52,6 +52,8 @@
 typedef struct Chestnuthitch__Wire__QuotaWithdraw Chestnuthitch__Wire__QuotaWithdraw;
 typedef struct Chestnuthitch__Wire__QuotaGrant Chestnuthitch__Wire__QuotaGrant;
 typedef struct Chestnuthitch__Wire__PaceReadings Chestnuthitch__Wire__PaceReadings;
+typedef struct Chestnuthitch__Wire__PrefillAsk Chestnuthitch__Wire__PrefillAsk;
+typedef struct Chestnuthitch__Wire__PrefillReply Chestnuthitch__Wire__PrefillReply;
 typedef struct Chestnuthitch__Wire__RoomDemand Chestnuthitch__Wire__RoomDemand;
 typedef struct Chestnuthitch__Wire__RoomReport Chestnuthitch__Wire__RoomReport;
 typedef struct Chestnuthitch__Wire__RoomLevel Chestnuthitch__Wire__RoomLevel;
@@ -116,7 +118,9 @@
   CHESTNUTHITCH__WIRE__FRAME__BODY_STREAM_REPLY = 43,
   CHESTNUTHITCH__WIRE__FRAME__BODY_PACE_READINGS = 44,
   CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_REPORT = 45,
-  CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_LEVELS = 46
+  CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_LEVELS = 46,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PREFILL_ASK = 47,
+  CHESTNUTHITCH__WIRE__FRAME__BODY_PREFILL_REPLY = 48
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CHESTNUTHITCH__WIRE__FRAME__BODY__CASE)
 } Chestnuthitch__Wire__Frame__BodyCase;
 
@@ -182,6 +186,8 @@
     Chestnuthitch__Wire__PaceReadings *pace_readings;
     Chestnuthitch__Wire__RoomReport *room_report;
     Chestnuthitch__Wire__RoomLevels *room_levels;
+    Chestnuthitch__Wire__PrefillAsk *prefill_ask;
+    Chestnuthitch__Wire__PrefillReply *prefill_reply;
   };
 };
 #define CHESTNUTHITCH__WIRE__FRAME__INIT \
@@ -999,6 +1005,54 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * To the node that spaces the prompts of an engine: asks when a prompt may be
+ * sent.
+ */
+struct  Chestnuthitch__Wire__PrefillAsk
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * time that the engine takes to read the prompt
+   */
+  uint32_t cost_us;
+  /*
+   * prompts that may be read without a pause
+   */
+  uint32_t capacity_us;
+  /*
+   * part of the engine's time that prompts may take
+   */
+  uint32_t permille;
+  /*
+   * that the request may wait at most
+   */
+  uint32_t wait_ms;
+  /*
+   * the prompt is sent in any case
+   */
+  protobuf_c_boolean forced;
+};
+#define CHESTNUTHITCH__WIRE__PREFILL_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__prefill_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Chestnuthitch__Wire__PrefillReply
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean granted;
+  /*
+   * until the prompt may be sent
+   */
+  uint32_t wait_us;
+};
+#define CHESTNUTHITCH__WIRE__PREFILL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__prefill_reply__descriptor) \
+    , 0, 0 }
+
+
 /*
  * What one node's callers ask of the engines of one model.
  */
@@ -2141,6 +2195,44 @@
 void   chestnuthitch__wire__pace_readings__free_unpacked
                      (Chestnuthitch__Wire__PaceReadings *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__PrefillAsk methods */
+void   chestnuthitch__wire__prefill_ask__init
+                     (Chestnuthitch__Wire__PrefillAsk         *message);
+size_t chestnuthitch__wire__prefill_ask__get_packed_size
+                     (const Chestnuthitch__Wire__PrefillAsk   *message);
+size_t chestnuthitch__wire__prefill_ask__pack
+                     (const Chestnuthitch__Wire__PrefillAsk   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__prefill_ask__pack_to_buffer
+                     (const Chestnuthitch__Wire__PrefillAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__PrefillAsk *
+       chestnuthitch__wire__prefill_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__prefill_ask__free_unpacked
+                     (Chestnuthitch__Wire__PrefillAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__PrefillReply methods */
+void   chestnuthitch__wire__prefill_reply__init
+                     (Chestnuthitch__Wire__PrefillReply         *message);
+size_t chestnuthitch__wire__prefill_reply__get_packed_size
+                     (const Chestnuthitch__Wire__PrefillReply   *message);
+size_t chestnuthitch__wire__prefill_reply__pack
+                     (const Chestnuthitch__Wire__PrefillReply   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__prefill_reply__pack_to_buffer
+                     (const Chestnuthitch__Wire__PrefillReply   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__PrefillReply *
+       chestnuthitch__wire__prefill_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__prefill_reply__free_unpacked
+                     (Chestnuthitch__Wire__PrefillReply *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__RoomDemand methods */
 void   chestnuthitch__wire__room_demand__init
                      (Chestnuthitch__Wire__RoomDemand         *message);
@@ -2615,6 +2707,12 @@
 typedef void (*Chestnuthitch__Wire__PaceReadings_Closure)
                  (const Chestnuthitch__Wire__PaceReadings *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__PrefillAsk_Closure)
+                 (const Chestnuthitch__Wire__PrefillAsk *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__PrefillReply_Closure)
+                 (const Chestnuthitch__Wire__PrefillReply *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__RoomDemand_Closure)
                  (const Chestnuthitch__Wire__RoomDemand *message,
                   void *closure_data);
@@ -2715,6 +2813,8 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_withdraw__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__pace_readings__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__prefill_ask__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__prefill_reply__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_demand__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_report__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__room_level__descriptor;
