--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -643,7 +643,7 @@
 {
     const struct model_stats *model =
         g_hash_table_lookup(balance->models, GUINT_TO_POINTER(name));
-    return model == NULL ||
+    return model == NULL || balance->controls_overload ||
                    !is_measurement_used(balance, &model->prefill_per_token)
                ? DEFAULT_PREFILL_US_PER_TOKEN
                : model->prefill_per_token.value;
