--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -133,6 +133,7 @@
     double slowdown;      /* actual / expected time until the first token */
     GArray *cached_parts; /* struct cached_part */
     uint64_t cached_tokens;
+    struct ch_pace_state pace; /* that the upstream states */
 };
 
 /* A time that is measured again and again, in microseconds. */
@@ -272,7 +273,7 @@
 }
 
 /* Clears what an upstream loses when it restarts: adapters, cached prompt
- * parts, and failures and slowdown, which were measured before. */
+ * parts, and failures, slowdown and pace, which were measured before. */
 static void
 reset_after_restart(struct upstream_state *state)
 {
@@ -281,6 +282,7 @@
     state->cached_tokens = 0;
     state->failure_rate = 0;
     state->slowdown = 1;
+    state->pace = (struct ch_pace_state){0};
 }
 
 /* Adds or updates one upstream of the new list. */
@@ -379,6 +381,17 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_set_pace(struct ch_balance *balance, GQuark upstream,
+                    const struct ch_pace_state *pace)
+{
+    struct upstream_state *state = find_state(balance, upstream);
+    if (state != NULL) {
+        state->pace = *pace;
+    }
+}
+
 /* See balance.h. */
 void
 ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
