Estimate the pauses that a prompt causes

Callers saw streams pause for longer than the target, most of all at slow engines. The cause is that a prompt is sent by its time to the first token alone. ch_pause_estimate() computes the running streams that a prompt makes late at an engine of this pace, the lateness of its own stream, and whether its response ends before the deadline.

New in pause.h: the gap target of the streams that run (a request without a target must keep it too), the usual later prompt (the own stream waits for prompts that come after it), and ch_pause_get_fastest_pace(). Ruled out: dividing measured times by the pace expected when the request was sent. They follow the fastest samples, so that a slowdown that is over when the response comes would lower them for thousands of responses.

--- a/libchestnuthitch/pause/pause.h
+++ b/libchestnuthitch/pause/pause.h
@@ -14,11 +14,14 @@
 /* An engine that may get a request. Times are those of a usual engine; the
  * engine's own are longer by its pace. */
 struct ch_pause_engine {
-    const struct ch_pace_state *pace; /* NULL: works as usual */
+    const struct ch_pace_state *pace; /* NULL: certainly works as usual */
     uint32_t streams;                 /* that run there */
-    int64_t event_time;               /* between two events without prompts */
+    int64_t gap_target;    /* longest pause of these streams; 0: none */
+    int64_t event_time;    /* between two events without prompts */
     int64_t prefill_burst; /* prompts that are read without a pause before the
                               request's own */
+    int64_t later_prefill; /* usual prompt that is read while the request's
+                              own stream runs */
 };
 
 struct ch_pause_request {
@@ -49,4 +52,10 @@
                            const struct ch_pause_request *request,
                            int64_t now);
 
+/* The pace at which the fastest of several responses were probably measured:
+ * the lowest of the samples and of the pace that is expected now. 1: pace is
+ * NULL; 0: too few samples to tell. */
+double ch_pause_get_fastest_pace(const struct ch_pace_state *pace,
+                                 int64_t now);
+
 #endif
