Spread requests over places of uneven speed

ch_fill_choose() adds the same cost for each request at each place, so that nodes with the same view would fill a slow engine as far as a fast one. ch_fill_choose_uneven() takes the cost of a request for each place. ch_fill_choose() is unchanged.

--- a/libchestnuthitch/decide/fill.c
+++ b/libchestnuthitch/decide/fill.c
@@ -68,3 +68,68 @@
     }
     return find_cheapest(costs, count);
 }
+
+/* A place with the cost of its next request and what each adds. */
+struct uneven_place {
+    double cost;
+    double per_request;
+};
+
+/* Compares two places by cost for qsort(). */
+static gint
+compare_places(gconstpointer a, gconstpointer b)
+{
+    const struct uneven_place *first = a;
+    const struct uneven_place *second = b;
+    return compare_costs(&first->cost, &second->cost);
+}
+
+/* Like find_cost_level(), for uneven places: up to a level, a place takes its
+ * distance from the level divided by what each request adds. */
+static double
+find_uneven_level(const double *costs, const double *costs_per_request,
+                  size_t count, double arrivals)
+{
+    g_autofree struct uneven_place *places =
+        g_new0(struct uneven_place, count);
+    for (size_t i = 0; i < count; i++) {
+        places[i] = (struct uneven_place){costs[i], costs_per_request[i]};
+    }
+    qsort(places, count, sizeof(struct uneven_place), compare_places);
+    double level = 0;
+    double sum = arrivals;
+    double rate = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (i > 0 && places[i].cost >= level) {
+            break;
+        }
+        sum += places[i].cost / places[i].per_request;
+        rate += 1 / places[i].per_request;
+        level = sum / rate;
+    }
+    return level;
+}
+
+/*
+ * See fill.h. For engines of uneven speed: a fast engine rises less by each
+ * request, so that it takes more of the arrivals, in proportion to its speed.
+ */
+size_t
+ch_fill_choose_uneven(const double *costs, const double *costs_per_request,
+                      size_t count, double arrivals, double random)
+{
+    if (arrivals <= 1) {
+        return find_cheapest(costs, count);
+    }
+    double level =
+        find_uneven_level(costs, costs_per_request, count, arrivals);
+    double remaining = random * arrivals;
+    for (size_t i = 0; i < count; i++) {
+        double share = MAX(level - costs[i], 0) / costs_per_request[i];
+        if (share > 0 && remaining < share) {
+            return i;
+        }
+        remaining -= share;
+    }
+    return find_cheapest(costs, count);
+}
--- a/libchestnuthitch/decide/fill.h
+++ b/libchestnuthitch/decide/fill.h
@@ -17,4 +17,10 @@
 size_t ch_fill_choose(const double *costs, size_t count,
                       double cost_per_request, double arrivals, double random);
 
+/* Like ch_fill_choose(), for places that differ in what a request adds to
+ * their cost: costs_per_request has it for each place. */
+size_t ch_fill_choose_uneven(const double *costs,
+                             const double *costs_per_request, size_t count,
+                             double arrivals, double random);
+
 #endif
--- a/tests/unit/test_fill.c
+++ b/tests/unit/test_fill.c
@@ -44,6 +44,40 @@
     }
 }
 
+static const struct uneven_case {
+    const char *name;
+    size_t count;
+    double costs[4];
+    double costs_per_request[4];
+    double arrivals;
+    double shares[4]; /* expected share of each place */
+} uneven_cases[] = {
+    {"one arrival", 2, {5, 3}, {1, 9}, 1, {0, 1}},
+    {"in proportion to speed", 2, {2, 2}, {1, 3}, 8, {0.75, 0.25}},
+    {"one is too expensive", 3, {0, 0, 100}, {1, 4, 1}, 10, {0.8, 0.2, 0}},
+    {"equal speed", 3, {0, 2, 4}, {1, 1, 1}, 6, {0.666667, 0.333333, 0}},
+};
+
+/* Guards against slow places that get as many arrivals as fast ones. */
+static void
+test_choose_uneven(void)
+{
+    for (size_t c = 0; c < G_N_ELEMENTS(uneven_cases); c++) {
+        const struct uneven_case *test = &uneven_cases[c];
+        size_t got[4] = {0};
+        g_test_message("%s", test->name);
+        for (int i = 0; i < ROUNDS; i++) {
+            got[ch_fill_choose_uneven(test->costs, test->costs_per_request,
+                                      test->count, test->arrivals,
+                                      (double)i / ROUNDS)]++;
+        }
+        for (size_t i = 0; i < test->count; i++) {
+            g_assert_cmpfloat_with_epsilon((double)got[i] / ROUNDS,
+                                           test->shares[i], 0.01);
+        }
+    }
+}
+
 /* Simulates, in time steps, nodes that send requests to engines by a load
  * report that is refreshed now and then. */
 struct simulation {
@@ -120,6 +154,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/fill/choose", test_choose);
+    g_test_add_func("/fill/choose-uneven", test_choose_uneven);
     g_test_add_func("/fill/herd-on-one-report", test_shared_report);
     return g_test_run();
 }
