Count pauses in the choice of an engine

Callers saw late streams at slow engines, as the choice followed a mean slowdown and did not count the streams beside a prompt. Where the pace of an engine is known, or overload control is on, the cost of an engine now has the harm by pauses, and its expected pace in place of the slowdown. Deferrals follow the same estimate. The balancer counts avoided and deferred pauses and writes upstream-chosen at the debug level.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -2,6 +2,7 @@
 
 #include "decide/balance.h"
 #include "decide/fill.h"
+#include "pause/pause.h"
 
 #include <math.h>
 #include <string.h>
@@ -66,6 +67,12 @@
      */
     MAX_PREFILL_BURST_US = 230 * 1000,
     PREFILL_PAUSE_US = 40 * 1000,
+    /* Time between two events, and the tokens of one, until measured. */
+    DEFAULT_EVENT_US = 40 * 1000,
+    DEFAULT_TOKENS_PER_EVENT = 4,
+    /* Share of the most that a response may have, as a divisor, where the
+     * caller does not state what it expects. */
+    EXPECTED_OUTPUT_DIVISOR = 4,
     MAX_CACHED_PARTS = 1024, /* per upstream */
 };
 
@@ -160,6 +167,11 @@
     /* Service to the slots of each of its engines. */
     GHashTable *slots_by_service;
     struct ch_disabled_features without;
+    bool controls_overload;
+    /* Of the last request sent that states a target: other requests are to
+     * keep it for the streams beside them. 0: none. */
+    int64_t event_gap_target;
+    double prefill_time; /* mean of the prompts that were sent; 0: none yet */
 };
 
 /* ---- upstreams ---- */
@@ -208,6 +220,13 @@
     balance->without = *without;
 }
 
+/* See balance.h. */
+void
+ch_balance_control_overload(struct ch_balance *balance, bool control)
+{
+    balance->controls_overload = control;
+}
+
 /* Returns NULL for an unknown upstream. */
 static struct upstream_state *
 find_state(const struct ch_balance *balance, GQuark upstream)
@@ -732,41 +751,71 @@
     }
 }
 
-/* Prefill backlog of other nodes' requests: the engine goes on with the
- * prefill after the backlog was reported, so that its age is subtracted. */
+/* Prefill backlog of other nodes' requests at an engine of this pace: it goes
+ * on with the prefill after the backlog was reported, so that the work of that
+ * time is subtracted. */
 static int64_t
-estimate_others_backlog(const struct upstream_state *state, int64_t now)
+estimate_others_backlog(const struct upstream_state *state, double pace,
+                        int64_t now)
 {
-    if (now - state->others_reported_at > OTHERS_STALE_US) {
+    int64_t age = now - state->others_reported_at;
+    if (age > OTHERS_STALE_US) {
         return 0;
     }
-    return MAX(
-        state->others_prefill_backlog - (now - state->others_reported_at), 0);
+    return MAX(state->others_prefill_backlog - (int64_t)((double)age / pace),
+               0);
 }
 
 /* Prefill time without a pause in between, as far as this node knows: its own
  * burst and the backlog of others. */
 static int64_t
-estimate_burst(const struct upstream_state *state, int64_t now)
+estimate_burst(const struct upstream_state *state, double pace, int64_t now)
 {
-    bool paused = state->prefill_backlog == 0 &&
-                  now - state->prefill_ended_at >= PREFILL_PAUSE_US;
+    bool paused =
+        state->prefill_backlog == 0 &&
+        (double)(now - state->prefill_ended_at) >= PREFILL_PAUSE_US * pace;
     return (paused ? 0 : state->prefill_burst) +
-           estimate_others_backlog(state, now);
+           estimate_others_backlog(state, pace, now);
 }
 
-/* Expected time until an engine's first token. */
+/* Whether the pauses that the request's prompt causes there count in the
+ * choice. */
+static bool
+counts_pauses(const struct ch_balance *balance,
+              const struct upstream_state *state,
+              const struct ch_request_info *request, int64_t now)
+{
+    return !request->is_service && !balance->without.stream_pauses &&
+           (balance->controls_overload ||
+            ch_pace_state_is_known(&state->pace, now));
+}
+
+/* The upstream's pace now; 0: not known, or not to be used. */
+static double
+get_expected_pace(const struct ch_balance *balance,
+                  const struct upstream_state *state,
+                  const struct ch_request_info *request, int64_t now)
+{
+    return counts_pauses(balance, state, request, now) &&
+                   ch_pace_state_is_known(&state->pace, now)
+               ? ch_pace_state_expect(&state->pace, now)
+               : 0;
+}
+
+/* Expected time until an engine's first token. pace: expected pace; 0: not
+ * known, so that the learnt slowdown counts. */
 static int64_t
 estimate_first_token(const struct ch_balance *balance,
                      const struct upstream_state *state,
                      const struct ch_request_info *request,
-                     int64_t prefill_time, int64_t now)
+                     int64_t prefill_time, double pace, int64_t now)
 {
     int64_t prefill_backlog =
-        state->prefill_backlog + estimate_others_backlog(state, now);
+        state->prefill_backlog +
+        estimate_others_backlog(state, pace > 0 ? pace : 1, now);
     int64_t cost = MIN_FIRST_TOKEN_US + prefill_backlog + prefill_time +
                    (int64_t)count_running(state, now) * BATCH_NEIGHBOUR_US;
-    cost = (int64_t)((double)cost * state->slowdown);
+    cost = (int64_t)((double)cost * (pace > 0 ? pace : state->slowdown));
     cost += estimate_slot_wait(state, now, estimate_decode(balance, request));
     uint64_t needed_tokens = state->used_context_tokens +
                              request->prompt_tokens +
@@ -803,7 +852,7 @@
 is_burst_too_long(const struct upstream_state *state, int64_t prefill_time,
                   int64_t now)
 {
-    int64_t prefill_burst = estimate_burst(state, now);
+    int64_t prefill_burst = estimate_burst(state, 1, now);
     return prefill_burst > 0 &&
            prefill_burst + prefill_time > MAX_PREFILL_BURST_US;
 }
@@ -884,8 +933,89 @@
     uint32_t tokens;
     int64_t prefill_time;
     int64_t expected_latency;
+    bool counts_pauses;
+    double pace; /* expected; 0: not known */
+    struct ch_pause_estimate pauses;
+    double pause_cost; /* the part of its cost that is for the pauses */
+};
+
+/* Events that the response is expected to have. Of a model, the events for
+ * each token that a response may have are measured, so that these do not apply
+ * where the caller states how many tokens it expects. */
+static uint32_t
+estimate_events(const struct ch_request_info *request,
+                const struct model_stats *model)
+{
+    if (request->expected_output_tokens > 0) {
+        return request->expected_output_tokens / DEFAULT_TOKENS_PER_EVENT;
+    }
+    if (model != NULL && model->events_per_token > 0) {
+        return (uint32_t)(request->max_output_tokens *
+                          model->events_per_token);
+    }
+    return request->max_output_tokens / EXPECTED_OUTPUT_DIVISOR /
+           DEFAULT_TOKENS_PER_EVENT;
+}
+
+/* The engine and the request as the estimate of pauses sees them. */
+struct pause_view {
+    struct ch_pause_engine engine;
+    struct ch_pause_request request;
 };
 
+static struct pause_view
+build_pause_view(const struct ch_balance *balance,
+                 const struct ch_request_info *request,
+                 const struct candidate *candidate, int64_t now)
+{
+    const struct upstream_state *state = candidate->state;
+    const struct model_stats *model =
+        g_hash_table_lookup(balance->models, GUINT_TO_POINTER(request->model));
+    bool is_measured =
+        model != NULL && is_measurement_used(balance, &model->time_per_event);
+    double pace = candidate->pace > 0 ? candidate->pace : 1;
+    return (struct pause_view){
+        .engine =
+            {
+                .pace = candidate->pace > 0 ? &state->pace : NULL,
+                .streams = count_running(state, now),
+                .gap_target = request->event_gap_target > 0
+                                  ? request->event_gap_target
+                                  : balance->event_gap_target,
+                .event_time = is_measured
+                                  ? (int64_t)model->time_per_event.value
+                                  : DEFAULT_EVENT_US,
+                .prefill_burst = estimate_burst(state, pace, now),
+                .later_prefill = (int64_t)balance->prefill_time,
+            },
+        .request =
+            {
+                .prefill_time = candidate->prefill_time,
+                .gap_target = request->event_gap_target,
+                .remaining_time = request->answer_deadline > 0
+                                      ? MAX(request->answer_deadline - now, 1)
+                                      : 0,
+                .expected_events = estimate_events(request, model),
+            },
+    };
+}
+
+/* Adds the harm by pauses to a candidate and returns its cost. */
+static double
+add_pause_cost(const struct ch_balance *balance,
+               const struct ch_request_info *request,
+               struct candidate *candidate, int64_t now)
+{
+    if (!candidate->counts_pauses) {
+        return 0;
+    }
+    const struct pause_view view =
+        build_pause_view(balance, request, candidate, now);
+    candidate->pauses = ch_pause_estimate(&view.engine, &view.request, now);
+    candidate->pause_cost = (double)ch_pause_get_cost(&candidate->pauses);
+    return candidate->pause_cost;
+}
+
 /* Fills in the candidate's estimates and returns its cost. Costs vary by up to
  * tie_spread per request, so that requests choose differently between equal
  * upstreams. */
@@ -900,16 +1030,21 @@
     candidate->prefill_time =
         (int64_t)(candidate->tokens *
                   get_prefill_per_token(balance, request->model));
+    candidate->counts_pauses = counts_pauses(balance, state, request, now);
+    candidate->pace = get_expected_pace(balance, state, request, now);
     candidate->expected_latency =
-        request->is_service
-            ? estimate_service_response(state, now)
-            : estimate_first_token(balance, state, request,
-                                   candidate->prefill_time, now);
+        request->is_service ? estimate_service_response(state, now)
+                            : estimate_first_token(balance, state, request,
+                                                   candidate->prefill_time,
+                                                   candidate->pace, now);
     double cost = (double)(candidate->expected_latency +
                            estimate_network_cost(balance, state)) +
-                  estimate_failure_rate(state, now) * FAILURE_COST_US;
+                  estimate_failure_rate(state, now) * FAILURE_COST_US +
+                  add_pause_cost(balance, request, candidate, now);
     uint64_t tie = ch_hash_pair(request->id, state->facts.name);
-    return cost * (1 + tie_spread * (double)(tie % 1024) / 1024);
+    double factor = 1 + tie_spread * (double)(tie % 1024) / 1024;
+    candidate->pause_cost *= factor;
+    return cost * factor;
 }
 
 /*
@@ -1004,26 +1139,112 @@
     }
 }
 
-/* Returns the index of the chosen candidate. `random` differs for each request
- * and each of its attempts. */
+/* What the choice between candidates depends on beside their costs. */
+struct choice_spread {
+    double cost_per_request; /* at an engine of pace 1 */
+    double arrivals;
+    double random; /* differs for each request and each of its attempts */
+};
+
+static struct choice_spread
+estimate_spread(const struct ch_balance *balance,
+                const struct ch_request_info *request,
+                const GArray *candidates, int64_t now)
+{
+    return (struct choice_spread){
+        .cost_per_request =
+            (double)(ch_balance_estimate_prefill(balance, request) +
+                     BATCH_NEIGHBOUR_US),
+        .arrivals =
+            request->is_service
+                ? 0
+                : estimate_others_arrivals(balance, request, candidates, now),
+        .random = (double)(ch_hash_pair(request->id,
+                                        request->attempt + request->refusals) %
+                           65536) /
+                  65536,
+    };
+}
+
+static bool
+any_pace_known(const GArray *candidates)
+{
+    for (guint i = 0; i < candidates->len; i++) {
+        if (g_array_index(candidates, struct candidate, i).pace > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the index of the chosen candidate. */
 static size_t
-choose_candidate(const struct ch_balance *balance,
-                 const struct ch_request_info *request,
-                 const GArray *candidates, const GArray *costs, int64_t now)
+choose_candidate(const struct choice_spread *spread, const GArray *candidates,
+                 const GArray *costs)
 {
-    double arrivals =
-        request->is_service
-            ? 0
-            : estimate_others_arrivals(balance, request, candidates, now);
-    double cost_per_request =
-        (double)(ch_balance_estimate_prefill(balance, request) +
-                 BATCH_NEIGHBOUR_US);
-    double random = (double)(ch_hash_pair(request->id, request->attempt +
-                                                           request->refusals) %
-                             65536) /
-                    65536;
-    return ch_fill_choose((const double *)(void *)costs->data, costs->len,
-                          cost_per_request, arrivals, random);
+    const double *values = (const double *)(void *)costs->data;
+    if (!any_pace_known(candidates)) {
+        return ch_fill_choose(values, costs->len, spread->cost_per_request,
+                              spread->arrivals, spread->random);
+    }
+    double *per_request = g_new0(double, candidates->len);
+    for (guint i = 0; i < candidates->len; i++) {
+        double pace = g_array_index(candidates, struct candidate, i).pace;
+        per_request[i] = spread->cost_per_request * (pace > 0 ? pace : 1);
+    }
+    size_t index = ch_fill_choose_uneven(values, per_request, costs->len,
+                                         spread->arrivals, spread->random);
+    g_free(per_request);
+    return index;
+}
+
+/* Whether a candidate where the prompt does more harm would be chosen if the
+ * harm did not count. */
+static bool
+avoids_pauses(const struct choice_spread *spread, const GArray *candidates,
+              const GArray *costs, size_t chosen)
+{
+    double most = 0;
+    GArray *plain = g_array_new(FALSE, FALSE, sizeof(double));
+    for (guint i = 0; i < candidates->len; i++) {
+        double harm =
+            g_array_index(candidates, struct candidate, i).pause_cost;
+        double cost = g_array_index(costs, double, i) - harm;
+        g_array_append_val(plain, cost);
+        most = MAX(most, harm);
+    }
+    double own =
+        g_array_index(candidates, struct candidate, chosen).pause_cost;
+    size_t other =
+        most > own ? choose_candidate(spread, candidates, plain) : chosen;
+    g_array_free(plain, TRUE);
+    return g_array_index(candidates, struct candidate, other).pause_cost > own;
+}
+
+/* Whether the request is better sent a little later to the candidate. */
+static bool
+should_defer(const struct ch_balance *balance,
+             const struct ch_request_info *request,
+             const struct candidate *candidate, int64_t now)
+{
+    if (request->is_service || balance->without.defer_prompts) {
+        return false;
+    }
+    if (!candidate->counts_pauses) {
+        return is_burst_too_long(candidate->state, candidate->prefill_time,
+                                 now);
+    }
+    const struct pause_view view =
+        build_pause_view(balance, request, candidate, now);
+    return ch_pause_should_defer(&view.engine, &view.request, now);
+}
+
+/* Returns the divisor for what is measured of the request. */
+static double
+get_measured_pace(const struct candidate *candidate, int64_t now)
+{
+    return ch_pause_get_fastest_pace(
+        candidate->pace > 0 ? &candidate->state->pace : NULL, now);
 }
 
 static struct ch_upstream_choice
@@ -1045,9 +1266,11 @@
                            !contains_name(state->adapters, request->adapter),
         .prefill_tokens = candidate->tokens,
         .prefill_time = candidate->prefill_time,
-        .should_defer = !request->is_service &&
-                        !balance->without.defer_prompts &&
-                        is_burst_too_long(state, candidate->prefill_time, now),
+        .should_defer = should_defer(balance, request, candidate, now),
+        .expected_pace = candidate->pace,
+        .pace_age = candidate->pace > 0 ? now - state->pace.last_at : -1,
+        .measured_pace = get_measured_pace(candidate, now),
+        .late_streams = candidate->pauses.late_streams,
         .expected_latency = candidate->expected_latency,
     };
 }
@@ -1095,12 +1318,15 @@
     bool only_one = candidates->len == 1;
     bool all_limited = remove_limited(candidates, costs, now);
     if (candidates->len > 0) {
-        size_t index =
-            choose_candidate(balance, request, candidates, costs, now);
+        const struct choice_spread spread =
+            estimate_spread(balance, request, candidates, now);
+        size_t index = choose_candidate(&spread, candidates, costs);
         choice = make_choice(
             balance, request,
             &g_array_index(candidates, struct candidate, index), now);
         choice.is_last_resort = only_one || all_limited;
+        choice.avoided_pauses =
+            avoids_pauses(&spread, candidates, costs, index);
     }
     g_array_free(candidates, TRUE);
     g_array_free(costs, TRUE);
@@ -1109,6 +1335,30 @@
 
 /* ---- progress of a request ---- */
 
+/* Exponential moving average; a mean of 0 has no sample yet. */
+static double
+update_mean(double mean, double last)
+{
+    return mean <= 0 ? last : mean + (last - mean) * mean_sample_weight;
+}
+
+/* Records what the request tells of the streams beside it and of the prompts
+ * that other streams have to wait for. */
+static void
+record_stream(struct ch_balance *balance,
+              const struct ch_request_info *request,
+              const struct ch_upstream_choice *choice)
+{
+    if (request->is_service) {
+        return;
+    }
+    if (request->event_gap_target > 0) {
+        balance->event_gap_target = request->event_gap_target;
+    }
+    balance->prefill_time =
+        update_mean(balance->prefill_time, (double)choice->prefill_time);
+}
+
 /* See balance.h. */
 void
 ch_balance_record_sent(struct ch_balance *balance,
@@ -1120,11 +1370,14 @@
         return;
     }
     state->running++;
-    if (estimate_burst(state, now) == estimate_others_backlog(state, now)) {
+    double pace = choice->expected_pace > 0 ? choice->expected_pace : 1;
+    if (estimate_burst(state, pace, now) ==
+        estimate_others_backlog(state, pace, now)) {
         state->prefill_burst = 0;
     }
     state->prefill_burst += choice->prefill_time;
     state->prefill_backlog += choice->prefill_time;
+    record_stream(balance, request, choice);
     state->used_context_tokens +=
         request->prompt_tokens + request->max_output_tokens;
     if (!request->is_service) {
@@ -1132,13 +1385,6 @@
     }
 }
 
-/* Exponential moving average; a mean of 0 has no sample yet. */
-static double
-update_mean(double mean, double last)
-{
-    return mean <= 0 ? last : mean + (last - mean) * mean_sample_weight;
-}
-
 /*
  * Updates a measured time so that it stays near the fastest samples. Responses
  * of an overloaded engine are slow because they wait for one another. If that
@@ -1175,14 +1421,21 @@
     state->prefill_ended_at = now;
     state->response_time = update_mean(state->response_time, (double)elapsed);
     double ratio = (double)elapsed / (double)MAX(choice->expected_latency, 1);
+    if (choice->expected_pace > 0) {
+        /* The pace was used in place of the slowdown, which is kept up to date
+         * for the time when the pace is no longer known. */
+        ratio *= choice->expected_pace / state->slowdown;
+    }
     state->slowdown =
         CLAMP(update_mean(state->slowdown, state->slowdown * ratio),
               MIN_SLOWDOWN, MAX_SLOWDOWN);
-    if (choice->prefill_tokens >= MIN_MEASURED_TOKENS) {
+    if (choice->prefill_tokens >= MIN_MEASURED_TOKENS &&
+        choice->measured_pace > 0) {
         struct model_stats *model =
             ensure_model_stats(balance, request->model);
         update_near_fastest(&model->prefill_per_token,
-                            (double)elapsed / choice->prefill_tokens);
+                            (double)elapsed / choice->measured_pace /
+                                choice->prefill_tokens);
     }
 }
 
@@ -1190,6 +1443,7 @@
 static void
 learn_response(struct ch_balance *balance,
                const struct ch_request_info *request,
+               const struct ch_upstream_choice *choice,
                const struct ch_timing_sample *sample)
 {
     if (request->is_service || sample->token_time <= 0 ||
@@ -1197,7 +1451,11 @@
         return;
     }
     struct model_stats *model = ensure_model_stats(balance, request->model);
-    update_near_fastest(&model->time_per_event, (double)sample->token_time);
+    if (choice->measured_pace > 0) {
+        update_near_fastest(&model->time_per_event,
+                            (double)sample->token_time /
+                                choice->measured_pace);
+    }
     model->events_per_token =
         update_mean(model->events_per_token,
                     (double)sample->token_count / request->max_output_tokens);
@@ -1236,7 +1494,7 @@
     enum ch_code code = sample->code;
     bool failed = false;
     if (code == CH_OK) {
-        learn_response(balance, request, sample);
+        learn_response(balance, request, choice, sample);
     }
     if (state == NULL) {
         return;
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -54,6 +54,17 @@
     /* Sending now would make the streams at the engine pause for too long: the
      * request is better sent a little later. */
     bool should_defer;
+    /* Another engine, at which the prompt causes more harm by pauses, would
+     * have been chosen if that did not count. */
+    bool avoided_pauses;
+    /* Expected pace of the engine and the age of the reading that it is from;
+     * 0 and -1: not known, or not used. */
+    double expected_pace;
+    int64_t pace_age;
+    /* Divisor for measured times; 0: nothing is to be measured. See
+     * ch_pause_get_fastest_pace(). */
+    double measured_pace;
+    double late_streams; /* that the prompt is expected to make late */
     int64_t retry_after; /* of a refusal */
     const char *message;
 };
@@ -67,6 +78,10 @@
 void ch_balance_disable_features(struct ch_balance *balance,
                                  const struct ch_disabled_features *without);
 
+/* Whether the pauses that a prompt causes count also at engines that do not
+ * state their pace; these count as usual ones. At first they do not. */
+void ch_balance_control_overload(struct ch_balance *balance, bool control);
+
 /* Replaces the list of upstreams: call begin, then
  * ch_balance_update_upstream() for each upstream, then end. An upstream that
  * was not updated in between is forgotten. */
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -397,6 +397,27 @@
                         g_quark_to_string(request->info.adapter)));
 }
 
+/* Counts and logs what the choice of an upstream was based on. Lock held. */
+static void
+log_choice(const struct balancer *balancer, const struct request *request)
+{
+    const struct ch_client *client = balancer->node->client;
+    const struct ch_upstream_choice *choice = &request->choice;
+    if (choice->avoided_pauses) {
+        ch_metrics_add_count(client->metrics, CH_COUNT_PAUSES_AVOIDED, 1);
+    }
+    ch_log(client, CH_LOG_DEBUG, "upstream-chosen",
+           CH_F_STR("upstream", g_quark_to_string(choice->upstream)),
+           CH_F_STR("model", g_quark_to_string(request->info.model)),
+           CH_F_INT("attempt", request->info.attempt),
+           CH_F_INT("expected_us", choice->expected_latency),
+           CH_F_INT("prefill_us", choice->prefill_time),
+           CH_F_NUM("pace", choice->expected_pace),
+           CH_F_INT("pace_age_us", choice->pace_age),
+           CH_F_NUM("late_streams", choice->late_streams),
+           CH_F_BOOL("avoided_pauses", choice->avoided_pauses), CH_F_END);
+}
+
 /* Grants a request the chosen upstream. Lock held. */
 static struct action
 grant(struct balancer *balancer, struct request *request, int64_t now)
@@ -408,6 +429,7 @@
                                           GUINT_TO_POINTER(choice->upstream));
     request->client->references++;
     ch_balance_record_sent(balancer->balance, &request->info, choice, now);
+    log_choice(balancer, request);
     if (request->info.adapter != 0) {
         record_adapter_use(balancer, request);
     }
@@ -550,6 +572,10 @@
         return wait_or_refuse_late(balancer, request, now);
     }
     if (request->choice.should_defer && may_defer(request, now)) {
+        if (request->state != REQUEST_DEFERRED) {
+            ch_metrics_add_count(balancer->node->client->metrics,
+                                 CH_COUNT_PAUSES_DEFERRED, 1);
+        }
         request->state = REQUEST_DEFERRED;
         return (struct action){.kind = ACTION_DEFER};
     }
@@ -1178,6 +1204,8 @@
                        g_quark_from_string(node->settings->data_centre));
     ch_balance_disable_features(balancer->balance,
                                 &node->settings->disabled_features);
+    ch_balance_control_overload(balancer->balance,
+                                ch_settings_controls_overload(node->settings));
     balancer->loading_models = ch_pending_loads_new();
     balancer->clients = g_hash_table_new_full(NULL, NULL, NULL, client_unref);
     balancer->requests = ch_table_new();
