--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -9,6 +9,7 @@
  */
 
 #include "decide/policy.h"
+#include "pace/pace.h"
 #include "prefill/prefill.h"
 
 /* An upstream as the list of upstreams describes it. */
@@ -57,6 +58,17 @@
     GQuark region;
     /* How its prompt is spaced from those before it; cost 0: it is not. */
     struct ch_prefill_rule prefill;
+    /* Another engine, at which the prompt causes more harm by pauses, would
+     * have been chosen if that did not count. */
+    bool avoided_pauses;
+    /* Expected pace of the engine and the age of the reading that it is from;
+     * 0 and -1: not known, or not used. */
+    double expected_pace;
+    int64_t pace_age;
+    /* Divisor for measured times; 0: nothing is to be measured. See
+     * ch_pause_get_fastest_pace(). */
+    double measured_pace;
+    double late_streams; /* that the prompt is expected to make late */
     int64_t retry_after; /* of a refusal */
     const char *message;
 };
@@ -70,8 +82,9 @@
 void ch_balance_disable_features(struct ch_balance *balance,
                                  const struct ch_disabled_features *without);
 
-/* Whether pauses of streams are counted also where upstreams state no pace. */
-void ch_balance_control_overload(struct ch_balance *balance, bool on);
+/* Whether the pauses that a prompt causes count also at engines that do not
+ * state their pace; these count as usual ones. At first they do not. */
+void ch_balance_control_overload(struct ch_balance *balance, bool control);
 
 /* Replaces the list of upstreams: call begin, then
  * ch_balance_update_upstream() for each upstream, then end. An upstream that
@@ -97,6 +110,9 @@
  * where no other upstream can take the request. */
 void ch_balance_set_limited_until(struct ch_balance *balance, GQuark upstream,
                                   int64_t until);
+/* Replaces what is known of the upstream's pace. */
+void ch_balance_set_pace(struct ch_balance *balance, GQuark upstream,
+                         const struct ch_pace_state *pace);
 /* Records that the upstream no longer has the model, or never had it; holds
  * until the next update of its models. */
 void ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -498,11 +498,10 @@
 {
     const struct ch_request_info *info = &exchange->request->info;
     int64_t now = ch_client_get_time(exchange->frontend->node->client);
-    return info->answer_started
-               ? 0
-               : MAX(info->first_token_deadline - now -
-                         exchange->grant.expected_latency,
-                     0);
+    return info->answer_started ? 0
+                                : MAX(info->first_token_deadline - now -
+                                          exchange->grant.expected_latency,
+                                      0);
 }
 
 /* The engine's home permits the prompt, or it would have to wait for too long:
@@ -518,6 +517,10 @@
         over = end_without_response(exchange);
     }
     else if (granted) {
+        struct ch_router *router = exchange->frontend->node->router;
+        if (wait > 0 && router->ops->record_delay != NULL) {
+            router->ops->record_delay(router, exchange->grant.handle);
+        }
         over = call_with_slot(exchange);
     }
     else {
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -395,6 +395,9 @@
     /* True: neither handler will run. False: a handler has run or is about to
      * run; a grant must then be released as usual. */
     bool (*withdraw)(struct ch_router *router, uint64_t handle);
+    /* Reports that a granted request waited until now before it is sent; the
+     * operation may be NULL. */
+    void (*record_delay)(struct ch_router *router, uint64_t handle);
     /* Reports the first event of a granted request's response; the operation
      * may be NULL. */
     void (*record_first_byte)(struct ch_router *router, uint64_t handle);
--- a/libchestnuthitch/prefill/line.c
+++ b/libchestnuthitch/prefill/line.c
@@ -2,9 +2,9 @@
 
 #include "prefill/prefill.h"
 
-/* Part of the time between two events of a stream that prompts may take without
- * a pause; the rest of that time is for those that follow. In the time of the
- * gap target an engine then reads no more than the target allows. */
+/* Part of the time between two events of a stream that prompts may take
+ * without a pause; the rest of that time is for those that follow. In the time
+ * of the gap target an engine then reads no more than the target allows. */
 static const double BURST_PART = 0.3;
 /* Part of the gap target that is left for prompts at the slowest engine: else
  * none would be sent there any more. */
@@ -35,8 +35,8 @@
  * See prefill.h. Load: many nodes send prompts to an engine with many streams,
  * each by a view of the others that is some hundred milliseconds old. Harm
  * prevented: prompts that happen to come together pause all streams for longer
- * than their target, while the engine is idle before and after. A prompt longer
- * than the capacity goes once the ones before it have been read.
+ * than their target, while the engine is idle before and after. A prompt
+ * longer than the capacity goes once the ones before it have been read.
  */
 struct ch_prefill_answer
 ch_prefill_line_take(struct ch_prefill_line *line,
--- a/libchestnuthitch/prefill/prefill.h
+++ b/libchestnuthitch/prefill/prefill.h
@@ -2,10 +2,11 @@
 #define CH_PREFILL_H
 
 /*
- * Spaces the prompts that all nodes send to one engine. An engine reads prompts
- * between the tokens of the streams that run there, so that several prompts at
- * once pause all of them. One node for each engine, its home, keeps the time at
- * which the next prompt may be sent; the others ask it before they send one.
+ * Spaces the prompts that all nodes send to one engine. An engine reads
+ * prompts between the tokens of the streams that run there, so that several
+ * prompts at once pause all of them. One node for each engine, its home, keeps
+ * the time at which the next prompt may be sent; the others ask it before they
+ * send one.
  *
  * line.c: no sockets, no clock, no threads; times are microseconds. manager.c:
  * one node's part, with threads.
@@ -26,9 +27,9 @@
 
 /*
  * The rule for a prompt, from times at a usual engine. pace: how long work
- * takes at the engine; 1: as usual. event_time: between two events of a stream,
- * without prompts. gap_target: longest pause of a stream; 0: none, and the
- * prompt is not spaced.
+ * takes at the engine; 1: as usual. event_time: between two events of a
+ * stream, without prompts. gap_target: longest pause of a stream; 0: none, and
+ * the prompt is not spaced.
  */
 struct ch_prefill_rule ch_prefill_rule_new(int64_t prefill_time, double pace,
                                            int64_t event_time,
@@ -46,9 +47,9 @@
     int64_t wait; /* until the prompt may be sent */
 };
 
-/* Asks for one prompt, which is counted if it is granted. max_wait: the longest
- * wait that the request has time for; forced: it is granted in any case, with a
- * wait of max_wait at most. */
+/* Asks for one prompt, which is counted if it is granted. max_wait: the
+ * longest wait that the request has time for; forced: it is granted in any
+ * case, with a wait of max_wait at most. */
 struct ch_prefill_answer
 ch_prefill_line_take(struct ch_prefill_line *line,
                      const struct ch_prefill_rule *rule, int64_t max_wait,
@@ -90,11 +91,11 @@
 };
 
 /*
- * Asks when a prompt may be sent. done runs exactly once, on a pool worker: with
- * granted at the time when it may be sent, or at once without; wait then says
- * how long it would have had to wait. A home node that does not answer grants
- * the prompt, so that its loss delays no request for long. A NULL prefill
- * grants everything.
+ * Asks when a prompt may be sent. done runs exactly once, on a pool worker:
+ * with granted at the time when it may be sent, or at once without; wait then
+ * says how long it would have had to wait. A home node that does not answer
+ * grants the prompt, so that its loss delays no request for long. A NULL
+ * prefill grants everything.
  */
 void ch_prefill_ask(struct ch_prefill *prefill,
                     const struct ch_prefill_ask *ask,
