--- a/libchestnuthitch/prefill/line.c
+++ b/libchestnuthitch/prefill/line.c
@@ -9,10 +9,6 @@
 /* Part of the gap target that is left for prompts at the slowest engine: else
  * none would be sent there any more. */
 static const double MIN_PROMPT_PART = 0.2;
-/* Parts of the gap target that are not planned with: estimates of prompts and
- * of the pace are not exact. */
-static const double TARGET_MARGIN = 0.1;
-
 /* See prefill.h. */
 struct ch_prefill_rule
 ch_prefill_rule_new(int64_t prefill_time, double pace, int64_t event_time,
@@ -22,7 +18,7 @@
         return (struct ch_prefill_rule){0};
     }
     double target = (double)gap_target;
-    double room = target * (1 - TARGET_MARGIN) - (double)event_time * pace;
+    double room = target - (double)event_time * pace;
     room = MAX(room, target * MIN_PROMPT_PART);
     return (struct ch_prefill_rule){
         .cost = (int64_t)((double)prefill_time * pace),
