Room by class and team: decisions, manager, connection to the balancer

While a model is short of room nothing arbitrated between classes and teams: a team that sent more got more. Members report their demand to the home node of the service, which divides the room by rank and then equally among teams. Requests that an upstream can serve in time are sent as before; the decision is about the others, before they wait or are refused as late.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -682,6 +682,15 @@
                      MAX(slots, 1));
 }
 
+/* See balance.h. */
+int64_t
+ch_balance_estimate_work(const struct ch_balance *balance,
+                         const struct ch_request_info *request)
+{
+    return ch_balance_estimate_prefill(balance, request) +
+           estimate_decode(balance, request);
+}
+
 /* Demand decayed until now: an average over about DEMAND_WINDOW_US. */
 static double
 estimate_demand(const struct model_stats *model, int64_t now)
@@ -696,8 +705,7 @@
                          const struct ch_request_info *request, int64_t now)
 {
     struct model_stats *model = ensure_model_stats(balance, request->model);
-    int64_t time = ch_balance_estimate_prefill(balance, request) +
-                   estimate_decode(balance, request);
+    int64_t time = ch_balance_estimate_work(balance, request);
     model->demand =
         estimate_demand(model, now) + (double)time / DEMAND_WINDOW_US;
     model->demand_at = now;
@@ -719,6 +727,96 @@
     }
 }
 
+/* Engine time, in seconds per second, that an engine provides. pace: how long
+ * work takes there, 1 being usual. */
+static double
+get_engine_time(double pace)
+{
+    return 1 / pace;
+}
+
+/* Whether an engine of the service takes new requests for the model. */
+static bool
+serves_model(const struct upstream_state *state, GQuark service, GQuark model)
+{
+    return state->facts.engine && !state->facts.draining &&
+           state->facts.service == service &&
+           contains_name(state->models, model);
+}
+
+/* Counts the engines of a service that have each model, in a new table of
+ * GQuark to number. */
+static GHashTable *
+count_replicas(const struct ch_balance *balance, GQuark service)
+{
+    GHashTable *replicas = g_hash_table_new(NULL, NULL);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->upstreams);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct upstream_state *state = value;
+        for (guint i = 0; i < state->models->len; i++) {
+            GQuark model = g_array_index(state->models, GQuark, i);
+            gpointer key = GUINT_TO_POINTER(model);
+            if (serves_model(state, service, model)) {
+                guint count =
+                    GPOINTER_TO_UINT(g_hash_table_lookup(replicas, key));
+                g_hash_table_insert(replicas, key,
+                                    GUINT_TO_POINTER(count + 1));
+            }
+        }
+    }
+    return replicas;
+}
+
+/* This node's demand for a model, for each engine that has it. */
+static double
+estimate_replica_demand(const struct ch_balance *balance, GHashTable *replicas,
+                        GQuark name, int64_t now)
+{
+    gpointer key = GUINT_TO_POINTER(name);
+    const struct model_stats *model =
+        g_hash_table_lookup(balance->models, key);
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(replicas, key));
+    return model == NULL ? 0 : estimate_demand(model, now) / MAX(count, 1);
+}
+
+/* The part of an engine's time that is for one of its models. */
+static double
+get_engine_share(const struct ch_balance *balance,
+                 const struct upstream_state *state, GHashTable *replicas,
+                 GQuark name, int64_t now)
+{
+    double total = 0;
+    for (guint i = 0; i < state->models->len; i++) {
+        total += estimate_replica_demand(
+            balance, replicas, g_array_index(state->models, GQuark, i), now);
+    }
+    return total <= 0
+               ? 1.0 / MAX(state->models->len, 1)
+               : estimate_replica_demand(balance, replicas, name, now) / total;
+}
+
+/* See balance.h. */
+double
+ch_balance_estimate_engine_room(const struct ch_balance *balance,
+                                GQuark service, GQuark model, int64_t now)
+{
+    double room = 0;
+    GHashTable *replicas = count_replicas(balance, service);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, balance->upstreams);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (serves_model(value, service, model)) {
+            room += get_engine_time(1) *
+                    get_engine_share(balance, value, replicas, model, now);
+        }
+    }
+    g_hash_table_destroy(replicas);
+    return room;
+}
+
 /* Prefill backlog of other nodes' requests: the engine goes on with the
  * prefill after the backlog was reported, so that its age is subtracted. */
 static int64_t
@@ -1013,6 +1111,18 @@
                           cost_per_request, arrivals, random);
 }
 
+static int64_t
+find_shortest_latency(const GArray *candidates)
+{
+    int64_t shortest = INT64_MAX;
+    for (guint i = 0; i < candidates->len; i++) {
+        shortest = MIN(
+            shortest,
+            g_array_index(candidates, struct candidate, i).expected_latency);
+    }
+    return shortest;
+}
+
 static struct ch_upstream_choice
 make_choice(const struct ch_balance *balance,
             const struct ch_request_info *request,
@@ -1088,6 +1198,7 @@
             balance, request,
             &g_array_index(candidates, struct candidate, index), now);
         choice.is_last_resort = only_one || all_limited;
+        choice.shortest_latency = find_shortest_latency(candidates);
     }
     g_array_free(candidates, TRUE);
     g_array_free(costs, TRUE);
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -50,6 +50,10 @@
     int64_t prefill_time; /* to prefill these tokens */
     int64_t expected_latency; /* until the first token, or until a plain
                          service's response */
+    /* The least expected latency of all upstreams that may take the request;
+     * the chosen one may be another, so that nodes don't all choose the same.
+     */
+    int64_t shortest_latency;
     /* Sending now would make the streams at the engine pause for too long: the
      * request is better sent a little later. */
     bool should_defer;
@@ -161,6 +165,19 @@
  * prompt. */
 int64_t ch_balance_estimate_prefill(const struct ch_balance *balance,
                                     const struct ch_request_info *request);
+/* Engine time that the request is likely to take: its prefill, and its part of
+ * the batch while its response is decoded. */
+int64_t ch_balance_estimate_work(const struct ch_balance *balance,
+                                 const struct ch_request_info *request);
+/*
+ * Engine time, in seconds per second, that the engines of a service have for a
+ * model: each engine that has it and is not draining is divided among its
+ * models in proportion to their demand for each replica, as this node measures
+ * it; in equal parts where this node knows no demand.
+ */
+double ch_balance_estimate_engine_room(const struct ch_balance *balance,
+                                       GQuark service, GQuark model,
+                                       int64_t now);
 /* Requests that this node has running on the upstream. */
 uint32_t ch_balance_count_running(const struct ch_balance *balance,
                                   GQuark upstream);
--- a/libchestnuthitch/decide/fleet.h
+++ b/libchestnuthitch/decide/fleet.h
@@ -34,7 +34,10 @@
     GQuark adapter; /* "model/adapter"; 0: none */
     bool is_service;
     GQuark class_name;
-    uint64_t tenant; /* hash of the caller's identity */
+    uint64_t tenant;        /* hash of the caller's identity */
+    bool has_team;          /* tenant is the hash of the team's name */
+    const char *request_id; /* that the caller knows, for logs; owned by the
+                               request; NULL: none */
     uint32_t model_mb;
     uint32_t adapter_mb;
     uint32_t prompt_tokens;
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -50,6 +50,9 @@
     /* A list that was confirmed longer ago than this may lack the restart of
      * an upstream under its name. */
     MAX_LIST_AGE_US = 6 * 1000 * 1000,
+    /* The priority of the team orders requests before that of their class,
+     * which is below this. */
+    RANKS_PER_TEAM_PRIORITY = 10,
     /* Limit of engines that are asked in vain to load a request's adapter. */
     MAX_ADAPTER_LOADS = 2,
 };
@@ -80,6 +83,7 @@
     struct ch_upstream_choice choice;
     struct upstream_client *client; /* when granted */
     unsigned failed_adapter_loads;
+    bool may_lack_room; /* to be asked about while room is short */
     bool has_first_byte;
     int64_t granted_time;
     int64_t wait_limit; /* time when the wait ends at the latest */
@@ -529,12 +533,56 @@
            info->first_token_deadline;
 }
 
+/* What the division of short room needs to know of a request. Lock held. */
+static struct ch_room_request
+describe_for_room(const struct balancer *balancer,
+                  const struct ch_request_info *info, int64_t now)
+{
+    return (struct ch_room_request){
+        .id = ch_hash_pair(info->id,
+                           ch_hash_string(balancer->node->settings->name)),
+        .name = info->request_id,
+        .service = info->required_service,
+        .model = info->model,
+        .rank = info->priority * RANKS_PER_TEAM_PRIORITY +
+                MIN(info->class_priority, RANKS_PER_TEAM_PRIORITY - 1),
+        .team = info->has_team ? info->tenant : 0,
+        .work = ch_balance_estimate_work(balancer->balance, info),
+        .remaining = MAX(info->answer_deadline - now, 0),
+    };
+}
+
+/* Whether a request that no upstream can serve within its target is admitted
+ * nevertheless. It is asked about only once, so that a request that waits is
+ * not refused later. Lock held. */
+static bool
+is_admitted_to_room(struct balancer *balancer, struct request *request,
+                    int64_t now, int64_t *retry_after)
+{
+    const struct ch_request_info *info = &request->info;
+    int64_t expected = request->choice.shortest_latency;
+    if (!request->may_lack_room || balancer->node->room == NULL ||
+        (now + expected <= info->first_token_deadline &&
+         !ch_late_is_expected(info, expected, now))) {
+        return true;
+    }
+    request->may_lack_room = false;
+    const struct ch_room_request described =
+        describe_for_room(balancer, info, now);
+    return ch_room_admit(balancer->node->room, &described,
+                         ch_balance_estimate_engine_room(balancer->balance,
+                                                         described.service,
+                                                         described.model, now),
+                         retry_after);
+}
+
 /* Chooses an upstream for a request. Lock held. */
 static struct action
 route(struct balancer *balancer, struct request *request, int64_t now)
 {
     const struct ch_request_info *info = &request->info;
     bool ready = request->failed_adapter_loads >= MAX_ADAPTER_LOADS;
+    int64_t retry_after = 0;
     request->choice = ch_balance_choose(balancer->balance, info,
                                         request->excluded, ready, now);
     if (request->choice.code != CH_OK && ready) {
@@ -545,6 +593,10 @@
     if (request->choice.code != CH_OK) {
         return wait_or_refuse(balancer, request, now);
     }
+    if (!is_admitted_to_room(balancer, request, now, &retry_after)) {
+        return refuse(balancer, request, CH_OVER_SHARE, retry_after,
+                      "the room goes to more urgent requests or other teams");
+    }
     if (!balancer->node->settings->disabled_features.refuse_late &&
         ch_late_is_expected(info, request->choice.expected_latency, now)) {
         return wait_or_refuse_late(balancer, request, now);
@@ -678,6 +730,25 @@
     }
 }
 
+/* Records the first attempt of a request for a model. A request that is bound
+ * to an upstream or continues a stream is never refused for want of room. Lock
+ * held. */
+static void
+record_for_room(struct balancer *balancer, struct request *request,
+                int64_t now)
+{
+    const struct ch_request_info *info = &request->info;
+    if (balancer->node->room == NULL) {
+        return;
+    }
+    const struct ch_room_request described =
+        describe_for_room(balancer, info, now);
+    ch_room_record(balancer->node->room, &described);
+    request->may_lack_room = !info->answer_started &&
+                             info->required_upstream == 0 &&
+                             info->required_version == 0;
+}
+
 /* Routes a request; see struct ch_router_ops. */
 static uint64_t
 balancer_request(struct ch_router *router, const struct ch_request_info *info,
@@ -698,6 +769,7 @@
     if (!info->is_service && info->attempt == 0 && info->refusals == 0 &&
         request->excluded->len == 0) {
         ch_balance_record_demand(balancer->balance, info, now);
+        record_for_room(balancer, request, now);
     }
     uint64_t handle = ch_table_add(balancer->requests, request);
     request->handle = handle;
--- a/libchestnuthitch/node/frontend.c
+++ b/libchestnuthitch/node/frontend.c
@@ -294,6 +294,7 @@
         return;
     }
     request->info.id = incoming->number;
+    request->info.request_id = request->request_id;
     ch_exchange_start(frontend, request, incoming->response);
 }
 
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,9 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < slots < paths < streams < peers < pool, timers,
- * http < metrics. No handler of another package is called with a lock held.
+ * < crashes < quota < limits < slots < room < paths < streams < peers < pool,
+ * timers, http < metrics. No handler of another package is called with a lock
+ * held.
  */
 
 #include "base/base.h"
@@ -23,6 +24,7 @@
 #include "net/net.h"
 #include "platform/platform.h"
 #include "notices/notices.h"
+#include "room/room.h"
 #include "slots/slots.h"
 #include "upstream/upstream.h"
 #include "wire/wire.h"
@@ -57,6 +59,7 @@
     struct ch_limit_manager *limits;
     struct ch_slots *slots;            /* NULL: no upstream is brittle */
     struct ch_notices *notices;        /* NULL: upstreams say nothing */
+    struct ch_room *room;              /* NULL: everything is admitted */
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
                                           stream of an earlier request */
@@ -84,6 +87,10 @@
 /* Creates the knowledge of upstreams' notices (notices_peers.c). */
 struct ch_notices *ch_node_create_notices(struct ch_node *node);
 
+/* Creates the division of short room (upstream_peers.c); NULL if the settings
+ * disable it. */
+struct ch_room *ch_node_create_room(struct ch_node *node);
+
 /* ---- peers (peers.c): frames to and from other nodes ---- */
 
 struct ch_peers;
--- a/libchestnuthitch/node/request_team.c
+++ b/libchestnuthitch/node/request_team.c
@@ -28,6 +28,7 @@
     g_free(request->tenant);
     request->tenant = g_strdup(request->team);
     request->info.tenant = ch_hash_string(request->team);
+    request->info.has_team = true;
     if ((*team)->priority != CH_TEAM_NO_PRIORITY) {
         request->info.priority = (*team)->priority;
     }
--- a/libchestnuthitch/node/upstream_peers.c
+++ b/libchestnuthitch/node/upstream_peers.c
@@ -1,5 +1,5 @@
-/* How the slots of brittle upstreams, and what upstreams say of calls to come,
- * reach other nodes. */
+/* How the slots of brittle upstreams, what upstreams say of calls to come, and
+ * the demand for models that are short of room reach other nodes. */
 
 #include "node/node.h"
 
@@ -86,3 +86,52 @@
     };
     return ch_notices_new(node->client, node->pool, node->timers, &peers);
 }
+
+/* The home node of a service, over all regions: its models are served by the
+ * engines of all of them. */
+static char *
+find_service_home(void *data, GQuark service)
+{
+    const struct ch_node *node = data;
+    return ch_peers_find_home(
+        node->peers, ch_hash_string(g_quark_to_string(service)), NULL);
+}
+
+static void
+handle_room_report(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const struct ch_node *node = data;
+    ch_room_handle_report(node->room, frame);
+}
+
+static void
+handle_room_levels(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const struct ch_node *node = data;
+    ch_room_handle_levels(node->room, frame);
+}
+
+/* See node.h. */
+struct ch_room *
+ch_node_create_room(struct ch_node *node)
+{
+    const struct ch_room_peers peers = {
+        .data = node,
+        .self = node->settings->name,
+        .find_counter = find_service_home,
+        .count_listed = count_listed,
+        .list_live = list_live,
+        .send = send_frame,
+    };
+    if (node->settings->disabled_features.room_shares) {
+        return NULL;
+    }
+    ch_peers_set_handler(node->peers,
+                         CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_REPORT,
+                         handle_room_report, node);
+    ch_peers_set_handler(node->peers,
+                         CHESTNUTHITCH__WIRE__FRAME__BODY_ROOM_LEVELS,
+                         handle_room_levels, node);
+    return ch_room_new(node->client, node->timers, &peers,
+                       ch_settings_controls_overload(node->settings));
+}
