--- a/tests/unit/test_room.c
+++ b/tests/unit/test_room.c
@@ -319,6 +319,100 @@
     g_array_free(demands, TRUE);
 }
 
+/* One engine and one node, in virtual time: a request is in time while the
+ * engine's backlog is within the target, and late beyond three targets. */
+struct overload {
+    struct ch_room_window *window;
+    struct ch_room_count count;
+    int64_t backlog;
+    uint64_t last_id;
+};
+
+/* Sends one request; returns the work that the engine does for it. */
+static int64_t
+send_request(struct overload *load, uint32_t rank, uint64_t team, int64_t work,
+             int64_t now)
+{
+    const struct ch_room_request request = {
+        .id = ++load->last_id, .rank = rank, .team = team, .work = work};
+    ch_room_window_add(load->window, &request, now);
+    if (load->backlog > 600 * MS) {
+        ch_room_window_add_short(load->window, &request, now);
+        const struct ch_room_use use =
+            ch_room_window_get_use(load->window, rank, team, now);
+        double admitted =
+            ch_room_find_admitted(load->count.shares, rank, team);
+        if (load->backlog > 1800 * MS ||
+            !ch_room_is_admitted(admitted, &use, &request)) {
+            return 0;
+        }
+    }
+    load->backlog += work;
+    return work;
+}
+
+/* Guards against teams or urgent classes that pay for what others send beyond
+ * the room, and against room that stays unused. Each team sends a request
+ * every 100 ms, of its demand; the engine does 1 second of work per second. */
+static void
+test_overload(void)
+{
+    enum {
+        SECONDS = 30,
+        SETTLED = 3, /* until the first levels are known */
+    };
+    static const struct {
+        const char *what;
+        struct ch_room_demand sent[3];
+        double least[3]; /* part of the demand that is served */
+    } rows[] = {
+        {"burst of one team",
+         {{0, 1, 0.25}, {0, 2, 0.25}, {0, 3, 1.75}},
+         {0.95, 0.95, 0.2}},
+        {"two ranks over capacity",
+         {{0, 1, 0.6}, {10, 2, 0.6}, {10, 3, 0.6}},
+         {0.95, 0.2, 0.2}},
+        {"one team alone", {{0, 1, 3}}, {0.3}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct overload load = {.window = ch_room_window_new()};
+        double served[3] = {0};
+        double total = 0;
+        ch_room_count_init(&load.count);
+        for (int64_t now = S; now < (1 + SECONDS) * S; now += 10 * MS) {
+            if (now % (200 * MS) == 0) {
+                GArray *demands =
+                    g_array_new(FALSE, FALSE, sizeof(struct ch_room_demand));
+                ch_room_window_get(load.window, now, demands);
+                ch_room_count_hear(&load.count, 1, demands, 1, now);
+                ch_room_count_update(&load.count, 1, now);
+                g_array_free(demands, TRUE);
+            }
+            for (int j = 0; j < 3; j++) {
+                const struct ch_room_demand *sent = &rows[i].sent[j];
+                if (sent->work > 0 && now / (10 * MS) % 10 == INT64_C(3) * j) {
+                    int64_t done =
+                        send_request(&load, sent->rank, sent->team,
+                                     (int64_t)(sent->work * 100 * MS), now);
+                    served[j] += now >= (1 + SETTLED) * S ? (double)done : 0;
+                }
+            }
+            load.backlog = MAX(load.backlog - 10 * MS, 0);
+        }
+        for (int j = 0; j < 3 && rows[i].sent[j].work > 0; j++) {
+            served[j] /= (double)(SECONDS - SETTLED) * S;
+            total += served[j];
+            g_test_message("%s: %.3f of %.3f", rows[i].what, served[j],
+                           rows[i].sent[j].work);
+            g_assert_cmpfloat(served[j], >=,
+                              rows[i].least[j] * rows[i].sent[j].work);
+        }
+        g_assert_cmpfloat(total, >=, 0.95);
+        ch_room_count_clear(&load.count);
+        ch_room_window_free(load.window);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -332,5 +426,6 @@
     g_test_add_func("/room/all-return-at-once", test_all_return_at_once);
     g_test_add_func("/room/return-order", test_return_order);
     g_test_add_func("/room/count", test_count);
+    g_test_add_func("/room/overload", test_overload);
     return g_test_run();
 }
