Quota by rank: urgent requests of a team get its credit first

Callers saw: while a team sent several times its quota, its urgent class was refused most, since its requests cost most and cheap ones took each bit of credit as it was earned.

Cause: a node's credit and the pools knew only what a request costs.

Change: demand by rank is counted at each node and told to the pool; while the team asks for more than it earns, a request of a less urgent rank needs so much credit that the expected demand of the more urgent ones is left. The rule only refuses. It is on where the settings control overload.

Ruled out: deposits as the income of a pool, since the demand includes what nodes take from their own credit; keeping only what exceeds the income, since an urgent demand within the income then finds the credit used up.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -1308,6 +1308,7 @@
     const struct ch_request *request = exchange->request;
     if (request->quota_cost > 0) {
         ch_quota_manager_take(exchange->frontend->node->quota, request->team,
+                              request->info.class_priority,
                               request->quota_cost, handle_quota, exchange);
         return;
     }
--- a/libchestnuthitch/node/quota_internal.h
+++ b/libchestnuthitch/node/quota_internal.h
@@ -19,9 +19,11 @@
     char *name;
     struct ch_quota_limits limits;
     struct ch_quota_credit credit;
-    struct ch_quota_pool pool; /* open only where this node keeps it */
-    bool begun;                /* credit was earned, or given at the start */
-    bool declared;             /* found by the update in progress */
+    struct ch_quota_pool pool;        /* open only where this node keeps it */
+    struct ch_quota_ranks own_ranks;  /* asked for by this node's callers */
+    struct ch_quota_ranks unreported; /* the same, not yet told to the pool */
+    bool begun;    /* credit was earned, or given at the start */
+    bool declared; /* found by the update in progress */
 };
 
 struct quota_region {
@@ -59,14 +61,27 @@
 char *quota_manager_find_pool(struct ch_quota_manager *manager, uint64_t team,
                               const char *region);
 
+/* Whether a team's credit is given by rank while it is short. */
+bool quota_manager_uses_ranks(const struct ch_quota_manager *manager);
+/* Adds one to a counter of the node. */
+void quota_manager_count(struct ch_quota_manager *manager,
+                         enum ch_counter counter);
+
 /* ---- quota_pools.c ---- */
 
 /* Registers the handlers of messages. */
 void quota_pools_init(struct ch_quota_manager *manager);
+/* Counts what a node's callers asked for, by rank, at this node's pool: the
+ * claim's request among it. Lock held. */
+void quota_pools_add_asked(struct ch_quota_manager *manager, uint64_t team,
+                           const struct ch_quota_claim *claim,
+                           const double asked[CH_QUOTA_RANK_COUNT],
+                           int64_t now);
 /* Withdraws at this node's own pool. Lock held. */
 struct ch_quota_answer quota_pools_withdraw(struct ch_quota_manager *manager,
-                                            uint64_t team, double cost,
-                                            double extra, int64_t now);
+                                            uint64_t team,
+                                            const struct ch_quota_claim *claim,
+                                            int64_t now);
 /* Moves to the pools of this region what this node does not need, or all that
  * it has. Lock not held. */
 void quota_pools_settle(struct ch_quota_manager *manager, bool all);
--- a/libchestnuthitch/node/quota_manager.c
+++ b/libchestnuthitch/node/quota_manager.c
@@ -138,6 +138,24 @@
                                      !leaving);
 }
 
+/* See quota_internal.h. */
+bool
+quota_manager_uses_ranks(const struct ch_quota_manager *manager)
+{
+    const struct ch_settings *settings = manager->node->settings;
+    return ch_settings_controls_overload(settings) &&
+           !settings->disabled_features.quota_ranks;
+}
+
+/* See quota_internal.h. */
+void
+quota_manager_count(struct ch_quota_manager *manager, enum ch_counter counter)
+{
+    if (manager->node->client->metrics != NULL) {
+        ch_metrics_add_count(manager->node->client->metrics, counter, 1);
+    }
+}
+
 /* ---- periodic work ---- */
 
 /* Decides, when this node first earns, whether it begins with credit. Lock
--- a/libchestnuthitch/node/quota_manager.h
+++ b/libchestnuthitch/node/quota_manager.h
@@ -15,11 +15,12 @@
 void ch_quota_manager_drain(struct ch_quota_manager *manager);
 void ch_quota_manager_stop(struct ch_quota_manager *manager);
 void ch_quota_manager_free(struct ch_quota_manager *manager);
-/* Takes the cost of a request from a team's quota. Calls done exactly once, in
+/* Takes the cost of a request from a team's quota. rank: the priority of the
+ * request's class, 0 is the most urgent. Calls done exactly once, in
  * this thread or on a pool worker: OK, QUOTA_USED with the time after which
  * there will be credit, or QUOTA_UNAVAILABLE. */
 void ch_quota_manager_take(struct ch_quota_manager *manager, const char *team,
-                           double cost,
+                           uint32_t rank, double cost,
                            void (*done)(void *data, enum ch_code code,
                                         int64_t retry_after),
                            void *data);
--- a/libchestnuthitch/node/quota_pools.c
+++ b/libchestnuthitch/node/quota_pools.c
@@ -9,10 +9,24 @@
 
 /* ---- at the node that keeps a pool ---- */
 
+/* See quota_internal.h. */
+void
+quota_pools_add_asked(struct ch_quota_manager *manager, uint64_t team,
+                      const struct ch_quota_claim *claim,
+                      const double asked[CH_QUOTA_RANK_COUNT], int64_t now)
+{
+    struct quota_team *known = quota_manager_find(manager, team);
+    uint32_t rank = MIN(claim->rank, CH_QUOTA_RANK_COUNT - 1);
+    for (uint32_t i = 0; known != NULL && i < CH_QUOTA_RANK_COUNT; i++) {
+        ch_quota_ranks_add(&known->pool.ranks, i, asked[i],
+                           i == rank ? claim->cost : 0, now);
+    }
+}
+
 /* See quota_internal.h. */
 struct ch_quota_answer
 quota_pools_withdraw(struct ch_quota_manager *manager, uint64_t team,
-                     double cost, double extra, int64_t now)
+                     const struct ch_quota_claim *claim, int64_t now)
 {
     struct quota_team *known = quota_manager_find(manager, team);
     if (known == NULL) {
@@ -20,8 +34,34 @@
             .retry_after = ch_quota_get_settle_period(0),
         };
     }
-    return ch_quota_pool_withdraw(&known->pool, &known->limits,
-                                  manager->region_part, cost, extra, now);
+    if (!quota_manager_uses_ranks(manager)) {
+        return ch_quota_pool_withdraw(&known->pool, &known->limits,
+                                      manager->region_part, claim->cost,
+                                      claim->extra, now);
+    }
+    struct ch_quota_answer answer = ch_quota_pool_withdraw_ranked(
+        &known->pool, &known->limits, manager->region_part, claim, now);
+    if (answer.ranked) {
+        quota_manager_count(manager, CH_COUNT_QUOTA_RANKED);
+    }
+    return answer;
+}
+
+/* Counts what a question says by rank; that of an older node says nothing and
+ * counts as rank 0. Lock held. */
+static void
+add_question(struct ch_quota_manager *manager,
+             const Chestnuthitch__Wire__QuotaWithdraw *question,
+             const struct ch_quota_claim *claim, int64_t now)
+{
+    double asked[CH_QUOTA_RANK_COUNT] = {0};
+    if (question->n_asked == 0) {
+        asked[MIN(claim->rank, CH_QUOTA_RANK_COUNT - 1)] = claim->cost;
+    }
+    for (size_t i = 0; i < question->n_asked && i < CH_QUOTA_RANK_COUNT; i++) {
+        asked[i] = (double)question->asked[i] / QUOTA_WIRE_SCALE;
+    }
+    quota_pools_add_asked(manager, question->team, claim, asked, now);
 }
 
 /* Handles a node's request for credit. */
@@ -30,14 +70,21 @@
 {
     struct ch_quota_manager *manager = data;
     const Chestnuthitch__Wire__QuotaWithdraw *asked = frame->quota_withdraw;
+    const struct ch_quota_claim claim = {
+        .cost = (double)asked->cost / QUOTA_WIRE_SCALE,
+        .extra = (double)asked->extra / QUOTA_WIRE_SCALE,
+        .rank = asked->rank,
+    };
     Chestnuthitch__Wire__QuotaGrant grant = WIRE(QUOTA_GRANT__INIT);
     Chestnuthitch__Wire__Frame reply = WIRE(FRAME__INIT);
     quota_manager_refresh(manager);
+    int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
-    struct ch_quota_answer answer = quota_pools_withdraw(
-        manager, asked->team, (double)asked->cost / QUOTA_WIRE_SCALE,
-        (double)asked->extra / QUOTA_WIRE_SCALE,
-        ch_client_get_time(manager->node->client));
+    if (quota_manager_uses_ranks(manager)) {
+        add_question(manager, asked, &claim, now);
+    }
+    struct ch_quota_answer answer =
+        quota_pools_withdraw(manager, asked->team, &claim, now);
     pthread_mutex_unlock(&manager->lock);
     grant.amount = (uint64_t)(answer.amount * QUOTA_WIRE_SCALE);
     grant.retry_after_ms = (uint32_t)((answer.retry_after + 999) / 1000);
--- a/libchestnuthitch/node/quota_take.c
+++ b/libchestnuthitch/node/quota_take.c
@@ -23,6 +23,7 @@
 struct take {
     struct ch_quota_manager *manager;
     uint64_t team;
+    uint32_t rank;
     double cost;
     double extra;
     unsigned region; /* index of the region that is asked */
@@ -32,23 +33,15 @@
     void *data;
 };
 
-static void
-count_event(struct ch_quota_manager *manager, enum ch_counter counter)
-{
-    if (manager->node->client->metrics != NULL) {
-        ch_metrics_add_count(manager->node->client->metrics, counter, 1);
-    }
-}
-
 /* Reports the result and frees the take. */
 static void
 take_end(struct take *take, enum ch_code code, int64_t retry_after)
 {
     if (code == CH_QUOTA_USED) {
-        count_event(take->manager, CH_COUNT_QUOTA_REFUSED);
+        quota_manager_count(take->manager, CH_COUNT_QUOTA_REFUSED);
     }
     else if (code == CH_QUOTA_UNAVAILABLE) {
-        count_event(take->manager, CH_COUNT_QUOTA_UNAVAILABLE);
+        quota_manager_count(take->manager, CH_COUNT_QUOTA_UNAVAILABLE);
     }
     take->done(take->data, code, retry_after);
     quota_manager_unref(take->manager);
@@ -105,15 +98,53 @@
     ask_next_pool(take);
 }
 
+/* What the pool that is asked has to be told by rank. The pool of this region
+ * gets all that callers asked for since the last question; another one is
+ * asked for this request alone. Lock held. */
+static void
+take_unreported(struct take *take, double amounts[CH_QUOTA_RANK_COUNT],
+                int64_t now)
+{
+    struct quota_team *team = quota_manager_find(take->manager, take->team);
+    memset(amounts, 0, CH_QUOTA_RANK_COUNT * sizeof(*amounts));
+    if (take->region == 0 && team != NULL) {
+        ch_quota_ranks_take(&team->unreported, amounts, now);
+        return;
+    }
+    amounts[MIN(take->rank, CH_QUOTA_RANK_COUNT - 1)] = take->cost;
+}
+
+/* Adds the rank to a question, and what was asked for by rank. */
+static void
+add_ranks(struct take *take, Chestnuthitch__Wire__QuotaWithdraw *body,
+          uint64_t asked[CH_QUOTA_RANK_COUNT])
+{
+    struct ch_quota_manager *manager = take->manager;
+    double amounts[CH_QUOTA_RANK_COUNT];
+    pthread_mutex_lock(&manager->lock);
+    take_unreported(take, amounts, ch_client_get_time(manager->node->client));
+    pthread_mutex_unlock(&manager->lock);
+    for (size_t i = 0; i < CH_QUOTA_RANK_COUNT; i++) {
+        asked[i] = (uint64_t)ceil(amounts[i] * QUOTA_WIRE_SCALE);
+    }
+    body->rank = take->rank;
+    body->n_asked = CH_QUOTA_RANK_COUNT;
+    body->asked = asked;
+}
+
 /* Asks the pool at another node. */
 static void
 send_withdraw(struct take *take, const char *pool)
 {
     Chestnuthitch__Wire__QuotaWithdraw body = WIRE(QUOTA_WITHDRAW__INIT);
     Chestnuthitch__Wire__Frame frame = WIRE(FRAME__INIT);
+    uint64_t asked[CH_QUOTA_RANK_COUNT];
     body.team = take->team;
     body.cost = (uint64_t)ceil(take->cost * QUOTA_WIRE_SCALE);
     body.extra = (uint64_t)(take->extra * QUOTA_WIRE_SCALE);
+    if (quota_manager_uses_ranks(take->manager)) {
+        add_ranks(take, &body, asked);
+    }
     frame.body_case = WIRE(FRAME__BODY_QUOTA_WITHDRAW);
     frame.quota_withdraw = &body;
     ch_peers_request(take->manager->node->peers, pool, &frame,
@@ -127,10 +158,19 @@
 withdraw_here(struct take *take)
 {
     struct ch_quota_manager *manager = take->manager;
+    const struct ch_quota_claim claim = {
+        .cost = take->cost,
+        .rank = take->rank,
+    };
     int64_t now = ch_client_get_time(manager->node->client);
+    double amounts[CH_QUOTA_RANK_COUNT];
     pthread_mutex_lock(&manager->lock);
+    if (quota_manager_uses_ranks(manager)) {
+        take_unreported(take, amounts, now);
+        quota_pools_add_asked(manager, take->team, &claim, amounts, now);
+    }
     struct ch_quota_answer answer =
-        quota_pools_withdraw(manager, take->team, take->cost, 0, now);
+        quota_pools_withdraw(manager, take->team, &claim, now);
     pthread_mutex_unlock(&manager->lock);
     return accept_answer(take, answer.amount, answer.retry_after);
 }
@@ -177,11 +217,26 @@
              take->answered ? take->retry_after : UNAVAILABLE_RETRY_AFTER_US);
 }
 
+/* Counts a request, and returns what has to be left after it of this node's
+ * credit for more urgent ranks. Lock held. */
+static double
+count_request(struct ch_quota_manager *manager, struct quota_team *team,
+              uint32_t rank, double cost, int64_t now)
+{
+    if (!quota_manager_uses_ranks(manager)) {
+        return 0;
+    }
+    ch_quota_ranks_add(&team->own_ranks, rank, cost, cost, now);
+    ch_quota_ranks_add(&team->unreported, rank, cost, cost, now);
+    return ch_quota_ranks_get_kept(&team->own_ranks, rank,
+                                   team->limits.rate * manager->share, now);
+}
+
 /* Takes the cost from this node's credit; true when nothing more is to be
  * asked. Else *extra is what this node may withdraw beside the cost. */
 static bool
-take_here(struct ch_quota_manager *manager, uint64_t id, double cost,
-          double *extra)
+take_here(struct ch_quota_manager *manager, uint64_t id, uint32_t rank,
+          double cost, double *extra)
 {
     int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
@@ -190,7 +245,9 @@
     if (team != NULL) {
         ch_quota_credit_earn(&team->credit, &team->limits, manager->share,
                              now);
-        taken = ch_quota_credit_take(&team->credit, cost, now);
+        double kept = count_request(manager, team, rank, cost, now);
+        taken = ch_quota_credit_take_ranked(&team->credit, &team->limits,
+                                            manager->share, cost, kept, now);
         *extra = ch_quota_credit_get_reserve(&team->limits, manager->share);
     }
     pthread_mutex_unlock(&manager->lock);
@@ -200,7 +257,7 @@
 /* See quota_manager.h. */
 void
 ch_quota_manager_take(struct ch_quota_manager *manager, const char *name,
-                      double cost,
+                      uint32_t rank, double cost,
                       void (*done)(void *data, enum ch_code code,
                                    int64_t retry_after),
                       void *data)
@@ -208,7 +265,7 @@
     double extra = 0;
     uint64_t id = ch_hash_string(name);
     quota_manager_refresh(manager);
-    if (take_here(manager, id, cost, &extra)) {
+    if (take_here(manager, id, rank, cost, &extra)) {
         done(data, CH_OK, 0);
         return;
     }
@@ -216,6 +273,7 @@
     *take = (struct take){
         .manager = quota_manager_ref(manager),
         .team = id,
+        .rank = rank,
         .cost = cost,
         .extra = extra,
         .done = done,
@@ -225,7 +283,7 @@
         take_end(take, CH_QUOTA_USED, UNAVAILABLE_RETRY_AFTER_US);
         return;
     }
-    count_event(manager, CH_COUNT_QUOTA_ASKED);
+    quota_manager_count(manager, CH_COUNT_QUOTA_ASKED);
     ask_next_pool(take);
 }
 
--- a/libchestnuthitch/quota/credit.c
+++ b/libchestnuthitch/quota/credit.c
@@ -10,6 +10,9 @@
 
 /* Part of a team's capacity that may lie in the reserves of all nodes. */
 static const double RESERVE_PART = 0.25;
+/* Part of what a node may hold that is kept for more urgent ranks at most;
+ * with more, less urgent ones would get none of a node with a small share. */
+static const double MAX_KEPT_PART = 0.5;
 
 /* See quota.h. */
 double
@@ -47,6 +50,18 @@
     return true;
 }
 
+/* See quota.h. */
+bool
+ch_quota_credit_take_ranked(struct ch_quota_credit *credit,
+                            const struct ch_quota_limits *limits, double share,
+                            double cost, double kept, int64_t now)
+{
+    double most = MAX_KEPT_PART * limits->capacity * share;
+    credit->used_at = now;
+    return credit->amount >= cost + MIN(kept, most) &&
+           ch_quota_credit_take(credit, cost, now);
+}
+
 /* See quota.h. */
 double
 ch_quota_credit_take_surplus(struct ch_quota_credit *credit,
--- a/libchestnuthitch/quota/quota.h
+++ b/libchestnuthitch/quota/quota.h
@@ -64,6 +64,41 @@
                              const struct ch_quota_members *members,
                              int64_t now);
 
+/* ---- demand by rank (ranks.c) ---- */
+
+enum {
+    /* Ranks 0 (the most urgent) to 9; higher ones count as 9. */
+    CH_QUOTA_RANK_COUNT = 10,
+};
+
+struct ch_quota_rank {
+    double asked;   /* decaying sum, with a time constant of 2 s */
+    double largest; /* request; decays alike */
+    int64_t asked_at;
+};
+
+/* What was asked of one team's quota lately; begins as zero. */
+struct ch_quota_ranks {
+    struct ch_quota_rank ranks[CH_QUOTA_RANK_COUNT];
+    int64_t updated_at;
+    bool is_short; /* more is asked for than is earned */
+    int64_t short_since;
+};
+
+/* Counts what was asked at a rank, and the largest request known among it. */
+void ch_quota_ranks_add(struct ch_quota_ranks *ranks, uint32_t rank,
+                        double amount, double largest, int64_t now);
+/* Moves the sums to amounts. */
+void ch_quota_ranks_take(struct ch_quota_ranks *ranks,
+                         double amounts[CH_QUOTA_RANK_COUNT], int64_t now);
+/* The credit that has to be left after a request of the rank, for those of
+ * more urgent ranks; 0: any request may take all. income: earned a second, by
+ * all whose demand is counted. */
+double ch_quota_ranks_get_kept(struct ch_quota_ranks *ranks, uint32_t rank,
+                               double income, int64_t now);
+/* The largest request of any rank lately. */
+double ch_quota_ranks_get_largest(const struct ch_quota_ranks *ranks);
+
 /* ---- credit of a node (credit.c) ---- */
 
 struct ch_quota_credit {
@@ -79,6 +114,12 @@
 /* Takes the cost of a request; false when there is not enough. */
 bool ch_quota_credit_take(struct ch_quota_credit *credit, double cost,
                           int64_t now);
+/* The same if kept is left after it, for more urgent ranks; of that, half of
+ * what the node may hold at most. */
+bool ch_quota_credit_take_ranked(struct ch_quota_credit *credit,
+                                 const struct ch_quota_limits *limits,
+                                 double share, double cost, double kept,
+                                 int64_t now);
 /* Takes what this node does not need for its next requests. */
 double ch_quota_credit_take_surplus(struct ch_quota_credit *credit,
                                     const struct ch_quota_limits *limits,
@@ -94,11 +135,21 @@
     double level;    /* below 0: in debt */
     double promised; /* cost of refused requests that were asked to return */
     int64_t promised_at;
+    struct ch_quota_ranks ranks; /* asked for at this pool */
 };
 
 struct ch_quota_answer {
     double amount;       /* 0: refused */
     int64_t retry_after; /* when refused */
+    bool ranked; /* refused only because of what more urgent ranks need */
+};
+
+/* What one request asks of a pool. */
+struct ch_quota_claim {
+    double cost;
+    double
+        extra; /* withdrawn as well, up to this, if the pool is well filled */
+    uint32_t rank;
 };
 
 /* part: the part of all nodes whose credit comes to this pool, 0 to 1. */
@@ -111,7 +162,13 @@
 ch_quota_pool_withdraw(struct ch_quota_pool *pool,
                        const struct ch_quota_limits *limits, double part,
                        double cost, double extra, int64_t now);
-/* Closes the pool, as another node keeps it; returns what it held. */
+/* The same, but while pool->ranks ask for more than is earned, enough is left
+ * for the more urgent ones. Refuses whatever the function above refuses. */
+struct ch_quota_answer ch_quota_pool_withdraw_ranked(
+    struct ch_quota_pool *pool, const struct ch_quota_limits *limits,
+    double part, const struct ch_quota_claim *claim, int64_t now);
+/* Closes the pool, as another node keeps it, and forgets what was asked for;
+ * returns what it held. */
 double ch_quota_pool_close(struct ch_quota_pool *pool);
 
 /* ---- how pools are spread and how often nodes settle (share.c) ---- */
--- a/tests/threaded/fake_quota.h
+++ b/tests/threaded/fake_quota.h
@@ -14,11 +14,12 @@
 
 void
 ch_quota_manager_take(struct ch_quota_manager *manager, const char *team,
-                      double cost,
+                      uint32_t rank, double cost,
                       void (*done)(void *data, enum ch_code code,
                                    int64_t retry_after),
                       void *data)
 {
+    (void)rank;
     g_assert_nonnull(team);
     g_assert_cmpfloat(cost, >, 0);
     g_atomic_int_inc(&manager->taken);
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -129,7 +129,8 @@
 {
     const struct ch_quota_limits limits = {1000, 1000, 100, 0};
     for (size_t i = 0; i < G_N_ELEMENTS(pool_cases); i++) {
-        struct ch_quota_pool pool = {true, pool_cases[i].level, 0, 0};
+        struct ch_quota_pool pool = {.open = true,
+                                     .level = pool_cases[i].level};
         g_test_message("%s", pool_cases[i].name);
         struct ch_quota_answer answer =
             ch_quota_pool_withdraw(&pool, &limits, 1, pool_cases[i].cost,
@@ -237,12 +238,16 @@
     double share;
     struct ch_quota_credit credit;
     struct ch_quota_pool pool;
+    struct ch_quota_ranks own_ranks;
+    struct ch_quota_ranks unreported;
 };
 
 struct fleet {
     struct node nodes[MAX_NODES];
     unsigned node_count;
     bool uses_pools;
+    bool uses_ranks;
+    uint32_t rank; /* of the requests that are sent */
     struct ch_quota_limits limits;
     int64_t now;
     double admitted[MAX_STEPS]; /* by step */
@@ -349,6 +354,26 @@
                           get_region_part(fleet, pool), amount);
 }
 
+/* Tells a pool what was asked for by rank, the nearest one all that it was not
+ * told yet. */
+static void
+report_ranks(struct fleet *fleet, struct node *node, struct node *pool,
+             bool is_nearest, double cost)
+{
+    double amounts[CH_QUOTA_RANK_COUNT] = {0};
+    if (!fleet->uses_ranks) {
+        return;
+    }
+    amounts[fleet->rank] = cost;
+    if (is_nearest) {
+        ch_quota_ranks_take(&node->unreported, amounts, fleet->now);
+    }
+    for (uint32_t i = 0; i < CH_QUOTA_RANK_COUNT; i++) {
+        ch_quota_ranks_add(&pool->pool.ranks, i, amounts[i],
+                           i == fleet->rank ? cost : 0, fleet->now);
+    }
+}
+
 static bool
 withdraw(struct fleet *fleet, struct node *node, double cost)
 {
@@ -358,9 +383,14 @@
         if (pool == NULL) {
             continue;
         }
-        struct ch_quota_answer answer = ch_quota_pool_withdraw(
-            &pool->pool, &fleet->limits, get_region_part(fleet, pool), cost,
-            ch_quota_credit_get_reserve(&fleet->limits, node->share),
+        const struct ch_quota_claim claim = {
+            .cost = cost,
+            .extra = ch_quota_credit_get_reserve(&fleet->limits, node->share),
+            .rank = fleet->rank,
+        };
+        report_ranks(fleet, node, pool, i == 0, cost);
+        struct ch_quota_answer answer = ch_quota_pool_withdraw_ranked(
+            &pool->pool, &fleet->limits, get_region_part(fleet, pool), &claim,
             fleet->now);
         if (answer.amount > 0) {
             node->credit.amount += answer.amount - cost;
@@ -373,10 +403,21 @@
 static void
 send_request(struct fleet *fleet, struct node *node, double cost)
 {
+    double kept = 0;
     ch_quota_credit_earn(&node->credit, &fleet->limits, node->share,
                          fleet->now);
     fleet->asked_sum += cost;
-    if (ch_quota_credit_take(&node->credit, cost, fleet->now) ||
+    if (fleet->uses_ranks) {
+        ch_quota_ranks_add(&node->own_ranks, fleet->rank, cost, cost,
+                           fleet->now);
+        ch_quota_ranks_add(&node->unreported, fleet->rank, cost, cost,
+                           fleet->now);
+        kept = ch_quota_ranks_get_kept(&node->own_ranks, fleet->rank,
+                                       fleet->limits.rate * node->share,
+                                       fleet->now);
+    }
+    if (ch_quota_credit_take_ranked(&node->credit, &fleet->limits, node->share,
+                                    cost, kept, fleet->now) ||
         withdraw(fleet, node, cost)) {
         fleet->admitted[fleet->step] += cost;
         fleet->admitted_sum += cost;
@@ -439,6 +480,8 @@
     node->started_at = fleet->now;
     memset(&node->credit, 0, sizeof(node->credit));
     memset(&node->pool, 0, sizeof(node->pool));
+    memset(&node->own_ranks, 0, sizeof(node->own_ranks));
+    memset(&node->unreported, 0, sizeof(node->unreported));
     memset(&node->share_state, 0, sizeof(node->share_state));
     node->share = 0;
 }
@@ -608,6 +651,96 @@
     g_assert_cmpfloat(pools, >=, equal - 0.03);
 }
 
+/* ---- ranks ---- */
+
+enum {
+    MAX_LOADS = 3
+};
+
+/* Loads of one team with a rate and burst of 20,000 over 75 nodes. */
+static const struct rank_case {
+    const char *name;
+    struct {
+        uint32_t rank;
+        double load; /* of the rate */
+        double cost;
+        double min_admitted; /* of what is asked */
+    } loads[MAX_LOADS];
+    bool same; /* the ranks change nothing */
+} rank_cases[] = {
+    {"seven times its usual, urgent class costing most",
+     {{0, 0.5, 4000, 0.97}, {1, 1.3, 1000, 0.3}, {2, 2, 500, 0}},
+     false},
+    {"urgent class beyond the quota",
+     {{0, 1.5, 2000, 0.6}, {1, 1, 500, 0}, {2, 1, 500, 0}},
+     false},
+    {"within its quota",
+     {{0, 0.2, 4000, 0.99}, {1, 0.2, 1000, 0.99}, {2, 0.15, 500, 0.99}},
+     false},
+    {"only the least urgent rank asks", {{9, 2, 1000, 0.45}}, true},
+    {"large and small requests of a rank",
+     {{0, 0.3, 1000, 0.97}, {1, 1, 4000, 0.3}, {1, 1, 200, 0.3}},
+     false},
+};
+
+/* Plays a case for 40 s; admitted: of what each load asks, after 10 s. */
+static void
+run_ranks(const struct rank_case *row, bool uses_ranks,
+          double admitted[MAX_LOADS])
+{
+    enum {
+        PLAYED_S = 40,
+        SETTLED_S = 10
+    };
+    const double rate = 20000;
+    double asked[MAX_LOADS] = {0};
+    struct fleet *fleet = g_new0(struct fleet, 1);
+    fleet_init(fleet, 75, rate, rate, true, 11);
+    fleet->uses_ranks = uses_ranks;
+    memset(admitted, 0, MAX_LOADS * sizeof(*admitted));
+    for (unsigned step = 0; step < PLAYED_S * STEPS_PER_SECOND; step++) {
+        for (unsigned i = 0; i < MAX_LOADS && row->loads[i].cost > 0; i++) {
+            double asked_before = fleet->asked_sum;
+            double admitted_before = fleet->admitted_sum;
+            fleet->rank = row->loads[i].rank;
+            send_requests(fleet,
+                          row->loads[i].load * rate / row->loads[i].cost,
+                          row->loads[i].cost, 3);
+            bool counts = step >= SETTLED_S * STEPS_PER_SECOND;
+            asked[i] += counts ? fleet->asked_sum - asked_before : 0;
+            admitted[i] += counts ? fleet->admitted_sum - admitted_before : 0;
+        }
+        advance(fleet);
+    }
+    for (unsigned i = 0; i < MAX_LOADS; i++) {
+        admitted[i] /= MAX(asked[i], 1);
+    }
+    g_assert_cmpfloat(get_largest_window(fleet), <=, get_bound(rate, rate));
+    g_rand_free(fleet->random);
+    g_free(fleet);
+}
+
+/* Guards against urgent requests refused for less urgent ones of their team,
+ * against a rank of which the large requests are never served, and against
+ * ranks that change anything for a team within its quota. */
+static void
+test_ranks(gconstpointer data)
+{
+    const struct rank_case *row = data;
+    double ranked[MAX_LOADS];
+    double unranked[MAX_LOADS];
+    run_ranks(row, true, ranked);
+    run_ranks(row, false, unranked);
+    for (unsigned i = 0; i < MAX_LOADS && row->loads[i].cost > 0; i++) {
+        printf("figure: quota ranks %s: rank %u cost %.0f: admitted %.3f, "
+               "without ranks %.3f\n",
+               row->name, row->loads[i].rank, row->loads[i].cost, ranked[i],
+               unranked[i]);
+        g_assert_cmpfloat(ranked[i], >=, row->loads[i].min_admitted);
+        g_assert_true(!row->same || ranked[i] == unranked[i]);
+    }
+}
+
 /* ---- random faults ---- */
 
 /* One random fault: a cut, the end of all cuts, or a killed process. */
@@ -641,8 +774,9 @@
  * killed and restarted, and however often, while a team sends several times
  * its quota at all nodes. */
 static void
-test_random_faults(void)
+test_random_faults(gconstpointer data)
 {
+    bool uses_ranks = GPOINTER_TO_INT(data) != 0;
     enum {
         SEEDS = 200,
         PLAYED_S = 80
@@ -651,12 +785,14 @@
         double rate = seed % 2 == 0 ? 2700 : 100000;
         struct fleet *fleet = g_new0(struct fleet, 1);
         fleet_init(fleet, 10 + seed % 20, rate, rate, true, seed);
+        fleet->uses_ranks = uses_ranks;
         for (unsigned i = 0; i < PLAYED_S * STEPS_PER_SECOND; i++) {
             if (g_rand_double(fleet->random) < 0.3 / STEPS_PER_SECOND) {
                 add_fault(fleet);
             }
             /* Idle for a while, then much at once. */
             bool idle = i / (10 * STEPS_PER_SECOND) % 2 == 0;
+            fleet->rank = i % CH_QUOTA_RANK_COUNT;
             send_requests(fleet, idle ? 0 : 6 * rate / 1000, 1000, 3);
             advance(fleet);
         }
@@ -685,6 +821,14 @@
             g_strdup_printf("/quota/pattern/%s", patterns[i].name);
         g_test_add_data_func(path, &patterns[i], test_pattern);
     }
-    g_test_add_func("/quota/random-faults", test_random_faults);
+    for (size_t i = 0; i < G_N_ELEMENTS(rank_cases); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/quota/ranks/%s", rank_cases[i].name);
+        g_test_add_data_func(path, &rank_cases[i], test_ranks);
+    }
+    g_test_add_data_func("/quota/random-faults", GINT_TO_POINTER(0),
+                         test_random_faults);
+    g_test_add_data_func("/quota/random-faults-ranks", GINT_TO_POINTER(1),
+                         test_random_faults);
     return g_test_run();
 }
