Quota by rank: count requests that a node's own credit is kept from

Operators saw quota_ranked at 0 while a node kept its own credit for urgent requests and the pool was empty: only pools counted. A node now counts a refused request that its own credit would have covered. Ruled out: a mark in the pool's answer, which needs a new field of the message.

--- a/libchestnuthitch/node/quota_take.c
+++ b/libchestnuthitch/node/quota_take.c
@@ -28,6 +28,7 @@
     double extra;
     unsigned region; /* index of the region that is asked */
     bool answered;   /* a pool answered that there is not enough */
+    bool held_back;  /* this node's credit was kept for more urgent ranks */
     int64_t retry_after;
     void (*done)(void *data, enum ch_code code, int64_t retry_after);
     void *data;
@@ -39,6 +40,9 @@
 {
     if (code == CH_QUOTA_USED) {
         quota_manager_count(take->manager, CH_COUNT_QUOTA_REFUSED);
+        if (take->held_back) {
+            quota_manager_count(take->manager, CH_COUNT_QUOTA_RANKED);
+        }
     }
     else if (code == CH_QUOTA_UNAVAILABLE) {
         quota_manager_count(take->manager, CH_COUNT_QUOTA_UNAVAILABLE);
@@ -233,22 +237,25 @@
 }
 
 /* Takes the cost from this node's credit; true when nothing more is to be
- * asked. Else *extra is what this node may withdraw beside the cost. */
+ * asked. Else take has what this node may withdraw beside the cost, and
+ * whether its credit was kept for more urgent ranks. */
 static bool
-take_here(struct ch_quota_manager *manager, uint64_t id, uint32_t rank,
-          double cost, double *extra)
+take_here(struct ch_quota_manager *manager, struct take *take)
 {
+    double cost = take->cost;
     int64_t now = ch_client_get_time(manager->node->client);
     pthread_mutex_lock(&manager->lock);
-    struct quota_team *team = quota_manager_find(manager, id);
+    struct quota_team *team = quota_manager_find(manager, take->team);
     bool taken = team == NULL;
     if (team != NULL) {
         ch_quota_credit_earn(&team->credit, &team->limits, manager->share,
                              now);
-        double kept = count_request(manager, team, rank, cost, now);
+        double kept = count_request(manager, team, take->rank, cost, now);
         taken = ch_quota_credit_take_ranked(&team->credit, &team->limits,
                                             manager->share, cost, kept, now);
-        *extra = ch_quota_credit_get_reserve(&team->limits, manager->share);
+        take->held_back = !taken && kept > 0 && team->credit.amount >= cost;
+        take->extra =
+            ch_quota_credit_get_reserve(&team->limits, manager->share);
     }
     pthread_mutex_unlock(&manager->lock);
     return taken;
@@ -262,23 +269,22 @@
                                    int64_t retry_after),
                       void *data)
 {
-    double extra = 0;
-    uint64_t id = ch_hash_string(name);
-    quota_manager_refresh(manager);
-    if (take_here(manager, id, rank, cost, &extra)) {
-        done(data, CH_OK, 0);
-        return;
-    }
-    struct take *take = g_new0(struct take, 1);
-    *take = (struct take){
-        .manager = quota_manager_ref(manager),
-        .team = id,
+    struct take asked = {
+        .manager = manager,
+        .team = ch_hash_string(name),
         .rank = rank,
         .cost = cost,
-        .extra = extra,
         .done = done,
         .data = data,
     };
+    quota_manager_refresh(manager);
+    if (take_here(manager, &asked)) {
+        done(data, CH_OK, 0);
+        return;
+    }
+    struct take *take = g_new0(struct take, 1);
+    *take = asked;
+    quota_manager_ref(manager);
     if (manager->node->settings->disabled_features.quota_pools) {
         take_end(take, CH_QUOTA_USED, UNAVAILABLE_RETRY_AFTER_US);
         return;
