Read and share the pace that upstreams state

What callers saw: streams paused at engines that share their hosts with other work, since no node knew which engines were slow at the moment.

Cause: the load that upstreams state in their responses was not read.

Change: package pace/ reads it, keeps the last reading and samples of each upstream, and shares readings through an aggregator in each data centre. Calls, orders and reports tell a listener; the balancer stores a copy of the state for the choice of upstreams. Nothing is sent, and no timer runs, while upstreams state no pace. [policy] upstream-pace switches it off.

Ruled out: a periodic tick, which costs idle nodes; joining repeated headers with commas, by which "1,2" and "3" would be read as one value; passing readings on within a data centre twice, by which they would circulate while two nodes take themselves for the aggregator.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -108,8 +108,9 @@
     bool busy;             /* accepts no orders now */
     int64_t limited_until; /* see ch_balance_set_limited_until() */
     int64_t lost_at;       /* when a connection to it was last lost */
-    GArray *models;        /* GQuark */
-    GArray *adapters;      /* GQuark: "model/adapter" */
+    struct ch_pace_state pace;
+    GArray *models;   /* GQuark */
+    GArray *adapters; /* GQuark: "model/adapter" */
     /* Requests of this node. */
     uint32_t running;
     int64_t prefill_backlog;      /* of prompts that have no response yet */
@@ -272,7 +273,7 @@
 }
 
 /* Clears what an upstream loses when it restarts: adapters, cached prompt
- * parts, and failures and slowdown, which were measured before. */
+ * parts, and failures, slowdown and pace, which were measured before. */
 static void
 reset_after_restart(struct upstream_state *state)
 {
@@ -281,6 +282,7 @@
     state->cached_tokens = 0;
     state->failure_rate = 0;
     state->slowdown = 1;
+    state->pace = (struct ch_pace_state){0};
 }
 
 /* Adds or updates one upstream of the new list. */
@@ -321,6 +323,17 @@
     }
 }
 
+/* See balance.h. */
+void
+ch_balance_set_pace(struct ch_balance *balance, GQuark upstream,
+                    const struct ch_pace_state *pace)
+{
+    struct upstream_state *state = find_state(balance, upstream);
+    if (state != NULL) {
+        state->pace = *pace;
+    }
+}
+
 /* See balance.h. */
 void
 ch_balance_set_models(struct ch_balance *balance, GQuark upstream,
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -9,6 +9,7 @@
  */
 
 #include "decide/policy.h"
+#include "pace/pace.h"
 
 /* An upstream as the list of upstreams describes it. */
 struct ch_upstream_info {
@@ -90,6 +91,10 @@
  * where no other upstream can take the request. */
 void ch_balance_set_limited_until(struct ch_balance *balance, GQuark upstream,
                                   int64_t until);
+/* Replaces what is known of the load and the pace that the upstream states; a
+ * restart of the upstream clears it. */
+void ch_balance_set_pace(struct ch_balance *balance, GQuark upstream,
+                         const struct ch_pace_state *state);
 /* Records that the upstream no longer has the model, or never had it; holds
  * until the next update of its models. */
 void ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -255,6 +255,7 @@
     ch_limit_manager_write_status(node->limits, builder);
     ch_slots_write_status(node->slots, builder);
     ch_notices_write_status(node->notices, builder);
+    ch_pace_write_status(node->pace, builder);
     if (node->streams != NULL) {
         ch_stream_manager_write_status(node->streams, builder);
     }
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -165,9 +165,20 @@
         ch_path_manager_get_listener(node->paths, host);
     client->client->notice_listener = ch_notices_get_listener(
         node->notices, name, g_quark_from_string(host->region));
+    client->client->pace_listener = ch_pace_get_listener(node->pace, name);
     g_hash_table_replace(balancer->clients, key, client);
 }
 
+/* Takes over what is known of an upstream's pace; runs on the pool. */
+static void
+handle_pace(void *data, GQuark upstream, const struct ch_pace_state *state)
+{
+    struct balancer *balancer = data;
+    pthread_mutex_lock(&balancer->lock);
+    ch_balance_set_pace(balancer->balance, upstream, state);
+    pthread_mutex_unlock(&balancer->lock);
+}
+
 /* ---- updates from the roster ---- */
 
 struct update {
@@ -256,6 +267,8 @@
                                      upstream.boot_id);
     ch_notices_update_upstream(balancer->node->notices, upstream.name,
                                upstream.region, upstream.boot_id);
+    ch_pace_update_upstream(balancer->node->pace, upstream.name,
+                            upstream.boot_id);
     const struct ch_slots_upstream slots = {
         .name = upstream.name,
         .service = upstream.service,
@@ -297,6 +310,7 @@
                             NULL, 0, NULL, 0,
                             ch_client_get_time(balancer->node->client));
     ch_path_manager_forget(balancer->node->paths, GPOINTER_TO_UINT(key));
+    ch_pace_forget(balancer->node->pace, GPOINTER_TO_UINT(key));
     return TRUE;
 }
 
@@ -1188,6 +1202,7 @@
     balancer->roster = ch_roster_new(node, handle_roster_change, balancer);
     ch_notices_set_drain_handler(node->notices, handle_roster_change,
                                  balancer);
+    ch_pace_set_handler(node->pace, handle_pace, balancer);
     if (node->streams != NULL) {
         ch_stream_manager_set_list_age(node->streams, get_list_age, balancer);
     }
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -240,6 +240,8 @@
         ch_path_manager_get_listener(node->paths, host);
     engine->client->notice_listener = ch_notices_get_listener(
         node->notices, engine->name, g_quark_from_string(host->region));
+    engine->client->pace_listener =
+        ch_pace_get_listener(node->pace, engine->name);
     engine->items = g_array_new(FALSE, FALSE, sizeof(struct item));
     engine->local_copies = g_array_new(FALSE, FALSE, sizeof(GQuark));
     g_array_set_clear_func(engine->items, clear_item);
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -34,6 +34,7 @@
     ch_limit_manager_free(node->limits);
     ch_slots_free(node->slots);
     ch_notices_free(node->notices);
+    ch_pace_free(node->pace);
     ch_path_manager_free(node->paths);
     ch_stream_manager_free(node->streams);
     if (node->router != NULL) {
@@ -81,6 +82,7 @@
     node->limits = ch_limit_manager_new(node);
     node->slots = ch_node_create_slots(node);
     node->notices = ch_node_create_notices(node);
+    node->pace = ch_node_create_pace(node);
     node->paths = ch_path_manager_new(node);
     node->once = ch_once_manager_new(node);
     if (node->dialect != NULL) {
@@ -138,6 +140,7 @@
     ch_limit_manager_start(node->limits);
     ch_slots_start(node->slots);
     ch_notices_start(node->notices);
+    ch_pace_start(node->pace);
     ch_path_manager_start(node->paths);
     if (node->streams != NULL) {
         ch_stream_manager_start(node->streams);
@@ -186,6 +189,7 @@
     ch_limit_manager_stop(node->limits);
     ch_slots_stop(node->slots);
     ch_notices_stop(node->notices);
+    ch_pace_stop(node->pace);
     ch_path_manager_stop(node->paths);
     if (node->streams != NULL) {
         ch_stream_manager_stop(node->streams);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,8 +12,9 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < slots < paths < streams < peers < pool, timers,
- * http < metrics. No handler of another package is called with a lock held.
+ * < crashes < quota < limits < slots < pace < paths < streams < peers < pool,
+ * timers, http < metrics. No handler of another package is called with a lock
+ * held.
  */
 
 #include "base/base.h"
@@ -23,6 +24,7 @@
 #include "net/net.h"
 #include "platform/platform.h"
 #include "notices/notices.h"
+#include "pace/pace.h"
 #include "slots/slots.h"
 #include "upstream/upstream.h"
 #include "wire/wire.h"
@@ -57,6 +59,7 @@
     struct ch_limit_manager *limits;
     struct ch_slots *slots;            /* NULL: no upstream is brittle */
     struct ch_notices *notices;        /* NULL: upstreams say nothing */
+    struct ch_pace *pace;              /* NULL: switched off */
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
                                           stream of an earlier request */
@@ -83,6 +86,9 @@
 struct ch_slots *ch_node_create_slots(struct ch_node *node);
 /* Creates the knowledge of upstreams' notices (notices_peers.c). */
 struct ch_notices *ch_node_create_notices(struct ch_node *node);
+/* Creates the knowledge of upstreams' load and pace (upstream_peers.c); NULL
+ * if the settings switch it off. */
+struct ch_pace *ch_node_create_pace(struct ch_node *node);
 
 /* ---- peers (peers.c): frames to and from other nodes ---- */
 
@@ -155,6 +161,17 @@
  * if it is in the region. Defined in peers_role.c. */
 char *ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
                                 const char *region, bool include_self);
+/* The same among the live nodes of a data centre of a region, this one
+ * included if it is there. Defined in peers_role.c. */
+char *ch_peers_find_centre_role_holder(struct ch_peers *peers,
+                                       const char *role,
+                                       const char *data_centre,
+                                       const char *region);
+/* Adds the names, as new strings, of the nodes that rank first for a role in
+ * each data centre with live nodes other than this node's: those of its region
+ * (same_region), or those of the others. Defined in peers_role.c. */
+void ch_peers_list_role_holders(struct ch_peers *peers, const char *role,
+                                bool same_region, GPtrArray *names);
 /* Adds the names, as new strings, of the live nodes that rank first for the
  * records of a shard of the streams, in order; this node may be among them.
  * Defined in peers_role.c. */
--- a/libchestnuthitch/node/peers_role.c
+++ b/libchestnuthitch/node/peers_role.c
@@ -67,19 +67,21 @@
     return rank;
 }
 
-/* See node.h. */
-char *
-ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
-                          const char *region, bool include_self)
+/* The node that ranks first for a role among the live nodes of a data centre
+ * and a region (NULL: of any), a new string; NULL: there is none. */
+static char *
+find_first(struct ch_peers *peers, const char *role, const char *data_centre,
+           const char *region, bool include_self)
 {
     GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct ch_rank_node));
     GPtrArray *names = g_ptr_array_new();
     if (include_self &&
-        g_strcmp0(region, peers->node->settings->region) == 0) {
+        is_located_in(data_centre, region, peers->node->settings->data_centre,
+                      peers->node->settings->region)) {
         append_self(peers, nodes, names);
     }
     pthread_mutex_lock(&peers->lock);
-    append_members(peers, NULL, region, nodes, names);
+    append_members(peers, data_centre, region, nodes, names);
     char *holder = NULL;
     if (nodes->len > 0) {
         size_t first = ch_rank_find_first(
@@ -93,6 +95,83 @@
     return holder;
 }
 
+/* See node.h. */
+char *
+ch_peers_find_role_holder(struct ch_peers *peers, const char *role,
+                          const char *region, bool include_self)
+{
+    bool is_here = g_strcmp0(region, peers->node->settings->region) == 0;
+    return find_first(peers, role, NULL, region, include_self && is_here);
+}
+
+/* See node.h. */
+char *
+ch_peers_find_centre_role_holder(struct ch_peers *peers, const char *role,
+                                 const char *data_centre, const char *region)
+{
+    return find_first(peers, role, data_centre, region, true);
+}
+
+/* A data centre; names may be the same in different regions. */
+struct centre {
+    char *name;
+    char *region;
+};
+
+static void
+clear_centre(void *data)
+{
+    struct centre *centre = data;
+    g_free(centre->name);
+    g_free(centre->region);
+}
+
+/* Adds the data centre of a node, once. For ch_peers_foreach_other(). */
+static void
+add_centre(void *data, const char *name, const char *data_centre,
+           const char *region)
+{
+    (void)name;
+    GArray *centres = data;
+    if (data_centre == NULL || region == NULL) {
+        return;
+    }
+    for (guint i = 0; i < centres->len; i++) {
+        const struct centre *known = &g_array_index(centres, struct centre, i);
+        if (is_located_in(data_centre, region, known->name, known->region)) {
+            return;
+        }
+    }
+    const struct centre centre = {g_strdup(data_centre), g_strdup(region)};
+    g_array_append_val(centres, centre);
+}
+
+/* See node.h. */
+void
+ch_peers_list_role_holders(struct ch_peers *peers, const char *role,
+                           bool same_region, GPtrArray *names)
+{
+    const struct ch_settings *own = peers->node->settings;
+    GArray *centres = g_array_new(FALSE, FALSE, sizeof(struct centre));
+    g_array_set_clear_func(centres, clear_centre);
+    ch_peers_foreach_other(peers, add_centre, centres);
+    for (guint i = 0; i < centres->len; i++) {
+        const struct centre *centre =
+            &g_array_index(centres, struct centre, i);
+        bool is_near = g_strcmp0(centre->region, own->region) == 0;
+        bool is_own =
+            is_near && g_strcmp0(centre->name, own->data_centre) == 0;
+        char *holder =
+            is_own || is_near != same_region
+                ? NULL
+                : find_first(peers, role, centre->name, centre->region, false);
+        if (holder != NULL) {
+            g_ptr_array_add(names, holder);
+        }
+    }
+    g_array_free(centres, TRUE);
+}
+
 /* See node.h. */
 bool
 ch_peers_has_role(struct ch_peers *peers, const char *role, unsigned count,
--- a/libchestnuthitch/node/upstream_peers.c
+++ b/libchestnuthitch/node/upstream_peers.c
@@ -1,8 +1,11 @@
-/* How the slots of brittle upstreams, and what upstreams say of calls to come,
- * reach other nodes. */
+/* How the slots of brittle upstreams, what upstreams say of calls to come, and
+ * the load that they state reach other nodes. */
 
 #include "node/node.h"
 
+/* The role of the nodes that forward what a data centre's nodes read. */
+static const char AGGREGATOR_ROLE[] = "pace-aggregator";
+
 static char *
 find_home(void *data, GQuark upstream, GQuark region)
 {
@@ -86,3 +89,87 @@
     };
     return ch_notices_new(node->client, node->pool, node->timers, &peers);
 }
+
+/* ---- the load of upstreams ---- */
+
+/* Before the first list arrives, this node does not know who ranks first. */
+static char *
+find_aggregator(void *data, const char *data_centre)
+{
+    const struct ch_node *node = data;
+    if (!ch_peers_has_list(node->peers)) {
+        return NULL;
+    }
+    return ch_peers_find_centre_role_holder(
+        node->peers, AGGREGATOR_ROLE, data_centre, node->settings->region);
+}
+
+/* A search for the other nodes of this node's data centre. */
+struct neighbour_search {
+    const struct ch_settings *settings;
+    GPtrArray *names;
+};
+
+static void
+add_neighbour(void *data, const char *name, const char *data_centre,
+              const char *region)
+{
+    const struct neighbour_search *search = data;
+    if (g_strcmp0(data_centre, search->settings->data_centre) == 0 &&
+        g_strcmp0(region, search->settings->region) == 0) {
+        g_ptr_array_add(search->names, g_strdup(name));
+    }
+}
+
+static GPtrArray *
+list_neighbours(void *data)
+{
+    const struct ch_node *node = data;
+    struct neighbour_search search = {
+        .settings = node->settings,
+        .names = g_ptr_array_new_with_free_func(g_free),
+    };
+    ch_peers_foreach_other(node->peers, add_neighbour, &search);
+    return search.names;
+}
+
+static GPtrArray *
+list_aggregators(void *data, bool near)
+{
+    const struct ch_node *node = data;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    ch_peers_list_role_holders(node->peers, AGGREGATOR_ROLE, near, names);
+    return names;
+}
+
+/* Takes over a PaceReadings, also while the pace is switched off here: other
+ * nodes may send them. */
+static void
+handle_readings(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const struct ch_node *node = data;
+    ch_pace_handle_readings(node->pace, frame);
+}
+
+/* See node.h. */
+struct ch_pace *
+ch_node_create_pace(struct ch_node *node)
+{
+    const struct ch_pace_peers peers = {
+        .data = node,
+        .self = node->settings->name,
+        .data_centre = node->settings->data_centre,
+        .region = node->settings->region,
+        .find_aggregator = find_aggregator,
+        .list_neighbours = list_neighbours,
+        .list_aggregators = list_aggregators,
+        .send = send_frame,
+    };
+    ch_peers_set_handler(node->peers,
+                         CHESTNUTHITCH__WIRE__FRAME__BODY_PACE_READINGS,
+                         handle_readings, node);
+    if (node->settings->disabled_features.upstream_pace) {
+        return NULL;
+    }
+    return ch_pace_new(node->client, node->pool, node->timers, &peers);
+}
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -29,6 +29,7 @@
     struct ch_limit_listener brittle_listener;
     struct ch_path_listener path_listener;
     struct ch_notice_listener notice_listener;
+    struct ch_pace_listener pace_listener;
     struct ch_notice_reader notice_reader;
     int64_t sent_at;
     struct ch_call_handlers handlers;
@@ -49,6 +50,7 @@
     char *content_type;
     char *limit_values;   /* of the header that names a limit; NULL: none */
     char *brittle_values; /* likewise, of rules.brittle_header */
+    char *load_text;      /* of rules.load_header; NULL: none */
     GArray *headers;      /* struct ch_http_header, to be forwarded */
     /* Progress of the response. */
     bool headers_checked; /* check_headers() has run */
@@ -76,6 +78,7 @@
     g_free(exchange->content_type);
     g_free(exchange->limit_values);
     g_free(exchange->brittle_values);
+    g_free(exchange->load_text);
     g_free(exchange);
 }
 
@@ -213,6 +216,26 @@
     }
 }
 
+/* See upstream.h. */
+void
+ch_upstream_report_load(const struct ch_pace_listener *listener,
+                        const char *text)
+{
+    if (listener->handle != NULL) {
+        listener->handle(listener, text);
+    }
+}
+
+/* See upstream.h. With commas, "1,2" and "3" would be read as one value. */
+void
+ch_upstream_append_load(char **text, const char *value)
+{
+    char *joined =
+        *text == NULL ? g_strdup(value) : g_strconcat(*text, ";", value, NULL);
+    g_free(*text);
+    *text = joined;
+}
+
 bool
 ch_call_is_stream(bool asked, int status, const char *content_type)
 {
@@ -381,6 +404,10 @@
              strcasecmp(name, exchange->rules.limit_header) == 0) {
         ch_http_append_value(&exchange->limit_values, value);
     }
+    else if (exchange->rules.load_header != NULL &&
+             strcasecmp(name, exchange->rules.load_header) == 0) {
+        ch_upstream_append_load(&exchange->load_text, value);
+    }
     else if (strcasecmp(name, "Content-Type") == 0) {
         g_free(exchange->content_type);
         exchange->content_type = g_strdup(value);
@@ -393,20 +420,27 @@
     }
 }
 
-/* Tells the listener what the response says of calls to come, as soon as its
- * headers are complete: a stream's first event may come seconds later. A
- * response of a relaying node says nothing of the upstream. */
+/* Tells the listeners what the response says of calls to come and of the
+ * upstream's load, as soon as its headers are complete: a stream's first event
+ * may come seconds later. A response of a relaying node says nothing of the
+ * upstream. */
 static void
 handle_headers_end(void *data)
 {
     const struct call_exchange *exchange = data;
     const struct ch_notice notice =
         ch_notice_reader_get(&exchange->notice_reader, exchange->status);
-    if (exchange->relay_result == CH_RELAY_NONE &&
-        (exchange->id_matches || exchange->id_missing)) {
+    if (exchange->relay_result != CH_RELAY_NONE) {
+        return;
+    }
+    if (exchange->id_matches || exchange->id_missing) {
         ch_upstream_report_notice(&exchange->notice_listener, &notice,
                                   exchange->sent_at);
     }
+    if (exchange->id_matches ||
+        (is_refusal(exchange) && is_refusal_without_id(exchange))) {
+        ch_upstream_report_load(&exchange->pace_listener, exchange->load_text);
+    }
 }
 
 static void
@@ -589,6 +623,7 @@
     exchange->brittle_listener = upstream->brittle_listener;
     exchange->path_listener = upstream->path_listener;
     exchange->notice_listener = upstream->notice_listener;
+    exchange->pace_listener = upstream->pace_listener;
     exchange->notice_reader.draining_header = rules->draining_header;
     exchange->sent_at = ch_client_get_time(client);
     exchange->handlers = *handlers;
--- a/libchestnuthitch/upstream/call.h
+++ b/libchestnuthitch/upstream/call.h
@@ -18,6 +18,8 @@
                                    upstream bears; NULL: none */
     const char *draining_header; /* "1" in a response: the upstream drains;
                                     NULL: none */
+    const char *load_header;     /* of a response: the upstream's load, see
+                                    ch_pace_read(); NULL: none */
     /*
      * Header of every response to a request that was run; NULL: none. A
      * success without this header does not come from the upstream.
--- a/libchestnuthitch/upstream/control.c
+++ b/libchestnuthitch/upstream/control.c
@@ -15,8 +15,10 @@
     struct ch_limit_listener limit_listener;
     struct ch_path_listener path_listener;
     struct ch_notice_listener notice_listener;
+    struct ch_pace_listener pace_listener;
     const char *limit_header;
     const char *draining_header;
+    const char *load_header; /* NULL: none */
     int64_t sent_at;
 };
 
@@ -27,8 +29,10 @@
         .limit_listener = peer->upstream->limit_listener,
         .path_listener = peer->upstream->path_listener,
         .notice_listener = peer->upstream->notice_listener,
+        .pace_listener = peer->upstream->pace_listener,
         .limit_header = peer->limit_header,
         .draining_header = peer->draining_header,
+        .load_header = peer->load_header,
         .sent_at = ch_client_get_time(peer->client),
     };
 }
@@ -43,6 +47,7 @@
     struct ch_notice_reader reader = {.draining_header =
                                           context->draining_header};
     char *limit_values = NULL;
+    char *load_text = NULL;
     ch_upstream_report_path(&context->path_listener, &response->result);
     for (size_t i = 0; i < response->kept_header_count; i++) {
         const struct ch_http_header *header = &response->kept_headers[i];
@@ -51,6 +56,10 @@
         if (strcasecmp(header->name, context->limit_header) == 0) {
             ch_http_append_value(&limit_values, header->value);
         }
+        if (context->load_header != NULL &&
+            strcasecmp(header->name, context->load_header) == 0) {
+            ch_upstream_append_load(&load_text, header->value);
+        }
     }
     if (limit_values != NULL) {
         ch_upstream_report_limit(&context->limit_listener, limit_values, false,
@@ -60,7 +69,9 @@
         ch_notice_reader_get(&reader, response->result.status);
     ch_upstream_report_notice(&context->notice_listener, &notice,
                               context->sent_at);
+    ch_upstream_report_load(&context->pace_listener, load_text);
     g_free(limit_values);
+    g_free(load_text);
 }
 
 /* An order whose response is awaited. */
--- a/libchestnuthitch/upstream/control.h
+++ b/libchestnuthitch/upstream/control.h
@@ -16,6 +16,7 @@
     const struct ch_upstream *upstream; /* its listeners are copied */
     const char *limit_header;
     const char *draining_header;
+    const char *load_header; /* NULL: none */
 };
 
 /*
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -108,8 +108,12 @@
         .kept_headers = kept_headers,
     };
     const struct ch_control_peer peer = {
-        engine->client, engine->http, upstream, CH_CALL_DEFAULT_LIMIT_HEADER,
-        CH_CALL_DEFAULT_DRAINING_HEADER};
+        .client = engine->client,
+        .http = engine->http,
+        .upstream = upstream,
+        .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER,
+        .draining_header = CH_CALL_DEFAULT_DRAINING_HEADER,
+    };
     ch_control_send_order(&peer, &request, map_order_status, done, data);
     g_free(url);
     g_free(body);
@@ -133,8 +137,12 @@
         .kept_headers = kept_headers,
     };
     const struct ch_control_peer peer = {
-        engine->client, engine->http, upstream, CH_CALL_DEFAULT_LIMIT_HEADER,
-        CH_CALL_DEFAULT_DRAINING_HEADER};
+        .client = engine->client,
+        .http = engine->http,
+        .upstream = upstream,
+        .limit_header = CH_CALL_DEFAULT_LIMIT_HEADER,
+        .draining_header = CH_CALL_DEFAULT_DRAINING_HEADER,
+    };
     ch_control_fetch_report(&peer, &request, ch_engine_report_parse, done,
                             data);
     g_free(url);
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -9,6 +9,7 @@
 #include "limit/limit.h"
 #include "net/net.h"
 #include "notices/notices.h"
+#include "pace/pace.h"
 #include "upstream/relay.h"
 
 /* ---- a request to an upstream ---- */
@@ -191,6 +192,7 @@
     struct ch_limit_listener brittle_listener;
     struct ch_path_listener path_listener;     /* likewise */
     struct ch_notice_listener notice_listener; /* likewise */
+    struct ch_pace_listener pace_listener;     /* likewise */
 };
 
 /* Calls the listener, if there is one, with what a response says; one that
@@ -203,6 +205,15 @@
 void ch_upstream_report_path(const struct ch_path_listener *listener,
                              const struct ch_http_result *result);
 
+/* Calls the listener, if there is one, with what a response states of the
+ * upstream's load (NULL: nothing). */
+void ch_upstream_report_load(const struct ch_pace_listener *listener,
+                             const char *text);
+/* Adds the value of a header that states the load to *text (NULL at first), a
+ * new string. Values of repeated headers are joined so that they cannot be
+ * read as one. */
+void ch_upstream_append_load(char **text, const char *value);
+
 /* Calls the listener, if there is one, with the header's values in a response
  * (NULL: none). */
 void ch_upstream_report_limit(const struct ch_limit_listener *listener,
