Keep a node's own reading when an aggregator sends it back

What callers saw: none yet; test_pace_spread under ThreadSanitizer waited in vain for a reading in other data centres while two nodes aggregated in one.

Cause: the reading came back from the second aggregator with a later date, and replaced the own one as a reading that was passed on, before it was told to the aggregators of other data centres.

Change: a reading that a node told its neighbours is recognised when it comes back, as one that it told its aggregator already was. Also states in pace.h when the handler is called, and what is left out.

Ruled out: a longer limit in the test; the reading was lost for good.

--- a/libchestnuthitch/pace/manager.c
+++ b/libchestnuthitch/pace/manager.c
@@ -318,6 +318,7 @@
     pace->stopped = true;
     pace->upstreams = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     pace->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    pace->neighbours = g_ptr_array_new();
     g_queue_init(&pace->report_queue);
     pthread_mutex_init(&pace->lock, NULL);
     return pace;
@@ -355,7 +356,7 @@
     g_queue_clear(&pace->report_queue);
     g_hash_table_destroy(pace->by_hash);
     g_hash_table_destroy(pace->upstreams);
-    g_clear_pointer(&pace->neighbours, g_ptr_array_unref);
+    g_ptr_array_free(pace->neighbours, TRUE);
     pthread_mutex_destroy(&pace->lock);
     g_free(pace);
 }
--- a/libchestnuthitch/pace/messages.c
+++ b/libchestnuthitch/pace/messages.c
@@ -13,8 +13,8 @@
     FAR_TICK_US = 500 * 1000,
     /* A later reading that differs little is told after this time. */
     REPEAT_US = 1000 * 1000,
-    /* A node's own reading comes back from the aggregator within this time,
-     * and seems to be later than it is by the time on the way. */
+    /* A reading that a node told comes back from an aggregator within this
+     * time, and seems to be later than it is by the time on the way. */
     ECHO_US = 300 * 1000,
 };
 
@@ -186,13 +186,14 @@
     GPtrArray *neighbours = pace->peers.list_neighbours(data);
     bool is_any_left = tell(pace, PACE_TO_NEIGHBOURS, neighbours, now);
     pthread_mutex_lock(&pace->lock);
-    g_clear_pointer(&pace->neighbours, g_ptr_array_unref);
+    GPtrArray *previous = pace->neighbours;
     pace->neighbours = neighbours;
     bool is_far_due = now - pace->last_far_at >= FAR_TICK_US;
     if (is_far_due) {
         pace->last_far_at = now;
     }
     pthread_mutex_unlock(&pace->lock);
+    g_ptr_array_free(previous, TRUE);
     g_autoptr(GPtrArray) near = pace->peers.list_aggregators(data, true);
     is_any_left |= tell(pace, PACE_TO_NEAR, near, now);
     if (!is_far_due) {
@@ -256,21 +257,29 @@
 static bool
 is_neighbour(const struct ch_pace *pace, const char *name)
 {
-    return pace->neighbours != NULL &&
-           g_ptr_array_find_with_equal_func(pace->neighbours, name,
+    return g_ptr_array_find_with_equal_func(pace->neighbours, name,
                                             g_str_equal, NULL);
 }
 
-/* Whether this is the reading that this node told the aggregator. */
+/* Whether this is a reading that this node told its data centre. It must not
+ * replace the node's own: as one that was passed on, it would no longer be
+ * told to the audiences that are still to be told. */
 static bool
 is_echo(const struct pace_upstream *upstream,
         const struct ch_pace_reading *reading, int64_t at)
 {
-    const struct pace_told *told = &upstream->told[PACE_TO_AGGREGATOR];
-    return told->stated_at != 0 && at - told->stated_at < ECHO_US &&
-           reading->running == told->reading.running &&
-           reading->waiting == told->reading.waiting &&
-           reading->percent == told->reading.percent;
+    static const enum pace_audience audiences[] = {PACE_TO_AGGREGATOR,
+                                                   PACE_TO_NEIGHBOURS};
+    for (size_t i = 0; i < G_N_ELEMENTS(audiences); i++) {
+        const struct pace_told *told = &upstream->told[audiences[i]];
+        if (told->stated_at != 0 && at - told->stated_at < ECHO_US &&
+            reading->running == told->reading.running &&
+            reading->waiting == told->reading.waiting &&
+            reading->percent == told->reading.percent) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Takes over one reading of a message; false if it is left out. One from
--- a/libchestnuthitch/pace/pace.h
+++ b/libchestnuthitch/pace/pace.h
@@ -58,7 +58,8 @@
 };
 
 /* Takes over a reading that the upstream stated at `at`; false if a later one
- * is known. */
+ * is known. One without a percentage leaves a pace that is known, and last_at,
+ * as they are. */
 bool ch_pace_state_observe(struct ch_pace_state *state,
                            const struct ch_pace_reading *reading, int64_t at);
 /* Whether the upstream has stated its pace lately. */
@@ -117,23 +118,25 @@
 /* The functions below accept NULL for pace: then nothing is known. */
 
 /* Records the listed process of an upstream; another one has stated nothing
- * yet. */
+ * yet. What is stated of upstreams that are not listed is left out. */
 void ch_pace_update_upstream(struct ch_pace *pace, GQuark upstream,
                              uint64_t boot_id);
 void ch_pace_forget(struct ch_pace *pace, GQuark upstream);
 /* The listener for a client of an upstream; the manager outlives all calls. */
 struct ch_pace_listener ch_pace_get_listener(struct ch_pace *pace,
                                              GQuark upstream);
-/* handle is called without locks, with a copy of the state, whenever a reading
- * of an upstream that states its pace was taken over; set it before
- * ch_pace_start(). */
+/* handle is called on a pool worker, without locks and one call at a time,
+ * with a copy of the state when readings of an upstream that states its pace
+ * were taken over, and with an empty state after such an upstream started
+ * again. Set it before ch_pace_start(). */
 void ch_pace_set_handler(struct ch_pace *pace,
                          void (*handle)(void *data, GQuark upstream,
                                         const struct ch_pace_state *state),
                          void *data);
 /* How long work usually takes at the upstream; 1 if it states nothing. */
 double ch_pace_get_usual(struct ch_pace *pace, GQuark upstream);
-/* Takes over the readings that another node tells. */
+/* Takes over the readings that another node tells. Left out are those that are
+ * out of range or older than 10 s, and what exceeds 64 upstreams. */
 void ch_pace_handle_readings(struct ch_pace *pace,
                              const Chestnuthitch__Wire__Frame *frame);
 /* Adds the upstreams that state their load as the member "pace" of an open
