--- a/tests/threaded/test_upstream.c
+++ b/tests/threaded/test_upstream.c
@@ -668,6 +668,7 @@
 static void
 call_worker(const char *response, enum limit_call kind, bool stream,
             bool resets, const struct ch_notice_listener *listener,
+            const struct ch_pace_listener *pace_listener,
             struct result *result)
 {
     struct ch_client client;
@@ -685,6 +686,7 @@
     struct ch_upstream *upstream =
         platform_worker_new(&client, http, &host, TIMEOUT_US);
     upstream->notice_listener = *listener;
+    upstream->pace_listener = *pace_listener;
     start_limit_call(upstream, kind, stream, result);
     result_wait(result);
     ch_http_free(http);
@@ -699,9 +701,10 @@
 {
     const struct close_case *row = data;
     const struct ch_notice_listener no_listener = {0};
+    const struct ch_pace_listener no_pace_listener = {0};
     struct result result;
     call_worker(row->response, LIMIT_REQUEST, row->stream, row->resets,
-                &no_listener, &result);
+                &no_listener, &no_pace_listener, &result);
     g_assert_cmpstr(ch_code_get_name(result.end.code), ==,
                     ch_code_get_name(row->code));
     g_assert_cmpstr(result.forwarded->str, ==, row->forwarded);
@@ -778,14 +781,81 @@
     const struct notice_case *row = data;
     struct ch_notice heard = {0};
     const struct ch_notice_listener listener = {record_notice, &heard, 0, 0};
+    const struct ch_pace_listener no_pace_listener = {0};
     struct result result;
     call_worker(row->response, row->call, row->stream, row->resets, &listener,
-                &result);
+                &no_pace_listener, &result);
     result_clear(&result);
     g_assert_cmpint(heard.draining, ==, row->draining);
     g_assert_cmpint(heard.wait, ==, row->wait);
 }
 
+/* ---- load ---- */
+
+#define LOAD "Instance-Load: 3,1,12,160\r\n"
+
+static const struct load_case {
+    const char *name;
+    const char *response;
+    enum limit_call call;
+    bool stream;
+    bool resets;
+    enum ch_pace_reading_kind kind;
+} load_cases[] = {
+    {"none", WORKER_HEAD "\r\nok", LIMIT_REQUEST, false, false,
+     CH_PACE_ABSENT},
+    {"success", WORKER_HEAD LOAD "\r\nok", LIMIT_REQUEST, false, false,
+     CH_PACE_STATED},
+    {"stream reset before its first event",
+     WORKER_HEAD LOAD "Content-Type: text/event-stream\r\n\r\n", LIMIT_REQUEST,
+     true, true, CH_PACE_STATED},
+    {"repeated", WORKER_HEAD LOAD LOAD "\r\nok", LIMIT_REQUEST, false, false,
+     CH_PACE_UNREADABLE},
+    {"two that make one",
+     WORKER_HEAD "Instance-Load: 3,1\r\nInstance-Load: 12\r\n\r\nok",
+     LIMIT_REQUEST, false, false, CH_PACE_UNREADABLE},
+    {"rejection without an id",
+     "HTTP/1.1 421 Not here\r\n" LOAD "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, CH_PACE_STATED},
+    {"success without an id",
+     "HTTP/1.1 200 OK\r\n" LOAD "Content-Length: 2\r\n\r\nok", LIMIT_REQUEST,
+     false, false, CH_PACE_ABSENT},
+    {"another request's response",
+     "HTTP/1.1 503 Busy\r\nRequest-Id: r8\r\n" LOAD
+     "Content-Length: 0\r\n\r\n",
+     LIMIT_REQUEST, false, false, CH_PACE_ABSENT},
+    {"report", "HTTP/1.1 200 OK\r\n" LOAD "Content-Length: 2\r\n\r\n{}",
+     LIMIT_REPORT, false, false, CH_PACE_STATED},
+    {"rejected order",
+     "HTTP/1.1 503 Busy\r\n" LOAD "Content-Length: 0\r\n\r\n", LIMIT_ORDER,
+     false, false, CH_PACE_STATED},
+};
+
+static void
+record_load(const struct ch_pace_listener *listener, const char *text)
+{
+    enum ch_pace_reading_kind *kind = listener->data;
+    struct ch_pace_reading reading = {0};
+    *kind = ch_pace_read(text, &reading);
+    g_assert_cmpuint(reading.percent, ==, *kind == CH_PACE_STATED ? 160 : 0);
+}
+
+/* Guards against a load that is read from a response which does not belong to
+ * the request, or is missed in one that does. */
+static void
+test_load(gconstpointer data)
+{
+    const struct load_case *row = data;
+    const struct ch_notice_listener no_listener = {0};
+    enum ch_pace_reading_kind kind = CH_PACE_ABSENT;
+    const struct ch_pace_listener listener = {record_load, &kind, 0};
+    struct result result;
+    call_worker(row->response, row->call, row->stream, row->resets,
+                &no_listener, &listener, &result);
+    result_clear(&result);
+    g_assert_cmpint(kind, ==, row->kind);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -813,6 +883,11 @@
         g_test_add_data_func(path, &notice_cases[i], test_notice);
         g_free(path);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+        char *path = g_strconcat("/upstream/load/", load_cases[i].name, NULL);
+        g_test_add_data_func(path, &load_cases[i], test_load);
+        g_free(path);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(control_cases); i++) {
         char *path =
             g_strconcat("/upstream/control/", control_cases[i].name, NULL);
