--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -115,8 +115,9 @@
     bool busy;             /* accepts no orders now */
     int64_t limited_until; /* see ch_balance_set_limited_until() */
     int64_t lost_at;       /* when a connection to it was last lost */
-    GArray *models;        /* GQuark */
-    GArray *adapters;      /* GQuark: "model/adapter" */
+    struct ch_pace_state pace;
+    GArray *models;   /* GQuark */
+    GArray *adapters; /* GQuark: "model/adapter" */
     /* Requests of this node. */
     uint32_t running;
     int64_t prefill_backlog;      /* of prompts that have no response yet */
@@ -140,7 +141,6 @@
     double slowdown;      /* actual / expected time until the first token */
     GArray *cached_parts; /* struct cached_part */
     uint64_t cached_tokens;
-    struct ch_pace_state pace; /* that the upstream states */
 };
 
 /* A time that is measured again and again, in microseconds. */
@@ -481,6 +481,14 @@
     return state == NULL ? 0 : state->facts.boot_id;
 }
 
+/* See balance.h. */
+GQuark
+ch_balance_get_service(const struct ch_balance *balance, GQuark upstream)
+{
+    const struct upstream_state *state = find_state(balance, upstream);
+    return state == NULL ? 0 : state->facts.service;
+}
+
 /* See balance.h. */
 uint64_t
 ch_balance_get_version(const struct ch_balance *balance, GQuark upstream)
--- a/libchestnuthitch/decide/balance.h
+++ b/libchestnuthitch/decide/balance.h
@@ -114,9 +114,10 @@
  * where no other upstream can take the request. */
 void ch_balance_set_limited_until(struct ch_balance *balance, GQuark upstream,
                                   int64_t until);
-/* Replaces what is known of the upstream's pace. */
+/* Replaces what is known of the load and the pace that the upstream states; a
+ * restart of the upstream clears it. */
 void ch_balance_set_pace(struct ch_balance *balance, GQuark upstream,
-                         const struct ch_pace_state *pace);
+                         const struct ch_pace_state *state);
 /* Records that the upstream no longer has the model, or never had it; holds
  * until the next update of its models. */
 void ch_balance_remove_model(struct ch_balance *balance, GQuark upstream,
@@ -142,6 +143,9 @@
 /* The boot ID in an upstream's entry; 0: not known. */
 uint64_t ch_balance_get_boot(const struct ch_balance *balance,
                              GQuark upstream);
+/* The service of an upstream; 0 where it is not listed. */
+GQuark ch_balance_get_service(const struct ch_balance *balance,
+                              GQuark upstream);
 /* The version of an upstream's software; CH_VERSION_NOT_KNOWN also where the
  * upstream is not listed. */
 uint64_t ch_balance_get_version(const struct ch_balance *balance,
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -256,6 +256,7 @@
     ch_slots_write_status(node->slots, builder);
     ch_notices_write_status(node->notices, builder);
     ch_room_write_status(node->room, builder);
+    ch_pace_write_status(node->pace, builder);
     if (node->streams != NULL) {
         ch_stream_manager_write_status(node->streams, builder);
     }
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -100,8 +100,7 @@
 static double
 get_engine_pace(const struct controller_engine *engine)
 {
-    (void)engine;
-    return 1;
+    return ch_pace_get_usual(engine->controller->node->pace, engine->name);
 }
 
 /* Adds an engine with its models. */
--- a/libchestnuthitch/node/request.h
+++ b/libchestnuthitch/node/request.h
@@ -74,7 +74,8 @@
                      observations the request shares */
     char *tenant; /* in metrics: the team, or the caller when it is declared,
                      else "other" */
-    double quota_cost; /* in the unit of the team's quota; 0: no quota */
+    double quota_cost;   /* in the unit of the team's quota; 0: no quota */
+    uint32_t quota_rank; /* 0 goes first when the quota is short */
     char *class_name;
     int64_t first_token_target; /* the class's target for the first token */
     int64_t token_target;
--- a/libchestnuthitch/node/request_team.c
+++ b/libchestnuthitch/node/request_team.c
@@ -44,6 +44,7 @@
         return;
     }
     const struct ch_request_info *info = &request->info;
+    request->quota_rank = info->class_priority;
     if (!team->counts_tokens) {
         request->quota_cost = 1;
     }
@@ -52,6 +53,9 @@
             (double)info->prompt_tokens + (double)info->max_output_tokens;
     }
     else {
+        /* Requests of plain services cost a small part of what a prompt does:
+         * to hold them back would serve hardly any other. */
         request->quota_cost = team->plain_tokens;
+        request->quota_rank = 0;
     }
 }
--- a/libchestnuthitch/pace/state.c
+++ b/libchestnuthitch/pace/state.c
@@ -1,36 +1,57 @@
-/* What a node knows of the pace of one upstream. */
+/* What a node knows of the load and the pace of one upstream. */
 
-#include "pace/pace.h"
+#include "pace/pace_internal.h"
 
 #include <math.h>
 
 enum {
-    /* Time over which a reading loses most of its weight. */
-    READING_DECAY_US = 500 * 1000,
-    SAMPLE_GAP_US = 100 * 1000,
-    KNOWN_FOR_US = 10 * G_USEC_PER_SEC,
-    USUAL_PERCENT = 100,
+    /* Readings closer together are of the same moment and would crowd out
+     * older samples at busy upstreams. */
+    MIN_SAMPLE_DISTANCE_US = 100 * 1000,
+    /* An upstream's pace changes within 0.2 to 0.6 s, and after twice that
+     * time a reading says little of the present. */
+    DECAY_US = 500 * 1000,
 };
 
-/* See pace.h. */
+static double
+get_pace(const struct ch_pace_reading *reading)
+{
+    return (double)reading->percent / 100;
+}
+
+static void
+add_sample(struct ch_pace_state *state, double pace, int64_t at)
+{
+    unsigned newest =
+        (state->next_sample + CH_PACE_SAMPLES - 1) % CH_PACE_SAMPLES;
+    if (state->sample_count > 0 &&
+        at - state->samples[newest].at < MIN_SAMPLE_DISTANCE_US) {
+        return;
+    }
+    state->samples[state->next_sample] = (struct ch_pace_sample){at, pace};
+    state->next_sample = (state->next_sample + 1) % CH_PACE_SAMPLES;
+    state->sample_count = MIN(state->sample_count + 1, CH_PACE_SAMPLES);
+}
+
+/* See pace.h. A reading without a pace leaves a known pace, and when it was
+ * stated, as they are: an upstream may state it in some responses only. */
 bool
 ch_pace_state_observe(struct ch_pace_state *state,
                       const struct ch_pace_reading *reading, int64_t at)
 {
-    if (state->last_at != 0 && at <= state->last_at) {
+    if (at <= state->last_at && state->last_at != 0) {
         return false;
     }
-    unsigned newest =
-        (state->next_sample + CH_PACE_SAMPLES - 1) % CH_PACE_SAMPLES;
+    if (reading->percent == 0 && ch_pace_state_is_known(state, at)) {
+        uint32_t percent = state->last.percent;
+        state->last = *reading;
+        state->last.percent = percent;
+        return true;
+    }
     state->last = *reading;
     state->last_at = at;
-    if (reading->percent > 0 &&
-        (state->sample_count == 0 ||
-         at - state->samples[newest].at >= SAMPLE_GAP_US)) {
-        state->samples[state->next_sample] = (struct ch_pace_sample){
-            at, (double)reading->percent / USUAL_PERCENT};
-        state->next_sample = (state->next_sample + 1) % CH_PACE_SAMPLES;
-        state->sample_count = MIN(state->sample_count + 1, CH_PACE_SAMPLES);
+    if (reading->percent > 0) {
+        add_sample(state, get_pace(reading), at);
     }
     return true;
 }
@@ -39,26 +60,28 @@
 bool
 ch_pace_state_is_known(const struct ch_pace_state *state, int64_t now)
 {
-    return state->last_at != 0 && state->last.percent > 0 &&
-           now - state->last_at < KNOWN_FOR_US;
+    return state->last.percent > 0 && now - state->last_at <= PACE_KNOWN_US;
 }
 
 /* See pace.h. */
 double
 ch_pace_state_get_usual(const struct ch_pace_state *state)
 {
-    double sum = 0;
+    double total = 0;
     for (unsigned i = 0; i < state->sample_count; i++) {
-        sum += state->samples[i].pace;
+        total += state->samples[i].pace;
     }
-    return state->sample_count == 0 ? 1 : sum / state->sample_count;
+    return state->sample_count == 0 ? 1 : total / state->sample_count;
 }
 
-/* Weight of the last reading, 0 to 1. */
+/* How much the last reading says of the present, 0 to 1. */
 static double
-get_last_weight(const struct ch_pace_state *state, int64_t now)
+get_weight(const struct ch_pace_state *state, int64_t now)
 {
-    return exp(-(double)MAX(now - state->last_at, 0) / READING_DECAY_US);
+    if (!ch_pace_state_is_known(state, now)) {
+        return 0;
+    }
+    return exp(-(double)MAX(now - state->last_at, 0) / DECAY_US);
 }
 
 /* See pace.h. */
@@ -66,13 +89,10 @@
 ch_pace_state_expect(const struct ch_pace_state *state, int64_t now)
 {
     double usual = ch_pace_state_get_usual(state);
-    double last = (double)state->last.percent / USUAL_PERCENT;
-    return state->last.percent == 0
-               ? usual
-               : usual + (last - usual) * get_last_weight(state, now);
+    return usual + (get_pace(&state->last) - usual) * get_weight(state, now);
 }
 
-/* See pace.h. */
+/* See pace.h. An upstream of which nothing is known has a pace of 1. */
 double
 ch_pace_state_get_chance(const struct ch_pace_state *state, double threshold,
                          int64_t now)
@@ -84,8 +104,7 @@
     for (unsigned i = 0; i < state->sample_count; i++) {
         above += state->samples[i].pace > threshold;
     }
-    double usual = (double)above / state->sample_count;
-    double last =
-        (double)state->last.percent / USUAL_PERCENT > threshold ? 1 : 0;
-    return usual + (last - usual) * get_last_weight(state, now);
+    double weight = get_weight(state, now);
+    double last = get_pace(&state->last) > threshold ? 1 : 0;
+    return weight * last + (1 - weight) * above / state->sample_count;
 }
