Prompts that would pause streams wait at the home of their engine alone

Two rules decided when a prompt waits: a deferral at the entry node, by a view of other nodes that is some hundred milliseconds old, and the line at the engine's home, which knows all prompts. The first is dropped where the second is in use.

--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -645,10 +645,6 @@
         return wait_or_refuse_late(balancer, request, now);
     }
     if (request->choice.should_defer && may_defer(request, now)) {
-        if (request->state != REQUEST_DEFERRED) {
-            ch_metrics_add_count(balancer->node->client->metrics,
-                                 CH_COUNT_PAUSES_DEFERRED, 1);
-        }
         request->state = REQUEST_DEFERRED;
         return (struct action){.kind = ACTION_DEFER};
     }
--- a/libchestnuthitch/pause/estimate.c
+++ b/libchestnuthitch/pause/estimate.c
@@ -16,9 +16,6 @@
     MIN_FASTEST_SAMPLES = 8,
 };
 
-/* Number of streams kept in time for which a request is deferred. A deferral
- * within the request's own target costs little. */
-static const double min_spared_streams = 0.5;
 /* A response usually has between half and one and a half times its expected
  * number of events. */
 static const double length_spread = 0.5;
@@ -130,27 +127,6 @@
                      estimate->unfinished * UNFINISHED_COST_US);
 }
 
-/*
- * See pause.h. Compares the pause that the burst and the prompt cause together
- * with that of the prompt alone. Unlike ch_pause_estimate(), this counts
- * streams that the burst alone makes late: otherwise a burst that is too long
- * already would attract further prompts, and the pause would go on.
- */
-bool
-ch_pause_should_defer(const struct ch_pause_engine *engine,
-                      const struct ch_pause_request *request, int64_t now)
-{
-    if (engine->streams == 0 || engine->prefill_burst <= 0) {
-        return false;
-    }
-    int64_t alone = engine->event_time + request->prefill_time;
-    double late_now = estimate_lateness(
-        engine->pace, alone + engine->prefill_burst, engine->gap_target, now);
-    double late_later =
-        estimate_lateness(engine->pace, alone, engine->gap_target, now);
-    return (late_now - late_later) * engine->streams >= min_spared_streams;
-}
-
 /*
  * See pause.h. A measured time follows the fastest responses, so that it must
  * be divided by the pace that these had. If a sample were divided by a pace
--- a/libchestnuthitch/pause/pause.h
+++ b/libchestnuthitch/pause/pause.h
@@ -46,12 +46,6 @@
 /* The harm of an estimate, as a delay of the request that is as bad. */
 int64_t ch_pause_get_cost(const struct ch_pause_estimate *estimate);
 
-/* Whether to send the request a little later: its prompt makes running streams
- * late now and is likely not to once the burst has been read. */
-bool ch_pause_should_defer(const struct ch_pause_engine *engine,
-                           const struct ch_pause_request *request,
-                           int64_t now);
-
 /* The pace at which the fastest of several responses were probably measured:
  * the lowest of the samples and of the pace that is expected now. 1: pace is
  * NULL; 0: too few samples to tell. */
