A line does not drain twice for time that a late thread states

The time of a question is read before the lock of the lines, so that threads may reach a line in another order than their times. The line then took the older time as its last one and drained the time between the two again. The line's time now never goes back. Ruled out: the time read under the lock, since line.c takes any clock. tests/unit/test_prefill fails without this (/prefill/takes, row 10).

--- a/libchestnuthitch/prefill/line.c
+++ b/libchestnuthitch/prefill/line.c
@@ -51,7 +51,8 @@
         return (struct ch_prefill_answer){.granted = false, .wait = wait};
     }
     line->backlog = backlog + (double)rule->cost;
-    line->updated_at = now;
+    /* Threads that ask at once may come in another order than their times. */
+    line->updated_at = MAX(now, line->updated_at);
     return (struct ch_prefill_answer){.granted = true,
                                       .wait = MIN(wait, max_wait)};
 }
