--- a/tests/threaded/test_prefill_manager.c
+++ b/tests/threaded/test_prefill_manager.c
@@ -6,10 +6,11 @@
 
 #define WIRE(name) CHESTNUTHITCH__WIRE__##name
 
+#define MILLI INT64_C(1000)
+
 enum {
     NODES = 3,
-    MILLI = 1000,
-    ASK_LIMIT_US = 100 * MILLI
+    ASK_LIMIT_MS = 100
 };
 
 struct network {
@@ -173,7 +174,7 @@
     expect(&network, 1, 100, false, 140, 0);
     expect(&network, 0, 500, true, 140, 140);
     network.silent = true;
-    expect(&network, 1, 0, true, 0, ASK_LIMIT_US / MILLI);
+    expect(&network, 1, 0, true, 0, ASK_LIMIT_MS);
     network.silent = false;
     network.home = 2;
     expect(&network, 1, 0, true, 0, 0);
--- a/tests/unit/test_prefill.c
+++ b/tests/unit/test_prefill.c
@@ -3,9 +3,10 @@
 
 #include "prefill/prefill.h"
 
+#define MILLI INT64_C(1000)
+
 enum {
-    MILLI = 1000,
-    GAP_TARGET = 300 * MILLI,
+    GAP_TARGET = 300 * 1000,
     ARRIVALS = 2000,
     SEEDS = 20,
     /* Waits are cut to whole microseconds. */
@@ -14,7 +15,7 @@
 
 /* A usual rule: 240 ms of 300 for prompts, of which 72 may come together and
  * the others at 0.56 of the time. */
-static const int64_t EVENT_TIME = 60 * (int64_t)MILLI;
+static const int64_t EVENT_TIME = 60 * MILLI;
 
 static struct ch_prefill_rule
 make_rule(int64_t prefill_time)
@@ -40,9 +41,8 @@
         {1, 60 * MILLI, 0, {0}},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        const struct ch_prefill_rule got =
-            ch_prefill_rule_new(10 * (int64_t)MILLI, rows[i].pace,
-                                rows[i].event_time, rows[i].gap_target);
+        const struct ch_prefill_rule got = ch_prefill_rule_new(
+            10 * MILLI, rows[i].pace, rows[i].event_time, rows[i].gap_target);
         g_test_message("row %zu", i);
         g_assert_cmpint(got.cost, ==, rows[i].want.cost);
         g_assert_cmpint(ABS(got.capacity - rows[i].want.capacity), <=, 1);
