Faults found by review of spaced prompts, room and quota by rank

A prompt that its engine's home refused made its request count as a new one: its demand was counted up to three times, which made models seem short and had them placed anew, and a caller that had been admitted could be refused. It also made the node pass the engine over for all requests. The engine is now excluded for this request alone. A line has an upper bound, as forced prompts made it refuse long after the engine was idle; a stream that has begun is never held back; a home at which spacing is off answers at once; a wait is bounded, so that a stop is. Room: a request whose model is being loaded in time, or that has waited for it, is not refused; the share of a model in an engine's time is estimated over eight seconds of a node's requests; a service is switched off again when its upstreams state no pace any more.

--- a/libchestnuthitch/decide/balance.c
+++ b/libchestnuthitch/decide/balance.c
@@ -63,6 +63,9 @@
     /* Averaging time of the demand for a model: demand moves every few
      * seconds. */
     DEMAND_WINDOW_US = 1000 * 1000,
+    /* Averaging time where models are compared by the requests of this node
+     * alone, of which there are few in a second. */
+    MEAN_DEMAND_WINDOW_US = 8 * 1000 * 1000,
     /* Limit of prefill without a pause at an engine, and the pause that must
      * follow: three steps of the batch, which produce the tokens of one event.
      */
@@ -159,6 +162,7 @@
     double events_per_token;
     double demand; /* seconds of engine time per second, decaying */
     int64_t demand_at;
+    double mean_demand; /* likewise, over a longer time */
 };
 
 struct ch_balance {
@@ -741,6 +745,14 @@
            exp(-(double)(now - model->demand_at) / DEMAND_WINDOW_US);
 }
 
+/* Demand over about MEAN_DEMAND_WINDOW_US. */
+static double
+estimate_mean_demand(const struct model_stats *model, int64_t now)
+{
+    return model->mean_demand *
+           exp(-(double)(now - model->demand_at) / MEAN_DEMAND_WINDOW_US);
+}
+
 /* See balance.h. */
 void
 ch_balance_record_demand(struct ch_balance *balance,
@@ -750,6 +762,8 @@
     int64_t time = ch_balance_estimate_work(balance, request);
     model->demand =
         estimate_demand(model, now) + (double)time / DEMAND_WINDOW_US;
+    model->mean_demand = estimate_mean_demand(model, now) +
+                         (double)time / MEAN_DEMAND_WINDOW_US;
     model->demand_at = now;
 }
 
@@ -771,9 +785,11 @@
 
 /* Work of a usual engine, in seconds per second, that an engine does. */
 static double
-get_engine_time(const struct upstream_state *state)
+get_engine_time(const struct upstream_state *state, int64_t now)
 {
-    return 1 / ch_pace_state_get_usual(&state->pace);
+    return ch_pace_state_is_known(&state->pace, now)
+               ? 1 / ch_pace_state_get_usual(&state->pace)
+               : 1;
 }
 
 /* Whether an engine of the service takes new requests for the model. */
@@ -819,7 +835,8 @@
     const struct model_stats *model =
         g_hash_table_lookup(balance->models, key);
     guint count = GPOINTER_TO_UINT(g_hash_table_lookup(replicas, key));
-    return model == NULL ? 0 : estimate_demand(model, now) / MAX(count, 1);
+    return model == NULL ? 0
+                         : estimate_mean_demand(model, now) / MAX(count, 1);
 }
 
 /* The part of an engine's time that is for one of its models. */
@@ -851,7 +868,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct upstream_state *state = value;
         if (serves_model(state, service, model)) {
-            room += get_engine_time(state) *
+            room += get_engine_time(state, now) *
                     get_engine_share(balance, state, replicas, model, now);
         }
     }
@@ -1561,8 +1578,10 @@
         return;
     }
     double base = is_spaced ? model->first_token_base.value : 0;
-    update_near_fastest(&model->prefill_per_token,
-                        MAX(elapsed - base, 0) / choice->prefill_tokens);
+    if (elapsed > base) {
+        update_near_fastest(&model->prefill_per_token,
+                            (elapsed - base) / choice->prefill_tokens);
+    }
 }
 
 /* See balance.h. */
@@ -1659,7 +1678,15 @@
     state->used_context_tokens -=
         MIN(state->used_context_tokens,
             request->prompt_tokens + request->max_output_tokens);
-    if (!response_started) {
+    if (!response_started && choice->prefill.cost > 0 &&
+        code == CH_CANCELLED) {
+        /* Not sent: the engine has not read it. */
+        state->prefill_burst -=
+            MIN(state->prefill_burst, choice->prefill_time);
+        state->prefill_backlog -=
+            MIN(state->prefill_backlog, choice->prefill_time);
+    }
+    else if (!response_started) {
         state->prefill_ended_at = now;
         state->prefill_backlog -=
             MIN(state->prefill_backlog, choice->prefill_time);
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -541,6 +541,7 @@
                       "no engine has the model");
     }
     request->state = REQUEST_WAITING_FOR_MODEL;
+    request->may_lack_room = false; /* it is not refused after a wait */
     request->wait_limit = limit;
     return (struct action){.kind = ACTION_NONE};
 }
@@ -591,7 +592,7 @@
                 MIN(info->class_priority, RANKS_PER_TEAM_PRIORITY - 1),
         .team = info->has_team ? info->tenant : 0,
         .work = ch_balance_estimate_work(balancer->balance, info),
-        .remaining = MAX(info->answer_deadline - now, 0),
+        .remaining = MAX(info->answer_deadline - now, 1),
     };
 }
 
@@ -604,11 +605,16 @@
 {
     const struct ch_request_info *info = &request->info;
     int64_t expected = request->choice.shortest_latency;
-    if (!request->may_lack_room || balancer->node->room == NULL ||
+    if (!request->may_lack_room ||
         (now + expected <= info->first_token_deadline &&
          !ch_late_is_expected(info, expected, now))) {
         return true;
     }
+    /* Another engine may have the model within the target. */
+    int64_t ready_at = estimate_model_ready(balancer, info, now);
+    if (ready_at != 0 && ready_at < info->first_token_deadline) {
+        return true;
+    }
     request->may_lack_room = false;
     const struct ch_room_request described =
         describe_for_room(balancer, info, now);
@@ -691,6 +697,7 @@
         }
         else {
             request->failed_adapter_loads++;
+            request->may_lack_room = false;
             g_array_append_val(request->excluded, upstream);
             action = route(balancer, request, now);
         }
@@ -781,7 +788,7 @@
                 int64_t now)
 {
     const struct ch_request_info *info = &request->info;
-    if (balancer->node->room == NULL) {
+    if (!ch_room_is_on(balancer->node->room, info->required_service)) {
         return;
     }
     const struct ch_room_request described =
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -22,6 +22,9 @@
     MAX_SLOT_REFUSALS = 3,
     /* Engines that are asked to take a prompt in time. */
     MAX_PREFILL_REFUSALS = 2,
+    /* Longest wait of a prompt for those before it. The engine's view of a
+     * longer one is out of date, and a stop would last as long. */
+    MAX_PREFILL_WAIT_US = 500 * 1000,
 };
 
 static const char UNCERTAIN_MESSAGE[] =
@@ -258,6 +261,7 @@
     exchange->slot_refusals = 0;
     exchange->slot_waited = false;
     exchange->prefill_refusals = 0;
+    exchange->prefill_forced = false;
     g_array_set_size(exchange->excluded, 0);
     ch_timers_add(exchange->frontend->node->timers, CH_RETRY_DELAY_US,
                   request_grant_again, exchange);
@@ -496,16 +500,27 @@
 static int64_t
 get_prefill_wait(const struct ch_exchange *exchange)
 {
-    const struct ch_request_info *info = &exchange->request->info;
     int64_t now = ch_client_get_time(exchange->frontend->node->client);
-    return info->answer_started ? 0
-                                : MAX(info->first_token_deadline - now -
-                                          exchange->grant.expected_latency,
-                                      0);
+    int64_t time_left = exchange->request->info.first_token_deadline - now -
+                        exchange->grant.expected_latency;
+    return exchange->stream_started ? 0
+                                    : CLAMP(time_left, 0, MAX_PREFILL_WAIT_US);
+}
+
+/* Allows the engines again that had too many prompts before this one. Lock
+ * held. */
+static void
+drop_prefill_exclusions(struct ch_exchange *exchange)
+{
+    if (exchange->prefill_refusals > 0 && !exchange->prefill_forced) {
+        g_array_set_size(exchange->excluded, exchange->excluded_before);
+        exchange->prefill_forced = true;
+    }
 }
 
 /* The engine's home permits the prompt, or it would have to wait for too long:
- * then the router chooses another engine, which passes this one over. */
+ * then the router chooses another engine. After some of these the prompt is
+ * sent all the same. */
 static void
 handle_prefill(void *data, bool granted, int64_t wait)
 {
@@ -524,8 +539,14 @@
         over = call_with_slot(exchange);
     }
     else {
-        exchange->prefill_refusals++;
-        release_unused_grant(exchange, CH_UPSTREAM_LIMITED, wait);
+        release_unused_grant(exchange, CH_CANCELLED, 0);
+        if (exchange->prefill_refusals++ == 0) {
+            exchange->excluded_before = exchange->excluded->len;
+        }
+        g_array_append_val(exchange->excluded, exchange->grant.upstream);
+        if (exchange->prefill_refusals >= MAX_PREFILL_REFUSALS) {
+            drop_prefill_exclusions(exchange);
+        }
         ch_pool_submit(exchange->frontend->node->pool, request_grant,
                        exchange);
     }
@@ -547,8 +568,7 @@
         .region = exchange->grant.region,
         .rule = exchange->grant.prefill,
         .max_wait = get_prefill_wait(exchange),
-        .forced = exchange->request->info.answer_started ||
-                  exchange->prefill_refusals >= MAX_PREFILL_REFUSALS,
+        .forced = exchange->stream_started || exchange->prefill_forced,
     };
     if (node->prefill == NULL || ask.rule.cost == 0 ||
         ch_slots_needs_permission(node->slots, ask.upstream)) {
@@ -670,11 +690,14 @@
     pthread_mutex_lock(&exchange->lock);
     exchange->router_replied = true;
     bool waits = exchange->slot_refusals > 0 && !exchange->abandoned;
+    bool is_forced = exchange->prefill_refusals > 0 &&
+                     !exchange->prefill_forced && !exchange->abandoned;
+    drop_prefill_exclusions(exchange);
     if (waits) {
         drop_slot_exclusions(exchange);
         exchange->slot_waited = true;
     }
-    if (waits || drop_exclusions(exchange, code)) {
+    if (waits || is_forced || drop_exclusions(exchange, code)) {
         ch_pool_submit(exchange->frontend->node->pool, request_grant,
                        exchange);
     }
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -82,6 +82,7 @@
     int64_t limit_retry_after; /* the soonest of those refusals */
     enum ch_code limit_code;   /* of the latest of those refusals */
     unsigned prefill_refusals; /* by engines with too many prompts before it */
+    bool prefill_forced;       /* the prompt is sent in any case */
     unsigned slot_refusals;    /* by upstreams without a free slot, in a row */
     guint excluded_before;     /* length of `excluded` before these */
     unsigned routing_round;    /* number of requests to the router */
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -12,9 +12,8 @@
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
  * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < slots < room < paths < streams < peers < pool,
- * < crashes < quota < limits < slots < pace < paths < streams < peers < pool,
- * timers, http < metrics. No handler of another package is called with a lock
+ * < crashes < quota < limits < slots < room < pace < prefill < paths < streams
+ * < peers < pool, timers, http < metrics. No handler of another package is called with a lock
  * held.
  */
 
--- a/libchestnuthitch/node/upstream_peers.c
+++ b/libchestnuthitch/node/upstream_peers.c
@@ -81,7 +81,19 @@
 static void
 handle_prefill_ask(void *data, const Chestnuthitch__Wire__Frame *frame)
 {
-    ch_prefill_handle_ask(data, frame);
+    const struct ch_node *node = data;
+    Chestnuthitch__Wire__PrefillReply body =
+        CHESTNUTHITCH__WIRE__PREFILL_REPLY__INIT;
+    Chestnuthitch__Wire__Frame answer = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    if (node->prefill != NULL) {
+        ch_prefill_handle_ask(node->prefill, frame);
+        return;
+    }
+    /* Switched off here: the others are not to wait for an answer. */
+    body.granted = true;
+    answer.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_PREFILL_REPLY;
+    answer.prefill_reply = &body;
+    ch_peers_reply(node->peers, frame->from, frame->id, &answer);
 }
 
 /* See node.h. */
@@ -95,15 +107,13 @@
         .request = request,
         .reply = reply,
     };
-    if (node->settings->disabled_features.stream_pauses) {
-        return NULL;
-    }
-    struct ch_prefill *prefill =
-        ch_prefill_new(node->client, node->pool, node->timers, &peers);
     ch_peers_set_handler(node->peers,
                          CHESTNUTHITCH__WIRE__FRAME__BODY_PREFILL_ASK,
-                         handle_prefill_ask, prefill);
-    return prefill;
+                         handle_prefill_ask, node);
+    return node->settings->disabled_features.stream_pauses
+               ? NULL
+               : ch_prefill_new(node->client, node->pool, node->timers,
+                                &peers);
 }
 
 /* See node.h. */
--- a/libchestnuthitch/prefill/line.c
+++ b/libchestnuthitch/prefill/line.c
@@ -2,6 +2,12 @@
 
 #include "prefill/prefill.h"
 
+enum {
+    /* A line is no longer than this: prompts that were sent although they had
+     * to wait are read at the engine's full speed. */
+    MAX_LINE_US = 1000 * 1000,
+};
+
 /* Part of the time between two events of a stream that prompts may take
  * without a pause; the rest of that time is for those that follow. In the time
  * of the gap target an engine then reads no more than the target allows. */
@@ -50,7 +56,9 @@
     if (wait > max_wait && !forced) {
         return (struct ch_prefill_answer){.granted = false, .wait = wait};
     }
-    line->backlog = backlog + (double)rule->cost;
+    double most = (double)rule->capacity +
+                  MAX((double)rule->cost, MAX_LINE_US * rule->part);
+    line->backlog = MIN(backlog + (double)rule->cost, most);
     /* Threads that ask at once may come in another order than their times. */
     line->updated_at = MAX(now, line->updated_at);
     return (struct ch_prefill_answer){.granted = true,
--- a/libchestnuthitch/quota/ranks.c
+++ b/libchestnuthitch/quota/ranks.c
@@ -47,7 +47,7 @@
 ch_quota_ranks_add(struct ch_quota_ranks *ranks, uint32_t rank, double amount,
                    double largest, int64_t now)
 {
-    if (amount <= 0) {
+    if (amount <= 0 && largest <= 0) {
         return;
     }
     decay(ranks, now);
--- a/libchestnuthitch/room/manager.c
+++ b/libchestnuthitch/room/manager.c
@@ -7,6 +7,9 @@
 #include <string.h>
 
 enum {
+    /* As long as a pace is known: a service is switched on by its upstreams'
+     * stating theirs. */
+    SERVICE_ON_US = 10 * 1000 * 1000,
     /* A model without a request for this long is forgotten. */
     FORGET_US = 60 * 1000 * 1000,
     /* Models that one node records or counts, against reports without end. */
@@ -113,6 +116,16 @@
                : NULL;
 }
 
+/* Whether a service is switched on, for good or lately. Lock held. */
+static bool
+is_service_on(const struct ch_room *room, GQuark service, int64_t now)
+{
+    const int64_t *enabled_at =
+        g_hash_table_lookup(room->services, GUINT_TO_POINTER(service));
+    return room->is_on ||
+           (enabled_at != NULL && now - *enabled_at <= SERVICE_ON_US);
+}
+
 /* ---- requests ---- */
 
 /* Whether the part decides about the request's service. Lock held. */
@@ -120,9 +133,22 @@
 is_on(const struct ch_room *room, const struct ch_room_request *request)
 {
     return request->model != 0 &&
-           (room->is_on ||
-            g_hash_table_contains(room->services,
-                                  GUINT_TO_POINTER(request->service)));
+           is_service_on(room, request->service,
+                         ch_client_get_time(room->client));
+}
+
+/* See room.h. */
+bool
+ch_room_is_on(struct ch_room *room, GQuark service)
+{
+    if (room == NULL) {
+        return false;
+    }
+    pthread_mutex_lock(&room->lock);
+    bool is_on_now =
+        is_service_on(room, service, ch_client_get_time(room->client));
+    pthread_mutex_unlock(&room->lock);
+    return is_on_now;
 }
 
 /* See room.h. */
@@ -133,7 +159,10 @@
         return;
     }
     pthread_mutex_lock(&room->lock);
-    g_hash_table_add(room->services, GUINT_TO_POINTER(service));
+    int64_t *enabled_at = g_new(int64_t, 1);
+    *enabled_at = ch_client_get_time(room->client);
+    g_hash_table_replace(room->services, GUINT_TO_POINTER(service),
+                         enabled_at);
     pthread_mutex_unlock(&room->lock);
 }
 
@@ -456,7 +485,7 @@
     room->timers = timers;
     room->peers = *peers;
     room->is_on = is_on_for_all;
-    room->services = g_hash_table_new(NULL, NULL);
+    room->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     room->counters = g_hash_table_new(NULL, NULL);
     room->models =
         g_hash_table_new_full(hash_key, are_keys_equal, NULL, free_model);
--- a/libchestnuthitch/room/room.h
+++ b/libchestnuthitch/room/room.h
@@ -193,8 +193,10 @@
 
 /* All functions accept NULL for room: then everything is admitted. */
 
-/* Switches the decisions on for the models of a service. */
+/* Switches the decisions on for the models of a service, for 10 s. */
 void ch_room_enable_service(struct ch_room *room, GQuark service);
+/* Whether the decisions are on for the models of a service; false for NULL. */
+bool ch_room_is_on(struct ch_room *room, GQuark service);
 /* Records a request, before it is routed for the first time. */
 void ch_room_record(struct ch_room *room,
                     const struct ch_room_request *request);
