Revert placement by pace: it serves fewer requests where demand moves

Loads per replica by speed and the cost of a slow engine make the placement move models between engines that all choices use anyway; by the time a load ends, demand has moved on. Ruled out: the rule on models loaded lately. The choice of an engine for each request has the same knowledge and needs no load.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -224,7 +224,6 @@
     bool stream_pauses; /* count the pauses that a prompt causes */
     bool room_shares;   /* admit by rank and team while room is short */
     bool quota_ranks;   /* give a team's credit to its urgent requests first */
-    bool fast_engines;  /* place busy models on engines that are fast */
 };
 
 enum ch_overload_control {
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -135,7 +135,6 @@
     POLICY_SWITCH("stream-pauses", stream_pauses),
     POLICY_SWITCH("room-shares", room_shares),
     POLICY_SWITCH("quota-ranks", quota_ranks),
-    POLICY_SWITCH("fast-engines", fast_engines),
 };
 
 static bool
--- a/libchestnuthitch/decide/placement.c
+++ b/libchestnuthitch/decide/placement.c
@@ -41,18 +41,6 @@
 static const double LOCAL_LOAD_SECONDS = 2;
 static const double MAX_STORE_LOAD = 1;
 
-/* The worth of a fast engine's memory, which a model that is hardly asked for
- * would take from a busy one. A replica with this load on an engine of pace 1
- * is as well placed there as it can be; with more, a faster engine is better,
- * with less, a slower one. */
-static const double FAST_MEMORY_WORTH = 0.25;
-/* The most that a slow pace counts against a local copy that meets the demand.
- * It is less than STORE_LOAD_COST, so that no load from the store is preferred
- * for its engine's pace. */
-static const double MAX_COPY_PACE_COST = 0.5;
-/* An engine with more load than this does not meet the demand. */
-static const double MAX_ENGINE_LOAD = 1;
-
 enum {
     /* Loads from the weight store that are kept for models in demand when a
      * model is moved to free memory. */
@@ -88,8 +76,6 @@
         .from_store = (victim == 0 || reserves) &&
                       engine->reserved_for != model &&
                       !ch_placement_has_local_copy(engine, model),
-        .pace =
-            round->paces == NULL ? 0 : ch_placement_get_pace(round, engine),
         .reason = reason,
     };
     if (action.from_store) {
@@ -154,44 +140,6 @@
            ch_placement_has_local_copy(engine, model->name);
 }
 
-/* Whether a further replica on the engine meets the model's demand.
- * other_load: of the engine's other models. */
-static bool
-meets_demand(const struct ch_placement_round *round,
-             const struct ch_placement_engine *engine,
-             const struct ch_replica_count *count, double other_load)
-{
-    double load = ch_placement_load_per_replica(
-        count->model, count->speed + ch_placement_get_speed(round, engine));
-    return load <= CH_SCALE_UP_LOAD && load + other_load <= MAX_ENGINE_LOAD;
-}
-
-/*
- * The cost of the engine's pace for a further replica of the model; 0 at pace
- * 1. Load: engines differ in speed. Harm prevented: a busy model comes to a
- * slow engine, while models that are hardly asked for take the memory of fast
- * ones. It is the time that the work of a replica takes there, and the worth
- * of the memory, each compared with an engine of pace 1. The load of the other
- * models at the engine's pace is counted with the engine's load.
- */
-static double
-compute_pace_cost(const struct ch_placement_round *round,
-                  const struct ch_placement_engine *engine,
-                  const struct ch_placement_model *model, double other_load)
-{
-    const struct ch_replica_count *count =
-        ch_placement_find_count(round, model->name);
-    if (round->paces == NULL || count == NULL) {
-        return 0;
-    }
-    double pace = ch_placement_get_pace(round, engine);
-    double load = ch_placement_load_per_replica(model, count->speed + 1);
-    double cost = load * (pace - 1) + FAST_MEMORY_WORTH * (1 / pace - 1);
-    bool is_near = ch_placement_has_local_copy(engine, model->name) &&
-                   meets_demand(round, engine, count, other_load);
-    return is_near ? MIN(cost, MAX_COPY_PACE_COST) : cost;
-}
-
 /* The best engine found so far for a model. */
 struct candidate_engine {
     const struct ch_placement_engine *engine; /* NULL: none */
@@ -236,13 +184,11 @@
                                      &eviction)) {
         return;
     }
-    double other_load =
-        ch_placement_engine_load(round, engine, eviction.first_victim);
     double cost =
         compute_load_cost(round, engine, model->name, STORE_LOAD_COST) +
-        eviction.cost + eviction.victim_count * EVICTION_COST + other_load +
-        adapter_blocking_cost(round, engine) +
-        compute_pace_cost(round, engine, model, other_load);
+        eviction.cost + eviction.victim_count * EVICTION_COST +
+        ch_placement_engine_load(round, engine, eviction.first_victim) +
+        adapter_blocking_cost(round, engine);
     keep_cheaper(best, engine, eviction.first_victim, cost);
 }
 
@@ -294,15 +240,13 @@
         }
         bool fills_engine = ch_placement_reclaimable_mb(round, engine) <
                             model->memory_mb + round->largest_model_mb;
-        double other_load =
-            ch_placement_engine_load(round, engine, eviction.first_victim);
         double cost =
             compute_load_cost(round, engine, model->name, RESTORE_STORE_COST) +
             eviction.victim_count * RESTORE_EVICTION_COST +
             eviction.cost * RESTORE_EVICTED_LOAD_COST +
-            (fills_engine ? RESTORE_FILLED_ENGINE_COST : 0) + other_load +
-            adapter_blocking_cost(round, engine) +
-            compute_pace_cost(round, engine, model, other_load);
+            (fills_engine ? RESTORE_FILLED_ENGINE_COST : 0) +
+            ch_placement_engine_load(round, engine, eviction.first_victim) +
+            adapter_blocking_cost(round, engine);
         keep_cheaper(&best, engine, eviction.first_victim, cost);
     }
     if (best.engine != NULL) {
@@ -333,7 +277,7 @@
 {
     const struct ch_placement_model *model = count->model;
     double load_per_replica =
-        ch_placement_load_per_replica(model, count->speed);
+        ch_placement_load_per_replica(model, count->replicas);
     struct candidate_engine best = {NULL, 0, 0};
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_placement_engine *engine = &round->state->engines[i];
@@ -401,7 +345,8 @@
                    const struct ch_placement_model *model, uint64_t version_id,
                    struct candidate_engine *best)
 {
-    double load = ch_placement_get_load(round, model);
+    double load = ch_placement_load_per_replica(
+        model, ch_placement_count_replicas(round, model->name));
     for (size_t i = 0; i < round->state->engine_count; i++) {
         const struct ch_placement_engine *engine = &round->state->engines[i];
         if (engine->version_id == version_id &&
@@ -478,9 +423,7 @@
     double max_load =
         count->replicas < 2
             ? G_MAXDOUBLE
-            : ch_placement_load_per_replica(
-                  model,
-                  count->speed - ch_placement_get_speed(round, engine)) /
+            : ch_placement_load_per_replica(model, count->replicas - 1) /
                   CH_MIN_EVICTION_GAIN;
     struct ch_eviction eviction;
     if (ch_placement_find_evictions(round, engine, model->memory_mb, max_load,
@@ -554,8 +497,7 @@
             ch_placement_find_count(round, item->model);
         if (item->state != CH_ITEM_RESIDENT || count == NULL ||
             count->replicas != 1 ||
-            ch_placement_load_per_replica(count->model, count->speed) >
-                MAX_IDLE_LOAD) {
+            ch_placement_load_per_replica(count->model, 1) > MAX_IDLE_LOAD) {
             continue;
         }
         const struct ch_placement_engine *previous_engine = best.engine;
@@ -573,16 +515,13 @@
 
 /* ---- free memory ---- */
 
-/* The benefit of a further replica of the model on this engine; demand counts
- * more, the faster it is. */
+/* The benefit of a further replica of the model on this engine. */
 static double
-compute_benefit(const struct ch_placement_round *round,
-                const struct ch_placement_engine *engine,
+compute_benefit(const struct ch_placement_engine *engine,
                 const struct ch_replica_count *count)
 {
     const struct ch_placement_model *model = count->model;
-    double benefit = ch_placement_load_per_replica(model, count->speed) *
-                         ch_placement_get_speed(round, engine) /
+    double benefit = ch_placement_load_per_replica(model, count->replicas) /
                          CH_SCALE_UP_LOAD +
                      1.0 / (count->replicas + 1);
     /* Breaks ties in a different order on each engine, so that idle models
@@ -612,7 +551,7 @@
             !can_take_load(round, engine, model)) {
             continue;
         }
-        double benefit = compute_benefit(round, engine, count);
+        double benefit = compute_benefit(engine, count);
         if (best == 0 || benefit > best_benefit) {
             best = model->name;
             best_benefit = benefit;
@@ -675,7 +614,7 @@
     for (size_t i = 0; i < round->state->model_count; i++) {
         const struct ch_replica_count *count = &round->replica_counts[i];
         double load_per_replica =
-            ch_placement_load_per_replica(count->model, count->speed);
+            ch_placement_load_per_replica(count->model, count->replicas);
         if (load_per_replica > max_load &&
             !g_hash_table_contains(finished, count)) {
             best = count;
--- a/libchestnuthitch/decide/placement.h
+++ b/libchestnuthitch/decide/placement.h
@@ -13,7 +13,6 @@
 struct ch_placement_item {
     GQuark model;
     enum ch_item_state state;
-    int64_t resident_for; /* microseconds since its load ended; 0: not known */
 };
 
 struct ch_placement_engine {
@@ -31,7 +30,6 @@
     const GQuark *local_copies; /* models whose weights load quickly here */
     size_t local_copy_count;
     GQuark reserved_for; /* model that memory was freed for; 0: none */
-    double pace;         /* how long work takes here; 1, or 0: as usual */
 };
 
 struct ch_placement_model {
@@ -67,8 +65,6 @@
     GQuark reserved_for; /* for UNLOAD: the model to load afterwards */
     bool from_store; /* whether the load, now or after the unload, reads from
                         the weight store */
-    double pace; /* of the engine, as far as it had a part in the decision; 0:
-                    it had none */
     const char *reason;
 };
 
--- a/libchestnuthitch/decide/placement_internal.h
+++ b/libchestnuthitch/decide/placement_internal.h
@@ -25,7 +25,6 @@
     const struct ch_placement_model *model;
     unsigned replicas; /* on engines that are not draining: resident, loading
                           or with memory reserved */
-    double speed;      /* sum of the speeds of their engines */
     unsigned *resident_by_centre; /* resident replicas on engines that are not
                       draining, by index of data centre */
     GQuark last_replica_centre;   /* data centre that must not evict its last
@@ -43,9 +42,7 @@
     GHashTable *centre_indices;  /* GQuark of data centre to its index */
     GHashTable *ordered_engines; /* GQuark of engines with an order */
     unsigned *centre_counts;     /* backing array of all resident_by_centre */
-    double *paces; /* by index of engine, rounded; NULL: all engines count as
-                      equally fast */
-    uint32_t largest_model_mb; /* of all models */
+    uint32_t largest_model_mb;   /* of all models */
     uint32_t store_loads_left;
     uint32_t changing_engines;
     GArray *actions;
@@ -87,21 +84,9 @@
 ch_placement_find_count(const struct ch_placement_round *round, GQuark name);
 unsigned ch_placement_count_replicas(const struct ch_placement_round *round,
                                      GQuark model);
-/* How long work takes at the engine, rounded; 1 while all engines count as
- * equally fast. */
-double ch_placement_get_pace(const struct ch_placement_round *round,
-                             const struct ch_placement_engine *engine);
-/* The engines of pace 1 that the time of the engine is worth. */
-double ch_placement_get_speed(const struct ch_placement_round *round,
-                              const struct ch_placement_engine *engine);
-/* The part of its engine's time that a replica takes, with replicas on engines
- * whose speeds add up to `speed`. It is the same for all replicas, as a fast
- * engine gets more of the demand. 0: as with one replica of speed 1. */
+/* Load of each of `replicas` replicas, in engines. */
 double ch_placement_load_per_replica(const struct ch_placement_model *model,
-                                     double speed);
-/* The same with the replicas that the round counts. */
-double ch_placement_get_load(const struct ch_placement_round *round,
-                             const struct ch_placement_model *model);
+                                     unsigned replicas);
 /* Load of an engine from all its models except one (0: from all). */
 double ch_placement_engine_load(const struct ch_placement_round *round,
                                 const struct ch_placement_engine *engine,
--- a/libchestnuthitch/decide/placement_shortage.c
+++ b/libchestnuthitch/decide/placement_shortage.c
@@ -25,10 +25,11 @@
              engine->reserved_for != 0) {
         out->changing++;
     }
-    else if (!ch_placement_find_evictions(round, engine, model->memory_mb,
-                                          ch_placement_get_load(round, model) /
-                                              CH_MIN_EVICTION_GAIN,
-                                          &eviction)) {
+    else if (!ch_placement_find_evictions(
+                 round, engine, model->memory_mb,
+                 ch_placement_load_per_replica(model, out->replicas) /
+                     CH_MIN_EVICTION_GAIN,
+                 &eviction)) {
         out->no_room++;
     }
     else if (!ch_placement_may_start_load(round, engine, model->name)) {
@@ -73,7 +74,8 @@
             .demand = ch_placement_load_per_replica(model, 1),
             .replicas = ch_placement_count_replicas(&round, model->name),
         };
-        if (ch_placement_get_load(&round, model) <= CH_SCALE_UP_LOAD ||
+        if (ch_placement_load_per_replica(model, entry.replicas) <=
+                CH_SCALE_UP_LOAD ||
             has_order(&round, model->name)) {
             continue;
         }
--- a/libchestnuthitch/decide/placement_view.c
+++ b/libchestnuthitch/decide/placement_view.c
@@ -3,84 +3,11 @@
 
 #include "decide/placement_internal.h"
 
-#include <math.h>
-
 /* Queued work is to be done within this many seconds. */
 static const double BACKLOG_TARGET_S = 2;
 /* Cost of an eviction that leaves a model's last replica on an engine without
  * memory for any large model, in engines. */
 static const double STRANDED_REPLICA_COST = 0.5;
-/* Paces count in steps of this ratio, and as usual within one step of 1. The
- * pace of an engine is a mean of few readings that vary more than twofold for
- * some tenths of a second; without steps, its noise would change decisions. */
-static const double PACE_STEP = 1.2;
-/* Limits on the pace, against a wrong reading that makes an engine look idle
- * or useless. */
-static const double MIN_PACE = 0.25;
-static const double MAX_PACE = 4;
-/* A model is not evicted for another until this many of its load times after
- * its load: demand that moves on and returns would load it again. */
-static const double KEPT_LOAD_TIMES = 2;
-/* A model with less demand, in engines, counts as having none: an average of
- * demand that has ended decays to this within seconds. */
-static const double NO_DEMAND = 0.02;
-/* Cost of evicting a model that was loaded lately for one that no engine
- * holds, in engines: any other model goes first. */
-static const double RECENT_LOAD_COST = 4;
-
-/* ---- pace ---- */
-
-/* The pace in steps; 1 for a pace that differs by less than one step, or that
- * is not known. */
-static double
-round_pace(double pace)
-{
-    if (!(pace > 0) || (pace < PACE_STEP && pace * PACE_STEP > 1)) {
-        return 1;
-    }
-    double steps =
-        round(log(CLAMP(pace, MIN_PACE, MAX_PACE)) / log(PACE_STEP));
-    return pow(PACE_STEP, steps);
-}
-
-/* Rounds the paces of all engines, if some engine differs from the usual. */
-static void
-init_paces(struct ch_placement_round *round)
-{
-    const struct ch_placement_state *state = round->state;
-    if (state->disabled.fast_engines) {
-        return;
-    }
-    double *paces = g_new0(double, state->engine_count + 1);
-    bool differ = false;
-    for (size_t i = 0; i < state->engine_count; i++) {
-        paces[i] = round_pace(state->engines[i].pace);
-        differ = differ || paces[i] != 1;
-    }
-    if (differ) {
-        round->paces = paces;
-    }
-    else {
-        g_free(paces);
-    }
-}
-
-/* See placement_internal.h. */
-double
-ch_placement_get_pace(const struct ch_placement_round *round,
-                      const struct ch_placement_engine *engine)
-{
-    return round->paces == NULL ? 1
-                                : round->paces[engine - round->state->engines];
-}
-
-/* See placement_internal.h. */
-double
-ch_placement_get_speed(const struct ch_placement_round *round,
-                       const struct ch_placement_engine *engine)
-{
-    return 1 / ch_placement_get_pace(round, engine);
-}
 
 /* ---- counting ---- */
 
@@ -132,7 +59,6 @@
         return;
     }
     count->replicas++;
-    count->speed += ch_placement_get_speed(round, engine);
     if (item->state != CH_ITEM_RESIDENT) {
         return;
     }
@@ -162,7 +88,6 @@
     if (reserved != NULL &&
         (held == NULL || held->state == CH_ITEM_UNLOADING)) {
         reserved->replicas++;
-        reserved->speed += ch_placement_get_speed(round, engine);
     }
 }
 
@@ -192,7 +117,6 @@
                             &round->replica_counts[i]);
     }
     number_centres(round);
-    init_paces(round);
     for (size_t i = 0; i < state->engine_count; i++) {
         const struct ch_placement_engine *engine = &state->engines[i];
         if (!engine->draining) {
@@ -220,11 +144,9 @@
         g_hash_table_lookup(round->count_by_model, GUINT_TO_POINTER(victim));
     if (loaded != NULL && engine->reserved_for != model) {
         loaded->replicas++;
-        loaded->speed += ch_placement_get_speed(round, engine);
     }
     if (evicted != NULL) {
         evicted->replicas--;
-        evicted->speed -= ch_placement_get_speed(round, engine);
         evicted->resident_by_centre[centre_index(round, engine)]--;
     }
     g_hash_table_add(round->ordered_engines, GUINT_TO_POINTER(engine->name));
@@ -238,7 +160,6 @@
     g_hash_table_destroy(round->centre_indices);
     g_hash_table_destroy(round->ordered_engines);
     g_free(round->centre_counts);
-    g_free(round->paces);
     g_free(round->replica_counts);
 }
 
@@ -302,23 +223,10 @@
 /* See placement_internal.h. */
 double
 ch_placement_load_per_replica(const struct ch_placement_model *model,
-                              double speed)
+                              unsigned replicas)
 {
-    /* What rounding leaves of a sum whose last replica was taken off. */
-    bool has_replicas = speed * MAX_PACE > 0.5;
     return (model->demand + model->backlog_s / BACKLOG_TARGET_S) /
-           (has_replicas ? speed : 1);
-}
-
-/* See placement_internal.h. */
-double
-ch_placement_get_load(const struct ch_placement_round *round,
-                      const struct ch_placement_model *model)
-{
-    const struct ch_replica_count *count =
-        ch_placement_find_count(round, model->name);
-    return ch_placement_load_per_replica(model,
-                                         count == NULL ? 0 : count->speed);
+           MAX(replicas, 1);
 }
 
 /* See placement_internal.h. */
@@ -333,7 +241,8 @@
         const struct ch_replica_count *count =
             ch_placement_find_count(round, name);
         if (count != NULL && name != except) {
-            load += ch_placement_load_per_replica(count->model, count->speed);
+            load +=
+                ch_placement_load_per_replica(count->model, count->replicas);
         }
     }
     return load;
@@ -412,8 +321,8 @@
     uint32_t memory_mb;
     double remaining_load; /* load of each of the model's other replicas
                               afterwards */
-    double cost;           /* remaining_load, plus STRANDED_REPLICA_COST and
-                              RECENT_LOAD_COST where these apply */
+    double cost; /* remaining_load, plus STRANDED_REPLICA_COST where that
+                    applies */
 };
 
 /* Whether the model's replica on the engine may be evicted: it is neither the
@@ -428,22 +337,6 @@
             count->last_replica_centre != engine->data_centre);
 }
 
-/*
- * Whether the model's load ended lately. Load: demand moves within the time of
- * a load. Harm prevented: two models evict each other from an engine in turn,
- * and it spends its time on loads. Only while engines differ in speed.
- */
-static bool
-is_loaded_lately(const struct ch_placement_round *round,
-                 const struct ch_placement_item *item,
-                 const struct ch_placement_model *model)
-{
-    return round->paces != NULL && item->resident_for > 0 &&
-           (double)item->resident_for <
-               KEPT_LOAD_TIMES * (double)model->load_time &&
-           ch_placement_load_per_replica(model, 1) > NO_DEMAND;
-}
-
 /* Whether the eviction would leave the model's last replica on an engine that
  * then has no reclaimable memory for the largest model. */
 static bool
@@ -487,22 +380,16 @@
             !may_evict(round, engine, count)) {
             continue;
         }
-        bool lately = is_loaded_lately(round, item, count->model);
-        if (lately && max_load < G_MAXDOUBLE) {
-            continue;
-        }
-        double remaining_load = ch_placement_load_per_replica(
-            count->model,
-            count->speed - ch_placement_get_speed(round, engine));
+        double remaining_load =
+            ch_placement_load_per_replica(count->model, count->replicas - 1);
         const struct candidate candidate = {
             .model = item->model,
             .memory_mb = count->model->memory_mb,
             .remaining_load = remaining_load,
-            .cost = remaining_load +
-                    (strands_last_replica(round, engine, count)
-                         ? STRANDED_REPLICA_COST
-                         : 0) +
-                    (lately ? RECENT_LOAD_COST : 0),
+            .cost =
+                remaining_load + (strands_last_replica(round, engine, count)
+                                      ? STRANDED_REPLICA_COST
+                                      : 0),
         };
         if (remaining_load <= max_load) {
             g_array_append_val(out, candidate);
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -212,9 +212,6 @@
           enum ch_item_state state, int64_t now)
 {
     if (item->state != state) {
-        if (item->state == CH_ITEM_LOADING && state == CH_ITEM_RESIDENT) {
-            item->loaded_at = now;
-        }
         item->state = state;
         item->changed_at = now;
         item->accepted = false;
--- a/libchestnuthitch/node/controller_internal.h
+++ b/libchestnuthitch/node/controller_internal.h
@@ -58,7 +58,6 @@
     enum ch_item_state state;
     int64_t
         changed_at; /* last change of state, or when its order was accepted */
-    int64_t loaded_at;     /* end of its load, as seen here; 0: not known */
     int64_t last_used_at;  /* last request for an adapter */
     int64_t next_order_at; /* its order is not sent earlier */
     bool accepted;         /* the engine accepted the order for its state */
--- a/libchestnuthitch/node/controller_models.c
+++ b/libchestnuthitch/node/controller_models.c
@@ -96,13 +96,6 @@
     return accepts;
 }
 
-/* How long work usually takes at an engine; 1: as at a usual one. */
-static double
-get_engine_pace(const struct controller_engine *engine)
-{
-    return ch_pace_get_usual(engine->controller->node->pace, engine->name);
-}
-
 /* Adds an engine with its models. */
 static void
 add_engine(struct placement_input *input,
@@ -114,12 +107,7 @@
     for (guint i = 0; i < engine->items->len; i++) {
         const struct item *item =
             &g_array_index(engine->items, struct item, i);
-        const struct ch_placement_item copy = {
-            .model = item->name,
-            .state = item->state,
-            .resident_for =
-                item->loaded_at == 0 ? 0 : MAX(now - item->loaded_at, 1),
-        };
+        const struct ch_placement_item copy = {item->name, item->state};
         if (item->model == 0) {
             g_array_append_val(items, copy);
         }
@@ -144,7 +132,6 @@
         .local_copy_count = engine->local_copies->len,
         .reserved_for =
             now < engine->reserved_until ? engine->reserved_for : 0,
-        .pace = get_engine_pace(engine),
     };
     g_array_append_val(input->engines, entry);
 }
@@ -233,7 +220,6 @@
                                 ? ""
                                 : g_quark_to_string(action->reserved_for)),
         CH_F_BOOL("from_store", action->from_store),
-        CH_F_INT("pace_percent", lround(action->pace * 100)),
         CH_F_STR("reason", action->reason), CH_F_END);
     if (action->from_store) {
         ch_window_record_start(&centre->load_window, now);
--- a/libchestnuthitch/node/controller_receive.c
+++ b/libchestnuthitch/node/controller_receive.c
@@ -150,20 +150,6 @@
                                                          engine->data_centre));
 }
 
-/* When the load of a resident item ended, from what was known of the engine
- * before; 0: not known. earlier: struct item, whose waiters are not valid. */
-static int64_t
-find_loaded_at(const GArray *earlier, GQuark name, int64_t now)
-{
-    for (guint i = 0; i < earlier->len; i++) {
-        const struct item *item = &g_array_index(earlier, struct item, i);
-        if (item->name == name) {
-            return item->state == CH_ITEM_LOADING ? now : item->loaded_at;
-        }
-    }
-    return 0;
-}
-
 /* Replaces an engine's items by those that another lease holder reports, for
  * decisions here. If the sender controls the engine, the state is published on
  * to the nodes. */
@@ -175,16 +161,11 @@
     const char *holder = g_hash_table_lookup(
         context->current_holders, GUINT_TO_POINTER(engine->data_centre));
     engine_fail_waiters(engine, CH_NOT_READY);
-    GArray *earlier = g_array_new(FALSE, FALSE, sizeof(struct item));
-    g_array_append_vals(earlier, engine->items->data, engine->items->len);
     g_array_set_size(engine->items, 0);
     for (size_t i = 0; i < state->n_models; i++) {
-        GQuark model = g_quark_from_string(state->models[i]);
-        struct item *item =
-            engine_add_item(engine, model, 0, CH_ITEM_RESIDENT, context->now);
-        item->loaded_at = find_loaded_at(earlier, model, context->now);
+        engine_add_item(engine, g_quark_from_string(state->models[i]), 0,
+                        CH_ITEM_RESIDENT, context->now);
     }
-    g_array_free(earlier, TRUE);
     for (size_t i = 0; i < state->n_adapters; i++) {
         GQuark adapter = g_quark_from_string(state->adapters[i]);
         engine_add_item(engine, adapter, controller_get_adapter_model(adapter),
--- a/tests/bench/bench_placement.c
+++ b/tests/bench/bench_placement.c
@@ -64,10 +64,8 @@
         for (size_t k = 0; k < MODELS_PER_ENGINE; k++) {
             fleet->items[MODELS_PER_ENGINE * i + k] =
                 (struct ch_placement_item){
-                    .model =
-                        fleet->models[(MODELS_PER_ENGINE * i + k) % models]
-                            .name,
-                    .state = CH_ITEM_RESIDENT};
+                    fleet->models[(MODELS_PER_ENGINE * i + k) % models].name,
+                    CH_ITEM_RESIDENT};
         }
         fleet->engines[i] = (struct ch_placement_engine){
             .name = make_name("e", i),
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -52,8 +52,8 @@
         models[i][strcspn(models[i], "+~")] = '\0';
         fleet->items[engine_index][engine->item_count++] =
             (struct ch_placement_item){
-                .model = g_quark_from_string(models[i]),
-                .state = state,
+                g_quark_from_string(models[i]),
+                state,
             };
         engine->accepts_orders =
             engine->accepts_orders && state == CH_ITEM_RESIDENT;
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -160,7 +160,6 @@
     {"stream-pauses", offsetof(struct ch_disabled_features, stream_pauses)},
     {"room-shares", offsetof(struct ch_disabled_features, room_shares)},
     {"quota-ranks", offsetof(struct ch_disabled_features, quota_ranks)},
-    {"fast-engines", offsetof(struct ch_disabled_features, fast_engines)},
 };
 
 /* Appends the key of a disabled feature, "+" for an enabled one. */
