Bound unread responses and request bytes at upstreams

What callers saw: with many callers who read slowly, a node's memory was bounded by 1 MB for each stream and 16 MB for each plain response only, so a node with 4,096 connections could run out of memory and every caller lost its connection. An upstream that runs out of memory by the requests in progress there fails all of them.

Cause: there was no bound over all responses of a node, and none on the request bytes that a node has at one upstream.

Where [overload] is on, the responses that hold most are cut off while all hold more than [limits] unsent-bytes (32 MB). [limits] upstream-bytes (0: off) makes a request go to another upstream, or be refused with 503 and Retry-After. Both have counters, status and log lines. The fake node of test_admin gets the front end's status, and the fake router of test_exchange has no other upstream for this bound either.

Ruled out: reading less from upstreams, since they cut off responses that stay unread; telling the router of a limit, since smaller requests may still fit; a bound over all nodes, which needs a counting node.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -258,6 +258,8 @@
     unsigned once_retention_s;    /* [once] keep-s */
     size_t max_body_bytes;        /* [limits] body-bytes */
     size_t max_header_bytes;      /* [limits] header-bytes */
+    size_t max_unsent_bytes;      /* [limits] unsent-bytes, of all responses */
+    size_t max_upstream_bytes;    /* [limits] upstream-bytes; 0: no bound */
     unsigned max_queue_length;    /* [limits] queue, per upstream */
     unsigned max_connections;     /* [limits] connections */
     double cores; /* [node] cores of the host that this node may use */
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -68,6 +68,11 @@
      1024, 67108864, NULL},
     {"limits", "header-bytes", CH_INI_SIZE, SETTING(max_header_bytes), "16384",
      1024, 1048576, NULL},
+    /* At least the largest plain response (CH_EXCHANGE_MAX_RESPONSE_BYTES). */
+    {"limits", "unsent-bytes", CH_INI_SIZE, SETTING(max_unsent_bytes),
+     "33554432", 16777216, 68719476736.0, NULL},
+    {"limits", "upstream-bytes", CH_INI_SIZE, SETTING(max_upstream_bytes), "0",
+     0, 68719476736.0, NULL},
     {"limits", "queue", CH_INI_UNSIGNED, SETTING(max_queue_length), "1000", 1,
      100000, NULL},
     {"limits", "connections", CH_INI_UNSIGNED, SETTING(max_connections),
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -5,6 +5,7 @@
 #include "node/limit_manager.h"
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
+#include "node/response.h"
 #include "node/stream_manager.h"
 #include "base/json.h"
 #include "base/ini.h"
@@ -257,6 +258,8 @@
     ch_notices_write_status(node->notices, builder);
     ch_room_write_status(node->room, builder);
     ch_pace_write_status(node->pace, builder);
+    ch_frontend_write_status(node->frontend, builder);
+    ch_response_memory_write_status(node->response_memory, builder);
     if (node->streams != NULL) {
         ch_stream_manager_write_status(node->streams, builder);
     }
--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -178,6 +178,52 @@
     }
 }
 
+/* Counts the request's body at the granted upstream; false: the requests of
+ * this node hold too much there. Lock held. */
+static bool
+take_upstream_bytes(struct ch_exchange *exchange)
+{
+    struct ch_frontend *frontend = exchange->frontend;
+    if (frontend->held == NULL) {
+        return true;
+    }
+    pthread_mutex_lock(&frontend->lock);
+    enum ch_held_result result =
+        ch_held_take(frontend->held, exchange->grant.upstream,
+                     exchange->request->body_length);
+    pthread_mutex_unlock(&frontend->lock);
+    exchange->bytes_held = result == CH_HELD_TAKEN;
+    if (exchange->bytes_held) {
+        return true;
+    }
+    struct ch_client *client = frontend->node->client;
+    ch_metrics_add_count(client->metrics, CH_COUNT_UPSTREAM_BYTES_REFUSED, 1);
+    if (result == CH_HELD_BEGINS_TO_REFUSE) {
+        ch_log(
+            client, CH_LOG_WARNING, "upstream-bytes-bound",
+            CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
+            CH_F_INT("bytes", (int64_t)exchange->request->body_length),
+            CH_F_INT("bound",
+                     (int64_t)frontend->node->settings->max_upstream_bytes),
+            CH_F_END);
+    }
+    return false;
+}
+
+/* Counts the request's body no more at the granted upstream. Lock held. */
+static void
+give_upstream_bytes_back(struct ch_exchange *exchange)
+{
+    struct ch_frontend *frontend = exchange->frontend;
+    if (exchange->bytes_held) {
+        exchange->bytes_held = false;
+        pthread_mutex_lock(&frontend->lock);
+        ch_held_give_back(frontend->held, exchange->grant.upstream,
+                          exchange->request->body_length);
+        pthread_mutex_unlock(&frontend->lock);
+    }
+}
+
 /* Releases a grant without a call. retry_after: when the upstream's limit may
  * permit one, for the code CH_UPSTREAM_LIMITED. Lock held. */
 static void
@@ -188,6 +234,7 @@
                                             .retry_after = retry_after};
     struct ch_router *router = exchange->frontend->node->router;
     release_slot(exchange, CH_SLOTS_ENDED);
+    give_upstream_bytes_back(exchange);
     router->ops->release(router, exchange->grant.handle, &sample);
 }
 
@@ -299,15 +346,14 @@
                                 : limit_retry_after);
 }
 
-/* The granted upstream takes no call now, by its limit or as it asked this
- * node to wait: asks the router for another one. A router that offers the same
- * one again has no other. Lock held; returns true when the exchange can be
- * finished. */
+/* The granted upstream takes no call of this request now, and the grant is
+ * released: asks the router for another upstream. A router that offers the
+ * same one again has no other. Lock held; returns true when the exchange can
+ * be finished. */
 static bool
-handle_limit_refusal(struct ch_exchange *exchange, enum ch_code code,
-                     int64_t retry_after)
+pass_over_limited(struct ch_exchange *exchange, enum ch_code code,
+                  int64_t retry_after)
 {
-    release_unused_grant(exchange, code, retry_after);
     exchange->limit_code = code;
     exchange->limit_retry_after =
         exchange->limit_refused ? MIN(exchange->limit_retry_after, retry_after)
@@ -321,6 +367,28 @@
     return false;
 }
 
+/* The granted upstream takes no call now, by its limit or as it asked this
+ * node to wait. Lock held; returns true when the exchange can be finished. */
+static bool
+handle_limit_refusal(struct ch_exchange *exchange, enum ch_code code,
+                     int64_t retry_after)
+{
+    release_unused_grant(exchange, code, retry_after);
+    return pass_over_limited(exchange, code, retry_after);
+}
+
+/* The request's body exceeds what this node may hold at the upstream. The
+ * router does not count this as a limit of the upstream, since smaller
+ * requests may still fit. Lock held; returns true when the exchange can be
+ * finished. */
+static bool
+handle_bytes_refusal(struct ch_exchange *exchange)
+{
+    release_unused_grant(exchange, CH_CANCELLED, 0);
+    return pass_over_limited(exchange, CH_UPSTREAM_LIMITED,
+                             CH_EXCHANGE_RETRY_AFTER_US);
+}
+
 /* The granted upstream may not take the request: asks the router for another
  * one. A router that offers the same one again has no other. Lock held;
  * returns true when the exchange can be finished. */
@@ -387,6 +455,9 @@
 call_within_limit(struct ch_exchange *exchange)
 {
     struct ch_limit_manager *limits = exchange->frontend->node->limits;
+    if (!take_upstream_bytes(exchange)) {
+        return handle_bytes_refusal(exchange);
+    }
     if (!ch_limit_manager_is_limited(limits, exchange->grant.upstream)) {
         return call_unless_noticed(exchange);
     }
@@ -998,6 +1069,7 @@
     }
     report_crash_evidence(exchange, end);
     release_slot(exchange, get_slot_end(end));
+    give_upstream_bytes_back(exchange);
     struct ch_timing_sample sample =
         ch_exchange_get_timing_sample(exchange, effective_end.code);
     node->router->ops->release(node->router, exchange->grant.handle, &sample);
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -66,6 +66,7 @@
     bool router_replied;
     bool retry_taken;        /* a retry was taken, not yet used by a call */
     bool limit_refused;      /* an upstream takes no call now */
+    bool bytes_held;         /* the body counts at the granted upstream */
     bool slot_held;          /* a slot of the granted upstream */
     bool slot_waited;        /* a slot was waited for */
     bool exclusions_dropped; /* excluded upstreams were allowed again, once */
--- a/libchestnuthitch/node/frontend.c
+++ b/libchestnuthitch/node/frontend.c
@@ -339,8 +339,8 @@
     CH_TSAN_ACQUIRE(&frontend->listener); /* see handle_new_connection() */
     char id[CH_RESPONSE_ID_SIZE];
     uint64_t number = ch_frontend_new_id(frontend, id);
-    struct ch_incoming_request *incoming =
-        ch_incoming_request_new(connection, uri, id, number);
+    struct ch_incoming_request *incoming = ch_incoming_request_new(
+        connection, frontend->node->response_memory, uri, id, number);
     if (frontend->node->dialect != NULL) {
         ch_response_use_caller_id(incoming->response,
                                   frontend->node->dialect->request_id_header,
@@ -564,6 +564,9 @@
     pthread_cond_init(&frontend->count_lowered, NULL);
     ch_retry_budget_init(&frontend->retry_budget, node->settings->retry_share);
     frontend->exchanges = g_hash_table_new(NULL, NULL);
+    if (node->settings->max_upstream_bytes > 0) {
+        frontend->held = ch_held_new(node->settings->max_upstream_bytes);
+    }
     frontend->service_retry_budgets =
         g_hash_table_new_full(NULL, NULL, NULL, g_free);
     frontend->disconnect_watch = ch_disconnect_watch_new();
@@ -733,6 +736,7 @@
     if (frontend->service_retry_budgets != NULL) {
         g_hash_table_destroy(frontend->service_retry_budgets);
     }
+    ch_held_free(frontend->held);
     if (frontend->exchanges != NULL) {
         g_hash_table_destroy(frontend->exchanges);
     }
@@ -740,3 +744,23 @@
     pthread_mutex_destroy(&frontend->lock);
     g_free(frontend);
 }
+
+/* See node.h. */
+void
+ch_frontend_write_status(struct ch_frontend *frontend, JsonBuilder *builder)
+{
+    size_t bound = frontend->node->settings->max_upstream_bytes;
+    if (frontend->held == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&frontend->lock);
+    size_t highest = ch_held_get_highest(frontend->held);
+    pthread_mutex_unlock(&frontend->lock);
+    json_builder_set_member_name(builder, "upstream_bytes");
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "highest");
+    json_builder_add_int_value(builder, (gint64)highest);
+    json_builder_set_member_name(builder, "bound");
+    json_builder_add_int_value(builder, (gint64)bound);
+    json_builder_end_object(builder);
+}
--- a/libchestnuthitch/node/frontend.h
+++ b/libchestnuthitch/node/frontend.h
@@ -4,6 +4,7 @@
 /* State shared by the callers' HTTP listener and the exchanges. Lock order:
  * exchange < frontend < response; see node.h for the rest. */
 
+#include "buffers/buffers.h"
 #include "node/dialect.h"
 #include "node/node.h"
 #include "node/response.h"
@@ -33,9 +34,10 @@
     struct ch_retry_budget retry_budget; /* for all services together */
     GHashTable *service_retry_budgets;   /* GQuark to struct ch_retry_budget */
     int64_t live_updated_at;             /* when live_count was last read */
-    unsigned live_count; /* nodes among which the slack is divided */
-    bool stopping;       /* not ready, but still serving */
-    bool refusing;       /* new requests are refused with STOPPING */
+    unsigned live_count;  /* nodes among which the slack is divided */
+    struct ch_held *held; /* request bytes at upstreams; NULL: no bound */
+    bool stopping;        /* not ready, but still serving */
+    bool refusing;        /* new requests are refused with STOPPING */
 };
 
 /* Creates a request's IDs and returns the number, which is unique in this
--- a/libchestnuthitch/node/incoming_request.c
+++ b/libchestnuthitch/node/incoming_request.c
@@ -15,12 +15,13 @@
 
 /* Creates an incoming request once its first line has arrived. */
 struct ch_incoming_request *
-ch_incoming_request_new(struct MHD_Connection *connection, const char *uri,
+ch_incoming_request_new(struct MHD_Connection *connection,
+                        struct ch_response_memory *memory, const char *uri,
                         const char *request_id, uint64_t number)
 {
     struct ch_incoming_request *incoming =
         g_new0(struct ch_incoming_request, 1);
-    incoming->response = ch_response_new(connection, request_id);
+    incoming->response = ch_response_new(connection, request_id, memory);
     incoming->number = number;
     incoming->uri = g_strdup(uri);
     incoming->body = g_byte_array_new();
--- a/libchestnuthitch/node/incoming_request.h
+++ b/libchestnuthitch/node/incoming_request.h
@@ -48,7 +48,8 @@
 };
 
 struct ch_incoming_request *
-ch_incoming_request_new(struct MHD_Connection *connection, const char *uri,
+ch_incoming_request_new(struct MHD_Connection *connection,
+                        struct ch_response_memory *memory, const char *uri,
                         const char *request_id, uint64_t number);
 void ch_incoming_request_free(struct ch_incoming_request *incoming);
 /* Reads the head; false with *fault when the request is refused before its
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -8,6 +8,7 @@
 #include "node/path_manager.h"
 #include "node/quota_manager.h"
 #include "node/relay_server.h"
+#include "node/response.h"
 #include "node/stream_manager.h"
 
 #include <ck_pr.h>
@@ -49,6 +50,7 @@
     if (node->hosts != NULL) {
         node->hosts->ops->free(node->hosts);
     }
+    ch_response_memory_free(node->response_memory);
     g_free(node);
 }
 
@@ -58,6 +60,10 @@
 create_components(struct ch_node *node, struct ch_error *error)
 {
     const struct ch_settings *settings = node->settings;
+    if (ch_settings_controls_overload(settings)) {
+        node->response_memory =
+            ch_response_memory_new(node->client, settings->max_unsent_bytes);
+    }
     node->pool = ch_pool_new(settings->workers);
     node->timers = ch_timers_new(node->pool);
     node->http = ch_http_new(node->client);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -11,11 +11,10 @@
  * to the pool, on which the decisions are made.
  *
  * Lock order, outermost first; a thread that holds a lock takes only later
- * ones: exchange < frontend < response < homes < home < config < once < ledger
- * < crashes < quota < limits < slots < room < paths < streams < peers < pool,
- * < crashes < quota < limits < slots < pace < paths < streams < peers < pool,
- * timers, http < metrics. No handler of another package is called with a lock
- * held.
+ * ones: exchange < frontend < response < response memory < homes < home <
+ * config < once < ledger < crashes < quota < limits < slots < room < pace <
+ * paths < streams < peers < pool, timers, http < metrics. No handler of
+ * another package is called with a lock held.
  */
 
 #include "base/base.h"
@@ -40,6 +39,7 @@
 struct ch_path_manager;
 struct ch_quota_manager;
 struct ch_relay_server;
+struct ch_response_memory;
 struct ch_router;
 struct ch_stream_manager;
 
@@ -68,6 +68,7 @@
     struct ch_path_manager *paths;     /* NULL: every path is open */
     struct ch_stream_manager *streams; /* NULL where no caller takes up a
                                           stream of an earlier request */
+    struct ch_response_memory *response_memory; /* NULL: without a bound */
     struct ch_homes *homes; /* NULL where each node routes by its own view of
                                the upstreams */
     struct ch_router *router;
@@ -492,6 +493,10 @@
  */
 void ch_frontend_abandon_barred(struct ch_frontend *frontend);
 void ch_frontend_free(struct ch_frontend *frontend);
+/* Adds the member "upstream_bytes" to an open object if requests at upstreams
+ * are bounded. */
+void ch_frontend_write_status(struct ch_frontend *frontend,
+                              JsonBuilder *builder);
 /* True when a configuration and the upstreams are known and the node is not
    stopping. */
 bool ch_node_is_ready(struct ch_node *node);
--- a/libchestnuthitch/node/relay_server.c
+++ b/libchestnuthitch/node/relay_server.c
@@ -387,8 +387,8 @@
     pthread_mutex_lock(&server->lock);
     uint64_t number = ++server->last_number;
     pthread_mutex_unlock(&server->lock);
-    struct ch_incoming_request *incoming =
-        ch_incoming_request_new(connection, uri, "", number);
+    struct ch_incoming_request *incoming = ch_incoming_request_new(
+        connection, server->node->response_memory, uri, "", number);
     ch_response_use_caller_id(incoming->response, CH_RELAY_RESULT_HEADER,
                               NULL);
     incoming->watch_handle =
--- a/libchestnuthitch/node/response.c
+++ b/libchestnuthitch/node/response.c
@@ -2,11 +2,14 @@
  * The response to one caller's request.
  *
  * Lock order: a response's lock is taken after its exchange's; while it is
- * held only the HTTP library's locks are taken.
+ * held only the lock of the response memory and the HTTP library's locks are
+ * taken.
  */
 
 #include "node/response.h"
 
+#include "buffers/buffers.h"
+
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
@@ -18,6 +21,12 @@
     STREAM_BLOCK_BYTES = 2 * 1024,
 };
 
+struct ch_response_memory {
+    struct ch_client *client;
+    pthread_mutex_t lock;
+    struct ch_unsent unsent;
+};
+
 struct ch_response {
     int references;
     char id[CH_RESPONSE_MAX_ID_BYTES + 1];
@@ -36,17 +45,69 @@
     size_t taken; /* bytes at the start of unsent that the library has taken */
     struct ch_response_watcher watcher;
     void *watcher_data;
+    struct ch_response_memory *memory;   /* NULL: not counted */
+    struct ch_unsent_entry unsent_entry; /* guarded by the memory's lock */
 };
 
+/* See response.h. */
+struct ch_response_memory *
+ch_response_memory_new(struct ch_client *client, size_t bound)
+{
+    struct ch_response_memory *memory = g_new0(struct ch_response_memory, 1);
+    memory->client = client;
+    memory->unsent.bound = bound;
+    pthread_mutex_init(&memory->lock, NULL);
+    return memory;
+}
+
+/* See response.h. */
+void
+ch_response_memory_free(struct ch_response_memory *memory)
+{
+    if (memory != NULL) {
+        pthread_mutex_destroy(&memory->lock);
+        g_free(memory);
+    }
+}
+
+static void
+add_number(JsonBuilder *builder, const char *name, size_t value)
+{
+    json_builder_set_member_name(builder, name);
+    json_builder_add_int_value(builder, (gint64)value);
+}
+
+/* See response.h. */
+void
+ch_response_memory_write_status(struct ch_response_memory *memory,
+                                JsonBuilder *builder)
+{
+    if (memory == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&memory->lock);
+    struct ch_unsent unsent = memory->unsent;
+    pthread_mutex_unlock(&memory->lock);
+    json_builder_set_member_name(builder, "unsent");
+    json_builder_begin_object(builder);
+    add_number(builder, "bytes", unsent.bytes);
+    add_number(builder, "highest", unsent.highest);
+    add_number(builder, "bound", unsent.bound);
+    add_number(builder, "responses", unsent.count);
+    json_builder_end_object(builder);
+}
+
 /* Creates the response for a connection of the library; request_id is copied.
  */
 struct ch_response *
-ch_response_new(struct MHD_Connection *connection, const char *request_id)
+ch_response_new(struct MHD_Connection *connection, const char *request_id,
+                struct ch_response_memory *memory)
 {
     struct ch_response *response = g_new0(struct ch_response, 1);
     response->references = 1;
     response->connection = connection;
     response->fd = -1;
+    response->memory = memory;
     response->unsent = g_byte_array_new();
     g_strlcpy(response->id, request_id, sizeof(response->id));
     const union MHD_ConnectionInfo *info =
@@ -155,6 +216,71 @@
     }
 }
 
+/* Counts the bytes that the response holds. Not once the library has finished
+ * with it: its entry must not be listed when the response is freed. Lock held.
+ */
+static void
+count_unsent(struct ch_response *response, size_t bytes)
+{
+    struct ch_response_memory *memory = response->memory;
+    if (memory != NULL && response->connection != NULL) {
+        pthread_mutex_lock(&memory->lock);
+        ch_unsent_set(&memory->unsent, &response->unsent_entry, bytes);
+        pthread_mutex_unlock(&memory->lock);
+    }
+}
+
+/* Gives back what the response is counted with, for good. Lock held. */
+static void
+release_unsent(struct ch_response *response)
+{
+    struct ch_response_memory *memory = response->memory;
+    if (memory != NULL) {
+        pthread_mutex_lock(&memory->lock);
+        ch_unsent_release(&memory->unsent, &response->unsent_entry);
+        pthread_mutex_unlock(&memory->lock);
+    }
+}
+
+/* The response that is to be cut off next, with a reference; NULL: none. A
+ * listed response has the reference of its incoming request, which is
+ * released only after the entry is. */
+static struct ch_response *
+choose_largest(struct ch_response_memory *memory, size_t *bytes)
+{
+    pthread_mutex_lock(&memory->lock);
+    struct ch_unsent_entry *entry = ch_unsent_choose(&memory->unsent, bytes);
+    struct ch_response *largest =
+        entry == NULL
+            ? NULL
+            : ch_response_ref(
+                  (struct ch_response *)(void *)((char *)entry -
+                                                 offsetof(struct ch_response,
+                                                          unsent_entry)));
+    pthread_mutex_unlock(&memory->lock);
+    return largest;
+}
+
+/* Cuts off the largest responses while all together hold too much. The bound
+ * of one response does not bound their sum: with 4,096 connections it would be
+ * 4 GB. No response's lock held. */
+static void
+enforce_bound(struct ch_response_memory *memory)
+{
+    struct ch_response *largest = NULL;
+    size_t bytes = 0;
+    while (memory != NULL &&
+           (largest = choose_largest(memory, &bytes)) != NULL) {
+        ch_metrics_add_count(memory->client->metrics, CH_COUNT_UNSENT_CUT, 1);
+        ch_log(memory->client, CH_LOG_WARNING, "unread-response-cut",
+               CH_F_STR("request_id", largest->id),
+               CH_F_INT("bytes", (int64_t)bytes),
+               CH_F_INT("bound", (int64_t)memory->unsent.bound), CH_F_END);
+        ch_response_abort(largest);
+        ch_response_unref(largest);
+    }
+}
+
 /* Gives a complete response; a second one is ignored. */
 void
 ch_response_send(struct ch_response *response,
@@ -171,8 +297,10 @@
     response->data.content_type = g_strdup(data->content_type);
     response->data.allow = g_strdup(data->allow);
     copy_headers(response, data->headers, data->header_count);
+    count_unsent(response, data->body_length);
     resume_connection(response);
     pthread_mutex_unlock(&response->lock);
+    enforce_bound(response->memory);
 }
 
 /* Starts a response whose body is added later. */
@@ -216,6 +344,10 @@
 abort_stream(struct ch_response *response)
 {
     response->aborted = true;
+    release_unsent(response);
+    g_byte_array_free(response->unsent, TRUE);
+    response->unsent = g_byte_array_new();
+    response->taken = 0;
     if (response->connection != NULL && response->fd >= 0) {
         shutdown(response->fd, SHUT_RDWR);
     }
@@ -250,9 +382,13 @@
     if (good) {
         g_byte_array_append(response->unsent, (const guint8 *)bytes,
                             (guint)length);
+        count_unsent(response, response->unsent->len - response->taken);
         resume_connection(response);
     }
     pthread_mutex_unlock(&response->lock);
+    if (good) {
+        enforce_bound(response->memory);
+    }
     return good;
 }
 
@@ -298,6 +434,7 @@
     }
     else if (response->unsent->len > response->taken) {
         result = (ssize_t)take_unsent(response, out, max);
+        count_unsent(response, response->unsent->len - response->taken);
     }
     else if (response->ended) {
         result = MHD_CONTENT_READER_END_OF_STREAM;
@@ -486,6 +623,7 @@
 ch_response_detach(struct ch_response *response)
 {
     pthread_mutex_lock(&response->lock);
+    release_unsent(response);
     response->connection = NULL;
     response->suspended = false;
     pthread_mutex_unlock(&response->lock);
--- a/libchestnuthitch/node/response.h
+++ b/libchestnuthitch/node/response.h
@@ -4,12 +4,13 @@
 /*
  * The response to one caller's request, written from any thread and sent by
  * libmicrohttpd's threads. Limits how many bytes a slow caller may leave
- * unread.
+ * unread, and how many all callers together may.
  */
 
 #include "base/base.h"
 #include "net/net.h"
 
+#include <json-glib/json-glib.h>
 #include <microhttpd.h>
 
 enum {
@@ -50,8 +51,24 @@
         void *data); /* releases the reference to data; called once */
 };
 
+/* The memory that all responses of a node hold for their callers. Beyond bound
+ * (bytes) the responses that hold most are cut off, logged and counted. A
+ * response that is sent as a whole counts in full until its end, as the
+ * library does not tell how much of it is sent. Must outlive the responses'
+ * connections. The functions accept NULL: there is no bound. */
+struct ch_response_memory;
+
+struct ch_response_memory *ch_response_memory_new(struct ch_client *client,
+                                                  size_t bound);
+void ch_response_memory_free(struct ch_response_memory *memory);
+/* Adds the member "unsent" to an open object. */
+void ch_response_memory_write_status(struct ch_response_memory *memory,
+                                     JsonBuilder *builder);
+
+/* memory: NULL, or where the response's unsent bytes are counted. */
 struct ch_response *ch_response_new(struct MHD_Connection *connection,
-                                    const char *request_id);
+                                    const char *request_id,
+                                    struct ch_response_memory *memory);
 struct ch_response *ch_response_ref(struct ch_response *response);
 void ch_response_unref(struct ch_response *response);
 const char *ch_response_get_id(const struct ch_response *response);
--- a/tests/threaded/test_admin.c
+++ b/tests/threaded/test_admin.c
@@ -131,6 +131,13 @@
     json_builder_add_int_value(builder, 1);
 }
 
+/* There is no front end. */
+void
+ch_frontend_write_status(struct ch_frontend *frontend, JsonBuilder *builder)
+{
+    (void)frontend, (void)builder;
+}
+
 static void
 router_status(struct ch_router *router, JsonBuilder *builder)
 {
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -194,7 +194,8 @@
     fixture->last_required = info->required_upstream;
     fixture->last_required_version = info->required_version;
     if (excluded != NULL && excluded->len > 0 &&
-        fixture->node.limits != NULL) {
+        (fixture->node.limits != NULL ||
+         fixture->settings.max_upstream_bytes > 0)) {
         action = REFUSES; /* the only upstream is excluded */
     }
     fixture->stream_had_started = info->answer_started;
@@ -1582,6 +1583,107 @@
     fixture_free(fixture);
 }
 
+/* ---- slow callers ---- */
+
+/* The response memory's own figures. */
+static gint64
+get_unsent(const struct fixture *fixture, const char *name)
+{
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    ch_response_memory_write_status(fixture->node.response_memory, builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    gint64 value = json_object_get_int_member(
+        json_object_get_object_member(json_node_get_object(root), "unsent"),
+        name);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return value;
+}
+
+static gpointer
+read_caller(gpointer data)
+{
+    return read_response(GPOINTER_TO_INT(data));
+}
+
+/*
+ * Guards against two faults of a node whose callers read nothing: responses
+ * that are each within their bound but hold too much memory together, and
+ * upstreams that are left unread meanwhile. This thread stands in for the one
+ * of outgoing calls: the test would hang if handing over an event waited for a
+ * caller. The responses that hold most are cut off and never look complete; a
+ * caller who reads, and those that are left, get all of theirs.
+ */
+static void
+test_slow_callers(void)
+{
+    enum {
+        SLOW = 4,
+        CALLERS = SLOW + 1,
+        BOUND = 3 * CH_RESPONSE_MAX_UNSENT_BYTES / 2,
+        EVENT_BYTES = 16 * 1024,
+        MAX_ROUNDS = 4000,
+        CUT = 2,
+    };
+    struct fixture *fixture = fixture_new();
+    char *responses[CALLERS] = {NULL};
+    int callers[CALLERS];
+    unsigned complete = 0;
+    char *event = g_strnfill(EVENT_BYTES, 'x');
+    fixture->allows_same_attempt = true;
+    fixture->node.response_memory =
+        ch_response_memory_new(&fixture->client, BOUND);
+    for (size_t i = 0; i < MAX_ACTIONS; i++) {
+        fixture->upstream_actions[i] = PAUSED;
+    }
+    fixture_start(fixture);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        callers[i] = send_request_kind(fixture, STREAM, "");
+        wait_for_count(fixture, &fixture->paused_count, i + 1);
+    }
+    GThread *reader =
+        g_thread_new("reader", read_caller, GINT_TO_POINTER(callers[SLOW]));
+    for (unsigned round = 0;
+         round < MAX_ROUNDS && ch_metrics_get_count(fixture->client.metrics,
+                                                    CH_COUNT_UNSENT_CUT) < CUT;
+         round++) {
+        for (unsigned i = 0; i < CALLERS; i++) {
+            struct fake_call *call = fixture->paused[i];
+            call->handlers.on_data(call->data, event,
+                                   i < SLOW ? EVENT_BYTES : 1);
+            g_assert_cmpint(get_unsent(fixture, "bytes"), <=, BOUND);
+        }
+    }
+    for (unsigned i = 0; i < CALLERS; i++) {
+        end_call(fixture->paused[i], CH_OK, true);
+    }
+    responses[SLOW] = g_thread_join(reader);
+    for (unsigned i = 0; i < SLOW; i++) {
+        responses[i] = read_response(callers[i]);
+    }
+    for (unsigned i = 0; i < CALLERS; i++) {
+        bool ends = g_str_has_suffix(responses[i], "\r\n0\r\n\r\n");
+        g_assert_true(ends == (strstr(responses[i], "[DONE]") != NULL));
+        complete += ends ? 1 : 0;
+    }
+    g_assert_nonnull(strstr(responses[SLOW], "[DONE]"));
+    g_assert_cmpuint(
+        ch_metrics_get_count(fixture->client.metrics, CH_COUNT_UNSENT_CUT), ==,
+        CUT);
+    g_assert_cmpuint(complete, ==, CALLERS - CUT);
+    fixture_stop(fixture);
+    g_assert_cmpint(get_unsent(fixture, "bytes"), ==, 0);
+    struct ch_response_memory *memory = fixture->node.response_memory;
+    fixture_free(fixture);
+    ch_response_memory_free(memory);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        g_free(responses[i]);
+    }
+    g_free(event);
+}
+
 /* ---- states of the at-most-once record ---- */
 
 struct once_case {
@@ -2076,6 +2178,58 @@
     }
 }
 
+static const struct {
+    const char *name;
+    enum upstream_action
+        first;          /* what the upstream does with the first call */
+    const char *status; /* of the second request */
+    uint64_t refused;
+} bytes_cases[] = {
+    {"the first call is in progress", PAUSED, "503", 1},
+    {"the first call has ended", COMPLETES, "200", 0},
+    {"the first call has failed", SERVER_ERROR, "200", 0},
+};
+
+/* Guards against an upstream that runs out of memory as a node sends it more
+ * request bytes than it bears, and against bytes that stay counted after their
+ * call: the upstream would be refused for good. */
+static void
+test_upstream_bytes(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bytes_cases); i++) {
+        struct fixture *fixture = fixture_new();
+        g_test_message("%s", bytes_cases[i].name);
+        fixture->settings.max_upstream_bytes = 3 * strlen(stream_call) / 2;
+        fixture->allows_same_attempt = true;
+        fixture->upstream_actions[0] = bytes_cases[i].first;
+        fixture_start(fixture);
+        int first = send_request_kind(fixture, STREAM, "");
+        bool pauses = bytes_cases[i].first == PAUSED;
+        if (pauses) {
+            wait_for_count(fixture, &fixture->paused_count, 1);
+        }
+        else {
+            g_free(read_response(first));
+        }
+        g_autofree char *second =
+            read_response(send_request_kind(fixture, STREAM, ""));
+        g_test_message("%s", second);
+        g_assert_true(g_str_has_prefix(second + strlen("HTTP/1.1 "),
+                                       bytes_cases[i].status));
+        g_assert_true((strstr(second, "Retry-After: ") != NULL) ==
+                      (bytes_cases[i].refused > 0));
+        if (pauses) {
+            end_call(fixture->paused[0], CH_OK, true);
+            g_free(read_response(first));
+        }
+        fixture_stop(fixture);
+        g_assert_cmpuint(ch_metrics_get_count(fixture->client.metrics,
+                                              CH_COUNT_UPSTREAM_BYTES_REFUSED),
+                         ==, bytes_cases[i].refused);
+        fixture_free(fixture);
+    }
+}
+
 /* A request beyond its team's quota is refused before a router is asked, with
  * the time to come back; the cost of one that did not run is given back. */
 static void
@@ -2146,6 +2300,7 @@
     g_test_add_func("/exchange/silent-together", test_many_silent);
     g_test_add_func("/exchange/try-drawn-once", test_retry_taken_once);
     g_test_add_func("/exchange/try-given-back", test_retry_returned);
+    g_test_add_func("/exchange/slow-callers", test_slow_callers);
     g_test_add_func("/exchange/cut-by-stop", test_stop_silent_upstream);
     g_test_add_func("/exchange/once late", test_late_once_record);
     g_test_add_func("/exchange/truncated", test_truncated);
@@ -2153,6 +2308,7 @@
     g_test_add_func("/exchange/not ready", test_not_ready);
     g_test_add_func("/exchange/quota", test_quota);
     g_test_add_func("/exchange/limit", test_limit);
+    g_test_add_func("/exchange/upstream-bytes", test_upstream_bytes);
     g_test_add_func("/exchange/stop", test_stop);
     return g_test_run();
 }
