Test that a plain response that is cut off never looks complete

The caller does not read until the response was cut off, since a caller who reads at once may have received all of it before. The body is larger than what the socket buffers take meanwhile.

--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -1684,6 +1684,52 @@
     g_free(event);
 }
 
+/* More than the socket buffers of a caller who does not read take, and less
+ * than the bound of one plain response. */
+enum {
+    PLAIN_BOUND = 14 * 1024 * 1024,
+};
+
+static const struct {
+    const char *name;
+    size_t bytes;
+    uint64_t cut;
+} plain_cases[] = {
+    {"within the bound", PLAIN_BOUND, 0},
+    {"beyond the bound", PLAIN_BOUND + 1, 1},
+};
+
+/* Guards against a plain response that is cut off and looks complete, and
+ * against one whose bytes stay counted after it was sent. */
+static void
+test_plain_response_cut(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(plain_cases); i++) {
+        struct fixture *fixture = fixture_new();
+        struct ch_response_memory *memory =
+            ch_response_memory_new(&fixture->client, PLAIN_BOUND);
+        g_autofree char *body = g_strnfill(plain_cases[i].bytes, 'x');
+        g_test_message("%s", plain_cases[i].name);
+        fixture->node.response_memory = memory;
+        fixture->upstream_actions[0] = SILENT;
+        fixture_start(fixture);
+        int caller = send_request_kind(fixture, PLAIN, "");
+        wait_for_count(fixture, &fixture->calls, 1);
+        send_plain_response(fixture->last_call, body);
+        end_call(fixture->last_call, CH_OK, true);
+        g_autofree char *response = read_response(caller);
+        g_assert_true(g_str_has_suffix(response, body) ==
+                      (plain_cases[i].cut == 0));
+        fixture_stop(fixture);
+        g_assert_cmpuint(
+            ch_metrics_get_count(fixture->client.metrics, CH_COUNT_UNSENT_CUT),
+            ==, plain_cases[i].cut);
+        g_assert_cmpint(get_unsent(fixture, "bytes"), ==, 0);
+        fixture_free(fixture);
+        ch_response_memory_free(memory);
+    }
+}
+
 /* ---- states of the at-most-once record ---- */
 
 struct once_case {
@@ -2301,6 +2347,7 @@
     g_test_add_func("/exchange/try-drawn-once", test_retry_taken_once);
     g_test_add_func("/exchange/try-given-back", test_retry_returned);
     g_test_add_func("/exchange/slow-callers", test_slow_callers);
+    g_test_add_func("/exchange/plain-response-cut", test_plain_response_cut);
     g_test_add_func("/exchange/cut-by-stop", test_stop_silent_upstream);
     g_test_add_func("/exchange/once late", test_late_once_record);
     g_test_add_func("/exchange/truncated", test_truncated);
