Engines that a prompt was refused by are allowed again within the list's length

If the exclusions of a request had been dropped for another reason meanwhile, the list would have been extended again with entries that name no upstream.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -584,7 +584,9 @@
 drop_prefill_exclusions(struct ch_exchange *exchange)
 {
     if (exchange->prefill_refusals > 0 && !exchange->prefill_forced) {
-        g_array_set_size(exchange->excluded, exchange->excluded_before);
+        /* They may have been dropped for another reason meanwhile. */
+        g_array_set_size(exchange->excluded, MIN(exchange->excluded_before,
+                                                 exchange->excluded->len));
         exchange->prefill_forced = true;
     }
 }
