Asks about engines that a home does not know are granted without a conditional

cppcheck cannot parse a compound literal in a conditional expression, so that the lint step of the checks failed on prefill/manager.c. The same decision is written with an if.

--- a/libchestnuthitch/prefill/manager.c
+++ b/libchestnuthitch/prefill/manager.c
@@ -204,10 +204,10 @@
         .max_wait = MIN((int64_t)body->wait_ms * 1000, MAX_WAIT_US),
         .forced = body->forced,
     };
-    /* An upstream that this node does not know has no line here. */
-    const struct ch_prefill_answer answer =
-        ask.upstream == 0 ? (struct ch_prefill_answer){.granted = true}
-                          : take_here(prefill, &ask);
+    struct ch_prefill_answer answer = {.granted = true};
+    if (ask.upstream != 0) { /* one that is not known has no line here */
+        answer = take_here(prefill, &ask);
+    }
     reply_body.granted = answer.granted;
     reply_body.wait_us = (uint32_t)MIN(answer.wait, MAX_WAIT_US);
     reply.body_case = WIRE(FRAME__BODY_PREFILL_REPLY);
