--- /dev/null
+++ b/review/standin/deployment.c
@@ -0,0 +1,188 @@
+/* A small deployment: nodes, paths and clients. */
+
+#include "deployment.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+static struct deployment *running;
+
+void world_on_give_up(void (*hook)(void));
+
+static void
+stop_running(void)
+{
+    if (running != NULL) {
+        node_stop_all(running->nodes, (size_t)running->node_count);
+    }
+}
+
+static struct path *
+add_path(struct deployment *deployment, int node, int other, const char *ip,
+         int port, const char *target_ip, int target)
+{
+    struct deployment_path *row =
+        &deployment->paths[deployment->path_count++];
+    *row = (struct deployment_path){path_new(ip, port, target_ip, target),
+                                    node, other};
+    return row->path;
+}
+
+/* An address in the store's values, as this node sees it. */
+static void
+add_alias(struct node *node, const char *ip, int port,
+          const struct path *path)
+{
+    g_hash_table_insert(node->aliases, g_strdup_printf("%s:%d", ip, port),
+                        g_strdup_printf("%s:%d", path->ip, path->port));
+}
+
+static void
+add_paths(struct deployment *deployment, int index)
+{
+    struct node *node = &deployment->nodes[index];
+    for (int i = 0; i < deployment->worker_count; i++) {
+        int port = deployment->workers[i]->port;
+        add_alias(node, "127.0.0.1", port,
+                  add_path(deployment, index, -1, "127.0.0.1", 0, "127.0.0.1",
+                           port));
+    }
+    for (int i = 0; i < deployment->node_count; i++) {
+        const struct node *other = &deployment->nodes[i];
+        if (i == index) {
+            continue;
+        }
+        /* Nodes tell each other the port at which they relay, so that the
+         * path has to begin at the same one. */
+        g_autofree char *ip =
+            g_strdup_printf("127.0.%d.%d", 10 + index, i + 1);
+        add_alias(node, other->ip, other->peers,
+                  add_path(deployment, index, i, ip, 0, other->ip,
+                           other->peers));
+        (void)add_path(deployment, index, i, ip, other->relay, other->ip,
+                       other->relay);
+    }
+    int store = store_serve(node->aliases);
+    node->store = add_path(deployment, index, -1, "127.0.0.1", 0, "127.0.0.1",
+                           store);
+}
+
+void
+deployment_start(struct deployment *deployment, int node_count,
+                 const char *config)
+{
+    const char *folder = getenv("FOLDER");
+    if (folder == NULL) {
+        world_give_up("FOLDER names no temporary folder");
+    }
+    deployment->node_count = node_count;
+    for (int i = 0; i < node_count; i++) {
+        struct node *node = &deployment->nodes[i];
+        node->name = g_strdup_printf("frontend-luzon-a-%d", i + 1);
+        node->ip = g_strdup_printf("127.0.1.%d", i + 1);
+        node->callers = world_free_port(node->ip);
+        node->admin = world_free_port(node->ip);
+        node->peers = world_free_port(node->ip);
+        node->relay = world_free_port(node->ip);
+        node->aliases =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    running = deployment;
+    world_on_give_up(stop_running);
+    for (int i = 0; i < node_count; i++) {
+        add_paths(deployment, i);
+    }
+    pthread_mutex_lock(&world_lock);
+    store_put("op/config", config, 0);
+    pthread_mutex_unlock(&world_lock);
+    for (int i = 0; i < node_count; i++) {
+        node_start(&deployment->nodes[i], folder, "luzon-a", "luzon",
+                   "luzon-a:luzon");
+    }
+    for (int i = 0; i < node_count; i++) {
+        if (!node_wait_ready(&deployment->nodes[i], 15)) {
+            world_give_up("node %s is not ready", deployment->nodes[i].name);
+        }
+    }
+}
+
+void
+deployment_stop(struct deployment *deployment)
+{
+    node_stop_all(deployment->nodes, (size_t)deployment->node_count);
+}
+
+static void
+change_paths(struct deployment *deployment, int node,
+             void (*change)(struct path *path))
+{
+    pthread_mutex_lock(&world_lock);
+    for (int i = 0; i < deployment->path_count; i++) {
+        const struct deployment_path *row = &deployment->paths[i];
+        if (row->node == node || row->other == node) {
+            change(row->path);
+        }
+    }
+    pthread_mutex_unlock(&world_lock);
+}
+
+void
+deployment_cut_off(struct deployment *deployment, int node)
+{
+    world_record("%s is cut off", deployment->nodes[node].name);
+    change_paths(deployment, node, path_cut);
+}
+
+void
+deployment_heal(struct deployment *deployment, int node)
+{
+    change_paths(deployment, node, path_heal);
+    world_record("%s is back", deployment->nodes[node].name);
+}
+
+void
+client_send(struct client_call *call)
+{
+    const struct node *node = &call->deployment->nodes[call->node];
+    g_autoptr(GString) text = g_string_new(NULL);
+    struct timeval limit = {.tv_sec = call->deadline_ms / 1000 + 1};
+    g_snprintf(call->id, sizeof(call->id), "%08x%08x", g_random_int(),
+               g_random_int());
+    g_string_printf(text,
+                    "POST %s HTTP/1.1\r\nHost: studio.example\r\n"
+                    "Request-Id: %s\r\nDeadline-Ms: %u\r\n"
+                    "Connection: close\r\nContent-Length: 2\r\n",
+                    call->path, call->id, call->deadline_ms);
+    if (call->model != NULL) {
+        g_string_append_printf(text,
+                               "Model: %s\r\nToken-Usage: 100,%u\r\n"
+                               "Prompt-Prefix: 1:60,%s:40\r\n",
+                               call->model, call->events, call->id);
+    }
+    g_string_append(text, "\r\n{}");
+    int fd = world_connect(node->ip, node->callers);
+    world_record("request %s to %s%s%s is sent to %s", call->id, call->path,
+                 call->model == NULL ? "" : " for ",
+                 call->model == NULL ? "" : call->model, node->name);
+    struct http_message *answer = NULL;
+    if (fd >= 0) {
+        struct http_connection connection = {.fd = fd};
+        (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        answer = http_write(fd, text->str, text->len)
+                     ? http_read(&connection, true)
+                     : NULL;
+        close(fd);
+    }
+    call->status = answer == NULL ? 0 : answer->status;
+    world_record("request %s is answered %d", call->id, call->status);
+    if (answer != NULL) {
+        call->signature = g_strdup(http_header(answer, "Server-Signature"));
+        call->body = g_string_new_len(answer->body->str,
+                                      (gssize)answer->body->len);
+        http_free(answer);
+    }
+}
