--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -123,8 +123,13 @@
 int
 world_free_port(const char *ip)
 {
+    static GHashTable *given;
     int port = 0;
-    close(world_listen(ip, &port));
+    given = given == NULL ? g_hash_table_new(NULL, NULL) : given;
+    do {
+        port = 0;
+        close(world_listen(ip, &port));
+    } while (!g_hash_table_add(given, GINT_TO_POINTER(port)));
     return port;
 }
 
@@ -320,30 +325,136 @@
 
 /* ---- paths ---- */
 
-struct pump {
-    struct path *path;
-    int from;
-    int to;
-    int *ends; /* of both pumps of a connection; the second one closes */
+enum {
+    MAX_PATH_NODES = 8,
 };
 
+static struct {
+    pid_t pid;
+    double cut_at;
+    double healed_at;
+} machines[MAX_PATH_NODES]; /* guarded by world_lock */
+
+void
+path_set_process(int node, pid_t pid)
+{
+    pthread_mutex_lock(&world_lock);
+    machines[node].pid = pid;
+    pthread_mutex_unlock(&world_lock);
+}
+
+void
+path_cut_off(int node)
+{
+    pthread_mutex_lock(&world_lock);
+    machines[node].cut_at = world_now();
+    machines[node].healed_at = 0;
+    pthread_mutex_unlock(&world_lock);
+}
+
+void
+path_heal(int node)
+{
+    pthread_mutex_lock(&world_lock);
+    machines[node].healed_at = world_now();
+    pthread_mutex_unlock(&world_lock);
+}
+
+static bool
+is_machine_cut(int node, double time)
+{
+    return node >= 0 && machines[node].cut_at > 0 &&
+           time >= machines[node].cut_at &&
+           (machines[node].healed_at == 0 || time < machines[node].healed_at);
+}
+
+/* The inode of the socket at the other end of a loopback connection; 0: it is
+ * not there any more. */
+static unsigned long
+find_inode(const struct sockaddr_in *from)
+{
+    char line[256];
+    unsigned long found = 0;
+    FILE *table = fopen("/proc/net/tcp", "r");
+    while (table != NULL && found == 0 &&
+           fgets(line, sizeof(line), table) != NULL) {
+        unsigned address = 0;
+        unsigned port = 0;
+        unsigned long inode = 0;
+        if (sscanf(line, " %*d: %x:%x %*x:%*x %*x %*x:%*x %*x:%*x %*x %*u %*d "
+                         "%lu",
+                   &address, &port, &inode) == 3 &&
+            address == from->sin_addr.s_addr &&
+            port == ntohs(from->sin_port)) {
+            found = inode;
+        }
+    }
+    if (table != NULL) {
+        (void)fclose(table);
+    }
+    return found;
+}
+
 static bool
-is_cut(const struct path *path, double time)
+has_socket(pid_t pid, unsigned long inode)
+{
+    char wanted[64];
+    bool found = false;
+    (void)snprintf(wanted, sizeof(wanted), "socket:[%lu]", inode);
+    g_autofree char *folder = g_strdup_printf("/proc/%d/fd", (int)pid);
+    GDir *dir = g_dir_open(folder, 0, NULL);
+    const char *name = NULL;
+    while (dir != NULL && !found && (name = g_dir_read_name(dir)) != NULL) {
+        g_autofree char *path = g_strconcat(folder, "/", name, NULL);
+        g_autofree char *link = g_file_read_link(path, NULL);
+        found = link != NULL && strcmp(link, wanted) == 0;
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    return found;
+}
+
+/* The node that opened a connection; -1: it has closed it already. */
+static int
+find_machine(const struct sockaddr_in *from)
 {
-    return path->cut_at > 0 && time >= path->cut_at &&
-           (path->healed_at == 0 || time < path->healed_at);
+    unsigned long inode = find_inode(from);
+    for (int i = 0; inode != 0 && i < MAX_PATH_NODES; i++) {
+        pthread_mutex_lock(&world_lock);
+        pid_t pid = machines[i].pid;
+        pthread_mutex_unlock(&world_lock);
+        if (pid != 0 && has_socket(pid, inode)) {
+            return i;
+        }
+    }
+    return -1;
 }
 
+/* One connection on a path. */
+struct route {
+    int from; /* node */
+    int to;   /* node, or -1 */
+};
+
+struct pump {
+    struct route route;
+    int from;
+    int to;
+    int *ends; /* of both pumps of a connection; the second one closes */
+};
+
 /* Waits until what was sent at a time arrives. */
 static void
-wait_for_arrival(const struct path *path, double sent)
+wait_for_arrival(struct route route, double sent)
 {
     double at = sent;
     double pause = 0.2;
     for (;;) {
         world_sleep_until(at);
         pthread_mutex_lock(&world_lock);
-        bool lost = is_cut(path, at);
+        bool lost = is_machine_cut(route.from, at) ||
+                    is_machine_cut(route.to, at);
         pthread_mutex_unlock(&world_lock);
         if (!lost) {
             return;
@@ -376,7 +487,7 @@
         ssize_t count = recv(pump->from, buffer, sizeof(buffer), 0);
         double sent = world_now();
         if (count >= 0) {
-            wait_for_arrival(pump->path, sent);
+            wait_for_arrival(pump->route, sent);
         }
         if (count < 0 || was_reset(pump->from)) {
             reset_at_close(pump->to);
@@ -404,8 +515,9 @@
 }
 
 struct arrival {
-    struct path *path;
+    const struct path *path;
     int fd;
+    struct sockaddr_in from;
 };
 
 /* A connection: its opening packet arrives, then what both ends send. */
@@ -413,9 +525,16 @@
 run_connection(void *data)
 {
     struct arrival arrival = *(struct arrival *)data;
+    struct route route = {find_machine(&arrival.from), arrival.path->owner};
+    double sent = world_now();
     g_free(data);
-    wait_for_arrival(arrival.path, world_now());
-    int to = was_reset(arrival.fd) ? -1 : world_connect(arrival.path->target_ip, arrival.path->target);
+    if (route.from >= 0) {
+        wait_for_arrival(route, sent);
+    }
+    int to = route.from < 0 || was_reset(arrival.fd)
+                 ? -1
+                 : world_connect(arrival.path->target_ip,
+                                 arrival.path->target);
     if (to < 0) {
         reset_at_close(arrival.fd);
         close(arrival.fd);
@@ -424,14 +543,14 @@
     int *ends = g_new0(int, 1);
     struct pump *there = g_new0(struct pump, 1);
     struct pump *back = g_new0(struct pump, 1);
-    *there = (struct pump){arrival.path, arrival.fd, to, ends};
-    *back = (struct pump){arrival.path, to, arrival.fd, ends};
+    *there = (struct pump){route, arrival.fd, to, ends};
+    *back = (struct pump){route, to, arrival.fd, ends};
     world_start_thread(run_pump, back);
     return run_pump(there);
 }
 
 struct path_listener {
-    struct path *path;
+    const struct path *path;
     int fd;
 };
 
@@ -440,19 +559,23 @@
 {
     const struct path_listener *listener = data;
     for (;;) {
-        int fd = accept(listener->fd, NULL, NULL);
-        if (fd < 0) {
+        struct arrival *arrival = g_new0(struct arrival, 1);
+        socklen_t size = sizeof(arrival->from);
+        arrival->path = listener->path;
+        arrival->fd =
+            accept(listener->fd, (struct sockaddr *)&arrival->from, &size);
+        if (arrival->fd < 0) {
+            g_free(arrival);
             continue;
         }
-        struct arrival *arrival = g_new0(struct arrival, 1);
-        *arrival = (struct arrival){listener->path, fd};
         world_start_thread(run_connection, arrival);
     }
     return NULL;
 }
 
 struct path *
-path_new(const char *ip, int port, const char *target_ip, int target)
+path_new(const char *ip, int port, const char *target_ip, int target,
+         int owner)
 {
     struct path *path = g_new0(struct path, 1);
     struct path_listener *listener = g_new0(struct path_listener, 1);
@@ -460,21 +583,9 @@
     path->port = port;
     path->target_ip = g_strdup(target_ip);
     path->target = target;
+    path->owner = owner;
     listener->path = path;
     listener->fd = world_listen(ip, &path->port);
     world_start_thread(run_path, listener);
     return path;
 }
-
-void
-path_cut(struct path *path)
-{
-    path->cut_at = world_now();
-    path->healed_at = 0;
-}
-
-void
-path_heal(struct path *path)
-{
-    path->healed_at = world_now();
-}
--- a/review/standin/case_held_order.c
+++ b/review/standin/case_held_order.c
@@ -14,7 +14,7 @@
 
 enum {
     NODES = 3,
-    ADAPTERS = 20,
+    ADAPTERS = 36,
 };
 
 static const double CUT_S = 12.0;
@@ -36,11 +36,13 @@
 run_clients(void *data)
 {
     int node = GPOINTER_TO_INT(data);
-    static const char *const adapters[] = {
-        "m0/a1",  "m0/a2",  "m0/a3",  "m0/a4",  "m0/a5",  "m0/a6",
-        "m0/a7",  "m0/a8",  "m0/a9",  "m0/a10", "m0/a11", "m0/a12",
+    static const char *const adapters[ADAPTERS] = {
+        "m0/a1", "m0/a2", "m0/a3", "m0/a4", "m0/a5", "m0/a6",
+        "m0/a7", "m0/a8", "m0/a9", "m0/a10", "m0/a11", "m0/a12",
         "m0/a13", "m0/a14", "m0/a15", "m0/a16", "m0/a17", "m0/a18",
-        "m0/a19", "m0/a20"};
+        "m0/a19", "m0/a20", "m0/a21", "m0/a22", "m0/a23", "m0/a24",
+        "m0/a25", "m0/a26", "m0/a27", "m0/a28", "m0/a29", "m0/a30",
+        "m0/a31", "m0/a32", "m0/a33", "m0/a34", "m0/a35", "m0/a36"};
     for (unsigned i = 0; world_now() < stop_at; i++) {
         struct client_call *call = g_new0(struct client_call, 1);
         *call = (struct client_call){
--- a/review/standin/deployment.c
+++ b/review/standin/deployment.c
@@ -21,54 +21,39 @@
     }
 }
 
-static struct path *
-add_path(struct deployment *deployment, int node, int other, const char *ip,
-         int port, const char *target_ip, int target)
-{
-    struct deployment_path *row =
-        &deployment->paths[deployment->path_count++];
-    *row = (struct deployment_path){path_new(ip, port, target_ip, target),
-                                    node, other};
-    return row->path;
-}
-
-/* An address in the store's values, as this node sees it. */
+/* An address in the store's values, as the nodes see it. */
 static void
-add_alias(struct node *node, const char *ip, int port,
+add_alias(GHashTable *aliases, const char *ip, int port,
           const struct path *path)
 {
-    g_hash_table_insert(node->aliases, g_strdup_printf("%s:%d", ip, port),
+    g_hash_table_insert(aliases, g_strdup_printf("%s:%d", ip, port),
                         g_strdup_printf("%s:%d", path->ip, path->port));
 }
 
 static void
-add_paths(struct deployment *deployment, int index)
+add_paths(struct deployment *deployment)
 {
-    struct node *node = &deployment->nodes[index];
+    GHashTable *aliases =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (int i = 0; i < deployment->worker_count; i++) {
         int port = deployment->workers[i]->port;
-        add_alias(node, "127.0.0.1", port,
-                  add_path(deployment, index, -1, "127.0.0.1", 0, "127.0.0.1",
-                           port));
+        add_alias(aliases, "127.0.0.1", port,
+                  path_new("127.0.0.1", 0, "127.0.0.1", port, -1));
     }
     for (int i = 0; i < deployment->node_count; i++) {
-        const struct node *other = &deployment->nodes[i];
-        if (i == index) {
-            continue;
-        }
+        const struct node *node = &deployment->nodes[i];
         /* Nodes tell each other the port at which they relay, so that the
          * path has to begin at the same one. */
-        g_autofree char *ip =
-            g_strdup_printf("127.0.%d.%d", 10 + index, i + 1);
-        add_alias(node, other->ip, other->peers,
-                  add_path(deployment, index, i, ip, 0, other->ip,
-                           other->peers));
-        (void)add_path(deployment, index, i, ip, other->relay, other->ip,
-                       other->relay);
+        g_autofree char *ip = g_strdup_printf("127.0.2.%d", i + 1);
+        add_alias(aliases, node->ip, node->peers,
+                  path_new(ip, 0, node->ip, node->peers, i));
+        (void)path_new(ip, node->relay, node->ip, node->relay, i);
+    }
+    const struct path *store =
+        path_new("127.0.0.1", 0, "127.0.0.1", store_serve(aliases), -1);
+    for (int i = 0; i < deployment->node_count; i++) {
+        deployment->nodes[i].store = store;
     }
-    int store = store_serve(node->aliases);
-    node->store = add_path(deployment, index, -1, "127.0.0.1", 0, "127.0.0.1",
-                           store);
 }
 
 void
@@ -88,20 +73,17 @@
         node->admin = world_free_port(node->ip);
         node->peers = world_free_port(node->ip);
         node->relay = world_free_port(node->ip);
-        node->aliases =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
     running = deployment;
     world_on_give_up(stop_running);
-    for (int i = 0; i < node_count; i++) {
-        add_paths(deployment, i);
-    }
+    add_paths(deployment);
     pthread_mutex_lock(&world_lock);
     store_put("op/config", config, 0);
     pthread_mutex_unlock(&world_lock);
     for (int i = 0; i < node_count; i++) {
         node_start(&deployment->nodes[i], folder, "luzon-a", "luzon",
                    "luzon-a:luzon");
+        path_set_process(i, deployment->nodes[i].pid);
     }
     for (int i = 0; i < node_count; i++) {
         if (!node_wait_ready(&deployment->nodes[i], 15)) {
@@ -116,31 +98,17 @@
     node_stop_all(deployment->nodes, (size_t)deployment->node_count);
 }
 
-static void
-change_paths(struct deployment *deployment, int node,
-             void (*change)(struct path *path))
-{
-    pthread_mutex_lock(&world_lock);
-    for (int i = 0; i < deployment->path_count; i++) {
-        const struct deployment_path *row = &deployment->paths[i];
-        if (row->node == node || row->other == node) {
-            change(row->path);
-        }
-    }
-    pthread_mutex_unlock(&world_lock);
-}
-
 void
 deployment_cut_off(struct deployment *deployment, int node)
 {
     world_record("%s is cut off", deployment->nodes[node].name);
-    change_paths(deployment, node, path_cut);
+    path_cut_off(node);
 }
 
 void
 deployment_heal(struct deployment *deployment, int node)
 {
-    change_paths(deployment, node, path_heal);
+    path_heal(node);
     world_record("%s is back", deployment->nodes[node].name);
 }
 
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -3,19 +3,12 @@
 
 #include "world.h"
 
-/* Nodes of one zone, workers, and a path between each node and everything
- * else. */
+/* Nodes of one zone, workers, and paths from the nodes to all of them and to
+ * the store. */
 
 enum {
     MAX_NODES = 4,
     MAX_WORKERS = 6,
-    MAX_PATHS = 64,
-};
-
-struct deployment_path {
-    struct path *path;
-    int node;  /* which node's */
-    int other; /* the other node; -1: it leads to a worker or the store */
 };
 
 struct deployment {
@@ -23,8 +16,6 @@
     int node_count;
     struct worker *workers[MAX_WORKERS];
     int worker_count;
-    struct deployment_path paths[MAX_PATHS];
-    int path_count;
 };
 
 /* The workers must exist.  Puts the configuration in force, starts the nodes
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -63,31 +63,34 @@
 
 /* ---- paths between machines ---- */
 
-/* A path from one machine to an address of another one.  While it is cut,
- * nothing arrives.  A sender sends again what was not acknowledged after 0.2
- * s, and then after twice the time before, as TCP does, also after it has
- * closed the connection.  What a sender had not delivered when it reset the
- * connection is lost. */
+/*
+ * The path from every machine to one address.  A machine is a node, found by
+ * the process that opened the connection.  While a node is cut off, nothing
+ * that it sends arrives, and nothing arrives at it.  A sender sends again what
+ * was not acknowledged after 0.2 s, and then after twice the time before, as
+ * TCP does, also after it has closed the connection.  What a sender had not
+ * delivered when it reset the connection is lost.
+ */
 struct path {
     char *ip; /* where the path begins */
     int port;
     char *target_ip; /* where it ends */
     int target;
-    double cut_at;
-    double healed_at; /* both 0: never cut */
+    int owner; /* the node at its end; -1: none */
 };
 
 /* port 0: a free one. */
 struct path *path_new(const char *ip, int port, const char *target_ip,
-                      int target);
-void path_cut(struct path *path);
-void path_heal(struct path *path);
+                      int target, int owner);
+/* The process of a node; to be set before it opens a connection. */
+void path_set_process(int node, pid_t pid);
+void path_cut_off(int node);
+void path_heal(int node);
 
 /* ---- the store ---- */
 
-/* Starts the store at a port of its own at 127.0.0.1 for one machine.  In the
- * values that it serves there, addresses ("IP:PORT") are replaced by those of
- * the machine's paths. */
+/* Starts the store at a port of 127.0.0.1.  In the values that it serves,
+ * addresses ("IP:PORT") are replaced by those of the paths. */
 int store_serve(GHashTable *aliases);
 void store_put(const char *key, const char *value, uint64_t lease);
 void store_remove(const char *key);
@@ -145,8 +148,7 @@
     int admin;
     int peers;
     int relay;
-    struct path *store;
-    GHashTable *aliases;
+    const struct path *store;
 };
 
 /* Fills in platform/settings.ini.in and starts the deploy file's command. */
