--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -290,6 +290,9 @@
     good = good && read_body(connection, message, is_response);
     g_string_free(line, TRUE);
     if (!good) {
+        if (connection->partial != NULL) {
+            g_string_assign(connection->partial, message->body->str);
+        }
         http_free(message);
         return NULL;
     }
@@ -333,6 +336,7 @@
     pid_t pid;
     double cut_at;
     double healed_at;
+    bool reaches_workers;
 } machines[MAX_PATH_NODES]; /* guarded by world_lock */
 
 void
@@ -344,9 +348,10 @@
 }
 
 void
-path_cut_off(int node)
+path_cut_off(int node, bool workers_too)
 {
     pthread_mutex_lock(&world_lock);
+    machines[node].reaches_workers = !workers_too;
     machines[node].cut_at = world_now();
     machines[node].healed_at = 0;
     pthread_mutex_unlock(&world_lock);
@@ -434,7 +439,7 @@
 /* One connection on a path. */
 struct route {
     int from; /* node */
-    int to;   /* node, or -1 */
+    int to;   /* node, PATH_TO_WORKER or PATH_TO_STORE */
 };
 
 struct pump {
@@ -453,8 +458,10 @@
     for (;;) {
         world_sleep_until(at);
         pthread_mutex_lock(&world_lock);
-        bool lost = is_machine_cut(route.from, at) ||
-                    is_machine_cut(route.to, at);
+        bool passes = route.to == PATH_TO_WORKER &&
+                      machines[route.from].reaches_workers;
+        bool lost = !passes && (is_machine_cut(route.from, at) ||
+                                is_machine_cut(route.to, at));
         pthread_mutex_unlock(&world_lock);
         if (!lost) {
             return;
--- a/review/standin/case_held_order.c
+++ b/review/standin/case_held_order.c
@@ -138,7 +138,7 @@
     }
     world_record("%s holds the lease", deployment.nodes[holder].name);
     if (trouble) {
-        deployment_cut_off(&deployment, holder);
+        deployment_cut_off(&deployment, holder, true);
         world_sleep_until(world_now() + CUT_S);
         deployment_heal(&deployment, holder);
         healed_at = world_now();
--- a/review/standin/deployment.c
+++ b/review/standin/deployment.c
@@ -2,11 +2,13 @@
 
 #include "deployment.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 static struct deployment *running;
@@ -38,7 +40,8 @@
     for (int i = 0; i < deployment->worker_count; i++) {
         int port = deployment->workers[i]->port;
         add_alias(aliases, "127.0.0.1", port,
-                  path_new("127.0.0.1", 0, "127.0.0.1", port, -1));
+                  path_new("127.0.0.1", 0, "127.0.0.1", port,
+                           PATH_TO_WORKER));
     }
     for (int i = 0; i < deployment->node_count; i++) {
         const struct node *node = &deployment->nodes[i];
@@ -50,7 +53,8 @@
         (void)path_new(ip, node->relay, node->ip, node->relay, i);
     }
     const struct path *store =
-        path_new("127.0.0.1", 0, "127.0.0.1", store_serve(aliases), -1);
+        path_new("127.0.0.1", 0, "127.0.0.1", store_serve(aliases),
+                 PATH_TO_STORE);
     for (int i = 0; i < deployment->node_count; i++) {
         deployment->nodes[i].store = store;
     }
@@ -60,8 +64,7 @@
 deployment_start(struct deployment *deployment, int node_count,
                  const char *config)
 {
-    const char *folder = getenv("FOLDER");
-    if (folder == NULL) {
+    if (getenv("FOLDER") == NULL) {
         world_give_up("FOLDER names no temporary folder");
     }
     deployment->node_count = node_count;
@@ -81,9 +84,7 @@
     store_put("op/config", config, 0);
     pthread_mutex_unlock(&world_lock);
     for (int i = 0; i < node_count; i++) {
-        node_start(&deployment->nodes[i], folder, "luzon-a", "luzon",
-                   "luzon-a:luzon");
-        path_set_process(i, deployment->nodes[i].pid);
+        deployment_start_node(deployment, i);
     }
     for (int i = 0; i < node_count; i++) {
         if (!node_wait_ready(&deployment->nodes[i], 15)) {
@@ -92,6 +93,23 @@
     }
 }
 
+void
+deployment_start_node(struct deployment *deployment, int node)
+{
+    node_start(&deployment->nodes[node], getenv("FOLDER"), "luzon-a", "luzon",
+               "luzon-a:luzon");
+    path_set_process(node, deployment->nodes[node].pid);
+}
+
+void
+deployment_kill_node(struct deployment *deployment, int node)
+{
+    (void)kill(deployment->nodes[node].pid, SIGKILL);
+    (void)waitpid(deployment->nodes[node].pid, NULL, 0);
+    deployment->nodes[node].pid = 0;
+    world_record("%s is killed", deployment->nodes[node].name);
+}
+
 void
 deployment_stop(struct deployment *deployment)
 {
@@ -99,10 +117,12 @@
 }
 
 void
-deployment_cut_off(struct deployment *deployment, int node)
+deployment_cut_off(struct deployment *deployment, int node, bool workers_too)
 {
-    world_record("%s is cut off", deployment->nodes[node].name);
-    path_cut_off(node);
+    world_record("%s is cut off from the store and the other nodes%s",
+                 deployment->nodes[node].name,
+                 workers_too ? ", and from the workers" : "");
+    path_cut_off(node, workers_too);
 }
 
 void
@@ -131,14 +151,22 @@
                                "Prompt-Prefix: 1:60,%s:40\r\n",
                                call->model, call->events, call->id);
     }
+    if (call->resumes != NULL) {
+        g_string_append_printf(text,
+                               "Resumes: %s\r\nLast-Event-Id: %"
+                               G_GUINT64_FORMAT "\r\n",
+                               call->resumes, call->last_event);
+    }
     g_string_append(text, "\r\n{}");
     int fd = world_connect(node->ip, node->callers);
     world_record("request %s to %s%s%s is sent to %s", call->id, call->path,
                  call->model == NULL ? "" : " for ",
                  call->model == NULL ? "" : call->model, node->name);
     struct http_message *answer = NULL;
+    call->body = g_string_new(NULL);
     if (fd >= 0) {
-        struct http_connection connection = {.fd = fd};
+        struct http_connection connection = {.fd = fd,
+                                             .partial = call->body};
         (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
         answer = http_write(fd, text->str, text->len)
                      ? http_read(&connection, true)
@@ -149,8 +177,7 @@
     world_record("request %s is answered %d", call->id, call->status);
     if (answer != NULL) {
         call->signature = g_strdup(http_header(answer, "Server-Signature"));
-        call->body = g_string_new_len(answer->body->str,
-                                      (gssize)answer->body->len);
+        g_string_assign(call->body, answer->body->str);
         http_free(answer);
     }
 }
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -23,8 +23,13 @@
 void deployment_start(struct deployment *deployment, int node_count,
                       const char *config);
 void deployment_stop(struct deployment *deployment);
-/* Cuts one machine off from all others, the store and the workers. */
-void deployment_cut_off(struct deployment *deployment, int node);
+/* Starts the process of a node again after it was killed. */
+void deployment_start_node(struct deployment *deployment, int node);
+void deployment_kill_node(struct deployment *deployment, int node);
+/* Cuts one machine off from all others and the store; workers_too: from the
+ * workers as well. */
+void deployment_cut_off(struct deployment *deployment, int node,
+                        bool workers_too);
 void deployment_heal(struct deployment *deployment, int node);
 
 /* ---- clients ---- */
@@ -36,11 +41,13 @@
     const char *model; /* NULL: of a plain service */
     unsigned events;
     unsigned deadline_ms;
+    const char *resumes; /* the request that brought the first event, or NULL */
+    uint64_t last_event;
     char id[20];
     /* Set when the call has ended. */
     int status; /* 0: no whole answer */
     char *signature; /* of the worker; NULL: none */
-    GString *body;
+    GString *body; /* as far as it came */
 };
 
 /* Sends one request on a new connection and waits for its answer. */
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -35,6 +35,11 @@
 static GHashTable *leases; /* uint64_t * to struct lease */
 static uint64_t revision = 100;
 static uint64_t last_lease = 70000;
+static uint64_t era; /* 0: not stated */
+static bool is_away;
+static GTree *copy;
+static uint64_t copy_revision;
+static uint64_t copy_last_lease;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
 static gint
@@ -110,6 +115,56 @@
     return g_strndup((const char *)bytes, length);
 }
 
+/* ---- copies ---- */
+
+static gboolean
+copy_item(gpointer key, gpointer value, gpointer data)
+{
+    const struct item *from = value;
+    struct item *to = g_new0(struct item, 1);
+    *to = *from;
+    to->value = g_strdup(from->value);
+    g_tree_replace(data, g_strdup(key), to);
+    return FALSE;
+}
+
+static GTree *
+copy_items(GTree *from)
+{
+    GTree *to = g_tree_new_full(compare, NULL, g_free, NULL);
+    g_tree_foreach(from, copy_item, to);
+    return to;
+}
+
+void
+store_save_copy(void)
+{
+    init();
+    copy = copy_items(items);
+    copy_revision = revision;
+    copy_last_lease = last_lease;
+    era = 1;
+}
+
+void
+store_set_away(bool away)
+{
+    is_away = away;
+}
+
+/* The copy is from before any lease was granted, so that all are gone. */
+void
+store_restore_copy(void)
+{
+    items = copy_items(copy);
+    revision = copy_revision;
+    last_lease = copy_last_lease;
+    g_ptr_array_set_size(events, 0);
+    g_hash_table_remove_all(leases);
+    era++;
+    is_away = false;
+}
+
 /* ---- leases ---- */
 
 struct search {
@@ -285,7 +340,12 @@
     double until = world_now() +
                    (wait == NULL ? 0 : g_ascii_strtod(wait, NULL)) / 1000;
     unsigned count = 0;
+    uint64_t begun_in = era;
     for (;;) {
+        if (from > revision || era != begun_in || is_away) {
+            g_string_assign(out, "{}");
+            return 410;
+        }
         g_string_assign(out, "{\"events\":[");
         for (guint i = 0; i < events->len; i++) {
             const struct event *event = g_ptr_array_index(events, i);
@@ -466,11 +526,14 @@
         GString *out = g_string_new(NULL);
         g_usleep(4000);
         pthread_mutex_lock(&world_lock);
-        int status = handle(caller.service, call, out);
+        int status = is_away ? 0 : handle(caller.service, call, out);
+        bool was_away = is_away;
+        g_autofree char *headers = g_strdup_printf(
+            "Content-Type: application/json\r\n%s%" G_GUINT64_FORMAT "\r\n",
+            era == 0 ? "X-None: " : "Store-Era: ", era);
         pthread_mutex_unlock(&world_lock);
-        good = http_reply(caller.fd, status,
-                          "Content-Type: application/json\r\n", out->str,
-                          out->len);
+        good = !was_away && http_reply(caller.fd, status, headers, out->str,
+                                       out->len);
         g_string_free(out, TRUE);
         http_free(call);
     }
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -81,10 +81,10 @@
     g_string_printf(
         out,
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-        "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+        "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
         "\"cold_remaining_ms\":0,\"sequence\":%" G_GINT64_FORMAT
         ",\"born\":%" G_GINT64_FORMAT,
-        worker->service, worker->port, worker->zone, SLOTS,
+        worker->service, worker->port, worker->zone, worker->version, SLOTS,
         worker->draining ? "draining" : "ready", ++worker->writes,
         worker->born_ms);
     if (worker->is_engine) {
@@ -218,8 +218,9 @@
         char event[128];
         char byte = 0;
         g_usleep((gulong)(worker->step_s * 1e6));
-        if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
-            return false; /* the caller has closed the connection */
+        if (worker->gone ||
+            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            return false; /* or the caller has closed the connection */
         }
         int size = snprintf(event, sizeof(event),
                             "id: %" G_GUINT64_FORMAT
@@ -362,7 +363,10 @@
     const struct listener *listener = data;
     for (;;) {
         int fd = accept(listener->fd, NULL, NULL);
-        if (fd >= 0) {
+        if (fd >= 0 && listener->worker->gone) {
+            close(fd);
+        }
+        else if (fd >= 0) {
             struct caller *caller = g_new(struct caller, 1);
             *caller = (struct caller){listener->worker, fd};
             world_start_thread(serve_caller, caller);
@@ -371,16 +375,46 @@
     return NULL;
 }
 
-/* models: "A,B" for an engine, or NULL. */
+void
+worker_drain(struct worker *worker)
+{
+    worker->draining = true;
+    put_entry(worker);
+    world_record("%s reports that it leaves", worker->id);
+}
+
+void
+worker_leave(struct worker *worker)
+{
+    g_autofree char *key = g_strconcat("servers/", worker->id, NULL);
+    worker->gone = true;
+    store_remove(key);
+    world_record("%s has left", worker->id);
+}
+
+void
+worker_write_entry(struct worker *worker)
+{
+    put_entry(worker);
+}
+
 struct worker *
 worker_start(const char *id, const char *service, const char *zone,
              const char *models, double step_s)
+{
+    return worker_start_version(id, service, zone, models, step_s, "v1");
+}
+
+struct worker *
+worker_start_version(const char *id, const char *service, const char *zone,
+                     const char *models, double step_s, const char *version)
 {
     struct worker *worker = g_new0(struct worker, 1);
     struct listener *listener = g_new0(struct listener, 1);
     worker->id = g_strdup(id);
     worker->service = g_strdup(service);
     worker->zone = g_strdup(zone);
+    worker->version = g_strdup(version);
     worker->is_engine = models != NULL;
     worker->born_ms = wall_ms();
     worker->step_s = step_s;
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -49,6 +49,7 @@
     char buffer[16384];
     size_t start;
     size_t end;
+    GString *partial; /* gets the body of a message that is broken off */
 };
 
 /* Reads a request or response with its body.  NULL: the connection ended or
@@ -76,7 +77,12 @@
     int port;
     char *target_ip; /* where it ends */
     int target;
-    int owner; /* the node at its end; -1: none */
+    int owner; /* the node at its end, or one of: */
+};
+
+enum {
+    PATH_TO_WORKER = -1,
+    PATH_TO_STORE = -2,
 };
 
 /* port 0: a free one. */
@@ -84,7 +90,9 @@
                       int target, int owner);
 /* The process of a node; to be set before it opens a connection. */
 void path_set_process(int node, pid_t pid);
-void path_cut_off(int node);
+/* Cuts a node off from the other nodes and the store; workers_too: from the
+ * workers as well. */
+void path_cut_off(int node, bool workers_too);
 void path_heal(int node);
 
 /* ---- the store ---- */
@@ -96,6 +104,11 @@
 void store_remove(const char *key);
 /* A copy of a value, or NULL. */
 char *store_get(const char *key);
+/* Drills: the store is away (its connections end), and comes back from the
+ * copy that was saved, in the next era. */
+void store_save_copy(void);
+void store_set_away(bool away);
+void store_restore_copy(void);
 
 /* ---- workers ---- */
 
@@ -110,6 +123,7 @@
     char *id;
     char *service;
     char *zone;
+    char *version; /* of its software */
     bool is_engine;
     int port;
     int64_t born_ms;
@@ -124,9 +138,17 @@
     GArray *orders;     /* struct worker_order */
 };
 
+/* models: "A,B" for an engine, or NULL. */
 struct worker *worker_start(const char *id, const char *service,
                             const char *zone, const char *models,
                             double step_s);
+struct worker *worker_start_version(const char *id, const char *service,
+                                    const char *zone, const char *models,
+                                    double step_s, const char *version);
+/* Lock held for these. */
+void worker_drain(struct worker *worker);
+void worker_leave(struct worker *worker);
+void worker_write_entry(struct worker *worker);
 /* Called for each request that a worker begins to run; lock held. */
 extern void (*worker_on_run)(const struct worker *worker,
                              const struct http_message *request);
