Reports of engines: the list of pending loads is no longer read

Each report that a lease holder fetched from an engine leaked the array of pending loads, 16 bytes and more with each adapter: nothing freed it, and nothing used it. A holder fetches some reports a second from each engine, so the loss is some hundred bytes a second. The field is removed with its reading.

--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -126,7 +126,6 @@
     bool order_in_progress; /* an order is being carried out */
     uint64_t orders_taken;  /* since its start; 0 if not reported */
     uint32_t pinned_tokens; /* context tokens that cannot be evicted */
-    char **pending_loads;   /* adapters being loaded; NULL if not reported */
 };
 
 /* Accepts NULL. */
