A response whose connection is closed within its headers is cut

Cause: libcurl ends such a transfer with CURLE_OK, and convert_result() went by that and the status line alone. headers_done, which the client keeps, was not looked at.

Ruled out: the check of responses without a length (the headers of the case state one) and the listener's library (the same response, told as cut, closes the caller's connection).

Why it is enough: every HTTP response goes through this one function, or through the command line's client, which now looks for the end of the headers too. Header lines of an incomplete head are not passed to users of a fetch, and a relaying node's word counts only with complete headers.

--- a/cli/admin_client.c
+++ b/cli/admin_client.c
@@ -28,12 +28,23 @@
     return size * count;
 }
 
+/* Header callback of libcurl: notes the empty line that ends the headers.
+ * libcurl reports a call as successful though its connection was closed within
+ * them. */
+static size_t
+check_header_end(char *line, size_t size, size_t count, void *data)
+{
+    bool *head_complete = data;
+    *head_complete = line[0] == '\r' || line[0] == '\n';
+    return size * count;
+}
+
 /* Sets the options that every call needs.  Each call has its own handle and a
  * fresh connection: on a reused connection, libcurl could send a POST a second
  * time. */
 static void
 set_options(CURL *curl, const char *url, const char *method, const char *body,
-            GString *response_body)
+            GString *response_body, bool *head_complete)
 {
     curl_easy_setopt(curl, CURLOPT_URL, url);
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
@@ -45,6 +56,8 @@
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, response_body);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, check_header_end);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, head_complete);
     if (body != NULL) {
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
         curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
@@ -65,7 +78,8 @@
     struct curl_slist *headers =
         curl_slist_append(NULL, "Content-Type: text/plain; charset=utf-8");
     headers = curl_slist_append(headers, "Expect:");
-    set_options(curl, url, method, body, response_body);
+    bool head_complete = false;
+    set_options(curl, url, method, body, response_body, &head_complete);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     CURLcode result = curl_easy_perform(curl);
     long status = 0;
@@ -73,13 +87,15 @@
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(curl, CURLINFO_CONNECT_TIME_T, &connect_time);
     response->may_have_been_sent = connect_time > 0;
-    if (result == CURLE_OK) {
+    if (result == CURLE_OK && head_complete) {
         response->status = (int)status;
     }
     else {
         (void)snprintf(response->error_message,
                        sizeof(response->error_message), "%s: %s", node,
-                       curl_easy_strerror(result));
+                       result == CURLE_OK
+                           ? "connection closed within the response's headers"
+                           : curl_easy_strerror(result));
     }
     response->body = g_string_free(response_body, FALSE);
     curl_slist_free_all(headers);
--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -159,6 +159,7 @@
     struct ch_http_result end = {
         .code = code,
         .status = transfer->status,
+        .head_complete = transfer->headers_done,
         .sent = transfer->sent,
         .connection_refused = transfer->connection_refused,
         .started_at = transfer->started_at,
@@ -482,6 +483,17 @@
     }
 }
 
+/*
+ * Whether the connection was closed before the end of the response's headers.
+ * libcurl reports such a response as successful once a byte of it has come.
+ */
+static bool
+is_cut_in_head(const struct transfer *transfer, CURLcode result)
+{
+    return result == CURLE_OK && !transfer->connect_only &&
+           !transfer->headers_done;
+}
+
 /* Converts a result of libcurl to a code. */
 static enum ch_code
 convert_result(const struct transfer *transfer, CURLcode result)
@@ -492,10 +504,11 @@
     if (transfer->excess != NULL) {
         return CH_UPSTREAM_ANSWER;
     }
+    if (is_cut_in_head(transfer, result)) {
+        return CH_UPSTREAM_CUT;
+    }
     if (result == CURLE_OK) {
-        return transfer->status == 0 && !transfer->connect_only
-                   ? CH_UPSTREAM_ANSWER
-                   : CH_OK;
+        return CH_OK;
     }
     if (!transfer->sent) {
         return result == CURLE_URL_MALFORMAT ? CH_BAD_FIELD
@@ -511,6 +524,23 @@
     }
 }
 
+/* What a result of libcurl is reported as; "" for success. */
+static const char *
+get_result_text(const struct transfer *transfer, CURLcode result)
+{
+    if (is_cut_in_head(transfer, result)) {
+        return "connection closed within the response's headers";
+    }
+    if (result == CURLE_OK) {
+        return "";
+    }
+    if (transfer->excess != NULL) {
+        return transfer->excess;
+    }
+    return transfer->error_text[0] != '\0' ? transfer->error_text
+                                           : curl_easy_strerror(result);
+}
+
 /* Ends the transfers that libcurl has completed. */
 static void
 handle_results(struct ch_http *http)
@@ -524,17 +554,13 @@
         struct transfer *transfer = NULL;
         CURLcode result = message->data.result;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-        const char *text = transfer->error_text[0] != '\0'
-                               ? transfer->error_text
-                               : curl_easy_strerror(result);
-        text = transfer->excess != NULL ? transfer->excess : text;
         transfer->connection_refused =
             !transfer->sent && result == CURLE_COULDNT_CONNECT;
         if (transfer->connect_only && result == CURLE_OK) {
             transfer->connected_at = ch_client_get_time(http->client);
         }
         transfer_end(transfer, convert_result(transfer, result),
-                     result == CURLE_OK ? "" : text);
+                     get_result_text(transfer, result));
     }
 }
 
--- a/libchestnuthitch/net/http_fetch.c
+++ b/libchestnuthitch/net/http_fetch.c
@@ -71,7 +71,7 @@
         .etag = fetch->etag,
         .kept_headers =
             (const struct ch_http_header *)(void *)fetch->kept->data,
-        .kept_header_count = fetch->kept->len,
+        .kept_header_count = result->head_complete ? fetch->kept->len : 0,
     };
     if (fetch->too_large && result->code == CH_OK) {
         response.result.code = CH_UPSTREAM_ANSWER;
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -53,6 +53,7 @@
 struct ch_http_result {
     enum ch_code code;       /* OK: the response was complete by its framing */
     int status;              /* 0: no status line was received */
+    bool head_complete;      /* the headers were received to their end */
     bool sent;               /* some byte of the request may have been sent */
     bool connection_refused; /* nothing accepts connections at that address */
     int64_t started_at;      /* when the connection was looked for; 0: never */
@@ -119,7 +120,8 @@
     char *body; /* NUL-terminated */
     size_t body_length;
     char *etag; /* NULL if the response had no ETag */
-    /* Of the request's kept_headers those that came, in this order. */
+    /* Of the request's kept_headers those that came, in this order; none if
+     * the connection was closed within the headers. */
     const struct ch_http_header *kept_headers;
     size_t kept_header_count;
 };
--- a/libchestnuthitch/upstream/call.c
+++ b/libchestnuthitch/upstream/call.c
@@ -510,12 +510,15 @@
     }
 }
 
-/* Records what the end of the connection with the relaying node shows. */
+/* Records what the end of the connection with the relaying node shows. A
+ * result in headers that did not end doesn't count. */
 static void
 check_relay(struct call_exchange *exchange, const struct ch_http_result *end)
 {
-    if (exchange->is_relayed && exchange->relay_result == CH_RELAY_NONE &&
-        end->code != CH_OK && end->code != CH_CANCELLED) {
+    bool has_result =
+        exchange->relay_result != CH_RELAY_NONE && end->head_complete;
+    if (exchange->is_relayed && !has_result && end->code != CH_OK &&
+        end->code != CH_CANCELLED) {
         exchange->relay_result =
             end->sent ? CH_RELAY_LOST : CH_RELAY_UNREACHABLE;
     }
