A fleet is new only if the platform says so

Cause: is_new_fleet() concluded from the absence of older entries that nothing had run before. A node ends its entry's lease as it begins to drain, so that processes that start after all have got SIGTERM find none, and take their past of some seconds for that of two minutes. The one version that is left then counts as the only one.

Ruled out: a record with a wrong origin (all records were in processes that had ended); a list that lacks the old version alone (a node has to know what ran for two minutes).

Why it works: the platform's settings say when the whole system starts for the first time; nothing else is taken as a sign.

--- a/cli/node.c
+++ b/cli/node.c
@@ -67,7 +67,8 @@
         return CLI_FAILED;
     }
     ch_log(&client, CH_LOG_NOTICE, "started",
-           CH_F_STR("version", CHESTNUTHITCH_VERSION), CH_F_END);
+           CH_F_STR("version", CHESTNUTHITCH_VERSION),
+           CH_F_BOOL("first_start", settings->first_start), CH_F_END);
     wait_for_stop_signal(&client, &signals);
     ch_node_stop(node);
     ch_metrics_free(client.metrics);
@@ -77,7 +78,7 @@
 /* Loads the settings and runs the node; with check_only, only reports that the
  * settings are valid. */
 static int
-load_and_run(const char *path, bool check_only)
+load_and_run(const char *path, bool check_only, bool first_start)
 {
     struct ch_error error = {0};
     struct ch_settings *settings = ch_settings_load(path, &error);
@@ -86,6 +87,7 @@
         return CLI_BAD_INPUT;
     }
     int status = CLI_OK;
+    settings->first_start = first_start;
     if (check_only) {
         (void)printf("%s: settings of node %s are good\n", path,
                      settings->name);
@@ -97,17 +99,42 @@
     return status;
 }
 
+/* Reads CHESTNUTHITCH_FIRST_START; false with a message if it has another
+ * value than true, false or none. */
+static bool
+read_first_start(gboolean *first_start)
+{
+    const char *text = g_getenv("CHESTNUTHITCH_FIRST_START");
+    if (text != NULL && strcmp(text, "true") == 0) {
+        *first_start = TRUE;
+        return true;
+    }
+    if (text == NULL || text[0] == '\0' || strcmp(text, "false") == 0) {
+        return true;
+    }
+    (void)fprintf(stderr,
+                  "chestnuthitch: CHESTNUTHITCH_FIRST_START is '%s', not "
+                  "'true' or 'false'\n",
+                  text);
+    return false;
+}
+
 int
 cli_node(int argc, char **argv)
 {
     char *path = NULL;
     gboolean check_only = FALSE;
+    gboolean first_start = FALSE;
     const GOptionEntry entries[] = {
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
          "Settings of this node (INI; default: CHESTNUTHITCH_SETTINGS)",
          "FILE"},
         {"check", 'c', 0, G_OPTION_ARG_NONE, &check_only,
          "Check the settings and exit", NULL},
+        {"first-start", 0, 0, G_OPTION_ARG_NONE, &first_start,
+         "The whole system starts for the first time (default: "
+         "CHESTNUTHITCH_FIRST_START)",
+         NULL},
         {0},
     };
     GOptionContext *context = g_option_context_new(NULL);
@@ -130,8 +157,8 @@
         (void)fprintf(stderr, "chestnuthitch: node takes --settings FILE "
                               "(or CHESTNUTHITCH_SETTINGS) [--check]\n");
     }
-    else {
-        status = load_and_run(path, check_only);
+    else if (read_first_start(&first_start)) {
+        status = load_and_run(path, check_only, first_start);
     }
     g_option_context_free(context);
     g_free(path);
--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -290,6 +290,8 @@
                                 separated by commas */
     char *overload_on_terms; /* [overload] on-terms */
     struct ch_disabled_features disabled_features; /* [policy] */
+    /* The whole system starts for the first time; from the command line. */
+    bool first_start;
 };
 
 struct ch_settings *ch_settings_load(const char *path, struct ch_error *error);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -189,8 +189,8 @@
 void ch_peers_list_stream_holders(struct ch_peers *peers, unsigned shard,
                                   size_t max, GPtrArray *names);
 bool ch_peers_is_live(struct ch_peers *peers, const char *name);
-/* Whether all nodes of the first list started together with this one, which
- * had no earlier process on its host. *known: a list has arrived. */
+/* Whether the whole system started for the first time when this node did.
+ * *known: a list has arrived. */
 bool ch_peers_is_new_fleet(struct ch_peers *peers, bool *known);
 /* Numbers of nodes, this one included. */
 struct ch_peers_counts {
--- a/libchestnuthitch/node/peers_members.c
+++ b/libchestnuthitch/node/peers_members.c
@@ -279,11 +279,17 @@
     }
 }
 
-/* Whether no listed process is older than this one. Lock held. */
+/* Whether the system starts for the first time, and no listed process is older
+ * than this one. That none is listed does not say that none has run: entries
+ * go when their processes stop, or lapse while the store is away. Lock held.
+ */
 static bool
 is_new_fleet(const struct ch_peers *peers, const struct ch_host_list *list)
 {
     uint64_t own_start = peers->node->incarnation / 1000;
+    if (!peers->node->settings->first_start) {
+        return false;
+    }
     for (size_t i = 0; i < list->count; i++) {
         const struct ch_host *host = &list->hosts[i];
         uint64_t margin =
--- a/tests/failure/test_command.c
+++ b/tests/failure/test_command.c
@@ -269,6 +269,7 @@
     {{"sing"}, 2, "no command 'sing'"},
     {{"node"}, 2, "node takes --settings FILE"},
     {{"node", "--help"}, 0, "--settings=FILE"},
+    {{"node", "--help"}, 0, "--first-start"},
     {{"node", "--settings", "examples/node.ini", "--check"},
      0,
      "settings of node entry-1 are good"},
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -47,6 +47,7 @@
     struct counts counts;
     bool stopped;
     bool resumes; /* callers name the request that began the stream */
+    unsigned max_tries;
     unsigned last_id;
 };
 
@@ -180,7 +181,7 @@
     struct stream_state state = {0};
     const char *model = g_rand_boolean(random) ? "m1" : "m2";
     bool whole = false;
-    for (unsigned i = 0; i < MAX_TRIES && !whole; i++) {
+    for (unsigned i = 0; i < callers->max_tries && !whole; i++) {
         if (i > 0) {
             harness_sleep_ms(REST_MS);
         }
@@ -232,6 +233,7 @@
     const char *name;
     void (*faults)(struct play *play); /* until play->ends_at_ms */
     bool without_resumes;
+    unsigned max_tries; /* of a caller; 0: MAX_TRIES */
     /* All of a version is gone at the end, so that few streams can go on. */
     bool may_refuse;
 };
@@ -382,6 +384,31 @@
     }
 }
 
+/* All nodes stop and start again at once, without a node that was there
+ * before, while the last workers of a version go. */
+static void
+restart_all_nodes_in_release(struct play *play)
+{
+    for (unsigned round = 0; goes_on(play); round++) {
+        for (unsigned i = 0; i < NODES; i++) {
+            harness_node_signal(&play->fleet->nodes[i], SIGTERM);
+        }
+        harness_sleep_ms(250);
+        harness_users_change_worker(play->fleet, "e1", "crash");
+        harness_users_change_worker(play->fleet, "e2", "crash");
+        harness_users_change_worker(play->fleet, "e1", "remove");
+        harness_users_change_worker(play->fleet, "e2", "remove");
+        for (unsigned i = 0; i < NODES; i++) {
+            harness_node_signal(&play->fleet->nodes[i], SIGKILL);
+            harness_node_start(play->fleet, &play->fleet->nodes[i]);
+        }
+        harness_sleep_ms(3000);
+        harness_users_start_worker(play->fleet, "e1", "v1", BOTH_MODELS);
+        harness_users_start_worker(play->fleet, "e2", "v1", BOTH_MODELS);
+        harness_sleep_ms(1500);
+    }
+}
+
 /* A worker starts again under its name, with other software. */
 static void
 restart_under_same_name(struct play *play)
@@ -437,6 +464,10 @@
     {.name = "all-nodes-killed", .faults = kill_all_nodes, .may_refuse = true},
     {.name = "nodes-frozen", .faults = freeze_nodes},
     {.name = "nodes-stopped", .faults = stop_nodes_in_turn},
+    {.name = "nodes-restarted-in-release",
+     .faults = restart_all_nodes_in_release,
+     .max_tries = 60,
+     .may_refuse = true},
     {.name = "nodes-cut-off", .faults = cut_nodes_in_release},
     {.name = "same-name", .faults = restart_under_same_name},
     {.name = "version-gone", .faults = lose_version, .may_refuse = true},
@@ -506,6 +537,8 @@
     struct callers callers = {
         .fleet = play.fleet,
         .resumes = !scenario->without_resumes,
+        .max_tries =
+            scenario->max_tries == 0 ? MAX_TRIES : scenario->max_tries,
     };
     struct caller caller[CALLERS];
     GThread *threads[CALLERS];
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -307,8 +307,13 @@
 {
     char *program =
         g_build_filename(fleet->build_directory, "chestnuthitch", NULL);
-    const char *argv[] = {program, "node", "--settings", node->settings_path,
+    const char *argv[] = {program,
+                          "node",
+                          "--settings",
+                          node->settings_path,
+                          node->was_started ? NULL : "--first-start",
                           NULL};
+    node->was_started = true;
     node->pid = harness_spawn(argv, node->log_path, NULL);
     g_free(program);
 }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -73,7 +73,8 @@
 
 struct harness_node {
     char name[16];
-    pid_t pid; /* 0: not running */
+    pid_t pid;        /* 0: not running */
+    bool was_started; /* before: the next start is no first one */
     uint16_t caller_port;
     uint16_t admin_port;
     uint16_t peer_port;
