A call that was given up does not arrive later

Cause: an order is given up after 1.5 s, and closing its connection leaves the bytes to the kernel, which delivers them when the path is back. The same holds when the process is killed, and a frozen process keeps them as well.

Ruled out: orders after the end of the lease's use (the token is that of the lease, the clock counts suspensions); a second sending by libcurl (refused).

Why it works: each connection is reset when it is closed, by an option that is set when it is opened, so that it holds for a killed process, too. Orders have connections of their own, on which the kernel drops what is not acknowledged by the end of the lease's use; nothing is sent after a deadline. A lease that is handed over waits for orders under way, so that they can't arrive within lease-ms of the next holder's.

Cost: one new connection for each order.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -64,6 +64,8 @@
 
 void ch_client_init(struct ch_client *client, const char *name);
 int64_t ch_client_get_time(const struct ch_client *client);
+/* Microseconds of a clock that also counts while the host is suspended. */
+int64_t ch_clock_get_boottime(void);
 
 /* ---- logs: one JSON object per line (log.c) ---- */
 
--- a/libchestnuthitch/base/client.c
+++ b/libchestnuthitch/base/client.c
@@ -44,3 +44,12 @@
 {
     return client->now(client->now_data);
 }
+
+/* See base.h. */
+int64_t
+ch_clock_get_boottime(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -11,6 +11,8 @@
 
 #include "net/net.h"
 
+#include "net/socket.h"
+
 #include <curl/curl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -60,6 +62,7 @@
     int64_t first_byte_timeout;
     int64_t stall_timeout;
     int64_t total_deadline;   /* 0: none */
+    int64_t valid_until;      /* see struct ch_http_request */
     int64_t phase_deadline;   /* end of the current phase */
     int64_t last_received_at; /* last byte, or the request was sent */
     enum phase phase;
@@ -172,12 +175,43 @@
     transfer_free(transfer);
 }
 
+/* Whether nothing of the request may be sent any more: its owner relies on
+ * that after the deadline. */
+static bool
+is_overdue(const struct transfer *transfer)
+{
+    return (transfer->total_deadline != 0 &&
+            ch_client_get_time(transfer->http->client) >=
+                transfer->total_deadline) ||
+           (transfer->valid_until != 0 &&
+            ch_clock_get_boottime() >= transfer->valid_until);
+}
+
+/*
+ * Called by libcurl for a socket that it has opened, before it connects. A
+ * socket without these options could deliver a call that was given up, so it
+ * is not used.
+ */
+static int
+handle_socket_opened(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+    const struct transfer *transfer = data;
+    (void)purpose;
+    bool is_set = ch_socket_set_reset_on_close(fd);
+    if (is_set && transfer->valid_until != 0) {
+        is_set = ch_socket_set_unacknowledged_limit(
+            fd, transfer->valid_until - ch_clock_get_boottime());
+    }
+    return is_set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 /*
  * Called by libcurl each time it has a connection and is about to write the
  * request; from here on bytes may have been sent. A second call means that
  * libcurl is about to send the request again on its own. The caller of a
  * request that must not be repeated would then be told of one run when there
- * were two, so the second sending is refused.
+ * were two, so the second sending is refused. So is one after the deadline:
+ * the process may have been frozen while the connection was made.
  */
 static int
 handle_request_start(void *data, char *remote, char *local, int remote_port,
@@ -192,6 +226,9 @@
         (transfer->fresh_connection || transfer->no_resend)) {
         return CURL_PREREQFUNC_ABORT;
     }
+    if (is_overdue(transfer)) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     long connects = 0;
     curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
     transfer->reused = connects == 0;
@@ -369,6 +406,8 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)INT32_MAX);
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer->error_text);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_opened);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_request_start);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header_line);
@@ -460,8 +499,7 @@
 transfer_start(struct transfer *transfer)
 {
     struct ch_http *http = transfer->http;
-    if (transfer->total_deadline != 0 &&
-        ch_client_get_time(http->client) >= transfer->total_deadline) {
+    if (is_overdue(transfer)) {
         transfer_end(transfer, CH_UPSTREAM_CONNECT, "not started in time");
         return;
     }
@@ -949,8 +987,10 @@
     transfer->connect_timeout = request->connect_timeout;
     transfer->first_byte_timeout = request->first_byte_timeout;
     transfer->stall_timeout = request->stall_timeout;
-    transfer->fresh_connection =
-        request->fresh_connection || request->connect_only;
+    transfer->fresh_connection = request->fresh_connection ||
+                                 request->connect_only ||
+                                 request->valid_until != 0;
+    transfer->valid_until = request->valid_until;
     transfer->connect_only = request->connect_only;
     transfer->no_resend = request->no_resend;
     transfer->phase_deadline = INT64_MAX;
@@ -958,6 +998,15 @@
         transfer->total_deadline =
             ch_client_get_time(http->client) + request->total_timeout;
     }
+    if (request->valid_until != 0) {
+        int64_t deadline =
+            ch_client_get_time(http->client) +
+            MAX(request->valid_until - ch_clock_get_boottime(), 1);
+        transfer->total_deadline =
+            transfer->total_deadline == 0
+                ? deadline
+                : MIN(transfer->total_deadline, deadline);
+    }
     copy_headers(transfer, request);
     return transfer;
 }
--- a/libchestnuthitch/net/net.h
+++ b/libchestnuthitch/net/net.h
@@ -40,6 +40,13 @@
      * have run.
      */
     bool no_resend;
+    /*
+     * By ch_clock_get_boottime(); 0: no bound. Nothing of the request is sent
+     * after it, and what the other end has not acknowledged by then is
+     * dropped, also while this process is frozen. The call has a connection of
+     * its own.
+     */
+    int64_t valid_until;
     /*
      * Sends nothing: the call ends with OK once a new connection is
      * established, and that connection is closed.
--- a/libchestnuthitch/node/controller.c
+++ b/libchestnuthitch/node/controller.c
@@ -349,6 +349,27 @@
 
 /* ---- periodic work ---- */
 
+/* Until when the last order of a data centre that is under way may arrive:
+ * time from now. */
+static int64_t
+get_orders_under_way(const struct ch_controller *controller,
+                     const struct centre_state *centre, int64_t now)
+{
+    int64_t longest = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, controller->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct controller_engine *engine = value;
+        if (engine->data_centre == centre->data_centre &&
+            engine->order_in_flight) {
+            longest = MAX(longest, engine->last_order_at +
+                                       CH_CONTROLLER_CALL_TIMEOUT_US - now);
+        }
+    }
+    return longest;
+}
+
 /*
  * Releases the lease because this node stops. Lock held.
  *
@@ -359,10 +380,12 @@
  * once the store answers.
  */
 static void
-release_lease(struct ch_controller *controller, struct centre_state *centre)
+release_lease(struct ch_controller *controller, struct centre_state *centre,
+              int64_t now)
 {
     int64_t handover_pause =
-        (int64_t)controller->node->settings->lease_ms * 1000;
+        (int64_t)controller->node->settings->lease_ms * 1000 +
+        get_orders_under_way(controller, centre, now);
     if (centre->was_held &&
         ch_lease_get_renewal_age(centre->lease) < KV_UNAVAILABLE_US) {
         ch_lease_release(centre->lease, handover_pause);
@@ -398,7 +421,7 @@
         return;
     }
     if (controller->draining || must_hand_over(controller, now)) {
-        release_lease(controller, centre);
+        release_lease(controller, centre, now);
     }
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -553,7 +576,8 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, controller->centres);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        release_lease(controller, value);
+        release_lease(controller, value,
+                      ch_client_get_time(controller->node->client));
     }
     pthread_mutex_unlock(&controller->lock);
 }
--- a/libchestnuthitch/node/controller_engine.c
+++ b/libchestnuthitch/node/controller_engine.c
@@ -589,6 +589,7 @@
         .model = slash == NULL ? name : g_quark_to_string(item->model),
         .adapter = slash == NULL ? NULL : slash + 1,
         .expected_orders_taken = (int64_t)engine->orders_taken,
+        .valid_until = ch_lease_get_end(centre->lease),
     };
     ch_notices_count_call(controller->node->notices, engine->name,
                           CH_NOTICES_ORDER);
--- a/libchestnuthitch/node/lease.c
+++ b/libchestnuthitch/node/lease.c
@@ -6,7 +6,6 @@
 
 #include <pthread.h>
 #include <string.h>
-#include <time.h>
 
 enum {
     /*
@@ -49,15 +48,6 @@
                                    0: the key is free */
 };
 
-/* Microseconds of a clock that also counts while the host is suspended. */
-static int64_t
-get_boottime_us(void)
-{
-    struct timespec now;
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
-}
-
 /* Drops a reference; the last one frees the lease. */
 static void
 lease_unref(struct ch_lease *lease)
@@ -98,7 +88,7 @@
 ch_lease_is_held(struct ch_lease *lease, uint64_t *fencing_token)
 {
     pthread_mutex_lock(&lease->lock);
-    int64_t now = get_boottime_us();
+    int64_t now = ch_clock_get_boottime();
     bool held = lease->held && now - lease->renewed_at < LEASE_USE_US &&
                 now >= lease->usable_from;
     *fencing_token = lease->fencing_token;
@@ -106,6 +96,16 @@
     return held;
 }
 
+/* See lease.h. */
+int64_t
+ch_lease_get_end(struct ch_lease *lease)
+{
+    pthread_mutex_lock(&lease->lock);
+    int64_t end = lease->renewed_at + LEASE_USE_US;
+    pthread_mutex_unlock(&lease->lock);
+    return end;
+}
+
 /* Sets and logs whether the lease is held. Lock held. */
 static void
 set_held(struct ch_lease *lease, bool held, const char *why)
@@ -125,7 +125,7 @@
 {
     set_held(lease, false, why);
     lease->kv_lease_id = 0;
-    lease->next_attempt_at = get_boottime_us() + RETRY_DELAY_US;
+    lease->next_attempt_at = ch_clock_get_boottime() + RETRY_DELAY_US;
 }
 
 /* ---- acquiring and renewing ---- */
@@ -144,7 +144,7 @@
     }
     int64_t age = ch_client_get_time(lease->node->client) - returns->last_at;
     int64_t left = LEASE_USE_US + CLOCK_MARGIN_US - age;
-    return left > 0 ? get_boottime_us() + left : 0;
+    return left > 0 ? ch_clock_get_boottime() + left : 0;
 }
 
 /* Records that this attempt wrote the key, unless the lease was released
@@ -263,7 +263,7 @@
     }
     if (proceed) {
         lease->replaced_revision = from_earlier ? answer->revision : 0;
-        lease->call_sent_at = get_boottime_us();
+        lease->call_sent_at = ch_clock_get_boottime();
     }
     else {
         lease->call_in_flight = false;
@@ -291,8 +291,8 @@
     else if (answer->code == CH_KV_MISSING) {
         lease->was_holder =
             lease->held &&
-            get_boottime_us() - lease->renewed_at < LEASE_USE_US &&
-            get_boottime_us() >= lease->usable_from &&
+            ch_clock_get_boottime() - lease->renewed_at < LEASE_USE_US &&
+            ch_clock_get_boottime() >= lease->usable_from &&
             ch_kv_get_returns(lease->node).count > lease->returns;
         schedule_retry(lease, "the lease has ended");
     }
@@ -304,7 +304,7 @@
 void
 ch_lease_update(struct ch_lease *lease, bool wanted)
 {
-    int64_t now = get_boottime_us();
+    int64_t now = ch_clock_get_boottime();
     int64_t ttl = LEASE_USE_US + lease->handover_pause + CLOCK_MARGIN_US;
     pthread_mutex_lock(&lease->lock);
     if (lease->held && now - lease->renewed_at > ttl) {
@@ -362,7 +362,7 @@
 ch_lease_get_renewal_age(struct ch_lease *lease)
 {
     pthread_mutex_lock(&lease->lock);
-    int64_t age = get_boottime_us() - lease->renewed_at;
+    int64_t age = ch_clock_get_boottime() - lease->renewed_at;
     pthread_mutex_unlock(&lease->lock);
     return age;
 }
--- a/libchestnuthitch/node/lease.h
+++ b/libchestnuthitch/node/lease.h
@@ -27,6 +27,9 @@
 /* Whether the lease is held at this moment, and its fencing token. Call it
  * right before each action. */
 bool ch_lease_is_held(struct ch_lease *lease, uint64_t *fencing_token);
+/* When the use of the lease ends unless it is renewed, by
+ * ch_clock_get_boottime(). An action must not take effect later. */
+int64_t ch_lease_get_end(struct ch_lease *lease);
 /* Microseconds since this node sent the last call by which the key-value store
  * granted or renewed the lease. */
 int64_t ch_lease_get_renewal_age(struct ch_lease *lease);
--- a/libchestnuthitch/upstream/engine.c
+++ b/libchestnuthitch/upstream/engine.c
@@ -105,6 +105,7 @@
         .stall_timeout = engine->control_timeout,
         .total_timeout = engine->control_timeout,
         .fresh_connection = true,
+        .valid_until = order->valid_until,
         .kept_headers = kept_headers,
     };
     const struct ch_control_peer peer = {
--- a/libchestnuthitch/upstream/upstream.h
+++ b/libchestnuthitch/upstream/upstream.h
@@ -100,6 +100,11 @@
      * the order if the count differs. CH_ORDER_EXPECT_ANY: not checked.
      */
     int64_t expected_orders_taken;
+    /*
+     * By ch_clock_get_boottime(): the end of the lease under which the order
+     * is given. It does not arrive after that. 0: no bound.
+     */
+    int64_t valid_until;
 };
 
 enum {
--- a/tests/threaded/test_switches.c
+++ b/tests/threaded/test_switches.c
@@ -225,6 +225,13 @@
     return false;
 }
 
+int64_t
+ch_lease_get_end(struct ch_lease *lease)
+{
+    (void)lease;
+    return 0;
+}
+
 void
 ch_lease_release(struct ch_lease *lease, int64_t pause)
 {
