Origins of streams outlive all nodes

Cause: the records of where streams began are in the memory of three nodes each, and all had ended.

Ruled out: questions before the holders answer (tries 4 s after the start are refused as well); want of room at the version (the router was not asked).

Why it works: each process keeps an item at the store with the origins of its streams, while versions mix. A stream is in it from the call on that may begin it, and once a write may hold it, later calls before its first event keep to that version (/exchange/stored-origin); so an item, of whatever age, says nothing wrong. Nodes that come to keep a shard read a part of the items and send each record to those that keep it. No call to the store with one version.

The tests' store returned values that are no text cut at their first zero byte.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -424,9 +424,15 @@
     case CH_NOTICES_WAITS:
         return handle_limit_refusal(exchange, CH_UPSTREAM_WAITS, retry_after);
     default:
-        ch_exchange_call_upstream(exchange);
-        return false;
+        break;
+    }
+    if (!ch_exchange_may_begin_stream(exchange)) {
+        return pass_over_upstream(exchange,
+                                  "no upstream of the version that is stored "
+                                  "as the stream's origin");
     }
+    ch_exchange_call_upstream(exchange);
+    return false;
 }
 
 /* The upstream's limit permits the call, or not. */
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -155,6 +155,9 @@
 /* Writes the record of the stream that the present call may begin, or renews
  * that of a stream taken up. Lock held. */
 void ch_exchange_write_stream_record(struct ch_exchange *exchange);
+/* Whether the granted upstream may begin the request's stream. False: another
+ * version is stored as its origin, and is required from now on. Lock held. */
+bool ch_exchange_may_begin_stream(struct ch_exchange *exchange);
 /* Logs and counts a call that goes on with a stream. Lock held. */
 void ch_exchange_log_going_on(const struct ch_exchange *exchange);
 
--- a/libchestnuthitch/node/exchange_stream.c
+++ b/libchestnuthitch/node/exchange_stream.c
@@ -74,16 +74,41 @@
                : MIN(deadline + RECORD_MARGIN_US, now + CH_STREAM_LIFE_US);
 }
 
+/* Whether the stream of the request is recorded with a call made now. */
+static bool
+is_recorded(const struct ch_exchange *exchange)
+{
+    const struct ch_request *request = exchange->request;
+    return exchange->frontend->node->streams != NULL && request->stream &&
+           request->info.idempotent && !exchange->stream_started;
+}
+
+/* See exchange.h. */
+bool
+ch_exchange_may_begin_stream(struct ch_exchange *exchange)
+{
+    struct ch_stream_origin stored;
+    if (!is_recorded(exchange) || ch_exchange_takes_up_stream(exchange)) {
+        return true;
+    }
+    struct ch_stream_record record = make_record(exchange);
+    record.expires_at = get_record_end(exchange);
+    if (ch_stream_manager_may_begin(exchange->frontend->node->streams, &record,
+                                    &stored)) {
+        return true;
+    }
+    exchange->request->info.required_version = stored.version;
+    return false;
+}
+
 /* See exchange.h. A call that goes to the same version as the one before needs
  * no further record. */
 void
 ch_exchange_write_stream_record(struct ch_exchange *exchange)
 {
-    const struct ch_request *request = exchange->request;
     struct ch_stream_manager *streams = exchange->frontend->node->streams;
     struct ch_stream_record *record = &exchange->stream_record;
-    if (streams == NULL || !request->stream || !request->info.idempotent ||
-        exchange->stream_started) {
+    if (!is_recorded(exchange)) {
         return;
     }
     if (!ch_exchange_takes_up_stream(exchange)) {
--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -2,6 +2,8 @@
 
 #include "node/stream_manager.h"
 
+#include "origins/origins.h"
+
 #include <pthread.h>
 #include <string.h>
 
@@ -14,6 +16,8 @@
     /* Time for the asked nodes to reply, some round trips between regions. */
     QUERY_TIMEOUT_US = 250 * 1000,
     TICK_US = 1000 * 1000,
+    /* Until the nodes are known. */
+    START_TICK_US = 200 * 1000,
     /* Records in one message. */
     MAX_BATCH = 128,
     /* Records that expire sooner are not handed over. */
@@ -32,6 +36,7 @@
     pthread_mutex_t lock;
     struct ch_stream_records *records; /* guarded by lock, like the rest */
     struct ch_version_history *history;
+    struct ch_origins *origins;               /* at the key-value store */
     struct holders holders[CH_STREAM_SHARDS]; /* at the last tick */
     uint64_t peers_version;
     bool fleet_age_known;
@@ -163,9 +168,11 @@
         return;
     }
     int64_t now = get_time(manager);
+    struct ch_stream_origin stored;
     pthread_mutex_lock(&manager->lock);
     ch_stream_records_put(manager->records, record, now);
     pthread_mutex_unlock(&manager->lock);
+    (void)ch_origins_add(manager->origins, record, &stored);
     GPtrArray *holders = find_holders(
         manager, ch_stream_get_shard(record->key), CH_STREAM_COPIES);
     for (guint i = 0; i < holders->len; i++) {
@@ -175,6 +182,15 @@
     g_ptr_array_free(holders, TRUE);
 }
 
+/* See stream_manager.h. */
+bool
+ch_stream_manager_may_begin(struct ch_stream_manager *manager,
+                            const struct ch_stream_record *record,
+                            struct ch_stream_origin *stored)
+{
+    return manager == NULL || ch_origins_add(manager->origins, record, stored);
+}
+
 /* ---- handover, where other nodes come to keep a shard ---- */
 
 static GArray *
@@ -218,6 +234,74 @@
     return true;
 }
 
+/* Takes records that were read from the key-value store, for this node and for
+ * those that keep them. */
+static void
+take_stored(void *data, const struct ch_stream_record *records, size_t count)
+{
+    struct ch_stream_manager *manager = data;
+    int64_t now = get_time(manager);
+    GArray *of_shard =
+        g_array_new(FALSE, FALSE, sizeof(struct ch_stream_record));
+    pthread_mutex_lock(&manager->lock);
+    for (size_t i = 0; i < count; i++) {
+        ch_stream_records_put(manager->records, &records[i], now);
+    }
+    pthread_mutex_unlock(&manager->lock);
+    for (unsigned shard = 0; shard < CH_STREAM_SHARDS; shard++) {
+        g_array_set_size(of_shard, 0);
+        for (size_t i = 0; i < count; i++) {
+            if (ch_stream_get_shard(records[i].key) == shard) {
+                g_array_append_vals(of_shard, &records[i], 1);
+            }
+        }
+        GPtrArray *names = find_holders(manager, shard, CH_STREAM_COPIES);
+        for (guint i = 0; of_shard->len > 0 && i < names->len; i++) {
+            send_records(
+                manager, g_ptr_array_index(names, i),
+                (const struct ch_stream_record *)(void *)of_shard->data,
+                of_shard->len);
+        }
+        g_ptr_array_free(names, TRUE);
+    }
+    g_array_free(of_shard, TRUE);
+}
+
+/* Whether a process answers; its records need not be read. */
+static bool
+is_process_live(void *data, const char *name, uint64_t incarnation)
+{
+    const struct ch_stream_manager *manager = data;
+    struct ch_peers *peers = manager->node->peers;
+    uint64_t present = 0;
+    bool is_self = strcmp(name, manager->node->settings->name) == 0;
+    int64_t heard = ch_peers_get_last_heard(peers, name, &present);
+    return heard != 0 && present == incarnation &&
+           (is_self || ch_peers_is_live(peers, name));
+}
+
+static size_t
+get_node_count(void *data)
+{
+    const struct ch_stream_manager *manager = data;
+    struct ch_peers_counts counts;
+    ch_peers_count(manager->node->peers, manager->node->settings->region,
+                   &counts);
+    return counts.listed;
+}
+
+/* Reads the stored records of a partition when this node comes to keep the
+ * shard of the same number. */
+static void
+read_stored(struct ch_stream_manager *manager, unsigned shard,
+            const struct holders *previous, const struct holders *present)
+{
+    const char *self = manager->node->settings->name;
+    if (is_holder(present, self) && !is_holder(previous, self)) {
+        ch_origins_read(manager->origins, shard);
+    }
+}
+
 /* Compares the holders of a shard with those of the last tick, and sends the
  * records to those that are new. */
 static void
@@ -247,6 +331,7 @@
     if (records != NULL) {
         g_array_free(records, TRUE);
     }
+    read_stored(manager, shard, previous, &present);
     for (size_t i = 0; i < CH_STREAM_COPIES; i++) {
         g_free(previous->names[i]);
     }
@@ -295,7 +380,8 @@
     struct ch_stream_manager *manager = data;
     note_fleet_age(manager);
     uint64_t version = ch_peers_get_version(manager->node->peers);
-    if (version != manager->peers_version) {
+    bool has_list = ch_peers_has_list(manager->node->peers);
+    if (version != manager->peers_version && has_list) {
         manager->peers_version = version;
         for (unsigned shard = 0; shard < CH_STREAM_SHARDS; shard++) {
             update_holders(manager, shard);
@@ -303,10 +389,14 @@
     }
     pthread_mutex_lock(&manager->lock);
     ch_stream_records_expire(manager->records, get_time(manager));
+    bool is_mixed =
+        ch_version_history_is_mixed(manager->history, get_time(manager));
     if (!manager->stopped) {
-        ch_timers_add(manager->node->timers, TICK_US, tick, manager);
+        ch_timers_add(manager->node->timers,
+                      has_list ? TICK_US : START_TICK_US, tick, manager);
     }
     pthread_mutex_unlock(&manager->lock);
+    ch_origins_set_mixed(manager->origins, is_mixed);
 }
 
 /* ---- questions ---- */
@@ -540,7 +630,10 @@
     pthread_mutex_lock(&manager->lock);
     ch_version_history_update(manager->history, listed, count,
                               get_time(manager));
+    bool is_mixed =
+        ch_version_history_is_mixed(manager->history, get_time(manager));
     pthread_mutex_unlock(&manager->lock);
+    ch_origins_set_mixed(manager->origins, is_mixed);
 }
 
 /* See stream_manager.h. */
@@ -575,6 +668,15 @@
     manager->node = node;
     manager->records = ch_stream_records_new(MAX_RECORDS);
     manager->history = ch_version_history_new(get_time(manager));
+    const struct ch_origins_node origins_node = {
+        .data = manager,
+        .take = take_stored,
+        .is_live = is_process_live,
+        .get_node_count = get_node_count,
+    };
+    manager->origins =
+        ch_origins_new(node->client, node->pool, node->timers, node->kv,
+                       &origins_node, node->settings->name, node->incarnation);
     pthread_mutex_init(&manager->lock, NULL);
     return manager;
 }
@@ -588,7 +690,8 @@
                          handle_records, manager);
     ch_peers_set_handler(peers, WIRE(FRAME__BODY_STREAM_QUERY), handle_query,
                          manager);
-    ch_timers_add(manager->node->timers, TICK_US, tick, manager);
+    ch_timers_add(manager->node->timers, START_TICK_US, tick, manager);
+    ch_origins_start(manager->origins);
 }
 
 /* See stream_manager.h. */
@@ -598,6 +701,7 @@
     pthread_mutex_lock(&manager->lock);
     manager->stopped = true;
     pthread_mutex_unlock(&manager->lock);
+    ch_origins_stop(manager->origins);
 }
 
 /* See stream_manager.h. */
@@ -612,6 +716,7 @@
             g_free(manager->holders[shard].names[i]);
         }
     }
+    ch_origins_free(manager->origins);
     ch_stream_records_free(manager->records);
     ch_version_history_free(manager->history);
     pthread_mutex_destroy(&manager->lock);
--- a/libchestnuthitch/node/stream_manager.h
+++ b/libchestnuthitch/node/stream_manager.h
@@ -38,6 +38,13 @@
 void ch_stream_manager_write(struct ch_stream_manager *manager,
                              const struct ch_stream_record *record);
 
+/* Whether a call may begin the stream of a record. False: the key-value store
+ * may name another origin for it already, *stored, to which the calls before
+ * its first event have to keep. manager may be NULL. */
+bool ch_stream_manager_may_begin(struct ch_stream_manager *manager,
+                                 const struct ch_stream_record *record,
+                                 struct ch_stream_origin *stored);
+
 /* Where a stream began. */
 struct ch_stream_result {
     enum ch_stream_finding finding;
--- a/libchestnuthitch/resume/resume.h
+++ b/libchestnuthitch/resume/resume.h
@@ -114,6 +114,10 @@
 ch_version_history_get(const struct ch_version_history *history,
                        uint64_t service, int64_t now);
 
+/* Whether any service had several versions within CH_STREAM_LIFE_US. */
+bool ch_version_history_is_mixed(const struct ch_version_history *history,
+                                 int64_t now);
+
 /* ---- the question where a stream began (lookup.c) ---- */
 
 enum ch_stream_finding {
--- a/libchestnuthitch/resume/versions.c
+++ b/libchestnuthitch/resume/versions.c
@@ -115,3 +115,18 @@
     }
     return versions;
 }
+
+/* See resume.h. */
+bool
+ch_version_history_is_mixed(const struct ch_version_history *history,
+                            int64_t now)
+{
+    for (guint i = 0; i < history->seen->len; i++) {
+        uint64_t service = g_array_index(history->seen, struct seen_version, i)
+                               .origin.service;
+        if (ch_version_history_get(history, service, now).count > 1) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -2527,6 +2527,96 @@
   assert(message->base.descriptor == &chestnuthitch__wire__stream_records__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   chestnuthitch__wire__stored_origins__init
+                     (Chestnuthitch__Wire__StoredOrigins         *message)
+{
+  static const Chestnuthitch__Wire__StoredOrigins init_value = CHESTNUTHITCH__WIRE__STORED_ORIGINS__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stored_origins__get_packed_size
+                     (const Chestnuthitch__Wire__StoredOrigins *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_origins__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stored_origins__pack
+                     (const Chestnuthitch__Wire__StoredOrigins *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_origins__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stored_origins__pack_to_buffer
+                     (const Chestnuthitch__Wire__StoredOrigins *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_origins__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StoredOrigins *
+       chestnuthitch__wire__stored_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StoredOrigins *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stored_origins__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stored_origins__free_unpacked
+                     (Chestnuthitch__Wire__StoredOrigins *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_origins__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   chestnuthitch__wire__stored_version__init
+                     (Chestnuthitch__Wire__StoredVersion         *message)
+{
+  static const Chestnuthitch__Wire__StoredVersion init_value = CHESTNUTHITCH__WIRE__STORED_VERSION__INIT;
+  *message = init_value;
+}
+size_t chestnuthitch__wire__stored_version__get_packed_size
+                     (const Chestnuthitch__Wire__StoredVersion *message)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t chestnuthitch__wire__stored_version__pack
+                     (const Chestnuthitch__Wire__StoredVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t chestnuthitch__wire__stored_version__pack_to_buffer
+                     (const Chestnuthitch__Wire__StoredVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Chestnuthitch__Wire__StoredVersion *
+       chestnuthitch__wire__stored_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Chestnuthitch__Wire__StoredVersion *)
+     protobuf_c_message_unpack (&chestnuthitch__wire__stored_version__descriptor,
+                                allocator, len, data);
+}
+void   chestnuthitch__wire__stored_version__free_unpacked
+                     (Chestnuthitch__Wire__StoredVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &chestnuthitch__wire__stored_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   chestnuthitch__wire__stream_query__init
                      (Chestnuthitch__Wire__StreamQuery         *message)
 {
@@ -7734,6 +7824,121 @@
   (ProtobufCMessageInit) chestnuthitch__wire__stream_records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stored_origins__field_descriptors[3] =
+{
+  {
+    "versions",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Chestnuthitch__Wire__StoredOrigins, n_versions),
+    offsetof(Chestnuthitch__Wire__StoredOrigins, versions),
+    &chestnuthitch__wire__stored_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Chestnuthitch__Wire__StoredOrigins, n_keys),
+    offsetof(Chestnuthitch__Wire__StoredOrigins, keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "indices",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StoredOrigins, indices),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stored_origins__field_indices_by_name[] = {
+  2,   /* field[2] = indices */
+  1,   /* field[1] = keys */
+  0,   /* field[0] = versions */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stored_origins__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stored_origins__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StoredOrigins",
+  "StoredOrigins",
+  "Chestnuthitch__Wire__StoredOrigins",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StoredOrigins),
+  3,
+  chestnuthitch__wire__stored_origins__field_descriptors,
+  chestnuthitch__wire__stored_origins__field_indices_by_name,
+  1,  chestnuthitch__wire__stored_origins__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stored_origins__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor chestnuthitch__wire__stored_version__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StoredVersion, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__StoredVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned chestnuthitch__wire__stored_version__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange chestnuthitch__wire__stored_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor chestnuthitch__wire__stored_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "chestnuthitch.wire.StoredVersion",
+  "StoredVersion",
+  "Chestnuthitch__Wire__StoredVersion",
+  "chestnuthitch.wire",
+  sizeof(Chestnuthitch__Wire__StoredVersion),
+  2,
+  chestnuthitch__wire__stored_version__field_descriptors,
+  chestnuthitch__wire__stored_version__field_indices_by_name,
+  1,  chestnuthitch__wire__stored_version__number_ranges,
+  (ProtobufCMessageInit) chestnuthitch__wire__stored_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor chestnuthitch__wire__stream_query__field_descriptors[2] =
 {
   {
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -71,6 +71,8 @@
 typedef struct Chestnuthitch__Wire__PathView Chestnuthitch__Wire__PathView;
 typedef struct Chestnuthitch__Wire__StreamRecord Chestnuthitch__Wire__StreamRecord;
 typedef struct Chestnuthitch__Wire__StreamRecords Chestnuthitch__Wire__StreamRecords;
+typedef struct Chestnuthitch__Wire__StoredOrigins Chestnuthitch__Wire__StoredOrigins;
+typedef struct Chestnuthitch__Wire__StoredVersion Chestnuthitch__Wire__StoredVersion;
 typedef struct Chestnuthitch__Wire__StreamQuery Chestnuthitch__Wire__StreamQuery;
 typedef struct Chestnuthitch__Wire__StreamReply Chestnuthitch__Wire__StreamReply;
 
@@ -1446,6 +1448,41 @@
     , 0,NULL }
 
 
+/*
+ * A value at the key-value store: where the streams began that one process
+ * serves or served. IDs are hashes.
+ */
+struct  Chestnuthitch__Wire__StoredOrigins
+{
+  ProtobufCMessage base;
+  size_t n_versions;
+  Chestnuthitch__Wire__StoredVersion **versions;
+  /*
+   * as in StreamRecord
+   */
+  size_t n_keys;
+  uint64_t *keys;
+  /*
+   * for each key, of its version in versions
+   */
+  ProtobufCBinaryData indices;
+};
+#define CHESTNUTHITCH__WIRE__STORED_ORIGINS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stored_origins__descriptor) \
+    , 0,NULL, 0,NULL, {0,NULL} }
+
+
+struct  Chestnuthitch__Wire__StoredVersion
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  uint64_t version;
+};
+#define CHESTNUTHITCH__WIRE__STORED_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__stored_version__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Asks where a stream began.
  */
@@ -2556,6 +2593,44 @@
 void   chestnuthitch__wire__stream_records__free_unpacked
                      (Chestnuthitch__Wire__StreamRecords *message,
                       ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StoredOrigins methods */
+void   chestnuthitch__wire__stored_origins__init
+                     (Chestnuthitch__Wire__StoredOrigins         *message);
+size_t chestnuthitch__wire__stored_origins__get_packed_size
+                     (const Chestnuthitch__Wire__StoredOrigins   *message);
+size_t chestnuthitch__wire__stored_origins__pack
+                     (const Chestnuthitch__Wire__StoredOrigins   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stored_origins__pack_to_buffer
+                     (const Chestnuthitch__Wire__StoredOrigins   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StoredOrigins *
+       chestnuthitch__wire__stored_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stored_origins__free_unpacked
+                     (Chestnuthitch__Wire__StoredOrigins *message,
+                      ProtobufCAllocator *allocator);
+/* Chestnuthitch__Wire__StoredVersion methods */
+void   chestnuthitch__wire__stored_version__init
+                     (Chestnuthitch__Wire__StoredVersion         *message);
+size_t chestnuthitch__wire__stored_version__get_packed_size
+                     (const Chestnuthitch__Wire__StoredVersion   *message);
+size_t chestnuthitch__wire__stored_version__pack
+                     (const Chestnuthitch__Wire__StoredVersion   *message,
+                      uint8_t             *out);
+size_t chestnuthitch__wire__stored_version__pack_to_buffer
+                     (const Chestnuthitch__Wire__StoredVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Chestnuthitch__Wire__StoredVersion *
+       chestnuthitch__wire__stored_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   chestnuthitch__wire__stored_version__free_unpacked
+                     (Chestnuthitch__Wire__StoredVersion *message,
+                      ProtobufCAllocator *allocator);
 /* Chestnuthitch__Wire__StreamQuery methods */
 void   chestnuthitch__wire__stream_query__init
                      (Chestnuthitch__Wire__StreamQuery         *message);
@@ -2764,6 +2839,12 @@
 typedef void (*Chestnuthitch__Wire__StreamRecords_Closure)
                  (const Chestnuthitch__Wire__StreamRecords *message,
                   void *closure_data);
+typedef void (*Chestnuthitch__Wire__StoredOrigins_Closure)
+                 (const Chestnuthitch__Wire__StoredOrigins *message,
+                  void *closure_data);
+typedef void (*Chestnuthitch__Wire__StoredVersion_Closure)
+                 (const Chestnuthitch__Wire__StoredVersion *message,
+                  void *closure_data);
 typedef void (*Chestnuthitch__Wire__StreamQuery_Closure)
                  (const Chestnuthitch__Wire__StreamQuery *message,
                   void *closure_data);
@@ -2832,6 +2913,8 @@
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__path_view__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_record__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_records__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stored_origins__descriptor;
+extern const ProtobufCMessageDescriptor chestnuthitch__wire__stored_version__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_query__descriptor;
 extern const ProtobufCMessageDescriptor chestnuthitch__wire__stream_reply__descriptor;
 
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -18,6 +18,7 @@
     NODES = 7,
     CALLERS = 28,
     EVENTS = 60, /* at 20 ms each */
+    STREAM_MS = 1200,
     MAX_TRIES = 4,
     DEADLINE_MS = 12 * 1000,
     REST_MS = 100, /* of a caller whose attempt was refused or cut */
@@ -209,6 +210,8 @@
 {
     struct caller *caller = data;
     GRand *random = g_rand_new_with_seed(caller->seed);
+    /* So that streams of all ages are cut by a fault. */
+    harness_sleep_ms(g_rand_int_range(random, 0, STREAM_MS));
     while (!is_stopped(caller->callers)) {
         run_stream(caller->callers, random);
     }
@@ -342,6 +345,72 @@
     }
 }
 
+static void
+signal_all_nodes(struct play *play, int signal)
+{
+    for (unsigned i = 0; i < NODES; i++) {
+        harness_node_signal(&play->fleet->nodes[i], signal);
+    }
+}
+
+static void
+start_all_nodes(struct play *play)
+{
+    for (unsigned i = 0; i < NODES; i++) {
+        harness_node_start(play->fleet, &play->fleet->nodes[i]);
+    }
+}
+
+/* All nodes begin to stop, so that their entries are gone, and are killed. */
+static void
+stop_all_nodes(struct play *play)
+{
+    harness_sleep_ms(2000);
+    while (goes_on(play)) {
+        signal_all_nodes(play, SIGTERM);
+        harness_sleep_ms(250);
+        signal_all_nodes(play, SIGKILL);
+        start_all_nodes(play);
+        harness_sleep_ms(4000);
+    }
+}
+
+/* All nodes are killed, and find the store only a while after their start. */
+static void
+kill_all_nodes_without_store(struct play *play)
+{
+    harness_sleep_ms(2000);
+    while (goes_on(play)) {
+        for (unsigned i = 0; i < NODES; i++) {
+            harness_users_cut_store(&play->fleet->nodes[i], "refuse");
+        }
+        signal_all_nodes(play, SIGKILL);
+        start_all_nodes(play);
+        harness_sleep_ms(1000);
+        for (unsigned i = 0; i < NODES; i++) {
+            harness_users_cut_store(&play->fleet->nodes[i], "none");
+        }
+        harness_sleep_ms(3500);
+    }
+}
+
+/* All nodes are killed while the store comes back from a copy, which lacks the
+ * streams of the last moments. */
+static void
+kill_all_nodes_before_copy(struct play *play)
+{
+    harness_sleep_ms(2000);
+    while (goes_on(play)) {
+        g_free(harness_call_control(&play->fleet->users, "save-copy", ""));
+        harness_sleep_ms(200);
+        signal_all_nodes(play, SIGKILL);
+        g_free(harness_call_control(&play->fleet->users,
+                                    "restore-copy?leases=1", ""));
+        start_all_nodes(play);
+        harness_sleep_ms(4000);
+    }
+}
+
 static void
 freeze_nodes(struct play *play)
 {
@@ -390,18 +459,14 @@
 restart_all_nodes_in_release(struct play *play)
 {
     for (unsigned round = 0; goes_on(play); round++) {
-        for (unsigned i = 0; i < NODES; i++) {
-            harness_node_signal(&play->fleet->nodes[i], SIGTERM);
-        }
+        signal_all_nodes(play, SIGTERM);
         harness_sleep_ms(250);
         harness_users_change_worker(play->fleet, "e1", "crash");
         harness_users_change_worker(play->fleet, "e2", "crash");
         harness_users_change_worker(play->fleet, "e1", "remove");
         harness_users_change_worker(play->fleet, "e2", "remove");
-        for (unsigned i = 0; i < NODES; i++) {
-            harness_node_signal(&play->fleet->nodes[i], SIGKILL);
-            harness_node_start(play->fleet, &play->fleet->nodes[i]);
-        }
+        signal_all_nodes(play, SIGKILL);
+        start_all_nodes(play);
         harness_sleep_ms(3000);
         harness_users_start_worker(play->fleet, "e1", "v1", BOTH_MODELS);
         harness_users_start_worker(play->fleet, "e2", "v1", BOTH_MODELS);
@@ -461,7 +526,14 @@
     {.name = "releases", .faults = release_versions},
     {.name = "nodes-killed", .faults = kill_nodes},
     {.name = "three-nodes-killed", .faults = kill_three_nodes},
-    {.name = "all-nodes-killed", .faults = kill_all_nodes, .may_refuse = true},
+    {.name = "all-nodes-killed", .faults = kill_all_nodes, .max_tries = 60},
+    {.name = "all-nodes-stopped", .faults = stop_all_nodes, .max_tries = 60},
+    {.name = "all-nodes-killed-without-store",
+     .faults = kill_all_nodes_without_store,
+     .max_tries = 60},
+    {.name = "all-nodes-killed-before-copy",
+     .faults = kill_all_nodes_before_copy,
+     .max_tries = 60},
     {.name = "nodes-frozen", .faults = freeze_nodes},
     {.name = "nodes-stopped", .faults = stop_nodes_in_turn},
     {.name = "nodes-restarted-in-release",
--- a/tests/standin/users_store.c
+++ b/tests/standin/users_store.c
@@ -64,7 +64,8 @@
     return strcmp(a, b);
 }
 
-/* A value as nodes get it; see struct users. */
+/* A value as nodes get it; see struct users. Addresses are not replaced in one
+ * that is no text. */
 static char *
 encode_value(const struct users *users, const GString *value)
 {
@@ -72,6 +73,9 @@
     GHashTableIter iterator;
     gpointer from = NULL;
     gpointer to = NULL;
+    if (strlen(text) < value->len) {
+        return g_base64_encode((const guchar *)value->str, value->len);
+    }
     g_hash_table_iter_init(&iterator, users->aliases);
     while (g_hash_table_iter_next(&iterator, &from, &to)) {
         char **parts = g_strsplit(text, from, -1);
--- a/tests/threaded/fake_streams.h
+++ b/tests/threaded/fake_streams.h
@@ -13,6 +13,7 @@
     int written;
     struct ch_stream_record last; /* written; guarded by the exchange */
     uint64_t asked_key;
+    struct ch_stream_origin stored; /* of all streams; version 0: none */
 };
 
 struct fake_search {
@@ -52,6 +53,19 @@
     g_atomic_int_inc(&manager->written);
 }
 
+bool
+ch_stream_manager_may_begin(struct ch_stream_manager *manager,
+                            const struct ch_stream_record *record,
+                            struct ch_stream_origin *stored)
+{
+    if (manager == NULL || manager->stored.version == 0 ||
+        manager->stored.version == record->origin.version) {
+        return true;
+    }
+    *stored = manager->stored;
+    return false;
+}
+
 void
 ch_stream_manager_update_versions(struct ch_stream_manager *manager,
                                   const struct ch_stream_origin *listed,
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -1103,6 +1103,44 @@
     fixture_free(fixture);
 }
 
+static const struct {
+    const char *stored;
+    unsigned calls;
+} stored_cases[] = {
+    {"v1", 1},
+    {"v2", 0},
+};
+
+/* Guards against a stream that begins at another version than the key-value
+ * store names for it, from a call that failed before its first event. */
+static void
+test_stored_origin(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(stored_cases); i++) {
+        struct fixture *fixture = routed_fixture();
+        uint64_t version = ch_version_get_id(stored_cases[i].stored);
+        struct ch_stream_manager streams = {
+            .node = &fixture->node,
+            .stored = {ch_hash_string("models"), version},
+        };
+        fixture->node.streams = &streams;
+        fixture->allows_same_attempt = true;
+        fixture_start(fixture);
+        char *response =
+            read_response(send_request(fixture, "POST /r/1", "", ""));
+        fixture_stop(fixture);
+        g_test_message("%s: %s", stored_cases[i].stored, response);
+        g_assert_cmpuint(fixture->calls, ==, stored_cases[i].calls);
+        g_assert_cmpint(strstr(response, "503") == NULL, ==,
+                        stored_cases[i].calls > 0);
+        if (stored_cases[i].calls == 0) {
+            g_assert_cmpuint(fixture->last_required_version, ==, version);
+        }
+        g_free(response);
+        fixture_free(fixture);
+    }
+}
+
 static const struct {
     const char *name;
     const char *headers;
@@ -1126,8 +1164,8 @@
 };
 
 /* Guards against a caller's stream that goes on at another version or service
- * than the one that began it, and against one that is held while it may go on
- * nowhere. */
+ * than the one that began it, against one that is held while it may go on
+ * nowhere, and against one that is refused as late like a new request. */
 static void
 test_taken_up(void)
 {
@@ -2333,6 +2371,7 @@
     g_test_add_func("/exchange/unknown-version",
                     test_stream_of_unknown_version);
     g_test_add_func("/exchange/stream-record", test_stream_record);
+    g_test_add_func("/exchange/stored-origin", test_stored_origin);
     g_test_add_func("/exchange/taken-up", test_taken_up);
     g_test_add_func("/exchange/process-checked", test_process_checked);
     g_test_add_func("/exchange/time-left", test_time_left);
