A stream that is taken up is not refused as late

Cause: a taken-up stream was admitted like a new request, by the time to its first event, though only the upstreams of its version may take it.

Evidence: /exchange/taken-up fails before (the router is told that the answer has not started) and passes now.

Why it works: within one response a stream that has started is never refused as late, because its caller waits for the rest; the same is true of a stream that its caller has come back for.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -857,7 +857,8 @@
     exchange->router_replied = false;
     exchange->router_handle = 0;
     struct ch_request_info info = exchange->request->info;
-    info.answer_started = exchange->stream_started;
+    info.answer_started =
+        exchange->stream_started || ch_exchange_takes_up_stream(exchange);
     GArray *excluded = g_array_copy(exchange->excluded);
     /* The exchange may be finished before the call returns. */
     ch_exchange_ref(exchange);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -1196,6 +1196,7 @@
                              ch_version_get_id("v1"));
             g_assert_cmpint(streams.written, ==,
                             taken_up_cases[i].finding == CH_STREAM_FOUND);
+            g_assert_true(fixture->stream_had_started);
         }
         else {
             g_assert_nonnull(strstr(response, "503"));
