A new process waits for a lease whose holder it can't know of

Cause: only a return that this process has seen made it wait, and it sees none before its start. Besides, the wait was that of the holder's use, without the pause between two holders.

Ruled out: a holder that orders after its use of the lease (6 s after its last renewal, as it may).

--- a/libchestnuthitch/node/lease.c
+++ b/libchestnuthitch/node/lease.c
@@ -130,21 +130,39 @@
 
 /* ---- acquiring and renewing ---- */
 
+/* How long after its last renewal the next holder may use the lease. */
+static int64_t
+get_ttl(const struct ch_lease *lease)
+{
+    return LEASE_USE_US + lease->handover_pause + CLOCK_MARGIN_US;
+}
+
 /*
  * When the lease may be used. A store that comes back from a copy has lost the
  * leases of the last seconds, and the key is free while its holder, if it is
- * cut off, still uses the lease. The holder itself goes on at once.
+ * cut off, still uses the lease. The holder itself goes on at once. A process
+ * does not see a return before its start, so it takes one for possible, unless
+ * it found the key of an earlier process of its host, or nothing ran before.
  */
 static int64_t
 get_usable_from(const struct ch_lease *lease,
                 const struct ch_kv_returns *returns)
 {
-    if (returns->last_at == 0 || lease->was_holder) {
+    const int64_t lost_lease = get_ttl(lease);
+    if (lease->was_holder) {
         return 0;
     }
-    int64_t age = ch_client_get_time(lease->node->client) - returns->last_at;
-    int64_t left = LEASE_USE_US + CLOCK_MARGIN_US - age;
-    return left > 0 ? ch_clock_get_boottime() + left : 0;
+    bool may_follow_return =
+        lease->replaced_revision == 0 && !lease->node->settings->first_start;
+    int64_t usable_from =
+        may_follow_return ? lease->node->started_at + lost_lease : 0;
+    if (returns->last_at != 0) {
+        int64_t now = ch_clock_get_boottime();
+        int64_t age =
+            ch_client_get_time(lease->node->client) - returns->last_at;
+        usable_from = MAX(usable_from, now + lost_lease - age);
+    }
+    return usable_from;
 }
 
 /* Records that this attempt wrote the key, unless the lease was released
@@ -253,7 +271,7 @@
 handle_lookup(void *data, const struct ch_kv_result *answer)
 {
     struct ch_lease *lease = data;
-    int64_t ttl = LEASE_USE_US + lease->handover_pause + CLOCK_MARGIN_US;
+    int64_t ttl = get_ttl(lease);
     pthread_mutex_lock(&lease->lock);
     bool from_earlier = is_from_earlier_process(lease, answer);
     bool proceed =
@@ -305,7 +323,7 @@
 ch_lease_update(struct ch_lease *lease, bool wanted)
 {
     int64_t now = ch_clock_get_boottime();
-    int64_t ttl = LEASE_USE_US + lease->handover_pause + CLOCK_MARGIN_US;
+    int64_t ttl = get_ttl(lease);
     pthread_mutex_lock(&lease->lock);
     if (lease->held && now - lease->renewed_at > ttl) {
         schedule_retry(lease, "the lease could not be renewed");
--- a/libchestnuthitch/node/node.c
+++ b/libchestnuthitch/node/node.c
@@ -134,6 +134,7 @@
     node->settings = settings;
     node->dialect = dialect;
     node->incarnation = (uint64_t)g_get_real_time();
+    node->started_at = ch_clock_get_boottime();
     if (!create_components(node, error)) {
         stop_threads(node);
         free_node(node);
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -48,6 +48,7 @@
     const struct ch_dialect *dialect; /* NULL: Chestnuthitch's own interface */
     const struct ch_settings *settings;
     uint64_t incarnation; /* start of the process, wall clock microseconds */
+    int64_t started_at;   /* the same by ch_clock_get_boottime() */
     struct ch_pool *pool;
     struct ch_timers *timers;
     struct ch_http *http;
--- a/tests/threaded/test_controller.c
+++ b/tests/threaded/test_controller.c
@@ -528,6 +528,90 @@
     .renew_lease = renew_lease,
 };
 
+/* ---- when an acquired lease may be used ---- */
+
+static int lease_writes; /* atomic */
+
+static void
+find_own_key(struct ch_kv *kv, const char *key,
+             void (*done)(void *data, const struct ch_kv_result *answer),
+             void *data)
+{
+    static const char value[] = "n1 5 1";
+    const struct ch_kv_result answer = {
+        .code = CH_OK, .value = value, .length = strlen(value), .revision = 8};
+    (void)kv, (void)key;
+    done(data, &answer);
+}
+
+static void
+count_write(struct ch_kv *kv, const char *key, const void *value,
+            size_t length, uint64_t revision, uint64_t lease,
+            void (*done)(void *data, const struct ch_kv_result *answer),
+            void *data)
+{
+    accept_write(kv, key, value, length, revision, lease, done, data);
+    g_atomic_int_inc(&lease_writes);
+}
+
+static const struct ch_kv_ops no_key_ops = {
+    .get = find_no_key,
+    .create_lease = grant_lease,
+    .put_with_lease = count_write,
+    .renew_lease = renew_lease,
+};
+
+static const struct ch_kv_ops own_key_ops = {
+    .get = find_own_key,
+    .create_lease = grant_lease,
+    .put_with_lease = count_write,
+    .renew_lease = renew_lease,
+};
+
+static const struct usable_case {
+    const char *name;
+    const struct ch_kv_ops *ops;
+    int64_t age; /* of the process, microseconds */
+    bool first_start;
+    bool is_usable;
+} usable_cases[] = {
+    {"new process, no key", &no_key_ops, 0, false, false},
+    {"process of some seconds, no key", &no_key_ops, 5 * G_USEC_PER_SEC, false,
+     false},
+    {"process past a holder's use, within the pause", &no_key_ops,
+     8 * G_USEC_PER_SEC, false, false},
+    {"older process, no key", &no_key_ops, 10 * G_USEC_PER_SEC, false, true},
+    {"first start of the system", &no_key_ops, 0, true, true},
+    {"key of an earlier process of the host", &own_key_ops, 0, false, true},
+};
+
+/* Guards against two nodes that order at once: the key is missing in a store
+ * that came back from a copy before this process began, and its holder is cut
+ * off and uses the lease on. */
+static void
+test_lease_after_unseen_return(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(usable_cases); i++) {
+        const struct usable_case *row = &usable_cases[i];
+        struct ch_kv kv = {.ops = row->ops};
+        struct test_node *node = test_node_new("n1");
+        uint64_t fence = 0;
+        g_atomic_int_set(&lease_writes, 0);
+        node->node.kv = &kv;
+        node->settings.first_start = row->first_start;
+        node->node.started_at = ch_clock_get_boottime() - row->age;
+        struct ch_lease *lease =
+            ch_lease_new(&node->node, "orders/a", 3 * G_USEC_PER_SEC);
+        ch_lease_update(lease, true);
+        await(&lease_writes, 1);
+        g_usleep(50 * 1000); /* until the result is handled */
+        g_test_message("%s", row->name);
+        g_assert_cmpint(ch_lease_is_held(lease, &fence), ==, row->is_usable);
+        ch_lease_free(lease);
+        test_node_free(node);
+    }
+}
+
 /* What the other lease holder received. */
 static struct {
     int expected;   /* messages with the demand below */
@@ -792,6 +876,8 @@
     g_test_add_func("/controller/told", test_engine_status);
     g_test_add_func("/controller/claims-when-listed",
                     test_lease_needs_host_list);
+    g_test_add_func("/controller/lease-after-unseen-return",
+                    test_lease_after_unseen_return);
     g_test_add_func("/controller/demand-passed-once",
                     test_demand_forwarded_once);
     g_test_add_func("/controller/limited-reports", test_limited_reports);
