--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -235,8 +235,8 @@
 struct scenario {
     const char *name;
     void (*faults)(struct play *play); /* until play->ends_at_ms */
+    unsigned max_tries;                /* of a caller; 0: MAX_TRIES */
     bool without_resumes;
-    unsigned max_tries; /* of a caller; 0: MAX_TRIES */
     /* All of a version is gone at the end, so that few streams can go on. */
     bool may_refuse;
 };
