--- a/libchestnuthitch/origins/manager.c
+++ b/libchestnuthitch/origins/manager.c
@@ -10,6 +10,8 @@
      * the fleet. */
     LEASE_TTL_US = 240 * G_USEC_PER_SEC,
     LEASE_RENEWAL_US = 60 * G_USEC_PER_SEC,
+    /* After a call that failed: the store is away, or turns this node away. */
+    RETRY_DELAY_US = 1 * G_USEC_PER_SEC,
 };
 
 enum reading {
@@ -36,8 +38,10 @@
     uint64_t revision;     /* of the item; 0: there is none */
     uint64_t lease_id;     /* 0: none */
     int64_t renewed_at;
+    int64_t retry_at;       /* no call of the writer before */
     uint64_t store_returns; /* from copies, at the last write */
     enum reading readings[CH_STREAM_SHARDS];
+    int64_t read_retry_at; /* no partition is read before */
     bool is_stopped;
 };
 
@@ -100,6 +104,9 @@
     int64_t now = ch_client_get_time(origins->client);
     int64_t delay = ch_origins_schedule_get_delay(&origins->schedule,
                                                   origins->node_count, now);
+    if (delay >= 0) {
+        delay = MAX(delay, origins->retry_at - now);
+    }
     if (delay >= 0 && !origins->timer_pending && !origins->call_under_way &&
         !origins->is_stopped && is_store_usable(origins)) {
         origins->timer_pending = true;
@@ -109,9 +116,14 @@
 
 /* Ends a call of the writer. Lock held, which is released. */
 static void
-end_call(struct ch_origins *origins)
+end_call(struct ch_origins *origins, enum ch_code code)
 {
+    bool is_answered = code == CH_OK || code == CH_KV_MISSING;
     origins->call_under_way = false;
+    if (!is_answered) {
+        origins->retry_at =
+            ch_client_get_time(origins->client) + RETRY_DELAY_US;
+    }
     schedule_write(origins);
     pthread_mutex_unlock(&origins->lock);
 }
@@ -142,7 +154,7 @@
             origins->revision = 0;
         }
     }
-    end_call(origins);
+    end_call(origins, result->code);
 }
 
 static void
@@ -154,7 +166,7 @@
         origins->revision_unknown = false;
         origins->revision = result->code == CH_OK ? result->revision : 0;
     }
-    end_call(origins);
+    end_call(origins, result->code);
 }
 
 static void
@@ -168,7 +180,7 @@
     else {
         log_failure(origins, "lease", result->code);
     }
-    end_call(origins);
+    end_call(origins, result->code);
 }
 
 static void
@@ -181,7 +193,7 @@
         origins->revision = 0;
         origins->schedule.is_changed = true;
     }
-    end_call(origins);
+    end_call(origins, result->code);
 }
 
 /* Encodes the streams that this process holds, and notes that they are stored
@@ -234,7 +246,8 @@
 choose_call(const struct ch_origins *origins, int64_t now)
 {
     const struct ch_origins_schedule *schedule = &origins->schedule;
-    if (origins->call_under_way || origins->is_stopped) {
+    if (origins->call_under_way || origins->is_stopped ||
+        now < origins->retry_at) {
         return CALL_NONE;
     }
     if (schedule->is_mixed && origins->lease_id != 0 &&
@@ -401,6 +414,10 @@
     pthread_mutex_lock(&origins->lock);
     origins->readings[read->partition] =
         is_read ? READING_IDLE : READING_WANTED;
+    if (!is_read) {
+        origins->read_retry_at =
+            ch_client_get_time(origins->client) + RETRY_DELAY_US;
+    }
     pthread_mutex_unlock(&origins->lock);
     ch_pool_submit(origins->pool, handle_entries, read);
 }
@@ -409,9 +426,10 @@
 static void
 read_if_wanted(struct ch_origins *origins, unsigned partition)
 {
+    int64_t now = ch_client_get_time(origins->client);
     pthread_mutex_lock(&origins->lock);
-    bool is_wanted =
-        origins->readings[partition] == READING_WANTED && !origins->is_stopped;
+    bool is_wanted = origins->readings[partition] == READING_WANTED &&
+                     now >= origins->read_retry_at && !origins->is_stopped;
     if (is_wanted) {
         origins->readings[partition] = READING_UNDER_WAY;
     }
