Origins are read only where there may be some

While a large fleet starts each node takes itself for a keeper of all shards until it has the list, and read all partitions, though nothing was ever written.

Nodes that know that one version alone ran, or that the system starts for the first time, don't read any more (/resume/may-be-mixed).

--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -291,13 +291,17 @@
 }
 
 /* Reads the stored records of a partition when this node comes to keep the
- * shard of the same number. */
+ * shard of the same number; there are none unless versions were mixed. */
 static void
 read_stored(struct ch_stream_manager *manager, unsigned shard,
             const struct holders *previous, const struct holders *present)
 {
     const char *self = manager->node->settings->name;
-    if (is_holder(present, self) && !is_holder(previous, self)) {
+    pthread_mutex_lock(&manager->lock);
+    bool may_exist =
+        ch_version_history_may_be_mixed(manager->history, get_time(manager));
+    pthread_mutex_unlock(&manager->lock);
+    if (may_exist && is_holder(present, self) && !is_holder(previous, self)) {
         ch_origins_read(manager->origins, shard);
     }
 }
--- a/libchestnuthitch/resume/resume.h
+++ b/libchestnuthitch/resume/resume.h
@@ -117,6 +117,9 @@
 /* Whether any service had several versions within CH_STREAM_LIFE_US. */
 bool ch_version_history_is_mixed(const struct ch_version_history *history,
                                  int64_t now);
+/* The same, or it is not known. */
+bool ch_version_history_may_be_mixed(const struct ch_version_history *history,
+                                     int64_t now);
 
 /* ---- the question where a stream began (lookup.c) ---- */
 
--- a/libchestnuthitch/resume/versions.c
+++ b/libchestnuthitch/resume/versions.c
@@ -130,3 +130,13 @@
     }
     return false;
 }
+
+/* See resume.h. */
+bool
+ch_version_history_may_be_mixed(const struct ch_version_history *history,
+                                int64_t now)
+{
+    return (!history->new_fleet &&
+            now - history->begun_at < CH_STREAM_LIFE_US) ||
+           ch_version_history_is_mixed(history, now);
+}
--- a/tests/unit/test_resume.c
+++ b/tests/unit/test_resume.c
@@ -816,6 +816,44 @@
     }
 }
 
+static const struct {
+    const char *name;
+    int64_t age; /* of the node's knowledge */
+    unsigned versions;
+    bool new_fleet;
+    bool may_be_mixed;
+} mixed_cases[] = {
+    {"first start of the system", 0, 1, true, false},
+    {"restart", 0, 1, false, true},
+    {"one version for long", CH_STREAM_LIFE_US, 1, false, false},
+    {"two versions", CH_STREAM_LIFE_US, 2, true, true},
+};
+
+/* Guards against calls to the store for origins that can't be there. */
+static void
+test_may_be_mixed(void)
+{
+    static const char *const names[] = {"v1", "v2"};
+    for (size_t i = 0; i < G_N_ELEMENTS(mixed_cases); i++) {
+        struct ch_version_history *history = ch_version_history_new(NOW);
+        struct ch_stream_origin listed[2] = {{0}};
+        int64_t now = NOW + mixed_cases[i].age;
+        for (size_t j = 0; j < G_N_ELEMENTS(names); j++) {
+            listed[j] = (struct ch_stream_origin){ch_hash_string("s"),
+                                                  ch_version_get_id(names[j])};
+        }
+        if (mixed_cases[i].new_fleet) {
+            ch_version_history_set_new_fleet(history);
+        }
+        ch_version_history_update(history, listed, mixed_cases[i].versions,
+                                  now);
+        g_test_message("%s", mixed_cases[i].name);
+        g_assert_cmpint(ch_version_history_may_be_mixed(history, now), ==,
+                        mixed_cases[i].may_be_mixed);
+        ch_version_history_free(history);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -824,6 +862,7 @@
     g_test_add_func("/resume/bound", test_bound);
     g_test_add_func("/resume/keys", test_keys);
     g_test_add_func("/resume/history", test_history);
+    g_test_add_func("/resume/may-be-mixed", test_may_be_mixed);
     g_test_add_func("/resume/lookup", test_lookup);
     g_test_add_func("/resume/holders", test_holders);
     g_test_add_func("/resume/fleet", test_fleet);
