Versions test: each node gets a request ID of its own; order of calls in origins

Trace: of the stream's ID one node found two records that differ (ambiguous-records), another one of them alone, and went on at v1 with a stream of v1.2. The test's callers sent one ID to several nodes when a node was killed before it answered, so that two processes began and stored the stream, at two versions. The platform's clients send each attempt under an ID of its own, and so do the callers now; the bound stays 0 joined streams.

Found on the way, by reading: a second call of one request had the sequence number of the first until its record was written, so that a write in between would have stored the earlier origin.

--- a/libchestnuthitch/node/exchange_stream.c
+++ b/libchestnuthitch/node/exchange_stream.c
@@ -93,6 +93,7 @@
     }
     struct ch_stream_record record = make_record(exchange);
     record.expires_at = get_record_end(exchange);
+    record.sequence = exchange->call_count + 1; /* of the call to be made */
     if (ch_stream_manager_may_begin(exchange->frontend->node->streams, &record,
                                     &stored)) {
         return true;
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -98,11 +98,20 @@
     return count;
 }
 
+static void
+make_request_id(struct callers *callers, char *id, size_t size)
+{
+    pthread_mutex_lock(&callers->lock);
+    (void)g_snprintf(id, size, "%08x", ++callers->last_id);
+    pthread_mutex_unlock(&callers->lock);
+}
+
 /* Sends one attempt to a random node; returns the response, or NULL if no node
- * accepted a connection. */
+ * answered. Each node gets an ID of its own, as a node that was killed may
+ * have begun the stream. */
 static struct harness_stream *
 send_attempt(struct callers *callers, GRand *random,
-             const struct stream_state *state, const char *id,
+             const struct stream_state *state, char *id, size_t id_size,
              const char *model)
 {
     char last[16];
@@ -112,6 +121,7 @@
         const struct harness_node *node =
             &callers->fleet->nodes[g_rand_int_range(
                 random, 0, (gint32)callers->fleet->node_count)];
+        make_request_id(callers, id, id_size);
         const struct harness_stream_call call = {
             .address = node->caller_address,
             .host = HARNESS_USERS_HOST,
@@ -150,12 +160,9 @@
             const char *model)
 {
     char id[32];
-    pthread_mutex_lock(&callers->lock);
-    (void)g_snprintf(id, sizeof id, "%08x", ++callers->last_id);
-    pthread_mutex_unlock(&callers->lock);
     bool takes_up = state->last_event > 0;
     struct harness_stream *stream =
-        send_attempt(callers, random, state, id, model);
+        send_attempt(callers, random, state, id, sizeof id, model);
     if (stream == NULL) {
         return false;
     }
