Versions test: upstreams are taken off the list without a crash first

The upstreams are removed from the list while all nodes stop, and crash before they start again, as in the scenario of releases.

--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -468,13 +468,13 @@
     for (unsigned round = 0; goes_on(play); round++) {
         signal_all_nodes(play, SIGTERM);
         harness_sleep_ms(250);
-        harness_users_change_worker(play->fleet, "e1", "crash");
-        harness_users_change_worker(play->fleet, "e2", "crash");
         harness_users_change_worker(play->fleet, "e1", "remove");
         harness_users_change_worker(play->fleet, "e2", "remove");
         signal_all_nodes(play, SIGKILL);
         start_all_nodes(play);
         harness_sleep_ms(3000);
+        harness_users_change_worker(play->fleet, "e1", "crash");
+        harness_users_change_worker(play->fleet, "e2", "crash");
         harness_users_start_worker(play->fleet, "e1", "v1", BOTH_MODELS);
         harness_users_start_worker(play->fleet, "e2", "v1", BOTH_MODELS);
         harness_sleep_ms(1500);
