--- a/libchestnuthitch/origins/manager.c
+++ b/libchestnuthitch/origins/manager.c
@@ -313,9 +313,8 @@
     pthread_mutex_lock(&origins->lock);
     const struct ch_stream_record *known =
         ch_stream_records_find(origins->stored, record->key, now);
-    bool differs =
-        known != NULL && (known->origin.service != record->origin.service ||
-                          known->origin.version != record->origin.version);
+    bool differs = known != NULL &&
+                   !ch_stream_origin_equals(&known->origin, &record->origin);
     if (differs) {
         *stored = known->origin;
     }
--- a/libchestnuthitch/resume/lookup.c
+++ b/libchestnuthitch/resume/lookup.c
@@ -84,8 +84,8 @@
         lookup->has_record = true;
         lookup->record = *record;
     }
-    else if (record->origin.service != lookup->record.origin.service ||
-             record->origin.version != lookup->record.origin.version) {
+    else if (!ch_stream_origin_equals(&record->origin,
+                                      &lookup->record.origin)) {
         lookup->record.ambiguous = true;
     }
 }
--- a/libchestnuthitch/resume/records.c
+++ b/libchestnuthitch/resume/records.c
@@ -35,12 +35,12 @@
     }
 }
 
-static bool
-is_same_origin(const struct ch_stream_record *a,
-               const struct ch_stream_record *b)
+/* See resume.h. */
+bool
+ch_stream_origin_equals(const struct ch_stream_origin *a,
+                        const struct ch_stream_origin *b)
 {
-    return a->origin.service == b->origin.service &&
-           a->origin.version == b->origin.version;
+    return a->service == b->service && a->version == b->version;
 }
 
 /* Merges what another message says of the same stream. A writer's later call
@@ -51,7 +51,9 @@
     known->expires_at = MAX(known->expires_at, record->expires_at);
     known->ambiguous = known->ambiguous || record->ambiguous;
     if (known->writer != record->writer) {
-        known->ambiguous = known->ambiguous || !is_same_origin(known, record);
+        known->ambiguous =
+            known->ambiguous ||
+            !ch_stream_origin_equals(&known->origin, &record->origin);
         return;
     }
     if (record->sequence > known->sequence) {
--- a/libchestnuthitch/resume/resume.h
+++ b/libchestnuthitch/resume/resume.h
@@ -40,6 +40,9 @@
 
 /* ---- records (records.c) ---- */
 
+bool ch_stream_origin_equals(const struct ch_stream_origin *a,
+                             const struct ch_stream_origin *b);
+
 struct ch_stream_record {
     uint64_t key;
     struct ch_stream_origin origin;
--- a/libchestnuthitch/resume/versions.c
+++ b/libchestnuthitch/resume/versions.c
@@ -49,8 +49,7 @@
     for (guint i = 0; i < history->seen->len; i++) {
         struct seen_version *seen =
             &g_array_index(history->seen, struct seen_version, i);
-        if (seen->origin.service == origin->service &&
-            seen->origin.version == origin->version) {
+        if (ch_stream_origin_equals(&seen->origin, origin)) {
             return seen;
         }
     }
