A stream is noted for its stored origin once for each call

The check before a call notes the stream, and the writing of its record noted it again and ignored the answer.

--- a/libchestnuthitch/node/exchange_stream.c
+++ b/libchestnuthitch/node/exchange_stream.c
@@ -88,12 +88,20 @@
 ch_exchange_may_begin_stream(struct ch_exchange *exchange)
 {
     struct ch_stream_origin stored;
-    if (!is_recorded(exchange) || ch_exchange_takes_up_stream(exchange)) {
+    if (!is_recorded(exchange)) {
+        return true;
+    }
+    bool takes_up = ch_exchange_takes_up_stream(exchange);
+    struct ch_stream_record record =
+        takes_up ? exchange->stream_record : make_record(exchange);
+    if (record.key == 0) {
         return true;
     }
-    struct ch_stream_record record = make_record(exchange);
     record.expires_at = get_record_end(exchange);
-    record.sequence = exchange->call_count + 1; /* of the call to be made */
+    if (!takes_up) {
+        record.sequence =
+            exchange->call_count + 1; /* of the call to be made */
+    }
     if (ch_stream_manager_may_begin(exchange->frontend->node->streams, &record,
                                     &stored)) {
         return true;
--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -168,11 +168,9 @@
         return;
     }
     int64_t now = get_time(manager);
-    struct ch_stream_origin stored;
     pthread_mutex_lock(&manager->lock);
     ch_stream_records_put(manager->records, record, now);
     pthread_mutex_unlock(&manager->lock);
-    (void)ch_origins_add(manager->origins, record, &stored);
     GPtrArray *holders = find_holders(
         manager, ch_stream_get_shard(record->key), CH_STREAM_COPIES);
     for (guint i = 0; i < holders->len; i++) {
--- a/libchestnuthitch/node/stream_manager.h
+++ b/libchestnuthitch/node/stream_manager.h
@@ -38,7 +38,8 @@
 void ch_stream_manager_write(struct ch_stream_manager *manager,
                              const struct ch_stream_record *record);
 
-/* Whether a call may begin the stream of a record. False: the key-value store
+/* Whether a call may begin the stream of a record, or go on with it; it is
+ * stored with the others of this process if so. False: the key-value store
  * may name another origin for it already, *stored, to which the calls before
  * its first event have to keep. manager may be NULL. */
 bool ch_stream_manager_may_begin(struct ch_stream_manager *manager,
