Logs and a metric tell how old the list of upstreams is

Nothing told apart whether a node that calls a leaving upstream does not know of it, or knows and calls all the same.

--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -273,11 +273,13 @@
     double quota_window_s;       /* [quota] window-s */
     double quota_overshoot;      /* [quota] overshoot */
     double quota_slack;          /* [quota] slack, in requests or tokens */
-    unsigned lease_ms;     /* [upstreams] lease-ms: lease to order engines */
-    double load_window_s;  /* [weight-store] window-s */
-    double load_overshoot; /* [weight-store] overshoot */
-    double loads_per_s;    /* [weight-store] loads-per-s */
-    unsigned max_parallel_loads;         /* [weight-store] parallel */
+    unsigned lease_ms; /* [upstreams] lease-ms: lease to order engines */
+    unsigned upstream_drain_ms;  /* [upstreams] drain-ms: requests may still
+                                    reach a draining upstream */
+    double load_window_s;        /* [weight-store] window-s */
+    double load_overshoot;       /* [weight-store] overshoot */
+    double loads_per_s;          /* [weight-store] loads-per-s */
+    unsigned max_parallel_loads; /* [weight-store] parallel */
     unsigned max_parallel_adapter_loads; /* [weight-store] adapters-parallel */
     double region_link_mbit_per_s;       /* [link] mbit-per-s */
     unsigned connect_ms;                 /* [timeouts] connect-ms */
--- a/libchestnuthitch/base/settings.c
+++ b/libchestnuthitch/base/settings.c
@@ -56,6 +56,8 @@
      fencing_names},
     {"upstreams", "lease-ms", CH_INI_UNSIGNED, SETTING(lease_ms), "3000", 500,
      600000, NULL},
+    {"upstreams", "drain-ms", CH_INI_UNSIGNED, SETTING(upstream_drain_ms),
+     "3000", 1000, 600000, NULL},
     {"upstreams", "report-ms", CH_INI_UNSIGNED, SETTING(report_period_ms),
      "500", 50, 60000, NULL},
     {"once", "slots", CH_INI_UNSIGNED, SETTING(once_slots), "64", 1, 65536,
--- a/libchestnuthitch/node/admin.c
+++ b/libchestnuthitch/node/admin.c
@@ -166,13 +166,32 @@
     return send_error(request->connection, code, NULL);
 }
 
-/* Counters and histograms in Prometheus format. */
+/* Appends the age of the list of upstreams, once it is known. */
+static void
+render_list_age(struct ch_router *router, GString *text)
+{
+    int64_t age = router->ops->get_list_age == NULL
+                      ? G_MAXINT64
+                      : router->ops->get_list_age(router);
+    if (age != G_MAXINT64) {
+        g_string_append_printf(
+            text,
+            "# HELP chestnuthitch_list_age_seconds time since the list of "
+            "upstreams was last known to be current\n"
+            "# TYPE chestnuthitch_list_age_seconds gauge\n"
+            "chestnuthitch_list_age_seconds %.3f\n",
+            (double)age / G_USEC_PER_SEC);
+    }
+}
+
+/* Counters, histograms and gauges in Prometheus format. */
 static enum MHD_Result
 get_metrics(struct request *request)
 {
     GString *text = g_string_new(NULL);
     ch_metrics_render(request->admin->node->client->metrics, text);
     ch_peers_render_metrics(request->admin->node->peers, text);
+    render_list_age(request->admin->node->router, text);
     return send_response(request->connection, MHD_HTTP_OK,
                          "text/plain; version=0.0.4; charset=utf-8",
                          g_string_free(text, FALSE));
--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -1083,6 +1083,25 @@
     pthread_mutex_unlock(&balancer->lock);
 }
 
+/* See struct ch_router_ops. */
+static bool
+balancer_may_call(struct ch_router *router, uint64_t handle)
+{
+    struct balancer *balancer = (struct balancer *)router;
+    GQuark upstream = 0;
+    uint64_t boot_id = 0;
+    pthread_mutex_lock(&balancer->lock);
+    const struct request *request = ch_table_get(balancer->requests, handle);
+    if (request != NULL) {
+        upstream = request->choice.upstream;
+        boot_id = request->choice.boot_id;
+    }
+    pthread_mutex_unlock(&balancer->lock);
+    return upstream != 0 &&
+           ch_roster_may_call(balancer->roster, g_quark_to_string(upstream),
+                              boot_id);
+}
+
 /* See struct ch_router_ops. The wait is not part of the time that the upstream
  * took. */
 static void
@@ -1208,6 +1227,13 @@
     ch_controller_status(balancer->controller, builder);
 }
 
+/* See struct ch_router_ops. */
+static int64_t
+balancer_get_list_age(struct ch_router *router)
+{
+    return ch_roster_get_list_age(((struct balancer *)router)->roster);
+}
+
 /* ---- lifecycle ---- */
 
 /* How old the list of upstreams is; see ch_stream_manager_set_list_age(). */
@@ -1292,6 +1318,7 @@
         .is_ready = balancer_ready,
         .request = balancer_request,
         .withdraw = balancer_withdraw,
+        .may_call = balancer_may_call,
         .record_delay = balancer_delay,
         .record_first_byte = balancer_first_byte,
         .release = balancer_release,
@@ -1299,6 +1326,7 @@
         .stop = balancer_stop,
         .free = balancer_free,
         .write_status = balancer_status,
+        .get_list_age = balancer_get_list_age,
     };
     static const struct ch_controller_handlers handlers = {
         .engine_status = handle_engine_status,
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -421,6 +421,9 @@
     /* True: neither handler will run. False: a handler has run or is about to
      * run; a grant must then be released as usual. */
     bool (*withdraw)(struct ch_router *router, uint64_t handle);
+    /* Whether the upstream of a grant may still be called by what the list of
+     * upstreams says now; the operation may be NULL. */
+    bool (*may_call)(struct ch_router *router, uint64_t handle);
     /* Reports that a granted request waited until now before it is sent; the
      * operation may be NULL. */
     void (*record_delay)(struct ch_router *router, uint64_t handle);
@@ -437,6 +440,9 @@
     void (*free)(struct ch_router *router);
     /* Adds JSON members to an open object. */
     void (*write_status)(struct ch_router *router, JsonBuilder *builder);
+    /* Microseconds since the list of upstreams was last known to be current,
+     * G_MAXINT64: it never was; the operation may be NULL. */
+    int64_t (*get_list_age)(struct ch_router *router);
 };
 
 struct ch_router {
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -218,6 +218,12 @@
     if (is_current) {
         list->revision = MAX(list->revision, range->revision);
         list->confirmed_at = now;
+        ch_freshness_confirm(&list->freshness,
+                             is_full_read
+                                 ? list->call_sent_at
+                                 : ch_freshness_get_watch_time(
+                                       list->call_sent_at, list->watch_wait,
+                                       range->code == CH_OK, now));
     }
     record_call_result(list, range->code, now);
     pthread_mutex_unlock(&roster->lock);
@@ -277,8 +283,11 @@
     bool may_start = !roster->stopped && !list->call_in_flight &&
                      now >= list->next_call_at && (watcher || revision == 0) &&
                      (list->known || may_read_first(list, watcher, now));
+    int64_t wait = g_random_int_range(MIN_WATCH_US, MAX_WATCH_US);
     if (may_start) {
         list->call_in_flight = true;
+        list->call_sent_at = now;
+        list->watch_wait = wait;
         roster_ref(roster);
     }
     pthread_mutex_unlock(&roster->lock);
@@ -289,10 +298,8 @@
         ch_kv_call_range(roster->node, list->prefix, handle_range, list);
     }
     else {
-        ch_kv_call_watch_changes(
-            roster->node, list->prefix, revision,
-            g_random_int_range(MIN_WATCH_US, MAX_WATCH_US), handle_changes,
-            list);
+        ch_kv_call_watch_changes(roster->node, list->prefix, revision, wait,
+                                 handle_changes, list);
     }
 }
 
@@ -343,6 +350,29 @@
     g_ptr_array_free(remote, TRUE);
 }
 
+/* Logs when a list has become older than it may be, and when it is current
+ * again. */
+static void
+log_age(struct roster_list *list, int64_t now)
+{
+    struct ch_client *client = list->roster->node->client;
+    pthread_mutex_lock(&list->roster->lock);
+    bool changed = ch_freshness_update_late(&list->freshness, now);
+    bool is_late = list->freshness.is_late;
+    int64_t age = ch_freshness_get_age(&list->freshness, now);
+    pthread_mutex_unlock(&list->roster->lock);
+    if (!changed) {
+        return;
+    }
+    if (is_late && client->metrics != NULL) {
+        ch_metrics_add_count(client->metrics, CH_COUNT_LISTS_LATE, 1);
+    }
+    ch_log(client, is_late ? CH_LOG_WARNING : CH_LOG_NOTICE,
+           is_late ? "list-late" : "list-current",
+           CH_F_STR("prefix", list->prefix), CH_F_INT("age_ms", age / 1000),
+           CH_F_INT("bound_ms", list->freshness.bound / 1000), CH_F_END);
+}
+
 /* Starts the calls that are due, publishes changes, removes expired entries
  * and maintains this node's own entry. */
 static void
@@ -356,6 +386,7 @@
     request_unknown_list(roster, watcher, now);
     roster_publish(&roster->upstreams, watcher, now);
     roster_publish(&roster->nodes, watcher, now);
+    log_age(&roster->upstreams, now);
     roster_update_own_entry(roster, now);
     pthread_mutex_lock(&roster->lock);
     bool upstreams_removed =
@@ -401,6 +432,33 @@
     return confirmed_at == 0 ? G_MAXINT64 : MAX(now - confirmed_at, 0);
 }
 
+/* See roster.h. */
+int64_t
+ch_roster_get_list_age(struct ch_roster *roster)
+{
+    int64_t now = ch_client_get_time(roster->node->client);
+    pthread_mutex_lock(&roster->lock);
+    int64_t age = ch_freshness_get_age(&roster->upstreams.freshness, now);
+    pthread_mutex_unlock(&roster->lock);
+    return age;
+}
+
+/* See roster.h. */
+bool
+ch_roster_may_call(struct ch_roster *roster, const char *upstream,
+                   uint64_t boot_id)
+{
+    g_autofree char *key =
+        g_strconcat(roster->upstreams.prefix, upstream, NULL);
+    pthread_mutex_lock(&roster->lock);
+    const struct roster_entry *entry =
+        g_hash_table_lookup(roster->upstreams.entries, key);
+    bool may_call = entry != NULL && !entry->host.draining &&
+                    entry->host.boot_id == boot_id;
+    pthread_mutex_unlock(&roster->lock);
+    return may_call;
+}
+
 /* See roster.h. */
 void
 ch_roster_foreach(struct ch_roster *roster,
@@ -456,10 +514,11 @@
     roster->unreadable_keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     pthread_mutex_init(&roster->lock, NULL);
+    int64_t age_bound = (int64_t)node->settings->upstream_drain_ms * 1000;
     roster_list_init(&roster->upstreams, roster, node->dialect->hosts_prefix,
-                     EXPIRED_UPSTREAM_GRACE_US);
+                     EXPIRED_UPSTREAM_GRACE_US, age_bound);
     roster_list_init(&roster->nodes, roster, NODES_PREFIX,
-                     EXPIRED_NODE_GRACE_US);
+                     EXPIRED_NODE_GRACE_US, age_bound);
     ch_token_bucket_init(&roster->upstreams.watch_bucket, WATCHES_PER_S,
                          WATCH_BURST, ch_client_get_time(node->client));
     ch_token_bucket_init(&roster->nodes.watch_bucket, WATCHES_PER_S,
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -37,14 +37,15 @@
     g_free(list->prefix);
 }
 
-/* An empty list; grace in microseconds. */
+/* See roster_internal.h. */
 void
 roster_list_init(struct roster_list *list, struct ch_roster *roster,
-                 const char *prefix, int64_t grace)
+                 const char *prefix, int64_t grace, int64_t age_bound)
 {
     list->roster = roster;
     list->prefix = g_strdup(prefix);
     list->removal_grace = grace;
+    ch_freshness_init(&list->freshness, age_bound);
     list->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
     list->removals =
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -11,6 +11,7 @@
 #include "decide/absence.h"
 #include "decide/fleet.h"
 #include "eras/eras.h"
+#include "freshness/freshness.h"
 #include "node/dialect.h"
 #include "node/roster.h"
 
@@ -60,7 +61,10 @@
     bool pull_in_flight;
     uint64_t revision; /* revision up to which changes are known; 0: unknown */
     bool known;
+    struct ch_freshness freshness;
     bool call_in_flight;
+    int64_t call_sent_at;
+    int64_t watch_wait; /* of the watch in flight */
     int64_t backoff;
     int64_t next_call_at;
     struct ch_token_bucket
@@ -114,8 +118,10 @@
 
 /* ---- roster_entries.c; lock held ---- */
 
+/* Times are in microseconds: how long entries stay in use after an outage, and
+ * within which each node must know a change. */
 void roster_list_init(struct roster_list *list, struct ch_roster *roster,
-                      const char *prefix, int64_t grace);
+                      const char *prefix, int64_t grace, int64_t age_bound);
 void roster_list_clear(struct roster_list *list);
 /* Adds or replaces an entry, unless a later revision of its key is known.
  * by_store: the store itself lists it now, so that it is not missing. */
--- a/libchestnuthitch/node/roster_publish.c
+++ b/libchestnuthitch/node/roster_publish.c
@@ -94,6 +94,10 @@
     if (roster->at != 0) { /* else the sender's own calls fail */
         list->confirmed_at = now;
     }
+    if (roster->confirmed) {
+        ch_freshness_confirm(&list->freshness,
+                             now - (int64_t)roster->age_ms * 1000);
+    }
     return list->change_count > previous_changes ? APPLY_CHANGED
                                                  : APPLY_UNCHANGED;
 }
@@ -235,6 +239,10 @@
     message->roster.prefix = list->prefix;
     message->roster.at = list->revision;
     message->roster.entries = message->pointers;
+    int64_t age = ch_freshness_get_age(
+        &list->freshness, ch_client_get_time(list->roster->node->client));
+    message->roster.confirmed = age != G_MAXINT64;
+    message->roster.age_ms = (uint32_t)MIN(age / 1000, G_MAXUINT32);
 }
 
 static void
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -5508,7 +5508,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__roster_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[5] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[7] =
 {
   {
     "prefix",
@@ -5570,9 +5570,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirmed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__roster__field_indices_by_name[] = {
+  6,   /* field[6] = age_ms */
   2,   /* field[2] = at */
+  5,   /* field[5] = confirmed */
   3,   /* field[3] = entries */
   4,   /* field[4] = packed */
   0,   /* field[0] = prefix */
@@ -5581,7 +5607,7 @@
 static const ProtobufCIntRange chestnuthitch__wire__roster__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor =
 {
@@ -5591,7 +5617,7 @@
   "Chestnuthitch__Wire__Roster",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Roster),
-  5,
+  7,
   chestnuthitch__wire__roster__field_descriptors,
   chestnuthitch__wire__roster__field_indices_by_name,
   1,  chestnuthitch__wire__roster__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -771,10 +771,18 @@
    * a Roster with only the entries, in zlib's format
    */
   ProtobufCBinaryData packed;
+  /*
+   * age_ms is known
+   */
+  protobuf_c_boolean confirmed;
+  /*
+   * since the sender's list was last known to be current
+   */
+  uint32_t age_ms;
 };
 #define CHESTNUTHITCH__WIRE__ROSTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
 
 
 /*
