Nodes know how old their list is and read it in place of silent watchers

What callers saw: nothing; an upstream that had reported at the store that it leaves got requests until it ended (DRAIN).

Cause: three nodes, chosen by rank, watch the store for all. One that did not reach it went on sending messages, and each message, also one of a node that knew nothing, put off the other nodes' own reads. So nodes that knew nothing kept those from reading that could, for as long as that lasted.

Now a copy of the list has an age, from the sending of the call that confirmed it (libchestnuthitch/freshness). Messages bear it, and are sent when a call has confirmed the list. A node whose copy is too old becomes a watcher itself, first those that rank next, the number doubling each 100 ms; it stops when nodes that rank before it, or others while it fails itself, keep the copies current. A message that may have waited here while this process stood still counts for nothing.

--- a/libchestnuthitch/node/balancer.c
+++ b/libchestnuthitch/node/balancer.c
@@ -1231,7 +1231,7 @@
 static int64_t
 balancer_get_list_age(struct ch_router *router)
 {
-    return ch_roster_get_list_age(((struct balancer *)router)->roster);
+    return ch_roster_get_age(((struct balancer *)router)->roster);
 }
 
 /* ---- lifecycle ---- */
@@ -1240,8 +1240,7 @@
 static int64_t
 get_list_age(void *data)
 {
-    const struct balancer *balancer = data;
-    return ch_roster_get_age(balancer->roster);
+    return balancer_get_list_age(data);
 }
 
 /* See struct ch_router_ops. */
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -4,8 +4,8 @@
  * each entry with its revision, so that an entry is never replaced by an older
  * one. A watch from every node would cost the store one call per node at each
  * change, and joining nodes change the list themselves, so that the calls
- * would grow with the square of the fleet. A node that receives no message for
- * a while, because it is cut off from the watchers, reads the store itself.
+ * would grow with the square of the fleet. Each node knows how old its copy
+ * is, and becomes a watcher itself when the others do not keep it current.
  */
 
 #include "node/kv_call.h"
@@ -15,25 +15,17 @@
 
 enum {
     TICK_US = 100 * 1000,
-    /* Bounds of a watch's duration. At most the time for which a draining
-     * upstream may still get new requests, less the time to publish its state;
-     * the configuration's watches give the reason for short watches. */
-    MIN_WATCH_US = 1500 * 1000,
-    MAX_WATCH_US = 2500 * 1000,
     MIN_BACKOFF_US = 250 * 1000,
     MAX_BACKOFF_US = 2 * 1000 * 1000,
     /*
-     * After a watch that returned no change for all nodes, the next watch
-     * starts this much later and returns all changes since. Engines change
-     * their models all the time where demand moves. The three watchers do not
-     * wait at the same times, so a change for all nodes is still seen soon.
+     * For each live node, the least maximum of the backoff of a node that
+     * watches in place of others. While the key-value store is away from a
+     * region it keeps the calls of its nodes at some twenty a second.
      */
-    BATCH_DELAY_US = 1000 * 1000,
-    /* With three watchers, one remains if one is lost and one paused. */
-    WATCHER_COUNT = 3,
-    /* A node that received no message for this long, which is three missed
-     * messages, reads the store itself, this often. */
-    MESSAGE_TIMEOUT_US = 3000 * 1000,
+    BACKOFF_US_PER_NODE = 50 * 1000,
+    /* Nodes change less often than upstreams, and a node that is gone is found
+     * by its silence. */
+    NODES_BOUND_FACTOR = 2,
     /*
      * A node reads the other nodes' entries this long after it wrote its own,
      * and at the latest MAX_FIRST_READ_DELAY_US after its start. So nodes that
@@ -136,16 +128,42 @@
 
 /* ---- calls ---- */
 
-/* Whether this node is one of the few watchers. */
+/* Whether this node watches the list now. */
 static bool
-is_watcher(const struct ch_roster *roster)
+update_watcher(struct roster_list *list, int64_t now)
 {
-    const struct ch_node *node = roster->node;
-    return ch_peers_has_role(node->peers, "roster-watch", WATCHER_COUNT, NULL);
+    struct ch_roster *roster = list->roster;
+    size_t rank = ch_peers_get_rank(
+        roster->node->peers, ch_hash_string("roster-watch"), NULL, NULL);
+    pthread_mutex_lock(&roster->lock);
+    bool was_substitute = list->freshness.is_substitute;
+    bool watcher = ch_freshness_update(&list->freshness, rank, now);
+    bool is_substitute = list->freshness.is_substitute;
+    list->rank = rank;
+    pthread_mutex_unlock(&roster->lock);
+    if (is_substitute != was_substitute) {
+        ch_log(roster->node->client, CH_LOG_INFO, "list-substitute",
+               CH_F_STR("prefix", list->prefix),
+               CH_F_BOOL("watches", is_substitute),
+               CH_F_INT("rank", (int64_t)rank), CH_F_END);
+    }
+    return watcher;
 }
 
 static void start_call(struct roster_list *list, bool watcher);
 
+/* The longest pause after failed calls. Lock held. */
+static int64_t
+get_max_backoff(const struct roster_list *list)
+{
+    if (!list->freshness.is_substitute) {
+        return MAX_BACKOFF_US;
+    }
+    g_auto(GStrv) live = ch_peers_list_live(list->roster->node->peers);
+    return MAX((int64_t)BACKOFF_US_PER_NODE * g_strv_length(live),
+               MAX_BACKOFF_US);
+}
+
 /* Records the result of a call and when the next may start. Lock held. */
 static void
 record_call_result(struct roster_list *list, enum ch_code code, int64_t now)
@@ -171,16 +189,22 @@
                CH_F_END);
     }
     list->last_failure_at = now;
-    list->backoff = CLAMP(list->backoff * 2, MIN_BACKOFF_US, MAX_BACKOFF_US);
+    list->backoff =
+        CLAMP(list->backoff * 2, MIN_BACKOFF_US, get_max_backoff(list));
     list->next_call_at = now + list->backoff;
 }
 
-/* Time to wait after a watch that returned changes. Lock held. */
+/*
+ * Time to wait after a watch that returned changes. Engines change their
+ * models all the time where demand moves; without the delay each change would
+ * cost a call. The watchers do not wait at the same times, so a change for all
+ * nodes is still seen soon. Lock held.
+ */
 static int64_t
 get_batch_delay(struct roster_list *list, int64_t now)
 {
     if (!roster_list_has_change_for_all(list)) {
-        return BATCH_DELAY_US;
+        return ch_freshness_get_batch_delay(&list->freshness);
     }
     return ch_token_bucket_take(&list->watch_bucket, 1, now)
                ? 0
@@ -208,7 +232,6 @@
         bool read_before_listed = !list->known && roster->first_listed_at == 0;
         list->next_call_at =
             read_before_listed ? now + FIRST_WATCH_DELAY_US : 0;
-        list->last_update_at = now;
         roster_list_apply_range(list, range, now);
     }
     else if (range->code == CH_OK) {
@@ -217,7 +240,7 @@
     }
     if (is_current) {
         list->revision = MAX(list->revision, range->revision);
-        list->confirmed_at = now;
+        list->confirmation_unpublished = true;
         ch_freshness_confirm(&list->freshness,
                              is_full_read
                                  ? list->call_sent_at
@@ -233,7 +256,7 @@
         }
         roster->changed(roster->data);
     }
-    start_call(list, is_watcher(roster));
+    start_call(list, update_watcher(list, now));
     roster_unref(roster);
 }
 
@@ -264,18 +287,17 @@
            now - roster->started_at >= FIRST_MESSAGE_TIMEOUT_US;
 }
 
-/* Starts a range call when the list is unknown or no message was received for
- * too long, or a watch on a watcher; unless a call is in progress or a backoff
- * or delay has not ended. */
+/* On a watcher, starts a watch, or a range call when changes may have been
+ * missed; on another node a range call when the list is unknown or to be read
+ * again. Nothing is started while a call is in progress or a backoff or delay
+ * has not ended. */
 static void
 start_call(struct roster_list *list, bool watcher)
 {
     struct ch_roster *roster = list->roster;
     int64_t now = ch_client_get_time(roster->node->client);
     pthread_mutex_lock(&roster->lock);
-    bool becomes_watcher = watcher && !list->was_watcher && list->known;
-    if (becomes_watcher ||
-        (!watcher && now - list->last_update_at >= MESSAGE_TIMEOUT_US)) {
+    if (watcher && !list->was_watcher && list->known) {
         list->revision = 0; /* a range call returns whatever was missed */
     }
     list->was_watcher = watcher;
@@ -283,7 +305,8 @@
     bool may_start = !roster->stopped && !list->call_in_flight &&
                      now >= list->next_call_at && (watcher || revision == 0) &&
                      (list->known || may_read_first(list, watcher, now));
-    int64_t wait = g_random_int_range(MIN_WATCH_US, MAX_WATCH_US);
+    int64_t wait =
+        ch_freshness_get_wait(&list->freshness, g_random_double(), now);
     if (may_start) {
         list->call_in_flight = true;
         list->call_sent_at = now;
@@ -380,12 +403,13 @@
 {
     struct ch_roster *roster = data;
     int64_t now = ch_client_get_time(roster->node->client);
-    bool watcher = is_watcher(roster);
-    start_call(&roster->upstreams, watcher);
-    start_call(&roster->nodes, watcher);
-    request_unknown_list(roster, watcher, now);
-    roster_publish(&roster->upstreams, watcher, now);
-    roster_publish(&roster->nodes, watcher, now);
+    bool watches_upstreams = update_watcher(&roster->upstreams, now);
+    bool watches_nodes = update_watcher(&roster->nodes, now);
+    start_call(&roster->upstreams, watches_upstreams);
+    start_call(&roster->nodes, watches_nodes);
+    request_unknown_list(roster, watches_upstreams, now);
+    roster_publish(&roster->upstreams, watches_upstreams);
+    roster_publish(&roster->nodes, watches_nodes);
     log_age(&roster->upstreams, now);
     roster_update_own_entry(roster, now);
     pthread_mutex_lock(&roster->lock);
@@ -424,17 +448,6 @@
 /* See roster.h. */
 int64_t
 ch_roster_get_age(struct ch_roster *roster)
-{
-    int64_t now = ch_client_get_time(roster->node->client);
-    pthread_mutex_lock(&roster->lock);
-    int64_t confirmed_at = roster->upstreams.confirmed_at;
-    pthread_mutex_unlock(&roster->lock);
-    return confirmed_at == 0 ? G_MAXINT64 : MAX(now - confirmed_at, 0);
-}
-
-/* See roster.h. */
-int64_t
-ch_roster_get_list_age(struct ch_roster *roster)
 {
     int64_t now = ch_client_get_time(roster->node->client);
     pthread_mutex_lock(&roster->lock);
@@ -518,7 +531,7 @@
     roster_list_init(&roster->upstreams, roster, node->dialect->hosts_prefix,
                      EXPIRED_UPSTREAM_GRACE_US, age_bound);
     roster_list_init(&roster->nodes, roster, NODES_PREFIX,
-                     EXPIRED_NODE_GRACE_US, age_bound);
+                     EXPIRED_NODE_GRACE_US, NODES_BOUND_FACTOR * age_bound);
     ch_token_bucket_init(&roster->upstreams.watch_bucket, WATCHES_PER_S,
                          WATCH_BURST, ch_client_get_time(node->client));
     ch_token_bucket_init(&roster->nodes.watch_bucket, WATCHES_PER_S,
--- a/libchestnuthitch/node/roster.h
+++ b/libchestnuthitch/node/roster.h
@@ -30,12 +30,9 @@
 void ch_roster_set_lease_holders(struct ch_roster *roster,
                                  void (*names)(void *data, GPtrArray *names),
                                  void *data);
-/* Time since the store confirmed the list of upstreams, to this node or to one
- * that told this node of it; G_MAXINT64: never. */
-int64_t ch_roster_get_age(struct ch_roster *roster);
 /* Time since the list of upstreams was last known to be current: whoever read
  * it sent its call then. G_MAXINT64: never. */
-int64_t ch_roster_get_list_age(struct ch_roster *roster);
+int64_t ch_roster_get_age(struct ch_roster *roster);
 /* Whether the list has an upstream with this boot ID that is not draining. */
 bool ch_roster_may_call(struct ch_roster *roster, const char *upstream,
                         uint64_t boot_id);
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -45,7 +45,8 @@
     list->roster = roster;
     list->prefix = g_strdup(prefix);
     list->removal_grace = grace;
-    ch_freshness_init(&list->freshness, age_bound);
+    ch_freshness_init(&list->freshness, age_bound,
+                      ch_client_get_time(roster->node->client));
     list->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
     list->removals =
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -54,10 +54,9 @@
     uint64_t published_revision; /* revision up to which all nodes have the
                                     changes */
     uint64_t holders_revision;   /* the same for lease holders */
-    int64_t next_publish_at;     /* next time to publish to all nodes */
     bool was_watcher;            /* this node was a watcher at the last tick */
-    int64_t last_update_at; /* last message received, or successful read */
-    int64_t confirmed_at;   /* see ch_roster_get_age(); 0: never */
+    bool confirmation_unpublished; /* a call has confirmed the list */
+    size_t rank;                   /* of this node among possible watchers */
     bool pull_in_flight;
     uint64_t revision; /* revision up to which changes are known; 0: unknown */
     bool known;
@@ -147,8 +146,9 @@
 void roster_publish_init(struct ch_roster *roster);
 /* Requests the whole list from another node, preferably a watcher. */
 void roster_list_request(struct roster_list *list, const char *from);
-/* On a watcher, sends the unpublished changes that are due to other nodes. */
-void roster_publish(struct roster_list *list, bool watcher, int64_t now);
+/* On a watcher, sends the unpublished changes and confirmations to other
+ * nodes. */
+void roster_publish(struct roster_list *list, bool watcher);
 
 /* ---- roster_own.c; lock not held ---- */
 
--- a/libchestnuthitch/node/roster_publish.c
+++ b/libchestnuthitch/node/roster_publish.c
@@ -7,10 +7,6 @@
 #include <string.h>
 
 enum {
-    /* Changes are published at the next tick; without changes an empty message
-     * is sent this often, so that other nodes know that they have missed
-     * nothing. */
-    HEARTBEAT_INTERVAL_US = 1000 * 1000,
     PULL_TIMEOUT_US = 1500 * 1000,
     /* Shorter messages are not worth packing. */
     MIN_PACKED_BYTES = 600,
@@ -77,7 +73,7 @@
 /* Applies a message from another node. Lock held. */
 static enum apply_result
 apply_message(struct roster_list *list,
-              const Chestnuthitch__Wire__Roster *roster, int64_t now)
+              const Chestnuthitch__Wire__Roster *roster)
 {
     uint64_t previous_changes = list->change_count;
     if (roster->packed.len > 0) {
@@ -90,18 +86,23 @@
         chestnuthitch__wire__roster__free_unpacked(entries, NULL);
     }
     apply_entries(list, roster);
-    list->last_update_at = now;
-    if (roster->at != 0) { /* else the sender's own calls fail */
-        list->confirmed_at = now;
-    }
-    if (roster->confirmed) {
-        ch_freshness_confirm(&list->freshness,
-                             now - (int64_t)roster->age_ms * 1000);
-    }
     return list->change_count > previous_changes ? APPLY_CHANGED
                                                  : APPLY_UNCHANGED;
 }
 
+/* Records how old the list was at the sender of a message, after which this
+ * node has all changes that the sender had. Lock held. */
+static void
+receive_age(struct roster_list *list,
+            const Chestnuthitch__Wire__Roster *message, bool is_preceding)
+{
+    if (message->confirmed) {
+        ch_freshness_receive(&list->freshness, (int64_t)message->age_ms * 1000,
+                             is_preceding,
+                             ch_client_get_time(list->roster->node->client));
+    }
+}
+
 /* The list with a prefix; NULL: there is none. */
 static struct roster_list *
 find_list(struct ch_roster *roster, const char *prefix)
@@ -128,12 +129,12 @@
     pthread_mutex_lock(&roster->lock);
     list->pull_in_flight = false;
     if (is_valid) {
-        result = apply_message(list, reply->roster,
-                               ch_client_get_time(roster->node->client));
+        result = apply_message(list, reply->roster);
     }
     if (is_valid && result != APPLY_DAMAGED) {
         list->revision = MAX(list->revision, reply->roster->at);
         list->known = true;
+        receive_age(list, reply->roster, false);
     }
     pthread_mutex_unlock(&roster->lock);
     if (result == APPLY_CHANGED) {
@@ -181,12 +182,12 @@
         return;
     }
     pthread_mutex_lock(&roster->lock);
-    enum apply_result result =
-        apply_message(list, message, ch_client_get_time(roster->node->client));
+    enum apply_result result = apply_message(list, message);
     bool missed = !list->known || message->since > list->revision ||
                   result == APPLY_DAMAGED;
     if (!missed) {
         list->revision = MAX(list->revision, message->at);
+        receive_age(list, message, message->rank < list->rank);
     }
     pthread_mutex_unlock(&roster->lock);
     if (result == APPLY_CHANGED) {
@@ -243,6 +244,7 @@
         &list->freshness, ch_client_get_time(list->roster->node->client));
     message->roster.confirmed = age != G_MAXINT64;
     message->roster.age_ms = (uint32_t)MIN(age / 1000, G_MAXUINT32);
+    message->roster.rank = (uint32_t)list->rank;
 }
 
 static void
@@ -360,16 +362,15 @@
     g_strfreev(live);
 }
 
-/* Sends the unpublished changes to live nodes, or an empty message when one is
- * due; only on watchers. Other nodes need not send: they received the changes
- * from watchers. Lock held. */
+/* Sends the unpublished changes to live nodes, or an empty message after a
+ * call that confirmed the list; only on watchers. Other nodes need not send:
+ * they received the changes from watchers. Lock held. */
 static void
-publish_changes(struct roster_list *list, GPtrArray *lease_holders,
-                int64_t now)
+publish_changes(struct roster_list *list, GPtrArray *lease_holders)
 {
     struct roster_message message;
     bool publish_to_all =
-        now >= list->next_publish_at || roster_list_has_change_for_all(list);
+        list->confirmation_unpublished || roster_list_has_change_for_all(list);
     if (publish_to_all || list->unpublished->len > 0) {
         message_fill(&message, list, false);
         message_send(&message, list->roster, lease_holders, false);
@@ -381,13 +382,13 @@
         message_send(&message, list->roster, lease_holders, true);
         message_clear(&message);
         list->published_revision = list->revision;
-        list->next_publish_at = now + HEARTBEAT_INTERVAL_US;
+        list->confirmation_unpublished = false;
     }
 }
 
 /* See roster_internal.h. */
 void
-roster_publish(struct roster_list *list, bool watcher, int64_t now)
+roster_publish(struct roster_list *list, bool watcher)
 {
     struct ch_roster *roster = list->roster;
     GPtrArray *lease_holders = g_ptr_array_new_with_free_func(g_free);
@@ -400,7 +401,7 @@
         list->holders_revision = list->revision;
     }
     else if (list->known) {
-        publish_changes(list, lease_holders, now);
+        publish_changes(list, lease_holders);
     }
     if (!watcher || list->known) {
         g_array_set_size(list->unpublished, 0);
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.c
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.c
@@ -5508,7 +5508,7 @@
   (ProtobufCMessageInit) chestnuthitch__wire__roster_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[7] =
+static const ProtobufCFieldDescriptor chestnuthitch__wire__roster__field_descriptors[8] =
 {
   {
     "prefix",
@@ -5594,6 +5594,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rank",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Chestnuthitch__Wire__Roster, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned chestnuthitch__wire__roster__field_indices_by_name[] = {
   6,   /* field[6] = age_ms */
@@ -5602,12 +5614,13 @@
   3,   /* field[3] = entries */
   4,   /* field[4] = packed */
   0,   /* field[0] = prefix */
+  7,   /* field[7] = rank */
   1,   /* field[1] = since */
 };
 static const ProtobufCIntRange chestnuthitch__wire__roster__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor chestnuthitch__wire__roster__descriptor =
 {
@@ -5617,7 +5630,7 @@
   "Chestnuthitch__Wire__Roster",
   "chestnuthitch.wire",
   sizeof(Chestnuthitch__Wire__Roster),
-  7,
+  8,
   chestnuthitch__wire__roster__field_descriptors,
   chestnuthitch__wire__roster__field_indices_by_name,
   1,  chestnuthitch__wire__roster__number_ranges,
--- a/libchestnuthitch/wire/chestnuthitch.pb-c.h
+++ b/libchestnuthitch/wire/chestnuthitch.pb-c.h
@@ -779,10 +779,14 @@
    * since the sender's list was last known to be current
    */
   uint32_t age_ms;
+  /*
+   * of the sender among the nodes that may watch
+   */
+  uint32_t rank;
 };
 #define CHESTNUTHITCH__WIRE__ROSTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&chestnuthitch__wire__roster__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -119,6 +119,7 @@
         .callers = "127.0.0.1:0",
         .peer_timeout_ms = 600,
         .idle_connection_ms = 60000,
+        .upstream_drain_ms = 3000,
     };
     ch_client_init(&fixture->client, name);
     fixture->client.log_write = discard_line;
