A node that missed a removal drops what the whole list lacks

What callers saw: connections refused, or calls to an upstream whose entry is gone, from a node that goes on listing it (DRAIN, ROUTE once its address is used again; the upstream answers 421 then).

Cause: a node that finds that it has missed a message asks the sender for the whole list, and only added what the reply has. An entry whose removal was in the lost message stayed for good, as the reply's revision is past the removal.

/roster/lost-messages fails before ("e1 e2" where "e1" is left) and passes after. Entries that were written after the reply's revision stay: the sender does not know them yet.

--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -444,6 +444,27 @@
     }
 }
 
+/* See roster_internal.h. An entry that was written after that revision is one
+ * that the other node does not know yet. */
+void
+roster_list_remove_absent(struct roster_list *list, GHashTable *keys,
+                          uint64_t revision)
+{
+    g_autoptr(GPtrArray) absent = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, list->entries);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        if (!g_hash_table_contains(keys, key)) {
+            g_ptr_array_add(absent, g_strdup(key));
+        }
+    }
+    for (guint i = 0; i < absent->len; i++) {
+        roster_list_apply_removal(list, g_ptr_array_index(absent, i),
+                                  revision);
+    }
+}
+
 /* See roster_internal.h. */
 bool
 roster_list_has_change_for_all(const struct roster_list *list)
--- a/libchestnuthitch/node/roster_internal.h
+++ b/libchestnuthitch/node/roster_internal.h
@@ -129,6 +129,10 @@
 /* Applies another node's message that an entry was removed for good. */
 void roster_list_apply_removal(struct roster_list *list, const char *key,
                                uint64_t revision);
+/* Removes the entries that another node's whole list of a revision does not
+ * have. keys: those that it has. */
+void roster_list_remove_absent(struct roster_list *list, GHashTable *keys,
+                               uint64_t revision);
 /* Replaces the list by the result of a range call. */
 void roster_list_apply_range(struct roster_list *list,
                              const struct ch_kv_range *range, int64_t now);
--- a/libchestnuthitch/node/roster_publish.c
+++ b/libchestnuthitch/node/roster_publish.c
@@ -40,14 +40,18 @@
     return entries;
 }
 
-/* Applies the entries of a message. Lock held. */
+/* Applies the entries of a message, and adds their keys to `keys` (NULL: they
+ * are not needed). Lock held. */
 static void
 apply_entries(struct roster_list *list,
-              const Chestnuthitch__Wire__Roster *roster)
+              const Chestnuthitch__Wire__Roster *roster, GHashTable *keys)
 {
     for (size_t i = 0; i < roster->n_entries; i++) {
         const Chestnuthitch__Wire__RosterEntry *wire_entry =
             roster->entries[i];
+        if (keys != NULL) {
+            g_hash_table_add(keys, g_strdup(wire_entry->key));
+        }
         if (wire_entry->removed) {
             roster_list_apply_removal(list, wire_entry->key,
                                       wire_entry->revision);
@@ -70,22 +74,29 @@
     APPLY_DAMAGED,
 };
 
-/* Applies a message from another node. Lock held. */
+/* Applies a message from another node; is_whole: it has all entries that the
+ * node knows. Lock held. */
 static enum apply_result
 apply_message(struct roster_list *list,
-              const Chestnuthitch__Wire__Roster *roster)
+              const Chestnuthitch__Wire__Roster *roster, bool is_whole)
 {
     uint64_t previous_changes = list->change_count;
+    g_autoptr(GHashTable) keys =
+        is_whole ? g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)
+                 : NULL;
     if (roster->packed.len > 0) {
         Chestnuthitch__Wire__Roster *entries =
             unpack_entries(list->roster, &roster->packed);
         if (entries == NULL) {
             return APPLY_DAMAGED;
         }
-        apply_entries(list, entries);
+        apply_entries(list, entries, keys);
         chestnuthitch__wire__roster__free_unpacked(entries, NULL);
     }
-    apply_entries(list, roster);
+    apply_entries(list, roster, keys);
+    if (is_whole) {
+        roster_list_remove_absent(list, keys, roster->at);
+    }
     return list->change_count > previous_changes ? APPLY_CHANGED
                                                  : APPLY_UNCHANGED;
 }
@@ -129,7 +140,7 @@
     pthread_mutex_lock(&roster->lock);
     list->pull_in_flight = false;
     if (is_valid) {
-        result = apply_message(list, reply->roster);
+        result = apply_message(list, reply->roster, true);
     }
     if (is_valid && result != APPLY_DAMAGED) {
         list->revision = MAX(list->revision, reply->roster->at);
@@ -182,7 +193,7 @@
         return;
     }
     pthread_mutex_lock(&roster->lock);
-    enum apply_result result = apply_message(list, message);
+    enum apply_result result = apply_message(list, message, false);
     bool missed = !list->known || message->since > list->revision ||
                   result == APPLY_DAMAGED;
     if (!missed) {
--- a/tests/threaded/test_roster.c
+++ b/tests/threaded/test_roster.c
@@ -506,6 +506,192 @@
     }
 }
 
+/* ---- messages that are lost between nodes ---- */
+
+/* A list of upstreams as another node has it. */
+struct sent_list {
+    const char *keys[3]; /* ended by NULL */
+    uint64_t since;
+    uint64_t at;
+};
+
+static const struct lost_case {
+    const char *what;
+    struct sent_list first; /* with this the node knows the list */
+    struct sent_list later; /* sent after a message was lost */
+    const char *upstreams;  /* that the node lists then */
+} lost_cases[] = {
+    {"a removal is lost",
+     {{"hosts/e1", "hosts/e2", NULL}, 0, 5},
+     {{"hosts/e1", NULL}, 7, 8},
+     "e1"},
+    {"an addition is lost",
+     {{"hosts/e1", NULL}, 0, 5},
+     {{"hosts/e1", "hosts/e2", NULL}, 7, 8},
+     "e1 e2"},
+    {"the sender knows less",
+     {{"hosts/e1", "hosts/e2", NULL}, 0, 5},
+     {{"hosts/e1", NULL}, 3, 4},
+     "e1 e2"},
+};
+
+static bool
+parse_upstream(const char *key, const char *value, size_t length,
+               struct ch_host *host, struct ch_error *error)
+{
+    (void)value, (void)length, (void)error;
+    *host = (struct ch_host){
+        .name = g_strdup(key + strlen(PREFIX)),
+        .kind = CH_HOST_ENGINE,
+        .address = g_strdup("127.0.0.1:9"),
+        .data_centre = g_strdup("a"),
+    };
+    return true;
+}
+
+/* Another node, and what it sends. */
+struct sender {
+    struct fixture *fixture;
+    const struct sent_list *list;
+};
+
+static void
+fill_message(const struct sent_list *list, bool whole,
+             Chestnuthitch__Wire__Roster *message,
+             Chestnuthitch__Wire__RosterEntry *entries,
+             Chestnuthitch__Wire__RosterEntry **pointers)
+{
+    chestnuthitch__wire__roster__init(message);
+    message->prefix = (char *)PREFIX;
+    message->since = whole ? 0 : list->since;
+    message->at = list->at;
+    message->entries = pointers;
+    for (size_t i = 0; whole && list->keys[i] != NULL; i++) {
+        chestnuthitch__wire__roster_entry__init(&entries[i]);
+        entries[i].key = (char *)list->keys[i];
+        entries[i].value.data = (uint8_t *)"{}";
+        entries[i].value.len = 2;
+        entries[i].revision = strcmp(list->keys[i], "hosts/e2") == 0 ? 5 : 2;
+        pointers[i] = &entries[i];
+        message->n_entries++;
+    }
+}
+
+static void
+answer_list_pull(void *data, const Chestnuthitch__Wire__Frame *frame)
+{
+    const struct sender *sender = data;
+    Chestnuthitch__Wire__RosterEntry entries[3];
+    Chestnuthitch__Wire__RosterEntry *pointers[3];
+    Chestnuthitch__Wire__Roster message;
+    Chestnuthitch__Wire__Frame reply = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    fill_message(sender->list, true, &message, entries, pointers);
+    reply.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    reply.roster = &message;
+    ch_peers_reply(sender->fixture->node.peers, frame->from, frame->id,
+                   &reply);
+}
+
+static void
+add_name(void *data, const struct ch_host *host)
+{
+    g_ptr_array_add(data, g_strdup(host->name));
+}
+
+static int
+compare_strings(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The names of the listed upstreams, in order. */
+static char *
+list_upstreams(struct ch_roster *roster)
+{
+    g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+    ch_roster_foreach(roster, add_name, names);
+    g_ptr_array_sort(names, compare_strings);
+    g_ptr_array_add(names, NULL);
+    return g_strjoinv(" ", (char **)names->pdata);
+}
+
+/* Sends the message after which the receiver may ask for the whole list, and
+ * waits until its list is the expected one. */
+static void
+send_list(struct sender *sender, const struct sent_list *list,
+          struct ch_roster *roster, const char *expected)
+{
+    Chestnuthitch__Wire__Roster message;
+    Chestnuthitch__Wire__Frame frame = CHESTNUTHITCH__WIRE__FRAME__INIT;
+    g_autofree char *upstreams = NULL;
+    sender->list = list;
+    fill_message(list, false, &message, NULL, NULL);
+    frame.body_case = CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER;
+    frame.roster = &message;
+    ch_peers_send(sender->fixture->node.peers, "n1", &frame);
+    for (int waited = 0; waited < 300; waited++) {
+        g_usleep(10000);
+        g_free(upstreams);
+        upstreams = list_upstreams(roster);
+        if (waited >= 20 && strcmp(upstreams, expected) == 0) {
+            break;
+        }
+    }
+    g_assert_cmpstr(upstreams, ==, expected);
+}
+
+/* Guards against an upstream that is gone and stays listed at a node that
+ * missed the message of its removal. */
+static void
+test_lost_messages(void)
+{
+    static const struct ch_kv_ops ops = {
+        .range = fail_range,
+        .watch_changes = watch_without_changes,
+        .create_lease = fake_lease,
+    };
+    static const struct ch_dialect dialect = {.hosts_prefix = PREFIX,
+                                              .parse_host = parse_upstream};
+    for (size_t i = 0; i < G_N_ELEMENTS(lost_cases); i++) {
+        const struct lost_case *row = &lost_cases[i];
+        struct fixture *fixture = fixture_new(&ops, 2);
+        struct fixture *other = fixture_named("n2", &ops, 2);
+        struct sender sender = {other, NULL};
+        g_autofree char *own_address = g_strdup_printf(
+            "127.0.0.1:%u", ch_peers_get_port(fixture->node.peers));
+        g_autofree char *other_address = g_strdup_printf(
+            "127.0.0.1:%u", ch_peers_get_port(other->node.peers));
+        const struct ch_host host = {
+            .name = (char *)"n1",
+            .kind = CH_HOST_ENTRY,
+            .address = own_address,
+            .region = (char *)"r1",
+            .data_centre = (char *)"a",
+        };
+        const struct ch_host_list list = {(struct ch_host *)&host, 1};
+        fixture->settings.peers = own_address;
+        other->settings.peers = other_address;
+        fixture->node.dialect = &dialect;
+        struct ch_roster *roster = ch_roster_new(&fixture->node, ignore, NULL);
+        g_test_message("%s", row->what);
+        ch_peers_set_handler(other->node.peers,
+                             CHESTNUTHITCH__WIRE__FRAME__BODY_ROSTER_PULL,
+                             answer_list_pull, &sender);
+        ch_peers_start(fixture->node.peers);
+        ch_peers_start(other->node.peers);
+        ch_peers_update_list(other->node.peers, &list);
+        g_autofree char *first =
+            g_strdup(row->first.keys[1] == NULL ? "e1" : "e1 e2");
+        send_list(&sender, &row->first, roster, first);
+        send_list(&sender, &row->later, roster, row->upstreams);
+        fixture_stop(other);
+        fixture_stop(fixture);
+        ch_roster_free(roster);
+        fixture_free(other);
+        fixture_free(fixture);
+    }
+}
+
 /* ---- a change that no watch returns ---- */
 
 /* The configuration, at a revision that grows with each read. */
@@ -726,6 +912,7 @@
     g_test_add_func("/roster/starts-without-service",
                     test_starts_without_service);
     g_test_add_func("/roster/packed", test_packed);
+    g_test_add_func("/roster/lost-messages", test_lost_messages);
     g_test_add_func("/roster/left-out", test_missed_change);
     g_test_add_func("/roster/copies", test_copies);
     return g_test_run();
