A grant is not used once the list names its upstream as draining or gone

What callers saw: nothing; an upstream that had reported that it leaves could be sent a request later than the platform allows (DRAIN).

Cause: between grant and call a request may wait, for the permission of a limit, a slot, its turn at an engine or the stored origin of its stream. The last check before the call asked for what responses had said alone, not for the list.

The same check precedes a call that goes by another node after a failed connection; the relaying node makes its own. grants_outdated counts them.

The check follows all waits, so it bounds them: what is left after it is the connection.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -410,28 +410,15 @@
     return false;
 }
 
-/* Whether the list of upstreams still has the granted one as it was chosen. */
-static bool
-is_still_listed(const struct ch_exchange *exchange)
-{
-    struct ch_router *router = exchange->frontend->node->router;
-    return router->ops->may_call == NULL ||
-           router->ops->may_call(router, exchange->grant.handle);
-}
-
-/* Calls the granted upstream, unless a response has said since it was chosen
- * that it takes no more requests. Lock held; returns true when the exchange
- * can be finished. */
+/* Calls the granted upstream, unless the list of upstreams or a response has
+ * said since it was chosen that it takes no more requests. Lock held; returns
+ * true when the exchange can be finished. */
 static bool
 call_unless_noticed(struct ch_exchange *exchange)
 {
     int64_t retry_after = 0;
-    if (!is_still_listed(exchange)) {
-        ch_log(
-            exchange->frontend->node->client, CH_LOG_NOTICE, "grant-outdated",
-            CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
-            CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
-            CH_F_END);
+    if (!ch_exchange_may_call_upstream(exchange)) {
+        return pass_over_upstream(exchange, "the upstreams are draining");
     }
     switch (ch_notices_may_call(exchange->frontend->node->notices,
                                 exchange->grant.upstream, &retry_after)) {
--- a/libchestnuthitch/node/exchange.h
+++ b/libchestnuthitch/node/exchange.h
@@ -185,9 +185,14 @@
 
 /* ---- exchange_call.c ---- */
 
+/* Whether the list of upstreams still has the one of the grant, not draining.
+ * A grant may be followed by waits: for a permission, a slot or a prompt's
+ * turn, or for the stored origin of a stream. Lock held. */
+bool ch_exchange_may_call_upstream(const struct ch_exchange *exchange);
 /* Calls the upstream of the grant. Lock held. */
 void ch_exchange_call_upstream(struct ch_exchange *exchange);
-/* Calls it by another node; false: there is none. Lock held. */
+/* Calls it by another node; false: there is none, or the upstream may not be
+ * called any more. Lock held. */
 bool ch_exchange_call_by_other_node(struct ch_exchange *exchange);
 /* Microseconds that a call may take before its caller's deadline; 0: the
  * caller stated none. */
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -450,12 +450,31 @@
     call_upstream(exchange, choose_relay(exchange, &relay) ? &relay : NULL);
 }
 
+/* See exchange.h. */
+bool
+ch_exchange_may_call_upstream(const struct ch_exchange *exchange)
+{
+    struct ch_client *client = exchange->frontend->node->client;
+    struct ch_router *router = exchange->frontend->node->router;
+    if (router->ops->may_call == NULL ||
+        router->ops->may_call(router, exchange->grant.handle)) {
+        return true;
+    }
+    ch_metrics_add_count(client->metrics, CH_COUNT_GRANTS_OUTDATED, 1);
+    ch_log(client, CH_LOG_INFO, "grant-outdated",
+           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
+           CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
+           CH_F_END);
+    return false;
+}
+
 /* See exchange.h. */
 bool
 ch_exchange_call_by_other_node(struct ch_exchange *exchange)
 {
     struct ch_path_relay relay;
-    if (!choose_relay(exchange, &relay)) {
+    if (!ch_exchange_may_call_upstream(exchange) ||
+        !choose_relay(exchange, &relay)) {
         return false;
     }
     call_upstream(exchange, &relay);
--- a/tests/threaded/test_exchange.c
+++ b/tests/threaded/test_exchange.c
@@ -98,6 +98,8 @@
     unsigned granted;
     unsigned released;
     unsigned withdrawn;
+    unsigned outdated_grants; /* of the first ones: the list has not got the
+                                 upstream any more when it is to be called */
     unsigned calls;
     unsigned fresh_calls; /* calls that libcurl may not repeat */
     unsigned cancelled;
@@ -151,6 +153,7 @@
     void *data;
     enum router_action action;
     uint64_t handle;
+    const char *upstream;
 };
 
 static void
@@ -160,7 +163,7 @@
     if (job->action == GRANTS) {
         const struct ch_grant grant = {
             .handle = job->handle,
-            .upstream = g_quark_from_string("w01"),
+            .upstream = g_quark_from_string(job->upstream),
             .version = g_quark_from_string(job->fixture->granted_version),
             .version_id = ch_version_get_id(job->fixture->granted_version),
             .boot_id = 3,
@@ -202,8 +205,13 @@
     unlock_and_notify(fixture);
     if (action != KEEPS_WAITING) {
         struct router_job *job = g_new(struct router_job, 1);
-        *job =
-            (struct router_job){fixture, *handlers, data, action, number + 1};
+        *job = (struct router_job){
+            fixture,
+            *handlers,
+            data,
+            action,
+            number + 1,
+            number > 0 && fixture->outdated_grants > 0 ? "w02" : "w01"};
         ch_pool_submit(fixture->node.pool, run_router_job, job);
     }
     return number + 1;
@@ -232,6 +240,13 @@
     unlock_and_notify(fixture);
 }
 
+static bool
+router_may_call(struct ch_router *router, uint64_t handle)
+{
+    struct fixture *fixture = ((struct ch_homes *)router)->fixture;
+    return handle > fixture->outdated_grants;
+}
+
 static bool
 router_ready(struct ch_router *router)
 {
@@ -243,6 +258,7 @@
     .request = router_request,
     .withdraw = router_withdraw,
     .release = router_release,
+    .may_call = router_may_call,
 };
 
 /* The node has no peers. */
@@ -2360,6 +2376,48 @@
     }
 }
 
+static const struct outdated_case {
+    const char *what;
+    enum request_kind kind;
+    unsigned outdated_grants;
+    enum upstream_action upstream;
+    unsigned router_requests;
+    unsigned calls;
+    const char *response;
+} outdated_cases[] = {
+    {"model", PLAIN, 1, COMPLETES, 2, 1, "HTTP/1.1 200|whole answer"},
+    {"order", ORDER, 1, COMPLETES, 2, 1, "HTTP/1.1 200|whole answer"},
+    {"the other one as well", PLAIN, 3, COMPLETES, 3, 0,
+     "HTTP/1.1 503|" NOT_RUN},
+};
+
+/* Guards against a request that is sent to an upstream which the list has
+ * named as draining or gone while the request waited after its grant. */
+static void
+test_outdated_grants(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(outdated_cases); i++) {
+        const struct outdated_case *row = &outdated_cases[i];
+        struct fixture *fixture = fixture_new();
+        fixture->outdated_grants = row->outdated_grants;
+        fixture->allows_same_attempt = true;
+        for (size_t j = 0; j < MAX_ACTIONS; j++) {
+            fixture->router_actions[j] = GRANTS;
+            fixture->upstream_actions[j] = row->upstream;
+        }
+        fixture_start(fixture);
+        g_test_message("%s", row->what);
+        char *response =
+            read_response(send_request_kind(fixture, row->kind, ""));
+        check_response(response, row->response);
+        fixture_stop(fixture);
+        g_assert_cmpuint(fixture->router_requests, ==, row->router_requests);
+        g_assert_cmpuint(fixture->calls, ==, row->calls);
+        g_free(response);
+        fixture_free(fixture);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -2395,6 +2453,7 @@
     g_test_add_func("/exchange/not ready", test_not_ready);
     g_test_add_func("/exchange/quota", test_quota);
     g_test_add_func("/exchange/limit", test_limit);
+    g_test_add_func("/exchange/outdated-grants", test_outdated_grants);
     g_test_add_func("/exchange/upstream-bytes", test_upstream_bytes);
     g_test_add_func("/exchange/stop", test_stop);
     return g_test_run();
