The configuration is watched by nodes that reach the store

What callers saw: requests for a new path refused, or sent by an old route, for longer than the platform allows (CONFIG) while most nodes do not reach the store.

Cause: the same as of the list of upstreams. Three nodes, chosen by rank, watch the configuration; nobody takes their place when they do not reach the store, and the reads in turn come from the other nodes, each of which reads the less often the larger the fleet.

Now the nodes that watch the list of upstreams watch the configuration too, and so does a node that watches the list in place of others, once its own calls succeed. The number of watches stays the same.

The count of nodes that serve the added route moved into the harness.

--- a/libchestnuthitch/freshness/freshness.h
+++ b/libchestnuthitch/freshness/freshness.h
@@ -51,6 +51,10 @@
  * list. To be called several times in the time between two reads. */
 bool ch_freshness_update(struct ch_freshness *freshness, size_t rank,
                          int64_t now);
+/* Whether a reader may be relied on to reach the store: one that ranks first,
+ * or one that reads in place of others and whose calls succeed. */
+bool ch_freshness_reaches_store(const struct ch_freshness *freshness,
+                                int64_t now);
 /* Time since the copy was last known to be current; G_MAXINT64: it never was.
  */
 int64_t ch_freshness_get_age(const struct ch_freshness *freshness,
--- a/libchestnuthitch/freshness/state.c
+++ b/libchestnuthitch/freshness/state.c
@@ -109,6 +109,15 @@
     return freshness->is_substitute;
 }
 
+/* See freshness.h. */
+bool
+ch_freshness_reaches_store(const struct ch_freshness *freshness, int64_t now)
+{
+    return !freshness->is_substitute ||
+           now - freshness->own_confirmed_at <
+               get_part(freshness, SUBSTITUTE_AGE);
+}
+
 /* See freshness.h. */
 int64_t
 ch_freshness_get_age(const struct ch_freshness *freshness, int64_t now)
--- a/libchestnuthitch/node/config_manager.c
+++ b/libchestnuthitch/node/config_manager.c
@@ -413,6 +413,25 @@
                HOST_LIST_TIMEOUT_US;
 }
 
+/*
+ * Whether this node is one of the watchers. Where the list of upstreams is
+ * watched too, the same nodes do both: a node that watches in place of others
+ * that do not reach the key-value store is then known to reach it.
+ */
+static bool
+is_watcher(const struct ch_config_manager *manager)
+{
+    struct ch_node *node = manager->node;
+    int duty = g_atomic_int_get(&node->watch_duty);
+    if (!is_role_known(manager)) {
+        return false;
+    }
+    return duty == CH_WATCH_BY_RANK
+               ? ch_peers_has_role(node->peers, "config-watch", WATCHER_COUNT,
+                                   NULL)
+               : duty == CH_WATCHES;
+}
+
 /* Starts a watch on a watcher, unless a watch is in progress, a copy is being
  * parsed or the backoff has not passed. The other nodes learn of a revision
  * from the watchers, and from scheduled reads. */
@@ -420,14 +439,11 @@
 begin_watch(struct ch_config_manager *manager)
 {
     struct ch_node *node = manager->node;
-    bool is_watcher =
-        is_role_known(manager) &&
-        ch_peers_has_role(node->peers, "config-watch", WATCHER_COUNT, NULL);
+    bool watches = is_watcher(manager);
     pthread_mutex_lock(&manager->lock);
     uint64_t revision =
         manager->current == NULL ? 0 : manager->current->revision;
-    bool begin = is_watcher && !manager->stopped &&
-                 !manager->watch_in_progress &&
+    bool begin = watches && !manager->stopped && !manager->watch_in_progress &&
                  manager->parsing_revision == 0 &&
                  ch_client_get_time(node->client) >= manager->next_watch_at;
     if (begin) {
--- a/libchestnuthitch/node/node.h
+++ b/libchestnuthitch/node/node.h
@@ -43,6 +43,13 @@
 struct ch_router;
 struct ch_stream_manager;
 
+/* Whether a node watches the key-value store for all nodes. */
+enum ch_watch_duty {
+    CH_WATCH_BY_RANK, /* nothing but the node's rank decides */
+    CH_WATCHES,
+    CH_WATCHES_NOT,
+};
+
 struct ch_node {
     struct ch_client *client;
     const struct ch_dialect *dialect; /* NULL: Chestnuthitch's own interface */
@@ -78,6 +85,7 @@
     struct ch_admin *admin;
     int predecessor_listed; /* atomic: the host list still names an earlier
                     process of this host */
+    int watch_duty;         /* atomic: enum ch_watch_duty */
 };
 
 /* Starts all components; NULL with an error. settings and dialect (NULL:
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -138,9 +138,15 @@
     pthread_mutex_lock(&roster->lock);
     bool was_substitute = list->freshness.is_substitute;
     bool watcher = ch_freshness_update(&list->freshness, rank, now);
+    bool reaches_store = ch_freshness_reaches_store(&list->freshness, now);
     bool is_substitute = list->freshness.is_substitute;
     list->rank = rank;
     pthread_mutex_unlock(&roster->lock);
+    if (list == &roster->upstreams) {
+        g_atomic_int_set(&roster->node->watch_duty, watcher && reaches_store
+                                                        ? CH_WATCHES
+                                                        : CH_WATCHES_NOT);
+    }
     if (is_substitute != was_substitute) {
         ch_log(roster->node->client, CH_LOG_INFO, "list-substitute",
                CH_F_STR("prefix", list->prefix),
--- a/tests/failure/test_store_return.c
+++ b/tests/failure/test_store_return.c
@@ -10,7 +10,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define ADDED_PATH "/added/"
 #define BARRED_DIGEST "00112233445566778899aabbccddeeff"
 
 enum {
@@ -35,14 +34,6 @@
     MAX_CALLS_PER_NODE_S = 2000 / 320,
 };
 
-static const char added_route[] =
-    ",{\"name\":\"r2\",\"host\":\"" HARNESS_USERS_HOST
-    "\",\"path_prefix\":\"" ADDED_PATH
-    "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
-    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
-    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
-    "\"target_gap_ms\":300}";
-
 static const char added_model[] =
     ",{\"name\":\"m3\",\"weights_mb\":10000,\"load_s\":0.3,\"adapters\":0,"
     "\"adapter_mb\":10}";
@@ -57,7 +48,7 @@
 {
     const struct harness_users_config config = {
         .version = version,
-        .routes = with_added ? added_route : NULL,
+        .routes = with_added ? harness_users_added_route : NULL,
         .models = with_added ? added_model : NULL,
     };
     harness_users_put_standard_config(fleet, &config);
@@ -90,37 +81,6 @@
 
 /* ---- checks ---- */
 
-/* The status that a node gives to a request for the added route. */
-static int
-request_added(const struct harness_node *node)
-{
-    static unsigned last;
-    g_autofree char *id = g_strdup_printf("added-%u", ++last);
-    const struct harness_stream_call call = {
-        .address = node->caller_address,
-        .host = HARNESS_USERS_HOST,
-        .path = ADDED_PATH,
-        .request_id = id,
-        .model = "m1",
-        .events = 1,
-        .deadline_ms = DEADLINE_MS,
-    };
-    struct harness_stream *stream = harness_request_stream(&call);
-    int status = stream->status;
-    harness_stream_free(stream);
-    return status;
-}
-
-static unsigned
-count_nodes_with_added(const struct harness_fleet *fleet)
-{
-    unsigned count = 0;
-    for (unsigned i = 0; i < fleet->node_count; i++) {
-        count += request_added(&fleet->nodes[i]) == 200 ? 1 : 0;
-    }
-    return count;
-}
-
 /* Runs at a worker after a time. */
 static unsigned
 count_runs_after(const struct harness_fleet *fleet, const char *worker,
@@ -190,7 +150,7 @@
     harness_users_change_worker(fleet, "e1", "drain");
     int64_t drained_at = harness_now_ms();
     harness_sleep_ms(APPLY_MS);
-    unsigned nodes = count_nodes_with_added(fleet);
+    unsigned nodes = harness_users_count_added(fleet);
     harness_sleep_ms(AFTER_MS);
     unsigned late = count_runs_after(fleet, "e1", drained_at + APPLY_MS);
     double seconds = (double)(harness_now_ms() - drained_at + 500) / 1000;
@@ -221,7 +181,7 @@
     restore_copy(fleet, true);
     unsigned least = NODES;
     while (harness_now_ms() < returned_at + AFTER_MS) {
-        unsigned nodes = count_nodes_with_added(fleet);
+        unsigned nodes = harness_users_count_added(fleet);
         least = MIN(least, nodes);
         harness_sleep_ms(200);
     }
@@ -292,7 +252,7 @@
     harness_users_change_worker(fleet, "e1", "drain");
     int64_t drained_at = harness_now_ms();
     harness_sleep_ms(APPLY_MS);
-    unsigned nodes = count_nodes_with_added(fleet);
+    unsigned nodes = harness_users_count_added(fleet);
     harness_sleep_ms(APPLY_MS);
     unsigned late = count_runs_after(fleet, "e1", drained_at + APPLY_MS);
     g_print("figure: %s: added route at %u of %d nodes, %u runs at the "
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -270,6 +270,12 @@
 harness_users_put_standard_config(struct harness_fleet *fleet,
                                   const struct harness_users_config *config);
 
+/* One more route, for struct harness_users_config.routes, and the number of
+ * nodes that serve it. */
+#define HARNESS_USERS_ADDED_PATH "/added/"
+extern const char harness_users_added_route[];
+unsigned harness_users_count_added(const struct harness_fleet *fleet);
+
 /* Callers in a loop, each request by a random node; its ID begins with the
  * node's name and '-'. */
 struct harness_users_load {
--- a/tests/harness/users_load.c
+++ b/tests/harness/users_load.c
@@ -8,6 +8,7 @@
 enum {
     /* A request that cannot be served is rejected at once. */
     LATE_MS = 1000,
+    ADDED_DEADLINE_MS = 6000,
 };
 
 struct harness_users_run {
@@ -19,6 +20,45 @@
     GPtrArray *threads;
 };
 
+const char harness_users_added_route[] =
+    ",{\"name\":\"r2\",\"host\":\"" HARNESS_USERS_HOST
+    "\",\"path_prefix\":\"" HARNESS_USERS_ADDED_PATH
+    "\",\"type\":\"streaming\",\"timeout_ms\":15000,"
+    "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"engines\","
+    "\"max_attempts\":3,\"sticky\":true,\"resumable\":true,"
+    "\"target_gap_ms\":300}";
+
+/* The status that a node gives to a request for the added route. */
+static int
+request_added(const struct harness_node *node)
+{
+    static unsigned last;
+    g_autofree char *id = g_strdup_printf("added-%u", ++last);
+    const struct harness_stream_call call = {
+        .address = node->caller_address,
+        .host = HARNESS_USERS_HOST,
+        .path = HARNESS_USERS_ADDED_PATH,
+        .request_id = id,
+        .model = "m1",
+        .events = 1,
+        .deadline_ms = ADDED_DEADLINE_MS,
+    };
+    struct harness_stream *stream = harness_request_stream(&call);
+    int status = stream->status;
+    harness_stream_free(stream);
+    return status;
+}
+
+unsigned
+harness_users_count_added(const struct harness_fleet *fleet)
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < fleet->node_count; i++) {
+        count += request_added(&fleet->nodes[i]) == 200 ? 1 : 0;
+    }
+    return count;
+}
+
 void
 harness_users_wait_ready(const struct harness_fleet *fleet)
 {
