Odd entries of upstreams and nodes name none

The report: another writer leaves an entry that is nested very deeply, has a number too large or a port out of range, and the processes that read the list end or stop following it.

What did: entries were taken for upstreams that can't be one. Port 0, a slot count of 0, a time of 1e300 or 9e18 ms, which was converted out of its range (undefined; other values on other processors), a start of 2^63 - 1, which no later start of that name would exceed, a text with U+0000, read as what stands before it, and a key that is no name, which is sent in a header. /platform/odd-entries fails before at the first of them and passes after. U+0000 becomes U+FFFD wherever JSON is read, so that the key of one entry does not read as that of another. An unreadable entry over the key of a known upstream leaves that upstream as it was, as before.

--- a/libchestnuthitch/base/address.c
+++ b/libchestnuthitch/base/address.c
@@ -41,3 +41,18 @@
     struct sockaddr_in address;
     return ch_address_parse(text, &address, error);
 }
+
+/* See base.h. */
+bool
+ch_address_check_remote(const char *text, struct ch_error *error)
+{
+    struct sockaddr_in address;
+    if (!ch_address_parse(text, &address, error)) {
+        return false;
+    }
+    if (address.sin_port == 0 || address.sin_addr.s_addr == INADDR_ANY) {
+        ch_error_set(error, CH_BAD_VALUE, "nothing can be sent to '%s'", text);
+        return false;
+    }
+    return true;
+}
--- a/libchestnuthitch/base/base.h
+++ b/libchestnuthitch/base/base.h
@@ -191,6 +191,9 @@
 /* Checks an address such as "192.0.2.1:80": IPv4 numbers only, no host names.
    Returns false with BAD_VALUE. */
 bool ch_address_check(const char *text, struct ch_error *error);
+/* The same for an address of another process: port 0 and the address 0.0.0.0
+   are refused too. */
+bool ch_address_check_remote(const char *text, struct ch_error *error);
 struct sockaddr_in;
 /* Parses such an address; sets *address only when it returns true. */
 bool ch_address_parse(const char *text, struct sockaddr_in *address,
--- a/libchestnuthitch/base/json.c
+++ b/libchestnuthitch/base/json.c
@@ -129,13 +129,45 @@
     return shape.ended;
 }
 
+/*
+ * Replaces each U+0000 in the strings of a text by U+FFFD; NULL: there is
+ * none. json-glib returns strings without their length, so that one with
+ * U+0000 in it reads as what stands before: the key of one entry as that of
+ * another.
+ */
+static char *
+replace_nul_characters(const char *text, size_t length)
+{
+    static const char nul[] = "\\u0000";
+    static const char replacement[] = "\\ufffd";
+    const size_t size = sizeof(nul) - 1;
+    if (memmem(text, length, nul, size) == NULL) {
+        return NULL;
+    }
+    char *copy = g_memdup2(text, length);
+    for (size_t i = 0; i < length; i++) {
+        if (copy[i] != '\\') {
+            continue;
+        }
+        if (length - i >= size && memcmp(&copy[i], nul, size) == 0) {
+            memcpy(&copy[i], replacement, size);
+        }
+        i++; /* the escaped character */
+    }
+    return copy;
+}
+
 JsonObject *
 ch_json_parse_object(const char *text, size_t length, JsonParser **parser)
 {
     size_t members = 0;
     *parser = json_parser_new();
-    if (!ch_json_check_shape(text, length, MAX_DEPTH, &members) ||
-        !json_parser_load_from_data(*parser, text, (gssize)length, NULL)) {
+    if (!ch_json_check_shape(text, length, MAX_DEPTH, &members)) {
+        return NULL;
+    }
+    g_autofree char *copy = replace_nul_characters(text, length);
+    if (!json_parser_load_from_data(*parser, copy == NULL ? text : copy,
+                                    (gssize)length, NULL)) {
         return NULL;
     }
     JsonNode *root = json_parser_get_root(*parser);
--- a/libchestnuthitch/base/json.h
+++ b/libchestnuthitch/base/json.h
@@ -16,6 +16,7 @@
                          size_t *members);
 
 /* Parses a text that is a single JSON object; NULL if it is anything else.
+   U+0000 in its strings becomes U+FFFD.
  *parser is always set and owns the object; unreference it after use. */
 JsonObject *ch_json_parse_object(const char *text, size_t length,
                                  JsonParser **parser);
--- a/libchestnuthitch/node/roster_entries.c
+++ b/libchestnuthitch/node/roster_entries.c
@@ -72,8 +72,9 @@
     const char *address = ch_json_get_string(object, "address");
     const char *data_centre = ch_json_get_string(object, "data_centre");
     const char *region = ch_json_get_string(object, "region");
-    if (data_centre == NULL || region == NULL || address == NULL ||
-        !ch_address_check(address, error)) {
+    if (!ch_host_is_name(key + strlen(NODES_PREFIX)) ||
+        !ch_host_is_label(data_centre) || !ch_host_is_label(region) ||
+        address == NULL || !ch_address_check_remote(address, error)) {
         ch_error_set(error, CH_BAD_FIELD, "not a node's entry");
         return false;
     }
--- a/libchestnuthitch/platform/hosts.c
+++ b/libchestnuthitch/platform/hosts.c
@@ -137,6 +137,34 @@
     return service != NULL;
 }
 
+/* See platform.h. */
+bool
+ch_host_is_name(const char *text)
+{
+    for (const char *at = text; *at != '\0'; at++) {
+        if (!g_ascii_isgraph(*at)) {
+            return false;
+        }
+    }
+    return text[0] != '\0';
+}
+
+/* See platform.h. */
+bool
+ch_host_is_label(const char *text)
+{
+    if (text == NULL || text[0] == '\0' || !g_utf8_validate(text, -1, NULL)) {
+        return false;
+    }
+    for (const char *at = text; *at != '\0'; at = g_utf8_next_char(at)) {
+        gunichar character = g_utf8_get_char(at);
+        if (character == 0xFFFD || g_unichar_iscntrl(character)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* See platform.h. A longer text would cost memory and log lines at every node
  * for as long as the upstream is listed. */
 bool
--- a/libchestnuthitch/platform/platform.h
+++ b/libchestnuthitch/platform/platform.h
@@ -154,6 +154,10 @@
     CH_HOST_MAX_VERSION_BYTES = 64,
 };
 
+/* Whether a text can name an upstream or a node: it is sent in headers. */
+bool ch_host_is_name(const char *text);
+/* Whether a text can name a service or a data centre. */
+bool ch_host_is_label(const char *text);
 /* Whether a text names a version of an upstream's software. */
 bool ch_host_is_version(const char *text);
 /* Frees the members of a host, not the struct. */
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -247,6 +247,99 @@
     }
 }
 
+#define MEMBERS(members)                                                      \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","          \
+    "\"state\":\"ready\",\"slots\":64" members "}"
+
+static const struct odd_entry {
+    const char *key;
+    const char *text;
+    bool valid;
+} odd_entries[] = {
+    {"servers/i-1", MEMBERS(""), true},
+    {"servers/i-1", MEMBERS(",\"born\":1767225600000"), true},
+    {"servers/i-1", MEMBERS(",\"cold_remaining_ms\":1500.5"), true},
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":2000"), true},
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":-1"), true},
+    /* numbers that are too large, or no numbers */
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":9000000000000000000"), false},
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":1e300"), false},
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":1e999"), false},
+    {"servers/i-1", MEMBERS(",\"remaining_ms\":\"2000\""), false},
+    {"servers/i-1", MEMBERS(",\"cold_remaining_ms\":1e300"), false},
+    {"servers/i-1", MEMBERS(",\"cold_remaining_ms\":[]"), false},
+    {"servers/i-1", MEMBERS(",\"born\":9223372036854775807"), false},
+    {"servers/i-1", MEMBERS(",\"born\":99999999999999999999999"), false},
+    {"servers/i-1", MEMBERS(",\"born\":1e300"), false},
+    {"servers/i-1", MEMBERS(",\"born\":-1"), false},
+    {"servers/i-1", MEMBERS(",\"born\":\"5\""), false},
+    {"servers/i-1", MEMBERS(",\"sequence\":9223372036854775807"), false},
+    {"servers/i-1", MEMBERS(",\"sequence\":{}"), false},
+    {"servers/i-1", ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "0"),
+     false},
+    {"servers/i-1",
+     ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "4294967296"), false},
+    {"servers/i-1",
+     ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "99999999999999999999999"),
+     false},
+    /* addresses to which nothing can be sent */
+    {"servers/i-1", ENTRY("\"s\"", "\"10.0.0.1:0\"", "\"ready\"", "64"),
+     false},
+    {"servers/i-1", ENTRY("\"s\"", "\"10.0.0.1:65536\"", "\"ready\"", "64"),
+     false},
+    {"servers/i-1", ENTRY("\"s\"", "\"10.0.0.1:-1\"", "\"ready\"", "64"),
+     false},
+    {"servers/i-1", ENTRY("\"s\"", "\"10.0.0.1:8e1\"", "\"ready\"", "64"),
+     false},
+    {"servers/i-1", ENTRY("\"s\"", "\"[::1]:80\"", "\"ready\"", "64"), false},
+    {"servers/i-1", ENTRY("\"s\"", "\"0.0.0.0:80\"", "\"ready\"", "64"),
+     false},
+    /* a text that would end before its end */
+    {"servers/i-1",
+     ENTRY("\"s\"", "\"10.0.0.1:80\\u0000x\"", "\"ready\"", "64"), false},
+    {"servers/i-1",
+     ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"ready\\u0000x\"", "64"), false},
+    {"servers/i-1",
+     ENTRY("\"s\\u0000x\"", "\"10.0.0.1:80\"", "\"ready\"", "64"), false},
+    {"servers/i-1",
+     ENTRY("\"s\\\\u0000x\"", "\"10.0.0.1:80\"", "\"ready\"", "64"), true},
+    /* names that would not stay one value of a header */
+    {"servers/", MEMBERS(""), false},
+    {"servers/i 1", MEMBERS(""), false},
+    {"servers/i\r\nX: 1", MEMBERS(""), false},
+    {"servers/i\xc3\xa4", MEMBERS(""), false},
+};
+
+/* Guards against an entry of another writer that ends the process, or that is
+ * taken for an upstream. */
+static void
+test_odd_entries(void)
+{
+    g_autoptr(GString) nested = g_string_new("{\"models\":");
+    for (int i = 0; i < 100000; i++) {
+        g_string_append_c(nested, '[');
+    }
+    struct ch_host host = {0};
+    struct ch_error error = {0};
+    g_assert_false(platform_host_parse("servers/i-1", nested->str, nested->len,
+                                       &host, &error));
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_entries); i++) {
+        const struct odd_entry *row = &odd_entries[i];
+        g_test_message("%s %s", row->key, row->text);
+        host = (struct ch_host){0};
+        error = (struct ch_error){0};
+        bool valid = platform_host_parse(row->key, row->text,
+                                         strlen(row->text), &host, &error);
+        g_assert_cmpint(valid, ==, row->valid);
+        g_assert_cmpint(error.code == CH_OK, ==, row->valid);
+        if (valid) {
+            g_assert_cmpint(host.remaining_time, >=, 0);
+            g_assert_cmpint(host.slow_time_left, >=, 0);
+        }
+        ch_host_clear(&host);
+    }
+}
+
 /* Guards against an entry without a usable version that hides the upstream, or
  * that makes two upstreams look alike. */
 static void
@@ -398,6 +491,7 @@
                     test_largest_config_round_trip);
     g_test_add_func("/platform/bad-config", test_invalid_configs);
     g_test_add_func("/platform/entries", test_host_entries);
+    g_test_add_func("/platform/odd-entries", test_odd_entries);
     g_test_add_func("/platform/host/versions", test_versions);
     g_test_add_func("/platform/headers", test_request_headers);
     g_test_add_func("/platform/bad-headers", test_invalid_request_headers);
