Logs tell why a granted upstream is passed over, and which requests resume a stream

A request that was refused with 203 and attempts 0 could have passed over its upstream for one of five reasons that no log told apart: the list, a response, the stream's stored origin, a report of another process, or none at all. upstream-passed-over names the request, the upstream and the reason (it replaces grant-outdated); the request line names the request that it resumes.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -27,8 +27,30 @@
     MAX_PREFILL_WAIT_US = 500 * 1000,
 };
 
-static const char UNCERTAIN_MESSAGE[] =
-    "no upstream is certain to fit the stream";
+enum pass_over {
+    PASS_OVER_LISTED,  /* the list has it no more, or as draining */
+    PASS_OVER_NOTICED, /* a response has said that it drains */
+    PASS_OVER_ORIGIN,  /* the stream began at another version */
+    PASS_OVER_PROCESS, /* its report is of another process */
+    PASS_OVER_REPORT,  /* it can't be asked for a report, or did not answer */
+};
+
+/* Why a granted upstream is passed over, with the caller's message if there is
+ * no other. */
+static const struct pass_over_reason {
+    const char *name;
+    const char *message;
+} pass_over_reasons[] = {
+    [PASS_OVER_LISTED] = {"listed", "the upstreams are draining"},
+    [PASS_OVER_NOTICED] = {"noticed", "the upstreams are draining"},
+    [PASS_OVER_ORIGIN] = {"stored-origin",
+                          "no upstream of the version that is stored as the "
+                          "stream's origin"},
+    [PASS_OVER_PROCESS] = {"process-not-known",
+                           "no upstream is certain to fit the stream"},
+    [PASS_OVER_REPORT] = {"no-report",
+                          "no upstream is certain to fit the stream"},
+};
 
 /* Gives back the cost of a request that no upstream ran. */
 static void
@@ -397,12 +419,19 @@
  * one. A router that offers the same one again has no other. Lock held;
  * returns true when the exchange can be finished. */
 static bool
-pass_over_upstream(struct ch_exchange *exchange, const char *message)
+pass_over_upstream(struct ch_exchange *exchange, enum pass_over reason)
 {
+    ch_log(exchange->frontend->node->client, CH_LOG_INFO,
+           "upstream-passed-over",
+           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
+           CH_F_STR("resumes", exchange->request->resumes),
+           CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
+           CH_F_STR("reason", pass_over_reasons[reason].name), CH_F_END);
     release_unused_grant(exchange, CH_CANCELLED, 0);
     if (ch_route_is_excluded(exchange->excluded, exchange->grant.upstream)) {
         return end_routing(exchange, CH_NO_UPSTREAM,
-                           CH_EXCHANGE_RETRY_AFTER_US, message);
+                           CH_EXCHANGE_RETRY_AFTER_US,
+                           pass_over_reasons[reason].message);
     }
     exchange->exclusions_dropped = true;
     g_array_append_val(exchange->excluded, exchange->grant.upstream);
@@ -418,21 +447,19 @@
 {
     int64_t retry_after = 0;
     if (!ch_exchange_may_call_upstream(exchange)) {
-        return pass_over_upstream(exchange, "the upstreams are draining");
+        return pass_over_upstream(exchange, PASS_OVER_LISTED);
     }
     switch (ch_notices_may_call(exchange->frontend->node->notices,
                                 exchange->grant.upstream, &retry_after)) {
     case CH_NOTICES_DRAINS:
-        return pass_over_upstream(exchange, "the upstreams are draining");
+        return pass_over_upstream(exchange, PASS_OVER_NOTICED);
     case CH_NOTICES_WAITS:
         return handle_limit_refusal(exchange, CH_UPSTREAM_WAITS, retry_after);
     default:
         break;
     }
     if (!ch_exchange_may_begin_stream(exchange)) {
-        return pass_over_upstream(exchange,
-                                  "no upstream of the version that is stored "
-                                  "as the stream's origin");
+        return pass_over_upstream(exchange, PASS_OVER_ORIGIN);
     }
     ch_exchange_call_upstream(exchange);
     return false;
@@ -685,7 +712,8 @@
         over = call_spaced(exchange);
     }
     else {
-        over = pass_over_upstream(exchange, UNCERTAIN_MESSAGE);
+        over = pass_over_upstream(
+            exchange, report == NULL ? PASS_OVER_REPORT : PASS_OVER_PROCESS);
     }
     pthread_mutex_unlock(&exchange->lock);
     ch_engine_report_free(report);
@@ -721,7 +749,7 @@
     if (client->ops->fetch_report == NULL ||
         ch_limit_manager_is_limited(exchange->frontend->node->limits,
                                     exchange->grant.upstream)) {
-        return pass_over_upstream(exchange, UNCERTAIN_MESSAGE);
+        return pass_over_upstream(exchange, PASS_OVER_REPORT);
     }
     ch_metrics_add_count(exchange->frontend->node->client->metrics,
                          CH_COUNT_PROCESSES_CHECKED, 1);
--- a/libchestnuthitch/node/exchange_call.c
+++ b/libchestnuthitch/node/exchange_call.c
@@ -461,10 +461,6 @@
         return true;
     }
     ch_metrics_add_count(client->metrics, CH_COUNT_GRANTS_OUTDATED, 1);
-    ch_log(client, CH_LOG_INFO, "grant-outdated",
-           CH_F_STR("request_id", ch_exchange_get_request_id(exchange)),
-           CH_F_STR("upstream", g_quark_to_string(exchange->grant.upstream)),
-           CH_F_END);
     return false;
 }
 
--- a/libchestnuthitch/node/exchange_respond.c
+++ b/libchestnuthitch/node/exchange_respond.c
@@ -248,6 +248,7 @@
            CH_F_INT("output_tokens", request->info.max_output_tokens),
            CH_F_INT("made_tokens", exchange->generated_tokens),
            CH_F_STR("key", request->key ? request->key : ""),
+           CH_F_STR("resumes", request->resumes ? request->resumes : ""),
            CH_F_STR("upstream",
                     exchange->grant.upstream == 0
                         ? ""
