A stream whose record is lost goes on only by a list confirmed after the question

The report: a node that was out of step for some seconds while upstreams of a new version joined took up streams that had begun there, and they went on at another version (ORDER).

What is wrong by the decision alone: where no record of a stream is found, it goes on at the only version if one version is known. The list by which that was said could be 6 s old. Two nodes cut off together confirm each other, and a version that came 3 s ago has streams by then. /resume/lookup, "another version may have come since a part of the nodes is cut off", fails before (sole-version).

Only while the store confirms nobody's list do the nodes that hear three quarters of all go by what they know, as before. Messages that waited at a node which stood still confirm nothing, since ages are known. The same lookup with a record is not delayed.

--- a/libchestnuthitch/node/stream_manager.c
+++ b/libchestnuthitch/node/stream_manager.c
@@ -15,6 +15,8 @@
     MAX_RECORDS = 64 * 1024,
     /* Time for the asked nodes to reply, some round trips between regions. */
     QUERY_TIMEOUT_US = 250 * 1000,
+    /* How often a search that waits for a current list looks again. */
+    RENEWAL_US = 100 * 1000,
     TICK_US = 1000 * 1000,
     /* Until the nodes are known. */
     START_TICK_US = 200 * 1000,
@@ -463,6 +465,8 @@
     pthread_mutex_t lock;
     int references; /* one for each node asked, one for the asking itself */
     bool ended;
+    bool waits; /* for a list that is confirmed after the question */
+    int64_t begun_at;
     struct ch_stream_lookup lookup;
     char *source;
     void (*done)(void *data, const struct ch_stream_result *result);
@@ -492,15 +496,55 @@
     }
 }
 
+static void search_settle(struct search *search);
+
+/* Takes over what this node knows by now. For ch_timers_add(). */
+static void
+search_renew(void *data)
+{
+    struct search *search = data;
+    struct ch_stream_manager *manager = search->manager;
+    struct ch_stream_versions own =
+        get_versions(manager, search->lookup.service);
+    struct ch_peers_counts counts;
+    ch_peers_count(manager->node->peers, manager->node->settings->region,
+                   &counts);
+    int64_t waited = get_time(manager) - search->begun_at;
+    pthread_mutex_lock(&search->lock);
+    search->waits = false;
+    ch_stream_lookup_renew(&search->lookup, &own, counts.listed, counts.live,
+                           waited);
+    search_settle(search);
+}
+
+/* Looks again in a moment once all replies have come. Lock held. */
+static void
+search_wait(struct search *search)
+{
+    const struct ch_stream_lookup *lookup = &search->lookup;
+    if (search->waits || lookup->replied + lookup->failed < lookup->asked) {
+        return;
+    }
+    search->waits = true;
+    search->references++;
+    ch_timers_add(search->manager->node->timers, RENEWAL_US, search_renew,
+                  search);
+}
+
 /* Ends the search once the finding is clear, and drops a reference. Lock held,
  * which is released. */
 static void
 search_settle(struct search *search)
 {
     struct ch_stream_result result = {.source = search->source};
-    result.finding = ch_stream_lookup_decide(&search->lookup, &result.origin);
+    int64_t waited = get_time(search->manager) - search->begun_at;
+    result.finding =
+        ch_stream_lookup_decide(&search->lookup, waited, &result.origin);
     result.record = search->lookup.record;
     if (search->ended || result.finding == CH_STREAM_ASKING) {
+        if (!search->ended) {
+            search_wait(search);
+        }
         search_unref(search);
         return;
     }
@@ -576,6 +620,7 @@
     ch_peers_count(manager->node->peers, manager->node->settings->region,
                    &counts);
     search->manager = manager;
+    search->begun_at = get_time(manager);
     search->references = 1;
     pthread_mutex_init(&search->lock, NULL);
     ch_stream_lookup_init(&search->lookup, service, &own, counts.listed,
--- a/libchestnuthitch/resume/lookup.c
+++ b/libchestnuthitch/resume/lookup.c
@@ -3,15 +3,14 @@
 #include "resume/resume.h"
 
 enum {
-    /* A node's list of upstreams that was confirmed longer ago than this may
-     * lack a version that others use by now. */
-    MAX_LIST_AGE_US = 6 * G_USEC_PER_SEC,
-};
-
-/* While the key-value store is away nobody's list is confirmed, and no version
- * appears to anybody. The list counts then if at least this part of the nodes,
- * in quarters, hear each other: the rest may know another one. */
-enum {
+    /* How long a list of upstreams that was confirmed after the question is
+     * waited for: as long as other nodes may take to read in place of those
+     * that do not reach the key-value store. */
+    CONFIRMATION_WAIT_US = 1500 * 1000,
+    /* While the key-value store is away nobody's list is confirmed, and no
+     * version appears to anybody. The list counts then if at least this part
+     * of the nodes, in quarters, hear each other: the rest may know another
+     * one. */
     MIN_LIVE_QUARTERS = 3,
 };
 
@@ -90,13 +89,28 @@
     }
 }
 
+/* See resume.h. */
+void
+ch_stream_lookup_renew(struct ch_stream_lookup *lookup,
+                       const struct ch_stream_versions *own,
+                       size_t listed_nodes, size_t live_nodes, int64_t waited)
+{
+    for (unsigned i = 0; i < own->count; i++) {
+        add_version(&lookup->versions, own->ids[i]);
+    }
+    lookup->versions.age = MIN(lookup->versions.age, own->age - waited);
+    lookup->listed_nodes = listed_nodes;
+    lookup->live_nodes = live_nodes;
+}
+
 /*
  * Decides without a record. A node that was cut off, frozen or has just
  * started may know of one version alone although others serve; so other nodes
- * have to know the same, for as long as a stream may last, and lately.
+ * have to know the same, for as long as a stream may last, and by a list that
+ * was confirmed after the question: a stream that is taken up began before it.
  */
 static enum ch_stream_finding
-decide_by_versions(const struct ch_stream_lookup *lookup)
+decide_by_versions(const struct ch_stream_lookup *lookup, int64_t waited)
 {
     const struct ch_stream_versions *versions = &lookup->versions;
     bool alone = lookup->listed_nodes <= 1;
@@ -106,18 +120,23 @@
     if (versions->covers < CH_STREAM_LIFE_US) {
         return CH_STREAM_NOT_COVERED;
     }
-    bool hears_most =
-        lookup->live_nodes * 4 >= lookup->listed_nodes * MIN_LIVE_QUARTERS;
-    if ((lookup->replied == 0 && !alone) ||
-        (versions->age > MAX_LIST_AGE_US && !hears_most)) {
+    if (lookup->replied == 0 && !alone) {
         return CH_STREAM_STALE;
     }
-    return CH_STREAM_SOLE;
+    if (versions->age <= 0) {
+        return CH_STREAM_SOLE;
+    }
+    if (waited < CONFIRMATION_WAIT_US) {
+        return CH_STREAM_ASKING;
+    }
+    bool hears_most =
+        lookup->live_nodes * 4 >= lookup->listed_nodes * MIN_LIVE_QUARTERS;
+    return hears_most ? CH_STREAM_SOLE : CH_STREAM_STALE;
 }
 
 /* See resume.h. */
 enum ch_stream_finding
-ch_stream_lookup_decide(const struct ch_stream_lookup *lookup,
+ch_stream_lookup_decide(const struct ch_stream_lookup *lookup, int64_t waited,
                         struct ch_stream_origin *origin)
 {
     if (lookup->has_record) {
@@ -128,7 +147,7 @@
     if (lookup->replied + lookup->failed < lookup->asked) {
         return CH_STREAM_ASKING;
     }
-    enum ch_stream_finding finding = decide_by_versions(lookup);
+    enum ch_stream_finding finding = decide_by_versions(lookup, waited);
     if (finding == CH_STREAM_SOLE) {
         *origin = (struct ch_stream_origin){lookup->service,
                                             lookup->versions.ids[0]};
--- a/libchestnuthitch/resume/resume.h
+++ b/libchestnuthitch/resume/resume.h
@@ -127,7 +127,7 @@
 /* ---- the question where a stream began (lookup.c) ---- */
 
 enum ch_stream_finding {
-    CH_STREAM_ASKING,      /* replies are missing */
+    CH_STREAM_ASKING,      /* replies or a current list are missing */
     CH_STREAM_FOUND,       /* a record says so */
     CH_STREAM_SOLE,        /* only one version has run for long enough */
     CH_STREAM_AMBIGUOUS,   /* two records differ */
@@ -162,9 +162,15 @@
 void ch_stream_lookup_add_reply(struct ch_stream_lookup *lookup,
                                 const struct ch_stream_record *record,
                                 const struct ch_stream_versions *versions);
-/* The finding so far, with the origin if there is one. */
+/* What this node knows after it has waited for so long since the question. */
+void ch_stream_lookup_renew(struct ch_stream_lookup *lookup,
+                            const struct ch_stream_versions *own,
+                            size_t listed_nodes, size_t live_nodes,
+                            int64_t waited);
+/* The finding so far, with the origin if there is one; waited: since the
+ * question. */
 enum ch_stream_finding
-ch_stream_lookup_decide(const struct ch_stream_lookup *lookup,
+ch_stream_lookup_decide(const struct ch_stream_lookup *lookup, int64_t waited,
                         struct ch_stream_origin *origin);
 
 #endif
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -26,6 +26,7 @@
     LOAD_MS = 9000,
     /* Of fewer streams the share that goes on is not compared. */
     MIN_TAKEN_UP = 12,
+    OUT_OF_STEP = 3, /* nodes at once */
 };
 
 /* ---- callers ---- */
@@ -246,6 +247,7 @@
     bool without_resumes;
     /* All of a version is gone at the end, so that few streams can go on. */
     bool may_refuse;
+    bool begins_with_one_version;
 };
 
 static bool
@@ -526,6 +528,65 @@
     }
 }
 
+/* Two workers of a new version join, and end with their streams after a
+ * while. */
+static void
+run_new_version_for_a_while(struct play *play)
+{
+    char names[2][16];
+    for (unsigned i = 0; i < 2; i++) {
+        start_worker(play, names[i], sizeof names[i], "v1.2");
+    }
+    harness_sleep_ms(g_rand_int_range(play->random, 1500, 3000));
+    for (unsigned i = 0; i < 2; i++) {
+        harness_users_change_worker(play->fleet, names[i], "crash");
+    }
+}
+
+/* Nodes stand still while a new version joins, and run on as its streams
+ * break. */
+static void
+freeze_as_version_joins(struct play *play)
+{
+    while (goes_on(play)) {
+        unsigned first = (unsigned)g_rand_int_range(play->random, 0, NODES);
+        for (unsigned i = 0; i < OUT_OF_STEP; i++) {
+            harness_node_signal(&play->fleet->nodes[(first + i) % NODES],
+                                SIGSTOP);
+        }
+        run_new_version_for_a_while(play);
+        for (unsigned i = 0; i < OUT_OF_STEP; i++) {
+            harness_node_signal(&play->fleet->nodes[(first + i) % NODES],
+                                SIGCONT);
+        }
+        harness_sleep_ms(1500);
+    }
+}
+
+/* The same with nodes that are cut off from the store and the other nodes. */
+static void
+cut_as_version_joins(struct play *play)
+{
+    static const char *const forms[] = {"silent", "reset"};
+    for (unsigned round = 0; goes_on(play); round++) {
+        unsigned first = (unsigned)g_rand_int_range(play->random, 0, NODES);
+        for (unsigned i = 0; i < OUT_OF_STEP; i++) {
+            const struct harness_node *node =
+                &play->fleet->nodes[(first + i) % NODES];
+            harness_users_cut_store(node, forms[round % 2]);
+            harness_users_cut_peers(node, forms[round % 2]);
+        }
+        run_new_version_for_a_while(play);
+        for (unsigned i = 0; i < OUT_OF_STEP; i++) {
+            const struct harness_node *node =
+                &play->fleet->nodes[(first + i) % NODES];
+            harness_users_cut_store(node, "none");
+            harness_users_cut_peers(node, "none");
+        }
+        harness_sleep_ms(1500);
+    }
+}
+
 /* ---- runs ---- */
 
 static const struct scenario scenarios[] = {
@@ -548,6 +609,14 @@
      .max_tries = 60,
      .may_refuse = true},
     {.name = "nodes-cut-off", .faults = cut_nodes_in_release},
+    {.name = "frozen-as-version-joins",
+     .faults = freeze_as_version_joins,
+     .may_refuse = true,
+     .begins_with_one_version = true},
+    {.name = "cut-as-version-joins",
+     .faults = cut_as_version_joins,
+     .may_refuse = true,
+     .begins_with_one_version = true},
     {.name = "same-name", .faults = restart_under_same_name},
     {.name = "version-gone", .faults = lose_version, .may_refuse = true},
     {.name = "no-version", .faults = hide_versions, .may_refuse = true},
@@ -558,8 +627,9 @@
 };
 
 static struct harness_fleet *
-start_fleet(void)
+start_fleet(bool with_one_version)
 {
+    const char *other = with_one_version ? "v1" : "v1.2";
     const struct harness_fleet_config shape = {
         .users_platform = true,
         .node_count = NODES,
@@ -571,8 +641,8 @@
     harness_users_put_standard_config(fleet, &config);
     harness_users_start_worker(fleet, "e1", "v1", BOTH_MODELS);
     harness_users_start_worker(fleet, "e2", "v1", BOTH_MODELS);
-    harness_users_start_worker(fleet, "e3", "v1.2", BOTH_MODELS);
-    harness_users_start_worker(fleet, "e4", "v1.2", BOTH_MODELS);
+    harness_users_start_worker(fleet, "e3", other, BOTH_MODELS);
+    harness_users_start_worker(fleet, "e4", other, BOTH_MODELS);
     harness_users_start_nodes(fleet);
     return fleet;
 }
@@ -609,7 +679,7 @@
     const struct scenario *scenario = data;
     struct play play = {
         .scenario = scenario,
-        .fleet = start_fleet(),
+        .fleet = start_fleet(scenario->begins_with_one_version),
         .random = g_rand_new_with_seed(get_seed()),
         .next_worker = 4,
     };
--- a/tests/unit/test_resume.c
+++ b/tests/unit/test_resume.c
@@ -321,6 +321,16 @@
      .listed = 7,
      .live = 7,
      .finding = CH_STREAM_SEVERAL},
+    {.what = "another version may have come since a part of the nodes is cut "
+             "off",
+     .own = {NULL, {"v1"}, LONG, 3},
+     .asked = 3,
+     .failed = 2,
+     .answers = {{NULL, {"v1"}, LONG, 3}},
+     .answer_count = 1,
+     .listed = 7,
+     .live = 2,
+     .finding = CH_STREAM_STALE},
     {.what = "the only node of its fleet",
      .own = {NULL, {"v1"}, LONG, 0},
      .listed = 1,
@@ -344,6 +354,54 @@
     return versions;
 }
 
+/* Guards against a stream that goes on at another version at a node whose list
+ * of upstreams is from before the new version came. */
+static void
+test_renewed_lookup(void)
+{
+    static const struct {
+        const char *what;
+        struct answer own; /* when it is asked again */
+        int64_t waited_ms;
+        enum ch_stream_finding finding;
+    } cases[] = {
+        {"the list is as old as before",
+         {NULL, {"v1"}, LONG, 4},
+         500,
+         CH_STREAM_ASKING},
+        {"the list was confirmed since",
+         {NULL, {"v1"}, LONG, 0},
+         500,
+         CH_STREAM_SOLE},
+        {"another version has come",
+         {NULL, {"v1", "v2"}, LONG, 0},
+         500,
+         CH_STREAM_SEVERAL},
+        {"no list was confirmed",
+         {NULL, {"v1"}, LONG, 5},
+         1500,
+         CH_STREAM_STALE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct answer old = {NULL, {"v1"}, LONG, 3};
+        const struct ch_stream_versions before = versions_of(&old);
+        const struct ch_stream_versions own = versions_of(&cases[i].own);
+        int64_t waited = cases[i].waited_ms * 1000;
+        struct ch_stream_lookup lookup;
+        struct ch_stream_origin origin;
+        ch_stream_lookup_init(&lookup, ch_hash_string("s"), &before, 7, 7);
+        lookup.asked = 1;
+        ch_stream_lookup_add_reply(&lookup, NULL, &before);
+        g_assert_cmpint(ch_stream_lookup_decide(&lookup, 0, &origin), ==,
+                        CH_STREAM_ASKING);
+        ch_stream_lookup_renew(&lookup, &own, 7, 4, waited);
+        g_test_message("%s", cases[i].what);
+        g_assert_cmpstr(ch_stream_finding_get_name(
+                            ch_stream_lookup_decide(&lookup, waited, &origin)),
+                        ==, ch_stream_finding_get_name(cases[i].finding));
+    }
+}
+
 /* Guards against "not known" being taken for "any version will do". */
 static void
 test_lookup(void)
@@ -366,10 +424,16 @@
                 &lookup, answer->record == NULL ? NULL : &record, &versions);
         }
         g_test_message("%s", lookup_cases[i].what);
-        g_assert_cmpstr(ch_stream_finding_get_name(
-                            ch_stream_lookup_decide(&lookup, &origin)),
-                        ==,
+        enum ch_stream_finding at_once =
+            ch_stream_lookup_decide(&lookup, 0, &origin);
+        enum ch_stream_finding finding =
+            ch_stream_lookup_decide(&lookup, 2 * SECOND, &origin);
+        g_assert_cmpstr(ch_stream_finding_get_name(finding), ==,
                         ch_stream_finding_get_name(lookup_cases[i].finding));
+        g_assert_true(at_once == finding || at_once == CH_STREAM_ASKING);
+        if (at_once == CH_STREAM_SOLE) {
+            g_assert_cmpint(lookup.versions.age, ==, 0);
+        }
         if (lookup_cases[i].version != NULL) {
             g_assert_cmpuint(origin.version, ==,
                              ch_version_get_id(lookup_cases[i].version));
@@ -641,7 +705,7 @@
                                    sim->now),
             &versions);
     }
-    return ch_stream_lookup_decide(&lookup, origin);
+    return ch_stream_lookup_decide(&lookup, 2 * SECOND, origin);
 }
 
 /* A caller takes its stream up at a random running node; streams of which the
@@ -864,6 +928,7 @@
     g_test_add_func("/resume/history", test_history);
     g_test_add_func("/resume/may-be-mixed", test_may_be_mixed);
     g_test_add_func("/resume/lookup", test_lookup);
+    g_test_add_func("/resume/renewed-lookup", test_renewed_lookup);
     g_test_add_func("/resume/holders", test_holders);
     g_test_add_func("/resume/fleet", test_fleet);
     return g_test_run();
