Stand-ins keep the port of a server that does not listen

Cause: while a worker is down nothing holds its port, and any process may get it, also for an outgoing connection; the stand-in ends then, in the middle of the call.

Shown: a process that binds the port of a crashed worker gets it, and the start that follows ends with "Remote end closed connection" and "Address already in use". Now a socket that is bound and does not listen keeps the port: the same bind is refused, connections to it still are, and the worker starts again.

--- a/tests/standin/loop.c
+++ b/tests/standin/loop.c
@@ -108,30 +108,44 @@
     }
 }
 
-/* Opens a listening socket on the loopback address; for port 0 the kernel
- * chooses a port. */
-int
-standin_socket(uint16_t *port, bool nonblocking)
+/* Opens a socket that is bound to a port of the loopback address; for port 0
+ * the kernel chooses one, which is stored there. */
+static int
+open_bound_socket(uint16_t *port, int flags)
 {
     int one = 1;
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(*port)};
     socklen_t length = sizeof address;
-    int fd = socket(
-        AF_INET,
-        SOCK_STREAM | SOCK_CLOEXEC | (nonblocking ? SOCK_NONBLOCK : 0), 0);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
-        listen(fd, 4096) != 0 ||
         getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
-        perror("standin: listen");
+        perror("standin: bind");
         exit(1);
     }
     *port = ntohs(address.sin_port);
     return fd;
 }
 
+/* See standin.h. A port that the kernel has chosen stays reserved for this
+ * process by a socket that does not listen: while nothing listens there, no
+ * other process gets it for an outgoing connection. */
+int
+standin_socket(uint16_t *port, bool nonblocking)
+{
+    if (*port == 0) {
+        (void)open_bound_socket(port, 0);
+    }
+    int fd = open_bound_socket(port, nonblocking ? SOCK_NONBLOCK : 0);
+    if (listen(fd, 4096) != 0) {
+        perror("standin: listen");
+        exit(1);
+    }
+    return fd;
+}
+
 /* See standin.h. */
 struct MHD_Daemon *
 standin_open_daemon(struct standin *standin, uint16_t *port)
