Origins at the store don't go with leases

What callers saw: streams that went on nowhere (LOST) after all nodes had lost power while the store was away: its leases ran out meanwhile, and with them the items that say where streams began.

Cause: what must outlive all nodes was kept under a lease, which ends when nobody can renew it. The platform's page says that leases may expire while the store is down.

Items are written without a lease now. The nodes that read a partition when they come to keep its shard remove the items of ended processes 4 minutes later, by their revision, so that one that was written since stays.

--- a/libchestnuthitch/origins/manager.c
+++ b/libchestnuthitch/origins/manager.c
@@ -3,13 +3,13 @@
 #include "origins/origins.h"
 
 #include <pthread.h>
+#include <string.h>
 
 enum {
     TICK_US = 250 * 1000,
-    /* The item outlives its process by the life of a stream, and a restart of
-     * the fleet. */
-    LEASE_TTL_US = 240 * G_USEC_PER_SEC,
-    LEASE_RENEWAL_US = 60 * G_USEC_PER_SEC,
+    /* An item of a process that has ended is removed this long after it was
+     * read: the life of a stream, and a restart of the fleet. */
+    REMOVAL_DELAY_US = 240 * G_USEC_PER_SEC,
     /* After a call that failed: the store is away, or turns this node away. */
     RETRY_DELAY_US = 1 * G_USEC_PER_SEC,
 };
@@ -34,17 +34,24 @@
     size_t node_count;  /* at the last tick */
     bool timer_pending; /* of the next write */
     bool call_under_way;
-    bool revision_unknown; /* the outcome of the last write is */
-    uint64_t revision;     /* of the item; 0: there is none */
-    uint64_t lease_id;     /* 0: none */
-    int64_t renewed_at;
+    bool revision_unknown;  /* the outcome of the last write is */
+    uint64_t revision;      /* of the item; 0: there is none */
     int64_t retry_at;       /* no call of the writer before */
     uint64_t store_returns; /* from copies, at the last write */
     enum reading readings[CH_STREAM_SHARDS];
     int64_t read_retry_at; /* no partition is read before */
+    GArray *removals;      /* struct removal, the first due first */
+    bool removal_under_way;
     bool is_stopped;
 };
 
+/* An item to be removed: its process has ended. */
+struct removal {
+    char *key;
+    uint64_t revision;
+    int64_t due_at;
+};
+
 /* A partition that is being read. */
 struct partition_read {
     struct ch_origins *origins;
@@ -52,6 +59,13 @@
     GArray *entries; /* struct ch_kv_entry, with their strings */
 };
 
+static void
+clear_removal(void *data)
+{
+    struct removal *removal = data;
+    g_free(removal->key);
+}
+
 /* Creates a manager that does nothing until it is started. */
 struct ch_origins *
 ch_origins_new(struct ch_client *client, struct ch_pool *pool,
@@ -68,6 +82,8 @@
     origins->key = ch_origins_make_key(name, incarnation);
     origins->streams = ch_stream_records_new(CH_ORIGINS_MAX_STREAMS);
     origins->stored = ch_stream_records_new(CH_ORIGINS_MAX_STREAMS);
+    origins->removals = g_array_new(FALSE, FALSE, sizeof(struct removal));
+    g_array_set_clear_func(origins->removals, clear_removal);
     pthread_mutex_init(&origins->lock, NULL);
     return origins;
 }
@@ -81,6 +97,7 @@
     }
     ch_stream_records_free(origins->streams);
     ch_stream_records_free(origins->stored);
+    g_array_free(origins->removals, TRUE);
     pthread_mutex_destroy(&origins->lock);
     g_free(origins->key);
     g_free(origins);
@@ -90,7 +107,7 @@
 is_store_usable(const struct ch_origins *origins)
 {
     return origins->kv->ops->range != NULL &&
-           origins->kv->ops->put_with_lease != NULL;
+           origins->kv->ops->get_returns != NULL;
 }
 
 /* ---- writing ---- */
@@ -128,14 +145,6 @@
     pthread_mutex_unlock(&origins->lock);
 }
 
-static void
-log_failure(const struct ch_origins *origins, const char *call,
-            enum ch_code code)
-{
-    ch_log(origins->client, CH_LOG_INFO, "origins-not-written",
-           CH_F_STR("call", call), CH_F_INT("code", code), CH_F_END);
-}
-
 /* A write whose outcome is unknown, or was refused, is settled by a read. */
 static void
 handle_write(void *data, const struct ch_kv_result *result)
@@ -146,13 +155,10 @@
         origins->revision = result->revision;
     }
     else {
-        log_failure(origins, "put", result->code);
+        ch_log(origins->client, CH_LOG_INFO, "origins-not-written",
+               CH_F_INT("code", result->code), CH_F_END);
         origins->schedule.is_changed = true;
-        origins->revision_unknown = result->code != CH_KV_MISSING;
-        if (result->code == CH_KV_MISSING) {
-            origins->lease_id = 0;
-            origins->revision = 0;
-        }
+        origins->revision_unknown = true;
     }
     end_call(origins, result->code);
 }
@@ -169,33 +175,6 @@
     end_call(origins, result->code);
 }
 
-static void
-handle_lease(void *data, const struct ch_kv_result *result)
-{
-    struct ch_origins *origins = data;
-    pthread_mutex_lock(&origins->lock);
-    if (result->code == CH_OK) {
-        origins->lease_id = result->revision;
-    }
-    else {
-        log_failure(origins, "lease", result->code);
-    }
-    end_call(origins, result->code);
-}
-
-static void
-handle_renewal(void *data, const struct ch_kv_result *result)
-{
-    struct ch_origins *origins = data;
-    pthread_mutex_lock(&origins->lock);
-    if (result->code == CH_KV_MISSING) {
-        origins->lease_id = 0;
-        origins->revision = 0;
-        origins->schedule.is_changed = true;
-    }
-    end_call(origins, result->code);
-}
-
 /* Encodes the streams that this process holds, and notes that they are stored
  * from now on. Lock held. */
 static GByteArray *
@@ -223,20 +202,16 @@
 {
     GByteArray *bytes = encode_streams(origins, now);
     uint64_t revision = origins->revision;
-    uint64_t lease_id = origins->lease_id;
     origins->schedule.is_changed = false;
     origins->schedule.written_at = now;
     pthread_mutex_unlock(&origins->lock);
-    origins->kv->ops->put_with_lease(origins->kv, origins->key, bytes->data,
-                                     bytes->len, revision, lease_id,
-                                     handle_write, origins);
+    origins->kv->ops->put(origins->kv, origins->key, bytes->data, bytes->len,
+                          revision, handle_write, origins);
     g_byte_array_unref(bytes);
 }
 
 enum call {
     CALL_NONE,
-    CALL_CREATE_LEASE,
-    CALL_RENEW_LEASE,
     CALL_READ_BACK,
     CALL_WRITE,
 };
@@ -250,17 +225,10 @@
         now < origins->retry_at) {
         return CALL_NONE;
     }
-    if (schedule->is_mixed && origins->lease_id != 0 &&
-        now - origins->renewed_at >= LEASE_RENEWAL_US) {
-        return CALL_RENEW_LEASE;
-    }
     if (ch_origins_schedule_get_delay(schedule, origins->node_count, now) !=
         0) {
         return CALL_NONE;
     }
-    if (origins->lease_id == 0) {
-        return CALL_CREATE_LEASE;
-    }
     return origins->revision_unknown ? CALL_READ_BACK : CALL_WRITE;
 }
 
@@ -272,23 +240,13 @@
     int64_t now = ch_client_get_time(origins->client);
     pthread_mutex_lock(&origins->lock);
     enum call call = choose_call(origins, now);
-    uint64_t lease_id = origins->lease_id;
     origins->call_under_way |= call != CALL_NONE;
     if (call == CALL_WRITE) {
         write_item(origins, now);
         return;
     }
-    if (call == CALL_CREATE_LEASE || call == CALL_RENEW_LEASE) {
-        origins->renewed_at = now;
-    }
     pthread_mutex_unlock(&origins->lock);
-    if (call == CALL_CREATE_LEASE) {
-        kv->ops->create_lease(kv, LEASE_TTL_US, handle_lease, origins);
-    }
-    else if (call == CALL_RENEW_LEASE) {
-        kv->ops->renew_lease(kv, lease_id, handle_renewal, origins);
-    }
-    else if (call == CALL_READ_BACK) {
+    if (call == CALL_READ_BACK) {
         kv->ops->get(kv, origins->key, handle_read_back, origins);
     }
 }
@@ -339,9 +297,31 @@
 
 /* ---- reading ---- */
 
+/* Notes that an item is to be removed, once for each. */
+static void
+add_removal(struct ch_origins *origins, const struct ch_kv_entry *entry)
+{
+    pthread_mutex_lock(&origins->lock);
+    bool is_known = false;
+    for (guint i = 0; i < origins->removals->len && !is_known; i++) {
+        is_known =
+            strcmp(g_array_index(origins->removals, struct removal, i).key,
+                   entry->key) == 0;
+    }
+    if (!is_known) {
+        const struct removal removal = {
+            .key = g_strdup(entry->key),
+            .revision = entry->revision,
+            .due_at = ch_client_get_time(origins->client) + REMOVAL_DELAY_US,
+        };
+        g_array_append_val(origins->removals, removal);
+    }
+    pthread_mutex_unlock(&origins->lock);
+}
+
 /* Appends the streams of another process's item, unless that one is live. */
 static void
-read_entry(const struct ch_origins *origins, const struct ch_kv_entry *entry,
+read_entry(struct ch_origins *origins, const struct ch_kv_entry *entry,
            GArray *records)
 {
     uint64_t incarnation = 0;
@@ -350,6 +330,7 @@
         origins->node.is_live(origins->node.data, name, incarnation)) {
         return;
     }
+    add_removal(origins, entry);
     uint64_t writer =
         name == NULL ? 0 : ch_hash_pair(incarnation, ch_hash_string(name));
     if (name == NULL || !ch_origins_item_decode(
@@ -373,7 +354,7 @@
 handle_entries(void *data)
 {
     struct partition_read *read = data;
-    const struct ch_origins *origins = read->origins;
+    struct ch_origins *origins = read->origins;
     GArray *records =
         g_array_new(FALSE, FALSE, sizeof(struct ch_stream_record));
     for (guint i = 0; i < read->entries->len; i++) {
@@ -456,6 +437,49 @@
     pthread_mutex_unlock(&origins->lock);
 }
 
+/* ---- removing ---- */
+
+/* The end of a removal. One that failed is left to the next node that reads
+ * the partition. */
+static void
+handle_removal(void *data, const struct ch_kv_result *result)
+{
+    struct ch_origins *origins = data;
+    if (result->code != CH_OK) {
+        ch_log(origins->client, CH_LOG_DEBUG, "origins-not-removed",
+               CH_F_INT("code", result->code), CH_F_END);
+    }
+    pthread_mutex_lock(&origins->lock);
+    origins->removal_under_way = false;
+    pthread_mutex_unlock(&origins->lock);
+}
+
+/* Removes the next item that is due; one that was written since stays. */
+static void
+remove_if_due(struct ch_origins *origins)
+{
+    int64_t now = ch_client_get_time(origins->client);
+    g_autofree char *key = NULL;
+    uint64_t revision = 0;
+    pthread_mutex_lock(&origins->lock);
+    if (!origins->is_stopped && !origins->removal_under_way &&
+        origins->removals->len > 0) {
+        const struct removal *next =
+            &g_array_index(origins->removals, struct removal, 0);
+        if (now >= next->due_at) {
+            key = g_strdup(next->key);
+            revision = next->revision;
+            g_array_remove_index(origins->removals, 0);
+            origins->removal_under_way = true;
+        }
+    }
+    pthread_mutex_unlock(&origins->lock);
+    if (key != NULL) {
+        origins->kv->ops->remove(origins->kv, key, revision, handle_removal,
+                                 origins);
+    }
+}
+
 /* ---- periodic work ---- */
 
 static void
@@ -479,6 +503,7 @@
     }
     pthread_mutex_unlock(&origins->lock);
     write_if_due(origins);
+    remove_if_due(origins);
     pthread_mutex_lock(&origins->lock);
     if (!origins->is_stopped) {
         ch_timers_add(origins->timers, TICK_US, tick, origins);
--- a/libchestnuthitch/origins/origins.h
+++ b/libchestnuthitch/origins/origins.h
@@ -12,8 +12,9 @@
  * call on that may begin it, as its first event may be the last that its node
  * passes on. What an item says of a stream never changes: later calls before
  * the first event keep to that version. So an old copy of an item lacks
- * streams, and says nothing wrong. It goes with its lease, some minutes after
- * its process.
+ * streams, and says nothing wrong. It has no lease, as leases may run out
+ * while the store is away; a node that reads it removes it some minutes later
+ * if its process has ended.
  *
  * The items are divided into partitions by the names of their nodes. The nodes
  * that keep the records of a shard (resume/holders.c) read the partition of
@@ -81,7 +82,7 @@
 struct ch_origins;
 
 /* name: of this node. The strings are copied; client, pool, timers and kv must
- * outlive the manager. A store without leases and ranges is not used. */
+ * outlive the manager. A store without ranges is not used. */
 struct ch_origins *ch_origins_new(struct ch_client *client,
                                   struct ch_pool *pool,
                                   struct ch_timers *timers, struct ch_kv *kv,
--- a/tests/failure/test_versions.c
+++ b/tests/failure/test_versions.c
@@ -420,6 +420,20 @@
     }
 }
 
+/* All nodes are killed while the store is away and its leases run out. */
+static void
+kill_all_nodes_as_leases_end(struct play *play)
+{
+    harness_sleep_ms(2000);
+    while (goes_on(play)) {
+        signal_all_nodes(play, SIGKILL);
+        g_free(harness_call_control(&play->fleet->users, "save-copy", ""));
+        g_free(harness_call_control(&play->fleet->users, "restore-copy", ""));
+        start_all_nodes(play);
+        harness_sleep_ms(4000);
+    }
+}
+
 static void
 freeze_nodes(struct play *play)
 {
@@ -602,6 +616,9 @@
     {.name = "all-nodes-killed-before-copy",
      .faults = kill_all_nodes_before_copy,
      .max_tries = 60},
+    {.name = "all-nodes-killed-as-leases-end",
+     .faults = kill_all_nodes_as_leases_end,
+     .max_tries = 60},
     {.name = "nodes-frozen", .faults = freeze_nodes},
     {.name = "nodes-stopped", .faults = stop_nodes_in_turn},
     {.name = "nodes-restarted-in-release",
--- a/tests/threaded/test_stored_origins.c
+++ b/tests/threaded/test_stored_origins.c
@@ -12,8 +12,9 @@
     /* The same after a call that failed. */
     REWRITTEN_US = 1600 * 1000,
     AWAY_US = 2 * 1000 * 1000,
-    /* One a second, or one write and one lease in each period of writes. */
+    /* One a second, or one write and one read in each period of writes. */
     MAX_CALLS_AWAY = 22,
+    REMOVED_S = 250,
     OLD_PROCESS = 5,
     OWN_PROCESS = 6,
 };
@@ -25,15 +26,13 @@
     GByteArray *item; /* NULL: there is none */
     char *key;
     uint64_t revision;
-    uint64_t lease;
     /* What the first calls end with; CH_OK: as they should. */
     enum ch_code write_code;
-    enum ch_code lease_code;
     enum ch_code range_code;
     bool write_is_done; /* though it failed */
-    bool is_away;       /* all leases and writes fail so: */
+    bool is_away;       /* all reads and writes fail so: */
     enum ch_code away_code;
-    unsigned leases;
+    unsigned reads;
     unsigned writes;
 };
 
@@ -53,8 +52,11 @@
     struct fake_store *store = (struct fake_store *)kv;
     (void)key;
     pthread_mutex_lock(&store->lock);
+    store->reads++;
     const struct ch_kv_result result = {
-        .code = store->item == NULL ? CH_KV_MISSING : CH_OK,
+        .code = store->is_away        ? store->away_code
+                : store->item == NULL ? CH_KV_MISSING
+                                      : CH_OK,
         .revision = store->revision,
     };
     pthread_mutex_unlock(&store->lock);
@@ -63,7 +65,7 @@
 
 static void
 fake_put(struct ch_kv *kv, const char *key, const void *value, size_t length,
-         uint64_t revision, uint64_t lease_id,
+         uint64_t revision,
          void (*done)(void *data, const struct ch_kv_result *result),
          void *data)
 {
@@ -74,10 +76,7 @@
     enum ch_code failure =
         store->is_away ? store->away_code : take_failure(&store->write_code);
     store->writes++;
-    if (lease_id != store->lease) {
-        result.code = CH_KV_MISSING;
-    }
-    else if (revision != present) {
+    if (revision != present) {
         result.code = CH_KV_CONFLICT;
     }
     else if (failure == CH_OK || store->write_is_done) {
@@ -90,28 +89,42 @@
         store->key = g_strdup(key);
         result.revision = ++store->revision;
     }
-    if (failure == CH_KV_MISSING) {
-        store->lease++; /* the lease has ended */
-    }
     result.code = failure == CH_OK ? result.code : failure;
     pthread_mutex_unlock(&store->lock);
     done(data, &result);
 }
 
+/* Loses the item. Lock held. */
 static void
-fake_create_lease(struct ch_kv *kv, int64_t ttl,
-                  void (*done)(void *data, const struct ch_kv_result *result),
-                  void *data)
+drop_item(struct fake_store *store)
+{
+    if (store->item != NULL) {
+        g_byte_array_unref(store->item);
+        store->item = NULL;
+    }
+}
+
+static void
+lose_item(struct fake_store *store)
+{
+    pthread_mutex_lock(&store->lock);
+    drop_item(store);
+    pthread_mutex_unlock(&store->lock);
+}
+
+static void
+fake_remove(struct ch_kv *kv, const char *key, uint64_t revision,
+            void (*done)(void *data, const struct ch_kv_result *result),
+            void *data)
 {
     struct fake_store *store = (struct fake_store *)kv;
-    (void)ttl;
+    struct ch_kv_result result = {.code = CH_KV_CONFLICT};
     pthread_mutex_lock(&store->lock);
-    store->leases++;
-    const struct ch_kv_result result = {
-        .code = store->is_away && store->away_code == CH_KV_UNREACHABLE
-                    ? CH_KV_UNREACHABLE
-                    : take_failure(&store->lease_code),
-        .revision = store->lease};
+    if (store->item != NULL && revision == store->revision &&
+        strcmp(key, store->key) == 0) {
+        drop_item(store);
+        result.code = CH_OK;
+    }
     pthread_mutex_unlock(&store->lock);
     done(data, &result);
 }
@@ -129,7 +142,8 @@
     if (store->item != NULL && g_str_has_prefix(store->key, prefix)) {
         entry = (struct ch_kv_entry){.key = store->key,
                                      .value = (char *)store->item->data,
-                                     .length = store->item->len};
+                                     .length = store->item->len,
+                                     .revision = store->revision};
         range.count = 1;
     }
     done(data, &range); /* copies the entries */
@@ -190,12 +204,12 @@
 {
     static const struct ch_kv_ops ops = {
         .get = fake_get,
-        .put_with_lease = fake_put,
-        .create_lease = fake_create_lease,
+        .put = fake_put,
+        .remove = fake_remove,
         .range = fake_range,
         .get_returns = fake_get_returns,
     };
-    *fixture = (struct fixture){.store = {.base = {&ops}, .lease = 3}};
+    *fixture = (struct fixture){.store = {.base = {&ops}}};
     ch_client_init(&fixture->client, "n1");
     fixture->client.log_write = discard_log_line;
     pthread_mutex_init(&fixture->store.lock, NULL);
@@ -268,17 +282,17 @@
 static const struct failure_case {
     const char *name;
     enum ch_code write_code;
-    enum ch_code lease_code;
     enum ch_code range_code;
     bool write_is_done;
+    bool item_is_lost; /* between two writes */
 } failure_cases[] = {
-    {"none", CH_OK, CH_OK, CH_OK, false},
-    {"no-lease", CH_OK, CH_KV_UNREACHABLE, CH_OK, false},
-    {"lease-ended", CH_KV_MISSING, CH_OK, CH_OK, false},
-    {"write-lost", CH_KV_AMBIGUOUS, CH_OK, CH_OK, false},
-    {"write-done-and-response-lost", CH_KV_AMBIGUOUS, CH_OK, CH_OK, true},
-    {"write-refused", CH_KV_CONFLICT, CH_OK, CH_OK, false},
-    {"store-away-at-the-read", CH_OK, CH_OK, CH_KV_UNREACHABLE, false},
+    {"none", CH_OK, CH_OK, false, false},
+    {"store-away-at-the-write", CH_KV_UNREACHABLE, CH_OK, false, false},
+    {"item-lost", CH_OK, CH_OK, false, true},
+    {"write-lost", CH_KV_AMBIGUOUS, CH_OK, false, false},
+    {"write-done-and-response-lost", CH_KV_AMBIGUOUS, CH_OK, true, false},
+    {"write-refused", CH_KV_CONFLICT, CH_OK, false, false},
+    {"store-away-at-the-read", CH_OK, CH_KV_UNREACHABLE, false, false},
 };
 
 /* Guards against streams that can't be taken up after their node was killed,
@@ -291,7 +305,6 @@
     struct ch_stream_origin stored;
     fixture_init(&fixture);
     fixture.store.write_code = row->write_code;
-    fixture.store.lease_code = row->lease_code;
     fixture.store.range_code = row->range_code;
     fixture.store.write_is_done = row->write_is_done;
     start(&fixture, OLD_PROCESS);
@@ -299,6 +312,9 @@
     g_assert_true(ch_origins_add(fixture.origins, &record, &stored));
     ch_origins_set_mixed(fixture.origins, true);
     wait_until(&fixture, has_item);
+    if (row->item_is_lost) {
+        lose_item(&fixture.store);
+    }
     record.key = 78;
     g_assert_true(ch_origins_add(fixture.origins, &record, &stored));
     struct ch_origins *old = fixture.origins;
@@ -336,6 +352,76 @@
     fixture_clear(&fixture);
 }
 
+/* Time that has passed beside the monotonic clock's. */
+static gint passed_s; /* atomic */
+
+static int64_t
+get_shifted_time(void *data)
+{
+    (void)data;
+    return g_get_monotonic_time() +
+           (int64_t)g_atomic_int_get(&passed_s) * G_USEC_PER_SEC;
+}
+
+static const struct removal_case {
+    const char *what;
+    bool is_rewritten; /* after it was read */
+    bool is_live;      /* its process */
+    bool is_removed;
+} removal_cases[] = {
+    {"its process has ended", false, false, true},
+    {"it was written since", true, false, false},
+    {"its process lives", false, true, false},
+};
+
+static bool
+has_no_item(struct fixture *fixture)
+{
+    return !has_item(fixture);
+}
+
+/* Guards against items that stay at the store for good, and against the
+ * removal of one that may be needed. */
+static void
+test_removal(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(removal_cases); i++) {
+        const struct removal_case *row = &removal_cases[i];
+        struct fixture fixture;
+        struct ch_stream_origin stored;
+        fixture_init(&fixture);
+        fixture.client.now = get_shifted_time;
+        start(&fixture, OLD_PROCESS);
+        const struct ch_stream_record record = make_record(&fixture, 4, 1);
+        g_assert_true(ch_origins_add(fixture.origins, &record, &stored));
+        ch_origins_set_mixed(fixture.origins, true);
+        wait_until(&fixture, has_item);
+        struct ch_origins *old = fixture.origins;
+        ch_origins_stop(old);
+        fixture.live = row->is_live ? OLD_PROCESS : 0;
+        start(&fixture, OWN_PROCESS);
+        ch_origins_read(fixture.origins,
+                        ch_stream_get_shard(ch_hash_string("n1")));
+        g_usleep(WRITTEN_US);
+        pthread_mutex_lock(&fixture.store.lock);
+        fixture.store.revision += row->is_rewritten ? 1 : 0;
+        pthread_mutex_unlock(&fixture.store.lock);
+        g_test_message("%s", row->what);
+        g_assert_true(has_item(&fixture));
+        g_atomic_int_set(&passed_s, REMOVED_S);
+        if (row->is_removed) {
+            wait_until(&fixture, has_no_item);
+        }
+        else {
+            g_usleep(WRITTEN_US);
+            g_assert_true(has_item(&fixture));
+        }
+        g_atomic_int_set(&passed_s, 0);
+        fixture_clear(&fixture);
+        ch_origins_free(old);
+    }
+}
+
 static const enum ch_code away_codes[] = {CH_KV_UNREACHABLE, CH_KV_CONFLICT,
                                           CH_KV_MISSING};
 
@@ -355,9 +441,9 @@
         g_assert_true(ch_origins_add(fixture.origins, &record, &stored));
         ch_origins_set_mixed(fixture.origins, true);
         g_usleep(AWAY_US);
-        g_test_message("%u leases, %u writes", fixture.store.leases,
+        g_test_message("%u reads, %u writes", fixture.store.reads,
                        fixture.store.writes);
-        g_assert_cmpuint(fixture.store.leases + fixture.store.writes, <=,
+        g_assert_cmpuint(fixture.store.reads + fixture.store.writes, <=,
                          MAX_CALLS_AWAY);
         fixture_clear(&fixture);
     }
@@ -398,6 +484,7 @@
     }
     g_test_add_func("/stored-origins/differs", test_differs);
     g_test_add_func("/stored-origins/needless", test_needless);
+    g_test_add_func("/stored-origins/removal", test_removal);
     g_test_add_func("/stored-origins/store-away", test_store_away);
     return g_test_run();
 }
