Runs at a worker are counted by one function of the tests' harness

Three failure tests counted them by copies of one function. The last check before a call is named for all that it asks, and a comment on a backoff says which one it is. No behaviour changes.

--- a/libchestnuthitch/node/exchange.c
+++ b/libchestnuthitch/node/exchange.c
@@ -443,7 +443,7 @@
  * said since it was chosen that it takes no more requests. Lock held; returns
  * true when the exchange can be finished. */
 static bool
-call_unless_noticed(struct ch_exchange *exchange)
+call_if_allowed(struct ch_exchange *exchange)
 {
     int64_t retry_after = 0;
     if (!ch_exchange_may_call_upstream(exchange)) {
@@ -477,7 +477,7 @@
         over = end_without_response(exchange);
     }
     else if (granted) {
-        over = call_unless_noticed(exchange);
+        over = call_if_allowed(exchange);
     }
     else {
         over =
@@ -499,7 +499,7 @@
         return handle_bytes_refusal(exchange);
     }
     if (!ch_limit_manager_is_limited(limits, exchange->grant.upstream)) {
-        return call_unless_noticed(exchange);
+        return call_if_allowed(exchange);
     }
     ch_limit_manager_take(limits, exchange->grant.upstream, CH_LIMITED_REQUEST,
                           exchange->grant.is_last_resort, handle_permission,
--- a/libchestnuthitch/node/roster.c
+++ b/libchestnuthitch/node/roster.c
@@ -17,11 +17,9 @@
     TICK_US = 100 * 1000,
     MIN_BACKOFF_US = 250 * 1000,
     MAX_BACKOFF_US = 2 * 1000 * 1000,
-    /*
-     * For each live node, the least maximum of the backoff of a node that
-     * watches in place of others. While the key-value store is away from a
-     * region it keeps the calls of its nodes at some twenty a second.
-     */
+    /* Longest backoff of a node that watches in place of others, for each live
+     * node. While no node of a region reaches the key-value store, it keeps
+     * their calls at some twenty a second, whatever their number. */
     BACKOFF_US_PER_NODE = 50 * 1000,
     /* Nodes change less often than upstreams, and a node that is gone is found
      * by its silence. */
--- a/tests/failure/test_odd_entries.c
+++ b/tests/failure/test_odd_entries.c
@@ -7,7 +7,6 @@
 #include "harness/harness.h"
 
 #include <signal.h>
-#include <string.h>
 
 enum {
     NODES = 5,
@@ -85,25 +84,6 @@
     }
 }
 
-/* Runs at a worker after a time. */
-static unsigned
-count_runs_after(const struct harness_fleet *fleet, const char *worker,
-                 int64_t after_ms)
-{
-    unsigned count = 0;
-    JsonNode *record = harness_get_record(&fleet->users);
-    JsonArray *runs =
-        json_object_get_array_member(json_node_get_object(record), "runs");
-    for (guint i = 0; i < json_array_get_length(runs); i++) {
-        JsonObject *run = json_array_get_object_element(runs, i);
-        count += strcmp(json_object_get_string_member(run, "worker"),
-                        worker) == 0 &&
-                 json_object_get_int_member(run, "at_ms") > after_ms;
-    }
-    json_node_unref(record);
-    return count;
-}
-
 static unsigned
 count_answering_nodes(const struct harness_fleet *fleet)
 {
@@ -154,8 +134,9 @@
     harness_users_change_worker(fleet, "e1", "drain");
     harness_users_start_worker(fleet, "e4", "v1", "m1");
     harness_sleep_ms(DRAIN_MS + AFTER_MS);
-    unsigned late = count_runs_after(fleet, "e1", changed_at + DRAIN_MS);
-    unsigned at_new = count_runs_after(fleet, "e4", changed_at);
+    unsigned late =
+        harness_users_count_runs(fleet, "e1", changed_at + DRAIN_MS, NULL);
+    unsigned at_new = harness_users_count_runs(fleet, "e4", changed_at, NULL);
     unsigned answering = count_answering_nodes(fleet);
     struct harness_users_results results = harness_users_load_stop(run);
     g_print("figure: %s: %u of %d nodes answer, %u late runs at the upstream "
--- a/tests/failure/test_store_return.c
+++ b/tests/failure/test_store_return.c
@@ -81,25 +81,6 @@
 
 /* ---- checks ---- */
 
-/* Runs at a worker after a time. */
-static unsigned
-count_runs_after(const struct harness_fleet *fleet, const char *worker,
-                 int64_t after_ms)
-{
-    unsigned count = 0;
-    JsonNode *record = harness_get_record(&fleet->users);
-    JsonArray *runs =
-        json_object_get_array_member(json_node_get_object(record), "runs");
-    for (guint i = 0; i < json_array_get_length(runs); i++) {
-        JsonObject *run = json_array_get_object_element(runs, i);
-        count += strcmp(json_object_get_string_member(run, "worker"),
-                        worker) == 0 &&
-                 json_object_get_int_member(run, "at_ms") > after_ms;
-    }
-    json_node_unref(record);
-    return count;
-}
-
 /* Orders that workers refused for an old fencing token. */
 static int64_t
 count_fenced(const struct harness_fleet *fleet)
@@ -152,7 +133,8 @@
     harness_sleep_ms(APPLY_MS);
     unsigned nodes = harness_users_count_added(fleet);
     harness_sleep_ms(AFTER_MS);
-    unsigned late = count_runs_after(fleet, "e1", drained_at + APPLY_MS);
+    unsigned late =
+        harness_users_count_runs(fleet, "e1", drained_at + APPLY_MS, NULL);
     double seconds = (double)(harness_now_ms() - drained_at + 500) / 1000;
     double rate = (count_store_calls(fleet) - calls) / seconds / NODES;
     g_print("figure: %s: added route at %u of %d nodes, %u runs at the "
@@ -185,8 +167,9 @@
         least = MIN(least, nodes);
         harness_sleep_ms(200);
     }
-    unsigned draining = count_runs_after(fleet, "e1", returned_at);
-    unsigned gone = count_runs_after(fleet, "e2", returned_at);
+    unsigned draining =
+        harness_users_count_runs(fleet, "e1", returned_at, NULL);
+    unsigned gone = harness_users_count_runs(fleet, "e2", returned_at, NULL);
     g_print("figure: %s: added route at %u of %d nodes at least, %u runs at "
             "the upstream that leaves, %u at the one that is gone\n",
             name, least, NODES, draining, gone);
@@ -254,7 +237,8 @@
     harness_sleep_ms(APPLY_MS);
     unsigned nodes = harness_users_count_added(fleet);
     harness_sleep_ms(APPLY_MS);
-    unsigned late = count_runs_after(fleet, "e1", drained_at + APPLY_MS);
+    unsigned late =
+        harness_users_count_runs(fleet, "e1", drained_at + APPLY_MS, NULL);
     g_print("figure: %s: added route at %u of %d nodes, %u runs at the "
             "upstream that leaves\n",
             name, nodes, NODES, late);
--- a/tests/failure/test_unseen.c
+++ b/tests/failure/test_unseen.c
@@ -8,7 +8,6 @@
 #include "harness/harness.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 enum {
     MAX_NODES = 20,
@@ -70,29 +69,6 @@
     }
 }
 
-/* Runs at a worker after a time; *last_ms: the time of the last one. */
-static unsigned
-count_runs_after(const struct harness_fleet *fleet, const char *worker,
-                 int64_t after_ms, int64_t *last_ms)
-{
-    unsigned count = 0;
-    JsonNode *record = harness_get_record(&fleet->users);
-    JsonArray *runs =
-        json_object_get_array_member(json_node_get_object(record), "runs");
-    for (guint i = 0; i < json_array_get_length(runs); i++) {
-        JsonObject *run = json_array_get_object_element(runs, i);
-        int64_t at_ms = json_object_get_int_member(run, "at_ms");
-        if (strcmp(json_object_get_string_member(run, "worker"), worker) !=
-            0) {
-            continue;
-        }
-        *last_ms = MAX(*last_ms, at_ms);
-        count += at_ms > after_ms;
-    }
-    json_node_unref(record);
-    return count;
-}
-
 /* An upstream leaves. */
 static void
 change_upstream(const struct scenario *scenario, struct harness_fleet *fleet)
@@ -102,7 +78,7 @@
     harness_sleep_ms(DRAIN_MS + AFTER_MS);
     int64_t last_ms = left_at;
     unsigned late =
-        count_runs_after(fleet, "e1", left_at + DRAIN_MS, &last_ms);
+        harness_users_count_runs(fleet, "e1", left_at + DRAIN_MS, &last_ms);
     g_print("figure: %s: %u runs at the upstream after %d ms, the last after "
             "%" G_GINT64_FORMAT " ms\n",
             scenario->name, late, DRAIN_MS, last_ms - left_at);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -276,6 +276,12 @@
 extern const char harness_users_added_route[];
 unsigned harness_users_count_added(const struct harness_fleet *fleet);
 
+/* The number of runs at a worker after a time, in ms of harness_now_ms();
+ * last_ms (may be NULL): set to the time of the last run, if later. */
+unsigned harness_users_count_runs(const struct harness_fleet *fleet,
+                                  const char *worker, int64_t after_ms,
+                                  int64_t *last_ms);
+
 /* Callers in a loop, each request by a random node; its ID begins with the
  * node's name and '-'. */
 struct harness_users_load {
--- a/tests/harness/users_load.c
+++ b/tests/harness/users_load.c
@@ -4,6 +4,7 @@
 #include "harness/harness.h"
 
 #include <pthread.h>
+#include <string.h>
 
 enum {
     /* A request that cannot be served is rejected at once. */
@@ -59,6 +60,30 @@
     return count;
 }
 
+unsigned
+harness_users_count_runs(const struct harness_fleet *fleet, const char *worker,
+                         int64_t after_ms, int64_t *last_ms)
+{
+    unsigned count = 0;
+    JsonNode *record = harness_get_record(&fleet->users);
+    JsonArray *runs =
+        json_object_get_array_member(json_node_get_object(record), "runs");
+    for (guint i = 0; i < json_array_get_length(runs); i++) {
+        JsonObject *run = json_array_get_object_element(runs, i);
+        int64_t at_ms = json_object_get_int_member(run, "at_ms");
+        if (strcmp(json_object_get_string_member(run, "worker"), worker) !=
+            0) {
+            continue;
+        }
+        count += at_ms > after_ms;
+        if (last_ms != NULL) {
+            *last_ms = MAX(*last_ms, at_ms);
+        }
+    }
+    json_node_unref(record);
+    return count;
+}
+
 void
 harness_users_wait_ready(const struct harness_fleet *fleet)
 {
