--- a/tests/failure/test_unseen.c
+++ b/tests/failure/test_unseen.c
@@ -57,7 +57,7 @@
 cut_watchers(const struct harness_fleet *fleet, const char *form,
              unsigned count)
 {
-    struct watcher watchers[MAX_NODES];
+    struct watcher watchers[MAX_NODES] = {0};
     for (unsigned i = 0; i < fleet->node_count; i++) {
         watchers[i] = (struct watcher){
             &fleet->nodes[i],
--- a/tests/unit/test_freshness.c
+++ b/tests/unit/test_freshness.c
@@ -2,15 +2,16 @@
 
 #include "freshness/freshness.h"
 
+#define MS INT64_C(1000)
+
 enum {
-    MS = 1000,
     BOUND_US = 3000 * MS,
     MAX_NODES = 320,
     TICK_US = 100 * MS,
-    RUN_US = 20 * 1000 * MS,
-    FAULT_US = 6 * 1000 * MS, /* when nodes lose the store */
-    /* Round trips to a store in another region, for a list of four pages. */
-    CALL_US = 4 * 64 * MS,
+    RUN_US = 20000 * MS,
+    FAULT_US = 6000 * MS, /* when nodes lose the store */
+    /* Four round trips to a store in another region, one for each page. */
+    CALL_US = 256 * MS,
     MESSAGE_US = 30 * MS,
     CALL_TIMEOUT_US = 1000 * MS,
     MIN_BACKOFF_US = 250 * MS,
@@ -196,17 +197,19 @@
     struct ch_freshness freshness;
     ch_freshness_init(&freshness, BOUND_US, 0);
     g_assert_cmpint(ch_freshness_get_age(&freshness, MS), ==, G_MAXINT64);
-    g_assert_false(ch_freshness_update_late(&freshness, 10 * BOUND_US));
+    g_assert_false(
+        ch_freshness_update_late(&freshness, (int64_t)10 * BOUND_US));
     ch_freshness_confirm(&freshness, 5 * MS);
     g_assert_cmpint(ch_freshness_get_age(&freshness, 8 * MS), ==, 3 * MS);
     ch_freshness_confirm(&freshness, 2 * MS); /* an older call ends later */
     g_assert_cmpint(ch_freshness_get_age(&freshness, 8 * MS), ==, 3 * MS);
     ch_freshness_receive(&freshness, 4 * MS, false, 10 * MS);
     g_assert_cmpint(ch_freshness_get_age(&freshness, 10 * MS), ==, 4 * MS);
-    g_assert_true(ch_freshness_update_late(&freshness, 2 * BOUND_US));
-    g_assert_false(ch_freshness_update_late(&freshness, 2 * BOUND_US));
-    ch_freshness_confirm(&freshness, 2 * BOUND_US);
-    g_assert_true(ch_freshness_update_late(&freshness, 2 * BOUND_US));
+    g_assert_true(ch_freshness_update_late(&freshness, (int64_t)2 * BOUND_US));
+    g_assert_false(
+        ch_freshness_update_late(&freshness, (int64_t)2 * BOUND_US));
+    ch_freshness_confirm(&freshness, (int64_t)2 * BOUND_US);
+    g_assert_true(ch_freshness_update_late(&freshness, (int64_t)2 * BOUND_US));
 }
 
 /* Guards against a node that stood still and takes the messages that waited
@@ -219,17 +222,16 @@
     ch_freshness_init(&freshness, BOUND_US, now);
     ch_freshness_receive(&freshness, 0, true, now);
     ch_freshness_update(&freshness, 4, now);
-    now += 4 * 1000 * MS;
+    now += 4000 * MS;
     ch_freshness_receive(&freshness, 0, true, now);
-    g_assert_cmpint(ch_freshness_get_age(&freshness, now), ==, 4 * 1000 * MS);
+    g_assert_cmpint(ch_freshness_get_age(&freshness, now), ==, 4000 * MS);
     g_assert_true(ch_freshness_update(&freshness, 4, now));
     ch_freshness_receive(&freshness, 0, true, now + MS);
-    g_assert_cmpint(ch_freshness_get_age(&freshness, now + MS), >,
-                    4 * 1000 * MS);
+    g_assert_cmpint(ch_freshness_get_age(&freshness, now + MS), >, 4000 * MS);
     for (int i = 1; i <= 10; i++) {
-        ch_freshness_update(&freshness, 4, now + i * TICK_US);
+        ch_freshness_update(&freshness, 4, now + (int64_t)i * TICK_US);
     }
-    now += 11 * TICK_US;
+    now += (int64_t)11 * TICK_US;
     ch_freshness_receive(&freshness, 0, true, now);
     g_assert_cmpint(ch_freshness_get_age(&freshness, now), ==, 0);
 }
--- a/tests/unit/test_resume.c
+++ b/tests/unit/test_resume.c
@@ -427,7 +427,7 @@
         enum ch_stream_finding at_once =
             ch_stream_lookup_decide(&lookup, 0, &origin);
         enum ch_stream_finding finding =
-            ch_stream_lookup_decide(&lookup, 2 * SECOND, &origin);
+            ch_stream_lookup_decide(&lookup, (int64_t)2 * SECOND, &origin);
         g_assert_cmpstr(ch_stream_finding_get_name(finding), ==,
                         ch_stream_finding_get_name(lookup_cases[i].finding));
         g_assert_true(at_once == finding || at_once == CH_STREAM_ASKING);
@@ -705,7 +705,7 @@
                                    sim->now),
             &versions);
     }
-    return ch_stream_lookup_decide(&lookup, 2 * SECOND, origin);
+    return ch_stream_lookup_decide(&lookup, (int64_t)2 * SECOND, origin);
 }
 
 /* A caller takes its stream up at a random running node; streams of which the
