A submitted call does not touch the HTTP client after it may have ended

Cause: ch_http_submit() puts the call into the queue, releases the lock and then wakes the loop. The loop may have seen the call already and ended it, and a node that stops waits for nothing but that end before it frees the client; the wake-up then uses freed memory. A node could have crashed at its stop.

The loop is woken with the lock held: the call can't end before the lock is released, and nothing of the client is used after that.

--- a/libchestnuthitch/net/http.c
+++ b/libchestnuthitch/net/http.c
@@ -1024,8 +1024,10 @@
     uint64_t handle = ch_table_add(http->transfers, transfer);
     transfer->handle = handle;
     g_queue_push_tail(http->submitted, transfer);
-    pthread_mutex_unlock(&http->lock);
+    /* With the lock held: once it is released the call may end, and its end
+     * may be what ch_http_free() has waited for. */
     curl_multi_wakeup(http->multi);
+    pthread_mutex_unlock(&http->lock);
     return handle;
 }
 
@@ -1044,11 +1046,11 @@
     pthread_mutex_lock(&http->lock);
     g_array_append_val(http->cancelled_handles, handle);
     struct transfer *transfer = ch_table_get(http->transfers, handle);
-    pthread_mutex_unlock(&http->lock);
     if (transfer != NULL && pthread_equal(pthread_self(), http->thread)) {
         transfer->cancelled = true;
     }
     curl_multi_wakeup(http->multi);
+    pthread_mutex_unlock(&http->lock);
 }
 
 /*
